Add the workspace, the shared types and the interfaces between parts

Cause: nothing exists yet; every part needs the same types, errors and record envelope. Change: npm workspace with strict TypeScript and lint, import directions, domain core (resources, errors, declarations, selectors, record envelope), the three platform interfaces, the protobuf messages with generated code, and the interfaces of the daemon's parts. Conclusion: parts can be built side by side against these types.

--- /dev/null
+++ b/packages/domain/src/config/state.ts
@@ -0,0 +1,36 @@
+/** The configuration in force: the fold's state over the configuration stream. */
+import type { ConfigObject, ObjectKind } from '../declarations/schemas.js';
+
+/** An object and the offset of the entry that wrote it. */
+export interface VersionedObject {
+  readonly object: ConfigObject;
+  readonly version: number;
+}
+
+/** Key of an object: `kind/name`. */
+export type ObjectKey = `${ObjectKind}/${string}`;
+
+/** The configuration after every entry before `offset`. */
+export interface ConfigState {
+  readonly offset: number;
+  readonly objects: ReadonlyMap<ObjectKey, VersionedObject>;
+}
+
+/** Returns the key of the object of `kind` and `name`. */
+export function objectKey(kind: ObjectKind, name: string): ObjectKey {
+  return `${kind}/${name}`;
+}
+
+/** Returns the objects of one kind, in order of name. */
+export function objectsOf<K extends ObjectKind>(
+  state: ConfigState,
+  kind: K,
+): Extract<ConfigObject, { kind: K }>[] {
+  const found: Extract<ConfigObject, { kind: K }>[] = [];
+  for (const { object } of state.objects.values()) {
+    if (object.kind === kind) {
+      found.push(object as Extract<ConfigObject, { kind: K }>);
+    }
+  }
+  return found.sort((a, b) => (a.name < b.name ? -1 : 1));
+}
--- /dev/null
+++ b/packages/domain/src/core/time.ts
@@ -0,0 +1,13 @@
+/** Instants and clocks; the domain reads no clock of its own. */
+
+/** Milliseconds on a clock named by the holder: monotonic for leases and requests, wall for display. */
+export type Instant = number;
+
+/** A span in milliseconds; settings hold spans, state holds only instants. */
+export type Millis = number;
+
+/** Reads the current instant. */
+export type Clock = () => Instant;
+
+/** Returns a uniformly distributed number in [0, 1). */
+export type Random = () => number;
--- /dev/null
+++ b/packages/domain/src/declarations/schemas.ts
@@ -0,0 +1,173 @@
+/** Schemas of the declarations that operators publish. */
+import { z } from 'zod';
+
+import { resourcesSchema } from '../core/resources.js';
+
+const NAME_PATTERN = /^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$/;
+const MAX_LABELS = 32;
+
+/** Schema of an object's name: lower-case letters, digits, dots, dashes and underscores. */
+export const nameSchema = z
+  .string()
+  .regex(
+    NAME_PATTERN,
+    'expected 1 to 63 lower-case letters, digits, ".", "-" or "_", with a letter or digit at each end',
+  );
+
+/** Schema of labels: at most 32 pairs of short strings. */
+export const labelsSchema = z
+  .record(z.string().min(1).max(63), z.string().max(63))
+  .refine(
+    labels => Object.keys(labels).length <= MAX_LABELS,
+    `expected at most ${MAX_LABELS} labels`,
+  );
+
+/** Schema of one condition of a selector. */
+export const conditionSchema = z.strictObject({
+  label: z.string().min(1).max(63),
+  operator: z.enum(['in', 'not_in', 'exists', 'absent']),
+  values: z.array(z.string().max(63)).max(64).default([]),
+});
+
+/** Schema of a selector: all equalities and conditions must hold; an empty one selects everything. */
+export const selectorSchema = z.strictObject({
+  labels: labelsSchema.default({}),
+  conditions: z.array(conditionSchema).max(16).default([]),
+});
+
+const objectiveSchema = z.strictObject({
+  /** Share of requests that must be good, such as 0.999. */
+  target: z.number().gt(0).lt(1),
+  /** A request is good when answered without an error within this time. */
+  latencyMs: z.number().positive(),
+  /** Period over which the error budget is counted. */
+  periodDays: z.int().positive().max(90).default(28),
+});
+
+const routeSchema = z.strictObject({
+  /** Host header that selects the service; the service's name when absent. */
+  host: z.string().min(1).max(253).optional(),
+  pathPrefix: z.string().startsWith('/').default('/'),
+  timeoutMs: z.int().positive().max(3_600_000).default(10_000),
+  maxQueue: z.int().nonnegative().max(100_000).default(1_000),
+  maxBodyBytes: z
+    .int()
+    .nonnegative()
+    .default(16 * 1024 * 1024),
+  /** Retries allowed as a share of first tries. */
+  retryBudget: z.number().min(0).max(1).default(0.1),
+  /** Hedges allowed as a share of first tries; 0 turns hedging off. */
+  hedgeBudget: z.number().min(0).max(1).default(0),
+  /** Whether requests with an Idempotency-Key are deduplicated through the log. */
+  idempotencyKeys: z.boolean().default(false),
+  /** Methods taken for idempotent; others are sent at most once. */
+  idempotentMethods: z
+    .array(z.enum(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']))
+    .default(['GET', 'HEAD', 'OPTIONS']),
+});
+
+/** Schema of a service: which workers run its backend servers, and how requests reach them. */
+export const serviceSchema = z.strictObject({
+  kind: z.literal('service'),
+  name: nameSchema,
+  labels: labelsSchema.default({}),
+  team: nameSchema,
+  /** Workers that run a backend server of the service. */
+  workers: selectorSchema,
+  /** What a backend server takes of its worker. */
+  size: resourcesSchema,
+  /** Requests that a backend server runs at a time. */
+  slots: z.int().positive().max(10_000),
+  /** Connections that a backend server accepts over all entry hosts. */
+  connections: z.int().positive().max(100_000),
+  route: routeSchema,
+  objective: objectiveSchema,
+});
+
+/** Schema of a job: tasks of one size that run to their end. */
+export const jobSchema = z.strictObject({
+  kind: z.literal('job'),
+  name: nameSchema,
+  labels: labelsSchema.default({}),
+  team: nameSchema,
+  /** Workers that may run its tasks. */
+  workers: selectorSchema.prefault({}),
+  tasks: z.int().positive().max(100_000),
+  size: resourcesSchema,
+  command: z.array(z.string()).min(1).max(256),
+  /** Expected run time of one task; often wrong. */
+  expectedSeconds: z.number().positive().default(600),
+  maxAttempts: z.int().positive().max(100).default(5),
+  /** What to do with a task whose worker is lost: resume from its checkpoint, or hold for an operator. */
+  onLostWorker: z.enum(['resume', 'hold']).default('resume'),
+});
+
+/** Schema of a team and its quota of running work. */
+export const teamSchema = z.strictObject({
+  kind: z.literal('team'),
+  name: nameSchema,
+  quota: resourcesSchema,
+  /** Share in fair ordering relative to other teams. */
+  weight: z.number().positive().default(1),
+});
+
+/** Schema of a policy: the class of the work that a selector matches. */
+export const policySchema = z.strictObject({
+  kind: z.literal('policy'),
+  name: nameSchema,
+  /** Policies are tried in ascending order; the first match decides. */
+  order: z.int().nonnegative(),
+  work: selectorSchema,
+  class: z.enum(['latency_critical', 'batch']),
+  priority: z.enum(['urgent', 'normal', 'low']).default('normal'),
+  preemptible: z.boolean().default(false),
+  /** Evictions allowed per task and hour. */
+  evictionsPerHour: z.number().nonnegative().default(2),
+});
+
+/** Schema of a shard: the workers that one owner schedules. */
+export const shardSchema = z.strictObject({
+  kind: z.literal('shard'),
+  name: nameSchema,
+  region: nameSchema,
+  availabilityZone: nameSchema,
+  racks: z.array(nameSchema).min(1).max(64),
+});
+
+/** Schema of the weights of a deployment. */
+export const weightsSchema = z.strictObject({
+  kind: z.literal('weights'),
+  name: z.literal('default'),
+  tailLatency: z.number().nonnegative(),
+  batchThroughput: z.number().nonnegative(),
+  evictions: z.number().nonnegative(),
+});
+
+/** Schema of a worker's administrative state. */
+export const workerSchema = z.strictObject({
+  kind: z.literal('worker'),
+  name: nameSchema,
+  drained: z.boolean().default(false),
+});
+
+/** Schema of any object of the configuration; jobs are submitted, not configured. */
+export const objectSchema = z.discriminatedUnion('kind', [
+  serviceSchema,
+  teamSchema,
+  policySchema,
+  shardSchema,
+  weightsSchema,
+  workerSchema,
+]);
+
+export type Selector = z.output<typeof selectorSchema>;
+export type ServiceSpec = z.output<typeof serviceSchema>;
+export type RouteSpec = z.output<typeof routeSchema>;
+export type JobSpec = z.output<typeof jobSchema>;
+export type TeamSpec = z.output<typeof teamSchema>;
+export type PolicySpec = z.output<typeof policySchema>;
+export type ShardSpec = z.output<typeof shardSchema>;
+export type WeightsSpec = z.output<typeof weightsSchema>;
+export type WorkerSpec = z.output<typeof workerSchema>;
+export type ConfigObject = z.output<typeof objectSchema>;
+export type ObjectKind = ConfigObject['kind'];
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,4 @@
+/** Interfaces to the platform and their HTTP adapters. */
+export * from './host-list.js';
+export * from './log-service.js';
+export * from './worker-agent.js';
