--- /dev/null
+++ b/packages/domain/src/config/index.ts
@@ -0,0 +1,2 @@
+/** The configuration in force and its fold. */
+export * from './state.js';
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -1,10 +1,13 @@
 /** Pure decisions of paddlewind. */
+export * from './config/index.js';
 export * from './core/random.js';
 export * from './core/resources.js';
 export * from './core/time.js';
+export * from './declarations/index.js';
 export * from './errors/app-error.js';
 export * from './errors/kinds.js';
-export * from './streams/record.js';
-export * from './config/state.js';
-export * from './declarations/schemas.js';
-export * from './declarations/selector.js';
+export * from './interference/index.js';
+export * from './routing/index.js';
+export * from './scheduling/index.js';
+export * from './shards/index.js';
+export * from './streams/index.js';
--- /dev/null
+++ b/packages/domain/src/routing/index.ts
@@ -0,0 +1,2 @@
+/** Decisions on requests: choice of a backend server, admission, retries and ejection. */
+export * from './dispatcher.js';
--- /dev/null
+++ b/packages/domain/src/scheduling/index.ts
@@ -0,0 +1,2 @@
+/** Decisions on tasks: placement, quotas, preemption and their records. */
+export {};
--- /dev/null
+++ b/packages/domain/src/shards/index.ts
@@ -0,0 +1,2 @@
+/** Ownership of shards by leases in the log. */
+export {};
--- /dev/null
+++ b/packages/domain/src/streams/index.ts
@@ -0,0 +1,2 @@
+/** Streams of the log: record envelope and folds. */
+export * from './record.js';
