--- a/packages/domain/src/routing/dispatcher.ts
+++ b/packages/domain/src/routing/dispatcher.ts
@@ -12,6 +12,12 @@
   readonly state: 'live' | 'leaving';
 }
 
+/** An entry host that is live, this one included. */
+export interface EntryHostInfo {
+  readonly id: string;
+  readonly availabilityZone: string;
+}
+
 /** A request as far as decisions need it. */
 export interface RequestInfo {
   /** Unique on this entry host. */
@@ -63,8 +69,19 @@
     }[],
     now: Instant,
   ): Dispatch[];
-  /** Takes the entry hosts now live, this one included. */
-  setPeers(count: number, now: Instant): Dispatch[];
+  /**
+   * Takes the number of entry hosts now live, this one included. With their names the hosts share out
+   * the slots between them; without, each one only keeps to its share of the connections.
+   */
+  setPeers(
+    count: number,
+    now: Instant,
+    hosts?: readonly EntryHostInfo[],
+  ): Dispatch[];
+  /** Multiplies the attraction of a worker's server: 1 is neutral, 0 is only used when no other can. */
+  steer(worker: string, weight: number): void;
+  /** Most connections that this entry host may hold to a server, idle ones included. */
+  connectionLimit(backend: string, now: Instant): number;
   /** Expires deadlines and returns ejected servers; call about every 10 ms while anything is queued. */
   tick(now: Instant): Dispatch[];
   /** Own load by backend server, to be told to peers. */
