Learn interference and advise steering, throttling and eviction

Batch work slows services by amounts that depend on the pair and the load, and usage is reported 30 s late. A regression for each service attributes the level of its response times to load and to the batch classes beside it; windows wait for the usage report of their own time. The policy predicts the spending of error budgets and acts by rising cost, with dwell times and bounds on changes.

--- a/packages/domain/src/interference/index.ts
+++ b/packages/domain/src/interference/index.ts
@@ -1,2 +1,20 @@
 /** Learning of interference between services and batch work, and the policy against it. */
-export {};
+export * from './advise.js';
+export * from './batch-class.js';
+export { createPolicyMemory, type PolicyMemory } from './memory.js';
+export {
+  createInterferenceModel,
+  learntSlowdown,
+  observeLatency,
+  observePlacement,
+  observeUsage,
+  setObjective,
+  type ClassUse,
+  type InterferenceModel,
+  type LatencySample,
+  type UsageSample,
+} from './model.js';
+export * from './penalty.js';
+export { type InterferenceWeights } from './settings.js';
+export { type Slowdown } from './service-model.js';
+export * from './view.js';
