Commit records in groups and follow streams of the log

Cause: parts of the daemon share state only through the platform's log, whose answers can be lost after the append took effect and whose append rate is small.

A follower reads by long poll, takes the first of repeated records within a bounded window and skips malformed entries.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+/** The daemon's parts. */
+export * from './log/index.js';
+export * from './parts.js';
--- /dev/null
+++ b/packages/daemon/src/log/index.ts
@@ -0,0 +1,4 @@
+/** The log: group commit, followers and recovery. */
+export * from './committer.js';
+export * from './follower.js';
+export * from './timing.js';
--- /dev/null
+++ b/packages/daemon/src/log/timing.ts
@@ -0,0 +1,50 @@
+/** Timers, waits and backoff of the parts that use the log. */
+import type { Millis, Random, Schedule } from '@paddlewind/domain';
+
+import type { PartContext, Stop } from '../parts.js';
+
+/** Schedules by the timers of Node.js. */
+export function scheduleByTimeout(delay: Millis, task: () => void): Stop {
+  const timer = setTimeout(task, delay);
+  return () => {
+    clearTimeout(timer);
+  };
+}
+
+/** Returns the timers of a part. */
+export function scheduleOf(ctx: Pick<PartContext, 'schedule'>): Schedule {
+  return ctx.schedule ?? scheduleByTimeout;
+}
+
+/** Waits for `span`, or until `signal` is aborted. */
+export function sleep(
+  schedule: Schedule,
+  span: Millis,
+  signal?: AbortSignal,
+): Promise<void> {
+  return new Promise(resolve => {
+    if (signal?.aborted === true) {
+      resolve();
+      return;
+    }
+    const wake = (): void => {
+      cancel();
+      signal?.removeEventListener('abort', wake);
+      resolve();
+    };
+    const cancel = schedule(span, wake);
+    signal?.addEventListener('abort', wake);
+  });
+}
+
+const BACKOFF_FIRST_MS = 50;
+const BACKOFF_MAX_MS = 5_000;
+
+/** Returns the jittered wait before retry number `failures` (1 is the first). */
+export function backoffMs(failures: number, random: Random): Millis {
+  const ceiling = Math.min(
+    BACKOFF_MAX_MS,
+    BACKOFF_FIRST_MS * 2 ** Math.min(failures - 1, 16),
+  );
+  return ceiling / 2 + (ceiling / 2) * random();
+}
--- a/packages/daemon/src/parts.ts
+++ b/packages/daemon/src/parts.ts
@@ -6,6 +6,7 @@
   Instant,
   Position,
   Random,
+  Schedule,
   StreamRecord,
 } from '@paddlewind/domain';
 import type { Host } from '@paddlewind/platform';
@@ -21,6 +22,8 @@
   /** A child logger whose messages carry the part's prefix. */
   readonly log: Logger;
   readonly metrics: Registry;
+  /** Timers; those of Node.js when absent. */
+  readonly schedule?: Schedule;
 }
 
 /** Stops a part or a subscription. */
--- a/packages/domain/src/core/time.ts
+++ b/packages/domain/src/core/time.ts
@@ -11,3 +11,6 @@
 
 /** Returns a uniformly distributed number in [0, 1). */
 export type Random = () => number;
+
+/** Runs `task` once after `delay`; the returned function cancels it. */
+export type Schedule = (delay: Millis, task: () => void) => () => void;
--- a/packages/domain/src/streams/index.ts
+++ b/packages/domain/src/streams/index.ts
@@ -1,2 +1,3 @@
 /** Streams of the log: record envelope and folds. */
+export * from './dedupe.js';
 export * from './record.js';
--- a/packages/platform/src/log-service.ts
+++ b/packages/platform/src/log-service.ts
@@ -15,6 +15,9 @@
   readonly head: number;
 }
 
+/** Offset beyond every head: a read from here that waits 0 ms tells `first` and `head`. */
+export const END_OF_STREAM = Number.MAX_SAFE_INTEGER;
+
 /** What to read: entries from `from` on; waits up to `waitMs` when there is none yet. */
 export interface ReadRequest {
   readonly stream: string;
@@ -32,6 +35,9 @@
    * `not_run` only when the request surely had no effect, and `overloaded` over the append rate.
    */
   append(stream: string, payload: string): Promise<Result<number, AppError>>;
-  /** Reads a page; fails with `log_unavailable`, or `log_trimmed` when `from` is older than kept. */
+  /**
+   * Reads a page; fails with `log_unavailable`, or `log_trimmed` when `from` is older than kept.
+   * A `from` beyond the head gives an empty page that tells `first` and `head`, see `END_OF_STREAM`.
+   */
   read(req: ReadRequest): Promise<Result<LogPage, AppError>>;
 }
