--- /dev/null
+++ b/packages/cli/src/app.ts
@@ -0,0 +1,146 @@
+/** The command line: flags, commands and their dispatch. */
+import { randomUUID } from 'node:crypto';
+
+import { appError } from '@paddlewind/domain';
+import meow from 'meow';
+
+import { createOperators, type ClientTls } from './client.js';
+import type { Command } from './command.js';
+import { apply } from './commands/apply.js';
+import { diff } from './commands/diff.js';
+import { drain } from './commands/drain.js';
+import { describe, get } from './commands/get.js';
+import { job } from './commands/job.js';
+import { report } from './commands/report.js';
+import { top } from './commands/top.js';
+import { validate } from './commands/validate.js';
+import { fail, type Io } from './output.js';
+
+const HELP = `
+  Usage
+    $ paddlewind COMMAND [--server ip:port[,ip:port…]] [--json]
+
+  Commands
+    validate PATH            check declarations, without a call to any host
+    diff PATH [--prune]      show what apply would change; exits 20 when there are differences
+    apply PATH [--wait] [--prune] [--id ID]
+                             publish declarations as one change set
+    get [KIND [NAME]]        list the configuration in force
+    describe KIND NAME       show one object
+    job submit FILE [--id ID] | job status ID | job cancel ID
+    drain WORKER [--undo]    take a worker out of service, or put it back
+    top                      show hosts, shards and entry hosts
+    report burn [--html FILE]
+                             report on service-level burn
+
+  Options
+    --server      entry hosts to ask, in order; also PADDLEWIND_SERVER (default 127.0.0.1:7400)
+    --cert, --key, --ca  files of the client's certificate, where TLS is on
+    --timeout-ms  how long to wait for an answer (default 15000)
+    --json        print JSON
+
+  Exit codes: see docs/CLI.md
+`;
+
+const DEFAULT_SERVER = '127.0.0.1:7400';
+const DEFAULT_TIMEOUT_MS = 15_000;
+
+const COMMANDS: Readonly<Record<string, Command>> = {
+  apply,
+  describe,
+  diff,
+  drain,
+  get,
+  job,
+  report,
+  top,
+  validate,
+};
+
+function parse(argv: readonly string[]) {
+  return meow(HELP, {
+    importMeta: import.meta,
+    argv,
+    autoHelp: false,
+    autoVersion: false,
+    flags: {
+      server: { type: 'string' },
+      json: { type: 'boolean', default: false },
+      wait: { type: 'boolean', default: false },
+      prune: { type: 'boolean', default: false },
+      undo: { type: 'boolean', default: false },
+      help: { type: 'boolean', default: false },
+      html: { type: 'string' },
+      id: { type: 'string' },
+      timeoutMs: { type: 'number', default: DEFAULT_TIMEOUT_MS },
+      cert: { type: 'string' },
+      key: { type: 'string' },
+      ca: { type: 'string' },
+    },
+  });
+}
+
+type ParsedFlags = ReturnType<typeof parse>['flags'];
+
+/** Runs one command line; resolves to the exit code. */
+export async function runCli(
+  argv: readonly string[],
+  env: Readonly<Record<string, string | undefined>>,
+  io: Io,
+): Promise<number> {
+  const { input, flags, unnormalizedFlags } = parse(argv);
+  const [name, ...args] = input;
+  const unknown = unknownFlags(unnormalizedFlags);
+  if (unknown.length > 0) {
+    const list = unknown.map(flag => `--${flag}`).join(', ');
+    return fail(io, flags.json, [
+      appError('invalid', `unknown option ${list}; see paddlewind --help`),
+    ]);
+  }
+  if (flags.help || name === undefined) {
+    io.out(HELP);
+    return flags.help ? 0 : 2;
+  }
+  const command = Object.hasOwn(COMMANDS, name) ? COMMANDS[name] : undefined;
+  if (command === undefined) {
+    return fail(io, flags.json, [
+      appError('invalid', `unknown command ${name}; see paddlewind --help`),
+    ]);
+  }
+  const servers = flags.server ?? env.PADDLEWIND_SERVER ?? DEFAULT_SERVER;
+  return command({
+    args,
+    flags: { ...flags, html: flags.html, id: flags.id },
+    operators: createOperators(servers.split(','), tlsOf(flags)),
+    io,
+    newId: randomUUID,
+  });
+}
+
+const KNOWN_FLAGS = new Set([
+  'server',
+  'json',
+  'wait',
+  'prune',
+  'undo',
+  'help',
+  'html',
+  'id',
+  'timeout-ms',
+  'timeoutMs',
+  'cert',
+  'key',
+  'ca',
+]);
+
+function unknownFlags(flags: Readonly<Record<string, unknown>>): string[] {
+  return Object.keys(flags).filter(flag => !KNOWN_FLAGS.has(flag));
+}
+
+function tlsOf(flags: ParsedFlags): ClientTls | undefined {
+  const { cert, key, ca } = flags;
+  if (cert === undefined || key === undefined || ca === undefined) {
+    return undefined;
+  }
+  return { certFile: cert, keyFile: key, caFile: ca };
+}
--- /dev/null
+++ b/packages/cli/src/client.ts
@@ -0,0 +1,130 @@
+/** Connection to the entry hosts, with a fall-over between them. */
+import { readFileSync } from 'node:fs';
+
+import {
+  ERROR_KINDS,
+  appError,
+  type AppError,
+  type ErrorKind,
+  type Outcome,
+} from '@paddlewind/domain';
+import {
+  ERROR_KIND_HEADER,
+  ERROR_PATH_HEADER,
+  OUTCOME_HEADER,
+  OperatorService,
+  RETRY_AFTER_MS_HEADER,
+} from '@paddlewind/protocol';
+import {
+  Code,
+  ConnectError,
+  createClient,
+  type Client,
+} from '@connectrpc/connect';
+import { createConnectTransport } from '@connectrpc/connect-node';
+import { Result } from 'true-myth';
+
+/** The operators' calls. */
+export type OperatorClient = Client<typeof OperatorService>;
+
+/** Files of the certificate that the command line presents. */
+export interface ClientTls {
+  readonly certFile: string;
+  readonly keyFile: string;
+  readonly caFile: string;
+}
+
+/** Calls one entry host after another until one answers; every call is idempotent by its id. */
+export interface Operators {
+  call<T>(
+    run: (client: OperatorClient) => Promise<T>,
+  ): Promise<Result<T, AppError>>;
+}
+
+/** Builds the calls to `servers`, each `ip:port`. */
+export function createOperators(
+  servers: readonly string[],
+  tls: ClientTls | undefined,
+): Operators {
+  const clients = servers.map(server => ({
+    server,
+    client: connect(server, tls),
+  }));
+  return {
+    async call(run) {
+      let last: AppError = appError(
+        'invalid',
+        'No server is given; use --server ip:port.',
+      );
+      for (const { server, client } of clients) {
+        try {
+          return Result.ok(await run(client));
+        } catch (err) {
+          last = fromConnectError(ConnectError.from(err), server);
+          if (last.kind !== 'not_ready' && last.kind !== 'log_unavailable') {
+            return Result.err(last);
+          }
+        }
+      }
+      return Result.err(last);
+    },
+  };
+}
+
+function connect(server: string, tls: ClientTls | undefined): OperatorClient {
+  if (tls === undefined) {
+    const transport = createConnectTransport({
+      baseUrl: `http://${server}`,
+      httpVersion: '1.1',
+    });
+    return createClient(OperatorService, transport);
+  }
+  const transport = createConnectTransport({
+    baseUrl: `https://${server}`,
+    httpVersion: '2',
+    nodeOptions: {
+      cert: readFileSync(tls.certFile),
+      key: readFileSync(tls.keyFile),
+      ca: readFileSync(tls.caFile),
+    },
+  });
+  return createClient(OperatorService, transport);
+}
+
+/** Turns a failed call into an error of the closed list. */
+export function fromConnectError(err: ConnectError, server: string): AppError {
+  const kind = err.metadata.get(ERROR_KIND_HEADER);
+  if (kind === null || !isErrorKind(kind)) {
+    return withoutKind(err, server);
+  }
+  const path = err.metadata.get(ERROR_PATH_HEADER);
+  const retryAfterMs = Number(err.metadata.get(RETRY_AFTER_MS_HEADER) ?? NaN);
+  const outcome = err.metadata.get(OUTCOME_HEADER);
+  return appError(kind, err.rawMessage, {
+    ...(isOutcome(outcome) ? { outcome } : {}),
+    ...(path === null ? {} : { path }),
+    ...(Number.isFinite(retryAfterMs) ? { retryAfterMs } : {}),
+  });
+}
+
+function withoutKind(err: ConnectError, server: string): AppError {
+  if (err.code === Code.Unavailable) {
+    return appError(
+      'not_ready',
+      `${server} cannot be reached; check that paddlewindd runs there.`,
+      { outcome: 'unknown' },
+    );
+  }
+  if (err.code === Code.DeadlineExceeded) {
+    return appError('timeout', `${server} did not answer in time.`);
+  }
+  return appError('internal', `${server}: ${err.rawMessage}`);
+}
+
+function isErrorKind(text: string): text is ErrorKind {
+  return (ERROR_KINDS as readonly string[]).includes(text);
+}
+
+function isOutcome(text: string | null): text is Outcome {
+  return text === 'run' || text === 'not_run' || text === 'unknown';
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,3 +1,7 @@
-/** The daemon's parts. */
+/** The daemon's parts as a library, for tests and benchmarks. */
 export * from './log/index.js';
+export * from './operator/app.js';
+export * from './operator/deps.js';
 export * from './parts.js';
+export * from './settings/read.js';
+export * from './settings/schema.js';
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -1,5 +1,6 @@
 /** Pure decisions of paddlewind. */
 export * from './config/index.js';
+export * from './core/json.js';
 export * from './core/random.js';
 export * from './core/resources.js';
 export * from './core/time.js';
--- a/packages/domain/src/streams/record.ts
+++ b/packages/domain/src/streams/record.ts
@@ -2,6 +2,7 @@
 import { Result } from 'true-myth';
 import { z } from 'zod';
 
+import { parseJson } from '../core/json.js';
 import { appError, type AppError } from '../errors/app-error.js';
 
 /** The newest record format that this build reads and writes. */
@@ -90,11 +91,3 @@
   }
   return Result.ok(parsed.data);
 }
-
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text) as unknown;
-  } catch {
-    return undefined;
-  }
-}
