Add HTTP adapters of the platform and its stand-ins

The daemon needs a log service, a host list and worker agents to talk to, and tests need ones that fail in the ways the platform fails.

The adapters hold all that is known of paths, fields and status codes. A failure has the outcome not_run only when no connection came about; an answer of an unknown status leaves an append unknown, since an intermediary may answer for the service.

--- /dev/null
+++ b/packages/platform/src/adapters/adapters.test.ts
@@ -0,0 +1,107 @@
+import assert from 'node:assert/strict';
+import http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import test, { type TestContext } from 'node:test';
+
+import { createHttpHostList } from './http-host-list.js';
+import { createHttpLogService } from './http-log-service.js';
+import { createHttpWorkerAgent } from './http-worker-agent.js';
+
+const FENCE = { shard: 's', epoch: 1, offset: 1 };
+const SYNC = { fence: FENCE, renew: [], leaseMs: 1_000, acknowledge: [] };
+const READ = { stream: 's', from: 5, limit: 10, waitMs: 0 };
+const OPTIONS = { timeoutMs: 200, maxBodyBytes: 1_000 };
+
+async function serve(
+  t: TestContext,
+  listener: http.RequestListener,
+): Promise<string> {
+  const server = http.createServer(listener);
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  t.after(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  const { port } = server.address() as AddressInfo;
+  return `127.0.0.1:${port}`;
+}
+
+/** Calls every method against one server and returns what they failed with, as `kind outcome`. */
+async function failures(t: TestContext, address: string): Promise<string[]> {
+  const log = createHttpLogService(address, OPTIONS);
+  const hosts = createHttpHostList(address, OPTIONS);
+  const agent = createHttpWorkerAgent(OPTIONS);
+  t.after(() => Promise.all([log.close(), hosts.close(), agent.close()]));
+  const results = [
+    await log.append('s', 'a'),
+    await log.read(READ),
+    await hosts.list(),
+    await agent.sync(address, SYNC),
+  ];
+  return results.map(result =>
+    result.isErr ? `${result.error.kind} ${result.error.outcome}` : 'ok',
+  );
+}
+
+const UNANSWERED = [
+  'log_unavailable unknown',
+  'log_unavailable not_run',
+  'not_ready not_run',
+  'backend_failed unknown',
+];
+
+const HOSTILE: Record<string, http.RequestListener> = {
+  garbage: (_req, res) => res.end('<html>'),
+  'a wrong shape': (_req, res) => res.end('{"offset":-1,"hosts":[{}]}'),
+  'an unknown status': (_req, res) => res.writeHead(302).end(),
+  'a server error': (_req, res) => res.writeHead(500).end('{}'),
+  'too much': (_req, res) => res.writeHead(200).end(' '.repeat(2_000)),
+  silence: () => undefined,
+  'a reset': (_req, res) => res.destroy(),
+  'half an answer': (_req, res) => {
+    res.writeHead(201, { 'content-length': 13 });
+    res.write('{"offset', () => res.destroy());
+  },
+};
+
+for (const [name, listener] of Object.entries(HOSTILE)) {
+  test(`${name} is no success, and effects stay unknown`, async t => {
+    const address = await serve(t, listener);
+    assert.deepEqual(await failures(t, address), UNANSWERED);
+  });
+}
+
+test('a refused connection surely had no effect', async t => {
+  const server = http.createServer();
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise(resolve => server.close(resolve));
+  assert.deepEqual(await failures(t, `127.0.0.1:${port}`), [
+    'log_unavailable not_run',
+    'log_unavailable not_run',
+    'not_ready not_run',
+    'backend_failed not_run',
+  ]);
+});
+
+test('a page that skips or repeats an offset is refused', async t => {
+  for (const offsets of [[6], [5, 7], [5, 5]]) {
+    const entries = offsets.map(offset => ({ offset, payload: 'x' }));
+    const body = JSON.stringify({ entries, first: 0, head: 8 });
+    const address = await serve(t, (_req, res) => res.end(body));
+    const log = createHttpLogService(address, OPTIONS);
+    t.after(() => log.close());
+    const read = await log.read(READ);
+    assert.equal(read.isErr && read.error.kind, 'log_unavailable');
+  }
+});
+
+test('a canceled read ends at once', async t => {
+  const address = await serve(t, () => undefined);
+  const log = createHttpLogService(address, { timeoutMs: 60_000 });
+  t.after(() => log.close());
+  const abort = new AbortController();
+  const pending = log.read({ ...READ, signal: abort.signal });
+  abort.abort();
+  assert.ok((await pending).isErr);
+});
--- /dev/null
+++ b/packages/platform/src/adapters/http-client.ts
@@ -0,0 +1,179 @@
+/** JSON calls to the platform with timeouts, bounded bodies and truthful outcomes. */
+import type { Outcome } from '@paddlewind/domain';
+import { Agent, request, type Dispatcher } from 'undici';
+
+/** Options of an adapter. */
+export interface AdapterOptions {
+  /** Time to connect, in milliseconds. */
+  readonly connectTimeoutMs?: number;
+  /** Time for a whole answer, in milliseconds, on top of any wait that was asked for. */
+  readonly timeoutMs?: number;
+  /** Largest answer that is read, in bytes. */
+  readonly maxBodyBytes?: number;
+  /** Connections to one address. */
+  readonly connections?: number;
+}
+
+/** A call to one address. */
+export interface Call {
+  readonly method: 'GET' | 'POST';
+  /** `ip:port`. */
+  readonly address: string;
+  readonly path: string;
+  readonly body?: unknown;
+  /** How long the other side may wait before it answers, in milliseconds. */
+  readonly waitMs?: number;
+  readonly signal?: AbortSignal;
+}
+
+/** An answer with its body parsed from JSON (undefined when it is none), or why there is none. */
+export type CallResult =
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly body: unknown;
+    }
+  | {
+      readonly kind: 'failed';
+      /** `not_run` only when no byte of the call can have arrived. */
+      readonly outcome: Exclude<Outcome, 'run'>;
+      readonly reason: string;
+    };
+
+/** Calls the platform; one for each adapter. */
+export interface HttpClient {
+  call(call: Call): Promise<CallResult>;
+  close(): Promise<void>;
+}
+
+const DEFAULTS: Required<AdapterOptions> = {
+  connectTimeoutMs: 1_000,
+  timeoutMs: 3_000,
+  maxBodyBytes: 32 * 1024 * 1024,
+  connections: 32,
+};
+
+/** Errors of a connection that never came about: nothing was sent. */
+const NEVER_CONNECTED: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'EADDRNOTAVAIL',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** Creates a client with its own connections. */
+export function createHttpClient(options: AdapterOptions = {}): HttpClient {
+  const limits = { ...DEFAULTS, ...options };
+  const agent = new Agent({
+    connections: limits.connections,
+    pipelining: 1,
+    connect: { timeout: limits.connectTimeoutMs },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+  return {
+    call: call => perform(agent, limits, call),
+    close: () => agent.destroy(),
+  };
+}
+
+async function perform(
+  agent: Agent,
+  limits: Required<AdapterOptions>,
+  call: Call,
+): Promise<CallResult> {
+  if (call.signal?.aborted === true) {
+    return { kind: 'failed', outcome: 'not_run', reason: 'aborted' };
+  }
+  const abort = abortAfter(limits.timeoutMs + (call.waitMs ?? 0), call.signal);
+  try {
+    const res = await request(`http://${call.address}${call.path}`, {
+      dispatcher: agent,
+      method: call.method,
+      signal: abort.signal,
+      ...bodyOf(call),
+    });
+    const text = await readBounded(res.body, limits.maxBodyBytes);
+    return { kind: 'answered', status: res.statusCode, body: parse(text) };
+  } catch (err) {
+    return failure(err);
+  } finally {
+    abort.done();
+  }
+}
+
+/** Aborts after a time or with `outer`; unlike `AbortSignal.any`, leaves nothing on `outer` when done. */
+function abortAfter(
+  afterMs: number,
+  outer: AbortSignal | undefined,
+): { readonly signal: AbortSignal; readonly done: () => void } {
+  const inner = new AbortController();
+  const abort = (): void => {
+    inner.abort(new Error('The call was canceled.'));
+  };
+  const timer = setTimeout(() => {
+    inner.abort(new Error(`No answer within ${afterMs} ms.`));
+  }, afterMs);
+  outer?.addEventListener('abort', abort, { once: true });
+  return {
+    signal: inner.signal,
+    done() {
+      clearTimeout(timer);
+      outer?.removeEventListener('abort', abort);
+    },
+  };
+}
+
+function bodyOf(call: Call): {
+  readonly body?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+} {
+  if (call.body === undefined) {
+    return {};
+  }
+  const headers = { 'content-type': 'application/json' };
+  return { body: JSON.stringify(call.body), headers };
+}
+
+/** Thrown when an answer is larger than allowed. */
+class AnswerTooLarge extends Error {}
+
+async function readBounded(
+  body: Dispatcher.ResponseData['body'],
+  maxBytes: number,
+): Promise<string> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of body) {
+    const bytes = chunk as Buffer;
+    size += bytes.length;
+    if (size > maxBytes) {
+      throw new AnswerTooLarge(`The answer is larger than ${maxBytes} bytes.`);
+    }
+    chunks.push(bytes);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+function parse(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+function failure(err: unknown): CallResult {
+  const code = codeOf(err);
+  const outcome = NEVER_CONNECTED.has(code) ? 'not_run' : 'unknown';
+  const message = err instanceof Error ? err.message : String(err);
+  return { kind: 'failed', outcome, reason: message === '' ? code : message };
+}
+
+function codeOf(err: unknown): string {
+  if (typeof err === 'object' && err !== null && 'code' in err) {
+    return String(err.code);
+  }
+  return '';
+}
