Add the router of an entry host

Cause: callers need a way to backend servers that streams, keeps deadlines and tells the truth about what was run.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -3,5 +3,6 @@
 export * from './operator/app.js';
 export * from './operator/deps.js';
 export * from './parts.js';
+export * from './router/index.js';
 export * from './settings/read.js';
 export * from './settings/schema.js';
