Own shards by leases in the log

Cause: each shard needs one deciding process at a time, agreed on through the log alone, although processes pause, answers are lost and the log has outages. Change: a pure fold of the lease stream (claims, one renewal for all shards of an owner, releases), a bounded rendezvous assignment near the shard's availability zone, and the decision who claims or hands over when. A claim names what its writer had read and is void when a renewal came in between. The owner counts its lease from before it sends; observers from when they read, plus drift and margin. A release whose answer was lost leaves the epoch given up for good. After an outage owners keep their shards without a new epoch.

--- /dev/null
+++ b/packages/daemon/src/shards/lease-book.ts
@@ -0,0 +1,134 @@
+/** What the lease stream says, and which of its leases this process may act under. */
+import {
+  applyLeaseRecord,
+  createLeaseState,
+  decodeLeaseRecord,
+  isHolder,
+  leaseStream,
+  type Instant,
+  type LeaseState,
+  type LeaseVerdict,
+  type OwnershipAction,
+  type ShardLease,
+} from '@paddlewind/domain';
+
+import { createListeners, type Listeners } from '../core/listeners.js';
+import type { CommittedRecord, StreamFollower } from '../parts.js';
+import {
+  createOwnLeases,
+  type LostShard,
+  type OwnLeases,
+} from './own-leases.js';
+import type {
+  AcquireListener,
+  LoseListener,
+  ShardOwnershipParts,
+} from './types.js';
+
+/** The folded stream and the leases of this process. */
+export interface LeaseBook {
+  readonly self: { readonly owner: string; readonly incarnation: string };
+  readonly leases: LeaseState;
+  readonly own: OwnLeases;
+  readonly follower: StreamFollower;
+  readonly acquired: Listeners<Parameters<AcquireListener>>;
+  readonly lost: Listeners<Parameters<LoseListener>, ReturnType<LoseListener>>;
+  /** Tells the loss of leases that are over. */
+  expire(now: Instant): void;
+  /** Stops acting on a shard for good under `epoch`; resolves once the listeners are done. */
+  giveUp(shard: string, epoch: number): Promise<unknown>;
+  /** Shards that were given up and that the log still says are held. */
+  unreleased(): OwnershipAction[];
+  holdsAny(): boolean;
+}
+
+/** Starts to follow the lease stream of the region. */
+export function createLeaseBook(parts: ShardOwnershipParts): LeaseBook {
+  const { ctx, cfg, peers } = parts;
+  const self = { owner: peers.self, incarnation: cfg.incarnation };
+  const leases = createLeaseState();
+  const own = createOwnLeases(cfg.leaseMs);
+  const acquired: LeaseBook['acquired'] = createListeners();
+  const lost: LeaseBook['lost'] = createListeners();
+  const givenUp = new Map<string, number>();
+
+  function fold(record: CommittedRecord): void {
+    const decoded = decodeLeaseRecord(record);
+    if (decoded.isErr) {
+      const { id } = record;
+      ctx.log.warn({ id, err: decoded.error }, 'shards: record ignored');
+      return;
+    }
+    const { position, readAt } = record;
+    react(record.id, applyLeaseRecord(leases, decoded.value, position, readAt));
+  }
+
+  function react(id: string, verdict: LeaseVerdict): void {
+    switch (verdict.kind) {
+      case 'claimed': {
+        const { lease } = verdict;
+        void tellLost(own.lose(lease.shard, 'superseded'));
+        if (isHolder(lease, self)) {
+          grant(id, lease.shard);
+        }
+        return;
+      }
+      case 'renewed':
+        verdict.shards.forEach(shard => {
+          grant(id, shard);
+        });
+        return;
+      case 'released':
+      case 'void':
+        return;
+    }
+  }
+
+  function grant(id: string, shard: string): void {
+    const epoch = leases.shards.get(shard)?.epoch ?? 0;
+    // A release whose answer was lost may still take effect: the epoch stays given up.
+    if (givenUp.get(shard) === epoch) {
+      return;
+    }
+    const fresh = own.granted(id, shard, epoch, ctx.clock());
+    if (fresh !== undefined) {
+      ctx.log.info({ shard, epoch }, 'shards: acquired');
+      acquired.tell(fresh);
+    }
+  }
+
+  async function tellLost(gone: LostShard | undefined): Promise<void> {
+    if (gone !== undefined) {
+      ctx.log.info(gone, 'shards: lost');
+      await Promise.all(lost.tell(gone.shard, gone.epoch, gone.reason));
+    }
+  }
+
+  const follower = parts.follow(leaseStream(cfg.region), records => {
+    records.forEach(fold);
+  });
+  return {
+    self,
+    leases,
+    own,
+    follower,
+    acquired,
+    lost,
+    expire: now => {
+      own.expire(now).forEach(gone => void tellLost(gone));
+    },
+    giveUp: (shard, epoch) => {
+      givenUp.set(shard, epoch);
+      return tellLost(own.lose(shard, 'released'));
+    },
+    unreleased: () =>
+      heldBy(leases, self)
+        .filter(({ shard, epoch }) => givenUp.get(shard) === epoch)
+        .map(({ shard, epoch }) => ({ kind: 'release', shard, epoch })),
+    holdsAny: () => heldBy(leases, self).length > 0,
+  };
+}
+
+function heldBy(state: LeaseState, self: LeaseBook['self']): ShardLease[] {
+  return [...state.shards.values()].filter(lease => isHolder(lease, self));
+}
--- a/packages/domain/src/shards/index.ts
+++ b/packages/domain/src/shards/index.ts
@@ -1,2 +1,5 @@
 /** Ownership of shards by leases in the log. */
-export {};
+export * from './assignment.js';
+export * from './decide.js';
+export * from './leases.js';
+export * from './records.js';
--- /dev/null
+++ b/packages/domain/src/shards/leases.test.ts
@@ -0,0 +1,125 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+
+import {
+  applyLeaseRecord,
+  createLeaseState,
+  exportLeases,
+  importLeases,
+  lapsesAt,
+  type LeaseState,
+} from './leases.js';
+import {
+  decodeLeaseRecord,
+  leaseEnvelope,
+  type LeaseRecord,
+} from './records.js';
+
+const A = { owner: 'a', incarnation: '1' };
+const B = { owner: 'b', incarnation: '1' };
+const LEASE = { leaseMs: 10_000 };
+const MARGIN = { drift: 0.001, marginMs: 500 };
+
+function claim(by: typeof A, epoch: number, seen: number): LeaseRecord {
+  return { kind: 'claim', shard: 's', epoch, ...by, ...LEASE, seen };
+}
+
+function renew(by: typeof A): LeaseRecord {
+  return { kind: 'renew', ...by, ...LEASE };
+}
+
+function release(by: typeof A, epoch: number): LeaseRecord {
+  return { kind: 'release', shard: 's', epoch, ...by };
+}
+
+function apply(
+  state: LeaseState,
+  records: readonly LeaseRecord[],
+  from = 0,
+): string[] {
+  return records.map((record, i) => {
+    const at = { offset: from + i, index: 0 };
+    const verdict = applyLeaseRecord(state, record, at, 100 * (from + i));
+    return verdict.kind === 'void' ? verdict.reason : verdict.kind;
+  });
+}
+
+test('the first of two racing claims wins', () => {
+  const state = createLeaseState();
+  const verdicts = apply(state, [claim(A, 1, 0), claim(B, 1, 0)]);
+  assert.deepEqual(verdicts, ['claimed', 'stale_epoch']);
+  assert.equal(state.shards.get('s')?.holder?.owner, 'a');
+});
+
+test('a claim is void when its writer missed a renewal', () => {
+  const state = createLeaseState();
+  const verdicts = apply(state, [
+    claim(A, 1, 0),
+    renew(A),
+    claim(B, 2, 1),
+    claim(B, 2, 2),
+  ]);
+  assert.deepEqual(verdicts, [
+    'claimed',
+    'renewed',
+    'renewed_meanwhile',
+    'claimed',
+  ]);
+});
+
+test('a released shard may be claimed at once, also unseen', () => {
+  const state = createLeaseState();
+  const verdicts = apply(state, [
+    claim(A, 1, 0),
+    release(A, 1),
+    claim(B, 2, 0),
+  ]);
+  assert.deepEqual(verdicts, ['claimed', 'released', 'claimed']);
+});
+
+test('a superseded owner neither renews nor releases', () => {
+  const state = createLeaseState();
+  apply(state, [claim(A, 1, 0), claim(B, 2, 1)]);
+  const late = [renew(A), release(A, 1), release(A, 2), claim(A, 2, 9)];
+  assert.deepEqual(apply(state, late, 2), [
+    'not_holder',
+    'not_holder',
+    'not_holder',
+    'stale_epoch',
+  ]);
+  assert.equal(state.shards.get('s')?.epoch, 2);
+});
+
+test('another start of the same host is another holder', () => {
+  const state = createLeaseState();
+  const restarted = { owner: 'a', incarnation: '2' };
+  const verdicts = apply(state, [claim(A, 1, 0), renew(restarted)]);
+  assert.deepEqual(verdicts, ['claimed', 'not_holder']);
+});
+
+test('an observer waits from when it read the renewal, plus drift and margin', () => {
+  const state = createLeaseState();
+  apply(state, [claim(A, 1, 0), renew(A)]);
+  const lease = state.shards.get('s');
+  assert.ok(lease);
+  assert.equal(lapsesAt(lease, MARGIN), 100 + 10_010 + 500);
+});
+
+test('a snapshot gives the same verdicts and starts the waits anew', () => {
+  const state = createLeaseState();
+  apply(state, [claim(A, 1, 0), renew(A)]);
+  const restored = importLeases(exportLeases(state), 7_000);
+  assert.equal(restored.shards.get('s')?.observedAt, 7_000);
+  const next = [claim(B, 2, 1), claim(B, 2, 2)];
+  assert.deepEqual(apply(restored, next, 2), apply(state, next, 2));
+});
+
+test('records survive their envelope and malformed ones are named', () => {
+  const record = claim(A, 1, 0);
+  const back = decodeLeaseRecord(leaseEnvelope('x', record));
+  assert.deepEqual(back.unwrapOr(undefined), record);
+  for (const body of [undefined, {}, { shard: 's', epoch: 0 }]) {
+    const bad = decodeLeaseRecord({ id: 'x', kind: 'claim', body });
+    assert.equal(bad.isErr && bad.error.kind, 'invalid');
+  }
+});
