Tell the head of an empty stream at once

Cause: the first read of a follower waited up to 5 s when there was nothing to read, so that a fresh process did not know for as long whether it had caught up. Change: the first read asks for no wait.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -6,3 +6,4 @@
 export * from './router/index.js';
 export * from './settings/read.js';
 export * from './settings/schema.js';
+export * from './shards/index.js';
--- a/packages/daemon/src/log/follower.ts
+++ b/packages/daemon/src/log/follower.ts
@@ -115,7 +115,7 @@
       stream: options.stream,
       from: following.next,
       limit: READ_LIMIT,
-      waitMs,
+      waitMs: following.head === undefined ? 0 : waitMs,
       signal,
     });
     if (!isStopped(following)) {
--- a/packages/daemon/src/shards/ownership.test.ts
+++ b/packages/daemon/src/shards/ownership.test.ts
@@ -140,8 +140,8 @@
   };
 }
 
-function allOwned({ owners }: Cluster): boolean {
-  return SHARDS.every(({ name }) => owners(name).length === 1);
+function allOwned(cluster: Cluster): boolean {
+  return SHARDS.every(({ name }) => cluster.owners(name).length === 1);
 }
 
 /** Advances in steps, checking that no shard ever has two owners. */
--- a/packages/domain/src/shards/leases.ts
+++ b/packages/domain/src/shards/leases.ts
@@ -37,7 +37,8 @@
   | { readonly kind: 'void'; readonly reason: LeaseVoidReason };
 
 /** Why a record had no effect. */
-export type LeaseVoidReason = 'stale_epoch' | 'renewed_meanwhile' | 'not_holder';
+export type LeaseVoidReason =
+  'stale_epoch' | 'renewed_meanwhile' | 'not_holder';
 
 /** Returns the state before the first record. */
 export function createLeaseState(): LeaseState {
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -6,6 +6,7 @@
 export type { Listener, ListenOptions } from './http/json-server.js';
 export * from './log/log-server.js';
 export * from './memory/memory-log.js';
+export * from './memory/pausable.js';
 export * from './memory/virtual-time.js';
 export type { TaskBehaviour } from './worker/simulated-task.js';
 export * from './worker/worker-server.js';
