Add the fold of scheduling decisions and a first planner

Cause: owners of shards need one agreed set of records, a deterministic state and pure decisions, so that the daemon, tests and benchmarks run the same code.

--- /dev/null
+++ b/packages/domain/src/scheduling/planning/round.ts
@@ -0,0 +1,253 @@
+/** The working state of one plan: rooms on workers, use by teams, and decisions so far. */
+import {
+  NO_RESOURCES,
+  addResources,
+  fits,
+  subtractResources,
+  type Resources,
+} from '../../core/resources.js';
+import type { Instant, Random } from '../../core/time.js';
+import { parseTaskId, taskId, type TaskId } from '../ids.js';
+import type { Job } from '../job.js';
+import { decision, type Decision, type DecisionOf } from '../records.js';
+import type { ShardSchedule } from '../shard.js';
+import type { ScheduleState } from '../state.js';
+import type { Task } from '../task.js';
+import type { ScheduleView, TeamView, WorkerView } from '../view.js';
+
+/** A worker and what is left on it. */
+export interface WorkerRoom {
+  readonly view: WorkerView;
+  room: Resources;
+  /** Whether new attempts may be started on it. */
+  readonly open: boolean;
+}
+
+/** A team's use in the shard, with pending decisions. */
+export interface TeamRound {
+  readonly view: TeamView;
+  used: Resources;
+  readonly limit: Resources | undefined;
+  /** Largest share of the shard in any resource, over the team's weight. */
+  share: number;
+}
+
+/** State of one plan. */
+export interface Round {
+  readonly state: ScheduleState;
+  readonly schedule: ShardSchedule;
+  readonly view: ScheduleView;
+  readonly now: Instant;
+  readonly random: Random;
+  readonly rooms: Map<string, WorkerRoom>;
+  readonly teams: Map<string, TeamRound>;
+  readonly capacity: Resources;
+  /** Ids of decisions that are pending or made in this plan. */
+  readonly decided: Set<string>;
+  /** Tasks that a pending or new decision starts, moves or holds. */
+  readonly busy: Set<TaskId>;
+  /** Tasks on each rack of the jobs that this plan placed, or looked at. */
+  readonly racks: Map<Job, Map<string, number>>;
+  readonly decisions: Decision[];
+}
+
+/** Builds the working state, with pending decisions counted as if they had taken effect. */
+export function newRound(
+  state: ScheduleState,
+  schedule: ShardSchedule,
+  view: ScheduleView,
+  now: Instant,
+  random: Random,
+): Round {
+  const rooms = new Map(
+    view.workers.map(worker => [worker.id, newRoom(schedule, worker)]),
+  );
+  const capacity = view.workers
+    .map(worker => worker.capacity)
+    .reduce(addResources, NO_RESOURCES);
+  const round: Round = {
+    state,
+    schedule,
+    view,
+    now,
+    random,
+    rooms,
+    capacity,
+    teams: new Map(),
+    decided: new Set(),
+    busy: new Set(),
+    racks: new Map(),
+    decisions: [],
+  };
+  for (const pending of view.pending) {
+    overlay(round, pending);
+  }
+  return round;
+}
+
+function newRoom(schedule: ShardSchedule, view: WorkerView): WorkerRoom {
+  const load = schedule.workers.get(view.id);
+  const taken = addResources(view.reserved, load?.used ?? NO_RESOURCES);
+  const quarantined = load?.quarantinedUntilWall !== undefined;
+  return {
+    view,
+    room: subtractResources(view.capacity, taken),
+    open: view.availability === 'live' && !quarantined,
+  };
+}
+
+/** Returns a team's use, made when first named. */
+export function teamRound(round: Round, name: string): TeamRound {
+  let team = round.teams.get(name);
+  if (team === undefined) {
+    team = newTeamRound(round, name);
+    round.teams.set(name, team);
+  }
+  return team;
+}
+
+function newTeamRound(round: Round, name: string): TeamRound {
+  const view = round.view.teams.find(team => team.name === name) ?? {
+    name,
+    weight: 1,
+  };
+  const use = round.schedule.teams.get(name);
+  const used = use?.used ?? NO_RESOURCES;
+  const limit =
+    view.allotment === undefined
+      ? undefined
+      : addResources(view.allotment, use?.borrowed ?? NO_RESOURCES);
+  return { view, used, limit, share: dominantShare(round, used, view.weight) };
+}
+
+/** Returns the largest share of the shard's capacity in any resource, over `weight`. */
+function dominantShare(round: Round, used: Resources, weight: number): number {
+  const { capacity } = round;
+  const share = Math.max(
+    ratio(used.cpu, capacity.cpu),
+    ratio(used.memoryMiB, capacity.memoryMiB),
+    ratio(used.accelerators, capacity.accelerators),
+  );
+  return share / weight;
+}
+
+function ratio(part: number, whole: number): number {
+  return whole > 0 ? part / whole : 0;
+}
+
+/** Counts a decision that is not folded yet as if it had taken effect. */
+function overlay(round: Round, pending: Decision): void {
+  round.decided.add(pending.id);
+  switch (pending.kind) {
+    case 'task_started': {
+      const job = round.schedule.jobs.get(parseTaskId(pending.body.task).job);
+      const size = pending.body.size ?? job?.spec.size ?? NO_RESOURCES;
+      round.busy.add(pending.body.task);
+      take(round, pending.body.worker, job, size);
+      return;
+    }
+    case 'task_held':
+      round.busy.add(pending.body.task);
+      return;
+    case 'task_moved': {
+      const { job, index } = parseTaskId(pending.body.task);
+      for (let i = index; i < index + pending.body.count; i++) {
+        round.busy.add(taskId(job, i));
+      }
+      return;
+    }
+    case 'owner_opened':
+    case 'job_submitted':
+    case 'job_cancelled':
+    case 'job_released':
+    case 'job_held':
+    case 'job_unschedulable':
+    case 'task_evicting':
+    case 'task_ended':
+    case 'worker_quarantined':
+    case 'worker_released':
+    case 'quota_lent':
+    case 'shard_reported':
+      return;
+  }
+}
+
+function take(
+  round: Round,
+  worker: string,
+  job: Job | undefined,
+  size: Resources,
+): void {
+  const room = round.rooms.get(worker);
+  if (room !== undefined) {
+    room.room = subtractResources(room.room, size);
+  }
+  if (job === undefined) {
+    return;
+  }
+  const team = teamRound(round, job.spec.team);
+  team.used = addResources(team.used, size);
+  team.share = dominantShare(round, team.used, team.view.weight);
+  if (room !== undefined) {
+    const racks = tasksByRack(round, job);
+    racks.set(room.view.rack, (racks.get(room.view.rack) ?? 0) + 1);
+  }
+}
+
+/** Returns the number of the job's tasks on each rack, with pending decisions. */
+export function tasksByRack(round: Round, job: Job): Map<string, number> {
+  let racks = round.racks.get(job);
+  if (racks === undefined) {
+    racks = new Map<string, number>();
+    for (const [worker, count] of job.spread) {
+      const rack = round.rooms.get(worker)?.view.rack;
+      if (rack !== undefined) {
+        racks.set(rack, (racks.get(rack) ?? 0) + count);
+      }
+    }
+    round.racks.set(job, racks);
+  }
+  return racks;
+}
+
+/** Adds a decision to the plan; false when the same one is pending or made already. */
+export function decide(round: Round, made: Decision): boolean {
+  if (round.decided.has(made.id)) {
+    return false;
+  }
+  round.decided.add(made.id);
+  round.decisions.push(made);
+  return true;
+}
+
+/** Starts the next attempt of a task on a worker; throws when the worker has no room for it. */
+export function decideStart(
+  round: Round,
+  job: Job,
+  task: Task,
+  room: WorkerRoom,
+  size: Resources,
+): DecisionOf<'task_started'> {
+  if (!room.open || !fits(size, room.room)) {
+    throw new Error(`no room on ${room.view.id}`);
+  }
+  const id = taskId(job.spec.name, task.index);
+  const larger = size === job.spec.size ? {} : { size };
+  const checkpoint =
+    task.checkpoint === undefined ? {} : { checkpoint: task.checkpoint };
+  const made = decision('task_started', {
+    shard: round.view.shard,
+    epoch: round.view.epoch,
+    task: id,
+    attempt: task.attempts + 1,
+    worker: room.view.id,
+    atWall: round.now,
+    ...checkpoint,
+    ...larger,
+  });
+  if (decide(round, made)) {
+    round.busy.add(id);
+    take(round, room.view.id, job, size);
+  }
+  return made;
+}
--- /dev/null
+++ b/packages/domain/src/scheduling/shard.ts
@@ -0,0 +1,217 @@
+/** The shard schedule aggregate: the jobs, workers and teams of one shard. */
+import {
+  NO_RESOURCES,
+  addResources,
+  subtractResources,
+  type Resources,
+} from '../core/resources.js';
+import type { Instant } from '../core/time.js';
+
+import { taskId } from './ids.js';
+import { isDrained, type Job } from './job.js';
+import { newPlannerMemory, type PlannerMemory } from './planning/memory.js';
+import { placementOf, type Placement, type Task } from './task.js';
+import {
+  addAttempt,
+  newWorkerLoad,
+  removeAttempt,
+  type WorkerLoad,
+} from './worker.js';
+
+/** What a team uses in a shard, and what its allotment gained from or lost to others. */
+export interface TeamUse {
+  used: Resources;
+  /** Borrowed minus lent; may be negative. */
+  borrowed: Resources;
+}
+
+/** How a finished part of a job ended. */
+export interface FinishedJob {
+  readonly completed: number;
+  readonly failed: number;
+  readonly cancelled: number;
+  readonly moved: number;
+}
+
+/** What another shard last told of itself. */
+export interface ShardReport {
+  readonly shard: string;
+  readonly atWall: Instant;
+  readonly free: Resources;
+  readonly waiting: Resources;
+  readonly lacking: Readonly<Record<string, Resources>>;
+}
+
+/** Everything folded for one shard. */
+export interface ShardSchedule {
+  readonly name: string;
+  readonly jobs: Map<string, Job>;
+  readonly finished: Map<string, FinishedJob>;
+  readonly workers: Map<string, WorkerLoad>;
+  readonly teams: Map<string, TeamUse>;
+  /** Ids of task moves into this shard, so that a late repeat is void. */
+  readonly arrivals: Map<string, true>;
+  /** Number of jobs that ever came here. */
+  arrivalCount: number;
+  /** Raised with each change, so that a plan may be skipped when nothing changed. */
+  version: number;
+  /** Jobs whose queue may have changed since the planner looked. */
+  readonly touched: Set<Job>;
+  /** Completed run times in seconds by job and by team, as decayed averages. */
+  readonly runSeconds: Map<string, number>;
+  /** What the planner keeps between plans; rebuilt by a new owner, not part of the fold. */
+  readonly planning: PlannerMemory;
+}
+
+/** Finished jobs and moves into a shard that are remembered. */
+export const JOBS_REMEMBERED = 4_096;
+
+const RUN_TIME_GAIN = 0.2;
+
+/** Returns an empty schedule of a shard. */
+export function newShardSchedule(name: string): ShardSchedule {
+  return {
+    name,
+    jobs: new Map(),
+    finished: new Map(),
+    workers: new Map(),
+    teams: new Map(),
+    arrivals: new Map(),
+    arrivalCount: 0,
+    version: 0,
+    touched: new Set(),
+    runSeconds: new Map(),
+    planning: newPlannerMemory(),
+  };
+}
+
+/** Returns the record of a worker, made when first named. */
+export function workerLoad(shard: ShardSchedule, id: string): WorkerLoad {
+  let load = shard.workers.get(id);
+  if (load === undefined) {
+    load = newWorkerLoad(id);
+    shard.workers.set(id, load);
+  }
+  return load;
+}
+
+/** Returns the record of a team, made when first named. */
+export function teamUse(shard: ShardSchedule, team: string): TeamUse {
+  let use = shard.teams.get(team);
+  if (use === undefined) {
+    use = { used: NO_RESOURCES, borrowed: NO_RESOURCES };
+    shard.teams.set(team, use);
+  }
+  return use;
+}
+
+/** Accounts for an attempt that takes its place on a worker. */
+export function occupy(
+  shard: ShardSchedule,
+  job: Job,
+  task: Task,
+  placement: Placement,
+): void {
+  const id = taskId(job.spec.name, task.index);
+  addAttempt(workerLoad(shard, placement.worker), id, placement.size);
+  const team = teamUse(shard, job.spec.team);
+  team.used = addResources(team.used, placement.size);
+  job.placed += 1;
+  job.spread.set(placement.worker, (job.spread.get(placement.worker) ?? 0) + 1);
+}
+
+/** Accounts for an attempt that leaves its worker. */
+export function vacate(shard: ShardSchedule, job: Job, task: Task): void {
+  const placement = placementOf(task);
+  if (placement === undefined) {
+    return;
+  }
+  const id = taskId(job.spec.name, task.index);
+  const load = workerLoad(shard, placement.worker);
+  removeAttempt(load, id);
+  if (isForgettable(load)) {
+    shard.workers.delete(load.id);
+  }
+  const team = teamUse(shard, job.spec.team);
+  team.used = roundUse(subtractResources(team.used, placement.size));
+  job.placed -= 1;
+  const left = (job.spread.get(placement.worker) ?? 0) - 1;
+  if (left > 0) {
+    job.spread.set(placement.worker, left);
+  } else {
+    job.spread.delete(placement.worker);
+  }
+}
+
+/** Drops a job whose every task here is finished, keeping how it ended. */
+export function retireIfDrained(shard: ShardSchedule, job: Job): void {
+  if (!isDrained(job)) {
+    return;
+  }
+  const name = job.spec.name;
+  shard.jobs.delete(name);
+  shard.touched.add(job);
+  shard.runSeconds.delete(jobKey(name));
+  const before = shard.finished.get(name);
+  shard.finished.delete(name);
+  shard.finished.set(name, {
+    completed: job.tally.completed + (before?.completed ?? 0),
+    failed: job.tally.failed + (before?.failed ?? 0),
+    cancelled: job.tally.cancelled + (before?.cancelled ?? 0),
+    moved: job.tally.moved + (before?.moved ?? 0),
+  });
+  for (const oldest of shard.finished.keys()) {
+    if (shard.finished.size <= JOBS_REMEMBERED) {
+      break;
+    }
+    shard.finished.delete(oldest);
+  }
+}
+
+/** Learns how long a completed attempt ran. */
+export function learnRunTime(
+  shard: ShardSchedule,
+  job: Job,
+  seconds: number,
+): void {
+  for (const key of [jobKey(job.spec.name), teamKey(job.spec.team)]) {
+    const before = shard.runSeconds.get(key);
+    const after =
+      before === undefined
+        ? seconds
+        : before + RUN_TIME_GAIN * (seconds - before);
+    shard.runSeconds.set(key, after);
+  }
+}
+
+/** Returns the expected run time of a task in seconds: learnt for the job, for its team, or declared. */
+export function expectedSeconds(shard: ShardSchedule, job: Job): number {
+  return (
+    shard.runSeconds.get(jobKey(job.spec.name)) ??
+    shard.runSeconds.get(teamKey(job.spec.team)) ??
+    job.spec.expectedSeconds
+  );
+}
+
+function jobKey(job: string): string {
+  return `job/${job}`;
+}
+
+function teamKey(team: string): string {
+  return `team/${team}`;
+}
+
+function isForgettable(load: WorkerLoad): boolean {
+  return (
+    load.sizes.size === 0 &&
+    load.quarantines === 0 &&
+    load.failures.length === 0
+  );
+}
+
+const CPU_STEPS = 1e6;
+
+/** Rounds processors to a millionth of a core, so that sums return to zero. */
+function roundUse(use: Resources): Resources {
+  return { ...use, cpu: Math.round(use.cpu * CPU_STEPS) / CPU_STEPS };
+}
