Spread a job's tasks towards an even part on each rack

Cause: a rack's part of the tasks lost against best fit once two were placed.

Change: only the part beyond an even one costs, with twice the weight of the room left; the worker seen by the planner is named SchedulableWorker.

--- a/packages/domain/src/scheduling/planning/memory.ts
+++ b/packages/domain/src/scheduling/planning/memory.ts
@@ -6,7 +6,7 @@
   type DEFAULT_POLICY,
 } from '../../declarations/selector.js';
 import { freshCount, type Job } from '../job.js';
-import type { WorkerView } from '../view.js';
+import type { SchedulableWorker } from '../view.js';
 
 /** The part of a policy that concerns scheduling. */
 export type WorkPolicy = typeof DEFAULT_POLICY;
@@ -33,7 +33,7 @@
   readonly queues: Readonly<Record<Rank, TeamQueues>>;
   policies: readonly PolicySpec[] | undefined;
   /** Workers as last seen, to notice changes. */
-  fleet: readonly WorkerView[];
+  fleet: readonly SchedulableWorker[];
   /** Raised when the workers or what they can hold change. */
   fleetVersion: number;
   /** Ids of workers by selector key. */
@@ -144,7 +144,7 @@
 /** Notes the workers of a view and forgets what no longer holds of them. */
 export function syncFleet(
   memory: PlannerMemory,
-  workers: readonly WorkerView[],
+  workers: readonly SchedulableWorker[],
 ): void {
   const same =
     memory.fleet.length === workers.length &&
@@ -156,7 +156,10 @@
   }
 }
 
-function isSameWorker(a: WorkerView, b: WorkerView | undefined): boolean {
+function isSameWorker(
+  a: SchedulableWorker,
+  b: SchedulableWorker | undefined,
+): boolean {
   return (
     b?.id === a.id &&
     sameEntries(a.capacity, b.capacity) &&
--- a/packages/domain/src/scheduling/planning/place.ts
+++ b/packages/domain/src/scheduling/planning/place.ts
@@ -4,8 +4,8 @@
 import { eligibleWorkers, type QueuedJob } from './memory.js';
 import { tasksByRack, type Round, type WorkerRoom } from './round.js';
 
-/** Weight of a rack's part of the job's tasks against the room left. */
-const RACK_WEIGHT = 1;
+/** Weight of a rack's part of the job's tasks, beyond an even one, against the room left. */
+const RACK_WEIGHT = 2;
 /** Weight of the expected harm to services against the room left. */
 const PENALTY_WEIGHT = 1;
 /** Cost of using up the processors beside accelerators that others may need. */
@@ -20,6 +20,7 @@
   const eligible = eligibleWorkers(round.schedule.planning, entry);
   const racks = tasksByRack(round, entry.job);
   const placed = [...racks.values()].reduce((sum, count) => sum + count, 0);
+  const evenPart = 1 / Math.max(1, round.rackCount);
   let best: WorkerRoom | undefined;
   let bestCost = Infinity;
   for (const room of round.rooms.values()) {
@@ -28,7 +29,7 @@
     }
     const cost =
       placementCost(room, entry, size) +
-      RACK_WEIGHT * share(racks.get(room.view.rack) ?? 0, placed);
+      RACK_WEIGHT * excess(racks.get(room.view.rack) ?? 0, placed, evenPart);
     if (cost < bestCost) {
       best = room;
       bestCost = cost;
@@ -68,3 +69,8 @@
 function share(part: number, whole: number): number {
   return whole > 0 ? part / whole : 0;
 }
+
+/** Returns by how much a rack's part of the tasks would exceed an even one. */
+function excess(onRack: number, placed: number, evenPart: number): number {
+  return Math.max(0, (onRack + 1) / (placed + 1) - evenPart);
+}
--- a/packages/domain/src/scheduling/planning/round.ts
+++ b/packages/domain/src/scheduling/planning/round.ts
@@ -13,11 +13,11 @@
 import type { ShardSchedule } from '../shard.js';
 import type { ScheduleState } from '../state.js';
 import type { Task } from '../task.js';
-import type { ScheduleView, TeamView, WorkerView } from '../view.js';
+import type { ScheduleView, TeamView, SchedulableWorker } from '../view.js';
 
 /** A worker and what is left on it. */
 export interface WorkerRoom {
-  readonly view: WorkerView;
+  readonly view: SchedulableWorker;
   room: Resources;
   /** Whether new attempts may be started on it. */
   readonly open: boolean;
@@ -42,6 +42,7 @@
   readonly rooms: Map<string, WorkerRoom>;
   readonly teams: Map<string, TeamRound>;
   readonly capacity: Resources;
+  readonly rackCount: number;
   /** Ids of decisions that are pending or made in this plan. */
   readonly decided: Set<string>;
   /** Tasks that a pending or new decision starts, moves or holds. */
@@ -73,6 +74,7 @@
     random,
     rooms,
     capacity,
+    rackCount: new Set(view.workers.map(worker => worker.rack)).size,
     teams: new Map(),
     decided: new Set(),
     busy: new Set(),
@@ -85,7 +87,7 @@
   return round;
 }
 
-function newRoom(schedule: ShardSchedule, view: WorkerView): WorkerRoom {
+function newRoom(schedule: ShardSchedule, view: SchedulableWorker): WorkerRoom {
   const load = schedule.workers.get(view.id);
   const taken = addResources(view.reserved, load?.used ?? NO_RESOURCES);
   const quarantined = load?.quarantinedUntilWall !== undefined;
--- a/packages/domain/src/scheduling/test-support.ts
+++ b/packages/domain/src/scheduling/test-support.ts
@@ -8,7 +8,7 @@
 import { decision, type Decision, type DecisionOf } from './records.js';
 import { createScheduleState, type ScheduleState } from './state.js';
 import type { Verdict } from './verdict.js';
-import type { ScheduleView, WorkerView } from './view.js';
+import type { ScheduleView, SchedulableWorker } from './view.js';
 
 export const SHARD = 'shard-a';
 export const OTHER_SHARD = 'shard-b';
@@ -47,8 +47,8 @@
 /** Returns a worker of 4 cores and 8 GiB, changed by `view`. */
 export function makeWorker(
   id: string,
-  view: Partial<WorkerView> = {},
-): WorkerView {
+  view: Partial<SchedulableWorker> = {},
+): SchedulableWorker {
   return {
     id,
     rack: 'rack-1',
@@ -77,7 +77,7 @@
 
 /** Returns a bed with one shard opened under epoch 1. */
 export function makeBed(
-  workers: readonly WorkerView[],
+  workers: readonly SchedulableWorker[],
   view: Partial<ScheduleView> = {},
 ): Bed {
   const state = createScheduleState([SHARD]);
--- a/packages/domain/src/scheduling/view.ts
+++ b/packages/domain/src/scheduling/view.ts
@@ -8,7 +8,7 @@
 export type WorkerAvailability = 'live' | 'drained' | 'leaving' | 'unreachable';
 
 /** A worker of the shard as its owner sees it now. */
-export interface WorkerView {
+export interface SchedulableWorker {
   readonly id: string;
   readonly rack: string;
   readonly labels: Readonly<Record<string, string>>;
@@ -34,7 +34,7 @@
 export interface SiblingView {
   readonly shard: string;
   readonly workers: readonly Pick<
-    WorkerView,
+    SchedulableWorker,
     'labels' | 'capacity' | 'reserved'
   >[];
 }
@@ -44,7 +44,7 @@
   readonly shard: string;
   /** Epoch under which the caller owns the shard. */
   readonly epoch: number;
-  readonly workers: readonly WorkerView[];
+  readonly workers: readonly SchedulableWorker[];
   readonly policies: readonly PolicySpec[];
   readonly teams: readonly TeamView[];
   readonly siblings: readonly SiblingView[];
