--- /dev/null
+++ b/packages/bench/src/reference/pages.test.ts
@@ -0,0 +1,16 @@
+import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
+import test from 'node:test';
+
+import { referencePages } from './pages.js';
+
+test('reference pages are current', () => {
+  for (const { file, text } of referencePages()) {
+    const url = new URL(`../../../../${file}`, import.meta.url);
+    assert.equal(
+      readFileSync(url, 'utf8'),
+      text,
+      `${file}: run npm run reference`,
+    );
+  }
+});
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -12,61 +12,87 @@
   );
 
 const hostSchema = z.strictObject({
-  /** Name of this entry host, unique among them. */
-  id: nameSchema,
+  id: nameSchema.describe('Name of this entry host, unique among them.'),
   region: nameSchema,
   availabilityZone: nameSchema,
 });
 
 const routerSchema = z.strictObject({
-  /** Listener for callers; port 0 takes a free one. */
-  listen: addressSchema,
+  listen: addressSchema.describe(
+    'Listener for callers; port 0 takes a free one.',
+  ),
   maxHeaderBytes: z.int().min(1_024).max(1_048_576).default(16_384),
-  /** Time within which a caller must send its headers. */
-  headersTimeoutMs: z.int().positive().default(10_000),
-  /** Time without a byte after which a slow body is given up. */
-  bodyIdleTimeoutMs: z.int().positive().default(30_000),
+  headersTimeoutMs: z
+    .int()
+    .positive()
+    .default(10_000)
+    .describe('Time within which a caller must send its headers.'),
+  bodyIdleTimeoutMs: z
+    .int()
+    .positive()
+    .default(30_000)
+    .describe('Time without a byte after which a slow body is given up.'),
 });
 
 const tlsSchema = z.strictObject({
-  /** Files in PEM; re-read when they change. */
-  certFile: z.string().min(1),
+  certFile: z
+    .string()
+    .min(1)
+    .describe('Files in PEM; re-read when they change.'),
   keyFile: z.string().min(1),
   caFile: z.string().min(1),
 });
 
 const peersSchema = z.strictObject({
-  /** Listener for other entry hosts and operators. */
-  listen: addressSchema,
-  /** Mutual TLS; plain HTTP when absent. */
-  tls: tlsSchema.optional(),
+  listen: addressSchema.describe(
+    'Listener for other entry hosts and operators.',
+  ),
+  tls: tlsSchema.optional().describe('Mutual TLS; plain HTTP when absent.'),
   heartbeatMs: z.int().positive().default(500),
 });
 
 const platformSchema = z.strictObject({
-  /** Base URL of the log service. */
-  logUrl: z.url(),
-  /** Base URL of the host list. */
-  hostListUrl: z.url(),
+  logUrl: z.url().describe('Base URL of the log service.'),
+  hostListUrl: z.url().describe('Base URL of the host list.'),
   hostListPollMs: z.int().positive().default(1_000),
-  /** Appends a second that this entry host may use. */
-  appendsPerSecond: z.number().positive().default(60),
+  appendsPerSecond: z
+    .number()
+    .positive()
+    .default(60)
+    .describe('Appends a second that this entry host may use.'),
 });
 
 const schedulerSchema = z.strictObject({
-  /** Lease of a shard. */
-  shardLeaseMs: z.int().min(1_000).default(10_000),
-  /** Lease of a task at its worker. */
-  taskLeaseMs: z.int().min(1_000).default(15_000),
-  /** Time between two rounds of decisions. */
-  roundMs: z.int().positive().default(100),
+  shardLeaseMs: z
+    .int()
+    .min(1_000)
+    .default(10_000)
+    .describe('Lease of a shard.'),
+  taskLeaseMs: z
+    .int()
+    .min(1_000)
+    .default(15_000)
+    .describe('Lease of a task at its worker.'),
+  roundMs: z
+    .int()
+    .positive()
+    .default(100)
+    .describe('Time between two rounds of decisions.'),
 });
 
 const shutdownSchema = z.strictObject({
-  /** Time between turning unready and closing, in which the balancer takes notice. */
-  balancerMs: z.int().nonnegative().default(2_000),
-  /** Time that requests in flight get to finish. */
-  drainMs: z.int().nonnegative().default(10_000),
+  balancerMs: z
+    .int()
+    .nonnegative()
+    .default(2_000)
+    .describe(
+      'Time between turning unready and closing, in which the balancer takes notice.',
+    ),
+  drainMs: z
+    .int()
+    .nonnegative()
+    .default(10_000)
+    .describe('Time that requests in flight get to finish.'),
 });
 
 /** Schema of the settings file. */
@@ -74,8 +100,9 @@
   host: hostSchema,
   router: routerSchema,
   peers: peersSchema,
-  /** Listener for `/metrics`, `/livez` and `/readyz`. */
-  admin: z.strictObject({ listen: addressSchema }),
+  admin: z
+    .strictObject({ listen: addressSchema })
+    .describe('Listener for `/metrics`, `/livez` and `/readyz`.'),
   platform: platformSchema,
   scheduler: schedulerSchema.prefault({}),
   shutdown: shutdownSchema.prefault({}),
--- a/packages/domain/src/declarations/schemas.ts
+++ b/packages/domain/src/declarations/schemas.ts
@@ -36,17 +36,34 @@
 });
 
 const objectiveSchema = z.strictObject({
-  /** Share of requests that must be good, such as 0.999. */
-  target: z.number().gt(0).lt(1),
-  /** A request is good when answered without an error within this time. */
-  latencyMs: z.number().positive(),
-  /** Period over which the error budget is counted. */
-  periodDays: z.int().positive().max(90).default(28),
+  target: z
+    .number()
+    .gt(0)
+    .lt(1)
+    .describe('Share of requests that must be good, such as 0.999.'),
+  latencyMs: z
+    .number()
+    .positive()
+    .describe(
+      'A request is good when answered without an error within this time.',
+    ),
+  periodDays: z
+    .int()
+    .positive()
+    .max(90)
+    .default(28)
+    .describe('Period over which the error budget is counted.'),
 });
 
 const routeSchema = z.strictObject({
-  /** Host header that selects the service; the service's name when absent. */
-  host: z.string().min(1).max(253).optional(),
+  host: z
+    .string()
+    .min(1)
+    .max(253)
+    .optional()
+    .describe(
+      "Host header that selects the service; the service's name when absent.",
+    ),
   pathPrefix: z.string().startsWith('/').default('/'),
   timeoutMs: z.int().positive().max(3_600_000).default(10_000),
   maxQueue: z.int().nonnegative().max(100_000).default(1_000),
@@ -54,16 +71,28 @@
     .int()
     .nonnegative()
     .default(16 * 1024 * 1024),
-  /** Retries allowed as a share of first tries. */
-  retryBudget: z.number().min(0).max(1).default(0.1),
-  /** Hedges allowed as a share of first tries; 0 turns hedging off. */
-  hedgeBudget: z.number().min(0).max(1).default(0),
-  /** Whether requests with an Idempotency-Key are deduplicated through the log. */
-  idempotencyKeys: z.boolean().default(false),
-  /** Methods taken for idempotent; others are sent at most once. */
+  retryBudget: z
+    .number()
+    .min(0)
+    .max(1)
+    .default(0.1)
+    .describe('Retries allowed as a share of first tries.'),
+  hedgeBudget: z
+    .number()
+    .min(0)
+    .max(1)
+    .default(0)
+    .describe('Hedges allowed as a share of first tries; 0 turns hedging off.'),
+  idempotencyKeys: z
+    .boolean()
+    .default(false)
+    .describe(
+      'Whether requests with an Idempotency-Key are deduplicated through the log.',
+    ),
   idempotentMethods: z
     .array(z.enum(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']))
-    .default(['GET', 'HEAD', 'OPTIONS']),
+    .default(['GET', 'HEAD', 'OPTIONS'])
+    .describe('Methods taken for idempotent; others are sent at most once.'),
 });
 
 /** Schema of a service: which workers run its backend servers, and how requests reach them. */
@@ -72,14 +101,22 @@
   name: nameSchema,
   labels: labelsSchema.default({}),
   team: nameSchema,
-  /** Workers that run a backend server of the service. */
-  workers: selectorSchema,
-  /** What a backend server takes of its worker. */
-  size: resourcesSchema,
-  /** Requests that a backend server runs at a time. */
-  slots: z.int().positive().max(10_000),
-  /** Connections that a backend server accepts over all entry hosts. */
-  connections: z.int().positive().max(100_000),
+  workers: selectorSchema.describe(
+    'Workers that run a backend server of the service.',
+  ),
+  size: resourcesSchema.describe('What a backend server takes of its worker.'),
+  slots: z
+    .int()
+    .positive()
+    .max(10_000)
+    .describe('Requests that a backend server runs at a time.'),
+  connections: z
+    .int()
+    .positive()
+    .max(100_000)
+    .describe(
+      'Connections that a backend server accepts over all entry hosts.',
+    ),
   route: routeSchema,
   objective: objectiveSchema,
 });
@@ -90,16 +127,24 @@
   name: nameSchema,
   labels: labelsSchema.default({}),
   team: nameSchema,
-  /** Workers that may run its tasks. */
-  workers: selectorSchema.prefault({}),
+  workers: selectorSchema
+    .prefault({})
+    .describe('Workers that may run its tasks.'),
   tasks: z.int().positive().max(100_000),
   size: resourcesSchema,
   command: z.array(z.string()).min(1).max(256),
-  /** Expected run time of one task; often wrong. */
-  expectedSeconds: z.number().positive().default(600),
+  expectedSeconds: z
+    .number()
+    .positive()
+    .default(600)
+    .describe('Expected run time of one task; often wrong.'),
   maxAttempts: z.int().positive().max(100).default(5),
-  /** What to do with a task whose worker is lost: resume from its checkpoint, or hold for an operator. */
-  onLostWorker: z.enum(['resume', 'hold']).default('resume'),
+  onLostWorker: z
+    .enum(['resume', 'hold'])
+    .default('resume')
+    .describe(
+      'What to do with a task whose worker is lost: resume from its checkpoint, or hold for an operator.',
+    ),
 });
 
 /** Schema of a team and its quota of running work. */
@@ -107,22 +152,32 @@
   kind: z.literal('team'),
   name: nameSchema,
   quota: resourcesSchema,
-  /** Share in fair ordering relative to other teams. */
-  weight: z.number().positive().default(1),
+  weight: z
+    .number()
+    .positive()
+    .default(1)
+    .describe('Share in fair ordering relative to other teams.'),
 });
 
 /** Schema of a policy: the class of the work that a selector matches. */
 export const policySchema = z.strictObject({
   kind: z.literal('policy'),
   name: nameSchema,
-  /** Policies are tried in ascending order; the first match decides. */
-  order: z.int().nonnegative(),
+  order: z
+    .int()
+    .nonnegative()
+    .describe(
+      'Policies are tried in ascending order; the first match decides.',
+    ),
   work: selectorSchema,
   class: z.enum(['latency_critical', 'batch']),
   priority: z.enum(['urgent', 'normal', 'low']).default('normal'),
   preemptible: z.boolean().default(false),
-  /** Evictions allowed per task and hour. */
-  evictionsPerHour: z.number().nonnegative().default(2),
+  evictionsPerHour: z
+    .number()
+    .nonnegative()
+    .default(2)
+    .describe('Evictions allowed per task and hour.'),
 });
 
 /** Schema of a shard: the workers that one owner schedules. */
