Judge configuration changes by a fold of their stream

Cause: operators race one another, and every host must reach the same verdict from the log alone. A version is the offset after its entry: with the offset itself, an object of the first entry had version 0, which means that there is none, and a second creation was accepted; the test of racing changes showed it failing. Records of newer rules are unsupported, so two builds never judge one record differently.

--- /dev/null
+++ b/packages/domain/src/config/ledger.ts
@@ -0,0 +1,168 @@
+/** The configuration with what a host needs to go on from it: verdicts and known record ids. */
+import { Result } from 'true-myth';
+import { z } from 'zod';
+
+import { parseJson } from '../core/json.js';
+import { objectSchema } from '../declarations/schemas.js';
+import { appError, type AppError } from '../errors/app-error.js';
+import { ERROR_KINDS } from '../errors/kinds.js';
+import type { StreamRecord } from '../streams/record.js';
+import { CONFIG_RULES } from './change-set.js';
+import { EMPTY_CONFIG, applyConfigRecord, type ConfigVerdict } from './fold.js';
+import {
+  objectKey,
+  type ConfigState,
+  type ObjectKey,
+  type VersionedObject,
+} from './state.js';
+
+/** Verdicts remembered, so that a retry through another host gets the same answer. */
+export const REMEMBERED_VERDICTS = 256;
+
+/** A verdict as remembered: accepted at an offset, or refused. */
+export type KnownVerdict = Exclude<
+  ConfigVerdict,
+  { kind: 'ignored' } | { kind: 'unsupported' }
+>;
+
+/** The configuration stream folded up to some offset. */
+export interface ConfigLedger {
+  state(): ConfigState;
+  /** Verdict on a change set, while it is remembered. */
+  verdictOf(id: string): KnownVerdict | undefined;
+  /** Folds the new records of one entry; fails with `unsupported_record` and changes nothing. */
+  fold(
+    records: readonly StreamRecord[],
+    next: number,
+  ): Result<readonly ConfigVerdict[], AppError>;
+  /** Text of the present state, the same on every host at this offset. */
+  capture(): string;
+  /** Takes over a captured state; fails with `invalid`, or `unsupported_record` by newer rules. */
+  restore(text: string, offset: number): Result<ConfigState, AppError>;
+}
+
+const verdictSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('accepted'), offset: z.int() }),
+  z.object({
+    kind: z.enum(['conflict', 'invalid']),
+    error: z.object({
+      kind: z.enum(ERROR_KINDS),
+      message: z.string(),
+      outcome: z.enum(['run', 'not_run', 'unknown']),
+      path: z.string().optional(),
+    }),
+  }),
+]);
+
+const rulesSchema = z.object({ rules: z.int().positive() });
+
+const snapshotSchema = rulesSchema.extend({
+  objects: z.array(z.object({ version: z.int(), object: objectSchema })),
+  verdicts: z.array(z.tuple([z.string(), verdictSchema])),
+});
+
+type Snapshot = z.output<typeof snapshotSchema>;
+
+/** Creates a ledger before the first entry. */
+export function createConfigLedger(): ConfigLedger {
+  let state = EMPTY_CONFIG;
+  let verdicts = new Map<string, KnownVerdict>();
+
+  function fold(
+    records: readonly StreamRecord[],
+    next: number,
+  ): Result<readonly ConfigVerdict[], AppError> {
+    const reached: ConfigVerdict[] = [];
+    const known = new Map(verdicts);
+    let objects = state;
+    for (const record of records) {
+      const outcome = applyConfigRecord(objects, record, next);
+      if (outcome.verdict.kind === 'unsupported') {
+        return Result.err(outcome.verdict.error);
+      }
+      objects = outcome.state;
+      reached.push(outcome.verdict);
+      remember(known, record.id, outcome.verdict);
+    }
+    state = { offset: next, objects: objects.objects };
+    verdicts = known;
+    return Result.ok(reached);
+  }
+
+  function restore(
+    text: string,
+    offset: number,
+  ): Result<ConfigState, AppError> {
+    const parsed = parseSnapshot(text, offset);
+    if (parsed.isErr) {
+      return Result.err(parsed.error);
+    }
+    state = { offset, objects: objectsIn(parsed.value) };
+    verdicts = new Map(parsed.value.verdicts as [string, KnownVerdict][]);
+    return Result.ok(state);
+  }
+
+  return {
+    state: () => state,
+    verdictOf: id => verdicts.get(id),
+    fold,
+    capture: () => captureOf(state, verdicts),
+    restore,
+  };
+}
+
+function remember(
+  known: Map<string, KnownVerdict>,
+  id: string,
+  verdict: ConfigVerdict,
+): void {
+  if (verdict.kind === 'ignored' || verdict.kind === 'unsupported') {
+    return;
+  }
+  known.set(id, verdict);
+  const [oldest] = known.keys();
+  if (known.size > REMEMBERED_VERDICTS && oldest !== undefined) {
+    known.delete(oldest);
+  }
+}
+
+function captureOf(
+  state: ConfigState,
+  verdicts: ReadonlyMap<string, KnownVerdict>,
+): string {
+  const objects = [...state.objects.entries()]
+    .sort(([a], [b]) => (a < b ? -1 : 1))
+    .map(([, { object, version }]) => ({ version, object }));
+  return JSON.stringify({
+    rules: CONFIG_RULES,
+    objects,
+    verdicts: [...verdicts],
+  });
+}
+
+function parseSnapshot(
+  text: string,
+  offset: number,
+): Result<Snapshot, AppError> {
+  const json = parseJson(text);
+  const rules = rulesSchema.safeParse(json).data?.rules ?? 0;
+  if (rules > CONFIG_RULES) {
+    const message = `The snapshot at ${offset} needs rules ${rules}, this host has ${CONFIG_RULES}.`;
+    return Result.err(appError('unsupported_record', message));
+  }
+  const parsed = snapshotSchema.safeParse(json);
+  return parsed.success
+    ? Result.ok(parsed.data)
+    : Result.err(
+        appError('invalid', `The snapshot at ${offset} is malformed.`),
+      );
+}
+
+function objectsIn(snapshot: Snapshot): Map<ObjectKey, VersionedObject> {
+  return new Map(
+    snapshot.objects.map(({ object, version }) => [
+      objectKey(object.kind, object.name),
+      { object, version },
+    ]),
+  );
+}
--- /dev/null
+++ b/packages/domain/src/config/rules.ts
@@ -0,0 +1,167 @@
+/** Rules that hold between the objects of a configuration. */
+import type {
+  ConfigObject,
+  PolicySpec,
+  ServiceSpec,
+  ShardSpec,
+  TeamSpec,
+} from '../declarations/schemas.js';
+import { MAX_CONFIG_CHARS, MAX_OBJECTS } from './change-set.js';
+import type { Problem } from './problem.js';
+import { areDisjoint } from './selector-overlap.js';
+
+interface Grouped {
+  readonly services: ServiceSpec[];
+  readonly teams: TeamSpec[];
+  readonly policies: PolicySpec[];
+  readonly shards: ShardSpec[];
+}
+
+/** Returns what is wrong between `objects`, each of which is valid by itself. */
+export function crossProblems(objects: Iterable<ConfigObject>): Problem[] {
+  const all = [...objects];
+  const grouped = group(all);
+  return [
+    ...sizeProblems(all),
+    ...teamProblems(grouped),
+    ...routeProblems(grouped.services),
+    ...shardProblems(grouped.shards),
+    ...policyProblems(grouped.policies),
+  ];
+}
+
+function group(objects: readonly ConfigObject[]): Grouped {
+  const grouped: Grouped = {
+    services: [],
+    teams: [],
+    policies: [],
+    shards: [],
+  };
+  for (const object of objects) {
+    addToGroup(grouped, object);
+  }
+  return grouped;
+}
+
+function addToGroup(grouped: Grouped, object: ConfigObject): void {
+  switch (object.kind) {
+    case 'service':
+      grouped.services.push(object);
+      break;
+    case 'team':
+      grouped.teams.push(object);
+      break;
+    case 'policy':
+      grouped.policies.push(object);
+      break;
+    case 'shard':
+      grouped.shards.push(object);
+      break;
+    case 'weights':
+    case 'worker':
+      break;
+  }
+}
+
+function sizeProblems(objects: readonly ConfigObject[]): Problem[] {
+  if (objects.length > MAX_OBJECTS) {
+    const message = `${objects.length} objects, at most ${MAX_OBJECTS} are kept`;
+    return [{ path: 'objects', message }];
+  }
+  const chars = objects.reduce((sum, object) => sum + charsOf(object), 0);
+  return chars > MAX_CONFIG_CHARS
+    ? [
+        {
+          path: 'objects',
+          message: `${chars} characters in all, at most ${MAX_CONFIG_CHARS} are kept`,
+        },
+      ]
+    : [];
+}
+
+const knownChars = new WeakMap<ConfigObject, number>();
+
+/** Returns the characters of an object in JSON; objects are never changed, so it is counted once. */
+export function charsOf(object: ConfigObject): number {
+  let chars = knownChars.get(object);
+  if (chars === undefined) {
+    chars = JSON.stringify(object).length;
+    knownChars.set(object, chars);
+  }
+  return chars;
+}
+
+function teamProblems({ services, teams }: Grouped): Problem[] {
+  const names = new Set(teams.map(team => team.name));
+  return services
+    .filter(service => !names.has(service.team))
+    .map(service => ({
+      path: `service/${service.name}.team`,
+      message: `team ${service.team} does not exist`,
+    }));
+}
+
+function routeProblems(services: readonly ServiceSpec[]): Problem[] {
+  return clashes(
+    services,
+    ({ name, route }) => [`${route.host ?? name}${route.pathPrefix}`],
+    (service, other, route) => ({
+      path: `service/${service.name}.route`,
+      message: `service ${other.name} is reached by ${route} as well`,
+    }),
+  );
+}
+
+function shardProblems(shards: readonly ShardSpec[]): Problem[] {
+  return clashes(
+    shards,
+    ({ availabilityZone, racks }) =>
+      racks.map(rack => `${availabilityZone}/${rack}`),
+    (shard, other, rack) => ({
+      path: `shard/${shard.name}.racks`,
+      message: `rack ${rack} belongs to shard ${other.name} as well`,
+    }),
+  );
+}
+
+/** Finds values that two of `objects` hold; the first holder in order of name is kept. */
+function clashes<T extends { readonly name: string }>(
+  objects: readonly T[],
+  valuesOf: (object: T) => readonly string[],
+  problem: (object: T, holder: T, value: string) => Problem,
+): Problem[] {
+  const holders = new Map<string, T>();
+  const problems: Problem[] = [];
+  for (const object of byName(objects)) {
+    for (const value of valuesOf(object)) {
+      const holder = holders.get(value);
+      if (holder === undefined) {
+        holders.set(value, object);
+      } else {
+        problems.push(problem(object, holder, value));
+      }
+    }
+  }
+  return problems;
+}
+
+function policyProblems(policies: readonly PolicySpec[]): Problem[] {
+  const byOrder = new Map<number, PolicySpec[]>();
+  const problems: Problem[] = [];
+  for (const policy of byName(policies)) {
+    const others = byOrder.get(policy.order) ?? [];
+    const rival = others.find(other => !areDisjoint(other.work, policy.work));
+    if (rival !== undefined) {
+      const message = `policy ${rival.name} has the same order and may match the same work`;
+      problems.push({ path: `policy/${policy.name}.order`, message });
+    }
+    byOrder.set(policy.order, [...others, policy]);
+  }
+  return problems;
+}
+
+function byName<T extends { readonly name: string }>(
+  objects: readonly T[],
+): T[] {
+  return [...objects].sort((a, b) => (a.name < b.name ? -1 : 1));
+}
--- a/packages/domain/src/config/state.ts
+++ b/packages/domain/src/config/state.ts
@@ -1,7 +1,7 @@
 /** The configuration in force: the fold's state over the configuration stream. */
 import type { ConfigObject, ObjectKind } from '../declarations/schemas.js';
 
-/** An object and the offset of the entry that wrote it. */
+/** An object and its version: the offset after the entry that wrote it, never 0. */
 export interface VersionedObject {
   readonly object: ConfigObject;
   readonly version: number;
