Add membership of entry hosts and the view of the host list

Every part needs to know which entry hosts are live, what configuration they have in force and what load they put on backend servers.

The decision is a pure state machine driven by events: heartbeats to all of a region up to 16 members, to ring fingers beyond, and to one host of each other region; three peers are asked before a member is suspected; news is ordered by incarnation and sequence; the clock that silence is measured on stands still while the process itself is paused; a host that hears nobody judges nobody. The daemon makes the calls with connect-es and follows the host list, of which it keeps the last good one.

Tested on a fake network with its own clock: dead processes, silent hosts, cuts both and one way, an isolated host, own pauses, leaving, two regions that lose each other; and over loopback.

--- /dev/null
+++ b/packages/daemon/src/membership/host-view.ts
@@ -0,0 +1,117 @@
+/** Follows the lagging host list, keeps the last good one and joins own evidence. */
+import {
+  createReachability,
+  type Instant,
+  type Reachability,
+} from '@paddlewind/domain';
+import type { Host, HostList } from '@paddlewind/platform';
+
+import type { HostEvidence, HostView, PartContext, Stop } from '../parts.js';
+import { createListeners } from './listeners.js';
+import type { MembershipMetrics } from './metrics.js';
+
+/** What the view needs. */
+export interface HostViewOptions {
+  readonly ctx: PartContext;
+  readonly hostList: HostList;
+  readonly pollMs: number;
+  readonly metrics: MembershipMetrics;
+  /** Ids of entry hosts that said themselves that they leave. */
+  readonly leavingPeers: () => ReadonlySet<string>;
+}
+
+/** A running view of the host list. */
+export interface RunningHostView extends HostView, HostEvidence {
+  /** Tells listeners that peers changed. */
+  peersChanged(): void;
+  /** Instant of the last good read; undefined before the first. */
+  readAt(): Instant | undefined;
+  stop: Stop;
+}
+
+function sameHosts(a: readonly Host[], b: readonly Host[]): boolean {
+  return JSON.stringify(a) === JSON.stringify(b);
+}
+
+function withLeaving(
+  listed: readonly Host[],
+  leaving: ReadonlySet<string>,
+): readonly Host[] {
+  return listed.map(host =>
+    host.role === 'entry' && leaving.has(host.id)
+      ? { ...host, state: 'leaving' as const }
+      : host,
+  );
+}
+
+/** Starts to poll the host list. */
+export function startHostView(options: HostViewOptions): RunningHostView {
+  const { ctx, hostList, metrics } = options;
+  const changed = createListeners();
+  const reachability: Reachability = createReachability();
+  let listed: readonly Host[] = [];
+  let joined: readonly Host[] = [];
+  let readAt: Instant | undefined;
+  let failing = false;
+  let timer: NodeJS.Timeout | undefined;
+  let stopped = false;
+
+  function publish(): void {
+    const next = withLeaving(listed, options.leavingPeers());
+    if (!sameHosts(next, joined)) {
+      joined = next;
+      changed.call();
+    }
+  }
+
+  function noteFailure(message: string): void {
+    metrics.listPolls.inc({ result: 'failed' });
+    if (!failing) {
+      ctx.log.warn(
+        { err: message },
+        'host list cannot be read, keeping the last',
+      );
+    }
+    failing = true;
+  }
+
+  function noteList(hosts: readonly Host[]): void {
+    metrics.listPolls.inc({ result: 'ok' });
+    if (failing) {
+      ctx.log.info('host list is read again');
+    }
+    failing = false;
+    readAt = ctx.clock();
+    listed = hosts;
+    publish();
+  }
+
+  async function poll(): Promise<void> {
+    const list = await hostList.list();
+    if (stopped) {
+      return;
+    }
+    if (list.isOk) {
+      noteList(list.value);
+    } else {
+      noteFailure(list.error.message);
+    }
+    timer = setTimeout(() => void poll(), options.pollMs);
+  }
+
+  void poll();
+  return {
+    hosts: () => joined,
+    onChange: listener => changed.add(listener),
+    peersChanged: publish,
+    readAt: () => readAt,
+    reportConnect(address, reached) {
+      reachability.report(address, reached, ctx.clock());
+    },
+    isUnreachable: address => reachability.isUnreachable(address, ctx.clock()),
+    stop() {
+      stopped = true;
+      clearTimeout(timer);
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/membership/index.ts
@@ -0,0 +1,3 @@
+/** Membership of entry hosts and the view of the host list. */
+export * from './membership.js';
+export * from './transports.js';
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -8,6 +8,7 @@
 export * from './errors/app-error.js';
 export * from './errors/kinds.js';
 export * from './interference/index.js';
+export * from './membership/index.js';
 export * from './routing/index.js';
 export * from './scheduling/index.js';
 export * from './shards/index.js';
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -5,6 +5,7 @@
 export type { FaultControl } from './http/faults.js';
 export type { Listener, ListenOptions } from './http/json-server.js';
 export * from './log/log-server.js';
+export * from './membership/index.js';
 export * from './memory/memory-log.js';
 export * from './memory/pausable.js';
 export * from './memory/virtual-time.js';
