--- a/packages/platform/src/adapters/http-client.ts
+++ b/packages/platform/src/adapters/http-client.ts
@@ -17,7 +17,7 @@
 /** A call to one address. */
 export interface Call {
   readonly method: 'GET' | 'POST';
-  /** `ip:port`. */
+  /** `ip:port`, or a base URL. */
   readonly address: string;
   readonly path: string;
   readonly body?: unknown;
@@ -88,7 +88,7 @@
   }
   const abort = abortAfter(limits.timeoutMs + (call.waitMs ?? 0), call.signal);
   try {
-    const res = await request(`http://${call.address}${call.path}`, {
+    const res = await request(`${baseUrl(call.address)}${call.path}`, {
       dispatcher: agent,
       method: call.method,
       signal: abort.signal,
@@ -103,6 +103,11 @@
   }
 }
 
+function baseUrl(address: string): string {
+  const url = address.includes('://') ? address : `http://${address}`;
+  return url.replace(/\/+$/, '');
+}
+
 /** Aborts after a time or with `outer`; unlike `AbortSignal.any`, leaves nothing on `outer` when done. */
 function abortAfter(
   afterMs: number,
--- a/packages/platform/src/adapters/http-host-list.ts
+++ b/packages/platform/src/adapters/http-host-list.ts
@@ -26,7 +26,7 @@
 });
 const listSchema = z.object({ hosts: z.array(hostSchema) });
 
-/** Creates a host list at `address` (`ip:port`). */
+/** Creates a host list at `address` (`ip:port`, or a base URL). */
 export function createHttpHostList(
   address: string,
   options: AdapterOptions = {},
--- a/packages/platform/src/adapters/http-log-service.ts
+++ b/packages/platform/src/adapters/http-log-service.ts
@@ -26,7 +26,7 @@
   head: offsetSchema,
 });
 
-/** Creates a log service at `address` (`ip:port`). */
+/** Creates a log service at `address` (`ip:port`, or a base URL). */
 export function createHttpLogService(
   address: string,
   options: AdapterOptions = {},
--- a/packages/stand-ins/src/events/events.ts
+++ b/packages/stand-ins/src/events/events.ts
@@ -25,6 +25,7 @@
       readonly size: Resources;
       /** Progress of the checkpoint that it resumed from, 0 when fresh. */
       readonly resumedAt: number;
+      readonly shard: string;
       readonly epoch: number;
     }
   | {
--- a/packages/stand-ins/src/log/log-server.test.ts
+++ b/packages/stand-ins/src/log/log-server.test.ts
@@ -14,7 +14,9 @@
   options: LogServerOptions = {},
 ): Promise<{ server: LogServer; log: LogService }> {
   const server = await startLogServer(options);
-  const log = createHttpLogService(server.address, { timeoutMs: 300 });
+  const log = createHttpLogService(`http://${server.address}/`, {
+    timeoutMs: 300,
+  });
   t.after(async () => {
     await log.close();
     await server.close();
--- a/packages/stand-ins/src/worker/worker-model.ts
+++ b/packages/stand-ins/src/worker/worker-model.ts
@@ -4,6 +4,7 @@
   AgentCommand,
   AttemptRef,
   AttemptReport,
+  Fence,
   StartSpec,
   SyncRequest,
   WorkerReport,
@@ -77,7 +78,7 @@
       }
       switch (command.kind) {
         case 'start':
-          attempts.start(command.spec, command.fence.epoch);
+          attempts.start(command.spec, command.fence);
           break;
         case 'stop':
           attempts.stop(command.ref, command.graceMs);
@@ -110,7 +111,7 @@
 }
 
 interface Attempts {
-  readonly start: (spec: StartSpec, epoch: number) => void;
+  readonly start: (spec: StartSpec, fence: Fence) => void;
   readonly stop: (ref: AttemptRef, graceMs: number) => void;
   readonly find: (ref: AttemptRef) => SimulatedTask | undefined;
   /** Forgets an ended attempt but for its name, so that a late start has no effect. */
@@ -134,7 +135,7 @@
   }
 
   return {
-    start(spec, epoch) {
+    start(spec, fence) {
       const key = keyOf(spec);
       if (tasks.has(key) || neverStarted.has(key) || acknowledged.has(key)) {
         return;
@@ -143,8 +144,9 @@
       tasks.set(key, started);
       const { job, task, attempt, size } = spec;
       const { resumedAt } = started;
-      const what = { worker, boot, job, task, attempt, size, resumedAt, epoch };
-      onEvent({ type: 'task_began', ...what });
+      const { shard, epoch } = fence;
+      const what = { worker, boot, job, task, attempt, size, resumedAt };
+      onEvent({ type: 'task_began', ...what, shard, epoch });
     },
     stop(ref, graceMs) {
       const key = keyOf(ref);
