Plan with claims, preemption, learning, quarantine and loans of quota

Cause: the first planner let small tasks overtake large ones for ever, had no preemption, trusted declared sizes, kept starting on failing workers, and left impossible jobs in the queue.

Change: overdue tasks claim a worker before others overtake them; urgent tasks evict the cheapest preemptible work within its budget and claim its room; sizes and run times are learnt from lagging reports; workers that fail unrelated jobs are quarantined and probed, jobs that fail on healthy workers are held; impossible jobs are answered with the reason or moved to a shard that fits; spare quota is lent through records; lower ranks keep a part of the starts.

--- a/packages/domain/src/scheduling/fold-jobs.ts
+++ b/packages/domain/src/scheduling/fold-jobs.ts
@@ -2,7 +2,7 @@
 import { rememberKey } from './bounded-map.js';
 import { freshCount, indexTask, newJob, type Job } from './job.js';
 import type { Decision, DecisionBody } from './records.js';
-import { retireIfDrained, type ShardSchedule } from './shard.js';
+import { markEvicting, retireIfDrained, type ShardSchedule } from './shard.js';
 import {
   CANCELLED_REMEMBERED,
   HOMES_REMEMBERED,
@@ -113,24 +113,26 @@
   job.tally.cancelled += freshCount(job);
   job.fresh = [];
   for (const [index, task] of job.tasks) {
-    cancelTask(job, index, task);
+    cancelTask(schedule, job, task);
+
     indexTask(job, index);
   }
   touch(schedule, job);
   retireIfDrained(schedule, job);
 }
 
-function cancelTask(job: Job, index: number, task: Task): void {
+function cancelTask(schedule: ShardSchedule, job: Job, task: Task): void {
   switch (task.state.kind) {
     case 'queued':
     case 'held':
-      job.tasks.delete(index);
+      job.tasks.delete(task.index);
       job.tally.cancelled += 1;
       return;
     case 'running': {
       const { worker, size, startedAtWall } = task.state;
       const reason = 'cancelled';
       task.state = { kind: 'evicting', reason, worker, size, startedAtWall };
+      markEvicting(schedule, job, task);
       return;
     }
     case 'evicting':
--- a/packages/domain/src/scheduling/fold-shards.ts
+++ b/packages/domain/src/scheduling/fold-shards.ts
@@ -57,6 +57,7 @@
   }
   load.quarantines += 1;
   load.quarantinedUntilWall = body.untilWall;
+  load.probe = 'none';
   forgiveTasks(schedule, load);
   schedule.version += 1;
   return APPLIED;
@@ -93,6 +94,7 @@
     return voided('out_of_turn');
   }
   load.quarantinedUntilWall = undefined;
+  load.probe = 'none';
   load.failures = [];
   schedule.version += 1;
   return APPLIED;
--- a/packages/domain/src/scheduling/fold-tasks.ts
+++ b/packages/domain/src/scheduling/fold-tasks.ts
@@ -9,6 +9,7 @@
 import {
   JOBS_REMEMBERED,
   learnRunTime,
+  markEvicting,
   occupy,
   retireIfDrained,
   vacate,
@@ -22,6 +23,7 @@
   placementOf,
   requeueTask,
   startTask,
+  type Placement,
   type Task,
 } from './task.js';
 import {
@@ -31,7 +33,7 @@
   voided,
   type Verdict,
 } from './verdict.js';
-import { addFailure } from './worker.js';
+import { addFailure, addSuccess } from './worker.js';
 
 type TaskDecision = Extract<
   Decision,
@@ -124,16 +126,20 @@
 }
 
 function evict(
-  _schedule: ShardSchedule,
+  schedule: ShardSchedule,
   job: Job,
   index: number,
   body: DecisionBody<'task_evicting'>,
 ): boolean {
   const task = job.tasks.get(index);
-  return (
-    task !== undefined &&
-    evictTask(task, body.attempt, body.reason, body.atWall)
-  );
+  if (
+    task === undefined ||
+    !evictTask(task, body.attempt, body.reason, body.atWall)
+  ) {
+    return false;
+  }
+  markEvicting(schedule, job, task);
+  return true;
 }
 
 function end(
@@ -158,11 +164,11 @@
   switch (body.result) {
     case 'completed':
       learnRunTime(schedule, job, ranMs / 1_000);
-      succeed(schedule, job, placement.worker);
+      succeed(schedule, job, placement);
       finish(job, index, 'completed');
       return true;
     case 'failed':
-      fail(schedule, job, task, placement.worker, body.atWall);
+      fail(schedule, job, task, placement, body.atWall);
       return true;
     case 'lost':
       lose(job, task, body.atWall);
@@ -173,11 +179,15 @@
   }
 }
 
-function succeed(schedule: ShardSchedule, job: Job, worker: string): void {
+function succeed(
+  schedule: ShardSchedule,
+  job: Job,
+  placement: Placement,
+): void {
   job.failedOn.clear();
-  const load = schedule.workers.get(worker);
+  const load = schedule.workers.get(placement.worker);
   if (load !== undefined) {
-    load.failures = [];
+    addSuccess(load, placement.startedAtWall);
   }
 }
 
@@ -194,14 +204,15 @@
   schedule: ShardSchedule,
   job: Job,
   task: Task,
-  worker: string,
+  placement: Placement,
   atWall: number,
 ): void {
+  const { worker, startedAtWall } = placement;
   task.failures += 1;
   job.failedOn.add(worker);
   const id = taskId(job.spec.name, task.index);
   const failure = { job: job.spec.name, task: id, atWall };
-  addFailure(workerLoad(schedule, worker), failure);
+  addFailure(workerLoad(schedule, worker), failure, startedAtWall);
   if (task.failures >= job.spec.maxAttempts && !job.cancelled) {
     finish(job, task.index, 'failed');
     return;
--- a/packages/domain/src/scheduling/index.ts
+++ b/packages/domain/src/scheduling/index.ts
@@ -3,6 +3,8 @@
 export * from './fold.js';
 export * from './ids.js';
 export * from './job.js';
+export { withinEvictionBudget } from './planning/evict.js';
+export { observeWorker, type SeenAttempt } from './planning/learn.js';
 export * from './planning/plan.js';
 export * from './records.js';
 export * from './shard.js';
--- a/packages/domain/src/scheduling/job.ts
+++ b/packages/domain/src/scheduling/job.ts
@@ -21,6 +21,8 @@
 /** A job's tasks in one shard; a task neither fresh nor in `tasks` is finished or elsewhere. */
 export interface Job {
   readonly spec: JobSpec;
+  /** Key of the jobs that are expected to behave alike: those of a team with the same labels. */
+  readonly group: string;
   readonly submittedAtWall: Instant;
   /** Order of arrival in this shard. */
   readonly arrival: number;
@@ -52,6 +54,7 @@
 ): Job {
   return {
     spec,
+    group: groupKey(spec),
     submittedAtWall,
     arrival,
     cancelled: false,
@@ -69,11 +72,24 @@
   };
 }
 
+function groupKey(spec: JobSpec): string {
+  const labels = Object.entries(spec.labels).sort(([a], [b]) =>
+    a < b ? -1 : 1,
+  );
+  return `group/${spec.team}/${JSON.stringify(labels)}`;
+}
+
 /** Returns how many tasks were never started. */
 export function freshCount(job: Job): number {
   return job.fresh.reduce((sum, range) => sum + range.end - range.next, 0);
 }
 
+/** Tells whether the job has tasks that may be started once they fit. */
+export function isWaiting(job: Job): boolean {
+  const some = job.queued.size > 0 || job.fresh.length > 0;
+  return some && !job.cancelled && job.heldFor === undefined;
+}
+
 /** Tells whether this shard holds no unfinished task of the job. */
 export function isDrained(job: Job): boolean {
   return job.fresh.length === 0 && job.tasks.size === 0;
--- a/packages/domain/src/scheduling/planning/memory.ts
+++ b/packages/domain/src/scheduling/planning/memory.ts
@@ -1,13 +1,19 @@
-/** What the planner keeps between plans: the queue in order, and which workers selectors match. */
+/** What the planner keeps between plans: the queue in order, claims on rooms, and what it learnt. */
+import type { Instant } from '../../core/time.js';
 import type { PolicySpec } from '../../declarations/schemas.js';
 import {
   matches,
   policyFor,
   type DEFAULT_POLICY,
 } from '../../declarations/selector.js';
-import { freshCount, type Job } from '../job.js';
+import type { TaskId } from '../ids.js';
+import { isWaiting, type Job } from '../job.js';
 import type { SchedulableWorker } from '../view.js';
 
+import type { Claim } from './claims.js';
+import type { LearnedSizes } from './learn.js';
+import type { MovedSince } from './moves.js';
+
 /** The part of a policy that concerns scheduling. */
 export type WorkPolicy = typeof DEFAULT_POLICY;
 
@@ -22,6 +28,8 @@
   readonly policy: WorkPolicy;
   /** Text of its selector of workers, as a key. */
   readonly selectorKey: string;
+  /** Version of the fleet at which some worker of the shard was found able to hold a task. */
+  feasibleAt: number;
 }
 
 /** Waiting jobs of one rank by team, each in order of arrival. */
@@ -29,8 +37,15 @@
 
 /** The planner's memory of one shard. */
 export interface PlannerMemory {
+  /** Epoch of the owner that planned last. */
+  epoch: number;
   readonly queued: Map<Job, QueuedJob>;
   readonly queues: Readonly<Record<Rank, TeamQueues>>;
+  /** Waiting jobs that no worker of the shard can hold, until the fleet changes. */
+  readonly parked: Set<Job>;
+  /** Jobs with failures that the planner has yet to judge. */
+  readonly suspects: Set<Job>;
+  readonly policyOf: Map<Job, WorkPolicy>;
   policies: readonly PolicySpec[] | undefined;
   /** Workers as last seen, to notice changes. */
   fleet: readonly SchedulableWorker[];
@@ -38,20 +53,49 @@
   fleetVersion: number;
   /** Ids of workers by selector key. */
   readonly eligible: Map<string, ReadonlySet<string>>;
+  readonly sizes: LearnedSizes;
+  readonly claims: Map<TaskId, Claim>;
+  /** Starts given to better ranks since the last of the rank, while it waited. */
+  readonly passed: Record<Rank, number>;
+  reportedAtWall: Instant;
+  /** Reports of other shards that were answered with a loan, by team and shard. */
+  readonly answered: Map<string, Instant>;
+  /** What was moved to other shards since their latest reports. */
+  readonly movedTo: Map<string, MovedSince>;
+  /** Number of plans made. */
+  plans: number;
 }
 
 /** Returns an empty memory. */
 export function newPlannerMemory(): PlannerMemory {
   return {
+    epoch: 0,
     queued: new Map(),
     queues: { urgent: new Map(), normal: new Map(), low: new Map() },
+    parked: new Set(),
+    suspects: new Set(),
+    policyOf: new Map(),
     policies: undefined,
     fleet: [],
     fleetVersion: 0,
     eligible: new Map(),
+    sizes: new Map(),
+    claims: new Map(),
+    passed: { urgent: 0, normal: 0, low: 0 },
+    reportedAtWall: 0,
+    answered: new Map(),
+    movedTo: new Map(),
+    plans: 0,
   };
 }
 
+/** Forgets what rests on decisions of an earlier epoch that may have been voided. */
+export function forgetEpoch(memory: PlannerMemory, epoch: number): void {
+  memory.epoch = epoch;
+  memory.policies = undefined;
+  memory.claims.clear();
+}
+
 /** Brings the queue up to date with the jobs changed since the last call. */
 export function syncQueue(
   memory: PlannerMemory,
@@ -64,43 +108,59 @@
     jobs.forEach(job => touched.add(job));
   }
   for (const job of touched) {
-    const live = jobs.get(job.spec.name) === job;
-    if (live && isWaiting(job)) {
-      enqueue(memory, job, policies);
-    } else {
-      dequeue(memory, job);
-    }
+    syncJob(memory, job, jobs.get(job.spec.name) === job);
   }
   touched.clear();
 }
 
+function syncJob(memory: PlannerMemory, job: Job, live: boolean): void {
+  if (!live) {
+    memory.policyOf.delete(job);
+    memory.sizes.delete(job.spec.name);
+  }
+  if (live && job.failedOn.size > 0) {
+    memory.suspects.add(job);
+  } else {
+    memory.suspects.delete(job);
+  }
+  if (live && isWaiting(job)) {
+    enqueue(memory, job);
+  } else {
+    dequeue(memory, job);
+    memory.parked.delete(job);
+  }
+}
+
 function resetQueue(
   memory: PlannerMemory,
   policies: readonly PolicySpec[],
 ): void {
   memory.policies = policies;
   memory.queued.clear();
+  memory.parked.clear();
+  memory.policyOf.clear();
   RANKS.forEach(rank => {
     memory.queues[rank].clear();
   });
 }
 
-function isWaiting(job: Job): boolean {
-  const some = job.queued.size > 0 || freshCount(job) > 0;
-  return some && !job.cancelled && job.heldFor === undefined;
+/** Returns the policy of a job's work. */
+export function workPolicy(memory: PlannerMemory, job: Job): WorkPolicy {
+  let policy = memory.policyOf.get(job);
+  if (policy === undefined) {
+    policy = policyFor(memory.policies ?? [], job.spec.labels);
+    memory.policyOf.set(job, policy);
+  }
+  return policy;
 }
 
-function enqueue(
-  memory: PlannerMemory,
-  job: Job,
-  policies: readonly PolicySpec[],
-): void {
-  if (memory.queued.has(job)) {
+function enqueue(memory: PlannerMemory, job: Job): void {
+  if (memory.queued.has(job) || memory.parked.has(job)) {
     return;
   }
-  const policy = policyFor(policies, job.spec.labels);
+  const policy = workPolicy(memory, job);
   const selectorKey = JSON.stringify(job.spec.workers);
-  const entry = { job, policy, selectorKey };
+  const entry = { job, policy, selectorKey, feasibleAt: -1 };
   memory.queued.set(job, entry);
   const queues = memory.queues[policy.priority];
   const queue = queues.get(job.spec.team);
@@ -125,6 +185,12 @@
   }
 }
 
+/** Takes a job that no worker can hold out of the queue until the fleet changes. */
+export function park(memory: PlannerMemory, job: Job): void {
+  dequeue(memory, job);
+  memory.parked.add(job);
+}
+
 /** Returns the first place in the queue whose job did not arrive before `job`. */
 function placeInQueue(queue: readonly QueuedJob[], job: Job): number {
   let low = 0;
@@ -141,7 +207,7 @@
   return low;
 }
 
-/** Notes the workers of a view and forgets what no longer holds of them. */
+/** Notes the workers of a view, and tries parked jobs again when they changed. */
 export function syncFleet(
   memory: PlannerMemory,
   workers: readonly SchedulableWorker[],
@@ -150,10 +216,16 @@
     memory.fleet.length === workers.length &&
     workers.every((worker, i) => isSameWorker(worker, memory.fleet[i]));
   memory.fleet = workers;
-  if (!same) {
-    memory.fleetVersion += 1;
-    memory.eligible.clear();
+  if (same) {
+    return;
   }
+  memory.fleetVersion += 1;
+  memory.eligible.clear();
+  const parked = [...memory.parked];
+  memory.parked.clear();
+  parked.forEach(job => {
+    enqueue(memory, job);
+  });
 }
 
 function isSameWorker(
@@ -164,7 +236,8 @@
     b?.id === a.id &&
     sameEntries(a.capacity, b.capacity) &&
     sameEntries(a.reserved, b.reserved) &&
-    sameEntries(a.labels, b.labels)
+    sameEntries(a.labels, b.labels) &&
+    (a.availability === 'leaving') === (b.availability === 'leaving')
   );
 }
 
--- a/packages/domain/src/scheduling/planning/order.ts
+++ b/packages/domain/src/scheduling/planning/order.ts
@@ -13,6 +13,8 @@
   at: number;
   /** Waiting tasks of the job at hand. */
   tasks: Iterator<Task> | undefined;
+  /** Jobs of the team that its quota refused in this plan. */
+  refusals: number;
 }
 
 /** The task to try next. */
@@ -23,33 +25,61 @@
   readonly cursor: TeamCursor;
 }
 
-/** Cursors of all teams with waiting jobs, by rank. */
-export type Order = Readonly<Record<Rank, TeamCursor[]>>;
+/** The order of one plan: cursors of all teams with waiting jobs, by rank. */
+export interface Order {
+  readonly cursors: Readonly<Record<Rank, TeamCursor[]>>;
+  /** The rank whose turn it is by its guaranteed part of the starts. */
+  turn: Rank | undefined;
+}
+
+/** A rank gets at least one of this many starts while it waits and fits. */
+const STARTS_PER_TURN: Readonly<Record<Rank, number>> = {
+  urgent: Infinity,
+  normal: 8,
+  low: 32,
+};
 
 /** Builds the order of one plan. */
 export function newOrder(round: Round): Order {
-  const { queues } = round.schedule.planning;
+  const { queues, passed } = round.schedule.planning;
   const cursors = (rank: Rank) =>
     [...queues[rank]].map(([team, queue]) => ({
       team,
       queue,
       at: 0,
       tasks: undefined,
+      refusals: 0,
     }));
   return {
-    urgent: cursors('urgent'),
-    normal: cursors('normal'),
-    low: cursors('low'),
+    cursors: {
+      urgent: cursors('urgent'),
+      normal: cursors('normal'),
+      low: cursors('low'),
+    },
+    turn: RANKS.find(rank => passed[rank] >= STARTS_PER_TURN[rank]),
   };
 }
 
+/** Counts a start of `rank` for the guaranteed parts of the others. */
+export function countStart(round: Round, order: Order, rank: Rank): void {
+  const { passed } = round.schedule.planning;
+  passed[rank] = 0;
+  for (const worse of RANKS.slice(RANKS.indexOf(rank) + 1)) {
+    passed[worse] = order.cursors[worse].length > 0 ? passed[worse] + 1 : 0;
+  }
+  order.turn = RANKS.find(other => passed[other] >= STARTS_PER_TURN[other]);
+}
+
 /** Returns the next task to try; undefined when none is left. */
 export function nextCandidate(
   round: Round,
   order: Order,
 ): Candidate | undefined {
-  for (const rank of RANKS) {
-    const found = nextOfRank(round, order[rank], rank);
+  const { turn } = order;
+  const ranks =
+    turn === undefined ? RANKS : [turn, ...RANKS.filter(rank => rank !== turn)];
+  for (const rank of ranks) {
+    const found = nextOfRank(round, order.cursors[rank], rank);
     if (found !== undefined) {
       return found;
     }
@@ -85,6 +115,18 @@
   cursor.tasks = undefined;
 }
 
+/** Jobs of a team that its quota may refuse in one plan before the team is left for the next. */
+const MAX_REFUSALS = 8;
+
+/** Moves on from a job that the team's quota refused. */
+export function refuseJob(cursor: TeamCursor): void {
+  cursor.refusals += 1;
+  skipJob(cursor);
+  if (cursor.refusals >= MAX_REFUSALS) {
+    cursor.at = cursor.queue.length;
+  }
+}
+
 function leastServed(round: Round, cursors: readonly TeamCursor[]): TeamCursor {
   let least = cursors[0];
   let leastShare = Infinity;
--- a/packages/domain/src/scheduling/planning/place.ts
+++ b/packages/domain/src/scheduling/planning/place.ts
@@ -1,8 +1,9 @@
 /** Choice of a worker for a task. */
 import { fits, type Resources } from '../../core/resources.js';
 
+import { maybeShort, unclaimedRoom } from './claims.js';
 import { eligibleWorkers, type QueuedJob } from './memory.js';
-import { tasksByRack, type Round, type WorkerRoom } from './round.js';
+import { ratio, tasksByRack, type Round, type WorkerRoom } from './round.js';
 
 /** Weight of a rack's part of the job's tasks, beyond an even one, against the room left. */
 const RACK_WEIGHT = 2;
@@ -10,6 +11,8 @@
 const PENALTY_WEIGHT = 1;
 /** Cost of using up the processors beside accelerators that others may need. */
 const STRANDED_ACCELERATOR_COST = 0.5;
+/** Sizes without room that a plan remembers for each kind of work. */
+const BLOCKED_REMEMBERED = 8;
 
 /** Returns the best worker with room for `size`; undefined when there is none. */
 export function chooseWorker(
@@ -17,31 +20,64 @@
   entry: QueuedJob,
   size: Resources,
 ): WorkerRoom | undefined {
+  const blocked = blockedSizes(round, entry);
+  if (blocked.some(other => fits(other, size))) {
+    return undefined;
+  }
   const eligible = eligibleWorkers(round.schedule.planning, entry);
-  const racks = tasksByRack(round, entry.job);
-  const placed = [...racks.values()].reduce((sum, count) => sum + count, 0);
-  const evenPart = 1 / Math.max(1, round.rackCount);
+  const costOfRack = rackCosts(round, entry);
   let best: WorkerRoom | undefined;
   let bestCost = Infinity;
   for (const room of round.rooms.values()) {
-    if (!eligible.has(room.view.id) || !mayHold(room, entry, size)) {
+    if (!eligible.has(room.view.id) || !mayHold(round, room, entry, size)) {
       continue;
     }
-    const cost =
-      placementCost(room, entry, size) +
-      RACK_WEIGHT * excess(racks.get(room.view.rack) ?? 0, placed, evenPart);
+    const cost = placementCost(room, entry, size) + costOfRack(room.view.rack);
     if (cost < bestCost) {
       best = room;
       bestCost = cost;
     }
   }
+  if (best === undefined && blocked.length < BLOCKED_REMEMBERED) {
+    blocked.push(size);
+  }
   return best;
 }
 
+/** Returns the sizes that this plan found no room for, for work that may go to the same workers. */
+function blockedSizes(round: Round, entry: QueuedJob): Resources[] {
+  const short = maybeShort(round, entry) ? 'short' : 'long';
+  const { class: workClass, priority } = entry.policy;
+  const key = `${workClass} ${priority} ${short} ${entry.selectorKey}`;
+  let sizes = round.blocked.get(key);
+  if (sizes === undefined) {
+    sizes = [];
+    round.blocked.set(key, sizes);
+  }
+  return sizes;
+}
+
 /** Tells whether a worker has room for the task and may be given it. */
-function mayHold(room: WorkerRoom, entry: QueuedJob, size: Resources): boolean {
-  const avoided = room.view.avoidBatch && entry.policy.class === 'batch';
-  return room.open && !avoided && fits(size, room.room);
+function mayHold(
+  round: Round,
+  room: WorkerRoom,
+  entry: QueuedJob,
+  size: Resources,
+): boolean {
+  if (!room.open || !fits(size, room.room)) {
+    return false;
+  }
+  return (
+    isSuitable(room, entry) && fits(size, unclaimedRoom(round, room, entry))
+  );
+}
+
+/** Tells whether the kind of work may be given to the worker now, whatever its room. */
+export function isSuitable(room: WorkerRoom, entry: QueuedJob): boolean {
+  const { class: workClass, priority } = entry.policy;
+  const avoided = room.view.avoidBatch && workClass === 'batch';
+  const risky = room.probe && priority === 'urgent';
+  return !avoided && !risky;
 }
 
 /** Returns the cost of a place: the room left there, accelerators stranded, and harm to services. */
@@ -51,8 +87,8 @@
   size: Resources,
 ): number {
   const { capacity } = room.view;
-  const cpuLeft = share(room.room.cpu - size.cpu, capacity.cpu);
-  const memoryLeft = share(
+  const cpuLeft = ratio(room.room.cpu - size.cpu, capacity.cpu);
+  const memoryLeft = ratio(
     room.room.memoryMiB - size.memoryMiB,
     capacity.memoryMiB,
   );
@@ -66,11 +102,19 @@
   );
 }
 
-function share(part: number, whole: number): number {
-  return whole > 0 ? part / whole : 0;
-}
-
-/** Returns by how much a rack's part of the tasks would exceed an even one. */
-function excess(onRack: number, placed: number, evenPart: number): number {
-  return Math.max(0, (onRack + 1) / (placed + 1) - evenPart);
+/** Returns the cost of placing one more task of the job on a rack. */
+function rackCosts(round: Round, entry: QueuedJob): (rack: string) => number {
+  if (entry.job.spec.tasks === 1 || round.rackCount < 2) {
+    return () => 0;
+  }
+  const racks = tasksByRack(round, entry.job);
+  let placed = 0;
+  for (const count of racks.values()) {
+    placed += count;
+  }
+  const even = 1 / round.rackCount;
+  return rack => {
+    const part = ((racks.get(rack) ?? 0) + 1) / (placed + 1);
+    return RACK_WEIGHT * Math.max(0, part - even);
+  };
 }
--- a/packages/domain/src/scheduling/planning/round.ts
+++ b/packages/domain/src/scheduling/planning/round.ts
@@ -3,33 +3,46 @@
   NO_RESOURCES,
   addResources,
   fits,
+  maxResources,
   subtractResources,
   type Resources,
 } from '../../core/resources.js';
 import type { Instant, Random } from '../../core/time.js';
 import { parseTaskId, taskId, type TaskId } from '../ids.js';
 import type { Job } from '../job.js';
-import { decision, type Decision, type DecisionOf } from '../records.js';
+import { decision, type Decision } from '../records.js';
 import type { ShardSchedule } from '../shard.js';
 import type { ScheduleState } from '../state.js';
 import type { Task } from '../task.js';
-import type { ScheduleView, TeamView, SchedulableWorker } from '../view.js';
+import type { SchedulableWorker, ScheduleView, TeamView } from '../view.js';
+import { freeingOf, useOf, type WorkerLoad } from '../worker.js';
+
+import type { Claim } from './claims.js';
+import type { QueuedJob } from './memory.js';
 
 /** A worker and what is left on it. */
 export interface WorkerRoom {
   readonly view: SchedulableWorker;
   room: Resources;
+  /** What the attempts that are being stopped will free. */
+  freeing: Resources;
+  readonly claims: Claim[];
+  claimed: Resources;
   /** Whether new attempts may be started on it. */
-  readonly open: boolean;
+  open: boolean;
+  /** Whether it is in quarantine and may get one attempt as a probe. */
+  readonly probe: boolean;
 }
 
 /** A team's use in the shard, with pending decisions. */
 export interface TeamRound {
   readonly view: TeamView;
   used: Resources;
-  readonly limit: Resources | undefined;
+  limit: Resources | undefined;
   /** Largest share of the shard in any resource, over the team's weight. */
   share: number;
+  /** What its waiting tasks lack in quota. */
+  lacking: Resources;
 }
 
 /** State of one plan. */
@@ -42,16 +55,36 @@
   readonly rooms: Map<string, WorkerRoom>;
   readonly teams: Map<string, TeamRound>;
   readonly capacity: Resources;
+  /** The most that any worker has in each resource. */
+  readonly largest: Resources;
   readonly rackCount: number;
   /** Ids of decisions that are pending or made in this plan. */
   readonly decided: Set<string>;
   /** Tasks that a pending or new decision starts, moves or holds. */
   readonly busy: Set<TaskId>;
+  /** Attempts that a pending or new decision evicts. */
+  readonly evicted: Set<TaskId>;
+  evictions: number;
+  /** Cached lists of attempts that may be evicted. */
+  readonly victims: Map<string, readonly Victim[]>;
   /** Tasks on each rack of the jobs that this plan placed, or looked at. */
   readonly racks: Map<Job, Map<string, number>>;
+  /** Sizes that found no room, by selector and class. */
+  readonly blocked: Map<string, Resources[]>;
+  /** Jobs that no worker can hold, to be parked when the plan is done. */
+  readonly hopeless: Job[];
   readonly decisions: Decision[];
 }
 
+/** An attempt that may be evicted. */
+export interface Victim {
+  readonly id: TaskId;
+  readonly task: Task;
+  readonly use: Resources;
+  /** Lost work in core-milliseconds, with a fixed part for the disturbance. */
+  readonly cost: number;
+}
+
 /** Builds the working state, with pending decisions counted as if they had taken effect. */
 export function newRound(
   state: ScheduleState,
@@ -60,25 +93,26 @@
   now: Instant,
   random: Random,
 ): Round {
-  const rooms = new Map(
-    view.workers.map(worker => [worker.id, newRoom(schedule, worker)]),
-  );
-  const capacity = view.workers
-    .map(worker => worker.capacity)
-    .reduce(addResources, NO_RESOURCES);
+  const capacities = view.workers.map(worker => worker.capacity);
   const round: Round = {
     state,
     schedule,
     view,
     now,
     random,
-    rooms,
-    capacity,
+    rooms: newRooms(schedule, view, now),
+    capacity: capacities.reduce(addResources, NO_RESOURCES),
+    largest: capacities.reduce(maxResources, NO_RESOURCES),
     rackCount: new Set(view.workers.map(worker => worker.rack)).size,
     teams: new Map(),
     decided: new Set(),
     busy: new Set(),
+    evicted: new Set(),
+    evictions: 0,
+    victims: new Map(),
     racks: new Map(),
+    blocked: new Map(),
+    hopeless: [],
     decisions: [],
   };
   for (const pending of view.pending) {
@@ -87,14 +121,35 @@
   return round;
 }
 
-function newRoom(schedule: ShardSchedule, view: SchedulableWorker): WorkerRoom {
-  const load = schedule.workers.get(view.id);
+function newRooms(
+  schedule: ShardSchedule,
+  view: ScheduleView,
+  now: Instant,
+): Map<string, WorkerRoom> {
+  const rooms = new Map<string, WorkerRoom>();
+  for (const worker of view.workers) {
+    const load = schedule.workers.get(worker.id);
+    rooms.set(worker.id, newRoom(load, worker, now));
+  }
+  return rooms;
+}
+
+function newRoom(
+  load: WorkerLoad | undefined,
+  view: SchedulableWorker,
+  now: Instant,
+): WorkerRoom {
   const taken = addResources(view.reserved, load?.used ?? NO_RESOURCES);
-  const quarantined = load?.quarantinedUntilWall !== undefined;
+  const until = load?.quarantinedUntilWall;
+  const probe = until !== undefined && until <= now && load?.sizes.size === 0;
   return {
     view,
     room: subtractResources(view.capacity, taken),
-    open: view.availability === 'live' && !quarantined,
+    freeing: load === undefined ? NO_RESOURCES : freeingOf(load),
+    claims: [],
+    claimed: NO_RESOURCES,
+    open: view.availability === 'live' && (until === undefined || probe),
+    probe,
   };
 }
 
@@ -119,7 +174,8 @@
     view.allotment === undefined
       ? undefined
       : addResources(view.allotment, use?.borrowed ?? NO_RESOURCES);
-  return { view, used, limit, share: dominantShare(round, used, view.weight) };
+  const share = dominantShare(round, used, view.weight);
+  return { view, used, limit, share, lacking: NO_RESOURCES };
 }
 
 /** Returns the largest share of the shard's capacity in any resource, over `weight`. */
@@ -133,7 +189,8 @@
   return share / weight;
 }
 
-function ratio(part: number, whole: number): number {
+/** Returns `part / whole`, and 0 of nothing. */
+export function ratio(part: number, whole: number): number {
   return whole > 0 ? part / whole : 0;
 }
 
@@ -148,6 +205,9 @@
       take(round, pending.body.worker, job, size);
       return;
     }
+    case 'task_evicting':
+      overlayEviction(round, pending.body.task);
+      return;
     case 'task_held':
       round.busy.add(pending.body.task);
       return;
@@ -158,22 +218,41 @@
       }
       return;
     }
+    case 'quota_lent':
+      lendFrom(teamRound(round, pending.body.team), pending.body.amount);
+      return;
     case 'owner_opened':
     case 'job_submitted':
     case 'job_cancelled':
     case 'job_released':
     case 'job_held':
     case 'job_unschedulable':
-    case 'task_evicting':
     case 'task_ended':
     case 'worker_quarantined':
     case 'worker_released':
-    case 'quota_lent':
     case 'shard_reported':
       return;
   }
 }
 
+function overlayEviction(round: Round, task: TaskId): void {
+  round.evicted.add(task);
+  round.evictions += 1;
+  for (const [worker, room] of round.rooms) {
+    const load = round.schedule.workers.get(worker);
+    if (load?.sizes.has(task) === true && !load.evicting.has(task)) {
+      room.freeing = addResources(room.freeing, useOf(load, task));
+    }
+  }
+}
+
+/** Takes a loan off what a team may use here. */
+export function lendFrom(team: TeamRound, amount: Resources): void {
+  if (team.limit !== undefined) {
+    team.limit = subtractResources(team.limit, amount);
+  }
+}
+
 function take(
   round: Round,
   worker: string,
@@ -183,6 +262,7 @@
   const room = round.rooms.get(worker);
   if (room !== undefined) {
     room.room = subtractResources(room.room, size);
+    room.open &&= !room.probe;
   }
   if (job === undefined) {
     return;
@@ -225,14 +305,15 @@
 /** Starts the next attempt of a task on a worker; throws when the worker has no room for it. */
 export function decideStart(
   round: Round,
-  job: Job,
+  entry: QueuedJob,
   task: Task,
   room: WorkerRoom,
   size: Resources,
-): DecisionOf<'task_started'> {
+): void {
   if (!room.open || !fits(size, room.room)) {
     throw new Error(`no room on ${room.view.id}`);
   }
+  const { job } = entry;
   const id = taskId(job.spec.name, task.index);
   const larger = size === job.spec.size ? {} : { size };
   const checkpoint =
@@ -251,5 +332,4 @@
     round.busy.add(id);
     take(round, room.view.id, job, size);
   }
-  return made;
 }
--- a/packages/domain/src/scheduling/shard.ts
+++ b/packages/domain/src/scheduling/shard.ts
@@ -7,12 +7,14 @@
 } from '../core/resources.js';
 import type { Instant } from '../core/time.js';
 
+import { rememberKey } from './bounded-map.js';
 import { taskId } from './ids.js';
 import { isDrained, type Job } from './job.js';
 import { newPlannerMemory, type PlannerMemory } from './planning/memory.js';
 import { placementOf, type Placement, type Task } from './task.js';
 import {
   addAttempt,
+  isForgettable,
   newWorkerLoad,
   removeAttempt,
   type WorkerLoad,
@@ -57,7 +59,7 @@
   version: number;
   /** Jobs whose queue may have changed since the planner looked. */
   readonly touched: Set<Job>;
-  /** Completed run times in seconds by job and by team, as decayed averages. */
+  /** Completed run times in seconds by job and by group of jobs, as decayed averages. */
   readonly runSeconds: Map<string, number>;
   /** What the planner keeps between plans; rebuilt by a new owner, not part of the fold. */
   readonly planning: PlannerMemory;
@@ -67,6 +69,7 @@
 export const JOBS_REMEMBERED = 4_096;
 
 const RUN_TIME_GAIN = 0.2;
+const RUN_TIMES_REMEMBERED = 1_024;
 
 /** Returns an empty schedule of a shard. */
 export function newShardSchedule(name: string): ShardSchedule {
@@ -120,6 +123,15 @@
   job.spread.set(placement.worker, (job.spread.get(placement.worker) ?? 0) + 1);
 }
 
+/** Accounts for an attempt that is being stopped. */
+export function markEvicting(shard: ShardSchedule, job: Job, task: Task): void {
+  const placement = placementOf(task);
+  if (placement !== undefined) {
+    const load = workerLoad(shard, placement.worker);
+    load.evicting.add(taskId(job.spec.name, task.index));
+  }
+}
+
 /** Accounts for an attempt that leaves its worker. */
 export function vacate(shard: ShardSchedule, job: Job, task: Task): void {
   const placement = placementOf(task);
@@ -153,19 +165,14 @@
   shard.touched.add(job);
   shard.runSeconds.delete(jobKey(name));
   const before = shard.finished.get(name);
-  shard.finished.delete(name);
-  shard.finished.set(name, {
+  const finished: FinishedJob = {
     completed: job.tally.completed + (before?.completed ?? 0),
     failed: job.tally.failed + (before?.failed ?? 0),
     cancelled: job.tally.cancelled + (before?.cancelled ?? 0),
     moved: job.tally.moved + (before?.moved ?? 0),
-  });
-  for (const oldest of shard.finished.keys()) {
-    if (shard.finished.size <= JOBS_REMEMBERED) {
-      break;
-    }
-    shard.finished.delete(oldest);
-  }
+  };
+  shard.finished.delete(name);
+  rememberKey(shard.finished, name, finished, JOBS_REMEMBERED);
 }
 
 /** Learns how long a completed attempt ran. */
@@ -174,21 +181,22 @@
   job: Job,
   seconds: number,
 ): void {
-  for (const key of [jobKey(job.spec.name), teamKey(job.spec.team)]) {
+  for (const key of [jobKey(job.spec.name), job.group]) {
     const before = shard.runSeconds.get(key);
     const after =
       before === undefined
         ? seconds
         : before + RUN_TIME_GAIN * (seconds - before);
-    shard.runSeconds.set(key, after);
+    shard.runSeconds.delete(key);
+    rememberKey(shard.runSeconds, key, after, RUN_TIMES_REMEMBERED);
   }
 }
 
-/** Returns the expected run time of a task in seconds: learnt for the job, for its team, or declared. */
+/** Returns the expected run time of a task in seconds: learnt for the job, for its like, or declared. */
 export function expectedSeconds(shard: ShardSchedule, job: Job): number {
   return (
     shard.runSeconds.get(jobKey(job.spec.name)) ??
-    shard.runSeconds.get(teamKey(job.spec.team)) ??
+    shard.runSeconds.get(job.group) ??
     job.spec.expectedSeconds
   );
 }
@@ -197,18 +205,6 @@
   return `job/${job}`;
 }
 
-function teamKey(team: string): string {
-  return `team/${team}`;
-}
-
-function isForgettable(load: WorkerLoad): boolean {
-  return (
-    load.sizes.size === 0 &&
-    load.quarantines === 0 &&
-    load.failures.length === 0
-  );
-}
-
 const CPU_STEPS = 1e6;
 
 /** Rounds processors to a millionth of a core, so that sums return to zero. */
--- a/packages/domain/src/scheduling/snapshot.ts
+++ b/packages/domain/src/scheduling/snapshot.ts
@@ -8,7 +8,13 @@
 
 import { indexTask, newJob, type Job } from './job.js';
 import { evictionReasonSchema } from './records.js';
-import { occupy, teamUse, workerLoad, type ShardSchedule } from './shard.js';
+import {
+  markEvicting,
+  occupy,
+  teamUse,
+  workerLoad,
+  type ShardSchedule,
+} from './shard.js';
 import { createScheduleState, type ScheduleState } from './state.js';
 import { placementOf, type Task } from './task.js';
 
@@ -82,6 +88,7 @@
   ),
   quarantinedUntilWall: z.number().optional(),
   quarantines: count,
+  probe: z.enum(['none', 'passed', 'failed']),
 });
 const shardChunkSchema = z.object({
   kind: z.literal('shard'),
@@ -158,6 +165,7 @@
     failures: load.failures.map(failure => ({ ...failure })),
     quarantinedUntilWall: load.quarantinedUntilWall,
     quarantines: load.quarantines,
+    probe: load.probe,
   }));
   const borrowed = [...schedule.teams].map(
     ([team, use]): [string, typeof use.borrowed] => [team, use.borrowed],
@@ -333,6 +341,9 @@
     const placement = placementOf(task);
     if (placement !== undefined) {
       occupy(schedule, job, task, placement);
+      if (task.state.kind === 'evicting') {
+        markEvicting(schedule, job, task);
+      }
     }
   }
   return true;
--- a/packages/domain/src/scheduling/task.ts
+++ b/packages/domain/src/scheduling/task.ts
@@ -37,7 +37,8 @@
   waitingSinceWall: Instant;
 }
 
-const EVICTIONS_KEPT = 8;
+/** Evictions that a task remembers; budgets above this many an hour do not bind. */
+const EVICTIONS_KEPT = 16;
 
 /** Returns a task that waits for its first attempt. */
 export function newTask(index: number, waitingSinceWall: Instant): Task {
--- a/packages/domain/src/scheduling/worker.ts
+++ b/packages/domain/src/scheduling/worker.ts
@@ -1,6 +1,7 @@
 /** The worker aggregate: the attempts on a worker, what they take, and its failures. */
 import {
   NO_RESOURCES,
+  addResources,
   maxResources,
   type Resources,
 } from '../core/resources.js';
@@ -15,13 +16,27 @@
   readonly atWall: Instant;
 }
 
+/** What the owner last saw of an attempt; lagging and noisy. */
+export interface Observation {
+  readonly usage: Resources;
+  /** Share of the work done as of the last checkpoint. */
+  readonly progress: number;
+  /** When `progress` last rose. */
+  readonly savedAtWall: Instant;
+}
+
+/** What came of the attempts started to probe a quarantined worker. */
+export type ProbeResult = 'none' | 'passed' | 'failed';
+
 /** A worker's share of a shard schedule. */
 export interface WorkerLoad {
   readonly id: string;
   /** Set-aside size of each attempt on the worker. */
   readonly sizes: Map<TaskId, Resources>;
-  /** Latest observed use of each attempt; kept by the owner only, not in the log. */
-  readonly observed: Map<TaskId, Resources>;
+  /** Attempts that are being stopped. */
+  readonly evicting: Set<TaskId>;
+  /** Latest observation of each attempt; kept by the owner only, not in the log. */
+  readonly observed: Map<TaskId, Observation>;
   /** Sum over attempts of the larger of set-aside and observed. */
   used: Resources;
   /** Latest failures since the last success, oldest first. */
@@ -29,6 +44,7 @@
   quarantinedUntilWall: Instant | undefined;
   /** How often the worker was quarantined. */
   quarantines: number;
+  probe: ProbeResult;
 }
 
 const FAILURES_KEPT = 16;
@@ -38,14 +54,25 @@
   return {
     id,
     sizes: new Map(),
+    evicting: new Set(),
     observed: new Map(),
     used: NO_RESOURCES,
     failures: [],
     quarantinedUntilWall: undefined,
     quarantines: 0,
+    probe: 'none',
   };
 }
 
+/** Tells whether nothing is known of a worker that a new record would not have. */
+export function isForgettable(load: WorkerLoad): boolean {
+  return (
+    load.sizes.size === 0 &&
+    load.quarantines === 0 &&
+    load.failures.length === 0
+  );
+}
+
 /** Sets `size` aside for an attempt. */
 export function addAttempt(
   load: WorkerLoad,
@@ -59,26 +86,63 @@
 /** Frees what an attempt took. */
 export function removeAttempt(load: WorkerLoad, task: TaskId): void {
   load.sizes.delete(task);
+  load.evicting.delete(task);
   load.observed.delete(task);
   sumUse(load);
 }
 
-/** Keeps the observed use of attempts; those not on the worker are ignored. */
+/** Keeps what was seen of attempts; those not on the worker are ignored. */
 export function observeAttempts(
   load: WorkerLoad,
-  usage: Iterable<readonly [TaskId, Resources]>,
+  seen: Iterable<readonly [TaskId, Observation]>,
 ): void {
-  for (const [task, use] of usage) {
+  for (const [task, observation] of seen) {
     if (load.sizes.has(task)) {
-      load.observed.set(task, use);
+      load.observed.set(task, observation);
     }
   }
   sumUse(load);
 }
 
-/** Adds a failed attempt to the worker's record. */
-export function addFailure(load: WorkerLoad, failure: WorkerFailure): void {
+/** Returns what an attempt takes: the larger of set-aside and observed. */
+export function useOf(load: WorkerLoad, task: TaskId): Resources {
+  const size = load.sizes.get(task) ?? NO_RESOURCES;
+  const observed = load.observed.get(task);
+  return observed === undefined ? size : maxResources(size, observed.usage);
+}
+
+/** Returns what the attempts that are being stopped will free. */
+export function freeingOf(load: WorkerLoad): Resources {
+  let sum = NO_RESOURCES;
+  for (const task of load.evicting) {
+    sum = addResources(sum, useOf(load, task));
+  }
+  return sum;
+}
+
+/** Notes a completed attempt that started at `startedAtWall`. */
+export function addSuccess(load: WorkerLoad, startedAtWall: Instant): void {
+  load.failures = [];
+  if (isProbe(load, startedAtWall)) {
+    load.probe = 'passed';
+  }
+}
+
+/** Adds a failed attempt that started at `startedAtWall` to the worker's record. */
+export function addFailure(
+  load: WorkerLoad,
+  failure: WorkerFailure,
+  startedAtWall: Instant,
+): void {
   load.failures = [...load.failures, failure].slice(-FAILURES_KEPT);
+  if (isProbe(load, startedAtWall)) {
+    load.probe = 'failed';
+  }
+}
+
+function isProbe(load: WorkerLoad, startedAtWall: Instant): boolean {
+  const until = load.quarantinedUntilWall;
+  return until !== undefined && startedAtWall >= until;
 }
 
 /** Sums anew instead of adding and subtracting, so that rounding does not build up. */
@@ -87,11 +151,10 @@
   let memoryMiB = 0;
   let accelerators = 0;
   for (const [task, size] of load.sizes) {
-    const observed = load.observed.get(task);
-    const use = observed === undefined ? size : maxResources(size, observed);
-    cpu += use.cpu;
-    memoryMiB += use.memoryMiB;
-    accelerators += use.accelerators;
+    const seen = load.observed.get(task)?.usage ?? size;
+    cpu += Math.max(size.cpu, seen.cpu);
+    memoryMiB += Math.max(size.memoryMiB, seen.memoryMiB);
+    accelerators += Math.max(size.accelerators, seen.accelerators);
   }
   load.used = { cpu, memoryMiB, accelerators };
 }
