Authenticate processes by mutual TLS with reloaded certificates

Calls between entry hosts and of operators went in plain text and from anyone.

A call that times out now also closes its connection: a connect to a silent host would otherwise hang in retransmissions after it is back.

Peer handlers are registered one method at a time, so that another part can add its own to the same service.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -7,4 +7,5 @@
 export * from './router/index.js';
 export * from './settings/read.js';
 export * from './settings/schema.js';
+export * from './tls/index.js';
 export * from './shards/index.js';
--- a/packages/daemon/src/membership/calls.ts
+++ b/packages/daemon/src/membership/calls.ts
@@ -1,5 +1,10 @@
 /** Makes the calls that the membership asks for, and reports how they ended. */
-import { type Client, createClient } from '@connectrpc/connect';
+import {
+  type Client,
+  Code,
+  ConnectError,
+  createClient,
+} from '@connectrpc/connect';
 import type {
   Clock,
   MemberAddress,
@@ -78,6 +83,13 @@
   return reply.sender.id === target.id;
 }
 
+/** A connection that went silent may hang for minutes in retransmissions after the peer is back. */
+function forgetSilent(parts: CallParts, address: string, err: unknown): void {
+  if (ConnectError.from(err).code === Code.DeadlineExceeded) {
+    parts.transports.forget(address);
+  }
+}
+
 async function askProbe(
   parts: CallParts,
   via: string,
@@ -106,8 +118,9 @@
       const reached = await exchange(parts, target, timeoutMs);
       metrics.heartbeats.inc({ result: reached ? 'ok' : 'wrong_member' });
       return reached;
-    } catch {
+    } catch (err) {
       metrics.heartbeats.inc({ result: 'failed' });
+      forgetSilent(parts, target.address, err);
       return false;
     }
   }
--- a/packages/daemon/src/membership/routes.ts
+++ b/packages/daemon/src/membership/routes.ts
@@ -70,9 +70,8 @@
   parts: PeerRouteParts,
 ): (router: ConnectRouter) => void {
   return router => {
-    router.service(PeerService, {
-      heartbeat: heartbeatHandler(parts),
-      probe: probeHandler(parts),
-    });
+    const { heartbeat, probe } = PeerService.method;
+    router.rpc(heartbeat, heartbeatHandler(parts));
+    router.rpc(probe, probeHandler(parts));
   };
 }
--- a/packages/daemon/src/membership/transports.ts
+++ b/packages/daemon/src/membership/transports.ts
@@ -8,6 +8,8 @@
 export interface PeerTransports {
   /** Returns the transport to the peer listener at `ip:port`. */
   to(address: string): Transport;
+  /** Closes the connections to an address, so that the next call opens new ones. */
+  forget(address: string): void;
   /** Drops what is kept for every address but these. */
   retain(addresses: ReadonlySet<string>): void;
   close(): void;
@@ -36,6 +38,7 @@
       cache.set(address, cached);
       return cached.transport;
     },
+    forget: close,
     retain(addresses) {
       const unused = [...cache.keys()].filter(key => !addresses.has(key));
       unused.forEach(close);
--- /dev/null
+++ b/packages/daemon/src/tls/secure-transports.ts
@@ -0,0 +1,74 @@
+/** Connections to peers over HTTP/2 and mutual TLS. */
+import {
+  createConnectTransport,
+  Http2SessionManager,
+} from '@connectrpc/connect-node';
+
+import {
+  cachedTransports,
+  type OpenTransport,
+  type PeerTransports,
+} from '../membership/transports.js';
+import type { Credentials, CredentialSource } from './credentials.js';
+
+/** Calls under way on connections with replaced certificates get this long. */
+const REPLACED_GRACE_MS = 10_000;
+
+const PING_INTERVAL_MS = 10_000;
+const PING_TIMEOUT_MS = 2_000;
+
+function openSecure(address: string, credentials: Credentials): OpenTransport {
+  const { cert, key, ca } = credentials;
+  const baseUrl = `https://${address}`;
+  const sessionManager = new Http2SessionManager(
+    baseUrl,
+    { pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: PING_TIMEOUT_MS },
+    { cert, key, ca, minVersion: 'TLSv1.3' },
+  );
+  const transport = createConnectTransport({
+    baseUrl,
+    httpVersion: '2',
+    sessionManager,
+    acceptCompression: [],
+  });
+  return {
+    transport,
+    close() {
+      sessionManager.abort();
+    },
+  };
+}
+
+function closeLater(replaced: readonly OpenTransport[]): void {
+  const timer = setTimeout(() => {
+    replaced.forEach(transport => {
+      transport.close();
+    });
+  }, REPLACED_GRACE_MS);
+  timer.unref();
+}
+
+/** HTTP/2 over mutual TLS; new certificates are used for the next call. */
+export function secureTransports(
+  credentials: CredentialSource,
+): PeerTransports {
+  const cache = cachedTransports(address =>
+    openSecure(address, credentials.current()),
+  );
+  const stopListening = credentials.onChange(() => {
+    closeLater(cache.reset());
+  });
+  return {
+    to: address => cache.to(address),
+    forget(address) {
+      cache.forget(address);
+    },
+    retain(addresses) {
+      cache.retain(addresses);
+    },
+    close() {
+      stopListening();
+      cache.close();
+    },
+  };
+}
