Choose servers by expected response time within shares of the slots

Cause: the first dispatcher chose the less loaded of two servers by its own load only, which at 9 entry hosts is close to a random choice.

Change: the slots of all servers are dealt in turn to the entry hosts, so that each knows, without asking, where it does not meet the others; a server is chosen by its learned response time, raised for each try beyond the share; a request waits where that is expected to be quicker. Slowness is learned from the logarithm, which a heavy tail moves less, and is forgotten within a second. A failure ejects for at least as long as it took, one try at a time until a good answer. The wait is estimated from the measured rate at which tries end, and queued requests that would miss their deadline are refused as soon as that is known.

The share of the connections shrinks at once when an entry host joins, and grows only after everyone has seen the change and running requests have ended; the fuzz test of this lets hosts join and leave with lag.

Found by the fuzz test of the dispatcher: a retry that is asked for after the request was forgotten at its deadline was refused as not run although an earlier try had reached a server.

--- /dev/null
+++ b/packages/bench/src/routing/model.ts
@@ -0,0 +1,299 @@
+/** An event-driven queue model of entry hosts and backend servers, at the interface of the dispatcher. */
+import type {
+  Dispatch,
+  Dispatcher,
+  Instant,
+  TryResult,
+} from '@paddlewind/domain';
+import { build, type Histogram } from 'hdr-histogram-js';
+
+import { createEventLoop, type EventLoop } from './event-loop.js';
+import {
+  createModelServer,
+  type ModelServer,
+  type ModelTry,
+} from './model-server.js';
+import { DEADLINE_MS, type ModelRequest, type Workload } from './workload.js';
+
+/** What an entry host of the model is driven by. */
+export type ModelRouter = Pick<Dispatcher, 'offer' | 'finish'> &
+  Partial<Pick<Dispatcher, 'retry' | 'tick' | 'loads' | 'peerLoads'>>;
+
+/** What a policy may know of the model. */
+export interface ModelView {
+  readonly workload: Workload;
+  now(): Instant;
+  /** Calls `action` after `delayMs`. */
+  after(delayMs: number, action: () => void): void;
+}
+
+/** Creates the routers of all entry hosts. */
+export type PolicyFactory = (view: ModelView, seed: number) => ModelRouter[];
+
+/** Counts of one run after the warm-up. */
+export interface ModelResult {
+  /** Response times of good answers, in microseconds. */
+  readonly latencyUs: Histogram;
+  /** Response times beyond the time that an undisturbed server takes, in microseconds. */
+  readonly addedUs: Histogram;
+  offered: number;
+  good: number;
+  /** Refused without a try. */
+  refused: number;
+  /** Failed, timed out, or refused after a try. */
+  failed: number;
+  /** Tries that were sent. */
+  tries: number;
+  /** Most tries at one server at a time, over all entry hosts. */
+  maxConnections: number;
+}
+
+const TICK_MS = 10;
+const HEARTBEAT_MS = 1_000;
+const HEARTBEAT_DELAY_MS = 1;
+
+/** Address of a server in the model. */
+export function serverAddress(server: number): string {
+  return `10.1.${Math.floor(server / 250)}.${(server % 250) + 1}:80`;
+}
+
+interface Run {
+  readonly loop: EventLoop;
+  readonly workload: Workload;
+  readonly servers: readonly ModelServer[];
+  readonly serverByAddress: ReadonlyMap<string, number>;
+  readonly routers: readonly ModelRouter[];
+  readonly result: ModelResult;
+  readonly warmUpMs: number;
+  readonly open: Map<number, ModelRequest>;
+  readonly connections: number[];
+}
+
+/** Runs one policy on one workload; requests that arrive in the first `warmUpMs` are not counted. */
+export function runModel(
+  workload: Workload,
+  createPolicy: PolicyFactory,
+  seed: number,
+  warmUpMs: number,
+): ModelResult {
+  const run = createRun(workload, createPolicy, seed, warmUpMs);
+  scheduleArrival(run);
+  scheduleTicks(run);
+  scheduleHeartbeats(run);
+  run.loop.runUntil(workload.endsAt + DEADLINE_MS + 1);
+  return run.result;
+}
+
+function createRun(
+  workload: Workload,
+  createPolicy: PolicyFactory,
+  seed: number,
+  warmUpMs: number,
+): Run {
+  const loop = createEventLoop();
+  const { size } = workload;
+  const indexes = Array.from({ length: size.servers }, (_, index) => index);
+  const view: ModelView = {
+    workload,
+    now: () => loop.now(),
+    after: (delayMs, action) => {
+      loop.at(loop.now() + delayMs, action);
+    },
+  };
+  return {
+    loop,
+    workload,
+    servers: indexes.map(index =>
+      createModelServer(loop, size.slots, at => workload.modeOf(index, at)),
+    ),
+    serverByAddress: new Map(
+      indexes.map(index => [serverAddress(index), index]),
+    ),
+    routers: createPolicy(view, seed),
+    result: emptyResult(),
+    warmUpMs,
+    open: new Map(),
+    connections: indexes.map(() => 0),
+  };
+}
+
+function emptyResult(): ModelResult {
+  return {
+    latencyUs: build({ highestTrackableValue: 60_000_000 }),
+    addedUs: build({ highestTrackableValue: 60_000_000 }),
+    offered: 0,
+    good: 0,
+    refused: 0,
+    failed: 0,
+    tries: 0,
+    maxConnections: 0,
+  };
+}
+
+function scheduleArrival(run: Run): void {
+  const req = run.workload.next();
+  run.loop.at(req.arrivesAt, () => {
+    scheduleArrival(run);
+    run.open.set(req.id, req);
+    if (isCounted(run, req)) {
+      run.result.offered += 1;
+    }
+    apply(run, req.host, routerOf(run, req.host).offer(req, run.loop.now()));
+  });
+}
+
+function scheduleTicks(run: Run): void {
+  run.loop.at(run.loop.now() + TICK_MS, () => {
+    run.routers.forEach((router, host) => {
+      apply(run, host, router.tick?.(run.loop.now()) ?? []);
+    });
+    scheduleTicks(run);
+  });
+}
+
+/** Every entry host tells its load to every other, each at its own phase. */
+function scheduleHeartbeats(run: Run): void {
+  run.routers.forEach((_router, host) => {
+    const phaseMs = (HEARTBEAT_MS * host) / run.routers.length;
+    run.loop.at(phaseMs, () => {
+      beat(run, host);
+    });
+  });
+}
+
+function beat(run: Run, host: number): void {
+  const loads = routerOf(run, host).loads?.() ?? [];
+  run.loop.at(run.loop.now() + HEARTBEAT_DELAY_MS, () => {
+    run.routers.forEach((router, other) => {
+      if (other !== host) {
+        const now = run.loop.now();
+        apply(run, other, router.peerLoads?.(`e${host}`, loads, now) ?? []);
+      }
+    });
+  });
+  run.loop.at(run.loop.now() + HEARTBEAT_MS, () => {
+    beat(run, host);
+  });
+}
+
+function routerOf(run: Run, host: number): ModelRouter {
+  const router = run.routers[host];
+  if (router === undefined) {
+    throw new Error(`no entry host ${host}`);
+  }
+  return router;
+}
+
+function isCounted(run: Run, req: ModelRequest): boolean {
+  return req.arrivesAt >= run.warmUpMs && req.arrivesAt < run.workload.endsAt;
+}
+
+function apply(run: Run, host: number, verdicts: readonly Dispatch[]): void {
+  for (const verdict of verdicts) {
+    switch (verdict.kind) {
+      case 'send':
+        send(run, host, verdict.id, verdict.backend);
+        break;
+      case 'queued':
+        break;
+      case 'refused':
+        refuse(run, verdict.id, verdict.error.outcome === 'not_run');
+        break;
+    }
+  }
+}
+
+function refuse(run: Run, id: number, notRun: boolean): void {
+  const req = run.open.get(id);
+  run.open.delete(id);
+  if (req !== undefined && isCounted(run, req)) {
+    run.result[notRun ? 'refused' : 'failed'] += 1;
+  }
+}
+
+function send(run: Run, host: number, id: number, address: string): void {
+  const req = run.open.get(id);
+  const index = run.serverByAddress.get(address);
+  const server = run.servers[index ?? -1];
+  if (req === undefined || index === undefined || server === undefined) {
+    throw new Error(`bad dispatch of ${id} to ${address}`);
+  }
+  connect(run, index);
+  let ended = false;
+  const end = (result: TryResult): void => {
+    if (!ended) {
+      ended = true;
+      entry.canceled = true;
+      run.connections[index] = (run.connections[index] ?? 0) - 1;
+      finishTry(run, host, req, address, result);
+    }
+  };
+  const delayMs = run.workload.delayMs(host, index);
+  const entry: ModelTry = {
+    req,
+    canceled: false,
+    answer: result => {
+      run.loop.at(run.loop.now() + delayMs, () => {
+        end(result);
+      });
+    },
+  };
+  run.loop.at(run.loop.now() + delayMs, () => {
+    server.receive(entry);
+  });
+  run.loop.at(req.deadline, () => {
+    end({ kind: 'timeout' });
+  });
+}
+
+function connect(run: Run, index: number): void {
+  const connections = (run.connections[index] ?? 0) + 1;
+  run.connections[index] = connections;
+  run.result.tries += 1;
+  run.result.maxConnections = Math.max(run.result.maxConnections, connections);
+}
+
+function finishTry(
+  run: Run,
+  host: number,
+  req: ModelRequest,
+  address: string,
+  result: TryResult,
+): void {
+  const now = run.loop.now();
+  const router = routerOf(run, host);
+  const good = result.kind === 'answered' && result.status < 500;
+  const released = router.finish(req.id, address, result, now);
+  if (good) {
+    settleGood(run, req, now);
+  } else {
+    retryOrFail(run, host, req, result, now);
+  }
+  apply(run, host, released);
+}
+
+function settleGood(run: Run, req: ModelRequest, now: Instant): void {
+  run.open.delete(req.id);
+  if (isCounted(run, req)) {
+    run.result.good += 1;
+    const latencyMs = now - req.arrivesAt;
+    const addedMs = Math.max(0, latencyMs - req.workMs);
+    run.result.latencyUs.recordValue(Math.round(latencyMs * 1_000));
+    run.result.addedUs.recordValue(Math.round(addedMs * 1_000));
+  }
+}
+
+function retryOrFail(
+  run: Run,
+  host: number,
+  req: ModelRequest,
+  result: TryResult,
+  now: Instant,
+): void {
+  const router = routerOf(run, host);
+  if (router.retry === undefined || now >= req.deadline) {
+    refuse(run, req.id, false);
+    return;
+  }
+  apply(run, host, router.retry(req, result, now));
+}
--- a/packages/domain/src/routing/admission.ts
+++ b/packages/domain/src/routing/admission.ts
@@ -7,14 +7,18 @@
 /** Shortest Retry-After that is told. */
 const MIN_RETRY_AFTER_MS = 10;
 
-/** Returns the time that the queue takes to drain by the learned response time, in milliseconds. */
-export function expectedWaitMs(state: DispatcherState): Millis {
-  const { pool, queue } = state;
-  const running = [...pool.all.values()].reduce(
-    (sum, backend) => sum + backend.inFlight,
-    0,
-  );
-  return (queue.size() * pool.latencyMs) / Math.max(1, running);
+/** Returns how long a request waits that has `ahead` others before it. */
+export function expectedWaitMs(
+  state: DispatcherState,
+  ahead: number,
+  now: Instant,
+): Millis {
+  const { pool, throughput } = state;
+  const running = state.running;
+  const byRunning = running / pool.latency.meanMs;
+  const measured = throughput.perMs(now);
+  const perMs = measured > 0 ? measured : byRunning;
+  return perMs > 0 ? ahead / perMs : 0;
 }
 
 /** Returns the refusal of a new request that would have to wait, or undefined when it may. */
@@ -23,39 +27,76 @@
   req: RequestInfo,
   now: Instant,
 ): Dispatch | undefined {
-  const waitMs = expectedWaitMs(state);
-  const { maxQueue } = state.options.service.route;
-  if (state.queue.size() >= maxQueue) {
-    return refusal(req, 'overloaded', 'the queue is full', waitMs);
+  const { queue, options } = state;
+  if (queue.size() >= options.service.route.maxQueue) {
+    return refuseOverloaded(state, req, 'the queue is full', now);
   }
-  const availableMs = req.deadline - now - state.pool.latencyMs;
-  const allowedMs = availableMs * state.tunables.maxWaitShare;
+  const waitMs = expectedWaitMs(state, queue.size() + 1, now);
+  const allowedMs = allowedWaitMs(state, req, now);
   if (waitMs > allowedMs) {
-    return deadlineUnmet(req, waitMs - allowedMs);
+    return refuseDeadline(req, waitMs - allowedMs);
   }
   return undefined;
 }
 
+/** Time that a request may be expected to wait: a share of what it has beyond a response time. */
+function allowedWaitMs(
+  state: DispatcherState,
+  req: RequestInfo,
+  now: Instant,
+): Millis {
+  const spareMs = req.deadline - now - state.pool.latency.meanMs;
+  return spareMs * state.tunables.maxWaitShare;
+}
+
+/** Returns the queued requests that will not reach a server before their deadline, with their wait. */
+export function hopeless(
+  state: DispatcherState,
+  now: Instant,
+): { req: RequestInfo; waitMs: Millis }[] {
+  const found: { req: RequestInfo; waitMs: Millis }[] = [];
+  let ahead = 1;
+  for (const { req } of state.queue.values()) {
+    const waitMs = expectedWaitMs(state, ahead, now);
+    if (now + waitMs >= req.deadline) {
+      found.push({ req, waitMs });
+    } else {
+      ahead += 1;
+    }
+  }
+  return found;
+}
+
+/** Refuses a request for want of room; it may come back when the queue has drained. */
+export function refuseOverloaded(
+  state: DispatcherState,
+  req: RequestInfo,
+  message: string,
+  now: Instant,
+): Dispatch {
+  const waitMs = expectedWaitMs(state, state.queue.size() + 1, now);
+  return refuse(req, 'overloaded', message, waitMs);
+}
+
 /** Refuses a request whose deadline cannot be met. */
-export function deadlineUnmet(
+export function refuseDeadline(
   req: RequestInfo,
   retryAfterMs: Millis,
 ): Dispatch {
-  return refusal(
-    req,
-    'deadline_unmet',
-    'the deadline cannot be met',
-    retryAfterMs,
-  );
+  const message = 'the deadline cannot be met';
+  return refuse(req, 'deadline_unmet', message, retryAfterMs);
 }
 
 /** Refuses a request for which no server is known. */
-export function noBackend(state: DispatcherState, req: RequestInfo): Dispatch {
+export function refuseNoBackend(
+  state: DispatcherState,
+  req: RequestInfo,
+): Dispatch {
   const { defaultRetryAfterMs } = state.tunables;
-  return refusal(req, 'no_backend', 'no live server', defaultRetryAfterMs);
+  return refuse(req, 'no_backend', 'no live server', defaultRetryAfterMs);
 }
 
-function refusal(
+function refuse(
   req: RequestInfo,
   kind: 'overloaded' | 'deadline_unmet' | 'no_backend',
   message: string,
--- a/packages/domain/src/routing/backend-pool.ts
+++ b/packages/domain/src/routing/backend-pool.ts
@@ -1,23 +1,27 @@
 /** What this entry host knows of the backend servers of one service. */
-import type { Instant } from '../core/time.js';
-import type { BackendInfo, TryResult } from './dispatcher.js';
-import type { Tunables } from './options.js';
-
-/** Weight of one answer in the smoothed response time. */
-const LATENCY_GAIN = 1 / 16;
-
-/** Failures in a row that count as fully failing; more do not lengthen the ejection. */
-const MAX_FAILURE_SCORE = 12;
+import type { Instant, Millis } from '../core/time.js';
+import {
+  createLatencyModel,
+  createSlowness,
+  type LatencyModel,
+  type Slowness,
+} from './latency-model.js';
+import type { BackendInfo } from './dispatcher.js';
 
 /** One backend server. */
 export interface Backend {
   readonly address: string;
   info: BackendInfo;
-  /** Tries of this entry host that run on it. */
-  inFlight: number;
-  /** Smoothed response time of good answers, in milliseconds; undefined before the first. */
-  latencyMs: number | undefined;
-  /** Grows with failures, halves with each good answer. */
+  /** Start of each try of this entry host that runs on it, by request, in order. */
+  readonly running: Map<number, Instant>;
+  readonly slowness: Slowness;
+  /** Attraction that interference control gives it: 1 is neutral. */
+  weight: number;
+  /** Tries that this entry host may run on it by its share of the slots. */
+  homeSlots: number;
+  /** Connections that this entry host may hold to it. */
+  connectionLimit: number;
+  /** Grows with each failure, halves with each good answer. */
   failureScore: number;
   /** Ejected until then. */
   ejectedUntil: Instant;
@@ -28,13 +32,24 @@
   readonly all: Map<string, Backend>;
   /** Those that may be given new requests, by address. */
   live: readonly Backend[];
-  /** Smoothed response time over all servers, in milliseconds. */
-  latencyMs: number;
+  /** The live ones at which this entry host has slots, and the rest. */
+  home: readonly Backend[];
+  away: readonly Backend[];
+  /** Slots of this entry host at the live servers. */
+  homeSlots: number;
+  readonly latency: LatencyModel;
 }
 
 /** Creates a pool without servers. */
-export function createBackendPool(tunables: Tunables): BackendPool {
-  return { all: new Map(), live: [], latencyMs: tunables.initialLatencyMs };
+export function createBackendPool(initialLatencyMs: Millis): BackendPool {
+  return {
+    all: new Map(),
+    live: [],
+    home: [],
+    away: [],
+    homeSlots: 0,
+    latency: createLatencyModel(initialLatencyMs),
+  };
 }
 
 /** Replaces the list of servers; one that vanished is kept while tries run on it. */
@@ -46,7 +61,6 @@
   for (const backend of pool.all.values()) {
     if (!addresses.has(backend.address)) {
       backend.info = { ...backend.info, state: 'leaving' };
-      dropIfGone(pool, backend, addresses);
     }
   }
   for (const info of listed) {
@@ -60,97 +74,41 @@
   pool.live = [...pool.all.values()]
     .filter(backend => backend.info.state === 'live')
     .sort((a, b) => (a.address < b.address ? -1 : 1));
+  dropUnused(pool);
+}
+
+/** Forgets servers that are gone and on which nothing runs any more. */
+export function dropUnused(pool: BackendPool): void {
+  for (const backend of pool.all.values()) {
+    if (backend.info.state !== 'live' && backend.running.size === 0) {
+      pool.all.delete(backend.address);
+    }
+  }
 }
 
-function dropIfGone(
+/** Applies a division of the slots: those of this entry host, by address. */
+export function setHomeSlots(
   pool: BackendPool,
-  backend: Backend,
-  listed: ReadonlySet<string>,
+  slots: ReadonlyMap<string, number>,
 ): void {
-  if (backend.inFlight === 0 && !listed.has(backend.address)) {
-    pool.all.delete(backend.address);
+  for (const backend of pool.live) {
+    backend.homeSlots = slots.get(backend.address) ?? 0;
   }
+  pool.home = pool.live.filter(backend => backend.homeSlots > 0);
+  pool.away = pool.live.filter(backend => backend.homeSlots === 0);
+  pool.homeSlots = pool.home.reduce((sum, { homeSlots }) => sum + homeSlots, 0);
 }
 
 function newBackend(info: BackendInfo): Backend {
   return {
     address: info.address,
     info,
-    inFlight: 0,
-    latencyMs: undefined,
+    running: new Map(),
+    slowness: createSlowness(),
+    weight: 1,
+    homeSlots: 0,
+    connectionLimit: 0,
     failureScore: 0,
     ejectedUntil: 0,
   };
 }
-
-/** Tells whether a result speaks against the server that gave it. */
-export function isFailure(result: TryResult): boolean {
-  switch (result.kind) {
-    case 'answered':
-      return result.status >= 500 && result.status !== 501;
-    case 'not_sent':
-    case 'broken':
-    case 'timeout':
-      return true;
-    case 'canceled':
-      return false;
-  }
-}
-
-/** Learns from the end of a try that began at `startedAt`. */
-export function recordResult(
-  pool: BackendPool,
-  backend: Backend,
-  result: TryResult,
-  startedAt: Instant,
-  now: Instant,
-  tunables: Tunables,
-): void {
-  if (isFailure(result)) {
-    recordFailure(pool, backend, now, tunables);
-  } else if (result.kind === 'answered') {
-    recordAnswer(pool, backend, now - startedAt);
-  }
-}
-
-function recordAnswer(
-  pool: BackendPool,
-  backend: Backend,
-  latencyMs: number,
-): void {
-  backend.failureScore = Math.floor(backend.failureScore / 2);
-  backend.latencyMs = smooth(backend.latencyMs ?? pool.latencyMs, latencyMs);
-  pool.latencyMs = smooth(pool.latencyMs, latencyMs);
-}
-
-function smooth(old: number, sample: number): number {
-  return old + (sample - old) * LATENCY_GAIN;
-}
-
-function recordFailure(
-  pool: BackendPool,
-  backend: Backend,
-  now: Instant,
-  tunables: Tunables,
-): void {
-  backend.failureScore = Math.min(MAX_FAILURE_SCORE, backend.failureScore + 1);
-  if (isEjected(backend, now) || !mayEject(pool, now, tunables)) {
-    return;
-  }
-  const ejectionMs = pool.latencyMs * 2 ** (backend.failureScore - 1);
-  backend.ejectedUntil = now + Math.min(ejectionMs, tunables.maxEjectionMs);
-}
-
-/** Tells whether the server is ejected at `now`. */
-export function isEjected(backend: Backend, now: Instant): boolean {
-  return now < backend.ejectedUntil;
-}
-
-function mayEject(
-  pool: BackendPool,
-  now: Instant,
-  tunables: Tunables,
-): boolean {
-  const ejected = pool.live.filter(other => isEjected(other, now)).length;
-  return ejected + 1 <= pool.live.length * tunables.maxEjectedShare;
-}
--- a/packages/domain/src/routing/options.ts
+++ b/packages/domain/src/routing/options.ts
@@ -1,12 +1,12 @@
 /** Settings of a dispatcher. */
-import type { Millis, Random } from '../core/time.js';
+import type { Instant, Millis, Random } from '../core/time.js';
 import type { ServiceSpec } from '../declarations/schemas.js';
 
 /** Numbers that the policy is tuned by; docs/design/routing.md gives the measurements behind them. */
 export interface Tunables {
   /** Entry hosts beyond the planned number for which connections are kept free. */
   readonly joinHeadroom: number;
-  /** Time within which every peer has seen a change of the entry hosts. */
+  /** Time within which every entry host has seen a change of the entry hosts. */
   readonly settleMs: Millis;
   /** Response time assumed of a server before the first answer. */
   readonly initialLatencyMs: Millis;
@@ -14,6 +14,12 @@
   readonly crossZoneMs: Millis;
   /** Candidates that are compared for one choice. */
   readonly sampleSize: number;
+  /** Cost of each try beyond this host's share of a server's slots, as a share of the response time. */
+  readonly spillCost: number;
+  /** Slowness up to which a server counts as about as fast as the others. */
+  readonly slownessDeadband: number;
+  /** Share of the slowness that counts below the deadband. */
+  readonly slownessSlope: number;
   /** Share of the servers that may be ejected at a time. */
   readonly maxEjectedShare: number;
   /** Longest ejection of a server. */
@@ -31,8 +37,11 @@
   joinHeadroom: 3,
   settleMs: 3_000,
   initialLatencyMs: 10,
-  crossZoneMs: 1,
-  sampleSize: 8,
+  crossZoneMs: 0.2,
+  sampleSize: 64,
+  spillCost: 0.1,
+  slownessDeadband: 2,
+  slownessSlope: 0.1,
   maxEjectedShare: 0.3,
   maxEjectionMs: 30_000,
   maxWaitShare: 0.5,
@@ -48,6 +57,8 @@
   readonly availabilityZone: string;
   /** Planned number of entry hosts, this one included. */
   readonly entryHosts: number;
+  /** When this entry host joined the others; long ago when absent. */
+  readonly joinedAt?: Instant;
   readonly random: Random;
   readonly tunables?: Partial<Tunables>;
 }
--- a/packages/domain/src/routing/request-queue.ts
+++ b/packages/domain/src/routing/request-queue.ts
@@ -1,5 +1,4 @@
 /** The bounded queue of requests that wait for a slot: retries first, then in order of arrival. */
-import type { Instant } from '../core/time.js';
 import type { RequestInfo } from './dispatcher.js';
 
 /** A request that waits. */
@@ -18,8 +17,8 @@
   pushFirst(entry: QueuedRequest): void;
   peek(): QueuedRequest | undefined;
   remove(id: number): boolean;
-  /** Removes and returns the requests whose deadline is at or before `now`. */
-  expire(now: Instant): QueuedRequest[];
+  /** Everything in order. */
+  values(): QueuedRequest[];
   /** Removes and returns everything. */
   clear(): QueuedRequest[];
 }
@@ -28,16 +27,8 @@
 export function createRequestQueue(): RequestQueue {
   const retries = new Map<number, QueuedRequest>();
   const fresh = new Map<number, QueuedRequest>();
-  const maps = [retries, fresh];
-
-  function take(when: (entry: QueuedRequest) => boolean): QueuedRequest[] {
-    const taken = maps
-      .flatMap(map => [...map.values()])
-      .filter(entry => when(entry));
-    for (const { req } of taken) {
-      remove(req.id);
-    }
-    return taken;
+  function values(): QueuedRequest[] {
+    return [...retries.values(), ...fresh.values()];
   }
 
   function remove(id: number): boolean {
@@ -54,15 +45,19 @@
       retries.set(entry.req.id, entry);
     },
     peek() {
-      for (const map of maps) {
-        for (const entry of map.values()) {
-          return entry;
-        }
+      const map = retries.size > 0 ? retries : fresh;
+      for (const entry of map.values()) {
+        return entry;
       }
       return undefined;
     },
     remove,
-    expire: now => take(entry => entry.req.deadline <= now),
-    clear: () => take(() => true),
+    values,
+    clear() {
+      const all = values();
+      retries.clear();
+      fresh.clear();
+      return all;
+    },
   };
 }
