--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,4 +1,5 @@
 /** The daemon's parts as a library, for tests and benchmarks. */
+export * from './config/index.js';
 export * from './log/index.js';
 export * from './membership/index.js';
 export * from './operator/app.js';
--- a/packages/daemon/src/log/follower.ts
+++ b/packages/daemon/src/log/follower.ts
@@ -14,6 +14,12 @@
 
 import type { CommittedRecord, PartContext, StreamFollower } from '../parts.js';
 import { createLogMetrics, type LogMetrics } from './metrics.js';
+import {
+  REACHED,
+  createOffsetWaiters,
+  followerStopped,
+  type OffsetWaiters,
+} from './offset-waiters.js';
 import { READ_LIMIT } from './read-back.js';
 import { backoffMs, scheduleOf, sleep } from './timing.js';
 
@@ -43,6 +49,8 @@
 export interface LogFollower extends StreamFollower {
   /** Head of the stream as last seen; undefined before the first read. */
   head(): number | undefined;
+  /** Oldest retained offset as last seen; undefined before the first read. */
+  first(): number | undefined;
   /** When a read last succeeded; undefined before the first. */
   readAt(): Instant | undefined;
   /** Why the follower stopped, if it did. */
@@ -53,21 +61,15 @@
 /** Least time between empty reads, in case the log does not wait. */
 const EMPTY_READ_MS = 50;
 
-const REACHED: Result<void, AppError> = Result.ok(undefined);
-
-interface Waiter {
-  readonly offset: number;
-  readonly resolve: (result: Result<void, AppError>) => void;
-}
-
 interface Following {
   readonly options: FollowOptions;
   readonly window: DedupeWindow;
   readonly metrics: LogMetrics;
   readonly abort: AbortController;
-  readonly waiters: Set<Waiter>;
+  readonly waiters: OffsetWaiters;
   next: number;
   head: number | undefined;
+  first: number | undefined;
   readAt: Instant | undefined;
   failure: AppError | undefined;
   failures: number;
@@ -80,9 +82,10 @@
     window: options.window ?? createDedupeWindow(),
     metrics: createLogMetrics(options.ctx.metrics),
     abort: new AbortController(),
-    waiters: new Set(),
+    waiters: createOffsetWaiters(options.ctx, options.stream),
     next: options.from,
     head: undefined,
+    first: undefined,
     readAt: undefined,
     failure: undefined,
     failures: 0,
@@ -93,6 +96,7 @@
     caughtUp: () => isCaughtUp(following),
     reach: (offset, deadline) => reach(following, offset, deadline),
     head: () => following.head,
+    first: () => following.first,
     readAt: () => following.readAt,
     failure: () => following.failure,
     stop: () => {
@@ -145,6 +149,7 @@
   following.failures = 0;
   following.readAt = ctx.clock();
   following.head = page.head;
+  following.first = page.first;
   for (const entry of page.entries) {
     if (!isStopped(following)) {
       fold(following, entry);
@@ -173,7 +178,7 @@
   following.next = entry.offset + 1;
   const records = batch.isOk ? batch.value.records : [];
   options.onBatch(firstOnes(following, entry.offset, records), following.next);
-  wakeReached(following);
+  following.waiters.wake(following.next);
 }
 
 function firstOnes(
@@ -240,17 +245,7 @@
 
 function stop(following: Following, reason: AppError): void {
   following.abort.abort();
-  for (const waiter of following.waiters) {
-    waiter.resolve(Result.err(reason));
-  }
-}
-
-function wakeReached({ waiters, next }: Following): void {
-  for (const waiter of waiters) {
-    if (waiter.offset <= next) {
-      waiter.resolve(REACHED);
-    }
-  }
+  following.waiters.fail(reason);
 }
 
 function reach(
@@ -258,7 +253,7 @@
   offset: number,
   deadline: Instant,
 ): Promise<Result<void, AppError>> {
-  const { options, waiters } = following;
+  const { waiters } = following;
   if (offset <= following.next) {
     return Promise.resolve(REACHED);
   }
@@ -266,21 +261,7 @@
     const reason = following.failure ?? followerStopped();
     return Promise.resolve(Result.err(reason));
   }
-  return new Promise(resolve => {
-    const waiter: Waiter = {
-      offset,
-      resolve: result => {
-        cancel();
-        waiters.delete(waiter);
-        resolve(result);
-      },
-    };
-    const span = deadline - options.ctx.clock();
-    const cancel = scheduleOf(options.ctx)(span, () => {
-      waiter.resolve(Result.err(notReached(options.stream, offset)));
-    });
-    waiters.add(waiter);
-  });
+  return waiters.wait(offset, deadline);
 }
 
 function unsupported(
@@ -294,14 +275,3 @@
       'Upgrade this host.',
   );
 }
-
-function notReached(stream: string, offset: number): AppError {
-  return appError(
-    'timeout',
-    `Offset ${offset} of ${stream} was not read by the deadline.`,
-  );
-}
-
-function followerStopped(): AppError {
-  return appError('canceled', 'The follower has stopped.');
-}
--- a/packages/daemon/src/log/index.ts
+++ b/packages/daemon/src/log/index.ts
@@ -1,4 +1,8 @@
-/** The log: group commit, followers and recovery. */
+/** The log: group commit, followers, snapshots and recovery. */
 export * from './committer.js';
+export * from './fold-follower.js';
 export * from './follower.js';
+export * from './recovery.js';
+export * from './snapshot-keeper.js';
+export * from './snapshot-text.js';
 export * from './timing.js';
