Place tasks on workers by decisions written ahead

Cause: jobs need an owner that decides, records and only then commands, and that keeps what runs in line with the log although answers are lost, workers fall silent and owners change in mid-start. Change: one runner for each owned shard. It records its opening, reads to it, syncs every worker and then plans; commands follow the folded decisions, each under the fence (epoch, offset). Task leases are renewed directly at the workers. A silent worker is no longer renewed, and its tasks are placed anew only after the lease counted from before the last renewal, of this owner or an earlier one, has lapsed. Decisions of unknown outcome are sent again and keep their place in every plan. Any entry host accepts jobs, into the stream of the availability zone that the job's name hashes to.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -10,3 +10,4 @@
 export * from './settings/schema.js';
 export * from './tls/index.js';
 export * from './shards/index.js';
+export * from './scheduler/index.js';
--- /dev/null
+++ b/packages/daemon/src/scheduler/reconcile.ts
@@ -0,0 +1,172 @@
+/** Compares what is decided for a worker with what its agent reports. */
+import {
+  decision,
+  type Decision,
+  type Instant,
+  type JobSpec,
+} from '@paddlewind/domain';
+import type {
+  AttemptRef,
+  AttemptReport,
+  StartSpec,
+  WorkerReport,
+} from '@paddlewind/platform';
+
+import { attemptKey, type SentStart, type WorkerLink } from './worker-link.js';
+
+/** An attempt that is decided to be on the worker. */
+export interface PlacedAttempt {
+  readonly ref: AttemptRef;
+  readonly job: JobSpec;
+  readonly size: StartSpec['size'];
+  readonly checkpoint: string | undefined;
+  /** Reason of the eviction, when it is to be stopped. */
+  readonly evicting: string | undefined;
+}
+
+/** What to do at a worker. */
+export type WorkerStep =
+  | { readonly kind: 'start'; readonly placed: PlacedAttempt }
+  | {
+      readonly kind: 'stop';
+      readonly ref: AttemptRef;
+      readonly checkpoint: boolean;
+    }
+  | { readonly kind: 'end'; readonly decision: Decision }
+  | { readonly kind: 'acknowledge'; readonly ref: AttemptRef };
+
+/** What the comparison is made on. */
+export interface ReconcileInput {
+  readonly shard: string;
+  readonly epoch: number;
+  readonly placed: readonly PlacedAttempt[];
+  readonly report: WorkerReport;
+  /** When the sync that the report answers was sent. */
+  readonly sentAt: Instant;
+  readonly starts: WorkerLink['starts'];
+  /** Tells whether another shard decided to have the attempt there. */
+  readonly isElsewhere: (ref: AttemptRef) => boolean;
+  readonly wall: Instant;
+}
+
+/** Returns the steps that bring the worker and the decisions together. */
+export function reconcile(input: ReconcileInput): WorkerStep[] {
+  const reported = new Map(
+    input.report.attempts.map(report => [attemptKey(report), report]),
+  );
+  const placed = new Set(input.placed.map(each => attemptKey(each.ref)));
+  const strays = input.report.attempts.filter(
+    report => !placed.has(attemptKey(report)) && !input.isElsewhere(report),
+  );
+  return [
+    ...input.placed.flatMap(each =>
+      placedSteps(input, each, reported.get(attemptKey(each.ref))),
+    ),
+    ...strays.flatMap(straySteps),
+  ];
+}
+
+function placedSteps(
+  input: ReconcileInput,
+  placed: PlacedAttempt,
+  report: AttemptReport | undefined,
+): WorkerStep[] {
+  if (report === undefined) {
+    return missingSteps(input, placed);
+  }
+  switch (report.state) {
+    case 'completed':
+    case 'failed':
+    case 'stopped':
+      return [{ kind: 'end', decision: endOf(input, report) }];
+    case 'running':
+      return placed.evicting === undefined ? [] : [stopOf(placed)];
+    case 'stopping':
+      return [];
+  }
+}
+
+function missingSteps(
+  input: ReconcileInput,
+  placed: PlacedAttempt,
+): WorkerStep[] {
+  // The agent answers a stop of an attempt that it doesn't know by reporting it as stopped.
+  if (placed.evicting !== undefined) {
+    return [stopOf(placed)];
+  }
+  const sent = input.starts.get(attemptKey(placed.ref));
+  if (sent?.inFlight === true) {
+    return [];
+  }
+  const { confirmedAt } = sent ?? {};
+  if (confirmedAt !== undefined) {
+    const gone = input.sentAt > confirmedAt;
+    return gone ? [lossOf(input, placed.ref)] : [];
+  }
+  return mayHaveRun(sent, input.report) && placed.job.onLostWorker === 'hold'
+    ? [lossOf(input, placed.ref)]
+    : [{ kind: 'start', placed }];
+}
+
+/** Tells whether an earlier run of the agent may have begun the attempt before it was restarted. */
+function mayHaveRun(
+  sent: SentStart | undefined,
+  report: WorkerReport,
+): boolean {
+  return sent !== undefined && sent.boot !== report.boot;
+}
+
+function straySteps(report: AttemptReport): WorkerStep[] {
+  const ref = { task: report.task, attempt: report.attempt };
+  switch (report.state) {
+    case 'running':
+      return [{ kind: 'stop', ref, checkpoint: false }];
+    case 'stopping':
+      return [];
+    case 'completed':
+    case 'failed':
+    case 'stopped':
+      return [{ kind: 'acknowledge', ref }];
+  }
+}
+
+function stopOf(placed: PlacedAttempt): WorkerStep {
+  const checkpoint = placed.evicting !== 'cancelled';
+  return { kind: 'stop', ref: placed.ref, checkpoint };
+}
+
+function endOf(input: ReconcileInput, report: AttemptReport): Decision {
+  const { state, checkpoint, message } = report;
+  const result =
+    state === 'completed' || state === 'failed' ? state : 'stopped';
+  return decision('task_ended', {
+    shard: input.shard,
+    epoch: input.epoch,
+    task: report.task,
+    attempt: report.attempt,
+    atWall: input.wall,
+    result,
+    progress: Math.min(1, Math.max(0, report.progress)),
+    ...(checkpoint === undefined ? {} : { checkpoint }),
+    ...(message === undefined ? {} : { message: message.slice(0, 1_000) }),
+  });
+}
+
+function lossOf(input: ReconcileInput, ref: AttemptRef): WorkerStep {
+  return { kind: 'end', decision: lostAttempt(input, ref) };
+}
+
+/** Returns the record of an attempt that is gone with its worker or agent. */
+export function lostAttempt(
+  by: Pick<ReconcileInput, 'shard' | 'epoch' | 'wall'>,
+  ref: AttemptRef,
+): Decision {
+  return decision('task_ended', {
+    shard: by.shard,
+    epoch: by.epoch,
+    task: ref.task,
+    attempt: ref.attempt,
+    atWall: by.wall,
+    result: 'lost',
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/scheduler.ts
@@ -0,0 +1,147 @@
+/** The scheduler of an entry host: one runner for each shard that the process owns. */
+import type { Instant } from '@paddlewind/domain';
+
+import type { LossReason, OwnedShard } from '../shards/types.js';
+import { countShards, useOfWorkers } from './counts.js';
+import { createJobs, openZone, shardsOf } from './jobs.js';
+import { startShardRunner, type ShardRunner } from './shard-runner.js';
+import type { Scheduler, SchedulerParts } from './types.js';
+import { createZones, type Zones } from './zone.js';
+
+/** Longest wait for decisions under way when a shard is handed over. */
+const HAND_OVER_MS = 2_000;
+
+/** Starts to place tasks. */
+export function startScheduler(parts: SchedulerParts): Scheduler {
+  const { ctx, cfg, config, ownership } = parts;
+  const zones = createZones(parts.follow);
+  const runners = createRunners(parts, zones);
+  const jobs = createJobs(parts, zones);
+  openZone(parts, zones, cfg.availabilityZone);
+  const stops = [
+    ownership.onAcquire(owned => {
+      runners.acquired(owned);
+    }),
+    ownership.onLose((shard, epoch, reason) =>
+      runners.lost(shard, epoch, reason),
+    ),
+    config.onChange(() => {
+      for (const zone of zones.known()) {
+        openZone(parts, zones, zone.name);
+      }
+      runners.refresh();
+    }),
+  ];
+  for (const owned of ownership.owned().values()) {
+    runners.acquired(owned);
+  }
+  return {
+    ...jobs,
+    counts: () => countShards(zones.known()),
+    workerUse: () => useOfWorkers(zones.known()),
+    deciding: () => runners.deciding(),
+    drain: deadline => runners.drain(deadline),
+    stop: () => {
+      stops.forEach(stop => {
+        stop();
+      });
+      runners.stop();
+      zones.stop();
+      ctx.log.info('scheduler: stopped');
+    },
+  };
+}
+
+interface Runners {
+  acquired(owned: OwnedShard): void;
+  lost(shard: string, epoch: number, reason: LossReason): Promise<void>;
+  /** Starts runners anew whose zone is read anew, and those whose shard was not configured yet. */
+  refresh(): void;
+  deciding(): string[];
+  drain(deadline: Instant): Promise<void>;
+  stop(): void;
+}
+
+function createRunners(parts: SchedulerParts, zones: Zones): Runners {
+  const { ctx, ownership } = parts;
+  const runners = new Map<string, ShardRunner>();
+
+  function acquired(owned: OwnedShard): void {
+    const known = runners.get(owned.shard);
+    // After a lapse without another owner the same runner goes on.
+    if (known?.epoch === owned.epoch) {
+      return;
+    }
+    known?.stop();
+    runners.delete(owned.shard);
+    const spec = shardsOf(parts).find(shard => shard.name === owned.shard);
+    if (spec !== undefined) {
+      const zone = openZone(parts, zones, spec.availabilityZone);
+      runners.set(owned.shard, startShardRunner(parts, zone, spec, owned));
+    }
+  }
+
+  async function lost(
+    shard: string,
+    epoch: number,
+    reason: LossReason,
+  ): Promise<void> {
+    const runner = runners.get(shard);
+    if (runner?.epoch !== epoch || reason === 'lapsed') {
+      return;
+    }
+    if (reason === 'released') {
+      await runner.drain(ctx.clock() + HAND_OVER_MS);
+    }
+    stopRunner(runner);
+  }
+
+  function stopRunner(runner: ShardRunner): void {
+    runner.stop();
+    if (runners.get(runner.shard) === runner) {
+      runners.delete(runner.shard);
+    }
+  }
+
+  async function restart(runner: ShardRunner): Promise<void> {
+    await runner.drain(ctx.clock() + HAND_OVER_MS);
+    stopRunner(runner);
+    const owned = ownership.owned().get(runner.shard);
+    if (owned !== undefined) {
+      acquired(owned);
+    }
+  }
+
+  function refresh(): void {
+    const current = new Set(zones.known());
+    for (const runner of [...runners.values()]) {
+      if (!current.has(runner.zone)) {
+        void restart(runner);
+      }
+    }
+    for (const owned of ownership.owned().values()) {
+      if (!runners.has(owned.shard)) {
+        acquired(owned);
+      }
+    }
+  }
+
+  return {
+    acquired,
+    lost,
+    refresh,
+    deciding: () =>
+      [...runners.values()]
+        .filter(each => each.isDeciding())
+        .map(each => each.shard),
+    drain: async deadline => {
+      const all = [...runners.values()].map(each => each.drain(deadline));
+      await Promise.all(all);
+    },
+    stop: () => {
+      runners.forEach(runner => {
+        runner.stop();
+      });
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler/types.ts
@@ -0,0 +1,98 @@
+/** The interface of the scheduler to the other parts of the daemon. */
+import type {
+  Clock,
+  Instant,
+  Millis,
+  Resources,
+  SchedulableWorker,
+} from '@paddlewind/domain';
+import type { WorkerAgent } from '@paddlewind/platform';
+
+import type { OperatorJobs } from '../operator/deps.js';
+import type {
+  Committer,
+  ConfigView,
+  HostView,
+  PartContext,
+  PeerView,
+  Stop,
+} from '../parts.js';
+import type { Follow, ShardOwnership } from '../shards/types.js';
+
+/** Times of task leases, see docs/design/task-leases.md. */
+export interface TaskTiming {
+  /** Lease of a task at its worker, counted there from receipt. */
+  readonly leaseMs: Millis;
+  readonly syncEveryMs: Millis;
+  /** Pause between syncs of a worker from which an end is awaited. */
+  readonly urgentSyncMs: Millis;
+  /** A worker silent for this long is no longer renewed, so that its leases can lapse. */
+  readonly suspectMs: Millis;
+  /** Largest difference in rate between two hosts' clocks, such as 0.001. */
+  readonly drift: number;
+  /** Covers requests under way when a renewal is given up. */
+  readonly marginMs: Millis;
+  /** How long an owner goes on renewing after its shard lease ended in an outage of the log. */
+  readonly outageHoldMs: Millis;
+  /** Without the shard lease, renewals need most workers to have answered within this time. */
+  readonly darkWindowMs: Millis;
+  /** Time that a stopped task has to clean up. */
+  readonly stopGraceMs: Millis;
+}
+
+/** Settings of the scheduler. */
+export interface SchedulerConfig {
+  readonly region: string;
+  readonly availabilityZone: string;
+  readonly tasks: TaskTiming;
+}
+
+/** What batch work on a worker would do to the services there. */
+export type BatchAdvice = Pick<
+  SchedulableWorker,
+  'batchPenalty' | 'avoidBatch'
+>;
+
+/** What the scheduler is given. */
+export interface SchedulerParts {
+  readonly ctx: PartContext;
+  readonly cfg: SchedulerConfig;
+  /** Wall-clock milliseconds, for the records; no hard promise rests on it. */
+  readonly wall: Clock;
+  readonly config: ConfigView;
+  readonly hosts: HostView;
+  readonly peers: Pick<PeerView, 'self'>;
+  readonly committer: Committer;
+  readonly follow: Follow;
+  readonly ownership: ShardOwnership;
+  readonly agent: WorkerAgent;
+  /** Advice on a worker by interference; none when absent. */
+  readonly advise?: (worker: string) => BatchAdvice;
+}
+
+/** Tasks of a shard. */
+export interface ShardCounts {
+  readonly shard: string;
+  readonly running: number;
+  readonly queued: number;
+  readonly held: number;
+}
+
+/** Tasks and their use on a worker. */
+export interface WorkerUse {
+  readonly worker: string;
+  readonly tasks: number;
+  readonly used: Resources;
+}
+
+/** Places tasks on the workers of the shards that this process owns. */
+export interface Scheduler extends OperatorJobs {
+  /** Shards that this process decides on or follows. */
+  counts(): ShardCounts[];
+  workerUse(): WorkerUse[];
+  /** Shards that this process decides on at this instant. */
+  deciding(): string[];
+  /** Decides nothing more and resolves when all that was sent is settled, or at the deadline. */
+  drain(deadline: Instant): Promise<void>;
+  stop: Stop;
+}
--- a/packages/daemon/src/shards/lease-book.ts
+++ b/packages/daemon/src/shards/lease-book.ts
@@ -85,14 +85,14 @@
   }
 
   function grant(id: string, shard: string): void {
-    const epoch = leases.shards.get(shard)?.epoch ?? 0;
+    const lease = leases.shards.get(shard);
     // A release whose answer was lost may still take effect: the epoch stays given up.
-    if (givenUp.get(shard) === epoch) {
+    if (lease === undefined || givenUp.get(shard) === lease.epoch) {
       return;
     }
-    const fresh = own.granted(id, shard, epoch, ctx.clock());
+    const fresh = own.granted(id, lease, ctx.clock());
     if (fresh !== undefined) {
-      ctx.log.info({ shard, epoch }, 'shards: acquired');
+      ctx.log.info({ shard, epoch: lease.epoch }, 'shards: acquired');
       acquired.tell(fresh);
     }
   }
--- a/packages/daemon/src/shards/lease-writer.ts
+++ b/packages/daemon/src/shards/lease-writer.ts
@@ -52,6 +52,9 @@
     goodSince = Math.min(goodSince, ctx.clock());
     const next = result.value.offset + 1;
     const read = await parts.follower().reach(next, deadline);
+    if (read.isErr) {
+      goodSince = Number.POSITIVE_INFINITY;
+    }
     return read.isOk;
   }
 
--- a/packages/daemon/src/shards/own-leases.ts
+++ b/packages/daemon/src/shards/own-leases.ts
@@ -1,5 +1,5 @@
 /** Leases that this process holds, counted from before it sent the record that gave them. */
-import type { Instant, Millis } from '@paddlewind/domain';
+import type { Instant, Millis, ShardLease } from '@paddlewind/domain';
 
 import type { LossReason, OwnedShard } from './types.js';
 
@@ -15,12 +15,7 @@
   /** Notes that the record `id` is about to be sent. */
   sending(id: string, now: Instant): void;
   /** Takes a claim or renewal that was read back as valid; returns the shard if it is newly owned. */
-  granted(
-    id: string,
-    shard: string,
-    epoch: number,
-    now: Instant,
-  ): OwnedShard | undefined;
+  granted(id: string, lease: ShardLease, now: Instant): OwnedShard | undefined;
   /** Ends the lease; undefined when it was not held. */
   lose(shard: string, reason: LossReason): LostShard | undefined;
   /** Ends every lease whose time is over. */
@@ -35,8 +30,7 @@
 
   function granted(
     id: string,
-    shard: string,
-    epoch: number,
+    { shard, epoch, takenOverAt }: ShardLease,
     now: Instant,
   ): OwnedShard | undefined {
     const sent = sentAt.get(id);
@@ -46,7 +40,7 @@
     const before = held.get(shard);
     const known = before?.epoch === epoch ? before : undefined;
     const leaseUntil = Math.max(known?.leaseUntil ?? 0, sent + leaseMs);
-    const lease = { shard, epoch, leaseUntil };
+    const lease = { shard, epoch, leaseUntil, takenOverAt };
     held.set(shard, lease);
     return known === undefined ? lease : undefined;
   }
--- a/packages/daemon/src/shards/ownership.ts
+++ b/packages/daemon/src/shards/ownership.ts
@@ -175,7 +175,8 @@
     dueAt = now + cfg.renewEveryMs;
     const { leaseMs } = cfg;
     const record = { kind: 'renew', ...book.self, leaseMs } as const;
-    void writer.write(record, now + leaseMs).finally(() => {
+    // An outage must be known before the lease ends, and a renewal sent again in time.
+    void writer.write(record, now + leaseMs / 2).finally(() => {
       inFlight = false;
     });
   };
--- a/packages/daemon/src/shards/types.ts
+++ b/packages/daemon/src/shards/types.ts
@@ -51,6 +51,8 @@
   readonly epoch: number;
   /** When the lease ends on this process's monotonic clock. */
   readonly leaseUntil: Instant;
+  /** When this process saw a holder lose the shard without a release; undefined when none ever did. */
+  readonly takenOverAt: Instant | undefined;
 }
 
 /** Why a shard was lost; after a lapse or a newer claim nothing more may be decided for it. */
--- a/packages/domain/src/shards/leases.ts
+++ b/packages/domain/src/shards/leases.ts
@@ -22,6 +22,8 @@
   readonly observedAt: Instant;
   /** When this process read the claim of this epoch, on its own clock. */
   readonly claimedAt: Instant;
+  /** When this process read the latest claim over a holder that had not released; undefined without one. */
+  readonly takenOverAt: Instant | undefined;
 }
 
 /** The fold's state; verdicts depend on the records and their order only. */
@@ -96,6 +98,7 @@
     offset: position.offset,
     observedAt: readAt,
     claimedAt: readAt,
+    takenOverAt: current?.holder === undefined ? current?.takenOverAt : readAt,
   };
   state.shards.set(shard, lease);
   return { kind: 'claimed', lease };
@@ -157,7 +160,7 @@
 /** A lease in a snapshot: what the fold's verdicts depend on. */
 export type LeaseSnapshot = readonly Omit<
   ShardLease,
-  'observedAt' | 'claimedAt'
+  'observedAt' | 'claimedAt' | 'takenOverAt'
 >[];
 
 /** Exports the state, in order of shard. */
@@ -183,6 +186,7 @@
       ...lease,
       observedAt: readAt,
       claimedAt: readAt,
+      takenOverAt: readAt,
     });
   }
   return state;
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -7,6 +7,8 @@
 export * from './log/log-server.js';
 export * from './membership/index.js';
 export * from './memory/memory-log.js';
+export type { AttemptRun } from './memory/memory-task.js';
+export * from './memory/memory-workers.js';
 export * from './memory/pausable.js';
 export * from './memory/virtual-time.js';
 export type { TaskBehaviour } from './worker/simulated-task.js';
