--- a/packages/domain/src/interference/forecast.ts
+++ b/packages/domain/src/interference/forecast.ts
@@ -1,24 +1,21 @@
 /** Predicted spending of error budgets by worker, and how a change would move it. */
 import type { Instant } from '../core/time.js';
 import { slotOf } from './classes.js';
-import type { InterferenceModel } from './model.js';
+import { levelOf, STALE_MS, type InterferenceModel } from './model.js';
 import type { Pair } from './pair.js';
-import {
-  baseline,
-  slowdownOf,
-  totalSlowdown,
-  type ClassShares,
-  type ServiceModel,
-} from './service-model.js';
+import { baseline, slowdownOf, type ServiceModel } from './service-model.js';
 import { shareAbove } from './spread.js';
 import type { InterferenceView, ServiceView, WorkerView } from './view.js';
 
-/** Response times are taken for unknown when the last is older than this, in milliseconds. */
-const STALE_MS = 60_000;
-
 /** Log change below which an effect is taken for none. */
 const NEGLIGIBLE = 0.005;
 
+/** Deviations by which a local level must exceed the model's to be blamed on batch work. */
+const SURE_DEVIATIONS = 2;
+
+/** Least share of a worker's batch work over which slowness is spread. */
+const LEAST_USED = 0.1;
+
 /** A service on a worker as predicted. */
 export interface Node {
   readonly pair: Pair;
@@ -31,6 +28,8 @@
   level: number;
   /** Share of requests predicted to miss the objective. */
   badShare: number;
+  /** Slowness that nothing learnt explains, as a slowdown by a whole worker of batch work. */
+  readonly unexplained: number;
 }
 
 /** A service as predicted over its workers. */
@@ -95,16 +94,16 @@
   pair: Pair,
   worker: WorkerView,
 ): Node {
-  const shares = model.workers.get(worker.name)?.shares;
-  const level = alone(service.model, pair.load) + pair.offset;
+  const { load, level } = levelOf(model, service.model, pair);
   const node: Node = {
     pair,
     service,
     worker,
-    rate: pair.rate,
-    load: pair.load,
-    level: level + neighbours(service.model, pair.load, shares),
+    rate: pair.rate * service.model.trend.surge,
+    load,
+    level,
     badShare: 0,
+    unexplained: unexplainedBy(pair, worker),
   };
   node.badShare = badShareAt(node, node.level);
   service.nodes.push(node);
@@ -113,16 +112,14 @@
   return node;
 }
 
-function alone(model: ServiceModel, load: number): number {
-  return baseline(model, load);
-}
-
-function neighbours(
-  model: ServiceModel,
-  load: number,
-  shares: ClassShares | undefined,
-): number {
-  return shares === undefined ? 0 : totalSlowdown(model, load, shares);
+/** The part of the local level that is surely above the model's, by share of batch work in use. */
+function unexplainedBy(pair: Pair, worker: WorkerView): number {
+  const sure = pair.offset - SURE_DEVIATIONS * Math.sqrt(pair.offsetVariance);
+  const used = worker.tasks.reduce((sum, t) => sum + t.cores * t.share, 0);
+  if (sure <= 0 || used <= 0) {
+    return 0;
+  }
+  return sure / Math.max(LEAST_USED, used / worker.cores);
 }
 
 /** Returns the share of requests that miss the objective when the node's level is `level`. */
@@ -143,7 +140,8 @@
 
 /**
  * Returns the log change of a node's level when a class changes its use by `change` (share of the
- * worker); `deviations` are added to the learnt slowdown.
+ * worker). To the learnt slowdown come `deviations` of its uncertainty and, in proportion to use,
+ * what the worker is slower than learnt.
  */
 export function levelChange(
   forecastOf: Forecast,
@@ -154,8 +152,10 @@
 ): number {
   const slot = slotOf(forecastOf.model.classes, batchClass);
   const { model } = node.service;
-  const effect = slowdownOf(model, slot, node.load, Math.abs(change));
-  const size = effect.mean + deviations * effect.deviation;
+  const share = Math.abs(change);
+  const effect = slowdownOf(model, slot, node.load, share);
+  const blame = share * node.unexplained;
+  const size = effect.mean + deviations * effect.deviation + blame;
   if (change > 0) {
     return size;
   }
--- a/packages/domain/src/interference/linear-filter.ts
+++ b/packages/domain/src/interference/linear-filter.ts
@@ -76,8 +76,14 @@
   return sum;
 }
 
+/** How an observation lay against what was expected, and the variance of that difference. */
+export interface Innovation {
+  readonly innovation: number;
+  readonly variance: number;
+}
+
 /**
- * Takes one observation of variance `noise` and returns the innovation before it.
+ * Takes one observation of variance `noise` and returns how it lay.
  * An outlier counts as if its variance were so large that it lies at the limit.
  */
 export function learn(
@@ -85,7 +91,7 @@
   features: Float64Array,
   value: number,
   noise: number,
-): number {
+): Innovation {
   const { size, mean, covariance } = filter;
   const gain = new Float64Array(size);
   for (let i = 0; i < size; i++) {
@@ -110,7 +116,7 @@
       covariance[at] = (covariance[at] ?? 0) - share * (gain[j] ?? 0);
     }
   }
-  return innovation;
+  return { innovation, variance: explained + noise };
 }
 
 function dot(a: Float64Array, b: Float64Array): number {
--- a/packages/domain/src/interference/memory.ts
+++ b/packages/domain/src/interference/memory.ts
@@ -7,19 +7,22 @@
 const MAX_TASKS = 8_192;
 const MAX_STEERS = 4_096;
 
-/** Times a task is released, or a backend server steered back to, in an hour at most. */
-export const MAX_RAISES_PER_HOUR = 8;
+/** Changes of one task's share, or of one backend server's weight, in an hour at most. */
+export const MAX_CHANGES_PER_HOUR = 24;
 
-/** Times a task is throttled further in an hour at most; covers every raise and one descent. */
-export const MAX_CUTS_PER_HOUR = MAX_RAISES_PER_HOUR + 4;
+/** Changes that a raise leaves over, so that every cut down to the least share stays possible. */
+const CUTS_KEPT = 4;
+
+/** Time that a level is kept before it is raised; grows with every change of the last hour. */
+const RAISE_DWELL_MS = 15_000;
+const RAISE_BACKOFF = 1.25;
 
 /** What is remembered of a task, over its attempts. */
 export interface TaskMemory {
   changedAt: Instant;
   /** Since when the task has been throttled; undefined while it is not. */
   throttledSince: Instant | undefined;
-  raises: Instant[];
-  cuts: Instant[];
+  changes: Instant[];
   evictions: Instant[];
   seenAt: Instant;
 }
@@ -28,8 +31,7 @@
 export interface SteerMemory {
   weight: number;
   changedAt: Instant;
-  raises: Instant[];
-  cuts: Instant[];
+  changes: Instant[];
   seenAt: Instant;
 }
 
@@ -69,8 +71,7 @@
     known = {
       changedAt: -Infinity,
       throttledSince: share < 1 ? now : undefined,
-      raises: [],
-      cuts: [],
+      changes: [],
       evictions: [],
       seenAt: now,
     };
@@ -96,8 +97,7 @@
     known = {
       weight: 1,
       changedAt: -Infinity,
-      raises: [],
-      cuts: [],
+      changes: [],
       seenAt: now,
     };
     memory.steers.set(key, known);
@@ -111,6 +111,38 @@
   return instants.filter(at => now - at < HOUR_MS);
 }
 
+/** Tells whether a share or weight may fall now. */
+export function mayLower(
+  known: { readonly changes: Instant[] },
+  now: Instant,
+): boolean {
+  return withinHour(known.changes, now).length < MAX_CHANGES_PER_HOUR;
+}
+
+/** Tells whether a share or weight may rise now. */
+export function mayRaise(
+  known: { readonly changes: Instant[]; readonly changedAt: Instant },
+  now: Instant,
+): boolean {
+  const changes = withinHour(known.changes, now).length;
+  const dwellMs = RAISE_DWELL_MS * RAISE_BACKOFF ** changes;
+  return (
+    changes + 1 + CUTS_KEPT <= MAX_CHANGES_PER_HOUR &&
+    now - known.changedAt >= dwellMs
+  );
+}
+
+/** Notes a change; several at one instant count once. */
+export function noteChange(
+  known: { changes: Instant[]; changedAt: Instant },
+  now: Instant,
+): void {
+  if (known.changedAt !== now) {
+    known.changes = [...withinHour(known.changes, now), now];
+  }
+  known.changedAt = now;
+}
+
 /** Adds eviction tokens for the time since the last call; `perHour` is also near the most kept. */
 export function refillTokens(
   memory: PolicyMemory,
--- a/packages/domain/src/interference/model.ts
+++ b/packages/domain/src/interference/model.ts
@@ -23,11 +23,13 @@
   type Pair,
 } from './pair.js';
 import {
+  addToTrend,
   baseline,
   createServiceModel,
   fade,
   forgetClass,
   learnWindow,
+  moveTrend,
   slowdownOf,
   startLevel,
   takeRate,
@@ -46,6 +48,9 @@
 /** Pairs and workers not heard of for this long are forgotten, in milliseconds. */
 const FORGET_MS = 15 * 60_000;
 
+/** Response times are taken for unknown when the last is older than this, in milliseconds. */
+export const STALE_MS = 60_000;
+
 /** Response times outside are taken for the nearest bound, in milliseconds. */
 const LEAST_LATENCY_MS = 0.05;
 const GREATEST_LATENCY_MS = 60_000;
@@ -144,6 +149,10 @@
   const log = Math.log(latency);
   const limit = model.objectives.get(sample.service);
   addSample(pair, log, limit !== undefined && log > limit, sample.at);
+  const trend = model.services.get(sample.service)?.trend;
+  if (pair.expected !== undefined && trend !== undefined) {
+    addToTrend(trend, log - pair.expected);
+  }
 }
 
 function pairFor(
@@ -239,6 +248,7 @@
     }
     const elapsedMs = Math.max(0, now - service.diffusedAt);
     fade(service, now);
+    moveTrend(service.trend, rateOf(pairs, now), elapsedMs);
     for (const pair of pairs.values()) {
       if (windowEnds(pair, now)) {
         endWindow(model, service, pair, now);
@@ -246,6 +256,7 @@
     }
     rebuild(service.spread);
     moveShift(model, service, pairs, elapsedMs);
+    expectLevels(model, service, pairs);
     forgetPairs(model, name, pairs, now);
   }
   for (const [worker, state] of model.workers) {
@@ -255,6 +266,45 @@
   }
 }
 
+/** Requests a second of all pairs whose level is forecast. */
+function rateOf(pairs: Map<string, Pair>, now: Instant): number {
+  let rate = 0;
+  for (const pair of pairs.values()) {
+    if (pair.expected !== undefined && now - pair.seenAt <= STALE_MS) {
+      rate += pair.rate;
+    }
+  }
+  return rate;
+}
+
+function expectLevels(
+  model: InterferenceModel,
+  service: ServiceModel,
+  pairs: Map<string, Pair>,
+): void {
+  for (const pair of pairs.values()) {
+    if (pair.rate > 0) {
+      pair.expected = levelOf(model, service, pair).level - service.trend.lift;
+    }
+  }
+}
+
+/** Returns the load and log level of a pair now, by model, local level and trend. */
+export function levelOf(
+  model: InterferenceModel,
+  service: ServiceModel,
+  pair: Pair,
+): { readonly load: number; readonly level: number } {
+  const load = pair.load * service.trend.surge;
+  const shares = model.workers.get(pair.worker)?.shares ?? NO_SHARES;
+  const level =
+    baseline(service, load) +
+    totalSlowdown(service, load, shares) +
+    pair.offset +
+    service.trend.lift;
+  return { load, level };
+}
+
 const NO_SHARES: ClassShares = new Float64Array(CLASS_SLOTS);
 
 function endWindow(
--- a/packages/domain/src/interference/pair.ts
+++ b/packages/domain/src/interference/pair.ts
@@ -48,6 +48,8 @@
   /** How far the level lies above the model's expectation, with its variance. */
   offset: number;
   offsetVariance: number;
+  /** Log level expected when last forecast, for the trend of the service; undefined before. */
+  expected: number | undefined;
   seenAt: Instant;
   readonly pending: ClosedWindow[];
 }
@@ -81,6 +83,7 @@
     load: 1,
     offset: 0,
     offsetVariance: LOCAL_VARIANCE,
+    expected: undefined,
     seenAt: now,
     pending: [],
   };
--- a/packages/domain/src/interference/service-model.ts
+++ b/packages/domain/src/interference/service-model.ts
@@ -34,6 +34,19 @@
 const RATE_SMOOTHING = 0.001;
 const RATE_WARM_UP = 200;
 
+/** Time constant of the trend, and the samples of a step that are trusted by half. */
+const TREND_TIME_MS = 2_000;
+const TREND_DOUBT = 20;
+const MAX_SURGE = 4;
+
+/** Residuals of single samples count up to this size. */
+const MAX_RESIDUAL = 1.5;
+
+/** Detection of a change: smoothing by window, greatest single surprise, and the threshold. */
+const SURPRISE_SMOOTHING = 0.03;
+const MAX_SURPRISE = 16;
+const SURPRISED = 2;
+
 const FIRST_SLOWDOWN = KNOT_COUNT;
 const FIRST_SLOPE = KNOT_COUNT + CLASS_SLOTS;
 const FEATURES = KNOT_COUNT + 2 * CLASS_SLOTS;
@@ -57,6 +70,21 @@
   calibration: number;
   diffusedAt: Instant;
   ready: boolean;
+  /** Smoothed ratio of squared innovations to their variance; 1 while the model holds. */
+  surprise: number;
+  /** What all workers together show since the last windows closed. */
+  readonly trend: Trend;
+}
+
+/** Fast movement common to all workers of a service. */
+export interface Trend {
+  /** Factor on the rate of requests. */
+  surge: number;
+  /** Rise of the log level. */
+  lift: number;
+  /** Samples since the last step, and the sum of their residuals. */
+  count: number;
+  residuals: number;
 }
 
 /** A slowdown as the logarithm of the factor on response times. */
@@ -78,6 +106,8 @@
     calibration: 1,
     diffusedAt: now,
     ready: false,
+    surprise: 1,
+    trend: { surge: 1, lift: 0, count: 0, residuals: 0 },
   };
 }
 
@@ -108,6 +138,9 @@
   d => d ** 2,
 );
 
+/** Variances added when the model no longer holds. */
+const WIDENING = Float64Array.from(byCoefficient(0.05, 0.7, 0.2), d => d ** 2);
+
 /** Takes a window's request rate and returns the load relative to the mean. */
 export function takeRate(model: ServiceModel, rate: number): number {
   model.windows += 1;
@@ -141,6 +174,32 @@
   diffuse(model.filter, added, PRIOR_VARIANCES);
 }
 
+/** Adds a sample's residual against what was expected of its worker. */
+export function addToTrend(trend: Trend, residual: number): void {
+  trend.count += 1;
+  trend.residuals += Math.min(MAX_RESIDUAL, Math.max(-MAX_RESIDUAL, residual));
+}
+
+/** Moves the trend by the samples of the last `elapsedMs`; `expectedRate` is of all workers. */
+export function moveTrend(
+  trend: Trend,
+  expectedRate: number,
+  elapsedMs: number,
+): void {
+  const expectedCount = (expectedRate * elapsedMs) / 1_000;
+  if (expectedCount <= 0) {
+    return;
+  }
+  const step = 1 - Math.exp(-elapsedMs / TREND_TIME_MS);
+  const trust = step / (1 + TREND_DOUBT / expectedCount);
+  const surge = trend.count / expectedCount;
+  trend.surge += trust * (Math.min(MAX_SURGE, surge) - trend.surge);
+  const lift = trend.count === 0 ? 0 : trend.residuals / trend.count;
+  trend.lift += trust * (lift - trend.lift);
+  trend.count = 0;
+  trend.residuals = 0;
+}
+
 /** Learns from the level of one window with the batch work that then ran beside it. */
 export function learnWindow(
   model: ServiceModel,
@@ -157,12 +216,23 @@
     features[FIRST_SLOPE + slot] = share * (load - 1);
   }
   const noise = sampleVariance + model.noise;
-  const innovation = learn(filter, features, level, noise);
+  const { innovation, variance } = learn(filter, features, level, noise);
+  noteSurprise(model, innovation ** 2 / variance);
   const excess = Math.min(innovation ** 2, 9 * noise) - sampleVariance;
   model.noise += NOISE_SMOOTHING * (excess - model.noise);
   model.noise = Math.max(LEAST_NOISE, model.noise);
 }
 
+/** Where observations lie far off again and again, the truth has changed: knowledge is widened. */
+function noteSurprise(model: ServiceModel, ratio: number): void {
+  const bounded = Math.min(MAX_SURPRISE, ratio);
+  model.surprise += SURPRISE_SMOOTHING * (bounded - model.surprise);
+  if (model.surprise > SURPRISED) {
+    model.surprise = 1;
+    diffuse(model.filter, WIDENING, PRIOR_VARIANCES);
+  }
+}
+
 /** Returns the log level of the service alone on a worker at `load`. */
 export function baseline(model: ServiceModel, load: number): number {
   setLoadFeatures(model.features, load);
--- a/packages/domain/src/interference/settings.ts
+++ b/packages/domain/src/interference/settings.ts
@@ -35,14 +35,17 @@
 
 const EVEN = 0.5;
 
+/** Part of the threshold that an action aims for. */
+const AIM = 0.9;
+
 /** Derives the thresholds from the weights; only their ratios count. */
 export function settingsFor(weights: InterferenceWeights): PolicySettings {
   const tail = ratio(weights.tailLatency, weights.batchThroughput);
   const care = ratio(weights.evictions, weights.batchThroughput);
-  const actAbove = between(0.85, 0.55, tail);
+  const actAbove = between(0.92, 0.88, tail);
   return {
     actAbove,
-    aimFor: actAbove * between(0.8, 0.7, tail),
+    aimFor: AIM * actAbove,
     caution: between(0.25, 1, tail),
     evictAfterMs: between(60_000, 180_000, care),
     evictionCostSeconds: between(60, 300, care),
--- a/packages/domain/src/interference/steer.ts
+++ b/packages/domain/src/interference/steer.ts
@@ -8,10 +8,10 @@
   type ServiceForecast,
 } from './forecast.js';
 import {
-  MAX_CUTS_PER_HOUR,
-  MAX_RAISES_PER_HOUR,
+  mayLower,
+  mayRaise,
+  noteChange,
   steerMemory,
-  withinHour,
   type PolicyMemory,
   type SteerMemory,
 } from './memory.js';
@@ -19,9 +19,8 @@
 import { STEER_LEVELS, type PolicySettings } from './settings.js';
 import type { SteerAction } from './view.js';
 
-/** Dwell times before a weight falls further and before it rises. */
+/** Time that a weight is kept before it falls further. */
 const CUT_DWELL_MS = 10_000;
-const RAISE_DWELL_MS = 45_000;
 
 /** Mean weight that is kept over the workers of a service. */
 const LEAST_MEAN_WEIGHT = 0.75;
@@ -104,15 +103,13 @@
     node.load *= next / known.weight;
     node.badShare = badShareAt(node, change.level);
     node.level = change.level;
-    known.cuts = [...withinHour(known.cuts, now), now];
     actions.push(setWeight(node, known, next, 'objective_at_risk', now));
   }
   return actions;
 }
 
 function mayCut(known: SteerMemory, now: Instant): boolean {
-  const cuts = withinHour(known.cuts, now).length;
-  return cuts < MAX_CUTS_PER_HOUR && now - known.changedAt >= CUT_DWELL_MS;
+  return mayLower(known, now) && now - known.changedAt >= CUT_DWELL_MS;
 }
 
 function setWeight(
@@ -123,7 +120,7 @@
   now: Instant,
 ): SteerAction {
   known.weight = weight;
-  known.changedAt = now;
+  noteChange(known, now);
   return {
     kind: 'steer',
     service: node.service.view.name,
@@ -172,11 +169,7 @@
   const strain = strainOfLoad(service);
   for (const { node, known } of memories(service, memory, now)) {
     const next = STEER_LEVELS.findLast(level => level > known.weight);
-    if (
-      next === undefined ||
-      now - known.changedAt < RAISE_DWELL_MS ||
-      withinHour(known.raises, now).length >= MAX_RAISES_PER_HOUR
-    ) {
+    if (next === undefined || !mayRaise(known, now)) {
       continue;
     }
     const change = changeOfWeight(node, next / known.weight, strain);
@@ -190,7 +183,6 @@
     node.rate = change.rate;
     node.level = change.level;
     node.badShare = badShareAt(node, change.level);
-    known.raises = [...withinHour(known.raises, now), now];
     actions.push(setWeight(node, known, next, 'objective_safe', now));
   }
   return actions;
--- a/packages/domain/src/interference/throttle.ts
+++ b/packages/domain/src/interference/throttle.ts
@@ -9,10 +9,10 @@
   type ServiceForecast,
 } from './forecast.js';
 import {
-  MAX_CUTS_PER_HOUR,
-  MAX_RAISES_PER_HOUR,
+  mayLower,
+  mayRaise,
+  noteChange,
   taskMemory,
-  withinHour,
   type PolicyMemory,
   type TaskMemory,
 } from './memory.js';
@@ -25,10 +25,7 @@
 } from './view.js';
 
 /** Time for the effect of a cut to show on its worker. */
-const SETTLE_MS = 10_000;
-
-/** Time that a task keeps a share before it is raised. */
-const RAISE_DWELL_MS = 20_000;
+const SETTLE_MS = 4_000;
 
 /** Deviations by which a class is suspected when the objective is at risk. */
 const SUSPICION = 0.5;
@@ -39,8 +36,8 @@
 const MAX_CUTS_PER_ROUND = 64;
 
 /** Tasks raised in one round: at least some, else a share of the tasks throttled. */
-const LEAST_RAISES = 2;
-const RAISED_SHARE = 0.15;
+const LEAST_RAISES = 1;
+const RAISED_SHARE = 0.05;
 
 /** A running batch task as the policy plans for it. */
 export interface PlannedTask {
@@ -118,10 +115,7 @@
     applyShare(predicted, best.task, best.share, SUSPICION);
     touched.set(best.task, throttle(best.task, 'objective_at_risk'));
     const { known, worker } = best.task;
-    if (known.changedAt !== now) {
-      known.cuts = [...withinHour(known.cuts, now), now];
-    }
-    known.changedAt = now;
+    noteChange(known, now);
     known.throttledSince ??= now;
     memory.settledAt.set(worker.name, now);
   }
@@ -133,10 +127,8 @@
   now: Instant,
 ): boolean {
   const settledAt = memory.settledAt.get(task.worker.name) ?? -Infinity;
-  return (
-    now - settledAt >= SETTLE_MS &&
-    withinHour(task.known.cuts, now).length < MAX_CUTS_PER_HOUR
-  );
+  const isNew = task.view.startedAt > settledAt;
+  return (isNew || now - settledAt >= SETTLE_MS) && mayLower(task.known, now);
 }
 
 function bestCut(
@@ -228,7 +220,8 @@
   const ready = throttled.filter(
     task => !touched.has(task) && mayRaise(task.known, now),
   );
-  ready.sort((a, b) => a.known.changedAt - b.known.changedAt);
+  const harms = new Map(ready.map(task => [task, harmOf(predicted, task)]));
+  ready.sort((a, b) => (harms.get(a) ?? 0) - (harms.get(b) ?? 0));
   let left = Math.max(
     LEAST_RAISES,
     Math.floor(RAISED_SHARE * throttled.length),
@@ -242,8 +235,7 @@
     }
     applyShare(predicted, task, share, settings.caution);
     touched.set(task, throttle(task, 'objective_safe'));
-    task.known.raises = [...withinHour(task.known.raises, now), now];
-    task.known.changedAt = now;
+    noteChange(task.known, now);
     left -= 1;
     if (left === 0) {
       return;
@@ -251,11 +243,17 @@
   }
 }
 
-function mayRaise(known: TaskMemory, now: Instant): boolean {
-  return (
-    now - known.changedAt >= RAISE_DWELL_MS &&
-    withinHour(known.raises, now).length < MAX_RAISES_PER_HOUR
-  );
+/** Error budget that a task would spend by core when no longer throttled. */
+function harmOf(predicted: Forecast, task: PlannedTask): number {
+  const change = usedChange(task, 1);
+  let harm = 0;
+  for (const node of predicted.byWorker.get(task.worker.name) ?? []) {
+    const { batchClass } = task.view;
+    const level = levelChange(predicted, node, batchClass, change, 0);
+    const bad = badRateChange(node, level);
+    harm += spending(node.service, bad) - spending(node.service);
+  }
+  return harm / (task.view.cores * (1 - task.share));
 }
 
 function isSafe(
