Tell every fault of a declaration in one way

Cause: two modules checked declarations against the schema, with different paths and messages, and the command line compared JSON on its own beside the fold's own diff. Change: one parse of a declaration, with place, expectation and value found, serves the fold, the settings and the command line; diff shows the fields that change. Conclusion: one message for one fault, wherever it is met.

--- a/packages/cli/src/app.test.ts
+++ b/packages/cli/src/app.test.ts
@@ -149,7 +149,7 @@
     declare('twice.json', [TEAM, TEAM]),
   );
   assert.equal(code, 2);
-  assert.match(err, /team\/statements is already declared/);
+  assert.match(err, /team\/statements: is declared twice/);
 });
 
 test('diff exits 20 on differences and 0 without', async () => {
@@ -174,7 +174,14 @@
   assert.deepEqual(JSON.parse(out), {
     offset: 7,
     inForce: false,
-    changes: [{ action: 'update', kind: 'team', name: 'statements' }],
+    changes: [
+      {
+        action: 'update',
+        kind: 'team',
+        name: 'statements',
+        fields: [{ path: 'weight', before: 5, after: 1 }],
+      },
+    ],
   });
   assert.equal(applied[0]?.[0]?.baseVersion, 3);
 });
--- a/packages/cli/src/commands/apply.ts
+++ b/packages/cli/src/commands/apply.ts
@@ -1,5 +1,5 @@
 /** `apply PATH [--wait] [--prune]`: publishes declarations as one change set. */
-import { appError } from '@paddlewind/domain';
+import { appError, type ObjectDifference } from '@paddlewind/domain';
 
 import type { CommandContext } from '../command.js';
 import { fail, succeed } from '../output.js';
@@ -18,7 +18,7 @@
   const id = flags.id ?? ctx.newId();
   const applied = await operators.call(client =>
     client.apply(
-      { id, changes: changes.value },
+      { id, changes: changes.value.map(toMessage) },
       { timeoutMs: flags.timeoutMs },
     ),
   );
@@ -42,6 +42,16 @@
   return succeed(io, flags.json, value, text);
 }
 
+function toMessage({ change }: ObjectDifference) {
+  const { kind, name, baseVersion, declaration } = change;
+  return {
+    kind,
+    name,
+    baseVersion: BigInt(baseVersion),
+    declarationJson: declaration === null ? '' : JSON.stringify(declaration),
+  };
+}
+
 async function waitInForce(ctx: CommandContext, offset: bigint) {
   const { timeoutMs } = ctx.flags;
   const waited = await ctx.operators.call(client =>
--- a/packages/cli/src/commands/changes.ts
+++ b/packages/cli/src/commands/changes.ts
@@ -1,9 +1,15 @@
 /** The changes that turn the configuration in force into a declared one. */
 import {
   appError,
+  diffObjects,
   objectKey,
+  objectSchema,
+  parseJson,
   type AppError,
-  type ConfigObject,
+  type ConfigState,
+  type ObjectDifference,
+  type ObjectKey,
+  type VersionedObject,
 } from '@paddlewind/domain';
 import type { GetResponse } from '@paddlewind/protocol';
 import { Result } from 'true-myth';
@@ -11,21 +17,11 @@
 import type { CommandContext } from '../command.js';
 import { readTree } from '../declarations/read.js';
 
-/** One difference between what is declared and what is in force. */
-export interface PlannedChange {
-  readonly action: 'create' | 'update' | 'delete';
-  readonly kind: string;
-  readonly name: string;
-  readonly baseVersion: bigint;
-  /** Empty for a deletion. */
-  readonly declarationJson: string;
-}
-
 /** Reads the tree named by the first operand and compares it with the configuration in force. */
 export async function planChanges(
   ctx: CommandContext,
   command: string,
-): Promise<Result<PlannedChange[], AppError[]>> {
+): Promise<Result<ObjectDifference[], AppError[]>> {
   const [path] = ctx.args;
   if (path === undefined) {
     return Result.err([
@@ -40,79 +36,56 @@
   if (inForce.isErr) {
     return Result.err([inForce.error]);
   }
-  const objects = tree.value.objects.map(entry => entry.object);
-  return Result.ok(compare(objects, inForce.value, ctx.flags.prune));
+  const state = readState(inForce.value);
+  const undeclared = ctx.flags.prune ? 'delete' : 'keep';
+  return state
+    .map(current => diffObjects(current, tree.value.objects, undeclared))
+    .mapErr(err => [err]);
 }
 
-/** Compares declared objects with those in force; deletes what is not declared when `prune`. */
-export function compare(
-  declared: readonly ConfigObject[],
-  inForce: Pick<GetResponse, 'objects'>,
-  prune: boolean,
-): PlannedChange[] {
-  const current = new Map(
-    inForce.objects.map(object => [`${object.kind}/${object.name}`, object]),
-  );
-  const changes: PlannedChange[] = [];
-  for (const object of declared) {
-    const key = objectKey(object.kind, object.name);
-    const existing = current.get(key);
-    current.delete(key);
-    const declarationJson = JSON.stringify(object);
-    if (
-      existing !== undefined &&
-      sameJson(existing.declarationJson, declarationJson)
-    ) {
-      continue;
-    }
-    changes.push({
-      action: existing === undefined ? 'create' : 'update',
-      kind: object.kind,
-      name: object.name,
-      baseVersion: existing?.version ?? 0n,
-      declarationJson,
-    });
-  }
-  if (prune) {
-    for (const { kind, name, version } of current.values()) {
-      changes.push({
-        action: 'delete',
-        kind,
-        name,
-        baseVersion: version,
-        declarationJson: '',
-      });
+function readState(answer: GetResponse): Result<ConfigState, AppError> {
+  const objects = new Map<ObjectKey, VersionedObject>();
+  for (const { kind, name, version, declarationJson } of answer.objects) {
+    const parsed = objectSchema.safeParse(parseJson(declarationJson));
+    if (!parsed.success) {
+      const message = `${kind}/${name} is of a newer format than this program knows.`;
+      return Result.err(appError('unsupported_record', message));
     }
+    const key = objectKey(parsed.data.kind, parsed.data.name);
+    objects.set(key, { object: parsed.data, version: Number(version) });
   }
-  return changes;
+  return Result.ok({ offset: Number(answer.offset), objects });
 }
 
-function sameJson(a: string, b: string): boolean {
-  return canonical(JSON.parse(a)) === canonical(JSON.parse(b));
+/** Describes changes for a person: a line for each object and each field of an update. */
+export function describeChanges(changes: readonly ObjectDifference[]): string {
+  if (changes.length === 0) {
+    return 'no difference';
+  }
+  return changes.flatMap(changeLines).join('\n');
 }
 
-function canonical(value: unknown): string {
-  return JSON.stringify(value, (_, item: unknown) => {
-    if (typeof item !== 'object' || item === null || Array.isArray(item)) {
-      return item;
-    }
-    return Object.fromEntries(
-      Object.entries(item).sort(([a], [b]) => (a < b ? -1 : 1)),
-    );
+function changeLines({ action, key, fields }: ObjectDifference): string[] {
+  const line = `${action} ${key}`;
+  if (action !== 'update') {
+    return [line];
+  }
+  const details = fields.map(({ path, before, after }) => {
+    return `  ${path}: ${show(before)} -> ${show(after)}`;
   });
+  return [line, ...details];
 }
 
-/** Describes changes for a person, one line each. */
-export function describeChanges(changes: readonly PlannedChange[]): string {
-  if (changes.length === 0) {
-    return 'no difference';
-  }
-  return changes
-    .map(change => `${change.action} ${change.kind}/${change.name}`)
-    .join('\n');
+function show(value: unknown): string {
+  return value === undefined ? 'nothing' : JSON.stringify(value);
 }
 
 /** The changes without their declarations, for `--json`. */
-export function summarize(changes: readonly PlannedChange[]) {
-  return changes.map(({ action, kind, name }) => ({ action, kind, name }));
+export function summarize(changes: readonly ObjectDifference[]) {
+  return changes.map(({ action, change, fields }) => ({
+    action,
+    kind: change.kind,
+    name: change.name,
+    fields: action === 'update' ? fields : [],
+  }));
 }
--- a/packages/cli/src/declarations/read.ts
+++ b/packages/cli/src/declarations/read.ts
@@ -5,22 +5,17 @@
 import {
   appError,
   parseJob,
-  parseObject,
+  problemError,
+  validateObjects,
   type AppError,
   type ConfigObject,
   type JobSpec,
 } from '@paddlewind/domain';
 import { Result } from 'true-myth';
 
-/** An object and the file that declares it. */
-export interface DeclaredObject {
-  readonly file: string;
-  readonly object: ConfigObject;
-}
-
 /** What a tree declares; jobs are submitted, not applied. */
 export interface DeclaredTree {
-  readonly objects: readonly DeclaredObject[];
+  readonly objects: readonly ConfigObject[];
   readonly jobs: readonly JobSpec[];
 }
 
@@ -32,41 +27,67 @@
   if (files.isErr) {
     return Result.err([files.error]);
   }
-  const objects: DeclaredObject[] = [];
-  const jobs: JobSpec[] = [];
+  const values: PlacedValue[] = [];
   const faults: AppError[] = [];
   for (const file of files.value) {
-    for (const { value, place } of await readValues(file, faults)) {
-      if (isJob(value)) {
-        collect(parseJob(value, place), faults, job => jobs.push(job));
-      } else {
-        collect(parseObject(value, place), faults, object =>
-          objects.push({ file, object }),
-        );
-      }
+    const read = await readValues(file);
+    if (read.isErr) {
+      faults.push(read.error);
+    } else {
+      values.push(...read.value);
     }
   }
-  faults.push(...duplicates(objects));
-  return faults.length > 0 ? Result.err(faults) : Result.ok({ objects, jobs });
+  return checkTree(values, faults);
 }
 
 /** Reads one file that declares one job. */
 export async function readJob(
   file: string,
 ): Promise<Result<JobSpec, AppError[]>> {
-  const faults: AppError[] = [];
-  const values = await readValues(file, faults);
-  const [first, ...rest] = values;
+  const values = await readValues(file);
+  if (values.isErr) {
+    return Result.err([values.error]);
+  }
+  const [first, ...rest] = values.value;
   if (first === undefined || rest.length > 0) {
-    if (faults.length === 0) {
-      faults.push(appError('invalid', `${file}: expected one job`));
+    return Result.err([appError('invalid', `${file}: expected one job`)]);
+  }
+  return checkJob(first);
+}
+
+/** A declaration as read, and its place. */
+interface PlacedValue {
+  readonly value: unknown;
+  readonly place: string;
+}
+
+function checkTree(
+  values: readonly PlacedValue[],
+  faults: AppError[],
+): Result<DeclaredTree, AppError[]> {
+  const jobs: JobSpec[] = [];
+  for (const value of values.filter(isJob)) {
+    const job = checkJob(value);
+    if (job.isErr) {
+      faults.push(...job.error);
+    } else {
+      jobs.push(job.value);
     }
-    return Result.err(faults);
   }
-  return parseJob(first.value, first.place);
+  const declared = values.filter(value => !isJob(value));
+  const { objects, problems } = validateObjects(
+    declared.map(({ value }) => value),
+    declared.map(({ place }) => place),
+  );
+  faults.push(...problems.map(problemError));
+  return faults.length > 0 ? Result.err(faults) : Result.ok({ objects, jobs });
 }
 
-function isJob(value: unknown): boolean {
+function checkJob({ value, place }: PlacedValue): Result<JobSpec, AppError[]> {
+  return parseJob(value, place).mapErr(problems => problems.map(problemError));
+}
+
+function isJob({ value }: PlacedValue): boolean {
   return (
     typeof value === 'object' &&
     value !== null &&
@@ -75,37 +96,6 @@
   );
 }
 
-function collect<T>(
-  parsed: Result<T, AppError[]>,
-  faults: AppError[],
-  keep: (value: T) => void,
-): void {
-  if (parsed.isErr) {
-    faults.push(...parsed.error);
-  } else {
-    keep(parsed.value);
-  }
-}
-
-function duplicates(objects: readonly DeclaredObject[]): AppError[] {
-  const seen = new Map<string, string>();
-  const faults: AppError[] = [];
-  for (const { file, object } of objects) {
-    const key = `${object.kind}/${object.name}`;
-    const earlier = seen.get(key);
-    if (earlier !== undefined) {
-      faults.push(
-        appError(
-          'invalid',
-          `${file}: ${key} is already declared in ${earlier}`,
-        ),
-      );
-    }
-    seen.set(key, file);
-  }
-  return faults;
-}
-
 async function listFiles(path: string): Promise<Result<string[], AppError>> {
   try {
     const info = await stat(path);
@@ -122,26 +112,22 @@
   }
 }
 
-interface PlacedValue {
-  readonly value: unknown;
-  readonly place: string;
-}
-
 async function readValues(
   file: string,
-  faults: AppError[],
-): Promise<PlacedValue[]> {
+): Promise<Result<PlacedValue[], AppError>> {
   try {
     const value = JSON.parse(await readFile(file, 'utf8')) as unknown;
-    return Array.isArray(value)
+    const placed = Array.isArray(value)
       ? value.map((item: unknown, i) => ({
           value: item,
           place: `${file}[${i}]`,
         }))
       : [{ value, place: `${file}:` }];
+    return Result.ok(placed);
   } catch (err) {
     const reason = err instanceof Error ? err.message : String(err);
-    faults.push(appError('invalid', `${file}: ${reason}`, { path: file }));
-    return [];
+    return Result.err(
+      appError('invalid', `${file}: ${reason}`, { path: file }),
+    );
   }
 }
--- a/packages/domain/src/config/diff.ts
+++ b/packages/domain/src/config/diff.ts
@@ -1,7 +1,7 @@
 /** Differences between declarations and the configuration in force. */
 import type { ConfigObject } from '../declarations/schemas.js';
 import type { ConfigChange } from './change-set.js';
-import { joinPath } from './problem.js';
+import { joinPath } from '../core/problem.js';
 import { objectKey, type ConfigState, type ObjectKey } from './state.js';
 
 /** A field that differs; undefined where it is missing. */
--- a/packages/domain/src/config/fold.ts
+++ b/packages/domain/src/config/fold.ts
@@ -9,7 +9,7 @@
   MAX_CHANGE_SET_CHARS,
   changeSetBodySchema,
 } from './change-set.js';
-import { joinPath, problemsError, type Problem } from './problem.js';
+import { joinPath, problemsError, type Problem } from '../core/problem.js';
 import { crossProblems } from './rules.js';
 import {
   objectKey,
--- a/packages/domain/src/config/rules.ts
+++ b/packages/domain/src/config/rules.ts
@@ -7,7 +7,7 @@
   TeamSpec,
 } from '../declarations/schemas.js';
 import { MAX_CONFIG_CHARS, MAX_OBJECTS } from './change-set.js';
-import type { Problem } from './problem.js';
+import type { Problem } from '../core/problem.js';
 import { areDisjoint } from './selector-overlap.js';
 
 interface Grouped {
--- a/packages/domain/src/config/validate.ts
+++ b/packages/domain/src/config/validate.ts
@@ -1,8 +1,9 @@
 /** Checks of declarations, one by one and together. */
-import { objectSchema, type ConfigObject } from '../declarations/schemas.js';
+import { parseObject } from '../declarations/parse.js';
+import type { ConfigObject } from '../declarations/schemas.js';
 import { charsOf, crossProblems } from './rules.js';
 import { MAX_DECLARATION_CHARS } from './change-set.js';
-import { joinPath, type Problem } from './problem.js';
+import type { Problem } from '../core/problem.js';
 import { objectKey } from './state.js';
 
 /** The objects that are valid by themselves, and everything that is wrong. */
@@ -13,20 +14,16 @@
 
 /** Checks one declaration; `path` is its place in the input. */
 export function validateObject(input: unknown, path: string): Validation {
-  const parsed = objectSchema.safeParse(input);
-  if (!parsed.success) {
-    const problems = parsed.error.issues.map(issue => ({
-      path: joinPath(path, issue.path),
-      message: issue.message,
-    }));
-    return { objects: [], problems };
+  const parsed = parseObject(input, path);
+  if (parsed.isErr) {
+    return { objects: [], problems: parsed.error };
   }
-  const chars = charsOf(parsed.data);
+  const chars = charsOf(parsed.value);
   if (chars > MAX_DECLARATION_CHARS) {
     const message = `${chars} characters, at most ${MAX_DECLARATION_CHARS} are kept`;
     return { objects: [], problems: [{ path, message }] };
   }
-  return { objects: [parsed.data], problems: [] };
+  return { objects: [parsed.value], problems: [] };
 }
 
 /**
--- a/packages/domain/src/config/problem.ts
+++ b/packages/domain/src/core/problem.ts
@@ -11,6 +11,11 @@
 
 const SHOWN_PROBLEMS = 5;
 
+/** Returns the `invalid` error for one problem. */
+export function problemError({ path, message }: Problem): AppError {
+  return appError('invalid', `${path}: ${message}`, { path });
+}
+
 /** Returns one `invalid` error for `problems`, at the place of the first. */
 export function problemsError(problems: readonly Problem[]): AppError {
   const shown = problems
--- a/packages/domain/src/declarations/parse.ts
+++ b/packages/domain/src/declarations/parse.ts
@@ -2,7 +2,7 @@
 import { Result } from 'true-myth';
 import type { z } from 'zod';
 
-import { appError, type AppError } from '../errors/app-error.js';
+import { joinPath, type Problem } from '../core/problem.js';
 import {
   jobSchema,
   objectSchema,
@@ -10,61 +10,47 @@
   type JobSpec,
 } from './schemas.js';
 
-/** Reads one configuration object; fails with `invalid`, one error for each fault. */
+/** Reads one configuration object; fails with every problem. */
 export function parseObject(
   value: unknown,
   path = '',
-): Result<ConfigObject, AppError[]> {
+): Result<ConfigObject, Problem[]> {
   return parseWith(objectSchema, value, path);
 }
 
-/** Reads a job's declaration; fails with `invalid`, one error for each fault. */
+/** Reads a job's declaration; fails with every problem. */
 export function parseJob(
   value: unknown,
   path = '',
-): Result<JobSpec, AppError[]> {
+): Result<JobSpec, Problem[]> {
   return parseWith(jobSchema, value, path);
 }
 
-/** Checks `value` by `schema`; each error tells path, value and what is expected. */
+/** Checks `value` by `schema`; each problem tells its place, what is expected and what is found. */
 export function parseWith<T>(
   schema: z.ZodType<T>,
   value: unknown,
-  path: string,
-): Result<T, AppError[]> {
+  path = '',
+): Result<T, Problem[]> {
   const parsed = schema.safeParse(value);
   if (parsed.success) {
     return Result.ok(parsed.data);
   }
   return Result.err(
-    parsed.error.issues.map(issue => faultOf(issue, value, path)),
+    parsed.error.issues.map(issue => problemOf(issue, value, path)),
   );
 }
 
 const MAX_SHOWN_VALUE = 60;
 
-function faultOf(
+function problemOf(
   issue: z.core.$ZodIssue,
   root: unknown,
-  path: string,
-): AppError {
-  const place = joinPath(path, issue.path);
+  base: string,
+): Problem {
+  const path = joinPath(base, issue.path);
   const found = showValue(valueAt(root, issue.path));
-  return appError('invalid', `${place}: ${issue.message}; found ${found}`, {
-    path: place,
-  });
-}
-
-function joinPath(base: string, steps: readonly PropertyKey[]): string {
-  let place = base;
-  for (const step of steps) {
-    if (typeof step === 'number') {
-      place += `[${step}]`;
-    } else {
-      place += place === '' ? String(step) : `.${String(step)}`;
-    }
-  }
-  return place === '' ? '(root)' : place;
+  return { path, message: `${issue.message}; found ${found}` };
 }
 
 function valueAt(root: unknown, steps: readonly PropertyKey[]): unknown {
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -1,6 +1,7 @@
 /** Pure decisions of paddlewind. */
 export * from './config/index.js';
 export * from './core/json.js';
+export * from './core/problem.js';
 export * from './core/random.js';
 export * from './core/resources.js';
 export * from './core/time.js';
