--- a/packages/daemon/src/log/timing.ts
+++ b/packages/daemon/src/log/timing.ts
@@ -3,9 +3,12 @@
 
 import type { PartContext, Stop } from '../parts.js';
 
-/** Schedules by the timers of Node.js. */
+/** Longest delay of a timer of Node.js; a longer one would fire at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
+/** Schedules by the timers of Node.js; a delay beyond 24 days fires after 24 days. */
 export function scheduleByTimeout(delay: Millis, task: () => void): Stop {
-  const timer = setTimeout(task, delay);
+  const timer = setTimeout(task, Math.min(delay, MAX_TIMER_MS));
   return () => {
     clearTimeout(timer);
   };
--- a/packages/daemon/src/logging/logger.ts
+++ b/packages/daemon/src/logging/logger.ts
@@ -1,20 +1,7 @@
-/** Loggers: JSON lines by pino, each message with the prefix of its part. */
+/** The logger: JSON lines by pino; each message starts with the prefix of its part, such as `router: `. */
 import { pino, type Logger } from 'pino';
 
-/** Parts of the daemon that log. */
-export type PartName =
-  | 'daemon'
-  | 'router'
-  | 'scheduler'
-  | 'shards'
-  | 'config'
-  | 'log'
-  | 'membership'
-  | 'operator'
-  | 'interference'
-  | 'objectives';
-
-/** Builds the root logger of an entry host. */
+/** Builds the logger of an entry host. */
 export function createLogger(level: string, host: string): Logger {
   return pino({
     level,
@@ -22,8 +9,3 @@
     timestamp: pino.stdTimeFunctions.isoTime,
   });
 }
-
-/** Returns the logger of one part; its messages start with `part: `. */
-export function partLogger(root: Logger, part: PartName): Logger {
-  return root.child({}, { msgPrefix: `${part}: ` });
-}
--- a/packages/daemon/src/membership/host-view.ts
+++ b/packages/daemon/src/membership/host-view.ts
@@ -69,7 +69,7 @@
     if (!failing) {
       ctx.log.warn(
         { err: message },
-        'host list cannot be read, keeping the last',
+        'membership: host list cannot be read, keeping the last',
       );
     }
     failing = true;
@@ -78,7 +78,7 @@
   function noteList(hosts: readonly Host[]): void {
     metrics.listPolls.inc({ result: 'ok' });
     if (failing) {
-      ctx.log.info('host list is read again');
+      ctx.log.info('membership: host list is read again');
     }
     failing = false;
     readAt = ctx.clock();
--- a/packages/daemon/src/membership/membership.ts
+++ b/packages/daemon/src/membership/membership.ts
@@ -89,13 +89,13 @@
   for (const [id, state] of after) {
     if (before.get(id) !== state) {
       metrics.changes.inc({ state });
-      ctx.log.info({ peer: id, state }, 'peer changed');
+      ctx.log.info({ peer: id, state }, 'membership: peer changed');
     }
   }
   for (const id of before.keys()) {
     if (!after.has(id)) {
       metrics.changes.inc({ state: 'gone' });
-      ctx.log.warn({ peer: id }, 'peer is gone');
+      ctx.log.warn({ peer: id }, 'membership: peer is gone');
     }
   }
 }
--- a/packages/daemon/src/operator/job-handlers.ts
+++ b/packages/daemon/src/operator/job-handlers.ts
@@ -4,6 +4,7 @@
   appError,
   parseJob,
   parseJson,
+  problemsError,
   type AppError,
   type JobSpec,
 } from '@paddlewind/domain';
@@ -34,8 +35,7 @@
   const value = parseJson(req.declarationJson);
   const spec = parseJob(value);
   if (spec.isErr) {
-    const [first] = spec.error;
-    return Result.err(first ?? appError('invalid', 'The job is malformed.'));
+    return Result.err(problemsError(spec.error));
   }
   if (spec.value.name !== req.id) {
     return Result.err(
--- a/packages/daemon/src/parts.ts
+++ b/packages/daemon/src/parts.ts
@@ -19,7 +19,7 @@
   /** Monotonic milliseconds. */
   readonly clock: Clock;
   readonly random: Random;
-  /** A child logger whose messages carry the part's prefix. */
+  /** Messages start with the prefix of their part, such as `router: `. */
   readonly log: Logger;
   readonly metrics: Registry;
   /** Timers; those of Node.js when absent. */
--- a/packages/daemon/src/settings/read.test.ts
+++ b/packages/daemon/src/settings/read.test.ts
@@ -9,8 +9,8 @@
   peers: { listen: '127.0.0.1:0' },
   admin: { listen: '127.0.0.1:0' },
   platform: {
-    logUrl: 'http://127.0.0.1:1',
-    hostListUrl: 'http://127.0.0.1:2',
+    log: '127.0.0.1:1',
+    hostList: '127.0.0.1:2',
   },
 };
 
--- a/packages/daemon/src/settings/read.ts
+++ b/packages/daemon/src/settings/read.ts
@@ -1,7 +1,12 @@
 /** Checked reading of the settings file. */
 import { readFileSync } from 'node:fs';
 
-import { appError, parseWith, type AppError } from '@paddlewind/domain';
+import {
+  appError,
+  parseWith,
+  problemError,
+  type AppError,
+} from '@paddlewind/domain';
 import { Result } from 'true-myth';
 
 import { settingsSchema, type Settings } from './schema.js';
@@ -22,7 +27,9 @@
 ): Result<Settings, AppError[]> {
   try {
     const value = JSON.parse(text) as unknown;
-    return parseWith(settingsSchema, value, '');
+    return parseWith(settingsSchema, value).mapErr(problems =>
+      problems.map(problemError),
+    );
   } catch (err) {
     const reason = err instanceof Error ? err.message : String(err);
     return Result.err([appError('invalid', `${file}: ${reason}`)]);
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -52,9 +52,16 @@
 });
 
 const platformSchema = z.strictObject({
-  logUrl: z.url().describe('Base URL of the log service.'),
-  hostListUrl: z.url().describe('Base URL of the host list.'),
+  log: addressSchema.describe('The log service.'),
+  hostList: addressSchema.describe('The host list.'),
   hostListPollMs: z.int().positive().default(1_000),
+  logRetentionMs: z
+    .int()
+    .min(60_000)
+    .default(21_600_000)
+    .describe(
+      'Time for which the log keeps records; snapshots are written well before.',
+    ),
   appendsPerSecond: z
     .number()
     .positive()
@@ -104,6 +111,11 @@
     .strictObject({ listen: addressSchema })
     .describe('Listener for `/metrics`, `/livez` and `/readyz`.'),
   platform: platformSchema,
+  entryHosts: z
+    .int()
+    .positive()
+    .default(9)
+    .describe('Planned number of entry hosts, this one included.'),
   scheduler: schedulerSchema.prefault({}),
   shutdown: shutdownSchema.prefault({}),
   logLevel: z
--- a/packages/daemon/src/tls/credentials.ts
+++ b/packages/daemon/src/tls/credentials.ts
@@ -110,7 +110,7 @@
 
   function noteFault(message: string): void {
     if (message !== lastFault) {
-      ctx.log.warn({ err: message }, 'new certificate files are not used');
+      ctx.log.warn({ err: message }, 'tls: new certificate files are not used');
       reloads.inc({ result: 'refused' });
     }
     lastFault = message;
@@ -121,7 +121,10 @@
     if (!sameCredentials(next, current)) {
       current = next;
       reloads.inc({ result: 'ok' });
-      ctx.log.info({ expiresAt: next.expiresAt }, 'certificates are reloaded');
+      ctx.log.info(
+        { expiresAt: next.expiresAt },
+        'tls: certificates are reloaded',
+      );
       changed.call(next);
     }
   }
