--- a/packages/domain/src/scheduling/describe.ts
+++ b/packages/domain/src/scheduling/describe.ts
@@ -1,5 +1,4 @@
 /** Status of jobs for operators. */
-import { taskId } from './ids.js';
 import { freshCount, type Job } from './job.js';
 import type { FinishedJob } from './shard.js';
 import type { ScheduleState } from './state.js';
@@ -78,7 +77,7 @@
     reason: job.heldFor ?? job.unschedulableFor,
     ...counts,
     ...job.tally,
-    tasks: tasks.slice(0, TASKS_LISTED).map(task => describeTask(job, task)),
+    tasks: tasks.slice(0, TASKS_LISTED).map(describeTask),
   };
 }
 
@@ -101,10 +100,10 @@
   return counts.queued === 0 && counts.held > 0 ? 'held' : 'queued';
 }
 
-function describeTask(job: Job, task: Task): TaskDescription {
+function describeTask(task: Task): TaskDescription {
   const { state } = task;
   return {
-    id: taskId(job.spec.name, task.index),
+    id: task.id,
     state: state.kind,
     attempt: task.attempts,
     worker: placementOf(task)?.worker,
--- a/packages/domain/src/scheduling/fold-jobs.ts
+++ b/packages/domain/src/scheduling/fold-jobs.ts
@@ -132,7 +132,7 @@
       const { worker, size, startedAtWall } = task.state;
       const reason = 'cancelled';
       task.state = { kind: 'evicting', reason, worker, size, startedAtWall };
-      markEvicting(schedule, job, task);
+      markEvicting(schedule, task);
       return;
     }
     case 'evicting':
--- a/packages/domain/src/scheduling/fold-tasks.ts
+++ b/packages/domain/src/scheduling/fold-tasks.ts
@@ -4,7 +4,14 @@
 import { rememberKey } from './bounded-map.js';
 import { addJob, cancelHere, touch } from './fold-jobs.js';
 import { parseTaskId, taskId } from './ids.js';
-import { holdTask, indexTask, peekTask, takeFresh, type Job } from './job.js';
+import {
+  holdTask,
+  holds,
+  indexTask,
+  peekTask,
+  takeFresh,
+  type Job,
+} from './job.js';
 import type { Decision, DecisionBody } from './records.js';
 import {
   JOBS_REMEMBERED,
@@ -89,7 +96,7 @@
   }
   const name = parseTaskId(body.task);
   const job = schedule.jobs.get(name.job);
-  if (job === undefined || peekTask(job, name.index) === undefined) {
+  if (job === undefined || !holds(job, name.index)) {
     return voided('not_found');
   }
   if (!change(schedule, job, name.index, body)) {
@@ -107,12 +114,14 @@
   index: number,
   body: DecisionBody<'task_started'>,
 ): boolean {
-  const known = peekTask(job, index);
+  const known = peekTask(job, index, body.task);
   if (job.cancelled || job.heldFor !== undefined || known === undefined) {
     return false;
   }
   const { worker, attempt, checkpoint, atWall } = body;
-  const size = maxResources(job.spec.size, body.size ?? job.spec.size);
+  const declared = job.spec.size;
+  const size =
+    body.size === undefined ? declared : maxResources(declared, body.size);
   const placement = { worker, size, startedAtWall: atWall };
   if (!startTask(known, attempt, checkpoint, placement)) {
     return false;
@@ -138,7 +147,7 @@
   ) {
     return false;
   }
-  markEvicting(schedule, job, task);
+  markEvicting(schedule, task);
   return true;
 }
 
@@ -210,8 +219,7 @@
   const { worker, startedAtWall } = placement;
   task.failures += 1;
   job.failedOn.add(worker);
-  const id = taskId(job.spec.name, task.index);
-  const failure = { job: job.spec.name, task: id, atWall };
+  const failure = { job: job.spec.name, task: task.id, atWall };
   addFailure(workerLoad(schedule, worker), failure, startedAtWall);
   if (task.failures >= job.spec.maxAttempts && !job.cancelled) {
     finish(job, task.index, 'failed');
@@ -257,11 +265,11 @@
   index: number,
   body: DecisionBody<'task_held'>,
 ): boolean {
-  const known = peekTask(job, index);
+  const known = peekTask(job, index, body.task);
   if (known?.state.kind !== 'queued' || body.round !== job.round) {
     return false;
   }
-  const task = holdTask(job, index);
+  const task = holdTask(job, index, body.task);
   if (task !== undefined) {
     task.state = { kind: 'held', reason: body.reason };
   }
@@ -346,7 +354,7 @@
   const { job: name, index } = parseTaskId(body.task);
   const job =
     schedule.jobs.get(name) ?? addJob(schedule, body.job, body.submittedAtWall);
-  if (peekTask(job, index) !== undefined) {
+  if (holds(job, index)) {
     return false;
   }
   for (let i = index; i < index + body.count; i++) {
@@ -362,7 +370,7 @@
 
 function arrivedTask(index: number, body: DecisionBody<'task_moved'>): Task {
   return {
-    ...newTask(index, body.submittedAtWall),
+    ...newTask(taskId(body.job.name, index), index, body.submittedAtWall),
     attempts: body.attempts,
     failures: body.failures,
     losses: body.losses,
--- a/packages/domain/src/scheduling/job.ts
+++ b/packages/domain/src/scheduling/job.ts
@@ -2,6 +2,7 @@
 import type { Instant } from '../core/time.js';
 import type { JobSpec } from '../declarations/schemas.js';
 
+import { taskId, type TaskId } from './ids.js';
 import { newTask, type Task } from './task.js';
 
 /** Indexes of tasks that were never started: from `next` up to but without `end`. */
@@ -44,6 +45,8 @@
   readonly tally: JobTally;
   /** Workers on which attempts failed since the last success. */
   readonly failedOn: Set<string>;
+  /** Decayed average of completed run times in seconds. */
+  runSeconds: number | undefined;
 }
 
 /** Returns a job without tasks. */
@@ -69,6 +72,7 @@
     spread: new Map(),
     tally: { completed: 0, failed: 0, cancelled: 0, moved: 0 },
     failedOn: new Set(),
+    runSeconds: undefined,
   };
 }
 
@@ -114,7 +118,11 @@
 }
 
 /** Returns the task at `index`, made from its fresh range if need be; undefined when not held here. */
-export function holdTask(job: Job, index: number): Task | undefined {
+export function holdTask(
+  job: Job,
+  index: number,
+  id = taskId(job.spec.name, index),
+): Task | undefined {
   const known = job.tasks.get(index);
   if (known !== undefined) {
     return known;
@@ -122,7 +130,7 @@
   if (!takeFresh(job, index, 1)) {
     return undefined;
   }
-  const task = newTask(index, job.submittedAtWall);
+  const task = newTask(id, index, job.submittedAtWall);
   job.tasks.set(index, task);
   return task;
 }
@@ -136,14 +144,26 @@
   }
 }
 
+/** Tells whether the task at `index` is held here and not finished. */
+export function holds(job: Job, index: number): boolean {
+  return job.tasks.has(index) || isFresh(job, index);
+}
+
+function isFresh(job: Job, index: number): boolean {
+  return job.fresh.some(range => range.next <= index && index < range.end);
+}
+
 /** Returns the task at `index` without changing the job; a fresh one as it would be made. */
-export function peekTask(job: Job, index: number): Task | undefined {
+export function peekTask(
+  job: Job,
+  index: number,
+  id?: TaskId,
+): Task | undefined {
   const known = job.tasks.get(index);
   if (known !== undefined) {
     return known;
   }
-  const fresh = job.fresh.some(
-    range => range.next <= index && index < range.end,
-  );
-  return fresh ? newTask(index, job.submittedAtWall) : undefined;
+  return isFresh(job, index)
+    ? newTask(id ?? taskId(job.spec.name, index), index, job.submittedAtWall)
+    : undefined;
 }
--- a/packages/domain/src/scheduling/planning/claims.ts
+++ b/packages/domain/src/scheduling/planning/claims.ts
@@ -5,8 +5,8 @@
   subtractResources,
   type Resources,
 } from '../../core/resources.js';
-import type { Instant } from '../../core/time.js';
-import { parseTaskId, taskId, type TaskId } from '../ids.js';
+import type { Instant, Millis } from '../../core/time.js';
+import { parseTaskId, type TaskId } from '../ids.js';
 import { peekTask } from '../job.js';
 import { expectedSeconds } from '../shard.js';
 import { placementOf } from '../task.js';
@@ -30,13 +30,18 @@
 }
 
 /** A claim that evicted others is given up after this; its task may evict anew. */
-const EVICTING_CLAIM_MS = 120_000;
+const EVICTING_CLAIM_MS: Millis = 120_000;
 /** Short tasks may run in claimed room until a claim is this old. */
-const BACKFILL_MS = 60_000;
+const BACKFILL_MS: Millis = 60_000;
 /** Expected run times are stretched by this before a short task is let in. */
 const BACKFILL_CAUTION = 1.5;
 /** Workers for each claim of a rank that waits for others to end. */
-const WORKERS_PER_CLAIM = 32;
+const WORKERS_PER_CLAIM = 12;
+/** Workers for each such claim once its task has waited long. */
+const WORKERS_PER_LATE_CLAIM = 4;
+/** Workers that are compared for a claim. */
+const ROOMS_COMPARED = 4;
+const LATE_MS: Millis = 120_000;
 
 /** Drops claims that no longer hold and counts the others against the rooms. */
 export function applyClaims(round: Round): void {
@@ -46,7 +51,7 @@
     if (room === undefined || !isValid(round, claim, room)) {
       claims.delete(claim.task);
     } else {
-      hold(room, claim);
+      hold(round, room, claim);
     }
   }
 }
@@ -60,16 +65,25 @@
   return waits && !round.busy.has(claim.task) && room.open && !spent;
 }
 
-function hold(room: WorkerRoom, claim: Claim): void {
+function hold(round: Round, room: WorkerRoom, claim: Claim): void {
   room.claims.push(claim);
+  round.claimants.add(parseTaskId(claim.task).job);
+  if (admitsShort(round, claim)) {
+    round.backfillUntil = Math.max(round.backfillUntil, claim.expectedAtWall);
+  }
   room.claimed = addResources(room.claimed, claim.size);
 }
 
+/** Tells whether tasks that should end before the claim can be met may use its room. */
+function admitsShort(round: Round, claim: Claim): boolean {
+  return !claim.evicts && round.now <= claim.sinceWall + BACKFILL_MS;
+}
+
 /** Adds a claim of a waiting task on a worker. */
 export function addClaim(round: Round, room: WorkerRoom, claim: Claim): void {
   dropClaim(round, claim.task);
   round.schedule.planning.claims.set(claim.task, claim);
-  hold(room, claim);
+  hold(round, room, claim);
 }
 
 /** Gives up the claim of a task. */
@@ -106,15 +120,19 @@
 
 /** Tells whether the task may be short enough for the room of some claim. */
 export function maybeShort(round: Round, entry: QueuedJob): boolean {
-  if (round.schedule.planning.claims.size === 0) {
-    return false;
-  }
-  for (const room of round.rooms.values()) {
-    if (room.claims.length > 0 && mayBackfill(round, room, entry)) {
-      return true;
-    }
-  }
-  return false;
+  return (
+    round.backfillUntil > 0 && shouldEndBy(round, entry, round.backfillUntil)
+  );
+}
+
+/** Tells whether a task started now should end by an instant, with some caution. */
+function shouldEndBy(
+  round: Round,
+  entry: QueuedJob,
+  instant: Instant,
+): boolean {
+  const runMs = expectedSeconds(round.schedule, entry.job) * 1_000;
+  return round.now + runMs * BACKFILL_CAUTION <= instant;
 }
 
 /** Tells whether the task should end before any claim on the worker can be met. */
@@ -123,13 +141,10 @@
   room: WorkerRoom,
   entry: QueuedJob,
 ): boolean {
-  const runMs = expectedSeconds(round.schedule, entry.job) * 1_000;
-  const endsAt = round.now + runMs * BACKFILL_CAUTION;
   return room.claims.every(
     claim =>
-      !claim.evicts &&
-      endsAt <= claim.expectedAtWall &&
-      round.now <= claim.sinceWall + BACKFILL_MS,
+      admitsShort(round, claim) &&
+      shouldEndBy(round, entry, claim.expectedAtWall),
   );
 }
 
@@ -138,19 +153,17 @@
   round: Round,
   candidate: Candidate,
   size: Resources,
+  waitedMs: Millis,
 ): boolean {
   const { entry, task, rank } = candidate;
-  const id = taskId(entry.job.spec.name, task.index);
-  if (round.schedule.planning.claims.has(id) || !mayClaim(round, rank)) {
+  const { id } = task;
+  const { claims } = round.schedule.planning;
+  if (claims.has(id) || !mayClaim(round, rank, waitedMs)) {
     return false;
   }
-  const eligible = eligibleWorkers(round.schedule.planning, entry);
   let best: WorkerRoom | undefined;
   let bestAt = Infinity;
-  for (const room of round.rooms.values()) {
-    if (!room.open || room.claims.length > 0 || !eligible.has(room.view.id)) {
-      continue;
-    }
+  for (const room of sampleRooms(round, entry, size)) {
     const at = fitsAt(round, room, size);
     if (at < bestAt) {
       best = room;
@@ -172,12 +185,36 @@
   return true;
 }
 
-function mayClaim(round: Round, rank: Rank): boolean {
+/** Draws some of the workers that could hold the task were they empty. */
+function sampleRooms(
+  round: Round,
+  entry: QueuedJob,
+  size: Resources,
+): WorkerRoom[] {
+  const eligible = eligibleWorkers(round.schedule.planning, entry);
+  const rooms = [...round.rooms.values()].filter(room => {
+    const { capacity, reserved, id } = room.view;
+    const free = room.open && room.claims.length === 0;
+    const whole = subtractResources(capacity, reserved);
+    return free && fits(size, whole) && eligible.has(id);
+  });
+  const drawn: WorkerRoom[] = [];
+  while (drawn.length < ROOMS_COMPARED && rooms.length > 0) {
+    const at = Math.floor(round.random() * rooms.length);
+    drawn.push(...rooms.splice(at, 1));
+  }
+  return drawn;
+}
+
+/** Tells whether a task of the rank that waited so long may claim a worker. */
+export function mayClaim(round: Round, rank: Rank, waitedMs: Millis): boolean {
   let held = 0;
   for (const claim of round.schedule.planning.claims.values()) {
     held += claim.rank === rank && !claim.evicts ? 1 : 0;
   }
-  return held < Math.max(1, Math.floor(round.rooms.size / WORKERS_PER_CLAIM));
+  const workers =
+    waitedMs >= LATE_MS ? WORKERS_PER_LATE_CLAIM : WORKERS_PER_CLAIM;
+  return held < Math.max(1, Math.floor(round.rooms.size / workers));
 }
 
 /** Returns when `size` should fit on the worker; Infinity when it never can. */
--- a/packages/domain/src/scheduling/planning/evict.ts
+++ b/packages/domain/src/scheduling/planning/evict.ts
@@ -6,7 +6,7 @@
   type Resources,
 } from '../../core/resources.js';
 import type { Instant, Millis } from '../../core/time.js';
-import { parseTaskId, taskId, type TaskId } from '../ids.js';
+import { parseTaskId, type TaskId } from '../ids.js';
 import type { Job } from '../job.js';
 import { decision, type EvictionReason } from '../records.js';
 import type { ShardSchedule } from '../shard.js';
@@ -18,6 +18,7 @@
   RANKS,
   eligibleWorkers,
   workPolicy,
+  type QueuedJob,
   type Rank,
   type WorkPolicy,
 } from './memory.js';
@@ -65,6 +66,10 @@
   victimRanks: readonly Rank[],
 ): boolean {
   const { entry, task, rank } = candidate;
+  const hopeless = sizesWithoutVictims(round, entry, victimRanks);
+  if (hopeless.some(other => fits(other, size))) {
+    return false;
+  }
   const eligible = eligibleWorkers(round.schedule.planning, entry);
   let best: Clearance | undefined;
   for (const room of round.rooms.values()) {
@@ -78,13 +83,14 @@
     }
   }
   if (best === undefined || !mayEvict(round, best.victims.length)) {
+    hopeless.push(size);
     return false;
   }
   for (const victim of best.victims) {
     decideEviction(round, best.room, victim, 'preempted');
   }
   addClaim(round, best.room, {
-    task: taskId(entry.job.spec.name, task.index),
+    task: task.id,
     worker: best.room.view.id,
     size,
     rank,
@@ -95,6 +101,21 @@
   return true;
 }
 
+/** Returns the sizes for which this plan found too little to evict, for work alike. */
+function sizesWithoutVictims(
+  round: Round,
+  entry: QueuedJob,
+  ranks: readonly Rank[],
+): Resources[] {
+  const key = `${ranks.join()} ${entry.kindKey}`;
+  let sizes = round.unclearable.get(key);
+  if (sizes === undefined) {
+    sizes = [];
+    round.unclearable.set(key, sizes);
+  }
+  return sizes;
+}
+
 /** Returns the ranks below `rank`, worst first. */
 export function ranksBelow(rank: Rank): Rank[] {
   return RANKS.slice(RANKS.indexOf(rank) + 1).reverse();
@@ -162,10 +183,9 @@
   room: WorkerRoom,
   ranks: readonly Rank[],
 ): readonly Victim[] {
-  const key = `${room.view.id} ${ranks.join()}`;
-  const known = round.victims.get(key);
-  if (known !== undefined) {
-    return known;
+  const known = room.victims;
+  if (known?.ranks === ranks.join()) {
+    return known.found;
   }
   const load = round.schedule.workers.get(room.view.id);
   const found: Victim[] = [];
@@ -177,7 +197,7 @@
     }
   }
   found.sort((a, b) => a.cost - b.cost);
-  round.victims.set(key, found);
+  room.victims = { ranks: ranks.join(), found };
   return found;
 }
 
@@ -236,7 +256,7 @@
   }
   round.evictions += 1;
   round.evicted.add(victim.id);
-  round.victims.clear();
+  room.victims = undefined;
   room.freeing = addResources(room.freeing, victim.use);
 }
 
--- a/packages/domain/src/scheduling/planning/memory.ts
+++ b/packages/domain/src/scheduling/planning/memory.ts
@@ -8,7 +8,7 @@
 } from '../../declarations/selector.js';
 import type { TaskId } from '../ids.js';
 import { isWaiting, type Job } from '../job.js';
-import type { SchedulableWorker } from '../view.js';
+import type { SchedulableWorker, TeamView } from '../view.js';
 
 import type { Claim } from './claims.js';
 import type { LearnedSizes } from './learn.js';
@@ -28,6 +28,8 @@
   readonly policy: WorkPolicy;
   /** Text of its selector of workers, as a key. */
   readonly selectorKey: string;
+  /** Key of the work that may go to the same workers. */
+  readonly kindKey: string;
   /** Version of the fleet at which some worker of the shard was found able to hold a task. */
   feasibleAt: number;
 }
@@ -47,6 +49,10 @@
   readonly suspects: Set<Job>;
   readonly policyOf: Map<Job, WorkPolicy>;
   policies: readonly PolicySpec[] | undefined;
+  teams: {
+    readonly source: readonly TeamView[];
+    readonly byName: ReadonlyMap<string, TeamView>;
+  };
   /** Workers as last seen, to notice changes. */
   fleet: readonly SchedulableWorker[];
   /** Raised when the workers or what they can hold change. */
@@ -57,6 +63,8 @@
   readonly claims: Map<TaskId, Claim>;
   /** Starts given to better ranks since the last of the rank, while it waited. */
   readonly passed: Record<Rank, number>;
+  /** Starts of each rank. */
+  readonly started: Record<Rank, number>;
   reportedAtWall: Instant;
   /** Reports of other shards that were answered with a loan, by team and shard. */
   readonly answered: Map<string, Instant>;
@@ -76,12 +84,14 @@
     suspects: new Set(),
     policyOf: new Map(),
     policies: undefined,
+    teams: { source: [], byName: new Map() },
     fleet: [],
     fleetVersion: 0,
     eligible: new Map(),
     sizes: new Map(),
     claims: new Map(),
     passed: { urgent: 0, normal: 0, low: 0 },
+    started: { urgent: 0, normal: 0, low: 0 },
     reportedAtWall: 0,
     answered: new Map(),
     movedTo: new Map(),
@@ -160,7 +170,8 @@
   }
   const policy = workPolicy(memory, job);
   const selectorKey = JSON.stringify(job.spec.workers);
-  const entry = { job, policy, selectorKey, feasibleAt: -1 };
+  const kindKey = `${policy.class} ${policy.priority} ${selectorKey}`;
+  const entry = { job, policy, selectorKey, kindKey, feasibleAt: -1 };
   memory.queued.set(job, entry);
   const queues = memory.queues[policy.priority];
   const queue = queues.get(job.spec.team);
@@ -253,6 +264,19 @@
   );
 }
 
+/** Returns a team of the view by name; pass the same array while the teams are unchanged. */
+export function teamView(
+  memory: PlannerMemory,
+  source: readonly TeamView[],
+  name: string,
+): TeamView | undefined {
+  if (memory.teams.source !== source) {
+    const byName = new Map(source.map(team => [team.name, team]));
+    memory.teams = { source, byName };
+  }
+  return memory.teams.byName.get(name);
+}
+
 /** Returns the ids of the workers that the job's selector matches. */
 export function eligibleWorkers(
   memory: PlannerMemory,
--- a/packages/domain/src/scheduling/planning/moves.ts
+++ b/packages/domain/src/scheduling/planning/moves.ts
@@ -76,7 +76,7 @@
   task: Task,
   toShard: string,
 ): boolean {
-  const id = taskId(job.spec.name, task.index);
+  const { id } = task;
   if (round.busy.has(id)) {
     return false;
   }
--- a/packages/domain/src/scheduling/planning/order.ts
+++ b/packages/domain/src/scheduling/planning/order.ts
@@ -1,14 +1,13 @@
 /** The order in which waiting tasks are tried: by rank, then team with the least share, then arrival. */
-import { taskId } from '../ids.js';
 import { peekTask } from '../job.js';
 import type { Task } from '../task.js';
 
 import { RANKS, type QueuedJob, type Rank } from './memory.js';
-import { teamRound, type Round } from './round.js';
+import { teamRound, type Round, type TeamRound } from './round.js';
 
 /** A team's place in the queue of one rank. */
 interface TeamCursor {
-  readonly team: string;
+  readonly team: TeamRound;
   readonly queue: readonly QueuedJob[];
   at: number;
   /** Waiting tasks of the job at hand. */
@@ -25,13 +24,33 @@
   readonly cursor: TeamCursor;
 }
 
-/** The order of one plan: cursors of all teams with waiting jobs, by rank. */
+/** The teams of one rank that have waiting jobs. */
+interface Line {
+  /** The team with the least share first, while `sorted`. */
+  readonly cursors: TeamCursor[];
+  sorted: boolean;
+  /** Whether this plan has tried the job of the rank that was served least recently. */
+  oldestTried: boolean;
+}
+
+/** The order of one plan. */
 export interface Order {
-  readonly cursors: Readonly<Record<Rank, TeamCursor[]>>;
+  readonly lines: Readonly<Record<Rank, Line>>;
   /** The rank whose turn it is by its guaranteed part of the starts. */
   turn: Rank | undefined;
+  /** Jobs that this plan may yet pass over as hopeless. */
+  skipsLeft: number;
 }
 
+/** Tells whether trying a job's tasks in this plan cannot change anything. */
+export type IsHopeless = (entry: QueuedJob, rank: Rank) => boolean;
+
+/** Jobs that one plan passes over at most. */
+const MAX_SKIPS = 256;
+/** Jobs of a team that its quota may refuse in one plan before the team is left for the next. */
+const MAX_REFUSALS = 8;
+/** One of so many starts of a rank goes to the job served least recently, whatever its team's share. */
+const STARTS_PER_OLDEST = 8;
 /** A rank gets at least one of this many starts while it waits and fits. */
 const STARTS_PER_TURN: Readonly<Record<Rank, number>> = {
   urgent: Infinity,
@@ -41,45 +60,76 @@
 
 /** Builds the order of one plan. */
 export function newOrder(round: Round): Order {
-  const { queues, passed } = round.schedule.planning;
-  const cursors = (rank: Rank) =>
-    [...queues[rank]].map(([team, queue]) => ({
-      team,
-      queue,
-      at: 0,
-      tasks: undefined,
-      refusals: 0,
-    }));
+  const { passed } = round.schedule.planning;
   return {
-    cursors: {
-      urgent: cursors('urgent'),
-      normal: cursors('normal'),
-      low: cursors('low'),
+    lines: {
+      urgent: newLine(round, 'urgent'),
+      normal: newLine(round, 'normal'),
+      low: newLine(round, 'low'),
     },
     turn: RANKS.find(rank => passed[rank] >= STARTS_PER_TURN[rank]),
+    skipsLeft: MAX_SKIPS,
   };
 }
 
-/** Counts a start of `rank` for the guaranteed parts of the others. */
-export function countStart(round: Round, order: Order, rank: Rank): void {
-  const { passed } = round.schedule.planning;
+function newLine(round: Round, rank: Rank): Line {
+  const { queues, started } = round.schedule.planning;
+  const cursors = [...queues[rank]].map(([team, queue]) => ({
+    team: teamRound(round, team),
+    queue,
+    at: 0,
+    tasks: undefined,
+    refusals: 0,
+  }));
+  const oldestTried = started[rank] % STARTS_PER_OLDEST !== 0;
+  return { cursors, sorted: false, oldestTried };
+}
+
+/** Counts a start for the shares of teams and the guaranteed parts of the other ranks. */
+export function countStart(
+  round: Round,
+  order: Order,
+  candidate: Candidate,
+): void {
+  const { passed, started } = round.schedule.planning;
+  const { rank, cursor } = candidate;
+  started[rank] += 1;
   passed[rank] = 0;
   for (const worse of RANKS.slice(RANKS.indexOf(rank) + 1)) {
-    passed[worse] = order.cursors[worse].length > 0 ? passed[worse] + 1 : 0;
+    const waits = order.lines[worse].cursors.length > 0;
+    passed[worse] = waits ? passed[worse] + 1 : 0;
   }
   order.turn = RANKS.find(other => passed[other] >= STARTS_PER_TURN[other]);
+  RANKS.forEach(other => {
+    order.lines[other].sorted &&= other === rank;
+  });
+  replace(order.lines[rank].cursors, cursor);
+}
+
+/** Puts a cursor whose team's share has grown where it belongs. */
+function replace(cursors: TeamCursor[], cursor: TeamCursor): void {
+  const at = cursors.indexOf(cursor);
+  let place = at;
+  let next = cursors[place + 1];
+  while (next !== undefined && next.team.share < cursor.team.share) {
+    cursors[place] = next;
+    place += 1;
+    next = cursors[place + 1];
+  }
+  cursors[place] = cursor;
 }
 
 /** Returns the next task to try; undefined when none is left. */
 export function nextCandidate(
   round: Round,
   order: Order,
+  isHopeless: IsHopeless,
 ): Candidate | undefined {
   const { turn } = order;
   const ranks =
     turn === undefined ? RANKS : [turn, ...RANKS.filter(rank => rank !== turn)];
   for (const rank of ranks) {
-    const found = nextOfRank(round, order.cursors[rank], rank);
+    const found = nextOfRank(round, order, rank, isHopeless);
     if (found !== undefined) {
       return found;
     }
@@ -89,14 +139,24 @@
 
 function nextOfRank(
   round: Round,
-  cursors: TeamCursor[],
+  order: Order,
   rank: Rank,
+  isHopeless: IsHopeless,
 ): Candidate | undefined {
-  while (cursors.length > 0) {
-    const cursor = leastServed(round, cursors);
+  const line = order.lines[rank];
+  for (;;) {
+    const cursor = nextCursor(line);
+    if (cursor === undefined || order.skipsLeft <= 0) {
+      return undefined;
+    }
     const entry = cursor.queue[cursor.at];
     if (entry === undefined) {
-      cursors.splice(cursors.indexOf(cursor), 1);
+      line.cursors.splice(line.cursors.indexOf(cursor), 1);
+      continue;
+    }
+    if (cursor.tasks === undefined && isHopeless(entry, rank)) {
+      order.skipsLeft -= 1;
+      skipJob(cursor);
       continue;
     }
     cursor.tasks ??= waitingTasks(round, entry);
@@ -106,7 +166,34 @@
     }
     skipJob(cursor);
   }
-  return undefined;
+}
+
+function nextCursor(line: Line): TeamCursor | undefined {
+  if (!line.oldestTried) {
+    line.oldestTried = true;
+    return longestWaiting(line.cursors);
+  }
+  if (!line.sorted) {
+    line.cursors.sort((a, b) => a.team.share - b.team.share);
+    line.sorted = true;
+  }
+  return line.cursors[0];
+}
+
+/** Returns the team whose job at hand was served least recently. */
+function longestWaiting(
+  cursors: readonly TeamCursor[],
+): TeamCursor | undefined {
+  let oldest: TeamCursor | undefined;
+  let since = Infinity;
+  for (const cursor of cursors) {
+    const servedAt = cursor.queue[cursor.at]?.job.servedAtWall ?? Infinity;
+    if (servedAt < since) {
+      oldest = cursor;
+      since = servedAt;
+    }
+  }
+  return oldest;
 }
 
 /** Moves on to the team's next job. */
@@ -115,9 +202,6 @@
   cursor.tasks = undefined;
 }
 
-/** Jobs of a team that its quota may refuse in one plan before the team is left for the next. */
-const MAX_REFUSALS = 8;
-
 /** Moves on from a job that the team's quota refused. */
 export function refuseJob(cursor: TeamCursor): void {
   cursor.refusals += 1;
@@ -127,43 +211,27 @@
   }
 }
 
-function leastServed(round: Round, cursors: readonly TeamCursor[]): TeamCursor {
-  let least = cursors[0];
-  let leastShare = Infinity;
-  for (const cursor of cursors) {
-    const { share } = teamRound(round, cursor.team);
-    if (share < leastShare) {
-      least = cursor;
-      leastShare = share;
-    }
-  }
-  if (least === undefined) {
-    throw new Error('no team waits');
-  }
-  return least;
-}
-
 /** Yields the job's waiting tasks that may start now, requeued ones first. */
 function* waitingTasks(round: Round, entry: QueuedJob): Generator<Task> {
   const { job } = entry;
   for (const index of job.queued) {
     const task = job.tasks.get(index);
-    if (task !== undefined && isReady(round, entry, task)) {
+    if (task !== undefined && isReady(round, task)) {
       yield task;
     }
   }
   for (const range of job.fresh) {
     for (let index = range.next; index < range.end; index++) {
       const task = peekTask(job, index);
-      if (task !== undefined && isReady(round, entry, task)) {
+      if (task !== undefined && isReady(round, task)) {
         yield task;
       }
     }
   }
 }
 
-function isReady(round: Round, entry: QueuedJob, task: Task): boolean {
+function isReady(round: Round, task: Task): boolean {
   const { state } = task;
   const due = state.kind === 'queued' && state.readyAtWall <= round.now;
-  return due && !round.busy.has(taskId(entry.job.spec.name, task.index));
+  return due && !round.busy.has(task.id);
 }
--- a/packages/domain/src/scheduling/planning/place.ts
+++ b/packages/domain/src/scheduling/planning/place.ts
@@ -45,14 +45,13 @@
 }
 
 /** Returns the sizes that this plan found no room for, for work that may go to the same workers. */
-function blockedSizes(round: Round, entry: QueuedJob): Resources[] {
+export function blockedSizes(round: Round, entry: QueuedJob): Resources[] {
   const short = maybeShort(round, entry) ? 'short' : 'long';
-  const { class: workClass, priority } = entry.policy;
-  const key = `${workClass} ${priority} ${short} ${entry.selectorKey}`;
-  let sizes = round.blocked.get(key);
+  const byKind = round.blocked[short];
+  let sizes = byKind.get(entry.kindKey);
   if (sizes === undefined) {
     sizes = [];
-    round.blocked.set(key, sizes);
+    byKind.set(entry.kindKey, sizes);
   }
   return sizes;
 }
--- a/packages/domain/src/scheduling/planning/round.ts
+++ b/packages/domain/src/scheduling/planning/round.ts
@@ -18,7 +18,7 @@
 import { freeingOf, useOf, type WorkerLoad } from '../worker.js';
 
 import type { Claim } from './claims.js';
-import type { QueuedJob } from './memory.js';
+import { teamView, type QueuedJob } from './memory.js';
 
 /** A worker and what is left on it. */
 export interface WorkerRoom {
@@ -32,6 +32,8 @@
   open: boolean;
   /** Whether it is in quarantine and may get one attempt as a probe. */
   readonly probe: boolean;
+  /** Attempts of some ranks that may be evicted, cheapest first, once they were looked up. */
+  victims: { readonly ranks: string; readonly found: Victim[] } | undefined;
 }
 
 /** A team's use in the shard, with pending decisions. */
@@ -65,12 +67,16 @@
   /** Attempts that a pending or new decision evicts. */
   readonly evicted: Set<TaskId>;
   evictions: number;
-  /** Cached lists of attempts that may be evicted. */
-  readonly victims: Map<string, readonly Victim[]>;
+  /** Sizes that evictions could not make room for, by ranks and kind of work. */
+  readonly unclearable: Map<string, Resources[]>;
+  /** Jobs with a claim. */
+  readonly claimants: Set<string>;
+  /** Latest end of a task that some claim lets in before it is met; 0 without such a claim. */
+  backfillUntil: number;
   /** Tasks on each rack of the jobs that this plan placed, or looked at. */
   readonly racks: Map<Job, Map<string, number>>;
-  /** Sizes that found no room, by selector and class. */
-  readonly blocked: Map<string, Resources[]>;
+  /** Sizes that found no room, by kind of work and whether it may use claimed room. */
+  readonly blocked: Record<'short' | 'long', Map<string, Resources[]>>;
   /** Jobs that no worker can hold, to be parked when the plan is done. */
   readonly hopeless: Job[];
   readonly decisions: Decision[];
@@ -109,9 +115,11 @@
     busy: new Set(),
     evicted: new Set(),
     evictions: 0,
-    victims: new Map(),
+    unclearable: new Map(),
+    claimants: new Set(),
+    backfillUntil: 0,
     racks: new Map(),
-    blocked: new Map(),
+    blocked: { short: new Map(), long: new Map() },
     hopeless: [],
     decisions: [],
   };
@@ -150,6 +158,7 @@
     claimed: NO_RESOURCES,
     open: view.availability === 'live' && (until === undefined || probe),
     probe,
+    victims: undefined,
   };
 }
 
@@ -164,7 +173,8 @@
 }
 
 function newTeamRound(round: Round, name: string): TeamRound {
-  const view = round.view.teams.find(team => team.name === name) ?? {
+  const { planning } = round.schedule;
+  const view = teamView(planning, round.view.teams, name) ?? {
     name,
     weight: 1,
   };
@@ -314,7 +324,7 @@
     throw new Error(`no room on ${room.view.id}`);
   }
   const { job } = entry;
-  const id = taskId(job.spec.name, task.index);
+  const { id } = task;
   const larger = size === job.spec.size ? {} : { size };
   const checkpoint =
     task.checkpoint === undefined ? {} : { checkpoint: task.checkpoint };
--- a/packages/domain/src/scheduling/planning/start.ts
+++ b/packages/domain/src/scheduling/planning/start.ts
@@ -1,13 +1,18 @@
 /** Starts of waiting tasks: quota, claims, choice of a worker, and what to do without room. */
 import { addResources, fits, type Resources } from '../../core/resources.js';
 import type { Instant, Millis } from '../../core/time.js';
-import { taskId } from '../ids.js';
 
-import { addClaim, claimSoonest, dropClaim, type Claim } from './claims.js';
+import {
+  addClaim,
+  claimSoonest,
+  dropClaim,
+  mayClaim,
+  type Claim,
+} from './claims.js';
 import { evictFor, ranksBelow } from './evict.js';
 import { checkFeasible } from './feasibility.js';
 import { sizeToReserve } from './learn.js';
-import type { Rank } from './memory.js';
+import type { QueuedJob, Rank } from './memory.js';
 import { moveToRoom } from './moves.js';
 import {
   countStart,
@@ -18,7 +23,7 @@
   type Candidate,
   type Order,
 } from './order.js';
-import { chooseWorker } from './place.js';
+import { blockedSizes, chooseWorker } from './place.js';
 import {
   decideStart,
   teamRound,
@@ -52,15 +57,18 @@
 interface Overdue {
   readonly candidate: Candidate;
   readonly size: Resources;
+  readonly waitedMs: Millis;
 }
 
 /** Starts waiting tasks in order while there is room. */
 export function placeTasks(round: Round): void {
   const order = newOrder(round);
   const overdue: Overdue[] = [];
+  const isHopeless = (entry: QueuedJob, rank: Rank) =>
+    isHopelessNow(round, entry, rank);
   let misses = missesAllowed(round);
   while (misses > 0 && round.decisions.length < MAX_DECISIONS) {
-    const candidate = nextCandidate(round, order);
+    const candidate = nextCandidate(round, order, isHopeless);
     if (candidate === undefined) {
       return;
     }
@@ -70,6 +78,23 @@
   }
 }
 
+/** Tells whether a job found no room, and may neither evict, claim nor move yet. */
+function isHopelessNow(round: Round, entry: QueuedJob, rank: Rank): boolean {
+  const { job } = entry;
+  if (rank === 'urgent' || round.claimants.has(job.spec.name)) {
+    return false;
+  }
+  const blocked = blockedSizes(round, entry);
+  if (!blocked.some(other => fits(other, job.spec.size))) {
+    return false;
+  }
+  const waited = round.now - job.servedAtWall;
+  const mayMove = round.view.siblings.length > 0 && waited >= MOVE_AFTER_MS;
+  const mayTakeClaim =
+    waited >= CLAIM_AFTER_MS[rank] && mayClaim(round, rank, waited);
+  return !mayMove && !mayTakeClaim;
+}
+
 function missesAllowed(round: Round): number {
   const memory = round.schedule.planning;
   memory.plans += 1;
@@ -84,7 +109,7 @@
 ): void {
   switch (outcome) {
     case 'started':
-      countStart(round, order, candidate.rank);
+      countStart(round, order, candidate);
       return;
     case 'refused':
       refuseJob(candidate.cursor);
@@ -111,7 +136,7 @@
   }
   const { job } = entry;
   const memory = round.schedule.planning;
-  const id = taskId(job.spec.name, task.index);
+  const { id } = task;
   const claim = memory.claims.get(id);
   const size = claim?.size ?? sizeToReserve(memory.sizes, job, round.largest);
   if (!withinQuota(round, job.spec.team, size)) {
@@ -163,7 +188,8 @@
   }
   const claims = overdue
     .splice(0)
-    .map(each => claimSoonest(round, each.candidate, each.size));
+    .sort((a, b) => b.waitedMs - a.waitedMs)
+    .map(each => claimSoonest(round, each.candidate, each.size, each.waitedMs));
   return claims.includes(true)
     ? chooseWorker(round, candidate.entry, size)
     : room;
@@ -188,7 +214,7 @@
     return 'waits';
   }
   if (waited >= CLAIM_AFTER_MS[rank]) {
-    overdue.push({ candidate, size });
+    overdue.push({ candidate, size, waitedMs: waited });
   }
   return 'no_room';
 }
--- a/packages/domain/src/scheduling/shard.ts
+++ b/packages/domain/src/scheduling/shard.ts
@@ -8,7 +8,6 @@
 import type { Instant } from '../core/time.js';
 
 import { rememberKey } from './bounded-map.js';
-import { taskId } from './ids.js';
 import { isDrained, type Job } from './job.js';
 import { newPlannerMemory, type PlannerMemory } from './planning/memory.js';
 import { placementOf, type Placement, type Task } from './task.js';
@@ -17,6 +16,7 @@
   isForgettable,
   newWorkerLoad,
   removeAttempt,
+  settleUse,
   type WorkerLoad,
 } from './worker.js';
 
@@ -59,7 +59,7 @@
   version: number;
   /** Jobs whose queue may have changed since the planner looked. */
   readonly touched: Set<Job>;
-  /** Completed run times in seconds by job and by group of jobs, as decayed averages. */
+  /** Completed run times in seconds by group of jobs, as decayed averages. */
   readonly runSeconds: Map<string, number>;
   /** What the planner keeps between plans; rebuilt by a new owner, not part of the fold. */
   readonly planning: PlannerMemory;
@@ -115,8 +115,7 @@
   task: Task,
   placement: Placement,
 ): void {
-  const id = taskId(job.spec.name, task.index);
-  addAttempt(workerLoad(shard, placement.worker), id, placement.size);
+  addAttempt(workerLoad(shard, placement.worker), task.id, placement.size);
   const team = teamUse(shard, job.spec.team);
   team.used = addResources(team.used, placement.size);
   job.placed += 1;
@@ -124,11 +123,11 @@
 }
 
 /** Accounts for an attempt that is being stopped. */
-export function markEvicting(shard: ShardSchedule, job: Job, task: Task): void {
+export function markEvicting(shard: ShardSchedule, task: Task): void {
   const placement = placementOf(task);
   if (placement !== undefined) {
     const load = workerLoad(shard, placement.worker);
-    load.evicting.add(taskId(job.spec.name, task.index));
+    load.evicting.add(task.id);
   }
 }
 
@@ -138,14 +137,13 @@
   if (placement === undefined) {
     return;
   }
-  const id = taskId(job.spec.name, task.index);
   const load = workerLoad(shard, placement.worker);
-  removeAttempt(load, id);
+  removeAttempt(load, task.id);
   if (isForgettable(load)) {
     shard.workers.delete(load.id);
   }
   const team = teamUse(shard, job.spec.team);
-  team.used = roundUse(subtractResources(team.used, placement.size));
+  team.used = settleUse(subtractResources(team.used, placement.size));
   job.placed -= 1;
   const left = (job.spread.get(placement.worker) ?? 0) - 1;
   if (left > 0) {
@@ -163,7 +161,6 @@
   const name = job.spec.name;
   shard.jobs.delete(name);
   shard.touched.add(job);
-  shard.runSeconds.delete(jobKey(name));
   const before = shard.finished.get(name);
   const finished: FinishedJob = {
     completed: job.tally.completed + (before?.completed ?? 0),
@@ -181,33 +178,23 @@
   job: Job,
   seconds: number,
 ): void {
-  for (const key of [jobKey(job.spec.name), job.group]) {
-    const before = shard.runSeconds.get(key);
-    const after =
-      before === undefined
-        ? seconds
-        : before + RUN_TIME_GAIN * (seconds - before);
-    shard.runSeconds.delete(key);
-    rememberKey(shard.runSeconds, key, after, RUN_TIMES_REMEMBERED);
-  }
+  job.runSeconds = follow(job.runSeconds, seconds);
+  const ofGroup = follow(shard.runSeconds.get(job.group), seconds);
+  shard.runSeconds.delete(job.group);
+  rememberKey(shard.runSeconds, job.group, ofGroup, RUN_TIMES_REMEMBERED);
+}
+
+function follow(average: number | undefined, sample: number): number {
+  return average === undefined
+    ? sample
+    : average + RUN_TIME_GAIN * (sample - average);
 }
 
 /** Returns the expected run time of a task in seconds: learnt for the job, for its like, or declared. */
 export function expectedSeconds(shard: ShardSchedule, job: Job): number {
   return (
-    shard.runSeconds.get(jobKey(job.spec.name)) ??
+    job.runSeconds ??
     shard.runSeconds.get(job.group) ??
     job.spec.expectedSeconds
   );
 }
-
-function jobKey(job: string): string {
-  return `job/${job}`;
-}
-
-const CPU_STEPS = 1e6;
-
-/** Rounds processors to a millionth of a core, so that sums return to zero. */
-function roundUse(use: Resources): Resources {
-  return { ...use, cpu: Math.round(use.cpu * CPU_STEPS) / CPU_STEPS };
-}
--- a/packages/domain/src/scheduling/snapshot.ts
+++ b/packages/domain/src/scheduling/snapshot.ts
@@ -6,6 +6,7 @@
 import { jobSchema } from '../declarations/schemas.js';
 import { appError, type AppError } from '../errors/app-error.js';
 
+import { taskId } from './ids.js';
 import { indexTask, newJob, type Job } from './job.js';
 import { evictionReasonSchema } from './records.js';
 import {
@@ -74,6 +75,7 @@
   fresh: z.array(z.object({ next: count, end: count })),
   tally: tallySchema,
   failedOn: z.array(z.string()),
+  runSeconds: z.number().optional(),
 });
 const tasksChunkSchema = z.object({
   kind: z.literal('tasks'),
@@ -197,6 +199,22 @@
     fresh: job.fresh.map(range => ({ ...range })),
     tally: { ...job.tally },
     failedOn: [...job.failedOn],
+    runSeconds: job.runSeconds,
+  };
+}
+
+function exportTask(task: Task): z.output<typeof taskSchema> {
+  return {
+    index: task.index,
+    state: { ...task.state },
+    attempts: task.attempts,
+    failures: task.failures,
+    losses: task.losses,
+    moves: task.moves,
+    evictedAtWall: [...task.evictedAtWall],
+    checkpoint: task.checkpoint,
+    progress: task.progress,
+    waitingSinceWall: task.waitingSinceWall,
   };
 }
 
@@ -206,11 +224,7 @@
     task => !job.queued.has(task.index),
   );
   const queued = [...job.queued].flatMap(index => job.tasks.get(index) ?? []);
-  const tasks = [...others, ...queued].map(task => ({
-    ...task,
-    state: { ...task.state },
-    evictedAtWall: [...task.evictedAtWall],
-  }));
+  const tasks = [...others, ...queued].map(exportTask);
   const chunks: ScheduleChunk[] = [];
   for (let at = 0; at < tasks.length; at += ITEMS_PER_CHUNK) {
     const part = tasks.slice(at, at + ITEMS_PER_CHUNK);
@@ -322,6 +336,7 @@
   for (const worker of chunk.failedOn) {
     job.failedOn.add(worker);
   }
+  job.runSeconds = chunk.runSeconds;
   schedule.jobs.set(job.spec.name, job);
   schedule.touched.add(job);
 }
@@ -335,14 +350,15 @@
     return false;
   }
   for (const entry of chunk.tasks) {
-    const task: Task = { ...entry, checkpoint: entry.checkpoint };
+    const id = taskId(chunk.job, entry.index);
+    const task: Task = { ...entry, id, checkpoint: entry.checkpoint };
     job.tasks.set(task.index, task);
     indexTask(job, task.index);
     const placement = placementOf(task);
     if (placement !== undefined) {
       occupy(schedule, job, task, placement);
       if (task.state.kind === 'evicting') {
-        markEvicting(schedule, job, task);
+        markEvicting(schedule, task);
       }
     }
   }
--- a/packages/domain/src/scheduling/task.ts
+++ b/packages/domain/src/scheduling/task.ts
@@ -2,6 +2,7 @@
 import type { Resources } from '../core/resources.js';
 import type { Instant } from '../core/time.js';
 
+import type { TaskId } from './ids.js';
 import type { EvictionReason } from './records.js';
 
 /** An attempt that is on a worker. */
@@ -21,6 +22,7 @@
 
 /** A task that was started, moved or held at least once; others are ranges in their job. */
 export interface Task {
+  readonly id: TaskId;
   readonly index: number;
   state: TaskState;
   /** Number of the latest attempt; 0 before the first. */
@@ -40,16 +42,23 @@
 /** Evictions that a task remembers; budgets above this many an hour do not bind. */
 const EVICTIONS_KEPT = 16;
 
+const NO_EVICTIONS: readonly Instant[] = [];
+
 /** Returns a task that waits for its first attempt. */
-export function newTask(index: number, waitingSinceWall: Instant): Task {
+export function newTask(
+  id: TaskId,
+  index: number,
+  waitingSinceWall: Instant,
+): Task {
   return {
+    id,
     index,
     state: { kind: 'queued', readyAtWall: waitingSinceWall },
     attempts: 0,
     failures: 0,
     losses: 0,
     moves: 0,
-    evictedAtWall: [],
+    evictedAtWall: NO_EVICTIONS,
     checkpoint: undefined,
     progress: 0,
     waitingSinceWall,
--- a/packages/domain/src/scheduling/view.ts
+++ b/packages/domain/src/scheduling/view.ts
@@ -39,7 +39,7 @@
   >[];
 }
 
-/** What the planner of a shard is told; pass the same `policies` array while they are unchanged. */
+/** What the planner of a shard is told; pass the same `policies` and `teams` arrays while they are unchanged. */
 export interface ScheduleView {
   readonly shard: string;
   /** Epoch under which the caller owns the shard. */
--- a/packages/domain/src/scheduling/worker.ts
+++ b/packages/domain/src/scheduling/worker.ts
@@ -3,6 +3,7 @@
   NO_RESOURCES,
   addResources,
   maxResources,
+  subtractResources,
   type Resources,
 } from '../core/resources.js';
 import type { Instant } from '../core/time.js';
@@ -80,15 +81,16 @@
   size: Resources,
 ): void {
   load.sizes.set(task, size);
-  sumUse(load);
+  load.used = settleUse(addResources(load.used, size));
 }
 
 /** Frees what an attempt took. */
 export function removeAttempt(load: WorkerLoad, task: TaskId): void {
+  const use = useOf(load, task);
   load.sizes.delete(task);
   load.evicting.delete(task);
   load.observed.delete(task);
-  sumUse(load);
+  load.used = settleUse(subtractResources(load.used, use));
 }
 
 /** Keeps what was seen of attempts; those not on the worker are ignored. */
@@ -107,7 +109,8 @@
 /** Returns what an attempt takes: the larger of set-aside and observed. */
 export function useOf(load: WorkerLoad, task: TaskId): Resources {
   const size = load.sizes.get(task) ?? NO_RESOURCES;
-  const observed = load.observed.get(task);
+  const observed =
+    load.observed.size === 0 ? undefined : load.observed.get(task);
   return observed === undefined ? size : maxResources(size, observed.usage);
 }
 
@@ -145,7 +148,13 @@
   return until !== undefined && startedAtWall >= until;
 }
 
-/** Sums anew instead of adding and subtracting, so that rounding does not build up. */
+const CPU_STEPS = 1e6;
+
+/** Rounds processors to a millionth of a core, so that sums return to zero. */
+export function settleUse(use: Resources): Resources {
+  return { ...use, cpu: Math.round(use.cpu * CPU_STEPS) / CPU_STEPS };
+}
+
 function sumUse(load: WorkerLoad): void {
   let cpu = 0;
   let memoryMiB = 0;
@@ -156,5 +165,5 @@
     memoryMiB += Math.max(size.memoryMiB, seen.memoryMiB);
     accelerators += Math.max(size.accelerators, seen.accelerators);
   }
-  load.used = { cpu, memoryMiB, accelerators };
+  load.used = settleUse({ cpu, memoryMiB, accelerators });
 }
