--- a/packages/daemon/src/config/config.test.ts
+++ b/packages/daemon/src/config/config.test.ts
@@ -1,7 +1,11 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
 
-import { CONFIG_STREAM, encodeBatch } from '@paddlewind/domain';
+import {
+  CONFIG_STREAM,
+  changeSetRecord,
+  encodeBatch,
+} from '@paddlewind/domain';
 
 import {
   put,
@@ -210,6 +214,25 @@
   cluster.stop();
 });
 
+test('a repeated record is recognised after a restart from a snapshot', async () => {
+  const cluster = startCluster(1, { retentionMs: 12_000, waitMs: 60_000 });
+  await ready(cluster);
+  const first = await settled(
+    cluster,
+    cluster.apply(0, 'a', put(team('core'))),
+  );
+  await cluster.time.advance(30_000);
+  cluster.log.trim(CONFIG_STREAM, 1);
+  cluster.restart(0);
+  await ready(cluster);
+  const again = changeSetRecord({ id: 'a', changes: [put(team('core'))] });
+  await cluster.log.append(CONFIG_STREAM, encodeBatch([again]));
+  await cluster.time.advance(100);
+  const asked = cluster.apply(0, 'a', put(team('core')));
+  assert.deepEqual(await settled(cluster, asked), first);
+  cluster.stop();
+});
+
 test('with no snapshot left, a fresh host takes over from a peer', async () => {
   const cluster = startCluster(2);
   await ready(cluster);
--- a/packages/daemon/src/config/fixture.test.ts
+++ b/packages/daemon/src/config/fixture.test.ts
@@ -5,6 +5,7 @@
   seededRandom,
   type AppError,
   type ConfigObject,
+  type ConfigState,
   type Instant,
   type ProposedChange,
 } from '@paddlewind/domain';
@@ -34,8 +35,10 @@
   committer: StoppableCommitter;
   /** Cuts this host off from the log, from its peers, or both. */
   readonly cut: { log: boolean; peers: boolean };
-  /** Offsets served, in order, over all restarts of the process since `served` was cleared. */
-  served: number[];
+  /** States served by this process, in order. */
+  served: ConfigState[];
+  /** Called with each state that is served. */
+  onServed: (state: ConfigState) => void;
 }
 
 /** The log, the hosts and the time that they share. */
@@ -44,6 +47,8 @@
   readonly log: MemoryLog;
   readonly hosts: TestHost[];
   host(index: number): TestHost;
+  /** Highest offset that a host last heard of from peers that serve. */
+  heardBy(index: number): number;
   restart(index: number): void;
   /** Applies a team's declaration through a host. */
   apply(
@@ -178,6 +183,7 @@
       id: `h${i}`,
       cut,
       served: [],
+      onServed: () => undefined,
       ...start(`h${i}`, cut),
     };
     hosts.push(host);
@@ -198,6 +204,11 @@
     log,
     hosts,
     host: hostAt,
+    heardBy: index => {
+      const peers = [...(told.get(hostAt(index).id)?.values() ?? [])];
+      const ready = peers.filter(peer => peer.state === 'ready');
+      return Math.max(0, ...ready.map(peer => peer.configOffset));
+    },
     restart: index => {
       const host = hostAt(index);
       host.config.stop();
@@ -219,7 +230,8 @@
 
 function watchServed(host: TestHost): void {
   host.config.onChange(state => {
-    host.served.push(state.offset);
+    host.served.push(state);
+    host.onServed(state);
   });
 }
 
@@ -237,7 +249,7 @@
     region: 'r',
     availabilityZone: 'z',
     incarnation: '1',
-    state: 'ready',
+    state: host.config.inForce() ? 'ready' : 'not_ready',
     configOffset: host.config.offset(),
     heardAt: now,
   };
--- a/packages/daemon/src/config/force-gate.ts
+++ b/packages/daemon/src/config/force-gate.ts
@@ -11,7 +11,7 @@
   readonly isCaughtUp: boolean;
   /** Whether the log has answered a read since this process began. */
   readonly hasLogAnswered: boolean;
-  /** Whether a peer that has a configuration can be reached. */
+  /** Whether a peer that serves can be reached. */
   readonly hasPeer: boolean;
   /** Whether the stream can be followed; false once entries expired unread or a record is too new. */
   readonly canFollow: boolean;
--- a/packages/daemon/src/config/start.ts
+++ b/packages/daemon/src/config/start.ts
@@ -27,6 +27,7 @@
   Committer,
   ConfigView,
   PartContext,
+  Peer,
   PeerView,
   Stop,
 } from '../parts.js';
@@ -183,14 +184,15 @@
 
 function startHelpers(holding: Holding, follower: FoldFollower): Stop[] {
   const { ctx, committer, peers, fetch, retentionMs } = holding.options;
+  const everyMs = (retentionMs ?? RETENTION_MS) / SNAPSHOTS_PER_RETENTION;
   const keeper = keepSnapshots({
     ctx,
     stream: CONFIG_STREAM,
     committer,
     follower,
-    everyMs: (retentionMs ?? RETENTION_MS) / SNAPSHOTS_PER_RETENTION,
+    everyMs,
     everyEntries: SNAPSHOT_ENTRIES,
-    staggerMs: SNAPSHOT_STAGGER_MS,
+    staggerMs: Math.min(SNAPSHOT_STAGGER_MS, everyMs / 4),
   });
   const onPeers = peers.onChange(() => {
     advance(holding, follower);
@@ -244,11 +246,9 @@
   holding.metrics.offsets(holding.served.offset, holding.heard);
 }
 
-function isSource(peer: {
-  readonly state: string;
-  readonly configOffset: number;
-}): boolean {
-  return peer.state !== 'suspected' && peer.configOffset > 0;
+/** A peer that is not ready may itself have heard of a newer offset than it has. */
+function isSource(peer: Peer): boolean {
+  return peer.state === 'ready';
 }
 
 /** Serves the folded state once this host has begun; never an older one than served. */
