Act against interference from the daemon

The policy was not connected to anything. The scheduler now hands out its running attempts with control over them: throttles are sent under the attempt's fence, also while the log is down; evictions are recorded only while the shard is owned, the log is good, and policy and the evictions of the last hour in the log allow one more. Every report of a worker is passed on for learning, and the planner's cost of a place takes the expected harm by batch class.

--- a/packages/daemon/src/scheduler/planning.ts
+++ b/packages/daemon/src/scheduler/planning.ts
@@ -67,6 +67,7 @@
     state: zone.state,
     reachable: worker => isUsable(input, worker, now),
     advise: parts.advise ?? (() => NO_ADVICE),
+    penalty: parts.penalty,
     logAvailable: true,
     pending: writer.pending(),
   });
--- a/packages/daemon/src/scheduler/schedule-view.ts
+++ b/packages/daemon/src/scheduler/schedule-view.ts
@@ -6,6 +6,7 @@
   objectsOf,
   type ConfigState,
   type Decision,
+  type PlacementPenalty,
   type PolicySpec,
   type Resources,
   type ScheduleState,
@@ -30,6 +31,7 @@
   readonly state: ScheduleState;
   readonly reachable: (worker: string) => boolean;
   readonly advise: (worker: string) => BatchAdvice;
+  readonly penalty: PlacementPenalty | undefined;
   readonly logAvailable: boolean;
   readonly pending: readonly Decision[];
 }
@@ -68,6 +70,7 @@
         })),
       })),
     logAvailable: input.logAvailable,
+    ...(input.penalty === undefined ? {} : { penalty: input.penalty }),
     pending: input.pending,
   };
 }
--- a/packages/daemon/src/scheduler/scheduler.ts
+++ b/packages/daemon/src/scheduler/scheduler.ts
@@ -5,7 +5,7 @@
 import { countShards, useOfWorkers } from './counts.js';
 import { createJobs, openZone, shardsOf } from './jobs.js';
 import { startShardRunner, type ShardRunner } from './shard-runner.js';
-import type { Scheduler, SchedulerParts } from './types.js';
+import type { AttemptControl, Scheduler, SchedulerParts } from './types.js';
 import { createZones, type Zones } from './zone.js';
 
 /** Longest wait for decisions under way when a shard is handed over. */
@@ -40,6 +40,7 @@
     counts: () => countShards(zones.known()),
     workerUse: () => useOfWorkers(zones.known()),
     deciding: () => runners.deciding(),
+    attempts: runners.attempts,
     drain: deadline => runners.drain(deadline),
     stop: () => {
       stops.forEach(stop => {
@@ -58,6 +59,7 @@
   /** Starts runners anew whose zone is read anew, and those whose shard was not configured yet. */
   refresh(): void;
   deciding(): string[];
+  readonly attempts: AttemptControl;
   drain(deadline: Instant): Promise<void>;
   stop(): void;
 }
@@ -134,6 +136,7 @@
       [...runners.values()]
         .filter(each => each.isDeciding())
         .map(each => each.shard),
+    attempts: attemptsOf(runners),
     drain: async deadline => {
       const all = [...runners.values()].map(each => each.drain(deadline));
       await Promise.all(all);
@@ -145,3 +148,17 @@
     },
   };
 }
+
+/** Joins the control of all runners. */
+function attemptsOf(runners: ReadonlyMap<string, ShardRunner>): AttemptControl {
+  return {
+    running: () =>
+      [...runners.values()].flatMap(each => each.attempts.running()),
+    throttle: async (attempt, share) => {
+      const runner = runners.get(attempt.shard);
+      return (await runner?.attempts.throttle(attempt, share)) ?? false;
+    },
+    evict: attempt =>
+      runners.get(attempt.shard)?.attempts.evict(attempt) ?? false,
+  };
+}
--- a/packages/daemon/src/scheduler/shard-runner.ts
+++ b/packages/daemon/src/scheduler/shard-runner.ts
@@ -8,7 +8,8 @@
 import { createDecisionWriter } from './decision-writer.js';
 import { formerOwnersUntil, leaseMode, type LeaseMode } from './lease-mode.js';
 import { createPlanning } from './planning.js';
-import type { SchedulerParts } from './types.js';
+import { createShardAttempts } from './shard-attempts.js';
+import type { AttemptControl, SchedulerParts } from './types.js';
 import { mostAnswered, type WorkerLink } from './worker-link.js';
 import { createWorkerSyncs } from './worker-syncs.js';
 import type { FoldedDecision, Zone } from './zone.js';
@@ -23,6 +24,7 @@
   readonly shard: string;
   readonly epoch: number;
   readonly zone: Zone;
+  readonly attempts: AttemptControl;
   isDeciding(): boolean;
   /** Decides nothing more; resolves when nothing is pending, or at the deadline. */
   drain(deadline: Instant): Promise<void>;
@@ -69,7 +71,8 @@
     superseded,
   });
   const mayDecide = (): boolean => state.phase === 'deciding';
-  const planSoon = createPlanning({ ...common, syncs, mayDecide });
+  const planning = { ...common, syncs, mayDecide };
+  const planSoon = createPlanning(planning);
   const unsubscribe = zone.onDecision(onDecision);
   const stopTicks = repeat(parts, tick);
 
@@ -102,6 +105,7 @@
     shard,
     epoch,
     zone,
+    attempts: createShardAttempts(planning),
     isDeciding: () => mayDecide() && mode() === 'leased',
     drain: async deadline => {
       state.phase = 'draining';
--- a/packages/daemon/src/scheduler/types.ts
+++ b/packages/daemon/src/scheduler/types.ts
@@ -2,11 +2,17 @@
 import type {
   Clock,
   Instant,
+  JobSpec,
   Millis,
+  PlacementPenalty,
   Resources,
   SchedulableWorker,
 } from '@paddlewind/domain';
-import type { WorkerAgent } from '@paddlewind/platform';
+import type {
+  AttemptRef,
+  WorkerAgent,
+  WorkerReport,
+} from '@paddlewind/platform';
 
 import type { OperatorJobs } from '../operator/deps.js';
 import type {
@@ -68,6 +74,32 @@
   readonly agent: WorkerAgent;
   /** Advice on a worker by interference; none when absent. */
   readonly advise?: (worker: string) => BatchAdvice;
+  /** Harm of one more batch task by interference; none when absent. */
+  readonly penalty?: PlacementPenalty;
+  /** Told of every report of a worker, with when it came. */
+  readonly onReport?: (report: WorkerReport, at: Instant) => void;
+}
+
+/** An attempt that runs on a worker of a shard that this process decides on. */
+export interface RunningAttempt {
+  readonly shard: string;
+  readonly worker: string;
+  readonly ref: AttemptRef;
+  readonly job: JobSpec;
+  /** What is set aside for it. */
+  readonly size: Resources;
+  readonly startedAtWall: Instant;
+  /** When its progress was last saved; undefined before the first report. */
+  readonly savedAtWall: Instant | undefined;
+}
+
+/** Control of running attempts; acts only on shards that this process decides on. */
+export interface AttemptControl {
+  running(): RunningAttempt[];
+  /** Runs an attempt at a share of its cores; resolves to whether the agent took the command. */
+  throttle(attempt: RunningAttempt, share: number): Promise<boolean>;
+  /** Records an eviction because of interference; false when policy or state forbids it. */
+  evict(attempt: RunningAttempt): boolean;
 }
 
 /** Tasks of a shard. */
@@ -87,6 +119,7 @@
 
 /** Places tasks on the workers of the shards that this process owns. */
 export interface Scheduler extends OperatorJobs {
+  readonly attempts: AttemptControl;
   /** Shards that this process decides on or follows. */
   counts(): ShardCounts[];
   workerUse(): WorkerUse[];
--- a/packages/daemon/src/scheduler/worker-commands.ts
+++ b/packages/daemon/src/scheduler/worker-commands.ts
@@ -22,6 +22,8 @@
   readonly fenceOf: (task: string) => Fence;
   /** Whether this process may command at this instant. */
   readonly mayCommand: () => boolean;
+  /** Whether it may throttle, which needs no record. */
+  readonly mayThrottle: () => boolean;
   readonly refused: (err: AppError) => void;
 }
 
@@ -29,6 +31,8 @@
 export interface WorkerCommands {
   start(link: WorkerLink, placed: PlacedAttempt): Promise<void>;
   stop(link: WorkerLink, ref: AttemptRef, checkpoint: boolean): Promise<void>;
+  /** Resolves to whether the agent took the command. */
+  throttle(worker: string, ref: AttemptRef, share: number): Promise<boolean>;
 }
 
 /** Creates the commands of a shard owner. */
@@ -37,7 +41,9 @@
 
   async function send(worker: string, command: AgentCommand): Promise<boolean> {
     const address = parts.addressOf(worker);
-    if (address === undefined || !parts.mayCommand()) {
+    const allowed =
+      command.kind === 'throttle' ? parts.mayThrottle() : parts.mayCommand();
+    if (address === undefined || !allowed) {
       return false;
     }
     const result = await agent.command(address, command);
@@ -86,7 +92,16 @@
     await send(link.worker, { kind: 'stop', fence, ref, graceMs });
   }
 
-  return { start, stop };
+  function throttle(
+    worker: string,
+    ref: AttemptRef,
+    share: number,
+  ): Promise<boolean> {
+    const fence = parts.fenceOf(ref.task);
+    return send(worker, { kind: 'throttle', fence, ref, share });
+  }
+
+  return { start, stop, throttle };
 }
 
 /** Notes a start that is about to be sent; undefined while one is under way or confirmed. */
--- a/packages/daemon/src/scheduler/worker-syncs.ts
+++ b/packages/daemon/src/scheduler/worker-syncs.ts
@@ -52,6 +52,7 @@
   onDecision(folded: FoldedDecision): void;
   link(worker: string): WorkerLink | undefined;
   links(): Iterable<WorkerLink>;
+  throttle(worker: string, ref: AttemptRef, share: number): Promise<boolean>;
   stop: Stop;
 }
 
@@ -124,6 +125,7 @@
     onDecision,
     link: worker => links.get(worker),
     links: () => links.values(),
+    throttle: (worker, ref, share) => commands.throttle(worker, ref, share),
     stop: () => {
       state.stopped = true;
     },
@@ -157,6 +159,8 @@
       offset: input.offsetOf(task),
     }),
     mayCommand: () => !state.stopped && input.mode() === 'leased',
+    mayThrottle: () =>
+      !state.stopped && ['leased', 'dark'].includes(input.mode()),
     refused: () => undefined,
   });
 }
@@ -208,6 +212,7 @@
   }
   acknowledge.forEach(ref => link.acknowledge.delete(attemptKey(ref)));
   answered(link, result.value, sentAt);
+  parts.onReport?.(result.value, ctx.clock());
   if (input.mode() === 'leased') {
     settleReport(input, commands, link, result.value, sentAt);
   }
--- a/packages/domain/src/interference/index.ts
+++ b/packages/domain/src/interference/index.ts
@@ -1,7 +1,12 @@
 /** Learning of interference between services and batch work, and the policy against it. */
 export * from './advise.js';
 export * from './batch-class.js';
-export { createPolicyMemory, type PolicyMemory } from './memory.js';
+export {
+  createPolicyMemory,
+  steeredWeights,
+  type PolicyMemory,
+  type SteeredWeight,
+} from './memory.js';
 export {
   createInterferenceModel,
   learntSlowdown,
--- a/packages/domain/src/interference/memory.ts
+++ b/packages/domain/src/interference/memory.ts
@@ -29,6 +29,8 @@
 
 /** What is remembered of a service on a worker. */
 export interface SteerMemory {
+  readonly service: string;
+  readonly worker: string;
   weight: number;
   changedAt: Instant;
   changes: Instant[];
@@ -95,6 +97,8 @@
       return undefined;
     }
     known = {
+      service,
+      worker,
       weight: 1,
       changedAt: -Infinity,
       changes: [],
@@ -106,6 +110,18 @@
   return known;
 }
 
+/** A service's backend server that gets fewer requests. */
+export interface SteeredWeight {
+  readonly service: string;
+  readonly worker: string;
+  readonly weight: number;
+}
+
+/** Lists the backend servers that are steered away from. */
+export function steeredWeights(memory: PolicyMemory): SteeredWeight[] {
+  return [...memory.steers.values()].filter(steer => steer.weight < 1);
+}
+
 /** Returns the instants of the last hour. */
 export function withinHour(instants: Instant[], now: Instant): Instant[] {
   return instants.filter(at => now - at < HOUR_MS);
--- a/packages/domain/src/scheduling/planning/place.ts
+++ b/packages/domain/src/scheduling/planning/place.ts
@@ -1,5 +1,7 @@
 /** Choice of a worker for a task. */
 import { fits, type Resources } from '../../core/resources.js';
+import { batchClassOf } from '../../interference/batch-class.js';
+import type { SchedulableWorker } from '../view.js';
 
 import { maybeShort, unclaimedRoom } from './claims.js';
 import { eligibleWorkers, type QueuedJob } from './memory.js';
@@ -26,13 +28,17 @@
   }
   const eligible = eligibleWorkers(round.schedule.planning, entry);
   const costOfRack = rackCosts(round, entry);
+  const harmOn = harms(round, entry, size);
   let best: WorkerRoom | undefined;
   let bestCost = Infinity;
   for (const room of round.rooms.values()) {
     if (!eligible.has(room.view.id) || !mayHold(round, room, entry, size)) {
       continue;
     }
-    const cost = placementCost(room, entry, size) + costOfRack(room.view.rack);
+    const cost =
+      placementCost(room, size) +
+      PENALTY_WEIGHT * harmOn(room.view) +
+      costOfRack(room.view.rack);
     if (cost < bestCost) {
       best = room;
       bestCost = cost;
@@ -79,12 +85,8 @@
   return !avoided && !risky;
 }
 
-/** Returns the cost of a place: the room left there, accelerators stranded, and harm to services. */
-function placementCost(
-  room: WorkerRoom,
-  entry: QueuedJob,
-  size: Resources,
-): number {
+/** Returns the cost of a place: the room left there, and accelerators stranded. */
+function placementCost(room: WorkerRoom, size: Resources): number {
   const { capacity } = room.view;
   const cpuLeft = ratio(room.room.cpu - size.cpu, capacity.cpu);
   const memoryLeft = ratio(
@@ -92,15 +94,29 @@
     capacity.memoryMiB,
   );
   const stranded = capacity.accelerators > 0 && size.accelerators === 0;
-  const harm = entry.policy.class === 'batch' ? room.view.batchPenalty : 0;
   return (
     cpuLeft * cpuLeft +
     memoryLeft * memoryLeft +
-    PENALTY_WEIGHT * harm +
     (stranded ? STRANDED_ACCELERATOR_COST : 0)
   );
 }
 
+/** Returns the harm to services of placing one more task of the job on a worker. */
+function harms(
+  round: Round,
+  entry: QueuedJob,
+  size: Resources,
+): (worker: SchedulableWorker) => number {
+  if (entry.policy.class !== 'batch') {
+    return () => 0;
+  }
+  const { team, labels } = entry.job.spec;
+  const batchClass = batchClassOf(team, labels);
+  const penalty = round.view.penalty ?? (() => 0);
+  return worker =>
+    Math.max(worker.batchPenalty, penalty(worker.id, batchClass, size.cpu));
+}
+
 /** Returns the cost of placing one more task of the job on a rack. */
 function rackCosts(round: Round, entry: QueuedJob): (rack: string) => number {
   if (entry.job.spec.tasks === 1 || round.rackCount < 2) {
--- a/packages/domain/src/scheduling/view.ts
+++ b/packages/domain/src/scheduling/view.ts
@@ -1,6 +1,7 @@
 /** What the planner is told beside the folded state. */
 import type { Resources } from '../core/resources.js';
 import type { PolicySpec } from '../declarations/schemas.js';
+import type { PlacementPenalty } from '../interference/penalty.js';
 
 import type { Decision } from './records.js';
 
@@ -49,6 +50,8 @@
   readonly teams: readonly TeamView[];
   readonly siblings: readonly SiblingView[];
   readonly logAvailable: boolean;
+  /** Expected harm of one more task, on the scale of `batchPenalty`; none when absent. */
+  readonly penalty?: PlacementPenalty;
   /** Own decisions that are appended or being appended but not folded yet. */
   readonly pending: readonly Decision[];
 }
