--- a/packages/bench/src/placement/throughput.ts
+++ b/packages/bench/src/placement/throughput.ts
@@ -1,9 +1,7 @@
 /** Decisions a second and bytes of state a task, by the number and the size of shards. */
-import { setFlagsFromString } from 'node:v8';
-import { runInNewContext } from 'node:vm';
-
 import { seededRandom } from '@paddlewind/domain';
 
+import { heapBytes } from '../heap.js';
 import { report } from '../report.js';
 
 import {
@@ -126,11 +124,3 @@
   const { user, system } = process.cpuUsage(from);
   return user + system;
 }
-
-setFlagsFromString('--expose-gc');
-const collectGarbage = runInNewContext('gc') as () => void;
-
-function heapBytes(): number {
-  collectGarbage();
-  return process.memoryUsage().heapUsed;
-}
--- a/packages/bench/src/reference/pages.test.ts
+++ b/packages/bench/src/reference/pages.test.ts
@@ -4,8 +4,8 @@
 
 import { referencePages } from './pages.js';
 
-test('reference pages are current', () => {
-  for (const { file, text } of referencePages()) {
+test('reference pages are current', async () => {
+  for (const { file, text } of await referencePages()) {
     const url = new URL(`../../../../${file}`, import.meta.url);
     assert.equal(
       readFileSync(url, 'utf8'),
--- a/packages/bench/src/reference/pages.ts
+++ b/packages/bench/src/reference/pages.ts
@@ -11,6 +11,7 @@
 } from '@paddlewind/domain';
 import type { z } from 'zod';
 
+import { listMetrics } from './metrics.js';
 import { renderFields } from './render.js';
 
 /** A page: its file under the repository's root and its text. */
@@ -22,6 +23,9 @@
 const MADE_FROM =
   'Made from the schemas by `npm run reference`; a test checks that it is current.';
 
+const MADE_FROM_METRICS =
+  'Made from a running entry host by `npm run reference`; a test checks that it is current.';
+
 const DECLARATIONS: readonly (readonly [string, string, z.ZodType])[] = [
   [
     'service',
@@ -78,10 +82,26 @@
   );
 }
 
+async function metricsPage(): Promise<string> {
+  const intro =
+    '`/metrics` on the admin listener, in the text format of Prometheus. ' +
+    'Beside these there are the process metrics of prom-client. ' +
+    'Labels have few values: services, availability zones, streams, kinds and outcomes, never requests, tasks or callers.';
+  const metrics = await listMetrics();
+  const lines = metrics.map(
+    ({ name, type, help }) => `- \`${name}\` (${type}): ${help}`,
+  );
+  return (
+    ['# Metrics', MADE_FROM_METRICS, intro, lines.join('\n')].join('\n\n') +
+    '\n'
+  );
+}
+
 /** Renders every page. */
-export function referencePages(): ReferencePage[] {
+export async function referencePages(): Promise<ReferencePage[]> {
   return [
     { file: 'docs/DECLARATIONS.md', text: declarationsPage() },
     { file: 'docs/SETTINGS.md', text: settingsPage() },
+    { file: 'docs/METRICS.md', text: await metricsPage() },
   ];
 }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,5 +1,6 @@
 /** The daemon's parts as a library, for tests and benchmarks. */
 export * from './config/index.js';
+export * from './entry-host.js';
 export * from './log/index.js';
 export * from './membership/index.js';
 export * from './operator/app.js';
