Deduplicate requests with an idempotency key through the log

Cause: a caller or balancer that repeats a payment to another entry host would have it run twice; no entry host sees what the others sent. Change: the entry host records the claim of the key before it sends, and sends only if its claim is the first in the log. A claim whose request was not sent is given back; one whose sender crashed stays held and repeats are told that the outcome is unknown. Keys expire by a horizon that is itself a record, set from how long ago a host read the claims, so no wall clock takes part: with expiry by the writers' clocks a host that is ahead by the window would have sent a repeat. While the log is down claims are refused at once. The fixture of the router's tests now has a log; no check was changed.

--- a/packages/daemon/src/router/admit-request.ts
+++ b/packages/daemon/src/router/admit-request.ts
@@ -1,8 +1,20 @@
 /** Checks a caller's request and hands it to the router of its service. */
+import { createHash } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import { appError, type AppError, type Clock } from '@paddlewind/domain';
+import {
+  appError,
+  type AppError,
+  type Clock,
+  type Instant,
+  type RequestInfo,
+} from '@paddlewind/domain';
 
+import {
+  EARLIER_STATUS_HEADER,
+  type KeyGate,
+  type KeyRefusal,
+} from './key-gate.js';
 import { sendRefusal } from './refusal.js';
 import {
   bufferBody,
@@ -23,6 +35,7 @@
   readonly limits: RouterLimits;
   readonly clock: Clock;
   readonly unixClock: () => number;
+  readonly keys: Pick<KeyGate, 'claim'>;
 }
 
 let lastId = 0;
@@ -64,7 +77,7 @@
   admission: Admission,
   head: RequestHead,
 ): void {
-  const { req, res, limits, clock, unixClock } = admission;
+  const { res, clock, unixClock } = admission;
   const { route } = router.service;
   const startedAt = clock();
   const wanted =
@@ -80,32 +93,107 @@
     head.method,
   );
   const info = { id: ++lastId, deadline, idempotent };
-  function handle(body: RequestBody): void {
-    router.handle({ res, head, body, info, startedAt });
-  }
+  const accepted: Accepted = { admission, router, head, info, startedAt };
+  withBody(accepted, body => {
+    if (route.idempotencyKeys && !idempotent && head.idempotencyKey) {
+      void claimKey(accepted, head.idempotencyKey, body);
+    } else {
+      router.handle({ res: admission.res, head, body, info, startedAt });
+    }
+  });
+}
+
+/** A request with a service, before its body is known. */
+interface Accepted {
+  readonly admission: Admission;
+  readonly router: ServiceRouter;
+  readonly head: RequestHead;
+  readonly info: RequestInfo;
+  readonly startedAt: Instant;
+}
+
+function withBody(
+  accepted: Accepted,
+  handle: (body: RequestBody) => void,
+): void {
+  const { admission, router, head, info, startedAt } = accepted;
+  const { req, limits } = admission;
+  const { maxBodyBytes } = router.service.route;
   const whole = isBuffered(head.framing, limits.bufferedBodyBytes);
+  function stop(error: AppError): void {
+    router.stopOne(info.id, error);
+  }
   if (head.framing.kind === 'none') {
     handle({ kind: 'none' });
   } else if (whole && !head.expectsContinue) {
-    const patience = Math.min(deadline - startedAt, limits.bodyIdleTimeoutMs);
-    awaitBody(admission, patience, handle);
+    const left = info.deadline - startedAt;
+    awaitBody(admission, Math.min(left, limits.bodyIdleTimeoutMs), handle);
   } else {
-    const stop = (error: AppError): void => {
-      router.stopOne(info.id, error);
-    };
-    handle(
-      streamBody(req, head.framing, {
-        maxBytes: route.maxBodyBytes,
-        idleTimeoutMs: limits.bodyIdleTimeoutMs,
-        onTooLong: () => {
-          stop(tooLarge(route.maxBodyBytes));
-        },
-        onIdle: () => {
-          stop(appError('timeout', 'The body came too slowly.'));
-        },
-      }),
-    );
+    const body = streamBody(req, head.framing, {
+      maxBytes: maxBodyBytes,
+      idleTimeoutMs: limits.bodyIdleTimeoutMs,
+      onTooLong() {
+        stop(tooLarge(maxBodyBytes));
+      },
+      onIdle() {
+        stop(appError('timeout', 'The body came too slowly.'));
+      },
+    });
+    handle(body);
+  }
+}
+
+/** Sends the request only if its idempotency key is free, and records how it ended. */
+async function claimKey(
+  accepted: Accepted,
+  key: string,
+  body: RequestBody,
+): Promise<void> {
+  const { admission, router, head, info, startedAt } = accepted;
+  const { res, keys } = admission;
+  const claimed = await keys.claim({
+    service: router.service.name,
+    key,
+    requestHash: hashOf(head, body),
+    deadline: info.deadline,
+  });
+  if (claimed.isErr) {
+    refuseKey(res, claimed.error);
+    return;
+  }
+  const hold = claimed.value;
+  if (res.destroyed) {
+    hold.notSent();
+    return;
+  }
+  router.handle({ res, head, body, info, startedAt }, (end, sent) => {
+    if (end.kind === 'answered') {
+      hold.answered(end.status);
+    } else if (!sent) {
+      hold.notSent();
+    }
+  });
+}
+
+function refuseKey(res: ServerResponse, refusal: KeyRefusal): void {
+  const { error, earlierStatus } = refusal;
+  if (!res.destroyed) {
+    const told =
+      earlierStatus === undefined
+        ? []
+        : [EARLIER_STATUS_HEADER, String(earlierStatus)];
+    sendRefusal(res, error, told);
+  }
+}
+
+/** Hashes what a request asks for, as far as it is known before it is sent. */
+function hashOf(head: RequestHead, body: RequestBody): string {
+  const hash = createHash('sha256');
+  hash.update(`${head.method} ${head.path}\n`);
+  if (body.kind === 'buffered') {
+    hash.update(body.bytes);
   }
+  return hash.digest('base64url');
 }
 
 /** Reads a small body whole before a server is chosen, so that a slow caller holds no slot. */
--- a/packages/daemon/src/router/fixture.test.ts
+++ b/packages/daemon/src/router/fixture.test.ts
@@ -10,10 +10,12 @@
   type ConfigState,
 } from '@paddlewind/domain';
 import type { Host } from '@paddlewind/platform';
+import { createMemoryLog, type MemoryLog } from '@paddlewind/stand-ins';
 import { pino } from 'pino';
 import { Registry } from 'prom-client';
 
-import type { ConfigView, HostView, PeerView } from '../parts.js';
+import { createCommitter, followStream } from '../log/index.js';
+import type { ConfigView, HostView, PartContext, PeerView } from '../parts.js';
 
 import {
   startRouter,
@@ -53,6 +55,9 @@
   readonly connections?: number;
   readonly limits?: RouterDeps['settings']['limits'];
   readonly deps?: Partial<RouterDeps>;
+  /** Shared by several routers; one of its own when absent. */
+  readonly log?: MemoryLog;
+  readonly hostId?: string;
 }
 
 /** A running router in a test. */
@@ -119,13 +124,20 @@
       }),
   };
   const hostView: HostView = { hosts: hosts.get, onChange: hosts.onChange };
+  const ctx: PartContext = {
+    clock: () => performance.now(),
+    random: seededRandom(1),
+    log: pino({ level: 'silent' }),
+    metrics,
+  };
+  const log = options.log ?? createMemoryLog({ clock: ctx.clock });
+  const committer = createCommitter({ log, ctx, appendsPerSecond: 1_000 });
+  t.after(committer.stop);
   const router = await startRouter({
-    ctx: {
-      clock: () => performance.now(),
-      random: seededRandom(1),
-      log: pino({ level: 'silent' }),
-      metrics,
-    },
+    ctx,
+    committer,
+    follow: (stream, onBatch) =>
+      followStream({ log, stream, from: 0, ctx, onBatch }),
     cfg,
     hosts: hostView,
     peers: noPeers(),
@@ -134,7 +146,7 @@
       limits: { drainGraceMs: 0, ...options.limits },
       availabilityZone: 'olympia',
       region: 'nw',
-      hostId: 'entry-1',
+      hostId: options.hostId ?? 'entry-1',
       entryHosts: 1,
     },
     ...options.deps,
--- a/packages/daemon/src/router/start-router.ts
+++ b/packages/daemon/src/router/start-router.ts
@@ -1,4 +1,5 @@
 /** The router of an entry host: takes callers' requests to backend servers and the answers back. */
+import { randomUUID } from 'node:crypto';
 import {
   createServer,
   type IncomingMessage,
@@ -10,9 +11,10 @@
 
 import { appError, type AppError, type Instant } from '@paddlewind/domain';
 
-import type { LatencyFeed } from '../parts.js';
+import type { Committer, LatencyFeed } from '../parts.js';
 
 import { admitRequest } from './admit-request.js';
+import { startKeyGate, type FollowKeys } from './key-gate.js';
 import { rawRefusal, sendRefusal } from './refusal.js';
 import { startServices, type ServicesOptions } from './services.js';
 import {
@@ -27,6 +29,8 @@
   'ctx' | 'cfg' | 'hosts' | 'peers' | 'dispatcherFor'
 > {
   readonly settings: RouterSettings;
+  readonly committer: Committer;
+  readonly follow: FollowKeys;
   /** Milliseconds of the wall clock, for deadlines that cross hosts. */
   readonly unixClock?: () => number;
 }
@@ -61,12 +65,21 @@
     unixClock,
     closing: () => draining,
   });
+  const keys = startKeyGate({
+    ...deps,
+    region: settings.region,
+    hostId: settings.hostId,
+    incarnation: randomUUID(),
+    windowMs: limits.keyWindowMs,
+  });
+  const { clock } = ctx;
+  const admission = { services, keys, limits, clock, unixClock };
   const server = createHttpServer(limits, (req, res) => {
     lastRequestAt = ctx.clock();
     if (!deps.cfg.inForce()) {
       sendRefusal(res, notReady('The configuration is not up to date.'));
     } else {
-      admitRequest({ req, res, services, limits, clock: ctx.clock, unixClock });
+      admitRequest({ req, res, ...admission });
     }
   });
 
@@ -81,6 +94,7 @@
     services.stop(notReady('The entry host is stopping.'));
     await closeServer(server);
     services.close();
+    keys.close();
     ctx.log.info('router: drained');
   }
 
@@ -95,6 +109,7 @@
     server.closeAllConnections();
     await closeServer(server);
     services.close();
+    keys.close();
   }
 
   const address = await listen(server, settings);
