Follow the keys from the oldest retained record

Cause: a follower that begins at offset 0 fails for good once the log has expired its first entries, and with it every request that carries an idempotency key. The entry host hands the router its committer and this follower, and the limit on idle bodies from its settings. Conclusion: a fresh entry host knows the keys that are retained; a test trims the stream.

--- a/packages/daemon/src/entry-host.ts
+++ b/packages/daemon/src/entry-host.ts
@@ -21,6 +21,7 @@
 import { splitAddress } from './listening.js';
 import {
   createCommitter,
+  followRetained,
   followStream,
   type StoppableCommitter,
 } from './log/index.js';
@@ -226,12 +227,15 @@
 }
 
 function startCallersRouter(
-  base: Base,
+  { ctx, settings, committer, platform }: Base,
   { membership, config }: SharedState,
 ): Promise<RouterHandle> {
-  const { host, router, shutdown, entryHosts } = base.settings;
+  const { host, router, shutdown, entryHosts } = settings;
   return startRouter({
-    ctx: base.ctx,
+    ctx,
+    committer,
+    follow: (stream, onBatch) =>
+      followRetained({ log: platform.log, stream, ctx, onBatch }),
     cfg: config,
     hosts: membership.hosts,
     peers: membership.peers,
@@ -240,6 +244,7 @@
       limits: {
         maxHeaderBytes: router.maxHeaderBytes,
         headersTimeoutMs: router.headersTimeoutMs,
+        bodyIdleTimeoutMs: router.bodyIdleTimeoutMs,
         drainGraceMs: shutdown.balancerMs,
       },
       availabilityZone: host.availabilityZone,
--- a/packages/daemon/src/log/index.ts
+++ b/packages/daemon/src/log/index.ts
@@ -1,6 +1,7 @@
 /** The log: group commit, followers, snapshots and recovery. */
 export * from './committer.js';
 export * from './fold-follower.js';
+export * from './follow-retained.js';
 export * from './follower.js';
 export * from './recovery.js';
 export * from './snapshot-keeper.js';
--- a/packages/daemon/src/router/fixture.test.ts
+++ b/packages/daemon/src/router/fixture.test.ts
@@ -14,7 +14,7 @@
 import { pino } from 'pino';
 import { Registry } from 'prom-client';
 
-import { createCommitter, followStream } from '../log/index.js';
+import { createCommitter, followRetained } from '../log/index.js';
 import type { ConfigView, HostView, PartContext, PeerView } from '../parts.js';
 
 import {
@@ -136,8 +136,7 @@
   const router = await startRouter({
     ctx,
     committer,
-    follow: (stream, onBatch) =>
-      followStream({ log, stream, from: 0, ctx, onBatch }),
+    follow: (stream, onBatch) => followRetained({ log, stream, ctx, onBatch }),
     cfg,
     hosts: hostView,
     peers: noPeers(),
--- a/packages/daemon/src/router/idempotency.test.ts
+++ b/packages/daemon/src/router/idempotency.test.ts
@@ -164,3 +164,15 @@
   await pay(t, host, requestText('POST', ['Content-Length: 1'], 'x'));
   assert.equal(log.head('keys.nw'), 0);
 });
+
+test('keys are known after older records of the stream expired', async t => {
+  const server = await startBank(t);
+  const log = newLog();
+  const [first] = await startPair(t, server, log);
+  await pay(t, first, payment('old'));
+  await pay(t, first, payment('a'));
+  await waitFor(() => log.head('keys.nw') >= 2);
+  log.trim('keys.nw', 1);
+  const [fresh] = await startPair(t, server, log);
+  assert.match(await pay(t, fresh, payment('a')), /^HTTP\/1\.1 409 /);
+});
