Try a task elsewhere after it failed on a worker

Cause: the best place for a retry was often the worker that had just failed it; with fewer jobs than a quarantine needs, a single worker that fails everything used up a job's attempts. Change: a worker on which the job failed, with no success since, costs more.

--- a/packages/domain/src/scheduling/planning/place.ts
+++ b/packages/domain/src/scheduling/planning/place.ts
@@ -13,6 +13,8 @@
 const PENALTY_WEIGHT = 1;
 /** Cost of using up the processors beside accelerators that others may need. */
 const STRANDED_ACCELERATOR_COST = 0.5;
+/** Cost of a worker on which the job failed and has not succeeded anywhere since. */
+const FAILED_THERE_COST = 4;
 /** Sizes without room that a plan remembers for each kind of work. */
 const BLOCKED_REMEMBERED = 8;
 
@@ -38,7 +40,8 @@
     const cost =
       placementCost(room, size) +
       PENALTY_WEIGHT * harmOn(room.view) +
-      costOfRack(room.view.rack);
+      costOfRack(room.view.rack) +
+      (entry.job.failedOn.has(room.view.id) ? FAILED_THERE_COST : 0);
     if (cost < bestCost) {
       best = room;
       bestCost = cost;
