Test the scheduler under failures on a virtual clock

Cause: the promises on tasks rest on leases, fences and writing ahead, which only failures exercise. Each begin of an attempt is checked for a second place, a repetition after its end and the worker's capacity.

--- /dev/null
+++ b/packages/bench/src/simulation/checks.ts
@@ -0,0 +1,54 @@
+/** Promises checked while a simulated cluster runs. */
+import type { AttemptRun } from '@paddlewind/stand-ins';
+
+import type { Cluster } from './cluster.js';
+
+/** Violations seen so far, each a short sentence. */
+export type Violations = string[];
+
+/** Watches every begin of an attempt for a second place and for a worker over its capacity. */
+export function watchPlaces({ workers, hosts }: Cluster): Violations {
+  const violations: Violations = [];
+  const capacity = new Map(hosts.map(host => [host.id, host.capacity.cpu]));
+  const running = new Map<string, Set<AttemptRun>>();
+  const byTask = new Map<string, AttemptRun>();
+  workers.onBegin(run => {
+    const twin = byTask.get(run.task);
+    if (twin !== undefined && twin.endedAt === undefined) {
+      const places = `${twin.worker} and ${run.worker}`;
+      violations.push(`${run.task} runs on ${places}`);
+    }
+    if (twin?.state === 'completed') {
+      violations.push(`${run.task} begins again after its end`);
+    }
+    byTask.set(run.task, run);
+    const here = running.get(run.worker) ?? new Set();
+    running.set(run.worker, here);
+    here.add(run);
+    let cpu = 0;
+    for (const each of here) {
+      if (each.endedAt === undefined) {
+        cpu += each.spec.size.cpu;
+      } else {
+        here.delete(each);
+      }
+    }
+    if (cpu > (capacity.get(run.worker) ?? 0)) {
+      violations.push(`${run.worker} holds ${cpu} cores`);
+    }
+  });
+  return violations;
+}
+
+/** Returns the tasks of a job that completed. */
+export function completedTasks({ workers }: Cluster, job: string): Set<string> {
+  const done = workers.runs.filter(
+    run => run.spec.job === job && run.state === 'completed',
+  );
+  return new Set(done.map(run => run.task));
+}
+
+/** Returns the runs that have not ended. */
+export function runningNow({ workers }: Cluster): AttemptRun[] {
+  return workers.runs.filter(run => run.endedAt === undefined);
+}
