--- a/packages/bench/src/cluster/entry-faults.ts
+++ b/packages/bench/src/cluster/entry-faults.ts
@@ -22,7 +22,7 @@
 
 /** Asks an entry host to end, as for a planned replacement; resolves to its exit code. */
 export async function stopEntry(
-  entry: EntryHost,
+  entry: Pick<EntryHost, 'id' | 'child'>,
   recorder: Recorder,
 ): Promise<number | null> {
   const fault = { fault: 'entry_stopped', target: entry.id } as const;
--- a/packages/bench/src/prove/history.ts
+++ b/packages/bench/src/prove/history.ts
@@ -68,12 +68,13 @@
       readonly object: string;
       /** Version that the change was based on. */
       readonly base: number;
+      /** In force on hosts whose configuration is at this offset or beyond. */
       readonly offset: number;
     }
   | {
       readonly type: 'config_seen';
       readonly entry: string;
-      /** Next offset of the configuration that the entry host has in force. */
+      /** Offset of the configuration that the entry host has in force. */
       readonly offset: number;
       readonly ready: boolean;
     }
