Keep the stand-ins' tests apart from the machine's load

On a busy machine two tests of the stand-ins failed: answers came after the 300 ms that the test allowed, and requests that should have met in a server's slots came one after another.

The copy of the dispatcher that repeats every request now also admits them as idempotent, since the dispatcher remembers that from the first offer.

--- a/packages/bench/src/prove/plants/requests.test.ts
+++ b/packages/bench/src/prove/plants/requests.test.ts
@@ -60,6 +60,7 @@
   const copy = sound();
   const faulty: Dispatcher = {
     ...copy,
+    offer: (req, now) => copy.offer({ ...req, idempotent: true }, now),
     retry: (req, result, now) =>
       copy.retry({ ...req, idempotent: true }, result, now),
   };
--- a/packages/stand-ins/src/backend/backend-server.ts
+++ b/packages/stand-ins/src/backend/backend-server.ts
@@ -95,6 +95,8 @@
   readonly slots: Slots;
   readonly counters: MutableCounters;
   readonly onEvent: EventSink;
+  /** Aborts when the server closes, so that no request holds its slot longer. */
+  readonly closing: AbortController;
 }
 
 /** Starts a backend server. */
@@ -107,6 +109,7 @@
     slots: createSlots(options.slots ?? DEFAULT_SLOTS),
     counters: noCounters(),
     onEvent: options.onEvent ?? noEvents,
+    closing: new AbortController(),
   };
   const server = http.createServer((req, res) => {
     void serve(parts, req, res);
@@ -118,7 +121,11 @@
   const listener = await listen(server, options);
   parts.onEvent({ type: 'backend_up', backend: options.backend });
   return {
-    ...listener,
+    address: listener.address,
+    async close() {
+      await listener.close();
+      parts.closing.abort();
+    },
     control: parts.control,
     counters: () => snapshot(parts),
   };
@@ -207,7 +214,7 @@
   parts.counters.requests += 1;
   parts.onEvent({ type: 'request_began', backend, request, method });
   const release = await parts.slots.take();
-  await sleep(serviceTime(parts));
+  await sleep(serviceTime(parts), parts.closing.signal);
   release();
   const answer = res.destroyed ? 'abandoned' : reply(parts, req, res, body);
   count(parts.counters, answer);
