Run the demo through the entry hosts' real settings

The demo was written before the daemon had an entry point and its settings differed in three names, so that no entry host became ready.

--- a/packages/bench/src/cluster/entry-hosts.ts
+++ b/packages/bench/src/cluster/entry-hosts.ts
@@ -91,7 +91,9 @@
   const { group, directory, region } = options;
   const settings = join(directory, `${id}.json`);
   const host = { id, region, availabilityZone };
-  const content = settingsOf(options.platform, host, { router, peers, admin });
+  const listen = { router, peers, admin };
+  const planned = options.availabilityZones.length;
+  const content = settingsOf(options.platform, host, listen, planned);
   writeFileSync(settings, JSON.stringify(content, null, 2));
   let child: Child | undefined;
   return {
@@ -124,6 +126,7 @@
   platform: Platform,
   host: Place,
   listen: { router: string; peers: string; admin: string },
+  entryHosts: number,
 ): object {
   return {
     host,
@@ -131,10 +134,11 @@
     peers: { listen: listen.peers, heartbeatMs: HEARTBEAT_MS },
     admin: { listen: listen.admin },
     platform: {
-      logUrl: `http://${platform.log.address}`,
-      hostListUrl: `http://${platform.hosts.address}`,
+      log: platform.log.address,
+      hostList: platform.hosts.address,
       hostListPollMs: HOST_LIST_POLL_MS,
     },
+    entryHosts,
     ...TIMING,
   };
 }
--- a/packages/bench/src/demo/run.ts
+++ b/packages/bench/src/demo/run.ts
@@ -95,6 +95,7 @@
     recorder,
     host: MEMBERLINK_HOST,
     perSecond: REQUESTS_PER_SECOND,
+    repeatShare: 0,
     random: seededRandom(1),
   });
   const unwatch = watchConfig(entries, recorder);
