Let news of members die out, and ask before contradicting a suspicion

A suspicion of a member heard within 1.5 intervals makes the host call it instead of vouching for it, and news of members that go is passed on at once where not everyone hears everyone.

Requests over 1 KiB are compressed.

--- a/packages/daemon/src/membership/failures.test.ts
+++ b/packages/daemon/src/membership/failures.test.ts
@@ -168,3 +168,26 @@
     ids(30).every(id => net.membership(id).members().length === 29);
   assert.ok(net.runUntil(whole, 90_000) !== undefined);
 });
+
+test('news dies out in a quiet network', () => {
+  const net = settled(30);
+  net.run(30_000);
+  const told = ids(30).map(id => net.traffic(id).told);
+  net.run(10_000);
+  assert.deepEqual(
+    ids(30).map(id => net.traffic(id).told),
+    told,
+  );
+});
+
+test('members of large regions are not taken for silent elsewhere', () => {
+  const net = settled(60, 3);
+  for (let second = 0; second < 60; second++) {
+    net.run(1_000);
+    for (const id of ids(60)) {
+      const members = net.membership(id).members();
+      assert.equal(members.length, 59);
+      assert.ok(members.every(member => member.state === 'ready'));
+    }
+  }
+});
--- a/packages/daemon/src/membership/transports.ts
+++ b/packages/daemon/src/membership/transports.ts
@@ -2,7 +2,10 @@
 import { Agent } from 'node:http';
 
 import type { Transport } from '@connectrpc/connect';
-import { createConnectTransport } from '@connectrpc/connect-node';
+import {
+  compressionGzip,
+  createConnectTransport,
+} from '@connectrpc/connect-node';
 
 /** Gives transports to peers. */
 export interface PeerTransports {
@@ -66,6 +69,7 @@
     httpVersion: '1.1',
     nodeOptions: { agent },
     acceptCompression: [],
+    sendCompression: compressionGzip,
   });
   return {
     transport,
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -48,7 +48,7 @@
     'Listener for other entry hosts and operators.',
   ),
   tls: tlsSchema.optional().describe('Mutual TLS; plain HTTP when absent.'),
-  heartbeatMs: z.int().positive().default(500),
+  heartbeatMs: z.int().positive().default(1_000),
 });
 
 const platformSchema = z.strictObject({
--- a/packages/daemon/src/tls/secure-transports.ts
+++ b/packages/daemon/src/tls/secure-transports.ts
@@ -1,5 +1,6 @@
 /** Connections to peers over HTTP/2 and mutual TLS. */
 import {
+  compressionGzip,
   createConnectTransport,
   Http2SessionManager,
 } from '@connectrpc/connect-node';
@@ -30,6 +31,7 @@
     httpVersion: '2',
     sessionManager,
     acceptCompression: [],
+    sendCompression: compressionGzip,
   });
   return {
     transport,
--- a/packages/domain/src/membership/call-plan.ts
+++ b/packages/domain/src/membership/call-plan.ts
@@ -69,7 +69,10 @@
 
   function isDue(record: MemberRecord, running: Instant, soon: boolean) {
     const id = record.info.id;
-    const wanted = record.goneAt !== undefined || targets?.has(id) === true;
+    const wanted =
+      record.goneAt !== undefined ||
+      record.verifying ||
+      targets?.has(id) === true;
     const early = soon && record.goneAt === undefined;
     return wanted && !record.calling && (early || running >= record.nextCallAt);
   }
--- a/packages/domain/src/membership/intake.ts
+++ b/packages/domain/src/membership/intake.ts
@@ -1,7 +1,7 @@
 /** Takes what members and the host list tell into the roster. */
 import type { Instant } from '../core/time.js';
 import type { MembershipContext } from './context.js';
-import type { MemberRecord, Moment } from './roster.js';
+import type { MemberRecord, MergeVerdict, Moment } from './roster.js';
 import { mergeInfo, unheardRecord } from './roster.js';
 import type { HeartbeatMessage, MemberAddress, MemberInfo } from './types.js';
 
@@ -47,11 +47,34 @@
     }
     const record = recordOf(info, at);
     const verdict = mergeInfo(record, info, at, direct, graceMs);
-    if (verdict === 'news') {
-      changes.mark();
+    actOn(verdict, record, at);
+  }
+
+  function actOn(verdict: MergeVerdict, record: MemberRecord, at: Moment) {
+    switch (verdict) {
+      case 'news':
+        changes.mark();
+        news.add(record.info.id);
+        hasten(record, at);
+        return;
+      case 'contradicted':
+        news.add(record.info.id);
+        return;
+      case 'doubtful':
+        record.verifying = true;
+        record.nextCallAt = at.running;
+        return;
+      case 'confirmed':
+      case 'ignored':
     }
-    if (verdict === 'news' || verdict === 'stale') {
-      news.add(info.id);
+  }
+
+  /** Where not everyone hears everyone, news of a member that goes is passed on at once. */
+  function hasten(record: MemberRecord, at: Moment): void {
+    const going =
+      record.suspectedAt !== undefined || record.info.state === 'leaving';
+    if (going && roster.size >= settings.fullMeshLimit) {
+      plan.callSoon(at.running);
     }
   }
 
--- a/packages/domain/src/membership/judgement.ts
+++ b/packages/domain/src/membership/judgement.ts
@@ -3,13 +3,11 @@
 import type { MembershipContext } from './context.js';
 import type { MemberRecord, Moment } from './roster.js';
 import { isPresent } from './roster.js';
+import { silentRegions } from './silence.js';
 
 /** Intervals of silence of every peer after which this host judges nobody. */
 const ISOLATED_INTERVALS = 2.5;
 
-/** Cycles of heartbeats to another region that its members may miss. */
-const REMOTE_MISSED_CYCLES = 4;
-
 /** Judges members. */
 export interface Judgement {
   /** Takes it that neither this host nor the peers asked reached the member in a try begun at `sentAt`. */
@@ -20,7 +18,7 @@
 
 /** Judges the members in the roster of `ctx`. */
 export function createJudgement(ctx: MembershipContext): Judgement {
-  const { settings, roster, news, self, changes } = ctx;
+  const { settings, roster, news, self, plan, changes } = ctx;
 
   function judgeGone(record: MemberRecord, at: Moment): void {
     record.goneAt = at.running;
@@ -32,6 +30,9 @@
     record.suspectedAt ??= at.running;
     news.add(record.info.id);
     changes.mark();
+    if (roster.size >= settings.fullMeshLimit) {
+      plan.callSoon(at.running);
+    }
   }
 
   function unreached(record: MemberRecord, sentAt: Instant, at: Moment): void {
@@ -49,26 +50,6 @@
     }
   }
 
-  function remoteSilenceMs(region: string): number {
-    const size = [...roster.values()].filter(
-      record => record.info.region === region,
-    ).length;
-    const cycleMs = settings.intervalMs * settings.remoteEvery;
-    const turns = Math.ceil(size / settings.newsLimit);
-    return cycleMs * turns * REMOTE_MISSED_CYCLES;
-  }
-
-  function judgeSilence(record: MemberRecord, at: Moment): void {
-    const remote = record.info.region !== self.info().region;
-    if (!remote || record.suspectedAt !== undefined) {
-      return;
-    }
-    const silentFor = at.running - (record.heard?.running ?? 0);
-    if (silentFor > remoteSilenceMs(record.info.region)) {
-      suspect(record, at);
-    }
-  }
-
   function holdsJudgement(at: Moment, heardAt: Instant): boolean {
     const silentFor = at.running - heardAt;
     const others = [...roster.values()].filter(isPresent).length;
@@ -87,8 +68,14 @@
     }
   }
 
-  function judgePresent(record: MemberRecord, at: Moment): void {
-    judgeSilence(record, at);
+  function judgePresent(
+    record: MemberRecord,
+    at: Moment,
+    silent: ReadonlySet<string>,
+  ): void {
+    if (record.suspectedAt === undefined && silent.has(record.info.region)) {
+      suspect(record, at);
+    }
     const since = record.suspectedAt ?? Infinity;
     if (at.running - since >= settings.suspicionMs) {
       judgeGone(record, at);
@@ -97,11 +84,12 @@
 
   function judge(at: Moment, heardAt: Instant): void {
     const hold = holdsJudgement(at, heardAt);
+    const silent = silentRegions(roster, self.info().region, settings, at);
     for (const record of [...roster.values()]) {
       if (record.goneAt !== undefined) {
         forgetOld(record, record.goneAt, at);
       } else if (record.heard !== undefined && !hold) {
-        judgePresent(record, at);
+        judgePresent(record, at, silent);
       }
     }
   }
--- a/packages/domain/src/membership/outcomes.ts
+++ b/packages/domain/src/membership/outcomes.ts
@@ -55,6 +55,21 @@
   }));
 }
 
+function setCallable(ctx: MembershipContext, record: MemberRecord): void {
+  record.pendingProbes = 0;
+  if (record.uncallable) {
+    record.uncallable = false;
+    ctx.changes.mark();
+  }
+}
+
+function endVerifying(ctx: MembershipContext, record: MemberRecord): void {
+  if (record.verifying) {
+    record.verifying = false;
+    ctx.news.add(record.info.id);
+  }
+}
+
 /** Takes outcomes into the roster of `ctx`. */
 export function createOutcomes(
   ctx: MembershipContext,
@@ -62,17 +77,9 @@
   judgement: Judgement,
   start: Moment,
 ): Outcomes {
-  const { roster, plan, changes } = ctx;
+  const { roster, plan } = ctx;
   let answeredAt = start.running;
 
-  function setCallable(record: MemberRecord): void {
-    record.pendingProbes = 0;
-    if (record.uncallable) {
-      record.uncallable = false;
-      changes.mark();
-    }
-  }
-
   function onReply(target: string, reply: HeartbeatMessage, at: Moment): void {
     answeredAt = at.running;
     plan.ended(target);
@@ -82,7 +89,8 @@
       return;
     }
     if (reply.sender.id === target) {
-      setCallable(record);
+      setCallable(ctx, record);
+      endVerifying(ctx, record);
     } else if (isPresent(record)) {
       judgement.unreached(record, at.real, at);
     }
@@ -98,6 +106,7 @@
     if (record === undefined || !isPresent(record)) {
       return [];
     }
+    record.verifying = false;
     const probes = chooseProbes(ctx, record);
     record.pendingProbes = probes.length;
     if (probes.length === 0) {
@@ -131,7 +140,7 @@
     }
     intake.take(outcome.member, at, false);
     markHeard(record, at);
-    setCallable(record);
+    setCallable(ctx, record);
   }
 
   return { onReply, onFailure, onProbe, answeredAt: () => answeredAt };
--- a/packages/domain/src/membership/roster.ts
+++ b/packages/domain/src/membership/roster.ts
@@ -25,6 +25,8 @@
   nextCallAt: Instant;
   calling: boolean;
   pendingProbes: number;
+  /** Whether it is called out of turn, because others suspect it though it was heard lately. */
+  verifying: boolean;
 }
 
 /** Members by id. */
@@ -51,6 +53,7 @@
     nextCallAt,
     calling: false,
     pendingProbes: 0,
+    verifying: false,
   };
 }
 
@@ -109,8 +112,10 @@
   | 'news'
   /** Only confirms the member's life. */
   | 'confirmed'
-  /** Older than what is known; the teller should hear better. */
-  | 'stale'
+  /** Contradicts newer knowledge, which the teller should hear. */
+  | 'contradicted'
+  /** A suspicion of a member that was heard lately and should be called to make sure. */
+  | 'doubtful'
   | 'ignored';
 
 function mergeSuspicion(
@@ -123,8 +128,11 @@
     return 'ignored';
   }
   const silentFor = moment.running - (record.heard?.running ?? 0);
-  if (compareVersions(info, record.info) < 0 || silentFor <= graceMs) {
-    return 'stale';
+  if (silentFor <= graceMs) {
+    return 'doubtful';
+  }
+  if (compareVersions(info, record.info) < 0) {
+    return 'contradicted';
   }
   record.suspectedAt = moment.running;
   return 'news';
@@ -146,7 +154,8 @@
   }
   const order = compareVersions(info, record.info);
   if (order < 0) {
-    return 'stale';
+    const former = direct && info.incarnation !== record.info.incarnation;
+    return former ? 'contradicted' : 'ignored';
   }
   if (order === 0 && !direct) {
     return 'ignored';
--- a/packages/domain/src/membership/telling.ts
+++ b/packages/domain/src/membership/telling.ts
@@ -1,7 +1,7 @@
 /** Chooses what a message tells of other members. */
 import type { MembershipContext } from './context.js';
 import type { MemberRecord } from './roster.js';
-import { isPresent, toldInfo } from './roster.js';
+import { toldInfo } from './roster.js';
 import type { HeartbeatMessage, MemberInfo } from './types.js';
 
 /** Builds messages. */
@@ -17,7 +17,7 @@
   function ownRegion(limit: number): MemberRecord[] {
     const region = self.info().region;
     const own = [...roster.values()].filter(
-      record => record.info.region === region && isPresent(record),
+      record => record.info.region === region && record.heard !== undefined,
     );
     if (own.length <= limit) {
       return own;
--- a/packages/stand-ins/src/membership/fake-hosts.ts
+++ b/packages/stand-ins/src/membership/fake-hosts.ts
@@ -43,6 +43,7 @@
   /** Directed pairs `from>to` whose packets are lost. */
   readonly cuts: Set<string>;
   readonly hosts: Map<string, FakeHost>;
+  readonly onMessage: (from: string, message: HeartbeatMessage) => void;
 }
 
 const LATENCY_MS = 1;
@@ -126,9 +127,14 @@
   });
 }
 
-function count(host: FakeHost, message: HeartbeatMessage): HeartbeatMessage {
+function count(
+  world: FakeWorld,
+  host: FakeHost,
+  message: HeartbeatMessage,
+): HeartbeatMessage {
   host.traffic.messages += 1;
   host.traffic.told += message.members.length;
+  world.onMessage(host.address.id, message);
   return message;
 }
 
@@ -143,6 +149,7 @@
   const target = to.address;
   const source = from.address;
   const message = count(
+    world,
     from,
     from.membership.message(target.id, target.region),
   );
@@ -153,7 +160,11 @@
     timeoutMs,
     answer => {
       to.membership.onHeartbeat(message, world.now);
-      const reply = count(to, to.membership.message(source.id, source.region));
+      const reply = count(
+        world,
+        to,
+        to.membership.message(source.id, source.region),
+      );
       answer(() => {
         from.membership.onReply(target.id, reply, world.now);
         onReply();
--- a/packages/stand-ins/src/membership/fake-network.ts
+++ b/packages/stand-ins/src/membership/fake-network.ts
@@ -1,6 +1,7 @@
 /** A network of memberships in memory with an own clock, for tests and benchmarks of failures. */
 import {
   DEFAULT_MEMBERSHIP_SETTINGS,
+  type HeartbeatMessage,
   type Instant,
   type MemberAddress,
   type Membership,
@@ -25,6 +26,8 @@
   readonly regions?: number;
   readonly settings?: Partial<MembershipSettings>;
   readonly seed?: number;
+  /** Called for each heartbeat and reply sent; told of the sender and what it sends. */
+  readonly onMessage?: (from: string, message: HeartbeatMessage) => void;
 }
 
 /** A network; hosts are named `h0`, `h1`, …. */
@@ -63,6 +66,7 @@
     agenda: createAgenda(),
     cuts: new Set(),
     hosts: new Map(),
+    onMessage: options.onMessage ?? (() => undefined),
   };
 }
 
