--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -10,6 +10,7 @@
 export * from './errors/kinds.js';
 export * from './interference/index.js';
 export * from './membership/index.js';
+export * from './objectives/index.js';
 export * from './routing/index.js';
 export * from './scheduling/index.js';
 export * from './shards/index.js';
