Bound the wait by the objective and measure goodput beyond capacity

The Retry-After of an early refusal was the excess over the allowed wait, next to nothing when the queue stands at its bound.

Change: the expected wait must fit in the objective's response time (at least two mean response times) and in half of the time that the deadline leaves; Retry-After is the time in which the present queue drains; at most one try beyond the share of its slots is sent to a server; a request has three tries at most.

--- a/packages/bench/src/benches/routing-tails.ts
+++ b/packages/bench/src/benches/routing-tails.ts
@@ -21,6 +21,7 @@
   type PolicyFactory,
   runModel,
 } from '../routing/model.js';
+import { seedsOf } from '../routing/seeds.js';
 import {
   createWorkload,
   MEMBERLINK,
@@ -118,11 +119,6 @@
   return list.split(',').map(Number);
 }
 
-function seedsOf(range: string): number[] {
-  const [from = 1, to = from] = range.split('-').map(Number);
-  return Array.from({ length: to - from + 1 }, (_, index) => from + index);
-}
-
 function runCells(
   size: ModelSize,
   scenario: Scenario,
--- a/packages/bench/src/routing/local-policies.ts
+++ b/packages/bench/src/routing/local-policies.ts
@@ -1,6 +1,6 @@
 /** Ways of routing that the dispatcher is weighed against: each entry host decides by its own load alone. */
 import type { Dispatch, Random, RequestInfo } from '@paddlewind/domain';
-import { seededRandom } from '@paddlewind/domain';
+import { appError, seededRandom } from '@paddlewind/domain';
 
 import {
   type ModelRouter,
@@ -8,6 +8,9 @@
   serverAddress,
 } from './model.js';
 
+/** Tries of one request. */
+const MAX_TRIES = 3;
+
 /** Weight of one answer in a learned response time. */
 const LATENCY_GAIN = 1 / 16;
 
@@ -36,6 +39,7 @@
 export function localPolicy(
   createPick: PickFactory,
   limits?: Limits,
+  retryBudget?: number,
 ): PolicyFactory {
   return (view, seed) => {
     const { size } = view.workload;
@@ -46,7 +50,10 @@
       const servers = Array.from({ length: size.servers }, (_unused, index) =>
         newServer(index, limitOf(host, index)),
       );
-      return createLocalRouter(servers, createPick(random, host));
+      const router = createLocalRouter(servers, createPick(random, host));
+      return retryBudget === undefined
+        ? router
+        : withRetries(router, retryBudget);
     });
   };
 }
@@ -128,6 +135,29 @@
   };
 }
 
+/** Lets a router repeat idempotent requests, `budget` times per first try. */
+function withRetries(router: ModelRouter, budget: number): ModelRouter {
+  const triesById = new Map<number, number>();
+  let tokens = 0;
+  return {
+    ...router,
+    offer(req, now) {
+      tokens += budget;
+      return router.offer(req, now);
+    },
+    retry(req, _result, now) {
+      const tries = (triesById.get(req.id) ?? 1) + 1;
+      triesById.set(req.id, tries);
+      if (!req.idempotent || tokens < 1 || tries > MAX_TRIES) {
+        const error = appError('backend_failed', 'the try failed');
+        return [{ kind: 'refused', id: req.id, error }];
+      }
+      tokens -= 1;
+      return router.offer(req, now);
+    },
+  };
+}
+
 /** Any server. */
 export const pickRandom: PickFactory = random => open =>
   open[Math.floor(random() * open.length)];
--- a/packages/bench/src/routing/model-server.ts
+++ b/packages/bench/src/routing/model-server.ts
@@ -19,21 +19,34 @@
   occupied(): number;
 }
 
-/** Creates a server whose behaviour over time is `modeAt`. */
+/** Slot time that a rejected try costs, in milliseconds. */
+const REJECTION_MS = 1;
+
+/** Size and behaviour of a server. */
+export interface ModelServerOptions {
+  readonly slots: number;
+  /** Tries that may wait; one more is answered 503 at once. */
+  readonly maxWaiting: number;
+  readonly modeAt: (at: Instant) => ServerMode;
+}
+
+/** Creates a server. */
 export function createModelServer(
   loop: EventLoop,
-  slots: number,
-  modeAt: (at: Instant) => ServerMode,
+  options: ModelServerOptions,
 ): ModelServer {
+  const { slots, maxWaiting, modeAt } = options;
   const waiting: ModelTry[] = [];
   let running = 0;
+  let rejectionMs = 0;
 
   function start(entry: ModelTry): void {
     const mode = modeAt(loop.now());
     running += 1;
     switch (mode.kind) {
       case 'serving':
-        end(entry, entry.req.workMs * mode.slowdown, 200);
+        end(entry, entry.req.workMs * mode.slowdown + rejectionMs, 200);
+        rejectionMs = 0;
         break;
       case 'failing':
         end(entry, mode.afterMs, 500);
@@ -67,6 +80,11 @@
 
   return {
     receive(entry) {
+      if (running >= slots && waiting.length >= maxWaiting) {
+        rejectionMs += REJECTION_MS;
+        entry.answer({ kind: 'answered', status: 503 });
+        return;
+      }
       waiting.push(entry);
       startNext();
     },
--- a/packages/bench/src/routing/model.ts
+++ b/packages/bench/src/routing/model.ts
@@ -1,5 +1,6 @@
 /** An event-driven queue model of entry hosts and backend servers, at the interface of the dispatcher. */
 import type {
+  AppError,
   Dispatch,
   Dispatcher,
   Instant,
@@ -30,6 +31,22 @@
 /** Creates the routers of all entry hosts. */
 export type PolicyFactory = (view: ModelView, seed: number) => ModelRouter[];
 
+/** What callers do when a request is refused or fails. */
+export interface CallerBehaviour {
+  /** Times that a caller asks in all, by any entry host, within the one deadline. */
+  readonly attempts: number;
+  /** Whether a caller waits as long as it was told. */
+  readonly heedsRetryAfter: boolean;
+}
+
+const ONE_ATTEMPT: CallerBehaviour = { attempts: 1, heedsRetryAfter: true };
+
+/** Wait of a caller that was told nothing or does not heed it, in milliseconds. */
+const IMPATIENT_MS = 10;
+
+/** Ids of repeated requests follow those of first ones. */
+const REPEATED_ID_STEP = 1_000_000_000;
+
 /** Counts of one run after the warm-up. */
 export interface ModelResult {
   /** Response times of good answers, in microseconds. */
@@ -42,6 +59,8 @@
   refused: number;
   /** Failed, timed out, or refused after a try. */
   failed: number;
+  /** Good answers that ended, whenever they began. */
+  ended: number;
   /** Tries that were sent. */
   tries: number;
   /** Most tries at one server at a time, over all entry hosts. */
@@ -65,6 +84,7 @@
   readonly routers: readonly ModelRouter[];
   readonly result: ModelResult;
   readonly warmUpMs: number;
+  readonly callers: CallerBehaviour;
   readonly open: Map<number, ModelRequest>;
   readonly connections: number[];
 }
@@ -75,8 +95,9 @@
   createPolicy: PolicyFactory,
   seed: number,
   warmUpMs: number,
+  callers: CallerBehaviour = ONE_ATTEMPT,
 ): ModelResult {
-  const run = createRun(workload, createPolicy, seed, warmUpMs);
+  const run = createRun(workload, createPolicy, seed, warmUpMs, callers);
   scheduleArrival(run);
   scheduleTicks(run);
   scheduleHeartbeats(run);
@@ -89,6 +110,7 @@
   createPolicy: PolicyFactory,
   seed: number,
   warmUpMs: number,
+  callers: CallerBehaviour,
 ): Run {
   const loop = createEventLoop();
   const { size } = workload;
@@ -104,7 +126,11 @@
     loop,
     workload,
     servers: indexes.map(index =>
-      createModelServer(loop, size.slots, at => workload.modeOf(index, at)),
+      createModelServer(loop, {
+        slots: size.slots,
+        maxWaiting: size.maxWaiting,
+        modeAt: at => workload.modeOf(index, at),
+      }),
     ),
     serverByAddress: new Map(
       indexes.map(index => [serverAddress(index), index]),
@@ -112,6 +138,7 @@
     routers: createPolicy(view, seed),
     result: emptyResult(),
     warmUpMs,
+    callers,
     open: new Map(),
     connections: indexes.map(() => 0),
   };
@@ -125,6 +152,7 @@
     good: 0,
     refused: 0,
     failed: 0,
+    ended: 0,
     tries: 0,
     maxConnections: 0,
   };
@@ -134,14 +162,18 @@
   const req = run.workload.next();
   run.loop.at(req.arrivesAt, () => {
     scheduleArrival(run);
-    run.open.set(req.id, req);
     if (isCounted(run, req)) {
       run.result.offered += 1;
     }
-    apply(run, req.host, routerOf(run, req.host).offer(req, run.loop.now()));
+    offer(run, req);
   });
 }
 
+function offer(run: Run, req: ModelRequest): void {
+  run.open.set(req.id, req);
+  apply(run, req.host, routerOf(run, req.host).offer(req, run.loop.now()));
+}
+
 function scheduleTicks(run: Run): void {
   run.loop.at(run.loop.now() + TICK_MS, () => {
     run.routers.forEach((router, host) => {
@@ -185,7 +217,11 @@
 }
 
 function isCounted(run: Run, req: ModelRequest): boolean {
-  return req.arrivesAt >= run.warmUpMs && req.arrivesAt < run.workload.endsAt;
+  return isInWindow(run, req.arrivesAt);
+}
+
+function isInWindow(run: Run, at: Instant): boolean {
+  return at >= run.warmUpMs && at < run.workload.endsAt;
 }
 
 function apply(run: Run, host: number, verdicts: readonly Dispatch[]): void {
@@ -197,18 +233,40 @@
       case 'queued':
         break;
       case 'refused':
-        refuse(run, verdict.id, verdict.error.outcome === 'not_run');
+        refuse(run, verdict.id, verdict.error);
         break;
     }
   }
 }
 
-function refuse(run: Run, id: number, notRun: boolean): void {
+function refuse(run: Run, id: number, error?: AppError): void {
   const req = run.open.get(id);
   run.open.delete(id);
-  if (req !== undefined && isCounted(run, req)) {
-    run.result[notRun ? 'refused' : 'failed'] += 1;
+  if (req === undefined || askAgain(run, req, error) || !isCounted(run, req)) {
+    return;
+  }
+  run.result[error?.outcome === 'not_run' ? 'refused' : 'failed'] += 1;
+}
+
+/** Lets the caller ask again, by another entry host; false when it gives up. */
+function askAgain(run: Run, req: ModelRequest, error?: AppError): boolean {
+  const { attempts, heedsRetryAfter } = run.callers;
+  const toldMs = heedsRetryAfter ? error?.retryAfterMs : undefined;
+  const at = run.loop.now() + (toldMs ?? IMPATIENT_MS);
+  const isSafe = req.idempotent || error?.outcome === 'not_run';
+  if (!isSafe || req.attempt + 1 >= attempts || at >= req.deadline) {
+    return false;
   }
+  const again: ModelRequest = {
+    ...req,
+    id: req.id + REPEATED_ID_STEP,
+    host: (req.host + 1) % run.routers.length,
+    attempt: req.attempt + 1,
+  };
+  run.loop.at(at, () => {
+    offer(run, again);
+  });
+  return true;
 }
 
 function send(run: Run, host: number, id: number, address: string): void {
@@ -249,7 +307,7 @@
 function connect(run: Run, index: number): void {
   const connections = (run.connections[index] ?? 0) + 1;
   run.connections[index] = connections;
-  run.result.tries += 1;
+  run.result.tries += isInWindow(run, run.loop.now()) ? 1 : 0;
   run.result.maxConnections = Math.max(run.result.maxConnections, connections);
 }
 
@@ -274,6 +332,9 @@
 
 function settleGood(run: Run, req: ModelRequest, now: Instant): void {
   run.open.delete(req.id);
+  if (isInWindow(run, now)) {
+    run.result.ended += 1;
+  }
   if (isCounted(run, req)) {
     run.result.good += 1;
     const latencyMs = now - req.arrivesAt;
@@ -292,7 +353,7 @@
 ): void {
   const router = routerOf(run, host);
   if (router.retry === undefined || now >= req.deadline) {
-    refuse(run, req.id, false);
+    refuse(run, req.id);
     return;
   }
   apply(run, host, router.retry(req, result, now));
--- a/packages/bench/src/routing/workload.ts
+++ b/packages/bench/src/routing/workload.ts
@@ -8,6 +8,8 @@
   readonly slots: number;
   readonly connections: number;
   readonly zones: number;
+  /** Tries that may wait at a server. */
+  readonly maxWaiting: number;
 }
 
 /** Nine entry hosts and 45 servers in four availability zones. */
@@ -17,6 +19,7 @@
   slots: 8,
   connections: 64,
   zones: 4,
+  maxWaiting: Infinity,
 };
 
 /** What is wrong in a run. */
@@ -57,6 +60,8 @@
   readonly idempotent: boolean;
   /** Time that an undisturbed server takes, in milliseconds. */
   readonly workMs: number;
+  /** Times that the caller has asked before. */
+  readonly attempt: number;
 }
 
 /** How a server behaves at an instant. */
@@ -113,6 +118,7 @@
       deadline: at + DEADLINE_MS,
       idempotent: random() < IDEMPOTENT_SHARE,
       workMs: drawWorkMs(random),
+      attempt: 0,
     };
   };
 }
--- a/packages/domain/src/routing/admission.ts
+++ b/packages/domain/src/routing/admission.ts
@@ -4,6 +4,9 @@
 import type { Dispatch, RequestInfo } from './dispatcher.js';
 import type { DispatcherState } from './dispatcher-state.js';
 
+/** Wait that is allowed however short the objective is, in mean response times. */
+const MIN_WAIT_MEANS = 2;
+
 /** Shortest Retry-After that is told. */
 const MIN_RETRY_AFTER_MS = 10;
 
@@ -32,21 +35,27 @@
     return refuseOverloaded(state, req, 'the queue is full', now);
   }
   const waitMs = expectedWaitMs(state, queue.size() + 1, now);
-  const allowedMs = allowedWaitMs(state, req, now);
-  if (waitMs > allowedMs) {
-    return refuseDeadline(req, waitMs - allowedMs);
-  }
-  return undefined;
+  return waitMs > allowedWaitMs(state, req, now)
+    ? refuseDeadline(req, waitMs)
+    : undefined;
 }
 
-/** Time that a request may be expected to wait: a share of what it has beyond a response time. */
+/**
+ * Time that a request may be expected to wait: as long as the objective's response time,
+ * and no more than a share of what its deadline leaves beyond a response time.
+ */
 function allowedWaitMs(
   state: DispatcherState,
   req: RequestInfo,
   now: Instant,
 ): Millis {
-  const spareMs = req.deadline - now - state.pool.latency.meanMs;
-  return spareMs * state.tunables.maxWaitShare;
+  const { meanMs } = state.pool.latency;
+  const spareMs = req.deadline - now - meanMs;
+  const usefulMs = Math.max(
+    state.options.service.objective.latencyMs,
+    MIN_WAIT_MEANS * meanMs,
+  );
+  return Math.min(usefulMs, spareMs * state.tunables.maxWaitShare);
 }
 
 /** Returns the queued requests that will not reach a server before their deadline, with their wait. */
--- a/packages/domain/src/routing/choose.ts
+++ b/packages/domain/src/routing/choose.ts
@@ -61,7 +61,7 @@
   let compared = 0;
   for (let i = 0; i < candidates.length && compared < sampleSize; i++) {
     const backend = candidates[(offset + i) % candidates.length];
-    if (backend === undefined || !mayUse(backend, avoid, now)) {
+    if (backend === undefined || !mayUse(state, backend, avoid, now)) {
       continue;
     }
     compared += 1;
@@ -74,12 +74,16 @@
 }
 
 function mayUse(
+  state: DispatcherState,
   backend: Backend,
   avoid: readonly string[],
   now: Instant,
 ): boolean {
+  const { pool, tunables } = state;
+  const spill = pool.homeSlots > 0 ? tunables.maxSpill : Infinity;
   return (
     backend.running.size < allowedTries(backend) &&
+    backend.running.size < backend.homeSlots + spill &&
     !isEjected(backend, now) &&
     !avoid.includes(backend.address)
   );
--- a/packages/domain/src/routing/create-dispatcher.test.ts
+++ b/packages/domain/src/routing/create-dispatcher.test.ts
@@ -117,3 +117,113 @@
   assert.ok(again?.kind === 'send');
   assert.notEqual(again.backend, sent.backend);
 });
+
+const OK = { kind: 'answered', status: 200 } as const;
+const FAILED = { kind: 'answered', status: 500 } as const;
+
+/** Offers one request at a time, ends it by `resultOf`, and counts tries by server. */
+function serve(
+  dispatcher: Dispatcher,
+  count: number,
+  resultOf: (
+    address: string,
+    id: number,
+  ) => {
+    result: typeof OK | typeof FAILED;
+    ms: number;
+  },
+  startAt = 0,
+): Map<string, number> {
+  const tries = new Map<string, number>();
+  let now = startAt;
+  for (let id = startAt + 1; id <= startAt + count; id++) {
+    const [sent] = dispatcher.offer(request(id, { deadline: now + 1e6 }), now);
+    assert.ok(sent?.kind === 'send');
+    const { result, ms } = resultOf(sent.backend, id);
+    now += ms;
+    tries.set(sent.backend, (tries.get(sent.backend) ?? 0) + 1);
+    dispatcher.finish(id, sent.backend, result, now);
+  }
+  return tries;
+}
+
+test('a server that fails fast does not attract load', () => {
+  const dispatcher = newDispatcher();
+  dispatcher.setBackends(
+    [1, 2, 3, 4].map(n => backend(n)),
+    0,
+  );
+  const bad = backend(1).address;
+  const tries = serve(dispatcher, 1_000, address =>
+    address === bad ? { result: FAILED, ms: 1 } : { result: OK, ms: 10 },
+  );
+  assert.ok((tries.get(bad) ?? 0) < 20, `${tries.get(bad) ?? 0} tries`);
+});
+
+test('no more than a bounded share of the servers is ejected', () => {
+  const dispatcher = newDispatcher();
+  dispatcher.setBackends(
+    [1, 2, 3, 4, 5, 6, 7].map(n => backend(n)),
+    0,
+  );
+  const tries = serve(dispatcher, 500, () => ({ result: FAILED, ms: 1 }));
+  const frequent = [...tries.values()].filter(count => count > 50);
+  assert.ok(frequent.length >= 5, 'five of seven servers still take requests');
+});
+
+test('a slow server is used less, and again once it is fast', () => {
+  const dispatcher = newDispatcher();
+  dispatcher.setBackends(
+    [1, 2, 3, 4].map(n => backend(n)),
+    0,
+  );
+  const slow = backend(1).address;
+  const usualMs = (id: number): number => 5 + ((id * 7) % 11);
+  const during = serve(dispatcher, 400, (address, id) => ({
+    result: OK,
+    ms: address === slow ? 50 : usualMs(id),
+  }));
+  const after = serve(
+    dispatcher,
+    400,
+    (_address, id) => ({ result: OK, ms: usualMs(id) }),
+    100_000,
+  );
+  assert.ok((during.get(slow) ?? 0) < 40);
+  assert.ok((after.get(slow) ?? 0) > 40);
+});
+
+test('a server that interference control avoids is used only when no other can be', () => {
+  const dispatcher = newDispatcher();
+  dispatcher.setBackends([backend(1), backend(2)], 0);
+  dispatcher.steer('w1', 0);
+  const tries = serve(dispatcher, 100, () => ({ result: OK, ms: 10 }));
+  assert.equal(tries.get(backend(1).address), undefined);
+  dispatcher.setBackends([backend(1)], 1_000);
+  const [sent] = dispatcher.offer(request(9_001, { deadline: 1e9 }), 1_000);
+  assert.equal(sent?.kind, 'send');
+});
+
+test('a server of the own availability zone is preferred while it has room', () => {
+  const dispatcher = newDispatcher();
+  const far = { ...backend(2), availabilityZone: 'b' };
+  dispatcher.setBackends([backend(1), far], 0);
+  const first = dispatcher.offer(request(1), 0)[0];
+  const second = dispatcher.offer(request(2), 0)[0];
+  assert.ok(first?.kind === 'send' && second?.kind === 'send');
+  assert.equal(first.backend, backend(1).address);
+  assert.equal(second.backend, far.address);
+});
+
+test('queued requests are refused as soon as nothing moves any more', () => {
+  const dispatcher = newDispatcher();
+  dispatcher.setBackends([backend(1)], 0);
+  serve(dispatcher, 100, () => ({ result: OK, ms: 10 }));
+  const deadline = 11_000;
+  dispatcher.offer(request(201, { deadline }), 1_000);
+  const [queued] = dispatcher.offer(request(202, { deadline }), 1_000);
+  assert.equal(queued?.kind, 'queued');
+  const verdicts = [2_000, 4_000, 6_000].flatMap(now => dispatcher.tick(now));
+  assert.equal(verdicts[0]?.kind, 'refused');
+  assert.equal(verdicts[0].error.outcome, 'not_run');
+});
--- a/packages/domain/src/routing/further-tries.ts
+++ b/packages/domain/src/routing/further-tries.ts
@@ -41,11 +41,12 @@
   active: ActiveRequest,
   now: Instant,
 ): boolean {
-  const { req, reached, running } = active;
+  const { req, reached, running, failedOn } = active;
   const { queue, pool, options } = state;
   return (
     (req.idempotent || !reached) &&
     running.size === 0 &&
+    failedOn.length < state.tunables.maxTries &&
     req.deadline > now &&
     pool.live.length > 0 &&
     queue.size() < options.service.route.maxQueue &&
--- a/packages/domain/src/routing/options.ts
+++ b/packages/domain/src/routing/options.ts
@@ -16,6 +16,8 @@
   readonly sampleSize: number;
   /** Cost of each try beyond this host's share of a server's slots, as a share of the response time. */
   readonly spillCost: number;
+  /** Tries beyond this host's share of a server's slots that may run on it. */
+  readonly maxSpill: number;
   /** Slowness up to which a server counts as about as fast as the others. */
   readonly slownessDeadband: number;
   /** Share of the slowness that counts below the deadband. */
@@ -26,6 +28,8 @@
   readonly maxEjectionMs: Millis;
   /** Share of the time to the deadline that a request may be expected to wait. */
   readonly maxWaitShare: number;
+  /** Failed tries after which a request is not tried again. */
+  readonly maxTries: number;
   /** Retries and hedges that may be saved up. */
   readonly budgetBurst: number;
   /** Retry-After where nothing better is known. */
@@ -40,11 +44,13 @@
   crossZoneMs: 0.2,
   sampleSize: 64,
   spillCost: 0.1,
+  maxSpill: 1,
   slownessDeadband: 2,
   slownessSlope: 0.1,
   maxEjectedShare: 0.3,
   maxEjectionMs: 30_000,
   maxWaitShare: 0.5,
+  maxTries: 3,
   budgetBurst: 10,
   defaultRetryAfterMs: 1_000,
 };
--- a/packages/domain/src/routing/sending.ts
+++ b/packages/domain/src/routing/sending.ts
@@ -103,8 +103,7 @@
 ): Dispatch[] {
   return hopeless(state, now).map(({ req, waitMs }) => {
     state.queue.remove(req.id);
-    const retryAfterMs = now + waitMs - req.deadline;
-    return refuseQueued(state, req, refuseDeadline(req, retryAfterMs));
+    return refuseQueued(state, req, refuseDeadline(req, waitMs));
   });
 }
 
