--- a/packages/bench/src/simulation/cluster.ts
+++ b/packages/bench/src/simulation/cluster.ts
@@ -1,9 +1,10 @@
 /** Entry hosts, a log and workers in one process on a virtual clock. */
 import {
   createCommitter,
-  followStream,
+  followWithSnapshots,
   startScheduler,
   startShardOwnership,
+  type Committer,
   type ConfigView,
   type PartContext,
   type Peer,
@@ -24,7 +25,7 @@
   type OwnershipTiming,
   type Resources,
 } from '@paddlewind/domain';
-import type { Host, WorkerAgent } from '@paddlewind/platform';
+import type { Host, LogService, WorkerAgent } from '@paddlewind/platform';
 import {
   createMemoryLog,
   createMemoryWorkers,
@@ -64,6 +65,7 @@
   stopGraceMs: 5_000,
 };
 
+const LOG_RETENTION_MS = 240_000;
 const REGION = 'region';
 const WALL_START = 1_700_000_000_000;
 
@@ -81,8 +83,16 @@
   readonly seed?: number;
   /** Time of a call to a worker there and back. */
   readonly callMs?: Millis;
+  /** Makes the committer of each process; the daemon's when absent. */
+  readonly committer?: CommitterFactory;
 }
 
+/** Makes the committer of a process. */
+export type CommitterFactory = (
+  log: LogService,
+  ctx: PartContext,
+) => Committer & { stop: () => void };
+
 /** A process on an entry host. */
 export interface EntryHost {
   readonly id: string;
@@ -138,6 +148,7 @@
       log,
       workers,
       config,
+      committer: options.committer ?? defaultCommitter,
       hosts,
       live: () => [...entryHosts.values()],
     });
@@ -179,6 +190,12 @@
   };
 }
 
+function defaultCommitter(
+  ...[log, ctx]: Parameters<CommitterFactory>
+): ReturnType<CommitterFactory> {
+  return createCommitter({ log, ctx });
+}
+
 interface EntryHostInput {
   readonly zone: string;
   readonly id: string;
@@ -188,6 +205,7 @@
   readonly log: MemoryLog;
   readonly workers: MemoryWorkers;
   readonly config: ConfigState;
+  readonly committer: CommitterFactory;
   readonly hosts: readonly Host[];
   readonly live: () => readonly EntryHost[];
 }
@@ -203,13 +221,11 @@
     log: pino({ level: process.env.SIMULATION_LOG ?? 'silent' }),
     metrics: new Registry(),
   };
-  const committer = createCommitter({ log, ctx });
+  const committer = input.committer(log, ctx);
   const peers = peerView(id, input.live);
   const config = fixedConfig(input.config);
-  const follow: Parameters<typeof startScheduler>[0]['follow'] = (
-    stream,
-    onBatch,
-  ) => followStream({ log, stream, from: 0, ctx, onBatch });
+  const retentionMs = LOG_RETENTION_MS;
+  const follow = followWithSnapshots({ log, ctx, committer, retentionMs });
   const ownership = startShardOwnership({
     ctx,
     cfg: {
--- a/packages/bench/src/simulation/scheduling.test.ts
+++ b/packages/bench/src/simulation/scheduling.test.ts
@@ -1,7 +1,11 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
 
-import { seededRandom } from '@paddlewind/domain';
+import {
+  createSnapshotAssembler,
+  decodeBatch,
+  seededRandom,
+} from '@paddlewind/domain';
 
 import { completedTasks, runningNow, watchPlaces } from './checks.js';
 import {
@@ -267,6 +271,41 @@
   assert.equal(bed.workers.runs.length, 20);
 });
 
+test('entry hosts that start after records expired go on from snapshots', async () => {
+  const bed = await setUp();
+  await submit(bed, sleepJob('j', 20, 600));
+  await bed.time.advance(150_000);
+  const before = bed.shardNames().map(name => bed.owners(name).length);
+  assert.deepEqual(before, [1, 1]);
+  for (const stream of ['leases.region', 'decisions.z']) {
+    const whole = snapshotOffset(bed, stream);
+    assert.ok(whole > 0, `${stream} has no snapshot`);
+    bed.log.trim(stream, whole);
+  }
+  for (const host of [...bed.entryHosts.values()]) {
+    host.kill();
+  }
+  for (const id of ['n0', 'n1']) {
+    bed.start('z', id);
+  }
+  await assertDone(bed, 'j', 20, 900_000);
+  assert.equal(bed.workers.runs.length, 20);
+});
+
+/** Returns the offset that the newest snapshot in the stream stands for, 0 without one. */
+function snapshotOffset(bed: Bed, stream: string): number {
+  const assembler = createSnapshotAssembler();
+  let newest = 0;
+  for (const { payload } of bed.log.entries(stream)) {
+    const batch = decodeBatch(payload).unwrapOr(undefined);
+    batch?.records.forEach(record => {
+      const whole = assembler.add(record);
+      newest = Math.max(newest, whole?.offset ?? 0);
+    });
+  }
+  return newest;
+}
+
 test('a burst of cancellations stops what runs and starts nothing more', async () => {
   const bed = await setUp();
   const names = Array.from({ length: 200 }, (_, i) => `j${i}`);
--- a/packages/daemon/src/entry-host.ts
+++ b/packages/daemon/src/entry-host.ts
@@ -22,7 +22,7 @@
 import {
   createCommitter,
   followRetained,
-  followStream,
+  followWithSnapshots,
   type StoppableCommitter,
 } from './log/index.js';
 import { startMembership, type MembershipPart } from './membership/index.js';
@@ -32,11 +32,7 @@
 import { startRouter, type RouterHandle } from './router/index.js';
 import { startScheduler, type Scheduler } from './scheduler/index.js';
 import type { Settings } from './settings/schema.js';
-import {
-  startShardOwnership,
-  type Follow,
-  type ShardOwnership,
-} from './shards/index.js';
+import { startShardOwnership, type ShardOwnership } from './shards/index.js';
 import { ownershipTiming, renewEvery, taskTiming } from './timing.js';
 
 /** A running entry host. */
@@ -178,7 +174,12 @@
   const { settings, platform, committer } = base;
   const { membership, config } = shared;
   const { region, availabilityZone } = settings.host;
-  const follow = followWith(base);
+  const follow = followWithSnapshots({
+    log: platform.log,
+    ctx: base.ctx,
+    committer,
+    retentionMs: settings.platform.logRetentionMs,
+  });
   const { shardLeaseMs } = settings.scheduler;
   const ownership = startShardOwnership({
     ctx: base.ctx,
@@ -215,17 +216,6 @@
   return { ownership, scheduler, router };
 }
 
-function followWith({ platform, ctx }: Base): Follow {
-  return (stream, onBatch) =>
-    followStream({
-      log: platform.log,
-      stream,
-      from: 0,
-      ctx,
-      onBatch,
-    });
-}
-
 function startCallersRouter(
   { ctx, settings, committer, platform }: Base,
   { membership, config }: SharedState,
--- a/packages/daemon/src/log/index.ts
+++ b/packages/daemon/src/log/index.ts
@@ -2,6 +2,7 @@
 export * from './committer.js';
 export * from './fold-follower.js';
 export * from './follow-retained.js';
+export * from './follow-snapshots.js';
 export * from './follower.js';
 export * from './recovery.js';
 export * from './snapshot-keeper.js';
--- a/packages/daemon/src/scheduler/jobs.ts
+++ b/packages/daemon/src/scheduler/jobs.ts
@@ -28,21 +28,6 @@
   );
 }
 
-/** Follows the zone with the schedules of all its shards. */
-export function openZone(
-  parts: SchedulerParts,
-  zones: Zones,
-  name: string,
-): Zone {
-  const shards = shardsOf(parts).filter(
-    shard => shard.availabilityZone === name,
-  );
-  return zones.open(
-    name,
-    shards.map(shard => shard.name),
-  );
-}
-
 /** Creates the calls on jobs. */
 export function createJobs(parts: SchedulerParts, zones: Zones): OperatorJobs {
   async function submit(
@@ -91,7 +76,7 @@
     if (home === undefined) {
       return Result.err(appError('not_ready', 'No shards are configured.'));
     }
-    const zone = openZone(parts, zones, home.zone);
+    const zone = zones.open(home.zone);
     while (!zone.follower.caughtUp()) {
       if (parts.ctx.clock() >= deadline) {
         return Result.err(appError('not_ready', 'The log is being read.'));
@@ -115,7 +100,7 @@
   record: Decision,
   deadline: Instant,
 ): Promise<Result<Zone, AppError>> {
-  const zone = openZone(parts, zones, home.zone);
+  const zone = zones.open(home.zone);
   const result = await parts.committer.commit(zone.stream, record, deadline);
   if (result.isErr) {
     return Result.err(result.error);
--- a/packages/daemon/src/scheduler/scheduler.ts
+++ b/packages/daemon/src/scheduler/scheduler.ts
@@ -3,7 +3,7 @@
 
 import type { LossReason, OwnedShard } from '../shards/types.js';
 import { countShards, useOfWorkers } from './counts.js';
-import { createJobs, openZone, shardsOf } from './jobs.js';
+import { createJobs, shardsOf } from './jobs.js';
 import { startShardRunner, type ShardRunner } from './shard-runner.js';
 import type { AttemptControl, Scheduler, SchedulerParts } from './types.js';
 import { createZones, type Zones } from './zone.js';
@@ -14,10 +14,10 @@
 /** Starts to place tasks. */
 export function startScheduler(parts: SchedulerParts): Scheduler {
   const { ctx, cfg, config, ownership } = parts;
-  const zones = createZones(parts.follow);
+  const zones = createZones(parts.follow, zone => runners.decidesIn(zone));
   const runners = createRunners(parts, zones);
   const jobs = createJobs(parts, zones);
-  openZone(parts, zones, cfg.availabilityZone);
+  zones.open(cfg.availabilityZone);
   const stops = [
     ownership.onAcquire(owned => {
       runners.acquired(owned);
@@ -26,9 +26,6 @@
       runners.lost(shard, epoch, reason),
     ),
     config.onChange(() => {
-      for (const zone of zones.known()) {
-        openZone(parts, zones, zone.name);
-      }
       runners.refresh();
     }),
   ];
@@ -56,9 +53,11 @@
 interface Runners {
   acquired(owned: OwnedShard): void;
   lost(shard: string, epoch: number, reason: LossReason): Promise<void>;
-  /** Starts runners anew whose zone is read anew, and those whose shard was not configured yet. */
+  /** Starts runners anew whose shard was configured anew, and those whose shard was not configured yet. */
   refresh(): void;
   deciding(): string[];
+  /** Whether it decides for a shard of the availability zone. */
+  decidesIn(zone: string): boolean;
   readonly attempts: AttemptControl;
   drain(deadline: Instant): Promise<void>;
   stop(): void;
@@ -78,7 +77,7 @@
     runners.delete(owned.shard);
     const spec = shardsOf(parts).find(shard => shard.name === owned.shard);
     if (spec !== undefined) {
-      const zone = openZone(parts, zones, spec.availabilityZone);
+      const zone = zones.open(spec.availabilityZone);
       runners.set(owned.shard, startShardRunner(parts, zone, spec, owned));
     }
   }
@@ -115,9 +114,8 @@
   }
 
   function refresh(): void {
-    const current = new Set(zones.known());
     for (const runner of [...runners.values()]) {
-      if (!current.has(runner.zone)) {
+      if (isConfiguredAnew(parts, runner)) {
         void restart(runner);
       }
     }
@@ -132,6 +130,10 @@
     acquired,
     lost,
     refresh,
+    decidesIn: zone =>
+      [...runners.values()].some(
+        each => each.zone.name === zone && each.isDeciding(),
+      ),
     deciding: () =>
       [...runners.values()]
         .filter(each => each.isDeciding())
@@ -162,3 +164,11 @@
       runners.get(attempt.shard)?.attempts.evict(attempt) ?? false,
   };
 }
+
+function isConfiguredAnew(
+  parts: SchedulerParts,
+  { shard, spec }: ShardRunner,
+): boolean {
+  const current = shardsOf(parts).find(each => each.name === shard);
+  return JSON.stringify(current) !== JSON.stringify(spec);
+}
--- a/packages/daemon/src/scheduler/shard-runner.ts
+++ b/packages/daemon/src/scheduler/shard-runner.ts
@@ -23,6 +23,7 @@
 export interface ShardRunner {
   readonly shard: string;
   readonly epoch: number;
+  readonly spec: ShardSpec;
   readonly zone: Zone;
   readonly attempts: AttemptControl;
   isDeciding(): boolean;
@@ -104,6 +105,7 @@
   return {
     shard,
     epoch,
+    spec,
     zone,
     attempts: createShardAttempts(planning),
     isDeciding: () => mayDecide() && mode() === 'leased',
--- a/packages/daemon/src/scheduler/types.ts
+++ b/packages/daemon/src/scheduler/types.ts
@@ -14,6 +14,7 @@
   WorkerReport,
 } from '@paddlewind/platform';
 
+import type { Follow } from '../log/index.js';
 import type { OperatorJobs } from '../operator/deps.js';
 import type {
   Committer,
@@ -23,7 +24,7 @@
   PeerView,
   Stop,
 } from '../parts.js';
-import type { Follow, ShardOwnership } from '../shards/types.js';
+import type { ShardOwnership } from '../shards/types.js';
 
 /** Times of task leases, see docs/design/task-leases.md. */
 export interface TaskTiming {
--- a/packages/daemon/src/scheduler/zone.ts
+++ b/packages/daemon/src/scheduler/zone.ts
@@ -4,14 +4,21 @@
   createScheduleState,
   decisionStream,
   decodeDecision,
+  exportSchedule,
+  importSchedule,
+  parseJson,
+  withNamedShards,
   type Decision,
   type ScheduleState,
   type Verdict,
 } from '@paddlewind/domain';
 
+import { Result } from 'true-myth';
+
 import { createListeners } from '../core/listeners.js';
+import type { FoldedState, Follow } from '../log/index.js';
+import { SNAPSHOT_KIND_PREFIX } from '../log/priority.js';
 import type { CommittedRecord, Stop, StreamFollower } from '../parts.js';
-import type { Follow } from '../shards/types.js';
 
 /** A decision and what the fold made of it. */
 export interface FoldedDecision {
@@ -24,6 +31,7 @@
 export interface Zone {
   readonly name: string;
   readonly stream: string;
+  /** The state now; another object once a shard is named first, or a snapshot was restored. */
   readonly state: ScheduleState;
   readonly follower: StreamFollower;
   /** Called once for each decision, in order. */
@@ -32,24 +40,21 @@
 
 /** Zones by name. */
 export interface Zones {
-  /** Follows a zone from now on, with the schedules of `shards`. */
-  open(name: string, shards: readonly string[]): Zone;
+  /** Follows a zone from now on. */
+  open(name: string): Zone;
   known(): readonly Zone[];
   stop: Stop;
 }
 
-/** Creates the zones of a process, none of which is followed yet. */
-export function createZones(follow: Follow): Zones {
+/** Creates the zones of a process, none of which is followed yet; `mayWrite` as of `Follow`. */
+export function createZones(
+  follow: Follow,
+  mayWrite: (zone: string) => boolean,
+): Zones {
   const zones = new Map<string, Zone>();
 
-  function open(name: string, shards: readonly string[]): Zone {
-    const known = zones.get(name);
-    if (known !== undefined && hasAll(known, shards)) {
-      return known;
-    }
-    // A new shard changes what earlier records mean here, so the stream is read anew.
-    known?.follower.stop();
-    const zone = openZone(name, shards, follow);
+  function open(name: string): Zone {
+    const zone = zones.get(name) ?? openZone(name, follow, mayWrite);
     zones.set(name, zone);
     return zone;
   }
@@ -65,20 +70,20 @@
   };
 }
 
-function hasAll(zone: Zone, shards: readonly string[]): boolean {
-  return shards.every(shard => zone.state.shards.has(shard));
-}
-
 function openZone(
   name: string,
-  shards: readonly string[],
   follow: Follow,
+  mayWrite: (zone: string) => boolean,
 ): Zone {
   const stream = decisionStream(name);
-  const state = createScheduleState(shards);
   const listeners = createListeners<[FoldedDecision]>();
+  let state = createScheduleState([]);
 
   function fold(record: CommittedRecord): void {
+    if (record.kind.startsWith(SNAPSHOT_KIND_PREFIX)) {
+      return;
+    }
+    state = withNamedShards(state, record);
     const verdict = applyRecord(state, record, record.position);
     const decision = decodeDecision(record);
     if (decision !== undefined) {
@@ -87,13 +92,27 @@
     }
   }
 
-  const follower = follow(stream, records => {
-    records.forEach(fold);
-  });
+  const folded: FoldedState = {
+    apply: records => {
+      records.forEach(fold);
+      return Result.ok(undefined);
+    },
+    capture: () => JSON.stringify(exportSchedule(state)),
+    restore: text => {
+      const chunks = parseJson(text);
+      const restored = importSchedule(Array.isArray(chunks) ? chunks : []);
+      return restored.map(imported => {
+        state = imported;
+      });
+    },
+  };
+  const follower = follow(stream, folded, () => mayWrite(name));
   return {
     name,
     stream,
-    state,
+    get state() {
+      return state;
+    },
     follower,
     onDecision: listener => listeners.add(listener),
   };
--- a/packages/daemon/src/shards/lease-book.ts
+++ b/packages/daemon/src/shards/lease-book.ts
@@ -3,17 +3,26 @@
   applyLeaseRecord,
   createLeaseState,
   decodeLeaseRecord,
+  exportLeases,
+  importLeases,
   isHolder,
   leaseStream,
+  parseJson,
+  type Clock,
   type Instant,
+  type LeaseRecord,
   type LeaseState,
   type LeaseVerdict,
   type OwnershipAction,
   type ShardLease,
 } from '@paddlewind/domain';
 
+import { Result } from 'true-myth';
+
 import { createListeners, type Listeners } from '../core/listeners.js';
-import type { CommittedRecord, StreamFollower } from '../parts.js';
+import type { FoldedState } from '../log/index.js';
+import { SNAPSHOT_KIND_PREFIX } from '../log/priority.js';
+import type { CommittedRecord, PartContext, StreamFollower } from '../parts.js';
 import {
   createOwnLeases,
   type LostShard,
@@ -53,14 +62,12 @@
   const givenUp = new Map<string, number>();
 
   function fold(record: CommittedRecord): void {
-    const decoded = decodeLeaseRecord(record);
-    if (decoded.isErr) {
-      const { id } = record;
-      ctx.log.warn({ id, err: decoded.error }, 'shards: record ignored');
+    const decoded = decode(ctx, record);
+    if (decoded === undefined) {
       return;
     }
     const { position, readAt } = record;
-    react(record.id, applyLeaseRecord(leases, decoded.value, position, readAt));
+    react(record.id, applyLeaseRecord(leases, decoded, position, readAt));
   }
 
   function react(id: string, verdict: LeaseVerdict): void {
@@ -104,9 +111,11 @@
     }
   }
 
-  const follower = parts.follow(leaseStream(cfg.region), records => {
-    records.forEach(fold);
-  });
+  const follower = parts.follow(
+    leaseStream(cfg.region),
+    foldedLeases(leases, ctx.clock, fold),
+    () => heldBy(leases, self).length > 0,
+  );
   return {
     self,
     leases,
@@ -132,3 +141,41 @@
 function heldBy(state: LeaseState, self: LeaseBook['self']): ShardLease[] {
   return [...state.shards.values()].filter(lease => isHolder(lease, self));
 }
+
+function decode(
+  { log }: PartContext,
+  record: CommittedRecord,
+): LeaseRecord | undefined {
+  if (record.kind.startsWith(SNAPSHOT_KIND_PREFIX)) {
+    return undefined;
+  }
+  const decoded = decodeLeaseRecord(record);
+  if (decoded.isErr) {
+    const { id } = record;
+    log.warn({ id, err: decoded.error }, 'shards: record ignored');
+    return undefined;
+  }
+  return decoded.value;
+}
+
+/** Returns the leases as a state that snapshots are written of and restored from. */
+function foldedLeases(
+  leases: LeaseState,
+  clock: Clock,
+  fold: (record: CommittedRecord) => void,
+): FoldedState {
+  return {
+    apply: records => {
+      records.forEach(fold);
+      return Result.ok(undefined);
+    },
+    capture: () => JSON.stringify(exportLeases(leases)),
+    restore: text =>
+      importLeases(parseJson(text), clock()).map(restored => {
+        leases.shards.clear();
+        for (const lease of restored.shards.values()) {
+          leases.shards.set(lease.shard, lease);
+        }
+      }),
+  };
+}
--- a/packages/daemon/src/shards/ownership.test.ts
+++ b/packages/daemon/src/shards/ownership.test.ts
@@ -21,7 +21,7 @@
 import { pino } from 'pino';
 import { Registry } from 'prom-client';
 
-import { createCommitter, followStream } from '../log/index.js';
+import { createCommitter, followFold } from '../log/index.js';
 import type { PartContext, Peer, PeerView } from '../parts.js';
 import { startShardOwnership } from './ownership.js';
 import type { ShardOwnership } from './types.js';
@@ -90,8 +90,8 @@
       shards: () => SHARDS,
       peers: peerView(id, live),
       committer,
-      follow: (stream, onBatch) =>
-        followStream({ log: seenLog, stream, from: 0, ctx, onBatch }),
+      follow: (stream, state) =>
+        followFold({ log: seenLog, stream, ctx, state }),
     });
     const events: string[] = [];
     ownership.onAcquire(({ shard, epoch }) =>
--- a/packages/daemon/src/shards/types.ts
+++ b/packages/daemon/src/shards/types.ts
@@ -6,20 +6,8 @@
   ShardSpec,
 } from '@paddlewind/domain';
 
-import type {
-  CommittedRecord,
-  Committer,
-  PartContext,
-  PeerView,
-  Stop,
-  StreamFollower,
-} from '../parts.js';
-
-/** Follows a stream from its oldest retained record; `fold` is called once for each batch. */
-export type Follow = (
-  stream: string,
-  fold: (records: readonly CommittedRecord[]) => void,
-) => StreamFollower;
+import type { Follow } from '../log/index.js';
+import type { Committer, PartContext, PeerView, Stop } from '../parts.js';
 
 /** Settings of shard ownership. */
 export interface ShardOwnershipConfig {
--- a/packages/daemon/src/timing.ts
+++ b/packages/daemon/src/timing.ts
@@ -7,8 +7,11 @@
 /** Largest difference in rate between the clocks of two hosts. */
 const CLOCK_DRIFT = 0.001;
 
-/** Covers requests under way when a lease ends. */
-const MARGIN_MS = 500;
+/** Covers the granularity of timers when a shard lease ends. */
+const SHARD_MARGIN_MS = 500;
+
+/** Covers calls to agents that are under way when their timeout of 3 s gives them up. */
+const TASK_MARGIN_MS = 4_000;
 
 /** Renewals a lease: one may be lost and one late without a lapse. */
 const RENEWALS_PER_LEASE = 4;
@@ -17,7 +20,7 @@
 export function ownershipTiming(): OwnershipTiming {
   return {
     drift: CLOCK_DRIFT,
-    marginMs: MARGIN_MS,
+    marginMs: SHARD_MARGIN_MS,
     claimStepMs: 300,
     aliveGraceMs: 2_000,
     settleMs: 3_000,
@@ -38,7 +41,7 @@
     urgentSyncMs: 100,
     suspectMs: taskLeaseMs / 2,
     drift: CLOCK_DRIFT,
-    marginMs: MARGIN_MS,
+    marginMs: TASK_MARGIN_MS,
     outageHoldMs: 3_600_000,
     darkWindowMs: shardLeaseMs,
     stopGraceMs: 5_000,
--- a/packages/domain/src/scheduling/index.ts
+++ b/packages/domain/src/scheduling/index.ts
@@ -1,4 +1,5 @@
 /** Decisions on tasks: placement, quotas, preemption and their records. */
+export * from './add-shards.js';
 export * from './describe.js';
 export * from './fold.js';
 export * from './ids.js';
--- a/packages/domain/src/shards/index.ts
+++ b/packages/domain/src/shards/index.ts
@@ -3,3 +3,4 @@
 export * from './decide.js';
 export * from './leases.js';
 export * from './records.js';
+export * from './snapshot.js';
--- a/packages/domain/src/shards/leases.test.ts
+++ b/packages/domain/src/shards/leases.test.ts
@@ -4,8 +4,6 @@
 import {
   applyLeaseRecord,
   createLeaseState,
-  exportLeases,
-  importLeases,
   lapsesAt,
   type LeaseState,
 } from './leases.js';
@@ -14,6 +12,7 @@
   leaseEnvelope,
   type LeaseRecord,
 } from './records.js';
+import { exportLeases, importLeases } from './snapshot.js';
 
 const A = { owner: 'a', incarnation: '1' };
 const B = { owner: 'b', incarnation: '1' };
@@ -108,7 +107,9 @@
 test('a snapshot gives the same verdicts and starts the waits anew', () => {
   const state = createLeaseState();
   apply(state, [claim(A, 1, 0), renew(A)]);
-  const restored = importLeases(exportLeases(state), 7_000);
+  const text = JSON.stringify(exportLeases(state));
+  const restored = importLeases(JSON.parse(text), 7_000).unwrapOr(undefined);
+  assert.ok(restored);
   assert.equal(restored.shards.get('s')?.observedAt, 7_000);
   const next = [claim(B, 2, 1), claim(B, 2, 2)];
   assert.deepEqual(apply(restored, next, 2), apply(state, next, 2));
--- a/packages/domain/src/shards/leases.ts
+++ b/packages/domain/src/shards/leases.ts
@@ -156,38 +156,3 @@
   const wait = leaseMs + leaseMs * margin.drift + margin.marginMs;
   return lease.observedAt + wait;
 }
-
-/** A lease in a snapshot: what the fold's verdicts depend on. */
-export type LeaseSnapshot = readonly Omit<
-  ShardLease,
-  'observedAt' | 'claimedAt' | 'takenOverAt'
->[];
-
-/** Exports the state, in order of shard. */
-export function exportLeases(state: LeaseState): LeaseSnapshot {
-  return [...state.shards.values()]
-    .map(({ shard, epoch, holder, offset }) => ({
-      shard,
-      epoch,
-      holder,
-      offset,
-    }))
-    .sort((a, b) => (a.shard < b.shard ? -1 : 1));
-}
-
-/** Restores a state from a snapshot that this process read at `readAt`: every wait starts anew. */
-export function importLeases(
-  snapshot: LeaseSnapshot,
-  readAt: Instant,
-): LeaseState {
-  const state = createLeaseState();
-  for (const lease of snapshot) {
-    state.shards.set(lease.shard, {
-      ...lease,
-      observedAt: readAt,
-      claimedAt: readAt,
-      takenOverAt: readAt,
-    });
-  }
-  return state;
-}
