Start the interference policy in the entry host

The policy was built and tested but no process ran it. The entry host now starts it before the scheduler, which takes its penalties and hands it the workers' reports, and connects it once the router runs; it stops acting before the shards are released.

--- a/packages/daemon/src/entry-host.ts
+++ b/packages/daemon/src/entry-host.ts
@@ -18,6 +18,7 @@
   type Config,
 } from './config/index.js';
 import { createFleet } from './fleet.js';
+import { startInterference, type Interference } from './interference/index.js';
 import { splitAddress } from './listening.js';
 import {
   createCommitter,
@@ -69,6 +70,7 @@
 interface Work {
   readonly ownership: ShardOwnership;
   readonly scheduler: Scheduler;
+  readonly interference: Interference;
   readonly router: RouterHandle;
 }
 
@@ -200,20 +202,31 @@
     follow,
     ready: () => config.inForce(),
   });
+  const { hosts, peers } = membership;
+  const interference = startInterference({
+    ctx: base.ctx,
+    cfg: { region, availabilityZone },
+    wall: Date.now,
+    config,
+    hosts,
+  });
   const scheduler = startScheduler({
     ctx: base.ctx,
     cfg: { region, availabilityZone, tasks: taskTiming(settings.scheduler) },
     wall: Date.now,
     config,
-    hosts: membership.hosts,
-    peers: membership.peers,
+    hosts,
+    peers,
     committer,
     follow,
     ownership,
     agent: platform.agent,
+    penalty: interference.penalty,
+    onReport: interference.onReport,
   });
   const router = await startCallersRouter(base, shared);
-  return { ownership, scheduler, router };
+  interference.connect(scheduler.attempts, router.latency);
+  return { ownership, scheduler, interference, router };
 }
 
 function startCallersRouter(
@@ -298,10 +311,11 @@
 async function stopWork(
   settings: Settings,
   { membership }: SharedState,
-  { ownership, scheduler, router }: Work,
+  { ownership, scheduler, interference, router }: Work,
 ): Promise<void> {
   const { balancerMs, drainMs } = settings.shutdown;
   const deadline: Instant = performance.now() + balancerMs + drainMs;
+  interference.stop();
   await Promise.all([
     membership.leave(deadline),
     router.drain(deadline),
