--- a/packages/bench/src/cluster/entry-faults.ts
+++ b/packages/bench/src/cluster/entry-faults.ts
@@ -20,15 +20,23 @@
   recorder.record({ type: 'fault_ended', ...fault });
 }
 
-/** Asks an entry host to end, as for a planned replacement; resolves to its exit code. */
+/** Time after which a process that was asked to stop is killed, in milliseconds. */
+const STOP_LIMIT_MS = 20_000;
+
+/** Asks an entry host to end, as for a planned replacement; resolves to its exit code, null after a signal. */
 export async function stopEntry(
   entry: Pick<EntryHost, 'id' | 'child'>,
   recorder: Recorder,
 ): Promise<number | null> {
   const fault = { fault: 'entry_stopped', target: entry.id } as const;
   recorder.record({ type: 'fault_began', ...fault });
-  entry.child().signal('SIGTERM');
-  const code = (await entry.child().exited) ?? null;
+  const child = entry.child();
+  child.signal('SIGTERM');
+  const kill = setTimeout(() => {
+    child.signal('SIGKILL');
+  }, STOP_LIMIT_MS);
+  const code = (await child.exited) ?? null;
+  clearTimeout(kill);
   recorder.record({ type: 'entry_exited', entry: entry.id, code });
   return code;
 }
--- a/packages/bench/src/cluster/operators.ts
+++ b/packages/bench/src/cluster/operators.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 
-import { createClient } from '@connectrpc/connect';
+import { createClient, type Client } from '@connectrpc/connect';
 import { createConnectTransport } from '@connectrpc/connect-node';
 import {
   applyLeaseRecord,
@@ -50,6 +50,16 @@
   });
 }
 
+/** Operators' calls to one entry host. */
+export type OperatorClient = Client<typeof OperatorService>;
+
+/** Connects to the operators' calls of an entry host. */
+export function connectOperator(entry: EntryHost): OperatorClient {
+  const baseUrl = `http://${entry.peers}`;
+  const transport = createConnectTransport({ baseUrl, httpVersion: '1.1' });
+  return createClient(OperatorService, transport);
+}
+
 /** Looks again and again at the configuration that each entry host has in force; returns the stop. */
 export function watchConfig(
   entries: readonly EntryHost[],
@@ -58,13 +68,7 @@
   let stopped = false;
   const clients = entries.map(entry => ({
     entry,
-    client: createClient(
-      OperatorService,
-      createConnectTransport({
-        baseUrl: `http://${entry.peers}`,
-        httpVersion: '1.1',
-      }),
-    ),
+    client: connectOperator(entry),
   }));
 
   async function watch({ entry, client }: (typeof clients)[number]) {
--- a/packages/bench/src/demo/run.ts
+++ b/packages/bench/src/demo/run.ts
@@ -46,6 +46,8 @@
 const READY_LIMIT_MS = 10_000;
 const JOB_LIMIT_MS = 20_000;
 const REQUESTS_PER_SECOND = 100;
+/** Share of requests with an idempotency key that are sent again, to another entry host. */
+const REPEAT_SHARE = 0.5;
 /** Time for requests before the kill, and after the stop, in milliseconds. */
 const CALM_MS = 1_000;
 const JOBS = ['statements-november', 'posting-1201'];
@@ -95,7 +97,7 @@
     recorder,
     host: MEMBERLINK_HOST,
     perSecond: REQUESTS_PER_SECOND,
-    repeatShare: 0,
+    repeatShare: REPEAT_SHARE,
     random: seededRandom(1),
   });
   const unwatch = watchConfig(entries, recorder);
