--- a/packages/domain/src/routing/choose.ts
+++ b/packages/domain/src/routing/choose.ts
@@ -25,10 +25,35 @@
   const best =
     leastScore(state, avoid, now) ??
     (avoid.length > 0 ? leastScore(state, [], now) : undefined);
-  if (best === undefined || best.scoreMs > waitingScoreMs(state)) {
-    return undefined;
+  return best !== undefined && isWorthNow(state, best, now)
+    ? best.backend
+    : undefined;
+}
+
+function isWorthNow(
+  state: DispatcherState,
+  best: Scored,
+  now: Instant,
+): boolean {
+  const waitMs = waitingScoreMs(state);
+  return (
+    best.scoreMs <= waitMs || best.scoreMs <= waitMs * leastWaited(state, now)
+  );
+}
+
+/**
+ * Returns the slowness of the fastest server whose slots of this host are all taken: what a waiting
+ * request waits for. Infinity when none is, so that nothing waits while all servers are slow and free.
+ */
+function leastWaited(state: DispatcherState, now: Instant): number {
+  let least = Infinity;
+  for (const backend of state.pool.home) {
+    const isTaken = backend.running.size >= backend.homeSlots;
+    if (isTaken && !isEjected(backend, now)) {
+      least = Math.min(least, slownessFactor(state, backend, now));
+    }
   }
-  return best.backend;
+  return least;
 }
 
 function leastScore(
--- a/packages/domain/src/routing/create-dispatcher.test.ts
+++ b/packages/domain/src/routing/create-dispatcher.test.ts
@@ -227,3 +227,29 @@
   assert.equal(verdicts[0]?.kind, 'refused');
   assert.equal(verdicts[0].error.outcome, 'not_run');
 });
+
+test('nothing waits while all servers are slow and free', () => {
+  const dispatcher = newDispatcher({}, { entryHosts: 1 });
+  dispatcher.setPeers(1, 0, [{ id: 'e1', availabilityZone: 'a' }]);
+  dispatcher.setBackends([backend(1), backend(2)], 0);
+  let now = 0;
+  let id = 0;
+  function answerAfter(ms: number): void {
+    const verdicts = [1, 2].map(() => {
+      const req = request(++id, { deadline: now + 1_000 });
+      return dispatcher.offer(req, now)[0];
+    });
+    now += ms;
+    for (const verdict of verdicts) {
+      assert.equal(verdict?.kind, 'send', `at ${now} ms`);
+      const result = { kind: 'answered', status: 200 } as const;
+      dispatcher.finish(verdict.id, verdict.backend, result, now);
+    }
+  }
+  for (let round = 0; round < 300; round++) {
+    answerAfter(2);
+  }
+  for (let round = 0; round < 20; round++) {
+    answerAfter(20);
+  }
+});
