--- a/packages/daemon/src/config/config.test.ts
+++ b/packages/daemon/src/config/config.test.ts
@@ -191,6 +191,28 @@
   cluster.stop();
 });
 
+test('what one host read before an outage reaches the others before they stop serving', async () => {
+  const cluster = startCluster(3);
+  await ready(cluster);
+  for (let round = 0; round < 5; round++) {
+    cluster.host(1).cut.log = true;
+    cluster.host(2).cut.log = true;
+    const change = put(team(`team-${round}`));
+    await settled(cluster, cluster.apply(0, `a${round}`, change));
+    cluster.log.setOutage(true);
+    for (let i = 0; i < 50; i++) {
+      await cluster.time.advance(100);
+      assert.ok(cluster.hosts.every(host => host.config.inForce()));
+    }
+    assert.equal(weightAt(cluster, 2, `team-${round}`), 1);
+    cluster.log.setOutage(false);
+    cluster.host(1).cut.log = false;
+    cluster.host(2).cut.log = false;
+    await cluster.time.advance(10_000);
+  }
+  cluster.stop();
+});
+
 test('a fresh host alone in an outage does not serve', async () => {
   const cluster = startCluster(1);
   await ready(cluster);
--- a/packages/daemon/src/config/peer-source.ts
+++ b/packages/daemon/src/config/peer-source.ts
@@ -22,9 +22,9 @@
   readonly onAdopted: (peer: Peer) => void;
 }
 
-const CHECK_MS: Millis = 500;
+const CHECK_MS: Millis = 250;
 /** How long the log may take to give what a peer has told of. */
-const PATIENCE_MS: Millis = 750;
+const PATIENCE_MS: Millis = 250;
 const FETCH_DEADLINE_MS: Millis = 3_000;
 
 /** Starts to look for peers that are ahead, and takes over from the furthest. */
--- a/packages/daemon/src/log/snapshot-text.ts
+++ b/packages/daemon/src/log/snapshot-text.ts
@@ -1,6 +1,11 @@
 /** The text of a snapshot: the state and the known record ids, compressed. */
 import { promisify } from 'node:util';
-import { deflateRaw, inflateRaw } from 'node:zlib';
+import {
+  deflateRaw,
+  deflateRawSync,
+  inflateRaw,
+  inflateRawSync,
+} from 'node:zlib';
 
 import {
   appError,
@@ -13,11 +18,14 @@
 
 import { snapshotHash } from './recovery.js';
 
-const compress = promisify(deflateRaw);
+const compress = promisify<string, Buffer>(deflateRaw);
 const decompress = promisify<Buffer, { maxOutputLength: number }, Buffer>(
   inflateRaw,
 );
 
+/** Characters up to which compressing takes less than a turn of the loop may. */
+const SYNC_CHARS = 64 * 1024;
+
 /** Bytes that a snapshot may unfold to. */
 const MAX_STATE_BYTES = 64 * 1024 * 1024;
 
@@ -35,7 +43,9 @@
   captured: CapturedState,
 ): Promise<Snapshot> {
   const plain = `${JSON.stringify(captured.ids)}\n${captured.state}`;
-  const text = (await compress(plain)).toString('base64');
+  const isShort = plain.length <= SYNC_CHARS;
+  const bytes = isShort ? deflateRawSync(plain) : await compress(plain);
+  const text = bytes.toString('base64');
   return { offset: captured.offset, text, hash: snapshotHash(text) };
 }
 
@@ -57,9 +67,12 @@
 
 async function unfold(text: string): Promise<string | undefined> {
   try {
-    const plain = await decompress(Buffer.from(text, 'base64'), {
-      maxOutputLength: MAX_STATE_BYTES,
-    });
+    const bytes = Buffer.from(text, 'base64');
+    const limit = { maxOutputLength: MAX_STATE_BYTES };
+    const isShort = text.length <= SYNC_CHARS / 4;
+    const plain = isShort
+      ? inflateRawSync(bytes, limit)
+      : await decompress(bytes, limit);
     return plain.toString();
   } catch {
     return undefined;
