Hold a job in a zone whose workers can run it

Cause: a job went to the availability zone that its name hashes to, and was answered as unschedulable when its selector named workers of another zone. Change: the hashed zone's stream is the registry of the job's home. If no worker there could ever hold the job, job_homed names a shard of a zone where one could, and the job is submitted there; the first record for a name counts, so that hosts that see different workers and retries agree.

--- a/packages/bench/src/simulation/cluster.ts
+++ b/packages/bench/src/simulation/cluster.ts
@@ -351,7 +351,7 @@
           region: REGION,
           availabilityZone: zone,
           rack: `${zone}-rack-${shard}`,
-          labels: {},
+          labels: { site: zone },
           capacity: options.capacity,
           endpoints: {},
         };
--- a/packages/bench/src/simulation/scheduling.test.ts
+++ b/packages/bench/src/simulation/scheduling.test.ts
@@ -122,6 +122,33 @@
   assert.equal(bed.workers.runs.length, 2);
 });
 
+test('a job for one zone is held there, whoever accepts it', async () => {
+  const bed = createCluster({
+    zones: ['x', 'y', 'z'],
+    entryHosts: 1,
+    shards: 1,
+    workers: 2,
+    capacity: CAPACITY,
+  });
+  await bed.time.advance(3_000);
+  const hosts = [...bed.entryHosts.values()];
+  for (const zone of ['x', 'y', 'z']) {
+    const workers = { labels: { site: zone } };
+    const job = sleepJob(`job-${zone}`, 2, 10, { workers });
+    for (const { scheduler } of hosts) {
+      const deadline = bed.time.clock() + 10_000;
+      const call = scheduler.submit(job.name, job, deadline);
+      const shard = await answerOf(bed, call);
+      assert.equal(shard.unwrapOr(''), `${zone}-0`);
+    }
+  }
+  await bed.time.advance(30_000);
+  assert.equal(bed.workers.runs.length, 6);
+  for (const zone of ['x', 'y', 'z']) {
+    assert.equal(await phaseOf(bed, `job-${zone}`), 'completed');
+  }
+});
+
 test('an owner paused past its lease changes nothing when it goes on', async () => {
   const bed = await setUp();
   const shard = await submit(bed, sleepJob('j', 20, 120));
--- a/packages/daemon/src/scheduler/jobs.ts
+++ b/packages/daemon/src/scheduler/jobs.ts
@@ -9,13 +9,16 @@
   type Instant,
   type JobDescription,
   type JobSpec,
+  type Resources,
   type ShardSpec,
 } from '@paddlewind/domain';
+import type { Host } from '@paddlewind/platform';
 import { Result } from 'true-myth';
 
 import { scheduleOf, sleep } from '../log/timing.js';
 import type { JobStatusFields, OperatorJobs } from '../operator/deps.js';
-import { homeOf, type Home } from './home.js';
+import { chooseHome, registryZone, type Home, type HomeView } from './home.js';
+import { reservedOn } from './schedule-view.js';
 import type { SchedulerParts } from './types.js';
 import type { Zone, Zones } from './zone.js';
 
@@ -28,22 +31,59 @@
   );
 }
 
+/** Ways to the zones' streams. */
+interface JobZones {
+  /** Returns the home that the zone's stream settles for a job. */
+  readonly homeIn: (zone: Zone, job: string) => Home | undefined;
+  /** Commits a record on a job and reads it back. */
+  readonly commit: (
+    zone: string,
+    record: Decision,
+    deadline: Instant,
+  ) => Promise<Result<Zone, AppError>>;
+  /** Returns the zone once everything in its stream is folded. */
+  readonly readZone: (
+    zone: string,
+    deadline: Instant,
+  ) => Promise<Result<Zone, AppError>>;
+}
+
 /** Creates the calls on jobs. */
 export function createJobs(parts: SchedulerParts, zones: Zones): OperatorJobs {
+  const { homeIn, commit, readZone } = createJobZones(parts, zones);
+
   async function submit(
     id: string,
     job: JobSpec,
     deadline: Instant,
   ): Promise<Result<string, AppError>> {
-    const home = homeOf(id, shardsOf(parts));
-    if (home === undefined) {
+    const shards = shardsOf(parts);
+    const registry = registryZone(id, shards);
+    const proposed = chooseHome(job, homeView(parts, shards));
+    if (registry === undefined || proposed === undefined) {
       return Result.err(appError('not_ready', 'No shards are configured.'));
     }
-    const { shard } = home;
+    const { shard } = proposed;
+    const isNear = proposed.zone === registry;
+    const first = isNear
+      ? submission(job, shard)
+      : decision('job_homed', { job: id, shard });
+    const settled = await commit(registry, first, deadline);
+    if (settled.isErr) {
+      return Result.err(settled.error);
+    }
+    const home = homeIn(settled.value, id) ?? proposed;
+    if (home.zone === registry) {
+      return verdictOn(settled.value, job, home);
+    }
+    const record = submission(job, home.shard);
+    const held = await commit(home.zone, record, deadline);
+    return held.andThen(zone => verdictOn(zone, job, home));
+  }
+
+  function submission(job: JobSpec, shard: string): Decision {
     const submittedAtWall = parts.wall();
-    const record = decision('job_submitted', { job, shard, submittedAtWall });
-    const zone = await commit(parts, zones, home, record, deadline);
-    return zone.andThen(at => verdictOn(at, job, home));
+    return decision('job_submitted', { job, shard, submittedAtWall });
   }
 
   async function cancel(
@@ -54,9 +94,8 @@
     if (found.isErr) {
       return Result.err(found.error);
     }
-    const { home } = found.value;
     const record = decision('job_cancelled', { job: id });
-    const done = await commit(parts, zones, home, record, deadline);
+    const done = await commit(found.value.zone, record, deadline);
     return done.map(() => undefined);
   }
 
@@ -71,52 +110,79 @@
   async function find(
     id: string,
     deadline: Instant,
-  ): Promise<Result<{ home: Home; described: JobDescription }, AppError>> {
-    const home = homeOf(id, shardsOf(parts));
-    if (home === undefined) {
+  ): Promise<Result<{ zone: string; described: JobDescription }, AppError>> {
+    const registry = registryZone(id, shardsOf(parts));
+    if (registry === undefined) {
       return Result.err(appError('not_ready', 'No shards are configured.'));
     }
-    const zone = zones.open(home.zone);
+    const read = await readZone(registry, deadline);
+    const zone = read.isOk ? (homeIn(read.value, id)?.zone ?? registry) : '';
+    const held = zone === registry ? read : await readZone(zone, deadline);
+    return held.andThen(at => {
+      const described = describeJob(at.state, id);
+      return described === undefined
+        ? Result.err(appError('not_found', `Job ${id} is not known.`))
+        : Result.ok({ zone, described });
+    });
+  }
+
+  return { submit, cancel, status };
+}
+
+function createJobZones(parts: SchedulerParts, zones: Zones): JobZones {
+  function homeIn(zone: Zone, job: string): Home | undefined {
+    const name = zone.state.homes.get(job);
+    const spec = shardsOf(parts).find(each => each.name === name);
+    return spec && { zone: spec.availabilityZone, shard: spec.name };
+  }
+
+  async function commit(
+    name: string,
+    record: Decision,
+    deadline: Instant,
+  ): Promise<Result<Zone, AppError>> {
+    const zone = zones.open(name);
+    const result = await parts.committer.commit(zone.stream, record, deadline);
+    if (result.isErr) {
+      return Result.err(result.error);
+    }
+    const next = result.value.offset + 1;
+    const read = await zone.follower.reach(next, deadline);
+    return read.map(() => zone);
+  }
+
+  async function readZone(
+    name: string,
+    deadline: Instant,
+  ): Promise<Result<Zone, AppError>> {
+    const zone = zones.open(name);
     while (!zone.follower.caughtUp()) {
       if (parts.ctx.clock() >= deadline) {
         return Result.err(appError('not_ready', 'The log is being read.'));
       }
       await sleep(scheduleOf(parts.ctx), CATCH_UP_POLL_MS);
     }
-    const described = describeJob(zone.state, id);
-    return described === undefined
-      ? Result.err(appError('not_found', `Job ${id} is not known.`))
-      : Result.ok({ home, described });
+    return Result.ok(zone);
   }
 
-  return { submit, cancel, status };
+  return { homeIn, commit, readZone };
 }
 
-/** Commits a record on a job and reads it back. */
-async function commit(
-  parts: SchedulerParts,
-  zones: Zones,
-  home: Home,
-  record: Decision,
-  deadline: Instant,
-): Promise<Result<Zone, AppError>> {
-  const zone = zones.open(home.zone);
-  const result = await parts.committer.commit(zone.stream, record, deadline);
-  if (result.isErr) {
-    return Result.err(result.error);
-  }
-  const next = result.value.offset + 1;
-  const read = await zone.follower.reach(next, deadline);
-  return read.map(() => zone);
+function homeView(
+  { config, hosts }: SchedulerParts,
+  shards: readonly ShardSpec[],
+): HomeView {
+  const services = objectsOf(config.current(), 'service');
+  const reserved = (host: Host): Resources => reservedOn(host, services);
+  return { shards, hosts: hosts.hosts(), reserved };
 }
 
 /** Returns the shard that holds the job, or `conflict` when its name is another job's. */
 function verdictOn(
   zone: Zone,
   job: JobSpec,
-  home: Home,
+  { shard }: Home,
 ): Result<string, AppError> {
-  const shard = zone.state.homes.get(job.name) ?? home.shard;
   const held = zone.state.shards.get(shard)?.jobs.get(job.name)?.spec;
   if (held !== undefined && JSON.stringify(held) !== JSON.stringify(job)) {
     const message = `Another job of the name ${job.name} was submitted before.`;
--- a/packages/domain/src/scheduling/fold-jobs.ts
+++ b/packages/domain/src/scheduling/fold-jobs.ts
@@ -23,6 +23,7 @@
     kind:
       | 'job_submitted'
       | 'job_cancelled'
+      | 'job_homed'
       | 'job_released'
       | 'job_held'
       | 'job_unschedulable';
@@ -39,6 +40,8 @@
       return submitJob(state, decision.body);
     case 'job_cancelled':
       return cancelJob(state, decision.body);
+    case 'job_homed':
+      return homeJob(state, decision.body);
     case 'job_released':
       return releaseJob(state, decision.body);
     case 'job_held':
@@ -71,6 +74,14 @@
   return APPLIED;
 }
 
+function homeJob(
+  state: ScheduleState,
+  { job, shard }: DecisionBody<'job_homed'>,
+): Verdict {
+  const isFirst = rememberKey(state.homes, job, shard, HOMES_REMEMBERED);
+  return isFirst ? APPLIED : voided('duplicate');
+}
+
 /** Adds a job without tasks to a shard. */
 export function addJob(
   schedule: ShardSchedule,
--- a/packages/domain/src/scheduling/fold.ts
+++ b/packages/domain/src/scheduling/fold.ts
@@ -45,6 +45,7 @@
 const COMMON_KINDS: ReadonlySet<string> = new Set([
   'owner_opened',
   'job_submitted',
+  'job_homed',
   'shard_reported',
 ]);
 
@@ -68,6 +69,7 @@
       return openShard(state, decision.body);
     case 'job_submitted':
     case 'job_cancelled':
+    case 'job_homed':
     case 'job_released':
     case 'job_held':
     case 'job_unschedulable':
--- a/packages/domain/src/scheduling/planning/round.ts
+++ b/packages/domain/src/scheduling/planning/round.ts
@@ -234,6 +234,7 @@
     case 'owner_opened':
     case 'job_submitted':
     case 'job_cancelled':
+    case 'job_homed':
     case 'job_released':
     case 'job_held':
     case 'job_unschedulable':
--- a/packages/domain/src/scheduling/records.ts
+++ b/packages/domain/src/scheduling/records.ts
@@ -49,6 +49,8 @@
     shard: nameSchema,
     submittedAtWall: wallSchema,
   }),
+  /** Names the shard, of another availability zone, to which a job goes; the first for a job counts. */
+  job_homed: z.object({ job: nameSchema, shard: nameSchema }),
   job_cancelled: z.object({ job: nameSchema }),
   /** An operator lifts every hold of a job; `request` makes repeats distinct. */
   job_released: z.object({ job: nameSchema, request: z.string().min(1) }),
@@ -155,6 +157,7 @@
 const idParts: IdParts = {
   owner_opened: body => ['open', body.shard, body.epoch],
   job_submitted: body => ['submit', body.job.name],
+  job_homed: body => ['home', body.job],
   job_cancelled: body => ['cancel', body.job],
   job_released: body => ['release', body.job, body.request],
   job_held: body => ['hold-job', body.job, body.round, body.epoch],
