--- a/packages/daemon/src/timing.ts
+++ b/packages/daemon/src/timing.ts
@@ -42,7 +42,7 @@
     suspectMs: taskLeaseMs / 2,
     drift: CLOCK_DRIFT,
     marginMs: TASK_MARGIN_MS,
-    outageHoldMs: 3_600_000,
+    outageHoldMs: 5_400_000,
     darkWindowMs: shardLeaseMs,
     stopGraceMs: 5_000,
   };
