--- a/packages/daemon/src/membership/calls.ts
+++ b/packages/daemon/src/membership/calls.ts
@@ -14,13 +14,7 @@
 } from '@paddlewind/domain';
 import { PeerService } from '@paddlewind/protocol';
 
-import type { BackendLoadReport } from '../parts.js';
-import {
-  loadsFromWire,
-  memberFromWire,
-  memberToWire,
-  messageFromWire,
-} from './codec.js';
+import { memberFromWire, memberToWire, messageFromWire } from './codec.js';
 import type { MembershipMetrics } from './metrics.js';
 import type { PeerTransports } from './transports.js';
 
@@ -31,12 +25,6 @@
   readonly transports: PeerTransports;
   readonly metrics: MembershipMetrics;
   readonly callTimeoutMs: number;
-  /** Loads to tell, already bounded. */
-  readonly loads: () => BackendLoadReport[];
-  readonly heardLoads: (
-    peer: string,
-    loads: readonly BackendLoadReport[],
-  ) => void;
 }
 
 /** The part of a member's address that calls need. */
@@ -70,7 +58,6 @@
     {
       sender: memberToWire(sender),
       members: members.map(memberToWire),
-      loads: parts.loads(),
     },
     { timeoutMs },
   );
@@ -79,7 +66,6 @@
     return false;
   }
   membership.onReply(target.id, reply, parts.clock());
-  parts.heardLoads(reply.sender.id, loadsFromWire(res.loads));
   return reply.sender.id === target.id;
 }
 
--- a/packages/daemon/src/membership/codec.ts
+++ b/packages/daemon/src/membership/codec.ts
@@ -6,14 +6,11 @@
 } from '@paddlewind/domain';
 import { type Member, MemberState } from '@paddlewind/protocol';
 
-import type { BackendLoadReport } from '../parts.js';
-
 /** A member's fields on the wire. */
 export type MemberFields = Omit<Member, '$typeName' | '$unknown'>;
 
 const MAX_TEXT_LENGTH = 128;
 const MAX_MEMBERS = 64;
-const MAX_LOADS = 256;
 
 const STATE_TO_WIRE: Readonly<Record<ToldState, MemberState>> = {
   ready: MemberState.READY,
@@ -91,18 +88,3 @@
   const told = members.slice(0, MAX_MEMBERS).map(memberFromWire);
   return { sender: from, members: told.filter(info => info !== undefined) };
 }
-
-/** Takes the loads from the wire, bounded in number. */
-export function loadsFromWire(
-  loads: readonly BackendLoadReport[],
-): BackendLoadReport[] {
-  return loads
-    .slice(0, MAX_LOADS)
-    .filter(load => isBounded(load.backend))
-    .map(({ backend, inFlight, queued, latencyUs }) => ({
-      backend,
-      inFlight,
-      queued,
-      latencyUs,
-    }));
-}
--- a/packages/daemon/src/membership/membership.ts
+++ b/packages/daemon/src/membership/membership.ts
@@ -26,7 +26,6 @@
 import { createPeerCalls } from './calls.js';
 import { startHostView } from './host-view.js';
 import { createListeners } from './listeners.js';
-import { createLoadExchange } from './loads.js';
 import {
   createMembershipMetrics,
   type MembershipMetrics,
@@ -137,15 +136,12 @@
     random: ctx.random,
     now: ctx.clock(),
   });
-  const loads = createLoadExchange();
   const calls = createPeerCalls({
     clock: ctx.clock,
     membership,
     transports,
     metrics,
     callTimeoutMs: settings.callTimeoutMs,
-    loads: loads.own,
-    heardLoads: loads.heard,
   });
   const hosts = startHostView({
     ctx,
@@ -159,7 +155,7 @@
     hosts.peersChanged();
     changed.call();
   });
-  return { settings, membership, loads, calls, hosts, changed, watch };
+  return { settings, membership, calls, hosts, changed, watch };
 }
 
 type BuiltParts = ReturnType<typeof build>;
@@ -210,13 +206,11 @@
 }
 
 function peerView(self: string, built: BuiltParts): PeerView {
-  const { membership, changed, loads } = built;
+  const { membership, changed } = built;
   return {
     self,
     peers: () => membership.members().map(peerOf),
     onChange: listener => changed.add(listener),
-    shareLoads: loads.setSource,
-    onLoads: loads.onLoads,
   };
 }
 
@@ -226,7 +220,7 @@
 ): MembershipPart {
   const { clock } = options.ctx;
   const built = build(options);
-  const { membership, calls, hosts, loads, watch } = built;
+  const { membership, calls, hosts, watch } = built;
   let leaving = false;
   const ticks = startTicks(options, built, () =>
     leaving ? 'leaving' : options.readiness(),
@@ -236,7 +230,7 @@
   return {
     peers: peerView(options.self.id, built),
     hosts,
-    peerRoutes: peerRoutes({ clock, membership, calls, loads, changed: watch }),
+    peerRoutes: peerRoutes({ clock, membership, calls, changed: watch }),
     cutOff: () => membership.cutOff(clock()),
     async leave(deadline) {
       leaving = true;
--- a/packages/daemon/src/membership/routes.ts
+++ b/packages/daemon/src/membership/routes.ts
@@ -8,21 +8,19 @@
 } from '@paddlewind/protocol';
 
 import type { PeerCalls } from './calls.js';
-import { loadsFromWire, memberToWire, messageFromWire } from './codec.js';
-import type { LoadExchange } from './loads.js';
+import { memberToWire, messageFromWire } from './codec.js';
 
 /** What handlers need. */
 export interface PeerRouteParts {
   readonly clock: Clock;
   readonly membership: Membership;
   readonly calls: PeerCalls;
-  readonly loads: LoadExchange;
   /** Called after each heartbeat taken. */
   readonly changed: () => void;
 }
 
 function heartbeatHandler(parts: PeerRouteParts) {
-  const { membership, loads } = parts;
+  const { membership } = parts;
   return (req: HeartbeatRequest) => {
     const message = messageFromWire(req.sender, req.members);
     if (message === undefined) {
@@ -36,13 +34,11 @@
       throw new ConnectError(`id ${id} is used twice`, Code.AlreadyExists);
     }
     membership.onHeartbeat(message, parts.clock());
-    loads.heard(id, loadsFromWire(req.loads));
     const reply = membership.message(id, region);
     parts.changed();
     return {
       receiver: memberToWire(reply.sender),
       members: reply.members.map(memberToWire),
-      loads: [],
     };
   };
 }
--- a/packages/daemon/src/parts.ts
+++ b/packages/daemon/src/parts.ts
@@ -85,25 +85,11 @@
   readonly heardAt: Instant;
 }
 
-/** Load that one entry host puts on a backend server. */
-export interface BackendLoadReport {
-  readonly backend: string;
-  readonly inFlight: number;
-  readonly queued: number;
-  readonly latencyUs: number;
-}
-
 /** The entry hosts that this one takes for live, and what they tell. */
 export interface PeerView {
   readonly self: string;
   peers(): readonly Peer[];
   onChange(listener: () => void): Stop;
-  /** Sets the source of the loads that heartbeats carry. */
-  shareLoads(source: () => readonly BackendLoadReport[]): void;
-  /** Subscribes to loads heard from peers. */
-  onLoads(
-    listener: (peer: string, loads: readonly BackendLoadReport[]) => void,
-  ): Stop;
 }
 
 /** Response times that the router saw; the scheduler learns interference from them. */
--- a/packages/daemon/src/router/services.ts
+++ b/packages/daemon/src/router/services.ts
@@ -119,10 +119,7 @@
 }
 
 function follow(state: ServicesState): Stop[] {
-  const { ctx, cfg, hosts, peers } = state.options;
-  peers.shareLoads(() =>
-    current(state).flatMap(router => router.dispatcher.loads()),
-  );
+  const { cfg, hosts, peers } = state.options;
   return [
     cfg.onChange(() => {
       updateConfig(state);
@@ -133,11 +130,6 @@
     peers.onChange(() => {
       updatePeers(state);
     }),
-    peers.onLoads((peer, loads) => {
-      for (const router of current(state)) {
-        router.apply(router.dispatcher.peerLoads(peer, loads, ctx.clock()));
-      }
-    }),
     every(IDLE_TICK_MS, () => {
       tick(state);
     }),
--- a/packages/domain/src/membership/index.ts
+++ b/packages/domain/src/membership/index.ts
@@ -1,5 +1,4 @@
 /** Which entry hosts are live, decided from heartbeats, probes and the host list. */
-export * from './load-bound.js';
 export * from './membership.js';
 export * from './pause-clock.js';
 export * from './reachability.js';
--- a/packages/domain/src/membership/types.ts
+++ b/packages/domain/src/membership/types.ts
@@ -29,7 +29,7 @@
   readonly heardAt: Instant;
 }
 
-/** The content of a heartbeat or of its reply, without loads. */
+/** The content of a heartbeat or of its reply. */
 export interface HeartbeatMessage {
   readonly sender: MemberInfo;
   /** Bounded news of other members. */
--- a/packages/domain/src/routing/create-dispatcher.ts
+++ b/packages/domain/src/routing/create-dispatcher.ts
@@ -40,7 +40,6 @@
       state.queue.remove(id);
       forgetIdle(state, id);
     },
-    peerLoads: () => [],
     setPeers(count, now, hosts = []) {
       setPeers(state, count, hosts, now);
       return release(state, now);
--- a/packages/domain/src/routing/dispatcher.ts
+++ b/packages/domain/src/routing/dispatcher.ts
@@ -59,16 +59,6 @@
   hedge(req: RequestInfo, now: Instant): Dispatch | undefined;
   /** Withdraws a request that is still queued. */
   withdraw(id: number, now: Instant): void;
-  /** Takes the load that a peer puts on the servers. */
-  peerLoads(
-    peer: string,
-    loads: readonly {
-      readonly backend: string;
-      readonly inFlight: number;
-      readonly queued: number;
-    }[],
-    now: Instant,
-  ): Dispatch[];
   /**
    * Takes the number of entry hosts now live, this one included. With their names the hosts share out
    * the slots between them; without, each one only keeps to its share of the connections.
@@ -84,7 +74,7 @@
   connectionLimit(backend: string, now: Instant): number;
   /** Expires deadlines and returns ejected servers; call about every 10 ms while anything is queued. */
   tick(now: Instant): Dispatch[];
-  /** Own load by backend server, to be told to peers. */
+  /** Own load by backend server. */
   loads(): {
     backend: string;
     inFlight: number;
