--- a/packages/bench/src/benches/interference.ts
+++ b/packages/bench/src/benches/interference.ts
@@ -12,7 +12,7 @@
 } from '../interference/contender.js';
 import type { Fleet } from '../interference/fleet.js';
 import { knowing } from '../interference/knowing.js';
-import { ours } from '../interference/ours.js';
+import { ours, oursByZone } from '../interference/ours.js';
 import { runContender, type RunResult } from '../interference/run.js';
 import {
   DEPLOYMENTS,
@@ -34,6 +34,7 @@
   static_separation: staticSeparation,
   evict_on_violation: evictOnViolation,
   ours,
+  ours_by_zone: oursByZone,
   knows_the_matrix: knowing,
 };
 
--- a/packages/bench/src/interference/ours.ts
+++ b/packages/bench/src/interference/ours.ts
@@ -11,7 +11,7 @@
   type PlacementPenalty,
 } from '@paddlewind/domain';
 
-import type { Contender } from './contender.js';
+import { emptiest, type Contender } from './contender.js';
 import {
   className,
   evictTask,
@@ -40,13 +40,56 @@
   readonly share: number;
 }
 
+interface WorkerUses {
+  readonly worker: string;
+  readonly tasks: readonly TaskUse[];
+}
+
 interface Report {
   readonly second: number;
-  readonly uses: readonly (readonly TaskUse[])[];
+  readonly uses: readonly WorkerUses[];
 }
 
-/** Builds the contender under test. */
+/** Builds the contender under test: one process owns all shards. */
 export function ours(fleet: Fleet): Contender {
+  return owner(fleet, fleet.workers);
+}
+
+/** As `ours`, with a process for each availability zone that sees only its own workers. */
+export function oursByZone(fleet: Fleet): Contender {
+  const zones = fleet.scenario.deployment.availabilityZones;
+  const owners = Array.from({ length: zones }, (_, zone) =>
+    owner(
+      fleet,
+      fleet.workers.filter(worker => worker.zone === zone),
+    ),
+  );
+  const least = (
+    task: QueuedTask,
+    rooms: readonly FleetWorker[],
+  ): FleetWorker | undefined =>
+    emptiest(
+      owners.flatMap((each, zone) => {
+        const own = rooms.filter(worker => worker.zone === zone);
+        return each.choose(task, own) ?? [];
+      }),
+    );
+  return {
+    name: 'ours_by_zone',
+    sees: true,
+    see: sample => {
+      owners[sample.worker.zone]?.see(sample);
+    },
+    act: () => {
+      owners.forEach(each => {
+        each.act();
+      });
+    },
+    choose: least,
+  };
+}
+
+function owner(fleet: Fleet, workers: readonly FleetWorker[]): Contender {
   const model = createInterferenceModel();
   const memory = createPolicyMemory();
   const { deployment, services } = fleet.scenario;
@@ -58,7 +101,7 @@
   function act(): void {
     const now = fleet.second * 1_000;
     if (fleet.second % REPORT_SECONDS === 0) {
-      reports.push(takeReport(fleet));
+      reports.push(takeReport(fleet, workers));
       const late = reports[0];
       if (late !== undefined && late.second <= fleet.second - LAG_SECONDS) {
         reports.shift();
@@ -66,28 +109,32 @@
       }
     }
     if (fleet.second % DECIDE_SECONDS === 0) {
-      const view = viewOf(fleet, reported);
+      const view = viewOf(fleet, workers, reported);
       const actions = adviseActions(model, memory, view, weights, now);
       carryOut(fleet, actions);
     }
-    penalty = placementPenalty(model, viewOf(fleet, reported), weights, now);
+    penalty = placementPenalty(
+      model,
+      viewOf(fleet, workers, reported),
+      weights,
+      now,
+    );
   }
 
   function deliver(report: Report, now: number): void {
-    report.uses.forEach((uses, index) => {
-      for (const { task, cores, share } of uses) {
+    for (const { worker, tasks } of report.uses) {
+      for (const { task, cores, share } of tasks) {
         const known = reported.get(task.spec.id) ?? task.spec.declaredCores;
         const change = USE_SMOOTHING * (cores / share - known);
         reported.set(task.spec.id, known + change);
       }
-      const worker = `w${index}`;
       const asOf = report.second * 1_000;
-      const byClass = uses.map(({ task, cores }) => ({
+      const byClass = tasks.map(({ task, cores }) => ({
         batchClass: className(task.spec.batchClass),
         share: cores / deployment.cores,
       }));
       observeUsage(model, { worker, asOf, uses: byClass }, now);
-    });
+    }
   }
 
   function choose(
@@ -124,19 +171,21 @@
   };
 }
 
-function takeReport(fleet: Fleet): Report {
-  const uses = fleet.workers.map(worker =>
-    worker.tasks.map(task => ({
+function takeReport(fleet: Fleet, workers: readonly FleetWorker[]): Report {
+  const uses = workers.map(worker => ({
+    worker: worker.name,
+    tasks: worker.tasks.map(task => ({
       task,
       cores: usedCores(task),
       share: task.share,
     })),
-  );
+  }));
   return { second: fleet.second, uses };
 }
 
 function viewOf(
   fleet: Fleet,
+  workers: readonly FleetWorker[],
   reported: ReadonlyMap<string, number>,
 ): InterferenceView {
   const { services } = fleet.scenario;
@@ -146,7 +195,7 @@
       target: TARGET,
       latencyMs: Math.exp(service.limit),
     })),
-    workers: fleet.workers.map(worker => ({
+    workers: workers.map(worker => ({
       name: worker.name,
       cores: worker.cores,
       freeCores: worker.free,
--- a/packages/domain/src/interference/throttle.ts
+++ b/packages/domain/src/interference/throttle.ts
@@ -98,17 +98,17 @@
   settings: PolicySettings,
   now: Instant,
 ): void {
+  const workers = new Set(service.nodes.map(node => node.worker.name));
   const beside = tasks.filter(
-    task =>
-      service.nodes.some(node => node.worker.name === task.worker.name) &&
-      mayCut(memory, task, now),
+    task => workers.has(task.worker.name) && mayCut(memory, task, now),
   );
+  const cuts = new Map<PlannedTask, Cut | undefined>();
   const least = LEAST_GAIN * (1 - service.view.target) * service.totalRate;
   for (let i = 0; i < MAX_CUTS_PER_ROUND; i++) {
     if (spending(service) <= settings.aimFor) {
       return;
     }
-    const best = bestCut(predicted, service, beside, least);
+    const best = bestCut(predicted, service, beside, cuts, least);
     if (best === undefined) {
       return;
     }
@@ -118,6 +118,11 @@
     noteChange(known, now);
     known.throttledSince ??= now;
     memory.settledAt.set(worker.name, now);
+    for (const task of beside) {
+      if (task.worker === worker) {
+        cuts.delete(task);
+      }
+    }
   }
 }
 
@@ -131,29 +136,51 @@
   return (isNew || now - settledAt >= SETTLE_MS) && mayLower(task.known, now);
 }
 
+/** A further cut of a task and what it would gain; kept until something changes on its worker. */
+interface Cut {
+  readonly task: PlannedTask;
+  readonly share: number;
+  readonly gain: number;
+  readonly ratio: number;
+}
+
 function bestCut(
   predicted: Forecast,
   service: ServiceForecast,
   tasks: readonly PlannedTask[],
+  cuts: Map<PlannedTask, Cut | undefined>,
   least: number,
-): { task: PlannedTask; share: number } | undefined {
-  let best: { task: PlannedTask; share: number } | undefined;
-  let bestRatio = 0;
+): Cut | undefined {
+  let best: Cut | undefined;
   for (const task of tasks) {
-    const share = THROTTLE_LEVELS.find(level => level < task.share);
-    if (share === undefined) {
+    if (!cuts.has(task)) {
+      cuts.set(task, nextCut(predicted, service, task));
+    }
+    const cut = cuts.get(task);
+    if (cut === undefined || cut.gain < least) {
       continue;
     }
-    const gain = gainOf(predicted, service, task, share);
-    const cost = task.view.cores * (task.share - share);
-    if (gain >= least && cost > 0 && gain / cost > bestRatio) {
-      best = { task, share };
-      bestRatio = gain / cost;
+    if (cut.ratio > (best?.ratio ?? 0)) {
+      best = cut;
     }
   }
   return best;
 }
 
+function nextCut(
+  predicted: Forecast,
+  service: ServiceForecast,
+  task: PlannedTask,
+): Cut | undefined {
+  const share = THROTTLE_LEVELS.find(level => level < task.share);
+  if (share === undefined) {
+    return undefined;
+  }
+  const gain = gainOf(predicted, service, task, share);
+  const cost = task.view.cores * (task.share - share);
+  return cost > 0 ? { task, share, gain, ratio: gain / cost } : undefined;
+}
+
 function gainOf(
   predicted: Forecast,
   service: ServiceForecast,
