Make the upkeep of owned shards cheap

Cause: every plan and sync searched the whole host list, and each shard was planned every 100 ms whether or not anything had changed: more than half of the processor time that an entry host may use at the design's size went there. Change: workers are indexed by rack and id once for each host list; a plan is made when the fold, pending decisions, configuration or hosts changed, and every 500 ms for what ripens with time. What follows a folded decision is a module of its own.

--- a/packages/daemon/src/scheduler/decision-writer.ts
+++ b/packages/daemon/src/scheduler/decision-writer.ts
@@ -14,6 +14,8 @@
   write(decision: Decision): void;
   isPending(id: string): boolean;
   pending(): readonly Decision[];
+  /** Changes whenever what is pending does. */
+  version(): number;
   /** Sends nothing again from now on. */
   close(): void;
 }
@@ -27,6 +29,7 @@
 ): DecisionWriter {
   const pending = new Map<string, Decision>();
   let closed = false;
+  let version = 0;
 
   async function commit(decision: Decision): Promise<void> {
     while (!closed && pending.has(decision.id)) {
@@ -44,6 +47,7 @@
       await sleep(scheduleOf(ctx), RETRY_MS);
     }
     pending.delete(decision.id);
+    version += 1;
     settled();
   }
 
@@ -51,11 +55,13 @@
     write: decision => {
       if (!closed && !pending.has(decision.id)) {
         pending.set(decision.id, decision);
+        version += 1;
         void commit(decision);
       }
     },
     isPending: id => pending.has(id),
     pending: () => [...pending.values()],
+    version: () => version,
     close: () => {
       closed = true;
     },
--- a/packages/daemon/src/scheduler/home.ts
+++ b/packages/daemon/src/scheduler/home.ts
@@ -10,7 +10,7 @@
 } from '@paddlewind/domain';
 import type { Host } from '@paddlewind/platform';
 
-import { workersOf } from './schedule-view.js';
+import { workersOf } from './fleet-index.js';
 
 /** A shard and its availability zone. */
 export interface Home {
--- a/packages/daemon/src/scheduler/planning.ts
+++ b/packages/daemon/src/scheduler/planning.ts
@@ -31,6 +31,7 @@
 /** Returns a function that asks for a plan; several requests in one turn give one plan. */
 export function createPlanning(input: PlanningParts): () => void {
   const { ctx, ownership } = input.parts;
+  const changed = createChangeWatch(input);
   let due = false;
   let resumeAt: Instant = 0;
 
@@ -42,7 +43,7 @@
       resumeAt = now + RESUME_SPREAD_MS * ctx.random();
       return;
     }
-    if (input.mayDecide() && now >= resumeAt) {
+    if (input.mayDecide() && now >= resumeAt && changed(now)) {
       decide(input, now);
     }
   }
@@ -55,6 +56,32 @@
   };
 }
 
+/** A plan is made at least this often, for what ripens with time alone. */
+const REPLAN_MS = 500;
+
+/** Returns a function that tells whether anything that a plan depends on changed since it last did. */
+function createChangeWatch(input: PlanningParts): (now: Instant) => boolean {
+  const { parts, zone, spec, writer } = input;
+  let seen: readonly unknown[] = [];
+  let plannedAt: Instant = -Infinity;
+  return now => {
+    const current = [
+      zone.state,
+      zone.state.shards.get(spec.name)?.version,
+      writer.version(),
+      parts.config.current(),
+      parts.hosts.hosts(),
+    ];
+    const same = current.every((value, i) => value === seen[i]);
+    if (same && now - plannedAt < REPLAN_MS) {
+      return false;
+    }
+    seen = current;
+    plannedAt = now;
+    return true;
+  };
+}
+
 const NO_ADVICE = { batchPenalty: 0, avoidBatch: false };
 
 function decide(input: PlanningParts, now: Instant): void {
--- a/packages/daemon/src/scheduler/schedule-view.ts
+++ b/packages/daemon/src/scheduler/schedule-view.ts
@@ -20,6 +20,7 @@
 } from '@paddlewind/domain';
 import type { Host } from '@paddlewind/platform';
 
+import { workersOf } from './fleet-index.js';
 import type { BatchAdvice } from './types.js';
 
 /** What a view is built of. */
@@ -36,17 +37,6 @@
   readonly pending: readonly Decision[];
 }
 
-/** Returns the workers of a shard. */
-export function workersOf(shard: ShardSpec, hosts: readonly Host[]): Host[] {
-  return hosts.filter(
-    host =>
-      host.role === 'worker' &&
-      host.region === shard.region &&
-      host.availabilityZone === shard.availabilityZone &&
-      shard.racks.includes(host.rack),
-  );
-}
-
 /** Builds the view of a shard. */
 export function buildView(input: ViewInput): ScheduleView {
   const { shard, config, state } = input;
--- a/packages/daemon/src/scheduler/worker-syncs.ts
+++ b/packages/daemon/src/scheduler/worker-syncs.ts
@@ -11,10 +11,11 @@
 import type { Stop } from '../parts.js';
 import type { DecisionWriter } from './decision-writer.js';
 import type { LeaseMode } from './lease-mode.js';
+import { workerOf, workersOf } from './fleet-index.js';
+import { followDecision } from './follow-decision.js';
 import { observeReport } from './observe.js';
-import { isPlacedElsewhere, placedAttempt, placedOn } from './placed.js';
+import { isPlacedElsewhere, placedOn } from './placed.js';
 import { lostAttempt, reconcile, type WorkerStep } from './reconcile.js';
-import { workersOf } from './schedule-view.js';
 import type { SchedulerParts } from './types.js';
 import {
   createWorkerCommands,
@@ -114,8 +115,11 @@
   }
 
   function onDecision(folded: FoldedDecision): void {
-    if (state.begun && folded.verdict.kind === 'applied') {
-      followDecision(input, commands, links, folded);
+    const schedule = scheduleOfShard(input);
+    const applies = state.begun && folded.verdict.kind === 'applied';
+    if (applies && schedule !== undefined) {
+      const now = input.parts.ctx.clock();
+      followDecision(schedule, commands, links, folded.decision, now);
     }
   }
 
@@ -140,7 +144,7 @@
   { parts }: WorkerSyncsParts,
   worker: string,
 ): string | undefined {
-  return parts.hosts.hosts().find(host => host.id === worker)?.address;
+  return workerOf(worker, parts.hosts.hosts())?.address;
 }
 
 function createCommands(
@@ -342,53 +346,3 @@
     input.writer.write(lostAttempt(by(input), ref));
   }
 }
-
-/** Acts on a decision that was just folded. */
-function followDecision(
-  input: WorkerSyncsParts,
-  commands: WorkerCommands,
-  links: ReadonlyMap<string, WorkerLink>,
-  { decision }: FoldedDecision,
-): void {
-  const now = input.parts.ctx.clock();
-  const schedule = scheduleOfShard(input);
-  if (schedule === undefined) {
-    return;
-  }
-  if (decision.kind === 'task_started') {
-    const placed = placedAttempt(schedule, decision.body.task);
-    const link = links.get(placed?.worker ?? '');
-    if (placed !== undefined && link !== undefined) {
-      void commands.start(link, placed);
-    }
-  } else if (decision.kind === 'task_evicting') {
-    const placed = placedAttempt(schedule, decision.body.task);
-    syncAt(links.get(placed?.worker ?? ''), now);
-  } else if (decision.kind === 'job_cancelled') {
-    const job = schedule.jobs.get(decision.body.job);
-    for (const worker of job?.spread.keys() ?? []) {
-      syncAt(links.get(worker), now);
-    }
-  } else if (decision.kind === 'task_ended') {
-    forgetAttempt(links, decision.body);
-  }
-}
-
-function syncAt(link: WorkerLink | undefined, now: Instant): void {
-  if (link !== undefined) {
-    link.syncDueAt = Math.min(link.syncDueAt, now);
-  }
-}
-
-function forgetAttempt(
-  links: ReadonlyMap<string, WorkerLink>,
-  ref: AttemptRef,
-): void {
-  const key = attemptKey(ref);
-  for (const link of links.values()) {
-    if (link.starts.delete(key)) {
-      const { task, attempt } = ref;
-      link.acknowledge.set(key, { task, attempt });
-    }
-  }
-}
