--- a/packages/bench/src/benches/start-up.ts
+++ b/packages/bench/src/benches/start-up.ts
@@ -1,7 +1,4 @@
 /** Start of a host from a snapshot and the tail behind it: time, processor time and heap. */
-import { setFlagsFromString } from 'node:v8';
-import { runInNewContext } from 'node:vm';
-
 import {
   encodeSnapshot,
   followFold,
@@ -18,6 +15,7 @@
 import { createMemoryLog, type MemoryLog } from '@paddlewind/stand-ins';
 import meow from 'meow';
 
+import { heapBytes } from '../heap.js';
 import { report } from '../report.js';
 import { contextOf } from '../shared-state/bed.js';
 import {
@@ -47,11 +45,9 @@
       repeats: { type: 'number', default: 5 },
     },
   });
-  setFlagsFromString('--expose-gc');
-  const collect = runInNewContext('gc') as () => void;
   for (const scale of flags.scales.split(',').map(Number)) {
     const written = await writeStream(scale, flags.tail);
-    await measure(written, scale, flags.repeats, collect);
+    await measure(written, scale, flags.repeats);
   }
 }
 
@@ -118,22 +114,19 @@
   written: Written,
   scale: number,
   repeats: number,
-  collect: () => void,
 ): Promise<void> {
   const times: number[] = [];
   const heaps: number[] = [];
   let cpuMs = 0;
   for (let i = 0; i < repeats; i++) {
-    collect();
-    const heapBefore = process.memoryUsage().heapUsed;
+    const heapBefore = heapBytes();
     const cpuBefore = process.cpuUsage();
     const begunAt = performance.now();
     const { follower, ledger } = await start(written.log);
     times.push(performance.now() - begunAt);
     const cpu = process.cpuUsage(cpuBefore);
     cpuMs += (cpu.user + cpu.system) / 1_000;
-    collect();
-    heaps.push((process.memoryUsage().heapUsed - heapBefore) / MIB);
+    heaps.push((heapBytes() - heapBefore) / MIB);
     follower.stop();
     times.sort((a, b) => a - b);
     if (ledger.state().objects.size !== written.objects) {
