--- a/packages/bench/src/prove/checks/checks.test.ts
+++ b/packages/bench/src/prove/checks/checks.test.ts
@@ -210,4 +210,14 @@
   assert.equal(finishOnce?.check(told).violations.length, 1);
   const lost = history(...resumable, restart, ...repeated);
   assert.deepEqual(finishOnce.check(lost).violations, []);
+
+  const cut = { fault: 'worker_unreachable', target: 'w1' } as const;
+  const cutFrom = (from: number, to: number): Sketch[] => [
+    { type: 'fault_began', at: from, ...cut },
+    { type: 'fault_ended', at: to, ...cut },
+  ];
+  const during = history(...resumable, ...cutFrom(42, 44), ...repeated);
+  assert.deepEqual(finishOnce.check(during).violations, []);
+  const before = history(...resumable, ...cutFrom(32, 38), ...repeated);
+  assert.equal(finishOnce.check(before).violations.length, 1);
 });
--- a/packages/bench/src/prove/checks/finish-once.ts
+++ b/packages/bench/src/prove/checks/finish-once.ts
@@ -1,7 +1,12 @@
 /** Jobs finish once and only once. */
 import type { Check, Finding, Violation } from '../check.js';
 import { eventsOf, type EventOf, type History } from '../history.js';
-import { attemptsByTask, eventsOfAttempt, type Attempt } from './attempts.js';
+import {
+  attemptsByTask,
+  endOf,
+  eventsOfAttempt,
+  type Attempt,
+} from './attempts.js';
 
 /**
  * Checks that every task of a submitted job completes, and does not run again after it did.
@@ -53,20 +58,37 @@
   });
 }
 
+/** Tells whether the agent restarted or could not be reached between the end of an attempt and the next start. */
 function couldNotBeLearned(
   history: History,
   attempt: Attempt,
   next: Attempt,
 ): boolean {
   const { worker, boot } = attempt.began;
-  const before = history.filter(event => event.at <= next.began.at);
-  const restarted = eventsOf(before, 'worker_up').some(
-    up => up.worker === worker && up.boot !== boot && up.at > attempt.began.at,
+  const from = endOf(attempt);
+  const to = next.began.at;
+  const restarted = eventsOf(history, 'worker_up').some(
+    up =>
+      up.worker === worker && up.boot !== boot && up.at >= from && up.at <= to,
   );
-  const unreachable = eventsOf(before, 'fault_began').some(
-    fault => fault.fault === 'worker_unreachable' && fault.target === worker,
-  );
-  return restarted || unreachable;
+  return restarted || wasCutOff(history, worker, from, to);
+}
+
+function wasCutOff(
+  history: History,
+  worker: string,
+  from: number,
+  to: number,
+): boolean {
+  const isCut = (event: EventOf<'fault_began'> | EventOf<'fault_ended'>) =>
+    event.fault === 'worker_unreachable' && event.target === worker;
+  const ends = eventsOf(history, 'fault_ended').filter(isCut);
+  return eventsOf(history, 'fault_began')
+    .filter(isCut)
+    .some(cut => {
+      const end = ends.find(event => event.at >= cut.at)?.at ?? Infinity;
+      return cut.at <= to && end >= from;
+    });
 }
 
 function unfinished(
--- a/packages/bench/src/prove/operator-load.ts
+++ b/packages/bench/src/prove/operator-load.ts
@@ -30,13 +30,13 @@
   settle(limitMs: number): Promise<string[]>;
 }
 
-const JOB_EVERY_MS = 2_500;
+const JOB_EVERY_MS = 1_500;
 const RACE_EVERY_MS = 2_000;
 const CALL_TIMEOUT_MS = 5_000;
 const CANCEL_SHARE = 0.15;
 const HOLD_SHARE = 0.25;
-const MAX_TASKS = 12;
-const MAX_SECONDS = 4;
+const MAX_TASKS = 16;
+const MAX_SECONDS = 8;
 const CLASSES = [
   { team: 'statements', labels: { app: 'statements' } },
   { team: 'payments', labels: { app: 'payment-posting' } },
