Meet claims first, and learn factors instead of amounts

Cause: a claim was looked at only when its task's turn came; in an overloaded hour low tasks far back in the order held claims for 166 s and more that could have been met, and the oldest low task had waited 2,872 s. What one job of a team taught of sizes and run times was taken for all jobs alike as an amount, so that a short job made a long one look short.

Change: claims that can be met are met before anything else in a plan; the turn of the job served least recently is counted within a plan, too; groups of jobs learn the factor between seen and declared. A part of the bench cancels 10,000 jobs while starts go on.

--- a/packages/bench/src/benches/placement.ts
+++ b/packages/bench/src/benches/placement.ts
@@ -1,4 +1,5 @@
-/** Benchmark of placement: `npm run bench -- placement [throughput|packing|waits]`. */
+/** Benchmark of placement: `npm run bench -- placement [throughput|packing|waits|cancellations]`. */
+import { measureCancellations } from '../placement/cancellations.js';
 import { measurePacking } from '../placement/packing.js';
 import { measureThroughput } from '../placement/throughput.js';
 import { measureWaits } from '../placement/waits.js';
@@ -21,6 +22,9 @@
   if (wanted('waits')) {
     SEEDS.forEach(measureWaits);
   }
+  if (wanted('cancellations')) {
+    SEEDS.forEach(measureCancellations);
+  }
   return Promise.resolve();
 }
 
--- a/packages/bench/src/placement/shard-loop.ts
+++ b/packages/bench/src/placement/shard-loop.ts
@@ -81,16 +81,21 @@
 /** Plans and folds until a plan is not full, or `most` tasks run. */
 export function settle(loop: ShardLoop, most = Infinity): void {
   while (loop.running.length < most) {
-    const made = plan(loop.state, loop.view, loop.now, loop.random);
-    commit(loop, made);
-    loop.decisions += made.length;
-    noteStarts(loop, made);
-    if (made.length < FULL_PLAN) {
+    if (planOnce(loop) < FULL_PLAN) {
       return;
     }
   }
 }
 
+/** Plans once, folds what was decided and returns its number. */
+export function planOnce(loop: ShardLoop): number {
+  const made = plan(loop.state, loop.view, loop.now, loop.random);
+  commit(loop, made);
+  loop.decisions += made.length;
+  noteStarts(loop, made);
+  return made.length;
+}
+
 function noteStarts(loop: ShardLoop, made: readonly Decision[]): void {
   for (const each of made) {
     if (each.kind === 'task_started') {
--- a/packages/domain/src/scheduling/planning/learn.ts
+++ b/packages/domain/src/scheduling/planning/learn.ts
@@ -15,7 +15,7 @@
   deviation: number;
 }
 
-/** What the tasks of a job, or of jobs alike, were seen to take. */
+/** What the tasks of a job, or of jobs alike, were seen to take, over what they declare. */
 export interface LearnedSize {
   readonly cpu: Estimate;
   readonly memoryMiB: Estimate;
@@ -106,22 +106,30 @@
 }
 
 function learn(sizes: LearnedSizes, job: Job, usage: Resources): void {
-  for (const key of [job.spec.name, job.group]) {
+  const { size: declared, name } = job.spec;
+  const cpu = over(usage.cpu, declared.cpu);
+  const memoryMiB = over(usage.memoryMiB, declared.memoryMiB);
+  for (const key of [name, job.group]) {
     let size = sizes.get(key);
     if (size === undefined) {
       size = {
-        cpu: { mean: usage.cpu, deviation: 0 },
-        memoryMiB: { mean: usage.memoryMiB, deviation: 0 },
+        cpu: { mean: cpu, deviation: 0 },
+        memoryMiB: { mean: memoryMiB, deviation: 0 },
         samples: 0,
       };
       rememberKey(sizes, key, size, SIZES_REMEMBERED);
     }
     size.samples += 1;
-    follow(size.cpu, usage.cpu);
-    follow(size.memoryMiB, usage.memoryMiB);
+    follow(size.cpu, cpu);
+    follow(size.memoryMiB, memoryMiB);
   }
 }
 
+/** Returns `used / declared`; 1 when nothing is declared. */
+function over(used: number, declared: number): number {
+  return declared > 0 ? used / declared : 1;
+}
+
 function follow(estimate: Estimate, sample: number): void {
   const error = sample - estimate.mean;
   estimate.mean += GAIN * error;
@@ -143,12 +151,12 @@
     return declared;
   }
   const cpu = Math.min(
-    roundUp(upper(learned.cpu), CPU_STEP),
+    roundUp(upper(learned.cpu) * declared.cpu, CPU_STEP),
     declared.cpu * MAX_FACTOR,
     largest.cpu,
   );
   const memoryMiB = Math.min(
-    roundUp(upper(learned.memoryMiB), MEMORY_STEP_MIB),
+    roundUp(upper(learned.memoryMiB) * declared.memoryMiB, MEMORY_STEP_MIB),
     declared.memoryMiB * MAX_FACTOR,
     largest.memoryMiB,
   );
--- a/packages/domain/src/scheduling/planning/order.ts
+++ b/packages/domain/src/scheduling/planning/order.ts
@@ -81,18 +81,17 @@
     tasks: undefined,
     refusals: 0,
   }));
-  const oldestTried = started[rank] % STARTS_PER_OLDEST !== 0;
+  const oldestTried = !isOldestDue(started[rank]);
   return { cursors, sorted: false, oldestTried };
 }
 
-/** Counts a start for the shares of teams and the guaranteed parts of the other ranks. */
-export function countStart(
-  round: Round,
-  order: Order,
-  candidate: Candidate,
-): void {
+function isOldestDue(started: number): boolean {
+  return started % STARTS_PER_OLDEST === 0;
+}
+
+/** Counts a start for the guaranteed parts of the ranks; the shares of teams have changed. */
+export function countStart(round: Round, order: Order, rank: Rank): void {
   const { passed, started } = round.schedule.planning;
-  const { rank, cursor } = candidate;
   started[rank] += 1;
   passed[rank] = 0;
   for (const worse of RANKS.slice(RANKS.indexOf(rank) + 1)) {
@@ -100,10 +99,23 @@
     passed[worse] = waits ? passed[worse] + 1 : 0;
   }
   order.turn = RANKS.find(other => passed[other] >= STARTS_PER_TURN[other]);
+  order.lines[rank].oldestTried = !isOldestDue(started[rank]);
   RANKS.forEach(other => {
-    order.lines[other].sorted &&= other === rank;
+    order.lines[other].sorted = false;
   });
-  replace(order.lines[rank].cursors, cursor);
+}
+
+/** Counts the start of a candidate; only its team's place in the line of its rank has changed. */
+export function countCandidate(
+  round: Round,
+  order: Order,
+  { rank, cursor }: Candidate,
+): void {
+  const line = order.lines[rank];
+  const { sorted } = line;
+  countStart(round, order, rank);
+  replace(line.cursors, cursor);
+  line.sorted = sorted;
 }
 
 /** Puts a cursor whose team's share has grown where it belongs. */
@@ -230,7 +242,8 @@
   }
 }
 
-function isReady(round: Round, task: Task): boolean {
+/** Tells whether a task may be started now. */
+export function isReady(round: Round, task: Task): boolean {
   const { state } = task;
   const due = state.kind === 'queued' && state.readyAtWall <= round.now;
   return due && !round.busy.has(task.id);
--- a/packages/domain/src/scheduling/planning/plan.test.ts
+++ b/packages/domain/src/scheduling/planning/plan.test.ts
@@ -4,6 +4,7 @@
 import { seededRandom } from '../../core/random.js';
 import { describeJob } from '../describe.js';
 import { decision, type Decision } from '../records.js';
+import { expectedSeconds } from '../shard.js';
 import {
   OTHER_SHARD,
   SHARD,
@@ -168,6 +169,27 @@
   assert.deepEqual(starts(bed.plan()), ['large/0@w1']);
 });
 
+test('a claim is met however far back its task stands in the order', () => {
+  const bed = makeBed([makeWorker('w1'), makeWorker('w2')]);
+  submit(bed, makeJob('keep', { size: WHOLE, expectedSeconds: 9_000 }));
+  submit(bed, makeJob('first', { tasks: 4 }));
+  assert.equal(starts(bed.plan()).length, 5);
+  submit(bed, makeJob('large', { size: WHOLE }));
+  bed.now += 20_000;
+  submit(bed, makeJob('small'));
+  const endOne = (index: number) => {
+    bed.append(endOf(`first/${index}`, { atWall: bed.now }));
+    return starts(bed.plan());
+  };
+  assert.deepEqual(endOne(0), []);
+  for (let i = 0; i < 400; i++) {
+    const size = { cpu: 2 - i / 400, memoryMiB: 8 };
+    submit(bed, makeJob(`b${i}`, { team: 'team-b', size }));
+  }
+  assert.deepEqual([endOne(1), endOne(2)], [[], []]);
+  assert.equal(endOne(3)[0]?.split('@')[0], 'large/0');
+});
+
 test('an impossible job is answered with the reason and blocks nobody', () => {
   const bed = makeBed([makeWorker('w1')]);
   submit(bed, makeJob('huge', { size: { cpu: 64, memoryMiB: 1 } }));
@@ -289,6 +311,18 @@
   assert.equal(start?.kind === 'task_started' && start.body.size?.cpu, 1.5);
 });
 
+test('what a job teaches of its like is a factor of what they declare', () => {
+  const bed = makeBed([makeWorker('w1')]);
+  submit(bed, makeJob('short', { expectedSeconds: 10 }));
+  submit(bed, makeJob('long', { expectedSeconds: 1_000 }));
+  bed.plan();
+  bed.append(endOf('short/0', { atWall: bed.now + 20_000 }));
+  const schedule = bed.state.shards.get(SHARD);
+  const long = schedule?.jobs.get('long');
+  assert.ok(schedule && long);
+  assert.equal(expectedSeconds(schedule, long), 2_000);
+});
+
 test('spare quota is lent to the shard that lacks it', () => {
   const allotment = { cpu: 4, memoryMiB: 8_192, accelerators: 0 };
   const teams = [{ name: 'team-a', weight: 1, allotment }];
--- a/packages/domain/src/scheduling/planning/start.ts
+++ b/packages/domain/src/scheduling/planning/start.ts
@@ -1,6 +1,8 @@
 /** Starts of waiting tasks: quota, claims, choice of a worker, and what to do without room. */
 import { addResources, fits, type Resources } from '../../core/resources.js';
 import type { Instant, Millis } from '../../core/time.js';
+import { parseTaskId } from '../ids.js';
+import { peekTask } from '../job.js';
 
 import {
   addClaim,
@@ -12,10 +14,12 @@
 import { evictFor, ranksBelow } from './evict.js';
 import { checkFeasible } from './feasibility.js';
 import { sizeToReserve } from './learn.js';
-import type { QueuedJob, Rank } from './memory.js';
+import { RANKS, type QueuedJob, type Rank } from './memory.js';
 import { moveToRoom } from './moves.js';
 import {
+  countCandidate,
   countStart,
+  isReady,
   newOrder,
   nextCandidate,
   refuseJob,
@@ -66,6 +70,7 @@
   const overdue: Overdue[] = [];
   const isHopeless = (entry: QueuedJob, rank: Rank) =>
     isHopelessNow(round, entry, rank);
+  placeClaimants(round, order);
   let misses = missesAllowed(round);
   while (misses > 0 && round.decisions.length < MAX_DECISIONS) {
     const candidate = nextCandidate(round, order, isHopeless);
@@ -78,6 +83,32 @@
   }
 }
 
+/** Starts the tasks whose claims can be met, wherever they stand in the order. */
+function placeClaimants(round: Round, order: Order): void {
+  const { claims, queued } = round.schedule.planning;
+  for (const claim of [...claims.values()].sort(byRank)) {
+    const name = parseTaskId(claim.task);
+    const job = round.schedule.jobs.get(name.job);
+    const entry = job === undefined ? undefined : queued.get(job);
+    const room = claimedWorker(round, claim);
+    if (entry === undefined || room === undefined) {
+      continue;
+    }
+    const task = peekTask(entry.job, name.index, claim.task);
+    const { team } = entry.job.spec;
+    const ready = task !== undefined && isReady(round, task);
+    if (ready && withinQuota(round, team, claim.size)) {
+      dropClaim(round, claim.task);
+      decideStart(round, entry, task, room, claim.size);
+      countStart(round, order, claim.rank);
+    }
+  }
+}
+
+function byRank(a: Claim, b: Claim): number {
+  return RANKS.indexOf(a.rank) - RANKS.indexOf(b.rank);
+}
+
 /** Tells whether a job found no room, and may neither evict, claim nor move yet. */
 function isHopelessNow(round: Round, entry: QueuedJob, rank: Rank): boolean {
   const { job } = entry;
@@ -109,7 +140,7 @@
 ): void {
   switch (outcome) {
     case 'started':
-      countStart(round, order, candidate);
+      countCandidate(round, order, candidate);
       return;
     case 'refused':
       refuseJob(candidate.cursor);
--- a/packages/domain/src/scheduling/shard.ts
+++ b/packages/domain/src/scheduling/shard.ts
@@ -59,8 +59,8 @@
   version: number;
   /** Jobs whose queue may have changed since the planner looked. */
   readonly touched: Set<Job>;
-  /** Completed run times in seconds by group of jobs, as decayed averages. */
-  readonly runSeconds: Map<string, number>;
+  /** Completed over declared run times by group of jobs, as decayed averages. */
+  readonly runFactors: Map<string, number>;
   /** What the planner keeps between plans; rebuilt by a new owner, not part of the fold. */
   readonly planning: PlannerMemory;
 }
@@ -83,7 +83,7 @@
     arrivalCount: 0,
     version: 0,
     touched: new Set(),
-    runSeconds: new Map(),
+    runFactors: new Map(),
     planning: newPlannerMemory(),
   };
 }
@@ -179,9 +179,10 @@
   seconds: number,
 ): void {
   job.runSeconds = follow(job.runSeconds, seconds);
-  const ofGroup = follow(shard.runSeconds.get(job.group), seconds);
-  shard.runSeconds.delete(job.group);
-  rememberKey(shard.runSeconds, job.group, ofGroup, RUN_TIMES_REMEMBERED);
+  const factor = seconds / job.spec.expectedSeconds;
+  const ofGroup = follow(shard.runFactors.get(job.group), factor);
+  shard.runFactors.delete(job.group);
+  rememberKey(shard.runFactors, job.group, ofGroup, RUN_TIMES_REMEMBERED);
 }
 
 function follow(average: number | undefined, sample: number): number {
@@ -190,11 +191,8 @@
     : average + RUN_TIME_GAIN * (sample - average);
 }
 
-/** Returns the expected run time of a task in seconds: learnt for the job, for its like, or declared. */
+/** Returns the expected run time of a task in seconds: learnt for the job, or declared and corrected by its like. */
 export function expectedSeconds(shard: ShardSchedule, job: Job): number {
-  return (
-    job.runSeconds ??
-    shard.runSeconds.get(job.group) ??
-    job.spec.expectedSeconds
-  );
+  const factor = shard.runFactors.get(job.group) ?? 1;
+  return job.runSeconds ?? job.spec.expectedSeconds * factor;
 }
--- a/packages/domain/src/scheduling/snapshot.ts
+++ b/packages/domain/src/scheduling/snapshot.ts
@@ -100,7 +100,7 @@
   finished: z.array(z.tuple([z.string(), tallySchema])),
   workers: z.array(workerSchema),
   borrowed: z.array(z.tuple([z.string(), signedResources])),
-  runSeconds: z.array(z.tuple([z.string(), z.number()])),
+  runFactors: z.array(z.tuple([z.string(), z.number()])),
 });
 const headChunkSchema = z.object({
   kind: z.literal('head'),
@@ -180,7 +180,7 @@
     finished: [...schedule.finished],
     workers,
     borrowed,
-    runSeconds: [...schedule.runSeconds],
+    runFactors: [...schedule.runFactors],
   };
 }
 
@@ -309,7 +309,7 @@
     schedule.arrivals.set(arrival, true);
   }
   copyInto(schedule.finished, chunk.finished);
-  copyInto(schedule.runSeconds, chunk.runSeconds);
+  copyInto(schedule.runFactors, chunk.runFactors);
   for (const { id, ...rest } of chunk.workers) {
     Object.assign(workerLoad(schedule, id), {
       ...rest,
