Measure service-level burn and add it up over the entry hosts

The report on burn was empty.

The router tells the end of each request, with the worker that answered or was tried last. An entry host counts it towards the objective of the service; the neighbours are the jobs that its followed zone places on that worker, looked up once a second. Burn without local asks the peers and adds up; a peer that is silent for 2 s is named as missing. Metrics tell burn rates by service and zone, and alerts.

Evictions and ends are counted by the process that decided them, so that hosts' counts may be added. Two lists of listeners become one.

--- a/packages/daemon/src/entry-host.ts
+++ b/packages/daemon/src/entry-host.ts
@@ -27,6 +27,11 @@
   type StoppableCommitter,
 } from './log/index.js';
 import { startMembership, type MembershipPart } from './membership/index.js';
+import {
+  createBurn,
+  startObjectives,
+  type Objectives,
+} from './objectives/index.js';
 import { registerOperatorService } from './operator/app.js';
 import type { PartContext } from './parts.js';
 import { openPeerServer, type PeerServer } from './peer-server.js';
@@ -72,6 +77,7 @@
   readonly scheduler: Scheduler;
   readonly interference: Interference;
   readonly router: RouterHandle;
+  readonly objectives: Objectives;
 }
 
 /** Starts every part; resolves once callers can be served. */
@@ -226,7 +232,16 @@
   });
   const router = await startCallersRouter(base, shared);
   interference.connect(scheduler.attempts, router.latency);
-  return { ownership, scheduler, interference, router };
+  const objectives = startObjectives({
+    ctx: base.ctx,
+    self: settings.host,
+    config,
+    hosts: membership.hosts,
+    requests: router.requests,
+    jobsOn: worker => scheduler.jobsOn(worker),
+    batchTotals: () => scheduler.batchTotals(),
+  });
+  return { ownership, scheduler, interference, router, objectives };
 }
 
 function startCallersRouter(
@@ -274,7 +289,11 @@
     scheduler,
     ownership,
     ready: () => notReady().length === 0,
-    burn: () => ({ windows: [], evictions: 0n, batchCompleted: 0n }),
+    burn: createBurn({
+      own: () => work.objectives.burn(),
+      peers: membership.peers,
+      transports: peerServer.transports,
+    }),
   });
   const { clock } = base.ctx;
   peerServer.serve([
@@ -311,7 +330,7 @@
 async function stopWork(
   settings: Settings,
   { membership }: SharedState,
-  { ownership, scheduler, interference, router }: Work,
+  { ownership, scheduler, interference, router, objectives }: Work,
 ): Promise<void> {
   const { balancerMs, drainMs } = settings.shutdown;
   const deadline: Instant = performance.now() + balancerMs + drainMs;
@@ -321,6 +340,7 @@
     router.drain(deadline),
     scheduler.drain(deadline).then(() => ownership.releaseAll(deadline)),
   ]);
+  objectives.stop();
   scheduler.stop();
   ownership.stop();
 }
--- a/packages/daemon/src/fleet.ts
+++ b/packages/daemon/src/fleet.ts
@@ -2,7 +2,7 @@
 import { objectsOf } from '@paddlewind/domain';
 
 import type { Config } from './config/index.js';
-import type { BurnFields, OperatorFleet } from './operator/deps.js';
+import type { OperatorFleet } from './operator/deps.js';
 import type { HostView, PeerView } from './parts.js';
 import type { Scheduler } from './scheduler/index.js';
 import type { ShardOwnership } from './shards/index.js';
@@ -15,7 +15,7 @@
   readonly scheduler: Scheduler;
   readonly ownership: ShardOwnership;
   readonly ready: () => boolean;
-  readonly burn: () => BurnFields;
+  readonly burn: OperatorFleet['burn'];
 }
 
 /** Builds the view for the operators' service. */
--- a/packages/daemon/src/membership/host-view.ts
+++ b/packages/daemon/src/membership/host-view.ts
@@ -7,7 +7,7 @@
 import type { Host, HostList } from '@paddlewind/platform';
 
 import type { HostEvidence, HostView, PartContext, Stop } from '../parts.js';
-import { createListeners } from './listeners.js';
+import { createListeners } from '../core/listeners.js';
 import type { MembershipMetrics } from './metrics.js';
 
 /** What the view needs. */
@@ -60,7 +60,7 @@
     const next = withLeaving(listed, options.leavingPeers());
     if (!sameHosts(next, joined)) {
       joined = next;
-      changed.call();
+      changed.tell();
     }
   }
 
--- a/packages/daemon/src/membership/membership.ts
+++ b/packages/daemon/src/membership/membership.ts
@@ -25,7 +25,7 @@
 } from '../parts.js';
 import { createPeerCalls } from './calls.js';
 import { startHostView } from './host-view.js';
-import { createListeners } from './listeners.js';
+import { createListeners } from '../core/listeners.js';
 import {
   createMembershipMetrics,
   type MembershipMetrics,
@@ -153,7 +153,7 @@
   const changed = createListeners();
   const watch = createWatch(ctx, metrics, membership, () => {
     hosts.peersChanged();
-    changed.call();
+    changed.tell();
   });
   return { settings, membership, calls, hosts, changed, watch };
 }
--- a/packages/daemon/src/operator/app.ts
+++ b/packages/daemon/src/operator/app.ts
@@ -36,7 +36,7 @@
     jobStatus: guarded(statusHandler),
     drain: guarded(drainHandler),
     top: () => topHandler(deps),
-    burn: () => burnHandler(deps),
+    burn: req => burnHandler(deps, req),
   });
 }
 
--- a/packages/daemon/src/operator/deps.ts
+++ b/packages/daemon/src/operator/deps.ts
@@ -63,13 +63,19 @@
   hosts(): Fields<HostStatus>[];
   shards(): Fields<ShardStatus>[];
   members(): Fields<MemberStatus>[];
-  burn(): BurnFields;
+  /** Burn as this host measures it when `local`, else summed over the entry hosts. */
+  burn(local: boolean): BurnFields | Promise<BurnFields>;
 }
 
 /** Burn of every service and window. */
-export type BurnFields = Omit<Fields<BurnResponse>, 'windows'> & {
-  windows: Fields<BurnResponse['windows'][number]>[];
-};
+export type BurnFields = Pick<
+  Fields<BurnResponse>,
+  'evictions' | 'batchCompleted'
+> &
+  Partial<Pick<Fields<BurnResponse>, 'hosts' | 'missing'>> & {
+    windows: Fields<BurnResponse['windows'][number]>[];
+    alerts?: Fields<BurnResponse['alerts'][number]>[];
+  };
 
 /** What the handlers are given. */
 export interface OperatorDeps {
--- a/packages/daemon/src/operator/fleet-handlers.ts
+++ b/packages/daemon/src/operator/fleet-handlers.ts
@@ -1,4 +1,6 @@
 /** Operators' calls on the state of the fleet. */
+import type { BurnRequest } from '@paddlewind/protocol';
+
 import type { OperatorDeps } from './deps.js';
 
 /** Answers with the hosts, shards and entry hosts that this host sees. */
@@ -11,7 +13,7 @@
   };
 }
 
-/** Answers with the service-level burn that this host measures. */
-export function burnHandler(deps: OperatorDeps) {
-  return deps.fleet.burn();
+/** Answers with service-level burn, of this host alone or of all. */
+export function burnHandler(deps: OperatorDeps, req: BurnRequest) {
+  return deps.fleet.burn(req.local);
 }
--- a/packages/daemon/src/parts.ts
+++ b/packages/daemon/src/parts.ts
@@ -6,6 +6,7 @@
   Instant,
   Position,
   Random,
+  RequestEnd,
   Schedule,
   StreamRecord,
 } from '@paddlewind/domain';
@@ -106,6 +107,20 @@
   steer(service: string, worker: string, weight: number): void;
 }
 
+/** A request of a caller that has ended. */
+export interface EndedRequest {
+  readonly service: string;
+  readonly end: RequestEnd;
+  /** The worker that answered, or that was tried last. */
+  readonly worker: string | undefined;
+  readonly durationMs: number;
+}
+
+/** Ends of requests; service-level objectives are measured by them. */
+export interface RequestFeed {
+  onEnded(listener: (req: EndedRequest) => void): Stop;
+}
+
 /** The configuration in force on this entry host. */
 export interface ConfigView {
   current(): ConfigState;
--- a/packages/daemon/src/router/exchange.ts
+++ b/packages/daemon/src/router/exchange.ts
@@ -59,6 +59,8 @@
   readonly relay: AnswerRelay;
   /** Running tries and their servers. */
   readonly tries: Map<BackendTry, string>;
+  /** The server that answers, or that was tried last. */
+  backend: string | undefined;
   queued: boolean;
   done: boolean;
   /** Whether any byte may have reached a backend server, as far as ended tries show. */
@@ -89,6 +91,7 @@
       closing: host.closing,
     }),
     tries: new Map(),
+    backend: undefined,
     queued: false,
     done: false,
     sent: false,
@@ -212,6 +215,7 @@
 
 function start(exchange: Exchange, backend: string): void {
   const { host, head, info, body, relay } = exchange;
+  exchange.backend = backend;
   const pool = host.pool(backend);
   if (pool === undefined) {
     host.finish(info.id, backend, { kind: 'not_sent' });
@@ -277,6 +281,7 @@
     return false;
   }
   exchange.answering = by;
+  exchange.backend = backend;
   if (othersRun) {
     cancelTries(exchange, { kind: 'canceled' }, by);
   }
--- a/packages/daemon/src/router/service-router.ts
+++ b/packages/daemon/src/router/service-router.ts
@@ -5,10 +5,13 @@
   Clock,
   Dispatch,
   Dispatcher,
+  RequestEnd,
   ServiceSpec,
   TryResult,
 } from '@paddlewind/domain';
 
+import type { EndedRequest } from '../parts.js';
+
 import type { ConnectionPool } from './connection-pool.js';
 import {
   createExchange,
@@ -31,6 +34,7 @@
   readonly metrics: ServiceMetrics;
   readonly pool: (address: string) => ConnectionPool;
   readonly onLatency: (worker: string, latencyMs: number) => void;
+  readonly onEnded: (req: Omit<EndedRequest, 'service'>) => void;
   readonly closing: () => boolean;
 }
 
@@ -219,12 +223,19 @@
   const { id } = exchange.info;
   state.exchanges.delete(id);
   metrics.inFlight(-1);
-  metrics.ended(labelOf(end), (clock() - exchange.startedAt) / 1_000);
+  const durationMs = clock() - exchange.startedAt;
+  metrics.ended(labelOf(end), durationMs / 1_000);
+  const worker = state.workers.get(exchange.backend ?? '');
+  state.options.onEnded({ end: requestEndOf(end), worker, durationMs });
   const onEnd = state.endings.get(id);
   state.endings.delete(id);
   onEnd?.(end, wasSent(exchange));
 }
 
+function requestEndOf(end: ExchangeEnd): RequestEnd {
+  return end.kind === 'refused' ? { ...end, error: end.error.kind } : end;
+}
+
 function labelOf(end: ExchangeEnd): string {
   switch (end.kind) {
     case 'answered':
--- a/packages/daemon/src/router/services.ts
+++ b/packages/daemon/src/router/services.ts
@@ -9,11 +9,14 @@
   type ServiceSpec,
 } from '@paddlewind/domain';
 
+import { createListeners, type Listeners } from '../core/listeners.js';
 import type {
   ConfigView,
+  EndedRequest,
   HostView,
   PartContext,
   PeerView,
+  RequestFeed,
   Stop,
 } from '../parts.js';
 
@@ -47,6 +50,7 @@
   /** Finds the router of a request. */
   find(host: string, path: string): ServiceRouter | undefined;
   readonly latency: LatencyHub;
+  readonly requests: RequestFeed;
   inFlight(): number;
   /** Ends every exchange with this error. */
   stop(error: AppError): void;
@@ -66,6 +70,7 @@
   readonly metrics: RouterMetrics;
   readonly pools: PoolRegistry;
   readonly latency: LatencyHub;
+  readonly requests: Listeners<[EndedRequest]>;
   table: RouteTable;
 }
 
@@ -83,6 +88,7 @@
       return service && state.entries.get(service.name)?.router;
     },
     latency: state.latency,
+    requests: { onEnded: listener => state.requests.add(listener) },
     inFlight: () =>
       routers(state).reduce((sum, router) => sum + router.inFlight(), 0),
     stop(error) {
@@ -114,6 +120,7 @@
     latency: createLatencyHub((service, worker, weight) => {
       entries.get(service)?.router.dispatcher.steer(worker, weight);
     }),
+    requests: createListeners(),
     table: buildRouteTable(cfg.current()),
   };
 }
@@ -211,6 +218,9 @@
     onLatency(worker, latencyMs) {
       state.latency.publish({ service: name, worker, latencyMs, at: clock() });
     },
+    onEnded(req) {
+      state.requests.tell({ ...req, service: name });
+    },
     closing: options.closing,
   });
 }
--- a/packages/daemon/src/router/start-router.ts
+++ b/packages/daemon/src/router/start-router.ts
@@ -11,7 +11,7 @@
 
 import { appError, type AppError, type Instant } from '@paddlewind/domain';
 
-import type { Committer, LatencyFeed } from '../parts.js';
+import type { Committer, LatencyFeed, RequestFeed } from '../parts.js';
 
 import { admitRequest } from './admit-request.js';
 import { startKeyGate, type FollowKeys } from './key-gate.js';
@@ -40,6 +40,7 @@
   /** `ip:port` on which callers are served. */
   readonly address: string;
   readonly latency: LatencyFeed;
+  readonly requests: RequestFeed;
   /** Whether the router takes requests; false while it stops or its configuration is not in force. */
   ready(): boolean;
   /** Stops gracefully: what runs finishes, what still runs at the deadline is refused or broken off. */
@@ -114,7 +115,8 @@
 
   const address = await listen(server, settings);
   ctx.log.info({ address }, 'router: serving');
-  return { address, latency: services.latency.feed, ready, drain, close };
+  const { latency, requests } = services;
+  return { address, latency: latency.feed, requests, ready, drain, close };
 }
 
 function createHttpServer(
--- a/packages/daemon/src/scheduler/counts.ts
+++ b/packages/daemon/src/scheduler/counts.ts
@@ -1,5 +1,9 @@
 /** Counts of tasks by shard and by worker. */
-import { freshCount, type ShardSchedule } from '@paddlewind/domain';
+import {
+  freshCount,
+  parseTaskId,
+  type ShardSchedule,
+} from '@paddlewind/domain';
 
 import type { ShardCounts, WorkerUse } from './types.js';
 import type { Zone } from './zone.js';
@@ -35,3 +39,20 @@
       })),
   );
 }
+
+/** Returns the jobs with a task on a worker; undefined when no zone holds its shard. */
+export function jobsOnWorker(
+  zones: readonly Zone[],
+  worker: string,
+): readonly string[] | undefined {
+  for (const zone of zones) {
+    for (const schedule of zone.state.shards.values()) {
+      const load = schedule.workers.get(worker);
+      if (load !== undefined) {
+        const tasks = [...load.sizes.keys()];
+        return [...new Set(tasks.map(task => parseTaskId(task).job))];
+      }
+    }
+  }
+  return undefined;
+}
--- a/packages/daemon/src/scheduler/scheduler.ts
+++ b/packages/daemon/src/scheduler/scheduler.ts
@@ -2,7 +2,8 @@
 import type { Instant } from '@paddlewind/domain';
 
 import type { LossReason, OwnedShard } from '../shards/types.js';
-import { countShards, useOfWorkers } from './counts.js';
+import { createBatchTotals } from './batch-totals.js';
+import { countShards, jobsOnWorker, useOfWorkers } from './counts.js';
 import { createJobs, shardsOf } from './jobs.js';
 import { startShardRunner, type ShardRunner } from './shard-runner.js';
 import type { AttemptControl, Scheduler, SchedulerParts } from './types.js';
@@ -14,7 +15,16 @@
 /** Starts to place tasks. */
 export function startScheduler(parts: SchedulerParts): Scheduler {
   const { ctx, cfg, config, ownership } = parts;
-  const zones = createZones(parts.follow, zone => runners.decidesIn(zone));
+  const totals = createBatchTotals(ctx.clock, (shard, epoch) => {
+    return ownership.owned().get(shard)?.epoch === epoch;
+  });
+  const zones = createZones(
+    parts.follow,
+    zone => runners.decidesIn(zone),
+    folded => {
+      totals.take(folded);
+    },
+  );
   const runners = createRunners(parts, zones);
   const jobs = createJobs(parts, zones);
   zones.open(cfg.availabilityZone);
@@ -36,6 +46,8 @@
     ...jobs,
     counts: () => countShards(zones.known()),
     workerUse: () => useOfWorkers(zones.known()),
+    jobsOn: worker => jobsOnWorker(zones.known(), worker),
+    batchTotals: totals.read,
     deciding: () => runners.deciding(),
     attempts: runners.attempts,
     drain: deadline => runners.drain(deadline),
--- a/packages/daemon/src/scheduler/types.ts
+++ b/packages/daemon/src/scheduler/types.ts
@@ -118,12 +118,22 @@
   readonly used: Resources;
 }
 
+/** What became of batch work. */
+export interface BatchTotals {
+  readonly evictions: number;
+  readonly completed: number;
+}
+
 /** Places tasks on the workers of the shards that this process owns. */
 export interface Scheduler extends OperatorJobs {
   readonly attempts: AttemptControl;
   /** Shards that this process decides on or follows. */
   counts(): ShardCounts[];
   workerUse(): WorkerUse[];
+  /** Jobs with a task on the worker; undefined when its shard is not followed here. */
+  jobsOn(worker: string): readonly string[] | undefined;
+  /** Ends and evictions that this process decided, over the last 3 days at most. */
+  batchTotals(): BatchTotals;
   /** Shards that this process decides on at this instant. */
   deciding(): string[];
   /** Decides nothing more and resolves when all that was sent is settled, or at the deadline. */
--- a/packages/daemon/src/scheduler/zone.ts
+++ b/packages/daemon/src/scheduler/zone.ts
@@ -50,11 +50,17 @@
 export function createZones(
   follow: Follow,
   mayWrite: (zone: string) => boolean,
+  onDecision: (folded: FoldedDecision) => void = () => undefined,
 ): Zones {
   const zones = new Map<string, Zone>();
 
   function open(name: string): Zone {
-    const zone = zones.get(name) ?? openZone(name, follow, mayWrite);
+    const known = zones.get(name);
+    if (known !== undefined) {
+      return known;
+    }
+    const zone = openZone(name, follow, mayWrite);
+    zone.onDecision(onDecision);
     zones.set(name, zone);
     return zone;
   }
--- a/packages/daemon/src/tls/credentials.ts
+++ b/packages/daemon/src/tls/credentials.ts
@@ -7,7 +7,7 @@
 import { Counter, Gauge } from 'prom-client';
 import { Result } from 'true-myth';
 
-import { createListeners } from '../membership/listeners.js';
+import { createListeners } from '../core/listeners.js';
 import type { PartContext, Stop } from '../parts.js';
 
 /** Files in PEM, as named in the settings. */
@@ -125,7 +125,7 @@
         { expiresAt: next.expiresAt },
         'tls: certificates are reloaded',
       );
-      changed.call(next);
+      changed.tell(next);
     }
   }
 
