Show service-level burn as text, JSON and a page with plots

The report printed one line for each window and series, too many to read.

Text now has a row for each series with the rates side by side. The library is loaded for the page alone.

--- a/packages/cli/src/commands/report.ts
+++ b/packages/cli/src/commands/report.ts
@@ -1,45 +1,48 @@
 /** `report burn`: how fast services spend their error budgets. */
+import { writeFile } from 'node:fs/promises';
+
 import { appError } from '@paddlewind/domain';
-import type { BurnResponse } from '@paddlewind/protocol';
 
+import { type BurnReport, reportOf } from '../burn/model.js';
+import { burnText } from '../burn/text.js';
 import type { CommandContext } from '../command.js';
-import { fail, succeed, table } from '../output.js';
+import { EXIT_OK, fail, succeed } from '../output.js';
 
-/** Prints the report on service-level burn. */
+/** Prints the report on service-level burn, or writes it as a page with `--html`. */
 export async function report(ctx: CommandContext): Promise<number> {
   const { io, flags } = ctx;
   if (ctx.args[0] !== 'burn') {
     return fail(io, flags.json, [
-      appError('invalid', 'usage: paddlewind report burn'),
+      appError('invalid', 'usage: paddlewind report burn [--html FILE]'),
     ]);
   }
   const burn = await ctx.operators.call(client => client.burn({}));
   if (burn.isErr) {
     return fail(io, flags.json, [burn.error]);
   }
-  return succeed(io, flags.json, burn.value, burnText(burn.value));
+  const told = reportOf(burn.value);
+  if (flags.html !== undefined) {
+    return writePage(ctx, flags.html, told);
+  }
+  return succeed(io, flags.json, burn.value, burnText(told));
 }
 
-function burnText(burn: BurnResponse): string {
-  const rows = burn.windows.map(window => [
-    window.service,
-    window.availabilityZone,
-    window.objective,
-    `${window.windowSeconds} s`,
-    String(window.requests),
-    String(window.bad),
-    window.burnRate.toFixed(2),
-    window.batchNeighbours.join(','),
-  ]);
-  const header = [
-    'SERVICE',
-    'ZONE',
-    'OBJECTIVE',
-    'WINDOW',
-    'REQUESTS',
-    'BAD',
-    'BURN',
-    'BATCH',
-  ];
-  return `${table(header, rows)}\nevictions ${burn.evictions}, batch tasks completed ${burn.batchCompleted}`;
+async function writePage(
+  ctx: CommandContext,
+  file: string,
+  told: BurnReport,
+): Promise<number> {
+  const { io, flags } = ctx;
+  try {
+    // The plotting library takes a while to load, and only this needs it.
+    const { burnPage } = await import('../burn/page.js');
+    await writeFile(file, burnPage(told, new Date().toISOString()));
+  } catch (err) {
+    const reason = err instanceof Error ? err.message : String(err);
+    return fail(io, flags.json, [
+      appError('invalid', `the page cannot be written: ${reason}`),
+    ]);
+  }
+  io.out(`Wrote ${file}.`);
+  return EXIT_OK;
 }
