Use a free slot of the own share before anything else

Cause: a free slot whose server looked a little slower than the mean was passed over for a try beyond the share elsewhere, or for a wait.

Change: a free slot at a server that is not clearly slow (1.7 times, was 2) comes first, the fastest of them; only the rest is compared with waiting.

connection-share.test.ts follows the renamed function (limit is now limitsAt); its assertions are unchanged.

--- a/packages/domain/src/routing/choose.ts
+++ b/packages/domain/src/routing/choose.ts
@@ -11,8 +11,10 @@
 /** Age of a running try, in mean response times, at which its server begins to count as slow. */
 const SUSPECT_AGE = 6;
 
-interface Scored {
+interface Candidate {
   readonly backend: Backend;
+  /** Whether a slot of this host is free there and nothing is known against the server. */
+  readonly isFree: boolean;
   readonly scoreMs: Millis;
 }
 
@@ -23,79 +25,121 @@
   now: Instant,
 ): Backend | undefined {
   const best =
-    leastScore(state, avoid, now) ??
-    (avoid.length > 0 ? leastScore(state, [], now) : undefined);
+    bestCandidate(state, avoid, now) ??
+    (avoid.length > 0 ? bestCandidate(state, [], now) : undefined);
   return best !== undefined && isWorthNow(state, best, now)
     ? best.backend
     : undefined;
 }
 
-function isWorthNow(
+function bestCandidate(
   state: DispatcherState,
-  best: Scored,
+  avoid: readonly string[],
   now: Instant,
-): boolean {
-  const waitMs = waitingScoreMs(state);
-  return (
-    best.scoreMs <= waitMs || best.scoreMs <= waitMs * leastWaited(state, now)
-  );
+): Candidate | undefined {
+  const { home, away } = state.pool;
+  const atHome = bestOf(state, home, avoid, now);
+  if (atHome?.isFree === true) {
+    return atHome;
+  }
+  return better(atHome, bestOf(state, away, avoid, now));
 }
 
-/**
- * Returns the slowness of the fastest server whose slots of this host are all taken: what a waiting
- * request waits for. Infinity when none is, so that nothing waits while all servers are slow and free.
- */
-function leastWaited(state: DispatcherState, now: Instant): number {
-  let least = Infinity;
-  for (const backend of state.pool.home) {
-    const isTaken = backend.running.size >= backend.homeSlots;
-    if (isTaken && !isEjected(backend, now)) {
-      least = Math.min(least, slownessFactor(state, backend, now));
+/** Compares a sample of the servers that may be used. */
+function bestOf(
+  state: DispatcherState,
+  servers: readonly Backend[],
+  avoid: readonly string[],
+  now: Instant,
+): Candidate | undefined {
+  let best: Candidate | undefined;
+  let compared = 0;
+  for (const backend of fromRandom(state, servers)) {
+    if (!mayUse(state, backend, avoid, now)) {
+      continue;
+    }
+    const isFree = isFreeAndUsual(state, backend, now);
+    const scoreMs = scoreOf(state, backend, now);
+    best = better(best, { backend, isFree, scoreMs });
+    compared += 1;
+    if (compared >= state.tunables.sampleSize) {
+      break;
     }
   }
-  return least;
+  return best;
 }
 
-function leastScore(
+/** Goes through the servers once, from a random one on. */
+function* fromRandom(
   state: DispatcherState,
-  avoid: readonly string[],
-  now: Instant,
-): Scored | undefined {
-  const { home, away, latency } = state.pool;
-  const atHome = leastOf(state, home, avoid, now);
-  if (atHome !== undefined && atHome.scoreMs <= latency.meanMs) {
-    return atHome;
+  servers: readonly Backend[],
+): Generator<Backend> {
+  const offset = Math.floor(state.options.random() * servers.length);
+  for (let i = 0; i < servers.length; i++) {
+    const backend = servers[(offset + i) % servers.length];
+    if (backend !== undefined) {
+      yield backend;
+    }
+  }
+}
+
+/** A free slot comes first, then the least expected response time. */
+function better(
+  a: Candidate | undefined,
+  b: Candidate | undefined,
+): Candidate | undefined {
+  if (a === undefined || b === undefined) {
+    return a ?? b;
   }
-  const elsewhere = leastOf(state, away, avoid, now);
-  if (atHome === undefined || elsewhere === undefined) {
-    return atHome ?? elsewhere;
+  if (a.isFree !== b.isFree) {
+    return a.isFree ? a : b;
   }
-  return atHome.scoreMs <= elsewhere.scoreMs ? atHome : elsewhere;
+  return b.scoreMs < a.scoreMs ? b : a;
 }
 
-/** Compares a sample of the candidates that may be used. */
-function leastOf(
+function isFreeAndUsual(
   state: DispatcherState,
-  candidates: readonly Backend[],
-  avoid: readonly string[],
+  backend: Backend,
+  now: Instant,
+): boolean {
+  return (
+    backend.running.size < backend.homeSlots &&
+    backend.weight >= 1 &&
+    slownessOf(state, backend, now) <= state.tunables.slownessDeadband
+  );
+}
+
+function isWorthNow(
+  state: DispatcherState,
+  best: Candidate,
   now: Instant,
-): Scored | undefined {
-  const offset = Math.floor(state.options.random() * candidates.length);
-  const { sampleSize } = state.tunables;
-  let best: Scored | undefined;
+): boolean {
+  const waitMs = waitingScoreMs(state);
+  return (
+    best.isFree ||
+    best.scoreMs <= waitMs ||
+    best.scoreMs <= waitMs * leastWaited(state, now)
+  );
+}
+
+/**
+ * Returns the slowness of the fastest server, of a sample, whose slots of this host are all taken: what a
+ * waiting request waits for. Infinity when none is, so that nothing waits while all servers are slow and free.
+ */
+function leastWaited(state: DispatcherState, now: Instant): number {
+  let least = Infinity;
   let compared = 0;
-  for (let i = 0; i < candidates.length && compared < sampleSize; i++) {
-    const backend = candidates[(offset + i) % candidates.length];
-    if (backend === undefined || !mayUse(state, backend, avoid, now)) {
-      continue;
+  for (const backend of fromRandom(state, state.pool.home)) {
+    const isTaken = backend.running.size >= backend.homeSlots;
+    if (isTaken && !isEjected(backend, now)) {
+      least = Math.min(least, slownessFactor(state, backend, now));
+      compared += 1;
     }
-    compared += 1;
-    const scoreMs = scoreOf(state, backend, now);
-    if (best === undefined || scoreMs < best.scoreMs) {
-      best = { backend, scoreMs };
+    if (compared >= state.tunables.sampleSize) {
+      break;
     }
   }
-  return best;
+  return least;
 }
 
 function mayUse(
@@ -138,15 +182,24 @@
   now: Instant,
 ): number {
   const { slownessDeadband, slownessSlope } = state.tunables;
-  const slowness = Math.max(
-    slownessAt(backend.slowness, now),
-    oldestAge(state, backend, now) / SUSPECT_AGE,
-  );
+  const slowness = slownessOf(state, backend, now);
   return slowness > slownessDeadband
     ? slowness
     : 1 + slownessSlope * (slowness - 1);
 }
 
+/** Slowness by what the server answered and by what it still owes. */
+function slownessOf(
+  state: DispatcherState,
+  backend: Backend,
+  now: Instant,
+): number {
+  return Math.max(
+    slownessAt(backend.slowness, now),
+    oldestAge(state, backend, now) / SUSPECT_AGE,
+  );
+}
+
 /** Returns the age of the oldest running try in mean response times. */
 function oldestAge(
   state: DispatcherState,
--- a/packages/domain/src/routing/connection-share.test.ts
+++ b/packages/domain/src/routing/connection-share.test.ts
@@ -32,7 +32,7 @@
 
 /** Opens as many connections as the share allows and tells how many are held. */
 function use(member: Member, now: number): number {
-  const limit = member.share.limit('s', now);
+  const limit = member.share.limitsAt(now)('s');
   const alive = member.held.filter(({ until }) => until > now);
   const held = Math.max(0, ...alive.map(({ count }) => count));
   alive.push({ count: limit, until: now + DRAIN_MS });
@@ -109,10 +109,10 @@
 test('a share shrinks at once and grows only after the settling time', () => {
   const { share } = join('e0', 64, 0);
   share.setHosts(9, [], 10_000);
-  assert.equal(share.limit('s', 10_000), 5);
+  assert.equal(share.limitsAt(10_000)('s'), 5);
   share.setHosts(20, [], 11_000);
-  assert.equal(share.limit('s', 11_000), 2);
+  assert.equal(share.limitsAt(11_000)('s'), 2);
   share.setHosts(9, [], 12_000);
-  assert.equal(share.limit('s', 12_000), 2);
-  assert.equal(share.limit('s', 12_000 + SETTLE_MS + DRAIN_MS), 5);
+  assert.equal(share.limitsAt(12_000)('s'), 2);
+  assert.equal(share.limitsAt(12_000 + SETTLE_MS + DRAIN_MS)('s'), 5);
 });
--- a/packages/domain/src/routing/connection-share.ts
+++ b/packages/domain/src/routing/connection-share.ts
@@ -23,8 +23,8 @@
 export interface ConnectionShare {
   /** Takes the entry hosts now live, this one included. */
   setHosts(count: number, ids: readonly string[], now: Instant): void;
-  /** Connections that this entry host may hold to the server. */
-  limit(address: string, now: Instant): number;
+  /** Returns the connections that this entry host may hold to a server, by its address. */
+  limitsAt(now: Instant): (address: string) => number;
 }
 
 interface View {
@@ -58,17 +58,18 @@
       }));
       views.push({ count, ids, endedAt: Infinity });
     },
-    limit(address, now) {
+    limitsAt(now) {
       const { count, ids } = recent(now);
       const isJoining = now < options.joinedAt + keepMs;
       if (isJoining && count > planned + headroom) {
-        return 0;
+        return () => 0;
       }
-      const share = Math.floor(
-        connections / (Math.max(planned, count) + headroom),
-      );
+      const hosts = Math.max(planned, count) + headroom;
+      const share = Math.floor(connections / hosts);
       const places = Math.max(1, connections - headroom);
-      return share > 0 || rankOf(self, ids, address) >= places ? share : 1;
+      return share > 0
+        ? () => share
+        : address => (rankOf(self, ids, address) < places ? 1 : 0);
     },
   };
 }
--- a/packages/domain/src/routing/create-dispatcher.test.ts
+++ b/packages/domain/src/routing/create-dispatcher.test.ts
@@ -253,3 +253,34 @@
     answerAfter(20);
   }
 });
+
+test('a request does not wait while slots of this host are free at usual servers', () => {
+  const random = seededRandom(2);
+  const dispatcher = newDispatcher({}, { random });
+  const hosts = Array.from({ length: 9 }, (_, i) => `e${i + 1}`);
+  const infos = hosts.map(id => ({ id, availabilityZone: 'a' }));
+  dispatcher.setPeers(9, 0, infos);
+  dispatcher.setBackends(
+    Array.from({ length: 45 }, (_, n) => backend(n)),
+    0,
+  );
+  const running = new Map<number, string>();
+  let queued = 0;
+  for (let id = 1; id <= 4_000; id++) {
+    const now = id * 0.6;
+    const [ended = 0, sentTo = ''] = [...running].at(random() * 34) ?? [];
+    if (running.size === 34) {
+      running.delete(ended);
+      for (const verdict of dispatcher.finish(ended, sentTo, OK, now)) {
+        assert.ok(verdict.kind === 'send');
+        running.set(verdict.id, verdict.backend);
+      }
+    }
+    const [verdict] = dispatcher.offer(request(id, { deadline: 1e6 }), now);
+    queued += verdict?.kind === 'queued' ? 1 : 0;
+    if (verdict?.kind === 'send') {
+      running.set(id, verdict.backend);
+    }
+  }
+  assert.ok(queued < 40, `${queued} of 4000 waited`);
+});
--- a/packages/domain/src/routing/create-dispatcher.ts
+++ b/packages/domain/src/routing/create-dispatcher.ts
@@ -49,7 +49,7 @@
     },
     connectionLimit: (backend, now) =>
       state.pool.all.get(backend)?.connectionLimit ??
-      state.share.limit(backend, now),
+      state.share.limitsAt(now)(backend),
     tick: now => tick(state, now),
     loads: () => loads(state),
   };
--- a/packages/domain/src/routing/membership.ts
+++ b/packages/domain/src/routing/membership.ts
@@ -45,8 +45,9 @@
 
 function refreshLimits(state: DispatcherState, now: Instant): void {
   state.limitsDueAt = now + LIMITS_INTERVAL_MS;
+  const limitOf = state.share.limitsAt(now);
   for (const backend of state.pool.live) {
-    backend.connectionLimit = state.share.limit(backend.address, now);
+    backend.connectionLimit = limitOf(backend.address);
   }
 }
 
--- a/packages/domain/src/routing/options.ts
+++ b/packages/domain/src/routing/options.ts
@@ -45,7 +45,7 @@
   sampleSize: 64,
   spillCost: 0.1,
   maxSpill: 1,
-  slownessDeadband: 2,
+  slownessDeadband: 1.7,
   slownessSlope: 0.1,
   maxEjectedShare: 0.3,
   maxEjectionMs: 30_000,
