--- a/packages/bench/src/proxy/child.ts
+++ b/packages/bench/src/proxy/child.ts
@@ -39,12 +39,14 @@
 
 function nextMessage(child: ChildProcess): Promise<FromChild> {
   return new Promise((resolve, reject) => {
+    function ended(code: number | null): void {
+      reject(new Error(`the child ended with ${code}`));
+    }
     child.once('message', message => {
+      child.removeListener('exit', ended);
       resolve(message as FromChild);
     });
-    child.once('exit', code => {
-      reject(new Error(`the child ended with ${code}`));
-    });
+    child.once('exit', ended);
   });
 }
 
--- a/packages/daemon/src/router/callers.test.ts
+++ b/packages/daemon/src/router/callers.test.ts
@@ -272,8 +272,13 @@
 
 test('nothing is served while the configuration is not in force', async t => {
   await withServer(t, async (fixture, server) => {
+    const check = 'GET /paddlewind/ready HTTP/1.1\r\nHost: x\r\n\r\n';
+    const health = rawCall(t, fixture.port, check);
+    assert.match(await health.until(/ready\n$/), /^HTTP\/1\.1 200 /);
     fixture.inForce.set(false);
     assert.equal(fixture.router.ready(), false);
+    health.socket.write(check);
+    await health.until(/503 [^]*not ready\n$/);
     const caller = rawCall(t, fixture.port, requestText('GET'));
     assert.match(await caller.until(/"message"/), /503 [^]*not-run/);
     assert.deepEqual(server.received, []);
--- a/packages/daemon/src/router/exchange.ts
+++ b/packages/daemon/src/router/exchange.ts
@@ -57,8 +57,8 @@
 /** A running exchange. */
 export interface Exchange extends ExchangeOptions {
   readonly relay: AnswerRelay;
-  /** Running tries and their servers. */
-  readonly tries: Map<BackendTry, string>;
+  /** Running tries, seldom more than one. */
+  readonly tries: BackendTry[];
   /** The server that answers, or that was tried last. */
   backend: string | undefined;
   queued: boolean;
@@ -72,7 +72,6 @@
   /** Why the exchange is being ended from outside. */
   stopping: AppError | undefined;
   answering: BackendTry | undefined;
-  timer: NodeJS.Timeout | undefined;
   hedgeTimer: NodeJS.Timeout | undefined;
 }
 
@@ -81,16 +80,21 @@
 
 /** Creates an exchange; it acts once it is dispatched. */
 export function createExchange(options: ExchangeOptions): Exchange {
-  const { host, res, head, info } = options;
+  const { host, res, head, body, info, startedAt } = options;
   const exchange: Exchange = {
-    ...options,
+    host,
+    res,
+    head,
+    body,
+    info,
+    startedAt,
     relay: createAnswerRelay({
       res,
       method: head.method,
       passTrailers: head.acceptsTrailers,
       closing: host.closing,
     }),
-    tries: new Map(),
+    tries: [],
     backend: undefined,
     queued: false,
     done: false,
@@ -99,11 +103,8 @@
     failure: undefined,
     stopping: undefined,
     answering: undefined,
-    timer: undefined,
     hedgeTimer: undefined,
   };
-  const left = roundedUp(info.deadline - host.clock());
-  exchange.timer = setTimeout(expire, left, exchange);
   res.once('close', () => {
     callerGone(exchange);
   });
@@ -130,7 +131,7 @@
   if (exchange.sent) {
     return true;
   }
-  for (const running of exchange.tries.keys()) {
+  for (const running of exchange.tries) {
     if (running.sentAt() !== undefined) {
       return true;
     }
@@ -141,8 +142,9 @@
 function settle(exchange: Exchange, end: ExchangeEnd): void {
   const { host, info } = exchange;
   exchange.done = true;
-  clearTimeout(exchange.timer);
-  clearTimeout(exchange.hedgeTimer);
+  if (exchange.hedgeTimer !== undefined) {
+    clearTimeout(exchange.hedgeTimer);
+  }
   if (exchange.queued) {
     exchange.queued = false;
     host.withdraw(info.id);
@@ -172,7 +174,7 @@
   result: TryResult,
   except?: BackendTry,
 ): void {
-  for (const running of [...exchange.tries.keys()]) {
+  for (const running of [...exchange.tries]) {
     if (running !== except) {
       running.cancel(result, result.kind);
     }
@@ -195,12 +197,13 @@
   // The tries end first: only then is it known whether anything was sent.
   exchange.stopping = error;
   cancelTries(exchange, result);
-  if (exchange.tries.size === 0) {
+  if (exchange.tries.length === 0) {
     refuse(exchange, error);
   }
 }
 
-function expire(exchange: Exchange): void {
+/** Ends an exchange whose deadline has passed. */
+export function expireExchange(exchange: Exchange): void {
   const kind = wasSent(exchange) ? 'timeout' : 'deadline_unmet';
   const error = appError(kind, 'The deadline has passed.');
   stopWith(exchange, error, { kind: 'timeout' });
@@ -244,7 +247,7 @@
       afterTry(exchange, end);
     },
   });
-  exchange.tries.set(started, backend);
+  exchange.tries.push(started);
   armHedge(exchange);
 }
 
@@ -275,7 +278,7 @@
   if (sentAt !== undefined) {
     host.sample(backend, host.clock() - sentAt);
   }
-  const othersRun = tries.size > 1;
+  const othersRun = tries.length > 1;
   const failsFast = answer.status >= 500 && othersRun;
   if (exchange.done || exchange.answering !== undefined || failsFast) {
     return false;
@@ -294,7 +297,7 @@
   end: TryEnd,
   trailers: readonly Buffer[],
 ): void {
-  exchange.tries.delete(ended);
+  exchange.tries.splice(exchange.tries.indexOf(ended), 1);
   exchange.sent ||= end.sent;
   if (ended !== exchange.answering || exchange.done) {
     return;
@@ -308,7 +311,7 @@
 }
 
 function afterTry(exchange: Exchange, end: TryEnd): void {
-  if (!exchange.done && exchange.tries.size === 0 && !exchange.queued) {
+  if (!exchange.done && exchange.tries.length === 0 && !exchange.queued) {
     failed(exchange, end.result, end.reason);
   }
 }
@@ -347,7 +350,7 @@
   }
   exchange.hedgeTimer = setTimeout(() => {
     const waits = !exchange.done && !exchange.relay.begun();
-    if (waits && exchange.tries.size === 1) {
+    if (waits && exchange.tries.length === 1) {
       host.hedge(info);
     }
   }, roundedUp(delay));
--- a/packages/daemon/src/router/metrics.ts
+++ b/packages/daemon/src/router/metrics.ts
@@ -7,15 +7,22 @@
 /** Metrics of one service. */
 export interface ServiceMetrics {
   ended(outcome: RequestOutcome, seconds: number): void;
-  inFlight(change: 1 | -1): void;
-  queued(length: number): void;
   retried(): void;
   hedged(): void;
 }
 
+/** Present numbers of one service. */
+export interface ServiceLevels {
+  readonly service: string;
+  readonly inFlight: number;
+  readonly queued: number;
+}
+
 /** Metrics of the router; one set of labels a service. */
 export interface RouterMetrics {
   service(name: string): ServiceMetrics;
+  /** Sets where the present numbers come from when metrics are read. */
+  observe(levels: () => readonly ServiceLevels[]): void;
   /** Forgets the series of a service that is no longer configured. */
   remove(name: string): void;
 }
@@ -26,10 +33,14 @@
 
 /** Registers the metrics. */
 export function createRouterMetrics(registry: Registry): RouterMetrics {
-  const instruments = createInstruments(registry);
+  let levels: () => readonly ServiceLevels[] = () => [];
+  const instruments = createInstruments(registry, () => levels());
   const { durations, inFlight, queue, retries, hedges } = instruments;
   return {
     service: name => serviceMetrics(instruments, name),
+    observe(source) {
+      levels = source;
+    },
     remove(name) {
       [durations, inFlight, queue, retries, hedges].forEach(metric => {
         metric.remove(name);
@@ -40,7 +51,10 @@
 
 type Instruments = ReturnType<typeof createInstruments>;
 
-function createInstruments(registry: Registry) {
+function createInstruments(
+  registry: Registry,
+  levels: () => readonly ServiceLevels[],
+) {
   const registers = [registry];
   const labelNames = ['service'] as const;
   return {
@@ -62,12 +76,22 @@
       help: 'Requests that are not yet answered.',
       labelNames,
       registers,
+      collect() {
+        for (const { service, inFlight } of levels()) {
+          this.set({ service }, inFlight);
+        }
+      },
     }),
     queue: new Gauge({
       name: 'paddlewind_router_queue_length',
       help: 'Requests that wait for a slot.',
       labelNames,
       registers,
+      collect() {
+        for (const { service, queued } of levels()) {
+          this.set({ service }, queued);
+        }
+      },
     }),
     retries: new Counter({
       name: 'paddlewind_router_retries_total',
@@ -86,8 +110,6 @@
 
 function serviceMetrics(from: Instruments, name: string): ServiceMetrics {
   const duration = from.durations.labels(name);
-  const running = from.inFlight.labels(name);
-  const waiting = from.queue.labels(name);
   const outcomes = new Map<string, { inc(): void }>();
   function outcomeCounter(outcome: string): { inc(): void } {
     const known = outcomes.get(outcome);
@@ -103,12 +125,6 @@
       outcomeCounter(outcome).inc();
       duration.observe(seconds);
     },
-    inFlight(change) {
-      running.inc(change);
-    },
-    queued(length) {
-      waiting.set(length);
-    },
     retried() {
       from.retries.labels(name).inc();
     },
--- a/packages/daemon/src/router/service-router.ts
+++ b/packages/daemon/src/router/service-router.ts
@@ -15,6 +15,7 @@
 import type { ConnectionPool } from './connection-pool.js';
 import {
   createExchange,
+  expireExchange,
   followDispatch,
   stopExchange,
   wasSent,
@@ -48,6 +49,8 @@
   /** Carries out decisions that a call of the dispatcher returned. */
   apply(dispatches: readonly Dispatch[]): void;
   tick(): void;
+  /** Ends the exchanges whose deadline has passed; call about every 10 ms. */
+  expire(): void;
   inFlight(): number;
   queueLength(): number;
   /** Ends one exchange with this error. */
@@ -90,10 +93,9 @@
   return {
     service,
     dispatcher,
-    handle(request, onEnd) {
-      const { info } = request;
-      state.exchanges.set(info.id, createExchange({ ...request, host }));
-      options.metrics.inFlight(1);
+    handle({ res, head, body, info, startedAt }, onEnd) {
+      const request = { host, res, head, body, info, startedAt };
+      state.exchanges.set(info.id, createExchange(request));
       if (onEnd !== undefined) {
         state.endings.set(info.id, onEnd);
       }
@@ -109,6 +111,9 @@
     tick() {
       apply(state, dispatcher.tick(clock()));
     },
+    expire() {
+      expire(state);
+    },
     inFlight: () => state.exchanges.size,
     queueLength: () => state.queued,
     stopOne(id, error) {
@@ -186,7 +191,6 @@
 ): void {
   if (before !== after) {
     state.queued += after ? 1 : -1;
-    state.options.metrics.queued(state.queued);
   }
 }
 
@@ -200,6 +204,19 @@
   }
 }
 
+/** One sweep is cheaper than a timer for each request, few of which run into their deadline. */
+function expire(state: RouterState): void {
+  if (state.exchanges.size === 0) {
+    return;
+  }
+  const now = state.options.clock();
+  for (const exchange of state.exchanges.values()) {
+    if (exchange.info.deadline <= now) {
+      expireExchange(exchange);
+    }
+  }
+}
+
 function setWorkers(
   state: RouterState,
   backends: readonly BackendInfo[],
@@ -222,7 +239,6 @@
   const { metrics, clock } = state.options;
   const { id } = exchange.info;
   state.exchanges.delete(id);
-  metrics.inFlight(-1);
   const durationMs = clock() - exchange.startedAt;
   metrics.ended(labelOf(end), durationMs / 1_000);
   const worker = state.workers.get(exchange.backend ?? '');
--- a/packages/daemon/src/router/services.ts
+++ b/packages/daemon/src/router/services.ts
@@ -22,7 +22,11 @@
 
 import { backendsOf } from './backends.js';
 import { createLatencyHub, type LatencyHub } from './latency-feed.js';
-import { createRouterMetrics, type RouterMetrics } from './metrics.js';
+import {
+  createRouterMetrics,
+  type RouterMetrics,
+  type ServiceLevels,
+} from './metrics.js';
 import { createPoolRegistry, type PoolRegistry } from './pool-registry.js';
 import { buildRouteTable, type RouteTable } from './routes.js';
 import { createServiceRouter, type ServiceRouter } from './service-router.js';
@@ -82,6 +86,7 @@
   const state = createState(options);
   const stops = follow(state);
   updateConfig(state);
+  state.metrics.observe(() => levels(state));
   return {
     find(host, path) {
       const service = state.table.find(host, path);
@@ -155,6 +160,14 @@
   return [...current(state), ...state.retired];
 }
 
+function levels(state: ServicesState): ServiceLevels[] {
+  return current(state).map(router => ({
+    service: router.service.name,
+    inFlight: router.inFlight(),
+    queued: router.queueLength(),
+  }));
+}
+
 function updateConfig(state: ServicesState): void {
   const config = state.options.cfg.current();
   const specs = objectsOf(config, 'service');
@@ -269,6 +282,7 @@
     if (router.queueLength() > 0) {
       router.tick();
     }
+    router.expire();
   }
 }
 
--- a/packages/daemon/src/router/start-router.ts
+++ b/packages/daemon/src/router/start-router.ts
@@ -49,6 +49,9 @@
   close(): Promise<void>;
 }
 
+/** Path on which the balancer asks whether this entry host takes requests, whatever the host header. */
+export const READY_PATH = '/paddlewind/ready';
+
 const DRAIN_POLL_MS = 20;
 const CHECK_INTERVAL_MS = 1_000;
 
@@ -76,10 +79,12 @@
   const { clock } = ctx;
   const admission = { services, keys, limits, clock, unixClock };
   const server = createHttpServer(limits, (req, res) => {
-    lastRequestAt = ctx.clock();
-    if (!deps.cfg.inForce()) {
+    if (req.url === READY_PATH) {
+      answerReady(res, ready());
+    } else if (!deps.cfg.inForce()) {
       sendRefusal(res, notReady('The configuration is not up to date.'));
     } else {
+      lastRequestAt = clock();
       admitRequest({ req, res, ...admission });
     }
   });
@@ -165,6 +170,13 @@
   }
 }
 
+function answerReady(res: ServerResponse, isReady: boolean): void {
+  const body = isReady ? 'ready\n' : 'not ready\n';
+  const type = { 'content-type': 'text/plain', 'content-length': body.length };
+  res.writeHead(isReady ? 200 : 503, type);
+  res.end(body);
+}
+
 function notReady(message: string): AppError {
   return appError('not_ready', message);
 }
