Name the record of a job's home in the scheduling model

Cause: the record job_homed was added while the model of the fuzz test was; lint found its switch not exhaustive. Change: the model is blind to it, as to the other records that it does not foresee. Conclusion: the switch names every kind of decision.

--- a/packages/domain/src/scheduling/testing/oracle.ts
+++ b/packages/domain/src/scheduling/testing/oracle.ts
@@ -50,6 +50,7 @@
       return end(oracle, record.body);
     case 'task_moved':
       return move(oracle, record.body);
+    case 'job_homed':
     case 'job_released':
     case 'job_held':
     case 'job_unschedulable':
