Add metrics of shards and of the scheduler

Cause: operators could not see lost leases, silent workers or what an owner decides, and the setting scheduler.roundMs had no effect.

--- a/packages/bench/src/simulation/cluster.ts
+++ b/packages/bench/src/simulation/cluster.ts
@@ -243,7 +243,12 @@
   });
   const scheduler = startScheduler({
     ctx,
-    cfg: { region: REGION, availabilityZone: zone, tasks: TASK_TIMING },
+    cfg: {
+      region: REGION,
+      availabilityZone: zone,
+      roundMs: 100,
+      tasks: TASK_TIMING,
+    },
     wall: () => WALL_START + time.clock(),
     config,
     hosts: { hosts: () => input.hosts, onChange: () => () => undefined },
--- a/packages/daemon/src/entry-host.ts
+++ b/packages/daemon/src/entry-host.ts
@@ -218,7 +218,12 @@
   });
   const scheduler = startScheduler({
     ctx: base.ctx,
-    cfg: { region, availabilityZone, tasks: taskTiming(settings.scheduler) },
+    cfg: {
+      region,
+      availabilityZone,
+      roundMs: settings.scheduler.roundMs,
+      tasks: taskTiming(settings.scheduler),
+    },
     wall: Date.now,
     config,
     hosts,
--- a/packages/daemon/src/scheduler/scheduler.ts
+++ b/packages/daemon/src/scheduler/scheduler.ts
@@ -5,6 +5,7 @@
 import { createBatchTotals } from './batch-totals.js';
 import { countShards, jobsOnWorker, useOfWorkers } from './counts.js';
 import { createJobs, shardsOf } from './jobs.js';
+import { createSchedulerMetrics, type OwnerParts } from './metrics.js';
 import { startShardRunner, type ShardRunner } from './shard-runner.js';
 import type { AttemptControl, Scheduler, SchedulerParts } from './types.js';
 import { createZones, type Zones } from './zone.js';
@@ -25,7 +26,12 @@
       totals.take(folded);
     },
   );
-  const runners = createRunners(parts, zones);
+  const meters = createSchedulerMetrics(ctx.metrics, () =>
+    countShards(zones.known()).filter(each =>
+      runners.deciding().includes(each.shard),
+    ),
+  );
+  const runners = createRunners({ ...parts, meters }, zones);
   const jobs = createJobs(parts, zones);
   zones.open(cfg.availabilityZone);
   const stops = [
@@ -75,7 +81,7 @@
   stop(): void;
 }
 
-function createRunners(parts: SchedulerParts, zones: Zones): Runners {
+function createRunners(parts: OwnerParts, zones: Zones): Runners {
   const { ctx, ownership } = parts;
   const runners = new Map<string, ShardRunner>();
 
--- a/packages/daemon/src/scheduler/shard-runner.ts
+++ b/packages/daemon/src/scheduler/shard-runner.ts
@@ -5,8 +5,12 @@
 import type { Stop } from '../parts.js';
 import type { OwnedShard } from '../shards/types.js';
 import { createDecisionOffsets } from './decision-offsets.js';
-import { createDecisionWriter } from './decision-writer.js';
+import {
+  createDecisionWriter,
+  type DecisionWriter,
+} from './decision-writer.js';
 import { formerOwnersUntil, leaseMode, type LeaseMode } from './lease-mode.js';
+import type { OwnerParts, SchedulerMetrics } from './metrics.js';
 import { createPlanning } from './planning.js';
 import { createShardAttempts } from './shard-attempts.js';
 import type { AttemptControl, SchedulerParts } from './types.js';
@@ -14,7 +18,6 @@
 import { createWorkerSyncs } from './worker-syncs.js';
 import type { FoldedDecision, Zone } from './zone.js';
 
-const TICK_MS = 100;
 const OPEN_TIMEOUT_MS = 5_000;
 const OPEN_RETRY_MS = 500;
 const DRAIN_POLL_MS = 20;
@@ -44,7 +47,7 @@
 
 /** Starts to decide for a shard that this process owns. */
 export function startShardRunner(
-  parts: SchedulerParts,
+  parts: OwnerParts,
   zone: Zone,
   spec: ShardSpec,
   owned: OwnedShard,
@@ -60,9 +63,12 @@
   const superseded = (): void => {
     state.superseded = true;
   };
-  const writer = createDecisionWriter(ctx, parts.committer, zone, () => {
-    planSoon();
-  });
+  const writer = countDecisions(
+    createDecisionWriter(ctx, parts.committer, zone, () => {
+      planSoon();
+    }),
+    parts.meters,
+  );
   const common = { parts, zone, spec, epoch, writer, mode };
   const offsetOf = (task: string): number => offsets.of(task);
   const syncs = createWorkerSyncs({
@@ -125,6 +131,19 @@
   };
 }
 
+function countDecisions(
+  writer: DecisionWriter,
+  meters: SchedulerMetrics,
+): DecisionWriter {
+  const write: DecisionWriter['write'] = made => {
+    if (!writer.isPending(made.id)) {
+      meters.decided(made.kind);
+    }
+    writer.write(made);
+  };
+  return { ...writer, write };
+}
+
 function newState(owned: OwnedShard): RunnerState {
   return {
     phase: 'opening',
@@ -134,11 +153,14 @@
   };
 }
 
-function repeat({ ctx }: SchedulerParts, tick: (now: Instant) => void): Stop {
+function repeat(
+  { ctx, cfg }: SchedulerParts,
+  tick: (now: Instant) => void,
+): Stop {
   const schedule = scheduleOf(ctx);
-  let cancel = schedule(TICK_MS, run);
+  let cancel = schedule(cfg.roundMs, run);
   function run(): void {
-    cancel = schedule(TICK_MS, run);
+    cancel = schedule(cfg.roundMs, run);
     tick(ctx.clock());
   }
   return () => {
--- a/packages/daemon/src/scheduler/types.ts
+++ b/packages/daemon/src/scheduler/types.ts
@@ -51,6 +51,8 @@
 export interface SchedulerConfig {
   readonly region: string;
   readonly availabilityZone: string;
+  /** Time between two rounds of syncs and decisions; what was recorded is followed at once. */
+  readonly roundMs: Millis;
   readonly tasks: TaskTiming;
 }
 
--- a/packages/daemon/src/scheduler/worker-commands.ts
+++ b/packages/daemon/src/scheduler/worker-commands.ts
@@ -1,5 +1,5 @@
 /** Sends the commands of one shard owner to the agents, each under its decision's fence. */
-import type { AppError, Instant } from '@paddlewind/domain';
+import type { AppError, Instant, Millis } from '@paddlewind/domain';
 import type {
   AgentCommand,
   AttemptRef,
@@ -24,6 +24,8 @@
   readonly mayCommand: () => boolean;
   /** Whether it may throttle, which needs no record. */
   readonly mayThrottle: () => boolean;
+  /** Told how long an acknowledged start took. */
+  readonly started: (span: Millis) => void;
   readonly refused: (err: AppError) => void;
 }
 
@@ -60,8 +62,9 @@
     if (sent === undefined || !parts.mayCommand()) {
       return;
     }
+    const sentAt = ctx.clock();
     sent.inFlight = true;
-    link.renewSentAt = Math.max(link.renewSentAt, ctx.clock());
+    link.renewSentAt = Math.max(link.renewSentAt, sentAt);
     const { ref, job, size, checkpoint } = placed;
     const started = await send(link.worker, {
       kind: 'start',
@@ -77,6 +80,9 @@
     });
     sent.inFlight = false;
     confirm(sent, started, ctx.clock());
+    if (started) {
+      parts.started(ctx.clock() - sentAt);
+    }
   }
 
   async function stop(
--- a/packages/daemon/src/scheduler/worker-syncs.ts
+++ b/packages/daemon/src/scheduler/worker-syncs.ts
@@ -13,10 +13,10 @@
 import type { LeaseMode } from './lease-mode.js';
 import { workerOf, workersOf } from './fleet-index.js';
 import { followDecision } from './follow-decision.js';
+import type { OwnerParts } from './metrics.js';
 import { observeReport } from './observe.js';
 import { isPlacedElsewhere, placedOn } from './placed.js';
 import { lostAttempt, reconcile, type WorkerStep } from './reconcile.js';
-import type { SchedulerParts } from './types.js';
 import {
   createWorkerCommands,
   type WorkerCommands,
@@ -33,7 +33,7 @@
 
 /** What the syncs of a shard are given. */
 export interface WorkerSyncsParts {
-  readonly parts: SchedulerParts;
+  readonly parts: OwnerParts;
   readonly zone: Zone;
   readonly spec: ShardSpec;
   readonly epoch: number;
@@ -165,6 +165,9 @@
     mayCommand: () => !state.stopped && input.mode() === 'leased',
     mayThrottle: () =>
       !state.stopped && ['leased', 'dark'].includes(input.mode()),
+    started: span => {
+      parts.meters.started(span);
+    },
     refused: () => undefined,
   });
 }
@@ -214,6 +217,7 @@
     syncFailed(input, link, result.error, sentAt);
     return;
   }
+  parts.meters.synced('answered');
   acknowledge.forEach(ref => link.acknowledge.delete(attemptKey(ref)));
   answered(link, result.value, sentAt);
   parts.onReport?.(result.value, ctx.clock());
@@ -232,8 +236,10 @@
   if (err.kind === 'conflict') {
     input.parts.ctx.log.warn({ worker }, 'scheduler: epoch refused');
     input.superseded();
+    input.parts.meters.synced('refused');
     return;
   }
+  input.parts.meters.synced('unanswered');
   link.silentSince ??= sentAt;
 }
 
--- a/packages/daemon/src/shards/ownership.ts
+++ b/packages/daemon/src/shards/ownership.ts
@@ -11,6 +11,7 @@
 import { createLeaseBook, type LeaseBook } from './lease-book.js';
 import { createLeaseWriter, type LeaseWriter } from './lease-writer.js';
 import { createMemberTracker } from './members.js';
+import { createShardMetrics } from './metrics.js';
 import type {
   ShardOwner,
   ShardOwnership,
@@ -42,6 +43,7 @@
     prefix: `${peers.self}/${cfg.incarnation}`,
   });
   const loop = createLoop(parts, book, writer);
+  countChanges(parts, book);
   let cancel = schedule(TICK_MS, tick);
 
   function tick(): void {
@@ -73,6 +75,20 @@
   };
 }
 
+function countChanges({ ctx }: ShardOwnershipParts, book: LeaseBook): void {
+  const metrics = createShardMetrics(
+    ctx.metrics,
+    () => book.own.valid(ctx.clock()).size,
+  );
+  book.acquired.add(() => {
+    metrics.acquired();
+  });
+  book.lost.add((_shard, _epoch, reason) => {
+    metrics.lost(reason);
+    return Promise.resolve();
+  });
+}
+
 function createLoop(
   parts: ShardOwnershipParts,
   book: LeaseBook,
