Keep what an agent reports from stopping the scheduler

Cause: a checkpoint name beyond the record's 1,000 characters, or a progress that is no number, made the record of an attempt's end throw within a sync; a broken invariant of a plan would have ended the process with its requests. Change: such a checkpoint or progress is left out (the task resumes from the checkpoint before), a failed sync or plan is logged and tried again.

--- a/packages/daemon/src/scheduler/planning.ts
+++ b/packages/daemon/src/scheduler/planning.ts
@@ -44,7 +44,7 @@
       return;
     }
     if (input.mayDecide() && now >= resumeAt && changed(now)) {
-      decide(input, now);
+      tryDecide(input, now);
     }
   }
 
@@ -84,6 +84,16 @@
 
 const NO_ADVICE = { batchPenalty: 0, avoidBatch: false };
 
+/** A broken invariant stops the decisions of one plan, not the requests that this process serves. */
+function tryDecide(input: PlanningParts, now: Instant): void {
+  try {
+    decide(input, now);
+  } catch (err) {
+    const shard = input.spec.name;
+    input.parts.ctx.log.error({ shard, err }, 'scheduler: plan failed');
+  }
+}
+
 function decide(input: PlanningParts, now: Instant): void {
   const { parts, zone, writer } = input;
   const view = buildView({
--- a/packages/daemon/src/scheduler/reconcile.ts
+++ b/packages/daemon/src/scheduler/reconcile.ts
@@ -135,10 +135,16 @@
   return { kind: 'stop', ref: placed.ref, checkpoint };
 }
 
+/** Longest text of an agent that is recorded. */
+const MAX_TEXT = 1_000;
+
 function endOf(input: ReconcileInput, report: AttemptReport): Decision {
   const { state, checkpoint, message } = report;
   const result =
     state === 'completed' || state === 'failed' ? state : 'stopped';
+  // A checkpoint's name must not be cut: without it the task resumes from the one before.
+  const usable = checkpoint !== undefined && checkpoint.length <= MAX_TEXT;
+  const progress = Math.min(1, Math.max(0, report.progress));
   return decision('task_ended', {
     shard: input.shard,
     epoch: input.epoch,
@@ -146,9 +152,9 @@
     attempt: report.attempt,
     atWall: input.wall,
     result,
-    progress: Math.min(1, Math.max(0, report.progress)),
-    ...(checkpoint === undefined ? {} : { checkpoint }),
-    ...(message === undefined ? {} : { message: message.slice(0, 1_000) }),
+    ...(usable ? { checkpoint } : {}),
+    ...(Number.isNaN(progress) ? {} : { progress }),
+    ...(message === undefined ? {} : { message: message.slice(0, MAX_TEXT) }),
   });
 }
 
--- a/packages/daemon/src/scheduler/worker-syncs.ts
+++ b/packages/daemon/src/scheduler/worker-syncs.ts
@@ -93,7 +93,11 @@
     const mode = input.mode();
     for (const link of links.values()) {
       if (mode !== 'none' && now >= link.syncDueAt && !link.syncInFlight) {
-        void syncWorker(input, commands, link, mode);
+        syncWorker(input, commands, link, mode).catch((err: unknown) => {
+          const { worker } = link;
+          link.syncInFlight = false;
+          input.parts.ctx.log.error({ worker, err }, 'scheduler: sync failed');
+        });
       }
       if (mode === 'leased') {
         loseLapsed(input, link, now);
