--- a/packages/daemon/src/entry-host.test.ts
+++ b/packages/daemon/src/entry-host.test.ts
@@ -185,3 +185,14 @@
   const res = await fetch(`http://${ip}:${port}/metrics`);
   assert.match(await res.text(), /paddlewind_/);
 });
+
+test('the report on burn counts requests and tasks', async () => {
+  const burn = await client.burn({});
+  const served = burn.windows.find(
+    row => row.service === 'memberlink' && row.availabilityZone === 'salem',
+  );
+  assert.ok(Number(served?.requests) > 0);
+  assert.equal(served?.objective, '99.9 % within 150 ms');
+  assert.equal(burn.batchCompleted, 2n);
+  assert.deepEqual([burn.hosts, burn.missing], [['entry-1'], []]);
+});
--- a/packages/daemon/src/objectives/metrics.ts
+++ b/packages/daemon/src/objectives/metrics.ts
@@ -20,12 +20,7 @@
   };
 }
 
-/** Rows by neighbour would make labels without bound; the report has them. */
-function isLabelled(row: BurnRow): boolean {
-  return row.batchNeighbours.length === 0 && !row.withoutBatch;
-}
-
-/** Registers gauges that read the rows at each scrape. */
+/** Registers gauges that read the rows at each scrape; rows by neighbour would make labels without bound. */
 export function registerBurnGauges(
   registry: Registry,
   rows: () => readonly BurnRow[],
@@ -38,7 +33,7 @@
     registers,
     collect() {
       this.reset();
-      for (const row of rows().filter(isLabelled)) {
+      for (const row of rows()) {
         const labels = {
           service: row.service,
           availability_zone: row.availabilityZone,
--- a/packages/daemon/src/objectives/objectives.ts
+++ b/packages/daemon/src/objectives/objectives.ts
@@ -21,7 +21,7 @@
   type ObjectiveMetrics,
   registerBurnGauges,
 } from './metrics.js';
-import { alertsOf, rowsOf } from './rows.js';
+import { alertsOf, rowsOf, type RowScope } from './rows.js';
 
 /** What the part is given. */
 export interface ObjectivesOptions {
@@ -126,18 +126,18 @@
     metrics.requests.inc({ service, outcome });
   }
 
-  function rows() {
+  function rows(scope: RowScope) {
     const now = ctx.clock();
     return [...objectives].flatMap(([service, objective]) =>
-      rowsOf(ledger, service, objective, now),
+      rowsOf(ledger, service, objective, scope, now),
     );
   }
 
-  registerBurnGauges(ctx.metrics, rows);
+  registerBurnGauges(ctx.metrics, () => rows('bounded_series'));
   const stopFeed = options.requests.onEnded(take);
   return {
     burn() {
-      const windows = rows();
+      const windows = rows('every_series');
       const { evictions, completed } = options.batchTotals();
       return {
         windows,
--- a/packages/daemon/src/objectives/rows.ts
+++ b/packages/daemon/src/objectives/rows.ts
@@ -60,14 +60,24 @@
   };
 }
 
+/** Which series rows are built for; the bounded ones are those in all and by zone. */
+export type RowScope = 'every_series' | 'bounded_series';
+
 /** Returns the rows of a service, one for each series and window. */
 export function rowsOf(
   ledger: ObjectiveLedger,
   service: string,
   objective: Objective,
+  scope: RowScope,
   now: Instant,
 ): BurnRow[] {
-  return ledger.series(service).flatMap(key =>
+  const keys = ledger
+    .series(service)
+    .filter(
+      ({ kind }) =>
+        scope === 'every_series' || kind === 'all' || kind === 'zone',
+    );
+  return keys.flatMap(key =>
     BURN_WINDOWS_MS.map(windowMs => {
       const counts = ledger.counts(service, key, windowMs, now);
       return rowOf(service, objective, key, windowMs, counts);
--- a/packages/domain/src/membership/call-plan.ts
+++ b/packages/domain/src/membership/call-plan.ts
@@ -6,7 +6,7 @@
 import { localTargets, remoteTargets } from './targets.js';
 import type { MemberAddress, MembershipAction } from './types.js';
 
-/** Intervals between two tries to reach a member that is gone. */
+/** Intervals between two tries to reach a member that is gone or was never heard. */
 const GONE_RETRY_INTERVALS = 5;
 
 /** Share of an interval that must lie between two rounds out of turn. */
@@ -28,6 +28,32 @@
   membersChanged(): void;
 }
 
+function chooseTargets(
+  self: MemberAddress,
+  settings: MembershipSettings,
+  roster: Roster,
+): ReadonlySet<string> {
+  const candidates = [...roster.values()].map((record): TargetCandidate => ({
+    ...record.info,
+    gone: record.goneAt !== undefined,
+  }));
+  return new Set([
+    ...localTargets(self, candidates, settings.fullMeshLimit),
+    ...remoteTargets(self, candidates),
+  ]);
+}
+
+/** Whether a member that need not be a target is called until its state is clear. */
+function isUnclear(record: MemberRecord, ownRegion: string): boolean {
+  const isUnheard = record.heard === undefined;
+  return (
+    record.goneAt !== undefined ||
+    record.verifying ||
+    record.uncallable ||
+    (isUnheard && record.info.region === ownRegion)
+  );
+}
+
 /** Plans the calls of `self` to the members of `roster`. */
 export function createCallPlan(
   self: MemberAddress,
@@ -39,19 +65,10 @@
   let soonAt: Instant | undefined;
   let lastSoonAt = -Infinity;
 
-  function chooseTargets(): ReadonlySet<string> {
-    const candidates = [...roster.values()].map((record): TargetCandidate => ({
-      ...record.info,
-      gone: record.goneAt !== undefined,
-    }));
-    return new Set([
-      ...localTargets(self, candidates, settings.fullMeshLimit),
-      ...remoteTargets(self, candidates),
-    ]);
-  }
-
   function spacing(record: MemberRecord): number {
-    if (record.goneAt !== undefined) {
+    const isTarget = targets?.has(record.info.id) === true;
+    const isUnheard = record.heard === undefined && !isTarget;
+    if (record.goneAt !== undefined || isUnheard) {
       return settings.intervalMs * GONE_RETRY_INTERVALS;
     }
     const remote = record.info.region !== self.region;
@@ -68,18 +85,17 @@
   }
 
   function isDue(record: MemberRecord, running: Instant, soon: boolean) {
-    const id = record.info.id;
-    const wanted =
-      record.goneAt !== undefined ||
-      record.verifying ||
-      targets?.has(id) === true;
-    const early = soon && record.goneAt === undefined;
-    return wanted && !record.calling && (early || running >= record.nextCallAt);
+    const isTarget = targets?.has(record.info.id) === true;
+    if (record.calling || !(isTarget || isUnclear(record, self.region))) {
+      return false;
+    }
+    const early = soon && isTarget && record.goneAt === undefined;
+    return early || running >= record.nextCallAt;
   }
 
   return {
     due(running) {
-      targets ??= chooseTargets();
+      targets ??= chooseTargets(self, settings, roster);
       const soon = takeSoon(running);
       const actions: MembershipAction[] = [];
       for (const record of roster.values()) {
--- a/packages/domain/src/membership/telling.ts
+++ b/packages/domain/src/membership/telling.ts
@@ -13,6 +13,7 @@
 export function createTelling(ctx: MembershipContext): Telling {
   const { settings, roster, news, self } = ctx;
   let turn = 0;
+  let doubtedTurn = 0;
 
   function ownRegion(limit: number): MemberRecord[] {
     const region = self.info().region;
@@ -27,6 +28,18 @@
     return [...own.slice(from), ...own.slice(0, from)].slice(0, limit);
   }
 
+  /** One doubted member in turn, since all news of it may have been lost on the way to some host. */
+  function nextDoubted(): MemberRecord[] {
+    const doubted = [...roster.values()].filter(
+      record =>
+        record.heard !== undefined &&
+        (record.suspectedAt !== undefined || record.goneAt !== undefined),
+    );
+    doubtedTurn += 1;
+    const next = doubted[doubtedTurn % Math.max(1, doubted.length)];
+    return next === undefined ? [] : [next];
+  }
+
   function newsOf(id: string): MemberInfo | undefined {
     if (id === self.info().id) {
       return self.info();
@@ -48,6 +61,9 @@
           told.set(id, info);
         }
       }
+      for (const record of nextDoubted()) {
+        told.set(record.info.id, toldInfo(record));
+      }
       const remote = region !== self.info().region;
       const room = remote ? settings.newsLimit - told.size : 0;
       for (const record of room > 0 ? ownRegion(room) : []) {
