Judge moves of cancelled jobs alike in every fold

Cause: a move decided before its owner had read the cancellation was void where the shard that gives the task is folded, but not where only the receiving one is: there the job arrived and ended cancelled at once. Nothing ran, but folds of different shards no longer agreed on the receiver.

Change: a move of a cancelled job is void in every fold, since every fold knows the cancellations.

Conclusion: same records, same state, whichever shards are folded together.

--- a/packages/domain/src/scheduling/fold-tasks.ts
+++ b/packages/domain/src/scheduling/fold-tasks.ts
@@ -2,7 +2,7 @@
 import { maxResources } from '../core/resources.js';
 
 import { rememberKey } from './bounded-map.js';
-import { addJob, cancelHere, touch } from './fold-jobs.js';
+import { addJob, touch } from './fold-jobs.js';
 import { parseTaskId, taskId } from './ids.js';
 import {
   holdTask,
@@ -280,7 +280,8 @@
   if (body.epoch !== epochAt(state, body.fromShard)) {
     return voided('superseded');
   }
-  if (body.fromShard === body.toShard || !isWholeMove(body)) {
+  const cancelled = state.cancelled.has(body.job.name);
+  if (cancelled || body.fromShard === body.toShard || !isWholeMove(body)) {
     return voided('out_of_turn');
   }
   const from = state.shards.get(body.fromShard);
@@ -291,7 +292,7 @@
   if (to === undefined) {
     return from === undefined ? { kind: 'skipped' } : APPLIED;
   }
-  return moveIn(state, to, body) ? APPLIED : voided('duplicate');
+  return moveIn(to, body) ? APPLIED : voided('duplicate');
 }
 
 /** Tells whether the record names tasks of its job, and several only when never started. */
@@ -343,7 +344,6 @@
 }
 
 function moveIn(
-  state: ScheduleState,
   schedule: ShardSchedule,
   body: DecisionBody<'task_moved'>,
 ): boolean {
@@ -362,9 +362,6 @@
     indexTask(job, i);
   }
   touch(schedule, job);
-  if (state.cancelled.has(name)) {
-    cancelHere(schedule, job);
-  }
   return true;
 }
 
--- a/packages/domain/src/scheduling/testing/world.ts
+++ b/packages/domain/src/scheduling/testing/world.ts
@@ -1,5 +1,10 @@
 /** A log, owners, workers and operators that misbehave, for the fuzz test. */
-import { fits, type Resources } from '../../core/resources.js';
+import {
+  NO_RESOURCES,
+  addResources,
+  fits,
+  type Resources,
+} from '../../core/resources.js';
 import type { Random } from '../../core/time.js';
 
 import { applyRecord } from '../fold.js';
@@ -120,6 +125,31 @@
   }
   if (applied && record.kind === 'task_started') {
     checkCapacity(world, record.body.worker);
+    checkQuotas(world);
+  }
+  if (applied && record.kind === 'quota_lent') {
+    checkQuotas(world);
+  }
+}
+
+/** No team uses more of a shard than its allotment and loans, which add up to its quota. */
+function checkQuotas(world: World): void {
+  for (const { name, allotment } of TEAMS) {
+    let lent = NO_RESOURCES;
+    for (const schedule of world.state.shards.values()) {
+      const use = schedule.teams.get(name);
+      const borrowed = use?.borrowed ?? NO_RESOURCES;
+      const limit = addResources(allotment, borrowed);
+      check(
+        fits(use?.used ?? NO_RESOURCES, limit),
+        `${name} is over its quota in ${schedule.name}`,
+      );
+      lent = addResources(lent, borrowed);
+    }
+    check(
+      fits(lent, NO_RESOURCES) && fits(NO_RESOURCES, lent),
+      `the loans of ${name} do not add up`,
+    );
   }
 }
 
