Eject one of two or three servers, and use ejected ones when no other is left

Cause: 30 % of fewer than four servers is less than one, so none of them was ever ejected; in a test one of two servers that answers 500 in 1 ms took 506 of 1000 tries. And when the list then leaves only ejected servers, requests would wait out an ejection of up to 30 s.

Change: one of several servers may always be ejected; a new list that leaves only ejected servers ends their ejection. After: fewer than 20 of 1000 tries. Both tests fail without the change.

--- a/packages/domain/src/routing/create-dispatcher.test.ts
+++ b/packages/domain/src/routing/create-dispatcher.test.ts
@@ -284,3 +284,25 @@
   }
   assert.ok(queued < 40, `${queued} of 4000 waited`);
 });
+
+test('one of two servers that fails fast does not attract load', () => {
+  const dispatcher = newDispatcher();
+  dispatcher.setBackends([backend(1), backend(2)], 0);
+  const bad = backend(1).address;
+  const tries = serve(dispatcher, 1_000, address =>
+    address === bad ? { result: FAILED, ms: 1 } : { result: OK, ms: 10 },
+  );
+  assert.ok((tries.get(bad) ?? 0) < 20, `${tries.get(bad) ?? 0} tries`);
+});
+
+test('an ejected server is used again when no other is left', () => {
+  const dispatcher = newDispatcher();
+  dispatcher.setBackends([backend(1), backend(2)], 0);
+  const bad = backend(1).address;
+  serve(dispatcher, 1_000, address =>
+    address === bad ? { result: FAILED, ms: 1 } : { result: OK, ms: 10 },
+  );
+  dispatcher.setBackends([backend(1), backend(2, 'leaving')], 10_000);
+  const [sent] = dispatcher.offer(request(9_001, { deadline: 1e9 }), 10_000);
+  assert.deepEqual(sent, { kind: 'send', id: 9_001, backend: bad });
+});
--- a/packages/domain/src/routing/ejection.ts
+++ b/packages/domain/src/routing/ejection.ts
@@ -59,11 +59,26 @@
   }
 }
 
+/** One of several servers may always be ejected, more only up to the share. */
 function mayEject(
   pool: BackendPool,
   now: Instant,
   tunables: Tunables,
 ): boolean {
+  const servers = pool.live.length;
   const ejected = pool.live.filter(other => isEjected(other, now)).length;
-  return ejected + 1 <= pool.live.length * tunables.maxEjectedShare;
+  const most = Math.max(
+    Math.min(1, servers - 1),
+    Math.floor(servers * tunables.maxEjectedShare),
+  );
+  return ejected < most;
+}
+
+/** Ends all ejections when a new list of servers leaves only ejected ones. */
+export function endEjectionsOfAll(pool: BackendPool, now: Instant): void {
+  if (pool.live.every(backend => isEjected(backend, now))) {
+    for (const backend of pool.live) {
+      backend.ejectedUntil = now;
+    }
+  }
 }
--- a/packages/domain/src/routing/membership.ts
+++ b/packages/domain/src/routing/membership.ts
@@ -3,6 +3,7 @@
 import { replaceBackends, setHomeSlots } from './backend-pool.js';
 import type { BackendInfo, EntryHostInfo } from './dispatcher.js';
 import type { DispatcherState } from './dispatcher-state.js';
+import { endEjectionsOfAll } from './ejection.js';
 import { homeSlotsOf } from './home-slots.js';
 
 /** Time between looks at the limits on connections. */
@@ -15,6 +16,7 @@
   now: Instant,
 ): void {
   replaceBackends(state.pool, backends);
+  endEjectionsOfAll(state.pool, now);
   for (const backend of state.pool.live) {
     backend.weight = state.weights.get(backend.info.worker) ?? 1;
   }
