Let runs under faults limit the log's retention, and judge repeats after a restart in one place

Repeats after a restart are now judged by finish_once alone, which is stricter for jobs that hold lost work: an attempt that the agent's restart ended must not run again either. An evicted attempt that starts again under its number stays a breach. Both have a planted history.

--- a/packages/bench/src/cluster/entry-hosts.ts
+++ b/packages/bench/src/cluster/entry-hosts.ts
@@ -32,6 +32,8 @@
   readonly directory: string;
   readonly region: string;
   readonly availabilityZones: readonly string[];
+  /** Time that the log keeps entries, where that is short. */
+  readonly retentionMs?: number;
 }
 
 const DAEMON = fileURLToPath(
@@ -93,7 +95,7 @@
   const host = { id, region, availabilityZone };
   const listen = { router, peers, admin };
   const planned = options.availabilityZones.length;
-  const content = settingsOf(options.platform, host, listen, planned);
+  const content = settingsOf(options, host, listen, planned);
   writeFileSync(settings, JSON.stringify(content, null, 2));
   let child: Child | undefined;
   return {
@@ -123,7 +125,7 @@
 }
 
 function settingsOf(
-  platform: Platform,
+  { platform, retentionMs }: EntryHostOptions,
   host: Place,
   listen: { router: string; peers: string; admin: string },
   entryHosts: number,
@@ -137,6 +139,7 @@
       log: platform.log.address,
       hostList: platform.hosts.address,
       hostListPollMs: HOST_LIST_POLL_MS,
+      logRetentionMs: retentionMs,
     },
     entryHosts,
     ...TIMING,
--- a/packages/bench/src/cluster/operators.ts
+++ b/packages/bench/src/cluster/operators.ts
@@ -11,6 +11,8 @@
   decodeBatch,
   decodeLeaseRecord,
   leaseStream,
+  type Position,
+  type StreamRecord,
 } from '@paddlewind/domain';
 import { OperatorService } from '@paddlewind/protocol';
 import type { LogServer } from '@paddlewind/stand-ins';
@@ -31,6 +33,7 @@
 const CLI_LIMIT_MS = 25_000;
 const LOOK_EVERY_MS = 300;
 const LOOK_TIMEOUT_MS = 1_000;
+const CLAIMS_EVERY_MS = 1_000;
 
 /** Runs `paddlewind` against the entry hosts that run. */
 export function runOperator(
@@ -94,29 +97,44 @@
   };
 }
 
-/** Records the claims of shards that counted, as the lease stream tells. */
-export function recordClaims(
+/** Records the claims of shards that count, as the lease stream tells; returns the stop. */
+export function watchClaims(
   log: LogServer,
   region: string,
   recorder: Recorder,
-): void {
+): () => void {
   const state = createLeaseState();
   const seen = new Set<string>();
-  for (const entry of log.memory.entries(leaseStream(region))) {
-    const records = decodeBatch(entry.payload).map(batch => batch.records);
-    for (const [index, record] of records.unwrapOr([]).entries()) {
-      const lease = decodeLeaseRecord(record);
-      if (lease.isErr || seen.has(record.id)) {
-        continue;
-      }
-      seen.add(record.id);
-      const position = { offset: entry.offset, index };
-      const verdict = applyLeaseRecord(state, lease.value, position, 0);
-      if (verdict.kind === 'claimed') {
-        const { shard, epoch, holder } = verdict.lease;
-        const owner = holder?.owner ?? '';
-        recorder.record({ type: 'shard_claimed', shard, epoch, owner });
+  let next = 0;
+
+  function look(): void {
+    const entries = log.memory.entries(leaseStream(region));
+    for (const entry of entries.filter(each => each.offset >= next)) {
+      next = entry.offset + 1;
+      const records = decodeBatch(entry.payload).map(batch => batch.records);
+      for (const [index, record] of records.unwrapOr([]).entries()) {
+        fold(record, { offset: entry.offset, index });
       }
     }
   }
+
+  function fold(record: StreamRecord, position: Position): void {
+    const lease = decodeLeaseRecord(record);
+    if (lease.isErr || seen.has(record.id)) {
+      return;
+    }
+    seen.add(record.id);
+    const verdict = applyLeaseRecord(state, lease.value, position, 0);
+    if (verdict.kind === 'claimed') {
+      const { shard, epoch, holder } = verdict.lease;
+      const owner = holder?.owner ?? '';
+      recorder.record({ type: 'shard_claimed', shard, epoch, owner });
+    }
+  }
+
+  const timer = setInterval(look, CLAIMS_EVERY_MS);
+  return () => {
+    clearInterval(timer);
+    look();
+  };
 }
--- a/packages/bench/src/cluster/platform.ts
+++ b/packages/bench/src/cluster/platform.ts
@@ -9,6 +9,7 @@
   type BackendServer,
   type HostListServer,
   type LogServer,
+  type LogServerOptions,
   type WorkerServer,
 } from '@paddlewind/stand-ins';
 
@@ -54,8 +55,9 @@
 export async function startPlatform(
   deployment: Deployment,
   recorder: Recorder,
+  logOptions: LogServerOptions = {},
 ): Promise<Platform> {
-  const log = await startLogServer();
+  const log = await startLogServer(logOptions);
   const workers = await Promise.all(
     deployment.racks.map((place, i) =>
       startWorker(deployment, place, `worker-${i + 1}`, recorder),
--- a/packages/bench/src/demo/run.ts
+++ b/packages/bench/src/demo/run.ts
@@ -18,12 +18,8 @@
   type EntryHost,
 } from '../cluster/entry-hosts.js';
 import { reachesState, submitJob } from '../cluster/jobs.js';
-import {
-  recordClaims,
-  runOperator,
-  watchConfig,
-} from '../cluster/operators.js';
-import { startPlatform, type Platform } from '../cluster/platform.js';
+import { runOperator, watchClaims, watchConfig } from '../cluster/operators.js';
+import { startPlatform } from '../cluster/platform.js';
 import { createRecorder, type Recorder } from '../cluster/recorder.js';
 import type { ProcessGroup } from '../processes/process-group.js';
 import { requestsOf } from '../prove/checks/requests.js';
@@ -39,7 +35,6 @@
 
 interface Scene extends DemoOptions {
   readonly recorder: Recorder;
-  readonly platform: Platform;
   readonly entries: readonly EntryHost[];
 }
 
@@ -62,12 +57,15 @@
     region: CASCADE.region,
     availabilityZones: ENTRY_ZONES,
   });
-  const scene = { ...options, recorder, platform, entries };
+  const scene = { ...options, recorder, entries };
+  const unwatch = watchClaims(platform.log, CASCADE.region, recorder);
   try {
     await setUp(scene);
     const failures = await play(scene);
+    unwatch();
     return [...failures, ...verdict(scene)];
   } finally {
+    unwatch();
     await platform.close();
   }
 }
@@ -146,8 +144,7 @@
     .map(({ job }) => `job ${job} is not reported as completed`);
 }
 
-function verdict({ platform, recorder, say }: Scene): string[] {
-  recordClaims(platform.log, CASCADE.region, recorder);
+function verdict({ recorder, say }: Scene): string[] {
   const history = recorder.history();
   const ends = countEnds(history);
   say(`requests: ${JSON.stringify(Object.fromEntries(ends))}`);
--- a/packages/bench/src/prove/checks/checks.test.ts
+++ b/packages/bench/src/prove/checks/checks.test.ts
@@ -102,12 +102,22 @@
       began(41, 't2', 2),
       ended(42, 't2', 2, STOPPED),
     ],
+    'an evicted attempt that starts twice, though the agent restarted': [
+      began(20.5, 't1', 1, { boot: 'b2' }),
+      ended(20.6, 't1', 1, { boot: 'b2' }),
+    ],
     'an attempt that starts twice': [
       began(22, 't1', 2, { worker: 'w3', boot: 'b3' }),
     ],
   },
   finish_once: {
     'a task that runs again': [began(45, 't2', 2), ended(46, 't2', 2)],
+    'a held task that is lost and runs again': [
+      began(45, 't3', 1),
+      ended(46, 't3', 1, { end: 'agent_restarted' }),
+      began(47, 't3', 1, { boot: 'b2' }),
+      ended(48, 't3', 1, { boot: 'b2' }),
+    ],
   },
   own_answer: {
     "another caller's answer": [
--- a/packages/bench/src/prove/checks/finish-once.ts
+++ b/packages/bench/src/prove/checks/finish-once.ts
@@ -46,18 +46,28 @@
 ): Violation[] {
   return attempts.flatMap((attempt, i) => {
     const next = attempts[i + 1];
-    if (attempt.ended?.end !== 'completed' || next === undefined) {
+    if (next === undefined || !mustBeLast(job, attempt)) {
       return [];
     }
     const unknowable = couldNotBeLearned(history, attempt, next);
     if (job.onLostWorker === 'resume' && unknowable) {
       return [];
     }
-    const message = `${attempt.began.task} ran again after it had completed`;
+    const end = attempt.ended?.end ?? '';
+    const message = `${attempt.began.task} ran again after it was ${end}`;
     return [{ message, events: [...eventsOfAttempt(attempt), next.began] }];
   });
 }
 
+/** A completed attempt is the last; so is a lost one of a job that holds lost work for an operator. */
+function mustBeLast(
+  job: EventOf<'job_submitted'>,
+  { ended }: Attempt,
+): boolean {
+  const lost = ended?.end === 'agent_restarted';
+  return ended?.end === 'completed' || (lost && job.onLostWorker === 'hold');
+}
+
 /** Tells whether the agent restarted or could not be reached between the end of an attempt and the next start. */
 function couldNotBeLearned(
   history: History,
--- a/packages/bench/src/prove/checks/resume-once.ts
+++ b/packages/bench/src/prove/checks/resume-once.ts
@@ -1,7 +1,12 @@
 /** Evicted work resumes exactly once, from where it was. */
 import type { Check, Finding, Violation } from '../check.js';
 import { eventsOf, type History } from '../history.js';
-import { attemptsByTask, eventsOfAttempt, type Attempt } from './attempts.js';
+import {
+  attemptsByTask,
+  endOf,
+  eventsOfAttempt,
+  type Attempt,
+} from './attempts.js';
 
 /** Checks that each attempt starts once, and that evicted tasks start again when their job goes on. */
 export const resumeOnceCheck: Check = {
@@ -31,14 +36,22 @@
   return ended?.end === 'stopped';
 }
 
-/** One decision to resume must start one attempt. */
+/**
+ * One decision to resume must start one attempt. The start is sent again to an agent that
+ * restarted and forgot it: that repeat is judged by `finish_once`.
+ */
 function startedTwice(attempts: readonly Attempt[]): Violation[] {
   return attempts.flatMap((attempt, i) => {
-    const { task, attempt: number } = attempt.began;
+    const { task, attempt: number, worker, boot } = attempt.began;
     const twin = attempts
       .slice(0, i)
       .find(other => other.began.attempt === number);
-    if (twin === undefined || twin.ended?.end === 'agent_restarted') {
+    const restarted =
+      twin?.began.worker === worker &&
+      twin.began.boot !== boot &&
+      endOf(twin) <= attempt.began.at &&
+      !endedEarly(twin);
+    if (twin === undefined || restarted) {
       return [];
     }
     const message = `attempt ${number} of ${task} started twice`;
--- a/packages/bench/src/prove/main.ts
+++ b/packages/bench/src/prove/main.ts
@@ -11,11 +11,12 @@
 
 const HELP = `
   Usage
-    $ npm run prove -- [--seconds N] [--seed S]
+    $ npm run prove -- [--seconds N] [--seed S] [--retention N]
 
   Options
-    --seconds  time under faults (default 30)
-    --seed     seed of the faults, requests and jobs (default 1)
+    --seconds    time under faults (default 30)
+    --seed       seed of the faults, requests and jobs (default 1)
+    --retention  seconds that the log keeps entries, at least 60 (default for ever)
 
   Exit codes: 0 every promise held, 1 a promise is broken or the run failed
 `;
@@ -33,6 +34,7 @@
     flags: {
       seconds: { type: 'number', default: 30 },
       seed: { type: 'number', default: 1 },
+      retention: { type: 'number' },
     },
   });
   const directory = mkdtempSync(join(tmpdir(), 'paddlewind-prove-'));
@@ -44,12 +46,18 @@
     },
     flags.seconds * 1_000 + OVERTIME_MS,
   ).unref();
-  const held = await prove({ ...flags, directory, group, say }).catch(
-    (err: unknown) => {
-      say(err instanceof Error ? err.message : String(err));
-      return false;
-    },
-  );
+  const { seconds, seed, retention } = flags;
+  const held = await prove({
+    seconds,
+    seed,
+    ...(retention === undefined ? {} : { retentionMs: retention * 1_000 }),
+    directory,
+    group,
+    say,
+  }).catch((err: unknown) => {
+    say(err instanceof Error ? err.message : String(err));
+    return false;
+  });
   await group.close();
   if (held) {
     rmSync(directory, { recursive: true });
--- a/packages/bench/src/prove/run.ts
+++ b/packages/bench/src/prove/run.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { hash32, seededRandom } from '@paddlewind/domain';
+import type { LogServerOptions } from '@paddlewind/stand-ins';
 
 import { startCallers } from '../cluster/callers.js';
 import {
@@ -16,11 +17,7 @@
   startEntryHosts,
   type EntryHost,
 } from '../cluster/entry-hosts.js';
-import {
-  recordClaims,
-  runOperator,
-  watchConfig,
-} from '../cluster/operators.js';
+import { runOperator, watchClaims, watchConfig } from '../cluster/operators.js';
 import { startPlatform, type Platform } from '../cluster/platform.js';
 import { createRecorder, type Recorder } from '../cluster/recorder.js';
 import type { ProcessGroup } from '../processes/process-group.js';
@@ -33,6 +30,8 @@
 export interface ProveOptions {
   readonly seconds: number;
   readonly seed: number;
+  /** Time that the log keeps entries, at least 60,000; for ever when absent. */
+  readonly retentionMs?: number;
   readonly directory: string;
   readonly group: ProcessGroup;
   readonly say: (text: string) => void;
@@ -46,7 +45,8 @@
 /** Runs the whole path and returns its history. */
 export async function runUnderFaults(options: ProveOptions): Promise<History> {
   const recorder = createRecorder();
-  const platform = await startPlatform(CASCADE, recorder);
+  const platform = await startPlatform(CASCADE, recorder, logOptions(options));
+  const unwatch = watchClaims(platform.log, CASCADE.region, recorder);
   try {
     const entries = await startEntryHosts({
       ...options,
@@ -56,13 +56,18 @@
     });
     await setUp(entries);
     await play(options, recorder, platform, entries);
-    recordClaims(platform.log, CASCADE.region, recorder);
+    unwatch();
     return recorder.history();
   } finally {
+    unwatch();
     await platform.close();
   }
 }
 
+function logOptions({ retentionMs }: ProveOptions): LogServerOptions {
+  return retentionMs === undefined ? {} : { retainMs: retentionMs };
+}
+
 async function setUp(entries: readonly EntryHost[]): Promise<void> {
   if (!(await allReady(entries, READY_LIMIT_MS))) {
     throw new Error('the entry hosts did not become ready');
