--- a/packages/stand-ins/src/memory/memory-workers.ts
+++ b/packages/stand-ins/src/memory/memory-workers.ts
@@ -1,5 +1,10 @@
 /** Worker agents in memory, on a clock that tests control, with a record of what ran where. */
-import { appError, type AppError, type Millis } from '@paddlewind/domain';
+import {
+  appError,
+  type AppError,
+  type Instant,
+  type Millis,
+} from '@paddlewind/domain';
 import type { WorkerAgent } from '@paddlewind/platform';
 import { Result } from 'true-myth';
 
@@ -15,6 +20,8 @@
   setFaults(worker: string, faults: Partial<MemoryWorkerFaults>): void;
   /** Ends every task of the worker and forgets all. */
   restart(worker: string): void;
+  /** Since when the worker has been reachable without a restart; infinity while it is not. */
+  reachableSince(worker: string): Instant;
   /** Every run so far, in the order of beginning. */
   readonly runs: readonly AttemptRun[];
   /** Calls `listener` before each run begins. */
@@ -36,6 +43,7 @@
   const agents = new Map<string, MemoryAgent>();
   const runs: AttemptRun[] = [];
   const listeners: ((run: AttemptRun) => void)[] = [];
+  const reachableSince = new Map<string, Instant>();
 
   function agentOf(worker: string): MemoryAgent {
     const known = agents.get(worker);
@@ -81,10 +89,18 @@
     sync: (address, req) => call(address, agent => agent.sync(req)),
     setFaults: (worker, faults) => {
       const agent = agentOf(worker);
+      if (faults.unreachable !== undefined) {
+        const since = faults.unreachable ? Infinity : options.clock();
+        reachableSince.set(worker, since);
+      }
       agent.faults = { ...agent.faults, ...faults };
     },
+    reachableSince: worker => reachableSince.get(worker) ?? 0,
     restart: worker => {
-      agentOf(worker).restart();
+      const agent = agentOf(worker);
+      agent.restart();
+      const since = agent.faults.unreachable ? Infinity : options.clock();
+      reachableSince.set(worker, since);
     },
   };
 }
