--- a/packages/daemon/src/membership/transports.ts
+++ b/packages/daemon/src/membership/transports.ts
@@ -68,7 +68,7 @@
     baseUrl: `http://${address}`,
     httpVersion: '1.1',
     nodeOptions: { agent },
-    acceptCompression: [],
+    acceptCompression: [compressionGzip],
     sendCompression: compressionGzip,
   });
   return {
--- a/packages/daemon/src/tls/secure-transports.ts
+++ b/packages/daemon/src/tls/secure-transports.ts
@@ -30,7 +30,7 @@
     baseUrl,
     httpVersion: '2',
     sessionManager,
-    acceptCompression: [],
+    acceptCompression: [compressionGzip],
     sendCompression: compressionGzip,
   });
   return {
