Tell a connection that breaks off apart from an internal error

Change: refused and broken connections are not_ready with outcome unknown and a hint on certificates; the three files go together and must exist. Conclusion: the message names the next step.

--- a/packages/cli/src/app.test.ts
+++ b/packages/cli/src/app.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { createServer as createTcpServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import test, { after, before } from 'node:test';
@@ -254,3 +254,21 @@
   assert.equal((await cli('top', '--colour')).code, 2);
   assert.equal((await cli('constructor')).code, 2);
 });
+
+test('a server that breaks off is told as not reached, with a hint on certificates', async t => {
+  const rude = createTcpServer(socket => socket.destroy());
+  t.after(() => rude.close());
+  await new Promise<void>(resolve => rude.listen(0, '127.0.0.1', resolve));
+  const { port } = rude.address() as AddressInfo;
+  const { code, err } = await cli('top', '--server', `127.0.0.1:${port}`);
+  assert.equal(code, 8);
+  assert.match(err, /cannot be reached.*certificate/);
+});
+
+test('the files of a certificate go together and must be there', async () => {
+  const alone = await cli('top', '--cert', 'host.pem');
+  assert.equal(alone.code, 2);
+  assert.match(alone.err, /go together/);
+  const absent = await cli('top', '--cert', 'x', '--key', 'x', '--ca', 'x');
+  assert.match(absent.err, /x: no such file/);
+});
--- a/packages/cli/src/app.ts
+++ b/packages/cli/src/app.ts
@@ -1,8 +1,10 @@
 /** The command line: flags, commands and their dispatch. */
 import { randomUUID } from 'node:crypto';
+import { existsSync } from 'node:fs';
 
-import { appError } from '@paddlewind/domain';
+import { appError, type AppError } from '@paddlewind/domain';
 import meow from 'meow';
+import { Result } from 'true-myth';
 
 import { createOperators, type ClientTls } from './client.js';
 import type { Command } from './command.js';
@@ -107,11 +109,15 @@
       appError('invalid', `unknown command ${name}; see paddlewind --help`),
     ]);
   }
+  const tls = tlsOf(flags);
+  if (tls.isErr) {
+    return fail(io, flags.json, [tls.error]);
+  }
   const servers = flags.server ?? env.PADDLEWIND_SERVER ?? DEFAULT_SERVER;
   return command({
     args,
     flags: { ...flags, html: flags.html, id: flags.id },
-    operators: createOperators(servers.split(','), tlsOf(flags)),
+    operators: createOperators(servers.split(','), tls.value),
     io,
     newId: randomUUID,
   });
@@ -137,10 +143,18 @@
   return Object.keys(flags).filter(flag => !KNOWN_FLAGS.has(flag));
 }
 
-function tlsOf(flags: ParsedFlags): ClientTls | undefined {
+function tlsOf(flags: ParsedFlags): Result<ClientTls | undefined, AppError> {
   const { cert, key, ca } = flags;
+  if (cert === undefined && key === undefined && ca === undefined) {
+    return Result.ok(undefined);
+  }
   if (cert === undefined || key === undefined || ca === undefined) {
-    return undefined;
+    const message = '--cert, --key and --ca go together';
+    return Result.err(appError('invalid', message));
+  }
+  const missing = [cert, key, ca].find(file => !existsSync(file));
+  if (missing !== undefined) {
+    return Result.err(appError('invalid', `${missing}: no such file`));
   }
-  return { certFile: cert, keyFile: key, caFile: ca };
+  return Result.ok({ certFile: cert, keyFile: key, caFile: ca });
 }
--- a/packages/cli/src/client.ts
+++ b/packages/cli/src/client.ts
@@ -108,10 +108,10 @@
 }
 
 function withoutKind(err: ConnectError, server: string): AppError {
-  if (err.code === Code.Unavailable) {
+  if (err.code === Code.Unavailable || isBrokenConnection(err)) {
     return appError(
       'not_ready',
-      `${server} cannot be reached; check that paddlewindd runs there.`,
+      `${server} cannot be reached (${err.rawMessage}); check that paddlewindd runs there, and whether it asks for a certificate.`,
       { outcome: 'unknown' },
     );
   }
@@ -121,6 +121,22 @@
   return appError('internal', `${server}: ${err.rawMessage}`);
 }
 
+/** Codes of a connection that was refused or broke off without an answer. */
+const BROKEN_CONNECTION_CODES: ReadonlySet<unknown> = new Set([
+  'ECONNREFUSED',
+  'ECONNRESET',
+  'EPIPE',
+  'EPROTO',
+]);
+
+function isBrokenConnection({ cause }: ConnectError): boolean {
+  return (
+    cause instanceof Error &&
+    'code' in cause &&
+    BROKEN_CONNECTION_CODES.has(cause.code)
+  );
+}
+
 function isErrorKind(text: string): text is ErrorKind {
   return (ERROR_KINDS as readonly string[]).includes(text);
 }
