Measure hedging in the queue model

Cause: hedging was off by default without a figure for or against it. Change: the model asks for a second copy after 100 ms; the way dispatcher_hedging has a budget of 5 %.

--- a/packages/bench/src/benches/routing-tails.ts
+++ b/packages/bench/src/benches/routing-tails.ts
@@ -41,6 +41,7 @@
     disjointSubsets(MEMBERLINK.entryHosts, MEMBERLINK.slots),
   ),
   dispatcher: dispatcherPolicy(),
+  dispatcher_hedging: dispatcherPolicy({}, { hedgeBudget: 0.05 }),
   central: centralPolicy,
 };
 
--- a/packages/bench/src/routing/model.ts
+++ b/packages/bench/src/routing/model.ts
@@ -18,7 +18,7 @@
 
 /** What an entry host of the model is driven by. */
 export type ModelRouter = Pick<Dispatcher, 'offer' | 'finish'> &
-  Partial<Pick<Dispatcher, 'retry' | 'tick'>> &
+  Partial<Pick<Dispatcher, 'retry' | 'hedge' | 'tick'>> &
   Partial<LoadSharing>;
 
 /** What a policy does that shares loads in heartbeats; the product's does not. */
@@ -59,6 +59,9 @@
 /** Wait of a caller that was told nothing or does not heed it, in milliseconds. */
 const IMPATIENT_MS = 10;
 
+/** Time after which an entry host asks for a second copy, in milliseconds; about p97. */
+const HEDGE_DELAY_MS = 100;
+
 /** Ids of repeated requests follow those of first ones. */
 const REPEATED_ID_STEP = 1_000_000_000;
 
@@ -102,8 +105,12 @@
   readonly callers: CallerBehaviour;
   readonly open: Map<number, ModelRequest>;
   readonly connections: number[];
+  /** Ends the running tries of a request, by its id. */
+  readonly running: Map<number, Set<EndTry>>;
 }
 
+type EndTry = (result: TryResult) => void;
+
 /** Runs one policy on one workload; requests that arrive in the first `warmUpMs` are not counted. */
 export function runModel(
   workload: Workload,
@@ -156,6 +163,7 @@
     callers,
     open: new Map(),
     connections: indexes.map(() => 0),
+    running: new Map(),
   };
 }
 
@@ -291,10 +299,10 @@
     throw new Error(`bad dispatch of ${id} to ${address}`);
   }
   connect(run, index);
-  let ended = false;
+  const ends = run.running.get(id) ?? new Set();
+  run.running.set(id, ends);
   const end = (result: TryResult): void => {
-    if (!ended) {
-      ended = true;
+    if (ends.delete(end)) {
       entry.canceled = true;
       run.connections[index] = (run.connections[index] ?? 0) - 1;
       finishTry(run, host, req, address, result);
@@ -310,6 +318,8 @@
       });
     },
   };
+  ends.add(end);
+  scheduleHedge(run, host, req, ends);
   run.loop.at(run.loop.now() + delayMs, () => {
     server.receive(entry);
   });
@@ -318,6 +328,24 @@
   });
 }
 
+/** Asks for a second copy when the only try has taken long. */
+function scheduleHedge(
+  run: Run,
+  host: number,
+  req: ModelRequest,
+  ends: ReadonlySet<EndTry>,
+): void {
+  const router = routerOf(run, host);
+  if (router.hedge === undefined || ends.size > 1) {
+    return;
+  }
+  run.loop.at(run.loop.now() + HEDGE_DELAY_MS, () => {
+    const isRunning = run.open.has(req.id) && ends.size === 1;
+    const verdict = isRunning ? router.hedge?.(req, run.loop.now()) : undefined;
+    apply(run, host, verdict === undefined ? [] : [verdict]);
+  });
+}
+
 function connect(run: Run, index: number): void {
   const connections = (run.connections[index] ?? 0) + 1;
   run.connections[index] = connections;
@@ -336,9 +364,16 @@
   const router = routerOf(run, host);
   const good = result.kind === 'answered' && result.status < 500;
   const released = router.finish(req.id, address, result, now);
+  const others = [...(run.running.get(req.id) ?? [])];
+  if (others.length === 0) {
+    run.running.delete(req.id);
+  }
   if (good) {
     settleGood(run, req, now);
-  } else {
+    others.forEach(end => {
+      end({ kind: 'canceled' });
+    });
+  } else if (others.length === 0 && run.open.has(req.id)) {
     retryOrFail(run, host, req, result, now);
   }
   apply(run, host, released);
