Answer not ready, not unknown, while a job's decisions cannot be read

job status and job cancel read the stream in which the job's home is settled. When that was not read in time, they went on with an availability zone without a name: they followed the stream 'decisions.' from then on and answered that the job is not known, which a script takes for gone.

The error of the read is now returned. The new test fails without the change (it got another answer than not_ready) and passes with it.

--- a/packages/daemon/src/scheduler/jobs.ts
+++ b/packages/daemon/src/scheduler/jobs.ts
@@ -116,7 +116,10 @@
       return Result.err(appError('not_ready', 'No shards are configured.'));
     }
     const read = await readZone(registry, deadline);
-    const zone = read.isOk ? (homeIn(read.value, id)?.zone ?? registry) : '';
+    if (read.isErr) {
+      return Result.err(read.error);
+    }
+    const zone = homeIn(read.value, id)?.zone ?? registry;
     const held = zone === registry ? read : await readZone(zone, deadline);
     return held.andThen(at => {
       const described = describeJob(at.state, id);
