--- a/packages/bench/src/simulation/scheduling.test.ts
+++ b/packages/bench/src/simulation/scheduling.test.ts
@@ -285,6 +285,28 @@
   }
 });
 
+test('a submission in an outage is refused as not run, at once where it is known', async () => {
+  const bed = await setUp();
+  bed.log.setOutage(true);
+  await bed.time.advance(20_000);
+  const job = sleepJob('j', 4, 10);
+  for (const { scheduler } of bed.entryHosts.values()) {
+    for (const limit of [5_000, 0]) {
+      const before = bed.time.clock();
+      const call = scheduler.submit('j', job, before + 10_000);
+      const refused = await answerOf(bed, call);
+      assert.ok(refused.isErr);
+      assert.equal(refused.error.kind, 'log_unavailable');
+      assert.equal(refused.error.outcome, 'not_run');
+      assert.ok((refused.error.retryAfterMs ?? 0) > 0);
+      assert.ok(bed.time.clock() - before <= limit);
+    }
+  }
+  bed.log.setOutage(false);
+  await bed.time.advance(30_000);
+  assert.equal(bed.workers.runs.length, 0);
+});
+
 test('every entry host at once: the next ones take over what runs', async () => {
   const bed = await setUp();
   await submit(bed, sleepJob('j', 20, 120));
--- a/packages/daemon/src/scheduler/jobs.ts
+++ b/packages/daemon/src/scheduler/jobs.ts
@@ -15,6 +15,7 @@
 import type { Host } from '@paddlewind/platform';
 import { Result } from 'true-myth';
 
+import { LOG_RETRY_AFTER_MS, notWritten } from '../log/commit-queue.js';
 import { scheduleOf, sleep } from '../log/timing.js';
 import type { JobStatusFields, OperatorJobs } from '../operator/deps.js';
 import { chooseHome, registryZone, type Home, type HomeView } from './home.js';
@@ -133,6 +134,15 @@
 }
 
 function createJobZones(parts: SchedulerParts, zones: Zones): JobZones {
+  const { clock } = parts.ctx;
+  let refuseUntil: Instant = -Infinity;
+
+  /** Tells whether the log is known not to answer, so that a refusal need not wait for it. */
+  function isLogDown(now: Instant): boolean {
+    const outage = parts.ownership.logGoodSince() === Number.POSITIVE_INFINITY;
+    return outage || now < refuseUntil;
+  }
+
   function homeIn(zone: Zone, job: string): Home | undefined {
     const name = zone.state.homes.get(job);
     const spec = shardsOf(parts).find(each => each.name === name);
@@ -144,9 +154,18 @@
     record: Decision,
     deadline: Instant,
   ): Promise<Result<Zone, AppError>> {
+    const now = clock();
+    if (isLogDown(now)) {
+      return Result.err(notWritten('The log does not answer.'));
+    }
     const zone = zones.open(name);
-    const result = await parts.committer.commit(zone.stream, record, deadline);
+    // The other half is left to the caller to try again.
+    const commitBy = now + (deadline - now) / 2;
+    const result = await parts.committer.commit(zone.stream, record, commitBy);
     if (result.isErr) {
+      if (result.error.kind === 'log_unavailable') {
+        refuseUntil = clock() + LOG_RETRY_AFTER_MS;
+      }
       return Result.err(result.error);
     }
     const next = result.value.offset + 1;
