Compute the deadline that is passed on once for each request

Cause: each try copied the list of headers to add the deadline, which is the same instant for all tries. Change: the header is added when the deadline is set; the tries no longer need the wall clock.

--- a/packages/daemon/src/router/admit-request.ts
+++ b/packages/daemon/src/router/admit-request.ts
@@ -22,7 +22,11 @@
   streamBody,
   type RequestBody,
 } from './request-body.js';
-import { readRequestHead, type RequestHead } from './request-head.js';
+import {
+  DEADLINE_HEADER,
+  readRequestHead,
+  type RequestHead,
+} from './request-head.js';
 import type { ServiceRouter } from './service-router.js';
 import type { Services } from './services.js';
 import type { RouterLimits } from './settings.js';
@@ -92,6 +96,8 @@
   const idempotent = (route.idempotentMethods as string[]).includes(
     head.method,
   );
+  const deadlineUnixMs = Math.floor(unixClock() + deadline - startedAt);
+  head.headers.push(DEADLINE_HEADER, String(deadlineUnixMs));
   const info = { id: ++lastId, deadline, idempotent };
   const accepted: Accepted = { admission, router, head, info, startedAt };
   withBody(accepted, body => {
--- a/packages/daemon/src/router/exchange.ts
+++ b/packages/daemon/src/router/exchange.ts
@@ -15,7 +15,7 @@
 import type { ConnectionPool } from './connection-pool.js';
 import { letBodyDrain, sendRefusal } from './refusal.js';
 import type { RequestBody } from './request-body.js';
-import { DEADLINE_HEADER, type RequestHead } from './request-head.js';
+import type { RequestHead } from './request-head.js';
 import type { ResponseHead } from './response-head.js';
 
 /** How an exchange ended. */
@@ -28,7 +28,6 @@
 /** What an exchange asks of its service's router. */
 export interface ExchangeHost {
   readonly clock: () => Instant;
-  readonly unixClock: () => number;
   pool(backend: string): ConnectionPool | undefined;
   finish(id: number, backend: string, result: TryResult): void;
   retry(info: RequestInfo, result: TryResult): void;
@@ -105,7 +104,7 @@
     answering: undefined,
     hedgeTimer: undefined,
   };
-  res.once('close', () => {
+  res.on('close', () => {
     callerGone(exchange);
   });
   return exchange;
@@ -229,7 +228,7 @@
     pool,
     method: head.method,
     path: head.path,
-    headers: sentHeaders(exchange),
+    headers: head.headers,
     body,
     idempotent: info.idempotent,
     clock: host.clock,
@@ -251,12 +250,6 @@
   armHedge(exchange);
 }
 
-function sentHeaders({ head, host, info }: Exchange): string[] {
-  const left = info.deadline - host.clock();
-  const deadline = String(Math.floor(host.unixClock() + left));
-  return [...head.headers, DEADLINE_HEADER, deadline];
-}
-
 function sending(exchange: Exchange): void {
   if (exchange.body.kind === 'streamed') {
     exchange.opened = true;
--- a/packages/daemon/src/router/service-router.ts
+++ b/packages/daemon/src/router/service-router.ts
@@ -31,7 +31,6 @@
   readonly service: ServiceSpec;
   readonly dispatcher: Dispatcher;
   readonly clock: Clock;
-  readonly unixClock: () => number;
   readonly metrics: ServiceMetrics;
   readonly pool: (address: string) => ConnectionPool;
   readonly onLatency: (worker: string, latencyMs: number) => void;
@@ -134,7 +133,6 @@
   const { service, dispatcher, clock, metrics, ...options } = state.options;
   return {
     clock,
-    unixClock: options.unixClock,
     pool: address =>
       state.workers.has(address) ? options.pool(address) : undefined,
     finish(id, backend, result) {
--- a/packages/daemon/src/router/services.ts
+++ b/packages/daemon/src/router/services.ts
@@ -43,7 +43,6 @@
   readonly peers: PeerView;
   readonly settings: RouterSettings;
   readonly limits: RouterLimits;
-  readonly unixClock: () => number;
   readonly closing: () => boolean;
   /** Overrides the dispatcher, in tests. */
   readonly dispatcherFor?: DispatcherFactory;
@@ -225,7 +224,6 @@
     service,
     dispatcher: make(service),
     clock,
-    unixClock: options.unixClock,
     metrics: state.metrics.service(name),
     pool: address => state.pools.pool(name, address),
     onLatency(worker, latencyMs) {
--- a/packages/daemon/src/router/start-router.ts
+++ b/packages/daemon/src/router/start-router.ts
@@ -66,7 +66,6 @@
   const services = startServices({
     ...deps,
     limits,
-    unixClock,
     closing: () => draining,
   });
   const keys = startKeyGate({
