Let operators release held jobs

Cause: jobs and tasks were held for an operator, and the fold knew the record that lifts a hold, but no call wrote it: the only way out was to cancel. Change: ReleaseJob and paddlewind job release; the request's id makes a repeat harmless. Conclusion: a hold ends by an operator's word, and only by that.

--- a/packages/bench/src/simulation/scheduling.test.ts
+++ b/packages/bench/src/simulation/scheduling.test.ts
@@ -236,6 +236,24 @@
   assert.deepEqual(bed.violations, []);
 });
 
+test('tasks held for an operator run again only after a release, and once', async () => {
+  const bed = await setUp();
+  await submit(bed, sleepJob('j', 1, 60, { onLostWorker: 'hold' }));
+  await bed.time.until(() => runningNow(bed).length === 1);
+  const [run] = runningNow(bed);
+  bed.workers.setFaults(run?.worker ?? '', { unreachable: true });
+  await bed.time.advance(600_000);
+  assert.equal(bed.workers.runs.length, 1);
+
+  for (const request of ['r1', 'r1']) {
+    const deadline = bed.time.clock() + 10_000;
+    const call = anyHost(bed).scheduler.release('j', request, deadline);
+    assert.ok((await answerOf(bed, call)).isOk);
+  }
+  await assertDone(bed, 'j', 1);
+  assert.equal(bed.workers.runs.length, 2);
+});
+
 test('a worker back before its leases lapse keeps its tasks', async () => {
   const bed = await setUp();
   await submit(bed, sleepJob('j', 8, 60));
--- a/packages/cli/src/app.test.ts
+++ b/packages/cli/src/app.test.ts
@@ -40,6 +40,7 @@
 
 const objects = new Map<ObjectKey, VersionedObject>();
 const applied: OperatorChange[][] = [];
+const released: string[][] = [];
 let verdict: AppError | undefined;
 let notReady: string[] = [];
 let waitingFor: string[] = [];
@@ -63,6 +64,10 @@
       Promise.resolve(
         Result.err(appError('not_found', 'job x does not exist')),
       ),
+    release: (id, request) => {
+      released.push([id, request]);
+      return Promise.resolve(Result.ok(undefined));
+    },
     status: id =>
       Promise.resolve(
         Result.ok({ id, state: 'running', reason: '', tasks: [] }),
@@ -242,6 +247,14 @@
   assert.equal((await cli('job', 'cancel', 'x')).code, 4);
 });
 
+test('a release carries the id of its request', async () => {
+  reset();
+  const { code, out } = await cli('job', 'release', 'november', '--id', 'r1');
+  assert.equal(code, 0);
+  assert.match(out, /november are lifted/);
+  assert.deepEqual(released, [['november', 'r1']]);
+});
+
 test('a job without a size is invalid', async () => {
   const file = declare('job.json', { ...JOB, size: undefined });
   const { code, err } = await cli('job', 'submit', file);
--- a/packages/cli/src/app.ts
+++ b/packages/cli/src/app.ts
@@ -29,7 +29,7 @@
                              publish declarations as one change set
     get [KIND [NAME]]        list the configuration in force
     describe KIND NAME       show one object
-    job submit FILE [--id ID] | job status ID | job cancel ID
+    job submit FILE [--id ID] | job status ID | job cancel ID | job release ID
     drain WORKER [--undo]    take a worker out of service, or put it back
     top                      show hosts, shards and entry hosts
     report burn [--html FILE]
--- a/packages/cli/src/commands/job.ts
+++ b/packages/cli/src/commands/job.ts
@@ -1,4 +1,4 @@
-/** `job submit FILE | status ID | cancel ID`. */
+/** `job submit FILE | status ID | cancel ID | release ID`. */
 import { appError } from '@paddlewind/domain';
 import type { JobStatusResponse } from '@paddlewind/protocol';
 
@@ -7,9 +7,9 @@
 import { fail, succeed, table } from '../output.js';
 
 const USAGE =
-  'usage: paddlewind job submit FILE | job status ID | job cancel ID';
+  'usage: paddlewind job submit FILE | job status ID | job cancel ID | job release ID';
 
-/** Submits, shows or cancels a job; the job's name is its id, so a retry is harmless. */
+/** Submits, shows, cancels or releases a job; the job's name is its id, so a retry is harmless. */
 export async function job(ctx: CommandContext): Promise<number> {
   const [action, operand] = ctx.args;
   if (operand === undefined) {
@@ -22,6 +22,8 @@
       return status(ctx, operand);
     case 'cancel':
       return cancel(ctx, operand);
+    case 'release':
+      return release(ctx, operand);
     default:
       return fail(ctx.io, ctx.flags.json, [appError('invalid', USAGE)]);
   }
@@ -79,3 +81,15 @@
   }
   return succeed(ctx.io, ctx.flags.json, { id }, `job ${id} is canceled`);
 }
+
+async function release(ctx: CommandContext, id: string): Promise<number> {
+  const request = ctx.flags.id ?? ctx.newId();
+  const released = await ctx.operators.call(client =>
+    client.releaseJob({ id, request }),
+  );
+  if (released.isErr) {
+    return fail(ctx.io, ctx.flags.json, [released.error]);
+  }
+  const text = `the holds of job ${id} are lifted`;
+  return succeed(ctx.io, ctx.flags.json, { id }, text);
+}
--- a/packages/daemon/src/operator/app.ts
+++ b/packages/daemon/src/operator/app.ts
@@ -12,7 +12,12 @@
 import { toConnectError } from './connect-error.js';
 import type { OperatorDeps } from './deps.js';
 import { burnHandler, topHandler } from './fleet-handlers.js';
-import { cancelHandler, statusHandler, submitHandler } from './job-handlers.js';
+import {
+  cancelHandler,
+  releaseHandler,
+  statusHandler,
+  submitHandler,
+} from './job-handlers.js';
 
 /** Registers the operators' calls on `router`. */
 export function registerOperatorService(
@@ -33,6 +38,7 @@
     waitInForce: guarded(waitHandler),
     submitJob: guarded(submitHandler),
     cancelJob: guarded(cancelHandler),
+    releaseJob: guarded(releaseHandler),
     jobStatus: guarded(statusHandler),
     drain: guarded(drainHandler),
     top: () => topHandler(deps),
--- a/packages/daemon/src/operator/deps.ts
+++ b/packages/daemon/src/operator/deps.ts
@@ -47,6 +47,12 @@
     deadline: Instant,
   ): Promise<Result<string, AppError>>;
   cancel(id: string, deadline: Instant): Promise<Result<void, AppError>>;
+  /** Lifts every hold of a job; a repeat of the same `request` has no further effect. */
+  release(
+    id: string,
+    request: string,
+    deadline: Instant,
+  ): Promise<Result<void, AppError>>;
   status(
     id: string,
     deadline: Instant,
--- a/packages/daemon/src/operator/job-handlers.ts
+++ b/packages/daemon/src/operator/job-handlers.ts
@@ -11,11 +11,12 @@
 import type {
   CancelJobRequest,
   JobStatusRequest,
+  ReleaseJobRequest,
   SubmitJobRequest,
 } from '@paddlewind/protocol';
 import { Result } from 'true-myth';
 
-import { unwrap } from './connect-error.js';
+import { toConnectError, unwrap } from './connect-error.js';
 import { callDeadline } from './deadline.js';
 import type { OperatorDeps } from './deps.js';
 
@@ -56,6 +57,20 @@
   return {};
 }
 
+/** Lifts every hold of a job. */
+export async function releaseHandler(
+  deps: OperatorDeps,
+  req: ReleaseJobRequest,
+  ctx: HandlerContext,
+) {
+  if (req.request === '') {
+    throw toConnectError(appError('invalid', 'A release needs a request id.'));
+  }
+  const deadline = callDeadline(ctx, deps.clock());
+  unwrap(await deps.jobs.release(req.id, req.request, deadline));
+  return {};
+}
+
 /** Answers with the state of a job and its tasks. */
 export async function statusHandler(
   deps: OperatorDeps,
--- a/packages/daemon/src/scheduler/jobs.ts
+++ b/packages/daemon/src/scheduler/jobs.ts
@@ -67,7 +67,7 @@
     const { shard } = proposed;
     const isNear = proposed.zone === registry;
     const first = isNear
-      ? submission(job, shard)
+      ? submission(parts, job, shard)
       : decision('job_homed', { job: id, shard });
     const settled = await commit(registry, first, deadline);
     if (settled.isErr) {
@@ -77,25 +77,27 @@
     if (home.zone === registry) {
       return verdictOn(settled.value, job, home);
     }
-    const record = submission(job, home.shard);
+    const record = submission(parts, job, home.shard);
     const held = await commit(home.zone, record, deadline);
     return held.andThen(zone => verdictOn(zone, job, home));
   }
 
-  function submission(job: JobSpec, shard: string): Decision {
-    const submittedAtWall = parts.wall();
-    return decision('job_submitted', { job, shard, submittedAtWall });
-  }
+  const cancel: OperatorJobs['cancel'] = (id, deadline) =>
+    decide(id, decision('job_cancelled', { job: id }), deadline);
+
+  const release: OperatorJobs['release'] = (id, request, deadline) =>
+    decide(id, decision('job_released', { job: id, request }), deadline);
 
-  async function cancel(
+  /** Commits a decision on a known job to the zone that holds it. */
+  async function decide(
     id: string,
+    record: Decision,
     deadline: Instant,
   ): Promise<Result<void, AppError>> {
     const found = await find(id, deadline);
     if (found.isErr) {
       return Result.err(found.error);
     }
-    const record = decision('job_cancelled', { job: id });
     const done = await commit(found.value.zone, record, deadline);
     return done.map(() => undefined);
   }
@@ -130,7 +132,15 @@
     });
   }
 
-  return { submit, cancel, status };
+  return { submit, cancel, release, status };
+}
+
+function submission(
+  { wall }: SchedulerParts,
+  job: JobSpec,
+  shard: string,
+): Decision {
+  return decision('job_submitted', { job, shard, submittedAtWall: wall() });
 }
 
 function createJobZones(parts: SchedulerParts, zones: Zones): JobZones {
