Ask peers for the configuration with a deadline in whole milliseconds

Cause: a process that was killed and started again during an outage of the log was not ready after 20 s. Its monotonic clock gives fractions of a millisecond, so the deadline of FetchConfig did too, and the protocol refuses such a header; the refusal was not logged. Change: the deadline is cut to whole milliseconds, and a peer that was of no help is logged at debug level. The test over a real listener uses a clock with fractions and fails without the change. The lines changed in fetch.test.ts make it stricter.

--- a/packages/daemon/src/config/fetch.test.ts
+++ b/packages/daemon/src/config/fetch.test.ts
@@ -54,7 +54,7 @@
 test('a peer hands over its configuration in parts, or says that it has none', async () => {
   const { peer, close } = await serve();
   const transports = plainTransports();
-  const fetch = fetchConfigBy(transports, { clock: () => 0 });
+  const fetch = fetchConfigBy(transports, { clock: () => 0.25 });
   const whole = await fetch(peer, 3, 10_000);
   const fault = whole.isErr ? whole.error.message : '';
   assert.equal(fault, '');
--- a/packages/daemon/src/config/fetch.ts
+++ b/packages/daemon/src/config/fetch.ts
@@ -7,7 +7,7 @@
 import {
   appError,
   type AppError,
-  type Instant,
+  type Millis,
   type Snapshot,
 } from '@paddlewind/domain';
 import { PeerService, type FetchConfigRequest } from '@paddlewind/protocol';
@@ -49,7 +49,9 @@
 ): FetchConfig {
   return async (peer, least, deadline) => {
     try {
-      return await receive(transports, peer, least, deadline - ctx.clock());
+      // The protocol takes whole milliseconds only.
+      const timeoutMs = Math.max(1, Math.floor(deadline - ctx.clock()));
+      return await receive(transports, peer, least, timeoutMs);
     } catch (cause) {
       return Result.err(notHandedOver(peer, cause));
     }
@@ -60,7 +62,7 @@
   transports: PeerTransports,
   peer: Peer,
   least: number,
-  timeoutMs: Instant,
+  timeoutMs: Millis,
 ): Promise<Result<Snapshot, AppError>> {
   const client = createClient(PeerService, transports.to(peer.address));
   const req = { minOffset: BigInt(least) };
--- a/packages/daemon/src/config/peer-source.ts
+++ b/packages/daemon/src/config/peer-source.ts
@@ -78,6 +78,8 @@
       onAdopted(peer);
       return;
     }
+    const err = fetched.isErr ? fetched.error : undefined;
+    ctx.log.debug({ peer: peer.id, err }, 'config: peer was of no help');
     if (follower.offset() > offset) {
       return;
     }
