Estimate waits by the pace of the service, and refuse at once when nothing can run

Causes, found by reading: the rate of answers forgot within half a second, so that a service that takes seconds looked as if it stood still between two answers, and its queued requests were refused. With nothing running and nothing allowed to run (an entry host that may not connect yet) the expected wait was 0, so that requests were held until their deadline. After a long pause the Retry-After had no bound.

The three new tests fail without it.

--- a/packages/domain/src/routing/admission.ts
+++ b/packages/domain/src/routing/admission.ts
@@ -7,10 +7,11 @@
 /** Wait that is allowed however short the objective is, in mean response times. */
 const MIN_WAIT_MEANS = 2;
 
-/** Shortest Retry-After that is told. */
+/** Shortest and longest Retry-After that is told. */
 const MIN_RETRY_AFTER_MS = 10;
+const MAX_RETRY_AFTER_MS = 30_000;
 
-/** Returns how long a request waits that has `ahead` others before it. */
+/** Returns how long a request waits that is number `ahead` in the queue; Infinity while nothing runs. */
 export function expectedWaitMs(
   state: DispatcherState,
   ahead: number,
@@ -19,9 +20,9 @@
   const { pool, throughput } = state;
   const running = state.running;
   const byRunning = running / pool.latency.meanMs;
-  const measured = throughput.perMs(now);
+  const measured = throughput.perMs(now, pool.latency.meanMs);
   const perMs = measured > 0 ? measured : byRunning;
-  return perMs > 0 ? ahead / perMs : 0;
+  return perMs > 0 ? ahead / perMs : Infinity;
 }
 
 /** Returns the refusal of a new request that would have to wait, or undefined when it may. */
@@ -112,7 +113,9 @@
   retryAfterMs: Millis,
 ): Dispatch {
   const details = {
-    retryAfterMs: Math.ceil(Math.max(MIN_RETRY_AFTER_MS, retryAfterMs)),
+    retryAfterMs: Math.ceil(
+      Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, retryAfterMs)),
+    ),
   };
   return {
     kind: 'refused',
--- a/packages/domain/src/routing/create-dispatcher.test.ts
+++ b/packages/domain/src/routing/create-dispatcher.test.ts
@@ -306,3 +306,37 @@
   const [sent] = dispatcher.offer(request(9_001, { deadline: 1e9 }), 10_000);
   assert.deepEqual(sent, { kind: 'send', id: 9_001, backend: bad });
 });
+
+test('an entry host that may not connect yet refuses at once', () => {
+  const dispatcher = newDispatcher({}, { joinedAt: 0 });
+  dispatcher.setPeers(40, 0);
+  dispatcher.setBackends([backend(1)], 0);
+  const [verdict] = dispatcher.offer(request(1), 1);
+  assert.equal(verdict?.kind, 'refused');
+  assert.equal(verdict.error.outcome, 'not_run');
+});
+
+test('the time to come back is bounded however long nothing has moved', () => {
+  const dispatcher = newDispatcher();
+  dispatcher.setBackends([backend(1)], 0);
+  serve(dispatcher, 100, () => ({ result: OK, ms: 10 }));
+  const deadline = 1e6;
+  dispatcher.offer(request(201, { deadline }), 1_000);
+  const [verdict] = dispatcher.offer(request(202, { deadline }), 60_000);
+  assert.equal(verdict?.kind, 'refused');
+  assert.equal(verdict.error.retryAfterMs, 30_000);
+});
+
+test('requests to a slow service are not refused for the pauses between answers', () => {
+  const dispatcher = newDispatcher();
+  dispatcher.setBackends([backend(1)], 0);
+  serve(dispatcher, 200, () => ({ result: OK, ms: 2_000 }));
+  const now = 400_000;
+  const deadline = now + 20_000;
+  dispatcher.offer(request(901, { deadline }), now);
+  assert.equal(
+    dispatcher.offer(request(902, { deadline }), now)[0]?.kind,
+    'queued',
+  );
+  assert.deepEqual(dispatcher.tick(now + 3_000), []);
+});
--- a/packages/domain/src/routing/sending.ts
+++ b/packages/domain/src/routing/sending.ts
@@ -143,7 +143,7 @@
     forgetIdle(state, id);
   }
   state.running -= 1;
-  state.throughput.record(now);
+  state.throughput.record(now, state.pool.latency.meanMs);
   const backend = state.pool.all.get(address);
   if (backend !== undefined) {
     learn(state, backend, id, result, now);
