--- a/packages/daemon/src/router/answer-relay.ts
+++ b/packages/daemon/src/router/answer-relay.ts
@@ -26,8 +26,6 @@
 /** A caller that leaves more than this unread is cut off after the flush time. */
 const FLUSH_BYTES = 64 * 1024;
 const FLUSH_MS = 30_000;
-/** Bodies up to this size are cheaper to copy than to write apart from the head. */
-const JOINED_BYTES = 16 * 1024;
 
 /** Creates a relay. */
 export function createAnswerRelay(options: RelayOptions): AnswerRelay {
@@ -37,8 +35,6 @@
   let missing: number | undefined;
   /** The last piece waits until the answer is known to be whole. */
   let last: Buffer | undefined;
-  /** Whether the head is on its way. */
-  let flowing = false;
 
   return {
     begin(head) {
@@ -56,7 +52,6 @@
           return true;
         }
       }
-      flowing = true;
       return res.write(chunk);
     },
     onDrain(listener) {
@@ -71,7 +66,7 @@
       if (options.passTrailers && trailers.length > 0 && !bodiless) {
         res.addTrailers(readTrailers(trailers));
       }
-      endWith(res, last, flowing);
+      res.end(last);
       limitFlush(res);
       return true;
     },
@@ -81,20 +76,6 @@
   };
 }
 
-/** Joins head and body of a small answer to one string, which Node writes in one piece. */
-function endWith(
-  res: ServerResponse,
-  last: Buffer | undefined,
-  flowing: boolean,
-): void {
-  const isSmall = last !== undefined && last.length <= JOINED_BYTES;
-  if (isSmall && !flowing) {
-    res.end(last.toString('latin1'), 'latin1');
-  } else {
-    res.end(last);
-  }
-}
-
 function writeHead(
   res: ServerResponse,
   head: ResponseHead,
