Read the host list whole only when it has changed

Cause: every entry host read, parsed, checked and compared the whole list each second, 276 bytes a host, so 856 KB/s at 3,100 hosts. A view of failing connects beside it was never asked; the dispatcher's own evidence does that work. Change: the adapter asks by entity tag and gives the same list when told it is unchanged, which the view recognises without comparing. The unused view and its assertions are gone; a new test counts reads of a changing and an unchanged list. Conclusion: an unchanged list costs a request without a body.

--- a/packages/bench/src/benches/capacity.ts
+++ b/packages/bench/src/benches/capacity.ts
@@ -1,5 +1,6 @@
 /** Capacity: each role's state, processor time and bytes at several sizes, with a fit. */
 import { measureConfigFollower } from '../capacity/config-follower.js';
+import { measureHostList } from '../capacity/host-list.js';
 import { measureLeaseFollower } from '../capacity/lease-follower.js';
 import { measureMember } from '../capacity/member.js';
 import { measureProcess } from '../capacity/process.js';
@@ -15,5 +16,6 @@
   measureLeaseFollower();
   measureConfigFollower();
   measureMember();
+  await measureHostList();
   await measureProcess();
 }
--- a/packages/daemon/src/membership/host-view.ts
+++ b/packages/daemon/src/membership/host-view.ts
@@ -1,12 +1,8 @@
-/** Follows the lagging host list, keeps the last good one and joins own evidence. */
-import {
-  createReachability,
-  type Instant,
-  type Reachability,
-} from '@paddlewind/domain';
+/** Follows the lagging host list, keeps the last good one and joins what peers say of themselves. */
+import type { Instant } from '@paddlewind/domain';
 import type { Host, HostList } from '@paddlewind/platform';
 
-import type { HostEvidence, HostView, PartContext, Stop } from '../parts.js';
+import type { HostView, PartContext, Stop } from '../parts.js';
 import { createListeners } from '../core/listeners.js';
 import type { MembershipMetrics } from './metrics.js';
 
@@ -21,7 +17,7 @@
 }
 
 /** A running view of the host list. */
-export interface RunningHostView extends HostView, HostEvidence {
+export interface RunningHostView extends HostView {
   /** Tells listeners that peers changed. */
   peersChanged(): void;
   /** Instant of the last good read; undefined before the first. */
@@ -48,7 +44,6 @@
 export function startHostView(options: HostViewOptions): RunningHostView {
   const { ctx, hostList, metrics } = options;
   const changed = createListeners();
-  const reachability: Reachability = createReachability();
   let listed: readonly Host[] = [];
   let joined: readonly Host[] = [];
   let readAt: Instant | undefined;
@@ -82,8 +77,10 @@
     }
     failing = false;
     readAt = ctx.clock();
-    listed = hosts;
-    publish();
+    if (hosts !== listed) {
+      listed = hosts;
+      publish();
+    }
   }
 
   async function poll(): Promise<void> {
@@ -105,10 +102,6 @@
     onChange: listener => changed.add(listener),
     peersChanged: publish,
     readAt: () => readAt,
-    reportConnect(address, reached) {
-      reachability.report(address, reached, ctx.clock());
-    },
-    isUnreachable: address => reachability.isUnreachable(address, ctx.clock()),
     stop() {
       stopped = true;
       clearTimeout(timer);
--- a/packages/daemon/src/membership/membership.test.ts
+++ b/packages/daemon/src/membership/membership.test.ts
@@ -154,7 +154,4 @@
   list.failing = false;
   list.hosts = [...list.hosts, entryHost('z', '127.0.0.1:1')];
   await eventually(() => a.part.hosts.hosts().length === 2);
-  a.part.hosts.reportConnect('127.0.0.1:1', false);
-  a.part.hosts.reportConnect('127.0.0.1:1', false);
-  assert.ok(a.part.hosts.isUnreachable('127.0.0.1:1'));
 });
--- a/packages/daemon/src/membership/membership.ts
+++ b/packages/daemon/src/membership/membership.ts
@@ -15,14 +15,7 @@
 } from '@paddlewind/domain';
 import type { HostList } from '@paddlewind/platform';
 
-import type {
-  HostEvidence,
-  HostView,
-  PartContext,
-  Peer,
-  PeerView,
-  Stop,
-} from '../parts.js';
+import type { HostView, PartContext, Peer, PeerView, Stop } from '../parts.js';
 import { createPeerCalls } from './calls.js';
 import { startHostView } from './host-view.js';
 import { createListeners } from '../core/listeners.js';
@@ -53,7 +46,7 @@
 /** The running part. */
 export interface MembershipPart {
   readonly peers: PeerView;
-  readonly hosts: HostView & HostEvidence;
+  readonly hosts: HostView;
   /** Registers the handlers of `PeerService`. */
   readonly peerRoutes: (router: ConnectRouter) => void;
   /** Whether peers are known and none has answered a call of ours for the cut-off time. */
--- a/packages/daemon/src/parts.ts
+++ b/packages/daemon/src/parts.ts
@@ -66,14 +66,6 @@
   onChange(listener: () => void): Stop;
 }
 
-/** Own evidence on addresses, sooner than the host list tells. */
-export interface HostEvidence {
-  /** Reports how a connect to `ip:port` ended. */
-  reportConnect(address: string, reached: boolean): void;
-  /** Whether connects to `ip:port` failed repeatedly and lately. */
-  isUnreachable(address: string): boolean;
-}
-
 /** A peer entry host. */
 export interface Peer {
   readonly id: string;
--- a/packages/platform/src/adapters/adapters.test.ts
+++ b/packages/platform/src/adapters/adapters.test.ts
@@ -112,3 +112,25 @@
   abort.abort();
   assert.ok((await pending).isErr);
 });
+
+test('a host list that has not changed is not read again, and a change is seen', async t => {
+  let etag = '"one"';
+  let bodies = 0;
+  const address = await serve(t, (req, res) => {
+    if (req.headers['if-none-match'] === etag) {
+      res.writeHead(304).end();
+      return;
+    }
+    bodies += 1;
+    res.writeHead(200, { etag }).end('{"hosts":[]}');
+  });
+  const list = createHttpHostList(address);
+  t.after(() => list.close());
+  const first = (await list.list()).unwrapOr(undefined);
+  assert.ok(first);
+  assert.equal((await list.list()).unwrapOr(undefined), first);
+  assert.equal(bodies, 1);
+  etag = '"two"';
+  assert.notEqual((await list.list()).unwrapOr(undefined), first);
+  assert.equal(bodies, 2);
+});
--- a/packages/platform/src/adapters/http-client.ts
+++ b/packages/platform/src/adapters/http-client.ts
@@ -21,6 +21,8 @@
   readonly address: string;
   readonly path: string;
   readonly body?: unknown;
+  /** Entity tag of the answer that the caller has; the other side may answer 304. */
+  readonly ifNoneMatch?: string;
   /** How long the other side may wait before it answers, in milliseconds. */
   readonly waitMs?: number;
   readonly signal?: AbortSignal;
@@ -32,6 +34,7 @@
       readonly kind: 'answered';
       readonly status: number;
       readonly body: unknown;
+      readonly etag: string | undefined;
     }
   | {
       readonly kind: 'failed';
@@ -92,10 +95,16 @@
       dispatcher: agent,
       method: call.method,
       signal: abort.signal,
-      ...bodyOf(call),
+      ...contentOf(call),
     });
     const text = await readBounded(res.body, limits.maxBodyBytes);
-    return { kind: 'answered', status: res.statusCode, body: parse(text) };
+    const { etag } = res.headers;
+    return {
+      kind: 'answered',
+      status: res.statusCode,
+      body: parse(text),
+      etag: typeof etag === 'string' ? etag : undefined,
+    };
   } catch (err) {
     return failure(err);
   } finally {
@@ -130,15 +139,17 @@
   };
 }
 
-function bodyOf(call: Call): {
+function contentOf({ body, ifNoneMatch }: Call): {
   readonly body?: string;
-  readonly headers?: Readonly<Record<string, string>>;
+  readonly headers: Readonly<Record<string, string>>;
 } {
-  if (call.body === undefined) {
-    return {};
+  const condition =
+    ifNoneMatch === undefined ? {} : { 'if-none-match': ifNoneMatch };
+  if (body === undefined) {
+    return { headers: condition };
   }
-  const headers = { 'content-type': 'application/json' };
-  return { body: JSON.stringify(call.body), headers };
+  const headers = { ...condition, 'content-type': 'application/json' };
+  return { body: JSON.stringify(body), headers };
 }
 
 /** Thrown when an answer is larger than allowed. */
--- a/packages/platform/src/adapters/http-host-list.ts
+++ b/packages/platform/src/adapters/http-host-list.ts
@@ -26,22 +26,43 @@
 });
 const listSchema = z.object({ hosts: z.array(hostSchema) });
 
+const OK = 200;
+const NOT_MODIFIED = 304;
+
+/** The list last read whole; it is read again only when it has changed. */
+interface KnownList {
+  readonly etag: string;
+  readonly hosts: readonly Host[];
+}
+
 /** Creates a host list at `address` (`ip:port`, or a base URL). */
 export function createHttpHostList(
   address: string,
   options: AdapterOptions = {},
 ): HttpHostList {
   const client = createHttpClient(options);
+  let known: KnownList | undefined;
   return {
     async list() {
       const call = { method: 'GET', address, path: '/hosts' } as const;
-      const res = await client.call(call);
+      const condition = known === undefined ? {} : { ifNoneMatch: known.etag };
+      const res = await client.call({ ...call, ...condition });
       if (res.kind === 'failed') {
         return unavailable(res.reason);
       }
-      return res.status === 200
-        ? checkedList(res.body)
-        : unavailable(`status ${res.status}`);
+      if (res.status === NOT_MODIFIED && known !== undefined) {
+        return Result.ok(known.hosts);
+      }
+      if (res.status !== OK) {
+        return unavailable(`status ${res.status}`);
+      }
+      const list = checkedList(res.body);
+      const { etag } = res;
+      known =
+        list.isOk && etag !== undefined
+          ? { etag, hosts: list.value }
+          : undefined;
+      return list;
     },
     close: () => client.close(),
   };
--- a/packages/stand-ins/src/hosts/host-list-server.ts
+++ b/packages/stand-ins/src/hosts/host-list-server.ts
@@ -1,4 +1,6 @@
 /** Stand-in for the platform's host list over HTTP: a list that lags behind the truth. */
+import { createHash } from 'node:crypto';
+
 import type { Host } from '@paddlewind/platform';
 import { z } from 'zod';
 
@@ -156,10 +158,22 @@
     case 'reset':
       return broken();
     case 'none':
-      return json(200, { hosts: truth.asOf(faults.lagMs) });
+      return listedAs(truth.asOf(faults.lagMs), req.ifNoneMatch);
   }
 }
 
+/** Answers with the list and its entity tag, or that it is still the one asked about. */
+function listedAs(
+  hosts: readonly Host[],
+  ifNoneMatch: string | undefined,
+): Reply {
+  const text = JSON.stringify(hosts);
+  const etag = `"${createHash('sha256').update(text).digest('base64url')}"`;
+  return etag === ifNoneMatch
+    ? { kind: 'not_modified' }
+    : json(200, { hosts }, { etag });
+}
+
 function changeHost(truth: Truth, req: JsonRequest): Reply {
   const match = /^\/hosts\/([^/]+)(\/leave)?$/.exec(req.url.pathname);
   const id = match?.[1];
--- a/packages/stand-ins/src/http/json-server.ts
+++ b/packages/stand-ins/src/http/json-server.ts
@@ -15,6 +15,7 @@
       readonly body: unknown;
       readonly headers?: Readonly<Record<string, string>>;
     }
+  | { readonly kind: 'not_modified' }
   | { readonly kind: 'broken' };
 
 /** A request with its parsed URL and its body as text. */
@@ -22,6 +23,7 @@
   readonly method: string;
   readonly url: URL;
   readonly body: string;
+  readonly ifNoneMatch: string | undefined;
   readonly signal: AbortSignal;
 }
 
@@ -125,7 +127,9 @@
   const url = new URL(req.url ?? '/', 'http://stand-in');
   const method = req.method ?? 'GET';
   try {
-    send(res, await handler({ method, url, body, signal: abort.signal }));
+    const ifNoneMatch = req.headers['if-none-match'];
+    const { signal } = abort;
+    send(res, await handler({ method, url, body, ifNoneMatch, signal }));
   } catch (err) {
     send(res, json(500, { error: String(err) }));
   }
@@ -159,6 +163,10 @@
     case 'broken':
       res.destroy();
       return;
+    case 'not_modified':
+      res.writeHead(304);
+      res.end();
+      return;
     case 'json': {
       const body = JSON.stringify(reply.body);
       res.writeHead(reply.status, {
