Judge an unanswered start of a held job by a later report only

Cause: an unreported start was sent again on any report of the same boot, also on one that the agent had made before the start arrived and that came in late. If the agent had begun the task and was restarted since, a job with onLostWorker: hold ran twice.

Change: for such a job a report counts only if it was asked for after the start was given up. Jobs that resume are started as before. A test on the simulated cluster kills the owner of a running and of a completed held task and restarts its agent before the next owner's sync. That case was already held, as a start that this owner never sent has no known boot; it had no test.

What is left is a first start delivered after it was given up and after that report, before a restart.

--- a/packages/bench/src/simulation/scheduling.test.ts
+++ b/packages/bench/src/simulation/scheduling.test.ts
@@ -254,6 +254,28 @@
   assert.equal(bed.workers.runs.length, 2);
 });
 
+test('a held task of a killed owner does not begin again at a restarted agent', async () => {
+  // The task still runs at the restart, or has completed unrecorded; the next owner syncs later.
+  for (const seconds of [600, 4]) {
+    const bed = await setUp();
+    const job = sleepJob('j', 1, seconds, { onLostWorker: 'hold' });
+    const shard = await submit(bed, job);
+    await bed.time.until(() => runningNow(bed).length === 1);
+    const [run] = runningNow(bed);
+    ownerOf(bed, shard).kill();
+    await bed.time.advance(5_000);
+    bed.workers.restart(run?.worker ?? '');
+    await bed.time.advance(300_000);
+    assert.equal(bed.workers.runs.length, 1, `a task of ${seconds} s`);
+
+    const deadline = bed.time.clock() + 10_000;
+    const call = anyHost(bed).scheduler.release('j', 'r1', deadline);
+    assert.ok((await answerOf(bed, call)).isOk);
+    await assertDone(bed, 'j', 1, 900_000);
+    assert.equal(bed.workers.runs.length, 2);
+  }
+});
+
 test('a worker back before its leases lapse keeps its tasks', async () => {
   const bed = await setUp();
   await submit(bed, sleepJob('j', 8, 60));
--- a/packages/daemon/src/scheduler/reconcile.test.ts
+++ b/packages/daemon/src/scheduler/reconcile.test.ts
@@ -90,6 +90,14 @@
   assert.deepEqual(stepsIn({ placed: HOLD, sent: {} }), ['start']);
 });
 
+test('a held start given up is sent again only on a later report of the same boot', () => {
+  const later = { givenUpAt: SENT_AT + 1 };
+  assert.deepEqual(stepsIn({ placed: HOLD, sent: later }), []);
+  assert.deepEqual(stepsIn({ placed: RESUME, sent: later }), ['start']);
+  const earlier = { givenUpAt: SENT_AT - 1 };
+  assert.deepEqual(stepsIn({ placed: HOLD, sent: earlier }), ['start']);
+});
+
 test('an acknowledged attempt that a later sync misses is lost, not by an earlier sync', () => {
   const later = { confirmedAt: SENT_AT + 1 };
   assert.deepEqual(stepsIn({ placed: RESUME, sent: later }), []);
--- a/packages/daemon/src/scheduler/reconcile.ts
+++ b/packages/daemon/src/scheduler/reconcile.ts
@@ -103,9 +103,24 @@
     const gone = input.sentAt > confirmedAt;
     return gone ? [lossOf(input, placed.ref)] : [];
   }
-  return mayHaveRun(sent, input.report) && placed.job.onLostWorker === 'hold'
-    ? [lossOf(input, placed.ref)]
-    : [{ kind: 'start', placed }];
+  if (placed.job.onLostWorker === 'hold') {
+    return heldSteps(input, placed, sent);
+  }
+  return [{ kind: 'start', placed }];
+}
+
+/** Sends a start again only on a report that would name the attempt, had it ever begun. */
+function heldSteps(
+  input: ReconcileInput,
+  placed: PlacedAttempt,
+  sent: SentStart | undefined,
+): WorkerStep[] {
+  if (mayHaveRun(sent, input.report)) {
+    return [lossOf(input, placed.ref)];
+  }
+  // An older report may be from before the start arrived, and its agent restarted since.
+  const outdated = input.sentAt < (sent?.givenUpAt ?? -Infinity);
+  return outdated ? [] : [{ kind: 'start', placed }];
 }
 
 /** Tells whether an earlier run of the agent may have begun the attempt before it was restarted. */
--- a/packages/daemon/src/scheduler/worker-commands.ts
+++ b/packages/daemon/src/scheduler/worker-commands.ts
@@ -78,8 +78,7 @@
         ...(checkpoint === undefined ? {} : { checkpoint }),
       },
     });
-    sent.inFlight = false;
-    confirm(sent, started, ctx.clock());
+    settle(sent, started, ctx.clock());
     if (started) {
       parts.started(ctx.clock() - sentAt);
     }
@@ -126,8 +125,11 @@
   return sent;
 }
 
-function confirm(sent: SentStart, started: boolean, now: Instant): void {
+function settle(sent: SentStart, started: boolean, now: Instant): void {
+  sent.inFlight = false;
   if (started) {
     sent.confirmedAt ??= now;
+  } else {
+    sent.givenUpAt = now;
   }
 }
--- a/packages/daemon/src/scheduler/worker-link.ts
+++ b/packages/daemon/src/scheduler/worker-link.ts
@@ -10,6 +10,8 @@
   readonly boot: string | undefined;
   /** When the agent acknowledged the start or reported the attempt; undefined before. */
   confirmedAt: Instant | undefined;
+  /** When the last start sent was given up unanswered; undefined before. */
+  givenUpAt?: Instant;
   inFlight: boolean;
 }
 
