Ask the log for no more than it takes

Cause: nine entry hosts with the default of 60 appends a second each ask for 540, where the log takes some hundreds; only its refusals bounded them. Conclusion: nine hosts stay within 225 appends a second by themselves.

--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -65,8 +65,10 @@
   appendsPerSecond: z
     .number()
     .positive()
-    .default(60)
-    .describe('Appends a second that this entry host may use.'),
+    .default(25)
+    .describe(
+      'Appends a second that this entry host may use: what the log takes for this system, divided by the number of entry hosts.',
+    ),
 });
 
 const schedulerSchema = z.strictObject({
