Leave shards to hosts that can read their decisions

Change: such a host claims no shard of the zone and releases those it holds. The same goes for a zone whose records are of a newer version. Its peers still count it as a member and would hand shards over to it again and again: a shard that nobody took is claimed back and kept for 10 minutes.

Conclusion: a zone is decided on while any ready host can read it. If none can, its shards have no owner, and its tasks end with their leases.

--- a/packages/bench/src/simulation/cluster.ts
+++ b/packages/bench/src/simulation/cluster.ts
@@ -226,6 +226,7 @@
   const config = fixedConfig(input.config);
   const retentionMs = LOG_RETENTION_MS;
   const follow = followWithSnapshots({ log, ctx, committer, retentionMs });
+  let canRead: Scheduler['canRead'] = () => true;
   const ownership = startShardOwnership({
     ctx,
     cfg: {
@@ -240,6 +241,7 @@
     peers,
     committer,
     follow,
+    canRead: each => canRead(each),
   });
   const scheduler = startScheduler({
     ctx,
@@ -258,6 +260,7 @@
     ownership,
     agent: pausableAgent(input.workers, pausable),
   });
+  canRead = scheduler.canRead;
   return {
     id,
     zone,
--- a/packages/bench/src/simulation/scheduling.test.ts
+++ b/packages/bench/src/simulation/scheduling.test.ts
@@ -383,6 +383,29 @@
   assert.equal(bed.workers.runs.length, 20);
 });
 
+test('entry hosts that cannot read the decisions leave the shards to one that can', async () => {
+  const bed = createCluster({
+    zones: ['z'],
+    entryHosts: 2,
+    shards: 1,
+    workers: 4,
+    capacity: CAPACITY,
+  });
+  await bed.time.advance(3_000);
+  const shard = await submit(bed, sleepJob('j', 4, 600));
+  bed.log.trim('decisions.z', bed.log.head('decisions.z'));
+  for (const id of ['n0', 'n1', 'n2', 'n3']) {
+    bed.start('z', id);
+  }
+  await bed.time.advance(2_000);
+  ownerOf(bed, shard).kill();
+  const decided = (): boolean =>
+    bed.owners(shard).some(host => host.scheduler.deciding().includes(shard));
+  await bed.time.until(decided, 30_000);
+  assert.match(ownerOf(bed, shard).id, /entry/);
+  assert.equal(bed.workers.runs.length, 4);
+});
+
 /** Advances in steps, giving work outside the virtual time, such as compression, its real time. */
 async function untilWorked(
   bed: Bed,
--- a/packages/daemon/src/entry-host.ts
+++ b/packages/daemon/src/entry-host.ts
@@ -189,6 +189,7 @@
     retentionMs: settings.platform.logRetentionMs,
   });
   const { shardLeaseMs } = settings.scheduler;
+  let canRead: Scheduler['canRead'] = () => true;
   const ownership = startShardOwnership({
     ctx: base.ctx,
     cfg: {
@@ -207,6 +208,7 @@
     committer,
     follow,
     ready: () => config.inForce(),
+    canRead: zone => canRead(zone),
   });
   const { hosts, peers } = membership;
   const interference = startInterference({
@@ -235,6 +237,7 @@
     penalty: interference.penalty,
     onReport: interference.onReport,
   });
+  canRead = scheduler.canRead;
   const router = await startCallersRouter(base, shared);
   interference.connect(scheduler.attempts, router.latency);
   const objectives = startObjectives({
--- a/packages/daemon/src/log/follow-snapshots.ts
+++ b/packages/daemon/src/log/follow-snapshots.ts
@@ -1,11 +1,16 @@
 /** Folds of streams whose snapshots this process helps to keep. */
-import type { Millis } from '@paddlewind/domain';
+import type { AppError, Millis } from '@paddlewind/domain';
 import type { LogService } from '@paddlewind/platform';
 
 import type { Committer, PartContext, StreamFollower } from '../parts.js';
 import { followFold, type FoldedState } from './fold-follower.js';
 import { keepSnapshots } from './snapshot-keeper.js';
 
+/** A followed fold that tells why it does not follow, if so. */
+export interface FoldedFollower extends StreamFollower {
+  failure(): AppError | undefined;
+}
+
 /**
  * Folds a stream from its last whole snapshot on; while `mayWrite` holds, this process also writes
  * snapshots of the state before the records that it stands for expire.
@@ -14,7 +19,7 @@
   stream: string,
   state: FoldedState,
   mayWrite: () => boolean,
-) => StreamFollower;
+) => FoldedFollower;
 
 /** What streams are followed with. */
 export interface FollowSnapshotsOptions {
--- a/packages/daemon/src/scheduler/decision-writer.test.ts
+++ b/packages/daemon/src/scheduler/decision-writer.test.ts
@@ -35,6 +35,7 @@
   follower: {
     offset: () => 0,
     caughtUp: () => true,
+    failure: () => undefined,
     reach: () => Promise.resolve(Result.ok(undefined)),
     stop: () => undefined,
   },
--- a/packages/daemon/src/scheduler/scheduler.ts
+++ b/packages/daemon/src/scheduler/scheduler.ts
@@ -56,6 +56,7 @@
     batchTotals: totals.read,
     deciding: () => runners.deciding(),
     attempts: runners.attempts,
+    canRead: zones.canRead,
     drain: deadline => runners.drain(deadline),
     stop: () => {
       stops.forEach(stop => {
--- a/packages/daemon/src/scheduler/types.ts
+++ b/packages/daemon/src/scheduler/types.ts
@@ -138,6 +138,8 @@
   batchTotals(): BatchTotals;
   /** Shards that this process decides on at this instant. */
   deciding(): string[];
+  /** Whether the decisions of an availability zone can be read, as far as is known. */
+  readonly canRead: (availabilityZone: string) => boolean;
   /** Decides nothing more and resolves when all that was sent is settled, or at the deadline. */
   drain(deadline: Instant): Promise<void>;
   stop: Stop;
--- a/packages/daemon/src/scheduler/zone.ts
+++ b/packages/daemon/src/scheduler/zone.ts
@@ -9,6 +9,7 @@
   parseJson,
   withNamedShards,
   type Decision,
+  type ErrorKind,
   type ScheduleState,
   type Verdict,
 } from '@paddlewind/domain';
@@ -16,9 +17,9 @@
 import { Result } from 'true-myth';
 
 import { createListeners } from '../core/listeners.js';
-import type { FoldedState, Follow } from '../log/index.js';
+import type { FoldedFollower, FoldedState, Follow } from '../log/index.js';
 import { SNAPSHOT_KIND_PREFIX } from '../log/priority.js';
-import type { CommittedRecord, Stop, StreamFollower } from '../parts.js';
+import type { CommittedRecord, Stop } from '../parts.js';
 
 /** A decision and what the fold made of it. */
 export interface FoldedDecision {
@@ -33,7 +34,7 @@
   readonly stream: string;
   /** The state now; another object once a shard is named first, or a snapshot was restored. */
   readonly state: ScheduleState;
-  readonly follower: StreamFollower;
+  readonly follower: FoldedFollower;
   /** Called once for each decision, in order. */
   onDecision(listener: (folded: FoldedDecision) => void): Stop;
 }
@@ -43,9 +44,18 @@
   /** Follows a zone from now on. */
   open(name: string): Zone;
   known(): readonly Zone[];
+  /** Whether the zone can be folded; a zone that is not followed yet is taken to be. */
+  readonly canRead: (name: string) => boolean;
   stop: Stop;
 }
 
+/** Why a fold cannot go on, other than a log that does not answer. */
+const LASTING_FAILURES: ReadonlySet<ErrorKind> = new Set([
+  'log_trimmed',
+  'unsupported_record',
+  'invalid',
+]);
+
 /** Creates the zones of a process, none of which is followed yet; `mayWrite` as of `Follow`. */
 export function createZones(
   follow: Follow,
@@ -68,6 +78,10 @@
   return {
     open,
     known: () => [...zones.values()],
+    canRead: name => {
+      const kind = zones.get(name)?.follower.failure()?.kind;
+      return kind === undefined || !LASTING_FAILURES.has(kind);
+    },
     stop: () => {
       zones.forEach(zone => {
         zone.follower.stop();
--- a/packages/daemon/src/shards/ownership.test.ts
+++ b/packages/daemon/src/shards/ownership.test.ts
@@ -42,6 +42,9 @@
   racks: ['rack'],
 }));
 
+/** Ids that cannot read the decisions; every test leaves it empty. */
+const unread = new Set<string>();
+
 interface Process {
   readonly id: string;
   readonly ownership: ShardOwnership;
@@ -92,6 +95,7 @@
       committer,
       follow: (stream, state) =>
         followFold({ log: seenLog, stream, ctx, state }),
+      canRead: () => !unread.has(id),
     });
     const events: string[] = [];
     ownership.onAcquire(({ shard, epoch }) =>
@@ -191,6 +195,34 @@
   assert.ok(a.events.some(event => event.endsWith('released')));
 });
 
+test('an owner that cannot read the decisions gives its shards up until it can', async t => {
+  t.after(() => {
+    unread.clear();
+  });
+  const cluster = createCluster();
+  const a = cluster.start('a');
+  const b = cluster.start('b');
+  await run(cluster, 30_000);
+  const held = a.ownership.owned().size;
+  assert.ok(held > 0);
+  unread.add('a');
+  await run(cluster, 2_000);
+  assert.equal(a.ownership.owned().size, 0);
+  assert.ok(allOwned(cluster));
+
+  // Its peer offers each shard once and then keeps it for a while.
+  const begun = b.events.length;
+  await run(cluster, 300_000);
+  const offers = b.events.slice(begun).filter(event => event.startsWith('-'));
+  assert.equal(offers.length, held);
+  assert.equal(a.ownership.owned().size, 0);
+  assert.ok(allOwned(cluster));
+
+  unread.delete('a');
+  await run(cluster, 600_000);
+  assert.equal(a.ownership.owned().size, held);
+});
+
 test('an owner paused past its lease owns nothing when it goes on', async () => {
   const cluster = createCluster();
   const a = cluster.start('a');
--- a/packages/daemon/src/shards/ownership.ts
+++ b/packages/daemon/src/shards/ownership.ts
@@ -8,6 +8,7 @@
 } from '@paddlewind/domain';
 
 import { scheduleOf, sleep } from '../log/timing.js';
+import { createHandovers, unreadShards, withoutUnread } from './handovers.js';
 import { createLeaseBook, type LeaseBook } from './lease-book.js';
 import { createLeaseWriter, type LeaseWriter } from './lease-writer.js';
 import { createMemberTracker } from './members.js';
@@ -100,6 +101,7 @@
   const readMembers = createMemberTracker(peers, cfg);
   const pending = new Set<string>();
   const renewIfDue = createRenewal(parts, book, writer);
+  const handovers = createHandovers(book);
   let stopping = false;
   let caughtUpAt: Instant | undefined;
 
@@ -121,12 +123,14 @@
         incarnation: self.incarnation,
         shards: parts.shards(),
         leases: book.leases,
+        kept: handovers.kept(now),
         logGoodSince: Math.max(writer.goodSince(), caughtUpAt),
         timing: cfg.timing,
       },
       now,
     );
-    actions.forEach(perform);
+    handovers.note(actions, now);
+    withoutUnread(actions, book, unreadShards(parts)).forEach(perform);
     book.unreleased().forEach(perform);
   }
 
--- a/packages/daemon/src/shards/types.ts
+++ b/packages/daemon/src/shards/types.ts
@@ -31,6 +31,8 @@
   readonly follow: Follow;
   /** Whether this process may take on shards now; always when absent. */
   readonly ready?: () => boolean;
+  /** Whether the decisions of an availability zone can be read here; always when absent. */
+  readonly canRead?: (availabilityZone: string) => boolean;
 }
 
 /** A shard that this process owns. */
--- a/packages/domain/src/shards/decide.ts
+++ b/packages/domain/src/shards/decide.ts
@@ -40,6 +40,8 @@
   /** Processes that are heard of, whether or not they may own shards. */
   readonly heard: ReadonlySet<string>;
   readonly leases: LeaseState;
+  /** Shards that are not to be handed over; none when absent. */
+  readonly kept?: ReadonlySet<string>;
   /** Since when the log has answered this process without a failure. */
   readonly logGoodSince: Instant;
   readonly timing: OwnershipTiming;
@@ -130,7 +132,8 @@
     const lease = view.leases.shards.get(shard.name);
     const to = assigned.get(shard.name);
     const belongsElsewhere = to !== undefined && to !== view.self;
-    if (lease === undefined || !isOwn(view, lease) || !belongsElsewhere) {
+    const kept = view.kept?.has(shard.name) === true;
+    if (!lease || !isOwn(view, lease) || !belongsElsewhere || kept) {
       continue;
     }
     if (now - lease.claimedAt >= view.timing.settleMs) {
