Make the tests of the router independent of the machine's speed

Change: the fixture takes a clock, and these tests move it by hand. Servers hold their answers until the condition that the test is about holds. No assertion is dropped; all tests changed are this router's own.

Conclusion: the verdict no longer follows the load in these tests. The tests of histories and of idempotency keys still use real timeouts.

--- a/packages/daemon/src/router/answers.test.ts
+++ b/packages/daemon/src/router/answers.test.ts
@@ -3,6 +3,7 @@
 
 import {
   answerText,
+  manualClock,
   rawCall,
   requestText,
   startFixture,
@@ -27,6 +28,7 @@
     }
   });
   const fixture = await startFixture(t, [server.address], {
+    clock: manualClock().now,
     route: { retryBudget: 0, timeoutMs: 400 },
   });
   await run(fixture, server);
@@ -123,34 +125,38 @@
 
 test('a reset is no end of an answer', async t => {
   const server = await startRawServer(t, socket => {
-    socket.write('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf', () => {
-      setTimeout(() => socket.resetAndDestroy(), 20);
-    });
+    socket.write('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf');
   });
   const fixture = await startFixture(t, [server.address]);
   const caller = rawCall(t, fixture.port, requestText('GET'));
+  await caller.until(/half$/);
+  server.sockets[0]?.resetAndDestroy();
   await caller.closed();
   assert.ok(caller.wasReset());
 });
 
 test('a late answer reaches nobody', async t => {
+  const clock = manualClock();
   const server = await startRawServer(t, (socket, text) => {
-    if (text.includes('first')) {
-      setTimeout(() => socket.write(answerText('late')), 450);
-    } else {
-      setTimeout(() => socket.write(answerText('mine')), 200);
+    if (text.includes('second')) {
+      server.sockets[0]?.write(answerText('late'));
+      setTimeout(() => socket.write(answerText('mine')), 50);
     }
   });
   const fixture = await startFixture(t, [server.address], {
+    clock: clock.now,
     route: { timeoutMs: 300, retryBudget: 0 },
   });
   const first = rawCall(t, fixture.port, requestText('GET', ['X-Id: first']));
+  await waitFor(() => server.received[0]?.includes('first') === true);
+  clock.advance(300);
   const got = await first.until('"kind"');
   assert.match(got, /^HTTP\/1\.1 504 /);
   assert.match(got, /paddlewind-outcome: unknown/);
   const second = rawCall(t, fixture.port, requestText('GET', ['X-Id: second']));
   assert.match(await second.until(/mine|late/), /mine$/);
   assert.equal(server.received.length, 2);
+  assert.doesNotMatch(first.text(), /late|mine/);
 });
 
 test('bytes on an idle connection reach nobody', async t => {
--- a/packages/daemon/src/router/at-most-once.test.ts
+++ b/packages/daemon/src/router/at-most-once.test.ts
@@ -3,6 +3,7 @@
 
 import {
   answerText,
+  manualClock,
   rawCall,
   requestText,
   scriptedDispatcher,
@@ -10,12 +11,17 @@
   startRawServer,
   waitFor,
   workerAt,
+  type RawServer,
 } from './fixture.test.js';
 
 function post(body = 'pay'): string {
   return requestText('POST', [`Content-Length: ${body.length}`], body);
 }
 
+function timesSent(server: RawServer, method: string): number {
+  return server.received.join('').split(`${method} /`).length - 1;
+}
+
 /** A server that answers the first request of a connection and then does `next` to each further one. */
 async function startFickleServer(
   t: TestContext,
@@ -35,14 +41,20 @@
 for (const next of ['close', 'reset', 'silence'] as const) {
   for (const method of ['POST', 'GET']) {
     test(`${method} on a kept connection that ends in ${next} is sent once`, async t => {
+      const clock = manualClock();
       const server = await startFickleServer(t, next);
       const fixture = await startFixture(t, [server.address], {
+        clock: clock.now,
         route: { retryBudget: 0, timeoutMs: 300 },
       });
       const warm = rawCall(t, fixture.port, requestText('GET', ['X-First: 1']));
       await warm.until(/ok$/);
       const text = method === 'POST' ? post() : requestText('GET');
       const caller = rawCall(t, fixture.port, text);
+      if (next === 'silence') {
+        await waitFor(() => /HTTP[^]*HTTP/.test(server.received[0] ?? ''));
+        clock.advance(300);
+      }
       const got = await caller.until(/"message"/);
       assert.match(got, /paddlewind-outcome: unknown/);
       const sent = server.received.join('');
@@ -131,25 +143,35 @@
 });
 
 test('a timeout in mid-write is unknown and sent once', async t => {
+  const clock = manualClock();
   const server = await startRawServer(t, socket => socket.pause());
   const fixture = await startFixture(t, [server.address], {
+    clock: clock.now,
     route: { timeoutMs: 200 },
   });
   const size = 8 * 1024 * 1024;
   const head = requestText('POST', [`Content-Length: ${size}`]);
   const caller = rawCall(t, fixture.port, head);
   caller.socket.write(Buffer.alloc(size));
+  await waitFor(() => server.received[0]?.startsWith('POST') === true);
+  clock.advance(200);
   const got = await caller.until(/"message"/);
   assert.match(got, /^HTTP\/1\.1 504 [^]*outcome: unknown/);
   assert.equal(server.received.length, 1);
 });
 
 test('a hedge takes the first answer and drops the other', async t => {
+  const clock = manualClock();
   const slow = await startRawServer(t, () => undefined);
-  const fast = await startRawServer(t, socket =>
-    socket.write(answerText('ok')),
-  );
+  let copies = 0;
+  const fast = await startRawServer(t, socket => {
+    const sent = ++copies;
+    void waitFor(() => timesSent(slow, 'GET') === sent).then(() =>
+      socket.write(answerText('ok')),
+    );
+  });
   const fixture = await startFixture(t, [slow.address, fast.address], {
+    clock: clock.now,
     route: { hedgeBudget: 1 },
     deps: {
       dispatcherFor: () => scriptedDispatcher(slow.address, fast.address),
@@ -159,8 +181,13 @@
   await waitFor(() => slow.sockets[0]?.destroyed === true);
   rawCall(t, fixture.port, post());
   await waitFor(() => slow.received[1]?.endsWith('pay') === true);
-  await new Promise(resolve => setTimeout(resolve, 100));
+  // A hedge of the POST would be due before that of a later request.
+  await rawCall(t, fixture.port, requestText('GET')).until(/ok$/);
+  await waitFor(() => slow.sockets[2]?.destroyed === true);
+  await new Promise(resolve => setTimeout(resolve, 50));
+  assert.equal(copies, 2);
   assert.doesNotMatch(fast.received.join(''), /POST/);
+  assert.equal(timesSent(slow, 'POST'), 1);
 });
 
 test('connections stay within the share', async t => {
--- a/packages/daemon/src/router/fixture.test.ts
+++ b/packages/daemon/src/router/fixture.test.ts
@@ -7,6 +7,7 @@
   objectKey,
   objectSchema,
   seededRandom,
+  type Clock,
   type ConfigState,
   type Dispatcher,
 } from '@paddlewind/domain';
@@ -50,6 +51,23 @@
   };
 }
 
+/** A clock that only moves when the test says so: a slow machine lets nothing expire. */
+export interface ManualClock {
+  readonly now: Clock;
+  advance(ms: number): void;
+}
+
+/** Creates a clock that stands still. */
+export function manualClock(): ManualClock {
+  let now = 1_000_000;
+  return {
+    now: () => now,
+    advance(ms) {
+      now += ms;
+    },
+  };
+}
+
 /** Settings of the fixture. */
 export interface FixtureOptions {
   readonly route?: Record<string, unknown>;
@@ -57,6 +75,8 @@
   /** Longer than this nobody is let wait. */
   readonly objectiveMs?: number;
   readonly limits?: RouterDeps['settings']['limits'];
+  /** The router's clock; real time when absent. */
+  readonly clock?: Clock;
   readonly deps?: Partial<RouterDeps>;
   /** Shared by several routers; one of its own when absent. */
   readonly log?: MemoryLog;
@@ -128,7 +148,7 @@
   };
   const hostView: HostView = { hosts: hosts.get, onChange: hosts.onChange };
   const ctx: PartContext = {
-    clock: () => performance.now(),
+    clock: options.clock ?? (() => performance.now()),
     random: seededRandom(1),
     log: pino({ level: 'silent' }),
     metrics,
@@ -265,9 +285,11 @@
 }
 
 /** Polls until the condition holds; fails after ten seconds. */
-export async function waitFor(condition: () => boolean): Promise<void> {
+export async function waitFor(
+  condition: () => boolean | Promise<boolean>,
+): Promise<void> {
   const giveUpAt = performance.now() + 10_000;
-  while (!condition()) {
+  while (!(await condition())) {
     if (performance.now() > giveUpAt) {
       throw new Error('the condition was not met in time');
     }
