Hold tasks that must not repeat after a stop nobody asked for

Cause: an agent stops a task whose lease lapses and reports it as stopped once it can be reached. If that came before the owner took the task for lost, it was queued again, also for a job with onLostWorker: hold. A task being evicted was queued again, too, when its agent had been restarted: the agent answers a stop of an attempt that it does not know as stopped.

Change: for such a job a stop is recorded as lost, which holds the task, unless it was asked for and reported by the run of the agent that had the task. An attempt to be evicted that the agent does not know any more, and that may have begun, is lost as well. Jobs that resume are treated as before.

The three new tests fail without the change and pass with it.

Conclusion: a held task begins again by itself only after an eviction that its own agent confirmed, or after it failed with attempts left.

--- a/packages/bench/src/simulation/scheduling.test.ts
+++ b/packages/bench/src/simulation/scheduling.test.ts
@@ -276,6 +276,19 @@
   }
 });
 
+test('a held task whose lease lapsed at its worker waits for an operator', async () => {
+  const bed = await setUp();
+  await submit(bed, sleepJob('j', 1, 600, { onLostWorker: 'hold' }));
+  await bed.time.until(() => runningNow(bed).length === 1);
+  const [run] = runningNow(bed);
+  const worker = run?.worker ?? '';
+  bed.workers.setFaults(worker, { unreachable: true });
+  await bed.time.until(() => runningNow(bed).length === 0, 60_000);
+  bed.workers.setFaults(worker, { unreachable: false });
+  await bed.time.advance(300_000);
+  assert.equal(bed.workers.runs.length, 1);
+});
+
 test('a worker back before its leases lapse keeps its tasks', async () => {
   const bed = await setUp();
   await submit(bed, sleepJob('j', 8, 60));
--- a/packages/daemon/src/scheduler/reconcile.test.ts
+++ b/packages/daemon/src/scheduler/reconcile.test.ts
@@ -98,6 +98,26 @@
   assert.deepEqual(stepsIn({ placed: HOLD, sent: earlier }), ['start']);
 });
 
+test('a held task is queued again only after a stop that was asked for', () => {
+  const evicted = placed('hold', 'preempted');
+  const report = reportOf('stopped');
+  assert.deepEqual(stepsIn({ placed: HOLD, report }), ['end lost']);
+  assert.deepEqual(stepsIn({ placed: evicted, report }), ['end stopped']);
+  const same = { placed: evicted, report, sent: { seenBoot: 'b1' } };
+  assert.deepEqual(stepsIn(same), ['end stopped']);
+  const other = { placed: evicted, report, sent: { seenBoot: 'b0' } };
+  assert.deepEqual(stepsIn(other), ['end lost']);
+});
+
+test('a held task to be evicted is lost when its agent was restarted', () => {
+  const evicted = placed('hold', 'preempted');
+  const restarted = { boot: 'b0' };
+  assert.deepEqual(stepsIn({ placed: evicted, sent: restarted }), ['end lost']);
+  const known = { confirmedAt: SENT_AT - 1 };
+  assert.deepEqual(stepsIn({ placed: evicted, sent: known }), ['end lost']);
+  assert.deepEqual(stepsIn({ placed: evicted, sent: {} }), ['stop']);
+});
+
 test('an acknowledged attempt that a later sync misses is lost, not by an earlier sync', () => {
   const later = { confirmedAt: SENT_AT + 1 };
   assert.deepEqual(stepsIn({ placed: RESUME, sent: later }), []);
--- a/packages/daemon/src/scheduler/reconcile.ts
+++ b/packages/daemon/src/scheduler/reconcile.ts
@@ -77,8 +77,10 @@
   switch (report.state) {
     case 'completed':
     case 'failed':
-    case 'stopped':
-      return [{ kind: 'end', decision: endOf(input, report) }];
+    case 'stopped': {
+      const made = endOf(input, report, resultOf(input, placed, report));
+      return [{ kind: 'end', decision: made }];
+    }
     case 'running':
       return placed.evicting === undefined ? [] : [stopOf(placed)];
     case 'stopping':
@@ -90,11 +92,14 @@
   input: ReconcileInput,
   placed: PlacedAttempt,
 ): WorkerStep[] {
+  const sent = input.starts.get(attemptKey(placed.ref));
+  if (placed.evicting !== undefined && isLostHeld(input, placed, sent)) {
+    return [lossOf(input, placed.ref)];
+  }
   // The agent answers a stop of an attempt that it doesn't know by reporting it as stopped.
   if (placed.evicting !== undefined) {
     return [stopOf(placed)];
   }
-  const sent = input.starts.get(attemptKey(placed.ref));
   if (sent?.inFlight === true) {
     return [];
   }
@@ -109,6 +114,17 @@
   return [{ kind: 'start', placed }];
 }
 
+/** Tells whether an attempt that must not repeat, and that the agent does not know, may have begun. */
+function isLostHeld(
+  input: ReconcileInput,
+  { job }: PlacedAttempt,
+  sent: SentStart | undefined,
+): boolean {
+  const gone = input.sentAt > (sent?.confirmedAt ?? Infinity);
+  const begun = gone || mayHaveRun(sent, input.report);
+  return job.onLostWorker === 'hold' && begun;
+}
+
 /** Sends a start again only on a report that would name the attempt, had it ever begun. */
 function heldSteps(
   input: ReconcileInput,
@@ -153,10 +169,28 @@
 /** Longest text of an agent that is recorded. */
 const MAX_TEXT = 1_000;
 
-function endOf(input: ReconcileInput, report: AttemptReport): Decision {
-  const { state, checkpoint, message } = report;
-  const result =
-    state === 'completed' || state === 'failed' ? state : 'stopped';
+type EndResult = 'completed' | 'failed' | 'stopped' | 'lost';
+
+/** A task that must not repeat is lost if nobody asked for its stop, or another run of the agent reports it. */
+function resultOf(
+  { starts, report: { boot } }: ReconcileInput,
+  { ref, job, evicting }: PlacedAttempt,
+  { state }: AttemptReport,
+): EndResult {
+  if (state === 'completed' || state === 'failed') {
+    return state;
+  }
+  const seen = starts.get(attemptKey(ref))?.seenBoot ?? boot;
+  const asked = evicting !== undefined && seen === boot;
+  return job.onLostWorker === 'hold' && !asked ? 'lost' : 'stopped';
+}
+
+function endOf(
+  input: ReconcileInput,
+  report: AttemptReport,
+  result: EndResult,
+): Decision {
+  const { checkpoint, message } = report;
   // A checkpoint's name must not be cut: without it the task resumes from the one before.
   const usable = checkpoint !== undefined && checkpoint.length <= MAX_TEXT;
   const progress = Math.min(1, Math.max(0, report.progress));
--- a/packages/daemon/src/scheduler/worker-link.ts
+++ b/packages/daemon/src/scheduler/worker-link.ts
@@ -12,6 +12,8 @@
   confirmedAt: Instant | undefined;
   /** When the last start sent was given up unanswered; undefined before. */
   givenUpAt?: Instant;
+  /** Agent's boot that last reported the attempt as not ended; undefined before. */
+  seenBoot?: string;
   inFlight: boolean;
 }
 
--- a/packages/daemon/src/scheduler/worker-syncs.ts
+++ b/packages/daemon/src/scheduler/worker-syncs.ts
@@ -311,6 +311,9 @@
     const sent = link.starts.get(attemptKey(attempt));
     if (sent !== undefined) {
       sent.confirmedAt ??= now;
+      if (attempt.state === 'running' || attempt.state === 'stopping') {
+        sent.seenBoot = report.boot;
+      }
     }
   }
 }
