Tell dispatchers when the entry host joined, and keep their weights

Cause: the router created dispatchers without the instant at which the entry host joined, so a host that had just started counted as long joined and opened connections while more entry hosts were live than the share allows for. A dispatcher made for a changed configuration knew no weights until interference control told them again; between the two, avoided servers got requests.

Change: the entry host passes the start of its process, zero on the monotonic clock; without it the start of the router counts. A replaced dispatcher keeps that instant. The router keeps the weights by service and worker and tells them to each new dispatcher before it sends anything; those of a removed service are forgotten. The fixture of the tests can change the configuration (the version of its service becomes an argument); it is the router's own, and no test is weakened.

--- a/packages/daemon/src/entry-host.ts
+++ b/packages/daemon/src/entry-host.ts
@@ -57,6 +57,9 @@
 }
 
 /** What every part of this entry host shares. */
+/** The clock of all parts, `performance.now()`, counts from the start of the process. */
+const PROCESS_START: Instant = 0;
+
 interface Base {
   readonly settings: Settings;
   readonly metrics: Registry;
@@ -277,6 +280,7 @@
       region: host.region,
       hostId: host.id,
       entryHosts,
+      joinedAt: PROCESS_START,
     },
   });
 }
--- a/packages/daemon/src/router/fixture.test.ts
+++ b/packages/daemon/src/router/fixture.test.ts
@@ -88,13 +88,14 @@
   readonly router: RouterHandle;
   readonly port: number;
   readonly hosts: Settable<readonly Host[]>;
+  readonly config: Settable<ConfigState>;
   readonly metrics: Registry;
   readonly inForce: Settable<boolean>;
   setServers(addresses: readonly string[]): void;
 }
 
 /** Builds the configuration of the one service `web`. */
-export function webConfig(options: FixtureOptions): ConfigState {
+export function webConfig(options: FixtureOptions, version = 1): ConfigState {
   const object = objectSchema.parse({
     kind: 'service',
     name: 'web',
@@ -106,9 +107,7 @@
     route: { timeoutMs: 5_000, ...options.route },
     objective: { target: 0.999, latencyMs: options.objectiveMs ?? 100 },
   });
-  const objects = new Map([
-    [objectKey('service', 'web'), { object, version: 1 }],
-  ]);
+  const objects = new Map([[objectKey('service', 'web'), { object, version }]]);
   return { offset: 2, objects };
 }
 
@@ -178,6 +177,7 @@
     router,
     port: Number(router.address.split(':')[1]),
     hosts,
+    config,
     metrics,
     inForce,
     setServers(next) {
--- a/packages/daemon/src/router/services.ts
+++ b/packages/daemon/src/router/services.ts
@@ -6,6 +6,7 @@
   type AppError,
   type Dispatcher,
   type EntryHostInfo,
+  type Instant,
   type ServiceSpec,
 } from '@paddlewind/domain';
 
@@ -31,6 +32,7 @@
 import { buildRouteTable, type RouteTable } from './routes.js';
 import { createServiceRouter, type ServiceRouter } from './service-router.js';
 import type { RouterLimits, RouterSettings } from './settings.js';
+import { createSteerWeights, type SteerWeights } from './steer-weights.js';
 
 /** Makes the dispatcher of one service. */
 export type DispatcherFactory = (service: ServiceSpec) => Dispatcher;
@@ -73,6 +75,8 @@
   readonly metrics: RouterMetrics;
   readonly pools: PoolRegistry;
   readonly latency: LatencyHub;
+  readonly weights: SteerWeights;
+  readonly joinedAt: Instant;
   readonly requests: Listeners<[EndedRequest]>;
   table: RouteTable;
 }
@@ -110,8 +114,9 @@
 }
 
 function createState(options: ServicesOptions): ServicesState {
-  const { ctx, cfg, limits } = options;
+  const { ctx, cfg, limits, settings } = options;
   const entries = new Map<string, Entry>();
+  const weights = createSteerWeights();
   return {
     options,
     entries,
@@ -122,8 +127,11 @@
       return dispatcher?.connectionLimit(address, ctx.clock()) ?? 0;
     }),
     latency: createLatencyHub((service, worker, weight) => {
+      weights.set(service, worker, weight);
       entries.get(service)?.router.dispatcher.steer(worker, weight);
     }),
+    weights,
+    joinedAt: settings.joinedAt ?? ctx.clock(),
     requests: createListeners(),
     table: buildRouteTable(cfg.current()),
   };
@@ -195,12 +203,14 @@
   retire(state, spec.name);
   const router = createRouter(state, spec);
   state.entries.set(spec.name, { version, router });
+  state.weights.applyTo(spec.name, router.dispatcher);
   tellPeers(state, router);
 }
 
 function remove(state: ServicesState, name: string): void {
   retire(state, name);
   state.entries.delete(name);
+  state.weights.remove(name);
   state.pools.keep(name, new Set());
   state.metrics.remove(name);
 }
@@ -219,7 +229,7 @@
   const { options } = state;
   const { clock } = options.ctx;
   const { name } = service;
-  const make = options.dispatcherFor ?? defaultDispatcher(options);
+  const make = options.dispatcherFor ?? defaultDispatcher(state);
   return createServiceRouter({
     service,
     dispatcher: make(service),
@@ -284,7 +294,8 @@
   }
 }
 
-function defaultDispatcher(options: ServicesOptions): DispatcherFactory {
+function defaultDispatcher(state: ServicesState): DispatcherFactory {
+  const { options, joinedAt } = state;
   const { settings, ctx } = options;
   return service =>
     createDispatcher({
@@ -292,6 +303,7 @@
       self: settings.hostId,
       availabilityZone: settings.availabilityZone,
       entryHosts: settings.entryHosts,
+      joinedAt,
       random: ctx.random,
     });
 }
--- a/packages/daemon/src/router/settings.ts
+++ b/packages/daemon/src/router/settings.ts
@@ -1,4 +1,5 @@
 /** Settings of the router of an entry host. */
+import type { Instant } from '@paddlewind/domain';
 
 /** Limits of the router; sizes in bytes, spans in milliseconds. */
 export interface RouterLimits {
@@ -51,4 +52,6 @@
   readonly hostId: string;
   /** Planned number of entry hosts, this one included. */
   readonly entryHosts: number;
+  /** When this host's process started; the start of the router when absent. */
+  readonly joinedAt?: Instant;
 }
