Check the reference of the command line against the command line

Cause: the page on commands and exit codes could drift; the other references are made from schemas. Change: a test reads the help and the table of errors and looks for each in the page. Conclusion: a new command or exit code without its line fails the tests.

--- a/packages/cli/src/app.test.ts
+++ b/packages/cli/src/app.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { createServer } from 'node:http';
 import { createServer as createTcpServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
@@ -13,6 +13,7 @@
   type OperatorDeps,
 } from '@paddlewind/daemon';
 import {
+  ERROR_ANSWERS,
   appError,
   objectKey,
   objectSchema,
@@ -23,6 +24,7 @@
 import { Result } from 'true-myth';
 
 import { runCli } from './app.js';
+import { EXIT_DIFFERENT, EXIT_OK } from './output.js';
 
 const TEAM = {
   kind: 'team',
@@ -285,3 +287,20 @@
   const absent = await cli('top', '--cert', 'x', '--key', 'x', '--ca', 'x');
   assert.match(absent.err, /x: no such file/);
 });
+
+test('the reference names every command and every exit code', async () => {
+  const page = readFileSync(
+    new URL('../../../docs/CLI.md', import.meta.url),
+    'utf8',
+  );
+  const help = (await cli('--help')).out;
+  const commands = [...help.matchAll(/^ {4}([a-z]+)(?: [A-Z[]|  | [a-z]+)/gm)];
+  assert.ok(commands.length >= 8);
+  for (const [, command = ''] of commands) {
+    assert.match(page, new RegExp(`\\b${command}\\b`), command);
+  }
+  const codes = Object.values(ERROR_ANSWERS).map(answer => answer.exitCode);
+  for (const code of new Set([EXIT_OK, EXIT_DIFFERENT, ...codes])) {
+    assert.match(page, new RegExp(`^\\| ${code} +\\|`, 'm'), `code ${code}`);
+  }
+});
