--- a/packages/bench/src/benches/idempotency.ts
+++ b/packages/bench/src/benches/idempotency.ts
@@ -2,9 +2,9 @@
 import {
   createCommitter,
   followRetained,
-  startKeyGate,
+  startIdempotencyKeys,
   type Committer,
-  type KeyGate,
+  type IdempotencyKeys,
   type PartContext,
 } from '@paddlewind/daemon';
 import { encodeBatch, seededRandom } from '@paddlewind/domain';
@@ -57,7 +57,7 @@
     ctx,
     appendsPerSecond: APPENDS_PER_SECOND,
   });
-  const gate = startKeyGate({
+  const gate = startIdempotencyKeys({
     ctx,
     committer: way === 'grouped' ? grouped : oneAppendEach(log),
     follow: (stream, onBatch) => followRetained({ log, stream, ctx, onBatch }),
@@ -86,7 +86,7 @@
 
 /** Open loop: claims a new key every 1/rate seconds, whatever becomes of the earlier ones. */
 async function claimAtRate(
-  gate: KeyGate,
+  gate: IdempotencyKeys,
   ctx: PartContext,
   perSecond: number,
 ): Promise<Tally> {
@@ -109,7 +109,7 @@
 }
 
 async function claimOne(
-  gate: KeyGate,
+  gate: IdempotencyKeys,
   ctx: PartContext,
   key: string,
   tally: Tally,
--- a/packages/bench/src/benches/log-outage.ts
+++ b/packages/bench/src/benches/log-outage.ts
@@ -2,12 +2,12 @@
 import { parseArgs } from 'node:util';
 
 import { report } from '../report.js';
-import { runningNow, watchPlaces } from '../simulation/checks.js';
+import { runningNow, watchPlaces } from '../virtual-hosts/checks.js';
 import {
-  createCluster,
+  createVirtualHosts,
   sleepJob,
   type Cluster,
-} from '../simulation/cluster.js';
+} from '../virtual-hosts/hosts.js';
 
 const TASKS = 300;
 const QUEUED = 60;
@@ -26,7 +26,7 @@
 }
 
 async function measure(minutes: number): Promise<void> {
-  const cluster = createCluster({
+  const cluster = createVirtualHosts({
     zones: ['olympia', 'tacoma', 'salem'],
     entryHosts: 3,
     shards: 2,
--- a/packages/bench/src/benches/owner-load.ts
+++ b/packages/bench/src/benches/owner-load.ts
@@ -3,10 +3,10 @@
 
 import { report } from '../report.js';
 import {
-  createCluster,
+  createVirtualHosts,
   sleepJob,
   type Cluster,
-} from '../simulation/cluster.js';
+} from '../virtual-hosts/hosts.js';
 
 const SHARDS = 7;
 const WORKERS = 31;
@@ -25,7 +25,7 @@
 }
 
 async function measure(seconds: number, jobsPerSecond: number): Promise<void> {
-  const cluster = createCluster({
+  const cluster = createVirtualHosts({
     zones: ['olympia'],
     entryHosts: 1,
     shards: SHARDS,
--- a/packages/bench/src/benches/recovery.ts
+++ b/packages/bench/src/benches/recovery.ts
@@ -4,14 +4,14 @@
 import type { Millis } from '@paddlewind/domain';
 
 import { report } from '../report.js';
-import { runningNow, watchPlaces } from '../simulation/checks.js';
+import { runningNow, watchPlaces } from '../virtual-hosts/checks.js';
 import {
-  createCluster,
+  createVirtualHosts,
   sleepJob,
   type Cluster,
   type ClusterOptions,
-} from '../simulation/cluster.js';
-import { quantile } from '../simulation/quantile.js';
+} from '../virtual-hosts/hosts.js';
+import { quantile } from '../virtual-hosts/quantile.js';
 
 const TASKS = 740;
 const WORKERS = 31;
@@ -114,7 +114,7 @@
   let violations = 0;
   let begun = 0;
   for (let seed = 1; seed <= seeds; seed++) {
-    const cluster = createCluster({ ...scenario.cluster, seed });
+    const cluster = createVirtualHosts({ ...scenario.cluster, seed });
     const seen = watchPlaces(cluster);
     await fill(cluster);
     // Failures fall at any point between two renewals.
--- a/packages/bench/src/benches/starts.ts
+++ b/packages/bench/src/benches/starts.ts
@@ -13,14 +13,14 @@
 import { Result } from 'true-myth';
 
 import { report } from '../report.js';
-import { runningNow, watchPlaces } from '../simulation/checks.js';
+import { runningNow, watchPlaces } from '../virtual-hosts/checks.js';
 import {
-  createCluster,
+  createVirtualHosts,
   sleepJob,
   type Cluster,
   type CommitterFactory,
-} from '../simulation/cluster.js';
-import { quantile } from '../simulation/quantile.js';
+} from '../virtual-hosts/hosts.js';
+import { quantile } from '../virtual-hosts/quantile.js';
 
 const LOG_APPENDS_PER_SECOND = 300;
 const OTHERS_PER_SECOND = 90;
@@ -54,7 +54,7 @@
   seconds: number,
   seed: number,
 ): Promise<void> {
-  const cluster = createCluster({
+  const cluster = createVirtualHosts({
     zones: ZONES,
     entryHosts: 2,
     shards: 2,
@@ -180,7 +180,7 @@
 
 /** Urgent tasks arrive at a fleet that preemptible batch work fills. */
 async function measureUrgent(seconds: number, seed: number): Promise<void> {
-  const cluster = createCluster({
+  const cluster = createVirtualHosts({
     zones: ['olympia'],
     entryHosts: 2,
     shards: 2,
--- a/packages/bench/src/simulation/checks.ts
+++ b/packages/bench/src/virtual-hosts/checks.ts
@@ -9,7 +9,7 @@
 } from '@paddlewind/domain';
 import type { AttemptRun } from '@paddlewind/stand-ins';
 
-import type { Cluster } from './cluster.js';
+import type { Cluster } from './hosts.js';
 
 /** Violations seen so far, each a short sentence. */
 export type Violations = string[];
--- a/packages/bench/src/simulation/cluster.ts
+++ b/packages/bench/src/virtual-hosts/hosts.ts
@@ -40,7 +40,7 @@
 import { pino } from 'pino';
 import { Registry } from 'prom-client';
 
-/** Timing of shard leases in the simulation. */
+/** Timing of shard leases among the virtual hosts. */
 export const SHARD_TIMING: OwnershipTiming = {
   drift: 0.001,
   marginMs: 500,
@@ -52,7 +52,7 @@
 export const SHARD_LEASE_MS = 10_000;
 const RENEW_EVERY_MS = 3_000;
 
-/** Timing of task leases in the simulation. */
+/** Timing of task leases among the virtual hosts. */
 export const TASK_TIMING: TaskTiming = {
   leaseMs: 20_000,
   syncEveryMs: 2_000,
@@ -61,7 +61,7 @@
   drift: 0.001,
   marginMs: 3_000,
   outageHoldMs: 5_400_000,
-  darkWindowMs: 10_000,
+  renewOnlyWindowMs: 10_000,
   stopGraceMs: 5_000,
 };
 
@@ -122,7 +122,7 @@
 }
 
 /** Creates a cluster and starts its entry hosts. */
-export function createCluster(options: ClusterOptions): Cluster {
+export function createVirtualHosts(options: ClusterOptions): Cluster {
   const time = createVirtualTime();
   const { clock, schedule } = time;
   const log = createMemoryLog({ clock, schedule });
@@ -218,7 +218,7 @@
     clock: time.clock,
     schedule: pausable.schedule,
     random: seededRandom(input.seed),
-    log: pino({ level: process.env.SIMULATION_LOG ?? 'silent' }),
+    log: pino({ level: process.env.BENCH_LOG_LEVEL ?? 'silent' }),
     metrics: new Registry(),
   };
   const committer = input.committer(log, ctx);
--- a/packages/bench/src/simulation/scheduling.test.ts
+++ b/packages/bench/src/virtual-hosts/scheduling.test.ts
@@ -12,11 +12,11 @@
 import {
   SHARD_LEASE_MS,
   TASK_TIMING,
-  createCluster,
+  createVirtualHosts,
   sleepJob,
   type Cluster,
   type EntryHost,
-} from './cluster.js';
+} from './hosts.js';
 
 /** A completion is recorded once an owner decides again, at worst after a whole lease. */
 const REPORT_LIMIT_MS = 60_000;
@@ -28,7 +28,7 @@
 
 /** Starts 3 entry hosts and 2 shards of 4 workers, and lets them settle. */
 async function setUp(seed = 1): Promise<Bed> {
-  const cluster = createCluster({
+  const cluster = createVirtualHosts({
     zones: ['z'],
     entryHosts: 3,
     shards: 2,
@@ -124,7 +124,7 @@
 });
 
 test('a job for one zone is held there, whoever accepts it', async () => {
-  const bed = createCluster({
+  const bed = createVirtualHosts({
     zones: ['x', 'y', 'z'],
     entryHosts: 1,
     shards: 1,
@@ -315,8 +315,8 @@
     bed.workers.runs.some(each => each.task === run.task && each.attempt === 2);
   await bed.time.until(moved, 300_000);
   const waited = bed.time.clock() - killedAt;
-  const { leaseMs, marginMs, darkWindowMs } = TASK_TIMING;
-  assert.ok(waited > SHARD_LEASE_MS + leaseMs + marginMs + darkWindowMs);
+  const { leaseMs, marginMs, renewOnlyWindowMs } = TASK_TIMING;
+  assert.ok(waited > SHARD_LEASE_MS + leaseMs + marginMs + renewOnlyWindowMs);
   assert.ok(waited < 90_000, `${waited}`);
   assert.deepEqual(bed.violations, []);
 });
@@ -397,7 +397,7 @@
 });
 
 test('entry hosts that cannot read the decisions leave the shards to one that can', async () => {
-  const bed = createCluster({
+  const bed = createVirtualHosts({
     zones: ['z'],
     entryHosts: 2,
     shards: 1,
--- a/packages/daemon/src/config/config.test.ts
+++ b/packages/daemon/src/config/config.test.ts
@@ -10,7 +10,7 @@
 import {
   put,
   settled,
-  startCluster,
+  startVirtualHosts,
   team,
   type Cluster,
 } from './fixture.test.js';
@@ -27,7 +27,7 @@
 }
 
 test('what is accepted comes into force on every host', async () => {
-  const cluster = startCluster(3);
+  const cluster = startVirtualHosts(3);
   await ready(cluster);
   const applied = await settled(
     cluster,
@@ -46,7 +46,7 @@
 });
 
 test('racing operators get one winner and one clear conflict', async () => {
-  const cluster = startCluster(2);
+  const cluster = startVirtualHosts(2);
   await ready(cluster);
   cluster.log.setDelay({ appendMs: 20 });
   const answers = await settled(
@@ -66,7 +66,7 @@
 });
 
 test('a retry through another host gets the same verdict', async () => {
-  const cluster = startCluster(2);
+  const cluster = startVirtualHosts(2);
   await ready(cluster);
   const first = await settled(
     cluster,
@@ -83,7 +83,7 @@
 });
 
 test('a lost answer still ends in one verdict', async () => {
-  const cluster = startCluster(2);
+  const cluster = startVirtualHosts(2);
   await ready(cluster);
   cluster.log.loseAnswers(1);
   const lost = await settled(cluster, cluster.apply(0, 'a', put(team('core'))));
@@ -100,7 +100,7 @@
 });
 
 test('invalid changes are refused at once and not written', async () => {
-  const cluster = startCluster(1);
+  const cluster = startVirtualHosts(1);
   await ready(cluster);
   const change = {
     ...put(team('core')),
@@ -116,7 +116,7 @@
 });
 
 test('in an outage hosts go on, and a restarted one takes over from a peer', async () => {
-  const cluster = startCluster(3);
+  const cluster = startVirtualHosts(3);
   await ready(cluster);
   await settled(cluster, cluster.apply(0, 'a', put(team('core', 7))));
   await cluster.time.advance(2_000);
@@ -145,7 +145,7 @@
 });
 
 test('after an outage no host is long behind another', async () => {
-  const cluster = startCluster(3, {
+  const cluster = startVirtualHosts(3, {
     fetch: () => new Promise(() => undefined),
     graceMs: 200,
   });
@@ -165,7 +165,7 @@
 });
 
 test('a host that cannot obtain what it hears of stops serving until it can', async () => {
-  const cluster = startCluster(3, {
+  const cluster = startVirtualHosts(3, {
     fetch: () => new Promise(() => undefined),
   });
   await ready(cluster);
@@ -182,7 +182,7 @@
 });
 
 test('a host cut off from the log takes over from its peers', async () => {
-  const cluster = startCluster(3);
+  const cluster = startVirtualHosts(3);
   await ready(cluster);
   cluster.host(2).cut.log = true;
   await settled(cluster, cluster.apply(0, 'a', put(team('core', 2))));
@@ -192,7 +192,7 @@
 });
 
 test('what one host read before an outage reaches the others before they stop serving', async () => {
-  const cluster = startCluster(3);
+  const cluster = startVirtualHosts(3);
   await ready(cluster);
   for (let round = 0; round < 5; round++) {
     cluster.host(1).cut.log = true;
@@ -214,7 +214,7 @@
 });
 
 test('a fresh host alone in an outage does not serve', async () => {
-  const cluster = startCluster(1);
+  const cluster = startVirtualHosts(1);
   await ready(cluster);
   await settled(cluster, cluster.apply(0, 'a', put(team('core'))));
   cluster.log.setOutage(true);
@@ -232,7 +232,7 @@
 
 test('snapshots outlive retention, and every host restarts from them', async () => {
   const retainMs = 600_000;
-  const cluster = startCluster(3, {
+  const cluster = startVirtualHosts(3, {
     retainMs,
     retentionMs: retainMs,
     waitMs: 60_000,
@@ -257,7 +257,7 @@
 });
 
 test('a repeated record is recognised after a restart from a snapshot', async () => {
-  const cluster = startCluster(1, { retentionMs: 12_000, waitMs: 60_000 });
+  const cluster = startVirtualHosts(1, { retentionMs: 12_000, waitMs: 60_000 });
   await ready(cluster);
   const first = await settled(
     cluster,
@@ -276,7 +276,7 @@
 });
 
 test('with no snapshot left, a fresh host takes over from a peer', async () => {
-  const cluster = startCluster(2);
+  const cluster = startVirtualHosts(2);
   await ready(cluster);
   await settled(cluster, cluster.apply(0, 'a', put(team('core', 3))));
   cluster.log.trim(CONFIG_STREAM, 1);
@@ -287,7 +287,7 @@
 });
 
 test('entries that expired unread are made up for, or the host stops serving', async () => {
-  const cluster = startCluster(2, {
+  const cluster = startVirtualHosts(2, {
     fetch: () => new Promise(() => undefined),
   });
   await ready(cluster);
@@ -303,7 +303,7 @@
 });
 
 test('a record of a newer version makes a host unready and says so', async () => {
-  const cluster = startCluster(1);
+  const cluster = startVirtualHosts(1);
   await ready(cluster);
   const newer = { id: 'n', kind: 'config.change', body: { rules: 2 } };
   await cluster.log.append(CONFIG_STREAM, encodeBatch([newer]));
--- a/packages/daemon/src/config/fixture.test.ts
+++ b/packages/daemon/src/config/fixture.test.ts
@@ -86,7 +86,7 @@
 }
 
 /** Starts a cluster; heartbeats carry offsets every second. */
-export function startCluster(
+export function startVirtualHosts(
   count: number,
   settings: Partial<ConfigOptions> & {
     readonly seed?: number;
--- a/packages/daemon/src/config/history.test.ts
+++ b/packages/daemon/src/config/history.test.ts
@@ -12,7 +12,7 @@
 } from '@paddlewind/domain';
 import fc from 'fast-check';
 
-import { put, startCluster, team, type Cluster } from './fixture.test.js';
+import { put, startVirtualHosts, team, type Cluster } from './fixture.test.js';
 
 const HOSTS = 4;
 /** Short, so that snapshots are written every 3 s. */
@@ -233,7 +233,7 @@
   steps: readonly Step[],
   pauses: readonly number[],
 ): Promise<void> {
-  const cluster = startCluster(HOSTS, {
+  const cluster = startVirtualHosts(HOSTS, {
     waitMs: 30_000,
     retentionMs: RETENTION_MS,
   });
--- a/packages/daemon/src/config/force-gate.ts
+++ b/packages/daemon/src/config/in-force.ts
@@ -26,7 +26,7 @@
 }
 
 /** Decides whether the configuration is in force here. */
-export interface ForceGate {
+export interface InForceCheck {
   /** Takes the evidence; call at every change of it. */
   note(evidence: ForceEvidence, now: Instant): void;
   /** Whether this host has begun to serve; it never goes back to a state before that. */
@@ -35,10 +35,10 @@
 }
 
 /** Creates the gate of a host that started at `startedAt`. */
-export function createForceGate(
+export function createInForceCheck(
   limits: ForceLimits,
   startedAt: Instant,
-): ForceGate {
+): InForceCheck {
   let hasBegun = false;
   let behindSince: Instant | undefined;
 
--- a/packages/daemon/src/config/start.ts
+++ b/packages/daemon/src/config/start.ts
@@ -21,7 +21,7 @@
   type FoldFollower,
   type FoldedState,
 } from '../log/fold-follower.js';
-import { keepSnapshots } from '../log/snapshot-keeper.js';
+import { startSnapshotWriter } from '../log/snapshot-writer.js';
 import { scheduleOf } from '../log/timing.js';
 import type {
   Committer,
@@ -32,7 +32,7 @@
   Stop,
 } from '../parts.js';
 import { applyChangeSet } from './apply.js';
-import { createForceGate, type ForceGate } from './force-gate.js';
+import { createInForceCheck, type InForceCheck } from './in-force.js';
 import { createConfigMetrics, type ConfigMetrics } from './metrics.js';
 import { startPeerSource, type FetchConfig } from './peer-source.js';
 import { waitInForce } from './wait-in-force.js';
@@ -87,7 +87,7 @@
 interface Holding {
   readonly options: ConfigOptions;
   readonly ledger: ConfigLedger;
-  readonly gate: ForceGate;
+  readonly gate: InForceCheck;
   readonly metrics: ConfigMetrics;
   readonly listeners: Listeners<[ConfigState]>;
   readonly progress: Listeners<[]>;
@@ -158,7 +158,7 @@
   return {
     options,
     ledger: createConfigLedger(),
-    gate: createForceGate(limits, ctx.clock()),
+    gate: createInForceCheck(limits, ctx.clock()),
     metrics: createConfigMetrics(ctx.metrics),
     listeners: createListeners(),
     progress: createListeners(),
@@ -185,7 +185,7 @@
 function startHelpers(holding: Holding, follower: FoldFollower): Stop[] {
   const { ctx, committer, peers, fetch, retentionMs } = holding.options;
   const everyMs = (retentionMs ?? RETENTION_MS) / SNAPSHOTS_PER_RETENTION;
-  const keeper = keepSnapshots({
+  const snapshotWriter = startSnapshotWriter({
     ctx,
     stream: CONFIG_STREAM,
     committer,
@@ -204,7 +204,7 @@
       `config: taken over from ${peer.id}`,
     );
   };
-  const stops = [keeper.stop, onPeers, watch(holding, follower)];
+  const stops = [snapshotWriter.stop, onPeers, watch(holding, follower)];
   return fetch === undefined
     ? stops
     : [...stops, startPeerSource({ ctx, follower, peers, fetch, onAdopted })];
--- a/packages/daemon/src/log/follow-snapshots.ts
+++ b/packages/daemon/src/log/follow-snapshots.ts
@@ -4,7 +4,7 @@
 
 import type { Committer, PartContext, StreamFollower } from '../parts.js';
 import { followFold, type FoldedState } from './fold-follower.js';
-import { keepSnapshots } from './snapshot-keeper.js';
+import { startSnapshotWriter } from './snapshot-writer.js';
 
 /** A followed fold that tells why it does not follow, if so. */
 export interface FoldedFollower extends StreamFollower {
@@ -41,7 +41,7 @@
   const { log, ctx, committer, retentionMs } = options;
   return (stream, state, mayWrite) => {
     const follower = followFold({ log, stream, ctx, state });
-    const keeper = keepSnapshots({
+    const snapshotWriter = startSnapshotWriter({
       ctx,
       stream,
       committer,
@@ -54,7 +54,7 @@
     return {
       ...follower,
       stop: () => {
-        keeper.stop();
+        snapshotWriter.stop();
         follower.stop();
       },
     };
--- a/packages/daemon/src/log/index.ts
+++ b/packages/daemon/src/log/index.ts
@@ -5,6 +5,6 @@
 export * from './follow-snapshots.js';
 export * from './follower.js';
 export * from './recovery.js';
-export * from './snapshot-keeper.js';
+export * from './snapshot-writer.js';
 export * from './snapshot-text.js';
 export * from './timing.js';
--- a/packages/daemon/src/log/snapshot-keeper.ts
+++ b/packages/daemon/src/log/snapshot-writer.ts
@@ -12,7 +12,7 @@
 import { scheduleOf, sleep } from './timing.js';
 
 /** When snapshots are written, and by whom. */
-export interface SnapshotKeeperOptions {
+export interface SnapshotWriterOptions {
   readonly ctx: PartContext;
   readonly stream: string;
   readonly committer: Committer;
@@ -28,7 +28,7 @@
 }
 
 /** Keeps the snapshots of a stream. */
-export interface SnapshotKeeper {
+export interface SnapshotWriter {
   /** Writes a snapshot now. */
   write(): Promise<Result<void, AppError>>;
   stop: Stop;
@@ -38,7 +38,9 @@
 const WRITE_DEADLINE_MS = 60_000;
 
 /** Starts to keep snapshots. */
-export function keepSnapshots(options: SnapshotKeeperOptions): SnapshotKeeper {
+export function startSnapshotWriter(
+  options: SnapshotWriterOptions,
+): SnapshotWriter {
   const { ctx } = options;
   const schedule = scheduleOf(ctx);
   const startedAt = ctx.clock();
@@ -76,7 +78,7 @@
   };
 }
 
-function isDue(options: SnapshotKeeperOptions, startedAt: Instant): boolean {
+function isDue(options: SnapshotWriterOptions, startedAt: Instant): boolean {
   const { ctx, follower, everyMs, everyEntries } = options;
   const now = ctx.clock();
   const chunkAt = follower.chunkSeenAt();
@@ -104,7 +106,7 @@
 }
 
 async function writeSnapshot(
-  options: SnapshotKeeperOptions,
+  options: SnapshotWriterOptions,
 ): Promise<Result<void, AppError>> {
   const { ctx, stream, committer, follower } = options;
   const snapshot = await follower.snapshot();
--- a/packages/daemon/src/router/admit-request.ts
+++ b/packages/daemon/src/router/admit-request.ts
@@ -12,9 +12,9 @@
 
 import {
   EARLIER_STATUS_HEADER,
-  type KeyGate,
+  type IdempotencyKeys,
   type KeyRefusal,
-} from './key-gate.js';
+} from './idempotency-keys.js';
 import { sendRefusal } from './refusal.js';
 import {
   bufferBody,
@@ -39,7 +39,7 @@
   readonly limits: RouterLimits;
   readonly clock: Clock;
   readonly unixClock: () => number;
-  readonly keys: Pick<KeyGate, 'claim'>;
+  readonly keys: Pick<IdempotencyKeys, 'claim'>;
 }
 
 let lastId = 0;
--- a/packages/daemon/src/router/key-gate.ts
+++ b/packages/daemon/src/router/idempotency-keys.ts
@@ -71,7 +71,7 @@
 }
 
 /** Decides which request with a key is sent. */
-export interface KeyGate {
+export interface IdempotencyKeys {
   claim(req: KeyRequest): Promise<Result<KeyHold, KeyRefusal>>;
   close(): void;
 }
@@ -101,7 +101,7 @@
 }
 
 /** Starts to follow the keys of the region. */
-export function startKeyGate(options: KeyGateOptions): KeyGate {
+export function startIdempotencyKeys(options: KeyGateOptions): IdempotencyKeys {
   const table = createKeyTable();
   const stream = keyStream(options.region);
   const state: GateState = {
--- a/packages/daemon/src/router/start-router.ts
+++ b/packages/daemon/src/router/start-router.ts
@@ -14,7 +14,7 @@
 import type { Committer, LatencyFeed, RequestFeed } from '../parts.js';
 
 import { admitRequest } from './admit-request.js';
-import { startKeyGate, type FollowKeys } from './key-gate.js';
+import { startIdempotencyKeys, type FollowKeys } from './idempotency-keys.js';
 import { rawRefusal, sendRefusal } from './refusal.js';
 import { startServices, type ServicesOptions } from './services.js';
 import {
@@ -68,7 +68,7 @@
     limits,
     closing: () => draining,
   });
-  const keys = startKeyGate({
+  const keys = startIdempotencyKeys({
     ...deps,
     region: settings.region,
     hostId: settings.hostId,
--- a/packages/daemon/src/scheduler/lease-mode.test.ts
+++ b/packages/daemon/src/scheduler/lease-mode.test.ts
@@ -18,7 +18,7 @@
   drift: 0,
   marginMs: 3_000,
   outageHoldMs: 100_000,
-  darkWindowMs: 10_000,
+  renewOnlyWindowMs: 10_000,
   stopGraceMs: 5_000,
 };
 const NOW = 50_000;
@@ -74,7 +74,7 @@
 test('without the lease renewals go on only in an outage and while most workers answer', () => {
   const answered = [45_000, 45_000, 45_000, 1_000];
   assert.equal(modeIn({ answered }), 'none');
-  assert.equal(modeIn({ answered, outage: true }), 'dark');
+  assert.equal(modeIn({ answered, outage: true }), 'renew_only');
   assert.equal(modeIn({ answered, outage: true, owner: 'other' }), 'none');
   const fewer = [45_000, 45_000, 1_000, 1_000];
   assert.equal(modeIn({ answered: fewer, outage: true }), 'probe');
@@ -82,7 +82,7 @@
 
 test('renewals in an outage end with the hold', () => {
   const answered = [139_000];
-  assert.equal(modeIn({ answered, outage: true }, 139_999), 'dark');
+  assert.equal(modeIn({ answered, outage: true }, 139_999), 'renew_only');
   assert.equal(modeIn({ answered, outage: true }, 140_000), 'none');
 });
 
--- a/packages/daemon/src/scheduler/lease-mode.ts
+++ b/packages/daemon/src/scheduler/lease-mode.ts
@@ -6,10 +6,10 @@
 import { mostAnswered, type WorkerLink } from './worker-link.js';
 
 /**
- * `leased`: decide, command and renew. `dark`: the shard lease ended in an outage of the log; renew
+ * `leased`: decide, command and renew. `renew_only`: the shard lease ended in an outage of the log; renew
  * only. `probe`: ask without renewing. `none`: keep away.
  */
-export type LeaseMode = 'leased' | 'dark' | 'probe' | 'none';
+export type LeaseMode = 'leased' | 'renew_only' | 'probe' | 'none';
 
 /** What the mode depends on. */
 export interface LeaseModeInput {
@@ -42,8 +42,8 @@
     return 'none';
   }
   // Most workers of any other owner would include one that refuses us.
-  const most = mostAnswered(input.links, now - timing.darkWindowMs);
-  return most ? 'dark' : 'probe';
+  const most = mostAnswered(input.links, now - timing.renewOnlyWindowMs);
+  return most ? 'renew_only' : 'probe';
 }
 
 /**
@@ -61,6 +61,6 @@
   }
   const hold = owned.takenOverAt + timing.outageHoldMs;
   const settled =
-    settledAt === undefined ? hold : settledAt + timing.darkWindowMs;
+    settledAt === undefined ? hold : settledAt + timing.renewOnlyWindowMs;
   return Math.max(acquiredAt, Math.min(hold, settled));
 }
--- a/packages/daemon/src/scheduler/shard-attempts.test.ts
+++ b/packages/daemon/src/scheduler/shard-attempts.test.ts
@@ -121,7 +121,7 @@
   for (const options of [
     { label: 'other' },
     { evictionsPerHour: 0 },
-    { mode: 'dark' as const },
+    { mode: 'renew_only' as const },
     { outage: true },
   ]) {
     const { control, written } = makeControl(options);
--- a/packages/daemon/src/scheduler/types.ts
+++ b/packages/daemon/src/scheduler/types.ts
@@ -42,7 +42,7 @@
   /** How long an owner goes on renewing after its shard lease ended in an outage of the log. */
   readonly outageHoldMs: Millis;
   /** Without the shard lease, renewals need most workers to have answered within this time. */
-  readonly darkWindowMs: Millis;
+  readonly renewOnlyWindowMs: Millis;
   /** Time that a stopped task has to clean up. */
   readonly stopGraceMs: Millis;
 }
--- a/packages/daemon/src/scheduler/worker-syncs.ts
+++ b/packages/daemon/src/scheduler/worker-syncs.ts
@@ -168,7 +168,7 @@
     }),
     mayCommand: () => !state.stopped && input.mode() === 'leased',
     mayThrottle: () =>
-      !state.stopped && ['leased', 'dark'].includes(input.mode()),
+      !state.stopped && ['leased', 'renew_only'].includes(input.mode()),
     started: span => {
       parts.meters.started(span);
     },
@@ -255,7 +255,7 @@
   now: Instant,
 ): AttemptRef[] {
   const schedule = scheduleOfShard(input);
-  const renews = mode === 'leased' || mode === 'dark';
+  const renews = mode === 'leased' || mode === 'renew_only';
   const reachable = isReachable(link, input.parts.cfg.tasks, now);
   if (schedule === undefined || !renews || !reachable) {
     return [];
--- a/packages/daemon/src/shards/handovers.ts
+++ b/packages/daemon/src/shards/handovers.ts
@@ -5,10 +5,10 @@
   type OwnershipAction,
 } from '@paddlewind/domain';
 
-import type { LeaseBook } from './lease-book.js';
+import type { LeaseFollower } from './lease-follower.js';
 import type { ShardOwnershipParts } from './types.js';
 
-type Leases = Pick<LeaseBook, 'leases' | 'self'>;
+type Leases = Pick<LeaseFollower, 'leases' | 'self'>;
 
 /** Returns the shards whose decisions cannot be read here: another host may decide on them. */
 export function unreadShards(
--- a/packages/daemon/src/shards/lease-book.ts
+++ b/packages/daemon/src/shards/lease-follower.ts
@@ -35,7 +35,7 @@
 } from './types.js';
 
 /** The folded stream and the leases of this process. */
-export interface LeaseBook {
+export interface LeaseFollower {
   readonly self: { readonly owner: string; readonly incarnation: string };
   readonly leases: LeaseState;
   readonly own: OwnLeases;
@@ -52,13 +52,13 @@
 }
 
 /** Starts to follow the lease stream of the region. */
-export function createLeaseBook(parts: ShardOwnershipParts): LeaseBook {
+export function followLeases(parts: ShardOwnershipParts): LeaseFollower {
   const { ctx, cfg, peers } = parts;
   const self = { owner: peers.self, incarnation: cfg.incarnation };
   const leases = createLeaseState();
   const own = createOwnLeases(cfg.leaseMs);
-  const acquired: LeaseBook['acquired'] = createListeners();
-  const lost: LeaseBook['lost'] = createListeners();
+  const acquired: LeaseFollower['acquired'] = createListeners();
+  const lost: LeaseFollower['lost'] = createListeners();
   const givenUp = new Map<string, number>();
 
   function fold(record: CommittedRecord): void {
@@ -138,7 +138,7 @@
   };
 }
 
-function heldBy(state: LeaseState, self: LeaseBook['self']): ShardLease[] {
+function heldBy(state: LeaseState, self: LeaseFollower['self']): ShardLease[] {
   return [...state.shards.values()].filter(lease => isHolder(lease, self));
 }
 
--- a/packages/daemon/src/shards/ownership.test.ts
+++ b/packages/daemon/src/shards/ownership.test.ts
@@ -63,7 +63,7 @@
   owners(shard: string): string[];
 }
 
-function createCluster(): Cluster {
+function createVirtualHosts(): Cluster {
   const time = createVirtualTime();
   const log = createMemoryLog({ clock: time.clock, schedule: time.schedule });
   const processes = new Map<string, Process>();
@@ -157,7 +157,7 @@
 }
 
 test('processes share the shards out and keep them', async () => {
-  const cluster = createCluster();
+  const cluster = createVirtualHosts();
   const processes = ['a', 'b', 'c'].map(id => cluster.start(id));
   await run(cluster, 5_000);
   assert.ok(allOwned(cluster));
@@ -171,7 +171,7 @@
 });
 
 test('a killed owner is replaced within the lease, the margin and a step', async () => {
-  const cluster = createCluster();
+  const cluster = createVirtualHosts();
   const a = cluster.start('a');
   cluster.start('b');
   await run(cluster, 30_000);
@@ -183,7 +183,7 @@
 });
 
 test('a planned stop hands the shards over at once', async () => {
-  const cluster = createCluster();
+  const cluster = createVirtualHosts();
   const a = cluster.start('a');
   cluster.start('b');
   await run(cluster, 30_000);
@@ -199,7 +199,7 @@
   t.after(() => {
     unread.clear();
   });
-  const cluster = createCluster();
+  const cluster = createVirtualHosts();
   const a = cluster.start('a');
   const b = cluster.start('b');
   await run(cluster, 30_000);
@@ -224,7 +224,7 @@
 });
 
 test('an owner paused past its lease owns nothing when it goes on', async () => {
-  const cluster = createCluster();
+  const cluster = createVirtualHosts();
   const a = cluster.start('a');
   cluster.start('b');
   await run(cluster, 30_000);
@@ -241,7 +241,7 @@
 });
 
 test('owners keep their shards and epochs through an outage of the log', async () => {
-  const cluster = createCluster();
+  const cluster = createVirtualHosts();
   cluster.start('a');
   cluster.start('b');
   await run(cluster, 30_000);
@@ -258,7 +258,7 @@
 });
 
 test('a member that joins takes its part one shard at a time', async () => {
-  const cluster = createCluster();
+  const cluster = createVirtualHosts();
   cluster.start('a');
   cluster.start('b');
   await run(cluster, 30_000);
@@ -273,7 +273,7 @@
 });
 
 test('another start of a killed host waits like everyone', async () => {
-  const cluster = createCluster();
+  const cluster = createVirtualHosts();
   const a = cluster.start('a');
   await run(cluster, 5_000);
   assert.equal(a.ownership.owned().size, SHARDS.length);
@@ -292,7 +292,7 @@
 });
 
 async function runWithFaults(seed: number): Promise<void> {
-  const cluster = createCluster();
+  const cluster = createVirtualHosts();
   const random = seededRandom(seed);
   const processes = ['a', 'b', 'c'].map(id => cluster.start(id));
   const faults = [
--- a/packages/daemon/src/shards/ownership.ts
+++ b/packages/daemon/src/shards/ownership.ts
@@ -9,7 +9,7 @@
 
 import { scheduleOf, sleep } from '../log/timing.js';
 import { createHandovers, unreadShards, withoutUnread } from './handovers.js';
-import { createLeaseBook, type LeaseBook } from './lease-book.js';
+import { followLeases, type LeaseFollower } from './lease-follower.js';
 import { createLeaseWriter, type LeaseWriter } from './lease-writer.js';
 import { createMemberTracker } from './members.js';
 import { createShardMetrics } from './metrics.js';
@@ -34,7 +34,7 @@
 ): ShardOwnership {
   const { ctx, cfg, peers } = parts;
   const schedule = scheduleOf(ctx);
-  const book = createLeaseBook(parts);
+  const book = followLeases(parts);
   const writer = createLeaseWriter({
     ctx,
     committer: parts.committer,
@@ -76,7 +76,7 @@
   };
 }
 
-function countChanges({ ctx }: ShardOwnershipParts, book: LeaseBook): void {
+function countChanges({ ctx }: ShardOwnershipParts, book: LeaseFollower): void {
   const metrics = createShardMetrics(
     ctx.metrics,
     () => book.own.valid(ctx.clock()).size,
@@ -92,7 +92,7 @@
 
 function createLoop(
   parts: ShardOwnershipParts,
-  book: LeaseBook,
+  book: LeaseFollower,
   writer: LeaseWriter,
 ): Loop {
   const { ctx, cfg, peers } = parts;
@@ -179,7 +179,7 @@
 /** Returns a function that sends a renewal when one is due and none is in flight. */
 function createRenewal(
   { cfg }: ShardOwnershipParts,
-  book: LeaseBook,
+  book: LeaseFollower,
   writer: LeaseWriter,
 ): (now: Instant) => void {
   let inFlight = false;
--- a/packages/daemon/src/timing.ts
+++ b/packages/daemon/src/timing.ts
@@ -43,7 +43,7 @@
     drift: CLOCK_DRIFT,
     marginMs: TASK_MARGIN_MS,
     outageHoldMs: 5_400_000,
-    darkWindowMs: shardLeaseMs,
+    renewOnlyWindowMs: shardLeaseMs,
     stopGraceMs: 5_000,
   };
 }
