Round figures and parse JSON in one place each

Cause: five benchmarks had a rounding of their own, and the platform's HTTP client a copy of the domain's parseJson. Change: roundTo in report.ts takes the number of places; the client calls parseJson. Printed figures keep their places, and answers that are no JSON are undefined as before. Conclusion: no behaviour changes.

--- a/packages/bench/src/benches/idempotency.ts
+++ b/packages/bench/src/benches/idempotency.ts
@@ -14,7 +14,10 @@
 import { Registry } from 'prom-client';
 import { Result } from 'true-myth';
 
-import { report } from '../report.js';
+import { report, roundTo } from '../report.js';
+
+/** Places of the figures that are printed. */
+const DECIMALS = 3;
 
 /** An append and a read of the log take this long. */
 const LOG_MS = 20;
@@ -141,14 +144,13 @@
     bench: 'idempotency',
     way,
     requestsPerSecond: perSecond,
-    claimedShare: round(claimed / Math.max(1, claimed + refused)),
-    p50Ms: round(histogram.getValueAtPercentile(50) / 1_000),
-    p99Ms: round(histogram.getValueAtPercentile(99) / 1_000),
-    appendsPerSecond: round(log.totals().appends / (RUN_MS / 1_000)),
+    claimedShare: roundTo(claimed / Math.max(1, claimed + refused), DECIMALS),
+    p50Ms: roundTo(histogram.getValueAtPercentile(50) / 1_000, DECIMALS),
+    p99Ms: roundTo(histogram.getValueAtPercentile(99) / 1_000, DECIMALS),
+    appendsPerSecond: roundTo(
+      log.totals().appends / (RUN_MS / 1_000),
+      DECIMALS,
+    ),
     logMs: LOG_MS,
   });
 }
-
-function round(value: number): number {
-  return Math.round(value * 1_000) / 1_000;
-}
--- a/packages/bench/src/benches/interference.ts
+++ b/packages/bench/src/benches/interference.ts
@@ -20,7 +20,10 @@
   drawScenario,
   type Deployment,
 } from '../interference/scenario.js';
-import { report } from '../report.js';
+import { report, roundTo } from '../report.js';
+
+/** Places of the figures that are printed. */
+const DECIMALS = 4;
 
 /** Seeds that thresholds were tuned on, and seeds that were not looked at before. */
 const TUNING_SEEDS = [1, 2, 3];
@@ -102,20 +105,17 @@
   const evicting = results.get('evict_on_violation');
   const evictions = own?.evictions ?? 0;
   return {
-    windowsMet: round(own?.met ?? 0),
-    windowsMetInWarmUp: round(own?.metAtStart ?? 0),
-    workOfKnowing: round((own?.work ?? 0) / (best?.work ?? 1)),
+    windowsMet: roundTo(own?.met ?? 0, DECIMALS),
+    windowsMetInWarmUp: roundTo(own?.metAtStart ?? 0, DECIMALS),
+    workOfKnowing: roundTo((own?.work ?? 0) / (best?.work ?? 1), DECIMALS),
     evictions,
-    evictionsOfViolation: round(
+    evictionsOfViolation: roundTo(
       evictions / Math.max(1, evicting?.evictions ?? 0),
+      DECIMALS,
     ),
   };
 }
 
-function round(value: number): number {
-  return Math.round(value * 10_000) / 10_000;
-}
-
 function summarise(
   deployment: Deployment,
   group: string,
@@ -140,7 +140,7 @@
   for (const key of keys) {
     const values = figures.map(figure => figure[key]);
     const sum = values.reduce((a, b) => a + b, 0);
-    line[`${key}Mean`] = round(sum / values.length);
+    line[`${key}Mean`] = roundTo(sum / values.length, DECIMALS);
     line[`${key}Least`] = Math.min(...values);
     line[`${key}Most`] = Math.max(...values);
   }
--- a/packages/bench/src/benches/log.ts
+++ b/packages/bench/src/benches/log.ts
@@ -4,7 +4,7 @@
 import type { LogService } from '@paddlewind/platform';
 import meow from 'meow';
 
-import { report } from '../report.js';
+import { report, roundTo } from '../report.js';
 import {
   LOG_SPEEDS,
   contextOf,
@@ -14,6 +14,9 @@
 } from '../shared-state/bed.js';
 import { createWriter, type WritingWay } from '../shared-state/writers.js';
 
+/** Places of the figures that are printed. */
+const DECIMALS = 2;
+
 const HELP = `
   Usage: npm run bench -- log [flags]
     --seconds N   virtual seconds of each run (default 20)
@@ -126,9 +129,9 @@
     recordsPerSecond: load.rate,
     committedShare: committed / asked,
     failedShare: failed / asked,
-    appendsPerSecond: round(underLoad / load.seconds),
-    refusedAppendsPerSecond: round(refused / load.seconds),
-    recordsPerAppend: round(committed / Math.max(1, appends)),
+    appendsPerSecond: roundTo(underLoad / load.seconds, DECIMALS),
+    refusedAppendsPerSecond: roundTo(refused / load.seconds, DECIMALS),
+    recordsPerAppend: roundTo(committed / Math.max(1, appends), DECIMALS),
     ...latency.quantiles('commit'),
   });
 }
@@ -203,7 +206,3 @@
     ...read.quantiles('read'),
   });
 }
-
-function round(value: number): number {
-  return Math.round(value * 100) / 100;
-}
--- a/packages/bench/src/benches/overload.ts
+++ b/packages/bench/src/benches/overload.ts
@@ -2,7 +2,7 @@
 import { type Tunables } from '@paddlewind/domain';
 import meow from 'meow';
 
-import { report } from '../report.js';
+import { report, roundTo } from '../report.js';
 import { dispatcherPolicy } from '../routing/dispatcher-policy.js';
 import { localPolicy, pickPowerOfTwo } from '../routing/local-policies.js';
 import {
@@ -18,6 +18,9 @@
   MEMBERLINK,
 } from '../routing/workload.js';
 
+/** Places of the figures that are printed. */
+const DECIMALS = 3;
+
 /** A third of the memberlink service; its servers answer 503 while 16 tries wait. */
 const SIZE = { ...MEMBERLINK, entryHosts: 3, servers: 15, maxWaiting: 16 };
 
@@ -130,13 +133,13 @@
       callers: cell.callers,
       policy: cell.policy,
       load: cell.load,
-      goodputOfPeak: round(mean(own) / peak),
-      goodputOfCapacity: round(mean(own)),
-      goodputMin: round(Math.min(...own)),
-      goodputMax: round(Math.max(...own)),
-      triesPerRequest: round(sum(cell.runs, 'tries') / offered),
-      refusedShare: round(sum(cell.runs, 'refused') / offered),
-      failedShare: round(sum(cell.runs, 'failed') / offered),
+      goodputOfPeak: roundTo(mean(own) / peak, DECIMALS),
+      goodputOfCapacity: roundTo(mean(own), DECIMALS),
+      goodputMin: roundTo(Math.min(...own), DECIMALS),
+      goodputMax: roundTo(Math.max(...own), DECIMALS),
+      triesPerRequest: roundTo(sum(cell.runs, 'tries') / offered, DECIMALS),
+      refusedShare: roundTo(sum(cell.runs, 'refused') / offered, DECIMALS),
+      failedShare: roundTo(sum(cell.runs, 'failed') / offered, DECIMALS),
       p50Ms: quantileMs(cell, 50),
       p99Ms: quantileMs(cell, 99),
       seeds: cell.runs.length,
@@ -155,14 +158,10 @@
   return runs.reduce((total, one) => total + one[key], 0);
 }
 
-function round(value: number): number {
-  return Math.round(value * 1_000) / 1_000;
-}
-
 /** Mean over the seeds of a quantile of the response times of good answers. */
 function quantileMs(cell: Cell, percentile: number): number {
   const values = cell.runs.map(
     one => one.latencyUs.getValueAtPercentile(percentile) / 1_000,
   );
-  return round(mean(values));
+  return roundTo(mean(values), DECIMALS);
 }
--- a/packages/bench/src/benches/start-up.ts
+++ b/packages/bench/src/benches/start-up.ts
@@ -16,7 +16,7 @@
 import meow from 'meow';
 
 import { heapBytes } from '../heap.js';
-import { report } from '../report.js';
+import { report, roundTo } from '../report.js';
 import { contextOf } from '../shared-state/bed.js';
 import {
   changeTo,
@@ -24,6 +24,9 @@
   sampleTeam,
 } from '../shared-state/sample-config.js';
 
+/** Places of the figures that are printed. */
+const DECIMALS = 1;
+
 const HELP = `
   Usage: npm run bench -- start-up [flags]
     --scales A,B  multiples of the design's size (default 1,3,10)
@@ -141,10 +144,10 @@
     chunks: written.chunks,
     tail: written.tail,
     tailAccepted: written.accepted,
-    startMedianMs: round(times[Math.floor(times.length / 2)] ?? 0),
-    startMaxMs: round(times.at(-1) ?? 0),
-    cpuMeanMs: round(cpuMs / repeats),
-    heapMiB: round(Math.max(...heaps)),
+    startMedianMs: roundTo(times[Math.floor(times.length / 2)] ?? 0, DECIMALS),
+    startMaxMs: roundTo(times.at(-1) ?? 0, DECIMALS),
+    cpuMeanMs: roundTo(cpuMs / repeats, DECIMALS),
+    heapMiB: roundTo(Math.max(...heaps), DECIMALS),
     repeats,
   });
 }
@@ -177,7 +180,3 @@
   await caughtUp;
   return { follower, ledger };
 }
-
-function round(value: number): number {
-  return Math.round(value * 10) / 10;
-}
--- a/packages/bench/src/report.ts
+++ b/packages/bench/src/report.ts
@@ -9,3 +9,9 @@
 export function report(line: ResultLine): void {
   process.stdout.write(`${JSON.stringify(line)}\n`);
 }
+
+/** Rounds to `decimals` places. */
+export function roundTo(value: number, decimals: number): number {
+  const scale = 10 ** decimals;
+  return Math.round(value * scale) / scale;
+}
--- a/packages/platform/src/adapters/http-client.ts
+++ b/packages/platform/src/adapters/http-client.ts
@@ -1,5 +1,5 @@
 /** JSON calls to the platform with timeouts, bounded bodies and truthful outcomes. */
-import type { Outcome } from '@paddlewind/domain';
+import { parseJson, type Outcome } from '@paddlewind/domain';
 import { Agent, request, type Dispatcher } from 'undici';
 
 /** Options of an adapter. */
@@ -102,7 +102,7 @@
     return {
       kind: 'answered',
       status: res.statusCode,
-      body: parse(text),
+      body: parseJson(text),
       etag: typeof etag === 'string' ? etag : undefined,
     };
   } catch (err) {
@@ -172,14 +172,6 @@
   return Buffer.concat(chunks).toString('utf8');
 }
 
-function parse(text: string): unknown {
-  try {
-    return JSON.parse(text) as unknown;
-  } catch {
-    return undefined;
-  }
-}
-
 function failure(err: unknown): CallResult {
   const code = codeOf(err);
   const outcome = NEVER_CONNECTED.has(code) ? 'not_run' : 'unknown';
