Name the ports after what they are

Cause: "platform" meant both the product's own ports and, from now on, the adapter to the users' platform. Nothing else changes. Conclusion: the word is free for the adapter in platform/.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,11 +6,11 @@
 const allowedImports = {
   domain: [],
   protocol: [],
-  platform: ['domain'],
-  daemon: ['domain', 'protocol', 'platform'],
+  ports: ['domain'],
+  daemon: ['domain', 'protocol', 'ports'],
   cli: ['domain', 'protocol'],
-  'stand-ins': ['domain', 'platform'],
-  bench: ['domain', 'protocol', 'platform', 'daemon', 'cli', 'stand-ins'],
+  'stand-ins': ['domain', 'ports'],
+  bench: ['domain', 'protocol', 'ports', 'daemon', 'cli', 'stand-ins'],
 };
 
 const packageNames = Object.keys(allowedImports);
--- a/packages/bench/src/benches/log.ts
+++ b/packages/bench/src/benches/log.ts
@@ -1,7 +1,7 @@
 /** Group commit against one append each, and leased commit against reading back. */
 import { followStream } from '@paddlewind/daemon';
 import { decisionStream, seededRandom } from '@paddlewind/domain';
-import type { LogService } from '@paddlewind/platform';
+import type { LogService } from '@paddlewind/ports';
 import meow from 'meow';
 
 import { report, roundTo } from '../report.js';
--- a/packages/bench/src/benches/starts.ts
+++ b/packages/bench/src/benches/starts.ts
@@ -9,7 +9,7 @@
   type Instant,
   type Random,
 } from '@paddlewind/domain';
-import type { LogService } from '@paddlewind/platform';
+import type { LogService } from '@paddlewind/ports';
 import { Result } from 'true-myth';
 
 import { report } from '../report.js';
--- a/packages/bench/src/capacity/host-list.ts
+++ b/packages/bench/src/capacity/host-list.ts
@@ -1,5 +1,5 @@
 /** What reading the host list takes, by the hosts on it: whole, and when nothing has changed. */
-import { createHttpHostList, type Host } from '@paddlewind/platform';
+import { createHttpHostList, type Host } from '@paddlewind/ports';
 import { startHostListServer } from '@paddlewind/stand-ins';
 
 import { report } from '../report.js';
--- a/packages/bench/src/capacity/worker-sync.ts
+++ b/packages/bench/src/capacity/worker-sync.ts
@@ -1,5 +1,5 @@
 /** What renewing tasks at workers takes: bytes of one sync by the attempts on the worker. */
-import type { SyncRequest, WorkerReport } from '@paddlewind/platform';
+import type { SyncRequest, WorkerReport } from '@paddlewind/ports';
 
 import { measure } from './measure.js';
 
--- a/packages/bench/src/cluster/entry-hosts.ts
+++ b/packages/bench/src/cluster/entry-hosts.ts
@@ -3,7 +3,7 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 
-import type { Host } from '@paddlewind/platform';
+import type { Host } from '@paddlewind/ports';
 
 import { freePorts } from '../processes/free-ports.js';
 import type { Child, ProcessGroup } from '../processes/process-group.js';
--- a/packages/bench/src/cluster/platform.ts
+++ b/packages/bench/src/cluster/platform.ts
@@ -1,6 +1,6 @@
 /** The stand-ins of one deployment: log service, host list, worker agents and backend servers. */
 import type { Resources } from '@paddlewind/domain';
-import type { Host } from '@paddlewind/platform';
+import type { Host } from '@paddlewind/ports';
 import {
   startBackendServer,
   startHostListServer,
--- a/packages/bench/src/membership/loopback.ts
+++ b/packages/bench/src/membership/loopback.ts
@@ -11,7 +11,7 @@
   startMembership,
 } from '@paddlewind/daemon';
 import { type Millis, NO_RESOURCES, seededRandom } from '@paddlewind/domain';
-import type { Host } from '@paddlewind/platform';
+import type { Host } from '@paddlewind/ports';
 import { pino } from 'pino';
 import { Registry } from 'prom-client';
 import { Result } from 'true-myth';
--- a/packages/bench/src/proxy/router-child.ts
+++ b/packages/bench/src/proxy/router-child.ts
@@ -10,7 +10,7 @@
   seededRandom,
   type ConfigState,
 } from '@paddlewind/domain';
-import type { Host } from '@paddlewind/platform';
+import type { Host } from '@paddlewind/ports';
 import { pino } from 'pino';
 import { Registry } from 'prom-client';
 import { Result } from 'true-myth';
--- a/packages/bench/src/shared-state/fleet.ts
+++ b/packages/bench/src/shared-state/fleet.ts
@@ -6,7 +6,7 @@
 
 import { createClient, type Client } from '@connectrpc/connect';
 import { createConnectTransport } from '@connectrpc/connect-node';
-import type { Host } from '@paddlewind/platform';
+import type { Host } from '@paddlewind/ports';
 import { OperatorService } from '@paddlewind/protocol';
 import {
   startHostListServer,
--- a/packages/bench/src/shared-state/writers.ts
+++ b/packages/bench/src/shared-state/writers.ts
@@ -5,7 +5,7 @@
   type PartContext,
 } from '@paddlewind/daemon';
 import { encodeBatch, type StreamRecord } from '@paddlewind/domain';
-import type { LogService } from '@paddlewind/platform';
+import type { LogService } from '@paddlewind/ports';
 import { Result } from 'true-myth';
 
 /** A way of writing. */
--- a/packages/bench/src/virtual-hosts/hosts.ts
+++ b/packages/bench/src/virtual-hosts/hosts.ts
@@ -25,7 +25,7 @@
   type OwnershipTiming,
   type Resources,
 } from '@paddlewind/domain';
-import type { Host, LogService, WorkerAgent } from '@paddlewind/platform';
+import type { Host, LogService, WorkerAgent } from '@paddlewind/ports';
 import {
   createMemoryLog,
   createMemoryWorkers,
--- a/packages/daemon/src/config/fixture.test.ts
+++ b/packages/daemon/src/config/fixture.test.ts
@@ -9,7 +9,7 @@
   type Instant,
   type ProposedChange,
 } from '@paddlewind/domain';
-import type { LogService } from '@paddlewind/platform';
+import type { LogService } from '@paddlewind/ports';
 import {
   createMemoryLog,
   createVirtualTime,
--- a/packages/daemon/src/config/start.ts
+++ b/packages/daemon/src/config/start.ts
@@ -12,7 +12,7 @@
   type ProposedChange,
   type Snapshot,
 } from '@paddlewind/domain';
-import type { LogService } from '@paddlewind/platform';
+import type { LogService } from '@paddlewind/ports';
 import { Result } from 'true-myth';
 
 import { createListeners, type Listeners } from '../core/listeners.js';
--- a/packages/daemon/src/entry-host.ts
+++ b/packages/daemon/src/entry-host.ts
@@ -6,7 +6,7 @@
   createHttpHostList,
   createHttpLogService,
   createHttpWorkerAgent,
-} from '@paddlewind/platform';
+} from '@paddlewind/ports';
 import type { Logger } from 'pino';
 import { Registry, collectDefaultMetrics } from 'prom-client';
 
--- a/packages/daemon/src/interference/attempt-book.ts
+++ b/packages/daemon/src/interference/attempt-book.ts
@@ -1,6 +1,6 @@
 /** What is known of each running attempt: the share that it was throttled to, and its use. */
 import type { Instant, Millis } from '@paddlewind/domain';
-import type { AttemptRef, WorkerReport } from '@paddlewind/platform';
+import type { AttemptRef, WorkerReport } from '@paddlewind/ports';
 
 import type { RunningAttempt } from '../scheduler/index.js';
 
--- a/packages/daemon/src/interference/build-view.ts
+++ b/packages/daemon/src/interference/build-view.ts
@@ -14,7 +14,7 @@
   type ServiceSpec,
   type WorkerView,
 } from '@paddlewind/domain';
-import type { Host } from '@paddlewind/platform';
+import type { Host } from '@paddlewind/ports';
 
 import type { AttemptBook, BookedAttempt } from './attempt-book.js';
 
--- a/packages/daemon/src/interference/interference.test.ts
+++ b/packages/daemon/src/interference/interference.test.ts
@@ -10,7 +10,7 @@
   type ConfigState,
   type VersionedObject,
 } from '@paddlewind/domain';
-import type { AttemptReport, Host } from '@paddlewind/platform';
+import type { AttemptReport, Host } from '@paddlewind/ports';
 import { createVirtualTime } from '@paddlewind/stand-ins';
 import { pino } from 'pino';
 import { Registry } from 'prom-client';
--- a/packages/daemon/src/interference/start-interference.ts
+++ b/packages/daemon/src/interference/start-interference.ts
@@ -13,7 +13,7 @@
   type Instant,
   type PlacementPenalty,
 } from '@paddlewind/domain';
-import type { AttemptReport, WorkerReport } from '@paddlewind/platform';
+import type { AttemptReport, WorkerReport } from '@paddlewind/ports';
 
 import { scheduleOf } from '../log/timing.js';
 import type {
--- a/packages/daemon/src/log/committer.ts
+++ b/packages/daemon/src/log/committer.ts
@@ -6,7 +6,7 @@
   type Position,
   type StreamRecord,
 } from '@paddlewind/domain';
-import type { LogService } from '@paddlewind/platform';
+import type { LogService } from '@paddlewind/ports';
 import { Result } from 'true-myth';
 
 import type { Committer, PartContext, Stop } from '../parts.js';
--- a/packages/daemon/src/log/fold-follower.ts
+++ b/packages/daemon/src/log/fold-follower.ts
@@ -9,7 +9,7 @@
   type Snapshot,
   type SnapshotAssembler,
 } from '@paddlewind/domain';
-import type { LogService } from '@paddlewind/platform';
+import type { LogService } from '@paddlewind/ports';
 import { Result } from 'true-myth';
 
 import type { CommittedRecord, PartContext, StreamFollower } from '../parts.js';
--- a/packages/daemon/src/log/follow-snapshots.ts
+++ b/packages/daemon/src/log/follow-snapshots.ts
@@ -1,6 +1,6 @@
 /** Folds of streams whose snapshots this process helps to keep. */
 import type { AppError, Millis } from '@paddlewind/domain';
-import type { LogService } from '@paddlewind/platform';
+import type { LogService } from '@paddlewind/ports';
 
 import type { Committer, PartContext, StreamFollower } from '../parts.js';
 import { followFold, type FoldedState } from './fold-follower.js';
--- a/packages/daemon/src/log/follower.ts
+++ b/packages/daemon/src/log/follower.ts
@@ -9,7 +9,7 @@
   type Millis,
   type StreamRecord,
 } from '@paddlewind/domain';
-import type { LogEntry, LogPage, LogService } from '@paddlewind/platform';
+import type { LogEntry, LogPage, LogService } from '@paddlewind/ports';
 import { Result } from 'true-myth';
 
 import type { CommittedRecord, PartContext, StreamFollower } from '../parts.js';
--- a/packages/daemon/src/log/read-back.ts
+++ b/packages/daemon/src/log/read-back.ts
@@ -5,7 +5,7 @@
   type LogEntry,
   type LogPage,
   type LogService,
-} from '@paddlewind/platform';
+} from '@paddlewind/ports';
 import { Result } from 'true-myth';
 
 /** Entries asked for at a time. */
--- a/packages/daemon/src/log/recovery.ts
+++ b/packages/daemon/src/log/recovery.ts
@@ -9,7 +9,7 @@
   type Snapshot,
   type SnapshotAssembler,
 } from '@paddlewind/domain';
-import type { LogEntry, LogService } from '@paddlewind/platform';
+import type { LogEntry, LogService } from '@paddlewind/ports';
 import { Result } from 'true-myth';
 
 import { READ_LIMIT, readEnds } from './read-back.js';
--- a/packages/daemon/src/log/stream-writer.ts
+++ b/packages/daemon/src/log/stream-writer.ts
@@ -1,6 +1,6 @@
 /** Writes the batches of one stream, one append in flight, and settles lost answers by reading. */
 import { encodeBatch, type AppError } from '@paddlewind/domain';
-import type { LogService } from '@paddlewind/platform';
+import type { LogService } from '@paddlewind/ports';
 import { Result } from 'true-myth';
 
 import type { PartContext, Stop } from '../parts.js';
--- a/packages/daemon/src/membership/host-view.ts
+++ b/packages/daemon/src/membership/host-view.ts
@@ -1,6 +1,6 @@
 /** Follows the lagging host list, keeps the last good one and joins what peers say of themselves. */
 import type { Instant } from '@paddlewind/domain';
-import type { Host, HostList } from '@paddlewind/platform';
+import type { Host, HostList } from '@paddlewind/ports';
 
 import type { HostView, PartContext, Stop } from '../parts.js';
 import { createListeners } from '../core/listeners.js';
--- a/packages/daemon/src/membership/membership.test.ts
+++ b/packages/daemon/src/membership/membership.test.ts
@@ -12,7 +12,7 @@
   seededRandom,
   type AppError,
 } from '@paddlewind/domain';
-import type { Host, HostList } from '@paddlewind/platform';
+import type { Host, HostList } from '@paddlewind/ports';
 import { pino } from 'pino';
 import { Registry } from 'prom-client';
 import { Result } from 'true-myth';
--- a/packages/daemon/src/membership/membership.ts
+++ b/packages/daemon/src/membership/membership.ts
@@ -13,7 +13,7 @@
   type MemberView,
   newIncarnation,
 } from '@paddlewind/domain';
-import type { HostList } from '@paddlewind/platform';
+import type { HostList } from '@paddlewind/ports';
 
 import type { HostView, PartContext, Peer, PeerView, Stop } from '../parts.js';
 import { createPeerCalls } from './calls.js';
--- a/packages/daemon/src/parts.ts
+++ b/packages/daemon/src/parts.ts
@@ -10,7 +10,7 @@
   Schedule,
   StreamRecord,
 } from '@paddlewind/domain';
-import type { Host } from '@paddlewind/platform';
+import type { Host } from '@paddlewind/ports';
 import type { Logger } from 'pino';
 import type { Registry } from 'prom-client';
 import type { Result } from 'true-myth';
--- a/packages/daemon/src/router/backends.ts
+++ b/packages/daemon/src/router/backends.ts
@@ -6,7 +6,7 @@
   type ConfigState,
   type ServiceSpec,
 } from '@paddlewind/domain';
-import type { Host } from '@paddlewind/platform';
+import type { Host } from '@paddlewind/ports';
 
 /** Returns the servers of the service; those on leaving or drained workers are leaving. */
 export function backendsOf(
--- a/packages/daemon/src/router/fixture.test.ts
+++ b/packages/daemon/src/router/fixture.test.ts
@@ -11,7 +11,7 @@
   type ConfigState,
   type Dispatcher,
 } from '@paddlewind/domain';
-import type { Host } from '@paddlewind/platform';
+import type { Host } from '@paddlewind/ports';
 import { createMemoryLog, type MemoryLog } from '@paddlewind/stand-ins';
 import { pino } from 'pino';
 import { Registry } from 'prom-client';
--- a/packages/daemon/src/scheduler/fleet-index.ts
+++ b/packages/daemon/src/scheduler/fleet-index.ts
@@ -1,6 +1,6 @@
 /** The workers of a fleet by rack and by id, indexed once for each host list. */
 import type { ShardSpec } from '@paddlewind/domain';
-import type { Host } from '@paddlewind/platform';
+import type { Host } from '@paddlewind/ports';
 
 interface FleetIndex {
   readonly byRack: ReadonlyMap<string, readonly Host[]>;
--- a/packages/daemon/src/scheduler/follow-decision.ts
+++ b/packages/daemon/src/scheduler/follow-decision.ts
@@ -1,6 +1,6 @@
 /** What a shard's owner does at the workers when a decision was folded. */
 import type { Decision, Instant, ShardSchedule } from '@paddlewind/domain';
-import type { AttemptRef } from '@paddlewind/platform';
+import type { AttemptRef } from '@paddlewind/ports';
 
 import { placedAttempt } from './placed.js';
 import type { WorkerCommands } from './worker-commands.js';
--- a/packages/daemon/src/scheduler/home.test.ts
+++ b/packages/daemon/src/scheduler/home.test.ts
@@ -2,7 +2,7 @@
 import test from 'node:test';
 
 import { NO_RESOURCES, jobSchema, shardSchema } from '@paddlewind/domain';
-import type { Host } from '@paddlewind/platform';
+import type { Host } from '@paddlewind/ports';
 
 import { chooseHome, registryZone, type HomeView } from './home.js';
 
--- a/packages/daemon/src/scheduler/home.ts
+++ b/packages/daemon/src/scheduler/home.ts
@@ -8,7 +8,7 @@
   type Resources,
   type ShardSpec,
 } from '@paddlewind/domain';
-import type { Host } from '@paddlewind/platform';
+import type { Host } from '@paddlewind/ports';
 
 import { workersOf } from './fleet-index.js';
 
--- a/packages/daemon/src/scheduler/jobs.ts
+++ b/packages/daemon/src/scheduler/jobs.ts
@@ -12,7 +12,7 @@
   type Resources,
   type ShardSpec,
 } from '@paddlewind/domain';
-import type { Host } from '@paddlewind/platform';
+import type { Host } from '@paddlewind/ports';
 import { Result } from 'true-myth';
 
 import { LOG_RETRY_AFTER_MS, notWritten } from '../log/commit-queue.js';
--- a/packages/daemon/src/scheduler/observe.ts
+++ b/packages/daemon/src/scheduler/observe.ts
@@ -5,7 +5,7 @@
   type Observation,
   type ShardSchedule,
 } from '@paddlewind/domain';
-import type { WorkerReport } from '@paddlewind/platform';
+import type { WorkerReport } from '@paddlewind/ports';
 
 /** Notes use and progress of the running attempts in a report, read at the wall-clock instant `wall`. */
 export function observeReport(
--- a/packages/daemon/src/scheduler/placed.ts
+++ b/packages/daemon/src/scheduler/placed.ts
@@ -5,7 +5,7 @@
   type ScheduleState,
   type ShardSchedule,
 } from '@paddlewind/domain';
-import type { AttemptRef } from '@paddlewind/platform';
+import type { AttemptRef } from '@paddlewind/ports';
 
 import type { PlacedAttempt } from './reconcile.js';
 
--- a/packages/daemon/src/scheduler/reconcile.test.ts
+++ b/packages/daemon/src/scheduler/reconcile.test.ts
@@ -2,7 +2,7 @@
 import test from 'node:test';
 
 import { jobSchema } from '@paddlewind/domain';
-import type { AttemptReport } from '@paddlewind/platform';
+import type { AttemptReport } from '@paddlewind/ports';
 
 import {
   reconcile,
--- a/packages/daemon/src/scheduler/reconcile.ts
+++ b/packages/daemon/src/scheduler/reconcile.ts
@@ -10,7 +10,7 @@
   AttemptReport,
   StartSpec,
   WorkerReport,
-} from '@paddlewind/platform';
+} from '@paddlewind/ports';
 
 import { attemptKey, type SentStart, type WorkerLink } from './worker-link.js';
 
--- a/packages/daemon/src/scheduler/schedule-view.ts
+++ b/packages/daemon/src/scheduler/schedule-view.ts
@@ -18,7 +18,7 @@
   type WorkerAvailability,
   type SchedulableWorker,
 } from '@paddlewind/domain';
-import type { Host } from '@paddlewind/platform';
+import type { Host } from '@paddlewind/ports';
 
 import { workersOf } from './fleet-index.js';
 import type { BatchAdvice } from './types.js';
--- a/packages/daemon/src/scheduler/types.ts
+++ b/packages/daemon/src/scheduler/types.ts
@@ -8,11 +8,7 @@
   Resources,
   SchedulableWorker,
 } from '@paddlewind/domain';
-import type {
-  AttemptRef,
-  WorkerAgent,
-  WorkerReport,
-} from '@paddlewind/platform';
+import type { AttemptRef, WorkerAgent, WorkerReport } from '@paddlewind/ports';
 
 import type { Follow } from '../log/index.js';
 import type { OperatorJobs } from '../operator/deps.js';
--- a/packages/daemon/src/scheduler/worker-commands.ts
+++ b/packages/daemon/src/scheduler/worker-commands.ts
@@ -5,7 +5,7 @@
   AttemptRef,
   Fence,
   WorkerAgent,
-} from '@paddlewind/platform';
+} from '@paddlewind/ports';
 
 import type { PartContext } from '../parts.js';
 import type { PlacedAttempt } from './reconcile.js';
--- a/packages/daemon/src/scheduler/worker-link.ts
+++ b/packages/daemon/src/scheduler/worker-link.ts
@@ -1,6 +1,6 @@
 /** What an owner knows of one worker: when it renewed, and what the agent answered. */
 import type { Instant } from '@paddlewind/domain';
-import type { AttemptRef, WorkerReport } from '@paddlewind/platform';
+import type { AttemptRef, WorkerReport } from '@paddlewind/ports';
 
 import type { TaskTiming } from './types.js';
 
--- a/packages/daemon/src/scheduler/worker-syncs.ts
+++ b/packages/daemon/src/scheduler/worker-syncs.ts
@@ -5,7 +5,7 @@
   type ShardSchedule,
   type ShardSpec,
 } from '@paddlewind/domain';
-import type { AttemptRef, Fence, WorkerReport } from '@paddlewind/platform';
+import type { AttemptRef, Fence, WorkerReport } from '@paddlewind/ports';
 
 import { scheduleOf, sleep } from '../log/timing.js';
 import type { Stop } from '../parts.js';
--- a/packages/stand-ins/src/hosts/host-list-server.test.ts
+++ b/packages/stand-ins/src/hosts/host-list-server.test.ts
@@ -5,7 +5,7 @@
   createHttpHostList,
   type Host,
   type HostList,
-} from '@paddlewind/platform';
+} from '@paddlewind/ports';
 
 import {
   startHostListServer,
--- a/packages/stand-ins/src/hosts/host-list-server.ts
+++ b/packages/stand-ins/src/hosts/host-list-server.ts
@@ -1,7 +1,7 @@
 /** Stand-in for the platform's host list over HTTP: a list that lags behind the truth. */
 import { createHash } from 'node:crypto';
 
-import type { Host } from '@paddlewind/platform';
+import type { Host } from '@paddlewind/ports';
 import { z } from 'zod';
 
 import { noEvents, type EventSink } from '../events/events.js';
--- a/packages/stand-ins/src/log/log-server.test.ts
+++ b/packages/stand-ins/src/log/log-server.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import test, { type TestContext } from 'node:test';
 
-import { createHttpLogService, type LogService } from '@paddlewind/platform';
+import { createHttpLogService, type LogService } from '@paddlewind/ports';
 
 import {
   startLogServer,
--- a/packages/stand-ins/src/memory/memory-agent.ts
+++ b/packages/stand-ins/src/memory/memory-agent.ts
@@ -6,7 +6,7 @@
   StartSpec,
   SyncRequest,
   WorkerReport,
-} from '@paddlewind/platform';
+} from '@paddlewind/ports';
 import { Result } from 'true-myth';
 
 import { createFences } from '../worker/fences.js';
--- a/packages/stand-ins/src/memory/memory-log.ts
+++ b/packages/stand-ins/src/memory/memory-log.ts
@@ -11,7 +11,7 @@
   LogPage,
   LogService,
   ReadRequest,
-} from '@paddlewind/platform';
+} from '@paddlewind/ports';
 import { Result } from 'true-myth';
 
 /** What the log is created with. */
--- a/packages/stand-ins/src/memory/memory-task.ts
+++ b/packages/stand-ins/src/memory/memory-task.ts
@@ -1,10 +1,6 @@
 /** One attempt at a worker in memory. */
 import type { Clock, Instant, Schedule } from '@paddlewind/domain';
-import type {
-  AttemptRef,
-  AttemptReport,
-  StartSpec,
-} from '@paddlewind/platform';
+import type { AttemptRef, AttemptReport, StartSpec } from '@paddlewind/ports';
 
 import {
   decodeCheckpoint,
--- a/packages/stand-ins/src/memory/memory-workers.ts
+++ b/packages/stand-ins/src/memory/memory-workers.ts
@@ -5,7 +5,7 @@
   type Instant,
   type Millis,
 } from '@paddlewind/domain';
-import type { WorkerAgent } from '@paddlewind/platform';
+import type { WorkerAgent } from '@paddlewind/ports';
 import { Result } from 'true-myth';
 
 import {
--- a/packages/stand-ins/src/memory/pausable.ts
+++ b/packages/stand-ins/src/memory/pausable.ts
@@ -1,6 +1,6 @@
 /** A process that can be paused: its timers and the answers it awaits wait until it goes on. */
 import type { Schedule } from '@paddlewind/domain';
-import type { LogService } from '@paddlewind/platform';
+import type { LogService } from '@paddlewind/ports';
 
 /** The timers and awaited answers of one process; requests sent before a pause go their way. */
 export interface Pausable {
--- a/packages/stand-ins/src/worker/fences.ts
+++ b/packages/stand-ins/src/worker/fences.ts
@@ -1,5 +1,5 @@
 /** The fences that an agent has seen: it refuses commands of a superseded owner or decision. */
-import type { AttemptRef, Fence } from '@paddlewind/platform';
+import type { AttemptRef, Fence } from '@paddlewind/ports';
 
 /** Remembers the newest epoch of each shard and the newest decision on each task. */
 export interface Fences {
--- a/packages/stand-ins/src/worker/simulated-task.ts
+++ b/packages/stand-ins/src/worker/simulated-task.ts
@@ -1,6 +1,6 @@
 /** One attempt that a worker simulates: progress by timers, at a speed that throttling sets. */
 import { NO_RESOURCES, type Resources } from '@paddlewind/domain';
-import type { AttemptReport, StartSpec } from '@paddlewind/platform';
+import type { AttemptReport, StartSpec } from '@paddlewind/ports';
 
 import type { AttemptEnd } from '../events/events.js';
 import { startProgress } from './progress.js';
--- a/packages/stand-ins/src/worker/worker-model.ts
+++ b/packages/stand-ins/src/worker/worker-model.ts
@@ -8,7 +8,7 @@
   StartSpec,
   SyncRequest,
   WorkerReport,
-} from '@paddlewind/platform';
+} from '@paddlewind/ports';
 
 import type { AttemptEnd, EventSink } from '../events/events.js';
 import { createFences } from './fences.js';
--- a/packages/stand-ins/src/worker/worker-server.test.ts
+++ b/packages/stand-ins/src/worker/worker-server.test.ts
@@ -8,7 +8,7 @@
   type Fence,
   type StartSpec,
   type WorkerReport,
-} from '@paddlewind/platform';
+} from '@paddlewind/ports';
 
 import { memorySink, type StandInEvent } from '../events/events.js';
 import { startWorkerServer, type WorkerFaults } from './worker-server.js';
