--- a/eslint.config.js
+++ b/eslint.config.js
@@ -11,8 +11,14 @@
   cli: ['domain', 'protocol'],
   'stand-ins': ['domain', 'ports'],
   bench: ['domain', 'protocol', 'ports', 'daemon', 'cli', 'stand-ins'],
+  platform: ['domain', 'ports', 'daemon'],
 };
 
+/** Folder of a package. */
+function folderOf(name) {
+  return name === 'platform' ? 'platform' : `packages/${name}`;
+}
+
 const packageNames = Object.keys(allowedImports);
 
 /** Node modules that do I/O, which the domain must not import. */
@@ -39,12 +45,14 @@
   {
     ignores: [
       '**/dist/**',
+      'target/**',
+      'journal/**',
       '**/node_modules/**',
       'packages/protocol/src/gen/**',
     ],
   },
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     extends: [
       tseslint.configs.strictTypeChecked,
       tseslint.configs.stylisticTypeChecked,
@@ -84,11 +92,11 @@
     },
   },
   {
-    files: ['packages/*/src/**/*.test.ts'],
+    files: ['packages/*/src/**/*.test.ts', 'platform/src/**/*.test.ts'],
     rules: { 'max-lines': 'off', 'max-lines-per-function': 'off' },
   },
   ...packageNames.map(name =>
-    restrictImports([`packages/${name}/src/**/*.ts`], importRules(name)),
+    restrictImports([`${folderOf(name)}/src/**/*.ts`], importRules(name)),
   ),
   restrictImports(
     ['packages/domain/src/**/*.ts'],
--- /dev/null
+++ b/packages/daemon/src/job-host/fleet.ts
@@ -0,0 +1,89 @@
+/** The leader's links to all registered workers. */
+import type { PlanWorker, WorkerInfo } from '@paddlewind/domain/jobs';
+import type { WorkerFeed } from '@paddlewind/ports/jobs';
+
+import { pause, type HostContext } from './context.js';
+import { REGISTRY_EVERY_MS } from './timing.js';
+import type { WorkerLink } from './worker-link.js';
+
+/** What a fleet is given. */
+export interface FleetOptions {
+  readonly ctx: HostContext;
+  readonly feed: WorkerFeed;
+  readonly open: (info: WorkerInfo) => WorkerLink;
+  /** Number of runs that are open at a worker. */
+  readonly openRuns: (worker: string) => number;
+  readonly changed: () => void;
+}
+
+/** Follows the registry; a worker that left it keeps its link until its runs have ended. */
+export class Fleet {
+  private readonly links = new Map<string, WorkerLink>();
+  private registered = new Set<string>();
+  private closed = false;
+
+  /** Creates a fleet without workers. */
+  constructor(private readonly options: FleetOptions) {}
+
+  /** Follows the registry until the fleet is closed. */
+  async follow(): Promise<void> {
+    while (!this.closed) {
+      const found = await this.options.feed.refresh();
+      if (found.kind === 'value') {
+        this.take(found.value);
+      }
+      await pause(REGISTRY_EVERY_MS);
+    }
+  }
+
+  /** Returns the link to a worker, undefined for one that was never registered here. */
+  link(worker: string): WorkerLink | undefined {
+    return this.links.get(worker);
+  }
+
+  /** Workers that may be given tasks now. */
+  planWorkers(): PlanWorker[] {
+    const found: PlanWorker[] = [];
+    for (const { usable, info } of this.links.values()) {
+      if (usable && !info.leaving && this.registered.has(info.id)) {
+        found.push({ info, disturbed: false });
+      }
+    }
+    return found;
+  }
+
+  /** Closes all links. */
+  close(): void {
+    this.closed = true;
+    for (const link of this.links.values()) {
+      link.close();
+    }
+  }
+
+  private take(workers: readonly WorkerInfo[]): void {
+    if (this.closed) {
+      return;
+    }
+    this.registered = new Set(workers.map(({ id }) => id));
+    for (const info of workers) {
+      const link = this.links.get(info.id);
+      if (link === undefined) {
+        this.links.set(info.id, this.options.open(info));
+      } else {
+        link.info = info;
+      }
+    }
+    this.dropLeft();
+    this.options.changed();
+  }
+
+  private dropLeft(): void {
+    for (const [id, link] of this.links) {
+      if (!this.registered.has(id) && this.options.openRuns(id) === 0) {
+        this.options.ctx.log.info({ worker: id }, 'fleet: worker has left');
+        link.close();
+        this.links.delete(id);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/job-host/http-front.ts
@@ -0,0 +1,140 @@
+/** A plain HTTP server for callers: bounded bodies, and an end that loses no request. */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+
+/** A caller's request, read whole. */
+export interface CallerRequest {
+  readonly method: string;
+  readonly host: string;
+  readonly path: string;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: Buffer;
+}
+
+/** The answer to a caller. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers?: Record<string, string>;
+  readonly body?: string;
+}
+
+/** Answers requests. */
+export type Handler = (req: CallerRequest) => Promise<CallerAnswer>;
+
+/** A listening server. */
+export interface HttpFront {
+  readonly port: number;
+  /** Answers what is under way, closes idle connections and stops; resolves when all are closed. */
+  close(): Promise<void>;
+}
+
+/** What a front is given. */
+export interface HttpFrontOptions {
+  /** `ip:port`. */
+  readonly address: string;
+  readonly maxBodyBytes: () => number;
+  readonly handle: Handler;
+  readonly failed: (err: unknown) => void;
+}
+
+/** How long an idle connection is kept, in milliseconds. */
+const IDLE_MS = 60_000;
+
+/** Begins to listen. */
+export async function startHttpFront(
+  options: HttpFrontOptions,
+): Promise<HttpFront> {
+  let closing = false;
+  const server = createServer((req, res) => {
+    void serve(req, res);
+  });
+  server.keepAliveTimeout = IDLE_MS;
+  await listen(server, options.address);
+
+  async function serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    try {
+      const body = await readBody(req, options.maxBodyBytes());
+      const found =
+        body === undefined
+          ? { status: 413 }
+          : await options.handle(toRequest(req, body));
+      send(res, found, closing);
+    } catch (err) {
+      options.failed(err);
+      send(res, { status: 500 }, true);
+    }
+  }
+
+  return {
+    port: (server.address() as { port: number }).port,
+    close: () => {
+      closing = true;
+      return new Promise(resolve => {
+        server.close(() => {
+          resolve();
+        });
+        server.closeIdleConnections();
+      });
+    },
+  };
+}
+
+function listen(server: Server, address: string): Promise<void> {
+  const at = address.lastIndexOf(':');
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(Number(address.slice(at + 1)), address.slice(0, at), () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+}
+
+/** Returns undefined when the body is larger than allowed. */
+async function readBody(
+  req: IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of req) {
+    const part = chunk as Buffer;
+    bytes += part.length;
+    if (bytes <= maxBytes) {
+      chunks.push(part);
+    }
+  }
+  return bytes > maxBytes ? undefined : Buffer.concat(chunks);
+}
+
+function toRequest(req: IncomingMessage, body: Buffer): CallerRequest {
+  return {
+    method: req.method ?? '',
+    host: req.headers.host ?? '',
+    path: req.url ?? '',
+    headers: req.headers,
+    body,
+  };
+}
+
+function send(
+  res: ServerResponse,
+  { status, headers, body }: CallerAnswer,
+  last: boolean,
+): void {
+  const text = body ?? '';
+  res.writeHead(status, {
+    ...headers,
+    ...(text === '' ? {} : { 'content-type': 'application/json' }),
+    'content-length': Buffer.byteLength(text),
+    ...(last ? { connection: 'close' } : {}),
+  });
+  res.end(text);
+}
--- /dev/null
+++ b/packages/daemon/src/job-host/index.ts
@@ -0,0 +1,4 @@
+export * from './context.js';
+export * from './http-front.js';
+export * from './job-service.js';
+export * from './start-job-host.js';
--- /dev/null
+++ b/packages/daemon/src/job-host/journal-writer.ts
@@ -0,0 +1,73 @@
+/** Appends the leader's decisions in order; the log refuses them once another host leads. */
+import type { Instant } from '@paddlewind/domain';
+import { encodeRecord, type JournalRecord } from '@paddlewind/domain/jobs';
+import type { JobLog, WriterStamp } from '@paddlewind/ports/jobs';
+
+import { pause, type HostContext } from './context.js';
+import type { WonClaim } from './leadership.js';
+import { APPEND_RETRY_MS } from './timing.js';
+
+/** What became of a batch. */
+export type WriteResult =
+  | { readonly kind: 'written'; readonly nextOffset: number }
+  /** Another host leads, or the writer was closed. */
+  | { readonly kind: 'deposed' };
+
+/** Writes one batch at a time. */
+export class JournalWriter {
+  private stamp: WriterStamp;
+  private sentAt: Instant;
+  private closed = false;
+
+  /** Creates a writer for the leader that won `claim`. */
+  constructor(
+    private readonly ctx: HostContext,
+    private readonly jobLog: JobLog,
+    claim: WonClaim,
+  ) {
+    this.stamp = claim.nextStamp;
+    this.sentAt = claim.sentAt;
+  }
+
+  /** Monotonic time at which the newest confirmed append was sent. */
+  get confirmedSentAt(): Instant {
+    return this.sentAt;
+  }
+
+  /** Sends nothing more. */
+  close(): void {
+    this.closed = true;
+  }
+
+  /** Appends `records`, repeating the append until its outcome is known. */
+  async write(records: readonly JournalRecord[]): Promise<WriteResult> {
+    const encoded = records.map(encodeRecord);
+    while (!this.closed) {
+      const sentAt = this.ctx.clock();
+      const result = await this.jobLog.append('journal', encoded, this.stamp);
+      switch (result.kind) {
+        case 'appended':
+          this.stamp = { ...this.stamp, sequence: this.stamp.sequence + 1 };
+          this.sentAt = sentAt;
+          return { kind: 'written', nextOffset: result.nextOffset };
+        case 'fenced':
+        case 'out_of_sequence':
+          this.ctx.log.info(
+            { epoch: this.stamp.epoch, why: result.kind },
+            'journal: an append was refused for good',
+          );
+          return { kind: 'deposed' };
+        case 'refused':
+        case 'unknown':
+          // The same stamp again: if the first one was carried out, its answer is repeated.
+          this.ctx.log.warn(
+            { why: result.kind, reason: result.reason },
+            'journal: an append is repeated',
+          );
+          await pause(APPEND_RETRY_MS);
+          break;
+      }
+    }
+    return { kind: 'deposed' };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/job-host/leader.ts
@@ -0,0 +1,278 @@
+/** The leader's loop: takes in ends, plans starts, records both, then acts. */
+import type { Millis } from '@paddlewind/domain';
+import {
+  applyJournal,
+  createRunTimes,
+  isOver,
+  planStarts,
+  refOf,
+  workerRuns,
+  type JobsState,
+  type JournalRecord,
+  type Run,
+  type RunEnd,
+  type StartDecision,
+  type WorkerInfo,
+} from '@paddlewind/domain/jobs';
+import type { JobLog, WorkerFeed, WorkerPort } from '@paddlewind/ports/jobs';
+
+import { Alarm } from './alarm.js';
+import { pause, type HostContext } from './context.js';
+import { Fleet } from './fleet.js';
+import { JournalWriter } from './journal-writer.js';
+import type { WonClaim } from './leadership.js';
+import { longestEarlierLease } from './lease.js';
+import type { Replica } from './replica.js';
+import {
+  HEARTBEAT_EVERY_MS,
+  INBOX_RETRY_MS,
+  INBOX_WAIT_MS,
+  LEADER_LEASE_MS,
+  PLAN_EVERY_MS,
+} from './timing.js';
+import { WorkerLink } from './worker-link.js';
+
+/** What a leader is given. */
+export interface LeaderOptions {
+  readonly ctx: HostContext;
+  readonly jobLog: JobLog;
+  readonly replica: Replica;
+  readonly feed: WorkerFeed;
+  readonly port: WorkerPort;
+  readonly maxLeaseMs: Millis;
+  readonly claim: WonClaim;
+}
+
+/** Records that go into one append, and what is done once it is confirmed. */
+interface Batch {
+  readonly records: JournalRecord[];
+  readonly effects: (() => void)[];
+}
+
+/** A host that leads. */
+export class Leader {
+  /** Resolves once another host leads. */
+  readonly deposed: Promise<void>;
+
+  private readonly state: JobsState;
+  private readonly writer: JournalWriter;
+  private readonly fleet: Fleet;
+  private readonly times = createRunTimes();
+  private readonly alarm = new Alarm();
+  private batch: Batch = { records: [], effects: [] };
+  private writing: Batch | undefined;
+  private ended = false;
+  private resolveDeposed!: () => void;
+
+  /** Creates a leader; `begin` starts its loops. */
+  constructor(private readonly options: LeaderOptions) {
+    const { ctx, replica, claim } = options;
+    this.state = replica.state;
+    this.writer = new JournalWriter(ctx, options.jobLog, claim);
+    this.fleet = new Fleet({
+      ctx,
+      feed: options.feed,
+      open: info => this.open(info),
+      openRuns: worker => this.state.workers.get(worker)?.runs.size ?? 0,
+      changed: this.alarm.ring,
+    });
+    this.deposed = new Promise(resolve => {
+      this.resolveDeposed = resolve;
+    });
+  }
+
+  /** Starts to decide. */
+  begin(): void {
+    void this.fleet.follow();
+    void this.followInbox();
+    void this.decide();
+  }
+
+  /** Asks the others to take over; this host leads on until one does. */
+  release(): void {
+    this.record({ kind: 'release' });
+    this.alarm.ring();
+  }
+
+  /** Resolves when all that was decided so far is recorded. */
+  recorded(): Promise<void> {
+    const last = this.batch.records.length > 0 ? this.batch : this.writing;
+    return new Promise(resolve => {
+      if (last === undefined) {
+        resolve();
+      } else {
+        last.effects.push(resolve);
+      }
+    });
+  }
+
+  private open(info: WorkerInfo): WorkerLink {
+    const { ctx, port, maxLeaseMs, claim } = this.options;
+    const link = new WorkerLink(info, {
+      ctx,
+      port,
+      fence: claim.epoch,
+      maxLeaseMs,
+      claimedAt: ctx.clock(),
+      mayExtend: () =>
+        ctx.clock() - this.writer.confirmedSentAt < LEADER_LEASE_MS,
+      runs: () => workerRuns(this.state, info.id),
+      events: {
+        ended: (run, how, checkpoint) => this.recordEnd(run, how, checkpoint),
+        fenced: () => {
+          ctx.log.info({ worker: info.id }, 'leader: a worker was fenced');
+          this.alarm.ring();
+        },
+        changed: this.alarm.ring,
+      },
+    });
+    void link.begin();
+    return link;
+  }
+
+  private async followInbox(): Promise<void> {
+    const { replica } = this.options;
+    while (!this.ended) {
+      const before = replica.nextOffset('inbox');
+      if (!(await replica.refresh('inbox', INBOX_WAIT_MS))) {
+        await pause(INBOX_RETRY_MS);
+      } else if (replica.nextOffset('inbox') !== before) {
+        this.alarm.ring();
+      }
+    }
+  }
+
+  private async decide(): Promise<void> {
+    const { ctx } = this.options;
+    let wroteAt = ctx.clock();
+    while (!this.ended) {
+      await this.alarm.wait(PLAN_EVERY_MS);
+      this.giveUpUnregistered();
+      this.stopNeedless();
+      this.plan();
+      if (this.batch.records.length === 0) {
+        if (ctx.clock() - wroteAt < HEARTBEAT_EVERY_MS) {
+          continue;
+        }
+        this.record({ kind: 'heartbeat' });
+      }
+      if (!(await this.write())) {
+        this.end();
+        return;
+      }
+      wroteAt = ctx.clock();
+    }
+  }
+
+  private async write(): Promise<boolean> {
+    const { batch } = this;
+    this.batch = { records: [], effects: [] };
+    this.writing = batch;
+    const result = await this.writer.write(batch.records);
+    this.writing = undefined;
+    if (result.kind === 'deposed') {
+      return false;
+    }
+    this.options.replica.wroteJournal(result.nextOffset);
+    for (const act of batch.effects) {
+      act();
+    }
+    return true;
+  }
+
+  private record(entry: JournalRecord, effect?: () => void): void {
+    applyJournal(this.state, entry);
+    this.batch.records.push(entry);
+    if (effect !== undefined) {
+      this.batch.effects.push(effect);
+    }
+  }
+
+  /** Records the end of a run that is open. */
+  private recordEnd(run: Run, how: RunEnd, checkpoint: string): Promise<void> {
+    if (this.ended || !run.task.runs.includes(run)) {
+      return Promise.resolve();
+    }
+    this.learn(run, how);
+    const task = refOf(run.task);
+    return new Promise(resolve => {
+      this.record(
+        { kind: 'end', task, run: run.number, how, checkpoint },
+        resolve,
+      );
+      this.alarm.ring();
+    });
+  }
+
+  private learn(run: Run, how: RunEnd): void {
+    const { task, progress } = run;
+    if (how === 'done' && progress !== undefined && task.checkpoint === '') {
+      const took = this.options.ctx.clock() - progress.since;
+      this.times.learn(task.step, took);
+    }
+  }
+
+  private plan(): void {
+    const { ctx } = this.options;
+    const time = { now: ctx.clock(), nowWall: ctx.wallClock() };
+    const workers = this.fleet.planWorkers();
+    planStarts(this.state, workers, this.times, time, decision => {
+      this.startRun(decision);
+    });
+  }
+
+  private startRun({ task, run: number, worker }: StartDecision): void {
+    const entry: JournalRecord = {
+      kind: 'start',
+      task: refOf(task),
+      run: number,
+      worker,
+    };
+    this.record(entry, () => {
+      const run = task.runs.find(open => open.number === number);
+      if (run !== undefined) {
+        this.fleet.link(worker)?.start(run);
+      }
+    });
+  }
+
+  /** Stops runs of jobs that are over and copies of tasks that are done. */
+  private stopNeedless(): void {
+    for (const [worker, { runs }] of this.state.workers) {
+      for (const run of runs.values()) {
+        const { task, progress } = run;
+        const needless =
+          isOver(task.step.occurrence.job) || task.status === 'done';
+        if (needless && progress?.stopping === false) {
+          this.fleet.link(worker)?.stop(run);
+        }
+      }
+    }
+  }
+
+  /** Ends runs at workers that are not registered, once no earlier leader's lease can hold. */
+  private giveUpUnregistered(): void {
+    const { ctx, claim, maxLeaseMs } = this.options;
+    if (ctx.clock() < claim.wonAt + longestEarlierLease(maxLeaseMs)) {
+      return;
+    }
+    for (const [worker, { runs }] of this.state.workers) {
+      if (runs.size > 0 && this.fleet.link(worker) === undefined) {
+        for (const run of [...runs.values()]) {
+          void this.recordEnd(run, 'lapsed', '');
+        }
+      }
+    }
+  }
+
+  private end(): void {
+    this.ended = true;
+    this.writer.close();
+    this.fleet.close();
+    this.options.ctx.log.info(
+      { epoch: this.options.claim.epoch },
+      'leader: another host leads',
+    );
+    this.resolveDeposed();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/job-host/leadership.ts
@@ -0,0 +1,132 @@
+/** Follows the journal and claims the leadership when its leader has fallen silent. */
+import type { Instant } from '@paddlewind/domain';
+import { encodeRecord, type JournalRecord } from '@paddlewind/domain/jobs';
+import type { JobLog, WriterStamp } from '@paddlewind/ports/jobs';
+
+import { pause, type HostContext } from './context.js';
+import type { Replica } from './replica.js';
+import {
+  APPEND_RETRY_MS,
+  CLAIM_SPREAD_MS,
+  FOLLOW_EVERY_MS,
+  LEADER_SILENCE_MS,
+} from './timing.js';
+
+/** A claim that the log has accepted. */
+export interface WonClaim {
+  readonly epoch: number;
+  /** Stamp of the leader's first append. */
+  readonly nextStamp: WriterStamp;
+  /** Monotonic time at which the claim was sent. */
+  readonly sentAt: Instant;
+  /** Monotonic time by which it was known to be won. */
+  readonly wonAt: Instant;
+}
+
+/** Name of the writer that leaders take turns to be; epochs order them. */
+const LEADER_WRITER = 'leader';
+/** Largest nonce: a sequence number that stays exact. */
+const MAX_NONCE = 2 ** 31;
+/** How often a claim whose outcome is unknown is repeated. */
+const CLAIM_TRIES = 5;
+
+/** Resolves with a claim once this host leads; undefined once `stopped` tells so. */
+export async function awaitLeadership(
+  ctx: HostContext,
+  jobLog: JobLog,
+  replica: Replica,
+  stopped: () => boolean,
+): Promise<WonClaim | undefined> {
+  const patience = LEADER_SILENCE_MS + ctx.random() * CLAIM_SPREAD_MS;
+  while (!stopped()) {
+    const before = ctx.clock();
+    const read = await replica.refresh('journal');
+    const readTook = ctx.clock() - before;
+    if (read && isLeaderless(ctx, replica, patience + 2 * readTook)) {
+      const won = await claim(ctx, jobLog, replica);
+      if (won !== undefined) {
+        return won;
+      }
+      continue;
+    }
+    await pause(FOLLOW_EVERY_MS);
+  }
+  return undefined;
+}
+
+function isLeaderless(
+  ctx: HostContext,
+  { state, journalHeardAt }: Replica,
+  patienceMs: number,
+): boolean {
+  const { epoch, host } = state.claim;
+  // A restarted process knows nothing of what it led before.
+  if (epoch === 0 || state.released || host === ctx.host) {
+    return true;
+  }
+  return ctx.clock() - journalHeardAt > patienceMs;
+}
+
+async function claim(
+  ctx: HostContext,
+  jobLog: JobLog,
+  replica: Replica,
+): Promise<WonClaim | undefined> {
+  await pause(ctx.random() * CLAIM_SPREAD_MS);
+  if (!(await replica.refresh('journal'))) {
+    return undefined;
+  }
+  const epoch = replica.state.claim.epoch + 1;
+  const nonce = Math.floor(ctx.random() * MAX_NONCE);
+  const stamp = { writer: LEADER_WRITER, epoch, sequence: nonce };
+  const record: JournalRecord = {
+    kind: 'claim',
+    epoch,
+    host: ctx.host,
+    nonce,
+  };
+  const sentAt = ctx.clock();
+  for (let tries = 0; tries < CLAIM_TRIES; tries += 1) {
+    const result = await jobLog.append(
+      'journal',
+      [encodeRecord(record)],
+      stamp,
+    );
+    if (result.kind === 'appended') {
+      return takeOver(ctx, replica, stamp, sentAt, result.nextOffset);
+    }
+    if (result.kind !== 'unknown') {
+      ctx.log.info({ epoch, why: result.kind }, 'leadership: claim was lost');
+      await pause(APPEND_RETRY_MS);
+      return undefined;
+    }
+  }
+  return undefined;
+}
+
+/** Reads up to the claim: nothing of an earlier leader can follow it. */
+async function takeOver(
+  ctx: HostContext,
+  replica: Replica,
+  stamp: WriterStamp,
+  sentAt: number,
+  nextOffset: number,
+): Promise<WonClaim | undefined> {
+  while (replica.nextOffset('journal') < nextOffset) {
+    if (!(await replica.refresh('journal'))) {
+      await pause(APPEND_RETRY_MS);
+    }
+  }
+  const { claim: newest } = replica.state;
+  if (newest.epoch !== stamp.epoch || newest.nonce !== stamp.sequence) {
+    ctx.log.info({ epoch: stamp.epoch }, 'leadership: claim was overtaken');
+    return undefined;
+  }
+  ctx.log.info({ epoch: stamp.epoch }, 'leadership: this host leads');
+  return {
+    epoch: stamp.epoch,
+    nextStamp: { ...stamp, sequence: stamp.sequence + 1 },
+    sentAt,
+    wonAt: ctx.clock(),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/job-host/lease.ts
@@ -0,0 +1,57 @@
+/** The lease of everything at one worker, by the worker's own clock. */
+import type { Instant, Millis } from '@paddlewind/domain';
+
+import {
+  LEADER_LEASE_MS,
+  LEASE_MARGIN_MS,
+  SLOWEST_CLOCK,
+  TASK_LEASE_MS,
+} from './timing.js';
+
+/** What the leader knows of a worker's clock and lease. */
+export class Lease {
+  /** The worker's clock when it last answered. */
+  private clock: Instant | undefined;
+  /** Monotonic time by which that answer was here. */
+  private receivedAt: Instant = 0;
+  /** Latest end of the lease that the worker may have been given, on its clock. */
+  private bound: Instant = 0;
+
+  /** Creates the lease of a worker that an earlier leader may have extended until `claimedAt`. */
+  constructor(
+    private readonly claimedAt: Instant,
+    private readonly maxLeaseMs: Millis,
+  ) {}
+
+  /** Returns the new end of the lease on the worker's clock, to be sent now. */
+  extend(now: Instant): Instant {
+    const workerNow = (this.clock ?? 0) + (now - this.receivedAt);
+    const until = workerNow + Math.min(TASK_LEASE_MS, this.maxLeaseMs);
+    this.bound = Math.max(this.bound, until);
+    return until;
+  }
+
+  /** Takes in the worker's clock from an answer that arrived at `receivedAt`. */
+  noteClock(clock: Instant, receivedAt: Instant): void {
+    if (this.clock === undefined) {
+      // Whatever an earlier leader gave ends by then.
+      this.bound = Math.max(this.bound, clock + this.maxLeaseMs);
+    }
+    this.clock = clock;
+    this.receivedAt = receivedAt;
+  }
+
+  /** Whether the lease has certainly ended, also where an earlier leader gave it. */
+  hasLapsed(now: Instant): boolean {
+    if (this.clock === undefined) {
+      return now > this.claimedAt + longestEarlierLease(this.maxLeaseMs);
+    }
+    const left = Math.max(0, this.bound - this.clock) / SLOWEST_CLOCK;
+    return now > this.receivedAt + left + LEASE_MARGIN_MS;
+  }
+}
+
+/** Time after a claim by which every lease that an earlier leader gave has ended. */
+export function longestEarlierLease(maxLeaseMs: Millis): Millis {
+  return LEADER_LEASE_MS + maxLeaseMs / SLOWEST_CLOCK + LEASE_MARGIN_MS;
+}
--- /dev/null
+++ b/packages/daemon/src/job-host/timing.ts
@@ -0,0 +1,44 @@
+/** Spans of the job host, each with its reason; all in milliseconds. */
+import type { Millis } from '@paddlewind/domain';
+
+/** How often a follower reads the journal: a third of the silence after which it claims. */
+export const FOLLOW_EVERY_MS: Millis = 300;
+/** A leader with nothing to write writes a heartbeat this often, so that two may be lost. */
+export const HEARTBEAT_EVERY_MS: Millis = 300;
+/** Silence of the journal after which the leader is taken to be gone. */
+export const LEADER_SILENCE_MS: Millis = 1_000;
+/** Spread of claims, so that followers rarely claim at the same moment. */
+export const CLAIM_SPREAD_MS: Millis = 200;
+/** Pause before an append that the log refused is sent again. */
+export const APPEND_RETRY_MS: Millis = 100;
+/** Longest wait of the leader's read of the inbox; bounds how stale its contact may be. */
+export const INBOX_WAIT_MS: Millis = 1_000;
+/** How often the leader reads the registry of workers. */
+export const REGISTRY_EVERY_MS: Millis = 400;
+/** How often the leader plans without an event, for what only time changes. */
+export const PLAN_EVERY_MS: Millis = 250;
+/** How long a worker may wait for an end before it reports. */
+export const LOOK_WAIT_MS: Millis = 1_000;
+/** Pause before a worker that did not answer is looked at again. */
+export const LOOK_RETRY_MS: Millis = 200;
+/** Pause between looks while recorded ends cannot be acknowledged. */
+export const UNRECORDED_LOOK_MS: Millis = 500;
+/** Lease given to workers: outlives a change of the leader (about 2 s) and two lost looks. */
+export const TASK_LEASE_MS: Millis = 5_000;
+/**
+ * A leader extends leases for this long after its last confirmed append was sent: longer than the
+ * log is usually away, since running tasks should outlive that.
+ */
+export const LEADER_LEASE_MS: Millis = 10_000;
+/** Slowest clock of a worker, as a share of true time. */
+export const SLOWEST_CLOCK = 0.98;
+/** Margin on every computed end of a lease. */
+export const LEASE_MARGIN_MS: Millis = 100;
+/** Without contact to the log for this long, callers are sent to other hosts at once. */
+export const CONTACT_LOST_MS: Millis = 1_200;
+/** When a caller should come back after a refusal. */
+export const RETRY_AFTER_MS: Millis = 1_000;
+/** Pause before a stop that was not confirmed is ordered again. */
+export const STOP_RETRY_MS: Millis = 200;
+/** Pause before the inbox is read again while the log does not answer. */
+export const INBOX_RETRY_MS: Millis = 200;
--- /dev/null
+++ b/packages/domain/src/jobs/job.ts
@@ -0,0 +1,200 @@
+/** The job aggregate: occurrences of steps of tasks, and the runs of each task. */
+import type { Instant } from '../core/time.js';
+import type { JobSpec, StepSpec } from './spec.js';
+
+/** A job's state as callers see it. */
+export type JobStatus =
+  'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
+
+/** What is known of a run beyond the journal; only the leader keeps it. */
+export interface RunProgress {
+  /** Monotonic time at which the order was sent or the run was first seen. */
+  since: Instant;
+  /** Whether the worker has confirmed it. */
+  confirmed: boolean;
+  /** Whether a stop was ordered. */
+  stopping: boolean;
+  /** Monotonic time at which the worker confirmed the stop; infinite before. */
+  stopConfirmedAt: Instant;
+  /** Share of the work done, 0 to 100. */
+  percent: number;
+  /** Monotonic time at which `percent` last changed. */
+  percentSince: Instant;
+  /** Newest checkpoint; empty when there is none. */
+  checkpoint: string;
+  /** Tail latency in milliseconds of a serving task, processor use in thousandths of a core of another. */
+  reading: number;
+  /** Share of its speed that it is allowed, 0 to 100. */
+  allowed: number;
+}
+
+/** Returns the progress of a run that was ordered or first seen `now`. */
+export function newProgress(now: Instant): RunProgress {
+  return {
+    since: now,
+    confirmed: false,
+    stopping: false,
+    stopConfirmedAt: Infinity,
+    percent: 0,
+    percentSince: now,
+    checkpoint: '',
+    reading: 0,
+    allowed: 100,
+  };
+}
+
+/** One run of a task on a worker. */
+export interface Run {
+  readonly task: Task;
+  readonly number: number;
+  readonly worker: string;
+  progress: RunProgress | undefined;
+}
+
+/** A task of one occurrence of a step. */
+export interface Task {
+  readonly step: Step;
+  readonly index: number;
+  status: 'waiting' | 'running' | 'done';
+  /** Runs that have not ended; more than one only where copies are allowed. */
+  readonly runs: Run[];
+  /** Highest run number given out. */
+  lastRun: number;
+  /** Runs that ended as failed. */
+  failures: number;
+  /** Workers on which a run failed. */
+  readonly failedOn: Set<string>;
+  /** Newest checkpoint of an ended run; empty when there is none. */
+  checkpoint: string;
+  /** Monotonic time before which no run is started. */
+  notBefore: Instant;
+}
+
+/** One occurrence of a step. */
+export interface Step {
+  readonly occurrence: Occurrence;
+  readonly number: number;
+  readonly spec: StepSpec;
+  readonly tasks: Task[];
+  /** Tasks that are not done. */
+  remaining: number;
+  /** Open runs by worker. */
+  readonly spread: Map<string, number>;
+}
+
+/** One run through all steps of a job. */
+export interface Occurrence {
+  readonly job: Job;
+  readonly number: number;
+  readonly steps: Step[];
+  /** Steps that are not done. */
+  remaining: number;
+}
+
+/** A job. */
+export interface Job {
+  readonly spec: JobSpec;
+  readonly acceptedAtWall: Instant;
+  /** Order of arrival in the inbox. */
+  readonly arrival: number;
+  /** Monotonic time at which the leader first saw it. */
+  seenAt: Instant | undefined;
+  readonly occurrences: Map<number, Occurrence>;
+  /** Occurrences that are not done, those not created yet included. */
+  remaining: number;
+  cancelled: boolean;
+  failed: boolean;
+  /** Whether any task has ever begun. */
+  begun: boolean;
+  /** Number of the leader's decision that last changed it. */
+  changedBy: number;
+}
+
+/** Creates a job without occurrences. */
+export function newJob(
+  spec: JobSpec,
+  acceptedAtWall: Instant,
+  arrival: number,
+): Job {
+  return {
+    spec,
+    acceptedAtWall,
+    arrival,
+    seenAt: undefined,
+    occurrences: new Map(),
+    remaining: Math.max(1, spec.repetition?.times ?? 1),
+    cancelled: false,
+    failed: false,
+    begun: false,
+    changedBy: 0,
+  };
+}
+
+/** Returns occurrence `number` of the job, created when there is none yet. */
+export function occurrenceOf(job: Job, number: number): Occurrence {
+  const known = job.occurrences.get(number);
+  if (known !== undefined) {
+    return known;
+  }
+  const occurrence: Occurrence = {
+    job,
+    number,
+    steps: [],
+    remaining: job.spec.steps.length,
+  };
+  job.spec.steps.forEach((spec, at) => {
+    occurrence.steps.push(newStep(occurrence, spec, at));
+  });
+  job.occurrences.set(number, occurrence);
+  return occurrence;
+}
+
+function newStep(occurrence: Occurrence, spec: StepSpec, number: number): Step {
+  const step: Step = {
+    occurrence,
+    number,
+    spec,
+    tasks: [],
+    remaining: spec.tasks,
+    spread: new Map(),
+  };
+  for (let index = 0; index < spec.tasks; index += 1) {
+    step.tasks.push({
+      step,
+      index,
+      status: 'waiting',
+      runs: [],
+      lastRun: 0,
+      failures: 0,
+      failedOn: new Set(),
+      checkpoint: '',
+      notBefore: 0,
+    });
+  }
+  return step;
+}
+
+/** Tells whether every step before this one is done. */
+export function isReady(step: Step): boolean {
+  const { steps } = step.occurrence;
+  return step.spec.after.every(at => (steps[at]?.remaining ?? 0) === 0);
+}
+
+/** Tells whether nothing of the job is to be started any more. */
+export function isOver(job: Job): boolean {
+  return job.cancelled || job.failed || job.remaining === 0;
+}
+
+/** Returns the state that callers are shown. */
+export function statusOf(job: Job): JobStatus {
+  if (job.remaining === 0) {
+    return 'completed';
+  }
+  if (job.cancelled) {
+    return 'cancelled';
+  }
+  if (job.failed) {
+    return 'failed';
+  }
+  return job.begun ? 'running' : 'queued';
+}
--- /dev/null
+++ b/packages/domain/src/jobs/order.ts
@@ -0,0 +1,115 @@
+/** The order in which steps are given room. */
+import type { Instant, Millis } from '../core/time.js';
+import {
+  isReady,
+  occurrenceOf,
+  type Job,
+  type Occurrence,
+  type Step,
+} from './job.js';
+import type { RunTimes } from './run-times.js';
+
+/** A step that may start tasks, with its place in the order. */
+export interface Candidate {
+  readonly step: Step;
+  readonly priority: number;
+  /** Whether the objective can no longer be met. */
+  readonly late: boolean;
+  /** Monotonic time by which the step has to start for the objective to be met. */
+  readonly latestStart: Instant;
+}
+
+/** The clocks of one planning round. */
+export interface PlanTime {
+  /** Monotonic. */
+  readonly now: Instant;
+  readonly nowWall: Instant;
+}
+
+/**
+ * Returns the steps that may start tasks: lower priority numbers first, within one number those
+ * whose objective can still be met, within those the one that has to start soonest.
+ */
+export function candidates(
+  jobs: Iterable<Job>,
+  times: RunTimes,
+  time: PlanTime,
+): Candidate[] {
+  const found: Candidate[] = [];
+  for (const job of jobs) {
+    job.seenAt ??= time.now;
+    createDueOccurrences(job, time.nowWall);
+    for (const occurrence of job.occurrences.values()) {
+      if (occurrence.remaining > 0) {
+        found.push(...readySteps(occurrence, times, time));
+      }
+    }
+  }
+  return found.sort(compareCandidates);
+}
+
+function compareCandidates(a: Candidate, b: Candidate): number {
+  return (
+    a.priority - b.priority ||
+    Number(a.late) - Number(b.late) ||
+    a.latestStart - b.latestStart
+  );
+}
+
+function createDueOccurrences(job: Job, nowWall: Instant): void {
+  const { repetition } = job.spec;
+  if (repetition === undefined) {
+    return;
+  }
+  const { firstAtWall, everyMs, times } = repetition;
+  for (let number = job.occurrences.size; number < times; number += 1) {
+    if (firstAtWall + number * everyMs > nowWall) {
+      return;
+    }
+    occurrenceOf(job, number);
+  }
+}
+
+function readySteps(
+  occurrence: Occurrence,
+  times: RunTimes,
+  time: PlanTime,
+): Candidate[] {
+  const { terms } = occurrence.job.spec;
+  const objective =
+    beginningOf(occurrence, time) +
+    terms.deadlineFactor * longestChain(occurrence, times, () => true) +
+    terms.targetLatencyMs;
+  const left = longestChain(occurrence, times, step => step.remaining > 0);
+  const latestStart = objective - left;
+  const late = latestStart < time.now;
+  return occurrence.steps
+    .filter(step => step.remaining > 0 && isReady(step))
+    .map(step => ({ step, priority: terms.priority, late, latestStart }));
+}
+
+/** Monotonic time from which the objective counts. */
+function beginningOf(occurrence: Occurrence, time: PlanTime): Instant {
+  const { job, number } = occurrence;
+  const { repetition } = job.spec;
+  if (repetition === undefined) {
+    return job.seenAt ?? time.now;
+  }
+  const dueAtWall = repetition.firstAtWall + number * repetition.everyMs;
+  return time.now - (time.nowWall - dueAtWall);
+}
+
+/** Expected time of the longest chain of steps that `counts` holds for. */
+function longestChain(
+  { steps }: Occurrence,
+  times: RunTimes,
+  counts: (step: Step) => boolean,
+): Millis {
+  const ends: Millis[] = [];
+  for (const step of steps) {
+    const before = step.spec.after.map(at => ends[at] ?? 0);
+    const own = counts(step) ? times.expect(step) : 0;
+    ends.push(Math.max(0, ...before) + own);
+  }
+  return Math.max(0, ...ends);
+}
--- /dev/null
+++ b/packages/domain/src/jobs/records.ts
@@ -0,0 +1,142 @@
+/**
+ * Records of the two streams from which the state of jobs is folded.
+ *
+ * The inbox holds what callers asked for; any entry host appends to it. The journal holds the
+ * leader's decisions; the log refuses it to any other host.
+ */
+import type { Instant } from '../core/time.js';
+import type { JobSpec } from './spec.js';
+
+/** A record of the inbox. */
+export type InboxRecord =
+  | {
+      readonly kind: 'submit';
+      readonly job: JobSpec;
+      /** Wall-clock time at the host that accepted it. */
+      readonly atWall: Instant;
+    }
+  | { readonly kind: 'cancel'; readonly job: string };
+
+/** Names one task: job, occurrence, step and index within the step. */
+export interface TaskRef {
+  readonly job: string;
+  readonly occurrence: number;
+  readonly step: number;
+  readonly index: number;
+}
+
+/** How a run ended; `void` means that it never began. */
+export type RunEnd =
+  'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone' | 'void';
+
+/** A record of the journal. */
+export type JournalRecord =
+  | {
+      readonly kind: 'claim';
+      readonly epoch: number;
+      readonly host: string;
+      /** Tells two claims of one epoch apart. */
+      readonly nonce: number;
+    }
+  | { readonly kind: 'heartbeat' }
+  | { readonly kind: 'release' }
+  | {
+      readonly kind: 'start';
+      readonly task: TaskRef;
+      readonly run: number;
+      readonly worker: string;
+    }
+  | {
+      readonly kind: 'end';
+      readonly task: TaskRef;
+      readonly run: number;
+      readonly how: RunEnd;
+      /** Newest checkpoint of the run; empty when there is none. */
+      readonly checkpoint: string;
+    };
+
+const encoder = new TextEncoder();
+const decoder = new TextDecoder();
+
+/** Encodes a record of either stream. */
+export function encodeRecord(record: InboxRecord | JournalRecord): Uint8Array {
+  return encoder.encode(JSON.stringify(toRow(record)));
+}
+
+/** Decodes a record of the inbox that `encodeRecord` made. */
+export function decodeInbox(bytes: Uint8Array): InboxRecord {
+  const row = JSON.parse(decoder.decode(bytes)) as
+    ['submit', JobSpec, Instant] | ['cancel', string];
+  switch (row[0]) {
+    case 'submit':
+      return { kind: 'submit', job: row[1], atWall: row[2] };
+    case 'cancel':
+      return { kind: 'cancel', job: row[1] };
+  }
+}
+
+/** Rows of the journal; runs are most of them, so that these have short tags. */
+type JournalRow =
+  | ['claim', number, string, number]
+  | ['heartbeat']
+  | ['release']
+  | ['s', string, number, string]
+  | ['e', string, number, RunEnd, string?];
+
+/** Decodes a record of the journal that `encodeRecord` made. */
+export function decodeJournal(bytes: Uint8Array): JournalRecord {
+  const row = JSON.parse(decoder.decode(bytes)) as JournalRow;
+  switch (row[0]) {
+    case 'claim': {
+      const [, epoch, host, nonce] = row;
+      return { kind: 'claim', epoch, host, nonce };
+    }
+    case 'heartbeat':
+    case 'release':
+      return { kind: row[0] };
+    case 's': {
+      const [, name, run, worker] = row;
+      return { kind: 'start', task: parseTaskName(name), run, worker };
+    }
+    case 'e': {
+      const [, name, run, how, checkpoint = ''] = row;
+      return { kind: 'end', task: parseTaskName(name), run, how, checkpoint };
+    }
+  }
+}
+
+function toRow(record: InboxRecord | JournalRecord): unknown[] {
+  switch (record.kind) {
+    case 'submit':
+      return ['submit', record.job, record.atWall];
+    case 'cancel':
+      return ['cancel', record.job];
+    case 'claim':
+      return ['claim', record.epoch, record.host, record.nonce];
+    case 'heartbeat':
+    case 'release':
+      return [record.kind];
+    case 'start':
+      return ['s', taskName(record.task), record.run, record.worker];
+    case 'end': {
+      const row = ['e', taskName(record.task), record.run, record.how];
+      return record.checkpoint === '' ? row : [...row, record.checkpoint];
+    }
+  }
+}
+
+/** Returns `JOB.OCCURRENCE.STEP.INDEX`. */
+export function taskName(task: TaskRef): string {
+  return `${task.job}.${task.occurrence}.${task.step}.${task.index}`;
+}
+
+/** Parses what `taskName` made. */
+export function parseTaskName(name: string): TaskRef {
+  const [job = '', occurrence, step, index] = name.split('.');
+  return {
+    job,
+    occurrence: Number(occurrence),
+    step: Number(step),
+    index: Number(index),
+  };
+}
--- /dev/null
+++ b/packages/domain/src/jobs/spec.ts
@@ -0,0 +1,80 @@
+/** What a caller asks for: a job of steps of tasks, and the terms of the queue that it came through. */
+import type { Instant, Millis } from '../core/time.js';
+
+/** What one task takes of a worker. */
+export interface TaskSize {
+  /** Processor time in thousandths of a core. */
+  readonly cpuMilli: number;
+  /** Memory in mebibytes. */
+  readonly memoryMiB: number;
+  /** Accelerators in devices. */
+  readonly accelerators: number;
+}
+
+/** A step: alike tasks that may run once the steps before it are done. */
+export interface StepSpec {
+  readonly tasks: number;
+  readonly size: TaskSize;
+  /** The caller's rough guess of a task's run time. */
+  readonly estimateMs: Millis;
+  /** Indexes of the steps whose tasks must all be done first. */
+  readonly after: readonly number[];
+  /** Whether tasks save checkpoints from which another run can resume. */
+  readonly checkpoints: boolean;
+  /** Whether the tasks work only all together. */
+  readonly gang: boolean;
+  /** Whether tasks on more than one rack are slow. */
+  readonly sameRack: boolean;
+  /** Label that the worker must have. */
+  readonly label: string | undefined;
+  /** Rack near which the tasks are fast. */
+  readonly dataRack: string | undefined;
+  /** Most tasks of one occurrence of the step on one worker. */
+  readonly maxPerWorker: number | undefined;
+  /** Whether copies of a task may run at the same time. */
+  readonly speculative: boolean;
+  /** Whether tasks run until the job is cancelled. */
+  readonly lasting: boolean;
+  /** Name of what runs; tasks of one image behave alike. */
+  readonly image: string | undefined;
+  /** Aim for the tail latency of a serving task's own users. */
+  readonly tailTargetMs: Millis | undefined;
+  /** Whether tasks use only processor time that the others leave unused. */
+  readonly filler: boolean;
+  /** How many lasting tasks may be unavailable at once by our own doing. */
+  readonly allowedMisses: number | undefined;
+}
+
+/** The terms of a queue when the job was accepted. */
+export interface QueueTerms {
+  readonly queue: string;
+  /** Service whose workers run the tasks. */
+  readonly service: string;
+  /** 0 goes first. */
+  readonly priority: number;
+  /** How many runs of a task may fail before the job fails. */
+  readonly maxAttempts: number;
+  /** The objective as a multiple of the longest chain of work. */
+  readonly deadlineFactor: number;
+  /** Time added to the objective. */
+  readonly targetLatencyMs: Millis;
+}
+
+/** When a job's steps run more than once. */
+export interface Repetition {
+  readonly times: number;
+  /** Wall-clock time of the first occurrence. */
+  readonly firstAtWall: Instant;
+  readonly everyMs: Millis;
+}
+
+/** A job as accepted. */
+export interface JobSpec {
+  /** Chosen by the caller; a repeat of it is the same job. */
+  readonly id: string;
+  /** Passed to every task as it is. */
+  readonly payload: string;
+  readonly steps: readonly StepSpec[];
+  readonly repetition: Repetition | undefined;
+  readonly terms: QueueTerms;
+}
--- /dev/null
+++ b/packages/ports/src/jobs/index.ts
@@ -0,0 +1,3 @@
+export * from './feeds.js';
+export * from './job-log.js';
+export * from './worker-port.js';
