Learn how fillers disturb tasks that serve, and limit them by it

Reports show tails of 13 to 31 ms alone and of 130 to 560 ms beside certain pairs of images. Change: serving tasks are grouped by image; a step's own load and each pair's pressure are estimates with a variance, corrected by every report; fillers are placed where they fit beside and throttled where they do not.

--- a/packages/daemon/src/job-host/fleet.ts
+++ b/packages/daemon/src/job-host/fleet.ts
@@ -46,7 +46,7 @@
     const found: PlanWorker[] = [];
     for (const { usable, info } of this.links.values()) {
       if (usable && !info.leaving && this.registered.has(info.id)) {
-        found.push({ info, disturbed: false });
+        found.push({ info });
       }
     }
     return found;
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -3,6 +3,7 @@
 import {
   applyJournal,
   createRunTimes,
+  Interference,
   isOver,
   planStarts,
   refOf,
@@ -58,6 +59,7 @@
   private readonly writer: JournalWriter;
   private readonly fleet: Fleet;
   private readonly times = createRunTimes();
+  private readonly interference = new Interference();
   private readonly alarm = new Alarm();
   private batch: Batch = { records: [], effects: [] };
   private writing: Batch | undefined;
@@ -123,6 +125,9 @@
           ctx.log.info({ worker: info.id }, 'leader: a worker was fenced');
           this.alarm.ring();
         },
+        reported: from => {
+          this.limitFillers(from);
+        },
         changed: this.alarm.ring,
       },
     });
@@ -194,6 +199,7 @@
       return Promise.resolve();
     }
     this.learn(run, how);
+    this.noteFillerEnd(run);
     const task = refOf(run.task);
     return new Promise(resolve => {
       this.record(
@@ -204,6 +210,15 @@
     });
   }
 
+  private noteFillerEnd(run: Run): void {
+    const info = this.fleet.link(run.worker)?.info;
+    if (info !== undefined) {
+      const load = workerRuns(this.state, run.worker);
+      const now = this.options.ctx.clock();
+      this.interference.noteEnd(load, run, info.capacity.cpuMilli, now);
+    }
+  }
+
   private learn(run: Run, how: RunEnd): void {
     const { task, progress } = run;
     if (how === 'done' && progress !== undefined && task.checkpoint === '') {
@@ -215,8 +230,9 @@
   private plan(): void {
     const { ctx } = this.options;
     const time = { now: ctx.clock(), nowWall: ctx.wallClock() };
+    const { state, times, interference } = this;
     const workers = this.fleet.planWorkers();
-    planStarts(this.state, workers, this.times, time, decision => {
+    planStarts({ state, workers, times, interference, time }, decision => {
       this.startRun(decision);
     });
   }
@@ -236,6 +252,21 @@
     });
   }
 
+  /** Learns from a worker's readings and limits its fillers. */
+  private limitFillers(link: WorkerLink): void {
+    const load = workerRuns(this.state, link.info.id);
+    const { cpuMilli } = link.info.capacity;
+    if (load.servingCpuMilli === 0) {
+      return;
+    }
+    this.interference.learn(load, cpuMilli, this.options.ctx.clock());
+    for (const [run, share] of this.interference.shares(load, cpuMilli)) {
+      if (run.progress?.confirmed === true && run.progress.allowed !== share) {
+        link.throttle(run, share);
+      }
+    }
+  }
+
   /** Stops runs of jobs that are over and copies of tasks that are done. */
   private stopNeedless(): void {
     for (const [worker, { runs }] of this.state.workers) {
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -34,6 +34,8 @@
   ended(run: Run, how: RunEnd, checkpoint: string): Promise<void>;
   /** The worker has seen a higher fence. */
   fenced(): void;
+  /** The readings of all runs are up to date. */
+  reported(link: WorkerLink): void;
   /** Something changed that planning should see. */
   changed(): void;
 }
@@ -240,6 +242,7 @@
       this.verified = true;
       events.changed();
     }
+    events.reported(this);
     const last = report.ended.at(-1)?.position ?? this.recordedUpTo;
     const all = Promise.all(recorded).then(() => {
       this.recordedUpTo = Math.max(this.recordedUpTo, last);
--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -1,3 +1,4 @@
+export * from './interference.js';
 export * from './job.js';
 export * from './jobs-state.js';
 export * from './order.js';
--- /dev/null
+++ b/packages/domain/src/jobs/interference.ts
@@ -0,0 +1,243 @@
+/**
+ * How fillers disturb tasks that serve, learnt from their tail latencies, and what follows.
+ *
+ * A serving task is taken for a queue: its tail is `floor / (1 - load)`. The load is its own, which
+ * all tasks of a step share, plus for each filler beside it the filler's share of the worker's
+ * processors times a pressure that depends on the images of both. Own loads and pressures are
+ * estimates with a variance, corrected by each report in proportion to what it tells of each.
+ */
+import type { Instant, Millis } from '../core/time.js';
+import { Estimates, type Estimate } from './estimate.js';
+import type { Run, Step } from './job.js';
+import type { WorkerRuns } from './jobs-state.js';
+import type { StepSpec } from './spec.js';
+
+/** Pressure of a pair of images before anything was learnt: low, so that pairs are tried. */
+const FIRST_PRESSURE: Estimate = { mean: 0.6, variance: 1.5 ** 2 };
+const MAX_PRESSURE = 12;
+/** Growth of a pressure's variance each second: pressures drift. */
+const PRESSURE_DRIFT = 0.02;
+/** A step's own load before a tail was seen. */
+const FIRST_LOAD: Estimate = { mean: 0.5, variance: 0.2 ** 2 };
+/** Growth of an own load's variance each second: it swings by up to 0.1 a second. */
+const LOAD_DRIFT = 0.01;
+/** Variance of a load read off one tail. */
+const TAIL_VARIANCE = 0.04 ** 2;
+/** Loads above this are not told apart by the tail. */
+const MAX_LOAD = 0.98;
+/** A tail target is taken for this many times the floor before a tail was seen. */
+const FIRST_TARGET_FACTOR = 5;
+/** Lowest tail seen, as a share of which the floor is taken: tasks are never quite idle. */
+const FLOOR_SHARE = 0.8;
+/** Load kept free below the target: what a step's own load may gain between two reports. */
+const CONTROL_MARGIN = 0.07;
+/** Load kept free besides when a filler is placed. */
+const PLACE_MARGIN = 0.03;
+/** Standard deviations added to a pressure when a filler is placed. */
+const PLACE_CAUTION = 0.3;
+/** Load below which a filler is taken not to disturb. */
+const HARMLESS_LOAD = 0.015;
+/** Shares are ordered in steps of this many percent, so that small changes cause no order. */
+const SHARE_STEP = 10;
+/** Span of the readings in a report, in milliseconds. */
+const READING_SPAN_MS: Millis = 500;
+
+/** A filler that ended a short while ago, and the share of the processors it used. */
+interface EndedFiller {
+  readonly spec: StepSpec;
+  readonly at: Instant;
+  readonly used: number;
+}
+
+/** A filler's part in a reading. */
+interface Part {
+  readonly spec: StepSpec;
+  readonly used: number;
+}
+
+/** Learns pressures and loads, and limits fillers by them. */
+export class Interference {
+  private readonly pressures = new Estimates<string>(
+    FIRST_PRESSURE,
+    PRESSURE_DRIFT,
+  );
+  private readonly loads = new Estimates<Step>(FIRST_LOAD, LOAD_DRIFT);
+  /** Lowest tail seen by image. */
+  private readonly lowest = new Map<string, Millis>();
+  private readonly ended = new Map<WorkerRuns, EndedFiller[]>();
+
+  /** Notes that a filler has ended, whose effect is in the readings for a while. */
+  noteEnd(load: WorkerRuns, run: Run, cpuMilli: number, now: Instant): void {
+    const { spec } = run.task.step;
+    if (spec.filler) {
+      const used = (run.progress?.reading ?? 0) / cpuMilli;
+      const list = this.ended.get(load) ?? [];
+      this.ended.set(load, [...list, { spec, at: now, used }]);
+    }
+  }
+
+  /** Takes in a report of a worker with `cpuMilli`, whose runs' readings are up to date. */
+  learn(load: WorkerRuns, cpuMilli: number, now: Instant): void {
+    const parts = this.partsOf(load, cpuMilli, now);
+    for (const run of servingOf(load)) {
+      const tail = run.progress?.reading ?? 0;
+      if (tail > 0) {
+        this.learnFrom(run.task.step, tail, parts, now);
+      }
+    }
+  }
+
+  /** Share of its speed, 0 to 1, at which one more filler could run beside what is there. */
+  speedOf(load: WorkerRuns, cpuMilli: number, filler: StepSpec): number {
+    let speed = 1;
+    const taken = filler.size.cpuMilli / cpuMilli;
+    const fillers = fillersOf(load);
+    for (const { task } of servingOf(load)) {
+      const { step } = task;
+      const { mean, variance } = this.pressureOf(step.spec, filler);
+      const adds = (mean + PLACE_CAUTION * Math.sqrt(variance)) * taken;
+      if (adds > HARMLESS_LOAD) {
+        const free =
+          this.freeOf(step) -
+          PLACE_MARGIN -
+          this.loadBy(step, fillers, cpuMilli);
+        speed = Math.min(speed, free / adds);
+      }
+    }
+    return Math.max(0, speed);
+  }
+
+  /** Shares in percent that keep every serving task of the worker below its target. */
+  shares(load: WorkerRuns, cpuMilli: number): Map<Run, number> {
+    const fillers = fillersOf(load);
+    const shares = new Map(fillers.map(run => [run, 100]));
+    for (const { task } of servingOf(load)) {
+      this.limit(task.step, fillers, shares, cpuMilli);
+    }
+    return shares;
+  }
+
+  /** Cuts the shares of the fillers that press on `serving` the most until they fit. */
+  private limit(
+    serving: Step,
+    fillers: readonly Run[],
+    shares: Map<Run, number>,
+    cpuMilli: number,
+  ): void {
+    const pressing = fillers
+      .map(run => ({ run, full: this.loadBy(serving, [run], cpuMilli) }))
+      .filter(({ full }) => full > HARMLESS_LOAD)
+      .sort((a, b) => a.full - b.full);
+    let left = Math.max(0, this.freeOf(serving));
+    for (const { run, full } of pressing) {
+      const allowed = shares.get(run) ?? 100;
+      const percent = Math.floor((100 * left) / full);
+      const stepped = Math.floor(percent / SHARE_STEP) * SHARE_STEP;
+      const kept = Math.min(allowed, Math.max(0, stepped));
+      shares.set(run, kept);
+      left = Math.max(0, left - (full * kept) / 100);
+    }
+  }
+
+  private partsOf(load: WorkerRuns, cpuMilli: number, now: Instant): Part[] {
+    const recent = (this.ended.get(load) ?? []).filter(
+      ({ at }) => now - at < READING_SPAN_MS,
+    );
+    this.ended.set(load, recent);
+    const running = fillersOf(load).map(run => ({
+      spec: run.task.step.spec,
+      used: (run.progress?.reading ?? 0) / cpuMilli,
+    }));
+    const left = recent.map(({ spec, at, used }) => ({
+      spec,
+      used: used * (1 - (now - at) / READING_SPAN_MS),
+    }));
+    return [...running, ...left].filter(({ used }) => used > 0);
+  }
+
+  /** Splits the error of the expected load between own load and pressures by their variances. */
+  private learnFrom(
+    step: Step,
+    tail: Millis,
+    parts: readonly Part[],
+    now: Instant,
+  ): void {
+    const { spec } = step;
+    this.noteTail(spec, tail);
+    const total = 1 - this.floorOf(spec) / tail;
+    const own = this.loads.at(step, now);
+    const pressing = parts.map(part => ({
+      key: pairOf(spec, part.spec),
+      used: part.used,
+      pressure: this.pressures.at(pairOf(spec, part.spec), now),
+    }));
+    let expected = own.mean;
+    let variance = TAIL_VARIANCE + own.variance;
+    for (const { used, pressure } of pressing) {
+      expected += pressure.mean * used;
+      variance += pressure.variance * used * used;
+    }
+    const seen = Math.min(MAX_LOAD, Math.max(0, total));
+    if (seen >= MAX_LOAD && expected >= MAX_LOAD) {
+      return;
+    }
+    const surprise = { error: seen - expected, variance };
+    this.loads.correct(step, own, 1, surprise, [0, MAX_LOAD]);
+    for (const { key, used, pressure } of pressing) {
+      const bounds = [0, MAX_PRESSURE] as const;
+      this.pressures.correct(key, pressure, used, surprise, bounds);
+    }
+  }
+
+  private noteTail(spec: StepSpec, tail: Millis): void {
+    const image = spec.image ?? '';
+    const lowest = this.lowest.get(image);
+    if (lowest === undefined || tail < lowest) {
+      this.lowest.set(image, tail);
+    }
+  }
+
+  private floorOf(spec: StepSpec): Millis {
+    const first = (spec.tailTargetMs ?? 0) / FIRST_TARGET_FACTOR;
+    const lowest = this.lowest.get(spec.image ?? '');
+    return lowest === undefined ? first : Math.min(first, lowest * FLOOR_SHARE);
+  }
+
+  /** Load that fillers may add to a serving task: negative when its own is too high. */
+  private freeOf(step: Step): number {
+    const target = step.spec.tailTargetMs ?? Infinity;
+    const limit = 1 - this.floorOf(step.spec) / target - CONTROL_MARGIN;
+    return limit - this.loads.newest(step).mean;
+  }
+
+  /** Load that fillers add to a serving task at the speed they are allowed. */
+  private loadBy(
+    serving: Step,
+    fillers: readonly Run[],
+    cpuMilli: number,
+  ): number {
+    return fillers.reduce((sum, { task }) => {
+      const { spec } = task.step;
+      const { mean } = this.pressureOf(serving.spec, spec);
+      return sum + (mean * spec.size.cpuMilli) / cpuMilli;
+    }, 0);
+  }
+
+  private pressureOf(serving: StepSpec, filler: StepSpec): Estimate {
+    return this.pressures.newest(pairOf(serving, filler));
+  }
+}
+
+function pairOf(serving: StepSpec, filler: StepSpec): string {
+  return `${serving.image ?? ''}/${filler.image ?? ''}`;
+}
+
+function servingOf({ runs }: WorkerRuns): Run[] {
+  return [...runs.values()].filter(
+    ({ task }) => task.step.spec.tailTargetMs !== undefined,
+  );
+}
+
+function fillersOf({ runs }: WorkerRuns): Run[] {
+  return [...runs.values()].filter(({ task }) => task.step.spec.filler);
+}
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -16,6 +16,8 @@
   readonly runs: Map<string, Run>;
   /** Thousandths of a core of the runs that count against capacity. */
   cpuMilli: number;
+  /** Thousandths of a core of the serving ones among these. */
+  servingCpuMilli: number;
   /** Thousandths of a core that the fillers would use. */
   fillerCpuMilli: number;
   memoryMiB: number;
@@ -135,6 +137,7 @@
   const created: WorkerRuns = {
     runs: new Map(),
     cpuMilli: 0,
+    servingCpuMilli: 0,
     fillerCpuMilli: 0,
     memoryMiB: 0,
     accelerators: 0,
@@ -173,6 +176,9 @@
   } else {
     load.cpuMilli += sign * spec.size.cpuMilli;
   }
+  if (spec.tailTargetMs !== undefined) {
+    load.servingCpuMilli += sign * spec.size.cpuMilli;
+  }
   load.memoryMiB += sign * spec.size.memoryMiB;
   load.accelerators += sign * spec.size.accelerators;
 }
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -1,5 +1,6 @@
 /** Decides which waiting tasks start where. */
 import { candidates, type Candidate, type PlanTime } from './order.js';
+import type { Interference } from './interference.js';
 import type { Step, Task } from './job.js';
 import { workerRuns, type JobsState, type WorkerRuns } from './jobs-state.js';
 import type { RunTimes } from './run-times.js';
@@ -20,8 +21,6 @@
 /** A worker that may be given tasks. */
 export interface PlanWorker {
   readonly info: WorkerInfo;
-  /** Whether a task that serves runs beside the others and is disturbed by fillers. */
-  readonly disturbed: boolean;
 }
 
 /** A decision to start a task. */
@@ -34,14 +33,21 @@
 /** Most starts that one round decides, so that a round stays short. */
 const MAX_STARTS = 200;
 
-/** Returns the starts of one round and applies none; room is reserved within the round. */
+/** What a round of planning goes by. */
+export interface PlanInput {
+  readonly state: JobsState;
+  readonly workers: readonly PlanWorker[];
+  readonly times: RunTimes;
+  readonly interference: Interference;
+  readonly time: PlanTime;
+}
+
+/** Decides the starts of one round; `start` has to apply each before the next is decided. */
 export function planStarts(
-  state: JobsState,
-  workers: readonly PlanWorker[],
-  times: RunTimes,
-  time: PlanTime,
+  input: PlanInput,
   start: (decision: StartDecision) => void,
 ): number {
+  const { state, times, time } = input;
   let started = 0;
   const full = new Set<string>();
   for (const candidate of candidates(state.open, times, time)) {
@@ -53,7 +59,7 @@
       if (task.status !== 'waiting' || task.notBefore > time.now) {
         continue;
       }
-      const worker = chooseWorker(state, workers, task);
+      const worker = chooseWorker(input, task);
       if (worker === undefined) {
         noteFull(full, key, candidate.step);
         break;
@@ -67,9 +73,9 @@
 
 /** Steps of one shape fit or fail alike, but for limits of their own. */
 function shapeKey({ step }: Candidate): string {
-  const { size, filler, label } = step.spec;
+  const { size, filler, label, image } = step.spec;
   const { service } = step.occurrence.job.spec.terms;
-  return `${service}/${size.cpuMilli}/${size.memoryMiB}/${size.accelerators}/${filler}/${label ?? ''}`;
+  return `${service}/${size.cpuMilli}/${size.memoryMiB}/${size.accelerators}/${filler}/${label ?? ''}/${image ?? ''}`;
 }
 
 function noteFull(full: Set<string>, key: string, { spec }: Step): void {
@@ -78,12 +84,8 @@
   }
 }
 
-/** Share of a worker's processors that fillers may be promised. */
-const FILLER_SHARE = 1;
-
 function chooseWorker(
-  state: JobsState,
-  workers: readonly PlanWorker[],
+  { state, workers, interference }: PlanInput,
   task: Task,
 ): PlanWorker | undefined {
   let best: PlanWorker | undefined;
@@ -96,7 +98,7 @@
     if (!hasRoom(worker.info, load, task.step.spec)) {
       continue;
     }
-    const rank = rankOf(worker, load, task);
+    const rank = rankOf(worker, load, task, interference);
     if (rank > bestRank) {
       best = worker;
       bestRank = rank;
@@ -117,42 +119,89 @@
   return spec.maxPerWorker === undefined || here < spec.maxPerWorker;
 }
 
+/** Share of its declared processors that a serving task is taken to use, for fillers beside it. */
+const SERVING_USE = 0.5;
+
 function hasRoom(
   { capacity }: WorkerInfo,
   load: WorkerRuns,
   { size, filler }: StepSpec,
 ): boolean {
-  const room = filler
-    ? capacity.cpuMilli * FILLER_SHARE - load.cpuMilli - load.fillerCpuMilli
-    : capacity.cpuMilli - load.cpuMilli;
   return (
-    size.cpuMilli <= room &&
+    size.cpuMilli <= (filler ? fillerRoom : plainRoom)(capacity, load) &&
     size.memoryMiB <= capacity.memoryMiB - load.memoryMiB &&
     size.accelerators <= capacity.accelerators - load.accelerators
   );
 }
 
+function plainRoom(capacity: TaskSize, load: WorkerRuns): number {
+  return capacity.cpuMilli - load.cpuMilli;
+}
+
+/** Fillers are not counted against capacity; they share what the others don't use. */
+function fillerRoom(capacity: TaskSize, load: WorkerRuns): number {
+  const unused = (1 - SERVING_USE) * load.servingCpuMilli;
+  return capacity.cpuMilli - load.cpuMilli + unused - load.fillerCpuMilli;
+}
+
 /** Worth of the data's rack, in shares of a worker's processors. */
 const NEAR_DATA_BONUS = 2;
 /** Cost of a worker on which the task failed before. */
 const FAILED_HERE_COST = 4;
-/** Cost of putting a filler beside a task that serves. */
-const DISTURBED_COST = 0.5;
+/** Cost of a worker where tasks serve, for a task that does not. */
+const SERVING_HERE_COST = 1;
+/** Lowest share of its speed at which a filler is placed. */
+const MIN_SPEED = 0.7;
+
+/** Cost of each other image that serves at a worker: fillers have to suit all of them. */
+const OTHER_IMAGE_COST = 1;
+
+/** Packs tasks that serve beside those of their image. */
+function servingRank(
+  capacity: TaskSize,
+  load: WorkerRuns,
+  image: string | undefined,
+): number {
+  const others = new Set<string | undefined>();
+  for (const { task } of load.runs.values()) {
+    const { spec } = task.step;
+    if (spec.tailTargetMs !== undefined && spec.image !== image) {
+      others.add(spec.image);
+    }
+  }
+  const packed = load.servingCpuMilli / capacity.cpuMilli;
+  return packed - others.size * OTHER_IMAGE_COST;
+}
 
-/** Prefers the worker whose processors are the least promised. */
-function rankOf(worker: PlanWorker, load: WorkerRuns, task: Task): number {
+/** Gives tasks that don't serve the worker whose processors are the least promised. */
+function rankOf(
+  worker: PlanWorker,
+  load: WorkerRuns,
+  task: Task,
+  interference: Interference,
+): number {
   const { info } = worker;
   const { spec } = task.step;
-  const promised = load.cpuMilli + load.fillerCpuMilli;
-  let rank = 1 - promised / info.capacity.cpuMilli;
+  const { cpuMilli } = info.capacity;
+  const serves = spec.tailTargetMs !== undefined;
+  let rank = serves
+    ? servingRank(info.capacity, load, spec.image)
+    : 1 - (load.cpuMilli + load.fillerCpuMilli) / cpuMilli;
+  if (!serves && load.servingCpuMilli > 0) {
+    rank -= SERVING_HERE_COST;
+  }
+  if (spec.filler && load.servingCpuMilli > 0) {
+    const speed = interference.speedOf(load, cpuMilli, spec);
+    if (speed < MIN_SPEED) {
+      return -Infinity;
+    }
+    rank += Math.min(1, speed);
+  }
   if (spec.dataRack !== undefined && info.labels.includes(spec.dataRack)) {
     rank += NEAR_DATA_BONUS;
   }
   if (task.failedOn.has(info.id)) {
     rank -= FAILED_HERE_COST;
   }
-  if (spec.filler && worker.disturbed) {
-    rank -= DISTURBED_COST;
-  }
   return rank;
 }
