Acknowledge an end only once it is recorded

A report that lists an end a second time finds its run closed already, since the leader applies its decisions before the append is confirmed; nothing was left to wait for, and the end was acknowledged.

--- a/packages/daemon/src/job-host/job-service.ts
+++ b/packages/daemon/src/job-host/job-service.ts
@@ -80,7 +80,9 @@
     }
     const leading = this.leader();
     if (leading !== undefined) {
-      await leading.recorded();
+      if (!(await leading.recorded())) {
+        return { kind: 'unavailable' };
+      }
     } else if (!isFinal(this.replica, job)) {
       await this.refreshJournal();
     }
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -44,10 +44,13 @@
   readonly claim: WonClaim;
 }
 
-/** Records that go into one append, and what is done once it is confirmed. */
+/** Done once an append is confirmed, or once it is certain that it never will be. */
+type Effect = (written: boolean) => void;
+
+/** Records that go into one append, and what follows it. */
 interface Batch {
   readonly records: JournalRecord[];
-  readonly effects: (() => void)[];
+  readonly effects: Effect[];
 }
 
 /** A host that leads. */
@@ -96,12 +99,15 @@
     this.alarm.ring();
   }
 
-  /** Resolves when all that was decided so far is recorded. */
-  recorded(): Promise<void> {
+  /** Resolves when all that was decided so far is recorded; with false when it never will be. */
+  recorded(): Promise<boolean> {
+    if (this.ended) {
+      return Promise.resolve(false);
+    }
     const last = this.batch.records.length > 0 ? this.batch : this.writing;
     return new Promise(resolve => {
       if (last === undefined) {
-        resolve();
+        resolve(true);
       } else {
         last.effects.push(resolve);
       }
@@ -120,7 +126,10 @@
         ctx.clock() - this.writer.confirmedSentAt < LEADER_LEASE_MS,
       runs: () => workerRuns(this.state, info.id),
       events: {
-        ended: (run, how, checkpoint) => this.recordEnd(run, how, checkpoint),
+        ended: (run, how, checkpoint) => {
+          this.recordEnd(run, how, checkpoint);
+        },
+        recorded: () => this.recorded(),
         fenced: () => {
           ctx.log.info({ worker: info.id }, 'leader: a worker was fenced');
           this.alarm.ring();
@@ -175,17 +184,15 @@
     this.writing = batch;
     const result = await this.writer.write(batch.records);
     this.writing = undefined;
-    if (result.kind === 'deposed') {
-      return false;
+    const written = result.kind === 'written';
+    if (written) {
+      this.options.replica.wroteJournal(result.nextOffset);
     }
-    this.options.replica.wroteJournal(result.nextOffset);
-    for (const act of batch.effects) {
-      act();
-    }
-    return true;
+    settle(batch, written);
+    return written;
   }
 
-  private record(entry: JournalRecord, effect?: () => void): void {
+  private record(entry: JournalRecord, effect?: Effect): void {
     applyJournal(this.state, entry);
     this.batch.records.push(entry);
     if (effect !== undefined) {
@@ -193,21 +200,16 @@
     }
   }
 
-  /** Records the end of a run that is open. */
-  private recordEnd(run: Run, how: RunEnd, checkpoint: string): Promise<void> {
+  /** Records the end of a run; does nothing for one that is not open. */
+  private recordEnd(run: Run, how: RunEnd, checkpoint: string): void {
     if (this.ended || !run.task.runs.includes(run)) {
-      return Promise.resolve();
+      return;
     }
     this.learn(run, how);
     this.noteFillerEnd(run);
     const task = refOf(run.task);
-    return new Promise(resolve => {
-      this.record(
-        { kind: 'end', task, run: run.number, how, checkpoint },
-        resolve,
-      );
-      this.alarm.ring();
-    });
+    this.record({ kind: 'end', task, run: run.number, how, checkpoint });
+    this.alarm.ring();
   }
 
   private noteFillerEnd(run: Run): void {
@@ -244,9 +246,9 @@
       run: number,
       worker,
     };
-    this.record(entry, () => {
+    this.record(entry, written => {
       const run = task.runs.find(open => open.number === number);
-      if (run !== undefined) {
+      if (written && run !== undefined) {
         this.fleet.link(worker)?.start(run);
       }
     });
@@ -290,7 +292,7 @@
     for (const [worker, { runs }] of this.state.workers) {
       if (runs.size > 0 && this.fleet.link(worker) === undefined) {
         for (const run of [...runs.values()]) {
-          void this.recordEnd(run, 'lapsed', '');
+          this.recordEnd(run, 'lapsed', '');
         }
       }
     }
@@ -298,6 +300,7 @@
 
   private end(): void {
     this.ended = true;
+    settle(this.batch, false);
     this.writer.close();
     this.fleet.close();
     this.options.ctx.log.info(
@@ -307,3 +310,9 @@
     this.resolveDeposed();
   }
 }
+
+function settle(batch: Batch, written: boolean): void {
+  for (const effect of batch.effects) {
+    effect(written);
+  }
+}
--- a/packages/daemon/src/job-host/start-job-host.ts
+++ b/packages/daemon/src/job-host/start-job-host.ts
@@ -36,8 +36,11 @@
   readonly handOver: (waitMs: Millis) => Promise<void>;
 }
 
-/** Longest wait for a newer configuration in one read. */
-const CONFIG_WAIT_MS: Millis = 10_000;
+/**
+ * Longest wait for a newer configuration in one read. A read that a cut has swallowed must be given
+ * up and repeated within the 3 s after which a host counts as connected again.
+ */
+const CONFIG_WAIT_MS: Millis = 1_500;
 /** Pause before the configuration is asked for again while the log does not answer. */
 const CONFIG_RETRY_MS: Millis = 200;
 
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -30,8 +30,10 @@
 
 /** What a link tells the leader. */
 export interface LinkEvents {
-  /** A run has ended; resolves once that is recorded. */
-  ended(run: Run, how: RunEnd, checkpoint: string): Promise<void>;
+  /** A run has ended, which is to be recorded. */
+  ended(run: Run, how: RunEnd, checkpoint: string): void;
+  /** Resolves with true once all ends that were told so far are recorded. */
+  recorded(): Promise<boolean>;
   /** The worker has seen a higher fence. */
   fenced(): void;
   /** The readings of all runs are up to date. */
@@ -224,18 +226,17 @@
   private async takeReport(report: Report, sentAt: Instant): Promise<void> {
     const { events } = this.options;
     const listed = this.takeActive(report);
-    const recorded: Promise<void>[] = [];
     for (const ended of report.ended) {
       const key = runKey(taskName(ended.task), ended.run);
       listed.add(key);
       const run = this.openRuns().get(key);
       if (run !== undefined) {
-        recorded.push(events.ended(run, ended.how, ended.checkpoint));
+        events.ended(run, ended.how, ended.checkpoint);
       }
     }
     for (const [key, run] of this.openRuns()) {
       if (!listed.has(key) && this.neverBegan(run, sentAt)) {
-        recorded.push(events.ended(run, 'void', ''));
+        events.ended(run, 'void', '');
       }
     }
     if (!this.verified) {
@@ -243,12 +244,17 @@
       events.changed();
     }
     events.reported(this);
-    const last = report.ended.at(-1)?.position ?? this.recordedUpTo;
-    const all = Promise.all(recorded).then(() => {
-      this.recordedUpTo = Math.max(this.recordedUpTo, last);
-    });
-    if (report.ended.length > 0) {
-      await Promise.race([all, pause(UNRECORDED_LOOK_MS)]);
+    const last = report.ended.at(-1);
+    if (last !== undefined) {
+      const recorded = this.awaitRecord(last.position);
+      await Promise.race([recorded, pause(UNRECORDED_LOOK_MS)]);
+    }
+  }
+
+  /** An end is acknowledged only once it is recorded, also where it was listed before. */
+  private async awaitRecord(position: number): Promise<void> {
+    if (await this.options.events.recorded()) {
+      this.recordedUpTo = Math.max(this.recordedUpTo, position);
     }
   }
 
@@ -302,7 +308,7 @@
     );
     for (const run of runs) {
       const checkpoint = run.progress?.checkpoint ?? '';
-      void this.options.events.ended(run, 'lapsed', checkpoint);
+      this.options.events.ended(run, 'lapsed', checkpoint);
     }
   }
 
@@ -319,12 +325,12 @@
         if (res.why === 'fenced') {
           events.fenced();
         } else {
-          void events.ended(run, 'void', '');
+          events.ended(run, 'void', '');
         }
         return;
       case 'not_run':
         this.setAnswering(false);
-        void events.ended(run, 'void', '');
+        events.ended(run, 'void', '');
         return;
       case 'replaced':
         this.takeReplaced();
