Simulate job hosts in virtual time, and find what broke there

The new ones found three faults: a lease was extended by every look that was not answered, so that a lost worker's runs were never given up; three hosts claimed the leadership one after the other at the start; runs that stand still were never stopped.

--- a/packages/daemon/src/job-host/alarm.ts
+++ b/packages/daemon/src/job-host/alarm.ts
@@ -1,23 +1,28 @@
 /** A wait that an event or a time limit ends. */
+import type { Millis, Schedule } from '@paddlewind/domain';
 
 /** Wakes its one waiter; a ring without a waiter is kept for the next one. */
 export class Alarm {
   private rung = false;
   private wake: (() => void) | undefined;
 
+  /** Creates an alarm whose waits are limited by the timers of `schedule`. */
+  constructor(private readonly schedule: Schedule) {}
+
   /** Ends the present wait, or the next one at once. */
   readonly ring = (): void => {
     this.rung = true;
     this.wake?.();
   };
 
-  /** Resolves at the next ring, or after `ms` where that is given. */
-  async wait(ms?: number): Promise<void> {
+  /** Resolves at the next ring, or after `span` where that is given. */
+  async wait(span?: Millis): Promise<void> {
     if (!this.rung) {
       await new Promise<void>(resolve => {
-        const timer = ms === undefined ? undefined : setTimeout(resolve, ms);
+        const cancel =
+          span === undefined ? undefined : this.schedule(span, resolve);
         this.wake = () => {
-          clearTimeout(timer);
+          cancel?.();
           resolve();
         };
       });
--- a/packages/daemon/src/job-host/context.ts
+++ b/packages/daemon/src/job-host/context.ts
@@ -1,7 +1,9 @@
 /** What every part of the job host is given. */
-import type { Clock, Random } from '@paddlewind/domain';
+import type { Clock, Millis, Random, Schedule } from '@paddlewind/domain';
 import type { Logger } from 'pino';
 
+import { sleep } from '../log/timing.js';
+
 /** Clocks, randomness and the log of the process. */
 export interface HostContext {
   readonly host: string;
@@ -9,12 +11,11 @@
   readonly clock: Clock;
   readonly wallClock: Clock;
   readonly random: Random;
+  readonly schedule: Schedule;
   readonly log: Logger;
 }
 
-/** Resolves after `ms`. */
-export function pause(ms: number): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, ms);
-  });
+/** Resolves after `span`. */
+export function pause(ctx: HostContext, span: Millis): Promise<void> {
+  return sleep(ctx.schedule, span);
 }
--- a/packages/daemon/src/job-host/fleet.ts
+++ b/packages/daemon/src/job-host/fleet.ts
@@ -1,5 +1,9 @@
 /** The leader's links to all registered workers. */
-import type { PlanWorker, WorkerInfo } from '@paddlewind/domain/jobs';
+import type {
+  PlanWorker,
+  WorkerHealth,
+  WorkerInfo,
+} from '@paddlewind/domain/jobs';
 import type { WorkerFeed } from '@paddlewind/ports/jobs';
 
 import { pause, type HostContext } from './context.js';
@@ -13,6 +17,7 @@
   readonly open: (info: WorkerInfo) => WorkerLink;
   /** Number of runs that are open at a worker. */
   readonly openRuns: (worker: string) => number;
+  readonly health: WorkerHealth;
   readonly changed: () => void;
 }
 
@@ -32,7 +37,7 @@
       if (found.kind === 'value') {
         this.take(found.value);
       }
-      await pause(REGISTRY_EVERY_MS);
+      await pause(this.options.ctx, REGISTRY_EVERY_MS);
     }
   }
 
@@ -43,10 +48,13 @@
 
   /** Workers that may be given tasks now. */
   planWorkers(): PlanWorker[] {
+    const { ctx, health } = this.options;
     const found: PlanWorker[] = [];
     for (const { usable, info } of this.links.values()) {
-      if (usable && !info.leaving && this.registered.has(info.id)) {
-        found.push({ info });
+      const trust = health.trustIn(info.id, ctx.clock());
+      const present = !info.leaving && this.registered.has(info.id);
+      if (usable && present && trust !== 'none') {
+        found.push({ info, trusted: trust === 'full' });
       }
     }
     return found;
--- a/packages/daemon/src/job-host/index.ts
+++ b/packages/daemon/src/job-host/index.ts
@@ -2,3 +2,4 @@
 export * from './http-front.js';
 export * from './job-service.js';
 export * from './start-job-host.js';
+export { scheduleByTimeout } from '../log/timing.js';
--- /dev/null
+++ b/packages/daemon/src/job-host/job-host.test.ts
@@ -0,0 +1,153 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { Simulation } from './simulation.test-support.js';
+
+const TWO_STEPS = [
+  { tasks: 3, after: [] },
+  { tasks: 2, after: [0] },
+];
+const QUICK = { runMs: 400, failures: 0 };
+
+function smallSite(seed: number): Simulation {
+  const site = new Simulation(seed);
+  for (const name of ['w1', 'w2', 'w3']) {
+    site.addWorker(name);
+  }
+  for (const name of ['h1', 'h2', 'h3']) {
+    site.startHost(name);
+  }
+  return site;
+}
+
+function leaderOf(site: Simulation): string {
+  const records = site.log.recordsOf('journal');
+  const claims = records
+    .map(bytes => JSON.parse(new TextDecoder().decode(bytes)) as unknown[])
+    .filter(([kind]) => kind === 'claim');
+  return String(claims.at(-1)?.[2]);
+}
+
+test('runs the steps of a job in order and shows it as completed', async () => {
+  const site = smallSite(1);
+  void site.submit('00000000000000a1', TWO_STEPS, QUICK);
+  await site.time.advance(6_000);
+  assert.ok(site.history.isDone('00000000000000a1'));
+  assert.deepEqual(site.history.check(), []);
+  for (const { host } of site.hosts.values()) {
+    const asked = host.service.status('00000000000000a1');
+    await site.time.advance(100);
+    assert.deepEqual(await asked, { kind: 'known', status: 'completed' });
+  }
+});
+
+test('a repeated submission is one job', async () => {
+  const site = smallSite(2);
+  void site.submit('00000000000000a2', TWO_STEPS, QUICK);
+  void site.submit('00000000000000a2', TWO_STEPS, QUICK);
+  await site.time.advance(6_000);
+  assert.deepEqual(site.history.check(), []);
+  assert.ok(site.history.isDone('00000000000000a2'));
+});
+
+test('an end is not acknowledged before it is recorded', async () => {
+  const site = smallSite(3);
+  void site.submit('00000000000000a3', [{ tasks: 4, after: [] }], {
+    runMs: 3_000,
+    failures: 0,
+  });
+  await site.time.advance(3_500);
+  const first = leaderOf(site);
+  // The tasks end while the leader cannot write, and its workers go on reporting them.
+  site.log.modes.set(first, 'refusing');
+  await site.time.advance(8_000);
+  assert.notEqual(leaderOf(site), first);
+  assert.deepEqual(site.history.check(), []);
+  assert.ok(site.history.isDone('00000000000000a3'));
+});
+
+test('another host leads within 2 s of a kill', async () => {
+  const site = smallSite(4);
+  await site.time.advance(2_000);
+  const first = leaderOf(site);
+  site.kill(first);
+  await site.time.advance(2_000);
+  assert.notEqual(leaderOf(site), first);
+});
+
+test('a leader that is asked to stop is replaced at once', async () => {
+  const site = smallSite(5);
+  await site.time.advance(2_000);
+  const first = leaderOf(site);
+  void site.hosts.get(first)?.host.handOver(3_000);
+  await site.time.advance(800);
+  assert.notEqual(leaderOf(site), first);
+});
+
+test('a leader that was frozen changes nothing when it wakes', async () => {
+  const site = smallSite(6);
+  void site.submit('00000000000000a6', TWO_STEPS, { runMs: 900, failures: 0 });
+  await site.time.advance(1_500);
+  site.freeze(leaderOf(site), 4_000);
+  await site.time.advance(12_000);
+  assert.deepEqual(site.history.check(), []);
+  assert.ok(site.history.isDone('00000000000000a6'));
+});
+
+test('tasks of a lost worker run again elsewhere', async () => {
+  const site = smallSite(7);
+  void site.submit('00000000000000a7', TWO_STEPS, { runMs: 900, failures: 0 });
+  await site.time.advance(1_600);
+  site.fleet.crash('w1');
+  await site.time.advance(25_000);
+  assert.deepEqual(site.history.check(), []);
+  assert.ok(site.history.isDone('00000000000000a7'));
+});
+
+test('a job whose tasks always fail ends as failed', async () => {
+  const site = smallSite(8);
+  void site.submit('00000000000000a8', [{ tasks: 1, after: [] }], {
+    runMs: 100,
+    failures: 99,
+  });
+  await site.time.advance(8_000);
+  const host = site.hosts.get('h1')?.host;
+  const asked = host?.service.status('00000000000000a8');
+  await site.time.advance(100);
+  assert.deepEqual(await asked, { kind: 'known', status: 'failed' });
+  assert.deepEqual(site.history.check(), []);
+});
+
+test('nothing of a cancelled job begins or goes on', async () => {
+  const site = smallSite(9);
+  void site.submit('00000000000000a9', TWO_STEPS, {
+    runMs: 5_000,
+    failures: 0,
+  });
+  await site.time.advance(2_000);
+  void site.cancel('00000000000000a9');
+  await site.time.advance(10_000);
+  assert.deepEqual(site.history.check(), []);
+  assert.equal(site.history.isDone('00000000000000a9'), false);
+});
+
+test('an unknown job is told so', async () => {
+  const site = smallSite(10);
+  await site.time.advance(1_000);
+  const asked = site.hosts.get('h2')?.host.service.status('00000000000000ff');
+  await site.time.advance(100);
+  assert.deepEqual(await asked, { kind: 'no_such_job' });
+});
+
+test('a host without the log refuses at once', async () => {
+  const site = smallSite(11);
+  await site.time.advance(1_000);
+  site.log.modes.set('h1', 'silent');
+  await site.time.advance(4_000);
+  const service = site.hosts.get('h1')?.host.service;
+  const before = site.time.clock();
+  const asked = service?.cancel('00000000000000ff', before + 3_000);
+  await site.time.advance(2_000);
+  assert.equal((await asked)?.kind, 'refused');
+  assert.equal(site.hosts.get('h1')?.host.ready(), false);
+});
--- a/packages/daemon/src/job-host/job-service.ts
+++ b/packages/daemon/src/job-host/job-service.ts
@@ -142,7 +142,7 @@
       } else if (unknown === undefined) {
         return { kind: 'refused', reason };
       }
-      await pause(APPEND_RETRY_MS);
+      await pause(this.ctx, APPEND_RETRY_MS);
     } while (this.ctx.clock() < deadline - ANSWER_MARGIN_MS);
     return { kind: 'unknown', reason: unknown };
   }
--- a/packages/daemon/src/job-host/journal-writer.ts
+++ b/packages/daemon/src/job-host/journal-writer.ts
@@ -64,7 +64,7 @@
             { why: result.kind, reason: result.reason },
             'journal: an append is repeated',
           );
-          await pause(APPEND_RETRY_MS);
+          await pause(this.ctx, APPEND_RETRY_MS);
           break;
       }
     }
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -1,12 +1,15 @@
 /** The leader's loop: takes in ends, plans starts, records both, then acts. */
-import type { Millis } from '@paddlewind/domain';
+import type { Instant, Millis } from '@paddlewind/domain';
 import {
   applyJournal,
   createRunTimes,
   Interference,
   isOver,
+  isStalled,
   planStarts,
   refOf,
+  taskName,
+  WorkerHealth,
   workerRuns,
   type JobsState,
   type JournalRecord,
@@ -63,7 +66,8 @@
   private readonly fleet: Fleet;
   private readonly times = createRunTimes();
   private readonly interference = new Interference();
-  private readonly alarm = new Alarm();
+  private readonly health = new WorkerHealth();
+  private readonly alarm: Alarm;
   private batch: Batch = { records: [], effects: [] };
   private writing: Batch | undefined;
   private ended = false;
@@ -73,12 +77,14 @@
   constructor(private readonly options: LeaderOptions) {
     const { ctx, replica, claim } = options;
     this.state = replica.state;
+    this.alarm = new Alarm(ctx.schedule);
     this.writer = new JournalWriter(ctx, options.jobLog, claim);
     this.fleet = new Fleet({
       ctx,
       feed: options.feed,
       open: info => this.open(info),
       openRuns: worker => this.state.workers.get(worker)?.runs.size ?? 0,
+      health: this.health,
       changed: this.alarm.ring,
     });
     this.deposed = new Promise(resolve => {
@@ -149,7 +155,7 @@
     while (!this.ended) {
       const before = replica.nextOffset('inbox');
       if (!(await replica.refresh('inbox', INBOX_WAIT_MS))) {
-        await pause(INBOX_RETRY_MS);
+        await pause(this.options.ctx, INBOX_RETRY_MS);
       } else if (replica.nextOffset('inbox') !== before) {
         this.alarm.ring();
       }
@@ -222,7 +228,12 @@
   }
 
   private learn(run: Run, how: RunEnd): void {
-    const { task, progress } = run;
+    const { task, progress, worker } = run;
+    if (how === 'done') {
+      this.health.noteDone(worker);
+    } else if (how === 'failed') {
+      this.health.noteFailure(worker, task, this.options.ctx.clock());
+    }
     if (how === 'done' && progress !== undefined && task.checkpoint === '') {
       const took = this.options.ctx.clock() - progress.since;
       this.times.learn(task.step, took);
@@ -269,8 +280,9 @@
     }
   }
 
-  /** Stops runs of jobs that are over and copies of tasks that are done. */
+  /** Stops runs of jobs that are over, copies of tasks that are done, and runs that stand still. */
   private stopNeedless(): void {
+    const now = this.options.ctx.clock();
     for (const [worker, { runs }] of this.state.workers) {
       for (const run of runs.values()) {
         const { task, progress } = run;
@@ -278,11 +290,28 @@
           isOver(task.step.occurrence.job) || task.status === 'done';
         if (needless && progress?.stopping === false) {
           this.fleet.link(worker)?.stop(run);
+        } else if (isStalled(run, now)) {
+          this.stopStalled(run, now);
         }
       }
     }
   }
 
+  private stopStalled(run: Run, now: Instant): void {
+    this.options.ctx.log.info(
+      {
+        task: taskName(refOf(run.task)),
+        run: run.number,
+        worker: run.worker,
+        percent: run.progress?.percent,
+        sinceMs: now - (run.progress?.percentSince ?? now),
+      },
+      'leader: a run stands still and is stopped',
+    );
+    this.health.noteStall(run.worker, now);
+    this.fleet.link(run.worker)?.stop(run);
+  }
+
   /** Ends runs at workers that are not registered, once no earlier leader's lease can hold. */
   private giveUpUnregistered(): void {
     const { ctx, claim, maxLeaseMs } = this.options;
--- a/packages/daemon/src/job-host/leadership.ts
+++ b/packages/daemon/src/job-host/leadership.ts
@@ -49,7 +49,7 @@
       }
       continue;
     }
-    await pause(FOLLOW_EVERY_MS);
+    await pause(ctx, FOLLOW_EVERY_MS);
   }
   return undefined;
 }
@@ -72,11 +72,13 @@
   jobLog: JobLog,
   replica: Replica,
 ): Promise<WonClaim | undefined> {
-  await pause(ctx.random() * CLAIM_SPREAD_MS);
-  if (!(await replica.refresh('journal'))) {
+  const before = replica.state.claim.epoch;
+  await pause(ctx, ctx.random() * CLAIM_SPREAD_MS);
+  const read = await replica.refresh('journal');
+  if (!read || replica.state.claim.epoch !== before) {
     return undefined;
   }
-  const epoch = replica.state.claim.epoch + 1;
+  const epoch = before + 1;
   const nonce = Math.floor(ctx.random() * MAX_NONCE);
   const stamp = { writer: LEADER_WRITER, epoch, sequence: nonce };
   const record: JournalRecord = {
@@ -97,7 +99,7 @@
     }
     if (result.kind !== 'unknown') {
       ctx.log.info({ epoch, why: result.kind }, 'leadership: claim was lost');
-      await pause(APPEND_RETRY_MS);
+      await pause(ctx, APPEND_RETRY_MS);
       return undefined;
     }
   }
@@ -114,7 +116,7 @@
 ): Promise<WonClaim | undefined> {
   while (replica.nextOffset('journal') < nextOffset) {
     if (!(await replica.refresh('journal'))) {
-      await pause(APPEND_RETRY_MS);
+      await pause(ctx, APPEND_RETRY_MS);
     }
   }
   const { claim: newest } = replica.state;
--- /dev/null
+++ b/packages/daemon/src/job-host/simulation.test-support.ts
@@ -0,0 +1,240 @@
+/** Job hosts, log and workers in virtual time, with faults that a test sets. */
+import {
+  seededRandom,
+  type Instant,
+  type Millis,
+  type Random,
+} from '@paddlewind/domain';
+import type { JobSpec, StepSpec } from '@paddlewind/domain/jobs';
+import { createVirtualTime, type VirtualTime } from '@paddlewind/stand-ins';
+import {
+  JobHistory,
+  MemoryFleet,
+  MemoryJobLog,
+  type TaskScript,
+} from '@paddlewind/stand-ins/jobs';
+import { pino } from 'pino';
+
+import { startJobHost, type JobHost } from './start-job-host.js';
+
+const MAX_LEASE_MS = 6_000;
+const CAPACITY = { cpuMilli: 4_000, memoryMiB: 8_000, accelerators: 0 };
+const QUEUE = {
+  queue: 'checks',
+  service: 'main',
+  priority: 0,
+  maxAttempts: 3,
+  deadlineFactor: 2,
+  targetLatencyMs: 500,
+};
+
+/** A host whose process can be killed or frozen. */
+interface SimulatedHost {
+  readonly host: JobHost;
+  alive: boolean;
+  thawsAt: Instant;
+}
+
+/** A step of a job in a test. */
+export type TestStep = Pick<StepSpec, 'tasks' | 'after'> & Partial<StepSpec>;
+
+/** Several hosts on one log and one fleet. */
+export class Simulation {
+  readonly time: VirtualTime;
+  readonly random: Random;
+  readonly log: MemoryJobLog;
+  readonly fleet: MemoryFleet;
+  readonly history: JobHistory;
+  readonly hosts = new Map<string, SimulatedHost>();
+  private lives = 0;
+
+  /** Creates a simulation whose chance follows `seed`. */
+  constructor(seed: number) {
+    this.time = createVirtualTime();
+    this.random = seededRandom(seed);
+    const { clock, schedule } = this.time;
+    const time = { clock, schedule, random: this.random };
+    this.history = new JobHistory(clock);
+    this.log = new MemoryJobLog(time);
+    this.fleet = new MemoryFleet(time, this.history);
+  }
+
+  /** Adds a new life of the worker on `machine`. */
+  addWorker(machine: string): void {
+    this.lives += 1;
+    this.fleet.add(machine, {
+      id: `${machine}-life${this.lives}`,
+      capacity: CAPACITY,
+      maxLeaseMs: MAX_LEASE_MS,
+      clockRate: 0.98 + 0.02 * this.random(),
+      clockOffset: Math.floor(this.random() * 100_000),
+    });
+  }
+
+  /** Starts a host, or starts it again. */
+  startHost(name: string): JobHost {
+    const started = { alive: true, thawsAt: 0 } as SimulatedHost;
+    const schedule = (delay: Millis, task: () => void): (() => void) =>
+      this.time.schedule(delay, () => {
+        this.runIn(started, task);
+      });
+    const host = startJobHost({
+      ctx: {
+        host: name,
+        clock: this.time.clock,
+        wallClock: this.time.clock,
+        random: this.random,
+        schedule,
+        log: pino({ level: process.env['TEST_LOG'] ?? 'silent' }),
+      },
+      jobLog: this.guard(started, this.log.connect(name)),
+      configFeed: { next: () => new Promise(() => undefined) },
+      workerFeed: () => this.fleet.feed(),
+      workerPort: () => this.guard(started, this.fleet.connect(name)),
+      maxLeaseMs: MAX_LEASE_MS,
+    });
+    Object.assign(started, { host });
+    this.hosts.set(name, started);
+    return host;
+  }
+
+  /** Kills the process of a host. */
+  kill(name: string): void {
+    const found = this.hosts.get(name);
+    if (found !== undefined) {
+      found.alive = false;
+    }
+  }
+
+  /** Stops the process of a host for `span`. */
+  freeze(name: string, span: Millis): void {
+    const found = this.hosts.get(name);
+    if (found !== undefined) {
+      found.thawsAt = this.time.clock() + span;
+    }
+  }
+
+  /** Submits a job through a host, at other hosts again until it is accepted. */
+  async submit(
+    id: string,
+    steps: TestStep[],
+    script: TaskScript,
+  ): Promise<void> {
+    const job = jobOf(id, steps, script);
+    this.history.jobs.set(id, {
+      steps: job.steps,
+      maxAttempts: QUEUE.maxAttempts,
+      cancelledAt: Infinity,
+    });
+    await this.untilRecorded(host =>
+      host.service.submit(job, this.time.clock() + 3_000),
+    );
+  }
+
+  /** Cancels a job, at other hosts again until that is confirmed. */
+  async cancel(id: string): Promise<void> {
+    await this.untilRecorded(host =>
+      host.service.cancel(id, this.time.clock() + 3_000),
+    );
+    const promised = this.history.jobs.get(id);
+    if (promised !== undefined) {
+      promised.cancelledAt = this.time.clock();
+    }
+  }
+
+  private async untilRecorded(
+    ask: (host: JobHost) => Promise<{ kind: string }>,
+  ): Promise<void> {
+    for (;;) {
+      const alive = [...this.hosts.values()].filter(found => found.alive);
+      const chosen = alive[Math.floor(this.random() * alive.length)];
+      if (chosen !== undefined) {
+        const gaveUp = this.wait(4_000).then(() => ({ kind: 'gave_up' }));
+        const result = await Promise.race([ask(chosen.host), gaveUp]);
+        if (result.kind === 'recorded') {
+          return;
+        }
+      }
+      await this.wait(200);
+    }
+  }
+
+  /** Resolves after `span` of virtual time. */
+  wait(span: Millis): Promise<void> {
+    return new Promise(resolve => {
+      this.time.schedule(span, resolve);
+    });
+  }
+
+  private runIn(host: SimulatedHost, task: () => void): void {
+    if (!host.alive) {
+      return;
+    }
+    const left = host.thawsAt - this.time.clock();
+    if (left > 0) {
+      this.time.schedule(left, () => {
+        this.runIn(host, task);
+      });
+      return;
+    }
+    task();
+  }
+
+  /** Delivers results only while the host's process runs. */
+  private guard<T extends object>(host: SimulatedHost, port: T): T {
+    const deliver = <R>(result: Promise<R>): Promise<R> =>
+      new Promise(resolve => {
+        void result.then(value => {
+          this.runIn(host, () => {
+            resolve(value);
+          });
+        });
+      });
+    return new Proxy(port, {
+      get: (target, name, receiver) => {
+        const call: unknown = Reflect.get(target, name, receiver);
+        if (typeof call !== 'function') {
+          return call;
+        }
+        return (...args: unknown[]): unknown => {
+          const result: unknown = Reflect.apply(call, target, args);
+          return result instanceof Promise ? deliver(result) : result;
+        };
+      },
+    });
+  }
+}
+
+const PLAIN_STEP: StepSpec = {
+  tasks: 1,
+  size: { cpuMilli: 1_000, memoryMiB: 500, accelerators: 0 },
+  estimateMs: 500,
+  after: [],
+  checkpoints: false,
+  gang: false,
+  sameRack: false,
+  label: undefined,
+  dataRack: undefined,
+  maxPerWorker: undefined,
+  speculative: false,
+  lasting: false,
+  image: undefined,
+  tailTargetMs: undefined,
+  filler: false,
+  allowedMisses: undefined,
+};
+
+/** Returns a job whose tasks do what `script` says. */
+export function jobOf(
+  id: string,
+  steps: readonly TestStep[],
+  script: TaskScript,
+): JobSpec {
+  return {
+    id,
+    payload: JSON.stringify(script),
+    steps: steps.map(step => ({ ...PLAIN_STEP, ...step })),
+    repetition: undefined,
+    terms: QUEUE,
+  };
+}
--- a/packages/daemon/src/job-host/start-job-host.ts
+++ b/packages/daemon/src/job-host/start-job-host.ts
@@ -60,7 +60,7 @@
       if (found.kind === 'value') {
         takeConfig(found.value);
       } else {
-        await pause(CONFIG_RETRY_MS);
+        await pause(ctx, CONFIG_RETRY_MS);
       }
     }
   }
@@ -107,7 +107,7 @@
       stopping = true;
       if (leader !== undefined) {
         leader.release();
-        await Promise.race([leader.deposed, pause(waitMs)]);
+        await Promise.race([leader.deposed, pause(ctx, waitMs)]);
       }
     },
   };
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -60,7 +60,7 @@
 /** The leader's link to one worker. */
 export class WorkerLink {
   private readonly lease: Lease;
-  private readonly alarm = new Alarm();
+  private readonly alarm: Alarm;
   private readonly orders = new OrderQueue();
   /** Whether the worker has reported to this leader, so that its open runs are known. */
   private verified = false;
@@ -76,6 +76,7 @@
     public info: WorkerInfo,
     private readonly options: LinkOptions,
   ) {
+    this.alarm = new Alarm(options.ctx.schedule);
     this.lease = new Lease(options.claimedAt, options.maxLeaseMs);
   }
 
@@ -137,9 +138,10 @@
 
   /** Limits a run to `percent` of its speed. */
   throttle(run: Run, percent: number): void {
-    const { port, fence } = this.options;
+    const { ctx, port, fence } = this.options;
     if (run.progress !== undefined) {
       run.progress.allowed = percent;
+      run.progress.allowedSince = ctx.clock();
     }
     this.orders.add(async () => {
       const { task, number } = run;
@@ -163,7 +165,8 @@
   private async look(): Promise<void> {
     const { ctx, port, fence } = this.options;
     const sentAt = ctx.clock();
-    const extend = this.verified && this.options.mayExtend();
+    // A worker that does not answer may be out of reach: its lease has to end.
+    const extend = this.verified && this.answering && this.options.mayExtend();
     const acknowledged = this.recordedUpTo;
     const res = await port.look(this.info, {
       fence,
@@ -190,7 +193,7 @@
         return;
       case 'fenced':
         events.fenced();
-        await pause(LOOK_RETRY_MS);
+        await pause(this.options.ctx, LOOK_RETRY_MS);
         return;
       case 'replaced':
         this.takeReplaced();
@@ -200,7 +203,7 @@
         if (this.lease.hasLapsed(ctx.clock())) {
           this.endAll(`no answer (${res.reason}) and its lease has lapsed`);
         }
-        await pause(LOOK_RETRY_MS);
+        await pause(this.options.ctx, LOOK_RETRY_MS);
         return;
     }
   }
@@ -247,7 +250,10 @@
     const last = report.ended.at(-1);
     if (last !== undefined) {
       const recorded = this.awaitRecord(last.position);
-      await Promise.race([recorded, pause(UNRECORDED_LOOK_MS)]);
+      await Promise.race([
+        recorded,
+        pause(this.options.ctx, UNRECORDED_LOOK_MS),
+      ]);
     }
   }
 
@@ -292,6 +298,7 @@
     run.progress ??= newProgress(now);
     const { progress } = run;
     progress.confirmed = true;
+    progress.seenAt = now;
     progress.checkpoint = seen.checkpoint;
     progress.reading = seen.reading;
     if (progress.percent !== seen.percent) {
@@ -355,11 +362,11 @@
       events.fenced();
       return;
     }
-    setTimeout(() => {
+    ctx.schedule(STOP_RETRY_MS, () => {
       if (!this.closed && run.task.runs.includes(run)) {
         this.stop(run);
       }
-    }, STOP_RETRY_MS);
+    });
   }
 
   private noteOrder(run: Run, order: string, res: OrderResult): void {
--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -6,3 +6,4 @@
 export * from './records.js';
 export * from './run-times.js';
 export * from './spec.js';
+export * from './worker-health.js';
--- a/packages/domain/src/jobs/job.ts
+++ b/packages/domain/src/jobs/job.ts
@@ -20,12 +20,16 @@
   percent: number;
   /** Monotonic time at which `percent` last changed. */
   percentSince: Instant;
+  /** Monotonic time of the newest report that listed it. */
+  seenAt: Instant;
   /** Newest checkpoint; empty when there is none. */
   checkpoint: string;
   /** Tail latency in milliseconds of a serving task, processor use in thousandths of a core of another. */
   reading: number;
   /** Share of its speed that it is allowed, 0 to 100. */
   allowed: number;
+  /** Monotonic time at which that share was ordered. */
+  allowedSince: Instant;
 }
 
 /** Returns the progress of a run that was ordered or first seen `now`. */
@@ -37,9 +41,11 @@
     stopConfirmedAt: Infinity,
     percent: 0,
     percentSince: now,
+    seenAt: now,
     checkpoint: '',
     reading: 0,
     allowed: 100,
+    allowedSince: now,
   };
 }
 
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -21,6 +21,8 @@
 /** A worker that may be given tasks. */
 export interface PlanWorker {
   readonly info: WorkerInfo;
+  /** Whether it may be given more than one run at a time. */
+  readonly trusted: boolean;
 }
 
 /** A decision to start a task. */
@@ -95,6 +97,9 @@
       continue;
     }
     const load = workerRuns(state, worker.info.id);
+    if (!worker.trusted && load.runs.size > 0) {
+      continue;
+    }
     if (!hasRoom(worker.info, load, task.step.spec)) {
       continue;
     }
@@ -148,6 +153,8 @@
 const NEAR_DATA_BONUS = 2;
 /** Cost of a worker on which the task failed before. */
 const FAILED_HERE_COST = 4;
+/** Cost of a worker that has to prove itself, for a task that has failed before. */
+const UNTRUSTED_COST = 4;
 /** Cost of a worker where tasks serve, for a task that does not. */
 const SERVING_HERE_COST = 1;
 /** Lowest share of its speed at which a filler is placed. */
@@ -203,5 +210,8 @@
   if (task.failedOn.has(info.id)) {
     rank -= FAILED_HERE_COST;
   }
+  if (!worker.trusted && task.failures > 0) {
+    rank -= UNTRUSTED_COST;
+  }
   return rank;
 }
--- /dev/null
+++ b/packages/stand-ins/src/jobs/job-history.ts
@@ -0,0 +1,213 @@
+/** What workers saw of each run, and whether the promises of the product were kept. */
+import type { Instant } from '@paddlewind/domain';
+import {
+  runKey,
+  taskName,
+  type RunEnd,
+  type TaskRef,
+} from '@paddlewind/domain/jobs';
+
+/** A broken promise. */
+export interface Violation {
+  readonly promise:
+    | 'one_place_at_a_time'
+    | 'finish_once'
+    | 'steps_in_order'
+    | 'attempts_bounded'
+    | 'nothing_after_cancel';
+  readonly task: string;
+  readonly detail: string;
+}
+
+interface RunRef {
+  readonly task: TaskRef;
+  readonly run: number;
+}
+
+interface RunTrace {
+  readonly task: TaskRef;
+  readonly run: number;
+  readonly worker: string;
+  readonly beganAt: Instant;
+  endedAt: Instant;
+  how: RunEnd | 'lost' | undefined;
+  /** Lapses of the worker's lease when it ended. */
+  lapsesAtEnd: number;
+  noted: boolean;
+}
+
+/** What a job asked for, as far as promises depend on it. */
+export interface PromisedJob {
+  readonly steps: readonly {
+    readonly tasks: number;
+    readonly after: readonly number[];
+  }[];
+  readonly maxAttempts: number;
+  /** When the cancellation was confirmed; infinite when there was none. */
+  cancelledAt: Instant;
+}
+
+/** Longest time after a confirmed cancellation in which a task may still begin, in milliseconds. */
+const CANCEL_MS = 3_000;
+
+/** Collects what happens at workers. */
+export class JobHistory {
+  /** Accepted jobs by id. */
+  readonly jobs = new Map<string, PromisedJob>();
+
+  private readonly runs = new Map<string, RunTrace>();
+
+  /** Creates an empty history. */
+  constructor(private readonly clock: () => Instant) {}
+
+  /** A run has begun. */
+  began({ task, run }: RunRef, worker: string): void {
+    this.runs.set(this.key({ task, run }, worker), {
+      task,
+      run,
+      worker,
+      beganAt: this.clock(),
+      endedAt: Infinity,
+      how: undefined,
+      lapsesAtEnd: 0,
+      noted: false,
+    });
+  }
+
+  /** A run has ended. */
+  ended(ref: RunRef, worker: string, how: RunEnd, lapses: number): void {
+    const trace = this.runs.get(this.key(ref, worker));
+    if (trace !== undefined) {
+      trace.endedAt = this.clock();
+      trace.how = how;
+      trace.lapsesAtEnd = lapses;
+    }
+  }
+
+  /** A run has gone with its worker. */
+  lost(ref: RunRef, worker: string): void {
+    const trace = this.runs.get(this.key(ref, worker));
+    if (trace !== undefined) {
+      trace.endedAt = this.clock();
+      trace.how = 'lost';
+    }
+  }
+
+  /** An end was acknowledged; it counts unless the lease lapsed in between. */
+  noted(ref: RunRef, worker: string, lapses: number): void {
+    const trace = this.runs.get(this.key(ref, worker));
+    if (trace?.lapsesAtEnd === lapses) {
+      trace.noted = true;
+    }
+  }
+
+  /** Returns every promise that was broken. */
+  check(): Violation[] {
+    const byTask = new Map<string, RunTrace[]>();
+    for (const trace of this.runs.values()) {
+      const name = taskName(trace.task);
+      byTask.set(name, [...(byTask.get(name) ?? []), trace]);
+    }
+    const found: Violation[] = [];
+    for (const [name, runs] of byTask) {
+      runs.sort((a, b) => a.beganAt - b.beganAt);
+      found.push(...overlaps(name, runs), ...repeats(name, runs));
+      found.push(...this.checkJob(name, runs));
+    }
+    return found;
+  }
+
+  /** Tells whether every task of a job has a run that ended as done. */
+  isDone(id: string): boolean {
+    const job = this.jobs.get(id);
+    const done = new Set<string>();
+    for (const { task, how } of this.runs.values()) {
+      if (task.job === id && how === 'done') {
+        done.add(taskName(task));
+      }
+    }
+    const tasks = job?.steps.reduce((sum, step) => sum + step.tasks, 0);
+    return done.size === tasks;
+  }
+
+  private checkJob(name: string, runs: readonly RunTrace[]): Violation[] {
+    const first = runs[0];
+    const job = this.jobs.get(first?.task.job ?? '');
+    if (first === undefined || job === undefined) {
+      return [];
+    }
+    const found: Violation[] = [];
+    const failed = runs.filter(({ how, noted }) => how === 'failed' && noted);
+    if (failed.length > job.maxAttempts) {
+      found.push(violation('attempts_bounded', name, failed));
+    }
+    const late = runs.filter(
+      ({ beganAt }) => beganAt > job.cancelledAt + CANCEL_MS,
+    );
+    if (late.length > 0) {
+      found.push(violation('nothing_after_cancel', name, late));
+    }
+    for (const before of job.steps[first.task.step]?.after ?? []) {
+      if (!this.stepDoneBy(first.task, before, first.beganAt)) {
+        found.push(violation('steps_in_order', name, runs));
+      }
+    }
+    return found;
+  }
+
+  private stepDoneBy(task: TaskRef, step: number, at: Instant): boolean {
+    const tasks = this.jobs.get(task.job)?.steps[step]?.tasks ?? 0;
+    const done = new Set<number>();
+    for (const trace of this.runs.values()) {
+      const { job, occurrence } = trace.task;
+      if (
+        job === task.job &&
+        occurrence === task.occurrence &&
+        trace.task.step === step &&
+        trace.how === 'done' &&
+        trace.endedAt <= at
+      ) {
+        done.add(trace.task.index);
+      }
+    }
+    return done.size === tasks;
+  }
+
+  private key({ task, run }: RunRef, worker: string): string {
+    return `${worker}/${runKey(taskName(task), run)}`;
+  }
+}
+
+function overlaps(name: string, runs: readonly RunTrace[]): Violation[] {
+  for (let at = 1; at < runs.length; at += 1) {
+    const [before, after] = [runs[at - 1], runs[at]];
+    if (before && after && after.beganAt < before.endedAt) {
+      return [violation('one_place_at_a_time', name, [before, after])];
+    }
+  }
+  return [];
+}
+
+function repeats(name: string, runs: readonly RunTrace[]): Violation[] {
+  const done = runs.find(({ how, noted }) => how === 'done' && noted);
+  const again = runs.find(
+    ({ beganAt }) => beganAt > (done?.endedAt ?? Infinity),
+  );
+  return done !== undefined && again !== undefined
+    ? [violation('finish_once', name, [done, again])]
+    : [];
+}
+
+function violation(
+  promise: Violation['promise'],
+  task: string,
+  runs: readonly RunTrace[],
+): Violation {
+  const detail = runs
+    .map(
+      ({ run, worker, beganAt, endedAt, how }) =>
+        `run ${run} on ${worker} ${beganAt} to ${endedAt} ${how ?? 'open'}`,
+    )
+    .join('; ');
+  return { promise, task, detail };
+}
--- /dev/null
+++ b/packages/stand-ins/src/jobs/memory-fleet.ts
@@ -0,0 +1,171 @@
+/** Workers in memory behind a network that loses and delays orders. */
+import type { WorkerInfo } from '@paddlewind/domain/jobs';
+import type {
+  LookResult,
+  OrderResult,
+  WorkerAddress,
+  WorkerFeed,
+  WorkerPort,
+} from '@paddlewind/ports/jobs';
+
+import type { JobHistory } from './job-history.js';
+import type { SimulatedTime } from './memory-job-log.js';
+import { MemoryWorker, type WorkerTraits } from './memory-worker.js';
+
+/** Time of one way through the network, in milliseconds. */
+const WAY_MS = 1;
+/** Time after which an order is given up, in milliseconds. */
+const TIMEOUT_MS = 500;
+/** When an order that was held up arrives, in milliseconds. */
+const LATE_FROM_MS = 2_000;
+const LATE_SPAN_MS = 10_000;
+
+/** All workers of a test. */
+export class MemoryFleet {
+  /** Share of the orders that are not answered and arrive late. */
+  lateShare = 0;
+  /** Pairs `host>worker` that cannot reach each other. */
+  readonly cuts = new Set<string>();
+
+  private readonly workers = new Map<string, MemoryWorker>();
+  /** Present life by address. */
+  private readonly lives = new Map<string, string>();
+
+  /** Creates a fleet without workers. */
+  constructor(
+    private readonly time: SimulatedTime,
+    private readonly history: JobHistory,
+  ) {}
+
+  /** Adds a worker whose address is that of its machine. */
+  add(machine: string, traits: WorkerTraits): MemoryWorker {
+    const worker = new MemoryWorker(traits, this.time, this.history);
+    this.workers.set(traits.id, worker);
+    this.lives.set(machine, traits.id);
+    return worker;
+  }
+
+  /** Ends the life at an address; another may be added there later. */
+  crash(machine: string): void {
+    const id = this.lives.get(machine);
+    this.lives.delete(machine);
+    this.workers.get(id ?? '')?.crash();
+  }
+
+  /** Returns the worker that lives at an address. */
+  at(machine: string): MemoryWorker | undefined {
+    return this.workers.get(this.lives.get(machine) ?? '');
+  }
+
+  /** The registry of workers, as every host sees it. */
+  feed(): WorkerFeed {
+    return {
+      refresh: () => {
+        const value: WorkerInfo[] = [];
+        for (const [address, id] of this.lives) {
+          const worker = this.workers.get(id);
+          if (worker !== undefined) {
+            value.push(infoOf(address, worker.traits));
+          }
+        }
+        return Promise.resolve({ kind: 'value', value });
+      },
+    };
+  }
+
+  /** The workers as `host` reaches them. */
+  connect(host: string): WorkerPort {
+    return {
+      start: (to, order) => this.order(host, to, worker => worker.start(order)),
+      stop: (to, order) => this.order(host, to, worker => worker.stop(order)),
+      throttle: (to, order) =>
+        this.order(host, to, worker => ({
+          kind: order.fence >= 0 ? 'accepted' : 'replaced',
+          clock: worker.clock,
+        })),
+      look: (to, order) => this.look(host, to, worker => worker.look(order)),
+      forget: () => undefined,
+    };
+  }
+
+  private async order(
+    host: string,
+    to: WorkerAddress,
+    carryOut: (worker: MemoryWorker) => OrderResult,
+  ): Promise<OrderResult> {
+    if (this.time.random() < this.lateShare) {
+      const after = LATE_FROM_MS + this.time.random() * LATE_SPAN_MS;
+      this.time.schedule(after, () => {
+        const worker = this.at(to.address);
+        if (worker?.traits.id === to.id) {
+          carryOut(worker);
+        }
+      });
+      await this.pause(TIMEOUT_MS);
+      return { kind: 'unknown', reason: 'timeout' };
+    }
+    await this.pause(WAY_MS);
+    const worker = this.reach(host, to);
+    if (worker === undefined) {
+      await this.pause(TIMEOUT_MS);
+      return { kind: 'unknown', reason: 'timeout' };
+    }
+    if (worker.traits.id !== to.id) {
+      return { kind: 'replaced' };
+    }
+    const result = carryOut(worker);
+    await this.pause(WAY_MS);
+    if (this.reach(host, to) === undefined) {
+      await this.pause(TIMEOUT_MS);
+      return { kind: 'unknown', reason: 'timeout' };
+    }
+    return result;
+  }
+
+  private async look(
+    host: string,
+    to: WorkerAddress,
+    carryOut: (worker: MemoryWorker) => Promise<LookResult>,
+  ): Promise<LookResult> {
+    await this.pause(WAY_MS);
+    const worker = this.reach(host, to);
+    if (worker === undefined) {
+      await this.pause(TIMEOUT_MS);
+      return { kind: 'failed', reason: 'timeout' };
+    }
+    if (worker.traits.id !== to.id) {
+      return { kind: 'replaced' };
+    }
+    const result = await carryOut(worker);
+    await this.pause(WAY_MS);
+    if (this.reach(host, to) !== worker) {
+      return { kind: 'failed', reason: 'connection lost' };
+    }
+    return result;
+  }
+
+  private reach(host: string, to: WorkerAddress): MemoryWorker | undefined {
+    if (this.cuts.has(`${host}>${to.address}`)) {
+      return undefined;
+    }
+    return this.at(to.address);
+  }
+
+  private pause(span: number): Promise<void> {
+    return new Promise(resolve => {
+      this.time.schedule(span, resolve);
+    });
+  }
+}
+
+function infoOf(address: string, traits: WorkerTraits): WorkerInfo {
+  return {
+    id: traits.id,
+    address,
+    service: 'main',
+    availabilityZone: 'a',
+    labels: [],
+    capacity: traits.capacity,
+    leaving: false,
+  };
+}
--- /dev/null
+++ b/packages/stand-ins/src/jobs/memory-job-log.ts
@@ -0,0 +1,192 @@
+/** The log of jobs in memory: stamps, late effects, lost answers, and hosts that it does not serve. */
+import type { Clock, Random, Schedule } from '@paddlewind/domain';
+import type {
+  AppendResult,
+  JobLog,
+  JobStream,
+  ReadResult,
+  WriterStamp,
+} from '@paddlewind/ports/jobs';
+
+/** How the log treats one host. */
+export type LogMode =
+  | 'up'
+  /** Every call is refused, and nothing is done. */
+  | 'refusing'
+  /** No call arrives. */
+  | 'silent'
+  /** Every other append is carried out at once or later, and is not answered. */
+  | 'losing';
+
+/** Time and chance under a test's control. */
+export interface SimulatedTime {
+  readonly clock: Clock;
+  readonly schedule: Schedule;
+  readonly random: Random;
+}
+
+/** Time after which a host gives a call up, in milliseconds. */
+const TIMEOUT_MS = 1_500;
+/** Time to answer a call, in milliseconds. */
+const ANSWER_MS = 3;
+/** Longest time after which an append that was not answered is carried out, in milliseconds. */
+const LATEST_MS = 6_000;
+/** Appends whose repetition gets the first answer again. */
+const REMEMBERED = 5;
+
+interface Writer {
+  epoch: number;
+  sequence: number;
+  answers: { readonly sequence: number; readonly answer: AppendResult }[];
+}
+
+interface Stream {
+  readonly records: Uint8Array[];
+  readonly writers: Map<string, Writer>;
+  waiting: (() => void)[];
+}
+
+/** One log for all hosts of a test. */
+export class MemoryJobLog {
+  /** Modes of hosts; all others are served. */
+  readonly modes = new Map<string, LogMode>();
+
+  private readonly streams: Record<JobStream, Stream> = {
+    inbox: newStream(),
+    journal: newStream(),
+  };
+
+  /** Creates an empty log. */
+  constructor(private readonly time: SimulatedTime) {}
+
+  /** Returns the log as `host` sees it. */
+  connect(host: string): JobLog {
+    return {
+      append: (stream, records, stamp) =>
+        this.append(host, stream, records, stamp),
+      read: (stream, from, waitMs) => this.read(host, stream, from, waitMs),
+    };
+  }
+
+  /** All records of a stream. */
+  recordsOf(stream: JobStream): readonly Uint8Array[] {
+    return this.streams[stream].records;
+  }
+
+  private async append(
+    host: string,
+    stream: JobStream,
+    records: readonly Uint8Array[],
+    stamp: WriterStamp | undefined,
+  ): Promise<AppendResult> {
+    const mode = this.modes.get(host) ?? 'up';
+    if (mode === 'refusing') {
+      await this.pause(ANSWER_MS);
+      return { kind: 'refused', reason: 'refusing' };
+    }
+    if (mode === 'silent') {
+      await this.pause(TIMEOUT_MS);
+      return { kind: 'unknown', reason: 'timeout' };
+    }
+    if (mode === 'losing' && this.time.random() < 0.5) {
+      const late = this.time.random() < 0.5;
+      const after = late ? this.time.random() * LATEST_MS : ANSWER_MS;
+      this.time.schedule(after, () => {
+        this.carryOut(stream, records, stamp);
+      });
+      await this.pause(TIMEOUT_MS);
+      return { kind: 'unknown', reason: 'timeout' };
+    }
+    await this.pause(ANSWER_MS);
+    const answer = this.carryOut(stream, records, stamp);
+    await this.pause(ANSWER_MS);
+    return answer;
+  }
+
+  private carryOut(
+    name: JobStream,
+    records: readonly Uint8Array[],
+    stamp: WriterStamp | undefined,
+  ): AppendResult {
+    const stream = this.streams[name];
+    if (stamp === undefined) {
+      return store(stream, records);
+    }
+    const { writer, epoch, sequence } = stamp;
+    const known = stream.writers.get(writer);
+    if (known !== undefined && epoch <= known.epoch) {
+      const repeated = known.answers.find(
+        answered => answered.sequence === sequence,
+      );
+      if (epoch < known.epoch) {
+        return { kind: 'fenced' };
+      }
+      if (repeated !== undefined) {
+        return repeated.answer;
+      }
+      if (sequence !== known.sequence + 1) {
+        return { kind: 'out_of_sequence' };
+      }
+    }
+    const answer = store(stream, records);
+    const earlier = known?.epoch === epoch ? known.answers : [];
+    const answers = [...earlier, { sequence, answer }].slice(-REMEMBERED);
+    stream.writers.set(writer, { epoch, sequence, answers });
+    return answer;
+  }
+
+  private async read(
+    host: string,
+    name: JobStream,
+    from: number,
+    waitMs: number,
+  ): Promise<ReadResult> {
+    const mode = this.modes.get(host) ?? 'up';
+    if (mode === 'refusing' || mode === 'silent') {
+      await this.pause(mode === 'silent' ? TIMEOUT_MS : ANSWER_MS);
+      return { kind: 'unavailable', reason: mode };
+    }
+    await this.pause(ANSWER_MS);
+    const stream = this.streams[name];
+    if (stream.records.length <= from && waitMs > 0) {
+      await this.nextRecord(stream, waitMs);
+    }
+    return {
+      kind: 'records',
+      records: stream.records.slice(from),
+      offset: from,
+      endOffset: stream.records.length,
+    };
+  }
+
+  private nextRecord(stream: Stream, waitMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const cancel = this.time.schedule(waitMs, resolve);
+      stream.waiting.push(() => {
+        cancel();
+        resolve();
+      });
+    });
+  }
+
+  private pause(span: number): Promise<void> {
+    return new Promise(resolve => {
+      this.time.schedule(span, resolve);
+    });
+  }
+}
+
+function newStream(): Stream {
+  return { records: [], writers: new Map(), waiting: [] };
+}
+
+function store(stream: Stream, records: readonly Uint8Array[]): AppendResult {
+  const offset = stream.records.length;
+  stream.records.push(...records);
+  const { waiting } = stream;
+  stream.waiting = [];
+  for (const wake of waiting) {
+    wake();
+  }
+  return { kind: 'appended', offset, nextOffset: stream.records.length };
+}
