--- a/packages/daemon/src/job-host/job-host.fuzz.test.ts
+++ b/packages/daemon/src/job-host/job-host.fuzz.test.ts
@@ -1,9 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
+import type { JobStream } from '@paddlewind/ports/jobs';
 import fc from 'fast-check';
 
-import { Simulation } from './simulation.test-support.js';
+import { Simulation } from './simulation.fixture.test.js';
 
 const HOSTS = ['h1', 'h2', 'h3'];
 const WORKERS = ['w1', 'w2', 'w3', 'w4'];
@@ -23,6 +24,7 @@
       mode: 'refusing' | 'silent' | 'losing';
       span: number;
     }
+  | { kind: 'stream'; stream: JobStream; span: number }
   | { kind: 'cut'; host: string; worker: string; span: number }
   | { kind: 'crash' | 'hang' | 'fail'; worker: string; span: number }
   | { kind: 'late'; share: number; span: number };
@@ -43,6 +45,11 @@
     ),
     span,
   }),
+  fc.record({
+    kind: fc.constant('stream' as const),
+    stream: fc.constantFrom('inbox' as const, 'journal' as const),
+    span,
+  }),
   fc.record({ kind: fc.constant('cut' as const), host, worker, span }),
   fc.record({
     kind: fc.constantFrom('crash' as const, 'hang' as const, 'fail' as const),
@@ -99,6 +106,10 @@
       log.modes.set(found.host, found.mode);
       time.schedule(found.span, () => log.modes.delete(found.host));
       return;
+    case 'stream':
+      log.streamModes.set(found.stream, 'refusing');
+      time.schedule(found.span, () => log.streamModes.delete(found.stream));
+      return;
     case 'cut': {
       const pair = `${found.host}>${found.worker}`;
       fleet.cuts.add(pair);
@@ -190,9 +201,9 @@
       judge(await play(found), found);
     }),
     {
-      numRuns: Number(process.env['FUZZ_RUNS'] ?? 12),
-      seed: Number(process.env['FUZZ_SEED'] ?? 20261202),
-      endOnFailure: process.env['FUZZ_SHRINK'] === undefined,
+      numRuns: Number(process.env.FUZZ_RUNS ?? 12),
+      seed: Number(process.env.FUZZ_SEED ?? 20261202),
+      endOnFailure: process.env.FUZZ_SHRINK === undefined,
     },
   );
 });
--- a/packages/daemon/src/job-host/job-host.test.ts
+++ b/packages/daemon/src/job-host/job-host.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { Simulation } from './simulation.test-support.js';
+import { Simulation } from './simulation.fixture.test.js';
 
 const TWO_STEPS = [
   { tasks: 3, after: [] },
@@ -151,3 +151,65 @@
   assert.equal((await asked)?.kind, 'refused');
   assert.equal(site.hosts.get('h1')?.host.ready(), false);
 });
+
+test('a host that cannot read the inbox takes in nothing of the journal', async () => {
+  const site = smallSite(12);
+  void site.submit('0000000000000012', TWO_STEPS, { runMs: 900, failures: 0 });
+  await site.time.advance(1_500);
+  site.log.streamModes.set('inbox', 'refusing');
+  const first = leaderOf(site);
+  site.kill(first);
+  site.startHost(first);
+  await site.time.advance(4_000);
+  site.log.streamModes.delete('inbox');
+  await site.time.advance(12_000);
+  assert.deepEqual(site.history.check(), []);
+  assert.ok(site.history.isDone('0000000000000012'));
+});
+
+test('a new leader knows of every cancellation', async () => {
+  const site = smallSite(13);
+  void site.submit('0000000000000013', [{ tasks: 2, after: [] }], {
+    runMs: 9_000,
+    failures: 0,
+  });
+  await site.time.advance(1_500);
+  void site.cancel('0000000000000013');
+  await site.time.advance(1_000);
+  site.log.modes.set(leaderOf(site), 'refusing');
+  await site.time.advance(12_000);
+  assert.deepEqual(site.history.check(), []);
+});
+
+test('nothing starts while cancellations cannot be read', async () => {
+  const site = smallSite(14);
+  const slow = { runMs: 4_000, failures: 0 };
+  void site.submit('00000000000000b4', [{ tasks: 12, after: [] }], slow);
+  await site.time.advance(1_000);
+  void site.submit('0000000000000014', [{ tasks: 2, after: [] }], slow);
+  await site.time.advance(200);
+  site.log.modes.set(leaderOf(site), 'refusing');
+  void site.cancel('0000000000000014');
+  await site.time.advance(100);
+  site.log.modes.clear();
+  site.log.streamModes.set('inbox', 'refusing');
+  await site.time.advance(9_000);
+  site.log.streamModes.clear();
+  await site.time.advance(9_000);
+  assert.deepEqual(site.history.check(), []);
+  assert.ok(site.history.isDone('00000000000000b4'));
+});
+
+test('a start that was recorded late is not ordered once its job is cancelled', async () => {
+  const site = smallSite(15);
+  await site.time.advance(2_000);
+  void site.submit('0000000000000015', [{ tasks: 2, after: [] }], QUICK);
+  await site.time.advance(10);
+  site.log.streamModes.set('journal', 'refusing');
+  await site.time.advance(500);
+  void site.cancel('0000000000000015');
+  await site.time.advance(5_000);
+  site.log.streamModes.clear();
+  await site.time.advance(5_000);
+  assert.deepEqual(site.history.check(), []);
+});
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -30,6 +30,7 @@
 import {
   HEARTBEAT_EVERY_MS,
   INBOX_RETRY_MS,
+  INBOX_STALE_MS,
   INBOX_WAIT_MS,
   LEADER_LEASE_MS,
   PLAN_EVERY_MS,
@@ -241,7 +242,10 @@
   }
 
   private plan(): void {
-    const { ctx } = this.options;
+    const { ctx, replica } = this.options;
+    if (ctx.clock() - replica.inboxReadAt > INBOX_STALE_MS) {
+      return;
+    }
     const time = { now: ctx.clock(), nowWall: ctx.wallClock() };
     const { state, times, interference } = this;
     const workers = this.fleet.planWorkers();
@@ -260,11 +264,21 @@
     this.record(entry, written => {
       const run = task.runs.find(open => open.number === number);
       if (written && run !== undefined) {
-        this.fleet.link(worker)?.start(run);
+        this.order(run);
       }
     });
   }
 
+  /** Orders a recorded run to begin, unless its job was cancelled while it was recorded. */
+  private order(run: Run): void {
+    const link = this.fleet.link(run.worker);
+    if (link === undefined || isOver(run.task.step.occurrence.job)) {
+      this.recordEnd(run, 'void', '');
+    } else {
+      link.start(run);
+    }
+  }
+
   /** Learns from a worker's readings and limits its fillers. */
   private limitFillers(link: WorkerLink): void {
     const load = workerRuns(this.state, link.info.id);
--- a/packages/daemon/src/job-host/leadership.ts
+++ b/packages/daemon/src/job-host/leadership.ts
@@ -106,7 +106,10 @@
   return undefined;
 }
 
-/** Reads up to the claim: nothing of an earlier leader can follow it. */
+/**
+ * Reads the journal up to the claim, which nothing of an earlier leader can follow, and the inbox to
+ * its end: what was cancelled must not be started.
+ */
 async function takeOver(
   ctx: HostContext,
   replica: Replica,
@@ -114,10 +117,12 @@
   sentAt: number,
   nextOffset: number,
 ): Promise<WonClaim | undefined> {
-  while (replica.nextOffset('journal') < nextOffset) {
-    if (!(await replica.refresh('journal'))) {
-      await pause(ctx, APPEND_RETRY_MS);
-    }
+  while (
+    !(await replica.refresh('inbox')) ||
+    !(await replica.refresh('journal')) ||
+    replica.nextOffset('journal') < nextOffset
+  ) {
+    await pause(ctx, APPEND_RETRY_MS);
   }
   const { claim: newest } = replica.state;
   if (newest.epoch !== stamp.epoch || newest.nonce !== stamp.sequence) {
--- a/packages/daemon/src/job-host/replica.ts
+++ b/packages/daemon/src/job-host/replica.ts
@@ -8,16 +8,22 @@
   emptyJobsState,
   type InboxRecord,
   type JobsState,
+  type JournalRecord,
 } from '@paddlewind/domain/jobs';
 import type { JobLog, JobStream, ReadResult } from '@paddlewind/ports/jobs';
 
 import type { HostContext } from './context.js';
 
+/** How much of a stream a read has brought. */
+type Taken = 'all' | 'more' | 'none';
+
 /** The state of jobs as far as this host has read. */
 export class Replica {
   state: JobsState = emptyJobsState();
   /** Monotonic time at which records of the journal last arrived. */
   journalHeardAt: Instant;
+  /** Monotonic time at which the inbox was last read to its end. */
+  inboxReadAt: Instant = -Infinity;
   /** Monotonic time at which the log last answered. */
   contactAt: Instant = -Infinity;
 
@@ -47,8 +53,9 @@
         return false;
       }
       this.contactAt = this.ctx.clock();
-      if (await this.take(stream, found)) {
-        return true;
+      const taken = await this.take(stream, found);
+      if (taken !== 'more') {
+        return taken === 'all';
       }
       wait = 0;
     }
@@ -82,27 +89,27 @@
     this.journalHeardAt = this.ctx.clock();
   }
 
-  /** Returns whether the end of the stream is reached. */
   private async take(
     stream: JobStream,
     found: Exclude<ReadResult, { kind: 'unavailable' }>,
-  ): Promise<boolean> {
+  ): Promise<Taken> {
     if (found.kind === 'trimmed') {
       this.ctx.log.error(
         { stream, next: this.next[stream], firstOffset: found.firstOffset },
         'replica: records that were not read are gone',
       );
       this.next[stream] = found.firstOffset;
-      return false;
+      return 'more';
     }
     if (stream === 'inbox') {
       this.takeInbox(found.offset, found.records);
-    } else if (found.records.length > 0) {
-      // Jobs that the journal names are in the inbox before it.
-      await this.refresh('inbox');
-      this.takeJournal(found.offset, found.records);
+      if (this.next.inbox >= found.endOffset) {
+        this.inboxReadAt = this.ctx.clock();
+      }
+    } else if (!(await this.takeJournal(found.offset, found.records))) {
+      return 'none';
     }
-    return this.next[stream] >= found.endOffset;
+    return this.next[stream] >= found.endOffset ? 'all' : 'more';
   }
 
   private takeInbox(offset: number, records: readonly Uint8Array[]): void {
@@ -112,11 +119,24 @@
     }
   }
 
-  private takeJournal(offset: number, records: readonly Uint8Array[]): void {
-    const known = Math.max(0, this.next.journal - offset);
-    for (const bytes of records.slice(known)) {
+  /** Takes in nothing, and returns false, while jobs that the journal names can't be read. */
+  private async takeJournal(
+    offset: number,
+    records: readonly Uint8Array[],
+  ): Promise<boolean> {
+    const { resets } = this;
+    const decoded = records.map(decodeJournal);
+    const known = decoded.every(record => this.isKnown(record));
+    if (!known && !(await this.refresh('inbox'))) {
+      return false;
+    }
+    if (this.resets !== resets) {
+      return false;
+    }
+    for (const record of decoded.slice(
+      Math.max(0, this.next.journal - offset),
+    )) {
       this.next.journal += 1;
-      const record = decodeJournal(bytes);
       if (!applyJournal(this.state, record)) {
         this.ctx.log.error(
           { record },
@@ -124,6 +144,13 @@
         );
       }
     }
-    this.journalHeardAt = this.ctx.clock();
+    if (decoded.length > 0) {
+      this.journalHeardAt = this.ctx.clock();
+    }
+    return true;
+  }
+
+  private isKnown(record: JournalRecord): boolean {
+    return !('task' in record) || this.state.jobs.has(record.task.job);
   }
 }
--- a/packages/daemon/src/job-host/simulation.test-support.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -85,7 +85,7 @@
         wallClock: this.time.clock,
         random: this.random,
         schedule,
-        log: pino({ level: process.env['TEST_LOG'] ?? 'silent' }),
+        log: pino({ level: process.env.TEST_LOG ?? 'silent' }),
       },
       jobLog: this.guard(started, this.log.connect(name)),
       configFeed: { next: () => new Promise(() => undefined) },
--- a/packages/stand-ins/src/jobs/memory-job-log.ts
+++ b/packages/stand-ins/src/jobs/memory-job-log.ts
@@ -50,6 +50,8 @@
 export class MemoryJobLog {
   /** Modes of hosts; all others are served. */
   readonly modes = new Map<string, LogMode>();
+  /** Modes of streams, for all hosts. */
+  readonly streamModes = new Map<JobStream, LogMode>();
 
   private readonly streams: Record<JobStream, Stream> = {
     inbox: newStream(),
@@ -79,7 +81,7 @@
     records: readonly Uint8Array[],
     stamp: WriterStamp | undefined,
   ): Promise<AppendResult> {
-    const mode = this.modes.get(host) ?? 'up';
+    const mode = this.modeOf(host, stream);
     if (mode === 'refusing') {
       await this.pause(ANSWER_MS);
       return { kind: 'refused', reason: 'refusing' };
@@ -103,6 +105,10 @@
     return answer;
   }
 
+  private modeOf(host: string, stream: JobStream): LogMode {
+    return this.modes.get(host) ?? this.streamModes.get(stream) ?? 'up';
+  }
+
   private carryOut(
     name: JobStream,
     records: readonly Uint8Array[],
@@ -141,7 +147,7 @@
     from: number,
     waitMs: number,
   ): Promise<ReadResult> {
-    const mode = this.modes.get(host) ?? 'up';
+    const mode = this.modeOf(host, name);
     if (mode === 'refusing' || mode === 'silent') {
       await this.pause(mode === 'silent' ? TIMEOUT_MS : ANSWER_MS);
       return { kind: 'unavailable', reason: mode };
