Let fillers multiply a serving task's load, and bound how long it is disturbed

Change: the load is the own one times one plus the sum of pressures; pressures drift in proportion to their size; limits follow each start; a task over its target for 1.1 s has the pressing fillers paused, after 2.2 s all; slowed fillers move where they would not be; trial runs are those that end.

--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -3,8 +3,10 @@
 import {
   applyJournal,
   createRunTimes,
+  findPlace,
   Interference,
   isOver,
+  isSlowed,
   isStalled,
   planStarts,
   refOf,
@@ -13,6 +15,7 @@
   workerRuns,
   type JobsState,
   type JournalRecord,
+  type PlanInput,
   type Run,
   type RunEnd,
   type StartDecision,
@@ -141,7 +144,11 @@
           ctx.log.info({ worker: info.id }, 'leader: a worker was fenced');
           this.alarm.ring();
         },
+        started: from => {
+          this.limitFillers(from);
+        },
         reported: from => {
+          this.learnInterference(from);
           this.limitFillers(from);
         },
         changed: this.alarm.ring,
@@ -246,12 +253,29 @@
     if (ctx.clock() - replica.inboxReadAt > INBOX_STALE_MS) {
       return;
     }
-    const time = { now: ctx.clock(), nowWall: ctx.wallClock() };
-    const { state, times, interference } = this;
-    const workers = this.fleet.planWorkers();
-    planStarts({ state, workers, times, interference, time }, decision => {
+    const input: PlanInput = {
+      state: this.state,
+      workers: this.fleet.planWorkers(),
+      times: this.times,
+      interference: this.interference,
+      time: { now: ctx.clock(), nowWall: ctx.wallClock() },
+    };
+    planStarts(input, decision => {
       this.startRun(decision);
     });
+    this.moveSlowed(input);
+  }
+
+  /** Stops fillers that are slowed here and would not be elsewhere. */
+  private moveSlowed(input: PlanInput): void {
+    const { now } = input.time;
+    for (const { runs } of this.state.workers.values()) {
+      for (const run of runs.values()) {
+        if (isSlowed(run, now) && findPlace(input, run.task) !== undefined) {
+          this.fleet.link(run.worker)?.stop(run);
+        }
+      }
+    }
   }
 
   private startRun({ task, run: number, worker }: StartDecision): void {
@@ -279,15 +303,22 @@
     }
   }
 
-  /** Learns from a worker's readings and limits its fillers. */
+  private learnInterference({ info }: WorkerLink): void {
+    const load = workerRuns(this.state, info.id);
+    const now = this.options.ctx.clock();
+    this.interference.learn(load, info.capacity.cpuMilli, now);
+  }
+
+  /** Keeps the fillers of a worker from disturbing the tasks that serve there. */
   private limitFillers(link: WorkerLink): void {
     const load = workerRuns(this.state, link.info.id);
     const { cpuMilli } = link.info.capacity;
     if (load.servingCpuMilli === 0) {
       return;
     }
-    this.interference.learn(load, cpuMilli, this.options.ctx.clock());
-    for (const [run, share] of this.interference.shares(load, cpuMilli)) {
+    const now = this.options.ctx.clock();
+    const shares = this.interference.shares(load, cpuMilli, now);
+    for (const [run, share] of shares) {
       if (run.progress?.confirmed === true && run.progress.allowed !== share) {
         link.throttle(run, share);
       }
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -36,6 +36,8 @@
   recorded(): Promise<boolean>;
   /** The worker has seen a higher fence. */
   fenced(): void;
+  /** The worker has confirmed a start. */
+  started(link: WorkerLink): void;
   /** The readings of all runs are up to date. */
   reported(link: WorkerLink): void;
   /** Something changed that planning should see. */
@@ -327,6 +329,7 @@
         if (run.progress !== undefined) {
           run.progress.confirmed = true;
         }
+        events.started(this);
         return;
       case 'rejected':
         if (res.why === 'fenced') {
--- a/packages/domain/src/jobs/estimate.ts
+++ b/packages/domain/src/jobs/estimate.ts
@@ -9,6 +9,13 @@
   readonly variance: number;
 }
 
+/** Growth of a variance each second. */
+export interface Drift {
+  readonly fixed: number;
+  /** Times the square of the mean. */
+  readonly ofMean: number;
+}
+
 interface Dated extends Estimate {
   readonly at: Instant;
 }
@@ -17,10 +24,10 @@
 export class Estimates<K> {
   private readonly known = new Map<K, Dated>();
 
-  /** Creates estimates that begin with `first` and whose variance grows by `drift` each second. */
+  /** Creates estimates that begin with `first` and whose variance grows by `drift`. */
   constructor(
     private readonly first: Estimate,
-    private readonly drift: number,
+    private readonly drift: Drift,
   ) {}
 
   /** Returns the estimate as of its last correction. */
@@ -34,7 +41,9 @@
     if (known === undefined) {
       return { ...this.first, at: now };
     }
-    const grown = known.variance + (this.drift * (now - known.at)) / MS_PER_S;
+    const { fixed, ofMean } = this.drift;
+    const growth = fixed + ofMean * known.mean ** 2;
+    const grown = known.variance + (growth * (now - known.at)) / MS_PER_S;
     const variance = Math.min(grown, this.first.variance);
     return { mean: known.mean, variance, at: now };
   }
--- /dev/null
+++ b/packages/domain/src/jobs/interference.test.ts
@@ -0,0 +1,103 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { Interference, isSlowed } from './interference.js';
+import type { Run } from './job.js';
+import { workerRuns, type JobsState } from './jobs-state.js';
+import { startOn, stateOf, taskOf, testJob } from './test-support.js';
+
+const CPU_MILLI = 10_000;
+const REPORT_MS = 1_000;
+const TARGET_MS = 50;
+const FLOOR_MS = 10;
+const OWN_LOAD = 0.5;
+
+interface Site {
+  readonly state: JobsState;
+  readonly serving: Run;
+  readonly filler: Run;
+  readonly model: Interference;
+  now: number;
+}
+
+function site(): Site {
+  const serves = { lasting: true, tailTargetMs: TARGET_MS, image: 's' };
+  const size = { cpuMilli: 1_000, memoryMiB: 1, accelerators: 0 };
+  const fills = { filler: true, image: 'f', size };
+  const state = stateOf(testJob('s', [serves]), testJob('f', [fills]));
+  return {
+    state,
+    serving: startOn(state, taskOf(state, 's', 0, 0), 'w'),
+    filler: startOn(state, taskOf(state, 'f', 0, 0), 'w'),
+    model: new Interference(),
+    now: 0,
+  };
+}
+
+/** Lets the model see reports of a filler with `pressure` at its present share. */
+function report(at: Site, pressure: number, times: number): void {
+  const load = workerRuns(at.state, 'w');
+  for (let i = 0; i < times; i += 1) {
+    at.now += REPORT_MS;
+    const { progress } = at.filler;
+    assert.ok(progress && at.serving.progress);
+    const used = 0.1 * (progress.allowed / 100);
+    progress.reading = used * CPU_MILLI;
+    const total = Math.min(0.98, OWN_LOAD * (1 + pressure * used));
+    at.serving.progress.reading = FLOOR_MS / (1 - total);
+    at.model.learn(load, CPU_MILLI, at.now);
+    const share = at.model.shares(load, CPU_MILLI, at.now).get(at.filler);
+    progress.allowed = share ?? 100;
+  }
+}
+
+test('a filler that does not disturb keeps its speed', () => {
+  const at = site();
+  report(at, 0, 20);
+  assert.equal(at.filler.progress?.allowed, 100);
+});
+
+test('a filler that disturbs is slowed until the tail is below its target', () => {
+  const at = site();
+  report(at, 12, 20);
+  assert.ok((at.filler.progress?.allowed ?? 100) < 100);
+  assert.ok((at.serving.progress?.reading ?? 99) <= TARGET_MS);
+});
+
+test('a slowed filler gets its speed back when it no longer disturbs', () => {
+  const at = site();
+  report(at, 12, 20);
+  report(at, 0, 60);
+  assert.ok((at.filler.progress?.allowed ?? 0) >= 90);
+});
+
+test('places a filler beside those that it does not disturb', () => {
+  const at = site();
+  report(at, 8, 20);
+  const load = workerRuns(at.state, 'w');
+  const { spec } = at.filler.task.step;
+  const beside = at.model.speedOf(load, CPU_MILLI, spec);
+  const alone = at.model.speedOf(workerRuns(at.state, 'x'), CPU_MILLI, spec);
+  assert.ok(beside < 0.7);
+  assert.equal(alone, 1);
+});
+
+test('every filler is paused when a task stays over its target', () => {
+  const at = site();
+  const load = workerRuns(at.state, 'w');
+  assert.ok(at.serving.progress && at.filler.progress);
+  at.serving.progress.reading = 10 * TARGET_MS;
+  at.filler.progress.reading = 0;
+  at.model.learn(load, CPU_MILLI, 1_000);
+  at.model.learn(load, CPU_MILLI, 3_500);
+  assert.equal(at.model.shares(load, CPU_MILLI, 3_500).get(at.filler), 0);
+});
+
+test('a filler is slowed only after a while', () => {
+  const at = site();
+  assert.ok(at.filler.progress);
+  at.filler.progress.allowed = 20;
+  at.filler.progress.allowedSince = 1_000;
+  assert.equal(isSlowed(at.filler, 1_200), false);
+  assert.equal(isSlowed(at.filler, 3_000), true);
+});
--- a/packages/domain/src/jobs/interference.ts
+++ b/packages/domain/src/jobs/interference.ts
@@ -2,41 +2,53 @@
  * How fillers disturb tasks that serve, learnt from their tail latencies, and what follows.
  *
  * A serving task is taken for a queue: its tail is `floor / (1 - load)`. The load is its own, which
- * all tasks of a step share, plus for each filler beside it the filler's share of the worker's
- * processors times a pressure that depends on the images of both. Own loads and pressures are
- * estimates with a variance, corrected by each report in proportion to what it tells of each.
+ * all tasks of a step share, times `1 + sum of pressure * used` over the fillers beside it: `used`
+ * is a filler's share of the worker's processors, and the pressure depends on the images of both. Own
+ * loads and pressures are estimates with a variance, corrected by each report in proportion to what
+ * it tells of each.
  */
 import type { Instant, Millis } from '../core/time.js';
-import { Estimates, type Estimate } from './estimate.js';
+import { Estimates, type Drift, type Estimate } from './estimate.js';
 import type { Run, Step } from './job.js';
 import type { WorkerRuns } from './jobs-state.js';
 import type { StepSpec } from './spec.js';
 
 /** Pressure of a pair of images before anything was learnt: low, so that pairs are tried. */
-const FIRST_PRESSURE: Estimate = { mean: 0.6, variance: 1.5 ** 2 };
+const FIRST_PRESSURE: Estimate = { mean: 0.8, variance: 2 ** 2 };
 const MAX_PRESSURE = 12;
-/** Growth of a pressure's variance each second: pressures drift. */
-const PRESSURE_DRIFT = 0.02;
+/** Growth of a pressure's variance each second: pressures change within seconds, large ones by more. */
+const PRESSURE_DRIFT: Drift = { fixed: 0.05, ofMean: 0.25 ** 2 };
 /** A step's own load before a tail was seen. */
 const FIRST_LOAD: Estimate = { mean: 0.5, variance: 0.2 ** 2 };
 /** Growth of an own load's variance each second: it swings by up to 0.1 a second. */
-const LOAD_DRIFT = 0.01;
+const LOAD_DRIFT: Drift = { fixed: 0.01, ofMean: 0 };
 /** Variance of a load read off one tail. */
-const TAIL_VARIANCE = 0.04 ** 2;
+const TAIL_VARIANCE = 0.03 ** 2;
+/** An own load is never taken for less, so that a gain on it can be learnt. */
+const MIN_LOAD = 0.05;
 /** Loads above this are not told apart by the tail. */
 const MAX_LOAD = 0.98;
 /** A tail target is taken for this many times the floor before a tail was seen. */
 const FIRST_TARGET_FACTOR = 5;
-/** Lowest tail seen, as a share of which the floor is taken: tasks are never quite idle. */
-const FLOOR_SHARE = 0.8;
+/** Low tails, as a share of which the floor is taken: tasks are never quite idle. */
+const FLOOR_SHARE = 0.78;
+/** Weight of a tail below the low one, and of one above it: about one in a hundred is below. */
+const LOWER_WEIGHT = 0.2;
+const HIGHER_WEIGHT = 0.001;
 /** Load kept free below the target: what a step's own load may gain between two reports. */
-const CONTROL_MARGIN = 0.07;
+const CONTROL_MARGIN = 0.06;
 /** Load kept free besides when a filler is placed. */
-const PLACE_MARGIN = 0.03;
-/** Standard deviations added to a pressure when a filler is placed. */
+const PLACE_MARGIN = 0.06;
+/** Standard deviations added to a pressure when a filler is placed, and when it is limited. */
 const PLACE_CAUTION = 0.3;
-/** Load below which a filler is taken not to disturb. */
-const HARMLESS_LOAD = 0.015;
+const LIMIT_CAUTION = 0.3;
+/** Gain of a load, as a share of it, below which a filler is taken not to disturb. */
+const HARMLESS_GAIN = 0.02;
+/**
+ * A task over its target for this long has every filler that presses on it paused, and after twice
+ * as long every filler beside it: it may be disturbed for some 4 s on end at most.
+ */
+const OVER_MS: Millis = 1_100;
 /** Shares are ordered in steps of this many percent, so that small changes cause no order. */
 const SHARE_STEP = 10;
 /** Span of the readings in a report, in milliseconds. */
@@ -62,9 +74,11 @@
     PRESSURE_DRIFT,
   );
   private readonly loads = new Estimates<Step>(FIRST_LOAD, LOAD_DRIFT);
-  /** Lowest tail seen by image. */
-  private readonly lowest = new Map<string, Millis>();
+  /** Low tail by image. */
+  private readonly low = new Map<string, Millis>();
   private readonly ended = new Map<WorkerRuns, EndedFiller[]>();
+  /** Since when the tail of a serving task was over its target in every report. */
+  private readonly overSince = new WeakMap<Run, Instant>();
 
   /** Notes that a filler has ended, whose effect is in the readings for a while. */
   noteEnd(load: WorkerRuns, run: Run, cpuMilli: number, now: Instant): void {
@@ -82,6 +96,7 @@
     for (const run of servingOf(load)) {
       const tail = run.progress?.reading ?? 0;
       if (tail > 0) {
+        this.noteOver(run, tail, now);
         this.learnFrom(run.task.step, tail, parts, now);
       }
     }
@@ -95,40 +110,53 @@
     for (const { task } of servingOf(load)) {
       const { step } = task;
       const { mean, variance } = this.pressureOf(step.spec, filler);
-      const adds = (mean + PLACE_CAUTION * Math.sqrt(variance)) * taken;
-      if (adds > HARMLESS_LOAD) {
-        const free =
-          this.freeOf(step) -
-          PLACE_MARGIN -
-          this.loadBy(step, fillers, cpuMilli);
-        speed = Math.min(speed, free / adds);
+      const gain = (mean + PLACE_CAUTION * Math.sqrt(variance)) * taken;
+      if (gain > HARMLESS_GAIN) {
+        const free = this.freeGain(step, PLACE_MARGIN);
+        const left = free - this.gainBy(step, fillers, cpuMilli);
+        speed = Math.min(speed, left / gain);
       }
     }
     return Math.max(0, speed);
   }
 
   /** Shares in percent that keep every serving task of the worker below its target. */
-  shares(load: WorkerRuns, cpuMilli: number): Map<Run, number> {
+  shares(load: WorkerRuns, cpuMilli: number, now: Instant): Map<Run, number> {
     const fillers = fillersOf(load);
     const shares = new Map(fillers.map(run => [run, 100]));
-    for (const { task } of servingOf(load)) {
-      this.limit(task.step, fillers, shares, cpuMilli);
+    for (const run of servingOf(load)) {
+      const overMs = now - (this.overSince.get(run) ?? now);
+      if (overMs > 2 * OVER_MS) {
+        return new Map(fillers.map(filler => [filler, 0]));
+      }
+      const free = overMs > OVER_MS ? 0 : this.freeGain(run.task.step, 0);
+      this.limit(run.task.step, free, fillers, shares, cpuMilli);
     }
     return shares;
   }
 
+  private noteOver(run: Run, tail: Millis, now: Instant): void {
+    const target = run.task.step.spec.tailTargetMs ?? Infinity;
+    if (tail <= target) {
+      this.overSince.delete(run);
+    } else if (!this.overSince.has(run)) {
+      this.overSince.set(run, now);
+    }
+  }
+
   /** Cuts the shares of the fillers that press on `serving` the most until they fit. */
   private limit(
     serving: Step,
+    free: number,
     fillers: readonly Run[],
     shares: Map<Run, number>,
     cpuMilli: number,
   ): void {
     const pressing = fillers
-      .map(run => ({ run, full: this.loadBy(serving, [run], cpuMilli) }))
-      .filter(({ full }) => full > HARMLESS_LOAD)
+      .map(run => ({ run, full: this.gainBy(serving, [run], cpuMilli) }))
+      .filter(({ full }) => full > HARMLESS_GAIN)
       .sort((a, b) => a.full - b.full);
-    let left = Math.max(0, this.freeOf(serving));
+    let left = Math.max(0, free);
     for (const { run, full } of pressing) {
       const allowed = shares.get(run) ?? 100;
       const percent = Math.floor((100 * left) / full);
@@ -171,55 +199,58 @@
       used: part.used,
       pressure: this.pressures.at(pairOf(spec, part.spec), now),
     }));
-    let expected = own.mean;
-    let variance = TAIL_VARIANCE + own.variance;
+    let gain = 1;
+    let variance = TAIL_VARIANCE;
     for (const { used, pressure } of pressing) {
-      expected += pressure.mean * used;
-      variance += pressure.variance * used * used;
+      gain += pressure.mean * used;
+      variance += pressure.variance * (own.mean * used) ** 2;
     }
+    const expected = own.mean * gain;
+    variance += own.variance * gain ** 2;
     const seen = Math.min(MAX_LOAD, Math.max(0, total));
     if (seen >= MAX_LOAD && expected >= MAX_LOAD) {
       return;
     }
     const surprise = { error: seen - expected, variance };
-    this.loads.correct(step, own, 1, surprise, [0, MAX_LOAD]);
+    this.loads.correct(step, own, gain, surprise, [MIN_LOAD, MAX_LOAD]);
     for (const { key, used, pressure } of pressing) {
       const bounds = [0, MAX_PRESSURE] as const;
-      this.pressures.correct(key, pressure, used, surprise, bounds);
+      const weight = own.mean * used;
+      this.pressures.correct(key, pressure, weight, surprise, bounds);
     }
   }
 
   private noteTail(spec: StepSpec, tail: Millis): void {
     const image = spec.image ?? '';
-    const lowest = this.lowest.get(image);
-    if (lowest === undefined || tail < lowest) {
-      this.lowest.set(image, tail);
-    }
+    const low = this.low.get(image) ?? tail;
+    const weight = tail < low ? LOWER_WEIGHT : HIGHER_WEIGHT;
+    this.low.set(image, low + weight * (tail - low));
   }
 
   private floorOf(spec: StepSpec): Millis {
     const first = (spec.tailTargetMs ?? 0) / FIRST_TARGET_FACTOR;
-    const lowest = this.lowest.get(spec.image ?? '');
-    return lowest === undefined ? first : Math.min(first, lowest * FLOOR_SHARE);
+    const low = this.low.get(spec.image ?? '');
+    return low === undefined ? first : Math.min(first, low * FLOOR_SHARE);
   }
 
-  /** Load that fillers may add to a serving task: negative when its own is too high. */
-  private freeOf(step: Step): number {
+  /** Gain that fillers may give a step's own load, which is negative when that is too high. */
+  private freeGain(step: Step, margin: number): number {
     const target = step.spec.tailTargetMs ?? Infinity;
     const limit = 1 - this.floorOf(step.spec) / target - CONTROL_MARGIN;
-    return limit - this.loads.newest(step).mean;
+    return (limit - margin) / this.loads.newest(step).mean - 1;
   }
 
-  /** Load that fillers add to a serving task at the speed they are allowed. */
-  private loadBy(
+  /** Gain of a step's own load by fillers at full speed. */
+  private gainBy(
     serving: Step,
     fillers: readonly Run[],
     cpuMilli: number,
   ): number {
     return fillers.reduce((sum, { task }) => {
       const { spec } = task.step;
-      const { mean } = this.pressureOf(serving.spec, spec);
-      return sum + (mean * spec.size.cpuMilli) / cpuMilli;
+      const { mean, variance } = this.pressureOf(serving.spec, spec);
+      const pressure = mean + LIMIT_CAUTION * Math.sqrt(variance);
+      return sum + (pressure * spec.size.cpuMilli) / cpuMilli;
     }, 0);
   }
 
@@ -228,6 +259,22 @@
   }
 }
 
+/** Share in percent up to which a filler is better off elsewhere. */
+const SLOWED_SHARE = 40;
+/** How long a filler has to be slowed before it is moved, in milliseconds. */
+const SLOWED_MS: Millis = 800;
+
+/** Tells whether a filler has been slowed for so long that it should run elsewhere. */
+export function isSlowed({ task, progress }: Run, now: Instant): boolean {
+  return (
+    task.step.spec.filler &&
+    progress !== undefined &&
+    !progress.stopping &&
+    progress.allowed <= SLOWED_SHARE &&
+    now - progress.allowedSince > SLOWED_MS
+  );
+}
+
 function pairOf(serving: StepSpec, filler: StepSpec): string {
   return `${serving.image ?? ''}/${filler.image ?? ''}`;
 }
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -21,7 +21,7 @@
 /** A worker that may be given tasks. */
 export interface PlanWorker {
   readonly info: WorkerInfo;
-  /** Whether it may be given more than one run at a time. */
+  /** Whether it may be given a run while another one that will end is under way. */
   readonly trusted: boolean;
 }
 
@@ -97,7 +97,7 @@
       continue;
     }
     const load = workerRuns(state, worker.info.id);
-    if (!worker.trusted && load.runs.size > 0) {
+    if (!worker.trusted && hasTrial(load)) {
       continue;
     }
     if (!hasRoom(worker.info, load, task.step.spec)) {
@@ -112,6 +112,19 @@
   return best;
 }
 
+/** Tells whether a run that will end by itself is under way: it shows whether the worker is sound. */
+function hasTrial({ runs }: WorkerRuns): boolean {
+  return [...runs.values()].some(({ task }) => !task.step.spec.lasting);
+}
+
+/** Returns the worker on which a task would start now. */
+export function findPlace(
+  input: PlanInput,
+  task: Task,
+): PlanWorker | undefined {
+  return chooseWorker(input, task);
+}
+
 function accepts({ info }: PlanWorker, task: Task): boolean {
   const { spec, spread, occurrence } = task.step;
   if (info.service !== occurrence.job.spec.terms.service) {
@@ -176,7 +189,7 @@
       others.add(spec.image);
     }
   }
-  const packed = load.servingCpuMilli / capacity.cpuMilli;
+  const packed = load.cpuMilli / capacity.cpuMilli;
   return packed - others.size * OTHER_IMAGE_COST;
 }
 
--- /dev/null
+++ b/packages/domain/src/jobs/test-support.ts
@@ -0,0 +1,155 @@
+/** Jobs, workers and rounds for the tests of this folder. */
+import { encodeRecord, decodeJournal, type JournalRecord } from './records.js';
+import { newProgress, type Run, type Task } from './job.js';
+import {
+  applyInbox,
+  applyJournal,
+  emptyJobsState,
+  findTask,
+  refOf,
+  workerRuns,
+  type JobsState,
+} from './jobs-state.js';
+import { Interference } from './interference.js';
+import type { PlanInput, PlanWorker, StartDecision } from './plan.js';
+import { createRunTimes } from './run-times.js';
+import type { JobSpec, QueueTerms, StepSpec } from './spec.js';
+
+/** A step of one plain task. */
+export const PLAIN_STEP: StepSpec = {
+  tasks: 1,
+  size: { cpuMilli: 1_000, memoryMiB: 1_000, accelerators: 0 },
+  estimateMs: 1_000,
+  after: [],
+  checkpoints: false,
+  gang: false,
+  sameRack: false,
+  label: undefined,
+  dataRack: undefined,
+  maxPerWorker: undefined,
+  speculative: false,
+  lasting: false,
+  image: undefined,
+  tailTargetMs: undefined,
+  filler: false,
+  allowedMisses: undefined,
+};
+
+/** Terms of a queue that allows three failed runs. */
+export const TERMS: QueueTerms = {
+  queue: 'q',
+  service: 'main',
+  priority: 0,
+  maxAttempts: 3,
+  deadlineFactor: 2,
+  targetLatencyMs: 500,
+};
+
+/** Builds a job of `steps`. */
+export function testJob(
+  id: string,
+  steps: readonly Partial<StepSpec>[],
+  terms: Partial<QueueTerms> = {},
+): JobSpec {
+  return {
+    id,
+    payload: '',
+    steps: steps.map(step => ({ ...PLAIN_STEP, ...step })),
+    repetition: undefined,
+    terms: { ...TERMS, ...terms },
+  };
+}
+
+/** Returns a state that has accepted `jobs`. */
+export function stateOf(...jobs: JobSpec[]): JobsState {
+  const state = emptyJobsState();
+  for (const job of jobs) {
+    applyInbox(state, { kind: 'submit', job, atWall: 0 });
+  }
+  return state;
+}
+
+/** A worker of 4 cores and 8 GiB. */
+export function testWorker(id: string, labels: string[] = []): PlanWorker {
+  return {
+    info: {
+      id,
+      address: id,
+      service: 'main',
+      availabilityZone: 'a',
+      labels,
+      capacity: { cpuMilli: 4_000, memoryMiB: 8_000, accelerators: 0 },
+      leaving: false,
+    },
+    trusted: true,
+  };
+}
+
+/** Builds the input of a round at time 0. */
+export function planInput(
+  state: JobsState,
+  workers: readonly PlanWorker[],
+): PlanInput {
+  return {
+    state,
+    workers,
+    times: createRunTimes(),
+    interference: new Interference(),
+    time: { now: 0, nowWall: 0 },
+  };
+}
+
+/** Applies a start as the leader does and returns the run. */
+export function applyDecision(
+  state: JobsState,
+  { task, run, worker }: StartDecision,
+): Run {
+  apply(state, { kind: 'start', task: refOf(task), run, worker });
+  const found = task.runs.at(-1);
+  if (found === undefined) {
+    throw new Error('the start was not applied');
+  }
+  found.progress = newProgress(0);
+  return found;
+}
+
+/** Applies a record that went through its encoding. */
+export function apply(state: JobsState, record: JournalRecord): void {
+  applyJournal(state, decodeJournal(encodeRecord(record)));
+}
+
+/** Returns a task by job, step and index. */
+export function taskOf(
+  state: JobsState,
+  job: string,
+  step: number,
+  index: number,
+): Task {
+  const task = findTask(state, { job, occurrence: 0, step, index });
+  if (task === undefined) {
+    throw new Error('no such task');
+  }
+  return task;
+}
+
+/** Starts a task on a worker, without a plan. */
+export function startOn(state: JobsState, task: Task, worker: string): Run {
+  workerRuns(state, worker);
+  return applyDecision(state, { task, run: task.lastRun + 1, worker });
+}
+
+/** Ends a run. */
+export function endRun(
+  state: JobsState,
+  run: Run,
+  how: Extract<JournalRecord, { kind: 'end' }>['how'],
+  checkpoint = '',
+): void {
+  apply(state, {
+    kind: 'end',
+    task: refOf(run.task),
+    run: run.number,
+    how,
+    checkpoint,
+  });
+}
--- a/packages/domain/src/jobs/worker-health.ts
+++ b/packages/domain/src/jobs/worker-health.ts
@@ -9,7 +9,7 @@
 const FIRST_REST_MS: Millis = 400;
 /** Rest after the second bad end in a row, doubled with each further one. */
 const REST_MS: Millis = 1_500;
-const MAX_REST_MS: Millis = 6_000;
+const MAX_REST_MS: Millis = 4_000;
 /** Bad ends that a run without progress counts for. */
 const STALL_WEIGHT = 2;
 
