Stand in for the users' platform over HTTP, and test the adapter against it

Change: stand-ins of the store and of workers speak the published protocol over loopback; the store can refuse, fall silent and lose answers. The log of one partition stands once for the stand-ins in memory and over HTTP.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -110,6 +110,10 @@
     ['packages/daemon/src/**/*.test.ts'],
     importRules('daemon', ['stand-ins']),
   ),
+  restrictImports(
+    ['platform/src/**/*.test.ts'],
+    importRules('platform', ['stand-ins']),
+  ),
   restrictImports(
     ['packages/cli/src/**/*.test.ts'],
     importRules('cli', ['stand-ins', 'daemon']),
--- a/packages/stand-ins/src/jobs/index.ts
+++ b/packages/stand-ins/src/jobs/index.ts
@@ -2,3 +2,4 @@
 export * from './memory-fleet.js';
 export * from './memory-job-log.js';
 export * from './memory-worker.js';
+export * from './log-partition.js';
--- a/packages/stand-ins/src/jobs/memory-job-log.ts
+++ b/packages/stand-ins/src/jobs/memory-job-log.ts
@@ -8,6 +8,8 @@
   WriterStamp,
 } from '@paddlewind/ports/jobs';
 
+import { LogPartition } from './log-partition.js';
+
 /** How the log treats one host. */
 export type LogMode =
   | 'up'
@@ -31,21 +33,6 @@
 const ANSWER_MS = 3;
 /** Longest time after which an append that was not answered is carried out, in milliseconds. */
 const LATEST_MS = 6_000;
-/** Appends whose repetition gets the first answer again. */
-const REMEMBERED = 5;
-
-interface Writer {
-  epoch: number;
-  sequence: number;
-  answers: { readonly sequence: number; readonly answer: AppendResult }[];
-}
-
-interface Stream {
-  readonly records: Uint8Array[];
-  readonly writers: Map<string, Writer>;
-  waiting: (() => void)[];
-}
-
 /** One log for all hosts of a test. */
 export class MemoryJobLog {
   /** Modes of hosts; all others are served. */
@@ -53,9 +40,9 @@
   /** Modes of streams, for all hosts. */
   readonly streamModes = new Map<JobStream, LogMode>();
 
-  private readonly streams: Record<JobStream, Stream> = {
-    inbox: newStream(),
-    journal: newStream(),
+  private readonly streams: Record<JobStream, LogPartition> = {
+    inbox: new LogPartition(),
+    journal: new LogPartition(),
   };
 
   /** Creates an empty log. */
@@ -94,13 +81,13 @@
       const late = this.time.random() < 0.5;
       const after = late ? this.time.random() * LATEST_MS : ANSWER_MS;
       this.time.schedule(after, () => {
-        this.carryOut(stream, records, stamp);
+        this.streams[stream].append(records, stamp);
       });
       await this.pause(TIMEOUT_MS);
       return { kind: 'unknown', reason: 'timeout' };
     }
     await this.pause(ANSWER_MS);
-    const answer = this.carryOut(stream, records, stamp);
+    const answer = this.streams[stream].append(records, stamp);
     await this.pause(ANSWER_MS);
     return answer;
   }
@@ -109,38 +96,6 @@
     return this.modes.get(host) ?? this.streamModes.get(stream) ?? 'up';
   }
 
-  private carryOut(
-    name: JobStream,
-    records: readonly Uint8Array[],
-    stamp: WriterStamp | undefined,
-  ): AppendResult {
-    const stream = this.streams[name];
-    if (stamp === undefined) {
-      return store(stream, records);
-    }
-    const { writer, epoch, sequence } = stamp;
-    const known = stream.writers.get(writer);
-    if (known !== undefined && epoch <= known.epoch) {
-      const repeated = known.answers.find(
-        answered => answered.sequence === sequence,
-      );
-      if (epoch < known.epoch) {
-        return { kind: 'fenced' };
-      }
-      if (repeated !== undefined) {
-        return repeated.answer;
-      }
-      if (sequence !== known.sequence + 1) {
-        return { kind: 'out_of_sequence' };
-      }
-    }
-    const answer = store(stream, records);
-    const earlier = known?.epoch === epoch ? known.answers : [];
-    const answers = [...earlier, { sequence, answer }].slice(-REMEMBERED);
-    stream.writers.set(writer, { epoch, sequence, answers });
-    return answer;
-  }
-
   private async read(
     host: string,
     name: JobStream,
@@ -165,10 +120,10 @@
     };
   }
 
-  private nextRecord(stream: Stream, waitMs: number): Promise<void> {
+  private nextRecord(stream: LogPartition, waitMs: number): Promise<void> {
     return new Promise(resolve => {
       const cancel = this.time.schedule(waitMs, resolve);
-      stream.waiting.push(() => {
+      stream.onAppend(() => {
         cancel();
         resolve();
       });
@@ -181,18 +136,3 @@
     });
   }
 }
-
-function newStream(): Stream {
-  return { records: [], writers: new Map(), waiting: [] };
-}
-
-function store(stream: Stream, records: readonly Uint8Array[]): AppendResult {
-  const offset = stream.records.length;
-  stream.records.push(...records);
-  const { waiting } = stream;
-  stream.waiting = [];
-  for (const wake of waiting) {
-    wake();
-  }
-  return { kind: 'appended', offset, nextOffset: stream.records.length };
-}
--- /dev/null
+++ b/packages/stand-ins/src/users-platform/index.ts
@@ -0,0 +1,2 @@
+export * from './store-server.js';
+export * from './worker-server.js';
--- /dev/null
+++ b/packages/stand-ins/src/users-platform/store-server.ts
@@ -0,0 +1,188 @@
+/** Stand-in of the users' store: a log over HTTP, with topics that keep the newest record of a key. */
+import type { AppendResult, WriterStamp } from '@paddlewind/ports/jobs';
+
+import type { Listener } from '../http/json-server.js';
+import { sleep } from '../http/timers.js';
+import { LogPartition } from '../jobs/log-partition.js';
+import {
+  jsonReply,
+  startRawServer,
+  type RawReply,
+  type RawRequest,
+} from './http.js';
+
+/** How the store treats the calls of all hosts. */
+export type StoreMode = 'up' | 'refusing' | 'silent' | 'losing';
+
+/** Longest wait of a read, in milliseconds. */
+const MAX_WAIT_MS = 30_000;
+const LENGTH_BYTES = 4;
+const OFFSET_BYTES = 8;
+const REFUSED = 503;
+
+/** A store over HTTP. */
+export class StoreServer {
+  /** `losing` carries appends out and answers none of them. */
+  mode: StoreMode = 'up';
+  /** Calls by path. */
+  readonly calls = new Map<string, number>();
+
+  private readonly partitions = new Map<string, LogPartition>();
+  private listener: Listener | undefined;
+
+  /** `ip:port`. */
+  get address(): string {
+    return this.listener?.address ?? '';
+  }
+
+  /** Begins to listen. */
+  async start(): Promise<void> {
+    this.listener = await startRawServer(req => this.handle(req));
+  }
+
+  /** Stops and ends open connections. */
+  async stop(): Promise<void> {
+    await this.listener?.close();
+  }
+
+  /** Writes the newest value of a key, as the operator and the workers do. */
+  put(topic: string, key: string, value: unknown): void {
+    const keyBytes = Buffer.from(key);
+    const record = Buffer.concat([
+      Buffer.from([keyBytes.length]),
+      keyBytes,
+      Buffer.from(JSON.stringify(value)),
+    ]);
+    this.partition(topic, '0').append([record]);
+  }
+
+  private async handle(req: RawRequest): Promise<RawReply | undefined> {
+    const { pathname, searchParams } = req.url;
+    this.calls.set(pathname, (this.calls.get(pathname) ?? 0) + 1);
+    if (this.mode === 'silent') {
+      return undefined;
+    }
+    if (this.mode === 'refusing') {
+      return jsonReply(REFUSED, { error: 'refusing' });
+    }
+    const topic = searchParams.get('topic') ?? '';
+    const partition = this.partition(topic, searchParams.get('part') ?? '0');
+    switch (pathname) {
+      case '/v1/log-append':
+        return this.append(req, partition);
+      case '/v1/log-read':
+        return read(searchParams, partition);
+      case '/v1/log-newest':
+        return jsonReply(200, newest(partition));
+      default:
+        return jsonReply(404, { error: 'no such call' });
+    }
+  }
+
+  private append(
+    req: RawRequest,
+    partition: LogPartition,
+  ): RawReply | undefined {
+    const stamp = stampOf(req.url.searchParams);
+    const result = partition.append(unframe(req.body), stamp);
+    return this.mode === 'losing' ? undefined : appendReply(result);
+  }
+
+  private partition(topic: string, part: string): LogPartition {
+    const key = `${topic}/${part}`;
+    const known = this.partitions.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const created = new LogPartition();
+    this.partitions.set(key, created);
+    return created;
+  }
+}
+
+function stampOf(query: URLSearchParams): WriterStamp | undefined {
+  const writer = query.get('producer');
+  return writer === null
+    ? undefined
+    : {
+        writer,
+        epoch: Number(query.get('epoch')),
+        sequence: Number(query.get('sequence')),
+      };
+}
+
+function appendReply(result: AppendResult): RawReply {
+  switch (result.kind) {
+    case 'appended':
+      return jsonReply(200, {
+        offset: result.offset,
+        endOffset: result.nextOffset,
+      });
+    case 'fenced':
+      return jsonReply(409, { reason: 'fenced' });
+    case 'out_of_sequence':
+      return jsonReply(409, { reason: 'seq' });
+    case 'refused':
+    case 'unknown':
+      return jsonReply(REFUSED, { error: result.reason });
+  }
+}
+
+async function read(
+  query: URLSearchParams,
+  partition: LogPartition,
+): Promise<RawReply> {
+  const from = Number(query.get('from'));
+  const waitMs = Math.min(MAX_WAIT_MS, Number(query.get('waitMs') ?? 0));
+  if (partition.records.length <= from && waitMs > 0) {
+    const arrived = new Promise<void>(resolve => {
+      partition.onAppend(resolve);
+    });
+    await Promise.race([arrived, sleep(waitMs)]);
+  }
+  const head = Buffer.alloc(2 * OFFSET_BYTES);
+  head.writeBigUInt64BE(BigInt(partition.records.length), 0);
+  return {
+    status: 200,
+    body: Buffer.concat([head, frame(partition.records.slice(from))]),
+  };
+}
+
+function newest(partition: LogPartition): unknown {
+  const items = new Map<string, unknown>();
+  partition.records.forEach((record, offset) => {
+    const bytes = Buffer.from(record);
+    const keyEnd = 1 + bytes.readUInt8(0);
+    const key = bytes.toString('utf8', 1, keyEnd);
+    const value = bytes.toString('base64', keyEnd);
+    if (value === '') {
+      items.delete(key);
+    } else {
+      items.set(key, { key, value, offset });
+    }
+  });
+  const endOffset = partition.records.length;
+  return { items: [...items.values()], hasMore: false, endOffset };
+}
+
+function frame(records: readonly Uint8Array[]): Buffer {
+  return Buffer.concat(
+    records.flatMap(record => {
+      const length = Buffer.alloc(LENGTH_BYTES);
+      length.writeUInt32BE(record.length);
+      return [length, record];
+    }),
+  );
+}
+
+function unframe(body: Buffer): Uint8Array[] {
+  const records: Uint8Array[] = [];
+  let at = 0;
+  while (at + LENGTH_BYTES <= body.length) {
+    const length = body.readUInt32BE(at);
+    at += LENGTH_BYTES;
+    records.push(body.subarray(at, at + length));
+    at += length;
+  }
+  return records;
+}
--- /dev/null
+++ b/packages/stand-ins/src/users-platform/worker-server.ts
@@ -0,0 +1,172 @@
+/** Stand-in of a worker of the users' platform: orders over HTTP, carried out in memory. */
+import { parseTaskName, taskName } from '@paddlewind/domain/jobs';
+import type { LookResult, OrderResult } from '@paddlewind/ports/jobs';
+
+import type { Listener } from '../http/json-server.js';
+import type { MemoryWorker } from '../jobs/memory-worker.js';
+import {
+  jsonReply,
+  startRawServer,
+  type RawReply,
+  type RawRequest,
+} from './http.js';
+
+const REASONS = {
+  fenced: 'fence',
+  superseded: 'old',
+  too_late: 'late',
+  no_room: 'room',
+} as const;
+
+interface OrderBody {
+  readonly task?: string;
+  readonly runNumber?: number;
+  readonly spec?: string;
+  readonly untilMs?: number;
+  readonly fencingToken?: number;
+  readonly checkpoint?: string;
+  readonly ackIndex?: number;
+  readonly waitMs?: number;
+}
+
+/** A worker over HTTP. */
+export class WorkerServer {
+  /** Whether calls get no answer and nothing is done. */
+  silent = false;
+  private listener: Listener | undefined;
+
+  /** Creates a server for `worker`. */
+  constructor(readonly worker: MemoryWorker) {}
+
+  /** `ip:port`. */
+  get address(): string {
+    return this.listener?.address ?? '';
+  }
+
+  /** Begins to listen. */
+  async start(): Promise<void> {
+    this.listener = await startRawServer(req => this.handle(req));
+  }
+
+  /** Stops and ends open connections. */
+  async stop(): Promise<void> {
+    await this.listener?.close();
+  }
+
+  /** The worker's entry in the registry. */
+  entry(service: string): unknown {
+    const { capacity } = this.worker.traits;
+    return {
+      service,
+      address: this.address,
+      zone: 'a',
+      version: 'v1',
+      slots: 8,
+      state: 'ready',
+      capacity: {
+        cpu: capacity.cpuMilli,
+        memMb: capacity.memoryMiB,
+        gpu: capacity.accelerators,
+      },
+      labels: ['a', 'r1'],
+    };
+  }
+
+  private async handle(req: RawRequest): Promise<RawReply | undefined> {
+    if (this.silent) {
+      return undefined;
+    }
+    if (req.headers['expected-instance'] !== this.worker.traits.id) {
+      return jsonReply(421, {});
+    }
+    const body = JSON.parse(req.body.toString()) as OrderBody;
+    switch (req.url.pathname) {
+      case '/v1/run-start':
+        return orderReply(this.startRun(body));
+      case '/v1/run-stop':
+        return orderReply(this.worker.stop(runOf(body)));
+      case '/v1/pace':
+        return jsonReply(200, { clockMs: this.worker.clock });
+      case '/v1/hold':
+        return lookReply(await this.look(body));
+      default:
+        return jsonReply(404, {});
+    }
+  }
+
+  private startRun(body: OrderBody): OrderResult {
+    return this.worker.start({
+      ...runOf(body),
+      payload: body.spec ?? '',
+      leaseUntil: body.untilMs ?? 0,
+      checkpoint: body.checkpoint ?? '',
+    });
+  }
+
+  private look(body: OrderBody): Promise<LookResult> {
+    return this.worker.look({
+      fence: body.fencingToken ?? 0,
+      acknowledged: body.ackIndex ?? 0,
+      leaseUntil: body.untilMs,
+      waitMs: body.waitMs ?? 0,
+    });
+  }
+}
+
+function runOf(body: OrderBody): {
+  task: ReturnType<typeof parseTaskName>;
+  run: number;
+  fence: number;
+} {
+  return {
+    task: parseTaskName(body.task ?? ''),
+    run: body.runNumber ?? 0,
+    fence: body.fencingToken ?? 0,
+  };
+}
+
+function orderReply(result: OrderResult): RawReply {
+  switch (result.kind) {
+    case 'accepted':
+      return jsonReply(200, { clockMs: result.clock });
+    case 'rejected':
+      return jsonReply(409, {
+        clockMs: result.clock,
+        reason: REASONS[result.why],
+      });
+    case 'replaced':
+      return jsonReply(421, {});
+    case 'not_run':
+    case 'unknown':
+      return jsonReply(503, {});
+  }
+}
+
+function lookReply(result: LookResult): RawReply {
+  switch (result.kind) {
+    case 'seen':
+      return jsonReply(200, {
+        clockMs: result.clock,
+        active: result.active.map(run => [
+          taskName(run.task),
+          run.run,
+          run.checkpoint,
+          run.percent,
+          run.reading,
+        ]),
+        finished: result.ended.map(run => [
+          run.position,
+          taskName(run.task),
+          run.run,
+          run.how,
+          run.checkpoint,
+        ]),
+      });
+    case 'fenced':
+      return jsonReply(409, { reason: 'fence' });
+    case 'replaced':
+      return jsonReply(421, {});
+    case 'failed':
+      return jsonReply(503, {});
+  }
+}
