Run gangs whole, keep them on one rack, and take advice

Cause: deployments may use gangs, racks that tasks share, and queues whose policy only the advice service knows; none of it was built. Change: a gang starts whole under one run number where all members have room at once, on one rack first where it asks for one; a member that is missing stops the others, one that is done stands for all, and any member's checkpoint holds for all. The leader asks the advice service one question at a time about steps that wait and orders starts with the ticket.

--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -1,10 +1,12 @@
 /** The leader's loop: takes in ends, plans starts, records both, then acts. */
 import type { Instant, Millis } from '@paddlewind/domain';
 import {
+  Advice,
   applyJournal,
   createRunTimes,
   findPlace,
   Interference,
+  isBrokenGang,
   isOver,
   isSlowed,
   isStalled,
@@ -21,8 +23,14 @@
   type StartDecision,
   type WorkerInfo,
 } from '@paddlewind/domain/jobs';
-import type { JobLog, WorkerFeed, WorkerPort } from '@paddlewind/ports/jobs';
+import type {
+  AdvicePort,
+  JobLog,
+  WorkerFeed,
+  WorkerPort,
+} from '@paddlewind/ports/jobs';
 
+import { Adviser } from './adviser.js';
 import { Alarm } from './alarm.js';
 import { pause, type HostContext } from './context.js';
 import { Fleet } from './fleet.js';
@@ -47,6 +55,7 @@
   readonly replica: Replica;
   readonly feed: WorkerFeed;
   readonly port: WorkerPort;
+  readonly advicePort: AdvicePort;
   readonly maxLeaseMs: Millis;
   readonly claim: WonClaim;
 }
@@ -71,6 +80,8 @@
   private readonly times = createRunTimes();
   private readonly interference = new Interference();
   private readonly health = new WorkerHealth();
+  private readonly advice = new Advice();
+  private readonly adviser: Adviser;
   private readonly alarm: Alarm;
   private batch: Batch = { records: [], effects: [] };
   private writing: Batch | undefined;
@@ -82,6 +93,12 @@
     const { ctx, replica, claim } = options;
     this.state = replica.state;
     this.alarm = new Alarm(ctx.schedule);
+    this.adviser = new Adviser(
+      ctx,
+      options.advicePort,
+      this.advice,
+      this.alarm.ring,
+    );
     this.writer = new JournalWriter(ctx, options.jobLog, claim);
     this.fleet = new Fleet({
       ctx,
@@ -135,11 +152,16 @@
       mayExtend: () =>
         ctx.clock() - this.writer.confirmedSentAt < LEADER_LEASE_MS,
       runs: () => workerRuns(this.state, info.id),
+      ticketFor: ({ step }) =>
+        this.advice.ticketFor(step, info.id, ctx.clock()),
       events: {
         ended: (run, how, checkpoint) => {
           this.recordEnd(run, how, checkpoint);
         },
         recorded: () => this.recorded(),
+        ticketRefused: ({ step }) => {
+          this.advice.refuse(step, info.id);
+        },
         fenced: () => {
           ctx.log.info({ worker: info.id }, 'leader: a worker was fenced');
           this.alarm.ring();
@@ -258,12 +280,14 @@
       workers: this.fleet.planWorkers(),
       times: this.times,
       interference: this.interference,
+      advice: this.advice,
       time: { now: ctx.clock(), nowWall: ctx.wallClock() },
     };
     planStarts(input, decision => {
       this.startRun(decision);
     });
     this.moveSlowed(input);
+    this.adviser.askIfNeeded(input);
   }
 
   /** Stops fillers that are slowed here and would not be elsewhere. */
@@ -325,14 +349,16 @@
     }
   }
 
-  /** Stops runs of jobs that are over, copies of tasks that are done, and runs that stand still. */
+  /** Stops runs that nobody needs any more, and runs that stand still. */
   private stopNeedless(): void {
     const now = this.options.ctx.clock();
     for (const [worker, { runs }] of this.state.workers) {
       for (const run of runs.values()) {
         const { task, progress } = run;
         const needless =
-          isOver(task.step.occurrence.job) || task.status === 'done';
+          isOver(task.step.occurrence.job) ||
+          task.status === 'done' ||
+          isBrokenGang(run);
         if (needless && progress?.stopping === false) {
           this.fleet.link(worker)?.stop(run);
         } else if (isStalled(run, now)) {
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -91,6 +91,9 @@
       configFeed: { next: () => new Promise(() => undefined) },
       workerFeed: () => this.fleet.feed(),
       workerPort: () => this.guard(started, this.fleet.connect(name)),
+      advicePort: () => ({
+        ask: () => Promise.resolve({ kind: 'unavailable', reason: 'none' }),
+      }),
       maxLeaseMs: MAX_LEASE_MS,
     });
     Object.assign(started, { host });
--- a/packages/daemon/src/job-host/start-job-host.ts
+++ b/packages/daemon/src/job-host/start-job-host.ts
@@ -1,6 +1,7 @@
 /** Puts the parts of a job host together. */
 import type { Millis } from '@paddlewind/domain';
 import type {
+  AdvicePort,
   ConfigFeed,
   JobLog,
   OperatorConfig,
@@ -22,6 +23,7 @@
   readonly configFeed: ConfigFeed;
   readonly workerFeed: () => WorkerFeed;
   readonly workerPort: () => WorkerPort;
+  readonly advicePort: () => AdvicePort;
   readonly maxLeaseMs: Millis;
 }
 
@@ -86,6 +88,7 @@
         replica,
         feed: options.workerFeed(),
         port: options.workerPort(),
+        advicePort: options.advicePort(),
         maxLeaseMs: options.maxLeaseMs,
         claim,
       });
--- a/packages/daemon/src/job-host/timing.ts
+++ b/packages/daemon/src/job-host/timing.ts
@@ -30,6 +30,10 @@
  * log is usually away, since running tasks should outlive that.
  */
 export const LEADER_LEASE_MS: Millis = 10_000;
+/** Time for an answer of the advice service beyond what it says it takes. */
+export const ADVICE_SLACK_MS: Millis = 500;
+/** Pause before the advice service is asked again after it did not answer. */
+export const ADVICE_RETRY_MS: Millis = 200;
 /** Slowest clock of a worker, as a share of true time. */
 export const SLOWEST_CLOCK = 0.98;
 /** Margin on every computed end of a lease. */
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -7,6 +7,7 @@
   taskName,
   type Run,
   type RunEnd,
+  type Task,
   type WorkerInfo,
   type WorkerRuns,
 } from '@paddlewind/domain/jobs';
@@ -36,6 +37,8 @@
   recorded(): Promise<boolean>;
   /** The worker has seen a higher fence. */
   fenced(): void;
+  /** The worker has refused the ticket for a task. */
+  ticketRefused(task: Task): void;
   /** The worker has confirmed a start. */
   started(link: WorkerLink): void;
   /** The readings of all runs are up to date. */
@@ -54,6 +57,8 @@
   /** Whether this leader may still extend leases. */
   readonly mayExtend: () => boolean;
   readonly runs: () => WorkerRuns;
+  /** Returns the ticket of the advice service for a task here, where it needs one. */
+  readonly ticketFor: (task: Task) => string | undefined;
   readonly events: LinkEvents;
 }
 
@@ -120,6 +125,7 @@
         leaseUntil: this.lease.extend(ctx.clock()),
         fence,
         checkpoint: task.checkpoint,
+        ticket: this.options.ticketFor(task),
       });
       this.takeStart(run, res);
     });
@@ -334,9 +340,12 @@
       case 'rejected':
         if (res.why === 'fenced') {
           events.fenced();
-        } else {
-          events.ended(run, 'void', '');
+          return;
         }
+        if (res.why === 'no_ticket') {
+          events.ticketRefused(run.task);
+        }
+        events.ended(run, 'void', '');
         return;
       case 'not_run':
         this.setAnswering(false);
--- /dev/null
+++ b/packages/domain/src/jobs/gang.ts
@@ -0,0 +1,66 @@
+/** Gangs: tasks that work only all together, on one rack where they ask for it. */
+import type { Run, Step, Task } from './job.js';
+import { addLoad, type WorkerRuns } from './jobs-state.js';
+import { chooseWorker, type PlaceInput, type PlanWorker } from './placement.js';
+
+/** Returns a worker for each task of the step, undefined when not all have room at once. */
+export function placeGang(
+  input: PlaceInput,
+  step: Step,
+): readonly string[] | undefined {
+  if (step.spec.sameRack) {
+    for (const workers of byRack(input.workers)) {
+      const found = placeAll({ ...input, workers }, step);
+      if (found !== undefined) {
+        return found;
+      }
+    }
+  }
+  // On several racks a gang that asks for one is slow, which is better than not to run.
+  return placeAll(input, step);
+}
+
+/** Tells whether a member is missing, so that the others wait in vain. */
+export function isBrokenGang({ task, number }: Run): boolean {
+  const { spec, tasks } = task.step;
+  return (
+    spec.gang &&
+    tasks.some(
+      ({ status, runs }) =>
+        status !== 'done' && !runs.some(run => run.number === number),
+    )
+  );
+}
+
+function byRack(workers: readonly PlanWorker[]): PlanWorker[][] {
+  const racks = new Map<string, PlanWorker[]>();
+  for (const worker of workers) {
+    const rack = worker.info.rack ?? '';
+    racks.set(rack, [...(racks.get(rack) ?? []), worker]);
+  }
+  return [...racks.values()];
+}
+
+/** Places one task after the other, each with the room that the ones before it leave. */
+function placeAll(input: PlaceInput, step: Step): string[] | undefined {
+  const loads = new Map<string, WorkerRuns>();
+  const placed: string[] = [];
+  const reserved: PlaceInput = {
+    ...input,
+    loadOf: worker => loads.get(worker) ?? input.loadOf(worker),
+    spreadOf: (task: Task, worker: string) =>
+      input.spreadOf(task, worker) +
+      placed.filter(other => other === worker).length,
+  };
+  for (const task of step.tasks) {
+    const worker = chooseWorker(reserved, task)?.info.id;
+    if (worker === undefined) {
+      return undefined;
+    }
+    const load = { ...reserved.loadOf(worker) };
+    addLoad(load, step, 1);
+    loads.set(worker, load);
+    placed.push(worker);
+  }
+  return placed;
+}
--- a/packages/domain/src/jobs/job.ts
+++ b/packages/domain/src/jobs/job.ts
@@ -86,6 +86,8 @@
   remaining: number;
   /** Open runs by worker. */
   readonly spread: Map<string, number>;
+  /** Numbers of a gang's runs in which a member failed. */
+  readonly failedGangRuns: Set<number>;
 }
 
 /** One run through all steps of a job. */
@@ -163,6 +165,7 @@
     tasks: [],
     remaining: spec.tasks,
     spread: new Map(),
+    failedGangRuns: new Set(),
   };
   for (let index = 0; index < spec.tasks; index += 1) {
     step.tasks.push({
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -170,7 +170,8 @@
   return true;
 }
 
-function addLoad(load: WorkerRuns, { spec }: Step, sign: 1 | -1): void {
+/** Adds what a task of a step takes to a worker's load, or takes it off again. */
+export function addLoad(load: WorkerRuns, { spec }: Step, sign: 1 | -1): void {
   if (spec.filler) {
     load.fillerCpuMilli += sign * spec.size.cpuMilli;
   } else {
@@ -199,12 +200,20 @@
   task.runs.splice(at, 1);
   removeRun(state, run);
   if (record.checkpoint !== '') {
-    task.checkpoint = record.checkpoint;
+    saveCheckpoint(task, record.checkpoint);
   }
   settleTask(state, task, run, record.how);
   return true;
 }
 
+/** A checkpoint of any member of a gang holds for all of them. */
+function saveCheckpoint(task: Task, checkpoint: string): void {
+  const { spec, tasks } = task.step;
+  for (const saved of spec.gang ? tasks : [task]) {
+    saved.checkpoint = checkpoint;
+  }
+}
+
 function removeRun(state: JobsState, run: Run): void {
   const { step } = run.task;
   const left = (step.spread.get(run.worker) ?? 1) - 1;
@@ -227,13 +236,18 @@
   if (task.status === 'done') {
     return;
   }
-  if (how === 'done' && !task.step.spec.lasting) {
-    finishTask(state, task);
+  const { spec, tasks, failedGangRuns } = task.step;
+  if (how === 'done' && !spec.lasting) {
+    // One member of a gang that is done stands for all.
+    for (const done of spec.gang ? tasks : [task]) {
+      finishTask(state, done);
+    }
     return;
   }
   if (how === 'failed') {
     task.failures += 1;
     task.failedOn.add(run.worker);
+    failedGangRuns.add(run.number);
     failWhenSpent(state, task);
   }
   if (task.runs.length === 0) {
@@ -262,8 +276,9 @@
 
 function failWhenSpent(state: JobsState, task: Task): void {
   const { job } = task.step.occurrence;
-  const { lasting } = task.step.spec;
-  if (!lasting && task.failures >= job.spec.terms.maxAttempts) {
+  const { spec, failedGangRuns } = task.step;
+  const failures = spec.gang ? failedGangRuns.size : task.failures;
+  if (!spec.lasting && failures >= job.spec.terms.maxAttempts) {
     job.failed = true;
     state.open.delete(job);
   }
--- /dev/null
+++ b/packages/domain/src/jobs/placement.ts
@@ -0,0 +1,183 @@
+/** Chooses the worker for a task: which may have it, where it has room, and which suits it best. */
+import type { Advice } from './advice.js';
+import type { Interference } from './interference.js';
+import type { Task } from './job.js';
+import type { WorkerRuns } from './jobs-state.js';
+import type { StepSpec, TaskSize } from './spec.js';
+import type { Instant } from '../core/time.js';
+
+/** A worker as the platform's registry describes it. */
+export interface WorkerInfo {
+  /** Names one life of a worker. */
+  readonly id: string;
+  readonly address: string;
+  readonly service: string;
+  readonly availabilityZone: string;
+  readonly rack: string | undefined;
+  readonly labels: readonly string[];
+  readonly capacity: TaskSize;
+  readonly leaving: boolean;
+}
+
+/** A worker that may be given tasks. */
+export interface PlanWorker {
+  readonly info: WorkerInfo;
+  /** Whether it may be given a run while another one that will end is under way. */
+  readonly trusted: boolean;
+}
+
+/** What a choice goes by. */
+export interface PlaceInput {
+  readonly workers: readonly PlanWorker[];
+  readonly interference: Interference;
+  readonly advice: Advice;
+  readonly now: Instant;
+  /** What runs on a worker, or is about to. */
+  readonly loadOf: (worker: string) => WorkerRuns;
+  /** Runs of the task's step on a worker, also those about to start. */
+  readonly spreadOf: (task: Task, worker: string) => number;
+}
+
+/** Returns the worker that suits the task best, undefined when none has room for it. */
+export function chooseWorker(
+  input: PlaceInput,
+  task: Task,
+): PlanWorker | undefined {
+  let best: PlanWorker | undefined;
+  let bestRank = -Infinity;
+  for (const worker of input.workers) {
+    if (!accepts(input, worker, task)) {
+      continue;
+    }
+    const load = input.loadOf(worker.info.id);
+    if (!worker.trusted && hasTrial(load)) {
+      continue;
+    }
+    if (!hasRoom(worker.info, load, task.step.spec)) {
+      continue;
+    }
+    const rank = rankOf(worker, load, task, input.interference);
+    if (rank > bestRank) {
+      best = worker;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+/** Tells whether a run that will end by itself is under way: it shows whether the worker is sound. */
+function hasTrial({ runs }: WorkerRuns): boolean {
+  return [...runs.values()].some(({ task }) => !task.step.spec.lasting);
+}
+
+function accepts(
+  { advice, now, spreadOf }: PlaceInput,
+  { info }: PlanWorker,
+  task: Task,
+): boolean {
+  const { spec, occurrence } = task.step;
+  if (info.service !== occurrence.job.spec.terms.service) {
+    return false;
+  }
+  if (spec.label !== undefined && !info.labels.includes(spec.label)) {
+    return false;
+  }
+  if (!advice.admits(task.step, info.id, now)) {
+    return false;
+  }
+  const { maxPerWorker } = spec;
+  return maxPerWorker === undefined || spreadOf(task, info.id) < maxPerWorker;
+}
+
+/** Share of its declared processors that a serving task is taken to use, for fillers beside it. */
+const SERVING_USE = 0.5;
+
+/** Tells whether a task of the step fits on a worker. */
+export function hasRoom(
+  { capacity }: WorkerInfo,
+  load: WorkerRuns,
+  { size, filler }: StepSpec,
+): boolean {
+  return (
+    size.cpuMilli <= (filler ? fillerRoom : plainRoom)(capacity, load) &&
+    size.memoryMiB <= capacity.memoryMiB - load.memoryMiB &&
+    size.accelerators <= capacity.accelerators - load.accelerators
+  );
+}
+
+function plainRoom(capacity: TaskSize, load: WorkerRuns): number {
+  return capacity.cpuMilli - load.cpuMilli;
+}
+
+/** Fillers are not counted against capacity; they share what the others don't use. */
+function fillerRoom(capacity: TaskSize, load: WorkerRuns): number {
+  const unused = (1 - SERVING_USE) * load.servingCpuMilli;
+  return capacity.cpuMilli - load.cpuMilli + unused - load.fillerCpuMilli;
+}
+
+/** Worth of the data's rack, in shares of a worker's processors. */
+const NEAR_DATA_BONUS = 2;
+/** Cost of a worker on which the task failed before. */
+const FAILED_HERE_COST = 4;
+/** Cost of a worker that has to prove itself, for a task that has failed before. */
+const UNTRUSTED_COST = 4;
+/** Cost of a worker where tasks serve, for a task that does not. */
+const SERVING_HERE_COST = 1;
+/** Lowest share of its speed at which a filler is placed. */
+const MIN_SPEED = 0.7;
+
+/** Cost of each other image that serves at a worker: fillers have to suit all of them. */
+const OTHER_IMAGE_COST = 1;
+
+/** Packs tasks that serve beside those of their image. */
+function servingRank(
+  capacity: TaskSize,
+  load: WorkerRuns,
+  image: string | undefined,
+): number {
+  const others = new Set<string | undefined>();
+  for (const { task } of load.runs.values()) {
+    const { spec } = task.step;
+    if (spec.tailTargetMs !== undefined && spec.image !== image) {
+      others.add(spec.image);
+    }
+  }
+  const packed = load.cpuMilli / capacity.cpuMilli;
+  return packed - others.size * OTHER_IMAGE_COST;
+}
+
+/** Gives tasks that don't serve the worker whose processors are the least promised. */
+function rankOf(
+  worker: PlanWorker,
+  load: WorkerRuns,
+  task: Task,
+  interference: Interference,
+): number {
+  const { info } = worker;
+  const { spec } = task.step;
+  const { cpuMilli } = info.capacity;
+  const serves = spec.tailTargetMs !== undefined;
+  let rank = serves
+    ? servingRank(info.capacity, load, spec.image)
+    : 1 - (load.cpuMilli + load.fillerCpuMilli) / cpuMilli;
+  if (!serves && load.servingCpuMilli > 0) {
+    rank -= SERVING_HERE_COST;
+  }
+  if (spec.filler && load.servingCpuMilli > 0) {
+    const speed = interference.speedOf(load, cpuMilli, spec);
+    if (speed < MIN_SPEED) {
+      return -Infinity;
+    }
+    rank += Math.min(1, speed);
+  }
+  if (spec.dataRack !== undefined && info.rack === spec.dataRack) {
+    rank += NEAR_DATA_BONUS;
+  }
+  if (task.failedOn.has(info.id)) {
+    rank -= FAILED_HERE_COST;
+  }
+  if (!worker.trusted && task.failures > 0) {
+    rank -= UNTRUSTED_COST;
+  }
+  return rank;
+}
--- a/packages/domain/src/jobs/plan.test.ts
+++ b/packages/domain/src/jobs/plan.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
+import { isBrokenGang } from './gang.js';
 import { planStarts, type PlanInput } from './plan.js';
 import {
   applyDecision,
@@ -89,13 +90,13 @@
 
 test('only workers with the label that a step needs', () => {
   const state = stateOf(testJob('j', [{ label: 'fast' }]));
-  const workers = [testWorker('a'), testWorker('b', ['fast'])];
+  const workers = [testWorker('a'), testWorker('b', 'r1', 'fast')];
   assert.deepEqual(round(planInput(state, workers)), ['j.0.0@b']);
 });
 
 test('prefers the rack of the data', () => {
   const state = stateOf(testJob('j', [{ dataRack: 'r2' }]));
-  const workers = [testWorker('a', ['r1']), testWorker('b', ['r2'])];
+  const workers = [testWorker('a', 'r1'), testWorker('b', 'r2')];
   assert.deepEqual(round(planInput(state, workers)), ['j.0.0@b']);
 });
 
@@ -151,3 +152,71 @@
   const due = { ...input, time: { now: 0, nowWall: 1_600 } };
   assert.equal(round(due).length, 2);
 });
+
+test('a gang starts whole, under one run number, or not at all', () => {
+  const state = stateOf(testJob('g', [{ tasks: 6, gang: true }]));
+  assert.deepEqual(round(planInput(state, [testWorker('a')])), []);
+  const workers = [testWorker('a'), testWorker('b')];
+  assert.equal(round(planInput(state, workers)).length, 6);
+  const numbers = taskOf(state, 'g', 0, 0).step.tasks.map(
+    ({ lastRun }) => lastRun,
+  );
+  assert.deepEqual(new Set(numbers), new Set([1]));
+});
+
+test('a gang that asks for one rack gets one where there is room', () => {
+  const state = stateOf(
+    testJob('g', [{ tasks: 6, gang: true, sameRack: true }]),
+  );
+  const workers = [
+    testWorker('a', 'r1'),
+    testWorker('b', 'r2'),
+    testWorker('c', 'r2'),
+  ];
+  const starts = round(planInput(state, workers));
+  assert.equal(starts.length, 6);
+  assert.ok(starts.every(start => !start.endsWith('@a')));
+});
+
+test('a gang runs again only when no member is left, from one checkpoint', () => {
+  const state = stateOf(testJob('g', [{ tasks: 2, gang: true }]));
+  const input = planInput(state, [testWorker('a')]);
+  round(input);
+  const [first, second] = taskOf(state, 'g', 0, 0).step.tasks;
+  const [left, right] = [first?.runs[0], second?.runs[0]];
+  assert.ok(left && right);
+  endRun(state, left, 'failed', 'half');
+  assert.equal(isBrokenGang(right), true);
+  assert.deepEqual(round(input), []);
+  endRun(state, right, 'broken');
+  assert.equal(round(input).length, 2);
+  assert.deepEqual([first?.checkpoint, second?.checkpoint], ['half', 'half']);
+});
+
+test('one member that is done stands for its gang', () => {
+  const state = stateOf(
+    testJob('g', [{ tasks: 3, gang: true }, { after: [0] }]),
+  );
+  const input = planInput(state, [testWorker('a')]);
+  round(input);
+  const run = taskOf(state, 'g', 0, 1).runs[0];
+  assert.ok(run);
+  endRun(state, run, 'done');
+  assert.equal(taskOf(state, 'g', 0, 0).step.remaining, 0);
+  assert.deepEqual(round(input), ['g.1.0@a']);
+});
+
+test('a queue with advice waits for a ticket', () => {
+  const advice = { decisionMs: 50, perWorkerMs: 5, validityMs: 3_000 };
+  const state = stateOf(testJob('j', [{}], { advice }));
+  const input = planInput(state, [testWorker('a'), testWorker('b')]);
+  assert.deepEqual(round(input), []);
+  const { step } = taskOf(state, 'j', 0, 0);
+  const question = input.advice.questionFor(step, ['a', 'b'], 0);
+  assert.deepEqual(question?.workers, ['a', 'b']);
+  input.advice.take(question, new Map([['b', 't-1']]), 3_000);
+  assert.equal(input.advice.questionFor(step, ['a', 'b'], 0), undefined);
+  const expired = input.advice.questionFor(step, ['a', 'b'], 4_000);
+  assert.deepEqual(expired?.workers, ['b']);
+  assert.deepEqual(round(input), ['j.0.0@b']);
+});
--- a/packages/domain/src/jobs/spec.ts
+++ b/packages/domain/src/jobs/spec.ts
@@ -45,6 +45,14 @@
   readonly allowedMisses: number | undefined;
 }
 
+/** What asking for advice on a step takes, where a queue's policy allows only some workers. */
+export interface AdviceTerms {
+  readonly decisionMs: Millis;
+  readonly perWorkerMs: Millis;
+  /** How long a ticket is valid. */
+  readonly validityMs: Millis;
+}
+
 /** The terms of a queue when the job was accepted. */
 export interface QueueTerms {
   readonly queue: string;
@@ -58,6 +66,8 @@
   readonly deadlineFactor: number;
   /** Time added to the objective. */
   readonly targetLatencyMs: Millis;
+  /** Set where runs need a ticket of the advice service. */
+  readonly advice?: AdviceTerms;
 }
 
 /** When a job's steps run more than once. */
--- a/packages/domain/src/jobs/test-support.ts
+++ b/packages/domain/src/jobs/test-support.ts
@@ -11,7 +11,9 @@
   type JobsState,
 } from './jobs-state.js';
 import { Interference } from './interference.js';
-import type { PlanInput, PlanWorker, StartDecision } from './plan.js';
+import { Advice } from './advice.js';
+import type { PlanWorker } from './placement.js';
+import type { PlanInput, StartDecision } from './plan.js';
 import { createRunTimes } from './run-times.js';
 import type { JobSpec, QueueTerms, StepSpec } from './spec.js';
 
@@ -70,14 +72,15 @@
 }
 
 /** A worker of 4 cores and 8 GiB. */
-export function testWorker(id: string, labels: string[] = []): PlanWorker {
+export function testWorker(id: string, rack = 'r1', label = 'a'): PlanWorker {
   return {
     info: {
       id,
       address: id,
       service: 'main',
       availabilityZone: 'a',
-      labels,
+      rack,
+      labels: [label, rack],
       capacity: { cpuMilli: 4_000, memoryMiB: 8_000, accelerators: 0 },
       leaving: false,
     },
@@ -95,6 +98,7 @@
     workers,
     times: createRunTimes(),
     interference: new Interference(),
+    advice: new Advice(),
     time: { now: 0, nowWall: 0 },
   };
 }
--- a/packages/ports/src/jobs/index.ts
+++ b/packages/ports/src/jobs/index.ts
@@ -1,3 +1,4 @@
+export * from './advice-port.js';
 export * from './feeds.js';
 export * from './job-log.js';
 export * from './worker-port.js';
--- a/packages/ports/src/jobs/worker-port.ts
+++ b/packages/ports/src/jobs/worker-port.ts
@@ -18,6 +18,8 @@
   readonly fence: number;
   /** Checkpoint to resume from; empty when there is none. */
   readonly checkpoint: string;
+  /** Ticket of the advice service, where the queue needs one. */
+  readonly ticket: string | undefined;
 }
 
 /** An order about a run. */
@@ -28,7 +30,8 @@
 }
 
 /** Why a worker did nothing. */
-export type Rejection = 'fenced' | 'superseded' | 'too_late' | 'no_room';
+export type Rejection =
+  'fenced' | 'superseded' | 'too_late' | 'no_room' | 'no_ticket';
 
 /** What became of an order. */
 export type OrderResult =
--- a/packages/stand-ins/src/jobs/memory-fleet.ts
+++ b/packages/stand-ins/src/jobs/memory-fleet.ts
@@ -164,6 +164,7 @@
     address,
     service: 'main',
     availabilityZone: 'a',
+    rack: undefined,
     labels: [],
     capacity: traits.capacity,
     leaving: false,
--- a/packages/stand-ins/src/users-platform/worker-server.ts
+++ b/packages/stand-ins/src/users-platform/worker-server.ts
@@ -15,6 +15,7 @@
   fenced: 'fence',
   superseded: 'old',
   too_late: 'late',
+  no_ticket: 'ticket',
   no_room: 'room',
 } as const;
 
@@ -100,6 +101,7 @@
       payload: body.spec ?? '',
       leaseUntil: body.untilMs ?? 0,
       checkpoint: body.checkpoint ?? '',
+      ticket: undefined,
     });
   }
 
