--- a/packages/domain/src/jobs/placement.ts
+++ b/packages/domain/src/jobs/placement.ts
@@ -121,7 +121,7 @@
 const FAILED_HERE_COST = 4;
 /** Cost of a worker that has to prove itself, for a task that has failed before. */
 const UNTRUSTED_COST = 4;
-/** Cost of a worker where tasks serve, for a task that does not. */
+/** Cost of a worker where tasks serve, for a filler. */
 const SERVING_HERE_COST = 1;
 /** Lowest share of its speed at which a filler is placed. */
 const MIN_SPEED = 0.7;
@@ -129,6 +129,9 @@
 /** Cost of each other image that serves at a worker: fillers have to suit all of them. */
 const OTHER_IMAGE_COST = 1;
 
+/** Rates what is left of a worker's processors: more than any worker of today has. */
+const LARGE_CPU_MILLI = 128_000;
+
 /** Packs tasks that serve beside those of their image. */
 function servingRank(
   capacity: TaskSize,
@@ -142,11 +145,32 @@
       others.add(spec.image);
     }
   }
-  const packed = load.cpuMilli / capacity.cpuMilli;
-  return packed - others.size * OTHER_IMAGE_COST;
+  const left = capacity.cpuMilli - load.cpuMilli;
+  return 1 - left / LARGE_CPU_MILLI - others.size * OTHER_IMAGE_COST;
 }
 
-/** Gives tasks that don't serve the worker whose processors are the least promised. */
+/**
+ * Gives a filler the worker whose processors are the least promised, and any other task the one
+ * whose room it fills best, so that room for large tasks is left.
+ */
+function baseRank(
+  capacity: TaskSize,
+  load: WorkerRuns,
+  { size, filler, tailTargetMs, image }: StepSpec,
+): number {
+  if (tailTargetMs !== undefined) {
+    return servingRank(capacity, load, image);
+  }
+  if (filler) {
+    const serving = load.servingCpuMilli > 0 ? SERVING_HERE_COST : 0;
+    const promised = load.cpuMilli + load.fillerCpuMilli;
+    return 1 - promised / capacity.cpuMilli - serving;
+  }
+  const left = capacity.cpuMilli - load.cpuMilli - size.cpuMilli;
+  return 1 - left / capacity.cpuMilli;
+}
+
+/** Rates a worker with room for the task; `-Infinity` for one that does not suit it. */
 function rankOf(
   worker: PlanWorker,
   load: WorkerRuns,
@@ -156,13 +180,7 @@
   const { info } = worker;
   const { spec } = task.step;
   const { cpuMilli } = info.capacity;
-  const serves = spec.tailTargetMs !== undefined;
-  let rank = serves
-    ? servingRank(info.capacity, load, spec.image)
-    : 1 - (load.cpuMilli + load.fillerCpuMilli) / cpuMilli;
-  if (!serves && load.servingCpuMilli > 0) {
-    rank -= SERVING_HERE_COST;
-  }
+  let rank = baseRank(info.capacity, load, spec);
   if (spec.filler && load.servingCpuMilli > 0) {
     const speed = interference.speedOf(load, cpuMilli, spec);
     if (speed < MIN_SPEED) {
