Watch workers closely whose fillers are close to disturbing

Cause: over-target time of tasks that serve comes from limits that follow a report by up to a second. Change: a worker with little room for a further gain reports after 350 ms in place of 1 s.

--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -44,7 +44,9 @@
   INBOX_STALE_MS,
   INBOX_WAIT_MS,
   LEADER_LEASE_MS,
+  LOOK_WAIT_MS,
   PLAN_EVERY_MS,
+  TIGHT_LOOK_WAIT_MS,
 } from './timing.js';
 import { WorkerLink } from './worker-link.js';
 
@@ -152,6 +154,7 @@
       mayExtend: () =>
         ctx.clock() - this.writer.confirmedSentAt < LEADER_LEASE_MS,
       runs: () => workerRuns(this.state, info.id),
+      lookWaitMs: () => this.lookWaitAt(info),
       ticketFor: ({ step }) =>
         this.advice.ticketFor(step, info.id, ctx.clock()),
       events: {
@@ -180,6 +183,13 @@
     return link;
   }
 
+  private lookWaitAt({ id, capacity }: WorkerInfo): Millis {
+    const load = workerRuns(this.state, id);
+    return this.interference.isTight(load, capacity.cpuMilli)
+      ? TIGHT_LOOK_WAIT_MS
+      : LOOK_WAIT_MS;
+  }
+
   private async followInbox(): Promise<void> {
     const { replica } = this.options;
     while (!this.ended) {
--- a/packages/daemon/src/job-host/timing.ts
+++ b/packages/daemon/src/job-host/timing.ts
@@ -19,6 +19,8 @@
 export const PLAN_EVERY_MS: Millis = 250;
 /** How long a worker may wait for an end before it reports. */
 export const LOOK_WAIT_MS: Millis = 1_000;
+/** The same for a worker whose fillers are close to disturbing a task that serves there. */
+export const TIGHT_LOOK_WAIT_MS: Millis = 350;
 /** Pause before a worker that did not answer is looked at again. */
 export const LOOK_RETRY_MS: Millis = 200;
 /** Pause between looks while recorded ends cannot be acknowledged. */
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -22,12 +22,7 @@
 import { pause, type HostContext } from './context.js';
 import { Lease } from './lease.js';
 import { OrderQueue } from './order-queue.js';
-import {
-  LOOK_RETRY_MS,
-  LOOK_WAIT_MS,
-  STOP_RETRY_MS,
-  UNRECORDED_LOOK_MS,
-} from './timing.js';
+import { LOOK_RETRY_MS, STOP_RETRY_MS, UNRECORDED_LOOK_MS } from './timing.js';
 
 /** What a link tells the leader. */
 export interface LinkEvents {
@@ -57,6 +52,8 @@
   /** Whether this leader may still extend leases. */
   readonly mayExtend: () => boolean;
   readonly runs: () => WorkerRuns;
+  /** How long the worker may wait for an end before it reports. */
+  readonly lookWaitMs: () => Millis;
   /** Returns the ticket of the advice service for a task here, where it needs one. */
   readonly ticketFor: (task: Task) => string | undefined;
   readonly events: LinkEvents;
@@ -180,7 +177,10 @@
       fence,
       acknowledged,
       leaseUntil: extend ? this.lease.extend(sentAt) : undefined,
-      waitMs: this.verified && this.openRuns().size > 0 ? LOOK_WAIT_MS : 0,
+      waitMs:
+        this.verified && this.openRuns().size > 0
+          ? this.options.lookWaitMs()
+          : 0,
     });
     if (this.closed) {
       return;
--- a/packages/domain/src/jobs/interference.ts
+++ b/packages/domain/src/jobs/interference.ts
@@ -49,6 +49,8 @@
  * as long every filler beside it: it may be disturbed for some 4 s on end at most.
  */
 const OVER_MS: Millis = 1_100;
+/** Room for a further gain of the load below which a worker is watched closely. */
+const TIGHT_GAIN = 0.3;
 /** Shares are ordered in steps of this many percent, so that small changes cause no order. */
 const SHARE_STEP = 10;
 /** Span of the readings in a report, in milliseconds. */
@@ -120,6 +122,18 @@
     return Math.max(0, speed);
   }
 
+  /** Tells whether fillers leave a serving task so little room that its next swing may use it up. */
+  isTight(load: WorkerRuns, cpuMilli: number): boolean {
+    const fillers = fillersOf(load);
+    return (
+      fillers.length > 0 &&
+      servingOf(load).some(({ task }) => {
+        const gain = this.gainBy(task.step, fillers, cpuMilli);
+        return this.freeGain(task.step, 0) - gain < TIGHT_GAIN;
+      })
+    );
+  }
+
   /** Shares in percent that keep every serving task of the worker below its target. */
   shares(load: WorkerRuns, cpuMilli: number, now: Instant): Map<Run, number> {
     const fillers = fillersOf(load);
