Let work that ends go before work that lasts, and finish what was begun

Of loans, 67 occurrences were open at once, most half done and all late. Change: within a priority tasks that end go first, then what can still meet its objective, then what is nearest to its end.

--- a/packages/domain/src/jobs/order.ts
+++ b/packages/domain/src/jobs/order.ts
@@ -15,6 +15,8 @@
   readonly priority: number;
   /** Whether the objective can no longer be met. */
   readonly late: boolean;
+  /** Share of the occurrence's work that is done, in tenths. */
+  readonly progress: number;
   /** Monotonic time by which the step has to start for the objective to be met. */
   readonly latestStart: Instant;
 }
@@ -27,8 +29,10 @@
 }
 
 /**
- * Returns the steps that may start tasks: lower priority numbers first, within one number those
- * whose objective can still be met, within those the one that has to start soonest.
+ * Returns the steps that may start tasks: lower priority numbers first; within one number tasks that
+ * end before those that last; within those what can still meet its objective; within that what is
+ * nearest to its end, so that overload leaves few occurrences half done; and of those alike the one
+ * that has to start soonest.
  */
 export function candidates(
   jobs: Iterable<Job>,
@@ -51,7 +55,9 @@
 function compareCandidates(a: Candidate, b: Candidate): number {
   return (
     a.priority - b.priority ||
+    Number(a.step.spec.lasting) - Number(b.step.spec.lasting) ||
     Number(a.late) - Number(b.late) ||
+    b.progress - a.progress ||
     a.latestStart - b.latestStart
   );
 }
@@ -82,10 +88,29 @@
     terms.targetLatencyMs;
   const left = longestChain(occurrence, times, step => step.remaining > 0);
   const latestStart = objective - left;
-  const late = latestStart < time.now;
+  const shared = {
+    priority: terms.priority,
+    late: latestStart < time.now,
+    progress: progressOf(occurrence, times),
+    latestStart,
+  };
   return occurrence.steps
     .filter(step => step.remaining > 0 && isReady(step))
-    .map(step => ({ step, priority: terms.priority, late, latestStart }));
+    .map(step => ({ step, ...shared }));
+}
+
+/** Steps by which progress is told apart: finer ones would reorder alike occurrences all the time. */
+const PROGRESS_STEPS = 10;
+
+function progressOf({ steps }: Occurrence, times: RunTimes): number {
+  let all = 0;
+  let done = 0;
+  for (const step of steps) {
+    const each = step.spec.size.cpuMilli * times.expect(step);
+    all += each * step.spec.tasks;
+    done += each * (step.spec.tasks - step.remaining);
+  }
+  return all === 0 ? 0 : Math.floor((PROGRESS_STEPS * done) / all);
 }
 
 /** Monotonic time from which the objective counts. */
