Outlive the log's retention

Cause: the state of jobs was folded from the first record on; a host that starts after the log has dropped that record would know nothing of older jobs, and a fleet without a record of its last epoch would claim one that the store refuses for ever. Jobs that are over are forgotten some time after their state can no longer be asked for. The fold stands apart from the state, and the supervision of runs apart from the leader's loop.

--- a/packages/daemon/src/job-host/job-host.test.ts
+++ b/packages/daemon/src/job-host/job-host.test.ts
@@ -213,3 +213,47 @@
   await site.time.advance(5_000);
   assert.deepEqual(site.history.check(), []);
 });
+
+test('a job outlives the records that it began with', async () => {
+  const site = smallSite(16);
+  const id = '0000000000000016';
+  void site.submit(id, TWO_STEPS, { runMs: 28_000, failures: 0 });
+  await site.time.advance(15_000);
+  const dropped = site.log.recordsOf('journal').length;
+  await site.time.advance(11_000);
+  // All but the last third of the retention is gone, and no host remembers.
+  site.log.trimTo(dropped);
+  for (const name of ['h1', 'h2', 'h3']) {
+    site.kill(name);
+    site.startHost(name);
+  }
+  await site.time.advance(60_000);
+  assert.deepEqual(site.history.check(), []);
+  assert.ok(site.history.isDone(id));
+});
+
+test('a job that has long been over is forgotten', async () => {
+  const site = smallSite(17);
+  const id = '0000000000000017';
+  void site.submit(id, TWO_STEPS, QUICK);
+  await site.time.advance(60_000);
+  const asked = site.hosts.get('h1')?.host.service.status(id);
+  await site.time.advance(100);
+  assert.deepEqual(await asked, { kind: 'no_such_job' });
+});
+
+test('a host leads also when no record tells of the epochs before', async () => {
+  const site = smallSite(18);
+  await site.time.advance(2_000);
+  for (const name of ['h1', 'h2', 'h3']) {
+    site.kill(name);
+  }
+  await site.time.advance(1_000);
+  site.log.trimTo(site.log.recordsOf('journal').length);
+  site.startHost('h1');
+  await site.time.advance(5_000);
+  assert.equal(leaderOf(site), 'h1');
+  void site.submit('0000000000000018', TWO_STEPS, QUICK);
+  await site.time.advance(5_000);
+  assert.ok(site.history.isDone('0000000000000018'));
+});
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -1,18 +1,14 @@
 /** The leader's loop: takes in ends, plans starts, records both, then acts. */
-import type { Instant, Millis } from '@paddlewind/domain';
+import type { Millis } from '@paddlewind/domain';
 import {
   Advice,
   applyJournal,
   createRunTimes,
-  findPlace,
+  imageOf,
   Interference,
-  isBrokenGang,
   isOver,
-  isSlowed,
-  isStalled,
   planStarts,
   refOf,
-  taskName,
   WorkerHealth,
   workerRuns,
   type JobsState,
@@ -38,15 +34,17 @@
 import type { WonClaim } from './leadership.js';
 import { longestEarlierLease } from './lease.js';
 import type { Replica } from './replica.js';
+import { RunSupervisor } from './run-supervisor.js';
 import {
+  CLAIM_REPEAT_MS,
   HEARTBEAT_EVERY_MS,
   INBOX_RETRY_MS,
   INBOX_STALE_MS,
   INBOX_WAIT_MS,
   LEADER_LEASE_MS,
-  LOOK_WAIT_MS,
   PLAN_EVERY_MS,
-  TIGHT_LOOK_WAIT_MS,
+  RESTATE_BATCH,
+  RESTATE_SHARE,
 } from './timing.js';
 import { WorkerLink } from './worker-link.js';
 
@@ -59,6 +57,8 @@
   readonly port: WorkerPort;
   readonly advicePort: AdvicePort;
   readonly maxLeaseMs: Millis;
+  /** How long the log keeps records. */
+  readonly retentionMs: Millis;
   readonly claim: WonClaim;
 }
 
@@ -84,6 +84,7 @@
   private readonly health = new WorkerHealth();
   private readonly advice = new Advice();
   private readonly adviser: Adviser;
+  private readonly supervisor: RunSupervisor;
   private readonly alarm: Alarm;
   private batch: Batch = { records: [], effects: [] };
   private writing: Batch | undefined;
@@ -101,6 +102,13 @@
       this.advice,
       this.alarm.ring,
     );
+    this.supervisor = new RunSupervisor({
+      ctx,
+      state: this.state,
+      interference: this.interference,
+      health: this.health,
+      linkTo: worker => this.fleet.link(worker),
+    });
     this.writer = new JournalWriter(ctx, options.jobLog, claim);
     this.fleet = new Fleet({
       ctx,
@@ -154,7 +162,7 @@
       mayExtend: () =>
         ctx.clock() - this.writer.confirmedSentAt < LEADER_LEASE_MS,
       runs: () => workerRuns(this.state, info.id),
-      lookWaitMs: () => this.lookWaitAt(info),
+      lookWaitMs: () => this.supervisor.lookWaitMs(info),
       ticketFor: ({ step }) =>
         this.advice.ticketFor(step, info.id, ctx.clock()),
       events: {
@@ -170,11 +178,11 @@
           this.alarm.ring();
         },
         started: from => {
-          this.limitFillers(from);
+          this.supervisor.limitFillers(from);
         },
         reported: from => {
-          this.learnInterference(from);
-          this.limitFillers(from);
+          this.supervisor.learnFrom(from.info);
+          this.supervisor.limitFillers(from);
         },
         changed: this.alarm.ring,
       },
@@ -183,13 +191,6 @@
     return link;
   }
 
-  private lookWaitAt({ id, capacity }: WorkerInfo): Millis {
-    const load = workerRuns(this.state, id);
-    return this.interference.isTight(load, capacity.cpuMilli)
-      ? TIGHT_LOOK_WAIT_MS
-      : LOOK_WAIT_MS;
-  }
-
   private async followInbox(): Promise<void> {
     const { replica } = this.options;
     while (!this.ended) {
@@ -205,16 +206,22 @@
   private async decide(): Promise<void> {
     const { ctx } = this.options;
     let wroteAt = ctx.clock();
+    let claimedAt = ctx.clock();
     while (!this.ended) {
       await this.alarm.wait(PLAN_EVERY_MS);
       this.giveUpUnregistered();
-      this.stopNeedless();
+      this.supervisor.stopNeedless();
       this.plan();
+      this.restateOld();
+      const now = ctx.clock();
+      const idle =
+        this.batch.records.length === 0 && now - wroteAt >= HEARTBEAT_EVERY_MS;
+      if (idle || now - claimedAt >= CLAIM_REPEAT_MS) {
+        this.repeatClaim();
+        claimedAt = now;
+      }
       if (this.batch.records.length === 0) {
-        if (ctx.clock() - wroteAt < HEARTBEAT_EVERY_MS) {
-          continue;
-        }
-        this.record({ kind: 'heartbeat' });
+        continue;
       }
       if (!(await this.write())) {
         this.end();
@@ -224,6 +231,32 @@
     }
   }
 
+  private repeatClaim(): void {
+    const { ctx, claim } = this.options;
+    const { epoch, nonce } = claim;
+    this.record({ kind: 'heartbeat', epoch, host: ctx.host, nonce });
+  }
+
+  /** Restates jobs whose records the log may soon drop. */
+  private restateOld(): void {
+    const { ctx, retentionMs } = this.options;
+    const dueMs = retentionMs * RESTATE_SHARE;
+    const now = ctx.clock();
+    const nowWall = ctx.wallClock();
+    let count = 0;
+    for (const job of this.state.jobs.values()) {
+      const old = nowWall - job.acceptedAtWall > dueMs;
+      if (old && now - (job.restatedAt ?? -Infinity) > dueMs) {
+        job.restatedAt = now;
+        this.record({ kind: 'restate', image: imageOf(job) });
+        count += 1;
+        if (count >= RESTATE_BATCH) {
+          return;
+        }
+      }
+    }
+  }
+
   private async write(): Promise<boolean> {
     const { batch } = this;
     this.batch = { records: [], effects: [] };
@@ -252,21 +285,12 @@
       return;
     }
     this.learn(run, how);
-    this.noteFillerEnd(run);
+    this.supervisor.noteEnd(run);
     const task = refOf(run.task);
     this.record({ kind: 'end', task, run: run.number, how, checkpoint });
     this.alarm.ring();
   }
 
-  private noteFillerEnd(run: Run): void {
-    const info = this.fleet.link(run.worker)?.info;
-    if (info !== undefined) {
-      const load = workerRuns(this.state, run.worker);
-      const now = this.options.ctx.clock();
-      this.interference.noteEnd(load, run, info.capacity.cpuMilli, now);
-    }
-  }
-
   private learn(run: Run, how: RunEnd): void {
     const { task, progress, worker } = run;
     if (how === 'done') {
@@ -296,22 +320,10 @@
     planStarts(input, decision => {
       this.startRun(decision);
     });
-    this.moveSlowed(input);
+    this.supervisor.moveSlowed(input);
     this.adviser.askIfNeeded(input);
   }
 
-  /** Stops fillers that are slowed here and would not be elsewhere. */
-  private moveSlowed(input: PlanInput): void {
-    const { now } = input.time;
-    for (const { runs } of this.state.workers.values()) {
-      for (const run of runs.values()) {
-        if (isSlowed(run, now) && findPlace(input, run.task) !== undefined) {
-          this.fleet.link(run.worker)?.stop(run);
-        }
-      }
-    }
-  }
-
   private startRun({ task, run: number, worker }: StartDecision): void {
     const entry: JournalRecord = {
       kind: 'start',
@@ -337,62 +349,6 @@
     }
   }
 
-  private learnInterference({ info }: WorkerLink): void {
-    const load = workerRuns(this.state, info.id);
-    const now = this.options.ctx.clock();
-    this.interference.learn(load, info.capacity.cpuMilli, now);
-  }
-
-  /** Keeps the fillers of a worker from disturbing the tasks that serve there. */
-  private limitFillers(link: WorkerLink): void {
-    const load = workerRuns(this.state, link.info.id);
-    const { cpuMilli } = link.info.capacity;
-    if (load.servingCpuMilli === 0) {
-      return;
-    }
-    const now = this.options.ctx.clock();
-    const shares = this.interference.shares(load, cpuMilli, now);
-    for (const [run, share] of shares) {
-      if (run.progress?.confirmed === true && run.progress.allowed !== share) {
-        link.throttle(run, share);
-      }
-    }
-  }
-
-  /** Stops runs that nobody needs any more, and runs that stand still. */
-  private stopNeedless(): void {
-    const now = this.options.ctx.clock();
-    for (const [worker, { runs }] of this.state.workers) {
-      for (const run of runs.values()) {
-        const { task, progress } = run;
-        const needless =
-          isOver(task.step.occurrence.job) ||
-          task.status === 'done' ||
-          isBrokenGang(run);
-        if (needless && progress?.stopping === false) {
-          this.fleet.link(worker)?.stop(run);
-        } else if (isStalled(run, now)) {
-          this.stopStalled(run, now);
-        }
-      }
-    }
-  }
-
-  private stopStalled(run: Run, now: Instant): void {
-    this.options.ctx.log.info(
-      {
-        task: taskName(refOf(run.task)),
-        run: run.number,
-        worker: run.worker,
-        percent: run.progress?.percent,
-        sinceMs: now - (run.progress?.percentSince ?? now),
-      },
-      'leader: a run stands still and is stopped',
-    );
-    this.health.noteStall(run.worker, now);
-    this.fleet.link(run.worker)?.stop(run);
-  }
-
   /** Ends runs at workers that are not registered, once no earlier leader's lease can hold. */
   private giveUpUnregistered(): void {
     const { ctx, claim, maxLeaseMs } = this.options;
--- a/packages/daemon/src/job-host/leadership.ts
+++ b/packages/daemon/src/job-host/leadership.ts
@@ -15,6 +15,7 @@
 /** A claim that the log has accepted. */
 export interface WonClaim {
   readonly epoch: number;
+  readonly nonce: number;
   /** Stamp of the leader's first append. */
   readonly nextStamp: WriterStamp;
   /** Monotonic time at which the claim was sent. */
@@ -37,13 +38,14 @@
   replica: Replica,
   stopped: () => boolean,
 ): Promise<WonClaim | undefined> {
+  const claims = { floor: 0 };
   const patience = LEADER_SILENCE_MS + ctx.random() * CLAIM_SPREAD_MS;
   while (!stopped()) {
     const before = ctx.clock();
     const read = await replica.refresh('journal');
     const readTook = ctx.clock() - before;
     if (read && isLeaderless(ctx, replica, patience + 2 * readTook)) {
-      const won = await claim(ctx, jobLog, replica);
+      const won = await claim(ctx, jobLog, replica, claims);
       if (won !== undefined) {
         return won;
       }
@@ -67,10 +69,16 @@
   return ctx.clock() - journalHeardAt > patienceMs;
 }
 
+/** Epochs below the floor were refused, though no record that is still kept tells of them. */
+interface Claims {
+  floor: number;
+}
+
 async function claim(
   ctx: HostContext,
   jobLog: JobLog,
   replica: Replica,
+  claims: Claims,
 ): Promise<WonClaim | undefined> {
   const before = replica.state.claim.epoch;
   await pause(ctx, ctx.random() * CLAIM_SPREAD_MS);
@@ -78,7 +86,7 @@
   if (!read || replica.state.claim.epoch !== before) {
     return undefined;
   }
-  const epoch = before + 1;
+  const epoch = Math.max(before, claims.floor) + 1;
   const nonce = Math.floor(ctx.random() * MAX_NONCE);
   const stamp = { writer: LEADER_WRITER, epoch, sequence: nonce };
   const record: JournalRecord = {
@@ -99,6 +107,9 @@
     }
     if (result.kind !== 'unknown') {
       ctx.log.info({ epoch, why: result.kind }, 'leadership: claim was lost');
+      if (result.kind !== 'refused') {
+        claims.floor = 2 * epoch;
+      }
       await pause(ctx, APPEND_RETRY_MS);
       return undefined;
     }
@@ -132,6 +143,7 @@
   ctx.log.info({ epoch: stamp.epoch }, 'leadership: this host leads');
   return {
     epoch: stamp.epoch,
+    nonce: stamp.sequence,
     nextStamp: { ...stamp, sequence: stamp.sequence + 1 },
     sentAt,
     wonAt: ctx.clock(),
--- a/packages/daemon/src/job-host/replica.ts
+++ b/packages/daemon/src/job-host/replica.ts
@@ -29,6 +29,8 @@
 
   private readonly next: Record<JobStream, number> = { inbox: 0, journal: 0 };
   private resets = 0;
+  /** Whether reading began after records that the log has dropped. */
+  private trimmed = false;
 
   /** Creates a replica that has read nothing. */
   constructor(
@@ -86,6 +88,7 @@
     this.state = emptyJobsState();
     this.next.inbox = 0;
     this.next.journal = 0;
+    this.trimmed = false;
     this.journalHeardAt = this.ctx.clock();
   }
 
@@ -94,10 +97,12 @@
     found: Exclude<ReadResult, { kind: 'unavailable' }>,
   ): Promise<Taken> {
     if (found.kind === 'trimmed') {
-      this.ctx.log.error(
+      // What matters of them is restated in the journal.
+      this.ctx.log.warn(
         { stream, next: this.next[stream], firstOffset: found.firstOffset },
-        'replica: records that were not read are gone',
+        'replica: older records are gone',
       );
+      this.trimmed = true;
       this.next[stream] = found.firstOffset;
       return 'more';
     }
@@ -137,7 +142,7 @@
       Math.max(0, this.next.journal - offset),
     )) {
       this.next.journal += 1;
-      if (!applyJournal(this.state, record)) {
+      if (!applyJournal(this.state, record) && !this.trimmed) {
         this.ctx.log.error(
           { record },
           'replica: the journal names an unknown job',
--- /dev/null
+++ b/packages/daemon/src/job-host/run-supervisor.ts
@@ -0,0 +1,136 @@
+/** Watches what runs: stops what nobody needs, what stands still, and limits what disturbs. */
+import type { Instant } from '@paddlewind/domain';
+import {
+  findPlace,
+  isBrokenGang,
+  isOver,
+  isSlowed,
+  isStalled,
+  refOf,
+  taskName,
+  workerRuns,
+  type Interference,
+  type JobsState,
+  type PlanInput,
+  type Run,
+  type WorkerHealth,
+  type WorkerInfo,
+} from '@paddlewind/domain/jobs';
+
+import type { HostContext } from './context.js';
+import { LOOK_WAIT_MS, TIGHT_LOOK_WAIT_MS } from './timing.js';
+import type { WorkerLink } from './worker-link.js';
+
+/** What a supervisor is given. */
+export interface SupervisorOptions {
+  readonly ctx: HostContext;
+  readonly state: JobsState;
+  readonly interference: Interference;
+  readonly health: WorkerHealth;
+  readonly linkTo: (worker: string) => WorkerLink | undefined;
+}
+
+/** Acts on runs that are under way. */
+export class RunSupervisor {
+  /** Creates a supervisor of the runs in `state`. */
+  constructor(private readonly options: SupervisorOptions) {}
+
+  /** Stops runs that nobody needs any more, and runs that stand still. */
+  stopNeedless(): void {
+    const now = this.options.ctx.clock();
+    for (const run of this.openRuns()) {
+      if (isNeedless(run) && run.progress?.stopping === false) {
+        this.stop(run);
+      } else if (isStalled(run, now)) {
+        this.stopStalled(run, now);
+      }
+    }
+  }
+
+  /** Stops fillers that are slowed here and would not be elsewhere. */
+  moveSlowed(input: PlanInput): void {
+    for (const run of this.openRuns()) {
+      const slowed = isSlowed(run, input.time.now);
+      if (slowed && findPlace(input, run.task) !== undefined) {
+        this.stop(run);
+      }
+    }
+  }
+
+  /** Learns from a worker's report how its fillers disturb the tasks that serve there. */
+  learnFrom({ id, capacity }: WorkerInfo): void {
+    const { ctx, state, interference } = this.options;
+    const load = workerRuns(state, id);
+    interference.learn(load, capacity.cpuMilli, ctx.clock());
+  }
+
+  /** Notes that a run is about to end. */
+  noteEnd(run: Run): void {
+    const { ctx, state, interference } = this.options;
+    const info = this.options.linkTo(run.worker)?.info;
+    if (info !== undefined) {
+      const load = workerRuns(state, run.worker);
+      interference.noteEnd(load, run, info.capacity.cpuMilli, ctx.clock());
+    }
+  }
+
+  /** Keeps the fillers of a worker from disturbing the tasks that serve there. */
+  limitFillers(link: WorkerLink): void {
+    const { ctx, state, interference } = this.options;
+    const load = workerRuns(state, link.info.id);
+    if (load.servingCpuMilli === 0) {
+      return;
+    }
+    const { cpuMilli } = link.info.capacity;
+    const shares = interference.shares(load, cpuMilli, ctx.clock());
+    for (const [run, share] of shares) {
+      if (run.progress?.confirmed === true && run.progress.allowed !== share) {
+        link.throttle(run, share);
+      }
+    }
+  }
+
+  /** How long a worker may wait for an end before it reports. */
+  lookWaitMs({ id, capacity }: WorkerInfo): number {
+    const { state, interference } = this.options;
+    const load = workerRuns(state, id);
+    return interference.isTight(load, capacity.cpuMilli)
+      ? TIGHT_LOOK_WAIT_MS
+      : LOOK_WAIT_MS;
+  }
+
+  private stopStalled(run: Run, now: Instant): void {
+    this.options.ctx.log.info(
+      {
+        task: taskName(refOf(run.task)),
+        run: run.number,
+        worker: run.worker,
+        percent: run.progress?.percent,
+        sinceMs: Math.round(now - (run.progress?.percentSince ?? now)),
+      },
+      'leader: a run stands still and is stopped',
+    );
+    this.options.health.noteStall(run.worker, now);
+    this.stop(run);
+  }
+
+  private stop(run: Run): void {
+    this.options.linkTo(run.worker)?.stop(run);
+  }
+
+  private *openRuns(): Iterable<Run> {
+    for (const { runs } of this.options.state.workers.values()) {
+      yield* runs.values();
+    }
+  }
+}
+
+/** Tells whether a job is over, a copy of the task is done, or a gang lacks a member. */
+function isNeedless(run: Run): boolean {
+  const { task } = run;
+  return (
+    isOver(task.step.occurrence.job) ||
+    task.status === 'done' ||
+    isBrokenGang(run)
+  );
+}
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -18,6 +18,8 @@
 import { startJobHost, type JobHost } from './start-job-host.js';
 
 const MAX_LEASE_MS = 6_000;
+const RETENTION_MS = 30_000;
+const STATUS_MS = 20_000;
 const CAPACITY = { cpuMilli: 4_000, memoryMiB: 8_000, accelerators: 0 };
 const QUEUE = {
   queue: 'checks',
@@ -95,6 +97,8 @@
         ask: () => Promise.resolve({ kind: 'unavailable', reason: 'none' }),
       }),
       maxLeaseMs: MAX_LEASE_MS,
+      retentionMs: RETENTION_MS,
+      statusMs: STATUS_MS,
     });
     Object.assign(started, { host });
     this.hosts.set(name, started);
--- a/packages/daemon/src/job-host/start-job-host.ts
+++ b/packages/daemon/src/job-host/start-job-host.ts
@@ -1,5 +1,6 @@
 /** Puts the parts of a job host together. */
 import type { Millis } from '@paddlewind/domain';
+import { forgetOver } from '@paddlewind/domain/jobs';
 import type {
   AdvicePort,
   ConfigFeed,
@@ -14,7 +15,7 @@
 import { Leader } from './leader.js';
 import { awaitLeadership } from './leadership.js';
 import { Replica } from './replica.js';
-import { CONTACT_LOST_MS } from './timing.js';
+import { CONTACT_LOST_MS, FORGET_EVERY_MS } from './timing.js';
 
 /** What a job host is given. */
 export interface JobHostOptions {
@@ -25,6 +26,10 @@
   readonly workerPort: () => WorkerPort;
   readonly advicePort: () => AdvicePort;
   readonly maxLeaseMs: Millis;
+  /** How long the log keeps records. */
+  readonly retentionMs: Millis;
+  /** How long the state of a job that is over can be asked for. */
+  readonly statusMs: Millis;
 }
 
 /** A running job host. */
@@ -55,6 +60,7 @@
   let stopping = false;
   void followConfig();
   void takeTurns();
+  void forget();
 
   async function followConfig(): Promise<void> {
     for (;;) {
@@ -76,6 +82,14 @@
     ctx.log.info({ version, queues: queues.length }, 'config: in force');
   }
 
+  async function forget(): Promise<void> {
+    for (;;) {
+      await pause(ctx, FORGET_EVERY_MS);
+      const now = ctx.clock();
+      forgetOver(replica.state, now, now - options.statusMs);
+    }
+  }
+
   async function takeTurns(): Promise<void> {
     while (!stopping) {
       const claim = await awaitLeadership(ctx, jobLog, replica, () => stopping);
@@ -90,6 +104,7 @@
         port: options.workerPort(),
         advicePort: options.advicePort(),
         maxLeaseMs: options.maxLeaseMs,
+        retentionMs: options.retentionMs,
         claim,
       });
       leader.begin();
--- a/packages/daemon/src/job-host/timing.ts
+++ b/packages/daemon/src/job-host/timing.ts
@@ -5,6 +5,14 @@
 export const FOLLOW_EVERY_MS: Millis = 300;
 /** A leader with nothing to write writes a heartbeat this often, so that two may be lost. */
 export const HEARTBEAT_EVERY_MS: Millis = 300;
+/** A leader says who leads at least this often, also while it writes other records. */
+export const CLAIM_REPEAT_MS: Millis = 5_000;
+/** Share of the log's retention after which a job is restated, so that two tries may fail. */
+export const RESTATE_SHARE = 1 / 3;
+/** Most jobs that one append restates: with some 4 KB each it stays far below its limit. */
+export const RESTATE_BATCH = 50;
+/** How often jobs that have long been over are forgotten. */
+export const FORGET_EVERY_MS: Millis = 10_000;
 /** Silence of the journal after which the leader is taken to be gone. */
 export const LEADER_SILENCE_MS: Millis = 1_000;
 /** Spread of claims, so that followers rarely claim at the same moment. */
--- /dev/null
+++ b/packages/domain/src/jobs/fold.ts
@@ -0,0 +1,155 @@
+/** Folds the records of inbox and journal into the state of jobs. */
+import type { InboxRecord, JournalRecord, RunEnd } from './records.js';
+import { isOver, newJob, occurrenceOf, type Run, type Task } from './job.js';
+import { closeRun, findTask, openRun, type JobsState } from './jobs-state.js';
+import { applyImage } from './restate.js';
+
+/** Applies a record of the inbox; a repeated submission changes nothing. */
+export function applyInbox(state: JobsState, record: InboxRecord): void {
+  switch (record.kind) {
+    case 'submit':
+      addJob(state, record);
+      return;
+    case 'cancel': {
+      const job = state.jobs.get(record.job);
+      if (job !== undefined && job.remaining > 0) {
+        job.cancelled = true;
+        state.open.delete(job);
+      }
+      return;
+    }
+  }
+}
+
+function addJob(
+  state: JobsState,
+  record: Extract<InboxRecord, { kind: 'submit' }>,
+): void {
+  if (state.jobs.has(record.job.id)) {
+    return;
+  }
+  const job = newJob(record.job, record.atWall, state.jobs.size);
+  state.jobs.set(job.spec.id, job);
+  state.open.add(job);
+  if (record.job.repetition === undefined) {
+    occurrenceOf(job, 0);
+  }
+}
+
+/** Applies a record of the journal; false when it names a job that is not known. */
+export function applyJournal(state: JobsState, record: JournalRecord): boolean {
+  switch (record.kind) {
+    case 'claim':
+      state.claim = record;
+      state.released = false;
+      return true;
+    case 'heartbeat':
+      if (record.epoch > state.claim.epoch) {
+        state.claim = record;
+      }
+      return true;
+    case 'restate':
+      applyImage(state, record.image);
+      return true;
+    case 'release':
+      state.released = true;
+      return true;
+    case 'start':
+      return applyStart(state, record);
+    case 'end':
+      return applyEnd(state, record);
+  }
+}
+
+function applyStart(
+  state: JobsState,
+  record: Extract<JournalRecord, { kind: 'start' }>,
+): boolean {
+  const task = findTask(state, record.task);
+  if (task === undefined) {
+    return false;
+  }
+  openRun(state, task, record.run, record.worker);
+  task.step.occurrence.job.begun = true;
+  return true;
+}
+
+function applyEnd(
+  state: JobsState,
+  record: Extract<JournalRecord, { kind: 'end' }>,
+): boolean {
+  const task = findTask(state, record.task);
+  if (task === undefined) {
+    return false;
+  }
+  const run = task.runs.find(({ number }) => number === record.run);
+  if (run === undefined) {
+    return true;
+  }
+  closeRun(state, run);
+  if (record.checkpoint !== '') {
+    saveCheckpoint(task, record.checkpoint);
+  }
+  settleTask(state, task, run, record.how);
+  return true;
+}
+
+/** A checkpoint of any member of a gang holds for all of them. */
+function saveCheckpoint(task: Task, checkpoint: string): void {
+  const { spec, tasks } = task.step;
+  for (const saved of spec.gang ? tasks : [task]) {
+    saved.checkpoint = checkpoint;
+  }
+}
+
+function settleTask(state: JobsState, task: Task, run: Run, how: RunEnd): void {
+  if (task.status === 'done') {
+    return;
+  }
+  const { spec, tasks, failedGangRuns } = task.step;
+  if (how === 'done' && !spec.lasting) {
+    // One member of a gang that is done stands for all.
+    for (const done of spec.gang ? tasks : [task]) {
+      finishTask(state, done);
+    }
+    return;
+  }
+  if (how === 'failed') {
+    task.failures += 1;
+    task.failedOn.add(run.worker);
+    failedGangRuns.add(run.number);
+    failWhenSpent(state, task);
+  }
+  if (task.runs.length === 0) {
+    task.status = 'waiting';
+  }
+}
+
+function finishTask(state: JobsState, task: Task): void {
+  task.status = 'done';
+  const { step } = task;
+  step.remaining -= 1;
+  if (step.remaining > 0) {
+    return;
+  }
+  const { occurrence } = step;
+  occurrence.remaining -= 1;
+  if (occurrence.remaining > 0) {
+    return;
+  }
+  const { job } = occurrence;
+  job.remaining -= 1;
+  if (isOver(job)) {
+    state.open.delete(job);
+  }
+}
+
+function failWhenSpent(state: JobsState, task: Task): void {
+  const { job } = task.step.occurrence;
+  const { spec, failedGangRuns } = task.step;
+  const failures = spec.gang ? failedGangRuns.size : task.failures;
+  if (!spec.lasting && failures >= job.spec.terms.maxAttempts) {
+    job.failed = true;
+    state.open.delete(job);
+  }
+}
--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -1,4 +1,5 @@
 export * from './advice.js';
+export * from './fold.js';
 export * from './gang.js';
 export * from './interference.js';
 export * from './job.js';
@@ -7,6 +8,7 @@
 export * from './placement.js';
 export * from './plan.js';
 export * from './records.js';
+export * from './restate.js';
 export * from './run-times.js';
 export * from './spec.js';
 export * from './worker-health.js';
--- a/packages/domain/src/jobs/job.ts
+++ b/packages/domain/src/jobs/job.ts
@@ -112,10 +112,12 @@
   remaining: number;
   cancelled: boolean;
   failed: boolean;
+  /** Monotonic time at which it was first found to be over. */
+  overAt: Instant | undefined;
+  /** Monotonic time at which this leader last restated it. */
+  restatedAt: Instant | undefined;
   /** Whether any task has ever begun. */
   begun: boolean;
-  /** Number of the leader's decision that last changed it. */
-  changedBy: number;
 }
 
 /** Creates a job without occurrences. */
@@ -133,8 +135,9 @@
     remaining: Math.max(1, spec.repetition?.times ?? 1),
     cancelled: false,
     failed: false,
+    overAt: undefined,
+    restatedAt: undefined,
     begun: false,
-    changedBy: 0,
   };
 }
 
--- a/packages/domain/src/jobs/jobs-state.test.ts
+++ b/packages/domain/src/jobs/jobs-state.test.ts
@@ -2,7 +2,8 @@
 import { test } from 'node:test';
 
 import { isReady, statusOf, type Job } from './job.js';
-import { applyInbox, workerRuns, type JobsState } from './jobs-state.js';
+import { applyInbox } from './fold.js';
+import { workerRuns, type JobsState } from './jobs-state.js';
 import { endRun, startOn, stateOf, taskOf, testJob } from './test-support.js';
 
 function jobOf(state: JobsState, id: string): Job {
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -1,9 +1,8 @@
-/** The fold of inbox and journal: all jobs, and what runs on each worker. */
-import type { InboxRecord, JournalRecord, TaskRef } from './records.js';
-import { taskName } from './records.js';
+/** The state of jobs: all jobs, and what runs on each worker. */
+import type { Instant } from '../core/time.js';
+import { taskName, type TaskRef } from './records.js';
 import {
   isOver,
-  newJob,
   occurrenceOf,
   type Job,
   type Run,
@@ -52,57 +51,6 @@
   };
 }
 
-/** Applies a record of the inbox; a repeated submission changes nothing. */
-export function applyInbox(state: JobsState, record: InboxRecord): void {
-  switch (record.kind) {
-    case 'submit':
-      addJob(state, record);
-      return;
-    case 'cancel': {
-      const job = state.jobs.get(record.job);
-      if (job !== undefined && job.remaining > 0) {
-        job.cancelled = true;
-        state.open.delete(job);
-      }
-      return;
-    }
-  }
-}
-
-function addJob(
-  state: JobsState,
-  record: Extract<InboxRecord, { kind: 'submit' }>,
-): void {
-  if (state.jobs.has(record.job.id)) {
-    return;
-  }
-  const job = newJob(record.job, record.atWall, state.jobs.size);
-  state.jobs.set(job.spec.id, job);
-  state.open.add(job);
-  if (record.job.repetition === undefined) {
-    occurrenceOf(job, 0);
-  }
-}
-
-/** Applies a record of the journal; false when it names a job that is not known. */
-export function applyJournal(state: JobsState, record: JournalRecord): boolean {
-  switch (record.kind) {
-    case 'claim':
-      state.claim = record;
-      state.released = false;
-      return true;
-    case 'heartbeat':
-      return true;
-    case 'release':
-      state.released = true;
-      return true;
-    case 'start':
-      return applyStart(state, record);
-    case 'end':
-      return applyEnd(state, record);
-  }
-}
-
 /** Returns the task that `ref` names, or undefined. */
 export function findTask(state: JobsState, ref: TaskRef): Task | undefined {
   const job = state.jobs.get(ref.job);
@@ -146,15 +94,13 @@
   return created;
 }
 
-function applyStart(
+/** Adds an open run of a task on a worker. */
+export function openRun(
   state: JobsState,
-  record: Extract<JournalRecord, { kind: 'start' }>,
-): boolean {
-  const task = findTask(state, record.task);
-  if (task === undefined) {
-    return false;
-  }
-  const { worker, run: number } = record;
+  task: Task,
+  number: number,
+  worker: string,
+): void {
   const run: Run = { task, number, worker, progress: undefined };
   task.runs.push(run);
   task.lastRun = Math.max(task.lastRun, number);
@@ -164,10 +110,31 @@
   const { spread } = task.step;
   spread.set(worker, (spread.get(worker) ?? 0) + 1);
   const load = workerRuns(state, worker);
-  load.runs.set(runKey(taskName(record.task), number), run);
+  load.runs.set(runKey(taskName(refOf(task)), number), run);
   addLoad(load, task.step, 1);
-  task.step.occurrence.job.begun = true;
-  return true;
+}
+
+/** Forgets jobs that have been over since before `since` and have nothing running. */
+export function forgetOver(
+  state: JobsState,
+  now: Instant,
+  since: Instant,
+): void {
+  for (const job of state.jobs.values()) {
+    if (!isOver(job)) {
+      continue;
+    }
+    job.overAt ??= now;
+    if (job.overAt < since && !hasOpenRuns(job)) {
+      state.jobs.delete(job.spec.id);
+    }
+  }
+}
+
+function hasOpenRuns(job: Job): boolean {
+  return [...job.occurrences.values()].some(({ steps }) =>
+    steps.some(({ spread }) => spread.size > 0),
+  );
 }
 
 /** Adds what a task of a step takes to a worker's load, or takes it off again. */
@@ -184,38 +151,11 @@
   load.accelerators += sign * spec.size.accelerators;
 }
 
-function applyEnd(
-  state: JobsState,
-  record: Extract<JournalRecord, { kind: 'end' }>,
-): boolean {
-  const task = findTask(state, record.task);
-  if (task === undefined) {
-    return false;
-  }
-  const at = task.runs.findIndex(run => run.number === record.run);
-  const run = task.runs[at];
-  if (run === undefined) {
-    return true;
-  }
-  task.runs.splice(at, 1);
-  removeRun(state, run);
-  if (record.checkpoint !== '') {
-    saveCheckpoint(task, record.checkpoint);
-  }
-  settleTask(state, task, run, record.how);
-  return true;
-}
-
-/** A checkpoint of any member of a gang holds for all of them. */
-function saveCheckpoint(task: Task, checkpoint: string): void {
-  const { spec, tasks } = task.step;
-  for (const saved of spec.gang ? tasks : [task]) {
-    saved.checkpoint = checkpoint;
-  }
-}
-
-function removeRun(state: JobsState, run: Run): void {
-  const { step } = run.task;
+/** Takes an open run of a task away again. */
+export function closeRun(state: JobsState, run: Run): void {
+  const { task } = run;
+  const { step } = task;
+  task.runs.splice(task.runs.indexOf(run), 1);
   const left = (step.spread.get(run.worker) ?? 1) - 1;
   if (left === 0) {
     step.spread.delete(run.worker);
@@ -226,60 +166,3 @@
   load.runs.delete(runKey(taskName(refOf(run.task)), run.number));
   addLoad(load, step, -1);
 }
-
-function settleTask(
-  state: JobsState,
-  task: Task,
-  run: Run,
-  how: Extract<JournalRecord, { kind: 'end' }>['how'],
-): void {
-  if (task.status === 'done') {
-    return;
-  }
-  const { spec, tasks, failedGangRuns } = task.step;
-  if (how === 'done' && !spec.lasting) {
-    // One member of a gang that is done stands for all.
-    for (const done of spec.gang ? tasks : [task]) {
-      finishTask(state, done);
-    }
-    return;
-  }
-  if (how === 'failed') {
-    task.failures += 1;
-    task.failedOn.add(run.worker);
-    failedGangRuns.add(run.number);
-    failWhenSpent(state, task);
-  }
-  if (task.runs.length === 0) {
-    task.status = 'waiting';
-  }
-}
-
-function finishTask(state: JobsState, task: Task): void {
-  task.status = 'done';
-  const { step } = task;
-  step.remaining -= 1;
-  if (step.remaining > 0) {
-    return;
-  }
-  const { occurrence } = step;
-  occurrence.remaining -= 1;
-  if (occurrence.remaining > 0) {
-    return;
-  }
-  const { job } = occurrence;
-  job.remaining -= 1;
-  if (isOver(job)) {
-    state.open.delete(job);
-  }
-}
-
-function failWhenSpent(state: JobsState, task: Task): void {
-  const { job } = task.step.occurrence;
-  const { spec, failedGangRuns } = task.step;
-  const failures = spec.gang ? failedGangRuns.size : task.failures;
-  if (!spec.lasting && failures >= job.spec.terms.maxAttempts) {
-    job.failed = true;
-    state.open.delete(job);
-  }
-}
--- a/packages/domain/src/jobs/records.ts
+++ b/packages/domain/src/jobs/records.ts
@@ -5,6 +5,7 @@
  * leader's decisions; the log refuses it to any other host.
  */
 import type { Instant } from '../core/time.js';
+import type { JobImage } from './restate.js';
 import type { JobSpec } from './spec.js';
 
 /** A record of the inbox. */
@@ -38,7 +39,14 @@
       /** Tells two claims of one epoch apart. */
       readonly nonce: number;
     }
-  | { readonly kind: 'heartbeat' }
+  /** The leader of an epoch is there; says again what its claim said. */
+  | {
+      readonly kind: 'heartbeat';
+      readonly epoch: number;
+      readonly host: string;
+      readonly nonce: number;
+    }
+  | { readonly kind: 'restate'; readonly image: JobImage }
   | { readonly kind: 'release' }
   | {
       readonly kind: 'start';
@@ -78,7 +86,8 @@
 /** Rows of the journal; runs are most of them, so that these have short tags. */
 type JournalRow =
   | ['claim', number, string, number]
-  | ['heartbeat']
+  | ['heartbeat', number, string, number]
+  | ['restate', JobImage]
   | ['release']
   | ['s', string, number, string]
   | ['e', string, number, RunEnd, string?];
@@ -91,9 +100,14 @@
       const [, epoch, host, nonce] = row;
       return { kind: 'claim', epoch, host, nonce };
     }
-    case 'heartbeat':
+    case 'heartbeat': {
+      const [, epoch, host, nonce] = row;
+      return { kind: 'heartbeat', epoch, host, nonce };
+    }
+    case 'restate':
+      return { kind: 'restate', image: row[1] };
     case 'release':
-      return { kind: row[0] };
+      return { kind: 'release' };
     case 's': {
       const [, name, run, worker] = row;
       return { kind: 'start', task: parseTaskName(name), run, worker };
@@ -112,10 +126,12 @@
     case 'cancel':
       return ['cancel', record.job];
     case 'claim':
-      return ['claim', record.epoch, record.host, record.nonce];
     case 'heartbeat':
+      return [record.kind, record.epoch, record.host, record.nonce];
+    case 'restate':
+      return ['restate', record.image];
     case 'release':
-      return [record.kind];
+      return ['release'];
     case 'start':
       return ['s', taskName(record.task), record.run, record.worker];
     case 'end': {
--- /dev/null
+++ b/packages/domain/src/jobs/restate.ts
@@ -0,0 +1,118 @@
+/**
+ * Records that restate a whole job, so that the log needs to keep no older record of it.
+ *
+ * The log drops records after a time. A reader that begins after the first ones of a job knows
+ * nothing of it until it is restated, and all of it from then on.
+ */
+import type { Instant } from '../core/time.js';
+import { isOver, newJob, occurrenceOf, type Job, type Step } from './job.js';
+import { openRun, type JobsState } from './jobs-state.js';
+import type { JobSpec } from './spec.js';
+
+/** A task: status, last run, failures, workers that failed it, checkpoint, and open runs. */
+export type TaskRow = readonly [
+  status: Step['tasks'][number]['status'],
+  lastRun: number,
+  failures: number,
+  failedOn: readonly string[],
+  checkpoint: string,
+  runs: readonly (readonly [number: number, worker: string])[],
+];
+
+/** A step: its tasks, and the numbers of a gang's runs that failed. */
+export interface StepRow {
+  readonly tasks: readonly TaskRow[];
+  readonly failedGangRuns: readonly number[];
+}
+
+/** All that is known of a job. */
+export interface JobImage {
+  readonly spec: JobSpec;
+  readonly acceptedAtWall: Instant;
+  readonly remaining: number;
+  readonly cancelled: boolean;
+  readonly failed: boolean;
+  readonly begun: boolean;
+  /** Steps by number of the occurrence. */
+  readonly occurrences: readonly (readonly [number, readonly StepRow[]])[];
+}
+
+/** Returns the image of a job. */
+export function imageOf(job: Job): JobImage {
+  const { spec, acceptedAtWall, remaining, cancelled, failed, begun } = job;
+  const occurrences = [...job.occurrences.values()].map(
+    ({ number, steps }) => [number, steps.map(stepRow)] as const,
+  );
+  return {
+    spec,
+    acceptedAtWall,
+    remaining,
+    cancelled,
+    failed,
+    begun,
+    occurrences,
+  };
+}
+
+function stepRow({ tasks, failedGangRuns }: Step): StepRow {
+  return {
+    tasks: tasks.map(task => [
+      task.status,
+      task.lastRun,
+      task.failures,
+      [...task.failedOn],
+      task.checkpoint,
+      task.runs.map(({ number, worker }) => [number, worker] as const),
+    ]),
+    failedGangRuns: [...failedGangRuns],
+  };
+}
+
+/** Takes in a job that is not known yet; one that is known is as new already. */
+export function applyImage(state: JobsState, image: JobImage): void {
+  const { id } = image.spec;
+  if (state.jobs.has(id)) {
+    return;
+  }
+  const job = newJob(image.spec, image.acceptedAtWall, state.jobs.size);
+  job.cancelled = image.cancelled;
+  job.failed = image.failed;
+  job.begun = image.begun;
+  job.remaining = image.remaining;
+  state.jobs.set(id, job);
+  for (const [number, rows] of image.occurrences) {
+    const occurrence = occurrenceOf(job, number);
+    occurrence.steps.forEach((step, at) => {
+      const row = rows[at];
+      if (row !== undefined) {
+        restoreStep(state, step, row);
+      }
+    });
+    occurrence.remaining = occurrence.steps.filter(
+      ({ remaining }) => remaining > 0,
+    ).length;
+  }
+  if (!isOver(job)) {
+    state.open.add(job);
+  }
+}
+
+function restoreStep(state: JobsState, step: Step, row: StepRow): void {
+  row.failedGangRuns.forEach(run => step.failedGangRuns.add(run));
+  step.tasks.forEach((task, at) => {
+    const found = row.tasks[at];
+    if (found === undefined) {
+      return;
+    }
+    const [status, lastRun, failures, failedOn, checkpoint, runs] = found;
+    runs.forEach(([number, worker]) => {
+      openRun(state, task, number, worker);
+    });
+    task.status = status;
+    task.lastRun = lastRun;
+    task.failures = failures;
+    task.checkpoint = checkpoint;
+    failedOn.forEach(worker => task.failedOn.add(worker));
+  });
+  step.remaining = step.tasks.filter(({ status }) => status !== 'done').length;
+}
--- a/packages/domain/src/jobs/test-support.ts
+++ b/packages/domain/src/jobs/test-support.ts
@@ -1,9 +1,8 @@
 /** Jobs, workers and rounds for the tests of this folder. */
 import { encodeRecord, decodeJournal, type JournalRecord } from './records.js';
 import { newProgress, type Run, type Task } from './job.js';
+import { applyInbox, applyJournal } from './fold.js';
 import {
-  applyInbox,
-  applyJournal,
   emptyJobsState,
   findTask,
   refOf,
--- a/packages/stand-ins/src/jobs/log-partition.ts
+++ b/packages/stand-ins/src/jobs/log-partition.ts
@@ -17,6 +17,8 @@
 export class LogPartition {
   /** All records, the first at offset 0. */
   readonly records: Uint8Array[] = [];
+  /** Offset of the first record that is still kept. */
+  firstOffset = 0;
 
   private readonly writers = new Map<string, Writer>();
   private waiting: (() => void)[] = [];
--- a/packages/stand-ins/src/jobs/memory-job-log.ts
+++ b/packages/stand-ins/src/jobs/memory-job-log.ts
@@ -57,6 +57,12 @@
     };
   }
 
+  /** Drops the records of the journal before `offset`, and all that the inbox has now. */
+  trimTo(offset: number): void {
+    this.streams.journal.firstOffset = offset;
+    this.streams.inbox.firstOffset = this.streams.inbox.records.length;
+  }
+
   /** All records of a stream. */
   recordsOf(stream: JobStream): readonly Uint8Array[] {
     return this.streams[stream].records;
@@ -109,6 +115,9 @@
     }
     await this.pause(ANSWER_MS);
     const stream = this.streams[name];
+    if (from < stream.firstOffset) {
+      return { kind: 'trimmed', firstOffset: stream.firstOffset };
+    }
     if (stream.records.length <= from && waitMs > 0) {
       await this.nextRecord(stream, waitMs);
     }
