--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -9,6 +9,7 @@
   isOver,
   planStarts,
   refOf,
+  taskName,
   WorkerHealth,
   workerRuns,
   type JobsState,
@@ -287,6 +288,7 @@
     this.learn(run, how);
     this.supervisor.noteEnd(run);
     const task = refOf(run.task);
+    this.logRun(run, 'leader: a run has ended', { how });
     this.record({ kind: 'end', task, run: run.number, how, checkpoint });
     this.alarm.ring();
   }
@@ -345,10 +347,25 @@
     if (link === undefined || isOver(run.task.step.occurrence.job)) {
       this.recordEnd(run, 'void', '');
     } else {
+      this.logRun(run, 'leader: a run is ordered', {
+        resumes: run.task.checkpoint,
+      });
       link.start(run);
     }
   }
 
+  private logRun(run: Run, msg: string, more: Record<string, unknown>): void {
+    const { ctx, claim } = this.options;
+    const { task, number, worker } = run;
+    const name = taskName(refOf(task));
+    const failures = task.failures;
+    const { epoch } = claim;
+    ctx.log.info(
+      { task: name, run: number, worker, epoch, failures, ...more },
+      msg,
+    );
+  }
+
   /** Ends runs at workers that are not registered, once no earlier leader's lease can hold. */
   private giveUpUnregistered(): void {
     const { ctx, claim, maxLeaseMs } = this.options;
