Tell an unknown outcome at once, and try a late append once more

Change: an append without an answer for 450 ms is sent once more, since a job is accepted once however often it is recorded; after 1.3 s the outcome is told as unknown, so that the caller repeats it elsewhere. A state that waits for the leader's record is refused after the same time.

--- a/packages/daemon/src/job-host/job-host.test.ts
+++ b/packages/daemon/src/job-host/job-host.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { Simulation } from './simulation.fixture.test.js';
+import { jobOf, Simulation } from './simulation.fixture.test.js';
 
 const TWO_STEPS = [
   { tasks: 3, after: [] },
@@ -257,3 +257,27 @@
   await site.time.advance(5_000);
   assert.ok(site.history.isDone('0000000000000018'));
 });
+
+test('an unknown outcome is told before half of the time is over', async () => {
+  const site = smallSite(19);
+  await site.time.advance(2_000);
+  const service = site.hosts.get('h1')?.host.service;
+  site.log.modes.set('h1', 'silent');
+  const job = jobOf('0000000000000019', TWO_STEPS, QUICK);
+  const asked = service?.submit(job, site.time.clock() + 3_000);
+  await site.time.advance(1_400);
+  assert.equal((await asked)?.kind, 'unknown');
+});
+
+test('a lost answer costs a second append, not the request', async () => {
+  const site = smallSite(20);
+  await site.time.advance(2_000);
+  const service = site.hosts.get('h1')?.host.service;
+  site.log.loseNext = 1;
+  const job = jobOf('0000000000000020', TWO_STEPS, QUICK);
+  const asked = service?.submit(job, site.time.clock() + 3_000);
+  await site.time.advance(600);
+  assert.equal((await asked)?.kind, 'recorded');
+  await site.time.advance(6_000);
+  assert.deepEqual(site.history.check(), []);
+});
--- a/packages/daemon/src/job-host/job-service.ts
+++ b/packages/daemon/src/job-host/job-service.ts
@@ -1,5 +1,5 @@
 /** What callers ask of a host: submit, state, cancel and the length of a queue. */
-import type { Instant } from '@paddlewind/domain';
+import type { Instant, Millis } from '@paddlewind/domain';
 import {
   encodeRecord,
   statusOf,
@@ -7,12 +7,12 @@
   type JobSpec,
   type JobStatus,
 } from '@paddlewind/domain/jobs';
-import type { JobLog } from '@paddlewind/ports/jobs';
+import type { AppendResult, JobLog } from '@paddlewind/ports/jobs';
 
 import { pause, type HostContext } from './context.js';
 import type { Leader } from './leader.js';
 import type { Replica } from './replica.js';
-import { APPEND_RETRY_MS, CONTACT_LOST_MS } from './timing.js';
+import { CONTACT_LOST_MS } from './timing.js';
 
 /** What became of a submission or a cancellation. */
 export type ChangeResult =
@@ -31,6 +31,10 @@
 
 /** Time before the caller's deadline at which an outcome that is still unknown is told. */
 const ANSWER_MARGIN_MS = 300;
+/** Time after which an append is sent once more: a slow log answers in some 300 ms. */
+const SECOND_TRY_MS: Millis = 450;
+/** Time after which an unknown outcome is told: below half of what callers wait. */
+const GIVE_UP_MS: Millis = 1_300;
 /** Age up to which a queue's length may be told without reading. */
 const PENDING_AGE_MS = 700;
 
@@ -80,7 +84,8 @@
     }
     const leading = this.leader();
     if (leading !== undefined) {
-      if (!(await leading.recorded())) {
+      const recorded = leading.recorded();
+      if ((await within(this.ctx, recorded, GIVE_UP_MS)) !== true) {
         return { kind: 'unavailable' };
       }
     } else if (!isFinal(this.replica, job)) {
@@ -121,30 +126,39 @@
     return result;
   }
 
+  /** Appends, once more when the answer is late, and tells soon when the outcome stays unknown. */
   private async append(
     record: InboxRecord,
     deadline: Instant,
   ): Promise<ChangeResult> {
-    if (this.ctx.clock() - this.replica.contactAt > CONTACT_LOST_MS) {
+    const { ctx } = this;
+    const now = ctx.clock();
+    if (now - this.replica.contactAt > CONTACT_LOST_MS) {
       return { kind: 'refused', reason: 'the log does not answer this host' };
     }
+    const giveUpAt = Math.min(deadline - ANSWER_MARGIN_MS, now + GIVE_UP_MS);
     const encoded = [encodeRecord(record)];
-    let unknown: string | undefined;
-    do {
-      const result = await this.jobLog.append('inbox', encoded);
-      if (result.kind === 'appended') {
-        this.replica.applyOwn(result.offset, [record]);
-        return { kind: 'recorded' };
-      }
-      const reason = 'reason' in result ? result.reason : result.kind;
-      if (result.kind === 'unknown') {
-        unknown = reason;
-      } else if (unknown === undefined) {
-        return { kind: 'refused', reason };
-      }
-      await pause(this.ctx, APPEND_RETRY_MS);
-    } while (this.ctx.clock() < deadline - ANSWER_MARGIN_MS);
-    return { kind: 'unknown', reason: unknown };
+    const first = this.jobLog.append('inbox', encoded);
+    const early = await within(ctx, first, SECOND_TRY_MS);
+    if (early !== undefined && early.kind !== 'unknown') {
+      return this.settle(record, early);
+    }
+    // A job is accepted once, however often it is in the inbox.
+    const second = this.jobLog.append('inbox', encoded);
+    const left = Math.max(0, giveUpAt - ctx.clock());
+    const late = await within(ctx, eitherAppended(first, second), left);
+    return late?.kind === 'appended'
+      ? this.settle(record, late)
+      : { kind: 'unknown', reason: 'the log did not answer in time' };
+  }
+
+  private settle(record: InboxRecord, result: AppendResult): ChangeResult {
+    if (result.kind === 'appended') {
+      this.replica.applyOwn(result.offset, [record]);
+      return { kind: 'recorded' };
+    }
+    const reason = 'reason' in result ? result.reason : result.kind;
+    return { kind: 'refused', reason };
   }
 
   private async find(
@@ -166,6 +180,28 @@
   return job !== undefined && ['completed', 'failed'].includes(statusOf(job));
 }
 
+/** Resolves with the outcome of `work`, or with undefined after `span`. */
+function within<T>(
+  ctx: HostContext,
+  work: Promise<T>,
+  span: Millis,
+): Promise<T | undefined> {
+  return Promise.race([work, pause(ctx, span).then(() => undefined)]);
+}
+
+/** Resolves with the first append that was carried out, or with the last outcome. */
+async function eitherAppended(
+  first: Promise<AppendResult>,
+  second: Promise<AppendResult>,
+): Promise<AppendResult> {
+  const earlier = await Promise.race([first, second]);
+  if (earlier.kind === 'appended') {
+    return earlier;
+  }
+  const [a, b] = await Promise.all([first, second]);
+  return a.kind === 'appended' ? a : b;
+}
+
 /** Runs `read` for all who ask while one is under way, once more after it. */
 function coalesce(read: () => Promise<boolean>): () => Promise<boolean> {
   let running: Promise<boolean> | undefined;
--- a/packages/stand-ins/src/jobs/memory-job-log.ts
+++ b/packages/stand-ins/src/jobs/memory-job-log.ts
@@ -40,6 +40,9 @@
   /** Modes of streams, for all hosts. */
   readonly streamModes = new Map<JobStream, LogMode>();
 
+  /** How many of the next appends to the inbox are carried out and not answered. */
+  loseNext = 0;
+
   private readonly streams: Record<JobStream, LogPartition> = {
     inbox: new LogPartition(),
     journal: new LogPartition(),
@@ -93,6 +96,12 @@
       return { kind: 'unknown', reason: 'timeout' };
     }
     await this.pause(ANSWER_MS);
+    if (this.loseNext > 0 && stream === 'inbox') {
+      this.loseNext -= 1;
+      this.streams[stream].append(records, stamp);
+      await this.pause(TIMEOUT_MS);
+      return { kind: 'unknown', reason: 'timeout' };
+    }
     const answer = this.streams[stream].append(records, stamp);
     await this.pause(ANSWER_MS);
     return answer;
