--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -5,7 +5,11 @@
   type Millis,
   type Random,
 } from '@paddlewind/domain';
-import type { JobSpec, StepSpec } from '@paddlewind/domain/jobs';
+import {
+  PLAIN_STEP,
+  type JobSpec,
+  type StepSpec,
+} from '@paddlewind/domain/jobs';
 import { createVirtualTime, type VirtualTime } from '@paddlewind/stand-ins';
 import {
   JobHistory,
@@ -212,25 +216,6 @@
   }
 }
 
-const PLAIN_STEP: StepSpec = {
-  tasks: 1,
-  size: { cpuMilli: 1_000, memoryMiB: 500, accelerators: 0 },
-  estimateMs: 500,
-  after: [],
-  checkpoints: false,
-  gang: false,
-  sameRack: false,
-  label: undefined,
-  dataRack: undefined,
-  maxPerWorker: undefined,
-  speculative: false,
-  lasting: false,
-  image: undefined,
-  tailTargetMs: undefined,
-  filler: false,
-  allowedMisses: undefined,
-};
-
 /** Returns a job whose tasks do what `script` says. */
 export function jobOf(
   id: string,
--- a/packages/domain/src/jobs/spec.ts
+++ b/packages/domain/src/jobs/spec.ts
@@ -45,6 +45,26 @@
   readonly allowedMisses: number | undefined;
 }
 
+/** A step of one task of one core that asks for nothing else, to build others from. */
+export const PLAIN_STEP: StepSpec = {
+  tasks: 1,
+  size: { cpuMilli: 1_000, memoryMiB: 1_000, accelerators: 0 },
+  estimateMs: 1_000,
+  after: [],
+  checkpoints: false,
+  gang: false,
+  sameRack: false,
+  label: undefined,
+  dataRack: undefined,
+  maxPerWorker: undefined,
+  speculative: false,
+  lasting: false,
+  image: undefined,
+  tailTargetMs: undefined,
+  filler: false,
+  allowedMisses: undefined,
+};
+
 /** What asking for advice on a step takes, where a queue's policy allows only some workers. */
 export interface AdviceTerms {
   readonly decisionMs: Millis;
--- a/packages/domain/src/jobs/test-support.ts
+++ b/packages/domain/src/jobs/test-support.ts
@@ -14,27 +14,12 @@
 import type { PlanWorker } from './placement.js';
 import type { PlanInput, StartDecision } from './plan.js';
 import { createRunTimes } from './run-times.js';
-import type { JobSpec, QueueTerms, StepSpec } from './spec.js';
-
-/** A step of one plain task. */
-export const PLAIN_STEP: StepSpec = {
-  tasks: 1,
-  size: { cpuMilli: 1_000, memoryMiB: 1_000, accelerators: 0 },
-  estimateMs: 1_000,
-  after: [],
-  checkpoints: false,
-  gang: false,
-  sameRack: false,
-  label: undefined,
-  dataRack: undefined,
-  maxPerWorker: undefined,
-  speculative: false,
-  lasting: false,
-  image: undefined,
-  tailTargetMs: undefined,
-  filler: false,
-  allowedMisses: undefined,
-};
+import {
+  PLAIN_STEP,
+  type JobSpec,
+  type QueueTerms,
+  type StepSpec,
+} from './spec.js';
 
 /** Terms of a queue that allows three failed runs. */
 export const TERMS: QueueTerms = {
