Leave fillers that would lose their work where they are

Ruled out: a worker that stands still; its percent had moved. Change: a filler without checkpoints moves only before 15 % of its work; moves are logged with what decided them.

--- a/packages/daemon/src/job-host/run-supervisor.ts
+++ b/packages/daemon/src/job-host/run-supervisor.ts
@@ -51,7 +51,12 @@
   moveSlowed(input: PlanInput): void {
     for (const run of this.openRuns()) {
       const slowed = isSlowed(run, input.time.now);
-      if (slowed && findPlace(input, run.task) !== undefined) {
+      const better = slowed ? findPlace(input, run.task) : undefined;
+      if (better !== undefined) {
+        this.logStop(run, 'leader: a run is slowed here and moves', {
+          better: better.info.id,
+          allowed: run.progress?.allowed,
+        });
         this.stop(run);
       }
     }
@@ -100,20 +105,21 @@
   }
 
   private stopStalled(run: Run, now: Instant): void {
-    this.options.ctx.log.info(
-      {
-        task: taskName(refOf(run.task)),
-        run: run.number,
-        worker: run.worker,
-        percent: run.progress?.percent,
-        sinceMs: Math.round(now - (run.progress?.percentSince ?? now)),
-      },
-      'leader: a run stands still and is stopped',
-    );
+    const sinceMs = Math.round(now - (run.progress?.percentSince ?? now));
+    this.logStop(run, 'leader: a run stands still and is stopped', { sinceMs });
     this.options.health.noteStall(run.worker, now);
     this.stop(run);
   }
 
+  private logStop(run: Run, msg: string, more: Record<string, unknown>): void {
+    const task = taskName(refOf(run.task));
+    const { number, worker, progress } = run;
+    this.options.ctx.log.info(
+      { task, run: number, worker, percent: progress?.percent, ...more },
+      msg,
+    );
+  }
+
   private stop(run: Run): void {
     this.options.linkTo(run.worker)?.stop(run);
   }
--- a/packages/domain/src/jobs/interference.test.ts
+++ b/packages/domain/src/jobs/interference.test.ts
@@ -93,6 +93,16 @@
   assert.equal(at.model.shares(load, CPU_MILLI, 3_500).get(at.filler), 0);
 });
 
+test('a filler that would lose much of its work stays', () => {
+  const at = site();
+  assert.ok(at.filler.progress);
+  at.filler.progress.allowed = 20;
+  at.filler.progress.percent = 10;
+  assert.equal(isSlowed(at.filler, 3_000), true);
+  at.filler.progress.percent = 60;
+  assert.equal(isSlowed(at.filler, 3_000), false);
+});
+
 test('a filler is slowed only after a while', () => {
   const at = site();
   assert.ok(at.filler.progress);
--- a/packages/domain/src/jobs/interference.ts
+++ b/packages/domain/src/jobs/interference.ts
@@ -278,12 +278,17 @@
 /** How long a filler has to be slowed before it is moved, in milliseconds. */
 const SLOWED_MS: Millis = 800;
 
+/** Share of its work in percent up to which a filler that saves no checkpoints may begin anew. */
+const CHEAP_LOSS_PERCENT = 15;
+
 /** Tells whether a filler has been slowed for so long that it should run elsewhere. */
 export function isSlowed({ task, progress }: Run, now: Instant): boolean {
+  const { spec } = task.step;
   return (
-    task.step.spec.filler &&
+    spec.filler &&
     progress !== undefined &&
     !progress.stopping &&
+    (spec.checkpoints || progress.percent <= CHEAP_LOSS_PERCENT) &&
     progress.allowed <= SLOWED_SHARE &&
     now - progress.allowedSince > SLOWED_MS
   );
