Trace a job through the logs of hosts

Cause: a job's history is spread over the logs of the hosts that answered for it and that led. Change: paddlewind trace ID reads log files or standard input, prints the job's lines in order of time and what they say of the cause: refusals, waits for room, runs that ended otherwise than done. Conclusion: the daemon is not changed.

--- a/packages/cli/src/app.ts
+++ b/packages/cli/src/app.ts
@@ -15,6 +15,7 @@
 import { job } from './commands/job.js';
 import { report } from './commands/report.js';
 import { top } from './commands/top.js';
+import { trace } from './commands/trace.js';
 import { validate } from './commands/validate.js';
 import { fail, type Io } from './output.js';
 
@@ -34,6 +35,7 @@
     top                      show hosts, shards and entry hosts
     report burn [--html FILE]
                              report on service-level burn
+    trace ID [FILE…]         show a job's history from the logs of hosts, or from standard input
 
   Options
     --server      entry hosts to ask, in order; also PADDLEWIND_SERVER (default 127.0.0.1:7400)
@@ -56,6 +58,7 @@
   job,
   report,
   top,
+  trace,
   validate,
 };
 
--- /dev/null
+++ b/packages/cli/src/trace/history.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { readHistory } from './history.js';
+
+const ID = '702d779f02b6262a';
+
+function line(second: number, fields: Record<string, unknown>): string {
+  const time = new Date(second * 1000).toISOString();
+  return JSON.stringify({ level: 30, time, host: 'h1', ...fields });
+}
+
+function answered(second: number, kind: string, reason?: string): string {
+  return line(second, {
+    job: ID,
+    change: 'submit',
+    result: { kind, reason },
+    msg: 'jobs: answered',
+  });
+}
+
+function run(second: number, msg: string, how?: string): string {
+  return line(second, { task: `${ID}.0.0.1`, run: 1, how, msg });
+}
+
+test('tells a refusal with its reason', () => {
+  const text = answered(1, 'refused', 'the log does not answer this host');
+  assert.deepEqual(readHistory(ID, [text]).causes, [
+    'refused by h1 and not run: the log does not answer this host',
+  ]);
+});
+
+test('a refusal that was accepted elsewhere is no cause', () => {
+  const texts = [
+    answered(1, 'refused', 'busy'),
+    answered(2, 'recorded'),
+    run(2, 'leader: a run is ordered'),
+    run(3, 'leader: a run has ended', 'done'),
+  ];
+  assert.deepEqual(readHistory(ID, texts).causes, []);
+});
+
+test('orders the lines of several hosts by time', () => {
+  const first = run(5, 'leader: a run has ended', 'done');
+  const second = answered(1, 'recorded');
+  const { lines } = readHistory(ID, [first, second]);
+  assert.deepEqual(
+    lines.map(({ msg }) => msg),
+    ['jobs: answered', 'leader: a run has ended'],
+  );
+});
+
+test('tells a wait for room and runs that were lost', () => {
+  const texts = [
+    answered(1, 'recorded'),
+    run(4, 'leader: a run is ordered'),
+    run(5, 'leader: a run has ended', 'lapsed'),
+    run(6, 'leader: a run has ended', 'lapsed'),
+  ];
+  assert.deepEqual(readHistory(ID, texts).causes, [
+    'waited 3.0 s for room before its first run',
+    '2 runs ended as lapsed',
+  ]);
+});
+
+test('passes over other jobs, other lines and what stands before a line', () => {
+  const other = line(1, { job: 'ffffffffffffffff', msg: 'jobs: answered' });
+  const text = `no json ${ID}\n12.5 h1 ${answered(1, 'recorded')}\n${other}`;
+  assert.equal(readHistory(ID, [text]).lines.length, 1);
+});
