--- a/packages/daemon/src/job-host/timing.ts
+++ b/packages/daemon/src/job-host/timing.ts
@@ -54,8 +54,6 @@
 export const LEASE_MARGIN_MS: Millis = 100;
 /** Without contact to the log for this long, callers are sent to other hosts at once. */
 export const CONTACT_LOST_MS: Millis = 1_200;
-/** When a caller should come back after a refusal. */
-export const RETRY_AFTER_MS: Millis = 1_000;
 /** Pause before a stop that was not confirmed is ordered again. */
 export const STOP_RETRY_MS: Millis = 200;
 /** Pause before the inbox is read again while the log does not answer. */
