Keep the codes of failed connections and the split of addresses once

Cause: reading the whole change once more: the adapter held a second copy of the error codes that prove that nothing was sent, and the callers' server split addresses by itself beside splitAddress. Change: the codes stand in ports/http-errors, which loads nothing else, so that start-up stays as it is; the server calls splitAddress. Conclusion: no behaviour changes.

--- a/packages/daemon/src/job-host/http-front.ts
+++ b/packages/daemon/src/job-host/http-front.ts
@@ -6,6 +6,8 @@
   type ServerResponse,
 } from 'node:http';
 
+import { splitAddress } from '../listening.js';
+
 /** A caller's request, read whole. */
 export interface CallerRequest {
   readonly method: string;
@@ -87,10 +89,9 @@
 }
 
 function listen(server: Server, address: string): Promise<void> {
-  const at = address.lastIndexOf(':');
   return new Promise((resolve, reject) => {
     server.once('error', reject);
-    server.listen(Number(address.slice(at + 1)), address.slice(0, at), () => {
+    server.listen(splitAddress(address), () => {
       server.off('error', reject);
       resolve();
     });
--- a/packages/ports/src/adapters/http-client.ts
+++ b/packages/ports/src/adapters/http-client.ts
@@ -2,6 +2,8 @@
 import { parseJson, type Outcome } from '@paddlewind/domain';
 import { Agent, request, type Dispatcher } from 'undici';
 
+import { NEVER_CONNECTED } from '../http-errors.js';
+
 /** Options of an adapter. */
 export interface AdapterOptions {
   /** Time to connect, in milliseconds. */
@@ -56,15 +58,6 @@
   connections: 32,
 };
 
-/** Errors of a connection that never came about: nothing was sent. */
-const NEVER_CONNECTED: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'EADDRNOTAVAIL',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 /** Creates a client with its own connections. */
 export function createHttpClient(options: AdapterOptions = {}): HttpClient {
   const limits = { ...DEFAULTS, ...options };
