Give up a lost worker's runs by the last leader that reached it

Change: a leader records which workers it has reached before it extends their leases, and each host remembers when it read each claim. The wait counts from the first claim after the last leader that reached the worker. Where the records are gone, it counts from the leader's own claim as before.

Before: the new test fails, the job of a lost worker is not done 17.3 s after two changes of leaders.

--- a/packages/daemon/src/job-host/job-host.test.ts
+++ b/packages/daemon/src/job-host/job-host.test.ts
@@ -319,3 +319,22 @@
   assert.deepEqual(site.history.check(), []);
   assert.ok(site.history.isDone(id));
 });
+
+test('a further change of leaders does not begin the wait for a lost worker anew', async () => {
+  const site = smallSite(23);
+  site.startHost('h4');
+  const id = '0000000000000023';
+  void site.submit(id, [{ tasks: 6, after: [] }], {
+    runMs: 2_500,
+    failures: 0,
+  });
+  await site.time.advance(1_800);
+  site.fleet.crash('w1');
+  for (const pauseMs of [3_000, 4_000]) {
+    site.kill(leaderOf(site));
+    await site.time.advance(pauseMs);
+  }
+  await site.time.advance(8_500);
+  assert.deepEqual(site.history.check(), []);
+  assert.ok(site.history.isDone(id));
+});
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -159,7 +159,7 @@
       port,
       fence: claim.epoch,
       maxLeaseMs,
-      claimedAt: ctx.clock(),
+      releasedAt: this.options.replica.releasedAt(info.id),
       mayExtend: () =>
         ctx.clock() - this.writer.confirmedSentAt < LEADER_LEASE_MS,
       runs: () => workerRuns(this.state, info.id),
@@ -171,6 +171,7 @@
           this.recordEnd(run, how, checkpoint);
         },
         recorded: () => this.recorded(),
+        reached: () => this.recordReached(info.id),
         ticketRefused: ({ step }) => {
           this.advice.refuse(step, info.id);
         },
@@ -192,6 +193,16 @@
     return link;
   }
 
+  /** Resolves with true once it is recorded that this leader may extend the worker's lease. */
+  private recordReached(worker: string): Promise<boolean> {
+    if (this.ended) {
+      return Promise.resolve(false);
+    }
+    return new Promise(resolve => {
+      this.record({ kind: 'reached', worker }, resolve);
+    });
+  }
+
   private async followInbox(): Promise<void> {
     const { replica } = this.options;
     while (!this.ended) {
@@ -368,12 +379,15 @@
 
   /** Ends runs at workers that are not registered, once no earlier leader's lease can hold. */
   private giveUpUnregistered(): void {
-    const { ctx, claim, maxLeaseMs } = this.options;
-    if (ctx.clock() < claim.wonAt + longestEarlierLease(maxLeaseMs)) {
-      return;
-    }
+    const { ctx, replica, maxLeaseMs } = this.options;
+    const now = ctx.clock();
+    const longest = longestEarlierLease(maxLeaseMs);
     for (const [worker, { runs }] of this.state.workers) {
-      if (runs.size > 0 && this.fleet.link(worker) === undefined) {
+      if (
+        runs.size > 0 &&
+        this.fleet.link(worker) === undefined &&
+        now > replica.releasedAt(worker) + longest
+      ) {
         for (const run of [...runs.values()]) {
           this.recordEnd(run, 'lapsed', '');
         }
--- a/packages/daemon/src/job-host/lease.ts
+++ b/packages/daemon/src/job-host/lease.ts
@@ -17,9 +17,9 @@
   /** Latest end of the lease that the worker may have been given, on its clock. */
   private bound: Instant = 0;
 
-  /** Creates the lease of a worker that an earlier leader may have extended until `claimedAt`. */
+  /** Creates the lease of a worker that earlier leaders may have extended until `releasedAt`. */
   constructor(
-    private readonly claimedAt: Instant,
+    private readonly releasedAt: Instant,
     private readonly maxLeaseMs: Millis,
   ) {}
 
@@ -44,14 +44,14 @@
   /** Whether the lease has certainly ended, also where an earlier leader gave it. */
   hasLapsed(now: Instant): boolean {
     if (this.clock === undefined) {
-      return now > this.claimedAt + longestEarlierLease(this.maxLeaseMs);
+      return now > this.releasedAt + longestEarlierLease(this.maxLeaseMs);
     }
     const left = Math.max(0, this.bound - this.clock) / SLOWEST_CLOCK;
     return now > this.receivedAt + left + LEASE_MARGIN_MS;
   }
 }
 
-/** Time after a claim by which every lease that an earlier leader gave has ended. */
+/** Time after a claim by which every lease that the leader before it gave has ended. */
 export function longestEarlierLease(maxLeaseMs: Millis): Millis {
   const leaseMs = Math.min(TASK_LEASE_MS, maxLeaseMs);
   return LEADER_LEASE_MS + leaseMs / SLOWEST_CLOCK + LEASE_MARGIN_MS;
--- a/packages/daemon/src/job-host/replica.ts
+++ b/packages/daemon/src/job-host/replica.ts
@@ -12,6 +12,7 @@
 } from '@paddlewind/domain/jobs';
 import type { JobLog, JobStream, ReadResult } from '@paddlewind/ports/jobs';
 
+import { ClaimTimes } from './claim-times.js';
 import type { HostContext } from './context.js';
 
 /** How much of a stream a read has brought. */
@@ -27,6 +28,7 @@
   /** Monotonic time at which the log last answered. */
   contactAt: Instant = -Infinity;
 
+  private readonly claimTimes = new ClaimTimes();
   private readonly next: Record<JobStream, number> = { inbox: 0, journal: 0 };
   private resets = 0;
   /** Whether reading began after records that the log has dropped. */
@@ -64,6 +66,17 @@
     }
   }
 
+  /**
+   * Monotonic time after which no leader before the present one has extended the lease of a worker,
+   * but for what its own lease allows; infinite for one that the present leader has reached.
+   */
+  releasedAt(worker: string): Instant {
+    const { claim, reachedIn } = this.state;
+    // Nothing is known of a worker whose records are gone: any earlier leader may have reached it.
+    const epoch = reachedIn.get(worker) ?? claim.epoch - 1;
+    return this.claimTimes.supersededAt(epoch);
+  }
+
   /** Takes in records of the inbox that this host has appended itself. */
   applyOwn(offset: number, records: readonly InboxRecord[]): void {
     this.contactAt = this.ctx.clock();
@@ -144,6 +157,9 @@
       Math.max(0, this.next.journal - offset),
     )) {
       this.next.journal += 1;
+      if (record.kind === 'claim' || record.kind === 'heartbeat') {
+        this.claimTimes.note(record.epoch, this.ctx.clock());
+      }
       if (!applyJournal(this.state, record) && !this.trimmed) {
         this.ctx.log.error(
           { record },
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -30,6 +30,8 @@
   ended(run: Run, how: RunEnd, checkpoint: string): void;
   /** Resolves with true once all ends that were told so far are recorded. */
   recorded(): Promise<boolean>;
+  /** Resolves with true once it is recorded that the worker was reached. */
+  reached(): Promise<boolean>;
   /** The worker has seen a higher fence. */
   fenced(): void;
   /** The worker has refused the ticket for a task. */
@@ -48,7 +50,8 @@
   readonly port: WorkerPort;
   readonly fence: number;
   readonly maxLeaseMs: Millis;
-  readonly claimedAt: Instant;
+  /** Monotonic time from which no earlier leader extends the worker's lease beyond its own. */
+  readonly releasedAt: Instant;
   /** Whether this leader may still extend leases. */
   readonly mayExtend: () => boolean;
   readonly runs: () => WorkerRuns;
@@ -68,6 +71,8 @@
   private readonly orders = new OrderQueue();
   /** Whether the worker has reported to this leader, so that its open runs are known. */
   private verified = false;
+  /** Whether that is recorded: only then does this leader extend the worker's lease. */
+  private reached = false;
   private answering = true;
   private closed = false;
   /** Position up to which all ends are recorded. */
@@ -81,7 +86,7 @@
     private readonly options: LinkOptions,
   ) {
     this.alarm = new Alarm(options.ctx.schedule);
-    this.lease = new Lease(options.claimedAt, options.maxLeaseMs);
+    this.lease = new Lease(options.releasedAt, options.maxLeaseMs);
   }
 
   /** Whether the worker may be given runs. */
@@ -171,7 +176,7 @@
     const { ctx, port, fence } = this.options;
     const sentAt = ctx.clock();
     // A worker that does not answer may be out of reach: its lease has to end.
-    const extend = this.verified && this.answering && this.options.mayExtend();
+    const extend = this.reached && this.answering && this.options.mayExtend();
     const acknowledged = this.recordedUpTo;
     const res = await port.look(this.info, {
       fence,
@@ -252,6 +257,7 @@
     }
     if (!this.verified) {
       this.verified = true;
+      void this.recordReached();
       events.changed();
     }
     events.reported(this);
@@ -265,6 +271,10 @@
     }
   }
 
+  private async recordReached(): Promise<void> {
+    this.reached = await this.options.events.reached();
+  }
+
   /** An end is acknowledged only once it is recorded, also where it was listed before. */
   private async awaitRecord(position: number): Promise<void> {
     if (await this.options.events.recorded()) {
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -42,12 +42,16 @@
     case 'claim':
       state.claim = record;
       state.released = false;
+      forgetIdle(state);
       return true;
     case 'heartbeat':
       if (record.epoch > state.claim.epoch) {
         state.claim = record;
       }
       return true;
+    case 'reached':
+      state.reachedIn.set(record.worker, state.claim.epoch);
+      return true;
     case 'restate':
       applyImage(state, record.image);
       return true;
@@ -61,6 +65,15 @@
   }
 }
 
+/** Only where something runs does it matter who may have extended the lease. */
+function forgetIdle({ reachedIn, workers }: JobsState): void {
+  for (const worker of reachedIn.keys()) {
+    if ((workers.get(worker)?.runs.size ?? 0) === 0) {
+      reachedIn.delete(worker);
+    }
+  }
+}
+
 function applyStart(
   state: JobsState,
   record: Extract<JournalRecord, { kind: 'start' }>,
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -36,6 +36,8 @@
   readonly open: Set<Job>;
   readonly workers: Map<string, WorkerRuns>;
   claim: Claim;
+  /** Epoch of the last leader that reached a worker: no later one has extended the lease there. */
+  readonly reachedIn: Map<string, number>;
   /** Whether the leader has asked to be replaced. */
   released: boolean;
 }
@@ -47,6 +49,7 @@
     open: new Set(),
     workers: new Map(),
     claim: { epoch: 0, host: '', nonce: 0 },
+    reachedIn: new Map(),
     released: false,
   };
 }
--- a/packages/domain/src/jobs/records.ts
+++ b/packages/domain/src/jobs/records.ts
@@ -48,6 +48,8 @@
     }
   | { readonly kind: 'restate'; readonly image: JobImage }
   | { readonly kind: 'release' }
+  /** The leader has reached a worker and may extend its lease from now on. */
+  | { readonly kind: 'reached'; readonly worker: string }
   | {
       readonly kind: 'start';
       readonly task: TaskRef;
@@ -89,6 +91,7 @@
   | ['heartbeat', number, string, number]
   | ['restate', JobImage]
   | ['release']
+  | ['reached', string]
   | ['s', string, number, string]
   | ['e', string, number, RunEnd, string?];
 
@@ -108,6 +111,8 @@
       return { kind: 'restate', image: row[1] };
     case 'release':
       return { kind: 'release' };
+    case 'reached':
+      return { kind: 'reached', worker: row[1] };
     case 's': {
       const [, name, run, worker] = row;
       return { kind: 'start', task: parseTaskName(name), run, worker };
@@ -132,6 +137,8 @@
       return ['restate', record.image];
     case 'release':
       return ['release'];
+    case 'reached':
+      return ['reached', record.worker];
     case 'start':
       return ['s', taskName(record.task), record.run, record.worker];
     case 'end': {
