Serve metrics of a host on the platform

Cause: logs alone told what a host did; the users' on-call engineers have logs and metrics.

Change: counters of decisions, ends and stops, histograms of callers' requests and of calls to the log, to workers and to the advice service, and gauges of leadership, readiness and configuration, on the last internal port. Calls are counted by wrapping the ports, so that the code which decides knows nothing of it. The configuration's follower has a module of its own.

--- a/packages/bench/src/reference/metrics.ts
+++ b/packages/bench/src/reference/metrics.ts
@@ -1,7 +1,12 @@
-/** The list of metrics, read from a running entry host. */
+/** The list of metrics, read from a running entry host and from the registry of a job host. */
 import { settingsSchema, startEntryHost } from '@paddlewind/daemon';
+import {
+  createJobMeters,
+  registerJobGauges,
+} from '@paddlewind/daemon/job-host';
 import { startHostListServer, startLogServer } from '@paddlewind/stand-ins';
 import { pino } from 'pino';
+import { Registry } from 'prom-client';
 
 const LISTEN = '127.0.0.1:0';
 const OWN_PREFIX = 'paddlewind_';
@@ -30,7 +35,21 @@
   const text = await res.text();
   await host.stop();
   await Promise.all([log.close(), hosts.close()]);
-  return parseMetrics(text);
+  return parseMetrics(`${text}\n${await describeJobHost()}`);
+}
+
+/** Describes the metrics of a host on the users' platform. */
+function describeJobHost(): Promise<string> {
+  const registry = new Registry();
+  createJobMeters(registry);
+  registerJobGauges(registry, {
+    epoch: () => 0,
+    ready: () => false,
+    configVersion: () => 0,
+    openJobs: () => 0,
+    openRuns: () => 0,
+  });
+  return registry.metrics();
 }
 
 function parseMetrics(text: string): MetricInfo[] {
--- a/packages/daemon/src/job-host/context.ts
+++ b/packages/daemon/src/job-host/context.ts
@@ -3,8 +3,9 @@
 import type { Logger } from 'pino';
 
 import { sleep } from '../log/timing.js';
+import type { JobMeters } from './meters.js';
 
-/** Clocks, randomness and the log of the process. */
+/** Clocks, randomness, the log and the metrics of the process. */
 export interface HostContext {
   readonly host: string;
   /** Monotonic. */
@@ -13,6 +14,7 @@
   readonly random: Random;
   readonly schedule: Schedule;
   readonly log: Logger;
+  readonly meters: JobMeters;
 }
 
 /** Resolves after `span`. */
--- a/packages/daemon/src/job-host/http-front.ts
+++ b/packages/daemon/src/job-host/http-front.ts
@@ -6,6 +6,8 @@
   type ServerResponse,
 } from 'node:http';
 
+import type { Clock, Millis } from '@paddlewind/domain';
+
 import { splitAddress } from '../listening.js';
 
 /** A caller's request, read whole. */
@@ -41,6 +43,10 @@
   readonly maxBodyBytes: () => number;
   readonly handle: Handler;
   readonly failed: (err: unknown) => void;
+  /** Told of each answer, with the time since the request's head was read. */
+  readonly answered?: (method: string, status: number, span: Millis) => void;
+  /** Monotonic. */
+  readonly clock: Clock;
 }
 
 /** How long an idle connection is kept, in milliseconds. */
@@ -61,6 +67,7 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
+    const begunAt = options.clock();
     try {
       const body = await readBody(req, options.maxBodyBytes());
       const found =
@@ -68,6 +75,8 @@
           ? { status: 413 }
           : await options.handle(toRequest(req, body));
       send(res, found, closing);
+      const span = options.clock() - begunAt;
+      options.answered?.(req.method ?? '', found.status, span);
     } catch (err) {
       options.failed(err);
       send(res, { status: 500 }, true);
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -285,6 +285,7 @@
 
   private record(entry: JournalRecord, effect?: Effect): void {
     applyJournal(this.state, entry);
+    this.options.ctx.meters.decided(entry.kind);
     this.batch.records.push(entry);
     if (effect !== undefined) {
       this.batch.effects.push(effect);
@@ -297,6 +298,7 @@
       return;
     }
     this.learn(run, how);
+    this.options.ctx.meters.ended(how);
     this.supervisor.noteEnd(run);
     const task = refOf(run.task);
     this.logRun(run, 'leader: a run has ended', { how });
--- /dev/null
+++ b/packages/daemon/src/job-host/meters.ts
@@ -0,0 +1,128 @@
+/** Metrics of a job host; docs/OPERATIONS.md tells what to look at. */
+import type { Millis } from '@paddlewind/domain';
+import type { JournalRecord, RunEnd } from '@paddlewind/domain/jobs';
+import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
+
+/** Whose answers a call waits for. */
+export type Dependency = 'log' | 'worker' | 'advice';
+
+/** Why a run was ordered to stop. */
+export type StopReason = 'needless' | 'stalled' | 'slowed';
+
+/** What a job host counts. */
+export interface JobMeters {
+  /** A caller's request was answered with an HTTP status after `span`. */
+  readonly answered: (method: string, status: number, span: Millis) => void;
+  /** A call to a dependency ended. */
+  readonly called: (
+    dependency: Dependency,
+    call: string,
+    outcome: string,
+    span: Millis,
+  ) => void;
+  /** The leader decided on a record of the journal. */
+  readonly decided: (kind: JournalRecord['kind']) => void;
+  /** A run has ended. */
+  readonly ended: (how: RunEnd) => void;
+  /** A run was ordered to stop. */
+  readonly stopped: (reason: StopReason) => void;
+}
+
+/** What is read when the metrics are asked for. */
+export interface JobGauges {
+  /** Epoch in which this host leads; 0 while it does not. */
+  readonly epoch: () => number;
+  readonly ready: () => boolean;
+  /** Version of the configuration in force; 0 before the first. */
+  readonly configVersion: () => number;
+  /** Jobs that are not over, as far as this host has read. */
+  readonly openJobs: () => number;
+  /** Open runs by worker, as far as this host has read. */
+  readonly openRuns: () => number;
+}
+
+/** Upper bounds in seconds: the log answers in 4 ms, callers wait for 3 s. */
+const SECONDS_BUCKETS = [
+  0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.5, 3,
+];
+
+const MS_PER_S = 1000;
+
+/** Registers the counters and histograms. */
+export function createJobMeters(registry: Registry): JobMeters {
+  const registers = [registry];
+  const requests = new Histogram({
+    name: 'paddlewind_jobs_request_duration_seconds',
+    help: 'Time until a request of a caller was answered, by method and status.',
+    labelNames: ['method', 'status'],
+    buckets: SECONDS_BUCKETS,
+    registers,
+  });
+  const calls = new Histogram({
+    name: 'paddlewind_jobs_call_duration_seconds',
+    help: 'Time until a call to a dependency ended, by call and outcome.',
+    labelNames: ['dependency', 'call', 'outcome'],
+    buckets: SECONDS_BUCKETS,
+    registers,
+  });
+  const decisions = new Counter({
+    name: 'paddlewind_jobs_decisions_total',
+    help: 'Records that this host decided on while it led, by kind.',
+    labelNames: ['kind'],
+    registers,
+  });
+  const ends = new Counter({
+    name: 'paddlewind_jobs_runs_ended_total',
+    help: 'Runs that ended while this host led, by how they ended.',
+    labelNames: ['how'],
+    registers,
+  });
+  const stops = new Counter({
+    name: 'paddlewind_jobs_stops_total',
+    help: 'Runs that this host ordered to stop, by reason.',
+    labelNames: ['reason'],
+    registers,
+  });
+  return {
+    answered: (method, status, span) => {
+      requests.observe({ method, status }, span / MS_PER_S);
+    },
+    called: (dependency, call, outcome, span) => {
+      calls.observe({ dependency, call, outcome }, span / MS_PER_S);
+    },
+    decided: kind => {
+      decisions.inc({ kind });
+    },
+    ended: how => {
+      ends.inc({ how });
+    },
+    stopped: reason => {
+      stops.inc({ reason });
+    },
+  };
+}
+
+/** Registers gauges that are read when the metrics are asked for. */
+export function registerJobGauges(registry: Registry, gauges: JobGauges): void {
+  const add = (name: string, help: string, read: () => number): void => {
+    new Gauge({
+      name: `paddlewind_jobs_${name}`,
+      help,
+      registers: [registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  };
+  add('leader_epoch', 'Epoch in which this host leads, else 0.', gauges.epoch);
+  add('ready', '1 while callers should be sent here, else 0.', () =>
+    Number(gauges.ready()),
+  );
+  add(
+    'config_version',
+    'Version of the configuration in force, 0 before the first.',
+    gauges.configVersion,
+  );
+  add('open', 'Jobs that are not over.', gauges.openJobs);
+  add('open_runs', 'Runs that have not ended.', gauges.openRuns);
+}
--- a/packages/daemon/src/job-host/run-supervisor.ts
+++ b/packages/daemon/src/job-host/run-supervisor.ts
@@ -18,6 +18,7 @@
 } from '@paddlewind/domain/jobs';
 
 import type { HostContext } from './context.js';
+import type { StopReason } from './meters.js';
 import { LOOK_WAIT_MS, TIGHT_LOOK_WAIT_MS } from './timing.js';
 import type { WorkerLink } from './worker-link.js';
 
@@ -40,7 +41,7 @@
     const now = this.options.ctx.clock();
     for (const run of this.openRuns()) {
       if (isNeedless(run) && run.progress?.stopping === false) {
-        this.stop(run);
+        this.stop(run, 'needless');
       } else if (isStalled(run, now)) {
         this.stopStalled(run, now);
       }
@@ -57,7 +58,7 @@
           better: better.info.id,
           allowed: run.progress?.allowed,
         });
-        this.stop(run);
+        this.stop(run, 'slowed');
       }
     }
   }
@@ -108,7 +109,7 @@
     const sinceMs = Math.round(now - (run.progress?.percentSince ?? now));
     this.logStop(run, 'leader: a run stands still and is stopped', { sinceMs });
     this.options.health.noteStall(run.worker, now);
-    this.stop(run);
+    this.stop(run, 'stalled');
   }
 
   private logStop(run: Run, msg: string, more: Record<string, unknown>): void {
@@ -120,7 +121,8 @@
     );
   }
 
-  private stop(run: Run): void {
+  private stop(run: Run, reason: StopReason): void {
+    this.options.ctx.meters.stopped(reason);
     this.options.linkTo(run.worker)?.stop(run);
   }
 
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -18,7 +18,9 @@
   type TaskScript,
 } from '@paddlewind/stand-ins/jobs';
 import { pino } from 'pino';
+import { Registry } from 'prom-client';
 
+import { createJobMeters } from './meters.js';
 import { startJobHost, type JobHost } from './start-job-host.js';
 
 const MAX_LEASE_MS = 6_000;
@@ -92,6 +94,7 @@
         random: this.random,
         schedule,
         log: pino({ level: process.env.TEST_LOG ?? 'silent' }),
+        meters: createJobMeters(new Registry()),
       },
       jobLog: this.guard(started, this.log.connect(name)),
       configFeed: { next: () => new Promise(() => undefined) },
--- a/packages/daemon/src/job-host/start-job-host.ts
+++ b/packages/daemon/src/job-host/start-job-host.ts
@@ -1,6 +1,6 @@
 /** Puts the parts of a job host together. */
 import type { Millis } from '@paddlewind/domain';
-import { forgetOver } from '@paddlewind/domain/jobs';
+import { forgetOver, openRunsOf } from '@paddlewind/domain/jobs';
 import type {
   AdvicePort,
   ConfigFeed,
@@ -10,10 +10,13 @@
   WorkerPort,
 } from '@paddlewind/ports/jobs';
 
+import { ConfigFollower } from './config-follower.js';
 import { pause, type HostContext } from './context.js';
 import { JobService } from './job-service.js';
 import { Leader } from './leader.js';
 import { awaitLeadership } from './leadership.js';
+import { meterAdvice, meterLog, meterWorkers } from './metered-ports.js';
+import type { JobGauges } from './meters.js';
 import { Replica } from './replica.js';
 import { CONTACT_LOST_MS, FORGET_EVERY_MS } from './timing.js';
 
@@ -39,49 +42,26 @@
   readonly config: () => OperatorConfig | undefined;
   /** Whether callers should be sent here. */
   readonly ready: () => boolean;
+  /** What is read when the metrics are asked for. */
+  readonly gauges: JobGauges;
   /** Hands the leadership over; resolves when another host leads or `waitMs` have passed. */
   readonly handOver: (waitMs: Millis) => Promise<void>;
 }
 
-/**
- * Longest wait for a newer configuration in one read. A read that a cut has swallowed must be given
- * up and repeated within the 3 s after which a host counts as connected again.
- */
-const CONFIG_WAIT_MS: Millis = 1_500;
-/** Pause before the configuration is asked for again while the log does not answer. */
-const CONFIG_RETRY_MS: Millis = 200;
-
 /** Starts following the configuration and the journal. */
 export function startJobHost(options: JobHostOptions): JobHost {
-  const { ctx, jobLog } = options;
+  const { ctx } = options;
+  const { clock, meters } = ctx;
+  const jobLog = meterLog(options.jobLog, meters, clock);
   const replica = new Replica(ctx, jobLog);
-  let config: OperatorConfig | undefined;
+  const follower = new ConfigFollower(ctx, options.configFeed);
   let leader: Leader | undefined;
+  let epoch = 0;
   let stopping = false;
-  void followConfig();
+  void follower.follow();
   void takeTurns();
   void forget();
 
-  async function followConfig(): Promise<void> {
-    for (;;) {
-      const found = await options.configFeed.next(CONFIG_WAIT_MS);
-      if (found.kind === 'value') {
-        takeConfig(found.value);
-      } else {
-        await pause(ctx, CONFIG_RETRY_MS);
-      }
-    }
-  }
-
-  function takeConfig(found: OperatorConfig): void {
-    if (config !== undefined && found.version <= config.version) {
-      return;
-    }
-    config = found;
-    const { version, queues } = found;
-    ctx.log.info({ version, queues: queues.length }, 'config: in force');
-  }
-
   async function forget(): Promise<void> {
     for (;;) {
       await pause(ctx, FORGET_EVERY_MS);
@@ -101,26 +81,37 @@
         jobLog,
         replica,
         feed: options.workerFeed(),
-        port: options.workerPort(),
-        advicePort: options.advicePort(),
+        port: meterWorkers(options.workerPort(), meters, clock),
+        advicePort: meterAdvice(options.advicePort(), meters, clock),
         maxLeaseMs: options.maxLeaseMs,
         retentionMs: options.retentionMs,
         claim,
       });
+      epoch = claim.epoch;
       leader.begin();
       await leader.deposed;
       leader = undefined;
+      epoch = 0;
       replica.reset();
     }
   }
 
+  const ready = (): boolean =>
+    !stopping &&
+    follower.config !== undefined &&
+    ctx.clock() - replica.contactAt < CONTACT_LOST_MS;
+
   return {
     service: new JobService(ctx, jobLog, replica, () => leader),
-    config: () => config,
-    ready: () =>
-      !stopping &&
-      config !== undefined &&
-      ctx.clock() - replica.contactAt < CONTACT_LOST_MS,
+    config: () => follower.config,
+    ready,
+    gauges: {
+      epoch: () => epoch,
+      ready,
+      configVersion: () => follower.config?.version ?? 0,
+      openJobs: () => replica.state.open.size,
+      openRuns: () => openRunsOf(replica.state),
+    },
     handOver: async waitMs => {
       stopping = true;
       if (leader !== undefined) {
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -97,6 +97,15 @@
   return created;
 }
 
+/** Returns the number of runs that have not ended. */
+export function openRunsOf({ workers }: JobsState): number {
+  let count = 0;
+  for (const { runs } of workers.values()) {
+    count += runs.size;
+  }
+  return count;
+}
+
 /** Adds an open run of a task on a worker. */
 export function openRun(
   state: JobsState,
