Start copies of tasks that are far behind, where their step allows it

Cause: the users' pages allow copies of speculative tasks; none were started, so that a run on a hanging worker was known as lost only after 1.8 s without progress, and one on a worker out of reach after its lease.

Change: after each round of starts, a single run that is expected to end more than half a run time after a copy that begins now gets one on another worker, in room that nothing waits for.

--- a/packages/daemon/src/job-host/job-host.test.ts
+++ b/packages/daemon/src/job-host/job-host.test.ts
@@ -338,3 +338,17 @@
   assert.deepEqual(site.history.check(), []);
   assert.ok(site.history.isDone(id));
 });
+
+test('a step that allows copies outlives a hanging worker', async () => {
+  const site = smallSite(24);
+  const id = '0000000000000024';
+  const w1 = site.fleet.at('w1');
+  assert.ok(w1);
+  w1.hanging = true;
+  const steps = [{ tasks: 6, after: [], speculative: true, estimateMs: 400 }];
+  void site.submit(id, steps, QUICK);
+  await site.time.advance(2_700);
+  assert.ok(site.history.isDone(id));
+  await site.time.advance(4_000);
+  assert.deepEqual(site.history.check(), []);
+});
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -7,11 +7,13 @@
   imageOf,
   Interference,
   isOver,
+  planCopies,
   planStarts,
   refOf,
   taskName,
   WorkerHealth,
   workerRuns,
+  type ApplyStart,
   type JobsState,
   type JournalRecord,
   type PlanInput,
@@ -332,9 +334,11 @@
       advice: this.advice,
       time: { now: ctx.clock(), nowWall: ctx.wallClock() },
     };
-    planStarts(input, decision => {
+    const start: ApplyStart = decision => {
       this.startRun(decision);
-    });
+    };
+    planStarts(input, start);
+    planCopies(input, start);
     this.supervisor.moveSlowed(input);
     this.adviser.askIfNeeded(input);
   }
--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -1,4 +1,5 @@
 export * from './advice.js';
+export * from './copies.js';
 export * from './fold.js';
 export * from './gang.js';
 export * from './interference.js';
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -70,7 +70,8 @@
   readonly full: boolean;
 }
 
-function placeInputOf(input: PlanInput): PlaceInput {
+/** Returns what choices of workers go by in a round. */
+export function placeInputOf(input: PlanInput): PlaceInput {
   const { state, workers, interference, advice, time } = input;
   return {
     workers,
