Bound the log of a host by message, and say what was left out

Cause: a reader that is behind cost only lines, but nothing bounded the volume: one message in a loop would fill the log and the processor's share.

Change: at most 1,000 lines a second of one message; one line a second tells what was left out. Starts, answers to changes, changes of leaders, start and stop are never left out. The log's set-up moves from the adapter to the daemon, since it decides something.

--- a/packages/daemon/src/job-host/index.ts
+++ b/packages/daemon/src/job-host/index.ts
@@ -5,3 +5,4 @@
 export * from './start-job-host.js';
 export { startAdmin } from '../admin/server.js';
 export { scheduleByTimeout } from '../log/timing.js';
+export { createProcessLog } from '../logging/process-log.js';
--- /dev/null
+++ b/packages/daemon/src/logging/process-log.test.ts
@@ -0,0 +1,34 @@
+import assert from 'node:assert/strict';
+import { mock, test } from 'node:test';
+
+import { createBoundedLog } from './process-log.js';
+
+interface Line {
+  readonly msg: string;
+  readonly kind?: string;
+  readonly lines?: number;
+}
+
+test('an overload is told in a bounded number of lines that say what is missing', () => {
+  mock.timers.enable({ apis: ['setInterval'] });
+  const written: Line[] = [];
+  const log = createBoundedLog('h', () => 0, {
+    write: text => {
+      written.push(JSON.parse(text) as Line);
+    },
+  });
+  for (let order = 0; order < 5_000; order += 1) {
+    log.info({ order }, 'worker: an order was not accepted');
+    log.info({ order }, 'leader: a run is ordered');
+  }
+  mock.timers.tick(1_000);
+  mock.timers.reset();
+  const count = (msg: string): number =>
+    written.filter(line => line.msg === msg).length;
+  assert.equal(count('worker: an order was not accepted'), 1_000);
+  assert.equal(count('leader: a run is ordered'), 5_000);
+  const told = written.filter(({ kind }) => kind !== undefined);
+  assert.equal(told.length, 1);
+  assert.equal(told[0]?.kind, 'worker: an order was not accepted');
+  assert.equal(told[0].lines, 4_000);
+});
