Show the users' platform in the demo

Change: after it three hosts on the stand-in of the users' platform run jobs of steps: one ends, one outlives the kill of the leader, one is cancelled, a host stops gracefully, and the history checker judges what workers saw. The settings, the configuration and the caller that tests of the adapter had for themselves are the stand-in's now, one copy for tests and demo.

--- a/packages/bench/src/demo/main.ts
+++ b/packages/bench/src/demo/main.ts
@@ -1,13 +1,17 @@
-/** The demo: real requests and batch jobs over three entry hosts, one of which is killed on the way. */
+/**
+ * The demo: requests and batch jobs over three entry hosts, one of which is killed on the way, and
+ * after them jobs of steps over three hosts on the stand-in of the users' platform.
+ */
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
 import { createProcessGroup } from '../processes/process-group.js';
-import { runDemo } from './run.js';
+import { runDemo, type DemoOptions } from './run.js';
+import { runDemoOnPlatform } from './run-on-platform.js';
 
 /** The demo gives up after this time, in milliseconds. */
-const LIMIT_MS = 38_000;
+const LIMIT_MS = 75_000;
 
 async function main(): Promise<void> {
   const directory = mkdtempSync(join(tmpdir(), 'paddlewind-demo-'));
@@ -21,9 +25,7 @@
     process.stdout.write('demo: not done in time\n');
     process.exit(1);
   }, LIMIT_MS).unref();
-  const failures = await runDemo({ directory, group, say }).catch(
-    (err: unknown) => [err instanceof Error ? err.message : String(err)],
-  );
+  const failures = await runAll({ directory, group, say });
   await group.close();
   if (failures.length === 0) {
     rmSync(directory, { recursive: true });
@@ -35,4 +37,16 @@
   process.exit(1);
 }
 
+/** Runs both parts; resolves to what went wrong in them. */
+async function runAll(options: DemoOptions): Promise<string[]> {
+  const failures: string[] = [];
+  for (const run of [runDemo, runDemoOnPlatform]) {
+    const found = await run(options).catch((err: unknown) => [
+      err instanceof Error ? err.message : String(err),
+    ]);
+    failures.push(...found);
+  }
+  return failures;
+}
+
 await main();
--- a/packages/bench/src/processes/process-group.ts
+++ b/packages/bench/src/processes/process-group.ts
@@ -20,6 +20,8 @@
   readonly args: readonly string[];
   /** File that takes standard output and standard error. */
   readonly logFile: string;
+  /** Variables beside those of this process. */
+  readonly env?: Readonly<Record<string, string>>;
 }
 
 /** Child processes that are ended together. */
@@ -71,6 +73,7 @@
   const log = createWriteStream(options.logFile, { flags: 'a' });
   const child = spawn(process.execPath, options.args, {
     stdio: ['ignore', 'pipe', 'pipe'],
+    env: { ...process.env, ...options.env },
   });
   child.stdout.pipe(log, { end: false });
   child.stderr.pipe(log, { end: false });
--- a/packages/stand-ins/src/memory/memory-log.ts
+++ b/packages/stand-ins/src/memory/memory-log.ts
@@ -14,6 +14,8 @@
 } from '@paddlewind/ports';
 import { Result } from 'true-myth';
 
+import { scheduleByTimeout } from '../http/schedule.js';
+
 /** What the log is created with. */
 export interface MemoryLogOptions {
   readonly clock: Clock;
@@ -283,13 +285,6 @@
     : Promise.resolve();
 }
 
-function scheduleByTimeout(delay: Millis, task: () => void): () => void {
-  const timer = setTimeout(task, delay);
-  return () => {
-    clearTimeout(timer);
-  };
-}
-
 function wakeAll(stream: Stream): void {
   for (const wake of [...stream.waiting]) {
     wake();
