Let jobs that are worth nothing any more wait behind late ones

Cause: among jobs that can no longer meet their objective the oldest went first, so that under overload room went to jobs beyond three times their objective, which earn nothing, before those that still earn a late credit.

Change: three outlooks in place of two: in time, late, overdue.

Test: a job that is too late to be worth anything goes behind those that are late (fails before).

--- a/packages/domain/src/jobs/order.ts
+++ b/packages/domain/src/jobs/order.ts
@@ -9,12 +9,24 @@
 } from './job.js';
 import type { RunTimes } from './run-times.js';
 
+/** Whether an occurrence can still meet its objective, be late, or has missed even that. */
+export type Outlook = 'in_time' | 'late' | 'overdue';
+
+const OUTLOOK_ORDER: Readonly<Record<Outlook, number>> = {
+  in_time: 0,
+  late: 1,
+  overdue: 2,
+};
+
+/** A late end is worth something up to this many times the objective, as the users' rules say. */
+const LATE_FACTOR = 3;
+
 /** A step that may start tasks, with its place in the order. */
 export interface Candidate {
   readonly step: Step;
   readonly priority: number;
-  /** Whether the objective can no longer be met. */
-  readonly late: boolean;
+  /** What the occurrence can still be worth. */
+  readonly outlook: Outlook;
   /** Share of the occurrence's work that is done, in tenths. */
   readonly progress: number;
   /** Monotonic time by which the step has to start for the objective to be met. */
@@ -30,7 +42,8 @@
 
 /**
  * Returns the steps that may start tasks: lower priority numbers first; within one number tasks that
- * end before those that last; within those what can still meet its objective; within that what is
+ * end before those that last; within those what can still meet its objective, then what is late but
+ * still worth something, and last what is overdue; within that what is
  * nearest to its end, so that overload leaves few occurrences half done; and of those alike the one
  * that has to start soonest.
  */
@@ -56,7 +69,7 @@
   return (
     a.priority - b.priority ||
     Number(a.step.spec.lasting) - Number(b.step.spec.lasting) ||
-    Number(a.late) - Number(b.late) ||
+    OUTLOOK_ORDER[a.outlook] - OUTLOOK_ORDER[b.outlook] ||
     b.progress - a.progress ||
     a.latestStart - b.latestStart
   );
@@ -82,15 +95,16 @@
   time: PlanTime,
 ): Candidate[] {
   const { terms } = occurrence.job.spec;
-  const objective =
-    beginningOf(occurrence, time) +
+  const beginning = beginningOf(occurrence, time);
+  const allowedMs =
     terms.deadlineFactor * longestChain(occurrence, times, () => true) +
     terms.targetLatencyMs;
   const left = longestChain(occurrence, times, step => step.remaining > 0);
-  const latestStart = objective - left;
+  const latestStart = beginning + allowedMs - left;
+  const lastStart = beginning + LATE_FACTOR * allowedMs - left;
   const shared = {
     priority: terms.priority,
-    late: latestStart < time.now,
+    outlook: outlookOf(time.now, latestStart, lastStart),
     progress: progressOf(occurrence, times),
     latestStart,
   };
@@ -99,6 +113,17 @@
     .map(step => ({ step, ...shared }));
 }
 
+function outlookOf(
+  now: Instant,
+  latestStart: Instant,
+  lastStart: Instant,
+): Outlook {
+  if (now <= latestStart) {
+    return 'in_time';
+  }
+  return now <= lastStart ? 'late' : 'overdue';
+}
+
 /** Steps by which progress is told apart: finer ones would reorder alike occurrences all the time. */
 const PROGRESS_STEPS = 10;
 
--- a/packages/domain/src/jobs/plan.test.ts
+++ b/packages/domain/src/jobs/plan.test.ts
@@ -82,6 +82,22 @@
   assert.ok(starts.every(start => start.startsWith('new')));
 });
 
+test('a job that is too late to be worth anything goes behind those that are late', () => {
+  const state = stateOf(
+    testJob('overdue', [{ tasks: 4 }]),
+    testJob('late', [{ tasks: 4 }]),
+  );
+  const input = planInput(state, []);
+  round(input);
+  const late = state.jobs.get('late');
+  assert.ok(late);
+  // The objective is 2.5 s; three times as much are still worth something.
+  late.seenAt = 56_000;
+  const time = { now: 60_000, nowWall: 60_000 };
+  const starts = round({ ...input, workers: [testWorker('w')], time });
+  assert.ok(starts.every(start => start.startsWith('late')));
+});
+
 test('spreads a step as far as it asks for', () => {
   const state = stateOf(testJob('j', [{ tasks: 4, maxPerWorker: 1 }]));
   const workers = [testWorker('a'), testWorker('b')];
