--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -12,4 +12,5 @@
 export * from './restate.js';
 export * from './run-times.js';
 export * from './spec.js';
+export * from './task-ref.js';
 export * from './worker-health.js';
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -1,6 +1,5 @@
 /** The state of jobs: all jobs, and what runs on each worker. */
 import type { Instant } from '../core/time.js';
-import { taskName, type TaskRef } from './records.js';
 import {
   isOver,
   occurrenceOf,
@@ -9,6 +8,7 @@
   type Step,
   type Task,
 } from './job.js';
+import { taskName, type TaskRef } from './task-ref.js';
 
 /** The open runs of one worker and what they take. */
 export interface WorkerRuns {
--- a/packages/domain/src/jobs/records.ts
+++ b/packages/domain/src/jobs/records.ts
@@ -7,6 +7,7 @@
 import type { Instant } from '../core/time.js';
 import type { JobImage } from './restate.js';
 import type { JobSpec } from './spec.js';
+import { parseTaskName, taskName, type TaskRef } from './task-ref.js';
 
 /** A record of the inbox. */
 export type InboxRecord =
@@ -18,14 +19,6 @@
     }
   | { readonly kind: 'cancel'; readonly job: string };
 
-/** Names one task: job, occurrence, step and index within the step. */
-export interface TaskRef {
-  readonly job: string;
-  readonly occurrence: number;
-  readonly step: number;
-  readonly index: number;
-}
-
 /** How a run ended; `void` means that it never began. */
 export type RunEnd =
   'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone' | 'void';
@@ -147,19 +140,3 @@
     }
   }
 }
-
-/** Returns `JOB.OCCURRENCE.STEP.INDEX`. */
-export function taskName(task: TaskRef): string {
-  return `${task.job}.${task.occurrence}.${task.step}.${task.index}`;
-}
-
-/** Parses what `taskName` made. */
-export function parseTaskName(name: string): TaskRef {
-  const [job = '', occurrence, step, index] = name.split('.');
-  return {
-    job,
-    occurrence: Number(occurrence),
-    step: Number(step),
-    index: Number(index),
-  };
-}
--- a/packages/domain/src/scheduling/planning/claims.ts
+++ b/packages/domain/src/scheduling/planning/claims.ts
@@ -12,23 +12,15 @@
 import { placementOf } from '../task.js';
 import { useOf } from '../worker.js';
 
-import { eligibleWorkers, type QueuedJob, type Rank } from './memory.js';
+import {
+  eligibleWorkers,
+  type Claim,
+  type QueuedJob,
+  type Rank,
+} from './memory.js';
 import type { Candidate } from './order.js';
 import type { Round, WorkerRoom } from './round.js';
 
-/** A waiting task's claim on a worker: what is freed there is kept until the task fits. */
-export interface Claim {
-  readonly task: TaskId;
-  readonly worker: string;
-  readonly size: Resources;
-  readonly rank: Rank;
-  /** Whether others were evicted for it; it then frees room within their grace. */
-  readonly evicts: boolean;
-  readonly sinceWall: Instant;
-  /** When the attempts in the way are expected to have ended. */
-  readonly expectedAtWall: Instant;
-}
-
 /** A claim that evicted others is given up after this; its task may evict anew. */
 const EVICTING_CLAIM_MS: Millis = 120_000;
 /** Short tasks may run in claimed room until a claim is this old. */
--- a/packages/domain/src/scheduling/planning/feasibility.ts
+++ b/packages/domain/src/scheduling/planning/feasibility.ts
@@ -1,22 +1,15 @@
 /** Whether any worker could ever hold a job's tasks, and where else they might go. */
-import {
-  NO_RESOURCES,
-  fits,
-  maxResources,
-  subtractResources,
-  type Resources,
-} from '../../core/resources.js';
+import { NO_RESOURCES, maxResources } from '../../core/resources.js';
 import { matches } from '../../declarations/selector.js';
 import type { Job } from '../job.js';
 import { decision } from '../records.js';
-import type { SchedulableWorker, SiblingView } from '../view.js';
+import type { SchedulableWorker } from '../view.js';
 
+import { couldHold, roomOf, type Holder } from './could-hold.js';
 import type { QueuedJob } from './memory.js';
 import { moveJob } from './moves.js';
 import { decide, type Round } from './round.js';
 
-type Holder = SiblingView['workers'][number];
-
 /**
  * Tells whether some worker of the shard could hold the job's tasks. A job that none could is
  * moved to a shard that can, or answered `unschedulable`; either way it blocks nobody.
@@ -47,18 +40,6 @@
   return worker.availability !== 'leaving';
 }
 
-/** Tells whether any of the workers could hold one task of the job if it were otherwise empty. */
-export function couldHold(workers: readonly Holder[], job: Job): boolean {
-  const { size, workers: selector } = job.spec;
-  return workers.some(
-    worker => fits(size, roomOf(worker)) && matches(selector, worker.labels),
-  );
-}
-
-function roomOf(worker: Holder): Resources {
-  return subtractResources(worker.capacity, worker.reserved);
-}
-
 function refuse(round: Round, job: Job, reason: string): void {
   if (job.unschedulableFor !== undefined) {
     return;
--- a/packages/domain/src/scheduling/planning/learn.ts
+++ b/packages/domain/src/scheduling/planning/learn.ts
@@ -9,21 +9,7 @@
 import { placementOf, type Task } from '../task.js';
 import { observeAttempts, type Observation } from '../worker.js';
 
-/** A decayed mean and mean deviation. */
-interface Estimate {
-  mean: number;
-  deviation: number;
-}
-
-/** What the tasks of a job, or of jobs alike, were seen to take, over what they declare. */
-export interface LearnedSize {
-  readonly cpu: Estimate;
-  readonly memoryMiB: Estimate;
-  samples: number;
-}
-
-/** Learned sizes by job and by group of jobs. */
-export type LearnedSizes = Map<string, LearnedSize>;
+import type { Estimate, LearnedSize, LearnedSizes } from './learned-size.js';
 
 /** An attempt as its worker reports it. */
 export interface SeenAttempt {
--- a/packages/domain/src/scheduling/planning/memory.ts
+++ b/packages/domain/src/scheduling/planning/memory.ts
@@ -1,4 +1,5 @@
 /** What the planner keeps between plans: the queue in order, claims on rooms, and what it learnt. */
+import type { Resources } from '../../core/resources.js';
 import type { Instant } from '../../core/time.js';
 import type { PolicySpec } from '../../declarations/schemas.js';
 import {
@@ -10,9 +11,7 @@
 import { isWaiting, type Job } from '../job.js';
 import type { SchedulableWorker, TeamView } from '../view.js';
 
-import type { Claim } from './claims.js';
-import type { LearnedSizes } from './learn.js';
-import type { MovedSince } from './moves.js';
+import type { LearnedSizes } from './learned-size.js';
 
 /** The part of a policy that concerns scheduling. */
 export type WorkPolicy = typeof DEFAULT_POLICY;
@@ -22,6 +21,25 @@
 /** A rank of priority. */
 export type Rank = (typeof RANKS)[number];
 
+/** A waiting task's claim on a worker: what is freed there is kept until the task fits. */
+export interface Claim {
+  readonly task: TaskId;
+  readonly worker: string;
+  readonly size: Resources;
+  readonly rank: Rank;
+  /** Whether others were evicted for it; it then frees room within their grace. */
+  readonly evicts: boolean;
+  readonly sinceWall: Instant;
+  /** When the attempts in the way are expected to have ended. */
+  readonly expectedAtWall: Instant;
+}
+
+/** What was moved to a shard since its report at `atWall`. */
+export interface MovedSince {
+  readonly atWall: Instant;
+  readonly amount: Resources;
+}
+
 /** A job with tasks that wait. */
 export interface QueuedJob {
   readonly job: Job;
--- a/packages/domain/src/scheduling/planning/moves.ts
+++ b/packages/domain/src/scheduling/planning/moves.ts
@@ -6,24 +6,18 @@
   subtractResources,
   type Resources,
 } from '../../core/resources.js';
-import type { Instant, Millis } from '../../core/time.js';
+import type { Millis } from '../../core/time.js';
 import { taskId } from '../ids.js';
 import type { Job } from '../job.js';
 import { decision } from '../records.js';
 import type { ShardReport } from '../shard.js';
 import type { Task } from '../task.js';
 
-import { couldHold } from './feasibility.js';
+import { couldHold } from './could-hold.js';
 import type { QueuedJob } from './memory.js';
 import type { Candidate } from './order.js';
 import { decide, type Round } from './round.js';
 
-/** What was moved to a shard since its report at `atWall`. */
-export interface MovedSince {
-  readonly atWall: Instant;
-  readonly amount: Resources;
-}
-
 /** Queued tasks of one job that one plan moves at most; fresh tasks go in one record. */
 const TASKS_PER_PLAN = 32;
 /** A report older than this is not acted on. */
--- a/packages/domain/src/scheduling/planning/round.ts
+++ b/packages/domain/src/scheduling/planning/round.ts
@@ -17,8 +17,7 @@
 import type { SchedulableWorker, ScheduleView, TeamView } from '../view.js';
 import { freeingOf, useOf, type WorkerLoad } from '../worker.js';
 
-import type { Claim } from './claims.js';
-import { teamView, type QueuedJob } from './memory.js';
+import { teamView, type Claim, type QueuedJob } from './memory.js';
 
 /** A worker and what is left on it. */
 export interface WorkerRoom {
--- a/packages/domain/src/scheduling/planning/start.ts
+++ b/packages/domain/src/scheduling/planning/start.ts
@@ -4,17 +4,11 @@
 import { parseTaskId } from '../ids.js';
 import { peekTask } from '../job.js';
 
-import {
-  addClaim,
-  claimSoonest,
-  dropClaim,
-  mayClaim,
-  type Claim,
-} from './claims.js';
+import { addClaim, claimSoonest, dropClaim, mayClaim } from './claims.js';
 import { evictFor, ranksBelow } from './evict.js';
 import { checkFeasible } from './feasibility.js';
 import { sizeToReserve } from './learn.js';
-import { RANKS, type QueuedJob, type Rank } from './memory.js';
+import { RANKS, type Claim, type QueuedJob, type Rank } from './memory.js';
 import { moveToRoom } from './moves.js';
 import {
   countCandidate,
