Send no start that was held up until another host may lead

Cause: a recorded start extends the worker's lease when it is sent. A leader that was frozen between the answer of the log and the order, or whose orders queued behind others without an answer, sent it when it woke, with a lease from then on. A new leader that can't reach the worker reckons with leases that end 9.2 s after its claim, and could start the task elsewhere before the first run had lapsed.

Change: a start is sent only while this leader may extend leases, as looks are; else its run is void, since its order was never sent. Answers with 500 are counted in the metrics, too.

--- a/packages/daemon/src/job-host/http-front.ts
+++ b/packages/daemon/src/job-host/http-front.ts
@@ -68,18 +68,21 @@
     res: ServerResponse,
   ): Promise<void> {
     const begunAt = options.clock();
+    const answer = (found: CallerAnswer, last: boolean): void => {
+      send(res, found, last);
+      const span = options.clock() - begunAt;
+      options.answered?.(req.method ?? '', found.status, span);
+    };
     try {
       const body = await readBody(req, options.maxBodyBytes());
       const found =
         body === undefined
           ? { status: 413 }
           : await options.handle(toRequest(req, body));
-      send(res, found, closing);
-      const span = options.clock() - begunAt;
-      options.answered?.(req.method ?? '', found.status, span);
+      answer(found, closing);
     } catch (err) {
       options.failed(err);
-      send(res, { status: 500 }, true);
+      answer({ status: 500 }, true);
     }
   }
 
--- a/packages/daemon/src/job-host/job-host.test.ts
+++ b/packages/daemon/src/job-host/job-host.test.ts
@@ -352,3 +352,33 @@
   await site.time.advance(4_000);
   assert.deepEqual(site.history.check(), []);
 });
+
+test('a start that a freeze has held up is not sent once the leader may be replaced', async () => {
+  const site = new Simulation(25);
+  site.addWorker('w1');
+  const names = ['h1', 'h2', 'h3'];
+  names.forEach(name => site.startHost(name));
+  await site.time.advance(1_500);
+  const first = leaderOf(site);
+  const id = '0000000000000025';
+  void site.submit(id, [{ tasks: 1, after: [] }], {
+    runMs: 6_000,
+    failures: 0,
+  });
+  const hasStart = (): boolean =>
+    site.log
+      .recordsOf('journal')
+      .some(bytes => new TextDecoder().decode(bytes).startsWith('["s"'));
+  while (!hasStart()) {
+    await site.time.advance(1);
+  }
+  site.freeze(first, 9_000);
+  // The next leader can't reach the worker, and gives up its runs 9.2 s after its claim.
+  for (const name of names.filter(other => other !== first)) {
+    site.fleet.cuts.add(`${name}>w1`);
+  }
+  site.addWorker('w2');
+  await site.time.advance(30_000);
+  assert.deepEqual(site.history.check(), []);
+  assert.ok(site.history.isDone(id));
+});
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -120,6 +120,11 @@
     this.alarm.ring();
     this.orders.add(async () => {
       const { task, number } = run;
+      if (!this.options.mayExtend()) {
+        // It would extend the lease beyond what a new leader reckons with.
+        this.giveUpStart(run);
+        return;
+      }
       const res = await port.start(this.info, {
         task: refOf(task),
         run: number,
@@ -133,6 +138,15 @@
     });
   }
 
+  /** Ends a run whose order was held up here until another host may lead; it was never sent. */
+  private giveUpStart(run: Run): void {
+    this.options.ctx.log.warn(
+      { task: taskName(refOf(run.task)), run: run.number },
+      'worker: a start is too old to be sent',
+    );
+    this.options.events.ended(run, 'void', '');
+  }
+
   /** Orders a run to stop, until the worker has confirmed it or the run has ended. */
   stop(run: Run): void {
     const { ctx, port, fence } = this.options;
