Give the leader's decisions a module of their own

The leader kept the batch that waits to be appended, the one under way, their effects and the writer beside its planning. decision-log.ts holds these now; nothing changes in what it does.

--- /dev/null
+++ b/packages/daemon/src/job-host/decision-log.ts
@@ -0,0 +1,119 @@
+/** The leader's decisions: applied to the state at once, recorded in batches, acted on after that. */
+import type { Instant } from '@paddlewind/domain';
+import {
+  applyJournal,
+  type JobsState,
+  type JournalRecord,
+} from '@paddlewind/domain/jobs';
+import type { JobLog } from '@paddlewind/ports/jobs';
+
+import type { HostContext } from './context.js';
+import { JournalWriter } from './journal-writer.js';
+import type { WonClaim } from './leadership.js';
+import type { Replica } from './replica.js';
+
+/** Done once an append is confirmed, or once it is certain that it never will be. */
+type Effect = (written: boolean) => void;
+
+/** Records that go into one append, and what follows it. */
+interface Batch {
+  readonly records: JournalRecord[];
+  readonly effects: Effect[];
+}
+
+/** Collects decisions while an append is under way, and appends them together. */
+export class DecisionLog {
+  private readonly writer: JournalWriter;
+  private readonly state: JobsState;
+  private batch: Batch = emptyBatch();
+  private writing: Batch | undefined;
+  private closed = false;
+
+  /** Creates the log of the leader that won `claim`. */
+  constructor(
+    private readonly ctx: HostContext,
+    jobLog: JobLog,
+    private readonly replica: Replica,
+    claim: WonClaim,
+  ) {
+    this.writer = new JournalWriter(ctx, jobLog, claim);
+    this.state = replica.state;
+  }
+
+  /** Monotonic time at which the newest confirmed append was sent. */
+  get confirmedSentAt(): Instant {
+    return this.writer.confirmedSentAt;
+  }
+
+  /** Whether nothing waits to be appended. */
+  get isEmpty(): boolean {
+    return this.batch.records.length === 0;
+  }
+
+  /** Applies a decision; `effect` follows once it is recorded, or never will be. */
+  record(entry: JournalRecord, effect?: Effect): void {
+    applyJournal(this.state, entry);
+    this.ctx.meters.decided(entry.kind);
+    this.batch.records.push(entry);
+    if (effect !== undefined) {
+      this.batch.effects.push(effect);
+    }
+  }
+
+  /** Applies a decision; resolves with true once it is recorded, with false when it never will be. */
+  recordConfirmed(entry: JournalRecord): Promise<boolean> {
+    if (this.closed) {
+      return Promise.resolve(false);
+    }
+    return new Promise(resolve => {
+      this.record(entry, resolve);
+    });
+  }
+
+  /** Resolves when all that was decided so far is recorded; with false when it never will be. */
+  recorded(): Promise<boolean> {
+    if (this.closed) {
+      return Promise.resolve(false);
+    }
+    const last = this.isEmpty ? this.writing : this.batch;
+    return new Promise(resolve => {
+      if (last === undefined) {
+        resolve(true);
+      } else {
+        last.effects.push(resolve);
+      }
+    });
+  }
+
+  /** Appends what waits; false when another host leads. */
+  async write(): Promise<boolean> {
+    const { batch } = this;
+    this.batch = emptyBatch();
+    this.writing = batch;
+    const result = await this.writer.write(batch.records);
+    this.writing = undefined;
+    const written = result.kind === 'written';
+    if (written) {
+      this.replica.wroteJournal(result.nextOffset);
+    }
+    settle(batch, written);
+    return written;
+  }
+
+  /** Appends nothing more. */
+  close(): void {
+    this.closed = true;
+    settle(this.batch, false);
+    this.writer.close();
+  }
+}
+
+function emptyBatch(): Batch {
+  return { records: [], effects: [] };
+}
+
+function settle(batch: Batch, written: boolean): void {
+  for (const effect of batch.effects) {
+    effect(written);
+  }
+}
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -2,7 +2,6 @@
 import type { Millis } from '@paddlewind/domain';
 import {
   Advice,
-  applyJournal,
   createRunTimes,
   imageOf,
   Interference,
@@ -32,8 +31,8 @@
 import { Adviser } from './adviser.js';
 import { Alarm } from './alarm.js';
 import { pause, type HostContext } from './context.js';
+import { DecisionLog } from './decision-log.js';
 import { Fleet } from './fleet.js';
-import { JournalWriter } from './journal-writer.js';
 import type { WonClaim } from './leadership.js';
 import { longestEarlierLease } from './lease.js';
 import type { Replica } from './replica.js';
@@ -65,22 +64,13 @@
   readonly claim: WonClaim;
 }
 
-/** Done once an append is confirmed, or once it is certain that it never will be. */
-type Effect = (written: boolean) => void;
-
-/** Records that go into one append, and what follows it. */
-interface Batch {
-  readonly records: JournalRecord[];
-  readonly effects: Effect[];
-}
-
 /** A host that leads. */
 export class Leader {
   /** Resolves once another host leads. */
   readonly deposed: Promise<void>;
 
   private readonly state: JobsState;
-  private readonly writer: JournalWriter;
+  private readonly decisions: DecisionLog;
   private readonly fleet: Fleet;
   private readonly times = createRunTimes();
   private readonly interference = new Interference();
@@ -89,8 +79,6 @@
   private readonly adviser: Adviser;
   private readonly supervisor: RunSupervisor;
   private readonly alarm: Alarm;
-  private batch: Batch = { records: [], effects: [] };
-  private writing: Batch | undefined;
   private ended = false;
   private resolveDeposed!: () => void;
 
@@ -112,7 +100,7 @@
       health: this.health,
       linkTo: worker => this.fleet.link(worker),
     });
-    this.writer = new JournalWriter(ctx, options.jobLog, claim);
+    this.decisions = new DecisionLog(ctx, options.jobLog, replica, claim);
     this.fleet = new Fleet({
       ctx,
       feed: options.feed,
@@ -135,23 +123,13 @@
 
   /** Asks the others to take over; this host leads on until one does. */
   release(): void {
-    this.record({ kind: 'release' });
+    this.decisions.record({ kind: 'release' });
     this.alarm.ring();
   }
 
   /** Resolves when all that was decided so far is recorded; with false when it never will be. */
   recorded(): Promise<boolean> {
-    if (this.ended) {
-      return Promise.resolve(false);
-    }
-    const last = this.batch.records.length > 0 ? this.batch : this.writing;
-    return new Promise(resolve => {
-      if (last === undefined) {
-        resolve(true);
-      } else {
-        last.effects.push(resolve);
-      }
-    });
+    return this.decisions.recorded();
   }
 
   private open(info: WorkerInfo): WorkerLink {
@@ -163,7 +141,7 @@
       maxLeaseMs,
       releasedAt: this.options.replica.releasedAt(info.id),
       mayExtend: () =>
-        ctx.clock() - this.writer.confirmedSentAt < LEADER_LEASE_MS,
+        ctx.clock() - this.decisions.confirmedSentAt < LEADER_LEASE_MS,
       runs: () => workerRuns(this.state, info.id),
       lookWaitMs: () => this.supervisor.lookWaitMs(info),
       ticketFor: ({ step }) =>
@@ -172,8 +150,9 @@
         ended: (run, how, checkpoint) => {
           this.recordEnd(run, how, checkpoint);
         },
-        recorded: () => this.recorded(),
-        reached: () => this.recordReached(info.id),
+        recorded: () => this.decisions.recorded(),
+        reached: () =>
+          this.decisions.recordConfirmed({ kind: 'reached', worker: info.id }),
         ticketRefused: ({ step }) => {
           this.advice.refuse(step, info.id);
         },
@@ -195,16 +174,6 @@
     return link;
   }
 
-  /** Resolves with true once it is recorded that this leader may extend the worker's lease. */
-  private recordReached(worker: string): Promise<boolean> {
-    if (this.ended) {
-      return Promise.resolve(false);
-    }
-    return new Promise(resolve => {
-      this.record({ kind: 'reached', worker }, resolve);
-    });
-  }
-
   private async followInbox(): Promise<void> {
     const { replica } = this.options;
     while (!this.ended) {
@@ -229,15 +198,15 @@
       this.restateOld();
       const now = ctx.clock();
       const idle =
-        this.batch.records.length === 0 && now - wroteAt >= HEARTBEAT_EVERY_MS;
+        this.decisions.isEmpty && now - wroteAt >= HEARTBEAT_EVERY_MS;
       if (idle || now - claimedAt >= CLAIM_REPEAT_MS) {
         this.repeatClaim();
         claimedAt = now;
       }
-      if (this.batch.records.length === 0) {
+      if (this.decisions.isEmpty) {
         continue;
       }
-      if (!(await this.write())) {
+      if (!(await this.decisions.write())) {
         this.end();
         return;
       }
@@ -248,7 +217,7 @@
   private repeatClaim(): void {
     const { ctx, claim } = this.options;
     const { epoch, nonce } = claim;
-    this.record({ kind: 'heartbeat', epoch, host: ctx.host, nonce });
+    this.decisions.record({ kind: 'heartbeat', epoch, host: ctx.host, nonce });
   }
 
   /** Restates jobs whose records the log may soon drop. */
@@ -262,7 +231,7 @@
       const old = nowWall - job.acceptedAtWall > dueMs;
       if (old && now - (job.restatedAt ?? -Infinity) > dueMs) {
         job.restatedAt = now;
-        this.record({ kind: 'restate', image: imageOf(job) });
+        this.decisions.record({ kind: 'restate', image: imageOf(job) });
         count += 1;
         if (count >= RESTATE_BATCH) {
           return;
@@ -271,29 +240,6 @@
     }
   }
 
-  private async write(): Promise<boolean> {
-    const { batch } = this;
-    this.batch = { records: [], effects: [] };
-    this.writing = batch;
-    const result = await this.writer.write(batch.records);
-    this.writing = undefined;
-    const written = result.kind === 'written';
-    if (written) {
-      this.options.replica.wroteJournal(result.nextOffset);
-    }
-    settle(batch, written);
-    return written;
-  }
-
-  private record(entry: JournalRecord, effect?: Effect): void {
-    applyJournal(this.state, entry);
-    this.options.ctx.meters.decided(entry.kind);
-    this.batch.records.push(entry);
-    if (effect !== undefined) {
-      this.batch.effects.push(effect);
-    }
-  }
-
   /** Records the end of a run; does nothing for one that is not open. */
   private recordEnd(run: Run, how: RunEnd, checkpoint: string): void {
     if (this.ended || !run.task.runs.includes(run)) {
@@ -304,7 +250,13 @@
     this.supervisor.noteEnd(run);
     const task = refOf(run.task);
     this.logRun(run, 'leader: a run has ended', { how });
-    this.record({ kind: 'end', task, run: run.number, how, checkpoint });
+    this.decisions.record({
+      kind: 'end',
+      task,
+      run: run.number,
+      how,
+      checkpoint,
+    });
     this.alarm.ring();
   }
 
@@ -350,7 +302,7 @@
       run: number,
       worker,
     };
-    this.record(entry, written => {
+    this.decisions.record(entry, written => {
       const run = task.runs.find(open => open.number === number);
       if (written && run !== undefined) {
         this.order(run);
@@ -403,8 +355,7 @@
 
   private end(): void {
     this.ended = true;
-    settle(this.batch, false);
-    this.writer.close();
+    this.decisions.close();
     this.fleet.close();
     this.options.ctx.log.info(
       { epoch: this.options.claim.epoch },
@@ -413,9 +364,3 @@
     this.resolveDeposed();
   }
 }
-
-function settle(batch: Batch, written: boolean): void {
-  for (const effect of batch.effects) {
-    effect(written);
-  }
-}
