Look again at a worker that was out of reach for longer than its lease

A link looks at its worker only while something runs there. When a worker could not be reached for longer than its lease, its runs were given up and nothing ran there any more; its entry in the registry stayed, since it still reached the store. Nobody looked again, so that it counted as not answering until the leader changed: six of 46 workers stood idle after two cuts.

Ruled out: trust in workers (all were trusted), room (the waiting tasks were the largest), the limit of a step on one worker.

Test: a worker that was out of reach for longer than its lease is used again (fails before).

--- a/packages/daemon/src/job-host/job-host.test.ts
+++ b/packages/daemon/src/job-host/job-host.test.ts
@@ -382,3 +382,24 @@
   assert.deepEqual(site.history.check(), []);
   assert.ok(site.history.isDone(id));
 });
+
+test('a worker that was out of reach for longer than its lease is used again', async () => {
+  const site = new Simulation(26);
+  site.addWorker('w1');
+  const names = ['h1', 'h2', 'h3'];
+  names.forEach(name => site.startHost(name));
+  const id = '0000000000000026';
+  // Longer than a lease, so that no run ends while the worker is out of reach.
+  void site.submit(id, [{ tasks: 2, after: [] }], {
+    runMs: 8_000,
+    failures: 0,
+  });
+  await site.time.advance(2_000);
+  // Its entry in the registry stays: it reaches the store.
+  names.forEach(name => site.fleet.cuts.add(`${name}>w1`));
+  await site.time.advance(12_000);
+  site.fleet.cuts.clear();
+  await site.time.advance(10_000);
+  assert.deepEqual(site.history.check(), []);
+  assert.ok(site.history.isDone(id));
+});
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -178,9 +178,11 @@
     return this.options.runs().runs;
   }
 
+  /** A worker that does not answer is looked at until it does, or has left the registry. */
   private needsLook(): boolean {
     return (
       !this.verified ||
+      !this.answering ||
       this.openRuns().size > 0 ||
       this.recordedUpTo > this.acknowledgedUpTo
     );
