Send no start to a worker that stopped answering or began to leave meanwhile

Cause: orders to one worker wait behind each other. Behind one that got no answer each further start waited and was sent for its own 0.5 s, and reached a worker that may have begun to leave seconds before; none of these tasks could run elsewhere meanwhile.

Change: a start is sent only if the worker still answers and does not leave; else the run is void and the task is placed anew.

--- a/packages/daemon/src/job-host/job-host.test.ts
+++ b/packages/daemon/src/job-host/job-host.test.ts
@@ -403,3 +403,23 @@
   assert.deepEqual(site.history.check(), []);
   assert.ok(site.history.isDone(id));
 });
+
+test('starts that wait behind one without an answer are placed elsewhere at once', async () => {
+  const site = new Simulation(27);
+  site.addWorker('w1');
+  site.addWorker('w2');
+  site.startHost('h1');
+  await site.time.advance(2_500);
+  site.fleet.cuts.add('h1>w1');
+  void site.submit('0000000000000027', [{ tasks: 8, after: [] }], QUICK);
+  await site.time.advance(1_800);
+  const done = site.log
+    .recordsOf('journal')
+    .map(bytes => new TextDecoder().decode(bytes))
+    .filter(text => text.startsWith('["e"') && text.includes('"done"'));
+  // All but the one whose order got no answer.
+  assert.equal(done.length, 7);
+  await site.time.advance(20_000);
+  assert.deepEqual(site.history.check(), []);
+  assert.ok(site.history.isDone('0000000000000027'));
+});
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -120,8 +120,7 @@
     this.alarm.ring();
     this.orders.add(async () => {
       const { task, number } = run;
-      if (!this.options.mayExtend()) {
-        // It would extend the lease beyond what a new leader reckons with.
+      if (!this.maySendStart()) {
         this.giveUpStart(run);
         return;
       }
@@ -138,11 +137,19 @@
     });
   }
 
-  /** Ends a run whose order was held up here until another host may lead; it was never sent. */
+  /**
+   * Orders wait here behind others that get no answer. Meanwhile the worker may have begun to leave,
+   * and a start would extend its lease beyond what a new leader reckons with.
+   */
+  private maySendStart(): boolean {
+    return this.usable && !this.info.leaving && this.options.mayExtend();
+  }
+
+  /** Ends a run whose order was held up here; it was never sent, so that the task may run elsewhere. */
   private giveUpStart(run: Run): void {
     this.options.ctx.log.warn(
       { task: taskName(refOf(run.task)), run: run.number },
-      'worker: a start is too old to be sent',
+      'worker: a start was held up and is not sent',
     );
     this.options.events.ended(run, 'void', '');
   }
