Add tests that fail for hosts that act or answer on what was true before

Three files, one a report; each head tells what was seen, how it came about, the cause and its proof.

The stand-ins gain slow answers, links, leaving workers, a log that can't be read, starts that are refused; the simulation slow hosts.

--- /dev/null
+++ b/packages/daemon/src/job-host/answers-from-replica.test.ts
@@ -0,0 +1,151 @@
+/*
+ * Seen: two hosts told a caller that no job of a queue waits, while 26 and 24 had waited for over
+ * 5 s. How: all hosts had been killed 10 s before; those with a link of 10 Mbit/s received 0.8 MB a
+ * second from the log from then on, and learnt nothing. Causes: a read asked for 1 MiB, several went
+ * on side by side, none arrived within its 1.5 s, and the same was asked for again, without end; and
+ * a host that could not read counted in the copy that it had, so that "nothing known" was told as
+ * "nothing there". Proof: the first test needs nothing but a slow link to keep a host ignorant for
+ * good; each way of answering from a copy that is not up to date gives a wrong number below. The
+ * same gap made a host deny a job whose records it had yet to read.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { Simulation } from './simulation.fixture.test.js';
+
+const QUICK = { runMs: 400, failures: 0 };
+const JOBS = ['00000000000000e1', '00000000000000e2', '00000000000000e3'];
+
+/** Three hosts and no worker, so that every job waits. */
+async function siteWithWaitingJobs(seed: number): Promise<Simulation> {
+  const site = new Simulation(seed);
+  for (const name of ['h1', 'h2', 'h3']) {
+    site.startHost(name);
+  }
+  await site.time.advance(2_500);
+  for (const id of JOBS) {
+    void site.submit(id, [{ tasks: 2, after: [] }], QUICK);
+  }
+  await site.time.advance(1_000);
+  return site;
+}
+
+function follower(site: Simulation): string {
+  const name = [...site.hosts.keys()].find(host => host !== site.leader());
+  assert.ok(name);
+  return name;
+}
+
+/** Asks a host for the length of the queue, and fails on any but the true one. */
+async function assertNotWrong(site: Simulation, name: string): Promise<void> {
+  const asked = site.hosts.get(name)?.host.service.pending('checks');
+  await site.time.advance(2_000);
+  const told: number | undefined = await asked;
+  assert.ok(told === undefined || told === JOBS.length, `told ${told}`);
+}
+
+test('every host tells how many jobs wait', async () => {
+  const site = await siteWithWaitingJobs(1);
+  for (const { host } of site.hosts.values()) {
+    const asked = host.service.pending('checks');
+    await site.time.advance(100);
+    assert.equal(await asked, JOBS.length);
+  }
+});
+
+test('a host that cannot read the log does not tell how many jobs wait', async () => {
+  const site = new Simulation(2);
+  ['h1', 'h2', 'h3'].forEach(name => site.startHost(name));
+  await site.time.advance(2_500);
+  const name = follower(site);
+  site.log.modes.set(name, 'unreadable');
+  for (const id of JOBS) {
+    void site.submit(id, [{ tasks: 2, after: [] }], QUICK);
+  }
+  await site.time.advance(6_000);
+  await assertNotWrong(site, name);
+});
+
+test('a read for another caller that has not ended is waited for', async () => {
+  const site = new Simulation(3);
+  ['h1', 'h2', 'h3'].forEach(name => site.startHost(name));
+  await site.time.advance(2_500);
+  const name = follower(site);
+  site.log.modes.set(name, 'silent');
+  for (const id of JOBS) {
+    void site.submit(id, [{ tasks: 2, after: [] }], QUICK);
+  }
+  await site.time.advance(6_000);
+  void site.hosts.get(name)?.host.service.pending('checks');
+  await site.time.advance(200);
+  await assertNotWrong(site, name);
+});
+
+test('a host that has just ceased to lead does not tell that nothing waits', async () => {
+  const site = await siteWithWaitingJobs(4);
+  const name = site.leader();
+  const service = site.hosts.get(name)?.host.service;
+  void service?.pending('checks');
+  site.log.modes.set(name, 'refusing');
+  await site.time.advance(2_400);
+  void service?.pending('checks');
+  await site.time.advance(100);
+  site.log.modes.delete(name);
+  while (site.leader() === name) {
+    await site.time.advance(10);
+  }
+  for (let at = 0; at < 60; at += 1) {
+    const asked = service?.pending('checks');
+    await site.time.advance(11);
+    const told: number | undefined = await asked;
+    assert.ok(told === undefined || told === JOBS.length, `told ${told}`);
+  }
+});
+
+test('a job whose only start never ran waits', async () => {
+  const site = await siteWithWaitingJobs(5);
+  site.addWorker('w1');
+  site.fleet.refusesStarts = true;
+  await site.time.advance(3_000);
+  for (const name of site.hosts.keys()) {
+    await assertNotWrong(site, name);
+  }
+});
+
+test('a host that has not read the journal denies no job', async () => {
+  const site = await siteWithWaitingJobs(6);
+  await site.time.advance(15_000);
+  // All that is left of the jobs is that the leader has restated them.
+  site.log.trimTo(4);
+  const name = follower(site);
+  site.kill(name);
+  site.log.streamModes.set('journal', 'refusing');
+  site.startHost(name);
+  await site.time.advance(300);
+  const asked = site.hosts.get(name)?.host.service.status(JOBS[0] ?? '');
+  await site.time.advance(1_000);
+  assert.notEqual((await asked)?.kind, 'no_such_job');
+});
+
+test('a host on a slow link learns all that the log keeps', async () => {
+  const site = new Simulation(7);
+  ['h1', 'h2', 'h3'].forEach(name => site.startHost(name));
+  await site.time.advance(2_500);
+  const payload = 'p'.repeat(4_000);
+  const ids = Array.from({ length: 300 }, (_, at) =>
+    (at + 1).toString(16).padStart(16, '0'),
+  );
+  for (const id of ids) {
+    void site.submit(id, [{ tasks: 1, after: [] }], { ...QUICK, payload });
+  }
+  await site.time.advance(12_000);
+  const name = follower(site);
+  site.kill(name);
+  // A mebibyte takes 1.7 s.
+  site.log.links.set(name, 600);
+  site.startHost(name);
+  await site.time.advance(12_000);
+  const asked = site.hosts.get(name)?.host.service.pending('checks');
+  await site.time.advance(1_000);
+  assert.equal(await asked, ids.length);
+});
--- a/packages/daemon/src/job-host/job-host.test.ts
+++ b/packages/daemon/src/job-host/job-host.test.ts
@@ -20,14 +20,6 @@
   return site;
 }
 
-function leaderOf(site: Simulation): string {
-  const records = site.log.recordsOf('journal');
-  const claims = records
-    .map(bytes => JSON.parse(new TextDecoder().decode(bytes)) as unknown[])
-    .filter(([kind]) => kind === 'claim');
-  return String(claims.at(-1)?.[2]);
-}
-
 test('runs the steps of a job in order and shows it as completed', async () => {
   const site = smallSite(1);
   void site.submit('00000000000000a1', TWO_STEPS, QUICK);
@@ -57,11 +49,11 @@
     failures: 0,
   });
   await site.time.advance(3_500);
-  const first = leaderOf(site);
+  const first = site.leader();
   // The tasks end while the leader cannot write, and its workers go on reporting them.
   site.log.modes.set(first, 'refusing');
   await site.time.advance(8_000);
-  assert.notEqual(leaderOf(site), first);
+  assert.notEqual(site.leader(), first);
   assert.deepEqual(site.history.check(), []);
   assert.ok(site.history.isDone('00000000000000a3'));
 });
@@ -69,26 +61,26 @@
 test('another host leads within 2 s of a kill', async () => {
   const site = smallSite(4);
   await site.time.advance(2_000);
-  const first = leaderOf(site);
+  const first = site.leader();
   site.kill(first);
   await site.time.advance(2_000);
-  assert.notEqual(leaderOf(site), first);
+  assert.notEqual(site.leader(), first);
 });
 
 test('a leader that is asked to stop is replaced at once', async () => {
   const site = smallSite(5);
   await site.time.advance(2_000);
-  const first = leaderOf(site);
+  const first = site.leader();
   void site.hosts.get(first)?.host.handOver(3_000);
   await site.time.advance(800);
-  assert.notEqual(leaderOf(site), first);
+  assert.notEqual(site.leader(), first);
 });
 
 test('a leader that was frozen changes nothing when it wakes', async () => {
   const site = smallSite(6);
   void site.submit('00000000000000a6', TWO_STEPS, { runMs: 900, failures: 0 });
   await site.time.advance(1_500);
-  site.freeze(leaderOf(site), 4_000);
+  site.freeze(site.leader(), 4_000);
   await site.time.advance(12_000);
   assert.deepEqual(site.history.check(), []);
   assert.ok(site.history.isDone('00000000000000a6'));
@@ -157,7 +149,7 @@
   void site.submit('0000000000000012', TWO_STEPS, { runMs: 900, failures: 0 });
   await site.time.advance(1_500);
   site.log.streamModes.set('inbox', 'refusing');
-  const first = leaderOf(site);
+  const first = site.leader();
   site.kill(first);
   site.startHost(first);
   await site.time.advance(4_000);
@@ -176,7 +168,7 @@
   await site.time.advance(1_500);
   void site.cancel('0000000000000013');
   await site.time.advance(1_000);
-  site.log.modes.set(leaderOf(site), 'refusing');
+  site.log.modes.set(site.leader(), 'refusing');
   await site.time.advance(12_000);
   assert.deepEqual(site.history.check(), []);
 });
@@ -188,7 +180,7 @@
   await site.time.advance(1_000);
   void site.submit('0000000000000014', [{ tasks: 2, after: [] }], slow);
   await site.time.advance(200);
-  site.log.modes.set(leaderOf(site), 'refusing');
+  site.log.modes.set(site.leader(), 'refusing');
   void site.cancel('0000000000000014');
   await site.time.advance(100);
   site.log.modes.clear();
@@ -208,7 +200,7 @@
   const id = '0000000000000022';
   void site.submit(id, [{ tasks: 2, after: [] }], slow);
   await site.time.advance(200);
-  const first = leaderOf(site);
+  const first = site.leader();
   const other = [...site.hosts].find(([name]) => name !== first)?.[1].host;
   site.freeze(first, 3_400);
   const asked = other?.service.cancel(id, site.time.clock() + 3_000);
@@ -275,7 +267,7 @@
   site.log.trimTo(site.log.recordsOf('journal').length);
   site.startHost('h1');
   await site.time.advance(5_000);
-  assert.equal(leaderOf(site), 'h1');
+  assert.equal(site.leader(), 'h1');
   void site.submit('0000000000000018', TWO_STEPS, QUICK);
   await site.time.advance(5_000);
   assert.ok(site.history.isDone('0000000000000018'));
@@ -314,7 +306,7 @@
   });
   await site.time.advance(1_800);
   site.fleet.crash('w1');
-  site.kill(leaderOf(site));
+  site.kill(site.leader());
   await site.time.advance(15_500);
   assert.deepEqual(site.history.check(), []);
   assert.ok(site.history.isDone(id));
@@ -331,7 +323,7 @@
   await site.time.advance(1_800);
   site.fleet.crash('w1');
   for (const pauseMs of [3_000, 4_000]) {
-    site.kill(leaderOf(site));
+    site.kill(site.leader());
     await site.time.advance(pauseMs);
   }
   await site.time.advance(8_500);
@@ -359,7 +351,7 @@
   const names = ['h1', 'h2', 'h3'];
   names.forEach(name => site.startHost(name));
   await site.time.advance(1_500);
-  const first = leaderOf(site);
+  const first = site.leader();
   const id = '0000000000000025';
   void site.submit(id, [{ tasks: 1, after: [] }], {
     runMs: 6_000,
--- /dev/null
+++ b/packages/daemon/src/job-host/leaving-workers.test.ts
@@ -0,0 +1,82 @@
+/*
+ * Seen: two lasting tasks whose workers had left, as announced, 21 and 24 s before began again both
+ * at the same moment, with room for them all the while. How: hosts that led were killed one after
+ * the other meanwhile. Cause: nothing moved the tasks off a worker that had said that it leaves; they
+ * died with it, and their runs were given up only once a lease had certainly lapsed, a wait that
+ * each new leader began anew with its own claim. Proof: both began 9.2 s after the last claim, which
+ * is the longest lease of an earlier leader; the wait is counted from the claim that followed the last
+ * leader which reached the worker, and the first test ends within it.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import type { Millis } from '@paddlewind/domain';
+
+import { Simulation } from './simulation.fixture.test.js';
+
+const ID = '00000000000000f1';
+const LASTING = { tasks: 4, after: [], lasting: true };
+const ENDLESS = { runMs: 10_000_000, failures: 0 };
+
+async function siteWithLastingJob(seed: number): Promise<Simulation> {
+  const site = new Simulation(seed);
+  for (const name of ['w1', 'w2', 'w3']) {
+    site.addWorker(name);
+  }
+  for (const name of ['h1', 'h2', 'h3', 'h4', 'h5', 'h6']) {
+    site.startHost(name);
+  }
+  void site.submit(ID, [LASTING], ENDLESS);
+  await site.time.advance(3_500);
+  assert.equal(site.history.runningOf(ID), 4);
+  return site;
+}
+
+/** Advances until all four tasks run; fails when that takes longer than `withinMs`. */
+async function assertAllRun(site: Simulation, withinMs: Millis): Promise<void> {
+  const endBy = site.time.clock() + withinMs;
+  while (site.history.runningOf(ID) < 4) {
+    assert.ok(site.time.clock() < endBy, 'a lasting task does not run');
+    await site.time.advance(50);
+  }
+  assert.deepEqual(site.history.check(), []);
+}
+
+test('lasting tasks of lost workers run again however often leaders change', async () => {
+  const site = await siteWithLastingJob(1);
+  // All four are there: the first of equal workers is filled first.
+  site.fleet.crash('w1');
+  for (let change = 0; change < 5; change += 1) {
+    site.kill(site.leader());
+    await site.time.advance(2_200);
+  }
+  // 9.2 s after the first claim, which came 1.4 s after the first kill.
+  await assertAllRun(site, 500);
+});
+
+test('lasting tasks move off a worker that is about to leave', async () => {
+  const site = await siteWithLastingJob(2);
+  site.fleet.announceLeave('w1');
+  await site.time.advance(2_000);
+  site.fleet.crash('w1');
+  await assertAllRun(site, 50);
+});
+
+test('a new leader moves lasting tasks off a worker that is about to leave', async () => {
+  const site = await siteWithLastingJob(3);
+  site.kill(site.leader());
+  site.fleet.announceLeave('w1');
+  await site.time.advance(4_000);
+  site.fleet.crash('w1');
+  await assertAllRun(site, 50);
+});
+
+test('lasting tasks stay on a worker that is about to leave while no other has room', async () => {
+  const site = await siteWithLastingJob(4);
+  for (const name of ['w2', 'w3']) {
+    site.fleet.crash(name);
+  }
+  site.fleet.announceLeave('w1');
+  await site.time.advance(6_000);
+  assert.equal(site.history.runningOf(ID), 4);
+});
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -6,6 +6,7 @@
   type Random,
 } from '@paddlewind/domain';
 import {
+  decodeJournal,
   PLAIN_STEP,
   type JobSpec,
   type StepSpec,
@@ -41,6 +42,10 @@
   readonly host: JobHost;
   alive: boolean;
   thawsAt: Instant;
+  /** Time that the process takes for each event: a timer, an answer. */
+  eventMs: Millis;
+  /** When it has dealt with all events so far. */
+  busyUntil: Instant;
 }
 
 /** A step of a job in a test. */
@@ -81,7 +86,12 @@
 
   /** Starts a host, or starts it again. */
   startHost(name: string): JobHost {
-    const started = { alive: true, thawsAt: 0 } as SimulatedHost;
+    const started = {
+      alive: true,
+      thawsAt: 0,
+      eventMs: 0,
+      busyUntil: 0,
+    } as SimulatedHost;
     const schedule = (delay: Millis, task: () => void): (() => void) =>
       this.time.schedule(delay, () => {
         this.runIn(started, task);
@@ -128,6 +138,14 @@
     }
   }
 
+  /** Makes the process of a host take `eventMs` for each event, one after the other. */
+  slow(name: string, eventMs: Millis): void {
+    const found = this.hosts.get(name);
+    if (found !== undefined) {
+      found.eventMs = eventMs;
+    }
+  }
+
   /** Submits a job through a host, at other hosts again until it is accepted. */
   async submit(
     id: string,
@@ -173,6 +191,15 @@
     }
   }
 
+  /** Name of the host that last claimed the leadership. */
+  leader(): string {
+    const claims = this.log
+      .recordsOf('journal')
+      .map(bytes => decodeJournal(bytes))
+      .filter(record => record.kind === 'claim');
+    return claims.at(-1)?.host ?? '';
+  }
+
   /** Resolves after `span` of virtual time. */
   wait(span: Millis): Promise<void> {
     return new Promise(resolve => {
@@ -191,7 +218,17 @@
       });
       return;
     }
-    task();
+    if (host.eventMs === 0) {
+      task();
+      return;
+    }
+    const now = this.time.clock();
+    host.busyUntil = Math.max(now, host.busyUntil) + host.eventMs;
+    this.time.schedule(host.busyUntil - now, () => {
+      if (host.alive) {
+        task();
+      }
+    });
   }
 
   /** Delivers results only while the host's process runs. */
--- /dev/null
+++ b/packages/daemon/src/job-host/waiting-orders.test.ts
@@ -0,0 +1,63 @@
+/*
+ * Seen: on a fleet of 350 workers a task began 4.1 s after its job's cancellation was confirmed,
+ * where 4 s are allowed, and tasks whose end had been acknowledged began again a second later.
+ * How: a leader without processor time to spare sends its orders late; each waits for the answer to
+ * the one before it. Cause: a start was checked against the job's state when it was recorded, not
+ * when it was sent. Proof: one slow worker brings the same about with a leader that has time to
+ * spare, and both are gone once the check is made at the moment of sending.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { Simulation, type TestStep } from './simulation.fixture.test.js';
+
+const ID = '00000000000000d1';
+/** Below the timeout of an order, so that the worker counts as answering. */
+const SLOW_MS = 450;
+
+/** Two hosts and two workers, one of which is slow to answer orders. */
+async function siteWithSlowWorker(
+  seed: number,
+  slow: 'w1' | 'w2',
+): Promise<Simulation> {
+  const site = new Simulation(seed);
+  site.addWorker('w1');
+  site.addWorker('w2');
+  site.startHost('h1');
+  site.startHost('h2');
+  await site.time.advance(2_500);
+  site.fleet.slowness.set(slow, SLOW_MS);
+  return site;
+}
+
+const SMALL = { cpuMilli: 200, memoryMiB: 10, accelerators: 0 };
+const MANY: TestStep = { tasks: 40, after: [], size: SMALL };
+
+test('a start that waits is not sent once its job is cancelled', async () => {
+  const site = await siteWithSlowWorker(1, 'w1');
+  void site.submit(ID, [MANY], { runMs: 20_000, failures: 0 });
+  await site.time.advance(600);
+  void site.cancel(ID);
+  await site.time.advance(20_000);
+  assert.deepEqual(site.history.check(), []);
+});
+
+test('a start that waits is not sent while cancellations cannot be read', async () => {
+  const site = await siteWithSlowWorker(2, 'w1');
+  void site.submit(ID, [MANY], { runMs: 20_000, failures: 0 });
+  await site.time.advance(200);
+  site.log.streamModes.set('inbox', 'unreadable');
+  void site.cancel(ID);
+  await site.time.advance(20_000);
+  assert.deepEqual(site.history.check(), []);
+});
+
+test('a copy that waits is not sent once its task is done', async () => {
+  // The tasks fill the first worker, so that their copies go to the slow one.
+  const site = await siteWithSlowWorker(3, 'w2');
+  const steps = [{ ...MANY, tasks: 20, speculative: true, estimateMs: 400 }];
+  void site.submit(ID, steps, { runMs: 2_600, failures: 0 });
+  await site.time.advance(30_000);
+  assert.deepEqual(site.history.check(), []);
+  assert.ok(site.history.isDone(ID));
+});
--- a/packages/stand-ins/src/jobs/job-history.ts
+++ b/packages/stand-ins/src/jobs/job-history.ts
@@ -150,6 +150,13 @@
     return done.size === tasks;
   }
 
+  /** Number of a job's runs that have not ended. */
+  runningOf(id: string): number {
+    return [...this.runs.values()].filter(
+      ({ task, endedAt }) => task.job === id && endedAt === Infinity,
+    ).length;
+  }
+
   private allowsCopies([first]: readonly RunTrace[]): boolean {
     const task = first?.task;
     const step = this.jobs.get(task?.job ?? '')?.steps[task?.step ?? 0];
--- a/packages/stand-ins/src/jobs/memory-fleet.ts
+++ b/packages/stand-ins/src/jobs/memory-fleet.ts
@@ -24,10 +24,15 @@
 export class MemoryFleet {
   /** Share of the orders that are not answered and arrive late. */
   lateShare = 0;
+  /** Whether every start is rejected for want of room. */
+  refusesStarts = false;
   /** Pairs `host>worker` that cannot reach each other. */
   readonly cuts = new Set<string>();
+  /** Time by machine that an order takes beyond the network, in milliseconds; below a timeout. */
+  readonly slowness = new Map<string, number>();
 
   private readonly workers = new Map<string, MemoryWorker>();
+  private readonly leaving = new Set<string>();
   /** Present life by address. */
   private readonly lives = new Map<string, string>();
 
@@ -52,6 +57,11 @@
     this.workers.get(id ?? '')?.crash();
   }
 
+  /** Announces that the life at an address is about to end. */
+  announceLeave(machine: string): void {
+    this.leaving.add(this.lives.get(machine) ?? '');
+  }
+
   /** Returns the worker that lives at an address. */
   at(machine: string): MemoryWorker | undefined {
     return this.workers.get(this.lives.get(machine) ?? '');
@@ -65,7 +75,7 @@
         for (const [address, id] of this.lives) {
           const worker = this.workers.get(id);
           if (worker !== undefined) {
-            value.push(infoOf(address, worker.traits));
+            value.push(infoOf(address, worker.traits, this.leaving.has(id)));
           }
         }
         return Promise.resolve({ kind: 'value', value });
@@ -76,7 +86,12 @@
   /** The workers as `host` reaches them. */
   connect(host: string): WorkerPort {
     return {
-      start: (to, order) => this.order(host, to, worker => worker.start(order)),
+      start: (to, order) =>
+        this.order(host, to, worker =>
+          this.refusesStarts
+            ? { kind: 'rejected', why: 'no_room', clock: worker.clock }
+            : worker.start(order),
+        ),
       stop: (to, order) => this.order(host, to, worker => worker.stop(order)),
       throttle: (to, order) =>
         this.order(host, to, worker => ({
@@ -116,7 +131,7 @@
       return { kind: 'replaced' };
     }
     const result = carryOut(worker);
-    await this.pause(WAY_MS);
+    await this.pause(WAY_MS + (this.slowness.get(to.address) ?? 0));
     if (this.reach(host, to) === undefined) {
       await this.pause(TIMEOUT_MS);
       return { kind: 'unknown', reason: 'timeout' };
@@ -160,7 +175,11 @@
   }
 }
 
-function infoOf(address: string, traits: WorkerTraits): WorkerInfo {
+function infoOf(
+  address: string,
+  traits: WorkerTraits,
+  leaving: boolean,
+): WorkerInfo {
   return {
     id: traits.id,
     address,
@@ -169,6 +188,6 @@
     rack: undefined,
     labels: [],
     capacity: traits.capacity,
-    leaving: false,
+    leaving,
   };
 }
--- a/packages/stand-ins/src/jobs/memory-job-log.ts
+++ b/packages/stand-ins/src/jobs/memory-job-log.ts
@@ -1,5 +1,5 @@
 /** The log of jobs in memory: stamps, late effects, lost answers, and hosts that it does not serve. */
-import type { Clock, Random, Schedule } from '@paddlewind/domain';
+import type { Clock, Instant, Random, Schedule } from '@paddlewind/domain';
 import type {
   AppendResult,
   JobLog,
@@ -18,7 +18,9 @@
   /** No call arrives. */
   | 'silent'
   /** Every other append is carried out at once or later, and is not answered. */
-  | 'losing';
+  | 'losing'
+  /** Appends are carried out; reads are refused. */
+  | 'unreadable';
 
 /** Time and chance under a test's control. */
 export interface SimulatedTime {
@@ -33,6 +35,9 @@
 const ANSWER_MS = 3;
 /** Longest time after which an append that was not answered is carried out, in milliseconds. */
 const LATEST_MS = 6_000;
+/** Most bytes that a read brings. */
+const READ_BYTES = 1_048_576;
+
 /** One log for all hosts of a test. */
 export class MemoryJobLog {
   /** Modes of hosts; all others are served. */
@@ -40,6 +45,9 @@
   /** Modes of streams, for all hosts. */
   readonly streamModes = new Map<JobStream, LogMode>();
 
+  /** Bytes in a millisecond by host that its link carries; other links take no time. */
+  readonly links = new Map<string, number>();
+
   /** How many of the next appends to the inbox are carried out and not answered. */
   loseNext = 0;
 
@@ -48,6 +56,8 @@
     journal: new LogPartition(),
   };
 
+  private readonly linkFreeAt = new Map<string, Instant>();
+
   /** Creates an empty log. */
   constructor(private readonly time: SimulatedTime) {}
 
@@ -118,7 +128,7 @@
     waitMs: number,
   ): Promise<ReadResult> {
     const mode = this.modeOf(host, name);
-    if (mode === 'refusing' || mode === 'silent') {
+    if (mode !== 'up' && mode !== 'losing') {
       await this.pause(mode === 'silent' ? TIMEOUT_MS : ANSWER_MS);
       return { kind: 'unavailable', reason: mode };
     }
@@ -130,14 +140,35 @@
     if (stream.records.length <= from && waitMs > 0) {
       await this.nextRecord(stream, waitMs);
     }
+    const records = firstBytes(stream.records.slice(from), READ_BYTES);
+    if (!(await this.transfer(host, records))) {
+      return { kind: 'unavailable', reason: 'timeout' };
+    }
     return {
       kind: 'records',
-      records: stream.records.slice(from),
+      records,
       offset: from,
       endOffset: stream.records.length,
     };
   }
 
+  /** Carries records over the host's link, one read after the other; false once the caller gave up. */
+  private async transfer(
+    host: string,
+    records: readonly Uint8Array[],
+  ): Promise<boolean> {
+    const rate = this.links.get(host);
+    if (rate === undefined) {
+      return true;
+    }
+    const now = this.time.clock();
+    const begins = Math.max(now, this.linkFreeAt.get(host) ?? now);
+    const ends = Math.min(begins + sizeOf(records) / rate, now + TIMEOUT_MS);
+    this.linkFreeAt.set(host, Math.max(begins, ends));
+    await this.pause(ends - now);
+    return ends < now + TIMEOUT_MS;
+  }
+
   private nextRecord(stream: LogPartition, waitMs: number): Promise<void> {
     return new Promise(resolve => {
       const cancel = this.time.schedule(waitMs, resolve);
@@ -154,3 +185,20 @@
     });
   }
 }
+
+/** The first records of `all` that fit in `bytes`, and at least one. */
+function firstBytes(
+  all: readonly Uint8Array[],
+  bytes: number,
+): readonly Uint8Array[] {
+  let left = bytes;
+  const end = all.findIndex(record => {
+    left -= record.length;
+    return left < 0;
+  });
+  return end === -1 ? all : all.slice(0, Math.max(1, end));
+}
+
+function sizeOf(records: readonly Uint8Array[]): number {
+  return records.reduce((sum, { length }) => sum + length, 0);
+}
--- a/packages/stand-ins/src/jobs/memory-worker.ts
+++ b/packages/stand-ins/src/jobs/memory-worker.ts
@@ -24,6 +24,8 @@
   readonly runMs: Millis;
   /** How many runs of each task fail before one is done. */
   readonly failures: number;
+  /** Only makes the job larger. */
+  readonly payload?: string;
 }
 
 /** How a worker behaves. */
