Read the log in portions that the link carries, and answer only from a copy that is up to date

Their readiness failed, so that the balancer took all of the zone's hosts, and queue lengths were counted in an empty copy: 0 told while 11 and 13 jobs waited.

Class: a deadline on a whole transfer that is begun anew, and a failed read taken for an empty answer.

Change: portions of 64 KiB to 1 MiB by the time that answers take; one read a stream for all who ask; lengths at most 1.9 s old or refused; readiness once both streams were read to their ends; anew after a gap; failed reads are logged.

Ruled out: starts that were recorded and never sent as the cause of that report (the hosts knew of no job at all), the store (it answered every call).

--- a/packages/daemon/src/job-host/answers-from-replica.test.ts
+++ b/packages/daemon/src/job-host/answers-from-replica.test.ts
@@ -38,7 +38,7 @@
 
 /** Asks a host for the length of the queue, and fails on any but the true one. */
 async function assertNotWrong(site: Simulation, name: string): Promise<void> {
-  const asked = site.hosts.get(name)?.host.service.pending('checks');
+  const asked = site.hosts.get(name)?.host.service.queueLength('checks');
   await site.time.advance(2_000);
   const told: number | undefined = await asked;
   assert.ok(told === undefined || told === JOBS.length, `told ${told}`);
@@ -47,7 +47,7 @@
 test('every host tells how many jobs wait', async () => {
   const site = await siteWithWaitingJobs(1);
   for (const { host } of site.hosts.values()) {
-    const asked = host.service.pending('checks');
+    const asked = host.service.queueLength('checks');
     await site.time.advance(100);
     assert.equal(await asked, JOBS.length);
   }
@@ -76,7 +76,7 @@
     void site.submit(id, [{ tasks: 2, after: [] }], QUICK);
   }
   await site.time.advance(6_000);
-  void site.hosts.get(name)?.host.service.pending('checks');
+  void site.hosts.get(name)?.host.service.queueLength('checks');
   await site.time.advance(200);
   await assertNotWrong(site, name);
 });
@@ -85,19 +85,23 @@
   const site = await siteWithWaitingJobs(4);
   const name = site.leader();
   const service = site.hosts.get(name)?.host.service;
-  void service?.pending('checks');
+  assert.ok(service);
+  void service.queueLength('checks');
   site.log.modes.set(name, 'refusing');
   await site.time.advance(2_400);
-  void service?.pending('checks');
+  void service.queueLength('checks');
   await site.time.advance(100);
   site.log.modes.delete(name);
   while (site.leader() === name) {
     await site.time.advance(10);
   }
+  const asked: Promise<number | undefined>[] = [];
   for (let at = 0; at < 60; at += 1) {
-    const asked = service?.pending('checks');
+    asked.push(service.queueLength('checks'));
     await site.time.advance(11);
-    const told: number | undefined = await asked;
+  }
+  await site.time.advance(2_000);
+  for (const told of await Promise.all(asked)) {
     assert.ok(told === undefined || told === JOBS.length, `told ${told}`);
   }
 });
@@ -106,7 +110,9 @@
   const site = await siteWithWaitingJobs(5);
   site.addWorker('w1');
   site.fleet.refusesStarts = true;
-  await site.time.advance(3_000);
+  await site.time.advance(1_500);
+  site.fleet.announceLeave('w1');
+  await site.time.advance(2_000);
   for (const name of site.hosts.keys()) {
     await assertNotWrong(site, name);
   }
@@ -145,7 +151,31 @@
   site.log.links.set(name, 600);
   site.startHost(name);
   await site.time.advance(12_000);
-  const asked = site.hosts.get(name)?.host.service.pending('checks');
+  const asked = site.hosts.get(name)?.host.service.queueLength('checks');
   await site.time.advance(1_000);
   assert.equal(await asked, ids.length);
 });
+
+test('a host that missed records which the log has dropped reads all anew', async () => {
+  const site = new Simulation(8);
+  ['h1', 'h2', 'h3'].forEach(name => site.startHost(name));
+  await site.time.advance(2_500);
+  const id = JOBS[0] ?? '';
+  void site.submit(id, [{ tasks: 2, after: [] }], QUICK);
+  await site.time.advance(2_000);
+  const name = follower(site);
+  const service = site.hosts.get(name)?.host.service;
+  void service?.status(id);
+  await site.time.advance(500);
+  site.log.modes.set(name, 'silent');
+  // The job ends while the host hears nothing, and the records of that are dropped.
+  site.addWorker('w1');
+  await site.time.advance(4_000);
+  site.log.trimTo(site.log.recordsOf('journal').length);
+  await site.time.advance(12_000);
+  site.log.modes.delete(name);
+  await site.time.advance(6_000);
+  const asked = service?.status(id);
+  await site.time.advance(1_500);
+  assert.deepEqual(await asked, { kind: 'known', status: 'completed' });
+});
--- a/packages/daemon/src/job-host/decision-log.ts
+++ b/packages/daemon/src/job-host/decision-log.ts
@@ -93,7 +93,8 @@
     const result = await this.writer.write(batch.records);
     this.writing = undefined;
     const written = result.kind === 'written';
-    if (written) {
+    // Once this host has ceased to lead its copy is read anew from the log.
+    if (written && !this.closed) {
       this.replica.wroteJournal(result.nextOffset);
     }
     settle(batch, written);
--- a/packages/daemon/src/job-host/job-service.ts
+++ b/packages/daemon/src/job-host/job-service.ts
@@ -2,12 +2,13 @@
 import type { Instant, Millis } from '@paddlewind/domain';
 import {
   encodeRecord,
+  hasBegun,
   statusOf,
   type InboxRecord,
   type JobSpec,
   type JobStatus,
 } from '@paddlewind/domain/jobs';
-import type { AppendResult, JobLog } from '@paddlewind/ports/jobs';
+import type { AppendResult, JobLog, JobStream } from '@paddlewind/ports/jobs';
 
 import { pause, type HostContext } from './context.js';
 import type { Leader } from './leader.js';
@@ -35,25 +36,20 @@
 const SECOND_TRY_MS: Millis = 450;
 /** Time after which an unknown outcome is told: below half of what callers wait. */
 const GIVE_UP_MS: Millis = 1_300;
-/** Age up to which a queue's length may be told without reading. */
-const PENDING_AGE_MS = 700;
+/** Age of this host's copy from which it is read on before a queue's length is told. */
+const LENGTH_REREAD_MS: Millis = 700;
+/** Oldest copy in which a queue's length may be counted; the users allow 2 s. */
+const LENGTH_AGE_MS: Millis = 1_900;
 
 /** The service that entry hosts offer to callers. */
 export class JobService {
-  private readonly refreshInbox: () => Promise<boolean>;
-  private readonly refreshJournal: () => Promise<boolean>;
-  private pendingReadAt: Instant = -Infinity;
-
   /** Creates the service; `leader` is this host's, while it leads. */
   constructor(
     private readonly ctx: HostContext,
     private readonly jobLog: JobLog,
     private readonly replica: Replica,
     private readonly leader: () => Leader | undefined,
-  ) {
-    this.refreshInbox = coalesce(() => replica.refresh('inbox'));
-    this.refreshJournal = coalesce(() => replica.refresh('journal'));
-  }
+  ) {}
 
   /** Accepts a job once it is recorded; a repeat changes nothing. */
   async submit(job: JobSpec, deadline: Instant): Promise<ChangeResult> {
@@ -82,14 +78,8 @@
     if (found !== 'known') {
       return { kind: found === 'unknown' ? 'no_such_job' : 'unavailable' };
     }
-    const leading = this.leader();
-    if (leading !== undefined) {
-      const recorded = leading.recorded();
-      if ((await within(this.ctx, recorded, GIVE_UP_MS)) !== true) {
-        return { kind: 'unavailable' };
-      }
-    } else if (!isFinal(this.replica, job)) {
-      await this.refreshJournal();
+    if (!isFinal(this.replica, job) && !(await this.isUpToDate('journal'))) {
+      return { kind: 'unavailable' };
     }
     const known = this.replica.state.jobs.get(job);
     return known === undefined
@@ -97,25 +87,52 @@
       : { kind: 'known', status: statusOf(known) };
   }
 
-  /** Number of accepted jobs of a queue for which nothing has begun. */
-  async pending(queue: string): Promise<number> {
-    const now = this.ctx.clock();
-    if (now - this.pendingReadAt > PENDING_AGE_MS) {
-      this.pendingReadAt = now;
-      await this.refreshInbox();
-      if (this.leader() === undefined) {
-        await this.refreshJournal();
-      }
+  /**
+   * Number of accepted jobs of a queue of which nothing has begun; undefined while this host can't know
+   * it. What is told is at most `LENGTH_AGE_MS` old.
+   */
+  async queueLength(queue: string): Promise<number | undefined> {
+    if (!(await this.isRecent())) {
+      return undefined;
     }
     let count = 0;
     for (const job of this.replica.state.open) {
-      if (!job.begun && job.spec.terms.queue === queue) {
+      if (!hasBegun(job) && job.spec.terms.queue === queue) {
         count += 1;
       }
     }
     return count;
   }
 
+  /** Whether this host's copy is recent enough to count in, if need be after reading on. */
+  private async isRecent(): Promise<boolean> {
+    const { ctx, replica } = this;
+    const age = (): Millis => {
+      const journalAt =
+        this.leader() === undefined ? replica.knownAsOf('journal') : Infinity;
+      return ctx.clock() - Math.min(replica.knownAsOf('inbox'), journalAt);
+    };
+    if (age() > LENGTH_REREAD_MS) {
+      // A read that fails or does not end in time leaves the copy as old as it was.
+      await Promise.all([
+        within(ctx, replica.refresh('inbox'), GIVE_UP_MS),
+        this.isUpToDate('journal'),
+      ]);
+    }
+    return age() <= LENGTH_AGE_MS;
+  }
+
+  /** Reads a stream to its end; false when that fails or takes too long. The leader knows its journal. */
+  private async isUpToDate(stream: JobStream): Promise<boolean> {
+    const { ctx, replica } = this;
+    const leading = this.leader();
+    const work =
+      leading !== undefined && stream === 'journal'
+        ? leading.recorded()
+        : replica.refresh(stream);
+    return (await within(ctx, work, GIVE_UP_MS)) === true;
+  }
+
   private async change(
     record: InboxRecord,
     job: string,
@@ -165,11 +182,14 @@
     job: string,
   ): Promise<'known' | 'unknown' | 'unavailable'> {
     const { replica } = this;
-    if (replica.state.jobs.has(job)) {
-      return 'known';
-    }
-    if (!(await this.refreshInbox())) {
-      return 'unavailable';
+    for (const stream of ['inbox', 'journal'] as const) {
+      if (replica.state.jobs.has(job)) {
+        return 'known';
+      }
+      // A job whose submission is no longer kept is told of by the journal only.
+      if (!(await this.isUpToDate(stream))) {
+        return 'unavailable';
+      }
     }
     return replica.state.jobs.has(job) ? 'known' : 'unknown';
   }
@@ -201,28 +221,3 @@
   const [a, b] = await Promise.all([first, second]);
   return a.kind === 'appended' ? a : b;
 }
-
-/** Runs `read` for all who ask while one is under way, once more after it. */
-function coalesce(read: () => Promise<boolean>): () => Promise<boolean> {
-  let running: Promise<boolean> | undefined;
-  let queued: Promise<boolean> | undefined;
-
-  async function runNext(): Promise<boolean> {
-    await running;
-    queued = undefined;
-    running = read();
-    try {
-      return await running;
-    } finally {
-      running = undefined;
-    }
-  }
-
-  return () => {
-    if (running === undefined && queued === undefined) {
-      queued = runNext();
-    }
-    queued ??= runNext();
-    return queued;
-  };
-}
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -178,7 +178,9 @@
     const { replica } = this.options;
     while (!this.ended) {
       const before = replica.nextOffset('inbox');
-      if (!(await replica.refresh('inbox', INBOX_WAIT_MS))) {
+      if (replica.lostTrack) {
+        this.end();
+      } else if (!(await replica.readToEnd('inbox', INBOX_WAIT_MS))) {
         await pause(this.options.ctx, INBOX_RETRY_MS);
       } else if (replica.nextOffset('inbox') !== before) {
         this.alarm.ring();
@@ -192,6 +194,9 @@
     let claimedAt = ctx.clock();
     while (!this.ended) {
       await this.alarm.wait(PLAN_EVERY_MS);
+      if (this.isOver()) {
+        return;
+      }
       this.giveUpUnregistered();
       this.supervisor.stopNeedless();
       this.plan();
@@ -275,7 +280,7 @@
 
   private plan(): void {
     const { ctx, replica } = this.options;
-    if (ctx.clock() - replica.inboxReadAt > INBOX_STALE_MS) {
+    if (ctx.clock() - replica.knownAsOf('inbox') > INBOX_STALE_MS) {
       return;
     }
     const input: PlanInput = {
@@ -353,6 +358,10 @@
     }
   }
 
+  private isOver(): boolean {
+    return this.ended;
+  }
+
   private end(): void {
     this.ended = true;
     this.decisions.close();
--- a/packages/daemon/src/job-host/leadership.ts
+++ b/packages/daemon/src/job-host/leadership.ts
@@ -42,8 +42,15 @@
   const patience = LEADER_SILENCE_MS + ctx.random() * CLAIM_SPREAD_MS;
   while (!stopped()) {
     const before = ctx.clock();
+    if (replica.lostTrack) {
+      replica.reset();
+    }
     const read = await replica.refresh('journal');
     const readTook = ctx.clock() - before;
+    if (read && !replica.isComplete) {
+      // A follower needs the inbox only for jobs that the journal names; callers ask for all.
+      await replica.refresh('inbox');
+    }
     if (read && isLeaderless(ctx, replica, patience + 2 * readTook)) {
       const won = await claim(ctx, jobLog, replica, claims);
       if (won !== undefined) {
@@ -133,6 +140,9 @@
     !(await replica.refresh('journal')) ||
     replica.nextOffset('journal') < nextOffset
   ) {
+    if (replica.lostTrack) {
+      return undefined;
+    }
     await pause(ctx, APPEND_RETRY_MS);
   }
   const { claim: newest } = replica.state;
--- a/packages/daemon/src/job-host/metered-ports.ts
+++ b/packages/daemon/src/job-host/metered-ports.ts
@@ -25,10 +25,10 @@
   return {
     append: (stream, records, stamp) =>
       time(`append ${stream}`, log.append(stream, records, stamp)),
-    read: (stream, from, waitMs) => {
+    read: (stream, from, limits) => {
       // A read that waits tells nothing of how fast the log is.
-      const call = waitMs > 0 ? `wait ${stream}` : `read ${stream}`;
-      return time(call, log.read(stream, from, waitMs));
+      const call = limits.waitMs > 0 ? `wait ${stream}` : `read ${stream}`;
+      return time(call, log.read(stream, from, limits));
     },
   };
 }
--- a/packages/daemon/src/job-host/replica.ts
+++ b/packages/daemon/src/job-host/replica.ts
@@ -1,5 +1,5 @@
 /** A host's copy of the state of jobs, folded from inbox and journal. */
-import type { Instant } from '@paddlewind/domain';
+import type { Instant, Millis } from '@paddlewind/domain';
 import {
   applyInbox,
   applyJournal,
@@ -13,7 +13,9 @@
 import type { JobLog, JobStream, ReadResult } from '@paddlewind/ports/jobs';
 
 import { ClaimTimes } from './claim-times.js';
+import { coalesce } from './coalesce.js';
 import type { HostContext } from './context.js';
+import { Portion } from './portion.js';
 
 /** How much of a stream a read has brought. */
 type Taken = 'all' | 'more' | 'none';
@@ -23,13 +25,25 @@
   state: JobsState = emptyJobsState();
   /** Monotonic time at which records of the journal last arrived. */
   journalHeardAt: Instant;
-  /** Monotonic time at which the last read of the inbox to its end was sent. */
-  inboxReadAt: Instant = -Infinity;
   /** Monotonic time at which the log last answered. */
   contactAt: Instant = -Infinity;
+  /** Whether the log has dropped records that this copy lacks, so that it has to be read anew. */
+  lostTrack = false;
 
   private readonly claimTimes = new ClaimTimes();
   private readonly next: Record<JobStream, number> = { inbox: 0, journal: 0 };
+  private readonly readAt: Record<JobStream, Instant> = {
+    inbox: -Infinity,
+    journal: -Infinity,
+  };
+  private readonly portions: Record<JobStream, Portion> = {
+    inbox: new Portion(),
+    journal: new Portion(),
+  };
+  private readonly refreshes: Record<JobStream, () => Promise<boolean>> = {
+    inbox: coalesce(() => this.readToEnd('inbox', 0)),
+    journal: coalesce(() => this.readToEnd('journal', 0)),
+  };
   private resets = 0;
   /** Whether reading began after records that the log has dropped. */
   private trimmed = false;
@@ -47,13 +61,34 @@
     return this.next[stream];
   }
 
+  /**
+   * Monotonic time as of which all records of a stream are known: that at which the last read to its
+   * end was sent; `-Infinity` before the first.
+   */
+  knownAsOf(stream: JobStream): Instant {
+    return this.readAt[stream];
+  }
+
+  /** Whether all that the log keeps has been read once, so that what is not known is not there. */
+  get isComplete(): boolean {
+    return Math.min(this.readAt.inbox, this.readAt.journal) > -Infinity;
+  }
+
+  /**
+   * Reads what is new, to the end of the stream; false when the log did not answer. All who ask at the
+   * same time share a read: several at once would share the link, so that none may arrive in time.
+   */
+  refresh(stream: JobStream): Promise<boolean> {
+    return this.refreshes[stream]();
+  }
+
   /** Reads what is new, waiting up to `waitMs` for it; false when the log did not answer. */
-  async refresh(stream: JobStream, waitMs = 0): Promise<boolean> {
+  async readToEnd(stream: JobStream, waitMs: Millis): Promise<boolean> {
     const { resets } = this;
     let wait = waitMs;
     for (;;) {
       const sentAt = this.ctx.clock();
-      const found = await this.jobLog.read(stream, this.next[stream], wait);
+      const found = await this.read(stream, wait);
       if (this.resets !== resets || found.kind === 'unavailable') {
         return false;
       }
@@ -66,6 +101,26 @@
     }
   }
 
+  private async read(stream: JobStream, waitMs: Millis): Promise<ReadResult> {
+    const { ctx, jobLog } = this;
+    const portion = this.portions[stream];
+    const from = this.next[stream];
+    const maxBytes = portion.bytes;
+    const sentAt = ctx.clock();
+    const found = await jobLog.read(stream, from, { waitMs, maxBytes });
+    const took = ctx.clock() - sentAt;
+    if (found.kind === 'unavailable') {
+      portion.noteFailure();
+      ctx.log.warn(
+        { stream, from, maxBytes, took, reason: found.reason },
+        'replica: a read failed',
+      );
+    } else if (found.kind === 'records' && found.endOffset > from) {
+      portion.noteAnswer(took - waitMs, found.records.length);
+    }
+    return found;
+  }
+
   /**
    * Monotonic time after which no leader before the present one has extended the lease of a worker,
    * but for what its own lease allows; infinite for one that the present leader has reached.
@@ -102,7 +157,10 @@
     this.state = emptyJobsState();
     this.next.inbox = 0;
     this.next.journal = 0;
+    this.readAt.inbox = -Infinity;
+    this.readAt.journal = -Infinity;
     this.trimmed = false;
+    this.lostTrack = false;
     this.journalHeardAt = this.ctx.clock();
   }
 
@@ -111,6 +169,11 @@
     found: Exclude<ReadResult, { kind: 'unavailable' }>,
     sentAt: Instant,
   ): Promise<Taken> {
+    if (found.kind === 'trimmed' && this.next[stream] > 0) {
+      // What they changed of the jobs known here is told nowhere else.
+      this.lostTrack = true;
+      return 'none';
+    }
     if (found.kind === 'trimmed') {
       // What matters of them is restated in the journal.
       this.ctx.log.warn(
@@ -123,13 +186,14 @@
     }
     if (stream === 'inbox') {
       this.takeInbox(found.offset, found.records);
-      if (this.next.inbox >= found.endOffset) {
-        this.inboxReadAt = Math.max(this.inboxReadAt, sentAt);
-      }
     } else if (!(await this.takeJournal(found.offset, found.records))) {
       return 'none';
     }
-    return this.next[stream] >= found.endOffset ? 'all' : 'more';
+    if (this.next[stream] < found.endOffset) {
+      return 'more';
+    }
+    this.readAt[stream] = Math.max(this.readAt[stream], sentAt);
+    return 'all';
   }
 
   private takeInbox(offset: number, records: readonly Uint8Array[]): void {
--- a/packages/daemon/src/job-host/start-job-host.ts
+++ b/packages/daemon/src/job-host/start-job-host.ts
@@ -99,6 +99,7 @@
   const ready = (): boolean =>
     !stopping &&
     follower.config !== undefined &&
+    replica.isComplete &&
     ctx.clock() - replica.contactAt < CONTACT_LOST_MS;
 
   return {
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -83,7 +83,7 @@
     return false;
   }
   openRun(state, task, record.run, record.worker);
-  task.step.occurrence.job.begun = true;
+  task.step.occurrence.job.starts += 1;
   return true;
 }
 
@@ -100,6 +100,9 @@
     return true;
   }
   closeRun(state, run);
+  if (record.how === 'void') {
+    task.step.occurrence.job.starts -= 1;
+  }
   if (record.checkpoint !== '') {
     saveCheckpoint(task, record.checkpoint);
   }
--- a/packages/domain/src/jobs/job.ts
+++ b/packages/domain/src/jobs/job.ts
@@ -116,8 +116,8 @@
   overAt: Instant | undefined;
   /** Monotonic time at which this leader last restated it. */
   restatedAt: Instant | undefined;
-  /** Whether any task has ever begun. */
-  begun: boolean;
+  /** Recorded starts, less those of runs that never began. */
+  starts: number;
 }
 
 /** Creates a job without occurrences. */
@@ -137,7 +137,7 @@
     failed: false,
     overAt: undefined,
     restatedAt: undefined,
-    begun: false,
+    starts: 0,
   };
 }
 
@@ -197,6 +197,11 @@
   return job.cancelled || job.failed || job.remaining === 0;
 }
 
+/** Tells whether any task has begun, as far as is known. */
+export function hasBegun(job: Job): boolean {
+  return job.starts > 0;
+}
+
 /** Returns the state that callers are shown. */
 export function statusOf(job: Job): JobStatus {
   if (job.remaining === 0) {
@@ -208,5 +213,5 @@
   if (job.failed) {
     return 'failed';
   }
-  return job.begun ? 'running' : 'queued';
+  return hasBegun(job) ? 'running' : 'queued';
 }
--- a/packages/domain/src/jobs/restate.ts
+++ b/packages/domain/src/jobs/restate.ts
@@ -32,14 +32,14 @@
   readonly remaining: number;
   readonly cancelled: boolean;
   readonly failed: boolean;
-  readonly begun: boolean;
+  readonly starts: number;
   /** Steps by number of the occurrence. */
   readonly occurrences: readonly (readonly [number, readonly StepRow[]])[];
 }
 
 /** Returns the image of a job. */
 export function imageOf(job: Job): JobImage {
-  const { spec, acceptedAtWall, remaining, cancelled, failed, begun } = job;
+  const { spec, acceptedAtWall, remaining, cancelled, failed, starts } = job;
   const occurrences = [...job.occurrences.values()].map(
     ({ number, steps }) => [number, steps.map(stepRow)] as const,
   );
@@ -49,7 +49,7 @@
     remaining,
     cancelled,
     failed,
-    begun,
+    starts,
     occurrences,
   };
 }
@@ -77,7 +77,7 @@
   const job = newJob(image.spec, image.acceptedAtWall, state.jobs.size);
   job.cancelled = image.cancelled;
   job.failed = image.failed;
-  job.begun = image.begun;
+  job.starts = image.starts;
   job.remaining = image.remaining;
   state.jobs.set(id, job);
   for (const [number, rows] of image.occurrences) {
--- a/packages/ports/src/jobs/job-log.ts
+++ b/packages/ports/src/jobs/job-log.ts
@@ -42,6 +42,14 @@
   | { readonly kind: 'trimmed'; readonly firstOffset: number }
   | { readonly kind: 'unavailable'; readonly reason: string };
 
+/** How a read waits, and how much it brings. */
+export interface ReadLimits {
+  /** Longest wait for a record, in milliseconds; 0 for none. */
+  readonly waitMs: number;
+  /** Most bytes of records that are brought. */
+  readonly maxBytes: number;
+}
+
 /** Appends to and reads from the streams. */
 export interface JobLog {
   append(
@@ -49,6 +57,10 @@
     records: readonly Uint8Array[],
     stamp?: WriterStamp,
   ): Promise<AppendResult>;
-  /** Waits up to `waitMs` for a record at `from` or later. */
-  read(stream: JobStream, from: number, waitMs: number): Promise<ReadResult>;
+  /** Returns the records at `from` and later, as far as `limits` allow. */
+  read(
+    stream: JobStream,
+    from: number,
+    limits: ReadLimits,
+  ): Promise<ReadResult>;
 }
--- a/packages/stand-ins/src/jobs/log-partition.ts
+++ b/packages/stand-ins/src/jobs/log-partition.ts
@@ -4,6 +4,19 @@
 /** Appends whose repetition gets the first answer again. */
 const REMEMBERED = 5;
 
+/** The first records of `all` that fit in `bytes`, and at least one. */
+export function firstBytes(
+  all: readonly Uint8Array[],
+  bytes: number,
+): readonly Uint8Array[] {
+  let left = bytes;
+  const end = all.findIndex(record => {
+    left -= record.length;
+    return left < 0;
+  });
+  return end === -1 ? all : all.slice(0, Math.max(1, end));
+}
+
 interface Writer {
   readonly epoch: number;
   readonly sequence: number;
--- a/packages/stand-ins/src/jobs/memory-job-log.ts
+++ b/packages/stand-ins/src/jobs/memory-job-log.ts
@@ -4,11 +4,12 @@
   AppendResult,
   JobLog,
   JobStream,
+  ReadLimits,
   ReadResult,
   WriterStamp,
 } from '@paddlewind/ports/jobs';
 
-import { LogPartition } from './log-partition.js';
+import { firstBytes, LogPartition } from './log-partition.js';
 
 /** How the log treats one host. */
 export type LogMode =
@@ -35,9 +36,6 @@
 const ANSWER_MS = 3;
 /** Longest time after which an append that was not answered is carried out, in milliseconds. */
 const LATEST_MS = 6_000;
-/** Most bytes that a read brings. */
-const READ_BYTES = 1_048_576;
-
 /** One log for all hosts of a test. */
 export class MemoryJobLog {
   /** Modes of hosts; all others are served. */
@@ -66,7 +64,7 @@
     return {
       append: (stream, records, stamp) =>
         this.append(host, stream, records, stamp),
-      read: (stream, from, waitMs) => this.read(host, stream, from, waitMs),
+      read: (stream, from, limits) => this.read(host, stream, from, limits),
     };
   }
 
@@ -125,7 +123,7 @@
     host: string,
     name: JobStream,
     from: number,
-    waitMs: number,
+    { waitMs, maxBytes }: ReadLimits,
   ): Promise<ReadResult> {
     const mode = this.modeOf(host, name);
     if (mode !== 'up' && mode !== 'losing') {
@@ -140,7 +138,7 @@
     if (stream.records.length <= from && waitMs > 0) {
       await this.nextRecord(stream, waitMs);
     }
-    const records = firstBytes(stream.records.slice(from), READ_BYTES);
+    const records = firstBytes(stream.records.slice(from), maxBytes);
     if (!(await this.transfer(host, records))) {
       return { kind: 'unavailable', reason: 'timeout' };
     }
@@ -186,19 +184,6 @@
   }
 }
 
-/** The first records of `all` that fit in `bytes`, and at least one. */
-function firstBytes(
-  all: readonly Uint8Array[],
-  bytes: number,
-): readonly Uint8Array[] {
-  let left = bytes;
-  const end = all.findIndex(record => {
-    left -= record.length;
-    return left < 0;
-  });
-  return end === -1 ? all : all.slice(0, Math.max(1, end));
-}
-
 function sizeOf(records: readonly Uint8Array[]): number {
   return records.reduce((sum, { length }) => sum + length, 0);
 }
--- a/packages/stand-ins/src/users-platform/store-server.ts
+++ b/packages/stand-ins/src/users-platform/store-server.ts
@@ -3,7 +3,7 @@
 
 import type { Listener } from '../http/json-server.js';
 import { sleep } from '../http/timers.js';
-import { LogPartition } from '../jobs/log-partition.js';
+import { firstBytes, LogPartition } from '../jobs/log-partition.js';
 import {
   jsonReply,
   startRawServer,
@@ -16,6 +16,9 @@
 
 /** Longest wait of a read, in milliseconds. */
 const MAX_WAIT_MS = 30_000;
+/** What a read brings at most unless it says otherwise, in kibibytes. */
+const MAX_READ_KB = 1_024;
+const BYTES_PER_KB = 1_024;
 const LENGTH_BYTES = 4;
 const OFFSET_BYTES = 8;
 const REFUSED = 503;
@@ -140,11 +143,13 @@
     });
     await Promise.race([arrived, sleep(waitMs)]);
   }
+  const maxBytes = BYTES_PER_KB * Number(query.get('maxKb') ?? MAX_READ_KB);
+  const records = firstBytes(partition.records.slice(from), maxBytes);
   const head = Buffer.alloc(2 * OFFSET_BYTES);
   head.writeBigUInt64BE(BigInt(partition.records.length), 0);
   return {
     status: 200,
-    body: Buffer.concat([head, frame(partition.records.slice(from))]),
+    body: Buffer.concat([head, frame(records)]),
   };
 }
 
