Add meters of how long starts wait, of starts given up and of refusals

Cause: a leader of a large fleet acts on what was true when work was queued, and neither logs nor metrics tell how far behind it is.

Change: histograms of the time from the decision on a start until it is sent and of the age of the reading of the inbox then; counters of starts given up and of refused requests, each by a closed list of reasons. The bounds of the histograms hold the ages that decide: 2.5 s (the inbox is stale) and 4 s (the leader extends no lease any more). Only the meters: nothing calls them yet.

--- /dev/null
+++ b/packages/daemon/src/job-host/meters.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { Registry } from 'prom-client';
+
+import { createJobMeters, type JobMeters } from './meters.js';
+
+/** Returns the samples that `use` leaves, as lines of the text format. */
+async function samplesAfter(
+  use: (meters: JobMeters) => void,
+): Promise<string[]> {
+  const registry = new Registry();
+  use(createJobMeters(registry));
+  return (await registry.metrics()).split('\n');
+}
+
+function assertHas(lines: readonly string[], wanted: readonly string[]): void {
+  assert.deepEqual(
+    wanted.filter(line => !lines.includes(line)),
+    [],
+  );
+}
+
+test('a sent start tells its wait and the age of the inbox', async () => {
+  const lines = await samplesAfter(({ startSent }) => {
+    startSent(40, 2_600);
+    startSent(4_000, 90);
+  });
+  assertHas(lines, [
+    'paddlewind_jobs_start_wait_seconds_bucket{le="0.05"} 1',
+    'paddlewind_jobs_start_wait_seconds_bucket{le="2.5"} 1',
+    'paddlewind_jobs_start_wait_seconds_bucket{le="4"} 2',
+    'paddlewind_jobs_start_wait_seconds_sum 4.04',
+    'paddlewind_jobs_start_inbox_age_seconds_bucket{le="0.1"} 1',
+    'paddlewind_jobs_start_inbox_age_seconds_bucket{le="2.5"} 1',
+    'paddlewind_jobs_start_inbox_age_seconds_bucket{le="4"} 2',
+    'paddlewind_jobs_start_inbox_age_seconds_count 2',
+  ]);
+});
+
+test('starts given up are counted by reason', async () => {
+  const lines = await samplesAfter(({ startGivenUp }) => {
+    startGivenUp('stale');
+    startGivenUp('worker');
+    startGivenUp('stale');
+  });
+  assertHas(lines, [
+    'paddlewind_jobs_starts_given_up_total{reason="stale"} 2',
+    'paddlewind_jobs_starts_given_up_total{reason="worker"} 1',
+  ]);
+});
+
+test('refusals are counted by what was asked for and why', async () => {
+  const lines = await samplesAfter(({ refused }) => {
+    refused('queue_length', 'stale');
+    refused('status', 'log_away');
+    refused('status', 'log_away');
+  });
+  assertHas(lines, [
+    'paddlewind_jobs_refused_total{what="queue_length",why="stale"} 1',
+    'paddlewind_jobs_refused_total{what="status",why="log_away"} 2',
+  ]);
+});
--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -9,6 +9,22 @@
 /** Why a run was ordered to stop. */
 export type StopReason = 'needless' | 'stalled' | 'slowed';
 
+/**
+ * Why a start that was decided on is not sent: its run is over, nobody needs it, what it was decided on
+ * is too old, or its worker does not answer or leaves.
+ */
+export type StartGivenUp = 'over' | 'needless' | 'stale' | 'worker';
+
+/** What a caller asked for that was refused. */
+export type RefusedRequest = 'queue_length' | 'status' | 'submit' | 'cancel';
+
+/**
+ * Why a request was refused: there is no configuration yet, the log does not answer, the log refused
+ * the append, what this host has read is too old, or the leader's decisions were not recorded in time.
+ */
+export type RefusalReason =
+  'no_config' | 'log_away' | 'log_refused' | 'stale' | 'unrecorded';
+
 /** What a job host counts. */
 export interface JobMeters {
   /** A caller's request was answered with an HTTP status after `span`. */
@@ -26,6 +42,12 @@
   readonly ended: (how: RunEnd) => void;
   /** A run was ordered to stop. */
   readonly stopped: (reason: StopReason) => void;
+  /** A start was sent `wait` after its decision, when the leader's reading of the inbox was `inboxAge` old. */
+  readonly startSent: (wait: Millis, inboxAge: Millis) => void;
+  /** A start that was decided on is not sent. */
+  readonly startGivenUp: (reason: StartGivenUp) => void;
+  /** A caller's request was refused; nothing was recorded of it. */
+  readonly refused: (what: RefusedRequest, why: RefusalReason) => void;
 }
 
 /** What is read when the metrics are asked for. */
@@ -46,10 +68,70 @@
   0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.5, 3,
 ];
 
+/**
+ * Upper bounds in seconds of how far this host is behind: nothing starts on an inbox read 2.5 s ago, and
+ * a leader that the log has not confirmed for 4 s extends no lease.
+ */
+const BEHIND_BUCKETS = [
+  0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 4, 10,
+];
+
 const MS_PER_S = 1000;
 
 /** Registers the counters and histograms. */
 export function createJobMeters(registry: Registry): JobMeters {
+  return { ...createWorkMeters(registry), ...createLagMeters(registry) };
+}
+
+type LagMeters = Pick<JobMeters, 'startSent' | 'startGivenUp' | 'refused'>;
+
+/** Registers what tells how far this host is behind, and what it turns down. */
+function createLagMeters(registry: Registry): LagMeters {
+  const behind = (name: string, help: string): Histogram =>
+    new Histogram({
+      name: `paddlewind_jobs_${name}_seconds`,
+      help,
+      buckets: BEHIND_BUCKETS,
+      registers: [registry],
+    });
+  const startWait = behind(
+    'start_wait',
+    'Time from the decision on a start until it was sent to its worker.',
+  );
+  const inboxAge = behind(
+    'start_inbox_age',
+    'Age of the reading of the inbox when a start was sent.',
+  );
+  const givenUp = new Counter({
+    name: 'paddlewind_jobs_starts_given_up_total',
+    help: 'Starts that were decided on and not sent, by reason.',
+    labelNames: ['reason'],
+    registers: [registry],
+  });
+  const refusals = new Counter({
+    name: 'paddlewind_jobs_refused_total',
+    help: 'Requests of callers that were refused, by what was asked for and why.',
+    labelNames: ['what', 'why'],
+    registers: [registry],
+  });
+  return {
+    startSent: (wait, age) => {
+      startWait.observe(wait / MS_PER_S);
+      inboxAge.observe(age / MS_PER_S);
+    },
+    startGivenUp: reason => {
+      givenUp.inc({ reason });
+    },
+    refused: (what, why) => {
+      refusals.inc({ what, why });
+    },
+  };
+}
+
+/** Registers what tells of the work that this host does. */
+function createWorkMeters(
+  registry: Registry,
+): Omit<JobMeters, keyof LagMeters> {
   const registers = [registry];
   const requests = new Histogram({
     name: 'paddlewind_jobs_request_duration_seconds',
