Tell how late timers of the process fire, and when its loop was held up

Cause: whether a host is behind since its process is busy, paused or without a processor showed neither in its metrics nor in its log.

Change: a timer in the background samples every 250 ms how late it fires, into the histogram paddlewind_jobs_loop_delay_seconds. Over 500 ms a line says `daemon: the loop was held up` with the span, once a second at most.

Weighed: perf_hooks' monitorEventLoopDelay, read at the scrape. Without a reset its longest delay only grows, so that no line can be written from it.

--- /dev/null
+++ b/packages/daemon/src/job-host/loop-delay.test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict';
+import { spawnSync } from 'node:child_process';
+import { test } from 'node:test';
+
+import type { Millis } from '@paddlewind/domain';
+import { pino } from 'pino';
+
+import { LOOP_SAMPLE_EVERY_MS, watchLoop } from './loop-delay.js';
+
+interface Line {
+  readonly msg: string;
+  readonly delayMs: Millis;
+  readonly untold: number;
+}
+
+/** A loop whose timers fire as late as the test says. */
+class Loop {
+  now = 0;
+  readonly delays: Millis[] = [];
+  readonly lines: Line[] = [];
+  readonly stop: () => void;
+  private task: (() => void) | undefined;
+  private dueAt = 0;
+
+  constructor() {
+    this.stop = watchLoop({
+      clock: () => this.now,
+      schedule: (delay, task) => {
+        this.task = task;
+        this.dueAt = this.now + delay;
+        return () => {
+          this.task = undefined;
+        };
+      },
+      log: pino(
+        {},
+        {
+          write: text => {
+            this.lines.push(JSON.parse(text) as Line);
+          },
+        },
+      ),
+      delayed: delay => {
+        this.delays.push(delay);
+      },
+    });
+  }
+
+  /** Fires the timer that waits, `late` milliseconds after it was due. */
+  fire(late: Millis): void {
+    this.now = this.dueAt + late;
+    this.task?.();
+  }
+
+  get waits(): boolean {
+    return this.task !== undefined;
+  }
+}
+
+test('each sample is how late its timer fired', () => {
+  const loop = new Loop();
+  for (const late of [0, 3, 700, 0]) {
+    loop.fire(late);
+  }
+  assert.deepEqual(loop.delays, [0, 3, 700, 0]);
+  assert.equal(loop.now, 4 * LOOP_SAMPLE_EVERY_MS + 703);
+});
+
+test('a timer that fires early is not late', () => {
+  const loop = new Loop();
+  loop.fire(-0.5);
+  assert.deepEqual(loop.delays, [0]);
+});
+
+test('a loop held up for over half a second is told with the span', () => {
+  const loop = new Loop();
+  loop.fire(500);
+  assert.equal(loop.lines.length, 0);
+  loop.fire(501);
+  assert.equal(loop.lines.length, 1);
+  assert.equal(loop.lines[0]?.msg, 'daemon: the loop was held up');
+  assert.equal(loop.lines[0].delayMs, 501);
+  assert.equal(loop.lines[0].untold, 0);
+});
+
+test('it is told once a second at most, with what was left out', () => {
+  const loop = new Loop();
+  for (let sample = 0; sample < 100; sample += 1) {
+    loop.fire(501);
+  }
+  const untold = loop.lines.reduce((sum, line) => sum + line.untold, 0);
+  assert.equal(loop.lines.length, 50);
+  assert.equal(untold, 49);
+  assert.equal(loop.delays.length, 100);
+});
+
+test('a stopped watch samples no more', () => {
+  const loop = new Loop();
+  assert.equal(loop.waits, true);
+  loop.stop();
+  assert.equal(loop.waits, false);
+});
+
+test('the watch keeps no process alive', () => {
+  const module = new URL('./loop-delay.js', import.meta.url).href;
+  const script = `
+    const { scheduleInBackground } = await import(${JSON.stringify(module)});
+    scheduleInBackground(2 ** 30, () => undefined);
+  `;
+  const ended = spawnSync(
+    process.execPath,
+    ['--input-type=module', '--eval', script],
+    { timeout: 60_000 },
+  );
+  assert.equal(ended.status, 0);
+});
--- a/packages/daemon/src/job-host/meters.test.ts
+++ b/packages/daemon/src/job-host/meters.test.ts
@@ -61,3 +61,16 @@
     'paddlewind_jobs_refused_total{what="status",why="log_away"} 2',
   ]);
 });
+
+test('delays of the loop are kept in seconds', async () => {
+  const lines = await samplesAfter(({ loopDelayed }) => {
+    loopDelayed(1);
+    loopDelayed(750);
+  });
+  assertHas(lines, [
+    'paddlewind_jobs_loop_delay_seconds_bucket{le="0.002"} 1',
+    'paddlewind_jobs_loop_delay_seconds_bucket{le="0.5"} 1',
+    'paddlewind_jobs_loop_delay_seconds_bucket{le="1"} 2',
+    'paddlewind_jobs_loop_delay_seconds_sum 0.751',
+  ]);
+});
--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -48,6 +48,8 @@
   readonly startGivenUp: (reason: StartGivenUp) => void;
   /** A caller's request was refused; nothing was recorded of it. */
   readonly refused: (what: RefusedRequest, why: RefusalReason) => void;
+  /** A timer of the process fired late by `delay`. */
+  readonly loopDelayed: (delay: Millis) => void;
 }
 
 /** What is read when the metrics are asked for. */
@@ -83,7 +85,10 @@
   return { ...createWorkMeters(registry), ...createLagMeters(registry) };
 }
 
-type LagMeters = Pick<JobMeters, 'startSent' | 'startGivenUp' | 'refused'>;
+type LagMeters = Pick<
+  JobMeters,
+  'startSent' | 'startGivenUp' | 'refused' | 'loopDelayed'
+>;
 
 /** Registers what tells how far this host is behind, and what it turns down. */
 function createLagMeters(registry: Registry): LagMeters {
@@ -94,6 +99,10 @@
       buckets: BEHIND_BUCKETS,
       registers: [registry],
     });
+  const loopDelay = behind(
+    'loop_delay',
+    'How late a timer of the process fired, sampled every 250 ms.',
+  );
   const startWait = behind(
     'start_wait',
     'Time from the decision on a start until it was sent to its worker.',
@@ -125,6 +134,9 @@
     refused: (what, why) => {
       refusals.inc({ what, why });
     },
+    loopDelayed: delay => {
+      loopDelay.observe(delay / MS_PER_S);
+    },
   };
 }
 
