Work out the speeds of fillers once a round, and order only steps with waiting tasks

Change: what is left beside a serving step, and the pressure of a pair of images, are worked out once a round; a worker that can't win even at full speed is passed over; steps without a waiting task are not ordered; the adviser looks only at jobs that need advice.

Ruled out: the sort of candidates (0.6 % of the profile), encoding (1 %).

--- a/packages/daemon/src/job-host/adviser.ts
+++ b/packages/daemon/src/job-host/adviser.ts
@@ -38,11 +38,11 @@
 
   private nextQuestion(input: PlanInput): Question | undefined {
     const { state, workers, times, time } = input;
-    for (const { step } of candidates(state.open, times, time)) {
+    const asking = [...state.open].filter(
+      ({ spec }) => spec.terms.advice !== undefined,
+    );
+    for (const { step } of candidates(asking, times, time)) {
       const { terms } = step.occurrence.job.spec;
-      if (terms.advice === undefined) {
-        continue;
-      }
       const fitting = workers
         .filter(({ info }) => info.service === terms.service)
         .filter(({ info }) =>
--- a/packages/domain/src/jobs/interference.ts
+++ b/packages/domain/src/jobs/interference.ts
@@ -9,6 +9,7 @@
  */
 import type { Instant, Millis } from '../core/time.js';
 import { Estimates, type Drift, type Estimate } from './estimate.js';
+import { FillerSpeeds, HARMLESS_GAIN } from './filler-speeds.js';
 import type { Run, Step } from './job.js';
 import type { WorkerRuns } from './jobs-state.js';
 import type { StepSpec } from './spec.js';
@@ -42,8 +43,6 @@
 /** Standard deviations added to a pressure when a filler is placed, and when it is limited. */
 const PLACE_CAUTION = 0.3;
 const LIMIT_CAUTION = 0.3;
-/** Gain of a load, as a share of it, below which a filler is taken not to disturb. */
-const HARMLESS_GAIN = 0.02;
 /**
  * A task over its target for this long has every filler that presses on it paused, and after twice
  * as long every filler beside it: it may be disturbed for some 4 s on end at most.
@@ -106,20 +105,20 @@
 
   /** Share of its speed, 0 to 1, at which one more filler could run beside what is there. */
   speedOf(load: WorkerRuns, cpuMilli: number, filler: StepSpec): number {
-    let speed = 1;
-    const taken = filler.size.cpuMilli / cpuMilli;
-    const fillers = fillersOf(load);
-    for (const { task } of servingOf(load)) {
-      const { step } = task;
-      const { mean, variance } = this.pressureOf(step.spec, filler);
-      const gain = (mean + PLACE_CAUTION * Math.sqrt(variance)) * taken;
-      if (gain > HARMLESS_GAIN) {
-        const free = this.freeGain(step, PLACE_MARGIN);
-        const left = free - this.gainBy(step, fillers, cpuMilli);
-        speed = Math.min(speed, left / gain);
-      }
-    }
-    return Math.max(0, speed);
+    return this.speeds().of(load, cpuMilli, filler);
+  }
+
+  /** Returns the speeds of further fillers for as long as runs only begin and nothing is learnt. */
+  speeds(): FillerSpeeds {
+    return new FillerSpeeds({
+      leftBeside: (serving, load, cpuMilli) =>
+        this.freeGain(serving, PLACE_MARGIN) -
+        this.gainBy(serving, fillersOf(load), cpuMilli),
+      pressure: (serving, filler) => {
+        const { mean, variance } = this.pressureOf(serving, filler);
+        return mean + PLACE_CAUTION * Math.sqrt(variance);
+      },
+    });
   }
 
   /** Tells whether fillers leave a serving task so little room that its next swing may use it up. */
--- a/packages/domain/src/jobs/order.ts
+++ b/packages/domain/src/jobs/order.ts
@@ -41,7 +41,7 @@
 }
 
 /**
- * Returns the steps that may start tasks: lower priority numbers first; within one number tasks that
+ * Returns the steps with tasks that may start: lower priority numbers first; within one number tasks that
  * end before those that last; within those what can still meet its objective, then what is late but
  * still worth something, and last what is overdue; within that what is
  * nearest to its end, so that overload leaves few occurrences half done; and of those alike the one
@@ -94,6 +94,12 @@
   times: RunTimes,
   time: PlanTime,
 ): Candidate[] {
+  const ready = occurrence.steps.filter(
+    step => step.remaining > 0 && isReady(step) && hasWaiting(step),
+  );
+  if (ready.length === 0) {
+    return [];
+  }
   const { terms } = occurrence.job.spec;
   const beginning = beginningOf(occurrence, time);
   const allowedMs =
@@ -108,9 +114,11 @@
     progress: progressOf(occurrence, times),
     latestStart,
   };
-  return occurrence.steps
-    .filter(step => step.remaining > 0 && isReady(step))
-    .map(step => ({ step, ...shared }));
+  return ready.map(step => ({ step, ...shared }));
+}
+
+function hasWaiting({ tasks }: Step): boolean {
+  return tasks.some(({ status }) => status === 'waiting');
 }
 
 function outlookOf(
--- a/packages/domain/src/jobs/placement.ts
+++ b/packages/domain/src/jobs/placement.ts
@@ -1,6 +1,6 @@
 /** Chooses the worker for a task: which may have it, where it has room, and which suits it best. */
 import type { Advice } from './advice.js';
-import type { Interference } from './interference.js';
+import type { FillerSpeeds } from './filler-speeds.js';
 import type { Task } from './job.js';
 import type { WorkerRuns } from './jobs-state.js';
 import type { StepSpec, TaskSize } from './spec.js';
@@ -29,7 +29,7 @@
 /** What a choice goes by. */
 export interface PlaceInput {
   readonly workers: readonly PlanWorker[];
-  readonly interference: Interference;
+  readonly speeds: FillerSpeeds;
   readonly advice: Advice;
   readonly now: Instant;
   /** What runs on a worker, or is about to. */
@@ -56,7 +56,7 @@
     if (!hasRoom(worker.info, load, task.step.spec)) {
       continue;
     }
-    const rank = rankOf(worker, load, task, input.interference);
+    const rank = rankOf(worker, load, task, input.speeds, bestRank);
     if (rank > bestRank) {
       best = worker;
       bestRank = rank;
@@ -170,32 +170,47 @@
   return 1 - left / capacity.cpuMilli;
 }
 
-/** Rates a worker with room for the task; `-Infinity` for one that does not suit it. */
+/**
+ * Rates a worker with room for the task; `-Infinity` for one that does not suit it, or that cannot
+ * be rated above `least`.
+ */
 function rankOf(
   worker: PlanWorker,
   load: WorkerRuns,
   task: Task,
-  interference: Interference,
+  speeds: FillerSpeeds,
+  least: number,
 ): number {
   const { info } = worker;
   const { spec } = task.step;
   const { cpuMilli } = info.capacity;
-  let rank = baseRank(info.capacity, load, spec);
-  if (spec.filler && load.servingCpuMilli > 0) {
-    const speed = interference.speedOf(load, cpuMilli, spec);
-    if (speed < MIN_SPEED) {
-      return -Infinity;
-    }
-    rank += Math.min(1, speed);
+  const rank = baseRank(info.capacity, load, spec);
+  if (!spec.filler || load.servingCpuMilli === 0) {
+    return adjusted(rank, worker, task);
   }
-  if (spec.dataRack !== undefined && info.rack === spec.dataRack) {
-    rank += NEAR_DATA_BONUS;
+  // Speeds take long to work out, and most workers are behind the best one even at full speed.
+  if (adjusted(rank + 1, worker, task) <= least) {
+    return -Infinity;
+  }
+  const speed = speeds.of(load, cpuMilli, spec);
+  return speed < MIN_SPEED
+    ? -Infinity
+    : adjusted(rank + Math.min(1, speed), worker, task);
+}
+
+/** Adds to a rank what depends on the worker's rack and on how runs have ended. */
+function adjusted(rank: number, worker: PlanWorker, task: Task): number {
+  const { info, trusted } = worker;
+  const { dataRack } = task.step.spec;
+  let found = rank;
+  if (dataRack !== undefined && info.rack === dataRack) {
+    found += NEAR_DATA_BONUS;
   }
   if (task.failedOn.has(info.id)) {
-    rank -= FAILED_HERE_COST;
+    found -= FAILED_HERE_COST;
   }
-  if (!worker.trusted && task.failures > 0) {
-    rank -= UNTRUSTED_COST;
+  if (!trusted && task.failures > 0) {
+    found -= UNTRUSTED_COST;
   }
-  return rank;
+  return found;
 }
--- /dev/null
+++ b/packages/domain/src/jobs/plan-choice.test.ts
@@ -0,0 +1,215 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { seededRandom } from '../core/random.js';
+import type { Random } from '../core/time.js';
+import { isOver } from './job.js';
+import { workerRuns, type JobsState, type WorkerRuns } from './jobs-state.js';
+import { candidates } from './order.js';
+import { findPlace, planStarts, type PlanInput } from './plan.js';
+import type { StepSpec } from './spec.js';
+import {
+  applyDecision,
+  planInput,
+  startOn,
+  stateOf,
+  taskOf,
+  testJob,
+  testWorker,
+} from './test-support.js';
+
+const SERVING = { lasting: true, tailTargetMs: 50, image: 's' };
+const FILLER = { filler: true, image: 'f' };
+const LARGE = { cpuMilli: 1_200, memoryMiB: 1_000, accelerators: 0 };
+/** A tail that leaves little to fillers, and a low one. */
+const TAILS = [
+  ['near', 22],
+  ['far', 10],
+] as const;
+/** Reports before a filler begins, and after it. */
+const REPORTS = 6;
+/** A tail in milliseconds that shows a filler to press, and leaves room for one that does not. */
+const PRESSED_TAIL = 21;
+const SEEDS = 40;
+const WORKERS = 12;
+
+function pick(random: Random, below: number): number {
+  return Math.floor(random() * below);
+}
+
+function anyStep(random: Random): Partial<StepSpec> {
+  const size = {
+    cpuMilli: 200 * (1 + pick(random, 8)),
+    memoryMiB: 300 * (1 + pick(random, 8)),
+    accelerators: 0,
+  };
+  const tasks = 1 + pick(random, 4);
+  switch (pick(random, 3)) {
+    case 0:
+      return { tasks, size, filler: true, image: `f${pick(random, 3)}` };
+    case 1: {
+      const image = `s${pick(random, 3)}`;
+      return { tasks, size, lasting: true, tailTargetMs: 50, image };
+    }
+    default:
+      return { tasks, size, maxPerWorker: 1 + pick(random, 3) };
+  }
+}
+
+/** Fillers of the first image disturb what serves, others don't. */
+function read({ runs }: WorkerRuns, random: Random): void {
+  const all = [...runs.values()];
+  const disturbed = all.some(({ task }) => task.step.spec.image === 'f0');
+  for (const { task, progress } of all) {
+    if (progress !== undefined) {
+      const { tailTargetMs, size } = task.step.spec;
+      const tail = (disturbed ? 35 : 10) * (1 + random());
+      progress.reading = tailTargetMs === undefined ? size.cpuMilli : tail;
+    }
+  }
+}
+
+/** Jobs of all kinds, of which some run, and tails from which pressures are learnt. */
+function busyInput(random: Random): PlanInput {
+  const jobs = Array.from({ length: 40 }, (_, at) =>
+    testJob(`j${at}`, [anyStep(random)]),
+  );
+  const state = stateOf(...jobs);
+  const workers = Array.from({ length: WORKERS }, (_, at) =>
+    testWorker(`w${at}`, `r${at % 3}`),
+  );
+  const input = planInput(state, workers);
+  for (let at = 0; at < 20; at += 1) {
+    startOn(state, taskOf(state, `j${at}`, 0, 0), `w${pick(random, WORKERS)}`);
+  }
+  for (let report = 1; report <= 4; report += 1) {
+    for (const { info } of workers) {
+      const load = workerRuns(state, info.id);
+      read(load, random);
+      input.interference.learn(load, info.capacity.cpuMilli, 500 * report);
+    }
+  }
+  return input;
+}
+
+function waitingOf(state: JobsState, input: PlanInput): string[] {
+  return candidates(state.open, input.times, input.time)
+    .filter(({ step }) => !isOver(step.occurrence.job))
+    .flatMap(({ step }) => step.tasks.filter(task => task.status === 'waiting'))
+    .filter(task => findPlace(input, task) !== undefined)
+    .map(task => `${task.step.occurrence.job.spec.id}.${task.index}`);
+}
+
+test('a round leaves nothing waiting that has a place', () => {
+  for (let seed = 1; seed <= SEEDS; seed += 1) {
+    const input = busyInput(seededRandom(seed));
+    planStarts(input, decision => {
+      applyDecision(input.state, decision);
+    });
+    assert.deepEqual(waitingOf(input.state, input), [], `seed ${seed}`);
+  }
+});
+
+test('each start goes to the worker that a search on its own would choose', () => {
+  for (let seed = 1; seed <= SEEDS; seed += 1) {
+    const input = busyInput(seededRandom(seed));
+    planStarts(input, decision => {
+      const alone = findPlace(input, decision.task);
+      assert.equal(decision.worker, alone?.info.id, `seed ${seed}`);
+      applyDecision(input.state, decision);
+    });
+  }
+});
+
+test('a choice is that of the best of single workers, each rated on its own', () => {
+  for (let seed = 1; seed <= SEEDS; seed += 1) {
+    const input = busyInput(seededRandom(seed));
+    for (const { step } of candidates(
+      input.state.open,
+      input.times,
+      input.time,
+    )) {
+      const [task] = step.tasks.filter(({ status }) => status === 'waiting');
+      if (task !== undefined) {
+        const best = findPlace(input, task);
+        const suits = input.workers.filter(
+          worker =>
+            findPlace({ ...input, workers: [worker] }, task) !== undefined,
+        );
+        assert.equal(best === undefined, suits.length === 0, `seed ${seed}`);
+        const beaten = suits.every(
+          worker =>
+            worker === best ||
+            findPlace(
+              { ...input, workers: pairOf(input, best, worker) },
+              task,
+            ) === best,
+        );
+        assert.ok(beaten, `seed ${seed}`);
+      }
+    }
+  }
+});
+
+function pairOf(
+  { workers }: PlanInput,
+  a: PlanInput['workers'][number] | undefined,
+  b: PlanInput['workers'][number],
+): PlanInput['workers'] {
+  return workers.filter(worker => worker === a || worker === b);
+}
+
+test('a worker where a filler is faster goes before one that is less promised', () => {
+  const input = planInput(
+    stateOf(
+      testJob('quiet', [SERVING]),
+      testJob('loaded', [{ ...SERVING, size: LARGE }]),
+      testJob('f', [FILLER]),
+    ),
+    [testWorker('near'), testWorker('far')],
+  );
+  const { state, interference } = input;
+  startOn(state, taskOf(state, 'quiet', 0, 0), 'near');
+  startOn(state, taskOf(state, 'loaded', 0, 0), 'far');
+  for (const [worker, tail] of TAILS) {
+    const load = workerRuns(state, worker);
+    for (const { progress } of load.runs.values()) {
+      assert.ok(progress !== undefined);
+      progress.reading = tail;
+    }
+    interference.learn(load, 4_000, 0);
+  }
+  const task = taskOf(state, 'f', 0, 0);
+  assert.equal(findPlace(input, task)?.info.id, 'far');
+});
+
+test('a filler of one image that finds no place keeps none of another from its own', () => {
+  const input = planInput(
+    stateOf(
+      testJob('serves', [SERVING]),
+      testJob('presses', [{ ...FILLER, tasks: 2 }]),
+      testJob('mild', [{ ...FILLER, image: 'mild' }]),
+    ),
+    [testWorker('only')],
+  );
+  const { state, interference } = input;
+  startOn(state, taskOf(state, 'serves', 0, 0), 'only');
+  const load = workerRuns(state, 'only');
+  for (let report = 1; report <= 2 * REPORTS; report += 1) {
+    if (report === REPORTS) {
+      startOn(state, taskOf(state, 'presses', 0, 0), 'only');
+    }
+    for (const { task, progress } of load.runs.values()) {
+      assert.ok(progress !== undefined);
+      const tail = report < REPORTS ? 12 : PRESSED_TAIL;
+      progress.reading = task.step.spec.filler ? 1_000 : tail;
+    }
+    interference.learn(load, 4_000, 500 * report);
+  }
+  const started: string[] = [];
+  planStarts(input, decision => {
+    started.push(decision.task.step.occurrence.job.spec.id);
+    applyDecision(state, decision);
+  });
+  assert.deepEqual(started, ['mild']);
+});
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -75,7 +75,7 @@
   const { state, workers, interference, advice, time } = input;
   return {
     workers,
-    interference,
+    speeds: interference.speeds(),
     advice,
     now: time.now,
     loadOf: worker => workerRuns(state, worker),
