Let large hosts lead before small ones

Change: a host under half a core waits 0.6 s longer before it claims, which is longer than larger ones take to read of the chance and claim. Small sites have 0.675 of a core a host and are as before.

Test: of five small and two large hosts a large one leads while one is there, then a small one.

--- a/packages/daemon/src/job-host/job-host.test.ts
+++ b/packages/daemon/src/job-host/job-host.test.ts
@@ -76,6 +76,21 @@
   assert.notEqual(site.leader(), first);
 });
 
+test('large hosts lead before small ones, which lead where no other does', async () => {
+  const site = new Simulation(29);
+  ['s1', 's2', 's3', 's4', 's5'].forEach(name => site.startHost(name, 0.3));
+  site.startHost('l1', 1.3);
+  site.startHost('l2', 1.3);
+  await site.time.advance(2_000);
+  assert.match(site.leader(), /^l/u);
+  site.kill(site.leader());
+  await site.time.advance(2_500);
+  assert.match(site.leader(), /^l/u);
+  site.kill(site.leader());
+  await site.time.advance(3_000);
+  assert.match(site.leader(), /^s/u);
+});
+
 test('a leader that was frozen changes nothing when it wakes', async () => {
   const site = smallSite(6);
   void site.submit('00000000000000a6', TWO_STEPS, { runMs: 900, failures: 0 });
--- a/packages/daemon/src/job-host/leadership.ts
+++ b/packages/daemon/src/job-host/leadership.ts
@@ -1,5 +1,5 @@
 /** Follows the journal and claims the leadership when its leader has fallen silent. */
-import type { Instant } from '@paddlewind/domain';
+import type { Instant, Millis } from '@paddlewind/domain';
 import { encodeRecord, type JournalRecord } from '@paddlewind/domain/jobs';
 import type { JobLog, WriterStamp } from '@paddlewind/ports/jobs';
 
@@ -9,7 +9,9 @@
   APPEND_RETRY_MS,
   CLAIM_SPREAD_MS,
   FOLLOW_EVERY_MS,
+  LEADER_CORES,
   LEADER_SILENCE_MS,
+  SMALL_HOST_DELAY_MS,
 } from './timing.js';
 
 /** A claim that the log has accepted. */
@@ -31,14 +33,15 @@
 /** How often a claim whose outcome is unknown is repeated. */
 const CLAIM_TRIES = 5;
 
-/** Resolves with a claim once this host leads; undefined once `stopped` tells so. */
+/** Resolves with a claim once this host of `cores` leads; undefined once `stopped` tells so. */
 export async function awaitLeadership(
   ctx: HostContext,
   jobLog: JobLog,
   replica: Replica,
   stopped: () => boolean,
+  cores: number,
 ): Promise<WonClaim | undefined> {
-  const claims = { floor: 0 };
+  const claims = { floor: 0, delayMs: claimDelay(cores) };
   const patience = LEADER_SILENCE_MS + ctx.random() * CLAIM_SPREAD_MS;
   while (!stopped()) {
     const before = ctx.clock();
@@ -76,9 +79,16 @@
   return ctx.clock() - journalHeardAt > patienceMs;
 }
 
-/** Epochs below the floor were refused, though no record that is still kept tells of them. */
 interface Claims {
+  /** Epochs below it were refused, though no record that is still kept tells of them. */
   floor: number;
+  /** How long this host leaves the claim to others. */
+  readonly delayMs: Millis;
+}
+
+/** Large hosts lead before small ones, which lead where no other does. */
+function claimDelay(cores: number): Millis {
+  return cores < LEADER_CORES ? SMALL_HOST_DELAY_MS : 0;
 }
 
 async function claim(
@@ -88,7 +98,7 @@
   claims: Claims,
 ): Promise<WonClaim | undefined> {
   const before = replica.state.claim.epoch;
-  await pause(ctx, ctx.random() * CLAIM_SPREAD_MS);
+  await pause(ctx, claims.delayMs + ctx.random() * CLAIM_SPREAD_MS);
   const read = await replica.refresh('journal');
   if (!read || replica.state.claim.epoch !== before) {
     return undefined;
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -85,7 +85,7 @@
   }
 
   /** Starts a host, or starts it again. */
-  startHost(name: string): JobHost {
+  startHost(name: string, cores = 1): JobHost {
     const started = {
       alive: true,
       thawsAt: 0,
@@ -114,6 +114,7 @@
         ask: () => Promise.resolve({ kind: 'unavailable', reason: 'none' }),
       }),
       maxLeaseMs: MAX_LEASE_MS,
+      cores,
       retentionMs: RETENTION_MS,
       statusMs: STATUS_MS,
     });
--- a/packages/daemon/src/job-host/start-job-host.ts
+++ b/packages/daemon/src/job-host/start-job-host.ts
@@ -29,6 +29,8 @@
   readonly workerPort: () => WorkerPort;
   readonly advicePort: () => AdvicePort;
   readonly maxLeaseMs: Millis;
+  /** Processors of this host. */
+  readonly cores: number;
   /** How long the log keeps records. */
   readonly retentionMs: Millis;
   /** How long the state of a job that is over can be asked for. */
@@ -72,7 +74,13 @@
 
   async function takeTurns(): Promise<void> {
     while (!stopping) {
-      const claim = await awaitLeadership(ctx, jobLog, replica, () => stopping);
+      const claim = await awaitLeadership(
+        ctx,
+        jobLog,
+        replica,
+        () => stopping,
+        options.cores,
+      );
       if (claim === undefined) {
         return;
       }
--- a/packages/daemon/src/job-host/timing.ts
+++ b/packages/daemon/src/job-host/timing.ts
@@ -17,6 +17,10 @@
 export const LEADER_SILENCE_MS: Millis = 1_000;
 /** Spread of claims, so that followers rarely claim at the same moment. */
 export const CLAIM_SPREAD_MS: Millis = 200;
+/** Processors below which a host is small: to lead 350 workers takes 0.4 of a core, as simulated. */
+export const LEADER_CORES = 0.5;
+/** How long small hosts leave a claim to larger ones: these spread theirs over 200 ms, and read every 300 ms. */
+export const SMALL_HOST_DELAY_MS: Millis = 600;
 /** Pause before an append that the log refused is sent again. */
 export const APPEND_RETRY_MS: Millis = 100;
 /**
--- a/packages/stand-ins/src/users-platform/deployment.ts
+++ b/packages/stand-ins/src/users-platform/deployment.ts
@@ -18,6 +18,7 @@
     internalPorts: [0, 0],
     heartbeatMs: 1_100,
     controlMode: 'invocation',
+    limits: { cpuShare: 0.675, cores: 2 },
     bounds: {
       holdMaxMs: MAX_LEASE_MS,
       stopMs: 900,
