--- a/packages/daemon/src/job-host/answers-from-replica.test.ts
+++ b/packages/daemon/src/job-host/answers-from-replica.test.ts
@@ -110,14 +110,53 @@
   const site = await siteWithWaitingJobs(5);
   site.addWorker('w1');
   site.fleet.refusesStarts = true;
-  await site.time.advance(1_500);
-  site.fleet.announceLeave('w1');
-  await site.time.advance(2_000);
+  await site.time.advance(3_000);
   for (const name of site.hosts.keys()) {
     await assertNotWrong(site, name);
   }
 });
 
+test('jobs whose starts wait for their turn are told to wait', async () => {
+  const site = new Simulation(9);
+  site.addWorker('w1');
+  ['h1', 'h2'].forEach(name => site.startHost(name));
+  await site.time.advance(2_500);
+  site.fleet.slowness.set('w1', 450);
+  const size = { cpuMilli: 200, memoryMiB: 10, accelerators: 0 };
+  const ids = Array.from({ length: 20 }, (_, at) =>
+    (at + 1).toString(16).padStart(16, '0'),
+  );
+  for (const id of ids) {
+    const step = { tasks: 1, after: [], size };
+    void site.submit(id, [step], { runMs: 60_000, failures: 0 });
+  }
+  await site.time.advance(5_000);
+  for (const { host } of site.hosts.values()) {
+    const waiting = ids.filter(id => site.history.runningOf(id) === 0).length;
+    const asked = host.service.queueLength('checks');
+    await site.time.advance(200);
+    const told: number | undefined = await asked;
+    assert.ok(told !== undefined && told >= waiting / 2, `${told}, ${waiting}`);
+  }
+});
+
+test('a leader that cannot write tells neither lengths nor ends', async () => {
+  const site = await siteWithWaitingJobs(10);
+  site.addWorker('w1');
+  await site.time.advance(600);
+  const leader = site.hosts.get(site.leader())?.host.service;
+  assert.ok(leader);
+  site.log.streamModes.set('journal', 'refusing');
+  await site.time.advance(1_000);
+  const id = JOBS[0] ?? '';
+  assert.ok(site.history.isDone(id));
+  const status = leader.status(id);
+  const length = leader.queueLength('checks');
+  await site.time.advance(2_000);
+  assert.deepEqual(await status, { kind: 'unavailable' });
+  assert.equal(await length, undefined);
+});
+
 test('a host that has not read the journal denies no job', async () => {
   const site = await siteWithWaitingJobs(6);
   await site.time.advance(15_000);
--- a/packages/daemon/src/job-host/decision-log.ts
+++ b/packages/daemon/src/job-host/decision-log.ts
@@ -52,6 +52,7 @@
 
   /** Applies a decision; `effect` follows once it is recorded, or never will be. */
   record(entry: JournalRecord, effect?: Effect): void {
+    this.state.now = this.ctx.clock();
     applyJournal(this.state, entry);
     this.ctx.meters.decided(entry.kind);
     this.batch.records.push(entry);
--- a/packages/daemon/src/job-host/fleet.ts
+++ b/packages/daemon/src/job-host/fleet.ts
@@ -1,4 +1,5 @@
 /** The leader's links to all registered workers. */
+import type { Instant } from '@paddlewind/domain';
 import type {
   PlanWorker,
   WorkerHealth,
@@ -26,15 +27,23 @@
   private readonly links = new Map<string, WorkerLink>();
   private registered = new Set<string>();
   private closed = false;
+  private readAt: Instant = -Infinity;
 
   /** Creates a fleet without workers. */
   constructor(private readonly options: FleetOptions) {}
 
+  /** Monotonic time as of which the registry is known: that at which its last reading began. */
+  get knownAsOf(): Instant {
+    return this.readAt;
+  }
+
   /** Follows the registry until the fleet is closed. */
   async follow(): Promise<void> {
     while (!this.closed) {
+      const sentAt = this.options.ctx.clock();
       const found = await this.options.feed.refresh();
       if (found.kind === 'value') {
+        this.readAt = sentAt;
         this.take(found.value);
       }
       await pause(this.options.ctx, REGISTRY_EVERY_MS);
--- a/packages/daemon/src/job-host/job-host.fuzz.test.ts
+++ b/packages/daemon/src/job-host/job-host.fuzz.test.ts
@@ -9,6 +9,8 @@
 const HOSTS = ['h1', 'h2', 'h3'];
 const WORKERS = ['w1', 'w2', 'w3', 'w4'];
 const STORM_MS = 16_000;
+/** Time that orders take at a worker that lags: just below their timeout. */
+const LAG_MS = 450;
 /** After the last fault: leases lapse, leaders change, and the work that is left is done. */
 const CALM_MS = 60_000;
 
@@ -26,7 +28,13 @@
     }
   | { kind: 'stream'; stream: JobStream; span: number }
   | { kind: 'cut'; host: string; worker: string; span: number }
-  | { kind: 'crash' | 'hang' | 'fail'; worker: string; span: number }
+  | { kind: 'slow'; host: string; eventMs: number; span: number }
+  | { kind: 'link'; host: string; bytesPerMs: number; span: number }
+  | {
+      kind: 'crash' | 'hang' | 'fail' | 'leave' | 'lag';
+      worker: string;
+      span: number;
+    }
   | { kind: 'late'; share: number; span: number };
 
 const fault: fc.Arbitrary<Fault> = fc.oneof(
@@ -52,10 +60,28 @@
   }),
   fc.record({ kind: fc.constant('cut' as const), host, worker, span }),
   fc.record({
-    kind: fc.constantFrom('crash' as const, 'hang' as const, 'fail' as const),
+    kind: fc.constantFrom(
+      'crash' as const,
+      'hang' as const,
+      'fail' as const,
+      'leave' as const,
+      'lag' as const,
+    ),
     worker,
     span,
   }),
+  fc.record({
+    kind: fc.constant('slow' as const),
+    host,
+    eventMs: fc.constantFrom(5, 30, 60),
+    span,
+  }),
+  fc.record({
+    kind: fc.constant('link' as const),
+    host,
+    bytesPerMs: fc.constantFrom(1, 5),
+    span,
+  }),
   fc.record({
     kind: fc.constant('late' as const),
     share: fc.constantFrom(0.1, 0.4),
@@ -125,6 +151,27 @@
         }
       });
       return;
+    case 'leave':
+      fleet.announceLeave(found.worker);
+      time.schedule(found.span, () => {
+        fleet.crash(found.worker);
+        site.addWorker(found.worker);
+      });
+      return;
+    case 'lag':
+      fleet.slowness.set(found.worker, LAG_MS);
+      time.schedule(found.span, () => fleet.slowness.delete(found.worker));
+      return;
+    case 'slow':
+      site.slow(found.host, found.eventMs);
+      time.schedule(found.span, () => {
+        site.slow(found.host, 0);
+      });
+      return;
+    case 'link':
+      log.links.set(found.host, found.bytesPerMs);
+      time.schedule(found.span, () => log.links.delete(found.host));
+      return;
     case 'hang':
     case 'fail':
       disturb(site, found.kind, found.worker, found.span);
--- a/packages/daemon/src/job-host/job-service.ts
+++ b/packages/daemon/src/job-host/job-service.ts
@@ -81,14 +81,16 @@
     if (found !== 'known') {
       return { kind: found === 'unknown' ? 'no_such_job' : 'unavailable' };
     }
-    if (!isFinal(this.replica, job) && !(await this.isUpToDate('journal'))) {
+    // What a leader knows beyond the journal may never be recorded, also that a job is over.
+    const settled = this.leader() === undefined && this.isFinal(job);
+    if (!settled && !(await this.isUpToDate('journal'))) {
       this.ctx.meters.refused('status', 'unrecorded');
       return { kind: 'unavailable' };
     }
     const known = this.replica.state.jobs.get(job);
     return known === undefined
       ? { kind: 'unavailable' }
-      : { kind: 'known', status: statusOf(known) };
+      : { kind: 'known', status: statusOf(known, this.ctx.clock()) };
   }
 
   /**
@@ -100,9 +102,10 @@
       this.ctx.meters.refused('queue_length', 'stale');
       return undefined;
     }
+    const now = this.ctx.clock();
     let count = 0;
     for (const job of this.replica.state.open) {
-      if (!hasBegun(job) && job.spec.terms.queue === queue) {
+      if (!hasBegun(job, now) && job.spec.terms.queue === queue) {
         count += 1;
       }
     }
@@ -112,16 +115,19 @@
   /** Whether this host's copy is recent enough to count in, if need be after reading on. */
   private async isRecent(): Promise<boolean> {
     const { ctx, replica } = this;
-    const age = (): Millis => {
-      const journalAt =
-        this.leader() === undefined ? replica.knownAsOf('journal') : Infinity;
-      return ctx.clock() - Math.min(replica.knownAsOf('inbox'), journalAt);
-    };
-    if (age() > LENGTH_REREAD_MS) {
-      // A read that fails or does not end in time leaves the copy as old as it was.
-      await Promise.all([this.isUpToDate('inbox'), this.isUpToDate('journal')]);
+    const age = (): Millis =>
+      ctx.clock() -
+      Math.min(replica.knownAsOf('inbox'), replica.knownAsOf('journal'));
+    if (this.leader() === undefined && age() <= LENGTH_REREAD_MS) {
+      return true;
     }
-    return age() <= LENGTH_AGE_MS;
+    const leads = this.leader() !== undefined;
+    // A read that fails or does not end in time leaves the copy as old as it was.
+    const read = await Promise.all([
+      this.isUpToDate('inbox'),
+      this.isUpToDate('journal'),
+    ]);
+    return leads ? read.every(Boolean) : age() <= LENGTH_AGE_MS;
   }
 
   /** Reads a stream to its end; false when that fails or takes too long. The leader knows its journal. */
@@ -180,6 +186,13 @@
     return { kind: 'refused', reason };
   }
 
+  private isFinal(id: string): boolean {
+    const { ctx, replica } = this;
+    const job = replica.state.jobs.get(id);
+    const over = ['completed', 'failed'];
+    return job !== undefined && over.includes(statusOf(job, ctx.clock()));
+  }
+
   private async find(
     job: string,
   ): Promise<'known' | 'unknown' | 'unavailable'> {
@@ -197,11 +210,6 @@
   }
 }
 
-function isFinal({ state }: Replica, id: string): boolean {
-  const job = state.jobs.get(id);
-  return job !== undefined && ['completed', 'failed'].includes(statusOf(job));
-}
-
 /** Resolves with the outcome of `work`, or with undefined after `span`. */
 function within<T>(
   ctx: HostContext,
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -143,6 +143,7 @@
       mayExtend: () =>
         ctx.clock() - this.decisions.confirmedSentAt < LEADER_LEASE_MS,
       inboxAgeMs: () => this.inboxAgeMs(),
+      registryAgeMs: () => ctx.clock() - this.fleet.knownAsOf,
       runs: () => workerRuns(this.state, info.id),
       lookWaitMs: () => this.supervisor.lookWaitMs(info),
       ticketFor: ({ step }) =>
@@ -225,9 +226,14 @@
   }
 
   private repeatClaim(): void {
-    const { ctx, claim } = this.options;
-    const { epoch, nonce } = claim;
-    this.decisions.record({ kind: 'heartbeat', epoch, host: ctx.host, nonce });
+    const { ctx, claim, replica } = this.options;
+    this.decisions.record({
+      kind: 'heartbeat',
+      epoch: claim.epoch,
+      host: ctx.host,
+      nonce: claim.nonce,
+      ages: replica.claimAges(),
+    });
   }
 
   /** Restates jobs whose records the log may soon drop. */
@@ -295,6 +301,7 @@
       interference: this.interference,
       advice: this.advice,
       time: { now: ctx.clock(), nowWall: ctx.wallClock() },
+      moving: this.supervisor.moving(),
     };
     const start: ApplyStart = decision => {
       this.startRun(decision);
--- a/packages/daemon/src/job-host/leadership.ts
+++ b/packages/daemon/src/job-host/leadership.ts
@@ -111,6 +111,7 @@
     epoch,
     host: ctx.host,
     nonce,
+    ages: replica.claimAges(),
   };
   const sentAt = ctx.clock();
   for (let tries = 0; tries < CLAIM_TRIES; tries += 1) {
--- a/packages/daemon/src/job-host/leaving-workers.test.ts
+++ b/packages/daemon/src/job-host/leaving-workers.test.ts
@@ -54,6 +54,24 @@
   await assertAllRun(site, 500);
 });
 
+test('killed hosts that start again do not begin the wait for lost workers anew', async () => {
+  const site = await siteWithLastingJob(6);
+  ['h4', 'h5', 'h6'].forEach(name => {
+    site.kill(name);
+  });
+  const crashedAt = site.time.clock();
+  site.fleet.crash('w1');
+  for (let change = 0; change < 5; change += 1) {
+    const name = site.leader();
+    site.kill(name);
+    await site.time.advance(300);
+    site.startHost(name);
+    await site.time.advance(1_900);
+  }
+  // 9.2 s after the first claim, and the second by which what is told of claims may be old.
+  await assertAllRun(site, crashedAt + 12_500 - site.time.clock());
+});
+
 test('lasting tasks move off a worker that is about to leave', async () => {
   const site = await siteWithLastingJob(2);
   site.fleet.announceLeave('w1');
@@ -97,3 +115,16 @@
   site.fleet.crash('w1');
   assert.equal(site.history.runningOf(ID), 2);
 });
+
+for (let delay = 0; delay <= 480; delay += 80) {
+  test(`a job that comes ${delay} ms after a worker says that it leaves takes no room from its tasks`, async () => {
+    const site = await siteWithLastingJob(7);
+    site.fleet.crash('w3');
+    site.fleet.announceLeave('w1');
+    await site.time.advance(delay);
+    const other = '00000000000000f3';
+    void site.submit(other, [{ ...LASTING, lasting: false }], ENDLESS);
+    await site.time.advance(5_000);
+    assert.equal(site.history.runningOf(ID), 4);
+  });
+}
--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -13,7 +13,7 @@
  * Why a start that was decided on is not sent: its run is over, nobody needs it, what it was decided on
  * is too old, or its worker does not answer or leaves.
  */
-export type StartGivenUp = 'over' | 'needless' | 'stale' | 'worker';
+export type StartGivenUp = 'late' | 'over' | 'needless' | 'stale' | 'worker';
 
 /** What a caller asked for that was refused. */
 export type RefusedRequest = 'queue_length' | 'status' | 'submit' | 'cancel';
--- a/packages/daemon/src/job-host/order-queue.ts
+++ b/packages/daemon/src/job-host/order-queue.ts
@@ -1,15 +1,9 @@
-/** Orders to one worker, sent one at a time: stops first, then limits, then starts. */
+/** Orders to one worker, sent one at a time: stops first, then the others in the order given. */
 import type { Run } from '@paddlewind/domain/jobs';
 
 /** What an order does to its run. */
 export type OrderKind = 'stop' | 'throttle' | 'start';
 
-/**
- * Stops and limits protect what runs and whoever waits for an end; behind starts they would wait for
- * as long as a slow worker takes to answer these.
- */
-const BY_URGENCY: readonly OrderKind[] = ['stop', 'throttle', 'start'];
-
 /** An order that waits for its turn. */
 export interface Order {
   readonly kind: OrderKind;
@@ -18,13 +12,14 @@
   readonly send: () => Promise<void>;
 }
 
-/** Sends orders in turn, those of one kind in the order given. */
+/**
+ * Sends orders in turn. Stops go first: whoever waits for the end of a run would else wait for as long
+ * as a slow worker takes to answer all starts before it. Limits don't: where shares change with each
+ * report they would leave no turn to a start.
+ */
 export class OrderQueue {
-  private readonly orders: Record<OrderKind, Order[]> = {
-    stop: [],
-    throttle: [],
-    start: [],
-  };
+  private readonly stops: Order[] = [];
+  private readonly others: Order[] = [];
   private sending = false;
   private closed = false;
 
@@ -33,29 +28,33 @@
     if (this.closed) {
       return;
     }
-    this.orders[order.kind].push(order);
+    (order.kind === 'stop' ? this.stops : this.others).push(order);
     if (!this.sending) {
       void this.sendAll();
     }
   }
 
-  /** Takes an order back that was not sent yet; false when none waits. */
-  takeBack(kind: OrderKind, run: Run): boolean {
-    const waiting = this.orders[kind];
-    const at = waiting.findIndex(order => order.run === run);
-    if (at === -1) {
-      return false;
+  /** Whether an order waits that was not sent yet. */
+  has(kind: OrderKind, run: Run): boolean {
+    return this.others.some(order => order.kind === kind && order.run === run);
+  }
+
+  /** Takes orders of a kind back that were not sent yet, all or those of one run; returns their runs. */
+  takeBack(kind: OrderKind, run?: Run): Run[] {
+    const taken = this.others.filter(
+      order => order.kind === kind && (run === undefined || order.run === run),
+    );
+    for (const order of taken) {
+      this.others.splice(this.others.indexOf(order), 1);
     }
-    waiting.splice(at, 1);
-    return true;
+    return taken.map(order => order.run);
   }
 
   /** Sends nothing more. */
   close(): void {
     this.closed = true;
-    for (const kind of BY_URGENCY) {
-      this.orders[kind].length = 0;
-    }
+    this.stops.length = 0;
+    this.others.length = 0;
   }
 
   private async sendAll(): Promise<void> {
@@ -67,7 +66,6 @@
   }
 
   private next(): Order | undefined {
-    const kind = BY_URGENCY.find(found => this.orders[found].length > 0);
-    return kind === undefined ? undefined : this.orders[kind].shift();
+    return this.stops.shift() ?? this.others.shift();
   }
 }
--- a/packages/daemon/src/job-host/portion.test.ts
+++ b/packages/daemon/src/job-host/portion.test.ts
@@ -17,12 +17,12 @@
 test('quick answers let reads grow, slow ones shrink them', () => {
   const portion = new Portion();
   for (let reads = 0; reads < 10; reads += 1) {
-    portion.noteAnswer(50, 100);
+    portion.noteAnswer(50, portion.bytes);
   }
   assert.equal(portion.bytes, 1_048_576);
-  portion.noteAnswer(500, 100);
+  portion.noteAnswer(500, 1_048_576);
   assert.equal(portion.bytes, 1_048_576);
-  portion.noteAnswer(900, 100);
+  portion.noteAnswer(900, 1_048_576);
   assert.equal(portion.bytes, 524_288);
 });
 
@@ -30,6 +30,13 @@
   const portion = new Portion();
   portion.noteFailure();
   const before = portion.bytes;
-  portion.noteAnswer(500, 0);
+  portion.noteAnswer(900, 0);
   assert.equal(portion.bytes, 2 * before);
 });
+
+test('small answers tell nothing of how much a link carries', () => {
+  const portion = new Portion();
+  const before = portion.bytes;
+  portion.noteAnswer(5, 200);
+  assert.equal(portion.bytes, before);
+});
--- a/packages/daemon/src/job-host/portion.ts
+++ b/packages/daemon/src/job-host/portion.ts
@@ -25,12 +25,14 @@
     return this.size;
   }
 
-  /** Notes an answer that took `took` and brought `records` records. */
-  noteAnswer(took: Millis, records: number): void {
-    if (took > SLOW_MS) {
+  /** Notes an answer that took `took` and brought `bytes` of records, where there were some. */
+  noteAnswer(took: Millis, bytes: number): void {
+    if (bytes === 0) {
+      // The next record may be larger than what was asked for.
+      this.resize(this.size * 2);
+    } else if (took > SLOW_MS) {
       this.resize(this.size / 2);
-    } else if (took < FAST_MS || records === 0) {
-      // Without a record the next one may be larger than what was asked for.
+    } else if (took < FAST_MS && 2 * bytes > this.size) {
       this.resize(this.size * 2);
     }
   }
--- a/packages/daemon/src/job-host/replica.ts
+++ b/packages/daemon/src/job-host/replica.ts
@@ -6,6 +6,7 @@
   decodeInbox,
   decodeJournal,
   emptyJobsState,
+  type ClaimAge,
   type InboxRecord,
   type JobsState,
   type JournalRecord,
@@ -116,7 +117,7 @@
         'replica: a read failed',
       );
     } else if (found.kind === 'records' && found.endOffset > from) {
-      portion.noteAnswer(took - waitMs, found.records.length);
+      portion.noteAnswer(took - waitMs, sizeOf(found.records));
     }
     return found;
   }
@@ -132,6 +133,11 @@
     return this.claimTimes.supersededAt(epoch);
   }
 
+  /** Returns how long ago this host learnt of the newest claims. */
+  claimAges(): ClaimAge[] {
+    return this.claimTimes.ages(this.ctx.clock());
+  }
+
   /** Takes in records of the inbox that this host has appended itself. */
   applyOwn(offset: number, records: readonly InboxRecord[]): void {
     this.contactAt = this.ctx.clock();
@@ -217,12 +223,15 @@
     if (this.resets !== resets) {
       return false;
     }
+    this.state.now = this.ctx.clock();
     for (const record of decoded.slice(
       Math.max(0, this.next.journal - offset),
     )) {
       this.next.journal += 1;
       if (record.kind === 'claim' || record.kind === 'heartbeat') {
-        this.claimTimes.note(record.epoch, this.ctx.clock());
+        const now = this.ctx.clock();
+        this.claimTimes.note(record.epoch, now);
+        this.claimTimes.noteAges(record.ages, now);
       }
       if (!applyJournal(this.state, record) && !this.trimmed) {
         this.ctx.log.error(
@@ -241,3 +250,7 @@
     return !('task' in record) || this.state.jobs.has(record.task.job);
   }
 }
+
+function sizeOf(records: readonly Uint8Array[]): number {
+  return records.reduce((sum, { length }) => sum + length, 0);
+}
--- a/packages/daemon/src/job-host/run-supervisor.ts
+++ b/packages/daemon/src/job-host/run-supervisor.ts
@@ -2,6 +2,7 @@
 import type { Instant } from '@paddlewind/domain';
 import {
   findPlace,
+  isOver,
   isSlowed,
   isStalled,
   planEvacuation,
@@ -13,6 +14,7 @@
   type JobsState,
   type PlanInput,
   type Run,
+  type Task,
   type WorkerHealth,
   type WorkerInfo,
 } from '@paddlewind/domain/jobs';
@@ -33,6 +35,8 @@
 
 /** Acts on runs that are under way. */
 export class RunSupervisor {
+  private readonly moved = new Set<Run>();
+
   /** Creates a supervisor of the runs in `state`. */
   constructor(private readonly options: SupervisorOptions) {}
 
@@ -63,6 +67,22 @@
     }
   }
 
+  /** Tasks that were stopped on a worker that leaves, and have not begun again. */
+  moving(): Set<Task> {
+    const tasks = new Set<Task>();
+    for (const run of this.moved) {
+      const { task } = run;
+      const [open] = task.runs;
+      const over = isOver(task.step.occurrence.job);
+      if (over || (open !== undefined && open !== run)) {
+        this.moved.delete(run);
+      } else {
+        tasks.add(task);
+      }
+    }
+    return tasks;
+  }
+
   /** Stops lasting tasks on workers that are about to leave, where they have room elsewhere. */
   moveOffLeaving(input: PlanInput): void {
     const onLeaving = [...this.openRuns()].filter(
@@ -72,6 +92,7 @@
       return;
     }
     for (const run of planEvacuation(input, onLeaving)) {
+      this.moved.add(run);
       this.logStop(run, 'leader: a run moves off a worker that leaves', {});
       this.stop(run, 'leaving');
     }
--- a/packages/daemon/src/job-host/timing.ts
+++ b/packages/daemon/src/job-host/timing.ts
@@ -5,8 +5,11 @@
 export const FOLLOW_EVERY_MS: Millis = 300;
 /** A leader with nothing to write writes a heartbeat this often, so that two may be lost. */
 export const HEARTBEAT_EVERY_MS: Millis = 300;
-/** A leader says who leads at least this often, also while it writes other records. */
-export const CLAIM_REPEAT_MS: Millis = 5_000;
+/**
+ * A leader says who leads, and since when the last ones did, at least this often, also while it writes
+ * other records: a host that starts anew may count leases from then on for this much too long.
+ */
+export const CLAIM_REPEAT_MS: Millis = 1_000;
 /** Share of the log's retention after which a job is restated, so that two tries may fail. */
 export const RESTATE_SHARE = 1 / 3;
 /** Most jobs that one append restates: with some 4 KB each it stays far below its limit. */
@@ -30,6 +33,18 @@
 export const INBOX_WAIT_MS: Millis = 700;
 /** How often the leader reads the registry of workers. */
 export const REGISTRY_EVERY_MS: Millis = 400;
+/**
+ * A leader that could not read the registry for this long sends no start: a worker may have begun to
+ * leave, and nothing may begin there later than 2 s after it said so; an order takes up to 0.5 s.
+ */
+export const REGISTRY_STALE_MS: Millis = 1_500;
+/**
+ * Longest wait of a start between its decision and its sending: by then its task is better off elsewhere,
+ * and callers are told that the job waits.
+ */
+export const START_WAIT_MS: Millis = 1_500;
+/** How long a worker that takes long to answer orders is given no further run. */
+export const SLOW_WORKER_MS: Millis = 2_000;
 /** How often the leader plans without an event, for what only time changes. */
 export const PLAN_EVERY_MS: Millis = 250;
 /**
--- a/packages/daemon/src/job-host/waiting-orders.test.ts
+++ b/packages/daemon/src/job-host/waiting-orders.test.ts
@@ -63,11 +63,66 @@
   void site.submit(ID, [MANY], { runMs: 20_000, failures: 0 });
   await site.time.advance(200);
   site.log.streamModes.set('inbox', 'unreadable');
-  void site.cancel(ID);
+  // The read that waits already would still bring the cancellation.
+  await site.time.advance(800);
+  const other = [...site.hosts].find(([name]) => name !== site.leader())?.[1];
+  const asked = other?.host.service.cancel(ID, site.time.clock() + 3_000);
+  await site.time.advance(10);
+  assert.deepEqual(await asked, { kind: 'recorded' });
+  const job = site.history.jobs.get(ID);
+  assert.ok(job);
+  job.cancelledAt = site.time.clock();
   await site.time.advance(20_000);
   assert.deepEqual(site.history.check(), []);
 });
 
+test('a start is not sent while it cannot be read which workers leave', async () => {
+  const site = new Simulation(6);
+  site.addWorker('w1');
+  site.startHost('h1');
+  await site.time.advance(2_500);
+  site.fleet.registryAway = true;
+  site.fleet.announceLeave('w1');
+  await site.time.advance(5_000);
+  void site.submit(ID, [{ ...MANY, tasks: 1 }], { runMs: 100, failures: 0 });
+  await site.time.advance(1_000);
+  assert.equal(site.history.runningOf(ID), 0);
+});
+
+test('starts do not wait for a slow worker while another has room', async () => {
+  const site = await siteWithSlowWorker(7, 'w1');
+  const lasting = { ...MANY, tasks: 18, lasting: true };
+  void site.submit(ID, [lasting], { runMs: 10_000_000, failures: 0 });
+  await site.time.advance(6_000);
+  assert.equal(site.history.runningOf(ID), 18);
+});
+
+for (const stops of [0, 1, 5]) {
+  test(`starts behind ${stops} stops to a worker that is out of reach go elsewhere`, async () => {
+    const site = await siteWithSlowWorker(8, 'w1');
+    const other = '00000000000000d3';
+    site.fleet.slowness.clear();
+    const first = Math.max(1, stops);
+    const long = { runMs: 60_000, failures: 0 };
+    void site.submit(other, [{ ...MANY, tasks: first }], long);
+    await site.time.advance(1_000);
+    assert.equal(site.history.runningOf(other), first);
+    site.fleet.slowness.set('w1', SLOW_MS);
+    void site.submit(ID, [{ ...MANY, tasks: 10 }], long);
+    await site.time.advance(600);
+    if (stops > 0) {
+      void site.cancel(other);
+    }
+    await site.time.advance(100);
+    for (const host of site.hosts.keys()) {
+      site.fleet.cuts.add(`${host}>w1`);
+    }
+    await site.time.advance(4_000);
+    // All but one, whose order got no answer.
+    assert.ok(site.history.runningOf(ID) >= 9);
+  });
+}
+
 test('a copy that waits is not sent once its task is done', async () => {
   // The tasks fill the first worker, so that their copies go to the slow one.
   const site = await siteWithSlowWorker(3, 'w2');
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -15,7 +15,7 @@
 import { Alarm } from './alarm.js';
 import { pause, type HostContext } from './context.js';
 import { Lease } from './lease.js';
-import { LOOK_RETRY_MS, UNRECORDED_LOOK_MS } from './timing.js';
+import { LOOK_RETRY_MS, SLOW_WORKER_MS, UNRECORDED_LOOK_MS } from './timing.js';
 import { WorkerOrders } from './worker-orders.js';
 
 /** What a link tells the leader. */
@@ -53,6 +53,8 @@
   readonly lookWaitMs: () => Millis;
   /** Time since which this leader knows nothing of what callers asked for. */
   readonly inboxAgeMs: () => Millis;
+  /** Time since which this leader knows nothing of which workers are about to leave. */
+  readonly registryAgeMs: () => Millis;
   /** Returns the ticket of the advice service for a task here, where it needs one. */
   readonly ticketFor: (task: Task) => string | undefined;
   readonly events: LinkEvents;
@@ -70,6 +72,8 @@
   /** Whether that is recorded: only then does this leader extend the worker's lease. */
   private reached = false;
   private answering = true;
+  /** Until when it is given no run, since it takes long to answer orders. */
+  private restsUntil: Instant = -Infinity;
   private closed = false;
   /** Position up to which all ends are recorded. */
   private recordedUpTo = 0;
@@ -97,6 +101,9 @@
         unanswered: () => {
           this.setAnswering(false);
         },
+        slow: () => {
+          this.restsUntil = options.ctx.clock() + SLOW_WORKER_MS;
+        },
         replaced: () => {
           this.takeReplaced();
         },
@@ -107,7 +114,8 @@
 
   /** Whether the worker may be given runs. */
   get usable(): boolean {
-    return this.verified && this.answering && !this.closed;
+    const rested = this.options.ctx.clock() >= this.restsUntil;
+    return this.verified && this.answering && rested && !this.closed;
   }
 
   /** Looks at the worker until the link is closed. */
@@ -219,6 +227,9 @@
       return;
     }
     this.answering = answering;
+    if (!answering) {
+      this.orders.giveUpStarts();
+    }
     this.options.ctx.log.info(
       { worker: this.info.id, answering },
       'worker: contact changed',
--- a/packages/daemon/src/job-host/worker-orders.ts
+++ b/packages/daemon/src/job-host/worker-orders.ts
@@ -15,7 +15,12 @@
 import type { HostContext } from './context.js';
 import type { StartGivenUp } from './meters.js';
 import { OrderQueue } from './order-queue.js';
-import { INBOX_STALE_MS, STOP_RETRY_MS } from './timing.js';
+import {
+  INBOX_STALE_MS,
+  REGISTRY_STALE_MS,
+  START_WAIT_MS,
+  STOP_RETRY_MS,
+} from './timing.js';
 
 /** What orders tell the link of their worker. */
 export interface OrderEvents {
@@ -29,6 +34,8 @@
   started(): void;
   /** The worker did not answer. */
   unanswered(): void;
+  /** The worker takes long to answer orders: starts wait for their turn for too long. */
+  slow(): void;
   /** Another life of the worker answered. */
   replaced(): void;
   /** The worker has confirmed a stop. */
@@ -47,6 +54,8 @@
   readonly extendLease: (now: Instant) => Instant;
   /** Time since which this leader knows nothing of what callers asked for. */
   readonly inboxAgeMs: () => Millis;
+  /** Time since which this leader knows nothing of which workers are about to leave. */
+  readonly registryAgeMs: () => Millis;
   /** Returns the ticket of the advice service for a task here, where it needs one. */
   readonly ticketFor: (task: Task) => string | undefined;
   readonly events: OrderEvents;
@@ -79,7 +88,10 @@
   private async sendStart(run: Run, decidedAt: Instant): Promise<void> {
     const { ctx, port, fence, info, extendLease } = this.options;
     const { task, number } = run;
-    const reason = this.whyNotStart(run);
+    if (!task.runs.includes(run)) {
+      return;
+    }
+    const reason = this.whyNotStart(run, decidedAt);
     if (reason !== undefined) {
       this.giveUpStart(run, reason);
       return;
@@ -105,15 +117,19 @@
    * a task that begins after its job's cancellation or its own end, or at a worker whose runs are being
    * given up, can't be taken back.
    */
-  private whyNotStart(run: Run): StartGivenUp | undefined {
+  private whyNotStart(run: Run, decidedAt: Instant): StartGivenUp | undefined {
     const needless = whyNeedless(run);
     if (needless !== undefined) {
       return needless === 'over' ? 'over' : 'needless';
     }
-    if (this.options.inboxAgeMs() > INBOX_STALE_MS) {
+    const { ctx, inboxAgeMs, registryAgeMs, mayStart } = this.options;
+    if (inboxAgeMs() > INBOX_STALE_MS || registryAgeMs() > REGISTRY_STALE_MS) {
       return 'stale';
     }
-    return this.options.mayStart() ? undefined : 'worker';
+    if (ctx.clock() - decidedAt > START_WAIT_MS) {
+      return 'late';
+    }
+    return mayStart() ? undefined : 'worker';
   }
 
   /** Ends a run whose order was never sent, so that the task may run elsewhere. */
@@ -124,14 +140,25 @@
       { task: taskName(refOf(run.task)), run: run.number, reason },
       'worker: a start that waited is not sent',
     );
+    const waitedMs = ctx.clock() - (run.progress?.since ?? ctx.clock());
+    if (reason === 'late' && 2 * waitedMs > START_WAIT_MS) {
+      events.slow();
+    }
     events.ended(run, 'void', '');
   }
 
+  /** Gives up all starts that wait, so that their tasks may run elsewhere. */
+  giveUpStarts(): void {
+    for (const run of this.queue.takeBack('start')) {
+      this.giveUpStart(run, 'worker');
+    }
+  }
+
   /** Orders a run to stop, until the worker has confirmed it or the run has ended. */
   stop(run: Run): void {
     const { ctx } = this.options;
     this.queue.takeBack('throttle', run);
-    if (this.queue.takeBack('start', run)) {
+    if (this.queue.takeBack('start', run).length > 0) {
       this.giveUpStart(run, 'needless');
       return;
     }
@@ -142,6 +169,9 @@
 
   private async sendStop(run: Run): Promise<void> {
     const { port, fence, info } = this.options;
+    if (!run.task.runs.includes(run)) {
+      return;
+    }
     const ref = { task: refOf(run.task), run: run.number, fence };
     this.takeStop(run, await port.stop(info(), ref));
   }
@@ -152,22 +182,29 @@
       run.progress.allowed = percent;
       run.progress.allowedSince = this.options.ctx.clock();
     }
-    this.queue.takeBack('throttle', run);
-    this.queue.add({
-      kind: 'throttle',
-      run,
-      send: () => this.sendThrottle(run, percent),
-    });
+    if (!this.queue.has('throttle', run)) {
+      this.queue.add({
+        kind: 'throttle',
+        run,
+        send: () => this.sendThrottle(run),
+      });
+    }
   }
 
-  private async sendThrottle(run: Run, percent: number): Promise<void> {
+  private async sendThrottle(run: Run): Promise<void> {
     const { port, fence, info } = this.options;
-    if (!run.task.runs.includes(run)) {
+    const { task, number, progress } = run;
+    const percent = progress?.allowed;
+    if (percent === undefined || !task.runs.includes(run)) {
       return;
     }
-    const ref = { task: refOf(run.task), run: run.number, fence };
-    const res = await port.throttle(info(), { ...ref, percent });
+    const order = { task: refOf(task), run: number, fence, percent };
+    const res = await port.throttle(info(), order);
     this.noteOrder(run, 'throttle', res);
+    if (res.kind !== 'accepted' && progress?.allowed === percent) {
+      // Whether it holds is not known, so that it is ordered again with the next report.
+      progress.allowed = undefined;
+    }
   }
 
   private takeStart(run: Run, res: OrderResult): void {
--- a/packages/domain/src/jobs/booking.ts
+++ b/packages/domain/src/jobs/booking.ts
@@ -1,20 +1,26 @@
 /** Finds places for several tasks at once. */
 import type { Step, Task } from './job.js';
-import { addLoad, type WorkerRuns } from './jobs-state.js';
+import { addLoad, emptyRuns, type WorkerRuns } from './jobs-state.js';
 import { chooseWorker, type PlaceInput } from './placement.js';
 
 /** Places tasks one after the other, each with the room that the ones before it leave. */
 export class Booking {
-  private readonly loads = new Map<string, WorkerRuns>();
+  /** What further choices go by: the present loads, and on top of them what was placed. */
+  readonly rest: PlaceInput;
+
+  private readonly booked = new Map<string, WorkerRuns>();
   private readonly placed: { readonly step: Step; readonly worker: string }[] =
     [];
-  private readonly input: PlaceInput;
 
   /** Creates a booking in which nothing is placed. */
   constructor(input: PlaceInput) {
-    this.input = {
+    this.rest = {
       ...input,
-      loadOf: worker => this.loads.get(worker) ?? input.loadOf(worker),
+      loadOf: worker => {
+        const load = input.loadOf(worker);
+        const booked = this.booked.get(worker);
+        return booked === undefined ? load : withBooked(load, booked);
+      },
       spreadOf: (task, worker) =>
         input.spreadOf(task, worker) + this.placedOf(task.step, worker),
     };
@@ -22,13 +28,13 @@
 
   /** Returns the worker that suits the task best and takes the room there, undefined when none has room. */
   place(task: Task): string | undefined {
-    const worker = chooseWorker(this.input, task)?.info.id;
+    const worker = chooseWorker(this.rest, task)?.info.id;
     if (worker === undefined) {
       return undefined;
     }
-    const load = { ...this.input.loadOf(worker) };
-    addLoad(load, task.step, 1);
-    this.loads.set(worker, load);
+    const booked = this.booked.get(worker) ?? emptyRuns();
+    addLoad(booked, task.step, 1);
+    this.booked.set(worker, booked);
     this.placed.push({ step: task.step, worker });
     return worker;
   }
@@ -39,3 +45,14 @@
     ).length;
   }
 }
+
+function withBooked(load: WorkerRuns, booked: WorkerRuns): WorkerRuns {
+  return {
+    runs: load.runs,
+    cpuMilli: load.cpuMilli + booked.cpuMilli,
+    servingCpuMilli: load.servingCpuMilli + booked.servingCpuMilli,
+    fillerCpuMilli: load.fillerCpuMilli + booked.fillerCpuMilli,
+    memoryMiB: load.memoryMiB + booked.memoryMiB,
+    accelerators: load.accelerators + booked.accelerators,
+  };
+}
--- a/packages/domain/src/jobs/evacuation.ts
+++ b/packages/domain/src/jobs/evacuation.ts
@@ -13,16 +13,14 @@
   input: PlanInput,
   onLeaving: readonly Run[],
 ): Run[] {
-  const lasting = onLeaving.filter(isMovable);
-  // Those that are stopped already keep the room that was found for them.
-  const moving = lasting.filter(({ progress }) => progress?.stopping === true);
-  const staying = lasting.filter(({ progress }) => progress?.stopping !== true);
+  // Those that move already have their room kept in what is left.
   const booking = new Booking(placeInputOf(input));
-  moving.forEach(({ task }) => booking.place(task));
-  return staying.filter(({ task }) => booking.place(task) !== undefined);
+  return onLeaving
+    .filter(isMovable)
+    .filter(({ task }) => booking.place(task) !== undefined);
 }
 
 function isMovable({ task, progress }: Run): boolean {
   const { lasting, gang } = task.step.spec;
-  return lasting && !gang && progress?.confirmed === true;
+  return lasting && !gang && progress?.confirmed === true && !progress.stopping;
 }
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -83,7 +83,6 @@
     return false;
   }
   openRun(state, task, record.run, record.worker);
-  task.step.occurrence.job.starts += 1;
   return true;
 }
 
@@ -100,8 +99,8 @@
     return true;
   }
   closeRun(state, run);
-  if (record.how === 'void') {
-    task.step.occurrence.job.starts -= 1;
+  if (record.how !== 'void') {
+    task.step.occurrence.job.begun = true;
   }
   if (record.checkpoint !== '') {
     saveCheckpoint(task, record.checkpoint);
--- a/packages/domain/src/jobs/interference.test.ts
+++ b/packages/domain/src/jobs/interference.test.ts
@@ -41,6 +41,7 @@
     at.now += REPORT_MS;
     const { progress } = at.filler;
     assert.ok(progress && at.serving.progress);
+    assert.ok(progress.allowed !== undefined);
     const used = 0.1 * (progress.allowed / 100);
     progress.reading = used * CPU_MILLI;
     const total = Math.min(0.98, OWN_LOAD * (1 + pressure * used));
--- a/packages/domain/src/jobs/interference.ts
+++ b/packages/domain/src/jobs/interference.ts
@@ -288,7 +288,7 @@
     progress !== undefined &&
     !progress.stopping &&
     (spec.checkpoints || progress.percent <= CHEAP_LOSS_PERCENT) &&
-    progress.allowed <= SLOWED_SHARE &&
+    (progress.allowed ?? 100) <= SLOWED_SHARE &&
     now - progress.allowedSince > SLOWED_MS
   );
 }
--- a/packages/domain/src/jobs/job.ts
+++ b/packages/domain/src/jobs/job.ts
@@ -1,5 +1,5 @@
 /** The job aggregate: occurrences of steps of tasks, and the runs of each task. */
-import type { Instant } from '../core/time.js';
+import type { Instant, Millis } from '../core/time.js';
 import type { JobSpec, StepSpec } from './spec.js';
 
 /** A job's state as callers see it. */
@@ -26,8 +26,8 @@
   checkpoint: string;
   /** Tail latency in milliseconds of a serving task, processor use in thousandths of a core of another. */
   reading: number;
-  /** Share of its speed that it is allowed, 0 to 100. */
-  allowed: number;
+  /** Share of its speed that it is allowed, 0 to 100; undefined while that is not known. */
+  allowed: number | undefined;
   /** Monotonic time at which that share was ordered. */
   allowedSince: Instant;
 }
@@ -54,6 +54,8 @@
   readonly task: Task;
   readonly number: number;
   readonly worker: string;
+  /** Monotonic time at which this host learnt of it. */
+  readonly openedAt: Instant;
   progress: RunProgress | undefined;
 }
 
@@ -116,8 +118,8 @@
   overAt: Instant | undefined;
   /** Monotonic time at which this leader last restated it. */
   restatedAt: Instant | undefined;
-  /** Recorded starts, less those of runs that never began. */
-  starts: number;
+  /** Whether a run has begun for certain. */
+  begun: boolean;
 }
 
 /** Creates a job without occurrences. */
@@ -137,7 +139,7 @@
     failed: false,
     overAt: undefined,
     restatedAt: undefined,
-    starts: 0,
+    begun: false,
   };
 }
 
@@ -197,13 +199,37 @@
   return job.cancelled || job.failed || job.remaining === 0;
 }
 
-/** Tells whether any task has begun, as far as is known. */
-export function hasBegun(job: Job): boolean {
-  return job.starts > 0;
+/**
+ * Time after which a recorded start has been carried out or given up: starts wait for their turn for up
+ * to 1.5 s, and an order takes up to 0.5 s.
+ */
+const START_SETTLED_MS: Millis = 2_000;
+
+/**
+ * Tells whether any task has begun. Only the leader knows of a run that it has; on other hosts a start
+ * counts once it is old enough, so that jobs whose starts wait or are refused are not taken to have begun.
+ */
+export function hasBegun(job: Job, now: Instant): boolean {
+  return job.begun || runsOf(job).some(run => isUnderWay(run, now));
+}
+
+function isUnderWay({ progress, openedAt }: Run, now: Instant): boolean {
+  return progress === undefined
+    ? now - openedAt >= START_SETTLED_MS
+    : progress.confirmed;
+}
+
+/** Returns the runs of a job that have not ended. */
+export function runsOf(job: Job): Run[] {
+  return [...job.occurrences.values()]
+    .flatMap(({ steps }) => steps)
+    .filter(({ spread }) => spread.size > 0)
+    .flatMap(({ tasks }) => tasks)
+    .flatMap(({ runs }) => runs);
 }
 
 /** Returns the state that callers are shown. */
-export function statusOf(job: Job): JobStatus {
+export function statusOf(job: Job, now: Instant): JobStatus {
   if (job.remaining === 0) {
     return 'completed';
   }
@@ -213,5 +239,5 @@
   if (job.failed) {
     return 'failed';
   }
-  return hasBegun(job) ? 'running' : 'queued';
+  return hasBegun(job, now) ? 'running' : 'queued';
 }
--- a/packages/domain/src/jobs/jobs-state.test.ts
+++ b/packages/domain/src/jobs/jobs-state.test.ts
@@ -1,11 +1,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { isReady, statusOf, type Job } from './job.js';
+import { isReady, newProgress, statusOf, type Job } from './job.js';
 import { applyInbox } from './fold.js';
 import { workerRuns, type JobsState } from './jobs-state.js';
 import { endRun, startOn, stateOf, taskOf, testJob } from './test-support.js';
 
+/** Later than a start takes to be carried out or given up. */
+const NOW = 3_000;
+
 function jobOf(state: JobsState, id: string): Job {
   const job = state.jobs.get(id);
   assert.ok(job);
@@ -24,14 +27,31 @@
 test('a job is queued, running and completed', () => {
   const state = stateOf(testJob('j', [{}]));
   const job = jobOf(state, 'j');
-  assert.equal(statusOf(job), 'queued');
+  assert.equal(statusOf(job, NOW), 'queued');
   const run = startOn(state, taskOf(state, 'j', 0, 0), 'w');
-  assert.equal(statusOf(job), 'running');
+  run.progress = undefined;
+  assert.equal(statusOf(job, NOW), 'running');
   endRun(state, run, 'done');
-  assert.equal(statusOf(job), 'completed');
+  assert.equal(statusOf(job, NOW), 'completed');
   assert.equal(state.open.size, 0);
 });
 
+test('a start that is given up leaves its job queued', () => {
+  const state = stateOf(testJob('j', [{}]));
+  const job = jobOf(state, 'j');
+  const run = startOn(state, taskOf(state, 'j', 0, 0), 'w');
+  assert.equal(statusOf(job, 500), 'queued');
+  endRun(state, run, 'void');
+  assert.equal(statusOf(job, NOW), 'queued');
+});
+
+test('a run that is known to be at work has begun at once', () => {
+  const state = stateOf(testJob('j', [{}]));
+  const run = startOn(state, taskOf(state, 'j', 0, 0), 'w');
+  run.progress = { ...newProgress(0), confirmed: true };
+  assert.equal(statusOf(jobOf(state, 'j'), 100), 'running');
+});
+
 test('a repeated submission changes nothing', () => {
   const state = stateOf(testJob('j', [{}]));
   startOn(state, taskOf(state, 'j', 0, 0), 'w');
@@ -81,9 +101,9 @@
   ] as const) {
     endRun(state, startOn(state, task, 'w'), how);
   }
-  assert.equal(statusOf(jobOf(state, 'j')), 'running');
+  assert.equal(statusOf(jobOf(state, 'j'), NOW), 'running');
   endRun(state, startOn(state, task, 'w'), 'failed');
-  assert.equal(statusOf(jobOf(state, 'j')), 'failed');
+  assert.equal(statusOf(jobOf(state, 'j'), NOW), 'failed');
 });
 
 test('a lasting task is never done and never fails its job', () => {
@@ -93,7 +113,7 @@
     endRun(state, startOn(state, task, 'w'), how);
   }
   assert.equal(task.status, 'waiting');
-  assert.equal(statusOf(jobOf(state, 'j')), 'running');
+  assert.equal(statusOf(jobOf(state, 'j'), NOW), 'running');
 });
 
 test('a cancelled job is no longer open, and a completed one stays so', () => {
@@ -101,7 +121,7 @@
   endRun(state, startOn(state, taskOf(state, 'b', 0, 0), 'w'), 'done');
   applyInbox(state, { kind: 'cancel', job: 'a' });
   applyInbox(state, { kind: 'cancel', job: 'b' });
-  assert.equal(statusOf(jobOf(state, 'a')), 'cancelled');
-  assert.equal(statusOf(jobOf(state, 'b')), 'completed');
+  assert.equal(statusOf(jobOf(state, 'a'), NOW), 'cancelled');
+  assert.equal(statusOf(jobOf(state, 'b'), NOW), 'completed');
   assert.equal(state.open.size, 0);
 });
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -38,6 +38,8 @@
   claim: Claim;
   /** Epoch of the last leader that reached a worker: no later one has extended the lease there. */
   readonly reachedIn: Map<string, number>;
+  /** Monotonic time at which records are taken in, set by whoever does so. */
+  now: Instant;
   /** Whether the leader has asked to be replaced. */
   released: boolean;
 }
@@ -50,6 +52,7 @@
     workers: new Map(),
     claim: { epoch: 0, host: '', nonce: 0 },
     reachedIn: new Map(),
+    now: 0,
     released: false,
   };
 }
@@ -85,7 +88,14 @@
   if (known !== undefined) {
     return known;
   }
-  const created: WorkerRuns = {
+  const created = emptyRuns();
+  state.workers.set(worker, created);
+  return created;
+}
+
+/** Returns the load of a worker on which nothing runs. */
+export function emptyRuns(): WorkerRuns {
+  return {
     runs: new Map(),
     cpuMilli: 0,
     servingCpuMilli: 0,
@@ -93,8 +103,6 @@
     memoryMiB: 0,
     accelerators: 0,
   };
-  state.workers.set(worker, created);
-  return created;
 }
 
 /** Returns the number of runs that have not ended. */
@@ -113,7 +121,13 @@
   number: number,
   worker: string,
 ): void {
-  const run: Run = { task, number, worker, progress: undefined };
+  const run: Run = {
+    task,
+    number,
+    worker,
+    openedAt: state.now,
+    progress: undefined,
+  };
   task.runs.push(run);
   task.lastRun = Math.max(task.lastRun, number);
   if (task.status === 'waiting') {
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -1,6 +1,7 @@
 /** Decides which waiting tasks start where. */
 import type { Instant } from '../core/time.js';
 import type { Advice } from './advice.js';
+import { Booking } from './booking.js';
 import { placeGang } from './gang.js';
 import type { Interference } from './interference.js';
 import type { Step, Task } from './job.js';
@@ -24,6 +25,8 @@
   readonly interference: Interference;
   readonly advice: Advice;
   readonly time: PlanTime;
+  /** Tasks that move off workers which leave: they are placed first, and room is kept for them until then. */
+  readonly moving: Iterable<Task>;
 }
 
 /** Applies a decision before the next one is made. */
@@ -37,7 +40,7 @@
   const { state, times, time } = input;
   const place = placeInputOf(input);
   const full = new Set<string>();
-  let started = 0;
+  let started = startMoved(place, input.moving, start);
   for (const { step } of candidates(state.open, times, time)) {
     const key = shapeOf(step);
     if (started >= MAX_STARTS) {
@@ -56,6 +59,24 @@
   return started;
 }
 
+function startMoved(
+  place: PlaceInput,
+  moving: Iterable<Task>,
+  start: ApplyStart,
+): number {
+  let started = 0;
+  for (const task of moving) {
+    if (isWaiting(task, place.now)) {
+      const worker = chooseWorker(place, task)?.info.id;
+      if (worker !== undefined) {
+        start({ task, run: task.lastRun + 1, worker });
+        started += 1;
+      }
+    }
+  }
+  return started;
+}
+
 /** Returns the worker on which a task would start now. */
 export function findPlace(
   input: PlanInput,
@@ -70,10 +91,10 @@
   readonly full: boolean;
 }
 
-/** Returns what choices of workers go by in a round. */
+/** Returns what choices of workers go by in a round; room is kept for tasks that are about to move. */
 export function placeInputOf(input: PlanInput): PlaceInput {
   const { state, workers, interference, advice, time } = input;
-  return {
+  const present: PlaceInput = {
     workers,
     speeds: interference.speeds(),
     advice,
@@ -81,6 +102,15 @@
     loadOf: worker => workerRuns(state, worker),
     spreadOf: ({ step }, worker) => step.spread.get(worker) ?? 0,
   };
+  const stopping = [...input.moving].filter(
+    ({ status }) => status !== 'waiting',
+  );
+  if (stopping.length === 0) {
+    return present;
+  }
+  const booking = new Booking(present);
+  stopping.forEach(task => booking.place(task));
+  return booking.rest;
 }
 
 function startTasks(place: PlaceInput, step: Step, start: ApplyStart): Started {
--- a/packages/domain/src/jobs/records.ts
+++ b/packages/domain/src/jobs/records.ts
@@ -23,6 +23,9 @@
 export type RunEnd =
   'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone' | 'void';
 
+/** An epoch, and for how many milliseconds at least its claim has been there. */
+export type ClaimAge = readonly [epoch: number, ageMs: number];
+
 /** A record of the journal. */
 export type JournalRecord =
   | {
@@ -31,6 +34,8 @@
       readonly host: string;
       /** Tells two claims of one epoch apart. */
       readonly nonce: number;
+      /** What this host knows of the claims before. */
+      readonly ages: readonly ClaimAge[];
     }
   /** The leader of an epoch is there; says again what its claim said. */
   | {
@@ -38,6 +43,7 @@
       readonly epoch: number;
       readonly host: string;
       readonly nonce: number;
+      readonly ages: readonly ClaimAge[];
     }
   | { readonly kind: 'restate'; readonly image: JobImage }
   | { readonly kind: 'release' }
@@ -80,8 +86,8 @@
 
 /** Rows of the journal; runs are most of them, so that these have short tags. */
 type JournalRow =
-  | ['claim', number, string, number]
-  | ['heartbeat', number, string, number]
+  | ['claim', number, string, number, (readonly ClaimAge[])?]
+  | ['heartbeat', number, string, number, (readonly ClaimAge[])?]
   | ['restate', JobImage]
   | ['release']
   | ['reached', string]
@@ -93,12 +99,12 @@
   const row = JSON.parse(decoder.decode(bytes)) as JournalRow;
   switch (row[0]) {
     case 'claim': {
-      const [, epoch, host, nonce] = row;
-      return { kind: 'claim', epoch, host, nonce };
+      const [, epoch, host, nonce, ages = []] = row;
+      return { kind: 'claim', epoch, host, nonce, ages };
     }
     case 'heartbeat': {
-      const [, epoch, host, nonce] = row;
-      return { kind: 'heartbeat', epoch, host, nonce };
+      const [, epoch, host, nonce, ages = []] = row;
+      return { kind: 'heartbeat', epoch, host, nonce, ages };
     }
     case 'restate':
       return { kind: 'restate', image: row[1] };
@@ -125,7 +131,13 @@
       return ['cancel', record.job];
     case 'claim':
     case 'heartbeat':
-      return [record.kind, record.epoch, record.host, record.nonce];
+      return [
+        record.kind,
+        record.epoch,
+        record.host,
+        record.nonce,
+        record.ages,
+      ];
     case 'restate':
       return ['restate', record.image];
     case 'release':
--- a/packages/domain/src/jobs/restate.ts
+++ b/packages/domain/src/jobs/restate.ts
@@ -5,7 +5,14 @@
  * nothing of it until it is restated, and all of it from then on.
  */
 import type { Instant } from '../core/time.js';
-import { isOver, newJob, occurrenceOf, type Job, type Step } from './job.js';
+import {
+  isOver,
+  newJob,
+  occurrenceOf,
+  runsOf,
+  type Job,
+  type Step,
+} from './job.js';
 import { hasOpenRuns, openRun, type JobsState } from './jobs-state.js';
 import type { JobSpec } from './spec.js';
 
@@ -32,16 +39,18 @@
   readonly remaining: number;
   readonly cancelled: boolean;
   readonly failed: boolean;
-  readonly starts: number;
+  readonly begun: boolean;
   /** Steps by number of the occurrence. */
   readonly occurrences: readonly (readonly [number, readonly StepRow[]])[];
 }
 
 /** Returns the image of a job. */
 export function imageOf(job: Job): JobImage {
-  const { acceptedAtWall, remaining, cancelled, failed, starts } = job;
+  const { acceptedAtWall, remaining, cancelled, failed } = job;
+  const confirmed = runsOf(job).some(run => run.progress?.confirmed === true);
+  const begun = job.begun || confirmed;
   if (isOver(job) && !hasOpenRuns(job)) {
-    return { ...briefOf(job), remaining, cancelled, failed, starts };
+    return { ...briefOf(job), remaining, cancelled, failed, begun };
   }
   const { spec } = job;
   const occurrences = [...job.occurrences.values()].map(
@@ -53,7 +62,7 @@
     remaining,
     cancelled,
     failed,
-    starts,
+    begun,
     occurrences,
   };
 }
@@ -90,7 +99,7 @@
   const job = newJob(image.spec, image.acceptedAtWall, state.jobs.size);
   job.cancelled = image.cancelled;
   job.failed = image.failed;
-  job.starts = image.starts;
+  job.begun = image.begun;
   job.remaining = image.remaining;
   state.jobs.set(id, job);
   for (const [number, rows] of image.occurrences) {
--- a/packages/domain/src/jobs/test-support.ts
+++ b/packages/domain/src/jobs/test-support.ts
@@ -82,6 +82,7 @@
     workers,
     times: createRunTimes(),
     interference: new Interference(),
+    moving: [],
     advice: new Advice(),
     time: { now: 0, nowWall: 0 },
   };
--- a/packages/stand-ins/src/jobs/memory-fleet.ts
+++ b/packages/stand-ins/src/jobs/memory-fleet.ts
@@ -24,6 +24,8 @@
 export class MemoryFleet {
   /** Share of the orders that are not answered and arrive late. */
   lateShare = 0;
+  /** Whether the registry can't be read. */
+  registryAway = false;
   /** Whether every start is rejected for want of room. */
   refusesStarts = false;
   /** Pairs `host>worker` that cannot reach each other. */
@@ -71,6 +73,9 @@
   feed(): WorkerFeed {
     return {
       refresh: () => {
+        if (this.registryAway) {
+          return Promise.resolve({ kind: 'unavailable', reason: 'away' });
+        }
         const value: WorkerInfo[] = [];
         for (const [address, id] of this.lives) {
           const worker = this.workers.get(id);
