--- a/packages/daemon/src/job-host/answers-from-replica.test.ts
+++ b/packages/daemon/src/job-host/answers-from-replica.test.ts
@@ -218,3 +218,39 @@
   await site.time.advance(1_500);
   assert.deepEqual(await asked, { kind: 'known', status: 'completed' });
 });
+
+test('a host that reads the journal late does not begin anew what is done', async () => {
+  const site = new Simulation(11);
+  ['h1', 'h2', 'h3'].forEach(name => site.startHost(name));
+  site.addWorker('w1');
+  await site.time.advance(2_500);
+  const name = follower(site);
+  site.kill(name);
+  const id = JOBS[0] ?? '';
+  const steps = [
+    { tasks: 2, after: [] },
+    // Keeps the job open.
+    { tasks: 1, after: [0], label: 'none' },
+  ];
+  void site.submit(id, steps, QUICK);
+  await site.time.advance(300);
+  site.log.hostStreamModes.set(`${name} journal`, 'refusing');
+  site.startHost(name);
+  const late = site.hosts.get(name)?.host.service;
+  void late?.status(id);
+  // Meanwhile the first step ends, and the records of that are dropped.
+  await site.time.advance(2_000);
+  const dropped = site.log.recordsOf('journal').length;
+  await site.time.advance(12_000);
+  site.log.trimTo(dropped);
+  site.log.hostStreamModes.clear();
+  await site.time.advance(3_000);
+  for (const other of site.hosts.keys()) {
+    if (other !== name) {
+      site.kill(other);
+    }
+  }
+  await site.time.advance(15_000);
+  assert.equal(site.leader(), name);
+  assert.deepEqual(site.history.check(), []);
+});
--- a/packages/daemon/src/job-host/replica.ts
+++ b/packages/daemon/src/job-host/replica.ts
@@ -18,6 +18,9 @@
 import type { HostContext } from './context.js';
 import { Portion } from './portion.js';
 
+/** Bytes asked for where only the position of the first record that is kept matters. */
+const JOIN_BYTES = 1_024;
+
 /** How much of a stream a read has brought. */
 type Taken = 'all' | 'more' | 'none';
 
@@ -46,6 +49,11 @@
     journal: coalesce(() => this.readToEnd('journal', 0)),
   };
   private resets = 0;
+  /** Whether the position at which reading of a stream begins is settled. */
+  private readonly joined: Record<JobStream, boolean> = {
+    inbox: false,
+    journal: false,
+  };
   /** Whether reading began after records that the log has dropped. */
   private trimmed = false;
 
@@ -86,6 +94,9 @@
   /** Reads what is new, waiting up to `waitMs` for it; false when the log did not answer. */
   async readToEnd(stream: JobStream, waitMs: Millis): Promise<boolean> {
     const { resets } = this;
+    if (stream === 'inbox' && !(await this.joinJournal())) {
+      return false;
+    }
     let wait = waitMs;
     for (;;) {
       const sentAt = this.ctx.clock();
@@ -102,6 +113,33 @@
     }
   }
 
+  /**
+   * Settles where the journal is read from before the inbox is read. A job that is known from the inbox
+   * must not lack records of the journal, dropped meanwhile: its done tasks would begin again.
+   */
+  private async joinJournal(): Promise<boolean> {
+    const { resets } = this;
+    if (this.joined.journal) {
+      return true;
+    }
+    const limits = { waitMs: 0, maxBytes: JOIN_BYTES };
+    const found = await this.jobLog.read('journal', 0, limits);
+    if (this.resets !== resets || found.kind === 'unavailable') {
+      return false;
+    }
+    this.join('journal', found.kind === 'trimmed' ? found.firstOffset : 0);
+    return true;
+  }
+
+  /** Settles where a stream is read from, unless that is settled already. */
+  private join(stream: JobStream, firstOffset: number): void {
+    if (!this.joined[stream]) {
+      this.joined[stream] = true;
+      this.next[stream] = firstOffset;
+      this.trimmed ||= firstOffset > 0;
+    }
+  }
+
   private async read(stream: JobStream, waitMs: Millis): Promise<ReadResult> {
     const { ctx, jobLog } = this;
     const portion = this.portions[stream];
@@ -165,6 +203,8 @@
     this.next.journal = 0;
     this.readAt.inbox = -Infinity;
     this.readAt.journal = -Infinity;
+    this.joined.inbox = false;
+    this.joined.journal = false;
     this.trimmed = false;
     this.lostTrack = false;
     this.journalHeardAt = this.ctx.clock();
@@ -175,21 +215,22 @@
     found: Exclude<ReadResult, { kind: 'unavailable' }>,
     sentAt: Instant,
   ): Promise<Taken> {
-    if (found.kind === 'trimmed' && this.next[stream] > 0) {
+    if (found.kind === 'trimmed' && this.joined[stream]) {
       // What they changed of the jobs known here is told nowhere else.
       this.lostTrack = true;
       return 'none';
     }
     if (found.kind === 'trimmed') {
       // What matters of them is restated in the journal.
+      const { firstOffset } = found;
       this.ctx.log.warn(
-        { stream, next: this.next[stream], firstOffset: found.firstOffset },
+        { stream, firstOffset },
         'replica: older records are gone',
       );
-      this.trimmed = true;
-      this.next[stream] = found.firstOffset;
+      this.join(stream, firstOffset);
       return 'more';
     }
+    this.join(stream, 0);
     if (stream === 'inbox') {
       this.takeInbox(found.offset, found.records);
     } else if (!(await this.takeJournal(found.offset, found.records))) {
--- a/packages/stand-ins/src/jobs/memory-job-log.ts
+++ b/packages/stand-ins/src/jobs/memory-job-log.ts
@@ -40,6 +40,8 @@
 export class MemoryJobLog {
   /** Modes of hosts; all others are served. */
   readonly modes = new Map<string, LogMode>();
+  /** Modes of streams for one host, by `host stream`. */
+  readonly hostStreamModes = new Map<string, LogMode>();
   /** Modes of streams, for all hosts. */
   readonly streamModes = new Map<JobStream, LogMode>();
 
@@ -116,7 +118,12 @@
   }
 
   private modeOf(host: string, stream: JobStream): LogMode {
-    return this.modes.get(host) ?? this.streamModes.get(stream) ?? 'up';
+    return (
+      this.hostStreamModes.get(`${host} ${stream}`) ??
+      this.modes.get(host) ??
+      this.streamModes.get(stream) ??
+      'up'
+    );
   }
 
   private async read(
