--- a/packages/daemon/src/job-host/job-host.test.ts
+++ b/packages/daemon/src/job-host/job-host.test.ts
@@ -20,6 +20,13 @@
   return site;
 }
 
+function restartAll(site: Simulation): void {
+  for (const name of ['h1', 'h2', 'h3']) {
+    site.kill(name);
+    site.startHost(name);
+  }
+}
+
 test('runs the steps of a job in order and shows it as completed', async () => {
   const site = smallSite(1);
   void site.submit('00000000000000a1', TWO_STEPS, QUICK);
@@ -253,10 +260,7 @@
   await site.time.advance(11_000);
   // All but the last third of the retention is gone, and no host remembers.
   site.log.trimTo(dropped);
-  for (const name of ['h1', 'h2', 'h3']) {
-    site.kill(name);
-    site.startHost(name);
-  }
+  restartAll(site);
   await site.time.advance(60_000);
   assert.deepEqual(site.history.check(), []);
   assert.ok(site.history.isDone(id));
@@ -271,10 +275,7 @@
   const dropped = site.log.recordsOf('journal').length;
   await site.time.advance(11_000);
   site.log.trimTo(dropped);
-  for (const name of ['h1', 'h2', 'h3']) {
-    site.kill(name);
-    site.startHost(name);
-  }
+  restartAll(site);
   await site.time.advance(4_000);
   const asked = site.hosts.get('h2')?.host.service.status(id);
   await site.time.advance(100);
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -3,7 +3,6 @@
 import {
   Advice,
   createRunTimes,
-  imageOf,
   Interference,
   planCopies,
   planStarts,
@@ -35,6 +34,7 @@
 import type { WonClaim } from './leadership.js';
 import { longestEarlierLease } from './lease.js';
 import type { Replica } from './replica.js';
+import { restateDue } from './restate-due.js';
 import { RunSupervisor } from './run-supervisor.js';
 import {
   CLAIM_REPEAT_MS,
@@ -45,8 +45,6 @@
   LEADER_LEASE_MS,
   LONG_ROUND_MS,
   PLAN_EVERY_MS,
-  RESTATE_BATCH,
-  RESTATE_SHARE,
 } from './timing.js';
 import { WorkerLink } from './worker-link.js';
 
@@ -203,7 +201,7 @@
       this.giveUpUnregistered();
       this.supervisor.stopNeedless();
       this.plan();
-      this.restateOld();
+      restateDue(this.state, this.decisions, ctx, this.options.retentionMs);
       const now = ctx.clock();
       const restMs = now - beganAt;
       const idle =
@@ -236,26 +234,6 @@
     });
   }
 
-  /** Restates jobs whose records the log may soon drop. */
-  private restateOld(): void {
-    const { ctx, retentionMs } = this.options;
-    const dueMs = retentionMs * RESTATE_SHARE;
-    const now = ctx.clock();
-    const nowWall = ctx.wallClock();
-    let count = 0;
-    for (const job of this.state.jobs.values()) {
-      const old = nowWall - job.acceptedAtWall > dueMs;
-      if (old && now - (job.restatedAt ?? -Infinity) > dueMs) {
-        job.restatedAt = now;
-        this.decisions.record({ kind: 'restate', image: imageOf(job) });
-        count += 1;
-        if (count >= RESTATE_BATCH) {
-          return;
-        }
-      }
-    }
-  }
-
   /** Records the end of a run; does nothing for one that is not open. */
   private recordEnd(run: Run, how: RunEnd, checkpoint: string): void {
     if (this.ended || !run.task.runs.includes(run)) {
