Restate jobs in time though clocks jump back

Cause: when a job's records grow old was reckoned by the time of day alone. A jump of some ten seconds back on the leader's host makes it restate a job after the log, which keeps records for 20 s, has dropped its first ones; hosts that start then miss them, and done tasks begin again.

The monotonic age since this host learnt of the job counts as well.

Test: a job outlives the records that it began with though clocks jump back (failed before).

--- a/packages/daemon/src/job-host/job-host.test.ts
+++ b/packages/daemon/src/job-host/job-host.test.ts
@@ -266,6 +266,22 @@
   assert.ok(site.history.isDone(id));
 });
 
+test('a job outlives the records that it began with though clocks jump back', async () => {
+  const site = smallSite(30);
+  const id = '0000000000000030';
+  void site.submit(id, TWO_STEPS, { runMs: 28_000, failures: 0 });
+  await site.time.advance(2_000);
+  site.wallOffset = -40_000;
+  await site.time.advance(13_000);
+  const dropped = site.log.recordsOf('journal').length;
+  await site.time.advance(11_000);
+  site.log.trimTo(dropped);
+  restartAll(site);
+  await site.time.advance(60_000);
+  assert.deepEqual(site.history.check(), []);
+  assert.ok(site.history.isDone(id));
+});
+
 test('how a job ended is known after its records are gone', async () => {
   const site = smallSite(28);
   const id = '0000000000000028';
--- a/packages/daemon/src/job-host/replica.ts
+++ b/packages/daemon/src/job-host/replica.ts
@@ -183,6 +183,7 @@
       return;
     }
     this.next.inbox += records.length;
+    this.state.now = this.contactAt;
     for (const record of records) {
       applyInbox(this.state, record);
     }
@@ -244,6 +245,7 @@
   }
 
   private takeInbox(offset: number, records: readonly Uint8Array[]): void {
+    this.state.now = this.ctx.clock();
     for (const bytes of records.slice(Math.max(0, this.next.inbox - offset))) {
       this.next.inbox += 1;
       applyInbox(this.state, decodeInbox(bytes));
--- a/packages/daemon/src/job-host/restate-due.ts
+++ b/packages/daemon/src/job-host/restate-due.ts
@@ -18,8 +18,9 @@
   const nowWall = wallClock();
   let count = 0;
   for (const job of state.jobs.values()) {
-    const old = nowWall - job.acceptedAtWall > dueMs;
-    if (old && now - (job.restatedAt ?? -Infinity) > dueMs) {
+    // By both clocks: the time of day may jump, and this host may have learnt of the job late.
+    const ageMs = Math.max(now - job.learntAt, nowWall - job.acceptedAtWall);
+    if (ageMs > dueMs && now - (job.restatedAt ?? -Infinity) > dueMs) {
       job.restatedAt = now;
       decisions.record({ kind: 'restate', image: imageOf(job) });
       count += 1;
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -59,6 +59,8 @@
   readonly fleet: MemoryFleet;
   readonly history: JobHistory;
   readonly hosts = new Map<string, SimulatedHost>();
+  /** What the hosts' time of day is ahead by. */
+  wallOffset: Millis = 0;
   private lives = 0;
 
   /** Creates a simulation whose chance follows `seed`. */
@@ -100,7 +102,7 @@
       ctx: {
         host: name,
         clock: this.time.clock,
-        wallClock: this.time.clock,
+        wallClock: () => this.time.clock() + this.wallOffset,
         random: this.random,
         schedule,
         log: pino({ level: process.env.TEST_LOG ?? 'silent' }),
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -28,7 +28,7 @@
   if (state.jobs.has(record.job.id)) {
     return;
   }
-  const job = newJob(record.job, record.atWall, state.jobs.size);
+  const job = newJob(record.job, record.atWall, state.now, state.jobs.size);
   state.jobs.set(job.spec.id, job);
   state.open.add(job);
   if (record.job.repetition === undefined) {
--- a/packages/domain/src/jobs/job.ts
+++ b/packages/domain/src/jobs/job.ts
@@ -105,6 +105,8 @@
 export interface Job {
   readonly spec: JobSpec;
   readonly acceptedAtWall: Instant;
+  /** Monotonic time at which this host learnt of it. */
+  readonly learntAt: Instant;
   /** Order of arrival in the inbox. */
   readonly arrival: number;
   /** Monotonic time at which the leader first saw it. */
@@ -126,11 +128,13 @@
 export function newJob(
   spec: JobSpec,
   acceptedAtWall: Instant,
+  learntAt: Instant,
   arrival: number,
 ): Job {
   return {
     spec,
     acceptedAtWall,
+    learntAt,
     arrival,
     seenAt: undefined,
     occurrences: new Map(),
--- a/packages/domain/src/jobs/restate.ts
+++ b/packages/domain/src/jobs/restate.ts
@@ -96,7 +96,12 @@
   if (state.jobs.has(id)) {
     return;
   }
-  const job = newJob(image.spec, image.acceptedAtWall, state.jobs.size);
+  const job = newJob(
+    image.spec,
+    image.acceptedAtWall,
+    state.now,
+    state.jobs.size,
+  );
   job.cancelled = image.cancelled;
   job.failed = image.failed;
   job.begun = image.begun;
