Take in an own submission only once it is settled where the copy begins

Cause: a host took in a job that it had appended itself before it had ever read the inbox. When the log dropped the records after that, it began to read behind them and never learnt of a cancellation among them.

Found by reading. Test: a host that knows a job by its own append misses no cancellation of it (queued in place of cancelled before).

--- a/packages/daemon/src/job-host/answers-from-replica.test.ts
+++ b/packages/daemon/src/job-host/answers-from-replica.test.ts
@@ -11,7 +11,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { Simulation } from './simulation.fixture.test.js';
+import { jobOf, Simulation } from './simulation.fixture.test.js';
 
 const QUICK = { runMs: 400, failures: 0 };
 const JOBS = ['00000000000000e1', '00000000000000e2', '00000000000000e3'];
@@ -254,3 +254,30 @@
   assert.equal(site.leader(), name);
   assert.deepEqual(site.history.check(), []);
 });
+
+test('a host that knows a job by its own append misses no cancellation of it', async () => {
+  const site = new Simulation(12);
+  ['h1', 'h2'].forEach(name => site.startHost(name));
+  await site.time.advance(2_500);
+  const name = 'h3';
+  site.log.hostStreamModes.set(`${name} inbox`, 'unreadable');
+  site.startHost(name);
+  await site.time.advance(500);
+  const id = JOBS[0] ?? '';
+  const service = site.hosts.get(name)?.host.service;
+  const job = jobOf(id, [{ tasks: 2, after: [] }], QUICK);
+  const submitted = service?.submit(job, site.time.clock() + 3_000);
+  await site.time.advance(100);
+  assert.deepEqual(await submitted, { kind: 'recorded' });
+  const other = site.hosts.get('h1')?.host.service;
+  const cancelled = other?.cancel(id, site.time.clock() + 3_000);
+  await site.time.advance(100);
+  assert.deepEqual(await cancelled, { kind: 'recorded' });
+  await site.time.advance(12_000);
+  site.log.trimTo(0);
+  site.log.hostStreamModes.clear();
+  await site.time.advance(3_000);
+  const asked = service?.status(id);
+  await site.time.advance(1_500);
+  assert.deepEqual(await asked, { kind: 'known', status: 'cancelled' });
+});
--- a/packages/daemon/src/job-host/replica.ts
+++ b/packages/daemon/src/job-host/replica.ts
@@ -179,7 +179,8 @@
   /** Takes in records of the inbox that this host has appended itself. */
   applyOwn(offset: number, records: readonly InboxRecord[]): void {
     this.contactAt = this.ctx.clock();
-    if (offset !== this.next.inbox) {
+    // Before the first read of the inbox it is not settled where this copy begins.
+    if (!this.joined.inbox || offset !== this.next.inbox) {
       return;
     }
     this.next.inbox += records.length;
