--- /dev/null
+++ b/packages/daemon/src/job-host/orders.fixture.test.ts
@@ -0,0 +1,175 @@
+/** A worker that answers orders as a test says, and the runs that are ordered there. */
+import type { Instant, Millis } from '@paddlewind/domain';
+import {
+  applyInbox,
+  applyJournal,
+  emptyJobsState,
+  findTask,
+  refOf,
+  workerRuns,
+  type Run,
+  type RunEnd,
+  type Task,
+  type WorkerInfo,
+} from '@paddlewind/domain/jobs';
+import type {
+  LookResult,
+  OrderResult,
+  RunOrder,
+  StartOrder,
+  WorkerPort,
+} from '@paddlewind/ports/jobs';
+import { createVirtualTime } from '@paddlewind/stand-ins';
+import { pino } from 'pino';
+import { Registry } from 'prom-client';
+
+import type { HostContext } from './context.js';
+import { createJobMeters } from './meters.js';
+import { jobOf, type TestStep } from './simulation.fixture.test.js';
+import { WorkerLink } from './worker-link.js';
+
+/** The job whose tasks are ordered. */
+export const ORDERED_JOB = '00000000000000c1';
+
+const ACCEPTED: OrderResult = { kind: 'accepted', clock: 0 };
+
+/** The worker to which orders go. */
+export const ORDERED_WORKER: WorkerInfo = {
+  id: 'w',
+  address: 'w',
+  service: 'main',
+  availabilityZone: 'a',
+  rack: undefined,
+  labels: [],
+  capacity: { cpuMilli: 4_000, memoryMiB: 8_000, accelerators: 0 },
+  leaving: false,
+};
+
+/** A job whose tasks run on one worker, and what was ordered there. */
+export class OrderedRuns {
+  readonly time = createVirtualTime();
+  readonly state = emptyJobsState();
+  readonly ctx: HostContext = {
+    host: 'h',
+    clock: this.time.clock,
+    wallClock: this.time.clock,
+    random: () => 0.5,
+    schedule: this.time.schedule,
+    log: pino({ level: 'silent' }),
+    meters: createJobMeters(new Registry()),
+  };
+  /** Orders that were sent, such as `start 0#1` and `throttle 0#1 50`. */
+  readonly sent: string[] = [];
+  /** Ends that were told, such as `0#1 void`. */
+  readonly ended: string[] = [];
+  /** How long the worker takes for each order. */
+  answerMs: Millis = 0;
+  /** What it answers to each order. */
+  answer = ACCEPTED;
+
+  readonly port: WorkerPort = {
+    start: (_to, order) => this.take('start', order),
+    stop: (_to, order) => this.take('stop', order),
+    throttle: (_to, order) => this.take('throttle', order, order.percent),
+    look: (_to, order) => this.look(order.waitMs),
+    forget: () => undefined,
+  };
+
+  /** Creates a job of `tasks` tasks, none of which runs. */
+  constructor(tasks: number, step: Partial<TestStep> = {}) {
+    const steps = [{ after: [], ...step, tasks }];
+    const script = { runMs: 60_000, failures: 0 };
+    const job = jobOf(ORDERED_JOB, steps, script);
+    applyInbox(this.state, { kind: 'submit', job, atWall: 0 });
+  }
+
+  /** Opens the next run of a task. */
+  open(index: number): Run {
+    const task = this.task(index);
+    const run = task.lastRun + 1;
+    const worker = ORDERED_WORKER.id;
+    applyJournal(this.state, { kind: 'start', task: refOf(task), run, worker });
+    const opened = task.runs.at(-1);
+    if (opened === undefined) {
+      throw new Error('the run was not opened');
+    }
+    return opened;
+  }
+
+  /** Ends a run as the leader does when it is told. */
+  readonly end = (run: Run, how: RunEnd): void => {
+    this.ended.push(`${run.task.index}#${run.number} ${how}`);
+    const task = refOf(run.task);
+    const ended = { task, run: run.number, how, checkpoint: '' };
+    applyJournal(this.state, { kind: 'end', ...ended });
+  };
+
+  /** Cancels the job. */
+  cancel(): void {
+    applyInbox(this.state, { kind: 'cancel', job: ORDERED_JOB });
+  }
+
+  private task(index: number): Task {
+    const ref = { job: ORDERED_JOB, occurrence: 0, step: 0, index };
+    const found = findTask(this.state, ref);
+    if (found === undefined) {
+      throw new Error('no such task');
+    }
+    return found;
+  }
+
+  private async take(
+    kind: string,
+    order: StartOrder | RunOrder,
+    percent?: number,
+  ): Promise<OrderResult> {
+    const { answer } = this;
+    const name = `${kind} ${order.task.index}#${order.run}`;
+    this.sent.push(percent === undefined ? name : `${name} ${percent}`);
+    await this.pause(this.answerMs);
+    return answer;
+  }
+
+  private async look(waitMs: Millis): Promise<LookResult> {
+    // A look takes a while, so that looks don't follow each other without end.
+    await this.pause(Math.max(50, waitMs));
+    const clock: Instant = this.time.clock();
+    return { kind: 'seen', clock, active: [], ended: [] };
+  }
+
+  private pause(span: Millis): Promise<void> {
+    return new Promise(resolve => {
+      this.time.schedule(span, resolve);
+    });
+  }
+}
+
+/** A link that has reached the worker of `site`. */
+export async function linkTo(site: OrderedRuns): Promise<WorkerLink> {
+  const link = new WorkerLink(ORDERED_WORKER, {
+    ctx: site.ctx,
+    port: site.port,
+    fence: 1,
+    maxLeaseMs: 6_000,
+    releasedAt: 0,
+    mayExtend: () => true,
+    runs: () => workerRuns(site.state, ORDERED_WORKER.id),
+    lookWaitMs: () => 1_000,
+    inboxAgeMs: () => 0,
+    registryAgeMs: () => 0,
+    ticketFor: () => undefined,
+    events: {
+      ended: site.end,
+      recorded: () => Promise.resolve(true),
+      reached: () => Promise.resolve(true),
+      fenced: () => undefined,
+      ticketRefused: () => undefined,
+      started: () => undefined,
+      reported: () => undefined,
+      changed: () => undefined,
+    },
+  });
+  void link.begin();
+  await site.time.advance(100);
+  return link;
+}
