Test that reads are shared by all who ask

No test noticed the loss of coalesce in replica.ts, and coalesce.ts had no test of its own. Each of these was tried once:

- work run for each caller: all who ask at the same time share one run fails;
- a run that doesn't wait for the one before: runs go one at a time fails;

--- /dev/null
+++ b/packages/daemon/src/job-host/replica.test.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import type { JobLog } from '@paddlewind/ports/jobs';
+import { createVirtualTime } from '@paddlewind/stand-ins';
+import { pino } from 'pino';
+import { Registry } from 'prom-client';
+
+import { createJobMeters } from './meters.js';
+import { Replica } from './replica.js';
+
+const READ_MS = 300;
+
+/** A copy whose reads take 300 ms and find nothing. */
+class SlowReads {
+  readonly time = createVirtualTime();
+  begun = 0;
+  underWay = 0;
+  mostUnderWay = 0;
+  readonly replica: Replica;
+
+  constructor() {
+    const { clock, schedule } = this.time;
+    const jobLog: JobLog = {
+      append: () => Promise.resolve({ kind: 'refused', reason: 'read only' }),
+      read: async (_stream, offset) => {
+        this.begun += 1;
+        this.underWay += 1;
+        this.mostUnderWay = Math.max(this.mostUnderWay, this.underWay);
+        await new Promise<void>(resolve => {
+          schedule(READ_MS, resolve);
+        });
+        this.underWay -= 1;
+        return { kind: 'records', records: [], offset, endOffset: 0 };
+      },
+    };
+    const ctx = {
+      host: 'h',
+      clock,
+      wallClock: clock,
+      random: () => 0.5,
+      schedule,
+      log: pino({ level: 'silent' }),
+      meters: createJobMeters(new Registry()),
+    };
+    this.replica = new Replica(ctx, jobLog);
+  }
+}
+
+for (const stream of ['inbox', 'journal'] as const) {
+  test(`all who ask for the ${stream} at the same time share a read`, async () => {
+    const site = new SlowReads();
+    void site.replica.refresh('journal');
+    await site.time.advance(1_000);
+    site.begun = 0;
+    const asked = [1, 2, 3, 4, 5].map(() => site.replica.refresh(stream));
+    await site.time.advance(1_000);
+    assert.deepEqual(await Promise.all(asked), [true, true, true, true, true]);
+    assert.equal(site.begun, 1);
+  });
+
+  test(`reads of the ${stream} go one at a time`, async () => {
+    const site = new SlowReads();
+    const asked: Promise<boolean>[] = [];
+    for (let at = 0; at < 10; at += 1) {
+      asked.push(site.replica.refresh(stream));
+      await site.time.advance(100);
+    }
+    await site.time.advance(2_000);
+    assert.ok((await Promise.all(asked)).every(Boolean));
+    assert.equal(site.mostUnderWay, 1);
+  });
+}
