Test when a host is ready

No test noticed the loss of replica.isComplete in ready.

Simulated hosts find a configuration where a test says so; the others go on without.

--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -11,6 +11,7 @@
   type JobSpec,
   type StepSpec,
 } from '@paddlewind/domain/jobs';
+import type { ConfigFeed, OperatorConfig } from '@paddlewind/ports/jobs';
 import { createVirtualTime, type VirtualTime } from '@paddlewind/stand-ins';
 import {
   JobHistory,
@@ -37,6 +38,17 @@
   targetLatencyMs: 500,
 };
 
+const CONFIG: OperatorConfig = {
+  version: 1,
+  queues: [{ host: 'jobs', pathPrefix: '/', terms: QUEUE }],
+  limits: {
+    maxBodyBytes: 1_000_000,
+    maxHeaderBytes: 10_000,
+    headerTimeoutMs: 5_000,
+    idleTimeoutMs: 5_000,
+  },
+};
+
 /** A host whose process can be killed or frozen. */
 interface SimulatedHost {
   readonly host: JobHost;
@@ -61,6 +73,8 @@
   readonly hosts = new Map<string, SimulatedHost>();
   /** What the hosts' time of day is ahead by. */
   wallOffset: Millis = 0;
+  /** Whether hosts that are started find a configuration. */
+  configured = false;
   private lives = 0;
 
   /** Creates a simulation whose chance follows `seed`. */
@@ -109,7 +123,7 @@
         meters: createJobMeters(new Registry()),
       },
       jobLog: this.guard(started, this.log.connect(name)),
-      configFeed: { next: () => new Promise(() => undefined) },
+      configFeed: configFeed(this.configured),
       workerFeed: () => this.fleet.feed(),
       workerPort: () => this.guard(started, this.fleet.connect(name)),
       advicePort: () => ({
@@ -259,6 +273,19 @@
   }
 }
 
+/** A feed that tells a configuration once, or none. */
+function configFeed(configured: boolean): ConfigFeed {
+  let left = configured ? 1 : 0;
+  return {
+    next: () => {
+      left -= 1;
+      return left < 0
+        ? new Promise(() => undefined)
+        : Promise.resolve({ kind: 'value', value: CONFIG });
+    },
+  };
+}
+
 /** Returns a job whose tasks do what `script` says. */
 export function jobOf(
   id: string,
