Test what a leader that was replaced has written

No test noticed the loss of the closed guard in DecisionLog.write. Without it fails: what is written once a leader has been replaced is read.

Beside it: what a leader has written is not read again (fails when the copy is not told), a decision that is not recorded when the log is closed never will be (fails when close settles nothing, and when recorded overlooks the close).

--- /dev/null
+++ b/packages/daemon/src/job-host/decision-log.test.ts
@@ -0,0 +1,80 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { decodeJournal } from '@paddlewind/domain/jobs';
+import { createVirtualTime } from '@paddlewind/stand-ins';
+import { MemoryJobLog } from '@paddlewind/stand-ins/jobs';
+import { pino } from 'pino';
+import { Registry } from 'prom-client';
+
+import { DecisionLog } from './decision-log.js';
+import { createJobMeters } from './meters.js';
+import { Replica } from './replica.js';
+
+/** The log of a host that leads, on a log of jobs in memory. */
+class Leading {
+  readonly time = createVirtualTime();
+  readonly log = new MemoryJobLog({ ...this.time, random: () => 0.5 });
+  readonly replica: Replica;
+  readonly decisions: DecisionLog;
+
+  constructor() {
+    const { clock, schedule } = this.time;
+    const ctx = {
+      host: 'h',
+      clock,
+      wallClock: clock,
+      random: () => 0.5,
+      schedule,
+      log: pino({ level: 'silent' }),
+      meters: createJobMeters(new Registry()),
+    };
+    const jobLog = this.log.connect('h');
+    this.replica = new Replica(ctx, jobLog);
+    this.decisions = new DecisionLog(ctx, jobLog, this.replica, {
+      epoch: 1,
+      nonce: 0,
+      nextStamp: { writer: 'leader', epoch: 1, sequence: 1 },
+      sentAt: clock(),
+      wonAt: clock(),
+    });
+  }
+}
+
+test('what a leader has written is not read again', async () => {
+  const { time, replica, decisions } = new Leading();
+  decisions.record({ kind: 'reached', worker: 'w' });
+  const written = decisions.write();
+  await time.advance(100);
+  assert.equal(await written, true);
+  assert.equal(replica.nextOffset('journal'), 1);
+});
+
+test('what is written once a leader has been replaced is read', async () => {
+  const { time, log, replica, decisions } = new Leading();
+  decisions.record({ kind: 'reached', worker: 'w' });
+  const written = decisions.write();
+  // The append is under way.
+  decisions.close();
+  replica.reset();
+  await time.advance(100);
+  assert.equal(await written, true);
+  assert.equal(replica.nextOffset('journal'), 0);
+  const read = replica.refresh('journal');
+  await time.advance(100);
+  assert.equal(await read, true);
+  const kinds = log
+    .recordsOf('journal')
+    .map(bytes => decodeJournal(bytes).kind);
+  assert.deepEqual(kinds, ['reached']);
+  assert.ok(replica.state.reachedIn.has('w'));
+});
+
+test('a decision that is not recorded when the log is closed never will be', async () => {
+  const { time, decisions } = new Leading();
+  const waiting = decisions.recordConfirmed({ kind: 'reached', worker: 'w' });
+  decisions.close();
+  assert.equal(await waiting, false);
+  assert.equal(await decisions.recorded(), false);
+  await time.advance(100);
+});
