Test that a failed run does not hold up who waits for the next one

Red: both tests fail on the code as it is; take them in with a mend of coalesce.ts only.

Cause: runNext awaits the run under way before it begins, so when that one rejects it rejects with the same error, without a run of its own, and before queued is cleared. From then on every caller gets that old rejection and work is never run again.

who waits for the next run is not told that this one failed: gets "run 1 failed" instead of the answer of run 2. work runs again after a run that failed while others waited for the next: the call after it gets "run 1 failed" too.

--- a/packages/daemon/src/job-host/coalesce.test.ts
+++ b/packages/daemon/src/job-host/coalesce.test.ts
@@ -100,3 +100,33 @@
   await shared.time.advance(100);
   assert.equal(await again, 2);
 });
+
+test('who waits for the next run is not told that this one failed', async () => {
+  const shared = new SharedWork();
+  shared.failing.add(1);
+  const first = Promise.allSettled([shared.ask()]);
+  await shared.time.advance(3);
+  const next = Promise.allSettled([shared.ask(), shared.ask()]);
+  await shared.time.advance(100);
+  assert.equal((await first)[0].status, 'rejected');
+  assert.deepEqual(await next, [
+    { status: 'fulfilled', value: 2 },
+    { status: 'fulfilled', value: 2 },
+  ]);
+});
+
+test('work runs again after a run that failed while others waited for the next', async () => {
+  const shared = new SharedWork();
+  shared.failing.add(1);
+  const first = Promise.allSettled([shared.ask()]);
+  await shared.time.advance(3);
+  const next = Promise.allSettled([shared.ask()]);
+  await shared.time.advance(100);
+  await Promise.all([first, next]);
+  const begun = shared.begun;
+  const [again] = await Promise.all([
+    Promise.allSettled([shared.ask()]),
+    shared.time.advance(100),
+  ]);
+  assert.deepEqual(again, [{ status: 'fulfilled', value: begun + 1 }]);
+});
