Let a failed read not hold up who waits for the next one

Cause: a read that throws (a record that can't be decoded) while another caller waits was told to that caller too, and was kept, so that nobody read that stream again. Found by the tests written for the shared reads; latent, as failures of the log are values.

--- a/packages/daemon/src/job-host/coalesce.ts
+++ b/packages/daemon/src/job-host/coalesce.ts
@@ -6,7 +6,8 @@
   let queued: Promise<T> | undefined;
 
   async function runNext(): Promise<T> {
-    await running;
+    // Who waits for the next run is not concerned by how this one ends.
+    await running?.catch(() => undefined);
     queued = undefined;
     running = work();
     try {
