--- /dev/null
+++ b/packages/daemon/src/job-host/fuzz-plan.fixture.test.ts
@@ -0,0 +1,216 @@
+/** Plans that fuzzing draws: jobs, faults, and when these disturb what. */
+import type { JobStream } from '@paddlewind/ports/jobs';
+import type { FaultTime } from '@paddlewind/stand-ins/jobs';
+import fc from 'fast-check';
+
+import type { TestStep } from './simulation.fixture.test.js';
+
+/** Names of all hosts. */
+export const HOSTS = ['h1', 'h2', 'h3'];
+/** Names of all workers. */
+export const WORKERS = ['w1', 'w2', 'w3', 'w4'];
+/** A label that some workers have. */
+export const LABEL = 'fast';
+/** How long jobs come and faults strike, in milliseconds. */
+export const STORM_MS = 16_000;
+/** Longest time after which the log carries out an append that was not answered. */
+const LOSING_MS = 6_000;
+/** Time until a host that hands over has ended and starts again. */
+export const STOPPED_MS = 3_500;
+
+const host = fc.constantFrom(...HOSTS);
+const worker = fc.constantFrom(...WORKERS);
+const span = fc.integer({ min: 300, max: 6_000 });
+
+/** A fault, and for how long. */
+export type Fault =
+  | { kind: 'kill' | 'freeze' | 'stop'; host: string; span: number }
+  | {
+      kind: 'log';
+      host: string;
+      mode: 'refusing' | 'silent' | 'losing';
+      span: number;
+    }
+  | { kind: 'stream'; stream: JobStream; span: number }
+  | { kind: 'cut'; host: string; worker: string; span: number }
+  | { kind: 'slow'; host: string; eventMs: number; span: number }
+  | { kind: 'link'; host: string; bytesPerMs: number; span: number }
+  | {
+      kind: 'crash' | 'hang' | 'fail' | 'leave' | 'lag';
+      worker: string;
+      span: number;
+    }
+  | { kind: 'late'; share: number; span: number };
+
+const fault: fc.Arbitrary<Fault> = fc.oneof(
+  fc.record({
+    kind: fc.constantFrom('kill' as const, 'freeze' as const, 'stop' as const),
+    host,
+    span,
+  }),
+  fc.record({
+    kind: fc.constant('log' as const),
+    host,
+    mode: fc.constantFrom(
+      'refusing' as const,
+      'silent' as const,
+      'losing' as const,
+    ),
+    span,
+  }),
+  fc.record({
+    kind: fc.constant('stream' as const),
+    stream: fc.constantFrom('inbox' as const, 'journal' as const),
+    span,
+  }),
+  fc.record({ kind: fc.constant('cut' as const), host, worker, span }),
+  fc.record({
+    kind: fc.constantFrom(
+      'crash' as const,
+      'hang' as const,
+      'fail' as const,
+      'leave' as const,
+      'lag' as const,
+    ),
+    worker,
+    span,
+  }),
+  fc.record({
+    kind: fc.constant('slow' as const),
+    host,
+    eventMs: fc.constantFrom(5, 30, 60),
+    span,
+  }),
+  fc.record({
+    kind: fc.constant('link' as const),
+    host,
+    bytesPerMs: fc.constantFrom(1, 5),
+    span,
+  }),
+  fc.record({
+    kind: fc.constant('late' as const),
+    share: fc.constantFrom(0.1, 0.4),
+    span,
+  }),
+);
+
+const job = fc.record({
+  at: fc.integer({ min: 0, max: STORM_MS }),
+  widths: fc.array(fc.integer({ min: 1, max: 5 }), {
+    minLength: 1,
+    maxLength: 3,
+  }),
+  runMs: fc.integer({ min: 50, max: 3_000 }),
+  failures: fc.constantFrom(0, 0, 0, 1),
+  speculative: fc.boolean(),
+  label: fc.constantFrom(undefined, undefined, LABEL),
+  maxPerWorker: fc.constantFrom(undefined, undefined, 1, 2),
+  cancelAfter: fc.option(fc.integer({ min: 0, max: 5_000 }), { freq: 4 }),
+});
+
+const gang = fc.record({
+  at: fc.integer({ min: 0, max: STORM_MS }),
+  tasks: fc.integer({ min: 2, max: 5 }),
+  runMs: fc.integer({ min: 50, max: 3_000 }),
+  failures: fc.constantFrom(0, 0, 0, 1),
+  cancelAfter: fc.option(fc.integer({ min: 0, max: 5_000 }), { freq: 4 }),
+});
+
+/** Three cores of sixteen at the most each, so that all others have room in the end. */
+const lasting = fc.record({
+  at: fc.integer({ min: 0, max: STORM_MS }),
+  tasks: fc.integer({ min: 1, max: 3 }),
+  maxPerWorker: fc.constantFrom(undefined, undefined, 1),
+  cancelAfter: fc.option(fc.integer({ min: 0, max: 30_000 }), { freq: 2 }),
+});
+
+/** Draws plans. */
+export const plan = fc.record({
+  seed: fc.integer({ min: 1, max: 1_000_000 }),
+  jobs: fc.array(job, { minLength: 2, maxLength: 8 }),
+  gangs: fc.array(gang, { maxLength: 2 }),
+  lasting: fc.array(lasting, { maxLength: 2 }),
+  faults: fc.array(
+    fc.record({ at: fc.integer({ min: 500, max: STORM_MS }), fault }),
+    { minLength: 1, maxLength: 8 },
+  ),
+});
+
+/** What happens in a play. */
+export type Plan = typeof plan extends fc.Arbitrary<infer T> ? T : never;
+
+/** When a fault that strikes `at` disturbs what. */
+export function timeOf(at: number, found: Fault): FaultTime {
+  const until = at + found.span;
+  switch (found.kind) {
+    case 'kill':
+    case 'freeze':
+    case 'slow':
+    case 'link':
+      return { from: at, until, of: { host: found.host } };
+    case 'stop':
+      return { from: at, until: at + STOPPED_MS, of: { host: found.host } };
+    case 'log': {
+      const late = found.mode === 'losing' ? LOSING_MS : 0;
+      return { from: at, until: until + late, of: { host: found.host } };
+    }
+    case 'stream':
+      return { from: at, until, of: 'log' };
+    case 'leave':
+      return { from: until, until, of: 'workers' };
+    case 'cut':
+    case 'crash':
+    case 'hang':
+    case 'fail':
+    case 'lag':
+    case 'late':
+      return { from: at, until, of: 'workers' };
+  }
+}
+
+/** A job that is asked for. */
+export interface Request {
+  readonly id: string;
+  readonly at: number;
+  readonly steps: TestStep[];
+  readonly script: { runMs: number; failures: number; gang?: number };
+  readonly cancelAfter: number | null;
+  /** Whether it is over once all its tasks are done. */
+  readonly ends: boolean;
+}
+
+/** Returns all jobs of a plan. */
+export function requestsOf({
+  jobs,
+  gangs,
+  lasting: standing,
+}: Plan): Request[] {
+  const plain = jobs.map(asked => ({
+    ...asked,
+    steps: asked.widths.map((tasks, step) => ({
+      tasks,
+      after: step === 0 ? [] : [step - 1],
+      speculative: asked.speculative,
+      label: asked.label,
+      maxPerWorker: asked.maxPerWorker,
+    })),
+    script: { runMs: asked.runMs, failures: asked.failures },
+    ends: true,
+  }));
+  const together = gangs.map(({ tasks, runMs, failures, ...asked }) => ({
+    ...asked,
+    steps: [{ tasks, after: [], gang: true }],
+    script: { runMs, failures, gang: tasks },
+    ends: true,
+  }));
+  const endless = standing.map(({ tasks, maxPerWorker, ...asked }) => ({
+    ...asked,
+    steps: [{ tasks, after: [], lasting: true, maxPerWorker }],
+    script: { runMs: 10_000_000, failures: 0 },
+    ends: false,
+  }));
+  return [...plain, ...together, ...endless].map((asked, index) => ({
+    ...asked,
+    id: index.toString(16).padStart(16, '0'),
+  }));
+}
--- a/packages/daemon/src/job-host/job-host.fuzz.test.ts
+++ b/packages/daemon/src/job-host/job-host.fuzz.test.ts
@@ -1,116 +1,32 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import type { JobStream } from '@paddlewind/ports/jobs';
+import { FaultTimes } from '@paddlewind/stand-ins/jobs';
 import fc from 'fast-check';
 
+import {
+  HOSTS,
+  LABEL,
+  plan,
+  requestsOf,
+  STOPPED_MS,
+  STORM_MS,
+  timeOf,
+  WORKERS,
+  type Fault,
+  type Plan,
+  type Request,
+} from './fuzz-plan.fixture.test.js';
 import { Simulation } from './simulation.fixture.test.js';
 
-const HOSTS = ['h1', 'h2', 'h3'];
-const WORKERS = ['w1', 'w2', 'w3', 'w4'];
-const STORM_MS = 16_000;
+/** Workers of which each life has the label. */
+const LABELLED = ['w1', 'w2'];
 /** Time that orders take at a worker that lags: just below their timeout. */
 const LAG_MS = 450;
 /** After the last fault: leases lapse, leaders change, and the work that is left is done. */
 const CALM_MS = 60_000;
-
-const host = fc.constantFrom(...HOSTS);
-const worker = fc.constantFrom(...WORKERS);
-const span = fc.integer({ min: 300, max: 6_000 });
-
-type Fault =
-  | { kind: 'kill' | 'freeze' | 'stop'; host: string; span: number }
-  | {
-      kind: 'log';
-      host: string;
-      mode: 'refusing' | 'silent' | 'losing';
-      span: number;
-    }
-  | { kind: 'stream'; stream: JobStream; span: number }
-  | { kind: 'cut'; host: string; worker: string; span: number }
-  | { kind: 'slow'; host: string; eventMs: number; span: number }
-  | { kind: 'link'; host: string; bytesPerMs: number; span: number }
-  | {
-      kind: 'crash' | 'hang' | 'fail' | 'leave' | 'lag';
-      worker: string;
-      span: number;
-    }
-  | { kind: 'late'; share: number; span: number };
-
-const fault: fc.Arbitrary<Fault> = fc.oneof(
-  fc.record({
-    kind: fc.constantFrom('kill' as const, 'freeze' as const, 'stop' as const),
-    host,
-    span,
-  }),
-  fc.record({
-    kind: fc.constant('log' as const),
-    host,
-    mode: fc.constantFrom(
-      'refusing' as const,
-      'silent' as const,
-      'losing' as const,
-    ),
-    span,
-  }),
-  fc.record({
-    kind: fc.constant('stream' as const),
-    stream: fc.constantFrom('inbox' as const, 'journal' as const),
-    span,
-  }),
-  fc.record({ kind: fc.constant('cut' as const), host, worker, span }),
-  fc.record({
-    kind: fc.constantFrom(
-      'crash' as const,
-      'hang' as const,
-      'fail' as const,
-      'leave' as const,
-      'lag' as const,
-    ),
-    worker,
-    span,
-  }),
-  fc.record({
-    kind: fc.constant('slow' as const),
-    host,
-    eventMs: fc.constantFrom(5, 30, 60),
-    span,
-  }),
-  fc.record({
-    kind: fc.constant('link' as const),
-    host,
-    bytesPerMs: fc.constantFrom(1, 5),
-    span,
-  }),
-  fc.record({
-    kind: fc.constant('late' as const),
-    share: fc.constantFrom(0.1, 0.4),
-    span,
-  }),
-);
-
-const job = fc.record({
-  at: fc.integer({ min: 0, max: STORM_MS }),
-  widths: fc.array(fc.integer({ min: 1, max: 5 }), {
-    minLength: 1,
-    maxLength: 3,
-  }),
-  runMs: fc.integer({ min: 50, max: 3_000 }),
-  failures: fc.constantFrom(0, 0, 0, 1),
-  speculative: fc.boolean(),
-  cancelAfter: fc.option(fc.integer({ min: 0, max: 5_000 }), { freq: 4 }),
-});
-
-const plan = fc.record({
-  seed: fc.integer({ min: 1, max: 1_000_000 }),
-  jobs: fc.array(job, { minLength: 2, maxLength: 8 }),
-  faults: fc.array(
-    fc.record({ at: fc.integer({ min: 500, max: STORM_MS }), fault }),
-    { minLength: 1, maxLength: 8 },
-  ),
-});
-
-type Plan = typeof plan extends fc.Arbitrary<infer T> ? T : never;
+/** How often a caller asks for a state and a length. */
+const ASK_EVERY_MS = 350;
 
 function strike(site: Simulation, found: Fault): void {
   const { time, fleet, log } = site;
@@ -121,7 +37,7 @@
       return;
     case 'stop':
       void site.hosts.get(found.host)?.host.handOver(3_000);
-      time.schedule(3_500, () => {
+      time.schedule(STOPPED_MS, () => {
         site.kill(found.host);
         site.startHost(found.host);
       });
@@ -147,7 +63,7 @@
       fleet.crash(found.worker);
       time.schedule(found.span, () => {
         if (fleet.at(found.worker) === undefined) {
-          site.addWorker(found.worker);
+          addWorker(site, found.worker);
         }
       });
       return;
@@ -155,7 +71,7 @@
       fleet.announceLeave(found.worker);
       time.schedule(found.span, () => {
         fleet.crash(found.worker);
-        site.addWorker(found.worker);
+        addWorker(site, found.worker);
       });
       return;
     case 'lag':
@@ -201,48 +117,84 @@
   }
 }
 
-async function play({ seed, jobs, faults }: Plan): Promise<Simulation> {
-  const site = new Simulation(seed);
+async function ask(site: Simulation, asked: Request): Promise<void> {
+  const { id, steps, script, cancelAfter } = asked;
+  await site.submit(id, steps, script);
+  if (cancelAfter !== null) {
+    await site.wait(cancelAfter);
+    await site.cancel(id);
+  }
+}
+
+/** Asks hosts and jobs in turn for states and lengths. */
+async function watch(site: Simulation): Promise<void> {
+  for (let turn = 0; ; turn += 1) {
+    await site.wait(ASK_EVERY_MS);
+    const name = HOSTS[turn % HOSTS.length] ?? '';
+    const ids = [...site.history.jobs.keys()];
+    const id = ids[turn % Math.max(1, ids.length)];
+    const found = site.hosts.get(name);
+    if (found?.alive === true) {
+      const { service } = found.host;
+      const askedAt = site.time.clock();
+      void service.queueLength('checks').then(length => {
+        if (length !== undefined) {
+          site.history.toldLength(name, askedAt, length);
+        }
+      });
+      if (id !== undefined) {
+        void service.status(id).then(result => {
+          if (result.kind !== 'unavailable') {
+            const { kind } = result;
+            const state = kind === 'known' ? result.status : kind;
+            site.history.told(id, askedAt, state);
+          }
+        });
+      }
+    }
+  }
+}
+
+function addWorker(site: Simulation, name: string): void {
+  site.addWorker(name, LABELLED.includes(name) ? [LABEL] : []);
+}
+
+async function play(found: Plan): Promise<Simulation> {
+  const site = new Simulation(found.seed);
+  const begin = site.time.clock();
+  const times = new FaultTimes();
+  site.history.faults = times;
   WORKERS.forEach(name => {
-    site.addWorker(name);
+    addWorker(site, name);
   });
   HOSTS.forEach(name => site.startHost(name));
-  jobs.forEach((asked, index) => {
-    const { at, widths, runMs, failures, speculative, cancelAfter } = asked;
-    const id = index.toString(16).padStart(16, '0');
-    const steps = widths.map((tasks, step) => ({
-      tasks,
-      after: step === 0 ? [] : [step - 1],
-      speculative,
-    }));
-    site.time.schedule(at, () => {
-      void site.submit(id, steps, { runMs, failures }).then(async () => {
-        if (cancelAfter !== null) {
-          await site.wait(cancelAfter);
-          await site.cancel(id);
-        }
-      });
+  for (const asked of requestsOf(found)) {
+    site.time.schedule(asked.at, () => {
+      void ask(site, asked);
     });
-  });
-  for (const { at, fault: found } of faults) {
+  }
+  for (const { at, fault: struck } of found.faults) {
+    times.add(timeOf(begin + at, struck));
     site.time.schedule(at, () => {
-      strike(site, found);
+      strike(site, struck);
     });
   }
+  void watch(site);
   await site.time.advance(STORM_MS + CALM_MS);
   return site;
 }
 
-function judge(site: Simulation, { jobs, faults }: Plan): void {
+function judge(site: Simulation, found: Plan): void {
   assert.deepEqual(site.history.check(), []);
   // A run that fails counts as an attempt, so that jobs may fail where workers do.
-  const workersFail = faults.some(({ fault: { kind } }) => kind === 'fail');
-  jobs.forEach(({ cancelAfter }, index) => {
-    const id = index.toString(16).padStart(16, '0');
-    if (cancelAfter === null && !workersFail) {
+  const workersFail = found.faults.some(
+    ({ fault: { kind } }) => kind === 'fail',
+  );
+  for (const { id, cancelAfter, ends } of requestsOf(found)) {
+    if (ends && cancelAfter === null && !workersFail) {
       assert.ok(site.history.isDone(id), `job ${id} is not done`);
     }
-  });
+  }
 }
 
 test('promises hold under random faults', async () => {
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -84,16 +84,18 @@
     const { clock, schedule } = this.time;
     const time = { clock, schedule, random: this.random };
     this.history = new JobHistory(clock);
+    this.history.statusMs = STATUS_MS;
     this.log = new MemoryJobLog(time);
     this.fleet = new MemoryFleet(time, this.history);
   }
 
   /** Adds a new life of the worker on `machine`. */
-  addWorker(machine: string): void {
+  addWorker(machine: string, labels: readonly string[] = []): void {
     this.lives += 1;
     this.fleet.add(machine, {
       id: `${machine}-life${this.lives}`,
       capacity: CAPACITY,
+      labels,
       maxLeaseMs: MAX_LEASE_MS,
       clockRate: 0.98 + 0.02 * this.random(),
       clockOffset: Math.floor(this.random() * 100_000),
@@ -178,16 +180,23 @@
     await this.untilRecorded(host =>
       host.service.submit(job, this.time.clock() + 3_000),
     );
+    const promised = this.history.jobs.get(id);
+    if (promised !== undefined) {
+      promised.acceptedAt = this.time.clock();
+    }
   }
 
   /** Cancels a job, at other hosts again until that is confirmed. */
   async cancel(id: string): Promise<void> {
+    const asked = this.history.jobs.get(id);
+    if (asked !== undefined) {
+      asked.cancelAskedAt ??= this.time.clock();
+    }
     await this.untilRecorded(host =>
       host.service.cancel(id, this.time.clock() + 3_000),
     );
-    const promised = this.history.jobs.get(id);
-    if (promised !== undefined) {
-      promised.cancelledAt = this.time.clock();
+    if (asked !== undefined) {
+      asked.cancelledAt = this.time.clock();
     }
   }
 
--- a/packages/stand-ins/src/jobs/index.ts
+++ b/packages/stand-ins/src/jobs/index.ts
@@ -1,3 +1,6 @@
+export * from './fault-times.js';
+export * from './gangs.js';
+export * from './history-facts.js';
 export * from './job-history.js';
 export * from './memory-fleet.js';
 export * from './memory-job-log.js';
--- a/packages/stand-ins/src/jobs/job-history.ts
+++ b/packages/stand-ins/src/jobs/job-history.ts
@@ -1,5 +1,5 @@
-/** What workers saw of each run, and whether the promises of the product were kept. */
-import type { Instant } from '@paddlewind/domain';
+/** What workers and callers saw of each job, and whether the promises of the product were kept. */
+import type { Instant, Millis } from '@paddlewind/domain';
 import {
   runKey,
   taskName,
@@ -7,69 +7,78 @@
   type TaskRef,
 } from '@paddlewind/domain/jobs';
 
-/** A broken promise. */
-export interface Violation {
-  readonly promise:
-    | 'one_place_at_a_time'
-    | 'finish_once'
-    | 'steps_in_order'
-    | 'attempts_bounded'
-    | 'nothing_after_cancel';
-  readonly task: string;
-  readonly detail: string;
-}
+import { checkAnswers } from './answer-promises.js';
+import { checkCalm } from './calm-promises.js';
+import type { FaultTimes } from './fault-times.js';
+import {
+  jobDoneAt,
+  type Facts,
+  type PromisedJob,
+  type RunTrace,
+  type ShownState,
+  type ToldLength,
+  type Violation,
+  type WorkerTrace,
+} from './history-facts.js';
+import { checkLasting } from './lasting-promise.js';
+import { checkPlaces } from './place-promises.js';
+import { checkTasks } from './task-promises.js';
 
 interface RunRef {
   readonly task: TaskRef;
   readonly run: number;
 }
 
-interface RunTrace {
-  readonly task: TaskRef;
-  readonly run: number;
-  readonly worker: string;
-  readonly beganAt: Instant;
-  endedAt: Instant;
-  how: RunEnd | 'lost' | undefined;
-  /** Lapses of the worker's lease when it ended. */
-  lapsesAtEnd: number;
-  /** When its end was acknowledged; infinite before. */
-  notedAt: Instant;
-  /** Whether its order was held up on the way; bounds on time don't hold for it. */
-  readonly late: boolean;
-}
-
-/** What a job asked for, as far as promises depend on it. */
-export interface PromisedJob {
-  readonly steps: readonly {
-    readonly tasks: number;
-    readonly after: readonly number[];
-    /** Whether copies of a task may run at the same time. */
-    readonly speculative?: boolean;
-  }[];
-  readonly maxAttempts: number;
-  /** When the cancellation was confirmed; infinite when there was none. */
-  cancelledAt: Instant;
-}
-
-/** Longest time after a confirmed cancellation in which a task may still begin, in milliseconds. */
-const CANCEL_MS = 3_000;
-/** A copy may still begin this long after the end that made it needless was acknowledged. */
-const COPY_MS = 1_000;
-
-/** Collects what happens at workers. */
+/** Collects what happens at workers, and what callers are told. */
 export class JobHistory {
   /** Accepted jobs by id. */
   readonly jobs = new Map<string, PromisedJob>();
+  /** All faults of the test; promises of calm times are judged only once it is set. */
+  faults: FaultTimes | undefined;
+  /** How long a job that is over is remembered, in milliseconds. */
+  statusMs: Millis = 0;
 
   private readonly runs = new Map<string, RunTrace>();
+  private readonly workers = new Map<string, WorkerTrace>();
+  private readonly shown: ShownState[] = [];
+  private readonly lengths: ToldLength[] = [];
   private late = false;
 
   /** Creates an empty history. */
   constructor(private readonly clock: () => Instant) {}
 
+  /** A life of a worker has begun. */
+  joined(worker: Pick<WorkerTrace, 'id' | 'capacity' | 'labels'>): void {
+    this.workers.set(worker.id, {
+      id: worker.id,
+      capacity: worker.capacity,
+      labels: worker.labels,
+      joinedAt: this.clock(),
+      leavingAt: Infinity,
+      goneAt: Infinity,
+    });
+  }
+
+  /** A worker has announced that it leaves. */
+  announced(worker: string): void {
+    const trace = this.workers.get(worker);
+    if (trace !== undefined) {
+      trace.leavingAt = Math.min(trace.leavingAt, this.clock());
+    }
+  }
+
+  /** A life of a worker has ended. */
+  gone(worker: string): void {
+    const trace = this.workers.get(worker);
+    if (trace !== undefined) {
+      trace.goneAt = this.clock();
+    }
+  }
+
   /** Runs `carryOut` as an order that was held up on its way to the worker. */
   heldUp(carryOut: () => void): void {
+    const now = this.clock();
+    this.faults?.add({ from: now, until: now, of: 'workers' });
     this.late = true;
     carryOut();
     this.late = false;
@@ -117,37 +126,31 @@
     }
   }
 
+  /** A caller that asked at `askedAt` was told the state of a job. */
+  told(job: string, askedAt: Instant, state: ShownState['state']): void {
+    this.shown.push({ job, askedAt, at: this.clock(), state });
+  }
+
+  /** A caller that asked a host at `askedAt` was told the length of the only queue. */
+  toldLength(host: string, askedAt: Instant, length: number): void {
+    this.lengths.push({ host, askedAt, at: this.clock(), length });
+  }
+
   /** Returns every promise that was broken. */
   check(): Violation[] {
-    const byTask = new Map<string, RunTrace[]>();
-    for (const trace of this.runs.values()) {
-      const name = taskName(trace.task);
-      byTask.set(name, [...(byTask.get(name) ?? []), trace]);
-    }
-    const found: Violation[] = [];
-    for (const [name, runs] of byTask) {
-      runs.sort((a, b) => a.beganAt - b.beganAt);
-      const copies = this.allowsCopies(runs);
-      if (!copies) {
-        found.push(...overlaps(name, runs));
-      }
-      found.push(...repeats(name, runs, copies));
-      found.push(...this.checkJob(name, runs, copies));
-    }
-    return found;
+    const facts = this.facts();
+    return [
+      ...checkTasks(facts),
+      ...checkPlaces(facts),
+      ...checkCalm(facts),
+      ...checkLasting(facts),
+      ...checkAnswers(facts),
+    ];
   }
 
   /** Tells whether every task of a job has a run that ended as done. */
   isDone(id: string): boolean {
-    const job = this.jobs.get(id);
-    const done = new Set<string>();
-    for (const { task, how } of this.runs.values()) {
-      if (task.job === id && how === 'done') {
-        done.add(taskName(task));
-      }
-    }
-    const tasks = job?.steps.reduce((sum, step) => sum + step.tasks, 0);
-    return done.size === tasks;
+    return this.jobs.has(id) && jobDoneAt(this.facts(), id) < Infinity;
   }
 
   /** Number of a job's runs that have not ended. */
@@ -157,119 +160,21 @@
     ).length;
   }
 
-  private allowsCopies([first]: readonly RunTrace[]): boolean {
-    const task = first?.task;
-    const step = this.jobs.get(task?.job ?? '')?.steps[task?.step ?? 0];
-    return step?.speculative === true;
-  }
-
-  private checkJob(
-    name: string,
-    runs: readonly RunTrace[],
-    copies: boolean,
-  ): Violation[] {
-    const first = runs[0];
-    const job = this.jobs.get(first?.task.job ?? '');
-    if (first === undefined || job === undefined) {
-      return [];
-    }
-    const found: Violation[] = [];
-    found.push(...attempts(name, runs, job.maxAttempts, copies));
-    const late = runs.filter(
-      run => !run.late && run.beganAt > job.cancelledAt + CANCEL_MS,
-    );
-    if (late.length > 0) {
-      found.push(violation('nothing_after_cancel', name, late));
-    }
-    for (const before of job.steps[first.task.step]?.after ?? []) {
-      if (!this.stepDoneBy(first.task, before, first.beganAt)) {
-        found.push(violation('steps_in_order', name, runs));
-      }
-    }
-    return found;
-  }
-
-  private stepDoneBy(task: TaskRef, step: number, at: Instant): boolean {
-    const tasks = this.jobs.get(task.job)?.steps[step]?.tasks ?? 0;
-    const done = new Set<number>();
-    for (const trace of this.runs.values()) {
-      const { job, occurrence } = trace.task;
-      if (
-        job === task.job &&
-        occurrence === task.occurrence &&
-        trace.task.step === step &&
-        trace.how === 'done' &&
-        trace.endedAt <= at
-      ) {
-        done.add(trace.task.index);
-      }
-    }
-    return done.size === tasks;
+  private facts(): Facts {
+    const runs = [...this.runs.values()];
+    return {
+      jobs: this.jobs,
+      runs: runs.sort((a, b) => a.beganAt - b.beganAt),
+      workers: this.workers,
+      shown: this.shown,
+      lengths: this.lengths,
+      faults: this.faults,
+      statusMs: this.statusMs,
+      now: this.clock(),
+    };
   }
 
   private key({ task, run }: RunRef, worker: string): string {
     return `${worker}/${runKey(taskName(task), run)}`;
   }
 }
-
-function overlaps(name: string, runs: readonly RunTrace[]): Violation[] {
-  for (let at = 1; at < runs.length; at += 1) {
-    const [before, after] = [runs[at - 1], runs[at]];
-    if (before && after && after.beganAt < before.endedAt) {
-      return [violation('one_place_at_a_time', name, [before, after])];
-    }
-  }
-  return [];
-}
-
-function repeats(
-  name: string,
-  runs: readonly RunTrace[],
-  copies: boolean,
-): Violation[] {
-  const done = runs.find(
-    ({ how, notedAt }) => how === 'done' && notedAt < Infinity,
-  );
-  if (done === undefined) {
-    return [];
-  }
-  const again = copies
-    ? runs.find(run => !run.late && run.beganAt > done.notedAt + COPY_MS)
-    : runs.find(({ beganAt }) => beganAt > done.endedAt);
-  return again === undefined
-    ? []
-    : [violation('finish_once', name, [done, again])];
-}
-
-/** A copy may fail as well while the last attempt does. */
-function attempts(
-  name: string,
-  runs: readonly RunTrace[],
-  maxAttempts: number,
-  copies: boolean,
-): Violation[] {
-  const failed = runs
-    .filter(({ how, notedAt }) => how === 'failed' && notedAt < Infinity)
-    .sort((a, b) => a.notedAt - b.notedAt);
-  const spentAt = failed[maxAttempts - 1]?.notedAt ?? Infinity;
-  const broken = copies
-    ? runs.filter(run => !run.late && run.beganAt > spentAt + COPY_MS)
-    : failed.slice(maxAttempts);
-  return broken.length === 0
-    ? []
-    : [violation('attempts_bounded', name, [...failed, ...broken])];
-}
-
-function violation(
-  promise: Violation['promise'],
-  task: string,
-  runs: readonly RunTrace[],
-): Violation {
-  const detail = runs
-    .map(
-      ({ run, worker, beganAt, endedAt, how }) =>
-        `run ${run} on ${worker} ${beganAt} to ${endedAt} ${how ?? 'open'}`,
-    )
-    .join('; ');
-  return { promise, task, detail };
-}
--- a/packages/stand-ins/src/jobs/memory-fleet.ts
+++ b/packages/stand-ins/src/jobs/memory-fleet.ts
@@ -8,6 +8,7 @@
   WorkerPort,
 } from '@paddlewind/ports/jobs';
 
+import { Gangs } from './gangs.js';
 import type { JobHistory } from './job-history.js';
 import type { SimulatedTime } from './memory-job-log.js';
 import { MemoryWorker, type WorkerTraits } from './memory-worker.js';
@@ -34,6 +35,7 @@
   readonly slowness = new Map<string, number>();
 
   private readonly workers = new Map<string, MemoryWorker>();
+  private readonly gangs: Gangs;
   private readonly leaving = new Set<string>();
   /** Present life by address. */
   private readonly lives = new Map<string, string>();
@@ -42,11 +44,15 @@
   constructor(
     private readonly time: SimulatedTime,
     private readonly history: JobHistory,
-  ) {}
+  ) {
+    this.gangs = new Gangs(time);
+  }
 
   /** Adds a worker whose address is that of its machine. */
   add(machine: string, traits: WorkerTraits): MemoryWorker {
-    const worker = new MemoryWorker(traits, this.time, this.history);
+    const { time, history, gangs } = this;
+    const worker = new MemoryWorker(traits, time, history, gangs);
+    history.joined({ labels: [], ...traits });
     this.workers.set(traits.id, worker);
     this.lives.set(machine, traits.id);
     return worker;
@@ -57,11 +63,14 @@
     const id = this.lives.get(machine);
     this.lives.delete(machine);
     this.workers.get(id ?? '')?.crash();
+    this.history.gone(id ?? '');
   }
 
   /** Announces that the life at an address is about to end. */
   announceLeave(machine: string): void {
-    this.leaving.add(this.lives.get(machine) ?? '');
+    const id = this.lives.get(machine) ?? '';
+    this.leaving.add(id);
+    this.history.announced(id);
   }
 
   /** Returns the worker that lives at an address. */
@@ -191,7 +200,7 @@
     service: 'main',
     availabilityZone: 'a',
     rack: undefined,
-    labels: [],
+    labels: traits.labels ?? [],
     capacity: traits.capacity,
     leaving,
   };
--- a/packages/stand-ins/src/jobs/memory-worker.ts
+++ b/packages/stand-ins/src/jobs/memory-worker.ts
@@ -15,6 +15,7 @@
   StartOrder,
 } from '@paddlewind/ports/jobs';
 
+import { Gangs } from './gangs.js';
 import type { JobHistory } from './job-history.js';
 import type { SimulatedTime } from './memory-job-log.js';
 
@@ -24,6 +25,8 @@
   readonly runMs: Millis;
   /** How many runs of each task fail before one is done. */
   readonly failures: number;
+  /** How many tasks work only together; undefined where each works by itself. */
+  readonly gang?: number;
   /** Only makes the job larger. */
   readonly payload?: string;
 }
@@ -32,6 +35,7 @@
 export interface WorkerTraits {
   readonly id: string;
   readonly capacity: TaskSize;
+  readonly labels?: readonly string[];
   readonly maxLeaseMs: Millis;
   /** Speed of its clock, from 0.98 to 1. */
   readonly clockRate: number;
@@ -72,6 +76,7 @@
     readonly traits: WorkerTraits,
     private readonly time: SimulatedTime,
     private readonly history: JobHistory,
+    private readonly gangs = new Gangs(time),
   ) {}
 
   /** The worker's own clock. */
@@ -158,23 +163,40 @@
   private begin(key: string, order: StartOrder): void {
     const script = JSON.parse(order.payload) as TaskScript;
     this.noteRun(taskName(order.task), order.run);
-    const fails = this.failing || order.run <= script.failures;
-    const cancelEnd = this.hanging
-      ? () => undefined
-      : this.time.schedule(script.runMs, () => {
-          this.end(key, fails ? 'failed' : 'done');
-        });
     const since = this.time.clock();
     this.active.set(key, {
       order,
       since,
       script,
       hangs: this.hanging,
-      cancelEnd,
+      cancelEnd: this.work(key, order, script),
     });
     this.history.began(order, this.traits.id);
   }
 
+  /** Sets a run to work; returns what makes it work no more. */
+  private work(
+    key: string,
+    { task, run }: StartOrder,
+    { runMs, failures, gang }: TaskScript,
+  ): () => void {
+    const fails = this.failing || run <= failures;
+    const end = (how: RunEnd): void => {
+      this.end(key, how);
+    };
+    if (gang !== undefined) {
+      const name = `${task.job}.${task.occurrence}.${task.step}`;
+      const whole = runKey(name, run);
+      return this.gangs.join(whole, gang, runMs, { fails, end });
+    }
+    if (this.hanging) {
+      return () => undefined;
+    }
+    return this.time.schedule(runMs, () => {
+      end(fails ? 'failed' : 'done');
+    });
+  }
+
   private noteRun(name: string, run: number): void {
     this.highestRun.set(name, Math.max(run, this.highestRun.get(name) ?? 0));
   }
