--- /dev/null
+++ b/packages/daemon/src/job-host/planted-faults.test.ts
@@ -0,0 +1,112 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import type { WorkerInfo } from '@paddlewind/domain/jobs';
+import { FaultTimes, type PromiseName } from '@paddlewind/stand-ins/jobs';
+
+import { Simulation } from './simulation.fixture.test.js';
+
+const ID = '00000000000000d1';
+const ENDLESS = { runMs: 10_000_000, failures: 0 };
+const SLOW = { runMs: 6_000, failures: 0 };
+const WORKERS = ['w1', 'w2'];
+
+/** A calm site whose hosts see workers as `distort` makes them look. */
+function siteOf(
+  seed: number,
+  distort: (info: WorkerInfo) => WorkerInfo = info => info,
+): Simulation {
+  const site = new Simulation(seed);
+  site.history.faults = new FaultTimes();
+  const feed = site.fleet.feed();
+  site.fleet.feed = () => ({
+    refresh: async () => {
+      const read = await feed.refresh();
+      return read.kind === 'value'
+        ? { kind: 'value', value: read.value.map(distort) }
+        : read;
+    },
+  });
+  WORKERS.forEach(name => {
+    site.addWorker(name);
+  });
+  ['h1', 'h2', 'h3'].forEach(name => site.startHost(name));
+  return site;
+}
+
+function broken(site: Simulation): PromiseName[] {
+  return [...new Set(site.history.check().map(({ promise }) => promise))];
+}
+
+test('a sound site breaks no promise', async () => {
+  const site = siteOf(1);
+  const steps = [{ tasks: 4, after: [], maxPerWorker: 2 }];
+  void site.submit(ID, steps, SLOW);
+  const gang = [{ tasks: 3, after: [], gang: true }];
+  void site.submit('00000000000000d2', gang, { ...SLOW, gang: 3 });
+  await site.time.advance(2_000);
+  site.fleet.announceLeave('w1');
+  await site.time.advance(20_000);
+  assert.ok(site.history.isDone(ID));
+  assert.ok(site.history.isDone('00000000000000d2'));
+  assert.deepEqual(broken(site), []);
+});
+
+test('workers that carry out no stop are seen after a cancellation', async () => {
+  const site = siteOf(2);
+  for (const name of WORKERS) {
+    const found = site.fleet.at(name);
+    assert.ok(found);
+    found.stop = () => ({ kind: 'accepted', clock: found.clock });
+  }
+  void site.submit(ID, [{ tasks: 2, after: [] }], ENDLESS);
+  await site.time.advance(3_000);
+  void site.cancel(ID);
+  await site.time.advance(8_000);
+  assert.deepEqual(broken(site), ['ends_after_cancel']);
+});
+
+test('hosts that do not learn of an announcement are seen', async () => {
+  const site = siteOf(3, info => ({ ...info, leaving: false }));
+  WORKERS.forEach(name => {
+    site.fleet.announceLeave(name);
+  });
+  await site.time.advance(4_000);
+  void site.submit(ID, [{ tasks: 1, after: [] }], SLOW);
+  await site.time.advance(4_000);
+  assert.deepEqual(broken(site), ['not_on_leaving']);
+});
+
+test('hosts that take workers for larger than they are, are seen', async () => {
+  const size = { cpuMilli: 64_000, memoryMiB: 64_000, accelerators: 0 };
+  const site = siteOf(4, info => ({ ...info, capacity: size }));
+  void site.submit(ID, [{ tasks: 12, after: [] }], SLOW);
+  await site.time.advance(4_000);
+  assert.deepEqual(broken(site), ['within_room']);
+});
+
+test('hosts that see labels where there are none are seen', async () => {
+  const site = siteOf(5, info => ({ ...info, labels: ['fast'] }));
+  void site.submit(ID, [{ tasks: 1, after: [], label: 'fast' }], SLOW);
+  await site.time.advance(4_000);
+  assert.deepEqual(broken(site), ['right_worker']);
+});
+
+test('a worker that accepts starts and begins nothing leaves a gang alone', async () => {
+  const site = siteOf(6);
+  const found = site.fleet.at('w2');
+  assert.ok(found);
+  found.start = () => ({ kind: 'accepted', clock: found.clock });
+  const steps = [{ tasks: 2, after: [], gang: true, maxPerWorker: 1 }];
+  void site.submit(ID, steps, { ...SLOW, gang: 2 });
+  await site.time.advance(8_000);
+  assert.deepEqual(broken(site), ['gang_together']);
+});
+
+test('workers that refuse all starts leave lasting tasks without a run', async () => {
+  const site = siteOf(7);
+  site.fleet.refusesStarts = true;
+  void site.submit(ID, [{ tasks: 1, after: [], lasting: true }], ENDLESS);
+  await site.time.advance(12_000);
+  assert.deepEqual(broken(site), ['lasting_runs']);
+});
