Record that a job has begun, in place of guessing it from recorded starts

Cause: on hosts that follow, a start counted as begun 2 s after it was read of.

Change: the leader writes one short record when a worker is first known to have begun a run of a job; nothing else but an end that shows it counts.

--- a/packages/daemon/src/job-host/job-service.ts
+++ b/packages/daemon/src/job-host/job-service.ts
@@ -2,7 +2,6 @@
 import type { Instant, Millis } from '@paddlewind/domain';
 import {
   encodeRecord,
-  hasBegun,
   statusOf,
   type InboxRecord,
   type JobSpec,
@@ -90,7 +89,7 @@
     const known = this.replica.state.jobs.get(job);
     return known === undefined
       ? { kind: 'unavailable' }
-      : { kind: 'known', status: statusOf(known, this.ctx.clock()) };
+      : { kind: 'known', status: statusOf(known) };
   }
 
   /**
@@ -102,10 +101,9 @@
       this.ctx.meters.refused('queue_length', 'stale');
       return undefined;
     }
-    const now = this.ctx.clock();
     let count = 0;
     for (const job of this.replica.state.open) {
-      if (!hasBegun(job, now) && job.spec.terms.queue === queue) {
+      if (!job.begun && job.spec.terms.queue === queue) {
         count += 1;
       }
     }
@@ -187,10 +185,9 @@
   }
 
   private isFinal(id: string): boolean {
-    const { ctx, replica } = this;
-    const job = replica.state.jobs.get(id);
+    const job = this.replica.state.jobs.get(id);
     const over = ['completed', 'failed'];
-    return job !== undefined && over.includes(statusOf(job, ctx.clock()));
+    return job !== undefined && over.includes(statusOf(job));
   }
 
   private async find(
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -160,6 +160,9 @@
           ctx.log.info({ worker: info.id }, 'leader: a worker was fenced');
           this.alarm.ring();
         },
+        began: run => {
+          this.recordBegun(run);
+        },
         started: from => {
           this.supervisor.limitFillers(from);
         },
@@ -254,6 +257,13 @@
     this.alarm.ring();
   }
 
+  private recordBegun(run: Run): void {
+    const { job } = run.task.step.occurrence;
+    if (!this.ended && !job.begun) {
+      this.decisions.record({ kind: 'begun', job: job.spec.id });
+    }
+  }
+
   private learn(run: Run, how: RunEnd): void {
     const { task, progress, worker } = run;
     if (how === 'done') {
--- a/packages/daemon/src/job-host/orders.fixture.test.ts
+++ b/packages/daemon/src/job-host/orders.fixture.test.ts
@@ -164,6 +164,7 @@
       reached: () => Promise.resolve(true),
       fenced: () => undefined,
       ticketRefused: () => undefined,
+      began: () => undefined,
       started: () => undefined,
       reported: () => undefined,
       changed: () => undefined,
--- a/packages/daemon/src/job-host/replica.ts
+++ b/packages/daemon/src/job-host/replica.ts
@@ -291,6 +291,9 @@
   }
 
   private isKnown(record: JournalRecord): boolean {
+    if (record.kind === 'begun') {
+      return this.state.jobs.has(record.job);
+    }
     return !('task' in record) || this.state.jobs.has(record.task.job);
   }
 }
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -30,6 +30,8 @@
   fenced(): void;
   /** The worker has refused the ticket for a task. */
   ticketRefused(task: Task): void;
+  /** A run is known to have begun. */
+  began(run: Run): void;
   /** The worker has confirmed a start. */
   started(link: WorkerLink): void;
   /** The readings of all runs are up to date. */
@@ -313,7 +315,10 @@
     const now = this.options.ctx.clock();
     run.progress ??= newProgress(now);
     const { progress } = run;
-    progress.confirmed = true;
+    if (!progress.confirmed) {
+      progress.confirmed = true;
+      this.options.events.began(run);
+    }
     progress.seenAt = now;
     progress.checkpoint = seen.checkpoint;
     progress.reading = seen.reading;
--- a/packages/daemon/src/job-host/worker-orders.test.ts
+++ b/packages/daemon/src/job-host/worker-orders.test.ts
@@ -29,6 +29,7 @@
       ended: site.end,
       fenced: () => undefined,
       ticketRefused: () => undefined,
+      began: () => undefined,
       started: () => undefined,
       unanswered: () => undefined,
       slow: () => {
--- a/packages/daemon/src/job-host/worker-orders.ts
+++ b/packages/daemon/src/job-host/worker-orders.ts
@@ -30,6 +30,8 @@
   fenced(): void;
   /** The worker has refused the ticket for a task. */
   ticketRefused(task: Task): void;
+  /** A run is known to have begun. */
+  began(run: Run): void;
   /** The worker has confirmed a start. */
   started(): void;
   /** The worker did not answer. */
@@ -215,6 +217,7 @@
         if (run.progress !== undefined) {
           run.progress.confirmed = true;
         }
+        events.began(run);
         events.started();
         return;
       case 'rejected':
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -58,6 +58,13 @@
     case 'release':
       state.released = true;
       return true;
+    case 'begun': {
+      const job = state.jobs.get(record.job);
+      if (job !== undefined) {
+        job.begun = true;
+      }
+      return job !== undefined;
+    }
     case 'start':
       return applyStart(state, record);
     case 'end':
@@ -99,7 +106,7 @@
     return true;
   }
   closeRun(state, run);
-  if (record.how !== 'void') {
+  if (record.how !== 'void' && record.how !== 'lapsed') {
     task.step.occurrence.job.begun = true;
   }
   if (record.checkpoint !== '') {
--- a/packages/domain/src/jobs/job.ts
+++ b/packages/domain/src/jobs/job.ts
@@ -1,5 +1,5 @@
 /** The job aggregate: occurrences of steps of tasks, and the runs of each task. */
-import type { Instant, Millis } from '../core/time.js';
+import type { Instant } from '../core/time.js';
 import type { JobSpec, StepSpec } from './spec.js';
 
 /** A job's state as callers see it. */
@@ -54,8 +54,6 @@
   readonly task: Task;
   readonly number: number;
   readonly worker: string;
-  /** Monotonic time at which this host learnt of it. */
-  readonly openedAt: Instant;
   progress: RunProgress | undefined;
 }
 
@@ -120,7 +118,7 @@
   overAt: Instant | undefined;
   /** Monotonic time at which this leader last restated it. */
   restatedAt: Instant | undefined;
-  /** Whether a run has begun for certain. */
+  /** Whether a worker is known to have begun a run; a recorded start may wait or never be carried out. */
   begun: boolean;
 }
 
@@ -203,37 +201,8 @@
   return job.cancelled || job.failed || job.remaining === 0;
 }
 
-/**
- * Time after which a recorded start has been carried out or given up: starts wait for their turn for up
- * to 1.5 s, and an order takes up to 0.5 s.
- */
-const START_SETTLED_MS: Millis = 2_000;
-
-/**
- * Tells whether any task has begun. Only the leader knows of a run that it has; on other hosts a start
- * counts once it is old enough, so that jobs whose starts wait or are refused are not taken to have begun.
- */
-export function hasBegun(job: Job, now: Instant): boolean {
-  return job.begun || runsOf(job).some(run => isUnderWay(run, now));
-}
-
-function isUnderWay({ progress, openedAt }: Run, now: Instant): boolean {
-  return progress === undefined
-    ? now - openedAt >= START_SETTLED_MS
-    : progress.confirmed;
-}
-
-/** Returns the runs of a job that have not ended. */
-export function runsOf(job: Job): Run[] {
-  return [...job.occurrences.values()]
-    .flatMap(({ steps }) => steps)
-    .filter(({ spread }) => spread.size > 0)
-    .flatMap(({ tasks }) => tasks)
-    .flatMap(({ runs }) => runs);
-}
-
 /** Returns the state that callers are shown. */
-export function statusOf(job: Job, now: Instant): JobStatus {
+export function statusOf(job: Job): JobStatus {
   if (job.remaining === 0) {
     return 'completed';
   }
@@ -243,5 +212,5 @@
   if (job.failed) {
     return 'failed';
   }
-  return hasBegun(job, now) ? 'running' : 'queued';
+  return job.begun ? 'running' : 'queued';
 }
--- a/packages/domain/src/jobs/records.ts
+++ b/packages/domain/src/jobs/records.ts
@@ -49,6 +49,8 @@
   | { readonly kind: 'release' }
   /** The leader has reached a worker and may extend its lease from now on. */
   | { readonly kind: 'reached'; readonly worker: string }
+  /** A worker is known to have begun a run of the job, the first one that is. */
+  | { readonly kind: 'begun'; readonly job: string }
   | {
       readonly kind: 'start';
       readonly task: TaskRef;
@@ -91,6 +93,7 @@
   | ['restate', JobImage]
   | ['release']
   | ['reached', string]
+  | ['b', string]
   | ['s', string, number, string]
   | ['e', string, number, RunEnd, string?];
 
@@ -112,6 +115,8 @@
       return { kind: 'release' };
     case 'reached':
       return { kind: 'reached', worker: row[1] };
+    case 'b':
+      return { kind: 'begun', job: row[1] };
     case 's': {
       const [, name, run, worker] = row;
       return { kind: 'start', task: parseTaskName(name), run, worker };
@@ -144,6 +149,8 @@
       return ['release'];
     case 'reached':
       return ['reached', record.worker];
+    case 'begun':
+      return ['b', record.job];
     case 'start':
       return ['s', taskName(record.task), record.run, record.worker];
     case 'end': {
--- a/packages/domain/src/jobs/restate.ts
+++ b/packages/domain/src/jobs/restate.ts
@@ -5,14 +5,7 @@
  * nothing of it until it is restated, and all of it from then on.
  */
 import type { Instant } from '../core/time.js';
-import {
-  isOver,
-  newJob,
-  occurrenceOf,
-  runsOf,
-  type Job,
-  type Step,
-} from './job.js';
+import { isOver, newJob, occurrenceOf, type Job, type Step } from './job.js';
 import { hasOpenRuns, openRun, type JobsState } from './jobs-state.js';
 import type { JobSpec } from './spec.js';
 
@@ -46,9 +39,7 @@
 
 /** Returns the image of a job. */
 export function imageOf(job: Job): JobImage {
-  const { acceptedAtWall, remaining, cancelled, failed } = job;
-  const confirmed = runsOf(job).some(run => run.progress?.confirmed === true);
-  const begun = job.begun || confirmed;
+  const { acceptedAtWall, remaining, cancelled, failed, begun } = job;
   if (isOver(job) && !hasOpenRuns(job)) {
     return { ...briefOf(job), remaining, cancelled, failed, begun };
   }
