Take out state, reasons and names that serve nothing

Read once more: a task's earliest start was never set to anything but 0; a leader asked itself by a method of its own whether it had ended; four of the refusals that metrics offered were told by nobody, and the reason of late starts was told and not described; five comments of the stand-ins and a test's parameter used the platform's words. Behaviour is as before, but for labels that never had a count; no test changed but for that parameter's name.

--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -195,9 +195,9 @@
     const { ctx } = this.options;
     let wroteAt = ctx.clock();
     let claimedAt = ctx.clock();
-    while (!this.ended) {
+    for (;;) {
       await this.alarm.wait(PLAN_EVERY_MS);
-      if (this.isOver()) {
+      if (this.ended) {
         return;
       }
       const beganAt = ctx.clock();
@@ -365,10 +365,6 @@
     }
   }
 
-  private isOver(): boolean {
-    return this.ended;
-  }
-
   private end(): void {
     this.ended = true;
     this.decisions.close();
--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -10,20 +10,19 @@
 export type StopReason = 'needless' | 'stalled' | 'slowed' | 'leaving';
 
 /**
- * Why a start that was decided on is not sent: its run is over, nobody needs it, what it was decided on
- * is too old, or its worker does not answer or leaves.
+ * Why a start that was decided on is not sent: it has waited for too long, its job is over, nobody needs
+ * the run, what it was decided on is too old, or its worker does not answer or leaves.
  */
 export type StartGivenUp = 'late' | 'over' | 'needless' | 'stale' | 'worker';
 
-/** What a caller asked for that was refused. */
-export type RefusedRequest = 'queue_length' | 'status' | 'submit' | 'cancel';
+/** What a caller asked for that was refused; changes that are refused are counted among the requests. */
+export type RefusedRequest = 'queue_length' | 'status';
 
 /**
- * Why a request was refused: there is no configuration yet, the log does not answer, the log refused
- * the append, what this host has read is too old, or the leader's decisions were not recorded in time.
+ * Why a request was refused: the log does not answer, what this host has read is too old, or the
+ * leader's decisions were not recorded in time.
  */
-export type RefusalReason =
-  'no_config' | 'log_away' | 'log_refused' | 'stale' | 'unrecorded';
+export type RefusalReason = 'log_away' | 'stale' | 'unrecorded';
 
 /** What a job host counts. */
 export interface JobMeters {
--- a/packages/daemon/src/job-host/waiting-orders.test.ts
+++ b/packages/daemon/src/job-host/waiting-orders.test.ts
@@ -133,10 +133,10 @@
   assert.ok(site.history.isDone(ID));
 });
 
-/** Jobs of several kinds, some of which are cancelled, until `untilMs`. */
-async function busyDay(site: Simulation, untilMs: number): Promise<string[]> {
+/** Jobs of several kinds, some of which are cancelled, until `endAt`. */
+async function busyDay(site: Simulation, endAt: number): Promise<string[]> {
   const kept: string[] = [];
-  for (let number = 1; site.time.clock() < untilMs; number += 1) {
+  for (let number = 1; site.time.clock() < endAt; number += 1) {
     const id = number.toString(16).padStart(16, '0');
     const speculative = number % 3 === 0;
     const steps = [{ ...MANY, tasks: 6, speculative, estimateMs: 100 }];
--- a/packages/domain/src/jobs/job.ts
+++ b/packages/domain/src/jobs/job.ts
@@ -72,8 +72,6 @@
   readonly failedOn: Set<string>;
   /** Newest checkpoint of an ended run; empty when there is none. */
   checkpoint: string;
-  /** Monotonic time before which no run is started. */
-  notBefore: Instant;
   /** Monotonic time at which this host learnt that its last run has ended; infinite before. */
   endedAt: Instant;
 }
@@ -186,7 +184,6 @@
       failures: 0,
       failedOn: new Set(),
       checkpoint: '',
-      notBefore: 0,
       endedAt: Infinity,
     });
   }
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -85,8 +85,8 @@
   return found.sort((a, b) => a.endedAt - b.endedAt);
 }
 
-function isOverdue({ status, endedAt }: Task, now: Instant): boolean {
-  return status === 'waiting' && now - endedAt > LASTING_WAIT_MS;
+function isOverdue(task: Task, now: Instant): boolean {
+  return isWaiting(task) && now - task.endedAt > LASTING_WAIT_MS;
 }
 
 function startFirst(
@@ -96,7 +96,7 @@
 ): number {
   let started = 0;
   for (const task of first) {
-    if (isWaiting(task, place.now)) {
+    if (isWaiting(task)) {
       const worker = chooseWorker(place, task)?.info.id;
       if (worker !== undefined) {
         start({ task, run: task.lastRun + 1, worker });
@@ -146,7 +146,7 @@
 function startTasks(place: PlaceInput, step: Step, start: ApplyStart): Started {
   let started = 0;
   for (const task of step.tasks) {
-    if (!isWaiting(task, place.now)) {
+    if (!isWaiting(task)) {
       continue;
     }
     const worker = chooseWorker(place, task);
@@ -162,9 +162,7 @@
 /** Starts all tasks of a gang under one run number, or none. */
 function startGang(place: PlaceInput, step: Step, start: ApplyStart): Started {
   const { tasks } = step;
-  const idle = tasks.every(
-    task => isWaiting(task, place.now) && task.runs.length === 0,
-  );
+  const idle = tasks.every(task => isWaiting(task) && task.runs.length === 0);
   if (!idle) {
     return { started: 0, full: false };
   }
@@ -179,8 +177,8 @@
   return { started: tasks.length, full: false };
 }
 
-function isWaiting(task: Task, now: Instant): boolean {
-  return task.status === 'waiting' && task.notBefore <= now;
+function isWaiting({ status }: Task): boolean {
+  return status === 'waiting';
 }
 
 /** Steps of one shape fit or fail alike, but for limits of their own. */
--- a/packages/stand-ins/src/jobs/answer-promises.ts
+++ b/packages/stand-ins/src/jobs/answer-promises.ts
@@ -13,7 +13,7 @@
   type Violation,
 } from './history-facts.js';
 
-/** Time after which an accepted job has to be known everywhere; the users' `visible_ms`. */
+/** Time after which an accepted job has to be known everywhere, as the users' rules say. */
 const VISIBLE_MS: Millis = 3_000;
 /** How old the length of a queue may be. */
 const LENGTH_AGE_MS: Millis = 2_000;
--- a/packages/stand-ins/src/jobs/calm-promises.ts
+++ b/packages/stand-ins/src/jobs/calm-promises.ts
@@ -11,9 +11,9 @@
 } from './history-facts.js';
 import { CANCEL_MS } from './task-promises.js';
 
-/** Longest time that a stop takes; the users' `stopMs`. */
+/** Longest time that a stop takes, as the users' rules say. */
 const STOP_MS: Millis = 900;
-/** How long members of a gang wait for the others; the users' `gangMs`. */
+/** How long members of a gang wait for the others, as the users' rules say. */
 const GANG_MS: Millis = 3_000;
 
 /** Returns the broken promises on runs that should have ended, or have had company. */
--- a/packages/stand-ins/src/jobs/fault-times.ts
+++ b/packages/stand-ins/src/jobs/fault-times.ts
@@ -10,7 +10,7 @@
   readonly of: 'log' | 'workers' | { readonly host: string };
 }
 
-/** Time after a fault in which hosts find their way back, in milliseconds; the users' `contactMs`. */
+/** Time after a fault in which hosts find their way back, in milliseconds, as the users' rules say. */
 export const CONTACT_MS: Millis = 3_000;
 
 /** All faults of a test. */
--- a/packages/stand-ins/src/jobs/gangs.ts
+++ b/packages/stand-ins/src/jobs/gangs.ts
@@ -4,7 +4,7 @@
 
 import type { SimulatedTime } from './memory-job-log.js';
 
-/** How long members wait for the others, in milliseconds; the users' `gangMs`. */
+/** How long members wait for the others, in milliseconds, as the users' rules say. */
 const GANG_MS: Millis = 3_000;
 
 /** A run that works only beside the others of its gang. */
--- a/packages/stand-ins/src/jobs/place-promises.ts
+++ b/packages/stand-ins/src/jobs/place-promises.ts
@@ -11,7 +11,7 @@
   type WorkerTrace,
 } from './history-facts.js';
 
-/** Longest time after a worker's announcement in which a run may begin there; the users' `drainMs`. */
+/** Longest time after a worker's announcement in which a run may begin there, as the users' rules say. */
 const LEAVING_MS: Millis = 2_000;
 
 /** Returns the broken promises on each start. */
