--- a/packages/daemon/src/job-host/decision-log.test.ts
+++ b/packages/daemon/src/job-host/decision-log.test.ts
@@ -4,11 +4,9 @@
 import { decodeJournal } from '@paddlewind/domain/jobs';
 import { createVirtualTime } from '@paddlewind/stand-ins';
 import { MemoryJobLog } from '@paddlewind/stand-ins/jobs';
-import { pino } from 'pino';
-import { Registry } from 'prom-client';
 
+import { testContext } from './context.fixture.test.js';
 import { DecisionLog } from './decision-log.js';
-import { createJobMeters } from './meters.js';
 import { Replica } from './replica.js';
 
 /** The log of a host that leads, on a log of jobs in memory. */
@@ -19,16 +17,8 @@
   readonly decisions: DecisionLog;
 
   constructor() {
-    const { clock, schedule } = this.time;
-    const ctx = {
-      host: 'h',
-      clock,
-      wallClock: clock,
-      random: () => 0.5,
-      schedule,
-      log: pino({ level: 'silent' }),
-      meters: createJobMeters(new Registry()),
-    };
+    const { clock } = this.time;
+    const ctx = testContext(this.time);
     const jobLog = this.log.connect('h');
     this.replica = new Replica(ctx, jobLog);
     this.decisions = new DecisionLog(ctx, jobLog, this.replica, {
--- a/packages/daemon/src/job-host/job-host.test.ts
+++ b/packages/daemon/src/job-host/job-host.test.ts
@@ -251,27 +251,15 @@
   assert.deepEqual(site.history.check(), []);
 });
 
-test('a job outlives the records that it began with', async () => {
-  const site = smallSite(16);
+/** A job is still under way when all but the last third of the retention is gone, and no host remembers. */
+async function assertOutlivesRecords(
+  site: Simulation,
+  wallOffset: number,
+): Promise<void> {
   const id = '0000000000000016';
   void site.submit(id, TWO_STEPS, { runMs: 28_000, failures: 0 });
-  await site.time.advance(15_000);
-  const dropped = site.log.recordsOf('journal').length;
-  await site.time.advance(11_000);
-  // All but the last third of the retention is gone, and no host remembers.
-  site.log.trimTo(dropped);
-  restartAll(site);
-  await site.time.advance(60_000);
-  assert.deepEqual(site.history.check(), []);
-  assert.ok(site.history.isDone(id));
-});
-
-test('a job outlives the records that it began with though clocks jump back', async () => {
-  const site = smallSite(30);
-  const id = '0000000000000030';
-  void site.submit(id, TWO_STEPS, { runMs: 28_000, failures: 0 });
   await site.time.advance(2_000);
-  site.wallOffset = -40_000;
+  site.wallOffset = wallOffset;
   await site.time.advance(13_000);
   const dropped = site.log.recordsOf('journal').length;
   await site.time.advance(11_000);
@@ -280,7 +268,13 @@
   await site.time.advance(60_000);
   assert.deepEqual(site.history.check(), []);
   assert.ok(site.history.isDone(id));
-});
+}
+
+test('a job outlives the records that it began with', () =>
+  assertOutlivesRecords(smallSite(16), 0));
+
+test('a job outlives the records that it began with though clocks jump back', () =>
+  assertOutlivesRecords(smallSite(30), -40_000));
 
 test('how a job ended is known after its records are gone', async () => {
   const site = smallSite(28);
--- a/packages/daemon/src/job-host/job-service.test.ts
+++ b/packages/daemon/src/job-host/job-service.test.ts
@@ -4,11 +4,9 @@
 import { encodeRecord, type RunEnd } from '@paddlewind/domain/jobs';
 import { createVirtualTime } from '@paddlewind/stand-ins';
 import { MemoryJobLog } from '@paddlewind/stand-ins/jobs';
-import { pino } from 'pino';
-import { Registry } from 'prom-client';
 
+import { testContext } from './context.fixture.test.js';
 import { JobService, type StatusResult } from './job-service.js';
-import { createJobMeters } from './meters.js';
 import { Replica } from './replica.js';
 import { jobOf } from './simulation.fixture.test.js';
 
@@ -23,16 +21,7 @@
   readonly service: JobService;
 
   constructor() {
-    const { clock, schedule } = this.time;
-    const ctx = {
-      host: 'h',
-      clock,
-      wallClock: clock,
-      random: () => 0.5,
-      schedule,
-      log: pino({ level: 'silent' }),
-      meters: createJobMeters(new Registry()),
-    };
+    const ctx = testContext(this.time);
     const jobLog = this.log.connect('h');
     this.replica = new Replica(ctx, jobLog);
     this.service = new JobService(ctx, jobLog, this.replica, () => undefined);
--- a/packages/daemon/src/job-host/orders.fixture.test.ts
+++ b/packages/daemon/src/job-host/orders.fixture.test.ts
@@ -20,11 +20,9 @@
   WorkerPort,
 } from '@paddlewind/ports/jobs';
 import { createVirtualTime } from '@paddlewind/stand-ins';
-import { pino } from 'pino';
-import { Registry } from 'prom-client';
 
+import { testContext } from './context.fixture.test.js';
 import type { HostContext } from './context.js';
-import { createJobMeters } from './meters.js';
 import { jobOf, type TestStep } from './simulation.fixture.test.js';
 import { WorkerLink } from './worker-link.js';
 
@@ -49,15 +47,7 @@
 export class OrderedRuns {
   readonly time = createVirtualTime();
   readonly state = emptyJobsState();
-  readonly ctx: HostContext = {
-    host: 'h',
-    clock: this.time.clock,
-    wallClock: this.time.clock,
-    random: () => 0.5,
-    schedule: this.time.schedule,
-    log: pino({ level: 'silent' }),
-    meters: createJobMeters(new Registry()),
-  };
+  readonly ctx: HostContext = testContext(this.time);
   /** Orders that were sent, such as `start 0#1` and `throttle 0#1 50`. */
   readonly sent: string[] = [];
   /** Ends that were told, such as `0#1 void`. */
--- a/packages/daemon/src/job-host/replica.test.ts
+++ b/packages/daemon/src/job-host/replica.test.ts
@@ -3,10 +3,8 @@
 
 import type { JobLog } from '@paddlewind/ports/jobs';
 import { createVirtualTime } from '@paddlewind/stand-ins';
-import { pino } from 'pino';
-import { Registry } from 'prom-client';
 
-import { createJobMeters } from './meters.js';
+import { testContext } from './context.fixture.test.js';
 import { Replica } from './replica.js';
 
 const READ_MS = 300;
@@ -20,7 +18,7 @@
   readonly replica: Replica;
 
   constructor() {
-    const { clock, schedule } = this.time;
+    const { schedule } = this.time;
     const jobLog: JobLog = {
       append: () => Promise.resolve({ kind: 'refused', reason: 'read only' }),
       read: async (_stream, offset) => {
@@ -34,15 +32,7 @@
         return { kind: 'records', records: [], offset, endOffset: 0 };
       },
     };
-    const ctx = {
-      host: 'h',
-      clock,
-      wallClock: clock,
-      random: () => 0.5,
-      schedule,
-      log: pino({ level: 'silent' }),
-      meters: createJobMeters(new Registry()),
-    };
+    const ctx = testContext(this.time);
     this.replica = new Replica(ctx, jobLog);
   }
 }
