Tell who holds the fleet's processors and why tasks wait

The logs did not tell why a task waits. One log line, and gauges on the metrics address; empty on a host that does not lead.

--- a/packages/daemon/src/job-host/fleet.ts
+++ b/packages/daemon/src/job-host/fleet.ts
@@ -55,6 +55,13 @@
     return this.links.get(worker);
   }
 
+  /** All workers that are registered. */
+  registeredWorkers(): WorkerInfo[] {
+    return [...this.links.values()]
+      .map(({ info }) => info)
+      .filter(({ id }) => this.registered.has(id));
+  }
+
   /** Workers that may be given tasks now. */
   planWorkers(): PlanWorker[] {
     const { ctx, health } = this.options;
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -1,8 +1,10 @@
 /** The leader's loop: takes in ends, plans starts, records both, then acts. */
 import type { Instant, Millis } from '@paddlewind/domain';
 import {
+  accountFleet,
   Advice,
   createRunTimes,
+  EMPTY_ACCOUNT,
   Interference,
   planCopies,
   planStarts,
@@ -37,6 +39,7 @@
 import { restateDue } from './restate-due.js';
 import { RunSupervisor } from './run-supervisor.js';
 import {
+  ACCOUNT_EVERY_MS,
   CLAIM_REPEAT_MS,
   HEARTBEAT_EVERY_MS,
   INBOX_RETRY_MS,
@@ -117,6 +120,7 @@
     void this.fleet.follow();
     void this.followInbox();
     void this.decide();
+    void this.account();
   }
 
   /** Asks the others to take over; this host leads on until one does. */
@@ -278,19 +282,10 @@
   }
 
   private plan(): void {
-    const { ctx } = this.options;
     if (this.inboxAgeMs() > INBOX_STALE_MS) {
       return;
     }
-    const input: PlanInput = {
-      state: this.state,
-      workers: this.fleet.planWorkers(),
-      times: this.times,
-      interference: this.interference,
-      advice: this.advice,
-      time: { now: ctx.clock(), nowWall: ctx.wallClock() },
-      moving: this.supervisor.moving(),
-    };
+    const input = this.planInput();
     const start: ApplyStart = decision => {
       this.startRun(decision);
     };
@@ -301,6 +296,36 @@
     this.adviser.askIfNeeded(input);
   }
 
+  private planInput(): PlanInput {
+    const { ctx } = this.options;
+    return {
+      state: this.state,
+      workers: this.fleet.planWorkers(),
+      times: this.times,
+      interference: this.interference,
+      advice: this.advice,
+      time: { now: ctx.clock(), nowWall: ctx.wallClock() },
+      moving: this.supervisor.moving(),
+    };
+  }
+
+  /** Tells who holds the fleet's processors and why tasks wait, for as long as this host leads. */
+  private async account(): Promise<void> {
+    const { ctx } = this.options;
+    for (;;) {
+      await pause(ctx, ACCOUNT_EVERY_MS);
+      if (this.ended) {
+        return;
+      }
+      const account = accountFleet({
+        plan: this.planInput(),
+        registered: this.fleet.registeredWorkers(),
+      });
+      ctx.meters.accounted(account);
+      ctx.log.info({ ...account }, 'leader: the fleet');
+    }
+  }
+
   private inboxAgeMs(): Millis {
     const { ctx, replica } = this.options;
     return ctx.clock() - replica.knownAsOf('inbox');
@@ -367,6 +392,7 @@
 
   private end(): void {
     this.ended = true;
+    this.options.ctx.meters.accounted(EMPTY_ACCOUNT);
     this.decisions.close();
     this.fleet.close();
     this.options.ctx.log.info(
--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -1,6 +1,10 @@
 /** Metrics of a job host; docs/OPERATIONS.md tells what to look at. */
 import type { Millis } from '@paddlewind/domain';
-import type { JournalRecord, RunEnd } from '@paddlewind/domain/jobs';
+import type {
+  FleetAccount,
+  JournalRecord,
+  RunEnd,
+} from '@paddlewind/domain/jobs';
 import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
 
 /** Whose answers a call waits for. */
@@ -49,6 +53,8 @@
   readonly refused: (what: RefusedRequest, why: RefusalReason) => void;
   /** A timer of the process fired late by `delay`. */
   readonly loopDelayed: (delay: Millis) => void;
+  /** The leader has accounted for its fleet; the account of a host that does not lead is empty. */
+  readonly accounted: (account: FleetAccount) => void;
 }
 
 /** What is read when the metrics are asked for. */
@@ -81,7 +87,42 @@
 
 /** Registers the counters and histograms. */
 export function createJobMeters(registry: Registry): JobMeters {
-  return { ...createWorkMeters(registry), ...createLagMeters(registry) };
+  return {
+    ...createWorkMeters(registry),
+    ...createLagMeters(registry),
+    ...createFleetMeters(registry),
+  };
+}
+
+const MILLI = 1000;
+
+/** Registers what tells who holds the fleet's processors and why tasks wait. */
+function createFleetMeters(registry: Registry): Pick<JobMeters, 'accounted'> {
+  const processors = new Gauge({
+    name: 'paddlewind_jobs_fleet_cores',
+    help: "Cores of the leader's fleet by what they are, are promised to or are used by; 0 on other hosts.",
+    labelNames: ['what'],
+    registers: [registry],
+  });
+  const waiting = new Gauge({
+    name: 'paddlewind_jobs_waiting_tasks',
+    help: 'Tasks of the leader whose turn has come and that wait, by queue and reason.',
+    labelNames: ['queue', 'reason'],
+    registers: [registry],
+  });
+  return {
+    accounted: account => {
+      for (const [what, milli] of Object.entries(account.processors)) {
+        processors.set({ what }, milli / MILLI);
+      }
+      waiting.reset();
+      for (const [queue, reasons] of Object.entries(account.waiting)) {
+        for (const [reason, tasks] of Object.entries(reasons)) {
+          waiting.set({ queue, reason }, tasks);
+        }
+      }
+    },
+  };
 }
 
 type LagMeters = Pick<
@@ -142,7 +183,7 @@
 /** Registers what tells of the work that this host does. */
 function createWorkMeters(
   registry: Registry,
-): Omit<JobMeters, keyof LagMeters> {
+): Omit<JobMeters, keyof LagMeters | 'accounted'> {
   const registers = [registry];
   const requests = new Histogram({
     name: 'paddlewind_jobs_request_duration_seconds',
--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -1,3 +1,4 @@
+export * from './account.js';
 export * from './advice.js';
 export * from './copies.js';
 export * from './evacuation.js';
--- a/packages/domain/src/jobs/placement.ts
+++ b/packages/domain/src/jobs/placement.ts
@@ -46,16 +46,10 @@
   let best: PlanWorker | undefined;
   let bestRank = -Infinity;
   for (const worker of input.workers) {
-    if (!accepts(input, worker, task)) {
+    if (obstacleAt(input, worker, task) !== undefined) {
       continue;
     }
     const load = input.loadOf(worker.info.id);
-    if (!worker.trusted && hasTrial(load)) {
-      continue;
-    }
-    if (!hasRoom(worker.info, load, task.step.spec)) {
-      continue;
-    }
     const rank = rankOf(worker, load, task, input.speeds, bestRank);
     if (rank > bestRank) {
       best = worker;
@@ -65,28 +59,62 @@
   return best;
 }
 
+/** Why a worker may not have a task now, in the order in which that is checked. */
+export const OBSTACLES = [
+  'service',
+  'label',
+  'advice',
+  'spread',
+  'trust',
+  'processors',
+  'memory',
+  'accelerators',
+] as const;
+
+/** Why a worker may not have a task now. */
+export type Obstacle = (typeof OBSTACLES)[number];
+
+/** Returns the first obstacle to a task at a worker, undefined when it may have it. */
+export function obstacleAt(
+  input: PlaceInput,
+  worker: PlanWorker,
+  task: Task,
+): Obstacle | undefined {
+  const refusal = refusalAt(input, worker, task);
+  if (refusal !== undefined) {
+    return refusal;
+  }
+  const load = input.loadOf(worker.info.id);
+  if (!worker.trusted && hasTrial(load)) {
+    return 'trust';
+  }
+  return lackAt(worker.info, load, task.step.spec);
+}
+
 /** Tells whether a run that will end by itself is under way: it shows whether the worker is sound. */
 function hasTrial({ runs }: WorkerRuns): boolean {
   return [...runs.values()].some(({ task }) => !task.step.spec.lasting);
 }
 
-function accepts(
+function refusalAt(
   { advice, now, spreadOf }: PlaceInput,
   { info }: PlanWorker,
   task: Task,
-): boolean {
+): Obstacle | undefined {
   const { spec, occurrence } = task.step;
   if (info.service !== occurrence.job.spec.terms.service) {
-    return false;
+    return 'service';
   }
   if (spec.label !== undefined && !info.labels.includes(spec.label)) {
-    return false;
+    return 'label';
   }
   if (!advice.admits(task.step, info.id, now)) {
-    return false;
+    return 'advice';
   }
   const { maxPerWorker } = spec;
-  return maxPerWorker === undefined || spreadOf(task, info.id) < maxPerWorker;
+  const isFree =
+    maxPerWorker === undefined || spreadOf(task, info.id) < maxPerWorker;
+  return isFree ? undefined : 'spread';
 }
 
 /** Share of its declared processors that a serving task is taken to use, for fillers beside it. */
@@ -94,15 +122,28 @@
 
 /** Tells whether a task of the step fits on a worker. */
 export function hasRoom(
+  info: WorkerInfo,
+  load: WorkerRuns,
+  spec: StepSpec,
+): boolean {
+  return lackAt(info, load, spec) === undefined;
+}
+
+/** Returns what a worker lacks for a task of the step, undefined when it fits. */
+function lackAt(
   { capacity }: WorkerInfo,
   load: WorkerRuns,
   { size, filler }: StepSpec,
-): boolean {
-  return (
-    size.cpuMilli <= (filler ? fillerRoom : plainRoom)(capacity, load) &&
-    size.memoryMiB <= capacity.memoryMiB - load.memoryMiB &&
-    size.accelerators <= capacity.accelerators - load.accelerators
-  );
+): Obstacle | undefined {
+  if (size.cpuMilli > (filler ? fillerRoom : plainRoom)(capacity, load)) {
+    return 'processors';
+  }
+  if (size.memoryMiB > capacity.memoryMiB - load.memoryMiB) {
+    return 'memory';
+  }
+  return size.accelerators > capacity.accelerators - load.accelerators
+    ? 'accelerators'
+    : undefined;
 }
 
 function plainRoom(capacity: TaskSize, load: WorkerRuns): number {
