--- a/packages/daemon/src/job-host/job-service.ts
+++ b/packages/daemon/src/job-host/job-service.ts
@@ -145,7 +145,11 @@
     deadline: Instant,
   ): Promise<ChangeResult> {
     const result = await this.append(record, deadline);
-    this.ctx.log.info({ job, change: record.kind, result }, 'jobs: answered');
+    const queue = record.kind === 'submit' ? record.job.terms.queue : undefined;
+    this.ctx.log.info(
+      { job, queue, change: record.kind, result },
+      'jobs: answered',
+    );
     return result;
   }
 
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -6,15 +6,20 @@
   createRunTimes,
   EMPTY_ACCOUNT,
   Interference,
+  isOver,
+  objectiveOf,
   planCopies,
   planStarts,
   refOf,
+  statusOf,
   taskName,
   WorkerHealth,
   workerRuns,
+  workOf,
   type ApplyStart,
   type JobsState,
   type JournalRecord,
+  type Occurrence,
   type PlanInput,
   type Run,
   type RunEnd,
@@ -250,6 +255,8 @@
     this.options.ctx.meters.ended(how);
     this.supervisor.noteEnd(run);
     const task = refOf(run.task);
+    const { occurrence } = run.task.step;
+    const wasOver = isOver(occurrence.job);
     this.logRun(run, 'leader: a run has ended', { how });
     this.decisions.record({
       kind: 'end',
@@ -258,9 +265,33 @@
       how,
       checkpoint,
     });
+    if (!wasOver && isOver(occurrence.job)) {
+      this.logOver(occurrence);
+    }
     this.alarm.ring();
   }
 
+  /** Tells how long a job took, and against which objective, once it is over. */
+  private logOver(occurrence: Occurrence): void {
+    const { job, steps } = occurrence;
+    const { id, terms } = job.spec;
+    const tookMs = this.options.ctx.clock() - (job.seenAt ?? 0);
+    const tasks = steps.flatMap(step => step.tasks);
+    this.options.ctx.log.info(
+      {
+        job: id,
+        queue: terms.queue,
+        status: statusOf(job),
+        tookMs: Math.round(tookMs),
+        objectiveMs: Math.round(objectiveOf(occurrence, this.times)),
+        tasks: tasks.length,
+        runs: tasks.reduce((sum, { lastRun }) => sum + lastRun, 0),
+        coreMs: Math.round(workOf(occurrence, this.times)),
+      },
+      'leader: a job is over',
+    );
+  }
+
   private recordBegun(run: Run): void {
     const { job } = run.task.step.occurrence;
     if (!this.ended && !job.begun) {
--- a/packages/domain/src/jobs/order.ts
+++ b/packages/domain/src/jobs/order.ts
@@ -102,9 +102,7 @@
   }
   const { terms } = occurrence.job.spec;
   const beginning = beginningOf(occurrence, time);
-  const allowedMs =
-    terms.deadlineFactor * longestChain(occurrence, times, () => true) +
-    terms.targetLatencyMs;
+  const allowedMs = objectiveOf(occurrence, times);
   const left = longestChain(occurrence, times, step => step.remaining > 0);
   const latestStart = beginning + allowedMs - left;
   const lastStart = beginning + LATE_FACTOR * allowedMs - left;
@@ -117,6 +115,13 @@
   return ready.map(step => ({ step, ...shared }));
 }
 
+/** How long an occurrence may take to meet its objective. */
+export function objectiveOf(occurrence: Occurrence, times: RunTimes): Millis {
+  const { deadlineFactor, targetLatencyMs } = occurrence.job.spec.terms;
+  const chainMs = longestChain(occurrence, times, () => true);
+  return deadlineFactor * chainMs + targetLatencyMs;
+}
+
 function hasWaiting({ tasks }: Step): boolean {
   return tasks.some(({ status }) => status === 'waiting');
 }
@@ -135,17 +140,26 @@
 /** Steps by which progress is told apart: finer ones would reorder alike occurrences all the time. */
 const PROGRESS_STEPS = 10;
 
-function progressOf({ steps }: Occurrence, times: RunTimes): number {
-  let all = 0;
-  let done = 0;
-  for (const step of steps) {
-    const each = step.spec.size.cpuMilli * times.expect(step);
-    all += each * step.spec.tasks;
-    done += each * (step.spec.tasks - step.remaining);
-  }
+function progressOf(occurrence: Occurrence, times: RunTimes): number {
+  const all = workOf(occurrence, times);
+  const done = all - workOf(occurrence, times, ({ remaining }) => remaining);
   return all === 0 ? 0 : Math.floor((PROGRESS_STEPS * done) / all);
 }
 
+/** Expected work of an occurrence in core-milliseconds, of as many tasks of each step as `tasksOf` says. */
+export function workOf(
+  { steps }: Occurrence,
+  times: RunTimes,
+  tasksOf: (step: Step) => number = ({ spec }) => spec.tasks,
+): number {
+  return steps.reduce((sum, step) => {
+    const cores = step.spec.size.cpuMilli / MILLI;
+    return sum + cores * times.expect(step) * tasksOf(step);
+  }, 0);
+}
+
+const MILLI = 1_000;
+
 /** Monotonic time from which the objective counts. */
 function beginningOf(occurrence: Occurrence, time: PlanTime): Instant {
   const { job, number } = occurrence;
