Sum from the logs where the time of late jobs went

`paddlewind losses` follows each job that was not in time back from its end along the runs that decided it: waiting by the leader's reason, running, slowed, run again. Lines that are no line of a host are named and passed over.

--- a/packages/cli/src/app.ts
+++ b/packages/cli/src/app.ts
@@ -13,6 +13,7 @@
 import { drain } from './commands/drain.js';
 import { describe, get } from './commands/get.js';
 import { job } from './commands/job.js';
+import { losses } from './commands/losses.js';
 import { report } from './commands/report.js';
 import { top } from './commands/top.js';
 import { trace } from './commands/trace.js';
@@ -36,6 +37,7 @@
     report burn [--html FILE]
                              report on service-level burn
     trace ID [FILE…]         show a job's history from the logs of hosts, or from standard input
+    losses [FILE…]           show where the time of late jobs went, from the logs of hosts
 
   Options
     --server      entry hosts to ask, in order; also PADDLEWIND_SERVER (default 127.0.0.1:7400)
@@ -56,6 +58,7 @@
   drain,
   get,
   job,
+  losses,
   report,
   top,
   trace,
--- /dev/null
+++ b/packages/cli/src/losses/losses.test.ts
@@ -0,0 +1,143 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { readLosses, type Losses } from './losses.js';
+
+/** Builds the lines of a log, each second of time given. */
+function line(second: number, fields: Record<string, unknown>): string {
+  const time = new Date(second * 1_000).toISOString();
+  return JSON.stringify({ level: 30, time, host: 'h1', ...fields });
+}
+
+function accepted(second: number, job: string): string {
+  const result = { kind: 'recorded' };
+  const fields = { job, queue: 'q', change: 'submit', result };
+  return line(second, { ...fields, msg: 'jobs: answered' });
+}
+
+function ordered(second: number, task: string, run = 1): string {
+  return line(second, { task, run, msg: 'leader: a run is ordered' });
+}
+
+function ended(second: number, task: string, how: string, run = 1): string {
+  const msg = 'leader: a run has ended';
+  return line(second, { task, run, how, expectedMs: 1_000, msg });
+}
+
+function over(second: number, job: string, objectiveMs: number): string {
+  const fields = { job, queue: 'q', status: 'completed', objectiveMs };
+  return line(second, { ...fields, msg: 'leader: a job is over' });
+}
+
+function fleet(second: number, reason: string): string {
+  const waiting = { q: { [reason]: 3 } };
+  return line(second, { waiting, msg: 'leader: the fleet' });
+}
+
+function phasesOf(...lines: string[]): Record<string, number> {
+  const [queue] = readLosses([lines.join('\n')]).queues;
+  return Object.fromEntries(
+    (queue?.phases ?? []).map(({ phase, seconds }) => [phase, seconds]),
+  );
+}
+
+function outcomesOf({ queues }: Losses): unknown {
+  return queues.map(({ jobs, inTime, late, unfinished }) => ({
+    jobs,
+    inTime,
+    late,
+    unfinished,
+  }));
+}
+
+test('a late job that waited tells what it waited for', () => {
+  const lines = [
+    accepted(0, 'j'),
+    fleet(0, 'processors'),
+    fleet(1, 'processors'),
+    ordered(2, 'j.0.0.0'),
+    ended(3, 'j.0.0.0', 'done'),
+    over(3, 'j', 1_500),
+  ];
+  assert.deepEqual(phasesOf(...lines), {
+    'waiting: processors': 2,
+    running: 1,
+  });
+});
+
+test('time before a run that failed is told as run again', () => {
+  const lines = [
+    accepted(0, 'j'),
+    ordered(0, 'j.0.0.0'),
+    ended(2, 'j.0.0.0', 'failed'),
+    ordered(2, 'j.0.0.0', 2),
+    ended(3, 'j.0.0.0', 'done', 2),
+    over(3, 'j', 1_500),
+  ];
+  assert.deepEqual(phasesOf(...lines), {
+    'run again after a failure': 2,
+    running: 1,
+  });
+});
+
+test('a run far beyond what was expected is slowed by the rest', () => {
+  const lines = [
+    accepted(0, 'j'),
+    ordered(0, 'j.0.0.0'),
+    ended(4, 'j.0.0.0', 'done'),
+    over(4, 'j', 1_500),
+  ];
+  assert.deepEqual(phasesOf(...lines), { slowed: 3, running: 1 });
+});
+
+test('a wait without any account has no leader', () => {
+  const lines = [
+    accepted(0, 'j'),
+    ordered(4, 'j.0.0.0'),
+    ended(5, 'j.0.0.0', 'done'),
+    over(5, 'j', 1_500),
+  ];
+  assert.deepEqual(phasesOf(...lines), { 'leader absent': 4, running: 1 });
+});
+
+test('only the chain of tasks that decided the end counts', () => {
+  const lines = [
+    accepted(0, 'j'),
+    ordered(0, 'j.0.0.0'),
+    ordered(0, 'j.0.0.1'),
+    ended(1, 'j.0.0.0', 'done'),
+    ended(1, 'j.0.0.1', 'done'),
+    ordered(1, 'j.0.1.0'),
+    ended(2, 'j.0.1.0', 'done'),
+    over(2, 'j', 1_500),
+  ];
+  assert.deepEqual(phasesOf(...lines), { running: 2 });
+});
+
+test('jobs are told by their outcome', () => {
+  const text = [
+    accepted(0, 'early'),
+    accepted(0, 'late'),
+    accepted(0, 'never'),
+    over(1, 'early', 1_500),
+    over(9, 'late', 1_500),
+  ].join('\n');
+  assert.deepEqual(outcomesOf(readLosses([text])), [
+    { jobs: 3, inTime: 1, late: 1, unfinished: 1 },
+  ]);
+});
+
+test('lines that are cut off or of something else are named, and the rest is read', () => {
+  const text = [
+    'not a line of a host',
+    accepted(0, 'j'),
+    '{"time":"2026-01-01T00:00:00.000Z","msg":"jobs: ans',
+    '{"version":9}',
+    over(1, 'j', 1_500),
+  ].join('\n');
+  const found = readLosses([text]);
+  assert.deepEqual(found.unread, [1, 3, 4]);
+  assert.deepEqual(outcomesOf(found), [
+    { jobs: 1, inTime: 1, late: 0, unfinished: 0 },
+  ]);
+});
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -257,7 +257,8 @@
     const task = refOf(run.task);
     const { occurrence } = run.task.step;
     const wasOver = isOver(occurrence.job);
-    this.logRun(run, 'leader: a run has ended', { how });
+    const expectedMs = Math.round(this.times.expect(run.task.step));
+    this.logRun(run, 'leader: a run has ended', { how, expectedMs });
     this.decisions.record({
       kind: 'end',
       task,
--- a/packages/domain/src/jobs/account.ts
+++ b/packages/domain/src/jobs/account.ts
@@ -9,12 +9,12 @@
   type PlaceInput,
   type WorkerInfo,
 } from './placement.js';
-import { placeInputOf, shapeOf, type PlanInput } from './plan.js';
+import { placeInputOf, type PlanInput } from './plan.js';
 
 /**
  * Why a task waits: what the worker that came nearest to having it lacks; `disturbance`: it would be
  * slowed or disturb what serves wherever it fits; `turn`: there is room, and the next round may give it;
- * `no_worker`: none may be used; `unexamined`: more shapes of tasks wait than an account looks at.
+ * `no_worker`: none may be used; `unexamined`: more kinds of tasks wait than an account looks at.
  */
 export type WaitReason =
   Obstacle | 'disturbance' | 'turn' | 'no_worker' | 'unexamined';
@@ -54,8 +54,8 @@
   readonly registered: readonly WorkerInfo[];
 }
 
-/** Shapes of waiting tasks that one account looks at, each against all workers: bounds its cost. */
-const MAX_SHAPES = 24;
+/** Kinds of waiting tasks that one account looks at, each against all workers: bounds its cost. */
+const MAX_KINDS = 24;
 /** Queues that an account tells apart: bounds its size. */
 const MAX_QUEUES = 8;
 /** Name under which further queues are summed. */
@@ -122,19 +122,20 @@
   return found;
 }
 
-/** Steps of one shape wait for one reason, but for limits of their own. */
+/** Steps of a queue that run alike wait for one reason, that of the first in turn. */
 function reasonOf(
   place: PlaceInput,
   step: Step,
   reasons: Map<string, WaitReason>,
 ): WaitReason {
-  const own = step.spec.maxPerWorker === undefined ? '' : `/${step.number}`;
-  const key = `${shapeOf(step)}${own}`;
+  const { queue } = step.occurrence.job.spec.terms;
+  const { image, filler, label, lasting } = step.spec;
+  const key = [queue, image, filler, label, lasting].join('/');
   const known = reasons.get(key);
   if (known !== undefined) {
     return known;
   }
-  if (reasons.size >= MAX_SHAPES) {
+  if (reasons.size >= MAX_KINDS) {
     return 'unexamined';
   }
   const reason = decideReason(place, step);
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -181,8 +181,8 @@
   return status === 'waiting';
 }
 
-/** Names the shape of a step: those of one shape fit or fail alike, but for limits of their own. */
-export function shapeOf({ spec, occurrence }: Step): string {
+/** Steps of one shape fit or fail alike, but for limits of their own. */
+function shapeOf({ spec, occurrence }: Step): string {
   const { terms, id } = occurrence.job.spec;
   const { size, filler, label, image } = spec;
   return [
