Follow own loads with their rate of change

What bound: fillers wait for places that don't disturb (reason `disturbance`), and those that were placed on a worker whose load then rose are limited for seconds; one such straggler makes the whole job late.

Hypothesis: a load's trend tells which workers stay good for a filler's run, so that smaller margins disturb no more.

--- a/packages/domain/src/jobs/interference.ts
+++ b/packages/domain/src/jobs/interference.ts
@@ -19,18 +19,32 @@
   type LearntAt,
 } from './learnt.js';
 import type { StepSpec } from './spec.js';
+import { Trends, type TrendModel } from './trend.js';
 
 /** Pressure of a pair of images before anything was learnt: low, so that pairs are tried. */
 const FIRST_PRESSURE: Estimate = { mean: 0.8, variance: 2 ** 2 };
 const MAX_PRESSURE = 12;
 /** Growth of a pressure's variance each second: pressures change within seconds, large ones by more. */
 const PRESSURE_DRIFT: Drift = { fixed: 0.05, ofMean: 0.25 ** 2 };
-/** A step's own load before a tail was seen. */
-const FIRST_LOAD: Estimate = { mean: 0.5, variance: 0.2 ** 2 };
-/** Growth of an own load's variance each second: it swings by up to 0.1 a second. */
-const LOAD_DRIFT: Drift = { fixed: 0.01, ofMean: 0 };
-/** Variance of a load read off one tail. */
-const TAIL_VARIANCE = 0.03 ** 2;
+/**
+ * A step's own load before a tail was seen, and how it swings: by up to 0.1 a second, and that turns over
+ * within some 3 s.
+ */
+const LOAD_MODEL: TrendModel = {
+  mean: 0.5,
+  variance: 0.2 ** 2,
+  rateVariance: 0.07 ** 2,
+  drift: 0.001,
+  rateDrift: 0.003,
+};
+/** Variance of a load read off one tail: tails without any filler scatter by 0.06 around the trend. */
+const TAIL_VARIANCE = 0.05 ** 2;
+/** How far ahead a load is looked at when fillers are limited: until the next report. */
+const LIMIT_AHEAD_MS: Millis = 350;
+/** How far ahead a load is looked at when a filler is placed: most of a run. */
+const PLACE_AHEAD_MS: Millis = 1_200;
+/** For how long a rate of change is taken to hold. */
+const RATE_REACH_MS: Millis = 2_000;
 /** An own load is never taken for less, so that a gain on it can be learnt. */
 const MIN_LOAD = 0.05;
 /** Loads above this are not told apart by the tail. */
@@ -43,9 +57,7 @@
 const LOWER_WEIGHT = 0.2;
 const HIGHER_WEIGHT = 0.001;
 /** Load kept free below the target: what a step's own load may gain between two reports. */
-const CONTROL_MARGIN = 0.06;
-/** Load kept free besides when a filler is placed. */
-const PLACE_MARGIN = 0.06;
+const CONTROL_MARGIN = 0.02;
 /** Standard deviations added to a pressure when a filler is placed, and when it is limited. */
 const PLACE_CAUTION = 0.3;
 const LIMIT_CAUTION = 0.3;
@@ -80,7 +92,9 @@
     FIRST_PRESSURE,
     PRESSURE_DRIFT,
   );
-  private readonly loads = new Estimates<Step>(FIRST_LOAD, LOAD_DRIFT);
+  private readonly loads = new Trends<Step>(LOAD_MODEL);
+  /** Monotonic time of the newest report. */
+  private reportedAt: Instant = -Infinity;
   /** Low tail by image. */
   private readonly low = new Map<string, Millis>();
   private readonly ended = new Map<WorkerRuns, EndedFiller[]>();
@@ -127,6 +141,7 @@
 
   /** Takes in a report of a worker with `cpuMilli`, whose runs' readings are up to date. */
   learn(load: WorkerRuns, cpuMilli: number, now: Instant): void {
+    this.reportedAt = now;
     const parts = this.partsOf(load, cpuMilli, now);
     for (const run of servingOf(load)) {
       const tail = run.progress?.reading ?? 0;
@@ -146,7 +161,7 @@
   speeds(): FillerSpeeds {
     return new FillerSpeeds({
       leftBeside: (serving, load, cpuMilli) =>
-        this.freeGain(serving, PLACE_MARGIN) -
+        this.freeGain(serving, PLACE_AHEAD_MS) -
         this.gainBy(serving, fillersOf(load), cpuMilli),
       pressure: (serving, filler) => {
         const { mean, variance } = this.pressureOf(serving, filler);
@@ -162,7 +177,7 @@
       fillers.length > 0 &&
       servingOf(load).some(({ task }) => {
         const gain = this.gainBy(task.step, fillers, cpuMilli);
-        return this.freeGain(task.step, 0) - gain < TIGHT_GAIN;
+        return this.freeGain(task.step, LIMIT_AHEAD_MS) - gain < TIGHT_GAIN;
       })
     );
   }
@@ -176,7 +191,8 @@
       if (overMs > 2 * OVER_MS) {
         return new Map(fillers.map(filler => [filler, 0]));
       }
-      const free = overMs > OVER_MS ? 0 : this.freeGain(run.task.step, 0);
+      const free =
+        overMs > OVER_MS ? 0 : this.freeGain(run.task.step, LIMIT_AHEAD_MS);
       this.limit(run.task.step, free, fillers, shares, cpuMilli);
     }
     return shares;
@@ -281,10 +297,15 @@
   }
 
   /** Gain that fillers may give a step's own load, which is negative when that is too high. */
-  private freeGain(step: Step, margin: number): number {
+  private freeGain(step: Step, aheadMs: Millis): number {
     const target = step.spec.tailTargetMs ?? Infinity;
     const limit = 1 - this.floorOf(step.spec) / target - CONTROL_MARGIN;
-    return (limit - margin) / this.loads.newest(step).mean - 1;
+    const own = Math.max(
+      this.loads.expect(step, this.reportedAt, RATE_REACH_MS),
+      this.loads.expect(step, this.reportedAt + aheadMs, RATE_REACH_MS),
+      MIN_LOAD,
+    );
+    return limit / own - 1;
   }
 
   /** Gain of a step's own load by fillers at full speed. */
--- /dev/null
+++ b/packages/domain/src/jobs/trend.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { seededRandom } from '../core/random.js';
+import { Trends } from './trend.js';
+
+const MODEL = {
+  mean: 0.5,
+  variance: 0.04,
+  rateVariance: 0.005,
+  drift: 0.001,
+  rateDrift: 0.003,
+};
+const NOISE_VARIANCE = 0.0025;
+const BOUNDS = [0, 1] as const;
+/** Gain of a load a second on the flank of its swing. */
+const RATE = 0.08;
+const REPORT_MS = 350;
+
+function loadAt(ms: number): number {
+  return 0.2 + (RATE * ms) / 1_000;
+}
+
+/** Lets trends see noisy readings of the load up to `until`. */
+function watch(until: number, seed: number): Trends<string> {
+  const random = seededRandom(seed);
+  const trends = new Trends<string>(MODEL);
+  for (let now = 0; now <= until; now += REPORT_MS) {
+    const trend = trends.at('k', now);
+    const noise = 0.1 * (random() - 0.5);
+    const error = loadAt(now) + noise - trend.mean;
+    const variance = trend.variance + NOISE_VARIANCE;
+    trends.correct('k', trend, 1, { error, variance }, BOUNDS);
+  }
+  return trends;
+}
+
+test('nothing is known of a quantity before it is observed', () => {
+  const trends = new Trends<string>(MODEL);
+  assert.equal(trends.expect('k', 5_000, 2_000), 0.5);
+});
+
+test('a rate is taken to hold for no longer than told', () => {
+  const trends = watch(3_500, 1);
+  assert.equal(
+    trends.expect('k', 60_000, 1_000),
+    trends.expect('k', 4_500, 1_000),
+  );
+});
+
+test('a load that rises is foreseen better than by its newest value', () => {
+  const until = 6_000;
+  const ahead = 1_200;
+  let foreseen = 0;
+  let unforeseen = 0;
+  for (let seed = 1; seed <= 40; seed += 1) {
+    const trends = watch(until, seed);
+    const truth = loadAt(until + ahead);
+    foreseen += Math.abs(trends.expect('k', until + ahead, 2_000) - truth);
+    unforeseen += Math.abs(trends.expect('k', until, 2_000) - truth);
+  }
+  assert.ok(foreseen < unforeseen / 2, `${foreseen} against ${unforeseen}`);
+});
