Keep scarce places, and give room to what is worth the most for its work

What bound: a few images that fill press on most images that serve. Their tasks wait for the few places that suit them, which fillers that run well anywhere take; jobs are begun at the last moment, and one limited task makes a job late.

--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -10,6 +10,7 @@
   planCopies,
   planStarts,
   refOf,
+  Scarcity,
   WorkerHealth,
   workerRuns,
   type ApplyStart,
@@ -78,6 +79,7 @@
   private readonly fleet: Fleet;
   private readonly times: RunTimes;
   private readonly interference: Interference;
+  private readonly scarcity = new Scarcity();
   private readonly health = new WorkerHealth();
   private readonly advice = new Advice();
   private readonly adviser: Adviser;
@@ -329,6 +331,7 @@
       workers: this.fleet.planWorkers(),
       times: this.times,
       interference: this.interference,
+      scarcity: this.scarcity,
       advice: this.advice,
       time: { now: ctx.clock(), nowWall: ctx.wallClock() },
       moving: this.supervisor.moving(),
--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -18,3 +18,5 @@
 export * from './spec.js';
 export * from './task-ref.js';
 export * from './worker-health.js';
+export * from './worth.js';
+export * from './scarcity.js';
--- a/packages/domain/src/jobs/order.ts
+++ b/packages/domain/src/jobs/order.ts
@@ -8,6 +8,7 @@
   type Step,
 } from './job.js';
 import type { RunTimes } from './run-times.js';
+import { MeanWork, workOf, yieldOf } from './worth.js';
 
 /** Whether an occurrence can still meet its objective, be late, or has missed even that. */
 export type Outlook = 'in_time' | 'late' | 'overdue';
@@ -27,8 +28,8 @@
   readonly priority: number;
   /** What the occurrence can still be worth. */
   readonly outlook: Outlook;
-  /** Share of the occurrence's work that is done, in tenths. */
-  readonly progress: number;
+  /** What the occurrence's end is worth for each core-millisecond that it still has to be given. */
+  readonly yield: number;
   /** Monotonic time by which the step has to start for the objective to be met. */
   readonly latestStart: Instant;
 }
@@ -43,26 +44,42 @@
 /**
  * Returns the steps with tasks that may start: lower priority numbers first; within one number tasks that
  * end before those that last; within those what can still meet its objective, then what is late but
- * still worth something, and last what is overdue; within that what is
- * nearest to its end, so that overload leaves few occurrences half done; and of those alike the one
- * that has to start soonest.
+ * still worth something, and last what is overdue; within that what is worth the most for the work that
+ * it still has to be given, so that overload leaves few occurrences half done; and of those alike the
+ * one that has to start soonest.
  */
 export function candidates(
   jobs: Iterable<Job>,
   times: RunTimes,
   time: PlanTime,
 ): Candidate[] {
-  const found: Candidate[] = [];
+  const open = [...openOccurrences(jobs, time)];
+  const meanWork = new MeanWork();
+  for (const occurrence of open) {
+    meanWork.add(queueOf(occurrence), workOf(occurrence, times));
+  }
+  return open
+    .flatMap(occurrence => readySteps(occurrence, times, time, meanWork))
+    .sort(compareCandidates);
+}
+
+function* openOccurrences(
+  jobs: Iterable<Job>,
+  time: PlanTime,
+): Iterable<Occurrence> {
   for (const job of jobs) {
     job.seenAt ??= time.now;
     createDueOccurrences(job, time.nowWall);
     for (const occurrence of job.occurrences.values()) {
       if (occurrence.remaining > 0) {
-        found.push(...readySteps(occurrence, times, time));
+        yield occurrence;
       }
     }
   }
-  return found.sort(compareCandidates);
+}
+
+function queueOf({ job }: Occurrence): string {
+  return job.spec.terms.queue;
 }
 
 function compareCandidates(a: Candidate, b: Candidate): number {
@@ -70,7 +87,7 @@
     a.priority - b.priority ||
     Number(a.step.spec.lasting) - Number(b.step.spec.lasting) ||
     OUTLOOK_ORDER[a.outlook] - OUTLOOK_ORDER[b.outlook] ||
-    b.progress - a.progress ||
+    b.yield - a.yield ||
     a.latestStart - b.latestStart
   );
 }
@@ -93,6 +110,7 @@
   occurrence: Occurrence,
   times: RunTimes,
   time: PlanTime,
+  meanWork: MeanWork,
 ): Candidate[] {
   const ready = occurrence.steps.filter(
     step => step.remaining > 0 && isReady(step) && hasWaiting(step),
@@ -109,7 +127,7 @@
   const shared = {
     priority: terms.priority,
     outlook: outlookOf(time.now, latestStart, lastStart),
-    progress: progressOf(occurrence, times),
+    yield: yieldOf(occurrence, meanWork.of(queueOf(occurrence)), times),
     latestStart,
   };
   return ready.map(step => ({ step, ...shared }));
@@ -137,29 +155,6 @@
   return now <= lastStart ? 'late' : 'overdue';
 }
 
-/** Steps by which progress is told apart: finer ones would reorder alike occurrences all the time. */
-const PROGRESS_STEPS = 10;
-
-function progressOf(occurrence: Occurrence, times: RunTimes): number {
-  const all = workOf(occurrence, times);
-  const done = all - workOf(occurrence, times, ({ remaining }) => remaining);
-  return all === 0 ? 0 : Math.floor((PROGRESS_STEPS * done) / all);
-}
-
-/** Expected work of an occurrence in core-milliseconds, of as many tasks of each step as `tasksOf` says. */
-export function workOf(
-  { steps }: Occurrence,
-  times: RunTimes,
-  tasksOf: (step: Step) => number = ({ spec }) => spec.tasks,
-): number {
-  return steps.reduce((sum, step) => {
-    const cores = step.spec.size.cpuMilli / MILLI;
-    return sum + cores * times.expect(step) * tasksOf(step);
-  }, 0);
-}
-
-const MILLI = 1_000;
-
 /** Monotonic time from which the objective counts. */
 function beginningOf(occurrence: Occurrence, time: PlanTime): Instant {
   const { job, number } = occurrence;
--- a/packages/domain/src/jobs/placement.ts
+++ b/packages/domain/src/jobs/placement.ts
@@ -1,8 +1,9 @@
 /** Chooses the worker for a task: which may have it, where it has room, and which suits it best. */
 import type { Advice } from './advice.js';
 import type { FillerSpeeds } from './filler-speeds.js';
-import type { Task } from './job.js';
+import type { Step, Task } from './job.js';
 import type { WorkerRuns } from './jobs-state.js';
+import type { Scarcity } from './scarcity.js';
 import type { StepSpec, TaskSize } from './spec.js';
 import type { Instant } from '../core/time.js';
 
@@ -30,6 +31,7 @@
 export interface PlaceInput {
   readonly workers: readonly PlanWorker[];
   readonly speeds: FillerSpeeds;
+  readonly scarcity: Scarcity;
   readonly advice: Advice;
   readonly now: Instant;
   /** What runs on a worker, or is about to. */
@@ -50,7 +52,7 @@
       continue;
     }
     const load = input.loadOf(worker.info.id);
-    const rank = rankOf(worker, load, task, input.speeds, bestRank);
+    const rank = rankOf(worker, load, task, input, bestRank);
     if (rank > bestRank) {
       best = worker;
       bestRank = rank;
@@ -167,40 +169,53 @@
 /** Lowest share of its speed at which a filler is placed. */
 const MIN_SPEED = 0.7;
 
+/** Cost of a gain of a serving task's load by the filler: the load may swing up before the filler ends. */
+const RISK_COST = 1;
+
 /** Cost of each other image that serves at a worker: fillers have to suit all of them. */
 const OTHER_IMAGE_COST = 1;
 
 /** Rates what is left of a worker's processors: more than any worker of today has. */
 const LARGE_CPU_MILLI = 128_000;
 
-/** Packs tasks that serve beside those of their image. */
-function servingRank(
-  capacity: TaskSize,
-  load: WorkerRuns,
-  image: string | undefined,
-): number {
-  const others = new Set<string | undefined>();
+/** Cost of each other step that serves at a worker: fillers have to suit the one with the highest load. */
+const OTHER_STEP_COST = 0.3;
+
+/** Packs tasks that serve beside those of their own step, else of their image. */
+function servingRank(capacity: TaskSize, load: WorkerRuns, step: Step): number {
+  const images = new Set<string | undefined>();
+  const steps = new Set<Step>();
   for (const { task } of load.runs.values()) {
     const { spec } = task.step;
-    if (spec.tailTargetMs !== undefined && spec.image !== image) {
-      others.add(spec.image);
+    if (spec.tailTargetMs !== undefined && task.step !== step) {
+      if (
+        spec.maxPerWorker === undefined ||
+        step.spec.maxPerWorker === undefined
+      ) {
+        steps.add(task.step);
+      }
+      if (spec.image !== step.spec.image) {
+        images.add(spec.image);
+      }
     }
   }
   const left = capacity.cpuMilli - load.cpuMilli;
-  return 1 - left / LARGE_CPU_MILLI - others.size * OTHER_IMAGE_COST;
+  return (
+    1 -
+    left / LARGE_CPU_MILLI -
+    images.size * OTHER_IMAGE_COST -
+    steps.size * OTHER_STEP_COST
+  );
 }
 
 /**
  * Gives a filler the worker whose processors are the least promised, and any other task the one
  * whose room it fills best, so that room for large tasks is left.
  */
-function baseRank(
-  capacity: TaskSize,
-  load: WorkerRuns,
-  { size, filler, tailTargetMs, image }: StepSpec,
-): number {
+function baseRank(capacity: TaskSize, load: WorkerRuns, step: Step): number {
+  const { size, filler, tailTargetMs } = step.spec;
   if (tailTargetMs !== undefined) {
-    return servingRank(capacity, load, image);
+    return servingRank(capacity, load, step);
   }
   if (filler) {
     const serving = load.servingCpuMilli > 0 ? SERVING_HERE_COST : 0;
@@ -219,14 +234,18 @@
   worker: PlanWorker,
   load: WorkerRuns,
   task: Task,
-  speeds: FillerSpeeds,
+  { speeds, scarcity }: PlaceInput,
   least: number,
 ): number {
   const { info } = worker;
   const { spec } = task.step;
   const { cpuMilli } = info.capacity;
-  const rank = baseRank(info.capacity, load, spec);
-  if (!spec.filler || load.servingCpuMilli === 0) {
+  const base = baseRank(info.capacity, load, task.step);
+  if (!spec.filler) {
+    return adjusted(base, worker, task);
+  }
+  const rank = base - scarcity.priceAt(info.id, spec);
+  if (load.servingCpuMilli === 0) {
     return adjusted(rank, worker, task);
   }
   // Speeds take long to work out, and most workers are behind the best one even at full speed.
@@ -234,9 +253,11 @@
     return -Infinity;
   }
   const speed = speeds.of(load, cpuMilli, spec);
-  return speed < MIN_SPEED
-    ? -Infinity
-    : adjusted(rank + Math.min(1, speed), worker, task);
+  if (speed < MIN_SPEED) {
+    return -Infinity;
+  }
+  const risk = RISK_COST * speeds.gainAt(load, cpuMilli, spec);
+  return adjusted(rank + Math.min(1, speed) - risk, worker, task);
 }
 
 /** Adds to a rank what depends on the worker's rack and on how runs have ended. */
