--- a/packages/domain/src/jobs/filler-speeds.ts
+++ b/packages/domain/src/jobs/filler-speeds.ts
@@ -55,18 +55,6 @@
     return Math.max(0, speed);
   }
 
-  /** Largest gain of the load of a task that serves at the worker by one more filler at full speed. */
-  gainAt(load: WorkerRuns, cpuMilli: number, filler: StepSpec): number {
-    const pressures = this.pressuresOf(filler);
-    const taken = filler.size.cpuMilli / cpuMilli;
-    let worst = 0;
-    for (const { step } of this.besideOf(load).serving) {
-      const gain = this.pressure(pressures, step.spec, filler) * taken;
-      worst = Math.max(worst, gain);
-    }
-    return worst;
-  }
-
   private besideOf({ runs }: WorkerRuns): Beside {
     const known = this.beside.get(runs);
     if (known?.runs === runs.size) {
--- a/packages/domain/src/jobs/placement.ts
+++ b/packages/domain/src/jobs/placement.ts
@@ -169,9 +169,6 @@
 /** Lowest share of its speed at which a filler is placed. */
 const MIN_SPEED = 0.7;
 
-/** Cost of a gain of a serving task's load by the filler: the load may swing up before the filler ends. */
-const RISK_COST = 1;
-
 /** Cost of each other image that serves at a worker: fillers have to suit all of them. */
 const OTHER_IMAGE_COST = 1;
 
@@ -253,11 +250,9 @@
     return -Infinity;
   }
   const speed = speeds.of(load, cpuMilli, spec);
-  if (speed < MIN_SPEED) {
-    return -Infinity;
-  }
-  const risk = RISK_COST * speeds.gainAt(load, cpuMilli, spec);
-  return adjusted(rank + Math.min(1, speed) - risk, worker, task);
+  return speed < MIN_SPEED
+    ? -Infinity
+    : adjusted(rank + Math.min(1, speed), worker, task);
 }
 
 /** Adds to a rank what depends on the worker's rack and on how runs have ended. */
