--- a/packages/domain/src/jobs/scarcity.ts
+++ b/packages/domain/src/jobs/scarcity.ts
@@ -52,63 +52,100 @@
   }
 }
 
+/** Workers of one size beside whose serving images a filler does alike. */
+interface Places {
+  readonly serving: readonly StepSpec[];
+  /** Thousandths of a core of each of the workers. */
+  readonly cpuMilli: number;
+  readonly workers: string[];
+}
+
 function pricesOf(input: ScarcityInput): Map<string, Map<string, number>> {
-  const demands = demandsOf(input.state);
   const prices = new Map<string, Map<string, number>>();
+  const demands = demandsOf(input.state);
   if (demands.size < 2) {
     return prices;
   }
-  const suits = suitsOf(input, demands);
-  for (const { info } of input.workers) {
-    prices.set(info.id, new Map());
-  }
-  const total = new Map<string, number>();
-  for (const [image, { cpuMilli }] of demands) {
-    const places = input.workers.reduce(
-      (sum, { info }) =>
-        sum + info.capacity.cpuMilli * (suits.get(info.id)?.get(image) ?? 0),
+  const groups = groupPlaces(input);
+  const suits = groups.map(places =>
+    suitsOf(places, demands, input.interference),
+  );
+  const densities = densitiesOf(groups, suits, demands);
+  groups.forEach(({ workers }, at) => {
+    const found = groupPrices(
+      suits[at] ?? new Map<string, number>(),
+      densities,
+    );
+    workers.forEach(worker => prices.set(worker, found));
+  });
+  return prices;
+}
+
+/** Prices of one group by image: what all images want there, less what the image itself does. */
+function groupPrices(
+  suits: ReadonlyMap<string, number>,
+  densities: ReadonlyMap<string, number>,
+): Map<string, number> {
+  const wanted = [...densities].map(
+    ([image, density]) => [image, density * (suits.get(image) ?? 0)] as const,
+  );
+  const total = wanted.reduce((sum, [, own]) => sum + own, 0);
+  return new Map(
+    wanted.map(([image, own]) => [image, Math.min(MAX_PRICE, total - own)]),
+  );
+}
+
+/** Demand of each image for each unit of the places that suit it. */
+function densitiesOf(
+  groups: readonly Places[],
+  suits: readonly ReadonlyMap<string, number>[],
+  demands: ReadonlyMap<string, Demand>,
+): Map<string, number> {
+  const found = new Map<string, number>();
+  for (const [image, demand] of demands) {
+    const places = groups.reduce(
+      (sum, { cpuMilli, workers }, at) =>
+        sum + cpuMilli * workers.length * (suits[at]?.get(image) ?? 0),
       0,
     );
-    const density = places === 0 ? 0 : cpuMilli / places;
-    for (const { info } of input.workers) {
-      const wanted = density * (suits.get(info.id)?.get(image) ?? 0);
-      prices.get(info.id)?.set(image, wanted);
-      total.set(info.id, (total.get(info.id) ?? 0) + wanted);
-    }
+    found.set(image, places === 0 ? 0 : demand.cpuMilli / places);
   }
-  for (const [worker, wanted] of prices) {
-    for (const [image, own] of wanted) {
-      const others = (total.get(worker) ?? 0) - own;
-      wanted.set(image, Math.min(MAX_PRICE, others));
-    }
-  }
-  return prices;
+  return found;
 }
 
-/** How well a worker suits fillers of each image, 0 to 1, by what serves there. */
+/** How well places suit fillers of each image, 0 to 1, by what serves there. */
 function suitsOf(
-  { state, workers, interference }: ScarcityInput,
+  { serving, cpuMilli }: Places,
   demands: ReadonlyMap<string, Demand>,
-): Map<string, Map<string, number>> {
-  const found = new Map<string, Map<string, number>>();
+  interference: Interference,
+): Map<string, number> {
+  const suits = new Map<string, number>();
+  for (const [image, { spec }] of demands) {
+    const gain = interference.worstGain(serving, spec, cpuMilli);
+    suits.set(image, Math.max(0, 1 - gain / UNSUITABLE_GAIN));
+  }
+  return suits;
+}
+
+function groupPlaces({ state, workers }: ScarcityInput): Places[] {
+  const groups = new Map<string, Places>();
   for (const { info } of workers) {
+    const { cpuMilli } = info.capacity;
     const serving = servingSpecs(state.workers.get(info.id));
-    const suits = new Map<string, number>();
-    for (const [image, { spec }] of demands) {
-      const gain = interference.worstGain(
-        serving,
-        spec,
-        info.capacity.cpuMilli,
-      );
-      suits.set(image, Math.max(0, 1 - gain / UNSUITABLE_GAIN));
+    const key = `${cpuMilli}/${[...serving.keys()].sort().join('/')}`;
+    const group = groups.get(key);
+    if (group === undefined) {
+      const workers = [info.id];
+      groups.set(key, { serving: [...serving.values()], cpuMilli, workers });
+    } else {
+      group.workers.push(info.id);
     }
-    found.set(info.id, suits);
   }
-  return found;
+  return [...groups.values()];
 }
 
 /** One step of each image that serves at a worker. */
-function servingSpecs(load: WorkerRuns | undefined): StepSpec[] {
+function servingSpecs(load: WorkerRuns | undefined): Map<string, StepSpec> {
   const found = new Map<string, StepSpec>();
   for (const { task } of load?.runs.values() ?? []) {
     const { spec } = task.step;
@@ -116,7 +153,7 @@
       found.set(spec.image ?? '', spec);
     }
   }
-  return [...found.values()];
+  return found;
 }
 
 function demandsOf({ open }: JobsState): Map<string, Demand> {
