--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -10,7 +10,6 @@
   planCopies,
   planStarts,
   refOf,
-  Scarcity,
   WorkerHealth,
   workerRuns,
   type ApplyStart,
@@ -79,7 +78,6 @@
   private readonly fleet: Fleet;
   private readonly times: RunTimes;
   private readonly interference: Interference;
-  private readonly scarcity = new Scarcity();
   private readonly health = new WorkerHealth();
   private readonly advice = new Advice();
   private readonly adviser: Adviser;
@@ -331,7 +329,6 @@
       workers: this.fleet.planWorkers(),
       times: this.times,
       interference: this.interference,
-      scarcity: this.scarcity,
       advice: this.advice,
       time: { now: ctx.clock(), nowWall: ctx.wallClock() },
       moving: this.supervisor.moving(),
--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -19,4 +19,3 @@
 export * from './task-ref.js';
 export * from './worker-health.js';
 export * from './worth.js';
-export * from './scarcity.js';
--- a/packages/domain/src/jobs/interference.ts
+++ b/packages/domain/src/jobs/interference.ts
@@ -162,20 +162,6 @@
     return this.speeds().of(load, cpuMilli, filler);
   }
 
-  /** Largest gain of the load of one of the `serving` steps by one filler at full speed. */
-  worstGain(
-    serving: readonly StepSpec[],
-    filler: StepSpec,
-    cpuMilli: number,
-  ): number {
-    const taken = filler.size.cpuMilli / cpuMilli;
-    return serving.reduce(
-      (worst, spec) =>
-        Math.max(worst, this.pressureOf(spec, filler).mean * taken),
-      0,
-    );
-  }
-
   /** Returns the speeds of further fillers for as long as runs only begin and nothing is learnt. */
   speeds(): FillerSpeeds {
     return new FillerSpeeds({
--- a/packages/domain/src/jobs/placement.ts
+++ b/packages/domain/src/jobs/placement.ts
@@ -3,7 +3,6 @@
 import type { FillerSpeeds } from './filler-speeds.js';
 import type { Step, Task } from './job.js';
 import type { WorkerRuns } from './jobs-state.js';
-import type { Scarcity } from './scarcity.js';
 import type { StepSpec, TaskSize } from './spec.js';
 import type { Instant } from '../core/time.js';
 
@@ -31,7 +30,6 @@
 export interface PlaceInput {
   readonly workers: readonly PlanWorker[];
   readonly speeds: FillerSpeeds;
-  readonly scarcity: Scarcity;
   readonly advice: Advice;
   readonly now: Instant;
   /** What runs on a worker, or is about to. */
@@ -52,7 +50,7 @@
       continue;
     }
     const load = input.loadOf(worker.info.id);
-    const rank = rankOf(worker, load, task, input, bestRank);
+    const rank = rankOf(worker, load, task, input.speeds, bestRank);
     if (rank > bestRank) {
       best = worker;
       bestRank = rank;
@@ -235,18 +233,14 @@
   worker: PlanWorker,
   load: WorkerRuns,
   task: Task,
-  { speeds, scarcity }: PlaceInput,
+  speeds: FillerSpeeds,
   least: number,
 ): number {
   const { info } = worker;
   const { spec } = task.step;
   const { cpuMilli } = info.capacity;
-  const base = baseRank(info.capacity, load, task.step);
-  if (!spec.filler) {
-    return adjusted(base, worker, task);
-  }
-  const rank = base - scarcity.priceAt(info.id, spec);
-  if (load.servingCpuMilli === 0) {
+  const rank = baseRank(info.capacity, load, task.step);
+  if (!spec.filler || load.servingCpuMilli === 0) {
     return adjusted(rank, worker, task);
   }
   // Speeds take long to work out, and most workers are behind the best one even at full speed.
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -8,7 +8,6 @@
 import { workerRuns, type JobsState } from './jobs-state.js';
 import { candidates, type PlanTime } from './order.js';
 import { chooseWorker, type PlaceInput, type PlanWorker } from './placement.js';
-import type { Scarcity } from './scarcity.js';
 import type { RunTimes } from './run-times.js';
 
 /** A decision to start a task. */
@@ -24,7 +23,6 @@
   readonly workers: readonly PlanWorker[];
   readonly times: RunTimes;
   readonly interference: Interference;
-  readonly scarcity: Scarcity;
   readonly advice: Advice;
   readonly time: PlanTime;
   /** Tasks that move off workers which leave: they are placed first, and room is kept for them until then. */
@@ -125,12 +123,10 @@
 
 /** Returns what choices of workers go by in a round; room is kept for tasks that are about to move. */
 export function placeInputOf(input: PlanInput): PlaceInput {
-  const { state, workers, interference, scarcity, advice, time } = input;
-  scarcity.refresh({ state, workers, interference, now: time.now });
+  const { state, workers, interference, advice, time } = input;
   const present: PlaceInput = {
     workers,
     speeds: interference.speeds(),
-    scarcity,
     advice,
     now: time.now,
     loadOf: worker => workerRuns(state, worker),
--- a/packages/domain/src/jobs/test-support.ts
+++ b/packages/domain/src/jobs/test-support.ts
@@ -13,7 +13,6 @@
 import { Advice } from './advice.js';
 import type { PlanWorker } from './placement.js';
 import type { PlanInput, StartDecision } from './plan.js';
-import { Scarcity } from './scarcity.js';
 import { createRunTimes } from './run-times.js';
 import {
   PLAIN_STEP,
@@ -83,7 +82,6 @@
     workers,
     times: createRunTimes(),
     interference: new Interference(),
-    scarcity: new Scarcity(),
     moving: [],
     advice: new Advice(),
     time: { now: 0, nowWall: 0 },
