--- a/packages/cli/src/losses/losses.ts
+++ b/packages/cli/src/losses/losses.ts
@@ -1,7 +1,7 @@
 /** Sums where the time of jobs went, by queue and by the time at which they were asked for. */
 import { readLogLines, type LogLine } from '../log-lines.js';
 import { readJobs, type LoggedJob } from './job-runs.js';
-import { spansOf, type ReasonAt } from './phases.js';
+import { spansOf, type PhaseName, type ReasonAt } from './phases.js';
 
 /** What became of a queue's jobs, and where the time of those went that were not in time. */
 export interface QueueLosses {
@@ -17,7 +17,7 @@
 
 /** Seconds of one phase. */
 export interface Phase {
-  readonly phase: string;
+  readonly phase: PhaseName;
   readonly seconds: number;
 }
 
@@ -28,7 +28,7 @@
   readonly jobs: number;
   readonly inTime: number;
   /** The phase that took the most of the time of jobs that were not in time; empty where all were. */
-  readonly largest: string;
+  readonly largest: PhaseName | '';
 }
 
 /** Where the time went. */
@@ -116,7 +116,7 @@
 }
 
 function sumPhases(rated: readonly RatedJob[]): Phase[] {
-  const sums = new Map<string, number>();
+  const sums = new Map<PhaseName, number>();
   for (const { outcome, spans } of rated) {
     if (outcome === 'late' || outcome === 'unfinished') {
       for (const { phase, from, to } of spans) {
--- a/packages/cli/src/losses/phases.ts
+++ b/packages/cli/src/losses/phases.ts
@@ -1,21 +1,36 @@
 /** Attributes a job's time to phases, along the chain of runs that decided when it was over. */
 import type { LoggedJob, LoggedRun } from './job-runs.js';
 
+/** What a job's time is spent on; a wait has the reason that the leader's account tells. */
+export type PhaseName =
+  | 'acceptance'
+  | 'leader absent'
+  | `waiting: ${string}`
+  | 'running'
+  | 'slowed'
+  | 'run again after a failure'
+  | 'run again after a stop'
+  | 'run again after a lost worker or lease'
+  | 'ordered and never begun';
+
 /** A span of a job's time and what it was spent on. */
 export interface Span {
-  readonly phase: string;
+  readonly phase: PhaseName;
   readonly from: number;
   readonly to: number;
 }
 
-/** Why tasks of a queue waited at a time, as its leader told; `leader absent` where none did. */
-export type ReasonAt = (queue: string, at: number) => string;
+/** Why tasks of a queue waited at a time, as its leader told. */
+export type ReasonAt = (
+  queue: string,
+  at: number,
+) => 'leader absent' | `waiting: ${string}`;
 
 /** A run that took longer than expected by this factor was slowed by the rest of its time. */
 const SLOWED_FACTOR = 1.5;
 
 /** Runs that did not end as done, by how they ended. */
-const REPEATED: Readonly<Record<string, string>> = {
+const REPEATED: Readonly<Record<string, PhaseName>> = {
   failed: 'run again after a failure',
   stopped: 'run again after a stop',
   lapsed: 'run again after a lost worker or lease',
@@ -32,7 +47,7 @@
   const end = Math.min(job.overAt, endOfLogs);
   const spans: Span[] = [];
   let left = end;
-  const add = (phase: string, from: number): void => {
+  const add = (phase: PhaseName, from: number): void => {
     const begin = Math.max(job.acceptedAt, Math.min(from, left));
     if (begin < left) {
       spans.push({ phase, from: begin, to: left });
@@ -59,14 +74,20 @@
   return spans;
 }
 
+/** A piece of a wait and its reason. */
+interface Wait {
+  readonly reason: PhaseName;
+  readonly since: number;
+}
+
 /** The reasons of a wait, the latest first, in pieces of a second as leaders tell them. */
 function waitsBetween(
   { queue }: LoggedJob,
   from: number,
   to: number,
   reasonAt: ReasonAt,
-): { reason: string; since: number }[] {
-  const pieces: { reason: string; since: number }[] = [];
+): Wait[] {
+  const pieces: Wait[] = [];
   for (let at = to; at > from; at -= PIECE_MS) {
     const since = Math.max(from, at - PIECE_MS);
     pieces.push({ reason: reasonAt(queue, at), since });
@@ -74,11 +95,12 @@
   return pieces;
 }
 
+/** Leaders tell the reasons of waits once a second. */
 const PIECE_MS = 1_000;
 
 function addRun(
   { from, to, how, expectedMs }: LoggedRun,
-  add: (phase: string, from: number) => void,
+  add: (phase: PhaseName, from: number) => void,
   end: number,
 ): void {
   const repeated = REPEATED[how];
