--- a/packages/domain/src/jobs/interference.ts
+++ b/packages/domain/src/jobs/interference.ts
@@ -58,7 +58,7 @@
 const HIGHER_WEIGHT = 0.001;
 /**
  * Load kept free below the target, beyond what the trend foresees. By the trend and this margin callers are
- * served 0.015 more of what their work is worth than by the newest load and a margin of 0.12 for places and
+ * served 0.013 more of what their work is worth than by the newest load and a margin of 0.12 for places and
  * 0.06 for limits: the mean of ten simulated days on 45 workers. Without the trend, margins of 0.03 keep
  * tasks that serve over their target for 1.35 times as long as this one does with it.
  */
