Log what bounds the lease of a worker that does not answer

The log could not tell whether a run was given up late since the leader had reached the worker once and took the longest lease there may be, or since it had never reached it and counted from a claim. It tells now with each change of contact and each run that is given up: when the worker first and last answered this leader, whose lease it is and how much of it is left. No change of logic; tests of the job host: 168 pass.

--- a/packages/daemon/src/job-host/lease.ts
+++ b/packages/daemon/src/job-host/lease.ts
@@ -41,13 +41,23 @@
     this.receivedAt = receivedAt;
   }
 
-  /** Whether the lease has certainly ended, also where an earlier leader gave it. */
-  hasLapsed(now: Instant): boolean {
+  /** Whether the worker has answered this leader. */
+  get isKnown(): boolean {
+    return this.clock !== undefined;
+  }
+
+  /** Monotonic time by which the lease has certainly ended, also where an earlier leader gave it. */
+  get endsBy(): Instant {
     if (this.clock === undefined) {
-      return now > this.releasedAt + longestEarlierLease(this.maxLeaseMs);
+      return this.releasedAt + longestEarlierLease(this.maxLeaseMs);
     }
     const left = Math.max(0, this.bound - this.clock) / SLOWEST_CLOCK;
-    return now > this.receivedAt + left + LEASE_MARGIN_MS;
+    return this.receivedAt + left + LEASE_MARGIN_MS;
+  }
+
+  /** Whether the lease has certainly ended. */
+  hasLapsed(now: Instant): boolean {
+    return now > this.endsBy;
   }
 }
 
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -74,6 +74,9 @@
   /** Whether that is recorded: only then does this leader extend the worker's lease. */
   private reached = false;
   private answering = true;
+  /** When the worker first and last answered a look of this leader. */
+  private reachedAt: Instant = Infinity;
+  private answeredAt: Instant = Infinity;
   /** Until when it is given no run, since it takes long to answer orders. */
   private restsUntil: Instant = -Infinity;
   private closed = false;
@@ -199,6 +202,7 @@
       case 'seen':
         this.setAnswering(true);
         this.lease.noteClock(res.clock, ctx.clock());
+        this.noteAnswer();
         await this.takeReport(res, sentAt);
         return;
       case 'fenced':
@@ -218,6 +222,23 @@
     }
   }
 
+  private noteAnswer(): void {
+    const { ctx, fence } = this.options;
+    this.answeredAt = ctx.clock();
+    if (this.reachedAt === Infinity) {
+      this.reachedAt = this.answeredAt;
+      const runs = this.openRuns().size;
+      if (runs === 0) {
+        return;
+      }
+      const leaseLeftMs = Math.round(this.lease.endsBy - this.answeredAt);
+      ctx.log.info(
+        { worker: this.info.id, epoch: fence, runs, leaseLeftMs },
+        'worker: reached for the first time',
+      );
+    }
+  }
+
   private takeReplaced(): void {
     this.endAll('another life of the worker answered');
     this.closed = true;
@@ -233,7 +254,7 @@
       this.orders.giveUpStarts();
     }
     this.options.ctx.log.info(
-      { worker: this.info.id, answering },
+      { worker: this.info.id, answering, ...this.contact() },
       'worker: contact changed',
     );
     this.options.events.changed();
@@ -328,10 +349,21 @@
     }
   }
 
+  /** What the log tells of the contact: how long ago the worker answered, and its lease is bounded by what. */
+  private contact(): Record<string, unknown> {
+    const now = this.options.ctx.clock();
+    return {
+      answeredMsAgo: Math.round(now - this.answeredAt),
+      reachedMsAgo: Math.round(now - this.reachedAt),
+      leaseLeftMs: Math.round(this.lease.endsBy - now),
+      leaseOf: this.lease.isKnown ? 'this_leader' : 'earlier_leader',
+    };
+  }
+
   private endAll(reason: string): void {
     const runs = [...this.openRuns().values()];
     this.options.ctx.log.warn(
-      { worker: this.info.id, runs: runs.length, reason },
+      { worker: this.info.id, runs: runs.length, reason, ...this.contact() },
       'worker: its runs are given up',
     );
     for (const run of runs) {
