--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -71,6 +71,12 @@
 /** A step of a job in a test. */
 export type TestStep = Pick<StepSpec, 'tasks' | 'after'> & Partial<StepSpec>;
 
+/** What a test may set of a site. */
+interface SiteOptions {
+  /** Longest lease that workers take. */
+  readonly maxLeaseMs?: Millis;
+}
+
 /** Several hosts on one log and one fleet. */
 export class Simulation {
   readonly time: VirtualTime;
@@ -87,10 +93,12 @@
   readonly peerCuts = new Set<string>();
   /** How often a host was asked to append for another one. */
   peerAppends = 0;
+  private readonly maxLeaseMs: Millis;
   private lives = 0;
 
   /** Creates a simulation whose chance follows `seed`. */
-  constructor(seed: number) {
+  constructor(seed: number, { maxLeaseMs = MAX_LEASE_MS }: SiteOptions = {}) {
+    this.maxLeaseMs = maxLeaseMs;
     this.time = createVirtualTime();
     this.random = seededRandom(seed);
     const { clock, schedule } = this.time;
@@ -108,7 +116,7 @@
       id: `${machine}-life${this.lives}`,
       capacity: CAPACITY,
       labels,
-      maxLeaseMs: MAX_LEASE_MS,
+      maxLeaseMs: this.maxLeaseMs,
       clockRate: 0.98 + 0.02 * this.random(),
       clockOffset: Math.floor(this.random() * 100_000),
     });
@@ -145,7 +153,7 @@
       }),
       peers: this.guard(started, this.peersOf(name)),
       peerAddress: name,
-      maxLeaseMs: MAX_LEASE_MS,
+      maxLeaseMs: this.maxLeaseMs,
       cores,
       retentionMs: RETENTION_MS,
       statusMs: STATUS_MS,
