--- a/packages/daemon/src/job-host/decision-log.test.ts
+++ b/packages/daemon/src/job-host/decision-log.test.ts
@@ -62,9 +62,12 @@
 
 test('a decision that is not recorded when the log is closed never will be', async () => {
   const { time, decisions } = new Leading();
-  const waiting = decisions.recordConfirmed({ kind: 'reached', worker: 'w' });
+  const outcomes: boolean[] = [];
+  decisions.record({ kind: 'reached', worker: 'w' }, written => {
+    outcomes.push(written);
+  });
   decisions.close();
-  assert.equal(await waiting, false);
+  assert.deepEqual(outcomes, [false]);
   assert.equal(await decisions.recorded(), false);
   await time.advance(100);
 });
--- a/packages/daemon/src/job-host/decision-log.ts
+++ b/packages/daemon/src/job-host/decision-log.ts
@@ -61,16 +61,6 @@
     }
   }
 
-  /** Applies a decision; resolves with true once it is recorded, with false when it never will be. */
-  recordConfirmed(entry: JournalRecord): Promise<boolean> {
-    if (this.closed) {
-      return Promise.resolve(false);
-    }
-    return new Promise(resolve => {
-      this.record(entry, resolve);
-    });
-  }
-
   /** Resolves when all that was decided so far is recorded; with false when it never will be. */
   recorded(): Promise<boolean> {
     if (this.closed) {
--- a/packages/daemon/src/job-host/handed-over-leases.test.ts
+++ b/packages/daemon/src/job-host/handed-over-leases.test.ts
@@ -134,6 +134,14 @@
   }, CHANGE_MS);
 }
 
+/** Stops the leader, and advances until the next one has reached w1. */
+async function handOverW1(site: Simulation): Promise<void> {
+  const before = site.leader();
+  void stopLeader(site);
+  await untilClaimed(site, before);
+  await untilReached(site);
+}
+
 /** Advances until all tasks run; returns how long that took. */
 async function timeAway(site: Simulation): Promise<Millis> {
   const from = site.time.clock();
@@ -164,10 +172,7 @@
   const late: string[] = [];
   for (const seed of SEEDS) {
     const site = await siteWithLastingJob(seed);
-    const before = site.leader();
-    void stopLeader(site);
-    await untilClaimed(site, before);
-    await untilReached(site);
+    await handOverW1(site);
     await site.time.advance(700);
     crash(site);
     late.push(...(await tellIfLate(site, 7_500, `seed ${seed}`)));
@@ -253,6 +258,17 @@
 }
 
 for (const seed of SEEDS) {
+  // The lease that the earlier leader gave last has nearly all of its time left.
+  for (const lead of REACHED_LEADS) {
+    test(`w1 is out of reach ${lead} ms after a leader that was handed over to reached it, seed ${seed}`, async () => {
+      const site = await siteWithLastingJob(seed);
+      await handOverW1(site);
+      await site.time.advance(lead);
+      cutOff(site, HOSTS);
+      await assertNoneTwice(site);
+    });
+  }
+
   test(`only a leader without the log reaches w1, seed ${seed}`, async () => {
     const site = await siteWithLastingJob(seed);
     isolate(site, site.leader());
--- a/packages/daemon/src/job-host/journal-writer.ts
+++ b/packages/daemon/src/job-host/journal-writer.ts
@@ -1,7 +1,7 @@
 /** Appends the leader's decisions in order; the log refuses them once another host leads. */
 import type { Instant } from '@paddlewind/domain';
 import { encodeRecord, type JournalRecord } from '@paddlewind/domain/jobs';
-import type { JobLog, WriterStamp } from '@paddlewind/ports/jobs';
+import type { AppendResult, JobLog, WriterStamp } from '@paddlewind/ports/jobs';
 
 import { pause, type HostContext } from './context.js';
 import type { WonClaim } from './leadership.js';
@@ -29,7 +29,7 @@
     this.sentAt = claim.sentAt;
   }
 
-  /** Monotonic time at which the newest confirmed append was sent. */
+  /** Monotonic time at which the newest confirmed append was sent, for the first time if it was repeated. */
   get confirmedSentAt(): Instant {
     return this.sentAt;
   }
@@ -42,8 +42,10 @@
   /** Appends `records`, repeating the append until its outcome is known. */
   async write(records: readonly JournalRecord[]): Promise<WriteResult> {
     const encoded = records.map(encodeRecord);
+    /** When it was first sent without an answer: it may be in the log since then, and another host lead. */
+    let firstSentAt: Instant | undefined;
     while (!this.closed) {
-      const sentAt = this.ctx.clock();
+      const sentAt = firstSentAt ?? this.ctx.clock();
       const result = await this.jobLog.append('journal', encoded, this.stamp);
       switch (result.kind) {
         case 'appended':
@@ -58,16 +60,23 @@
           );
           return { kind: 'deposed' };
         case 'refused':
+          await this.beforeRepeat(result);
+          break;
         case 'unknown':
-          // The same stamp again: if the first one was carried out, its answer is repeated.
-          this.ctx.log.warn(
-            { why: result.kind, reason: result.reason },
-            'journal: an append is repeated',
-          );
-          await pause(this.ctx, APPEND_RETRY_MS);
+          firstSentAt = sentAt;
+          await this.beforeRepeat(result);
           break;
       }
     }
     return { kind: 'deposed' };
   }
+
+  /** The same stamp is sent again: if the first one was carried out, its answer is repeated. */
+  private async beforeRepeat({
+    kind,
+    reason,
+  }: Extract<AppendResult, { kind: 'refused' | 'unknown' }>): Promise<void> {
+    this.ctx.log.warn({ why: kind, reason }, 'journal: an append is repeated');
+    await pause(this.ctx, APPEND_RETRY_MS);
+  }
 }
--- a/packages/daemon/src/job-host/leader-records.ts
+++ b/packages/daemon/src/job-host/leader-records.ts
@@ -1,38 +1,70 @@
-/** Records that the leader repeats: that it leads, and what it has learnt. */
+/** Records that the leader repeats: that it leads, and what it has learnt; and how it learns. */
+import type { Instant } from '@paddlewind/domain';
 import {
   chooseStandbys,
+  type HandedLeases,
   type Interference,
   type JournalRecord,
+  type Run,
+  type RunEnd,
   type RunTimes,
+  type WorkerHealth,
 } from '@paddlewind/domain/jobs';
 
 import type { HostContext } from './context.js';
 import type { WonClaim } from './leadership.js';
 import type { Replica } from './replica.js';
 
-/** Says again who leads, since when the last leaders did, and who is to stand by. */
-export function heartbeatRecord({
-  ctx,
-  claim,
-  replica,
-  peerAddress,
-}: {
-  readonly ctx: HostContext;
-  readonly claim: WonClaim;
-  readonly replica: Replica;
-  readonly peerAddress: string;
-}): JournalRecord {
+/** Says again who leads, until when leases hold, and who is to stand by. */
+export function heartbeatRecord(
+  {
+    ctx,
+    claim,
+    replica,
+    peerAddress,
+  }: {
+    readonly ctx: HostContext;
+    readonly claim: WonClaim;
+    readonly replica: Replica;
+    readonly peerAddress: string;
+  },
+  handed: HandedLeases | undefined,
+): JournalRecord {
   return {
     kind: 'heartbeat',
     epoch: claim.epoch,
     host: ctx.host,
     nonce: claim.nonce,
-    ages: replica.claimAges(),
+    handed,
     standbys: chooseStandbys(replica.state, ctx.host, ctx.clock()),
     address: peerAddress,
   };
 }
 
+/** Learns from the end of a run how long runs take, and how far its worker can be trusted. */
+export function learnFromEnd(
+  { task, progress, worker }: Run,
+  how: RunEnd,
+  {
+    health,
+    times,
+    now,
+  }: {
+    readonly health: WorkerHealth;
+    readonly times: RunTimes;
+    readonly now: Instant;
+  },
+): void {
+  if (how === 'done') {
+    health.noteDone(worker);
+  } else if (how === 'failed') {
+    health.noteFailure(worker, task, now);
+  }
+  if (how === 'done' && progress !== undefined && task.checkpoint === '') {
+    times.learn(task.step, now - progress.since);
+  }
+}
+
 /** Says what was learnt of run times and of disturbance. */
 export function learntRecord(
   times: RunTimes,
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -1,7 +1,6 @@
 /** The leader's loop: takes in ends, plans starts, records both, then acts. */
 import type { Instant, Millis } from '@paddlewind/domain';
 import {
-  accountFleet,
   Advice,
   createRunTimes,
   EMPTY_ACCOUNT,
@@ -34,26 +33,30 @@
 import { pause, type HostContext } from './context.js';
 import { DecisionLog } from './decision-log.js';
 import { Fleet } from './fleet.js';
+import { keepAccount } from './fleet-account.js';
 import { keepRunning } from './keep-running.js';
 import type { WonClaim } from './leadership.js';
 import { logJobOver, logRun } from './leader-log.js';
-import { heartbeatRecord, learntRecord } from './leader-records.js';
-import { longestEarlierLease } from './lease.js';
+import { LeaderLeases } from './leader-leases.js';
+import {
+  heartbeatRecord,
+  learnFromEnd,
+  learntRecord,
+} from './leader-records.js';
 import type { Replica } from './replica.js';
 import { restateDue } from './restate-due.js';
 import { RunSupervisor } from './run-supervisor.js';
 import { SummaryWriter } from './summary-writer.js';
 import {
-  ACCOUNT_EVERY_MS,
   CLAIM_REPEAT_MS,
   HEARTBEAT_EVERY_MS,
   INBOX_RETRY_MS,
   INBOX_STALE_MS,
   INBOX_WAIT_MS,
-  LEADER_LEASE_MS,
   LEARNT_EVERY_MS,
   LONG_ROUND_MS,
   PLAN_EVERY_MS,
+  TELL_SILENCE_MS,
 } from './timing.js';
 import { WorkerLink } from './worker-link.js';
 
@@ -84,6 +87,7 @@
   private readonly decisions: DecisionLog;
   private readonly summary: SummaryWriter;
   private readonly fleet: Fleet;
+  private readonly leases: LeaderLeases;
   private readonly times: RunTimes;
   private readonly interference: Interference;
   private readonly health = new WorkerHealth();
@@ -91,6 +95,8 @@
   private readonly adviser: Adviser;
   private readonly supervisor: RunSupervisor;
   private readonly alarm: Alarm;
+  /** Whether a worker has ceased to answer since the others were told which do not. */
+  private silenceUntold = false;
   private ended = false;
   private resolveDeposed!: () => void;
 
@@ -134,6 +140,17 @@
       health: this.health,
       changed: this.alarm.ring,
     });
+    this.leases = new LeaderLeases({
+      ctx,
+      replica,
+      claim,
+      state: this.state,
+      fleet: this.fleet,
+      confirmedSentAt: () => this.decisions.confirmedSentAt,
+      lapsed: run => {
+        this.recordEnd(run, 'lapsed', '');
+      },
+    });
     this.deposed = new Promise(resolve => {
       this.resolveDeposed = resolve;
     });
@@ -146,13 +163,13 @@
     void keepRunning(ctx, 'inbox', () => this.followInbox());
     void keepRunning(ctx, 'decisions', () => this.decideOrResign());
     void keepRunning(ctx, 'summary', () => this.summary.run());
-    void keepRunning(ctx, 'account', () => this.account());
+    void keepRunning(ctx, 'account', () => this.keepAccount());
   }
 
   /** Asks the others to take over; this host leads on until one does. */
   release(): void {
     this.recordLearnt();
-    this.decisions.record({ kind: 'release' });
+    this.decisions.record(this.leases.release());
     this.alarm.ring();
   }
 
@@ -168,9 +185,8 @@
       port,
       fence: claim.epoch,
       maxLeaseMs,
-      releasedAt: this.options.replica.releasedAt(info.id),
-      mayExtend: () =>
-        ctx.clock() - this.decisions.confirmedSentAt < LEADER_LEASE_MS,
+      earlierLeaseEnd: this.options.replica.earlierLeaseEnd(info.id),
+      horizon: () => this.leases.horizon,
       inboxAgeMs: () => this.inboxAgeMs(),
       registryAgeMs: () => ctx.clock() - this.fleet.knownAsOf,
       runs: () => workerRuns(this.state, info.id),
@@ -182,8 +198,9 @@
           this.recordEnd(run, how, checkpoint);
         },
         recorded: () => this.decisions.recorded(),
-        reached: () =>
-          this.decisions.recordConfirmed({ kind: 'reached', worker: info.id }),
+        reached: done => {
+          this.recordReached(info.id, done);
+        },
         ticketRefused: ({ step }) => {
           this.advice.refuse(step, info.id);
         },
@@ -201,6 +218,9 @@
           this.supervisor.learnFrom(from.info);
           this.supervisor.limitFillers(from);
         },
+        silent: () => {
+          this.silenceUntold = true;
+        },
         changed: this.alarm.ring,
       },
     });
@@ -246,7 +266,7 @@
         return;
       }
       const beganAt = ctx.clock();
-      this.giveUpUnregistered();
+      this.leases.giveUpLapsed();
       this.supervisor.stopNeedless();
       this.plan();
       restateDue(this.state, this.decisions, ctx, this.options.retentionMs);
@@ -254,8 +274,9 @@
       const restMs = now - beganAt;
       const idle =
         this.decisions.isEmpty && now - wroteAt >= HEARTBEAT_EVERY_MS;
-      if (idle || now - claimedAt >= CLAIM_REPEAT_MS) {
-        this.decisions.record(heartbeatRecord(this.options));
+      const repeatMs = this.silenceUntold ? TELL_SILENCE_MS : CLAIM_REPEAT_MS;
+      if (idle || now - claimedAt >= repeatMs) {
+        this.recordHeartbeat();
         claimedAt = now;
       }
       if (now - learntAt >= LEARNT_EVERY_MS) {
@@ -269,6 +290,10 @@
           return;
         }
         wroteAt = ctx.clock();
+        if (wroteAt - now > CLAIM_REPEAT_MS) {
+          // The log was away: leases are extended only by what is written now.
+          this.alarm.ring();
+        }
       }
       this.summary.tell(told);
       if (restMs > LONG_ROUND_MS) {
@@ -277,6 +302,11 @@
     }
   }
 
+  private recordHeartbeat(): void {
+    this.silenceUntold = false;
+    this.decisions.record(heartbeatRecord(this.options, this.leases.tell()));
+  }
+
   private recordLearnt(): void {
     const { times, interference } = this;
     this.decisions.record(learntRecord(times, interference));
@@ -287,7 +317,8 @@
     if (this.ended || !run.task.runs.includes(run)) {
       return;
     }
-    this.learn(run, how);
+    const { health, times } = this;
+    learnFromEnd(run, how, { health, times, now: this.options.ctx.clock() });
     this.options.ctx.meters.ended(how);
     this.supervisor.noteEnd(run);
     const task = refOf(run.task);
@@ -308,6 +339,17 @@
     this.alarm.ring();
   }
 
+  private recordReached(worker: string, done: () => void): void {
+    if (!this.ended) {
+      this.decisions.record({ kind: 'reached', worker }, written => {
+        if (written) {
+          done();
+        }
+      });
+      this.alarm.ring();
+    }
+  }
+
   private recordBegun(run: Run): void {
     const { job } = run.task.step.occurrence;
     if (!this.ended && !job.begun) {
@@ -315,19 +357,6 @@
     }
   }
 
-  private learn(run: Run, how: RunEnd): void {
-    const { task, progress, worker } = run;
-    if (how === 'done') {
-      this.health.noteDone(worker);
-    } else if (how === 'failed') {
-      this.health.noteFailure(worker, task, this.options.ctx.clock());
-    }
-    if (how === 'done' && progress !== undefined && task.checkpoint === '') {
-      const took = this.options.ctx.clock() - progress.since;
-      this.times.learn(task.step, took);
-    }
-  }
-
   private plan(): void {
     if (this.inboxAgeMs() > INBOX_STALE_MS) {
       return;
@@ -356,21 +385,13 @@
     };
   }
 
-  /** Tells who holds the fleet's processors and why tasks wait, for as long as this host leads. */
-  private async account(): Promise<void> {
-    const { ctx } = this.options;
-    for (;;) {
-      await pause(ctx, ACCOUNT_EVERY_MS);
-      if (this.ended) {
-        return;
-      }
-      const account = accountFleet({
-        plan: this.planInput(),
-        registered: this.fleet.registeredWorkers(),
-      });
-      ctx.meters.accounted(account);
-      ctx.log.info({ ...account }, 'leader: the fleet');
-    }
+  private keepAccount(): Promise<void> {
+    return keepAccount({
+      ctx: this.options.ctx,
+      planInput: () => this.planInput(),
+      registeredWorkers: () => this.fleet.registeredWorkers(),
+      ended: () => this.ended,
+    });
   }
 
   private inboxAgeMs(): Millis {
@@ -407,24 +428,6 @@
     }
   }
 
-  /** Ends runs at workers that are not registered, once no earlier leader's lease can hold. */
-  private giveUpUnregistered(): void {
-    const { ctx, replica, maxLeaseMs } = this.options;
-    const now = ctx.clock();
-    const longest = longestEarlierLease(maxLeaseMs);
-    for (const [worker, { runs }] of this.state.workers) {
-      if (
-        runs.size > 0 &&
-        this.fleet.link(worker) === undefined &&
-        now > replica.releasedAt(worker) + longest
-      ) {
-        for (const run of [...runs.values()]) {
-          this.recordEnd(run, 'lapsed', '');
-        }
-      }
-    }
-  }
-
   private end(): void {
     this.ended = true;
     this.options.ctx.meters.accounted(EMPTY_ACCOUNT);
--- a/packages/daemon/src/job-host/leadership.ts
+++ b/packages/daemon/src/job-host/leadership.ts
@@ -12,6 +12,7 @@
   FOLLOW_EVERY_MS,
   LEADER_CORES,
   LEADER_SILENCE_MS,
+  LONGEST_HELD_MS,
   SMALL_HOST_DELAY_MS,
 } from './timing.js';
 
@@ -128,7 +129,7 @@
     epoch,
     host: ctx.host,
     nonce,
-    ages: replica.claimAges(),
+    handed: replica.handedLeases(epoch, Math.ceil(LONGEST_HELD_MS)),
   };
   const sentAt = ctx.clock();
   for (let tries = 0; tries < CLAIM_TRIES; tries += 1) {
--- a/packages/daemon/src/job-host/lease.ts
+++ b/packages/daemon/src/job-host/lease.ts
@@ -1,12 +1,7 @@
 /** The lease of everything at one worker, by the worker's own clock. */
 import type { Instant, Millis } from '@paddlewind/domain';
 
-import {
-  LEADER_LEASE_MS,
-  LEASE_MARGIN_MS,
-  SLOWEST_CLOCK,
-  TASK_LEASE_MS,
-} from './timing.js';
+import { LEASE_MARGIN_MS, SLOWEST_CLOCK, TASK_LEASE_MS } from './timing.js';
 
 /** What the leader knows of a worker's clock and lease. */
 export class Lease {
@@ -17,16 +12,22 @@
   /** Latest end of the lease that the worker may have been given, on its clock. */
   private bound: Instant = 0;
 
-  /** Creates the lease of a worker that earlier leaders may have extended until `releasedAt`. */
+  private readonly leaseMs: Millis;
+
+  /** Creates the lease of a worker; whatever earlier leaders gave it has ended by `earlierEnd`. */
   constructor(
-    private readonly releasedAt: Instant,
-    private readonly maxLeaseMs: Millis,
-  ) {}
+    private readonly earlierEnd: Instant,
+    maxLeaseMs: Millis,
+  ) {
+    this.leaseMs = Math.min(TASK_LEASE_MS, maxLeaseMs);
+  }
 
-  /** Returns the new end of the lease on the worker's clock, to be sent now. */
-  extend(now: Instant): Instant {
-    const workerNow = (this.clock ?? 0) + (now - this.receivedAt);
-    const until = workerNow + Math.min(TASK_LEASE_MS, this.maxLeaseMs);
+  /** Returns the new end of the lease on the worker's clock, to be sent now; it ends by `horizon`. */
+  extend(now: Instant, horizon: Instant): Instant {
+    // The worker's clock is at least there: else the lease would end later than the leader may give it.
+    const passed = (now - this.receivedAt) * SLOWEST_CLOCK;
+    const workerNow = (this.clock ?? 0) + passed;
+    const until = workerNow + Math.min(this.leaseMs, horizon - now);
     this.bound = Math.max(this.bound, until);
     return until;
   }
@@ -34,8 +35,8 @@
   /** Takes in the worker's clock from an answer that arrived at `receivedAt`. */
   noteClock(clock: Instant, receivedAt: Instant): void {
     if (this.clock === undefined) {
-      // Whatever an earlier leader gave ends by then.
-      this.bound = Math.max(this.bound, clock + this.maxLeaseMs);
+      // Earlier leaders, whom the worker obeys no more, gave no longer leases than this one does.
+      this.bound = Math.max(this.bound, clock + this.leaseMs);
     }
     this.clock = clock;
     this.receivedAt = receivedAt;
@@ -49,7 +50,7 @@
   /** Monotonic time by which the lease has certainly ended, also where an earlier leader gave it. */
   get endsBy(): Instant {
     if (this.clock === undefined) {
-      return this.releasedAt + longestEarlierLease(this.maxLeaseMs);
+      return this.earlierEnd;
     }
     const left = Math.max(0, this.bound - this.clock) / SLOWEST_CLOCK;
     return this.receivedAt + left + LEASE_MARGIN_MS;
@@ -60,9 +61,3 @@
     return now > this.endsBy;
   }
 }
-
-/** Time after a claim by which every lease that the leader before it gave has ended. */
-export function longestEarlierLease(maxLeaseMs: Millis): Millis {
-  const leaseMs = Math.min(TASK_LEASE_MS, maxLeaseMs);
-  return LEADER_LEASE_MS + leaseMs / SLOWEST_CLOCK + LEASE_MARGIN_MS;
-}
--- a/packages/daemon/src/job-host/model/explore.fixture.test.ts
+++ b/packages/daemon/src/job-host/model/explore.fixture.test.ts
@@ -127,14 +127,14 @@
 }
 
 /** What a leader has not written are the last records of its copy, so that their number tells them. */
-function textOfHost({ name, claims, lead }: Host): string {
+function textOfHost({ name, reads, lead }: Host): string {
   if (lead === undefined) {
-    return `${name} ${numberOf(claims)}`;
+    return `${name} ${numberOf(reads)}`;
   }
   const { known, writing, batch, progress, links, ...rest } = lead;
   return [
     name,
-    ...[claims, known, progress, ...links].map(numberOf),
+    ...[reads, known, progress, ...links].map(numberOf),
     writing.length,
     batch.length,
     ...Object.values(rest),
@@ -194,11 +194,19 @@
     runs: Infinity,
     troubles: 0,
     cancels: false,
+    releases: false,
+    reads: false,
   };
   const asides = ['the late', ...others.map(({ name }) => `${name} `)];
-  return stepsFrom(state, calm).filter(
+  const steps = stepsFrom(state, calm).filter(
     ({ name }) => !asides.some(aside => name.startsWith(aside)),
   );
+  // Heartbeats bring no end nearer: with them first the search would be given up before it found one.
+  const isHeartbeat = ({ name }: Step): boolean => name.endsWith('a heartbeat');
+  return [
+    ...steps.filter(step => !isHeartbeat(step)),
+    ...steps.filter(isHeartbeat),
+  ];
 }
 
 function isEnd({ journal, cancelledAt }: State): boolean {
--- a/packages/daemon/src/job-host/model/leader-steps.fixture.test.ts
+++ b/packages/daemon/src/job-host/model/leader-steps.fixture.test.ts
@@ -2,14 +2,22 @@
 import type { Instant } from '@paddlewind/domain';
 import type { JournalRecord, RunEnd } from '@paddlewind/domain/jobs';
 
-import { INBOX_STALE_MS, LEADER_LEASE_MS, START_WAIT_MS } from '../timing.js';
 import {
-  agesOf,
+  HORIZON_SLACK_MS,
+  INBOX_STALE_MS,
+  LEASE_HORIZON_MS,
+  LONGEST_HELD_MS,
+  MIN_START_LEASE_MS,
+  START_WAIT_MS,
+  TASK_LEASE_MS,
+} from '../timing.js';
+import {
   append,
+  leaseEndsOf,
   leaseOf,
   NEW_LINK,
   NO_PROGRESS,
-  readClaims,
+  readToEnd,
   recordsOf,
   TASK,
   viewOf,
@@ -99,19 +107,69 @@
 
 /** The claim that a host would append now. */
 export function claimOf(state: State, at: number): Append {
-  const host = hostAt(state, at);
+  const host = readToEnd(hostAt(state, at), state);
   const { epoch: before } = viewOf(recordsOf(state.journal), false);
   const epoch = before + 1;
   const nonce = NONCES[host.name] ?? 0;
-  const ages = agesOf(host, state.now);
+  const ends = leaseEndsOf(host, state);
+  const handed = ends.handedBy(epoch, LONGEST_HELD_MS, state.now);
   const { name } = host;
   return {
     epoch,
     sequence: nonce,
-    records: [{ kind: 'claim', epoch, host: name, nonce, ages }],
+    records: [{ kind: 'claim', epoch, host: name, nonce, handed }],
+  };
+}
+
+/** The heartbeat that a leader would append now: it tells which workers do not answer. */
+export function heartbeatOf(
+  state: State,
+  host: Host,
+  lead: Lead,
+): JournalRecord {
+  const workers = silentWorkers(lead).flatMap(at => {
+    const left = leaseOf(state, host, lead, at).endsBy - state.now;
+    const told = [WORKER_NAMES[at === 0 ? 0 : 1], Math.ceil(left)] as const;
+    return left < Infinity ? [told] : [];
+  });
+  const heldMs = horizonOf(lead, state.now) - state.now + HORIZON_SLACK_MS;
+  const { epoch } = lead;
+  const ends = leaseEndsOf(host, state);
+  const known = ends.handedBy(epoch, Math.ceil(heldMs), state.now);
+  const handed = known && { ...known, workers };
+  return {
+    kind: 'heartbeat',
+    epoch,
+    host: host.name,
+    nonce: 0,
+    handed,
+    standbys: undefined,
+    address: '',
   };
 }
 
+/** Workers that run something, and do not answer. */
+export function silentWorkers(lead: Lead): number[] {
+  const { run, at } = leadView(lead);
+  const { verified, answering } = linkAt(lead, at);
+  return run > 0 && !(verified && answering) ? [at] : [];
+}
+
+/** Time by which leases that are given after an append of `confirmedAt` have to end. */
+function horizonOf({ releasedAt }: Lead, confirmedAt: Instant): Instant {
+  const released = releasedAt < 0 ? Infinity : releasedAt + TASK_LEASE_MS;
+  return Math.min(confirmedAt + LEASE_HORIZON_MS, released);
+}
+
+/** The same for leases that are given now. */
+function horizonNow(lead: Lead, fault: Fault): Instant {
+  if (fault === 'unconfirmed_lease') {
+    return Infinity;
+  }
+  const releasedAt = fault === 'released_lease' ? -1 : lead.releasedAt;
+  return horizonOf({ ...lead, releasedAt }, lead.confirmedAt);
+}
+
 /** Takes over after a claim that the log has accepted: reads journal and inbox to their ends. */
 export function takeOver(
   state: State,
@@ -121,11 +179,13 @@
 ): State {
   const host = hostAt(state, at);
   const all = recordsOf(state.journal);
-  const claims = readClaims(host, all, state.now);
+  const { reads } = readToEnd(host, state);
   const lead: Lead = {
     epoch: claim.epoch,
     sequence: claim.sequence,
     confirmedAt: state.now,
+    firstSentAt: -1,
+    releasedAt: -1,
     inboxAt: state.now,
     cancelKnown: state.cancelledAt >= 0,
     known: read(all, fault),
@@ -134,14 +194,16 @@
     progress: NO_PROGRESS,
     links: [NEW_LINK, NEW_LINK],
   };
-  return withHost(state, at, { ...host, claims, lead });
+  return withHost(state, at, { ...host, reads, lead });
 }
 
-/** Ages of claims are kept apart, so that copies of alike journals are alike. */
+/** Ends of leases are kept apart, so that copies of alike journals are alike. */
 function read(all: readonly JournalRecord[], fault: Fault): JournalRecord[] {
-  const records = all.map(record =>
-    record.kind === 'claim' ? { ...record, ages: [] } : record,
-  );
+  const records = all
+    .filter(({ kind }) => kind !== 'heartbeat')
+    .map(record =>
+      record.kind === 'claim' ? { ...record, handed: undefined } : record,
+    );
   const lastTold = records.findLastIndex(
     ({ kind }) => kind === 'start' || kind === 'end',
   );
@@ -157,7 +219,7 @@
 }
 
 /** The leader while the append is under way. */
-export function whileWriting(lead: Lead): Lead {
+export function whileWriting(lead: Lead, now: Instant): Lead {
   if (lead.writing.length > 0) {
     return lead;
   }
@@ -167,6 +229,7 @@
   }));
   return {
     ...lead,
+    firstSentAt: now,
     writing: lead.batch,
     batch: [],
     links: [links[0] ?? NEW_LINK, links[1] ?? NEW_LINK],
@@ -174,17 +237,24 @@
 }
 
 /** Appends what waits and takes in the answer; a leader that is refused leads no more. */
-export function write(state: State, at: number, lead: Lead): State {
+export function write(
+  state: State,
+  at: number,
+  lead: Lead,
+  fault: Fault,
+): State {
   const { journal, kind } = append(state.journal, nextAppend(lead));
   if (kind !== 'appended') {
     return withLead(state, at, undefined);
   }
-  const writing = whileWriting(lead);
+  const writing = whileWriting(lead, state.now);
   const written: Lead = {
     ...writing,
     writing: [],
+    firstSentAt: -1,
     sequence: lead.sequence + 1,
-    confirmedAt: state.now,
+    confirmedAt:
+      fault === 'late_confirmation' ? state.now : writing.firstSentAt,
   };
   const acted = writing.writing.reduce(actOn, written);
   return withLead({ ...state, journal }, at, settleEnds(acted));
@@ -223,12 +293,11 @@
   }, lead);
 }
 
-/** Whether a leader may extend leases. */
-export function mayExtend(state: State, lead: Lead, fault: Fault): boolean {
-  return (
-    fault === 'unconfirmed_lease' ||
-    state.now - lead.confirmedAt < LEADER_LEASE_MS
-  );
+/** Asks to be replaced; leases that are given from now on end with those given before. */
+export function release(state: State, lead: Lead): Lead {
+  const heldMs = Math.ceil(TASK_LEASE_MS + HORIZON_SLACK_MS);
+  const released = { ...lead, releasedAt: state.now };
+  return decide(released, { kind: 'release', heldMs });
 }
 
 /** Whether the start that waits may be sent. */
@@ -237,7 +306,8 @@
     return true;
   }
   const { over, status, at } = leadView(lead);
-  const { verified, answering } = linkAt(lead, at);
+  const { verified, answering, reached } = linkAt(lead, at);
+  const leaseLeft = horizonNow(lead, fault) - state.now;
   return (
     !over &&
     status !== 'done' &&
@@ -245,12 +315,18 @@
     state.now - lead.progress.decidedAt <= START_WAIT_MS &&
     verified &&
     answering &&
-    mayExtend(state, lead, fault)
+    reached &&
+    leaseLeft >= MIN_START_LEASE_MS
   );
 }
 
 /** Builds the order that waits, to be sent now. */
-export function orderOf(state: State, host: Host, lead: Lead): Message {
+export function orderOf(
+  state: State,
+  host: Host,
+  lead: Lead,
+  fault: Fault,
+): Message {
   const { run, at: to } = leadView(lead);
   const kind = lead.progress.order === 'start' ? 'start' : 'stop';
   const starts = kind === 'start';
@@ -261,11 +337,22 @@
     run,
     sentAt: state.now,
     cancelKnown: lead.cancelKnown,
-    leaseUntil: starts ? leaseOf(host, lead, to).extend(state.now) : 0,
+    leaseUntil: starts ? extended(state, host, lead, to, fault) : 0,
     acknowledged: 0,
   };
 }
 
+function extended(
+  state: State,
+  host: Host,
+  lead: Lead,
+  to: number,
+  fault: Fault,
+): Instant {
+  const horizon = horizonNow(lead, fault);
+  return leaseOf(state, host, lead, to).extend(state.now, horizon);
+}
+
 /** The leader that has sent the order which waited. */
 export function whileSending(lead: Lead, { to, leaseUntil }: Message): Lead {
   const progress: Progress = { ...lead.progress, order: 'none', decidedAt: 0 };
@@ -320,7 +407,7 @@
   fault: Fault,
 ): Message {
   const { reached, answering, recordedUpTo, listedUpTo } = linkAt(lead, to);
-  const extend = reached && answering && mayExtend(state, lead, fault);
+  const extend = reached && answering && horizonNow(lead, fault) > state.now;
   return {
     kind: 'look',
     to,
@@ -328,7 +415,7 @@
     run: 0,
     sentAt: state.now,
     cancelKnown: lead.cancelKnown,
-    leaseUntil: extend ? leaseOf(host, lead, to).extend(state.now) : 0,
+    leaseUntil: extend ? extended(state, host, lead, to, fault) : 0,
     acknowledged: fault === 'early_acknowledgement' ? listedUpTo : recordedUpTo,
   };
 }
@@ -348,7 +435,7 @@
   }
   const lapsed =
     fault === 'early_give_up' ||
-    leaseOf(host, silent, worker).hasLapsed(state.now);
+    leaseOf(state, host, silent, worker).hasLapsed(state.now);
   if (lapsed && fault !== 'never_given_up') {
     return decideEnd(silent, 'lapsed');
   }
@@ -370,13 +457,10 @@
     firstClock: firstClock < 0 ? report.clock : firstClock,
   });
   const settled = takeRun(heard, worker, report);
-  const { verified } = linkAt(settled, worker);
-  const known = verified
-    ? settled
-    : decide(withLink(settled, worker, { verified: true }), {
-        kind: 'reached',
-        worker: WORKER_NAMES[worker === 0 ? 0 : 1],
-      });
+  const known = recordReached(
+    withLink(settled, worker, { verified: true }),
+    worker,
+  );
   const last = report.ended.at(-1)?.position ?? 0;
   return last > linkAt(known, worker).recordedUpTo
     ? settleEnds(
@@ -385,6 +469,17 @@
     : known;
 }
 
+/** Records that a worker was reached, unless that is known or waits to be written. */
+function recordReached(lead: Lead, at: number): Lead {
+  const worker = WORKER_NAMES[at === 0 ? 0 : 1];
+  const waits = [...lead.writing, ...lead.batch].some(
+    record => record.kind === 'reached' && record.worker === worker,
+  );
+  return waits || linkAt(lead, at).reached
+    ? lead
+    : decide(lead, { kind: 'reached', worker });
+}
+
 function takeRun(lead: Lead, worker: number, report: Report): Lead {
   const { run, at } = leadView(lead);
   if (run === 0 || at !== worker) {
--- a/packages/daemon/src/job-host/model/leadership-model.test.ts
+++ b/packages/daemon/src/job-host/model/leadership-model.test.ts
@@ -16,6 +16,8 @@
   opening: [],
   depth: Infinity,
   cancels: false,
+  releases: false,
+  reads: false,
   fault: 'none',
 };
 
@@ -53,6 +55,49 @@
   opening: [...LOST.opening, 'time passes', 'A looks at w1'],
 };
 
+/** A run is at work, and another host reads on. */
+const FOLLOWED: Bounds = {
+  ...LOST,
+  reads: true,
+  opening: LOST.opening.slice(0, -1),
+  depth: 6,
+};
+
+/** The former leader was asked to be replaced, and goes on until another host claims. */
+const RELEASED: Bounds = {
+  ...FOLLOWED,
+  releases: true,
+  opening: [
+    ...FOLLOWED.opening,
+    'A releases',
+    'A writes release',
+    'B reads',
+    'time passes',
+    'A writes a heartbeat',
+    'w1 is cut off from B',
+    'A looks at w1',
+    'B claims',
+  ],
+};
+
+/** The former leader repeats an append that another host has read already. */
+const REPEATED: Bounds = {
+  ...FOLLOWED,
+  troubles: 2,
+  kinds: ['append', 'loss'],
+  opening: [
+    ...FOLLOWED.opening,
+    'w1 is cut off from B',
+    'A looks at w2',
+    'A writes reached, the answer lost',
+    'B reads',
+    'time passes',
+    'A writes reached',
+    'A looks at w1',
+    'B claims',
+  ],
+};
+
 function assertSound(bounds: Bounds, floor: number): void {
   const found = explore(bounds);
   assert.equal(found.broken, '', tell(found));
@@ -134,6 +179,26 @@
   assertFound(LOST_LATER, 'unconfirmed_lease', /two runs/);
 });
 
+test('model: a worker is lost while another host reads on', () => {
+  assertSound(FOLLOWED, 3_000);
+});
+
+test('model: a worker is lost to the host that follows one which released the lead', () => {
+  assertSound(RELEASED, 500);
+});
+
+test('model finds a lease that goes beyond a release', () => {
+  assertFound(RELEASED, 'released_lease', /two runs/);
+});
+
+test('model: a repeated append counts from its first try', () => {
+  assertSound(REPEATED, 500);
+});
+
+test('model finds an append that counts from its last try', () => {
+  assertFound(REPEATED, 'late_confirmation', /two runs/);
+});
+
 test('model finds a run of a lost worker that is never given up', () => {
   assertFound(
     { ...LOST, opening: LOST.opening.slice(0, -1) },
--- a/packages/daemon/src/job-host/model/states.fixture.test.ts
+++ b/packages/daemon/src/job-host/model/states.fixture.test.ts
@@ -7,7 +7,6 @@
   findTask,
   isOver,
   PLAIN_STEP,
-  type ClaimAge,
   type JobSpec,
   type JobsState,
   type JournalRecord,
@@ -16,19 +15,16 @@
 import type { AppendResult } from '@paddlewind/ports/jobs';
 import { LogPartition } from '@paddlewind/stand-ins/jobs';
 
-import { ClaimTimes } from '../claim-times.js';
+import { LeaseEnds } from '../lease-ends.js';
 import { Lease } from '../lease.js';
 import { TASK_LEASE_MS } from '../timing.js';
 
 /**
- * Length of a tick in milliseconds: one is shorter than a task's lease (5,000) and longer than a
- * leader's (4,000), two are just longer than what a new leader waits for both (9,202).
+ * Length of a tick in milliseconds: one is shorter than a task's lease (5,000), two are longer than what a
+ * new leader waits for one that released the lead (5,202) or fell silent (7,702).
  */
 export const TICK_MS: Millis = 4_700;
 
-/** Ages of claims in milliseconds beyond which all are alike: past every lease of an earlier leader. */
-const OLD_CLAIM_MS: Millis = 3 * TICK_MS;
-
 /** An append as the log keeps it. */
 export interface Append {
   readonly epoch: number;
@@ -114,6 +110,10 @@
   readonly epoch: number;
   readonly sequence: number;
   readonly confirmedAt: Instant;
+  /** When what is being written was sent for the first time. */
+  readonly firstSentAt: Instant;
+  /** When it asked to be replaced; -1 for never. */
+  readonly releasedAt: Instant;
   readonly inboxAt: Instant;
   readonly cancelKnown: boolean;
   /** Its copy: what it has read and decided. */
@@ -127,7 +127,8 @@
 /** A host. */
 export interface Host {
   readonly name: string;
-  readonly claims: readonly (readonly [epoch: number, readAt: Instant])[];
+  /** When it read how many appends of the journal, since it started. */
+  readonly reads: readonly (readonly [upTo: number, at: Instant])[];
   readonly lead: Lead | undefined;
 }
 
@@ -197,8 +198,8 @@
   registered: 0,
   messages: [],
   hosts: [
-    { name: 'A', claims: [], lead: undefined },
-    { name: 'B', claims: [], lead: undefined },
+    { name: 'A', reads: [], lead: undefined },
+    { name: 'B', reads: [], lead: undefined },
   ],
   doneAcknowledged: false,
 };
@@ -338,49 +339,54 @@
   return { writer: 'leader', epoch, sequence };
 }
 
-/** Takes in the claims of the log as a host does that reads it `now`. */
-export function readClaims(
-  host: Host,
-  records: readonly JournalRecord[],
-  now: Instant,
-): Host['claims'] {
-  const times = claimTimesOf(host);
-  for (const record of records) {
-    if (record.kind === 'claim') {
-      times.note(record.epoch, now);
-      times.noteAges(record.ages, now);
-    }
-  }
-  return times.ages(now).map(([epoch, age]) => [epoch, now - age] as const);
+/** Number of appends that a host has read. */
+export function readUpTo({ reads }: Host): number {
+  return reads.at(-1)?.[0] ?? 0;
 }
 
-/** What a host's claim tells of earlier ones. */
-export function agesOf(host: Host, now: Instant): ClaimAge[] {
-  return claimTimesOf(host)
-    .ages(now)
-    .map(([epoch, age]) => [epoch, Math.min(age, OLD_CLAIM_MS)]);
+/** The host that has read the journal to its end. */
+export function readToEnd(host: Host, { journal, now }: State): Host {
+  return readUpTo(host) === journal.length
+    ? host
+    : { ...host, reads: [...host.reads, [journal.length, now]] };
 }
 
-function claimTimesOf({ claims }: Host): ClaimTimes {
-  const times = new ClaimTimes();
-  for (const [epoch, readAt] of claims) {
-    times.note(epoch, readAt);
+/** What a host knows of the ends of leases from all that it has read. */
+export function leaseEndsOf({ reads }: Host, { journal }: State): LeaseEnds {
+  const ends = new LeaseEnds();
+  ends.noteBeginning();
+  let from = 0;
+  for (const [upTo, at] of reads) {
+    for (const { epoch, records } of journal.slice(from, upTo)) {
+      records.forEach(record => {
+        ends.note(record, epoch, at);
+      });
+    }
+    from = upTo;
   }
-  return times;
+  return ends;
 }
 
 /** The lease of a worker as its leader knows it; clocks are alike here. */
-export function leaseOf(host: Host, lead: Lead, worker: number): Lease {
+export function leaseOf(
+  state: State,
+  host: Host,
+  lead: Lead,
+  worker: number,
+): Lease {
   const link = lead.links[worker] ?? NEW_LINK;
+  const name = WORKER_NAMES[worker] ?? '';
   const { epoch, reachedIn } = viewOf(lead.known, lead.cancelKnown);
-  const reached = reachedIn.get(WORKER_NAMES[worker] ?? '') ?? epoch - 1;
-  const releasedAt = claimTimesOf(host).supersededAt(reached);
-  const lease = new Lease(releasedAt, TASK_LEASE_MS);
+  const reached = reachedIn.get(name) ?? epoch - 1;
+  const earlierEnd = leaseEndsOf(host, state).endFor(name, reached);
+  const lease = new Lease(earlierEnd, TASK_LEASE_MS);
   if (link.firstClock >= 0) {
     lease.noteClock(link.firstClock, link.firstClock);
   }
   if (link.extendedUntil >= 0) {
-    lease.extend(link.extendedUntil - TASK_LEASE_MS);
+    const extendedAt = link.extendedUntil - TASK_LEASE_MS;
+    lease.noteClock(extendedAt, extendedAt);
+    lease.extend(extendedAt, Infinity);
   }
   if (link.answeredAt >= 0) {
     lease.noteClock(link.clock, link.answeredAt);
--- a/packages/daemon/src/job-host/model/steps.fixture.test.ts
+++ b/packages/daemon/src/job-host/model/steps.fixture.test.ts
@@ -6,6 +6,7 @@
   claimOf,
   decide,
   decideEnd,
+  heartbeatOf,
   hostAt,
   leadView,
   linkAt,
@@ -15,7 +16,9 @@
   mayStart,
   orderOf,
   orderStop,
+  release,
   settleEnds,
+  silentWorkers,
   takeOrderAnswer,
   takeOver,
   takeReport,
@@ -30,6 +33,8 @@
 import {
   append,
   NO_PROGRESS,
+  readToEnd,
+  readUpTo,
   recordsOf,
   TASK,
   TICK_MS,
@@ -68,6 +73,10 @@
   readonly depth: number;
   /** Whether the job may be cancelled. */
   readonly cancels: boolean;
+  /** Whether leaders may ask to be replaced. */
+  readonly releases: boolean;
+  /** Whether hosts that do not lead read on; else they read when they claim. */
+  readonly reads: boolean;
   readonly fault: Fault;
 }
 
@@ -133,7 +142,7 @@
   if (lead === undefined || lead.progress.order === 'none') {
     return [];
   }
-  const message = orderOf(state, host, lead);
+  const message = orderOf(state, host, lead, fault);
   if (message.kind === 'start' && !mayStart(state, lead, fault)) {
     return [
       calm(`${name} gives up the start of run ${message.run}`, () =>
@@ -193,19 +202,49 @@
   const host = hostAt(state, at);
   const { lead, name } = host;
   if (lead === undefined) {
-    return claimSteps(state, at, bounds);
+    return [...readSteps(state, at, bounds), ...claimSteps(state, at, bounds)];
   }
   return [
-    ...writeSteps(state, at, name, lead),
+    ...writeSteps(state, at, lead, bounds.fault),
+    ...releaseSteps(state, at, lead, bounds),
     ...decideSteps(state, at, lead, bounds),
     ...orderSteps(state, at, bounds.fault),
     ...[0, 1].flatMap(to => lookSteps(state, at, to, bounds.fault)),
     trouble('restart', `${name} starts again`, () =>
-      withHost(state, at, { ...host, claims: [], lead: undefined }),
+      withHost(state, at, { ...host, reads: [], lead: undefined }),
     ),
   ];
 }
 
+/** A host that does not lead reads on; what it reads later it takes to be written later. */
+function readSteps(state: State, at: number, { reads }: Bounds): Step[] {
+  const host = hostAt(state, at);
+  return reads && readUpTo(host) < state.journal.length
+    ? [
+        calm(`${host.name} reads the journal`, () =>
+          withHost(state, at, readToEnd(host, state)),
+        ),
+      ]
+    : [];
+}
+
+function releaseSteps(
+  state: State,
+  at: number,
+  lead: Lead,
+  { releases, epochs }: Bounds,
+): Step[] {
+  // Who leads last is not replaced any more.
+  const mayRelease = releases && lead.epoch < epochs;
+  return mayRelease && lead.releasedAt < 0
+    ? [
+        calm(`${hostAt(state, at).name} releases the lead`, () =>
+          withLead(state, at, release(state, lead)),
+        ),
+      ]
+    : [];
+}
+
 function claimSteps(state: State, at: number, bounds: Bounds): Step[] {
   const { name } = hostAt(state, at);
   const claim = claimOf(state, at);
@@ -239,12 +278,13 @@
 function writeSteps(
   state: State,
   at: number,
-  name: string,
   lead: Lead,
+  fault: Fault,
 ): Step[] {
+  const { name } = hostAt(state, at);
   const waits = nextAppend(lead);
   if (waits.records.length === 0) {
-    return heartbeatSteps(state, at, name, lead);
+    return heartbeatSteps(state, at, lead);
   }
   const { journal } = append(state.journal, waits);
   const what = waits.records
@@ -252,9 +292,9 @@
       'run' in record ? `${record.kind} ${record.run}` : record.kind,
     )
     .join(', ');
-  const unanswered = withLead(state, at, whileWriting(lead));
+  const unanswered = withLead(state, at, whileWriting(lead, state.now));
   return [
-    calm(`${name} writes ${what}`, () => write(state, at, lead)),
+    calm(`${name} writes ${what}`, () => write(state, at, lead, fault)),
     trouble('append', `${name} writes ${what}, the answer lost`, () => ({
       ...unanswered,
       journal,
@@ -266,24 +306,36 @@
   ];
 }
 
-/** A heartbeat tells nothing that the model needs, and is left out of its journal. */
-function heartbeatSteps(
-  state: State,
-  at: number,
-  name: string,
-  lead: Lead,
-): Step[] {
+/** One heartbeat a tick, and one that tells of a worker which has ceased to answer. */
+function heartbeatSteps(state: State, at: number, lead: Lead): Step[] {
+  const host = hostAt(state, at);
   const { epoch } = viewOf(recordsOf(state.journal), false);
   if (epoch > lead.epoch) {
-    return [calm(`${name} is refused`, () => withLead(state, at, undefined))];
+    return [
+      calm(`${host.name} is refused`, () => withLead(state, at, undefined)),
+    ];
   }
-  return lead.confirmedAt === state.now
+  const untold = silentWorkers(lead).some(
+    worker => linkAt(lead, worker).reached,
+  );
+  return lead.confirmedAt === state.now && !untold
     ? []
-    : [
-        calm(`${name} writes a heartbeat`, () =>
-          withLead(state, at, { ...lead, confirmedAt: state.now }),
-        ),
-      ];
+    : [calm(`${host.name} writes a heartbeat`, () => beat(state, at, lead))];
+}
+
+function beat(state: State, at: number, lead: Lead): State {
+  const host = hostAt(state, at);
+  const sequence = lead.sequence + 1;
+  const { journal } = append(state.journal, {
+    epoch: lead.epoch,
+    sequence,
+    records: [heartbeatOf(state, host, lead)],
+  });
+  const beaten = silentWorkers(lead).reduce(
+    (next, worker) => withLink(next, worker, { reached: false }),
+    { ...lead, sequence, confirmedAt: state.now },
+  );
+  return withLead({ ...state, journal }, at, beaten);
 }
 
 function decideSteps(
--- a/packages/daemon/src/job-host/model/tidy.fixture.test.ts
+++ b/packages/daemon/src/job-host/model/tidy.fixture.test.ts
@@ -1,7 +1,7 @@
 /** Drops what can't change anything any more, so that states that differ only in it are one. */
 import type { Instant } from '@paddlewind/domain';
 
-import { INBOX_STALE_MS, LEADER_LEASE_MS } from '../timing.js';
+import { INBOX_STALE_MS, LEASE_HORIZON_MS } from '../timing.js';
 import { leadView } from './leader-steps.fixture.test.js';
 import {
   append,
@@ -68,7 +68,7 @@
   const inboxAt = cancels
     ? Math.max(lead.inboxAt, agedBy(now, INBOX_STALE_MS))
     : now;
-  const confirmedAt = Math.max(lead.confirmedAt, agedBy(now, LEADER_LEASE_MS));
+  const confirmedAt = Math.max(lead.confirmedAt, agedBy(now, LEASE_HORIZON_MS));
   const first = run > 0 && at === 0 ? lead.links[0] : tidyLink(lead.links[0]);
   const second = run > 0 && at === 1 ? lead.links[1] : tidyLink(lead.links[1]);
   const same =
--- a/packages/daemon/src/job-host/model/worker-steps.fixture.test.ts
+++ b/packages/daemon/src/job-host/model/worker-steps.fixture.test.ts
@@ -16,6 +16,8 @@
   | 'no_fence'
   | 'early_acknowledgement'
   | 'unconfirmed_lease'
+  | 'late_confirmation'
+  | 'released_lease'
   | 'early_give_up'
   | 'never_given_up'
   | 'unchecked_start'
--- a/packages/daemon/src/job-host/orders.fixture.test.ts
+++ b/packages/daemon/src/job-host/orders.fixture.test.ts
@@ -24,6 +24,7 @@
 import { testContext } from './context.fixture.test.js';
 import type { HostContext } from './context.js';
 import { jobOf, type TestStep } from './simulation.fixture.test.js';
+import { LEASE_HORIZON_MS } from './timing.js';
 import { WorkerLink } from './worker-link.js';
 
 /** The job whose tasks are ordered. */
@@ -141,8 +142,8 @@
     port: site.port,
     fence: 1,
     maxLeaseMs: 6_000,
-    releasedAt: 0,
-    mayExtend: () => true,
+    earlierLeaseEnd: 0,
+    horizon: () => site.time.clock() + LEASE_HORIZON_MS,
     runs: () => workerRuns(site.state, ORDERED_WORKER.id),
     lookWaitMs: () => 1_000,
     inboxAgeMs: () => 0,
@@ -151,12 +152,15 @@
     events: {
       ended: site.end,
       recorded: () => Promise.resolve(true),
-      reached: () => Promise.resolve(true),
+      reached: done => {
+        done();
+      },
       fenced: () => undefined,
       ticketRefused: () => undefined,
       began: () => undefined,
       started: () => undefined,
       reported: () => undefined,
+      silent: () => undefined,
       changed: () => undefined,
     },
   });
--- a/packages/daemon/src/job-host/replica.ts
+++ b/packages/daemon/src/job-host/replica.ts
@@ -6,16 +6,16 @@
   decodeInbox,
   decodeJournal,
   emptyJobsState,
-  type ClaimAge,
+  type HandedLeases,
   type InboxRecord,
   type JobsState,
   type JournalRecord,
 } from '@paddlewind/domain/jobs';
 import type { JobLog, ReadResult } from '@paddlewind/ports/jobs';
 
-import { ClaimTimes } from './claim-times.js';
 import { coalesce } from './coalesce.js';
 import type { HostContext } from './context.js';
+import { LeaseEnds } from './lease-ends.js';
 import { Portion } from './portion.js';
 
 /** Bytes asked for where only the position of the first record that is kept matters. */
@@ -37,7 +37,7 @@
   /** Whether the log has dropped records that this copy lacks, so that it has to be read anew. */
   lostTrack = false;
 
-  private readonly claimTimes = new ClaimTimes();
+  private readonly leaseEnds = new LeaseEnds();
   private readonly next: Record<FoldedStream, number> = {
     inbox: 0,
     journal: 0,
@@ -143,6 +143,9 @@
       this.joined[stream] = true;
       this.next[stream] = firstOffset;
       this.trimmed ||= firstOffset > 0;
+      if (stream === 'journal' && firstOffset === 0) {
+        this.leaseEnds.noteBeginning();
+      }
     }
   }
 
@@ -170,19 +173,22 @@
   }
 
   /**
-   * Monotonic time after which no leader before the present one has extended the lease of a worker,
-   * but for what its own lease allows; infinite for one that the present leader has reached.
+   * Monotonic time by which every lease that leaders before the present one gave to a worker has ended;
+   * infinite for one that the present leader has reached.
    */
-  releasedAt(worker: string): Instant {
+  earlierLeaseEnd(worker: string): Instant {
     const { claim, reachedIn } = this.state;
     // Nothing is known of a worker whose records are gone: any earlier leader may have reached it.
     const epoch = reachedIn.get(worker) ?? claim.epoch - 1;
-    return this.claimTimes.supersededAt(epoch);
+    return this.leaseEnds.endFor(worker, epoch);
   }
 
-  /** Returns how long ago this host learnt of the newest claims. */
-  claimAges(): ClaimAge[] {
-    return this.claimTimes.ages(this.ctx.clock());
+  /**
+   * Returns what this host, which leads or claims in `epoch`, hands on of the ends of leases: its own hold
+   * for `heldMs`. Undefined while it may not know of all leaders.
+   */
+  handedLeases(epoch: number, heldMs: Millis): HandedLeases | undefined {
+    return this.leaseEnds.handedBy(epoch, heldMs, this.ctx.clock());
   }
 
   /** Takes in records of the inbox that this host has appended itself. */
@@ -292,17 +298,13 @@
         this.noteUnreadable('journal', this.next.journal - 1);
         continue;
       }
-      if (record.kind === 'claim' || record.kind === 'heartbeat') {
-        const now = this.ctx.clock();
-        this.claimTimes.note(record.epoch, now);
-        this.claimTimes.noteAges(record.ages, now);
-      }
       if (!applyJournal(this.state, record) && !this.trimmed) {
         this.ctx.log.error(
           { record },
           'replica: the journal names an unknown job',
         );
       }
+      this.leaseEnds.note(record, this.state.claim.epoch, this.ctx.clock());
     }
     if (decoded.length > 0) {
       this.journalHeardAt = this.ctx.clock();
--- a/packages/daemon/src/job-host/timing.ts
+++ b/packages/daemon/src/job-host/timing.ts
@@ -24,8 +24,8 @@
 /** A leader with nothing to write writes a heartbeat this often, so that two may be lost. */
 export const HEARTBEAT_EVERY_MS: Millis = 300;
 /**
- * A leader says who leads, and since when the last ones did, at least this often, also while it writes
- * other records: a host that starts anew may count leases from then on for this much too long.
+ * A leader says who leads, and until when leases of the last ones hold, at least this often, also while it
+ * writes other records: a host that starts anew may count leases for this much too long.
  */
 export const CLAIM_REPEAT_MS: Millis = 1_000;
 /** Share of the log's retention after which a job is restated, so that two tries may fail. */
@@ -88,11 +88,15 @@
 /** Lease given to workers: outlives a change of the leader (about 2 s) and two lost looks. */
 export const TASK_LEASE_MS: Millis = 5_000;
 /**
- * A leader extends leases for this long after its last confirmed append was sent. With a task's lease
- * on top running tasks outlive a log that is away for 9 s; a new leader has to wait as long before it
- * gives up the runs of a worker that it can't reach.
+ * Leases that a leader gives end at most this long after its last confirmed append was sent. Running tasks
+ * outlive a log that is away for 7 s; a task whose worker is lost with its leader is away for as long, and
+ * its users allow 9 s from the loss until it is at work again.
  */
-export const LEADER_LEASE_MS: Millis = 4_000;
+export const LEASE_HORIZON_MS: Millis = 7_500;
+/** Shortest lease with which a start is sent: a new leader that takes over meanwhile extends it in time. */
+export const MIN_START_LEASE_MS: Millis = 2_000;
+/** Longest wait of a look while leases can't be given in full, so that they are soon after the log answers. */
+export const SHORT_LEASE_LOOK_MS: Millis = 250;
 /** Time for an answer of the advice service beyond what it says it takes. */
 export const ADVICE_SLACK_MS: Millis = 500;
 /** Pause before the advice service is asked again after it did not answer. */
@@ -101,6 +105,18 @@
 export const SLOWEST_CLOCK = 0.98;
 /** Margin on every computed end of a lease. */
 export const LEASE_MARGIN_MS: Millis = 100;
+/** How much later than at its leader's horizon a lease may end: the worker's clock may be slow. */
+export const HORIZON_SLACK_MS: Millis =
+  TASK_LEASE_MS / SLOWEST_CLOCK - TASK_LEASE_MS + LEASE_MARGIN_MS;
+/** How long leases of a leader may hold after its last record. */
+export const LONGEST_HELD_MS: Millis = LEASE_HORIZON_MS + HORIZON_SLACK_MS;
+/** The same for a leader that does not say so: one that extended leases for 4 s, and by 5 s each time. */
+export const LONGEST_HELD_UNTOLD_MS: Millis =
+  4_000 + TASK_LEASE_MS + HORIZON_SLACK_MS;
+/** Most workers of which a leader tells the ends of leases: 3 KB; others wait for the ends of all it gave. */
+export const MAX_TOLD_WORKERS = 100;
+/** How soon a leader tells of a worker that has ceased to answer, at most this often. */
+export const TELL_SILENCE_MS: Millis = 100;
 /** Without contact to the log for this long, callers are sent to other hosts at once. */
 export const CONTACT_LOST_MS: Millis = 1_200;
 /** Pause before a stop that was not confirmed is ordered again. */
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -15,7 +15,14 @@
 import { Alarm } from './alarm.js';
 import { pause, type HostContext } from './context.js';
 import { Lease } from './lease.js';
-import { LOOK_RETRY_MS, SLOW_WORKER_MS, UNRECORDED_LOOK_MS } from './timing.js';
+import {
+  LOOK_RETRY_MS,
+  MIN_START_LEASE_MS,
+  SHORT_LEASE_LOOK_MS,
+  SLOW_WORKER_MS,
+  TASK_LEASE_MS,
+  UNRECORDED_LOOK_MS,
+} from './timing.js';
 import { WorkerOrders } from './worker-orders.js';
 
 /** What a link tells the leader. */
@@ -24,8 +31,8 @@
   ended(run: Run, how: RunEnd, checkpoint: string): void;
   /** Resolves with true once all ends that were told so far are recorded. */
   recorded(): Promise<boolean>;
-  /** Resolves with true once it is recorded that the worker was reached. */
-  reached(): Promise<boolean>;
+  /** The worker was reached, which is to be recorded; `done` follows once it is. */
+  reached(done: () => void): void;
   /** The worker has seen a higher fence. */
   fenced(): void;
   /** The worker has refused the ticket for a task. */
@@ -36,6 +43,8 @@
   started(link: WorkerLink): void;
   /** The readings of all runs are up to date. */
   reported(link: WorkerLink): void;
+  /** The worker has ceased to answer. */
+  silent(): void;
   /** Something changed that planning should see. */
   changed(): void;
 }
@@ -46,10 +55,10 @@
   readonly port: WorkerPort;
   readonly fence: number;
   readonly maxLeaseMs: Millis;
-  /** Monotonic time from which no earlier leader extends the worker's lease beyond its own. */
-  readonly releasedAt: Instant;
-  /** Whether this leader may still extend leases. */
-  readonly mayExtend: () => boolean;
+  /** Monotonic time by which whatever earlier leaders gave has ended. */
+  readonly earlierLeaseEnd: Instant;
+  /** Monotonic time by which all leases have to end that are given now. */
+  readonly horizon: () => Instant;
   readonly runs: () => WorkerRuns;
   /** How long the worker may wait for an end before it reports. */
   readonly lookWaitMs: () => Millis;
@@ -71,8 +80,15 @@
   private readonly orders: WorkerOrders;
   /** Whether the worker has reported to this leader, so that its open runs are known. */
   private verified = false;
-  /** Whether that is recorded: only then does this leader extend the worker's lease. */
+  /**
+   * Whether that is recorded, and since it was told last that the worker is silent: only then does this
+   * leader extend the lease.
+   */
   private reached = false;
+  /** Number of times that the worker was told to be silent: an older record of its being reached is void. */
+  private silences = 0;
+  /** The value of `silences` for which it was last asked to record that the worker was reached. */
+  private recordsReached = -1;
   private answering = true;
   /** When the worker first and last answered a look of this leader. */
   private reachedAt: Instant = Infinity;
@@ -91,13 +107,16 @@
     private readonly options: LinkOptions,
   ) {
     this.alarm = new Alarm(options.ctx.schedule);
-    this.lease = new Lease(options.releasedAt, options.maxLeaseMs);
+    this.lease = new Lease(options.earlierLeaseEnd, options.maxLeaseMs);
     this.orders = new WorkerOrders({
       ...options,
       info: () => this.info,
       mayStart: () =>
-        this.usable && !this.info.leaving && this.options.mayExtend(),
-      extendLease: now => this.lease.extend(now),
+        this.usable &&
+        this.reached &&
+        !this.info.leaving &&
+        this.leaseLeftMs() >= MIN_START_LEASE_MS,
+      extendLease: now => this.lease.extend(now, options.horizon()),
       events: {
         ...options.events,
         started: () => {
@@ -123,6 +142,26 @@
     return this.verified && this.answering && rested && !this.closed;
   }
 
+  /** Monotonic time by which the lease of a worker that does not answer has ended; undefined for one that does. */
+  get silentLeaseEnd(): Instant | undefined {
+    const answers = this.verified && this.answering;
+    return answers || this.closed ? undefined : this.lease.endsBy;
+  }
+
+  /** Notes that other hosts are told when the worker's lease ends: it is extended only once they know better. */
+  noteSilenceTold(): void {
+    this.reached = false;
+    this.silences += 1;
+  }
+
+  /** Gives all runs up once the lease of a worker that does not answer has ended. */
+  giveUpIfLapsed(now: Instant): void {
+    const end = this.silentLeaseEnd;
+    if (end !== undefined && now > end && this.openRuns().size > 0) {
+      this.endAll('no answer, and its lease has lapsed');
+    }
+  }
+
   /** Looks at the worker until the link is closed. */
   async begin(): Promise<void> {
     while (!this.closed) {
@@ -176,16 +215,16 @@
     const { ctx, port, fence } = this.options;
     const sentAt = ctx.clock();
     // A worker that does not answer may be out of reach: its lease has to end.
-    const extend = this.reached && this.answering && this.options.mayExtend();
+    const left = this.leaseLeftMs();
+    const extend = this.reached && this.answering && left > 0;
     const acknowledged = this.recordedUpTo;
     const res = await port.look(this.info, {
       fence,
       acknowledged,
-      leaseUntil: extend ? this.lease.extend(sentAt) : undefined,
-      waitMs:
-        this.verified && this.openRuns().size > 0
-          ? this.options.lookWaitMs()
-          : 0,
+      leaseUntil: extend
+        ? this.lease.extend(sentAt, this.options.horizon())
+        : undefined,
+      waitMs: this.lookWaitMs(left),
     });
     if (this.closed) {
       return;
@@ -196,6 +235,21 @@
     await this.takeLook(res, sentAt);
   }
 
+  /** Time by which leases that are given now may be ahead. */
+  private leaseLeftMs(): Millis {
+    return this.options.horizon() - this.options.ctx.clock();
+  }
+
+  private lookWaitMs(leaseLeftMs: Millis): Millis {
+    if (!this.verified || this.openRuns().size === 0) {
+      return 0;
+    }
+    const waitMs = this.options.lookWaitMs();
+    return leaseLeftMs < TASK_LEASE_MS
+      ? Math.min(waitMs, SHORT_LEASE_LOOK_MS)
+      : waitMs;
+  }
+
   private async takeLook(res: LookResult, sentAt: Instant): Promise<void> {
     const { ctx, events } = this.options;
     switch (res.kind) {
@@ -213,10 +267,8 @@
         this.takeReplaced();
         return;
       case 'failed':
-        this.setAnswering(false);
-        if (this.lease.hasLapsed(ctx.clock())) {
-          this.endAll(`no answer (${res.reason}) and its lease has lapsed`);
-        }
+        this.setAnswering(false, res.reason);
+        this.giveUpIfLapsed(ctx.clock());
         await pause(this.options.ctx, LOOK_RETRY_MS);
         return;
     }
@@ -245,16 +297,17 @@
     this.options.events.changed();
   }
 
-  private setAnswering(answering: boolean): void {
+  private setAnswering(answering: boolean, reason?: string): void {
     if (this.answering === answering) {
       return;
     }
     this.answering = answering;
     if (!answering) {
       this.orders.giveUpStarts();
+      this.options.events.silent();
     }
     this.options.ctx.log.info(
-      { worker: this.info.id, answering, ...this.contact() },
+      { worker: this.info.id, answering, reason, ...this.contact() },
       'worker: contact changed',
     );
     this.options.events.changed();
@@ -278,9 +331,9 @@
     }
     if (!this.verified) {
       this.verified = true;
-      void this.recordReached();
       events.changed();
     }
+    this.recordReached();
     events.reported(this);
     const last = report.ended.at(-1);
     if (last !== undefined) {
@@ -292,8 +345,15 @@
     }
   }
 
-  private async recordReached(): Promise<void> {
-    this.reached = await this.options.events.reached();
+  private recordReached(): void {
+    const { silences } = this;
+    if (this.reached || this.recordsReached === silences) {
+      return;
+    }
+    this.recordsReached = silences;
+    this.options.events.reached(() => {
+      this.reached = silences === this.silences;
+    });
   }
 
   /** An end is acknowledged only once it is recorded, also where it was listed before. */
--- a/packages/domain/src/jobs/records.ts
+++ b/packages/domain/src/jobs/records.ts
@@ -30,8 +30,16 @@
 export type RunEnd =
   'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone' | 'void';
 
-/** An epoch, and for how many milliseconds at least its claim has been there. */
-export type ClaimAge = readonly [epoch: number, ageMs: number];
+/**
+ * What a leader or a claimer tells of the ends of leases, as time that is left when the record is written,
+ * never less than there is. Leaders that are not named, but for later ones, have none that holds.
+ */
+export interface HandedLeases {
+  /** Leaders by epoch; the writer's own are those that it may give until its next record. */
+  readonly epochs: readonly (readonly [epoch: number, leftMs: number])[];
+  /** Workers with open runs that do not answer the writer, which no longer extends their leases. */
+  readonly workers: readonly (readonly [worker: string, leftMs: number])[];
+}
 
 /** A record of the journal. */
 export type JournalRecord =
@@ -41,8 +49,8 @@
       readonly host: string;
       /** Tells two claims of one epoch apart. */
       readonly nonce: number;
-      /** What this host knows of the claims before. */
-      readonly ages: readonly ClaimAge[];
+      /** Undefined where this host may not know of all earlier leaders. */
+      readonly handed: HandedLeases | undefined;
     }
   /** The leader of an epoch is there; says again what its claim said. */
   | {
@@ -50,14 +58,19 @@
       readonly epoch: number;
       readonly host: string;
       readonly nonce: number;
-      readonly ages: readonly ClaimAge[];
+      readonly handed: HandedLeases | undefined;
       /** Hosts that are to read the journal and to stand by; undefined while all may. */
       readonly standbys: readonly string[] | undefined;
       /** Where the leader takes records for the inbox. */
       readonly address: string;
     }
   | { readonly kind: 'restate'; readonly image: JobImage }
-  | { readonly kind: 'release' }
+  /** The leader asks to be replaced. */
+  | {
+      readonly kind: 'release';
+      /** Time by which all leases have ended that it has given or will give; undefined if it does not say. */
+      readonly heldMs: number | undefined;
+    }
   /** What the leader has learnt so far; the newest one counts. */
   | { readonly kind: 'learnt'; readonly learnt: Learnt }
   /** The leader has reached a worker and may extend its lease from now on. */
@@ -135,18 +148,19 @@
 
 /** Rows of the journal; runs are most of them, so that these have short tags. */
 type JournalRow =
-  | ['claim', number, string, number, (readonly ClaimAge[])?]
+  | ['claim', number, string, number, unknown, HandedLeases?]
   | [
       'heartbeat',
       number,
       string,
       number,
-      (readonly ClaimAge[])?,
+      unknown,
       (readonly string[] | null)?,
       string?,
+      HandedLeases?,
     ]
   | ['restate', JobImage]
-  | ['release']
+  | ['release', unknown]
   | ['learnt', Learnt]
   | ['reached', string]
   | ['b', string]
@@ -158,18 +172,24 @@
   const row = parseRow(bytes) as JournalRow | undefined;
   switch (row?.[0]) {
     case 'claim': {
-      const [, epoch, host, nonce, ages = []] = row;
-      return { kind: 'claim', epoch, host, nonce, ages };
+      const [, epoch, host, nonce, , handed] = row;
+      return {
+        kind: 'claim',
+        epoch,
+        host,
+        nonce,
+        handed: handedOf(handed),
+      };
     }
     case 'heartbeat': {
-      const [, epoch, host, nonce, ages = [], named, address = ''] = row;
+      const [, epoch, host, nonce, , named, address = '', handed] = row;
       const standbys = named ?? undefined;
       return {
         kind: 'heartbeat',
         epoch,
         host,
         nonce,
-        ages,
+        handed: handedOf(handed),
         standbys,
         address,
       };
@@ -177,7 +197,10 @@
     case 'restate':
       return isImage(row[1]) ? { kind: 'restate', image: row[1] } : undefined;
     case 'release':
-      return { kind: 'release' };
+      return {
+        kind: 'release',
+        heldMs: typeof row[1] === 'number' ? row[1] : undefined,
+      };
     case 'learnt':
       return { kind: 'learnt', learnt: row[1] };
     case 'reached':
@@ -200,6 +223,25 @@
   }
 }
 
+/** Where hosts of an earlier version read the ages of claims: without any they wait the longest. */
+const OLD_AGES: readonly never[] = [];
+
+/** Returns what a leader handed on; undefined for one that said nothing that can be read. */
+function handedOf(
+  handed: Partial<HandedLeases> | null | undefined,
+): HandedLeases | undefined {
+  const { epochs, workers } = handed ?? {};
+  return isRows(epochs) && isRows(workers) ? { epochs, workers } : undefined;
+}
+
+/** Whether these are pairs of a key and a time that is left. */
+function isRows<T>(rows: readonly T[] | undefined): rows is readonly T[] {
+  return (
+    Array.isArray(rows) &&
+    rows.every(row => Array.isArray(row) && Number.isFinite(row[1]))
+  );
+}
+
 function isImage(
   image: Partial<JobImage> | null | undefined,
 ): image is JobImage {
@@ -215,17 +257,27 @@
     case 'volunteer':
       return ['volunteer', record.host, record.cores];
     case 'claim': {
-      const { epoch, host, nonce, ages } = record;
-      return ['claim', epoch, host, nonce, ages];
+      const { epoch, host, nonce, handed } = record;
+      return ['claim', epoch, host, nonce, OLD_AGES, handed];
     }
     case 'heartbeat': {
-      const { epoch, host, nonce, ages, standbys, address } = record;
-      return ['heartbeat', epoch, host, nonce, ages, standbys ?? null, address];
+      const { epoch, host, nonce, standbys, address, handed } = record;
+      const named = standbys ?? null;
+      return [
+        'heartbeat',
+        epoch,
+        host,
+        nonce,
+        OLD_AGES,
+        named,
+        address,
+        handed,
+      ];
     }
     case 'restate':
       return ['restate', record.image];
     case 'release':
-      return ['release'];
+      return ['release', record.heldMs];
     case 'learnt':
       return ['learnt', record.learnt];
     case 'reached':
