Ask that lasting tasks leave in time while others want each place

Three tests that fail today: tasks that end, or lasting ones that come later, take each place that comes free, and those on a worker that is about to leave find none.

--- a/packages/daemon/src/job-host/leaving-workers.test.ts
+++ b/packages/daemon/src/job-host/leaving-workers.test.ts
@@ -128,3 +128,44 @@
     assert.equal(site.history.runningOf(ID), 4);
   });
 }
+
+/** Fills all room that is left on the workers with tasks that end soon, for 10 s and more. */
+async function pressWithTasksThatEnd(site: Simulation): Promise<void> {
+  const step = { tasks: 120, after: [] };
+  void site.submit('00000000000000f4', [step], { runMs: 700, failures: 0 });
+  await site.time.advance(2_000);
+}
+
+test('lasting tasks move off a worker while tasks that end want each place that comes free', async () => {
+  const site = await siteWithLastingJob(8);
+  await pressWithTasksThatEnd(site);
+  site.fleet.announceLeave('w1');
+  await site.time.advance(3_000);
+  site.fleet.crash('w1');
+  await assertAllRun(site, 50);
+});
+
+test('a new leader moves lasting tasks off while tasks that end want each place', async () => {
+  const site = await siteWithLastingJob(9);
+  await pressWithTasksThatEnd(site);
+  site.fleet.announceLeave('w1');
+  site.kill(site.leader());
+  await site.time.advance(5_000);
+  site.fleet.crash('w1');
+  await assertAllRun(site, 50);
+});
+
+test('lasting tasks that come later take no room from those that have to move', async () => {
+  const site = await siteWithLastingJob(10);
+  ['w2', 'w3'].forEach(name => {
+    site.fleet.crash(name);
+  });
+  const other = '00000000000000f5';
+  void site.submit(other, [LASTING], ENDLESS);
+  site.fleet.announceLeave('w1');
+  await site.time.advance(1_500);
+  site.addWorker('w4');
+  await site.time.advance(2_500);
+  site.fleet.crash('w1');
+  await assertAllRun(site, 50);
+});
