--- a/packages/daemon/src/job-host/leaving-workers.test.ts
+++ b/packages/daemon/src/job-host/leaving-workers.test.ts
@@ -169,3 +169,35 @@
   site.fleet.crash('w1');
   await assertAllRun(site, 50);
 });
+
+test('a new leader moves tasks soon off a worker that it finds about to leave', async () => {
+  const site = await siteWithLastingJob(11);
+  await pressWithTasksThatEnd(site);
+  const former = site.leader();
+  site.fleet.announceLeave('w1');
+  site.kill(former);
+  while (site.leader() === former) {
+    await site.time.advance(50);
+  }
+  await site.time.advance(1_400);
+  site.fleet.crash('w1');
+  await assertAllRun(site, 50);
+});
+
+test('tasks of the worker that first said that it leaves move first', async () => {
+  const site = await siteWithLastingJob(12);
+  const other = '00000000000000f6';
+  site.fleet.crash('w3');
+  void site.submit(other, [LASTING], ENDLESS);
+  await site.time.advance(1_000);
+  assert.equal(site.history.runningOf(other), 4);
+  // Those of `other` are on the second worker, which leaves first.
+  site.fleet.announceLeave('w2');
+  await site.time.advance(900);
+  site.fleet.announceLeave('w1');
+  await site.time.advance(900);
+  site.addWorker('w4');
+  await site.time.advance(2_000);
+  site.fleet.crash('w2');
+  assert.equal(site.history.runningOf(other), 4);
+});
