Keep room for lasting tasks that have to leave their workers

Hypothesis: the lasting tasks of a worker that had said that it leaves died with it since they were asked for only after all starts of a round. Tasks that end and lasting tasks that had never run took each place that came free, and new workers too.

Change: planStarts calls its caller to keep room: before all that waits for urgent tasks, and before the first lasting one that waits for patient ones. Tasks are urgent from 1 s after the leader read that their worker leaves, and at once where a new leader finds it so, since it can't know for how long. The tasks of the worker that said so first come first. The room stays kept for the rest of the round. The log tells how many tasks stay and why.

--- a/packages/daemon/src/job-host/fleet.ts
+++ b/packages/daemon/src/job-host/fleet.ts
@@ -26,6 +26,8 @@
 export class Fleet {
   private readonly links = new Map<string, WorkerLink>();
   private registered = new Set<string>();
+  /** When workers were first seen to be about to leave. */
+  private readonly leaving = new Map<string, Instant>();
   /** Reasons why entries of the registry can't be read, by key. */
   private unreadable = new Map<string, string>();
   private closed = false;
@@ -58,6 +60,14 @@
     return this.links.get(worker);
   }
 
+  /**
+   * Monotonic time at which a worker was first seen to be about to leave, undefined when it is not; 0 for
+   * one that was so when this leader first read of it: how long it has been so is not known.
+   */
+  leavingSince(worker: string): Instant | undefined {
+    return this.leaving.get(worker);
+  }
+
   /** All workers that are registered. */
   registeredWorkers(): WorkerInfo[] {
     return [...this.links.values()]
@@ -94,6 +104,7 @@
     this.registered = new Set(workers.map(({ id }) => id));
     for (const info of workers) {
       const link = this.links.get(info.id);
+      this.noteLeaving(info, link !== undefined);
       if (link === undefined) {
         this.links.set(info.id, this.options.open(info));
       } else {
@@ -104,6 +115,14 @@
     this.options.changed();
   }
 
+  private noteLeaving({ id, leaving }: WorkerInfo, known: boolean): void {
+    if (!leaving) {
+      this.leaving.delete(id);
+    } else if (!this.leaving.has(id)) {
+      this.leaving.set(id, known ? this.options.ctx.clock() : 0);
+    }
+  }
+
   /**
    * An entry that can't be read names no worker to use. What runs at a worker whose entry became so
    * goes on, as at one that has left the registry: its lease is extended while it answers.
@@ -126,6 +145,7 @@
         this.options.ctx.log.info({ worker: id }, 'fleet: worker has left');
         link.close();
         this.links.delete(id);
+        this.leaving.delete(id);
       }
     }
   }
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -114,6 +114,7 @@
       interference: this.interference,
       health: this.health,
       linkTo: worker => this.fleet.link(worker),
+      leavingSince: worker => this.fleet.leavingSince(worker),
     });
     this.decisions = new DecisionLog(ctx, options.jobLog, replica, claim);
     this.summary = new SummaryWriter({
@@ -336,9 +337,10 @@
     const start: ApplyStart = decision => {
       this.startRun(decision);
     };
-    planStarts(input, start);
+    planStarts(input, start, urgency => {
+      this.supervisor.moveOffLeaving(input, urgency);
+    });
     planCopies(input, start);
-    this.supervisor.moveOffLeaving(input);
     this.supervisor.moveSlowed(input);
     this.adviser.askIfNeeded(input);
   }
--- a/packages/daemon/src/job-host/run-supervisor.test.ts
+++ b/packages/daemon/src/job-host/run-supervisor.test.ts
@@ -33,6 +33,7 @@
     interference: new Interference(),
     health: new WorkerHealth(),
     linkTo: () => link,
+    leavingSince: () => undefined,
   });
   const run = site.open(0);
   link.start(run, site.time.clock());
--- a/packages/daemon/src/job-host/run-supervisor.ts
+++ b/packages/daemon/src/job-host/run-supervisor.ts
@@ -1,5 +1,5 @@
 /** Watches what runs: stops what nobody needs, what stands still, and limits what disturbs. */
-import type { Instant } from '@paddlewind/domain';
+import type { Instant, Millis } from '@paddlewind/domain';
 import {
   findPlace,
   isOver,
@@ -15,11 +15,13 @@
   type PlanInput,
   type Run,
   type Task,
+  type Urgency,
   type WorkerHealth,
   type WorkerInfo,
 } from '@paddlewind/domain/jobs';
 
 import type { HostContext } from './context.js';
+import { LeavingLog } from './leaving-log.js';
 import type { StopReason } from './meters.js';
 import { LOOK_WAIT_MS, TIGHT_LOOK_WAIT_MS } from './timing.js';
 import type { WorkerLink } from './worker-link.js';
@@ -31,14 +33,34 @@
   readonly interference: Interference;
   readonly health: WorkerHealth;
   readonly linkTo: (worker: string) => WorkerLink | undefined;
+  /** When a worker was first seen to be about to leave, undefined when it is not. */
+  readonly leavingSince: (worker: string) => Instant | undefined;
+}
+
+/**
+ * How long lasting tasks on a worker that leaves let tasks that end go first: these give places free by
+ * themselves, and their callers wait. Workers say that they leave 2 to 5 s before they go, the leader
+ * reads so up to 1.2 s later, and a stop takes up to 0.9 s.
+ */
+const PATIENT_MS: Millis = 1_000;
+
+function urgencyOf(leavingSince: Instant, now: Instant): Urgency {
+  return now - leavingSince > PATIENT_MS ? 'urgent' : 'patient';
 }
 
 /** Acts on runs that are under way. */
 export class RunSupervisor {
   private readonly moved = new Set<Run>();
+  private readonly leavingLogs: Readonly<Record<Urgency, LeavingLog>>;
 
   /** Creates a supervisor of the runs in `state`. */
-  constructor(private readonly options: SupervisorOptions) {}
+  constructor(private readonly options: SupervisorOptions) {
+    const { log } = options.ctx;
+    this.leavingLogs = {
+      urgent: new LeavingLog(log),
+      patient: new LeavingLog(log),
+    };
+  }
 
   /** Stops runs that nobody needs any more, and runs that stand still. */
   stopNeedless(): void {
@@ -83,19 +105,33 @@
     return tasks;
   }
 
-  /** Stops lasting tasks on workers that are about to leave, where they have room elsewhere. */
-  moveOffLeaving(input: PlanInput): void {
-    const onLeaving = [...this.openRuns()].filter(
-      ({ worker }) => this.options.linkTo(worker)?.info.leaving === true,
-    );
-    if (onLeaving.length === 0) {
-      return;
-    }
-    for (const run of planEvacuation(input, onLeaving)) {
+  /**
+   * Stops lasting tasks on workers that leave, those of one urgency, where they have room elsewhere, and
+   * keeps that room in the rest of the round.
+   */
+  moveOffLeaving(input: PlanInput, urgency: Urgency): void {
+    const onLeaving = this.runsOnLeaving(urgency, input.time.now);
+    const { stop, stay } = planEvacuation(input, onLeaving);
+    for (const run of stop) {
       this.moved.add(run);
       this.logStop(run, 'leader: a run moves off a worker that leaves', {});
       this.stop(run, 'leaving');
     }
+    this.leavingLogs[urgency].tell(stay);
+  }
+
+  /** Runs on workers that leave: those of the one that was first seen to do so come first. */
+  private runsOnLeaving(urgency: Urgency, now: Instant): Run[] {
+    const found: { since: Instant; runs: Iterable<Run> }[] = [];
+    for (const [worker, { runs }] of this.options.state.workers) {
+      const since = this.options.leavingSince(worker);
+      if (since !== undefined && urgencyOf(since, now) === urgency) {
+        found.push({ since, runs: runs.values() });
+      }
+    }
+    return found
+      .sort((a, b) => a.since - b.since)
+      .flatMap(({ runs }) => [...runs]);
   }
 
   /** Learns from a worker's report how its fillers disturb the tasks that serve there. */
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -35,8 +35,25 @@
 /** Most starts that one round decides, so that a round stays short. */
 const MAX_STARTS = 200;
 
-/** Decides the starts of one round and returns their number. */
-export function planStarts(input: PlanInput, start: ApplyStart): number {
+/**
+ * Whether lasting tasks on a worker that leaves are given room ahead of all that waits, or behind tasks
+ * that end and ahead of lasting ones.
+ */
+export type Urgency = 'urgent' | 'patient';
+
+/** Keeps room for lasting tasks that have to leave their workers. */
+export type KeepRoom = (urgency: Urgency) => void;
+
+/**
+ * Decides the starts of one round and returns their number. First of all lasting tasks begin again; then
+ * `keepRoom` is called for urgent tasks, and before the first lasting one that waits for patient ones:
+ * what waits would else take each place that comes free for as long as more of it comes.
+ */
+export function planStarts(
+  input: PlanInput,
+  start: ApplyStart,
+  keepRoom: KeepRoom = () => undefined,
+): number {
   const { state, times, time } = input;
   const place = placeInputOf(input);
   const full = new Set<string>();
@@ -45,7 +62,14 @@
     [...input.moving, ...overdueLasting(input)],
     start,
   );
+  keepRoom('urgent');
+  const keepOnce = once(() => {
+    keepRoom('patient');
+  });
   for (const { step } of candidates(state.open, times, time)) {
+    if (step.spec.lasting) {
+      keepOnce();
+    }
     const key = shapeOf(step);
     if (started >= MAX_STARTS) {
       break;
@@ -60,9 +84,20 @@
       }
     }
   }
+  keepOnce();
   return started;
 }
 
+function once(act: () => void): () => void {
+  let done = false;
+  return () => {
+    if (!done) {
+      done = true;
+      act();
+    }
+  };
+}
+
 /**
  * Longest wait in milliseconds of a lasting task that has run before: tasks that end are placed first
  * and would take each place that comes free for as long as more of them come. Under load such tasks were
@@ -121,43 +156,45 @@
   readonly full: boolean;
 }
 
-/** What the choices of a round go by, worked out once: it reads loads as they are at each choice. */
-const placeInputs = new WeakMap<PlanInput, PlaceInput>();
+/** The room that is kept in a round, worked out once: it reads loads as they are at each choice. */
+const bookings = new WeakMap<PlanInput, Booking>();
+
+/** Returns what choices of workers go by in a round: what is kept for others is not theirs. */
+export function placeInputOf(input: PlanInput): PlaceInput {
+  return bookingOf(input).rest;
+}
 
 /**
- * Returns what choices of workers go by in a round; room is kept for tasks that are about to move. To find
- * that room takes each of them past all workers: with 40 of 624 workers leaving at once and 100 slowed
- * fillers that asked anew, a round took seconds and the leader lost its lead.
+ * Returns the room that is kept in a round, at first for tasks that are about to move. To find that room
+ * takes each of them past all workers: with 40 of 624 workers leaving at once and 100 slowed fillers that
+ * asked anew, a round took seconds and the leader lost its lead.
  */
-export function placeInputOf(input: PlanInput): PlaceInput {
-  const known = placeInputs.get(input);
+export function bookingOf(input: PlanInput): Booking {
+  const known = bookings.get(input);
   if (known !== undefined) {
     return known;
   }
-  const found = newPlaceInput(input);
-  placeInputs.set(input, found);
+  const found = newBooking(input);
+  bookings.set(input, found);
   return found;
 }
 
-function newPlaceInput(input: PlanInput): PlaceInput {
+function newBooking(input: PlanInput): Booking {
   const { state, workers, interference, advice, time } = input;
-  const present: PlaceInput = {
+  const booking = new Booking({
     workers,
     speeds: interference.speeds(),
     advice,
     now: time.now,
     loadOf: worker => workerRuns(state, worker),
     spreadOf: ({ step }, worker) => step.spread.get(worker) ?? 0,
-  };
-  const stopping = [...input.moving].filter(
-    ({ status }) => status !== 'waiting',
-  );
-  if (stopping.length === 0) {
-    return present;
+  });
+  for (const task of input.moving) {
+    if (!isWaiting(task)) {
+      booking.place(task);
+    }
   }
-  const booking = new Booking(present);
-  stopping.forEach(task => booking.place(task));
-  return booking.rest;
+  return booking;
 }
 
 function startTasks(place: PlaceInput, step: Step, start: ApplyStart): Started {
