Place lasting tasks first whose lease lapsed, or that waited under an earlier leader

Change: a task whose lease lapsed counts as away since that lease was extended last, and whatever waited before a leader took over waits no longer. The options of a leader stand in a file of their own.

--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -21,29 +21,22 @@
   type StartDecision,
   type WorkerInfo,
 } from '@paddlewind/domain/jobs';
-import type {
-  AdvicePort,
-  JobLog,
-  WorkerFeed,
-  WorkerPort,
-} from '@paddlewind/ports/jobs';
 
 import { Adviser } from './adviser.js';
 import { Alarm } from './alarm.js';
-import { pause, type HostContext } from './context.js';
+import { pause } from './context.js';
 import { DecisionLog } from './decision-log.js';
 import { Fleet } from './fleet.js';
 import { keepAccount } from './fleet-account.js';
 import { keepRunning } from './keep-running.js';
-import type { WonClaim } from './leadership.js';
 import { logJobOver, logRun } from './leader-log.js';
 import { LeaderLeases } from './leader-leases.js';
+import type { LeaderOptions } from './leader-options.js';
 import {
   heartbeatRecord,
   learnFromEnd,
   learntRecord,
 } from './leader-records.js';
-import type { Replica } from './replica.js';
 import { restateDue } from './restate-due.js';
 import { RunSupervisor } from './run-supervisor.js';
 import { SummaryWriter } from './summary-writer.js';
@@ -60,24 +53,6 @@
 } from './timing.js';
 import { WorkerLink } from './worker-link.js';
 
-/** What a leader is given. */
-export interface LeaderOptions {
-  readonly ctx: HostContext;
-  readonly jobLog: JobLog;
-  readonly replica: Replica;
-  readonly feed: WorkerFeed;
-  readonly port: WorkerPort;
-  readonly advicePort: AdvicePort;
-  readonly maxLeaseMs: Millis;
-  /** How long the log keeps records. */
-  readonly retentionMs: Millis;
-  /** How long the state of a job that is over can be asked for. */
-  readonly statusMs: Millis;
-  /** Where this host takes records for the inbox. */
-  readonly peerAddress: string;
-  readonly claim: WonClaim;
-}
-
 /** A host that leads. */
 export class Leader {
   /** Resolves once another host leads. */
@@ -383,6 +358,7 @@
       interference: this.interference,
       advice: this.advice,
       time: { now: ctx.clock(), nowWall: ctx.wallClock() },
+      leadsSince: this.options.claim.wonAt,
       moving: this.supervisor.moving(),
     };
   }
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -1,4 +1,5 @@
 /** Folds the records of inbox and journal into the state of jobs. */
+import type { Instant, Millis } from '../core/time.js';
 import type { InboxRecord, JournalRecord, RunEnd } from './records.js';
 import {
   isOver,
@@ -163,8 +164,27 @@
   }
   if (task.runs.length === 0) {
     task.status = 'waiting';
-    // A start that is never carried out does not begin the wait anew.
-    task.endedAt = how === 'void' ? task.endedAt : state.now;
+    task.endedAt = endOf(task, how, state.now);
+  }
+}
+
+/** How long a task has been away at least whose lease has lapsed: that long before it was last extended. */
+const LAPSED_AWAY_MS: Millis = 5_000;
+
+/** Returns since when a task is away whose last run has ended. */
+function endOf({ endedAt }: Task, how: RunEnd, now: Instant): Instant {
+  switch (how) {
+    case 'void':
+      // A start that is never carried out does not begin the wait anew.
+      return endedAt;
+    case 'lapsed':
+      return now - LAPSED_AWAY_MS;
+    case 'done':
+    case 'failed':
+    case 'stopped':
+    case 'broken':
+    case 'alone':
+      return now;
   }
 }
 
--- a/packages/domain/src/jobs/plan.test.ts
+++ b/packages/domain/src/jobs/plan.test.ts
@@ -236,3 +236,29 @@
   assert.deepEqual(expired?.workers, ['b']);
   assert.deepEqual(round(input), ['j.0.0@b']);
 });
+
+/** A lasting task whose run has ended `how`, and as many tasks that end as the worker has places. */
+function waitingLasting(how: 'failed' | 'lapsed'): PlanInput {
+  const state = stateOf(
+    testJob('lasting', [{ tasks: 1, lasting: true }]),
+    testJob('ending', [{ tasks: 4 }]),
+  );
+  const run = startOn(state, taskOf(state, 'lasting', 0, 0), 'lost');
+  state.now = 1_000;
+  endRun(state, run, how);
+  const time = { now: 1_100, nowWall: 1_100 };
+  return { ...planInput(state, [testWorker('w')]), time };
+}
+
+test('a lasting task that has just failed waits behind tasks that end', () => {
+  assert.ok(!round(waitingLasting('failed')).includes('lasting.0.0@w'));
+});
+
+test('a lasting task whose lease has lapsed waits no longer', () => {
+  assert.equal(round(waitingLasting('lapsed'))[0], 'lasting.0.0@w');
+});
+
+test('a lasting task that waited before this leader took over waits no longer', () => {
+  const input = { ...waitingLasting('failed'), leadsSince: 1_050 };
+  assert.equal(round(input)[0], 'lasting.0.0@w');
+});
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -25,6 +25,8 @@
   readonly interference: Interference;
   readonly advice: Advice;
   readonly time: PlanTime;
+  /** Monotonic time at which this leader took over: how long tasks had waited by then it may not know. */
+  readonly leadsSince: Instant;
   /** Tasks that move off workers which leave: they are placed first, and room is kept for them until then. */
   readonly moving: Iterable<Task>;
 }
@@ -106,13 +108,18 @@
 const LASTING_WAIT_MS: Millis = 2_000;
 
 /** Lasting tasks that have run before and have waited for too long since, the longest first. */
-function overdueLasting({ state, time }: PlanInput): Task[] {
+function overdueLasting({ state, time, leadsSince }: PlanInput): Task[] {
+  const overdueBefore = Math.max(time.now - LASTING_WAIT_MS, leadsSince);
   const found: Task[] = [];
   for (const { occurrences } of state.open) {
     for (const { steps } of occurrences.values()) {
       for (const { spec, tasks } of steps) {
         if (spec.lasting && !spec.gang) {
-          found.push(...tasks.filter(task => isOverdue(task, time.now)));
+          found.push(
+            ...tasks.filter(
+              task => isWaiting(task) && task.endedAt < overdueBefore,
+            ),
+          );
         }
       }
     }
@@ -120,10 +127,6 @@
   return found.sort((a, b) => a.endedAt - b.endedAt);
 }
 
-function isOverdue(task: Task, now: Instant): boolean {
-  return isWaiting(task) && now - task.endedAt > LASTING_WAIT_MS;
-}
-
 function startFirst(
   place: PlaceInput,
   first: readonly Task[],
--- a/packages/domain/src/jobs/test-support.ts
+++ b/packages/domain/src/jobs/test-support.ts
@@ -85,6 +85,7 @@
     moving: [],
     advice: new Advice(),
     time: { now: 0, nowWall: 0 },
+    leadsSince: -Infinity,
   };
 }
 
