Hand leases on by heartbeats only, and take what isn't known for the longest

Change: claims hand nothing on; a leader's first round writes a heartbeat, which is fenced and follows all that was read. The horizon is 8 s in place of 7.5: tasks run on through a log that refuses for 7 s. A worker is looked at again within 250 ms until its lease may be extended, else a new leader extended it a second late.

--- /dev/null
+++ b/packages/daemon/src/job-host/claims-read-late.test.ts
@@ -0,0 +1,151 @@
+/*
+ * Found in the review of handed-over leases: what a claim hands on was true when its host read the journal
+ * last, not when the claim came into the journal. The leader before may have written in between, other
+ * leaders may have led (a host whose claim was refused skips epochs), and a copy that began with a trimmed
+ * journal does not know by which leader a worker was reached. Each time a lease that holds counts as ended.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import type { Millis } from '@paddlewind/domain';
+import {
+  encodeRecord,
+  type HandedLeases,
+  type JournalRecord,
+} from '@paddlewind/domain/jobs';
+import { createVirtualTime } from '@paddlewind/stand-ins';
+import { MemoryJobLog } from '@paddlewind/stand-ins/jobs';
+
+import { testContext } from './context.fixture.test.js';
+import { LeaseEnds } from './lease-ends.js';
+import { Replica } from './replica.js';
+import { jobOf } from './simulation.fixture.test.js';
+import { LONGEST_HELD_MS, TASK_LEASE_MS } from './timing.js';
+
+const HELD_MS = Math.ceil(LONGEST_HELD_MS);
+
+function claim(epoch: number): JournalRecord {
+  return { kind: 'claim', epoch, host: 'h', nonce: 0 };
+}
+
+function heartbeat(epoch: number, handed?: HandedLeases): JournalRecord {
+  const leader = { epoch, host: 'h', nonce: 0, address: 'h' };
+  return { kind: 'heartbeat', ...leader, handed, standbys: undefined };
+}
+
+function endsFromBeginning(): LeaseEnds {
+  const ends = new LeaseEnds();
+  ends.noteBeginning();
+  return ends;
+}
+
+test('a worker that was reached after the claimer had read is not silent', () => {
+  const [claimer, reader] = [endsFromBeginning(), endsFromBeginning()];
+  const silent = heartbeat(1, { epochs: [[1, 7_703]], workers: [['w', 500]] });
+  for (const ends of [claimer, reader]) {
+    ends.note(claim(1), 1, 100);
+    ends.note(silent, 1, 1_000);
+  }
+  const late = claim(2);
+  // Meanwhile the leader records that the worker answers again, and extends its lease.
+  for (const ends of [claimer, reader]) {
+    ends.note({ kind: 'reached', worker: 'w' }, 1, 1_450);
+    ends.note(late, 2, 1_500);
+    const end = ends.endFor('w', 1);
+    assert.ok(end >= 1_450 + TASK_LEASE_MS, `ended at ${end}`);
+  }
+});
+
+test('a leader that wrote after the claimer had read has leases since then', () => {
+  const reader = endsFromBeginning();
+  reader.note(claim(1), 1, 100);
+  // The leader was cut off for 1.3 s: the claim was written then, and is carried out 2 s later.
+  const late = claim(2);
+  reader.note(heartbeat(1, { epochs: [[1, HELD_MS]], workers: [] }), 1, 3_300);
+  reader.note(late, 2, 3_400);
+  const end = reader.endFor('w', 1);
+  assert.ok(end >= 3_300 + LONGEST_HELD_MS, `ended at ${end}`);
+});
+
+test('a leader of which the claimer had not read may have given leases', () => {
+  const reader = endsFromBeginning();
+  reader.note(claim(1), 1, 100);
+  // A host of which a claim was refused skips epochs.
+  const late = claim(5);
+  reader.note(claim(2), 2, 1_410);
+  reader.note({ kind: 'reached', worker: 'w' }, 2, 1_500);
+  reader.note(late, 5, 1_600);
+  const end = reader.endFor('w', 2);
+  assert.ok(end >= 1_500 + TASK_LEASE_MS, `ended at ${end}`);
+});
+
+test('a host that reads on after records it never read does not know of all leaders', () => {
+  const ends = endsFromBeginning();
+  ends.note(claim(3), 3, 100);
+  // It observed meanwhile; what leader 4 wrote is no longer kept, and leader 5 does not say what it knows.
+  ends.noteGap();
+  ends.note(claim(5), 5, 90_000);
+  const end = ends.endFor('w', 4);
+  assert.ok(end >= 90_000 + TASK_LEASE_MS, `ended at ${end}`);
+});
+
+/** Restates a job of which a task runs at `worker`: else a claim forgets by whom the worker was reached. */
+function restateOfRun(worker: string): JournalRecord {
+  const task = { tasks: 1, after: [], lasting: true };
+  const spec = jobOf('00000000000000e1', [task], { runMs: 1, failures: 0 });
+  const row = ['running', 1, 0, [], '', [[1, worker]]] as const;
+  const steps = [{ tasks: [row], failedGangRuns: [] }];
+  return {
+    kind: 'restate',
+    image: {
+      spec,
+      acceptedAtWall: 0,
+      remaining: 1,
+      cancelled: false,
+      failed: false,
+      begun: true,
+      occurrences: [[0, steps]],
+    },
+  };
+}
+
+/** Returns a copy that reads `records`, a moment apart, from a journal that lacks what came before them. */
+async function copyOfRest(
+  records: readonly JournalRecord[],
+  apartMs: Millis,
+): Promise<{ replica: Replica; now: () => number }> {
+  const time = createVirtualTime();
+  const { clock, schedule } = time;
+  const log = new MemoryJobLog({ clock, schedule, random: () => 0.5 });
+  const port = log.connect('h');
+  const settle = async <T>(call: Promise<T>): Promise<T> => {
+    await time.advance(apartMs);
+    return call;
+  };
+  await settle(port.append('journal', [encodeRecord(claim(5))]));
+  log.trimTo(1);
+  const replica = new Replica(testContext(time), port);
+  for (const record of records) {
+    await settle(port.append('journal', [encodeRecord(record)]));
+    await settle(replica.refresh('inbox'));
+    await settle(replica.refresh('journal'));
+  }
+  return { replica, now: clock };
+}
+
+test('a worker whose records are gone has a lease though epochs were skipped', async () => {
+  const beat = heartbeat(5, { epochs: [[5, HELD_MS]], workers: [] });
+  const { replica, now } = await copyOfRest([beat, claim(13)], 50);
+  const left = replica.earlierLeaseEnd('w') - now();
+  assert.ok(left > TASK_LEASE_MS, `left ${left}`);
+});
+
+test('a worker that a leader reached before the first record that names the leader has a lease', async () => {
+  const beat = heartbeat(5, { epochs: [[5, HELD_MS]], workers: [] });
+  const { replica, now } = await copyOfRest(
+    [{ kind: 'reached', worker: 'w' }, beat, restateOfRun('w'), claim(6)],
+    50,
+  );
+  const left = replica.earlierLeaseEnd('w') - now();
+  assert.ok(left > TASK_LEASE_MS, `left ${left}`);
+});
--- /dev/null
+++ b/packages/daemon/src/job-host/late-claim-horizon.test.ts
@@ -0,0 +1,48 @@
+/*
+ * Found in the review of handed-over leases: a claim that is carried out seconds after it was sent tells of
+ * the leader before it what was left when it was sent, though that leader wrote on until it came.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { decodeJournal } from '@paddlewind/domain/jobs';
+
+import { Simulation } from './simulation.fixture.test.js';
+
+const ID = '00000000000000e1';
+const TASKS = 4;
+const LASTING = { tasks: TASKS, after: [], lasting: true };
+const ENDLESS = { runMs: 10_000_000, failures: 0 };
+const HOSTS = ['h1', 'h2'];
+
+for (let seed = 1; seed <= 24; seed += 1) {
+  test(`a claim is carried out late, seed ${seed}`, async () => {
+    const site = new Simulation(seed, { maxLeaseMs: 10_000 });
+    for (const name of ['w1', 'w2', 'w3']) {
+      site.addWorker(name);
+    }
+    for (const name of HOSTS) {
+      site.startHost(name);
+    }
+    void site.submit(ID, [LASTING], ENDLESS);
+    await site.time.advance(3_500);
+    assert.equal(site.history.runningOf(ID), TASKS);
+    const name = site.leader();
+    for (const host of HOSTS.filter(other => other !== name)) {
+      // Claims get no answer, and are carried out at once or up to 6 s later.
+      site.log.hostStreamModes.set(`${host} journal`, 'losing');
+      site.fleet.cuts.add(`${host}>w1`);
+    }
+    site.freeze(name, 1_450);
+    const claims = (): number =>
+      site.log
+        .recordsOf('journal')
+        .map(decodeJournal)
+        .filter(record => record?.kind === 'claim').length;
+    await site.time.until(() => claims() > 1, 20_000);
+    site.log.modes.set(name, 'silent');
+    site.log.hostStreamModes.clear();
+    await site.time.advance(20_000);
+    assert.deepEqual(site.history.check(), []);
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/job-host/late-claim-twice.test.ts
@@ -0,0 +1,74 @@
+/*
+ * Found in the review of handed-over leases: a claim tells of silent workers what its host read before it
+ * claimed. Where the leader that is to stop reaches such a worker again and records it before the claim is
+ * carried out, readers take the older word of the claim, and give up runs whose lease was extended since.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import type { Millis } from '@paddlewind/domain';
+import { decodeJournal } from '@paddlewind/domain/jobs';
+
+import { Simulation } from './simulation.fixture.test.js';
+
+const ID = '00000000000000e1';
+const TASKS = 4;
+const LASTING = { tasks: TASKS, after: [], lasting: true };
+const ENDLESS = { runMs: 10_000_000, failures: 0 };
+const HOSTS = ['h1', 'h2', 'h3'];
+const HAND_OVER_MS = 3_000;
+/** The leader has recorded by then that w1 is silent; its lease lasts longer. */
+const SILENCES: readonly Millis[] = [
+  2_000, 2_200, 2_400, 2_600, 2_800, 3_000, 3_200, 3_400, 3_600, 3_800,
+];
+/** A slow log: a claim is carried out so long after the read before it. */
+const APPEND_MS = 200;
+const CALM_MS = 20_000;
+/** Time from the request to stop until w1 answers its leader again. */
+const LEADS: readonly Millis[] = [0, 200, 400, 600, 800];
+
+for (const seed of [1, 2, 3]) {
+  test(`w1 answers a leader again while another claims, seed ${seed}`, async () => {
+    const broken: unknown[] = [];
+    for (const [silent, lead] of SILENCES.flatMap(s =>
+      LEADS.map(l => [s, l] as const),
+    )) {
+      const site = new Simulation(seed, { maxLeaseMs: 10_000 });
+      for (const name of ['w1', 'w2', 'w3']) {
+        site.addWorker(name);
+      }
+      for (const name of HOSTS) {
+        site.startHost(name);
+      }
+      void site.submit(ID, [LASTING], ENDLESS);
+      await site.time.advance(3_500);
+      assert.equal(site.history.runningOf(ID), TASKS);
+      const name = site.leader();
+      for (const host of HOSTS) {
+        site.fleet.cuts.add(`${host}>w1`);
+      }
+      await site.time.advance(silent);
+      site.log.appendMs = APPEND_MS;
+      void site.hosts.get(name)?.host.handOver(HAND_OVER_MS);
+      site.time.schedule(lead, () => {
+        site.fleet.cuts.delete(`${name}>w1`);
+      });
+      await site.time.until(() => claims(site) > 1, 5_000);
+      // It does not learn of the claim, and goes on until its own leases end.
+      site.log.modes.set(name, 'silent');
+      site.log.appendMs = 0;
+      await site.time.advance(CALM_MS);
+      assert.equal(site.history.runningOf(ID), TASKS);
+      const found = site.history.check();
+      if (found.length > 0) {
+        broken.push({ silent, lead, found: found[0] });
+      }
+    }
+    assert.deepEqual(broken, []);
+  });
+}
+
+function claims(site: Simulation): number {
+  const records = site.log.recordsOf('journal').map(decodeJournal);
+  return records.filter(record => record?.kind === 'claim').length;
+}
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -234,7 +234,8 @@
   private async decide(): Promise<void> {
     const { ctx } = this.options;
     let wroteAt = ctx.clock();
-    let claimedAt = ctx.clock();
+    // At once, so that what it was told of leases is handed on however soon it is replaced.
+    let claimedAt = -Infinity;
     let learntAt = ctx.clock();
     for (;;) {
       await this.alarm.wait(PLAN_EVERY_MS);
--- a/packages/daemon/src/job-host/leadership.ts
+++ b/packages/daemon/src/job-host/leadership.ts
@@ -12,7 +12,6 @@
   FOLLOW_EVERY_MS,
   LEADER_CORES,
   LEADER_SILENCE_MS,
-  LONGEST_HELD_MS,
   SMALL_HOST_DELAY_MS,
 } from './timing.js';
 
@@ -129,7 +128,6 @@
     epoch,
     host: ctx.host,
     nonce,
-    handed: replica.handedLeases(epoch, Math.ceil(LONGEST_HELD_MS)),
   };
   const sentAt = ctx.clock();
   for (let tries = 0; tries < CLAIM_TRIES; tries += 1) {
--- a/packages/daemon/src/job-host/lease-ends.ts
+++ b/packages/daemon/src/job-host/lease-ends.ts
@@ -8,12 +8,12 @@
 import type { Instant, Millis } from '@paddlewind/domain';
 import type { HandedLeases, JournalRecord } from '@paddlewind/domain/jobs';
 
-import { LONGEST_HELD_MS, LONGEST_HELD_UNTOLD_MS } from './timing.js';
+import { LONGEST_HELD_UNTOLD_MS } from './timing.js';
 
 /** The leader of the newest epoch that was read of. */
 interface Newest {
   readonly epoch: number;
-  /** How long its leases may hold after its last record. */
+  /** How long its leases may hold after its last record; the longest until it says so. */
   heldMs: Millis;
   /** Whether later records of it prolong nothing, since it has released the lead. */
   released: boolean;
@@ -36,6 +36,13 @@
     }
   }
 
+  /** Notes that records are gone which this host has not read: leaders may have written on, or come and gone. */
+  noteGap(): void {
+    this.othersEnd = Infinity;
+    this.epochs.set(this.newest.epoch, Infinity);
+    this.workers.clear();
+  }
+
   /** Takes in a record that was read at `now`; `epoch` is that of its writer. */
   note(record: JournalRecord, epoch: number, now: Instant): void {
     if (epoch < this.newest.epoch) {
@@ -43,11 +50,10 @@
       return;
     }
     if (epoch > this.newest.epoch) {
-      this.newest = { epoch, heldMs: LONGEST_HELD_MS, released: false };
+      this.noteLeader(epoch, now);
     }
     this.prolong(now);
     switch (record.kind) {
-      case 'claim':
       case 'heartbeat':
         this.noteHanded(record.handed, now);
         return;
@@ -57,6 +63,8 @@
       case 'reached':
         this.workers.delete(record.worker);
         return;
+      // What was known when a claim was sent may have changed until it was carried out.
+      case 'claim':
       case 'restate':
       case 'learnt':
       case 'begun':
@@ -67,10 +75,14 @@
   }
 
   /**
-   * Returns the time by which every lease that a leader before the newest gave to a worker has ended;
-   * `reachedIn` is the epoch of the last leader that reached it. Infinite where that is the newest.
+   * Returns the time by which every lease that leaders before the newest gave to a worker has ended;
+   * `reachedIn` is the epoch of the last leader that reached it, undefined where that is not known.
+   * Infinite where it is the newest.
    */
-  endFor(worker: string, reachedIn: number): Instant {
+  endFor(worker: string, reachedIn: number | undefined): Instant {
+    if (reachedIn === undefined) {
+      return this.lastEnd();
+    }
     if (reachedIn >= this.newest.epoch) {
       return Infinity;
     }
@@ -90,15 +102,23 @@
     if (this.othersEnd > now) {
       return undefined;
     }
-    const earlier = [...this.epochs].filter(
-      ([other, end]) => other < epoch && end > now,
-    );
+    const earlier = this.earlierEnds(epoch).filter(([, end]) => end > now);
     return {
       epochs: [...left(earlier, now), [epoch, heldMs]],
       workers: left(this.workers, now),
     };
   }
 
+  /** A leader claims once the ones before it can record nothing more, however little is known of them. */
+  private noteLeader(epoch: number, now: Instant): void {
+    this.newest = { epoch, heldMs: LONGEST_HELD_UNTOLD_MS, released: false };
+    const latest = now + LONGEST_HELD_UNTOLD_MS;
+    for (const [known, end] of this.epochs) {
+      this.epochs.set(known, Math.min(end, latest));
+    }
+    this.othersEnd = Math.min(this.othersEnd, latest);
+  }
+
   /** All that a leader writes shows that it may have given leases until then. */
   private prolong(now: Instant): void {
     const { epoch, heldMs, released } = this.newest;
@@ -107,6 +127,16 @@
     }
   }
 
+  /** Time by which the leases of all leaders before the newest have ended. */
+  private lastEnd(): Instant {
+    const ends = this.earlierEnds(this.newest.epoch).map(([, end]) => end);
+    return Math.max(this.othersEnd, ...ends);
+  }
+
+  private earlierEnds(epoch: number): [number, Instant][] {
+    return [...this.epochs].filter(([known]) => known < epoch);
+  }
+
   private noteRelease(heldMs: Millis | undefined, now: Instant): void {
     if (heldMs !== undefined && !this.newest.released) {
       this.newest.released = true;
@@ -114,15 +144,17 @@
     }
   }
 
+  /** Takes in what a leader says: it has read all that earlier ones wrote. */
   private noteHanded(handed: HandedLeases | undefined, now: Instant): void {
     if (handed === undefined) {
-      this.noteUntold(now);
+      // One that does not say which workers do not answer may have reached all.
+      this.workers.clear();
       return;
     }
     const { epoch } = this.newest;
     const told = new Map(handed.epochs);
-    for (const known of this.epochs.keys()) {
-      if (known < epoch && !told.has(known)) {
+    for (const [known] of this.earlierEnds(epoch)) {
+      if (!told.has(known)) {
         this.epochs.delete(known);
       }
     }
@@ -145,14 +177,6 @@
     }
   }
 
-  /** A leader that does not answer for earlier ones: any of them may have led until its first record. */
-  private noteUntold(now: Instant): void {
-    this.newest.heldMs = LONGEST_HELD_UNTOLD_MS;
-    this.prolong(now);
-    this.othersEnd = Math.min(this.othersEnd, now + LONGEST_HELD_UNTOLD_MS);
-    this.workers.clear();
-  }
-
   private noteWorkers(handed: HandedLeases['workers'], now: Instant): void {
     const before = new Map(this.workers);
     this.workers.clear();
--- a/packages/daemon/src/job-host/model/leader-steps.fixture.test.ts
+++ b/packages/daemon/src/job-host/model/leader-steps.fixture.test.ts
@@ -6,7 +6,6 @@
   HORIZON_SLACK_MS,
   INBOX_STALE_MS,
   LEASE_HORIZON_MS,
-  LONGEST_HELD_MS,
   MIN_START_LEASE_MS,
   START_WAIT_MS,
   TASK_LEASE_MS,
@@ -107,17 +106,15 @@
 
 /** The claim that a host would append now. */
 export function claimOf(state: State, at: number): Append {
-  const host = readToEnd(hostAt(state, at), state);
+  const host = hostAt(state, at);
   const { epoch: before } = viewOf(recordsOf(state.journal), false);
   const epoch = before + 1;
   const nonce = NONCES[host.name] ?? 0;
-  const ends = leaseEndsOf(host, state);
-  const handed = ends.handedBy(epoch, LONGEST_HELD_MS, state.now);
   const { name } = host;
   return {
     epoch,
     sequence: nonce,
-    records: [{ kind: 'claim', epoch, host: name, nonce, handed }],
+    records: [{ kind: 'claim', epoch, host: name, nonce }],
   };
 }
 
@@ -199,11 +196,7 @@
 
 /** Ends of leases are kept apart, so that copies of alike journals are alike. */
 function read(all: readonly JournalRecord[], fault: Fault): JournalRecord[] {
-  const records = all
-    .filter(({ kind }) => kind !== 'heartbeat')
-    .map(record =>
-      record.kind === 'claim' ? { ...record, handed: undefined } : record,
-    );
+  const records = all.filter(({ kind }) => kind !== 'heartbeat');
   const lastTold = records.findLastIndex(
     ({ kind }) => kind === 'start' || kind === 'end',
   );
--- a/packages/daemon/src/job-host/model/states.fixture.test.ts
+++ b/packages/daemon/src/job-host/model/states.fixture.test.ts
@@ -376,9 +376,9 @@
 ): Lease {
   const link = lead.links[worker] ?? NEW_LINK;
   const name = WORKER_NAMES[worker] ?? '';
-  const { epoch, reachedIn } = viewOf(lead.known, lead.cancelKnown);
-  const reached = reachedIn.get(name) ?? epoch - 1;
-  const earlierEnd = leaseEndsOf(host, state).endFor(name, reached);
+  const { reachedIn } = viewOf(lead.known, lead.cancelKnown);
+  const ends = leaseEndsOf(host, state);
+  const earlierEnd = ends.endFor(name, reachedIn.get(name));
   const lease = new Lease(earlierEnd, TASK_LEASE_MS);
   if (link.firstClock >= 0) {
     lease.noteClock(link.firstClock, link.firstClock);
--- /dev/null
+++ b/packages/daemon/src/job-host/outage-leases.test.ts
@@ -0,0 +1,46 @@
+/* Tasks run on while the log is away for up to 7 s, in whatever way: their leases are extended in time after it. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import type { LogMode } from '@paddlewind/stand-ins/jobs';
+import { decodeJournal } from '@paddlewind/domain/jobs';
+
+import { Simulation } from './simulation.fixture.test.js';
+
+const ID = '00000000000000e1';
+const LASTING = { tasks: 4, after: [], lasting: true };
+const ENDLESS = { runMs: 10_000_000, failures: 0 };
+const HOSTS = ['h1', 'h2', 'h3'];
+const MODES: readonly LogMode[] = ['refusing', 'resetting', 'silent'];
+const CALM_MS = 15_000;
+
+for (const outageMs of [5_000, 5_500, 6_000, 6_500, 7_000]) {
+  for (const mode of MODES) {
+    test(`tasks run on while the log is away for ${outageMs} ms, ${mode}`, async () => {
+      const lapsed: string[] = [];
+      for (const seed of [1, 2, 3, 4, 5, 6]) {
+        const site = new Simulation(seed, { maxLeaseMs: 10_000 });
+        for (const name of ['w1', 'w2', 'w3']) {
+          site.addWorker(name);
+        }
+        for (const name of HOSTS) {
+          site.startHost(name);
+        }
+        void site.submit(ID, [LASTING], ENDLESS);
+        await site.time.advance(3_500 + 70 * seed);
+        for (const name of HOSTS) {
+          site.log.modes.set(name, mode);
+        }
+        await site.time.advance(outageMs);
+        site.log.modes.clear();
+        await site.time.advance(CALM_MS);
+        const ends = site.log.recordsOf('journal').map(decodeJournal);
+        const found = ends.filter(record => record?.kind === 'end');
+        if (found.length > 0) {
+          lapsed.push(`seed ${seed}: ${found.length}`);
+        }
+      }
+      assert.deepEqual(lapsed, []);
+    });
+  }
+}
--- a/packages/daemon/src/job-host/replica.ts
+++ b/packages/daemon/src/job-host/replica.ts
@@ -145,6 +145,8 @@
       this.trimmed ||= firstOffset > 0;
       if (stream === 'journal' && firstOffset === 0) {
         this.leaseEnds.noteBeginning();
+      } else if (stream === 'journal') {
+        this.leaseEnds.noteGap();
       }
     }
   }
@@ -177,10 +179,12 @@
    * infinite for one that the present leader has reached.
    */
   earlierLeaseEnd(worker: string): Instant {
-    const { claim, reachedIn } = this.state;
-    // Nothing is known of a worker whose records are gone: any earlier leader may have reached it.
-    const epoch = reachedIn.get(worker) ?? claim.epoch - 1;
-    return this.leaseEnds.endFor(worker, epoch);
+    const reachedIn = this.state.reachedIn.get(worker);
+    // Of a leader whose claim is gone it is not known which one it is.
+    return this.leaseEnds.endFor(
+      worker,
+      reachedIn === 0 ? undefined : reachedIn,
+    );
   }
 
   /**
--- a/packages/daemon/src/job-host/timing.ts
+++ b/packages/daemon/src/job-host/timing.ts
@@ -89,13 +89,13 @@
 export const TASK_LEASE_MS: Millis = 5_000;
 /**
  * Leases that a leader gives end at most this long after its last confirmed append was sent. Running tasks
- * outlive a log that is away for 7 s; a task whose worker is lost with its leader is away for as long, and
- * its users allow 9 s from the loss until it is at work again.
+ * outlive a log that is silent for 6 s, or refuses for 7 s (simulated); a task whose worker is lost with
+ * its leader is away for some 8.5 s, and its users allow 9 s.
  */
-export const LEASE_HORIZON_MS: Millis = 7_500;
+export const LEASE_HORIZON_MS: Millis = 8_000;
 /** Shortest lease with which a start is sent: a new leader that takes over meanwhile extends it in time. */
 export const MIN_START_LEASE_MS: Millis = 2_000;
-/** Longest wait of a look while leases can't be given in full, so that they are soon after the log answers. */
+/** Longest wait of a look while the lease can't be extended, or not in full, so that it is as soon as it can be. */
 export const SHORT_LEASE_LOOK_MS: Millis = 250;
 /** Time for an answer of the advice service beyond what it says it takes. */
 export const ADVICE_SLACK_MS: Millis = 500;
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -245,7 +245,7 @@
       return 0;
     }
     const waitMs = this.options.lookWaitMs();
-    return leaseLeftMs < TASK_LEASE_MS
+    return leaseLeftMs < TASK_LEASE_MS || !this.reached
       ? Math.min(waitMs, SHORT_LEASE_LOOK_MS)
       : waitMs;
   }
--- a/packages/domain/src/jobs/records.ts
+++ b/packages/domain/src/jobs/records.ts
@@ -31,7 +31,7 @@
   'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone' | 'void';
 
 /**
- * What a leader or a claimer tells of the ends of leases, as time that is left when the record is written,
+ * What a leader tells of the ends of leases, as time that is left when the record is written,
  * never less than there is. Leaders that are not named, but for later ones, have none that holds.
  */
 export interface HandedLeases {
@@ -49,8 +49,6 @@
       readonly host: string;
       /** Tells two claims of one epoch apart. */
       readonly nonce: number;
-      /** Undefined where this host may not know of all earlier leaders. */
-      readonly handed: HandedLeases | undefined;
     }
   /** The leader of an epoch is there; says again what its claim said. */
   | {
@@ -58,6 +56,7 @@
       readonly epoch: number;
       readonly host: string;
       readonly nonce: number;
+      /** Undefined where the leader may not know of all earlier ones. */
       readonly handed: HandedLeases | undefined;
       /** Hosts that are to read the journal and to stand by; undefined while all may. */
       readonly standbys: readonly string[] | undefined;
@@ -148,7 +147,7 @@
 
 /** Rows of the journal; runs are most of them, so that these have short tags. */
 type JournalRow =
-  | ['claim', number, string, number, unknown, HandedLeases?]
+  | ['claim', number, string, number]
   | [
       'heartbeat',
       number,
@@ -172,14 +171,8 @@
   const row = parseRow(bytes) as JournalRow | undefined;
   switch (row?.[0]) {
     case 'claim': {
-      const [, epoch, host, nonce, , handed] = row;
-      return {
-        kind: 'claim',
-        epoch,
-        host,
-        nonce,
-        handed: handedOf(handed),
-      };
+      const [, epoch, host, nonce] = row;
+      return { kind: 'claim', epoch, host, nonce };
     }
     case 'heartbeat': {
       const [, epoch, host, nonce, , named, address = '', handed] = row;
@@ -257,8 +250,8 @@
     case 'volunteer':
       return ['volunteer', record.host, record.cores];
     case 'claim': {
-      const { epoch, host, nonce, handed } = record;
-      return ['claim', epoch, host, nonce, OLD_AGES, handed];
+      const { epoch, host, nonce } = record;
+      return ['claim', epoch, host, nonce];
     }
     case 'heartbeat': {
       const { epoch, host, nonce, standbys, address, handed } = record;
