--- a/packages/daemon/src/job-host/handed-over-leases.test.ts
+++ b/packages/daemon/src/job-host/handed-over-leases.test.ts
@@ -14,15 +14,15 @@
 import type { Millis } from '@paddlewind/domain';
 import { decodeJournal } from '@paddlewind/domain/jobs';
 
-import { Simulation } from './simulation.fixture.test.js';
+import {
+  LASTING_JOB,
+  LASTING_TASKS,
+  siteWithLastingJob,
+} from './lasting-site.fixture.test.js';
+import type { Simulation } from './simulation.fixture.test.js';
 
-const ID = '00000000000000e1';
-const TASKS = 4;
-const LASTING = { tasks: TASKS, after: [], lasting: true };
-const ENDLESS = { runMs: 10_000_000, failures: 0 };
 const HOSTS = ['h1', 'h2', 'h3', 'h4', 'h5', 'h6'];
 const SEEDS = [1, 2, 3];
-const MAX_LEASE_MS = 10_000;
 /** How long a host that stops waits for the next leader. */
 const HAND_OVER_MS = 3_000;
 /** Time after which a stopped host is there again. */
@@ -40,21 +40,6 @@
 /** Time in which every lease ends, whoever gave it, and the tasks begin elsewhere. */
 const CALM_MS = 20_000;
 
-/** A site with all four tasks on w1: the first of equal workers is filled first. */
-async function siteWithLastingJob(seed: number): Promise<Simulation> {
-  const site = new Simulation(seed, { maxLeaseMs: MAX_LEASE_MS });
-  for (const name of ['w1', 'w2', 'w3']) {
-    site.addWorker(name);
-  }
-  for (const name of HOSTS) {
-    site.startHost(name);
-  }
-  void site.submit(ID, [LASTING], ENDLESS);
-  await site.time.advance(3_500);
-  assert.equal(site.history.runningOf(ID), TASKS);
-  return site;
-}
-
 /** Stops the leader in good order: its process ends once another host leads. */
 async function stopLeader(site: Simulation): Promise<string> {
   const name = site.leader();
@@ -90,7 +75,7 @@
 /** Ends w1, and all tasks with it. */
 function crash(site: Simulation): void {
   site.fleet.crash('w1');
-  assert.equal(site.history.runningOf(ID), 0);
+  assert.equal(site.history.runningOf(LASTING_JOB), 0);
 }
 
 /** Cuts w1 off from `hosts`: it runs on under its lease. */
@@ -145,7 +130,8 @@
 /** Advances until all tasks run; returns how long that took. */
 async function timeAway(site: Simulation): Promise<Millis> {
   const from = site.time.clock();
-  const back = (): boolean => site.history.runningOf(ID) === TASKS;
+  const back = (): boolean =>
+    site.history.runningOf(LASTING_JOB) === LASTING_TASKS;
   await site.time.until(back, LONGEST_AWAY_MS);
   return Math.round(site.time.clock() - from);
 }
@@ -164,14 +150,14 @@
 /** Fails where a task runs in two places, or does not run in the end. */
 async function assertNoneTwice(site: Simulation): Promise<void> {
   await site.time.advance(CALM_MS);
-  assert.equal(site.history.runningOf(ID), TASKS);
+  assert.equal(site.history.runningOf(LASTING_JOB), LASTING_TASKS);
   assert.deepEqual(site.history.check(), []);
 }
 
 test('tasks are back in time from a worker that the next leader reached', async () => {
   const late: string[] = [];
   for (const seed of SEEDS) {
-    const site = await siteWithLastingJob(seed);
+    const site = await siteWithLastingJob(seed, HOSTS);
     await handOverW1(site);
     await site.time.advance(700);
     crash(site);
@@ -237,7 +223,7 @@
   const late: string[] = [];
   for (const { name, times, change, withinMs } of cases) {
     for (const seed of SEEDS) {
-      const site = await siteWithLastingJob(seed);
+      const site = await siteWithLastingJob(seed, HOSTS);
       crash(site);
       changeAt(site, times, change);
       late.push(...(await tellIfLate(site, withinMs, `${name}, seed ${seed}`)));
@@ -249,7 +235,7 @@
 for (const { name, times, change } of [...STOPS, ...KILLS]) {
   for (const seed of SEEDS) {
     test(`w1 is out of reach and ${name}, seed ${seed}`, async () => {
-      const site = await siteWithLastingJob(seed);
+      const site = await siteWithLastingJob(seed, HOSTS);
       cutOff(site, HOSTS);
       changeAt(site, times, change);
       await assertNoneTwice(site);
@@ -261,7 +247,7 @@
   // The lease that the earlier leader gave last has nearly all of its time left.
   for (const lead of REACHED_LEADS) {
     test(`w1 is out of reach ${lead} ms after a leader that was handed over to reached it, seed ${seed}`, async () => {
-      const site = await siteWithLastingJob(seed);
+      const site = await siteWithLastingJob(seed, HOSTS);
       await handOverW1(site);
       await site.time.advance(lead);
       cutOff(site, HOSTS);
@@ -270,14 +256,14 @@
   }
 
   test(`only a leader without the log reaches w1, seed ${seed}`, async () => {
-    const site = await siteWithLastingJob(seed);
+    const site = await siteWithLastingJob(seed, HOSTS);
     isolate(site, site.leader());
     await assertNoneTwice(site);
   });
 
   // It does not learn of the claim that follows its release, and goes on until its own lease ends.
   test(`only a leader that was to stop reaches w1, seed ${seed}`, async () => {
-    const site = await siteWithLastingJob(seed);
+    const site = await siteWithLastingJob(seed, HOSTS);
     const name = site.leader();
     void site.hosts.get(name)?.host.handOver(HAND_OVER_MS);
     await untilReleased(site);
@@ -289,7 +275,7 @@
   // That the worker answers again may come too late to be recorded.
   for (const lead of ANSWER_LEADS) {
     test(`w1 answers its leader again ${lead} ms before that loses the log, seed ${seed}`, async () => {
-      const site = await siteWithLastingJob(seed);
+      const site = await siteWithLastingJob(seed, HOSTS);
       const name = site.leader();
       cutOff(site, HOSTS);
       await site.time.advance(SILENT_MS);
@@ -303,7 +289,7 @@
   // What the earlier leader knew of the silent worker holds no more.
   for (const lead of REACHED_LEADS) {
     test(`w1 is lost ${lead} ms after the next leader reached it, seed ${seed}`, async () => {
-      const site = await siteWithLastingJob(seed);
+      const site = await siteWithLastingJob(seed, HOSTS);
       cutOff(site, [site.leader()]);
       await site.time.advance(SILENT_MS);
       const before = site.leader();
--- /dev/null
+++ b/packages/daemon/src/job-host/lasting-site.fixture.test.ts
@@ -0,0 +1,36 @@
+/** A site on which four lasting tasks run on worker w1, with room for them on two others. */
+import assert from 'node:assert/strict';
+
+import type { Millis } from '@paddlewind/domain';
+
+import { Simulation } from './simulation.fixture.test.js';
+
+/** The job whose tasks last. */
+export const LASTING_JOB = '00000000000000e1';
+
+/** Number of its tasks. */
+export const LASTING_TASKS = 4;
+
+/** Longest lease that the workers accept: twice what leaders give. */
+const MAX_LEASE_MS = 10_000;
+
+/** Starts a site of `hosts`; after `settleMs` all four tasks run on w1: the first of equal workers is filled first. */
+export async function siteWithLastingJob(
+  seed: number,
+  hosts: readonly string[],
+  settleMs: Millis = 3_500,
+): Promise<Simulation> {
+  const site = new Simulation(seed, { maxLeaseMs: MAX_LEASE_MS });
+  for (const name of ['w1', 'w2', 'w3']) {
+    site.addWorker(name);
+  }
+  for (const name of hosts) {
+    site.startHost(name);
+  }
+  const step = { tasks: LASTING_TASKS, after: [], lasting: true };
+  const script = { runMs: 10_000_000, failures: 0 };
+  void site.submit(LASTING_JOB, [step], script);
+  await site.time.advance(settleMs);
+  assert.equal(site.history.runningOf(LASTING_JOB), LASTING_TASKS);
+  return site;
+}
--- a/packages/daemon/src/job-host/late-claim-horizon.test.ts
+++ b/packages/daemon/src/job-host/late-claim-horizon.test.ts
@@ -7,26 +7,13 @@
 
 import { decodeJournal } from '@paddlewind/domain/jobs';
 
-import { Simulation } from './simulation.fixture.test.js';
+import { siteWithLastingJob } from './lasting-site.fixture.test.js';
 
-const ID = '00000000000000e1';
-const TASKS = 4;
-const LASTING = { tasks: TASKS, after: [], lasting: true };
-const ENDLESS = { runMs: 10_000_000, failures: 0 };
 const HOSTS = ['h1', 'h2'];
 
 for (let seed = 1; seed <= 24; seed += 1) {
   test(`a claim is carried out late, seed ${seed}`, async () => {
-    const site = new Simulation(seed, { maxLeaseMs: 10_000 });
-    for (const name of ['w1', 'w2', 'w3']) {
-      site.addWorker(name);
-    }
-    for (const name of HOSTS) {
-      site.startHost(name);
-    }
-    void site.submit(ID, [LASTING], ENDLESS);
-    await site.time.advance(3_500);
-    assert.equal(site.history.runningOf(ID), TASKS);
+    const site = await siteWithLastingJob(seed, HOSTS);
     const name = site.leader();
     for (const host of HOSTS.filter(other => other !== name)) {
       // Claims get no answer, and are carried out at once or up to 6 s later.
--- a/packages/daemon/src/job-host/late-claim-twice.test.ts
+++ b/packages/daemon/src/job-host/late-claim-twice.test.ts
@@ -9,12 +9,13 @@
 import type { Millis } from '@paddlewind/domain';
 import { decodeJournal } from '@paddlewind/domain/jobs';
 
-import { Simulation } from './simulation.fixture.test.js';
+import {
+  LASTING_JOB,
+  LASTING_TASKS,
+  siteWithLastingJob,
+} from './lasting-site.fixture.test.js';
+import type { Simulation } from './simulation.fixture.test.js';
 
-const ID = '00000000000000e1';
-const TASKS = 4;
-const LASTING = { tasks: TASKS, after: [], lasting: true };
-const ENDLESS = { runMs: 10_000_000, failures: 0 };
 const HOSTS = ['h1', 'h2', 'h3'];
 const HAND_OVER_MS = 3_000;
 /** The leader has recorded by then that w1 is silent; its lease lasts longer. */
@@ -33,16 +34,7 @@
     for (const [silent, lead] of SILENCES.flatMap(s =>
       LEADS.map(l => [s, l] as const),
     )) {
-      const site = new Simulation(seed, { maxLeaseMs: 10_000 });
-      for (const name of ['w1', 'w2', 'w3']) {
-        site.addWorker(name);
-      }
-      for (const name of HOSTS) {
-        site.startHost(name);
-      }
-      void site.submit(ID, [LASTING], ENDLESS);
-      await site.time.advance(3_500);
-      assert.equal(site.history.runningOf(ID), TASKS);
+      const site = await siteWithLastingJob(seed, HOSTS);
       const name = site.leader();
       for (const host of HOSTS) {
         site.fleet.cuts.add(`${host}>w1`);
@@ -58,7 +50,7 @@
       site.log.modes.set(name, 'silent');
       site.log.appendMs = 0;
       await site.time.advance(CALM_MS);
-      assert.equal(site.history.runningOf(ID), TASKS);
+      assert.equal(site.history.runningOf(LASTING_JOB), LASTING_TASKS);
       const found = site.history.check();
       if (found.length > 0) {
         broken.push({ silent, lead, found: found[0] });
--- a/packages/daemon/src/job-host/lost-standbys.test.ts
+++ b/packages/daemon/src/job-host/lost-standbys.test.ts
@@ -7,19 +7,22 @@
 
 import { decodeJournal } from '@paddlewind/domain/jobs';
 
-import { Simulation } from './simulation.fixture.test.js';
+import {
+  LASTING_JOB,
+  LASTING_TASKS,
+  siteWithLastingJob,
+} from './lasting-site.fixture.test.js';
+import type { Simulation } from './simulation.fixture.test.js';
 
-const ID = '00000000000000e1';
-const TASKS = 4;
-const LASTING = { tasks: TASKS, after: [], lasting: true };
-const ENDLESS = { runMs: 10_000_000, failures: 0 };
 const HOSTS = Array.from({ length: 14 }, (_, at) => `h${at + 1}`);
 const WITHIN_MS = 9_000;
+/** Time in which the leader has named who stands by. */
+const NAMED_MS = 20_000;
 
 test('tasks are back in time though the leader and all who stand by are lost', async () => {
   const late: string[] = [];
   for (const seed of [1, 2, 3]) {
-    const site = await siteWithLastingJob(seed);
+    const site = await siteWithLastingJob(seed, HOSTS, NAMED_MS);
     const standbys = standbysOf(site);
     assert.ok(standbys.length > 0 && standbys.length < HOSTS.length - 1);
     site.fleet.crash('w1');
@@ -27,7 +30,10 @@
       site.kill(name);
     }
     const from = site.time.clock();
-    await site.time.until(() => site.history.runningOf(ID) === TASKS, 25_000);
+    await site.time.until(
+      () => site.history.runningOf(LASTING_JOB) === LASTING_TASKS,
+      25_000,
+    );
     const away = Math.round(site.time.clock() - from);
     if (away > WITHIN_MS) {
       late.push(`seed ${seed}: away for ${away} ms`);
@@ -36,20 +42,6 @@
   assert.deepEqual(late, []);
 });
 
-async function siteWithLastingJob(seed: number): Promise<Simulation> {
-  const site = new Simulation(seed, { maxLeaseMs: 10_000 });
-  for (const name of ['w1', 'w2', 'w3']) {
-    site.addWorker(name);
-  }
-  for (const name of HOSTS) {
-    site.startHost(name);
-  }
-  void site.submit(ID, [LASTING], ENDLESS);
-  await site.time.advance(20_000);
-  assert.equal(site.history.runningOf(ID), TASKS);
-  return site;
-}
-
 /** Hosts that the leader has named to stand by. */
 function standbysOf(site: Simulation): readonly string[] {
   const records = site.log.recordsOf('journal').map(decodeJournal);
