--- a/packages/daemon/src/job-host/leader-log.ts
+++ b/packages/daemon/src/job-host/leader-log.ts
@@ -8,6 +8,7 @@
   type Occurrence,
   type Run,
   type RunTimes,
+  type Task,
 } from '@paddlewind/domain/jobs';
 
 import type { HostContext } from './context.js';
@@ -35,6 +36,22 @@
   );
 }
 
+/** Tells of a run that a worker lists as done and that is not open here, of a task that is not done here. */
+export function logStrayEnd(
+  { ctx, claim }: Writer,
+  task: Task,
+  { worker, run }: { readonly worker: string; readonly run: number },
+): void {
+  const open = task.runs.map(({ number }) => number);
+  const { status, lastRun } = task;
+  const name = taskName(refOf(task));
+  const { epoch } = claim;
+  ctx.log.warn(
+    { task: name, run, worker, epoch, status, lastRun, open },
+    'leader: a run is done that was not open',
+  );
+}
+
 /** Tells how long a job took, and against which objective, once it is over. */
 export function logJobOver(
   ctx: HostContext,
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -4,6 +4,7 @@
   Advice,
   createRunTimes,
   EMPTY_ACCOUNT,
+  findTask,
   Interference,
   isOver,
   planCopies,
@@ -21,6 +22,7 @@
   type StartDecision,
   type WorkerInfo,
 } from '@paddlewind/domain/jobs';
+import type { EndedRun } from '@paddlewind/ports/jobs';
 
 import { Adviser } from './adviser.js';
 import { Alarm } from './alarm.js';
@@ -29,7 +31,7 @@
 import { Fleet } from './fleet.js';
 import { keepAccount } from './fleet-account.js';
 import { keepRunning } from './keep-running.js';
-import { logJobOver, logRun } from './leader-log.js';
+import { logJobOver, logRun, logStrayEnd } from './leader-log.js';
 import { LeaderLeases } from './leader-leases.js';
 import type { LeaderOptions } from './leader-options.js';
 import {
@@ -173,6 +175,9 @@
         ended: (run, how, checkpoint) => {
           this.recordEnd(run, how, checkpoint);
         },
+        strayEnd: ended => {
+          this.noteStrayEnd(info.id, ended);
+        },
         recorded: () => this.decisions.recorded(),
         reached: done => {
           this.recordReached(info.id, done);
@@ -316,6 +321,17 @@
     this.alarm.ring();
   }
 
+  /** A worker did work that the journal does not know to be done. */
+  private noteStrayEnd(
+    worker: string,
+    { task: ref, run, how }: EndedRun,
+  ): void {
+    const task = findTask(this.state, ref);
+    if (how === 'done' && task !== undefined && task.status !== 'done') {
+      logStrayEnd(this.options, task, { worker, run });
+    }
+  }
+
   private recordReached(worker: string, done: () => void): void {
     if (!this.ended) {
       this.decisions.record({ kind: 'reached', worker }, written => {
--- a/packages/daemon/src/job-host/orders.fixture.test.ts
+++ b/packages/daemon/src/job-host/orders.fixture.test.ts
@@ -151,6 +151,7 @@
     ticketFor: () => undefined,
     events: {
       ended: site.end,
+      strayEnd: () => undefined,
       recorded: () => Promise.resolve(true),
       reached: done => {
         done();
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -10,7 +10,12 @@
   type WorkerInfo,
   type WorkerRuns,
 } from '@paddlewind/domain/jobs';
-import type { ActiveRun, LookResult, WorkerPort } from '@paddlewind/ports/jobs';
+import type {
+  ActiveRun,
+  EndedRun,
+  LookResult,
+  WorkerPort,
+} from '@paddlewind/ports/jobs';
 
 import { Alarm } from './alarm.js';
 import { pause, type HostContext } from './context.js';
@@ -29,6 +34,8 @@
 export interface LinkEvents {
   /** A run has ended, which is to be recorded. */
   ended(run: Run, how: RunEnd, checkpoint: string): void;
+  /** The worker lists the end of a run that is not open here; told with each report that does. */
+  strayEnd(ended: EndedRun): void;
   /** Resolves with true once all ends that were told so far are recorded. */
   recorded(): Promise<boolean>;
   /** The worker was reached, which is to be recorded; `done` follows once it is. */
@@ -320,7 +327,9 @@
       const key = runKey(taskName(ended.task), ended.run);
       listed.add(key);
       const run = this.openRuns().get(key);
-      if (run !== undefined) {
+      if (run === undefined) {
+        events.strayEnd(ended);
+      } else {
         events.ended(run, ended.how, ended.checkpoint);
       }
     }
