Take a task for done once a worker says so, also where its run was given up

Callers saw a task run twice: a run that had ended as done was given up, since the leader heard nothing of its worker until the lease had ended, and the task waited for room to run again. Meanwhile the worker was heard and listed the end. Cause: ends of runs that are not open were passed over, and acknowledged all the same, so that nobody could know of them later. Now such an end is recorded, the task is done, and a run that has begun meanwhile is stopped.

--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -7,6 +7,7 @@
   findTask,
   Interference,
   isOver,
+  isWanted,
   planCopies,
   planStarts,
   refOf,
@@ -20,6 +21,7 @@
   type RunEnd,
   type RunTimes,
   type StartDecision,
+  type Task,
   type WorkerInfo,
 } from '@paddlewind/domain/jobs';
 import type { EndedRun } from '@paddlewind/ports/jobs';
@@ -176,7 +178,7 @@
           this.recordEnd(run, how, checkpoint);
         },
         strayEnd: ended => {
-          this.noteStrayEnd(info.id, ended);
+          this.takeStrayEnd(info.id, ended);
         },
         recorded: () => this.decisions.recorded(),
         reached: done => {
@@ -303,33 +305,37 @@
     learnFromEnd(run, how, { health, times, now: this.options.ctx.clock() });
     this.options.ctx.meters.ended(how);
     this.supervisor.noteEnd(run);
-    const task = refOf(run.task);
-    const { occurrence } = run.task.step;
-    const wasOver = isOver(occurrence.job);
     const expectedMs = Math.round(this.times.expect(run.task.step));
     logRun(this.options, run, 'leader: a run has ended', { how, expectedMs });
-    this.decisions.record({
-      kind: 'end',
-      task,
-      run: run.number,
-      how,
-      checkpoint,
-    });
-    if (!wasOver && isOver(occurrence.job)) {
-      logJobOver(this.options.ctx, this.times, occurrence);
+    this.decideEnd(run.task, { run: run.number, how, checkpoint });
+  }
+
+  /**
+   * A worker has done what was given up here, as when its lease ended before it was heard again: its
+   * callers asked for the work once.
+   */
+  private takeStrayEnd(worker: string, ended: EndedRun): void {
+    const task = findTask(this.state, ended.task);
+    if (this.ended || ended.how !== 'done' || !isWanted(task)) {
+      return;
     }
-    this.alarm.ring();
+    logStrayEnd(this.options, task, { worker, run: ended.run });
+    this.decideEnd(task, ended);
   }
 
-  /** A worker did work that the journal does not know to be done. */
-  private noteStrayEnd(
-    worker: string,
-    { task: ref, run, how }: EndedRun,
+  /** Records an end, and tells of its job if that is over with it. */
+  private decideEnd(
+    task: Task,
+    { run, how, checkpoint }: Pick<EndedRun, 'run' | 'how' | 'checkpoint'>,
   ): void {
-    const task = findTask(this.state, ref);
-    if (how === 'done' && task !== undefined && task.status !== 'done') {
-      logStrayEnd(this.options, task, { worker, run });
+    const { occurrence } = task.step;
+    const wasOver = isOver(occurrence.job);
+    const ref = refOf(task);
+    this.decisions.record({ kind: 'end', task: ref, run, how, checkpoint });
+    if (!wasOver && isOver(occurrence.job)) {
+      logJobOver(this.options.ctx, this.times, occurrence);
     }
+    this.alarm.ring();
   }
 
   private recordReached(worker: string, done: () => void): void {
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -123,6 +123,11 @@
   }
   const run = task.runs.find(({ number }) => number === record.run);
   if (run === undefined) {
+    // A run that was given up may have been done all the same: its task must not run again.
+    if (record.how === 'done') {
+      noteBegun(state, task.step.occurrence.job);
+      noteDone(state, task);
+    }
     return true;
   }
   closeRun(state, run);
@@ -145,15 +150,11 @@
 }
 
 function settleTask(state: JobsState, task: Task, run: Run, how: RunEnd): void {
-  if (task.status === 'done') {
-    return;
+  const { failedGangRuns } = task.step;
+  if (how === 'done') {
+    noteDone(state, task);
   }
-  const { spec, tasks, failedGangRuns } = task.step;
-  if (how === 'done' && !spec.lasting) {
-    // One member of a gang that is done stands for all.
-    for (const done of spec.gang ? tasks : [task]) {
-      finishTask(state, done);
-    }
+  if (task.status === 'done') {
     return;
   }
   if (how === 'failed') {
@@ -168,6 +169,18 @@
   }
 }
 
+/** A task that lasts is never done. */
+function noteDone(state: JobsState, task: Task): void {
+  const { spec, tasks } = task.step;
+  if (task.status === 'done' || spec.lasting) {
+    return;
+  }
+  // One member of a gang that is done stands for all.
+  for (const done of spec.gang ? tasks : [task]) {
+    finishTask(state, done);
+  }
+}
+
 /** How long a task has been away at least whose lease has lapsed: that long before it was last extended. */
 const LAPSED_AWAY_MS: Millis = 5_000;
 
--- a/packages/domain/src/jobs/job.ts
+++ b/packages/domain/src/jobs/job.ts
@@ -201,6 +201,16 @@
   return job.cancelled || job.failed || job.remaining === 0;
 }
 
+/** Tells whether a task is known whose being done is still waited for. */
+export function isWanted(task: Task | undefined): task is Task {
+  return (
+    task !== undefined &&
+    task.status !== 'done' &&
+    !task.step.spec.lasting &&
+    !isOver(task.step.occurrence.job)
+  );
+}
+
 /** Returns the state that callers are shown. */
 export function statusOf(job: Job): JobStatus {
   if (job.remaining === 0) {
