Send the leader's append again while a try is still under way

Callers saw lasting tasks begin again after an outage of the log of 7 s. Cause: the leader's append was tried one try at a time; the one that the silent log had swallowed ended with its timeout 1.38 s after the log was back, 8.38 s after the last append that was confirmed, and leases end 8 s after that. Now a further try is sent each 450 ms without an answer (twice what the last append took on a slow log), four at the most, and the first answer settles all: the stamp makes them one append. Why it holds: whatever happened to earlier tries, one is sent within 450 ms of the log's return.

--- /dev/null
+++ b/packages/daemon/src/job-host/append-again.test.ts
@@ -0,0 +1,85 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { createVirtualTime } from '@paddlewind/stand-ins';
+import type { AppendResult } from '@paddlewind/ports/jobs';
+
+import { appendAgain } from './append-again.js';
+import { testContext } from './context.fixture.test.js';
+
+const EVERY_MS = 450;
+const APPENDED: AppendResult = { kind: 'appended', offset: 0, nextOffset: 1 };
+const UNKNOWN: AppendResult = { kind: 'unknown', reason: 'reset' };
+const REFUSED: AppendResult = { kind: 'refused', reason: 'busy' };
+
+/** An append of which each try ends as `tries` tells, after the time given; later ones never end. */
+function start(tries: readonly (readonly [number, AppendResult])[]): {
+  time: ReturnType<typeof createVirtualTime>;
+  sent: () => number;
+  outcome: () => AppendResult | undefined;
+} {
+  const time = createVirtualTime();
+  let sent = 0;
+  let outcome: AppendResult | undefined;
+  const append = (): Promise<AppendResult> =>
+    new Promise(resolve => {
+      const found = tries[sent];
+      sent += 1;
+      if (found !== undefined) {
+        time.schedule(found[0], () => {
+          resolve(found[1]);
+        });
+      }
+    });
+  void appendAgain(testContext(time), append, EVERY_MS).then(result => {
+    outcome = result;
+  });
+  return { time, sent: () => sent, outcome: () => outcome };
+}
+
+test('an append that is answered in time is sent once', async () => {
+  const { time, sent, outcome } = start([[10, APPENDED]]);
+  await time.advance(1_000);
+  assert.deepEqual(outcome(), APPENDED);
+  assert.equal(sent(), 1);
+});
+
+test('a try that is answered settles an append of which others are silent', async () => {
+  const { time, outcome } = start([
+    [5_000, UNKNOWN],
+    [10, APPENDED],
+  ]);
+  await time.advance(500);
+  assert.deepEqual(outcome(), APPENDED);
+});
+
+test('an append that another leader has overtaken is told so', async () => {
+  const { time, outcome } = start([
+    [5_000, UNKNOWN],
+    [10, { kind: 'fenced' }],
+  ]);
+  await time.advance(500);
+  assert.deepEqual(outcome(), { kind: 'fenced' });
+});
+
+test('an append that is refused is told so at once', async () => {
+  const { time, sent, outcome } = start([[10, REFUSED]]);
+  await time.advance(100);
+  assert.deepEqual(outcome(), REFUSED);
+  assert.equal(sent(), 1);
+});
+
+test('an append of which one try may be there is not refused', async () => {
+  const { time, outcome } = start([
+    [500, UNKNOWN],
+    [100, REFUSED],
+  ]);
+  await time.advance(1_000);
+  assert.equal(outcome()?.kind, 'unknown');
+});
+
+test('few tries are under way at the same time', async () => {
+  const { time, sent } = start([]);
+  await time.advance(10_000);
+  assert.equal(sent(), 4);
+});
--- /dev/null
+++ b/packages/daemon/src/job-host/append-again.ts
@@ -0,0 +1,75 @@
+/** A stamped append that is sent again while an earlier try is still under way. */
+import type { Millis } from '@paddlewind/domain';
+import type { AppendResult } from '@paddlewind/ports/jobs';
+
+import { within } from './caller-view.js';
+import type { HostContext } from './context.js';
+
+/** Most tries under way: each has its own connection, of which a host has few. */
+const MAX_UNDER_WAY = 4;
+
+/**
+ * Appends until a try is answered, and sends it again each time that none was for `everyMs`; resolves
+ * sooner when no try is under way any more. The stamp makes it one append, however many are carried out.
+ *
+ * A try that a silent log has swallowed ends only with its timeout of 1.5 s; a new one is answered as soon
+ * as the log is back, which is 0.45 s later at the most.
+ */
+export async function appendAgain(
+  ctx: HostContext,
+  append: () => Promise<AppendResult>,
+  everyMs: Millis,
+): Promise<AppendResult> {
+  const tries = new Tries();
+  for (;;) {
+    if (tries.underWay < MAX_UNDER_WAY) {
+      tries.add(append());
+    }
+    const result = await within(ctx, tries.outcome, everyMs);
+    if (result !== undefined) {
+      return result;
+    }
+  }
+}
+
+/** Tries of one append. */
+class Tries {
+  /** The first answer that settles the append, or that of the last try once none is under way. */
+  readonly outcome: Promise<AppendResult>;
+  underWay = 0;
+  private mayBeThere = false;
+  private settle!: (result: AppendResult) => void;
+
+  constructor() {
+    this.outcome = new Promise(resolve => {
+      this.settle = resolve;
+    });
+  }
+
+  add(trying: Promise<AppendResult>): void {
+    this.underWay += 1;
+    void trying.then(result => {
+      this.underWay -= 1;
+      this.take(result);
+    });
+  }
+
+  private take(result: AppendResult): void {
+    switch (result.kind) {
+      case 'appended':
+      case 'fenced':
+      case 'out_of_sequence':
+        this.settle(result);
+        return;
+      case 'unknown':
+        this.mayBeThere = true;
+        break;
+      case 'refused':
+        break;
+    }
+    if (this.underWay === 0) {
+      const { reason } = result;
+      this.settle({ kind: this.mayBeThere ? 'unknown' : 'refused', reason });
+    }
+  }
+}
--- a/packages/daemon/src/job-host/journal-writer.ts
+++ b/packages/daemon/src/job-host/journal-writer.ts
@@ -1,11 +1,15 @@
 /** Appends the leader's decisions in order; the log refuses them once another host leads. */
-import type { Instant } from '@paddlewind/domain';
+import type { Instant, Millis } from '@paddlewind/domain';
 import { encodeRecord, type JournalRecord } from '@paddlewind/domain/jobs';
 import type { AppendResult, JobLog, WriterStamp } from '@paddlewind/ports/jobs';
 
+import { appendAgain } from './append-again.js';
 import { pause, type HostContext } from './context.js';
 import type { WonClaim } from './leadership.js';
-import { APPEND_RETRY_MS } from './timing.js';
+import { APPEND_AGAIN_MS, APPEND_RETRY_MS } from './timing.js';
+
+/** An append is sent again once it takes this many times as long as the last one: the log may be slow. */
+const SLOW_FACTOR = 2;
 
 /** What became of a batch. */
 export type WriteResult =
@@ -18,6 +22,8 @@
   private stamp: WriterStamp;
   private sentAt: Instant;
   private closed = false;
+  /** Time that the newest append took. */
+  private answerMs: Millis = 0;
 
   /** Creates a writer for the leader that won `claim`. */
   constructor(
@@ -46,7 +52,7 @@
     let firstSentAt: Instant | undefined;
     while (!this.closed) {
       const sentAt = firstSentAt ?? this.ctx.clock();
-      const result = await this.jobLog.append('journal', encoded, this.stamp);
+      const result = await this.append(encoded);
       switch (result.kind) {
         case 'appended':
           this.stamp = { ...this.stamp, sequence: this.stamp.sequence + 1 };
@@ -71,6 +77,20 @@
     return { kind: 'deposed' };
   }
 
+  private async append(encoded: readonly Uint8Array[]): Promise<AppendResult> {
+    const { ctx, jobLog, stamp } = this;
+    const sentAt = ctx.clock();
+    const everyMs = Math.max(APPEND_AGAIN_MS, SLOW_FACTOR * this.answerMs);
+    const append = (): Promise<AppendResult> =>
+      jobLog.append('journal', encoded, stamp);
+    const result = await appendAgain(ctx, append, everyMs);
+    if (result.kind === 'appended') {
+      // How long an outage took tells nothing of how fast the log is after it.
+      this.answerMs = Math.min(ctx.clock() - sentAt, APPEND_AGAIN_MS);
+    }
+    return result;
+  }
+
   /** The same stamp is sent again: if the first one was carried out, its answer is repeated. */
   private async beforeRepeat({
     kind,
--- a/packages/daemon/src/job-host/outage-leases.test.ts
+++ b/packages/daemon/src/job-host/outage-leases.test.ts
@@ -3,7 +3,10 @@
  * it. Seen: after a log that was silent for 6.5 s all of them began again. How: another host claimed at
  * 7.45 s, since its calls to the log ended late, and had recorded by 7.48 s that it reached the workers;
  * the leases ended at 7.71 s. Cause: it extends a lease only with the look after that record, but had sent
- * the next look at once, which waited 250 ms for an end.
+ * the next look at once, which waited 250 ms for an end. After 7 s of silence some sites still began all
+ * four tasks again: the leader's own append was confirmed at 8.38 s, since the try that was under way when
+ * the log came back ended only with its timeout of 1.5 s; leases end 8 s after the last append that was
+ * confirmed.
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
--- a/packages/daemon/src/job-host/timing.ts
+++ b/packages/daemon/src/job-host/timing.ts
@@ -44,6 +44,11 @@
 export const SMALL_HOST_DELAY_MS: Millis = 600;
 /** Pause before an append that the log refused is sent again. */
 export const APPEND_RETRY_MS: Millis = 100;
+/**
+ * Time without an answer after which an append of the leader is sent once more, beside the one that is under
+ * way: a sound log answers in some 10 ms, and one that was silent takes it this much later at the most.
+ */
+export const APPEND_AGAIN_MS: Millis = 450;
 /**
  * Longest wait of the leader's read of the inbox: two reads, each with the 350 ms of a slow log, stay
  * below the age at which the inbox counts as stale.
