--- a/packages/daemon/src/job-host/decision-log.ts
+++ b/packages/daemon/src/job-host/decision-log.ts
@@ -38,6 +38,7 @@
   ) {
     this.writer = new JournalWriter(ctx, jobLog, claim);
     this.state = replica.state;
+    replica.becomeWriter();
   }
 
   /** Monotonic time at which the newest confirmed append was sent. */
--- a/packages/daemon/src/job-host/replica.ts
+++ b/packages/daemon/src/job-host/replica.ts
@@ -62,6 +62,8 @@
   };
   /** Whether reading began after records that the log has dropped. */
   private trimmed = false;
+  /** Whether this host leads, so that the journal holds nothing more than what it has decided itself. */
+  private isWriter = false;
 
   /** Creates a replica that has read nothing. */
   constructor(
@@ -209,6 +211,15 @@
     }
   }
 
+  /**
+   * Notes that this host leads: until `reset` nothing more of the journal is taken in. A read that was under
+   * way, or waited for its turn, may bring what the leader has written since, and applied when it decided it: a
+   * start that is applied twice is a run that never ends, and its task does not run again.
+   */
+  becomeWriter(): void {
+    this.isWriter = true;
+  }
+
   /** Notes that this host, which leads, has written the journal up to `nextOffset`. */
   wroteJournal(nextOffset: number): void {
     this.next.journal = nextOffset;
@@ -227,6 +238,7 @@
     this.joined.inbox = false;
     this.joined.journal = false;
     this.trimmed = false;
+    this.isWriter = false;
     this.lostTrack = false;
     this.journalHeardAt = this.ctx.clock();
   }
@@ -236,6 +248,9 @@
     found: Exclude<ReadResult, { kind: 'unavailable' }>,
     sentAt: Instant,
   ): Promise<Taken> {
+    if (stream === 'journal' && this.isWriter) {
+      return 'none';
+    }
     if (found.kind === 'trimmed' && this.joined[stream]) {
       // What they changed of the jobs known here is told nowhere else.
       this.lostTrack = true;
@@ -290,7 +305,7 @@
     if (!known && !(await this.refresh('inbox'))) {
       return false;
     }
-    if (this.resets !== resets) {
+    if (this.resets !== resets || this.isWriter) {
       return false;
     }
     this.state.now = this.ctx.clock();
