--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -300,6 +300,18 @@
     });
   }
 
+  /** What is called back is called only while the host's process runs. */
+  private guardCallback(host: SimulatedHost, arg: unknown): unknown {
+    if (typeof arg !== 'function') {
+      return arg;
+    }
+    return (...told: unknown[]): void => {
+      this.runIn(host, () => {
+        Reflect.apply(arg, undefined, told);
+      });
+    };
+  }
+
   /** Delivers results only while the host's process runs. */
   private guard<T extends object>(host: SimulatedHost, port: T): T {
     const deliver = <R>(result: Promise<R>): Promise<R> =>
@@ -317,7 +329,8 @@
           return call;
         }
         return (...args: unknown[]): unknown => {
-          const result: unknown = Reflect.apply(call, target, args);
+          const guarded = args.map(arg => this.guardCallback(host, arg));
+          const result: unknown = Reflect.apply(call, target, guarded);
           return result instanceof Promise ? deliver(result) : result;
         };
       },
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -13,6 +13,7 @@
 import type {
   ActiveRun,
   EndedRun,
+  LookOrder,
   LookResult,
   WorkerPort,
 } from '@paddlewind/ports/jobs';
@@ -225,14 +226,15 @@
     const left = this.leaseLeftMs();
     const extend = this.reached && this.answering && left > 0;
     const acknowledged = this.recordedUpTo;
-    const res = await port.look(this.info, {
+    const order: LookOrder = {
       fence,
       acknowledged,
       leaseUntil: extend
         ? this.lease.extend(sentAt, this.options.horizon())
         : undefined,
       waitMs: this.lookWaitMs(left),
-    });
+    };
+    const res = await port.look(this.info, order, () => undefined);
     if (this.closed) {
       return;
     }
--- a/packages/ports/src/jobs/worker-port.ts
+++ b/packages/ports/src/jobs/worker-port.ts
@@ -100,7 +100,12 @@
     worker: WorkerAddress,
     order: RunOrder & { readonly percent: number },
   ): Promise<OrderResult>;
-  look(worker: WorkerAddress, order: LookOrder): Promise<LookResult>;
+  /** Looks at a worker; `takeLate` is given an answer that comes after the look's time. */
+  look(
+    worker: WorkerAddress,
+    order: LookOrder,
+    takeLate: (res: LookResult) => void,
+  ): Promise<LookResult>;
   /** Closes the connections to a worker that is gone. */
   forget(worker: WorkerAddress): void;
 }
--- a/packages/stand-ins/src/jobs/memory-fleet.ts
+++ b/packages/stand-ins/src/jobs/memory-fleet.ts
@@ -17,6 +17,8 @@
 const WAY_MS = 1;
 /** Time after which an order is given up, in milliseconds. */
 const TIMEOUT_MS = 500;
+/** Time for the answer to a look beyond its wait, in milliseconds. */
+const LOOK_SLACK_MS = 400;
 /** When an order that was held up arrives, in milliseconds. */
 const LATE_FROM_MS = 2_000;
 const LATE_SPAN_MS = 10_000;
@@ -31,6 +33,8 @@
   refusesStarts = false;
   /** Pairs `host>worker` that cannot reach each other. */
   readonly cuts = new Set<string>();
+  /** Time by machine that answers to looks take on their way, in milliseconds; also beyond a timeout. */
+  readonly lookDelays = new Map<string, number>();
   /** Time by machine that an order takes beyond the network, in milliseconds; below a timeout. */
   readonly slowness = new Map<string, number>();
 
@@ -113,7 +117,10 @@
           kind: order.fence >= 0 ? 'accepted' : 'replaced',
           clock: worker.clock,
         })),
-      look: (to, order) => this.look(host, to, worker => worker.look(order)),
+      look: (to, order, takeLate) => {
+        const found = this.look(host, to, worker => worker.look(order));
+        return this.inTime(found, order.waitMs, takeLate);
+      },
       forget: () => undefined,
     };
   }
@@ -169,13 +176,32 @@
       return { kind: 'replaced' };
     }
     const result = await carryOut(worker);
-    await this.pause(WAY_MS);
+    await this.pause(WAY_MS + (this.lookDelays.get(to.address) ?? 0));
     if (this.reach(host, to) !== worker) {
       return { kind: 'failed', reason: 'connection lost' };
     }
     return result;
   }
 
+  /** Gives a look up after its time; what is answered later goes to `takeLate`. */
+  private async inTime(
+    found: Promise<LookResult>,
+    waitMs: number,
+    takeLate: (res: LookResult) => void,
+  ): Promise<LookResult> {
+    const gaveUp = this.pause(waitMs + LOOK_SLACK_MS);
+    const first = await Promise.race([found, gaveUp]);
+    if (first !== undefined) {
+      return first;
+    }
+    void found.then(res => {
+      if (res.kind !== 'failed') {
+        takeLate(res);
+      }
+    });
+    return { kind: 'failed', reason: 'timeout' };
+  }
+
   private reach(host: string, to: WorkerAddress): MemoryWorker | undefined {
     if (this.cuts.has(`${host}>${to.address}`)) {
       return undefined;
