Take answers of workers that come late, and wait for them as long as they take

Callers saw tasks that had ended as done run a second time. Cause, from the log of a leader whose link is congested: an answer later than 0.4 s after a look's wait was thrown away with its connection, so that a worker which answers a little late all the time counted as silent; its ends were not read, its lease was not extended, and once that ended its runs were given up, done or not. Why it holds: a worker that answers is heard before its lease ends, whatever its answers take; one that does not answer is given up when it was, but for the 1.1 s that answers were late before.

--- /dev/null
+++ b/packages/daemon/src/job-host/answer-slack.ts
@@ -0,0 +1,28 @@
+/** How long the answers of one worker may take. */
+import type { Millis } from '@paddlewind/domain';
+
+import { LOOK_SLACK_MS, MAX_LOOK_SLACK_MS } from './timing.js';
+
+/** An answer may take this many times as long as the last ones. */
+const HEADROOM = 2;
+/** Share of a longest time that is left with each answer that took less. */
+const FADING = 0.9;
+
+/**
+ * Adapts the time for an answer to what answers were seen to take, as on a link that carries too little for
+ * all workers of a leader: a worker that answers late is not silent.
+ */
+export class AnswerSlack {
+  private tookMs: Millis = 0;
+
+  /** Time for the next answer, beyond the worker's own wait. */
+  get ms(): Millis {
+    const needed = Math.ceil(HEADROOM * this.tookMs);
+    return Math.min(MAX_LOOK_SLACK_MS, Math.max(LOOK_SLACK_MS, needed));
+  }
+
+  /** Notes what an answer took beyond the worker's own wait. */
+  note(tookMs: Millis): void {
+    this.tookMs = Math.max(tookMs, FADING * this.tookMs);
+  }
+}
--- a/packages/daemon/src/job-host/timing.ts
+++ b/packages/daemon/src/job-host/timing.ts
@@ -86,6 +86,10 @@
 export const LOOK_WAIT_MS: Millis = 1_000;
 /** The same for a worker whose fillers are close to disturbing a task that serves there. */
 export const TIGHT_LOOK_WAIT_MS: Millis = 350;
+/** Time for the answer to a look beyond its wait; a sound worker answers in a few milliseconds. */
+export const LOOK_SLACK_MS: Millis = 400;
+/** The same for a worker whose answers were seen to take longer: it is noticed this much later that it is lost. */
+export const MAX_LOOK_SLACK_MS: Millis = 1_500;
 /** Pause before a worker that did not answer is looked at again. */
 export const LOOK_RETRY_MS: Millis = 200;
 /** Pause between looks while recorded ends cannot be acknowledged. */
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -19,6 +19,7 @@
 } from '@paddlewind/ports/jobs';
 
 import { Alarm } from './alarm.js';
+import { AnswerSlack } from './answer-slack.js';
 import { pause, type HostContext } from './context.js';
 import { Lease } from './lease.js';
 import {
@@ -81,10 +82,17 @@
 
 type Report = Extract<LookResult, { kind: 'seen' }>;
 
+/** A look that was sent. */
+interface SentLook {
+  readonly at: Instant;
+  readonly order: LookOrder;
+}
+
 /** The leader's link to one worker. */
 export class WorkerLink {
   private readonly lease: Lease;
   private readonly alarm: Alarm;
+  private readonly slack = new AnswerSlack();
   private readonly orders: WorkerOrders;
   /** Whether the worker has reported to this leader, so that its open runs are known. */
   private verified = false;
@@ -225,23 +233,23 @@
     // A worker that does not answer may be out of reach: its lease has to end.
     const left = this.leaseLeftMs();
     const extend = this.reached && this.answering && left > 0;
-    const acknowledged = this.recordedUpTo;
     const order: LookOrder = {
       fence,
-      acknowledged,
+      acknowledged: this.recordedUpTo,
       leaseUntil: extend
         ? this.lease.extend(sentAt, this.options.horizon())
         : undefined,
       waitMs: this.lookWaitMs(left),
+      slackMs: this.slack.ms,
     };
-    const res = await port.look(this.info, order, () => undefined);
-    if (this.closed) {
-      return;
-    }
-    if (res.kind === 'seen') {
-      this.acknowledgedUpTo = acknowledged;
-    }
-    await this.takeLook(res, sentAt);
+    const sent = { at: sentAt, order };
+    // An answer that comes late tells of ends all the same, and that the worker is there.
+    const res = await port.look(this.info, order, late => {
+      this.takeLook(late, sent).catch((err: unknown) => {
+        ctx.log.error({ err }, 'worker: a late answer was not taken in');
+      });
+    });
+    await this.takeLook(res, sent);
   }
 
   /** Time by which leases that are given now may be ahead. */
@@ -259,14 +267,17 @@
       : waitMs;
   }
 
-  private async takeLook(res: LookResult, sentAt: Instant): Promise<void> {
+  private async takeLook(res: LookResult, sent: SentLook): Promise<void> {
     const { ctx, events } = this.options;
+    if (this.closed) {
+      return;
+    }
     switch (res.kind) {
       case 'seen':
         this.setAnswering(true);
         this.lease.noteClock(res.clock, ctx.clock());
-        this.noteAnswer();
-        await this.takeReport(res, sentAt);
+        this.noteAnswer(sent);
+        await this.takeReport(res, sent.at);
         return;
       case 'fenced':
         events.fenced();
@@ -283,9 +294,11 @@
     }
   }
 
-  private noteAnswer(): void {
+  private noteAnswer({ at, order }: SentLook): void {
     const { ctx, fence } = this.options;
     this.answeredAt = ctx.clock();
+    this.slack.note(Math.max(0, this.answeredAt - at - order.waitMs));
+    this.acknowledgedUpTo = Math.max(this.acknowledgedUpTo, order.acknowledged);
     if (this.reachedAt === Infinity) {
       this.reachedAt = this.answeredAt;
       const runs = this.openRuns().size;
--- a/packages/ports/src/jobs/worker-port.ts
+++ b/packages/ports/src/jobs/worker-port.ts
@@ -77,6 +77,8 @@
   readonly leaseUntil: Instant | undefined;
   /** How long the worker may wait for an end before it answers. */
   readonly waitMs: Millis;
+  /** Time for the answer beyond that. */
+  readonly slackMs: Millis;
 }
 
 /** What a look found. */
--- a/packages/stand-ins/src/jobs/memory-fleet.ts
+++ b/packages/stand-ins/src/jobs/memory-fleet.ts
@@ -17,8 +17,6 @@
 const WAY_MS = 1;
 /** Time after which an order is given up, in milliseconds. */
 const TIMEOUT_MS = 500;
-/** Time for the answer to a look beyond its wait, in milliseconds. */
-const LOOK_SLACK_MS = 400;
 /** When an order that was held up arrives, in milliseconds. */
 const LATE_FROM_MS = 2_000;
 const LATE_SPAN_MS = 10_000;
@@ -119,7 +117,7 @@
         })),
       look: (to, order, takeLate) => {
         const found = this.look(host, to, worker => worker.look(order));
-        return this.inTime(found, order.waitMs, takeLate);
+        return this.inTime(found, order.waitMs + order.slackMs, takeLate);
       },
       forget: () => undefined,
     };
@@ -186,10 +184,10 @@
   /** Gives a look up after its time; what is answered later goes to `takeLate`. */
   private async inTime(
     found: Promise<LookResult>,
-    waitMs: number,
+    timeoutMs: number,
     takeLate: (res: LookResult) => void,
   ): Promise<LookResult> {
-    const gaveUp = this.pause(waitMs + LOOK_SLACK_MS);
+    const gaveUp = this.pause(timeoutMs);
     const first = await Promise.race([found, gaveUp]);
     if (first !== undefined) {
       return first;
--- a/packages/stand-ins/src/users-platform/worker-server.ts
+++ b/packages/stand-ins/src/users-platform/worker-server.ts
@@ -111,6 +111,7 @@
       acknowledged: body.ackIndex ?? 0,
       leaseUntil: body.untilMs,
       waitMs: body.waitMs ?? 0,
+      slackMs: 0,
     });
   }
 }
