--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -4,10 +4,7 @@
   Advice,
   createRunTimes,
   EMPTY_ACCOUNT,
-  findTask,
   Interference,
-  isOver,
-  isWanted,
   planCopies,
   planStarts,
   refOf,
@@ -18,13 +15,10 @@
   type JournalRecord,
   type PlanInput,
   type Run,
-  type RunEnd,
   type RunTimes,
   type StartDecision,
-  type Task,
   type WorkerInfo,
 } from '@paddlewind/domain/jobs';
-import type { EndedRun } from '@paddlewind/ports/jobs';
 
 import { Adviser } from './adviser.js';
 import { Alarm } from './alarm.js';
@@ -33,15 +27,12 @@
 import { Fleet } from './fleet.js';
 import { keepAccount } from './fleet-account.js';
 import { keepRunning } from './keep-running.js';
-import { logJobOver, logRun, logStrayEnd } from './leader-log.js';
+import { logRun } from './leader-log.js';
 import { LeaderLeases } from './leader-leases.js';
 import type { LeaderOptions } from './leader-options.js';
-import {
-  heartbeatRecord,
-  learnFromEnd,
-  learntRecord,
-} from './leader-records.js';
+import { heartbeatRecord, learntRecord } from './leader-records.js';
 import { restateDue } from './restate-due.js';
+import { RunRecorder } from './run-recorder.js';
 import { RunSupervisor } from './run-supervisor.js';
 import { SummaryWriter } from './summary-writer.js';
 import {
@@ -64,6 +55,7 @@
 
   private readonly state: JobsState;
   private readonly decisions: DecisionLog;
+  private readonly runs: RunRecorder;
   private readonly summary: SummaryWriter;
   private readonly fleet: Fleet;
   private readonly leases: LeaderLeases;
@@ -102,6 +94,18 @@
       leavingSince: worker => this.fleet.leavingSince(worker),
     });
     this.decisions = new DecisionLog(ctx, options.jobLog, replica, claim);
+    this.runs = new RunRecorder({
+      ctx,
+      claim,
+      state: this.state,
+      decisions: this.decisions,
+      times: this.times,
+      health: this.health,
+      noteEnd: run => {
+        this.supervisor.noteEnd(run);
+      },
+      changed: this.alarm.ring,
+    });
     this.summary = new SummaryWriter({
       ctx,
       jobLog: options.jobLog,
@@ -128,7 +132,7 @@
       fleet: this.fleet,
       confirmedSentAt: () => this.decisions.confirmedSentAt,
       lapsed: run => {
-        this.recordEnd(run, 'lapsed', '');
+        this.runs.ended(run, 'lapsed', '');
       },
     });
     this.deposed = new Promise(resolve => {
@@ -175,14 +179,14 @@
         this.advice.ticketFor(step, info.id, ctx.clock()),
       events: {
         ended: (run, how, checkpoint) => {
-          this.recordEnd(run, how, checkpoint);
+          this.runs.ended(run, how, checkpoint);
         },
         strayEnd: ended => {
-          this.takeStrayEnd(info.id, ended);
+          this.runs.strayEnd(info.id, ended);
         },
         recorded: () => this.decisions.recorded(),
         reached: done => {
-          this.recordReached(info.id, done);
+          this.runs.reached(info.id, done);
         },
         ticketRefused: ({ step }) => {
           this.advice.refuse(step, info.id);
@@ -192,7 +196,7 @@
           this.alarm.ring();
         },
         began: run => {
-          this.recordBegun(run);
+          this.runs.begun(run);
         },
         started: from => {
           this.supervisor.limitFillers(from);
@@ -296,66 +300,6 @@
     this.decisions.record(learntRecord(times, interference));
   }
 
-  /** Records the end of a run; does nothing for one that is not open. */
-  private recordEnd(run: Run, how: RunEnd, checkpoint: string): void {
-    if (this.ended || !run.task.runs.includes(run)) {
-      return;
-    }
-    const { health, times } = this;
-    learnFromEnd(run, how, { health, times, now: this.options.ctx.clock() });
-    this.options.ctx.meters.ended(how);
-    this.supervisor.noteEnd(run);
-    const expectedMs = Math.round(this.times.expect(run.task.step));
-    logRun(this.options, run, 'leader: a run has ended', { how, expectedMs });
-    this.decideEnd(run.task, { run: run.number, how, checkpoint });
-  }
-
-  /**
-   * A worker has done what was given up here, as when its lease ended before it was heard again: its
-   * callers asked for the work once.
-   */
-  private takeStrayEnd(worker: string, ended: EndedRun): void {
-    const task = findTask(this.state, ended.task);
-    if (this.ended || ended.how !== 'done' || !isWanted(task)) {
-      return;
-    }
-    logStrayEnd(this.options, task, { worker, run: ended.run });
-    this.decideEnd(task, ended);
-  }
-
-  /** Records an end, and tells of its job if that is over with it. */
-  private decideEnd(
-    task: Task,
-    { run, how, checkpoint }: Pick<EndedRun, 'run' | 'how' | 'checkpoint'>,
-  ): void {
-    const { occurrence } = task.step;
-    const wasOver = isOver(occurrence.job);
-    const ref = refOf(task);
-    this.decisions.record({ kind: 'end', task: ref, run, how, checkpoint });
-    if (!wasOver && isOver(occurrence.job)) {
-      logJobOver(this.options.ctx, this.times, occurrence);
-    }
-    this.alarm.ring();
-  }
-
-  private recordReached(worker: string, done: () => void): void {
-    if (!this.ended) {
-      this.decisions.record({ kind: 'reached', worker }, written => {
-        if (written) {
-          done();
-        }
-      });
-      this.alarm.ring();
-    }
-  }
-
-  private recordBegun(run: Run): void {
-    const { job } = run.task.step.occurrence;
-    if (!this.ended && !job.begun) {
-      this.decisions.record({ kind: 'begun', job: job.spec.id });
-    }
-  }
-
   private plan(): void {
     if (this.inboxAgeMs() > INBOX_STALE_MS) {
       return;
@@ -420,7 +364,7 @@
   private order(run: Run, decidedAt: Instant): void {
     const link = this.fleet.link(run.worker);
     if (link === undefined) {
-      this.recordEnd(run, 'void', '');
+      this.runs.ended(run, 'void', '');
     } else {
       logRun(this.options, run, 'leader: a run is ordered', {
         resumes: run.task.checkpoint,
@@ -431,6 +375,7 @@
 
   private end(): void {
     this.ended = true;
+    this.runs.close();
     this.options.ctx.meters.accounted(EMPTY_ACCOUNT);
     this.decisions.close();
     this.summary.close();
