Limit the starts under way while workers cease to answer

Cause: of the orders that one leader sends over 1.4 Mbit/s to 102 workers 1,420 starts and 3,707 stops in 67 s got no answer in time; each such start was stopped, recorded and decided on anew, which took the link from the others. Now starts under way are limited by a window that shrinks to 0.7 when workers cease to answer, once in 0.5 s, and grows by one with each start that is confirmed.

--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -34,6 +34,7 @@
 import { restateDue } from './restate-due.js';
 import { RunRecorder } from './run-recorder.js';
 import { RunSupervisor } from './run-supervisor.js';
+import { StartWindow } from './start-window.js';
 import { SummaryWriter } from './summary-writer.js';
 import {
   CLAIM_REPEAT_MS,
@@ -61,6 +62,7 @@
   private readonly leases: LeaderLeases;
   private readonly times: RunTimes;
   private readonly interference: Interference;
+  private readonly window = new StartWindow();
   private readonly health = new WorkerHealth();
   private readonly advice = new Advice();
   private readonly adviser: Adviser;
@@ -101,6 +103,7 @@
       decisions: this.decisions,
       times: this.times,
       health: this.health,
+      window: this.window,
       noteEnd: run => {
         this.supervisor.noteEnd(run);
       },
@@ -207,6 +210,7 @@
         },
         silent: () => {
           this.silenceUntold = true;
+          this.window.noteSilence(ctx.clock());
         },
         changed: this.alarm.ring,
       },
@@ -326,6 +330,7 @@
       advice: this.advice,
       time: { now: ctx.clock(), nowWall: ctx.wallClock() },
       leadsSince: this.options.claim.wonAt,
+      mostStarts: this.window.free,
       moving: this.supervisor.moving(),
     };
   }
@@ -358,6 +363,10 @@
         this.order(run, decidedAt);
       }
     });
+    const decided = task.runs.find(open => open.number === number);
+    if (decided !== undefined) {
+      this.window.begin(decided);
+    }
   }
 
   /** Orders a recorded run to begin. */
--- a/packages/daemon/src/job-host/run-recorder.ts
+++ b/packages/daemon/src/job-host/run-recorder.ts
@@ -18,6 +18,7 @@
 import { logJobOver, logRun, logStrayEnd } from './leader-log.js';
 import { learnFromEnd } from './leader-records.js';
 import type { WonClaim } from './leadership.js';
+import type { StartWindow } from './start-window.js';
 
 /** What a recorder is given. */
 export interface RunRecorderOptions {
@@ -27,6 +28,7 @@
   readonly decisions: DecisionLog;
   readonly times: RunTimes;
   readonly health: WorkerHealth;
+  readonly window: StartWindow;
   /** A run is about to end. */
   readonly noteEnd: (run: Run) => void;
   /** Something was recorded that planning should see. */
@@ -50,10 +52,11 @@
     if (this.closed || !run.task.runs.includes(run)) {
       return;
     }
-    const { ctx, health, times } = this.options;
+    const { ctx, health, times, window } = this.options;
     learnFromEnd(run, how, { health, times, now: ctx.clock() });
     ctx.meters.ended(how);
     this.options.noteEnd(run);
+    window.noteEnded(run);
     const expectedMs = Math.round(times.expect(run.task.step));
     logRun(this.options, run, 'leader: a run has ended', { how, expectedMs });
     this.decideEnd(run.task, { run: run.number, how, checkpoint });
@@ -87,7 +90,8 @@
 
   /** Records the first begin of a job. */
   begun(run: Run): void {
-    const { decisions } = this.options;
+    const { decisions, window } = this.options;
+    window.noteBegun(run);
     const { job } = run.task.step.occurrence;
     if (!this.closed && !job.begun) {
       decisions.record({ kind: 'begun', job: job.spec.id });
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -27,6 +27,8 @@
   readonly time: PlanTime;
   /** Monotonic time at which this leader took over: how long tasks had waited by then it may not know. */
   readonly leadsSince: Instant;
+  /** Most starts that are decided in this round, but for those of tasks that go first of all. */
+  readonly mostStarts: number;
   /** Tasks that move off workers which leave: they are placed first, and room is kept for them until then. */
   readonly moving: Iterable<Task>;
 }
@@ -34,9 +36,6 @@
 /** Applies a decision before the next one is made. */
 export type ApplyStart = (decision: StartDecision) => void;
 
-/** Most starts that one round decides, so that a round stays short. */
-const MAX_STARTS = 200;
-
 /**
  * Whether lasting tasks on a worker that leaves are given room ahead of all that waits, or behind tasks
  * that end and ahead of lasting ones.
@@ -73,7 +72,7 @@
       keepOnce();
     }
     const key = shapeOf(step);
-    if (started >= MAX_STARTS) {
+    if (started >= input.mostStarts) {
       break;
     }
     if (!full.has(key)) {
--- a/packages/domain/src/jobs/test-support.ts
+++ b/packages/domain/src/jobs/test-support.ts
@@ -86,6 +86,7 @@
     advice: new Advice(),
     time: { now: 0, nowWall: 0 },
     leadsSince: -Infinity,
+    mostStarts: 200,
   };
 }
 
