Tell a call as not run only where its connection never came about

Found by reading all ways on which a run counts as never begun: an open connection may end with the codes of one that was refused or not routed, once its bytes are on their way; a start that was carried out so would count as never begun, and its task run again. Why it holds: such a code counts only from the system call that connects.

--- a/packages/ports/src/adapters/http-client.ts
+++ b/packages/ports/src/adapters/http-client.ts
@@ -2,7 +2,7 @@
 import { parseJson, type Outcome } from '@paddlewind/domain';
 import { Agent, request, type Dispatcher } from 'undici';
 
-import { NEVER_CONNECTED } from '../http-errors.js';
+import { codeOf, neverConnected } from '../http-errors.js';
 
 /** Options of an adapter. */
 export interface AdapterOptions {
@@ -167,14 +167,7 @@
 
 function failure(err: unknown): CallResult {
   const code = codeOf(err);
-  const outcome = NEVER_CONNECTED.has(code) ? 'not_run' : 'unknown';
+  const outcome = neverConnected(err) ? 'not_run' : 'unknown';
   const message = err instanceof Error ? err.message : String(err);
   return { kind: 'failed', outcome, reason: message === '' ? code : message };
 }
-
-function codeOf(err: unknown): string {
-  if (typeof err === 'object' && err !== null && 'code' in err) {
-    return String(err.code);
-  }
-  return '';
-}
