--- a/packages/daemon/src/job-host/run-supervisor.ts
+++ b/packages/daemon/src/job-host/run-supervisor.ts
@@ -44,6 +44,9 @@
  */
 const PATIENT_MS: Millis = 1_000;
 
+/** A task over its target for this long is told of: half of what its users bear. */
+const TOLD_OVER_MS: Millis = 2_000;
+
 function urgencyOf(leavingSince: Instant, now: Instant): Urgency {
   return now - leavingSince > PATIENT_MS ? 'urgent' : 'patient';
 }
@@ -80,7 +83,7 @@
       const slowed = isSlowed(run, input.time.now);
       const better = slowed ? findPlace(input, run.task) : undefined;
       if (better !== undefined) {
-        this.logStop(run, 'leader: a run is slowed here and moves', {
+        this.logRun(run, 'leader: a run is slowed here and moves', {
           better: better.info.id,
           allowed: run.progress?.allowed,
         });
@@ -114,7 +117,7 @@
     const { stop, stay } = planEvacuation(input, onLeaving);
     for (const run of stop) {
       this.moved.add(run);
-      this.logStop(run, 'leader: a run moves off a worker that leaves', {});
+      this.logRun(run, 'leader: a run moves off a worker that leaves', {});
       this.stop(run, 'leaving');
     }
     this.leavingLogs[urgency].tell(stay);
@@ -138,7 +141,14 @@
   learnFrom({ id, capacity }: WorkerInfo): void {
     const { ctx, state, interference } = this.options;
     const load = workerRuns(state, id);
-    interference.learn(load, capacity.cpuMilli, ctx.clock());
+    const over = interference.learn(load, capacity.cpuMilli, ctx.clock());
+    for (const { run, overMs } of over) {
+      if (overMs >= TOLD_OVER_MS) {
+        const fillers = load.fillerCpuMilli;
+        const more = { overMs: Math.round(overMs), fillers };
+        this.logRun(run, 'leader: a task was over its target', more);
+      }
+    }
   }
 
   /** Notes that a run is about to end. */
@@ -178,12 +188,12 @@
 
   private stopStalled(run: Run, now: Instant): void {
     const sinceMs = Math.round(now - (run.progress?.percentSince ?? now));
-    this.logStop(run, 'leader: a run stands still and is stopped', { sinceMs });
+    this.logRun(run, 'leader: a run stands still and is stopped', { sinceMs });
     this.options.health.noteStall(run.worker, now);
     this.stop(run, 'stalled');
   }
 
-  private logStop(run: Run, msg: string, more: Record<string, unknown>): void {
+  private logRun(run: Run, msg: string, more: Record<string, unknown>): void {
     const task = taskName(refOf(run.task));
     const { number, worker, progress } = run;
     this.options.ctx.log.info(
--- a/packages/domain/src/jobs/interference.ts
+++ b/packages/domain/src/jobs/interference.ts
@@ -92,6 +92,12 @@
   readonly used: number;
 }
 
+/** A run that was over its target, and for how long. */
+export interface OverRun {
+  readonly run: Run;
+  readonly overMs: Millis;
+}
+
 /** Learns pressures and loads, and limits fillers by them. */
 export class Interference {
   private readonly pressures = new Estimates<string>(
@@ -144,17 +150,25 @@
     }
   }
 
-  /** Takes in a report of a worker with `cpuMilli`, whose runs' readings are up to date. */
-  learn(load: WorkerRuns, cpuMilli: number, now: Instant): void {
+  /**
+   * Takes in a report of a worker with `cpuMilli`, whose runs' readings are up to date; returns the tasks
+   * that were over their targets and are no more.
+   */
+  learn(load: WorkerRuns, cpuMilli: number, now: Instant): OverRun[] {
     this.reportedAt = now;
     const parts = this.partsOf(load, cpuMilli, now);
+    const ended: OverRun[] = [];
     for (const run of servingOf(load)) {
       const tail = run.progress?.reading ?? 0;
       if (tail > 0) {
-        this.over.note(run, tail, now);
+        const overMs = this.over.note(run, tail, now);
+        if (overMs !== undefined) {
+          ended.push({ run, overMs });
+        }
         this.learnFrom(run.task.step, tail, parts, now);
       }
     }
+    return ended;
   }
 
   /** Share of its speed, 0 to 1, at which one more filler could run beside what is there. */
--- a/packages/domain/src/jobs/over-target.ts
+++ b/packages/domain/src/jobs/over-target.ts
@@ -11,7 +11,7 @@
 interface Span {
   readonly since: Instant;
   /** Time of the newest reading above the target. */
-  lastOver: Instant;
+  readonly lastOver: Instant;
 }
 
 /**
@@ -23,8 +23,8 @@
   private readonly spans = new WeakMap<Run, Span>();
   private readonly readAt = new WeakMap<Run, Instant>();
 
-  /** Takes in the reading of a run. */
-  note(run: Run, tail: Millis, now: Instant): void {
+  /** Takes in the reading of a run; returns for how long it was over its target, if that has ended. */
+  note(run: Run, tail: Millis, now: Instant): Millis | undefined {
     const target = run.task.step.spec.tailTargetMs ?? Infinity;
     // It may have been over its target since the reading before.
     const since = this.readAt.get(run) ?? now;
@@ -32,12 +32,16 @@
     const span = this.spans.get(run);
     if (tail > target) {
       this.spans.set(run, { since: span?.since ?? since, lastOver: now });
-    } else if (
-      tail <= CLEARLY_BELOW * target ||
-      now - (span?.lastOver ?? now) > SETTLED_MS
+      return undefined;
+    }
+    if (
+      span === undefined ||
+      (tail > CLEARLY_BELOW * target && now - span.lastOver <= SETTLED_MS)
     ) {
-      this.spans.delete(run);
+      return undefined;
     }
+    this.spans.delete(run);
+    return span.lastOver - span.since;
   }
 
   /** For how long a run has been over its target at least now and then; 0 for one that is not. */
