--- a/packages/daemon/src/job-host/fuzz-plan.fixture.test.ts
+++ b/packages/daemon/src/job-host/fuzz-plan.fixture.test.ts
@@ -136,6 +136,21 @@
   ),
 });
 
+/** Draws spans in which the answers of a worker to looks come late, in time or beyond it. */
+export const lateAnswers = fc.array(
+  fc.record({
+    at: fc.integer({ min: 500, max: STORM_MS }),
+    worker,
+    delayMs: fc.integer({ min: 100, max: 2_500 }),
+    span: fc.integer({ min: 1_000, max: 12_000 }),
+  }),
+  { minLength: 1, maxLength: 4 },
+);
+
+/** Late answers of one worker. */
+export type LateAnswers =
+  typeof lateAnswers extends fc.Arbitrary<(infer T)[]> ? T : never;
+
 /** What happens in a play. */
 export type Plan = typeof plan extends fc.Arbitrary<infer T> ? T : never;
 
--- a/packages/daemon/src/job-host/job-host.fuzz.test.ts
+++ b/packages/daemon/src/job-host/job-host.fuzz.test.ts
@@ -7,6 +7,7 @@
 import {
   HOSTS,
   LABEL,
+  lateAnswers,
   plan,
   requestsOf,
   STOPPED_MS,
@@ -14,6 +15,7 @@
   timeOf,
   WORKERS,
   type Fault,
+  type LateAnswers,
   type Plan,
   type Request,
 } from './fuzz-plan.fixture.test.js';
@@ -159,7 +161,27 @@
   site.addWorker(name, LABELLED.includes(name) ? [LABEL] : []);
 }
 
-async function play(found: Plan, crowd = 0): Promise<Simulation> {
+/** Lets a worker's answers to looks come late for a while. */
+function delayLooks(
+  site: Simulation,
+  { at, worker, delayMs, span }: LateAnswers,
+): void {
+  const { time, fleet, history } = site;
+  const from = time.clock() + at;
+  history.faults?.add({ from, until: from + span + delayMs, of: 'workers' });
+  time.schedule(at, () => {
+    fleet.lookDelays.set(worker, delayMs);
+  });
+  time.schedule(at + span, () => {
+    fleet.lookDelays.delete(worker);
+  });
+}
+
+async function play(
+  found: Plan,
+  crowd = 0,
+  late: readonly LateAnswers[] = [],
+): Promise<Simulation> {
   const site = new Simulation(found.seed);
   const begin = site.time.clock();
   const times = new FaultTimes();
@@ -183,6 +205,9 @@
       strike(site, struck);
     });
   }
+  late.forEach(answers => {
+    delayLooks(site, answers);
+  });
   void watch(site);
   await site.time.advance(STORM_MS + CALM_MS);
   return site;
@@ -226,3 +251,16 @@
     },
   );
 });
+
+test('promises hold under random faults while answers of workers come late', async () => {
+  await fc.assert(
+    fc.asyncProperty(plan, lateAnswers, async (found, late) => {
+      judge(await play(found, 0, late), found);
+    }),
+    {
+      numRuns: Number(process.env.FUZZ_RUNS ?? 10),
+      seed: Number(process.env.FUZZ_SEED ?? 20261205),
+      endOnFailure: process.env.FUZZ_SHRINK === undefined,
+    },
+  );
+});
