End a leader once a worker refuses its fence

Cause: the refusal was only logged. Why it holds: a worker has seen a higher fence only from a leader whose claim is in the log, so that nothing of this one is recorded any more; it begins to read again, as one that the log has told.

--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -195,8 +195,11 @@
           this.advice.refuse(step, info.id);
         },
         fenced: () => {
-          ctx.log.info({ worker: info.id }, 'leader: a worker was fenced');
-          this.alarm.ring();
+          // Its claim was recorded, so that nothing of this leader will be: the log may not tell it for seconds.
+          if (!this.ended) {
+            ctx.log.info({ worker: info.id }, 'leader: a worker was fenced');
+            this.end();
+          }
         },
         began: run => {
           this.runs.begun(run);
@@ -383,6 +386,9 @@
   }
 
   private end(): void {
+    if (this.ended) {
+      return;
+    }
     this.ended = true;
     this.runs.close();
     this.options.ctx.meters.accounted(EMPTY_ACCOUNT);
