--- a/packages/daemon/src/job-host/append-again.test.ts
+++ b/packages/daemon/src/job-host/append-again.test.ts
@@ -13,7 +13,10 @@
 const REFUSED: AppendResult = { kind: 'refused', reason: 'busy' };
 
 /** An append of which each try ends as `tries` tells, after the time given; later ones never end. */
-function start(tries: readonly (readonly [number, AppendResult])[]): {
+function start(
+  tries: readonly (readonly [number, AppendResult])[],
+  stoppedAt = Infinity,
+): {
   time: ReturnType<typeof createVirtualTime>;
   sent: () => number;
   outcome: () => AppendResult | undefined;
@@ -31,7 +34,9 @@
         });
       }
     });
-  void appendAgain(testContext(time), append, EVERY_MS).then(result => {
+  const stopped = (): boolean => time.clock() >= stoppedAt;
+  const options = { everyMs: EVERY_MS, stopped };
+  void appendAgain(testContext(time), append, options).then(result => {
     outcome = result;
   });
   return { time, sent: () => sent, outcome: () => outcome };
@@ -83,3 +88,10 @@
   await time.advance(10_000);
   assert.equal(sent(), 4);
 });
+
+test('an append that is given up is sent no more', async () => {
+  const { time, sent, outcome } = start([[1_500, UNKNOWN]], 100);
+  await time.advance(10_000);
+  assert.equal(sent(), 1);
+  assert.equal(outcome()?.kind, 'unknown');
+});
--- a/packages/daemon/src/job-host/append-again.ts
+++ b/packages/daemon/src/job-host/append-again.ts
@@ -8,6 +8,17 @@
 /** Most tries under way: each has its own connection, of which a host has few. */
 const MAX_UNDER_WAY = 4;
 
+/** An append is sent again once it takes this many times as long as the last one: the log may be slow. */
+export const SLOW_FACTOR = 2;
+
+/** How a stamped append is sent again. */
+export interface AppendAgainOptions {
+  /** Time without an answer after which it is. */
+  readonly everyMs: Millis;
+  /** Whether it is no more. */
+  readonly stopped: () => boolean;
+}
+
 /**
  * Appends until a try is answered, and sends it again each time that none was for `everyMs`; resolves
  * sooner when no try is under way any more. The stamp makes it one append, however many are carried out.
@@ -18,17 +29,18 @@
 export async function appendAgain(
   ctx: HostContext,
   append: () => Promise<AppendResult>,
-  everyMs: Millis,
+  { everyMs, stopped }: AppendAgainOptions,
 ): Promise<AppendResult> {
   const tries = new Tries();
+  tries.add(append());
   for (;;) {
-    if (tries.underWay < MAX_UNDER_WAY) {
-      tries.add(append());
-    }
     const result = await within(ctx, tries.outcome, everyMs);
     if (result !== undefined) {
       return result;
     }
+    if (tries.underWay < MAX_UNDER_WAY && !stopped()) {
+      tries.add(append());
+    }
   }
 }
 
--- a/packages/daemon/src/job-host/group-append.ts
+++ b/packages/daemon/src/job-host/group-append.ts
@@ -2,6 +2,7 @@
 import type { Millis } from '@paddlewind/domain';
 import type { AppendResult, JobLog } from '@paddlewind/ports/jobs';
 
+import { SLOW_FACTOR } from './append-again.js';
 import { appendTwice, SECOND_TRY_MS } from './append-twice.js';
 import { within } from './caller-view.js';
 import type { HostContext } from './context.js';
@@ -15,11 +16,6 @@
 /** Most records of one append: with 2 KB each it stays far below the log's limit. */
 const MAX_RECORDS = 400;
 
-/**
- * An append is sent again once it takes this many times as long as the last one: while the log is slow, a
- * second append of each would take twice the time that it has.
- */
-const SLOW_FACTOR = 2;
 /** Time after which the next append is sent though the last was not answered: its answer may be lost. */
 const LONGEST_TURN_MS: Millis = 250;
 
@@ -69,6 +65,7 @@
   ): Promise<AppendResult> {
     const { ctx, jobLog } = this;
     const sentAt = ctx.clock();
+    // While the log is slow, a second append of each would take twice the time that it has.
     const secondTryMs = Math.max(SECOND_TRY_MS, SLOW_FACTOR * this.answerMs);
     const result = await appendTwice(ctx, jobLog, records, { secondTryMs });
     if (result.kind === 'appended') {
--- a/packages/daemon/src/job-host/journal-writer.ts
+++ b/packages/daemon/src/job-host/journal-writer.ts
@@ -3,14 +3,11 @@
 import { encodeRecord, type JournalRecord } from '@paddlewind/domain/jobs';
 import type { AppendResult, JobLog, WriterStamp } from '@paddlewind/ports/jobs';
 
-import { appendAgain } from './append-again.js';
+import { appendAgain, SLOW_FACTOR } from './append-again.js';
 import { pause, type HostContext } from './context.js';
 import type { WonClaim } from './leadership.js';
 import { APPEND_AGAIN_MS, APPEND_RETRY_MS } from './timing.js';
 
-/** An append is sent again once it takes this many times as long as the last one: the log may be slow. */
-const SLOW_FACTOR = 2;
-
 /** What became of a batch. */
 export type WriteResult =
   | { readonly kind: 'written'; readonly nextOffset: number }
@@ -83,7 +80,8 @@
     const everyMs = Math.max(APPEND_AGAIN_MS, SLOW_FACTOR * this.answerMs);
     const append = (): Promise<AppendResult> =>
       jobLog.append('journal', encoded, stamp);
-    const result = await appendAgain(ctx, append, everyMs);
+    const stopped = (): boolean => this.closed;
+    const result = await appendAgain(ctx, append, { everyMs, stopped });
     if (result.kind === 'appended') {
       // How long an outage took tells nothing of how fast the log is after it.
       this.answerMs = Math.min(ctx.clock() - sentAt, APPEND_AGAIN_MS);
