Begin no filler beside a task that may be over its target

Now a worker takes no filler while a span over the target lasts, which a reading clearly below ends.

--- a/packages/domain/src/jobs/filler-speeds.ts
+++ b/packages/domain/src/jobs/filler-speeds.ts
@@ -14,6 +14,8 @@
     load: WorkerRuns,
     cpuMilli: number,
   ) => number;
+  /** Whether a run that serves is over its target. */
+  readonly isOver: (serving: Run) => boolean;
   /** Pressure of a filler, with caution. */
   readonly pressure: (serving: StepSpec, filler: StepSpec) => number;
 }
@@ -28,6 +30,8 @@
   /** Number of runs for which the rest holds: runs only begin. */
   readonly runs: number;
   readonly serving: readonly Serving[];
+  /** Whether one of them is over its target: what disturbs it may be blamed on others, and nothing is added. */
+  readonly isOver: boolean;
 }
 
 /** Valid while runs only begin and nothing is learnt. */
@@ -44,7 +48,11 @@
     let speed = 1;
     const taken = filler.size.cpuMilli / cpuMilli;
     const pressures = this.pressuresOf(filler);
-    for (const serving of this.besideOf(load).serving) {
+    const beside = this.besideOf(load);
+    if (beside.isOver) {
+      return 0;
+    }
+    for (const serving of beside.serving) {
       const { step } = serving;
       const gain = this.pressure(pressures, step.spec, filler) * taken;
       if (gain > HARMLESS_GAIN) {
@@ -60,14 +68,15 @@
     if (known?.runs === runs.size) {
       return known;
     }
-    const steps = new Set<Step>();
-    for (const { task } of runs.values()) {
-      if (task.step.spec.tailTargetMs !== undefined) {
-        steps.add(task.step);
-      }
-    }
-    const serving = [...steps].map(step => ({ step, left: undefined }));
-    const found = { runs: runs.size, serving };
+    const serves = [...runs.values()].filter(
+      ({ task }) => task.step.spec.tailTargetMs !== undefined,
+    );
+    const steps = new Set(serves.map(({ task }) => task.step));
+    const found = {
+      runs: runs.size,
+      serving: [...steps].map(step => ({ step, left: undefined })),
+      isOver: serves.some(run => this.source.isOver(run)),
+    };
     this.beside.set(runs, found);
     return found;
   }
--- a/packages/domain/src/jobs/interference.test.ts
+++ b/packages/domain/src/jobs/interference.test.ts
@@ -94,6 +94,31 @@
   assert.equal(at.model.shares(load, CPU_MILLI, 3_500).get(at.filler), 0);
 });
 
+// Seen: a task was over its target for 3.6 s by its readings, while fillers that had been moved away were placed
+// beside it again, twice: the model found room for them with each reading that was a little below the target.
+test('no filler begins beside a task that may be over its target still', () => {
+  const at = site();
+  report(at, 0, 20);
+  const load = workerRuns(at.state, 'w');
+  const size = { cpuMilli: 200, memoryMiB: 1, accelerators: 0 };
+  const spec = { ...at.filler.task.step.spec, size };
+  const speedAfter = (reading: number): number => {
+    assert.ok(at.serving.progress && at.filler.progress);
+    // It is paused, so that the model blames something else.
+    at.filler.progress.reading = 0;
+    at.serving.progress.reading = reading;
+    at.now += 350;
+    at.model.learn(load, CPU_MILLI, at.now);
+    return at.model.speedOf(load, CPU_MILLI, spec);
+  };
+  assert.equal(speedAfter(FLOOR_MS / (1 - OWN_LOAD)), 1);
+  assert.equal(speedAfter(TARGET_MS + 1), 0);
+  for (let reports = 0; reports < 3; reports += 1) {
+    assert.equal(speedAfter(0.81 * TARGET_MS), 0);
+  }
+  assert.ok(speedAfter(FLOOR_MS / (1 - OWN_LOAD)) > 0);
+});
+
 test('a filler that would lose much of its work stays', () => {
   const at = site();
   assert.ok(at.filler.progress);
--- a/packages/domain/src/jobs/interference.ts
+++ b/packages/domain/src/jobs/interference.ts
@@ -182,6 +182,7 @@
       leftBeside: (serving, load, cpuMilli) =>
         this.freeGain(serving, PLACE_AHEAD_MS) -
         this.gainBy(serving, fillersOf(load), cpuMilli),
+      isOver: run => this.over.has(run),
       pressure: (serving, filler) => {
         const { mean, variance } = this.pressureOf(serving, filler);
         return mean + PLACE_CAUTION * Math.sqrt(variance);
