--- a/packages/domain/src/jobs/filler-speeds.ts
+++ b/packages/domain/src/jobs/filler-speeds.ts
@@ -14,7 +14,7 @@
     load: WorkerRuns,
     cpuMilli: number,
   ) => number;
-  /** Whether a run that serves is over its target. */
+  /** Whether a run that serves has been over its target for a while. */
   readonly isOver: (serving: Run) => boolean;
   /** Pressure of a filler, with caution. */
   readonly pressure: (serving: StepSpec, filler: StepSpec) => number;
@@ -30,7 +30,7 @@
   /** Number of runs for which the rest holds: runs only begin. */
   readonly runs: number;
   readonly serving: readonly Serving[];
-  /** Whether one of them is over its target: what disturbs it may be blamed on others, and nothing is added. */
+  /** Whether one of them has been over its target: what disturbs it may be blamed on others, and nothing is added. */
   readonly isOver: boolean;
 }
 
--- a/packages/domain/src/jobs/interference.ts
+++ b/packages/domain/src/jobs/interference.ts
@@ -182,7 +182,8 @@
       leftBeside: (serving, load, cpuMilli) =>
         this.freeGain(serving, PLACE_AHEAD_MS) -
         this.gainBy(serving, fillersOf(load), cpuMilli),
-      isOver: run => this.over.has(run),
+      // Sooner, a reading that is a little above would cost fillers 0.01 of what their work is worth.
+      isOver: run => this.over.spanOf(run, this.reportedAt) > OVER_MS,
       pressure: (serving, filler) => {
         const { mean, variance } = this.pressureOf(serving, filler);
         return mean + PLACE_CAUTION * Math.sqrt(variance);
--- a/packages/domain/src/jobs/over-target.ts
+++ b/packages/domain/src/jobs/over-target.ts
@@ -45,11 +45,6 @@
     return span.lastOver - span.since;
   }
 
-  /** Whether a run is over its target. */
-  has(run: Run): boolean {
-    return this.spans.has(run);
-  }
-
   /** For how long a run has been over its target; 0 for one that is not. */
   spanOf(run: Run, now: Instant): Millis {
     return now - (this.spans.get(run)?.since ?? now);
