--- a/packages/daemon/src/job-host/late-answers.test.ts
+++ b/packages/daemon/src/job-host/late-answers.test.ts
@@ -11,7 +11,6 @@
 import { test } from 'node:test';
 
 import type { Millis } from '@paddlewind/domain';
-import { decodeJournal } from '@paddlewind/domain/jobs';
 
 import { Simulation } from './simulation.fixture.test.js';
 
@@ -41,18 +40,12 @@
   return site;
 }
 
-/** Number of runs that were recorded to start. */
-function startsOf(site: Simulation): number {
-  const records = site.log.recordsOf('journal').map(decodeJournal);
-  return records.filter(record => record?.kind === 'start').length;
-}
-
 for (const runMs of [2_000, 4_000, 9_000]) {
   test(`tasks of a worker that answers late run once: ${runMs} ms`, async () => {
     for (const seed of [1, 2, 3]) {
       const site = await siteWithLateAnswers(seed, runMs);
       await site.time.advance(CONGESTED_MS);
-      assert.equal(startsOf(site), TASKS, `seed ${seed}`);
+      assert.equal(site.recordedStarts(), TASKS, `seed ${seed}`);
       assert.ok(site.history.isDone(JOB));
       assert.deepEqual(site.history.check(), []);
     }
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -360,13 +360,15 @@
       worker,
     };
     const decidedAt = this.options.ctx.clock();
+    const opened = (): Run | undefined =>
+      task.runs.find(open => open.number === number);
     this.decisions.record(entry, written => {
-      const run = task.runs.find(open => open.number === number);
+      const run = opened();
       if (written && run !== undefined) {
         this.order(run, decidedAt);
       }
     });
-    const decided = task.runs.find(open => open.number === number);
+    const decided = opened();
     if (decided !== undefined) {
       this.window.begin(decided);
     }
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -269,6 +269,12 @@
     return claims.at(-1)?.host ?? '';
   }
 
+  /** Number of runs that were recorded to start. */
+  recordedStarts(): number {
+    const records = this.log.recordsOf('journal').map(decodeJournal);
+    return records.filter(record => record?.kind === 'start').length;
+  }
+
   /** Resolves after `span` of virtual time. */
   wait(span: Millis): Promise<void> {
     return new Promise(resolve => {
--- a/packages/daemon/src/job-host/stray-ends.test.ts
+++ b/packages/daemon/src/job-host/stray-ends.test.ts
@@ -20,12 +20,6 @@
 /** Time in which the lease ends and the run is given up. */
 const SILENT_MS: Millis = 9_000;
 
-/** Number of runs that were recorded to start. */
-function startsOf(site: Simulation): number {
-  const records = site.log.recordsOf('journal').map(decodeJournal);
-  return records.filter(record => record?.kind === 'start').length;
-}
-
 function cut(site: Simulation, worker: string): void {
   HOSTS.forEach(name => site.fleet.cuts.add(`${name}>${worker}`));
 }
@@ -62,7 +56,7 @@
       const site = await siteWithStrayEnd(seed, step);
       site.fleet.cuts.clear();
       await site.time.advance(6_000);
-      assert.equal(startsOf(site), step.tasks, `seed ${seed}`);
+      assert.equal(site.recordedStarts(), step.tasks, `seed ${seed}`);
       assert.ok(site.history.isDone(JOB));
       assert.deepEqual(site.history.check(), []);
       for (const { host } of site.hosts.values()) {
--- a/packages/domain/src/jobs/filler-speeds.ts
+++ b/packages/domain/src/jobs/filler-speeds.ts
@@ -6,6 +6,13 @@
 /** Gain of a load, as a share of it, below which a filler is taken not to disturb. */
 export const HARMLESS_GAIN = 0.02;
 
+/** The runs of a worker that serve. */
+export function servingOf(runs: ReadonlyMap<string, Run>): Run[] {
+  return [...runs.values()].filter(
+    ({ task }) => task.step.spec.tailTargetMs !== undefined,
+  );
+}
+
 /** What is known of loads and pressures. */
 export interface SpeedSource {
   /** Gain of a serving step's load that the fillers of a worker leave to one more. */
@@ -68,9 +75,7 @@
     if (known?.runs === runs.size) {
       return known;
     }
-    const serves = [...runs.values()].filter(
-      ({ task }) => task.step.spec.tailTargetMs !== undefined,
-    );
+    const serves = servingOf(runs);
     const steps = new Set(serves.map(({ task }) => task.step));
     const found = {
       runs: runs.size,
--- a/packages/domain/src/jobs/interference.ts
+++ b/packages/domain/src/jobs/interference.ts
@@ -9,7 +9,7 @@
  */
 import type { Instant, Millis } from '../core/time.js';
 import { Estimates, type Drift, type Estimate } from './estimate.js';
-import { FillerSpeeds, HARMLESS_GAIN } from './filler-speeds.js';
+import { FillerSpeeds, HARMLESS_GAIN, servingOf } from './filler-speeds.js';
 import type { Run, Step } from './job.js';
 import type { WorkerRuns } from './jobs-state.js';
 import {
@@ -158,7 +158,7 @@
     this.reportedAt = now;
     const parts = this.partsOf(load, cpuMilli, now);
     const ended: OverRun[] = [];
-    for (const run of servingOf(load)) {
+    for (const run of servingOf(load.runs)) {
       const tail = run.progress?.reading ?? 0;
       if (tail > 0) {
         const overMs = this.over.note(run, tail, now);
@@ -196,7 +196,7 @@
     const fillers = fillersOf(load);
     return (
       fillers.length > 0 &&
-      servingOf(load).some(({ task }) => {
+      servingOf(load.runs).some(({ task }) => {
         const gain = this.gainBy(task.step, fillers, cpuMilli);
         return this.freeGain(task.step, LIMIT_AHEAD_MS) - gain < TIGHT_GAIN;
       })
@@ -207,7 +207,7 @@
   shares(load: WorkerRuns, cpuMilli: number, now: Instant): Map<Run, number> {
     const fillers = fillersOf(load);
     const shares = new Map(fillers.map(run => [run, 100]));
-    for (const run of servingOf(load)) {
+    for (const run of servingOf(load.runs)) {
       const overMs = this.over.spanOf(run, now);
       if (overMs > 2 * OVER_MS) {
         return new Map(fillers.map(filler => [filler, 0]));
@@ -364,12 +364,6 @@
   return `${serving.image ?? ''}/${filler.image ?? ''}`;
 }
 
-function servingOf({ runs }: WorkerRuns): Run[] {
-  return [...runs.values()].filter(
-    ({ task }) => task.step.spec.tailTargetMs !== undefined,
-  );
-}
-
 function fillersOf({ runs }: WorkerRuns): Run[] {
   return [...runs.values()].filter(({ task }) => task.step.spec.filler);
 }
--- a/packages/domain/src/jobs/over-target.ts
+++ b/packages/domain/src/jobs/over-target.ts
@@ -2,7 +2,7 @@
 import type { Instant, Millis } from '../core/time.js';
 import type { Run } from './job.js';
 
-/** A reading is off by up to a fifth: one below this share of the target shows that the tail is below it. */
+/** Readings are rough, and taken to be off by a fifth at the most: below this share the tail is below its target. */
 const CLEARLY_BELOW = 0.8;
 /** Without a reading above the target for this long the tail is below it: three reports of 350 ms. */
 const SETTLED_MS: Millis = 1_200;
@@ -17,8 +17,8 @@
 /**
  * Tells for how long tasks have been over their targets. Where a tail stands a little above its target
  * some of its readings are below, and must not begin the count anew. Users bear 4 s: a task is disturbed for
- * 2.9 s at the most, and was for up to 4.5 s where each reading below ended a span (24,000 simulated cases,
- * and one that shows it). Tasks that fill are served some 0.01 less of what their work is worth for it.
+ * 2.9 s at the most, and was for up to 4.5 s where each reading below ended a span (24,000 cases simulated
+ * with readings that are off by up to a fifth, and one that shows it). Tasks that fill are served some 0.01 less of what their work is worth for it.
  */
 export class OverTarget {
   private readonly spans = new WeakMap<Run, Span>();
