Tell which runs began last on a worker that is given up, and count such workers

The record of crashing workers shows runs that end as lapsed, which says neither that the worker crashed nor what had begun there last. Sight only, no logic: one line for all three ways in which runs are given up (reason: replaced, unanswered, unregistered), which names the five newest runs with their age and whether their start was confirmed, and a counter of workers by reason. A task that crashes its workers is the name that comes back.

--- a/packages/daemon/src/job-host/leader-leases.ts
+++ b/packages/daemon/src/job-host/leader-leases.ts
@@ -9,6 +9,7 @@
 
 import type { HostContext } from './context.js';
 import type { Fleet } from './fleet.js';
+import { tellGivenUp } from './given-up-runs.js';
 import type { WonClaim } from './leadership.js';
 import type { Replica } from './replica.js';
 import {
@@ -91,10 +92,7 @@
   private giveUpUnregistered(worker: string): void {
     const { ctx, state, lapsed } = this.options;
     const runs = [...(state.workers.get(worker)?.runs.values() ?? [])];
-    ctx.log.warn(
-      { worker, runs: runs.length },
-      'leader: runs at a worker that is not registered are given up',
-    );
+    tellGivenUp(ctx, worker, runs, 'unregistered');
     runs.forEach(lapsed);
   }
 
--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -19,6 +19,12 @@
  */
 export type StartGivenUp = 'late' | 'over' | 'needless' | 'stale' | 'worker';
 
+/**
+ * Why all runs of a worker were given up: another life of it answered, it did not answer until its lease had
+ * ended, or it had left the registry before this leader took over.
+ */
+export type WorkerGivenUp = 'replaced' | 'unanswered' | 'unregistered';
+
 /** What a caller asked for that was refused; changes that are refused are counted among the requests. */
 export type RefusedRequest = 'queue_length' | 'status';
 
@@ -46,6 +52,8 @@
   readonly decided: (kind: JournalRecord['kind']) => void;
   /** A run has ended. */
   readonly ended: (how: RunEnd) => void;
+  /** All runs of a worker, one or more, were given up. */
+  readonly workerGivenUp: (reason: WorkerGivenUp) => void;
   /** A run was ordered to stop. */
   readonly stopped: (reason: StopReason) => void;
   /** A start was sent `wait` after its decision, when the leader's reading of the inbox was `inboxAge` old. */
@@ -100,6 +108,7 @@
     ...createWorkMeters(registry),
     ...createLagMeters(registry),
     ...createFleetMeters(registry),
+    ...createLossMeters(registry),
     ...createFaultMeters(registry),
   };
 }
@@ -170,6 +179,23 @@
   };
 }
 
+/** Registers what tells of workers that are lost. */
+function createLossMeters(
+  registry: Registry,
+): Pick<JobMeters, 'workerGivenUp'> {
+  const workers = new Counter({
+    name: 'paddlewind_jobs_workers_given_up_total',
+    help: 'Workers of which all runs were given up while this host led, by reason.',
+    labelNames: ['reason'],
+    registers: [registry],
+  });
+  return {
+    workerGivenUp: reason => {
+      workers.inc({ reason });
+    },
+  };
+}
+
 type LagMeters = Pick<
   JobMeters,
   'startSent' | 'startGivenUp' | 'refused' | 'loopDelayed'
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -21,7 +21,9 @@
 import { Alarm } from './alarm.js';
 import { AnswerSlack } from './answer-slack.js';
 import { pause, type HostContext } from './context.js';
+import { tellGivenUp } from './given-up-runs.js';
 import { Lease } from './lease.js';
+import type { WorkerGivenUp } from './meters.js';
 import {
   LOOK_RETRY_MS,
   MIN_START_LEASE_MS,
@@ -174,7 +176,7 @@
   giveUpIfLapsed(now: Instant): void {
     const end = this.silentLeaseEnd;
     if (end !== undefined && now > end && this.openRuns().size > 0) {
-      this.endAll('no answer, and its lease has lapsed');
+      this.endAll('unanswered');
     }
   }
 
@@ -314,7 +316,7 @@
   }
 
   private takeReplaced(): void {
-    this.endAll('another life of the worker answered');
+    this.endAll('replaced');
     this.closed = true;
     this.options.events.changed();
   }
@@ -452,12 +454,10 @@
     };
   }
 
-  private endAll(reason: string): void {
+  private endAll(reason: WorkerGivenUp): void {
+    const { ctx } = this.options;
     const runs = [...this.openRuns().values()];
-    this.options.ctx.log.warn(
-      { worker: this.info.id, runs: runs.length, reason, ...this.contact() },
-      'worker: its runs are given up',
-    );
+    tellGivenUp(ctx, this.info.id, runs, reason, this.contact());
     for (const run of runs) {
       const checkpoint = run.progress?.checkpoint ?? '';
       this.options.events.ended(run, 'lapsed', checkpoint);
--- a/packages/domain/src/jobs/job.ts
+++ b/packages/domain/src/jobs/job.ts
@@ -54,6 +54,8 @@
   readonly task: Task;
   readonly number: number;
   readonly worker: string;
+  /** Monotonic time at which this host learnt of its start. */
+  readonly openedAt: Instant;
   progress: RunProgress | undefined;
 }
 
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -138,7 +138,13 @@
   number: number,
   worker: string,
 ): void {
-  const run: Run = { task, number, worker, progress: undefined };
+  const run: Run = {
+    task,
+    number,
+    worker,
+    openedAt: state.now,
+    progress: undefined,
+  };
   task.runs.push(run);
   task.lastRun = Math.max(task.lastRun, number);
   if (task.status === 'waiting') {
