Test that a task which crashes its workers is given up

Simulated tasks can bring their workers down some time after they began; the worker is back later. Three things are promised by it: no third start after three workers crashed under a task, failed is shown only with cause (attempts spent, or two crashes), and lasting tasks beside run in the end.

--- /dev/null
+++ b/packages/daemon/src/job-host/crashing-site.fixture.test.ts
@@ -0,0 +1,107 @@
+/** A site on which a lasting job runs, and what becomes of it beside a job that brings its workers down. */
+import type { Millis } from '@paddlewind/domain';
+import { FaultTimes, type TaskScript } from '@paddlewind/stand-ins/jobs';
+
+import { Simulation, type TestStep } from './simulation.fixture.test.js';
+
+/** The job that lasts, and its number of tasks. */
+export const NEIGHBOUR = '00000000000000f1';
+export const NEIGHBOUR_TASKS = 8;
+/** The first job that brings its workers down. */
+export const CRASHER = '00000000000000f2';
+
+const HOSTS = ['h1', 'h2', 'h3', 'h4', 'h5', 'h6'];
+/** Machines of the workers. */
+export const WORKERS = ['w1', 'w2', 'w3', 'w4', 'w5', 'w6'];
+const ENDLESS = { runMs: 10_000_000, failures: 0 };
+/** Time until a host leads and the lasting job runs. */
+const SETTLE_MS = 4_000;
+/** How often callers ask for the state of each job. */
+const ASK_EVERY_MS = 250;
+
+/** Starts six hosts and six workers of four cores; the lasting job runs on them. */
+export async function siteWithNeighbours(
+  seed: number,
+  revivalMs?: Millis,
+): Promise<Simulation> {
+  const site = new Simulation(
+    seed,
+    revivalMs === undefined ? {} : { revivalMs },
+  );
+  site.history.faults = new FaultTimes();
+  WORKERS.forEach(name => {
+    site.addWorker(name);
+  });
+  HOSTS.forEach(name => site.startHost(name));
+  const step = { tasks: NEIGHBOUR_TASKS, after: [], lasting: true };
+  void site.submit(NEIGHBOUR, [step], ENDLESS);
+  await site.time.advance(SETTLE_MS);
+  void watch(site);
+  return site;
+}
+
+/** Asks hosts in turn for the state of each job, as callers do. */
+async function watch(site: Simulation): Promise<void> {
+  for (let turn = 0; ; turn += 1) {
+    await site.wait(ASK_EVERY_MS);
+    const name = HOSTS[turn % HOSTS.length] ?? '';
+    const found = site.hosts.get(name);
+    if (found?.alive !== true) {
+      continue;
+    }
+    const askedAt = site.time.clock();
+    for (const id of site.history.jobs.keys()) {
+      void found.host.service.status(id).then(result => {
+        if (result.kind !== 'unavailable') {
+          const state = result.kind === 'known' ? result.status : result.kind;
+          site.history.told(id, askedAt, state);
+        }
+      });
+    }
+  }
+}
+
+/** A job whose tasks bring their workers down. */
+export interface Crasher {
+  readonly steps: TestStep[];
+  readonly script: TaskScript;
+}
+
+/** A job of one task, which brings its worker down `afterMs` after it began. */
+export function crasher(
+  afterMs: Millis,
+  step: Partial<TestStep> = {},
+): Crasher {
+  return {
+    steps: [{ tasks: 1, after: [], ...step }],
+    script: { runMs: 6_000, failures: 0, crash: { afterMs } },
+  };
+}
+
+/** Kills the leader every `everyMs`; it is there again soon after. */
+export async function killLeaders(
+  site: Simulation,
+  everyMs: Millis,
+): Promise<void> {
+  for (;;) {
+    await site.wait(everyMs);
+    const name = site.leader();
+    site.kill(name);
+    await site.wait(RESTART_MS);
+    site.startHost(name);
+  }
+}
+
+const RESTART_MS = 500;
+
+/** Freezes the leader for `span` every `everyMs`. */
+export async function freezeLeaders(
+  site: Simulation,
+  everyMs: Millis,
+  span: Millis,
+): Promise<void> {
+  for (;;) {
+    await site.wait(everyMs);
+    site.freeze(site.leader(), span);
+  }
+}
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -34,6 +34,7 @@
 const PEER_TAKEN_MS = 80;
 const PEER_APPENDED_MS = 1_200;
 const MAX_LEASE_MS = 6_000;
+const REVIVAL_MS = 2_500;
 const RETENTION_MS = 30_000;
 const STATUS_MS = 20_000;
 const CAPACITY = { cpuMilli: 4_000, memoryMiB: 8_000, accelerators: 0 };
@@ -75,6 +76,8 @@
 interface SiteOptions {
   /** Longest lease that workers take. */
   readonly maxLeaseMs?: Millis;
+  /** Time after which a worker that a task has brought down is there again. */
+  readonly revivalMs?: Millis;
 }
 
 /** Several hosts on one log and one fleet. */
@@ -97,7 +100,10 @@
   private lives = 0;
 
   /** Creates a simulation whose chance follows `seed`. */
-  constructor(seed: number, { maxLeaseMs = MAX_LEASE_MS }: SiteOptions = {}) {
+  constructor(
+    seed: number,
+    { maxLeaseMs = MAX_LEASE_MS, revivalMs = REVIVAL_MS }: SiteOptions = {},
+  ) {
     this.maxLeaseMs = maxLeaseMs;
     this.time = createVirtualTime();
     this.random = seededRandom(seed);
@@ -107,6 +113,19 @@
     this.history.statusMs = STATUS_MS;
     this.log = new MemoryJobLog(time);
     this.fleet = new MemoryFleet(time, this.history);
+    this.fleet.onCrash = machine => {
+      const from = clock();
+      this.history.faults?.add({
+        from,
+        until: from + revivalMs,
+        of: 'workers',
+      });
+      schedule(revivalMs, () => {
+        if (this.fleet.at(machine) === undefined) {
+          this.addWorker(machine);
+        }
+      });
+    };
   }
 
   /** Adds a new life of the worker on `machine`. */
--- a/packages/stand-ins/src/jobs/answer-promises.test.ts
+++ b/packages/stand-ins/src/jobs/answer-promises.test.ts
@@ -159,3 +159,18 @@
     assert.deepEqual(story.broken(), ['length_counts']);
   }
 });
+
+test('a job is shown as failed with cause once two workers crashed under a task, not before', () => {
+  const story = new Story([{ tasks: 1, after: [] }]);
+  story.begin(100, task(), 1, 'w1');
+  story.crash(110, task(), 1, 'w1');
+  story.history.told(JOB, 200, 'failed');
+  assert.deepEqual(story.broken(), ['failed_when_spent']);
+  const blamed = new Story([{ tasks: 1, after: [] }]);
+  for (const run of [1, 2]) {
+    blamed.begin(run * 100, task(), run, 'w1');
+    blamed.crash(run * 100 + 10, task(), run, 'w1');
+  }
+  blamed.history.told(JOB, 300, 'failed');
+  assert.deepEqual(blamed.broken(), []);
+});
--- a/packages/stand-ins/src/jobs/answer-promises.ts
+++ b/packages/stand-ins/src/jobs/answer-promises.ts
@@ -4,6 +4,7 @@
 
 import { CONTACT_MS } from './fault-times.js';
 import {
+  blamedAt,
   jobDoneAt,
   type Facts,
   type PromisedJob,
@@ -53,7 +54,10 @@
         ? 'completed_when_done'
         : undefined;
     case 'failed':
-      return spentAt(facts, shown.job, job) > shown.at
+      return Math.min(
+        spentAt(facts, shown.job, job),
+        blamedAt(facts, shown.job),
+      ) > shown.at
         ? 'failed_when_spent'
         : undefined;
     case 'cancelled':
@@ -90,12 +94,24 @@
   return Math.min(Infinity, ...spent);
 }
 
+/** When a job was first shown as failed: whether that had a cause is judged by itself. */
+function shownFailedAt({ shown }: Facts, id: string): Instant {
+  const found = shown.filter(
+    ({ job, state }) => job === id && state === 'failed',
+  );
+  return Math.min(Infinity, ...found.map(({ at }) => at));
+}
+
 function isDenied(
   facts: Facts,
   { askedAt, at, job: id }: ShownState,
   job: PromisedJob,
 ): boolean {
-  const overAt = Math.min(jobDoneAt(facts, id), spentAt(facts, id, job));
+  const overAt = Math.min(
+    jobDoneAt(facts, id),
+    spentAt(facts, id, job),
+    shownFailedAt(facts, id),
+  );
   const cancelAt = Math.min(job.cancelledAt, job.cancelAskedAt ?? Infinity);
   return (
     askedAt > (job.acceptedAt ?? Infinity) + VISIBLE_MS &&
--- a/packages/stand-ins/src/jobs/history-facts.ts
+++ b/packages/stand-ins/src/jobs/history-facts.ts
@@ -1,10 +1,11 @@
 /** What a history holds, and what all promises are judged by. */
 import type { Instant, Millis } from '@paddlewind/domain';
-import type {
-  JobStatus,
-  RunEnd,
-  TaskRef,
-  TaskSize,
+import {
+  taskName,
+  type JobStatus,
+  type RunEnd,
+  type TaskRef,
+  type TaskSize,
 } from '@paddlewind/domain/jobs';
 
 import type { FaultTimes } from './fault-times.js';
@@ -15,6 +16,7 @@
   | 'finish_once'
   | 'steps_in_order'
   | 'attempts_bounded'
+  | 'crashes_bounded'
   | 'nothing_after_cancel'
   | 'ends_after_cancel'
   | 'not_on_leaving'
@@ -78,6 +80,8 @@
   notedAt: Instant;
   /** Whether its order was held up on the way; bounds on time don't hold for it. */
   readonly late: boolean;
+  /** Whether it brought its worker down. */
+  crashed: boolean;
 }
 
 /** One life of a worker. */
@@ -161,6 +165,26 @@
   return Math.max(-Infinity, ...ends);
 }
 
+/** Workers that a task may bring down before its job may be given up. */
+const CRASHES_TO_BLAME = 2;
+
+/** Returns when a task of the job had brought down so many workers that it may be given up. */
+export function blamedAt({ runs }: Facts, id: string): Instant {
+  const crashes = new Map<string, number>();
+  const inOrder = runs
+    .filter(({ task, crashed }) => task.job === id && crashed)
+    .sort((a, b) => a.endedAt - b.endedAt);
+  for (const { task, endedAt } of inOrder) {
+    const name = taskName(task);
+    const count = (crashes.get(name) ?? 0) + 1;
+    crashes.set(name, count);
+    if (count === CRASHES_TO_BLAME) {
+      return endedAt;
+    }
+  }
+  return Infinity;
+}
+
 /** Describes a broken promise by runs. */
 export function violation(
   promise: PromiseName,
--- a/packages/stand-ins/src/jobs/history.fixture.test.ts
+++ b/packages/stand-ins/src/jobs/history.fixture.test.ts
@@ -78,6 +78,13 @@
     this.history.ended({ task: ref, run }, on, how, 0);
   }
 
+  /** A run brings its worker down. */
+  crash(at: Instant, ref: TaskRef, run: number, on = 'w1'): void {
+    this.now = at;
+    this.history.broughtDown({ task: ref, run }, on);
+    this.history.lost({ task: ref, run }, on);
+  }
+
   /** The names of the promises that are broken at `at`, each once. */
   broken(at: Instant = this.now): PromiseName[] {
     this.now = at;
--- a/packages/stand-ins/src/jobs/job-history.ts
+++ b/packages/stand-ins/src/jobs/job-history.ts
@@ -96,9 +96,25 @@
       lapsesAtEnd: 0,
       notedAt: Infinity,
       late: this.late,
+      crashed: false,
     });
   }
 
+  /** A run is about to bring its worker down. */
+  broughtDown(ref: RunRef, worker: string): void {
+    const trace = this.runs.get(this.key(ref, worker));
+    if (trace !== undefined) {
+      trace.crashed = true;
+    }
+  }
+
+  /** Number of workers that tasks of a job have brought down. */
+  broughtDownBy(id: string): number {
+    return [...this.runs.values()].filter(
+      ({ task, crashed }) => task.job === id && crashed,
+    ).length;
+  }
+
   /** A run has ended. */
   ended(ref: RunRef, worker: string, how: RunEnd, lapses: number): void {
     const trace = this.runs.get(this.key(ref, worker));
@@ -131,6 +147,11 @@
     this.shown.push({ job, askedAt, at: this.clock(), state });
   }
 
+  /** The state that a caller was told last of a job. */
+  lastTold(id: string): ShownState['state'] | undefined {
+    return this.shown.findLast(({ job }) => job === id)?.state;
+  }
+
   /** A caller that asked a host at `askedAt` was told the length of the only queue. */
   toldLength(host: string, askedAt: Instant, length: number): void {
     this.lengths.push({ host, askedAt, at: this.clock(), length });
--- a/packages/stand-ins/src/jobs/lasting-promise.ts
+++ b/packages/stand-ins/src/jobs/lasting-promise.ts
@@ -4,6 +4,7 @@
 
 import type { FaultTimes } from './fault-times.js';
 import {
+  blamedAt,
   stepDoneAt,
   stepOf,
   violation,
@@ -80,6 +81,7 @@
     facts.now,
     job.cancelledAt,
     job.cancelAskedAt ?? Infinity,
+    blamedAt(facts, id),
   );
   return Array.from({ length: tasks }, (_, index) => {
     const task = { job: id, occurrence: 0, step, index };
--- a/packages/stand-ins/src/jobs/memory-fleet.ts
+++ b/packages/stand-ins/src/jobs/memory-fleet.ts
@@ -36,6 +36,9 @@
   /** Time by machine that an order takes beyond the network, in milliseconds; below a timeout. */
   readonly slowness = new Map<string, number>();
 
+  /** Told of each worker that a task has brought down. */
+  onCrash: (machine: string) => void = () => undefined;
+
   private readonly workers = new Map<string, MemoryWorker>();
   private readonly gangs: Gangs;
   private readonly leaving = new Set<string>();
@@ -53,7 +56,11 @@
   /** Adds a worker whose address is that of its machine. */
   add(machine: string, traits: WorkerTraits): MemoryWorker {
     const { time, history, gangs } = this;
-    const worker = new MemoryWorker(traits, time, history, gangs);
+    const worker = new MemoryWorker(traits, time, history, gangs, order => {
+      history.broughtDown(order, traits.id);
+      this.crash(machine);
+      this.onCrash(machine);
+    });
     history.joined({ labels: [], ...traits });
     this.workers.set(traits.id, worker);
     this.lives.set(machine, traits.id);
--- a/packages/stand-ins/src/jobs/memory-worker.ts
+++ b/packages/stand-ins/src/jobs/memory-worker.ts
@@ -27,6 +27,8 @@
   readonly failures: number;
   /** How many tasks work only together; undefined where each works by itself. */
   readonly gang?: number;
+  /** Which of its tasks bring their workers down, and how long after a run began; all without an index. */
+  readonly crash?: { readonly afterMs: Millis; readonly index?: number };
   /** Only makes the job larger. */
   readonly payload?: string;
 }
@@ -77,6 +79,8 @@
     private readonly time: SimulatedTime,
     private readonly history: JobHistory,
     private readonly gangs = new Gangs(time),
+    /** A run brings the worker down. */
+    private readonly onCrash: (order: StartOrder) => void = () => undefined,
   ) {}
 
   /** The worker's own clock. */
@@ -172,6 +176,25 @@
       cancelEnd: this.work(key, order, script),
     });
     this.history.began(order, this.traits.id);
+    this.crashLater(key, order, script);
+  }
+
+  private crashLater(
+    key: string,
+    order: StartOrder,
+    { crash }: TaskScript,
+  ): void {
+    if (crash === undefined) {
+      return;
+    }
+    const { afterMs, index = order.task.index } = crash;
+    if (order.task.index === index) {
+      this.time.schedule(afterMs, () => {
+        if (this.active.has(key)) {
+          this.onCrash(order);
+        }
+      });
+    }
   }
 
   /** Sets a run to work; returns what makes it work no more. */
--- a/packages/stand-ins/src/jobs/task-promises.test.ts
+++ b/packages/stand-ins/src/jobs/task-promises.test.ts
@@ -131,3 +131,14 @@
   story.beginLate(9_000, task(), 2);
   assert.deepEqual(story.broken(), []);
 });
+
+test('a third start after three workers crashed under a task is reported, a second one is not', () => {
+  const story = new Story([ONE]);
+  for (let run = 1; run <= 5; run += 1) {
+    story.begin(run * 100, task(), run, 'w1');
+    story.crash(run * 100 + 10, task(), run, 'w1');
+  }
+  assert.deepEqual(story.broken(), []);
+  story.begin(600, task(), 6, 'w1');
+  assert.deepEqual(story.broken(), ['crashes_bounded']);
+});
--- a/packages/stand-ins/src/jobs/task-promises.ts
+++ b/packages/stand-ins/src/jobs/task-promises.ts
@@ -40,6 +40,7 @@
     ...repeats(name, runs, copies),
     // A task that lasts may fail as often as it does.
     ...(lasting ? [] : attempts(facts, name, runs, copies)),
+    ...crashes(name, runs),
     ...beginsLate(facts, name, runs),
     ...outOfOrder(facts, name, runs),
   ];
@@ -97,6 +98,23 @@
     : [violation('attempts_bounded', name, [...failed, ...broken])];
 }
 
+/** Workers that one task may bring down, and how often it may be started beyond that. */
+const MAX_CRASHES = 3;
+const MAX_FURTHER_STARTS = 2;
+
+function crashes(name: string, runs: readonly RunTrace[]): Violation[] {
+  const third = runs
+    .filter(({ crashed }) => crashed)
+    .sort((a, b) => a.endedAt - b.endedAt)[MAX_CRASHES - 1];
+  if (third === undefined) {
+    return [];
+  }
+  const further = runs.filter(run => !run.late && run.beganAt > third.endedAt);
+  return further.length <= MAX_FURTHER_STARTS
+    ? []
+    : [violation('crashes_bounded', name, [third, ...further])];
+}
+
 function beginsLate(
   { jobs }: Facts,
   name: string,
