Give up a task under which workers are lost

Cause: a run that goes with its worker was recorded as lapsed, as one whose worker is only out of reach, and only ends as failed were counted. The leader knew of each crash (another life answered) and told it to its log alone. Class: what is known when a run is given up does not reach the record by which all later leaders decide.

Change: runs that are given up with their worker are recorded as lost, with how far the run may be the reason: nothing of another job may (40 % of blame), others may, too (30), doubtful (20: the worker may be out of reach, it left the registry under an earlier leader, or workers are lost with nothing to blame so often that a sound one would be within 5 s in one case of twenty), or none: it had been at work for 5 s, which also clears its task. At 100 % the job has failed: after three losses where one can have had no other reason, four at the most where none can, five whatever else is going on. A start that another life of the worker refused ends as void.

Open: jobs that arrive together go to the same workers and share the blame; with three such jobs all fail though one alone brought workers down.

--- a/packages/daemon/src/job-host/fleet.ts
+++ b/packages/daemon/src/job-host/fleet.ts
@@ -19,9 +19,14 @@
   /** Number of runs that are open at a worker. */
   readonly openRuns: (worker: string) => number;
   readonly health: WorkerHealth;
+  /** A worker has left the registry, as announced or not, and nothing is open there any more. */
+  readonly left: (worker: string, announced: boolean) => void;
   readonly changed: () => void;
 }
 
+/** What the registry says of a worker. */
+export type WorkerPresence = 'registered' | 'leaving' | 'gone';
+
 /** Follows the registry; a worker that left it keeps its link until its runs have ended. */
 export class Fleet {
   private readonly links = new Map<string, WorkerLink>();
@@ -68,6 +73,14 @@
     return this.leaving.get(worker);
   }
 
+  /** What the registry says of a worker: a worker that has announced so may leave with what runs there. */
+  presenceOf(worker: string): WorkerPresence {
+    if (this.leaving.has(worker)) {
+      return 'leaving';
+    }
+    return this.registered.has(worker) ? 'registered' : 'gone';
+  }
+
   /** All workers that are registered. */
   registeredWorkers(): WorkerInfo[] {
     return [...this.links.values()]
@@ -145,7 +158,7 @@
         this.options.ctx.log.info({ worker: id }, 'fleet: worker has left');
         link.close();
         this.links.delete(id);
-        this.leaving.delete(id);
+        this.options.left(id, this.leaving.delete(id));
       }
     }
   }
--- a/packages/daemon/src/job-host/leader-leases.ts
+++ b/packages/daemon/src/job-host/leader-leases.ts
@@ -28,8 +28,8 @@
   readonly fleet: Fleet;
   /** Monotonic time at which the newest confirmed append was sent. */
   readonly confirmedSentAt: () => Instant;
-  /** The lease of a run has ended, at a worker to which there is no link. */
-  readonly lapsed: (run: Run) => void;
+  /** Runs at a worker to which there is no link are given up: its lease has ended. */
+  readonly givenUp: (worker: string, runs: readonly Run[]) => void;
 }
 
 /** A worker that does not answer, and by when its lease has ended. */
@@ -90,10 +90,10 @@
   }
 
   private giveUpUnregistered(worker: string): void {
-    const { ctx, state, lapsed } = this.options;
+    const { ctx, state, givenUp } = this.options;
     const runs = [...(state.workers.get(worker)?.runs.values() ?? [])];
     tellGivenUp(ctx, worker, runs, 'unregistered');
-    runs.forEach(lapsed);
+    givenUp(worker, runs);
   }
 
   /** How long leases of this leader may hold after a record that is written now. */
--- a/packages/daemon/src/job-host/leader-log.ts
+++ b/packages/daemon/src/job-host/leader-log.ts
@@ -36,6 +36,17 @@
   );
 }
 
+/** Tells of a task that is given up, and which workers were lost under it. */
+export function logGivenUp({ ctx, claim }: Writer, task: Task): void {
+  const { workers, percent } = task.blame;
+  const name = taskName(refOf(task));
+  const { epoch } = claim;
+  ctx.log.warn(
+    { task: name, epoch, workers, blame: percent, runs: task.lastRun },
+    'leader: a task is given up, workers were lost under it',
+  );
+}
+
 /** Tells of a run that a worker lists as done and that is not open here, of a task that is not done here. */
 export function logStrayEnd(
   { ctx, claim }: Writer,
--- a/packages/daemon/src/job-host/leader-records.ts
+++ b/packages/daemon/src/job-host/leader-records.ts
@@ -38,13 +38,14 @@
     handed,
     standbys: chooseStandbys(replica.state, ctx.host, ctx.clock()),
     address: peerAddress,
+    ledForMs: Math.floor(ctx.clock() - claim.wonAt),
   };
 }
 
 /** Learns from the end of a run how long runs take, and how far its worker can be trusted. */
 export function learnFromEnd(
   { task, progress, worker }: Run,
-  how: RunEnd,
+  how: RunEnd | 'lost',
   {
     health,
     times,
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -107,6 +107,8 @@
       noteEnd: run => {
         this.supervisor.noteEnd(run);
       },
+      presenceOf: worker => this.fleet.presenceOf(worker),
+      fleetSize: () => this.fleet.registeredWorkers().length,
       changed: this.alarm.ring,
     });
     this.summary = new SummaryWriter({
@@ -125,6 +127,9 @@
       open: info => this.open(info),
       openRuns: worker => this.state.workers.get(worker)?.runs.size ?? 0,
       health: this.health,
+      left: (worker, announced) => {
+        this.runs.workerLeft(worker, announced);
+      },
       changed: this.alarm.ring,
     });
     this.leases = new LeaderLeases({
@@ -134,8 +139,8 @@
       state: this.state,
       fleet: this.fleet,
       confirmedSentAt: () => this.decisions.confirmedSentAt,
-      lapsed: run => {
-        this.runs.ended(run, 'lapsed', '');
+      givenUp: (worker, runs) => {
+        this.runs.givenUp(worker, runs, 'unregistered');
       },
     });
     this.deposed = new Promise(resolve => {
@@ -184,6 +189,9 @@
         ended: (run, how, checkpoint) => {
           this.runs.ended(run, how, checkpoint);
         },
+        givenUp: (runs, reason) => {
+          this.runs.givenUp(info.id, runs, reason);
+        },
         strayEnd: ended => {
           this.runs.strayEnd(info.id, ended);
         },
--- a/packages/daemon/src/job-host/lease-ends.ts
+++ b/packages/daemon/src/job-host/lease-ends.ts
@@ -70,6 +70,7 @@
       case 'begun':
       case 'start':
       case 'end':
+      case 'lost':
         return;
     }
   }
--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -50,10 +50,12 @@
   ) => void;
   /** The leader decided on a record of the journal. */
   readonly decided: (kind: JournalRecord['kind']) => void;
-  /** A run has ended. */
-  readonly ended: (how: RunEnd) => void;
+  /** A run has ended; `lost` with its worker. */
+  readonly ended: (how: RunEnd | 'lost') => void;
   /** All runs of a worker, one or more, were given up. */
   readonly workerGivenUp: (reason: WorkerGivenUp) => void;
+  /** A task is given up, and its job has failed with it: workers were lost under its runs. */
+  readonly taskGivenUp: () => void;
   /** A run was ordered to stop. */
   readonly stopped: (reason: StopReason) => void;
   /** A start was sent `wait` after its decision, when the leader's reading of the inbox was `inboxAge` old. */
@@ -182,17 +184,25 @@
 /** Registers what tells of workers that are lost. */
 function createLossMeters(
   registry: Registry,
-): Pick<JobMeters, 'workerGivenUp'> {
+): Pick<JobMeters, 'workerGivenUp' | 'taskGivenUp'> {
   const workers = new Counter({
     name: 'paddlewind_jobs_workers_given_up_total',
     help: 'Workers of which all runs were given up while this host led, by reason.',
     labelNames: ['reason'],
     registers: [registry],
   });
+  const tasks = new Counter({
+    name: 'paddlewind_jobs_tasks_given_up_total',
+    help: 'Tasks that were given up while this host led, since workers were lost under their runs.',
+    registers: [registry],
+  });
   return {
     workerGivenUp: reason => {
       workers.inc({ reason });
     },
+    taskGivenUp: () => {
+      tasks.inc();
+    },
   };
 }
 
--- a/packages/daemon/src/job-host/model/leader-steps.fixture.test.ts
+++ b/packages/daemon/src/job-host/model/leader-steps.fixture.test.ts
@@ -142,6 +142,7 @@
     handed,
     standbys: undefined,
     address: '',
+    ledForMs: undefined,
   };
 }
 
--- a/packages/daemon/src/job-host/orders.fixture.test.ts
+++ b/packages/daemon/src/job-host/orders.fixture.test.ts
@@ -151,6 +151,11 @@
     ticketFor: () => undefined,
     events: {
       ended: site.end,
+      givenUp: runs => {
+        for (const run of runs) {
+          site.end(run, 'lapsed');
+        }
+      },
       strayEnd: () => undefined,
       recorded: () => Promise.resolve(true),
       reached: done => {
--- a/packages/daemon/src/job-host/restate-due.ts
+++ b/packages/daemon/src/job-host/restate-due.ts
@@ -22,7 +22,7 @@
     const ageMs = Math.max(now - job.learntAt, nowWall - job.acceptedAtWall);
     if (ageMs > dueMs && now - (job.restatedAt ?? -Infinity) > dueMs) {
       job.restatedAt = now;
-      decisions.record({ kind: 'restate', image: imageOf(job) });
+      decisions.record({ kind: 'restate', image: imageOf(job, state) });
       count += 1;
       if (count >= RESTATE_BATCH) {
         return;
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -38,6 +38,8 @@
 export interface LinkEvents {
   /** A run has ended, which is to be recorded. */
   ended(run: Run, how: RunEnd, checkpoint: string): void;
+  /** Runs are given up with the worker, which is to be recorded. */
+  givenUp(runs: readonly Run[], reason: WorkerGivenUp): void;
   /** The worker lists the end of a run that is not open here; told with each report that does. */
   strayEnd(ended: EndedRun): void;
   /** Resolves with true once all ends that were told so far are recorded. */
@@ -458,9 +460,6 @@
     const { ctx } = this.options;
     const runs = [...this.openRuns().values()];
     tellGivenUp(ctx, this.info.id, runs, reason, this.contact());
-    for (const run of runs) {
-      const checkpoint = run.progress?.checkpoint ?? '';
-      this.options.events.ended(run, 'lapsed', checkpoint);
-    }
+    this.options.events.givenUp(runs, reason);
   }
 }
--- a/packages/daemon/src/job-host/worker-orders.ts
+++ b/packages/daemon/src/job-host/worker-orders.ts
@@ -235,6 +235,8 @@
         events.ended(run, 'void', '');
         return;
       case 'replaced':
+        // The life that was meant was gone by then: this run is not the reason.
+        events.ended(run, 'void', '');
         events.replaced();
         return;
       case 'unknown':
--- /dev/null
+++ b/packages/domain/src/jobs/blame.test.ts
@@ -0,0 +1,185 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import {
+  isGivenUp,
+  SETTLED_MS,
+  suspicionsOf,
+  type Suspicion,
+} from './blame.js';
+import type { Run, Task } from './job.js';
+import { statusOf } from './job.js';
+import { refOf, type JobsState } from './jobs-state.js';
+import { decodeJournal, encodeRecord } from './records.js';
+import { imageOf } from './restate.js';
+import {
+  apply,
+  stateOf,
+  startOn,
+  taskOf,
+  testJob,
+  endRun,
+} from './test-support.js';
+
+const CALM = { isCertain: true, fleetSize: 40, now: 0, leadsSince: 0 };
+
+function siteOf(...jobs: string[]): JobsState {
+  return stateOf(...jobs.map(id => testJob(id, [{ tasks: 3 }])));
+}
+
+/** Runs the first task of each job on one worker. */
+function together(state: JobsState, ...jobs: string[]): Run[] {
+  return jobs.map(job => startOn(state, taskOf(state, job, 0, 0), 'w'));
+}
+
+/** Makes a run be known to have been at work for `span`. */
+function workFor(run: Run, span: number): void {
+  if (run.progress !== undefined) {
+    run.progress.confirmed = true;
+    run.progress.seenAt = run.openedAt + span;
+  }
+}
+
+function lose(state: JobsState, run: Run, suspicion: Suspicion): void {
+  const { task, number } = run;
+  const ref = refOf(task);
+  const ended = { task: ref, run: number, checkpoint: '', suspicion };
+  apply(state, { kind: 'lost', ...ended });
+}
+
+function loseNext(state: JobsState, task: Task, suspicion: Suspicion): void {
+  lose(state, startOn(state, task, `w${task.lastRun + 1}`), suspicion);
+}
+
+function lossesUntilGivenUp(...suspicions: Suspicion[]): number {
+  const state = siteOf('a');
+  const task = taskOf(state, 'a', 0, 0);
+  let losses = 0;
+  while (!isGivenUp(task)) {
+    loseNext(state, task, suspicions[losses] ?? suspicions.at(-1) ?? 'sole');
+    losses += 1;
+  }
+  return losses;
+}
+
+test('only what began lately can be the reason of a loss', () => {
+  const state = siteOf('a', 'b');
+  const [recent, settled] = together(state, 'a', 'b');
+  assert.ok(recent && settled);
+  workFor(recent, SETTLED_MS - 1);
+  workFor(settled, SETTLED_MS);
+  const found = suspicionsOf(state, [recent, settled], CALM);
+  assert.deepEqual([...found.values()], ['sole', 'cleared']);
+});
+
+test('tasks of several jobs share the suspicion, those of one job have it alone', () => {
+  const state = siteOf('a', 'b');
+  const runs = together(state, 'a', 'b');
+  const shared = suspicionsOf(state, runs, CALM);
+  assert.deepEqual([...shared.values()], ['shared', 'shared']);
+  const second = startOn(state, taskOf(state, 'a', 0, 1), 'w');
+  const own = runs.slice(0, 1).concat(second);
+  const sole = suspicionsOf(state, own, CALM);
+  assert.deepEqual([...sole.values()], ['sole', 'sole']);
+});
+
+test('a worker that may only be out of reach raises doubts', () => {
+  const state = siteOf('a');
+  const runs = together(state, 'a');
+  const found = suspicionsOf(state, runs, { ...CALM, isCertain: false });
+  assert.deepEqual([...found.values()], ['doubtful']);
+});
+
+test('where workers are lost with nothing to blame, losses say little', () => {
+  const state = siteOf('a', 'b');
+  const [run] = together(state, 'a');
+  assert.ok(run);
+  const other = taskOf(state, 'b', 0, 0);
+  const small = { ...CALM, fleetSize: 6 };
+  const told: (Suspicion | undefined)[] = [];
+  for (let loss = 0; loss < 5; loss += 1) {
+    told.push(suspicionsOf(state, [run], small).get(run));
+    loseNext(state, other, 'unexplained');
+  }
+  // From the fourth one on a sound worker is lost within 5 s with a chance above a twentieth.
+  assert.deepEqual(told, ['sole', 'sole', 'sole', 'sole', 'doubtful']);
+  assert.equal(suspicionsOf(state, [run], CALM).get(run), 'sole');
+  const later = { ...small, now: 60_000 };
+  assert.equal(suspicionsOf(state, [run], later).get(run), 'sole');
+});
+
+test('a task is given up after three to five losses, by what else could be the reason', () => {
+  assert.equal(lossesUntilGivenUp('sole'), 3);
+  assert.equal(lossesUntilGivenUp('shared', 'sole'), 3);
+  assert.equal(lossesUntilGivenUp('shared', 'shared', 'sole'), 3);
+  assert.equal(lossesUntilGivenUp('shared'), 4);
+  assert.equal(lossesUntilGivenUp('doubtful'), 5);
+});
+
+test('the job of a task that is given up has failed, also where the task lasts', () => {
+  const state = stateOf(testJob('a', [{ tasks: 2, lasting: true }]));
+  const task = taskOf(state, 'a', 0, 0);
+  loseNext(state, task, 'shared');
+  loseNext(state, task, 'sole');
+  const { job } = task.step.occurrence;
+  assert.equal(statusOf(job), 'queued');
+  loseNext(state, task, 'sole');
+  assert.equal(statusOf(job), 'failed');
+  assert.deepEqual(task.blame.workers, ['w1', 'w2', 'w3']);
+  assert.equal(state.open.has(job), false);
+});
+
+test('a run that had long been at work clears its task', () => {
+  const state = siteOf('a');
+  const task = taskOf(state, 'a', 0, 0);
+  loseNext(state, task, 'sole');
+  loseNext(state, task, 'sole');
+  loseNext(state, task, 'cleared');
+  loseNext(state, task, 'sole');
+  assert.equal(isGivenUp(task), false);
+  assert.deepEqual(task.blame.workers, ['w4']);
+});
+
+test('ends that are no losses add no blame', () => {
+  const state = siteOf('a');
+  const task = taskOf(state, 'a', 0, 0);
+  for (const how of ['lapsed', 'void', 'stopped', 'broken'] as const) {
+    endRun(state, startOn(state, task, 'w'), how);
+  }
+  assert.equal(task.blame.percent, 0);
+});
+
+test('blame outlives the records of the losses', () => {
+  const state = siteOf('a');
+  const task = taskOf(state, 'a', 0, 0);
+  loseNext(state, task, 'sole');
+  loseNext(state, task, 'sole');
+  const reader = stateOf();
+  const image = imageOf(task.step.occurrence.job, state);
+  apply(reader, { kind: 'restate', image });
+  const restored = taskOf(reader, 'a', 0, 0);
+  assert.deepEqual(restored.blame.workers, ['w1', 'w2']);
+  loseNext(reader, restored, 'sole');
+  assert.ok(isGivenUp(restored));
+});
+
+test('an earlier version reads a loss as a lapse, and its lapses may be losses', () => {
+  const task = { job: 'a', occurrence: 0, step: 0, index: 0 };
+  const lost = { kind: 'lost', task, run: 1, checkpoint: '' } as const;
+  const row: unknown = JSON.parse(
+    new TextDecoder().decode(encodeRecord({ ...lost, suspicion: 'shared' })),
+  );
+  assert.deepEqual(row, ['e', 'a.0.0.0', 1, 'lapsed', '', 'shared']);
+  const encode = (earlier: unknown): Uint8Array =>
+    new TextEncoder().encode(JSON.stringify(earlier));
+  for (const earlier of [
+    ['e', 'a.0.0.0', 1, 'lapsed'],
+    ['e', 'a.0.0.0', 1, 'lapsed', '', 'of a later version'],
+  ]) {
+    const read = decodeJournal(encode(earlier));
+    assert.deepEqual(read, { ...lost, suspicion: 'doubtful' });
+  }
+  const lapsed = { kind: 'end', task, run: 1, how: 'lapsed' } as const;
+  const there = { ...lapsed, checkpoint: 'c' };
+  assert.deepEqual(decodeJournal(encodeRecord(there)), there);
+});
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -1,6 +1,12 @@
 /** Folds the records of inbox and journal into the state of jobs. */
 import type { Instant, Millis } from '../core/time.js';
-import type { InboxRecord, JournalRecord, RunEnd } from './records.js';
+import { isGivenUp, noteLoss } from './blame.js';
+import type {
+  HandedLeases,
+  InboxRecord,
+  JournalRecord,
+  RunEnd,
+} from './records.js';
 import {
   isOver,
   newJob,
@@ -54,6 +60,7 @@
 export function applyJournal(state: JobsState, record: JournalRecord): boolean {
   switch (record.kind) {
     case 'claim':
+      state.journalTime.noteClaim(record.epoch);
       state.claim = record;
       state.released = false;
       state.leaderAddress = undefined;
@@ -65,9 +72,12 @@
       }
       state.standbys = record.standbys;
       state.leaderAddress = record.address;
+      state.journalTime.noteLed(record.epoch, record.ledForMs);
+      noteSilent(state, record.handed);
       return true;
     case 'reached':
       state.reachedIn.set(record.worker, state.claim.epoch);
+      state.silentSince.delete(record.worker);
       return true;
     case 'restate':
       applyImage(state, record.image);
@@ -89,6 +99,21 @@
       return applyStart(state, record);
     case 'end':
       return applyEnd(state, record);
+    case 'lost':
+      return applyLost(state, record);
+  }
+}
+
+/** Keeps since when each worker that does not answer has been told to be so. */
+function noteSilent(state: JobsState, handed: HandedLeases | undefined): void {
+  if (handed !== undefined) {
+    const { silentSince, journalTime } = state;
+    state.silentSince = new Map(
+      handed.workers.map(([id]) => [
+        id,
+        silentSince.get(id) ?? journalTime.now,
+      ]),
+    );
   }
 }
 
@@ -141,6 +166,27 @@
   return true;
 }
 
+/** A run that is gone with its worker ends as one whose lease has lapsed, and its task may be to blame. */
+function applyLost(
+  state: JobsState,
+  record: Extract<JournalRecord, { kind: 'lost' }>,
+): boolean {
+  const { task: ref, run, checkpoint, suspicion } = record;
+  const task = findTask(state, ref);
+  const lost = task?.runs.find(({ number }) => number === run);
+  if (task !== undefined && lost !== undefined) {
+    noteLoss(state, task, lost.worker, suspicion);
+    failWhenGivenUp(state, task);
+  }
+  return applyEnd(state, {
+    kind: 'end',
+    task: ref,
+    run,
+    how: 'lapsed',
+    checkpoint,
+  });
+}
+
 /** A checkpoint of any member of a gang holds for all of them. */
 function saveCheckpoint(task: Task, checkpoint: string): void {
   const { spec, tasks } = task.step;
@@ -233,6 +279,15 @@
   state.changed?.add(job);
 }
 
+/** Lasting tasks are given up as well: each start costs a worker and all that runs there. */
+function failWhenGivenUp(state: JobsState, task: Task): void {
+  const { job } = task.step.occurrence;
+  if (isGivenUp(task) && !isOver(job)) {
+    job.failed = true;
+    close(state, job);
+  }
+}
+
 function failWhenSpent(state: JobsState, task: Task): void {
   const { job } = task.step.occurrence;
   const { spec, failedGangRuns } = task.step;
--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -1,5 +1,6 @@
 export * from './account.js';
 export * from './advice.js';
+export * from './blame.js';
 export * from './copies.js';
 export * from './evacuation.js';
 export * from './fold.js';
--- a/packages/domain/src/jobs/job.ts
+++ b/packages/domain/src/jobs/job.ts
@@ -1,5 +1,6 @@
 /** The job aggregate: occurrences of steps of tasks, and the runs of each task. */
-import type { Instant } from '../core/time.js';
+import type { Instant, Millis } from '../core/time.js';
+import { noBlame, type Blame } from './blame.js';
 import type { JobSpec, StepSpec } from './spec.js';
 
 /** A job's state as callers see it. */
@@ -56,6 +57,8 @@
   readonly worker: string;
   /** Monotonic time at which this host learnt of its start. */
   readonly openedAt: Instant;
+  /** Journal time of its start. */
+  opened: Millis;
   progress: RunProgress | undefined;
 }
 
@@ -72,6 +75,8 @@
   failures: number;
   /** Workers on which a run failed. */
   readonly failedOn: Set<string>;
+  /** What the loss of workers under its runs says of it. */
+  readonly blame: Blame;
   /** Newest checkpoint of an ended run; empty when there is none. */
   checkpoint: string;
   /** Monotonic time at which this host learnt that its last run has ended; infinite before. */
@@ -185,6 +190,7 @@
       lastRun: 0,
       failures: 0,
       failedOn: new Set(),
+      blame: noBlame(),
       checkpoint: '',
       endedAt: Infinity,
     });
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -1,5 +1,5 @@
 /** The state of jobs: all jobs, and what runs on each worker. */
-import type { Instant } from '../core/time.js';
+import type { Instant, Millis } from '../core/time.js';
 import {
   isOver,
   occurrenceOf,
@@ -8,6 +8,7 @@
   type Step,
   type Task,
 } from './job.js';
+import { JournalTime } from './journal-time.js';
 import type { LearntAt } from './learnt.js';
 import type { Volunteer } from './standbys.js';
 import { taskName, type TaskRef } from './task-ref.js';
@@ -54,6 +55,12 @@
   learnt: LearntAt | undefined;
   /** Whether the leader has asked to be replaced. */
   released: boolean;
+  /** Time in the journal. */
+  readonly journalTime: JournalTime;
+  /** Journal time since which leaders have told that a worker with open runs does not answer, by worker. */
+  silentSince: Map<string, Millis>;
+  /** When workers were lost with nothing to blame, by worker. */
+  readonly unexplainedLosses: Map<string, Instant>;
 }
 
 /** Returns the state before any record. */
@@ -71,6 +78,9 @@
     now: 0,
     learnt: undefined,
     released: false,
+    journalTime: new JournalTime(),
+    silentSince: new Map(),
+    unexplainedLosses: new Map(),
   };
 }
 
@@ -131,18 +141,19 @@
   return count;
 }
 
-/** Adds an open run of a task on a worker. */
+/** Adds an open run of a task on a worker, and returns it. */
 export function openRun(
   state: JobsState,
   task: Task,
   number: number,
   worker: string,
-): void {
+): Run {
   const run: Run = {
     task,
     number,
     worker,
     openedAt: state.now,
+    opened: state.journalTime.now,
     progress: undefined,
   };
   task.runs.push(run);
@@ -155,6 +166,7 @@
   const load = workerRuns(state, worker);
   load.runs.set(runKey(taskName(refOf(task)), number), run);
   addLoad(load, task.step, 1);
+  return run;
 }
 
 /** Forgets jobs that have been over since before `since` and have nothing running. */
--- /dev/null
+++ b/packages/domain/src/jobs/journal-time.ts
@@ -0,0 +1,45 @@
+/**
+ * Time as the journal tells it: how long leaders say that they have led, added up. It is the same for all
+ * readers however late they read, does not follow clocks that jump, and passes at most as fast as true
+ * time, since nobody counts the time between two leaders.
+ */
+import type { Millis } from '../core/time.js';
+
+/** Counts journal time. */
+export class JournalTime {
+  private time: Millis = 0;
+  private epoch = 0;
+  private ledFor: Millis = 0;
+  private claimedAt: Millis = 0;
+
+  /** Journal time of the newest record. */
+  get now(): Millis {
+    return this.time;
+  }
+
+  /** Journal time at which the last leader before the newest one was last heard. */
+  get claimed(): Millis {
+    return this.claimedAt;
+  }
+
+  /** Another host leads. */
+  noteClaim(epoch: number): void {
+    this.epoch = epoch;
+    this.ledFor = 0;
+    this.claimedAt = this.time;
+  }
+
+  /** A leader has led for `ledFor`; undefined where its version does not say. */
+  noteLed(epoch: number, ledFor: Millis | undefined): void {
+    if (ledFor === undefined || epoch < this.epoch) {
+      return;
+    }
+    if (epoch > this.epoch) {
+      // Its claim is not in the log any more: what it led before this record is not counted.
+      this.noteClaim(epoch);
+      this.ledFor = ledFor;
+    }
+    this.time += Math.max(0, ledFor - this.ledFor);
+    this.ledFor = Math.max(ledFor, this.ledFor);
+  }
+}
--- a/packages/domain/src/jobs/records.ts
+++ b/packages/domain/src/jobs/records.ts
@@ -4,7 +4,8 @@
  * The inbox holds what callers asked for; any entry host appends to it. The journal holds the
  * leader's decisions; the log refuses it to any other host.
  */
-import type { Instant } from '../core/time.js';
+import type { Instant, Millis } from '../core/time.js';
+import { SUSPICIONS, type Suspicion } from './blame.js';
 import type { Learnt } from './learnt.js';
 import type { JobImage } from './restate.js';
 import type { JobSpec } from './spec.js';
@@ -62,6 +63,8 @@
       readonly standbys: readonly string[] | undefined;
       /** Where the leader takes records for the inbox. */
       readonly address: string;
+      /** How long it has led; undefined where its version does not say. */
+      readonly ledForMs: Millis | undefined;
     }
   | { readonly kind: 'restate'; readonly image: JobImage }
   /** The leader asks to be replaced. */
@@ -89,6 +92,14 @@
       readonly how: RunEnd;
       /** Newest checkpoint of the run; empty when there is none. */
       readonly checkpoint: string;
+    }
+  /** A run has ended with its worker, which is gone or may be. */
+  | {
+      readonly kind: 'lost';
+      readonly task: TaskRef;
+      readonly run: number;
+      readonly checkpoint: string;
+      readonly suspicion: Suspicion;
     };
 
 const encoder = new TextEncoder();
@@ -156,7 +167,8 @@
       unknown,
       (readonly string[] | null)?,
       string?,
-      HandedLeases?,
+      (HandedLeases | null)?,
+      Millis?,
     ]
   | ['restate', JobImage]
   | ['release', unknown]
@@ -164,7 +176,15 @@
   | ['reached', string]
   | ['b', string]
   | ['s', unknown, number, string]
-  | ['e', unknown, number, RunEnd, string?];
+  | ['e', unknown, number, RunEnd, string?, LapseCause?];
+
+/**
+ * What a row says of a lease that has lapsed: how far the run may be to blame for the loss of its worker,
+ * or that the worker is there. An earlier version, which does not say, reads all of them as lapsed.
+ */
+type LapseCause = Suspicion | typeof WORKER_THERE;
+
+const WORKER_THERE = 'there';
 
 /** Decodes a record of the journal that `encodeRecord` made; undefined for any other. */
 export function decodeJournal(bytes: Uint8Array): JournalRecord | undefined {
@@ -175,7 +195,8 @@
       return { kind: 'claim', epoch, host, nonce };
     }
     case 'heartbeat': {
-      const [, epoch, host, nonce, , named, address = '', handed] = row;
+      const [, epoch, host, nonce, , named, address = '', handed, ledForMs] =
+        row;
       const standbys = named ?? undefined;
       return {
         kind: 'heartbeat',
@@ -185,6 +206,7 @@
         handed: handedOf(handed),
         standbys,
         address,
+        ledForMs: typeof ledForMs === 'number' ? ledForMs : undefined,
       };
     }
     case 'restate':
@@ -205,9 +227,14 @@
       return { kind: 'start', task: parseTaskName(name), run, worker };
     }
     case 'e': {
-      const [, name, run, how, checkpoint = ''] = row;
+      const [, name, run, how, checkpoint = '', cause] = row;
       const task = parseTaskName(name);
-      return { kind: 'end', task, run, how, checkpoint };
+      if (how !== 'lapsed' || cause === WORKER_THERE) {
+        return { kind: 'end', task, run, how, checkpoint };
+      }
+      // Where an earlier version led, or a later one says more, the worker may have been lost.
+      const suspicion = SUSPICIONS.find(known => known === cause) ?? 'doubtful';
+      return { kind: 'lost', task, run, checkpoint, suspicion };
     }
     case undefined:
     // A kind that this version does not know.
@@ -254,7 +281,8 @@
       return ['claim', epoch, host, nonce];
     }
     case 'heartbeat': {
-      const { epoch, host, nonce, standbys, address, handed } = record;
+      const { epoch, host, nonce, standbys, address, handed, ledForMs } =
+        record;
       const named = standbys ?? null;
       return [
         'heartbeat',
@@ -265,6 +293,7 @@
         named,
         address,
         handed,
+        ledForMs,
       ];
     }
     case 'restate':
@@ -280,8 +309,16 @@
     case 'start':
       return ['s', taskName(record.task), record.run, record.worker];
     case 'end': {
-      const row = ['e', taskName(record.task), record.run, record.how];
-      return record.checkpoint === '' ? row : [...row, record.checkpoint];
+      const { task, run, how, checkpoint } = record;
+      const row = ['e', taskName(task), run, how];
+      if (how === 'lapsed') {
+        return [...row, checkpoint, WORKER_THERE];
+      }
+      return checkpoint === '' ? row : [...row, checkpoint];
+    }
+    case 'lost': {
+      const { task, run, checkpoint, suspicion } = record;
+      return ['e', taskName(task), run, 'lapsed', checkpoint, suspicion];
     }
   }
 }
--- a/packages/domain/src/jobs/restate.ts
+++ b/packages/domain/src/jobs/restate.ts
@@ -4,8 +4,16 @@
  * The log drops records after a time. A reader that begins after the first ones of a job knows
  * nothing of it until it is restated, and all of it from then on.
  */
-import type { Instant } from '../core/time.js';
-import { isOver, newJob, occurrenceOf, type Job, type Step } from './job.js';
+import type { Instant, Millis } from '../core/time.js';
+import {
+  isOver,
+  newJob,
+  occurrenceOf,
+  type Job,
+  type Step,
+  type Task,
+} from './job.js';
+import type { JournalTime } from './journal-time.js';
 import { hasOpenRuns, openRun, type JobsState } from './jobs-state.js';
 import type { JobSpec } from './spec.js';
 
@@ -16,7 +24,14 @@
   failures: number,
   failedOn: readonly string[],
   checkpoint: string,
-  runs: readonly (readonly [number: number, worker: string])[],
+  runs: readonly (readonly [
+    number: number,
+    worker: string,
+    /** Time since its start; absent where an earlier version wrote the row. */
+    ageMs?: Millis,
+  ])[],
+  /** Absent where no worker was lost under it, or an earlier version wrote the row. */
+  blame?: readonly [percent: number, workers: readonly string[]],
 ];
 
 /** A step: its tasks, and the numbers of a gang's runs that failed. */
@@ -38,14 +53,15 @@
 }
 
 /** Returns the image of a job. */
-export function imageOf(job: Job): JobImage {
+export function imageOf(job: Job, { journalTime }: JobsState): JobImage {
   const { acceptedAtWall, remaining, cancelled, failed, begun } = job;
   if (isOver(job) && !hasOpenRuns(job)) {
     return { ...briefOf(job), remaining, cancelled, failed, begun };
   }
   const { spec } = job;
   const occurrences = [...job.occurrences.values()].map(
-    ({ number, steps }) => [number, steps.map(stepRow)] as const,
+    ({ number, steps }) =>
+      [number, steps.map(step => stepRow(step, journalTime))] as const,
   );
   return {
     spec,
@@ -67,7 +83,10 @@
   return { spec: brief, acceptedAtWall, occurrences: [] };
 }
 
-function stepRow({ tasks, failedGangRuns }: Step): StepRow {
+function stepRow(
+  { tasks, failedGangRuns }: Step,
+  journalTime: JournalTime,
+): StepRow {
   return {
     tasks: tasks.map(task => [
       task.status,
@@ -75,12 +94,21 @@
       task.failures,
       [...task.failedOn],
       task.checkpoint,
-      task.runs.map(({ number, worker }) => [number, worker] as const),
+      task.runs.map(
+        ({ number, worker, opened }) =>
+          [number, worker, journalTime.now - opened] as const,
+      ),
+      ...blameOf(task),
     ]),
     failedGangRuns: [...failedGangRuns],
   };
 }
 
+function blameOf({ blame }: Task): [] | [readonly [number, string[]]] {
+  const { percent, workers } = blame;
+  return percent === 0 ? [] : [[percent, [...workers]]];
+}
+
 /** Takes in a job that is not known yet; one that is known is as new already. */
 export function applyImage(state: JobsState, image: JobImage): void {
   const { id } = image.spec;
@@ -123,9 +151,11 @@
     if (found === undefined) {
       return;
     }
-    const [status, lastRun, failures, failedOn, checkpoint, runs] = found;
-    runs.forEach(([number, worker]) => {
-      openRun(state, task, number, worker);
+    const [status, lastRun, failures, failedOn, checkpoint, runs, blame] =
+      found;
+    runs.forEach(([number, worker, ageMs = 0]) => {
+      const run = openRun(state, task, number, worker);
+      run.opened = state.journalTime.now - ageMs;
     });
     task.status = status;
     task.lastRun = lastRun;
@@ -133,6 +163,12 @@
     task.checkpoint = checkpoint;
     task.endedAt = status === 'waiting' && lastRun > 0 ? state.now : Infinity;
     failedOn.forEach(worker => task.failedOn.add(worker));
+    if (blame !== undefined) {
+      const [percent, workers] = blame;
+      task.blame.percent = percent;
+      task.blame.since = state.now;
+      task.blame.workers.push(...workers);
+    }
   });
   step.remaining = step.tasks.filter(({ status }) => status !== 'done').length;
 }
--- a/packages/stand-ins/src/jobs/job-history.ts
+++ b/packages/stand-ins/src/jobs/job-history.ts
@@ -147,9 +147,33 @@
     this.shown.push({ job, askedAt, at: this.clock(), state });
   }
 
-  /** The state that a caller was told last of a job. */
-  lastTold(id: string): ShownState['state'] | undefined {
-    return this.shown.findLast(({ job }) => job === id)?.state;
+  /** Number of runs of other jobs that were lost with workers which tasks of a job brought down. */
+  lostBeside(id: string): number {
+    const crashed = new Set(
+      [...this.runs.values()]
+        .filter(({ task, crashed: down }) => task.job === id && down)
+        .map(({ worker }) => worker),
+    );
+    return [...this.runs.values()].filter(
+      ({ task, worker, how }) =>
+        task.job !== id && how === 'lost' && crashed.has(worker),
+    ).length;
+  }
+
+  /** The states that callers were told of a job in turn, each change once. */
+  statesTold(id: string): ShownState['state'][] {
+    return this.shown
+      .filter(({ job }) => job === id)
+      .map(({ state }) => state)
+      .filter((state, at, all) => state !== all[at - 1]);
+  }
+
+  /** When a caller was first told this state of a job; infinite before. */
+  firstTold(id: string, state: ShownState['state']): Instant {
+    const found = this.shown.find(
+      told => told.job === id && told.state === state,
+    );
+    return found?.at ?? Infinity;
   }
 
   /** A caller that asked a host at `askedAt` was told the length of the only queue. */
