Run tasks alone under which workers were lost, and tell losses by chance from theirs

Before: jobs that arrive together go to the same workers, are lost together and share the blame; with three tasks that crash their workers all were given up though one alone had brought workers down, and in a full fleet 6 to 9 runs of others were lost beside one such task. Cause: placement knew nothing of blame, packed them where most ran, and each further loss told as little as the first.

Change: after one loss a task goes where the fewest others run, so that those lost together part; after two (60 % of blame) it begins only where nothing has just begun, and nothing joins it until it has settled; one worker in eight, one at least, is kept free for such tasks where none is; after 2 s they wait no longer. No copies of tasks under which a worker was lost. A loss counts as doubtful once a sound worker is lost within 5 s in one case of a hundred (of twenty before), and a doubtful one decides only as the fifth.

--- a/packages/daemon/src/job-host/crashing-tasks.test.ts
+++ b/packages/daemon/src/job-host/crashing-tasks.test.ts
@@ -148,3 +148,39 @@
     assert.equal(history.runningOf(NEIGHBOUR), NEIGHBOUR_TASKS);
   }
 });
+
+test('a task is given up alone, though others arrived and were lost with it', async () => {
+  for (const seed of SEEDS) {
+    const site = await siteWithNeighbours(seed, REVIVAL_MS);
+    const { history } = site;
+    const others = ['00000000000000e1', '00000000000000e2', '00000000000000e3'];
+    const { steps, script } = crasher(10);
+    const sound = { runMs: script.runMs, failures: 0 };
+    for (const id of others) {
+      void site.submit(id, steps, sound);
+    }
+    void site.submit(CRASHER, steps, script);
+    await site.time.advance(WATCHED_MS);
+    assert.deepEqual(history.check(), []);
+    assert.ok(history.statesTold(CRASHER).includes('failed'));
+    for (const id of others) {
+      assert.ok(history.isDone(id), `seed ${seed}: ${id} is not done`);
+    }
+    assert.equal(history.runningOf(NEIGHBOUR), NEIGHBOUR_TASKS);
+  }
+});
+
+test('few neighbours are lost with a task that crashes its workers, however full these are', async () => {
+  for (const seed of SEEDS) {
+    const site = await siteWithNeighbours(seed, REVIVAL_MS);
+    const crowd = [{ tasks: 80, after: [] }];
+    void site.submit(CROWD, crowd, { runMs: 2_000, failures: 0 });
+    const { steps, script } = crasher(10);
+    void site.submit(CRASHER, steps, script);
+    await site.time.advance(WATCHED_MS);
+    assert.deepEqual(site.history.check(), []);
+    // Three beside it at its first two workers, for its later ones are its own: four cores each.
+    const lost = site.history.lostBeside(CRASHER);
+    assert.ok(lost <= 2 * 3, `seed ${seed}: ${lost} lost beside it`);
+  }
+});
--- a/packages/domain/src/jobs/blame.test.ts
+++ b/packages/domain/src/jobs/blame.test.ts
@@ -5,6 +5,7 @@
   isGivenUp,
   SETTLED_MS,
   suspicionsOf,
+  type LossEvidence,
   type Suspicion,
 } from './blame.js';
 import type { Run, Task } from './job.js';
@@ -96,14 +97,17 @@
   assert.ok(run);
   const other = taskOf(state, 'b', 0, 0);
   const small = { ...CALM, fleetSize: 6 };
-  const told: (Suspicion | undefined)[] = [];
-  for (let loss = 0; loss < 5; loss += 1) {
-    told.push(suspicionsOf(state, [run], small).get(run));
+  const told = (evidence: LossEvidence): Suspicion | undefined =>
+    suspicionsOf(state, [run], evidence).get(run);
+  assert.equal(told(small), 'sole');
+  // One in a minute, of six: a sound worker is lost within 5 s with a chance above a hundredth.
+  loseNext(state, other, 'unexplained');
+  assert.equal(told(small), 'doubtful');
+  assert.equal(told(CALM), 'sole');
+  for (let loss = 2; loss <= 5; loss += 1) {
     loseNext(state, other, 'unexplained');
   }
-  // From the fourth one on a sound worker is lost within 5 s with a chance above a twentieth.
-  assert.deepEqual(told, ['sole', 'sole', 'sole', 'sole', 'doubtful']);
-  assert.equal(suspicionsOf(state, [run], CALM).get(run), 'sole');
+  assert.equal(told(CALM), 'doubtful');
   const later = { ...small, now: 60_000 };
   assert.equal(suspicionsOf(state, [run], later).get(run), 'sole');
 });
@@ -114,6 +118,8 @@
   assert.equal(lossesUntilGivenUp('shared', 'shared', 'sole'), 3);
   assert.equal(lossesUntilGivenUp('shared'), 4);
   assert.equal(lossesUntilGivenUp('doubtful'), 5);
+  assert.equal(lossesUntilGivenUp('sole', 'sole', 'doubtful'), 5);
+  assert.equal(lossesUntilGivenUp('doubtful', 'shared', 'shared', 'sole'), 4);
 });
 
 test('the job of a task that is given up has failed, also where the task lasts', () => {
--- a/packages/domain/src/jobs/blame.ts
+++ b/packages/domain/src/jobs/blame.ts
@@ -26,7 +26,7 @@
 
 /**
  * Blame in percent that a loss adds. A task is given up at 100: after three losses where one of them can
- * have had no other reason, and after five whatever else is going on.
+ * have had no other reason and the last was not doubtful, and after five whatever else is going on.
  */
 const BLAME = {
   sole: 40,
@@ -37,6 +37,12 @@
 /** Blame in percent at which a task is given up. */
 const GIVE_UP_AT = 100;
 
+/** Losses after which a task is given up however doubtful they are. */
+const MOST_LOSSES = 5;
+
+/** Blame in percent from which on a task is kept apart: two losses, of which neither was doubtful. */
+const SUSPECT_AT = 60;
+
 /** A run that has been at work for this long is not the reason why its worker is lost. */
 export const SETTLED_MS: Millis = 5_000;
 
@@ -47,7 +53,7 @@
 const LOSS_MEMORY_MS: Millis = 60_000;
 
 /** Chance of a sound worker to be lost while a run settles, from which on losses say little of tasks. */
-const NOISY_CHANCE = 0.05;
+const NOISY_CHANCE = 0.01;
 
 /** What a task has cost so far. */
 export interface Blame {
@@ -164,12 +170,30 @@
     case 'sole':
     case 'shared':
     case 'doubtful':
-      blame.percent += BLAME[suspicion];
       blame.workers.push(worker);
+      blame.percent = percentAfter(blame, suspicion);
       blame.since = state.now;
+      state.suspects.add(task);
   }
 }
 
+/** A doubtful loss does not decide by itself, whatever came before it. */
+function percentAfter(
+  { percent, workers }: Blame,
+  suspicion: keyof typeof BLAME,
+): number {
+  if (workers.length >= MOST_LOSSES) {
+    return GIVE_UP_AT;
+  }
+  const sum = percent + BLAME[suspicion];
+  return suspicion === 'doubtful' ? Math.min(sum, GIVE_UP_AT - 1) : sum;
+}
+
+/** Whether a task is kept apart from others until it is known whether it brings workers down. */
+export function isSuspect({ blame }: Task): boolean {
+  return blame.percent >= SUSPECT_AT;
+}
+
 /** Whether a task has cost so many workers that it is given up. */
 export function isGivenUp({ blame }: Task): boolean {
   return blame.percent >= GIVE_UP_AT;
--- a/packages/domain/src/jobs/copies.ts
+++ b/packages/domain/src/jobs/copies.ts
@@ -41,7 +41,11 @@
   for (const job of state.open) {
     for (const { steps } of job.occurrences.values()) {
       for (const step of steps.filter(mayHaveCopies)) {
-        for (const { status, runs } of step.tasks) {
+        for (const { status, runs, blame } of step.tasks) {
+          if (blame.percent > 0) {
+            // A copy of what may bring its worker down would cost another one.
+            continue;
+          }
           const [only] = runs;
           if (status === 'running' && only !== undefined && runs.length === 1) {
             yield only;
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -59,6 +59,8 @@
   readonly journalTime: JournalTime;
   /** Journal time since which leaders have told that a worker with open runs does not answer, by worker. */
   silentSince: Map<string, Millis>;
+  /** Tasks under which workers were lost; those that are over are dropped when they are looked through. */
+  readonly suspects: Set<Task>;
   /** When workers were lost with nothing to blame, by worker. */
   readonly unexplainedLosses: Map<string, Instant>;
 }
@@ -80,6 +82,7 @@
     released: false,
     journalTime: new JournalTime(),
     silentSince: new Map(),
+    suspects: new Set(),
     unexplainedLosses: new Map(),
   };
 }
--- a/packages/domain/src/jobs/placement.ts
+++ b/packages/domain/src/jobs/placement.ts
@@ -3,6 +3,7 @@
 import type { FillerSpeeds } from './filler-speeds.js';
 import type { Step, Task } from './job.js';
 import type { WorkerRuns } from './jobs-state.js';
+import type { Quarantine } from './quarantine.js';
 import type { StepSpec, TaskSize } from './spec.js';
 import type { Instant } from '../core/time.js';
 
@@ -31,6 +32,7 @@
   readonly workers: readonly PlanWorker[];
   readonly speeds: FillerSpeeds;
   readonly advice: Advice;
+  readonly quarantine: Quarantine;
   readonly now: Instant;
   /** What runs on a worker, or is about to. */
   readonly loadOf: (worker: string) => WorkerRuns;
@@ -65,6 +67,7 @@
   'label',
   'advice',
   'spread',
+  'quarantine',
   'trust',
   'processors',
   'memory',
@@ -84,6 +87,9 @@
   if (refusal !== undefined) {
     return refusal;
   }
+  if (!input.quarantine.admits(worker.info.id, task)) {
+    return 'quarantine';
+  }
   const load = input.loadOf(worker.info.id);
   if (!worker.trusted && hasTrial(load)) {
     return 'trust';
@@ -96,7 +102,8 @@
   return [...runs.values()].some(({ task }) => !task.step.spec.lasting);
 }
 
-function refusalAt(
+/** Returns what keeps a worker from having a task whatever runs there. */
+export function refusalAt(
   { advice, now, spreadOf }: PlaceInput,
   { info }: PlanWorker,
   task: Task,
@@ -211,8 +218,16 @@
  * Gives a filler the worker whose processors are the least promised, and any other task the one
  * whose room it fills best, so that room for large tasks is left.
  */
-function baseRank(capacity: TaskSize, load: WorkerRuns, step: Step): number {
+function baseRank(
+  capacity: TaskSize,
+  load: WorkerRuns,
+  { step, blame }: Task,
+): number {
   const { size, filler, tailTargetMs } = step.spec;
+  if (blame.percent > 0) {
+    // The next loss takes few others along, and tells apart those that were lost together.
+    return -load.runs.size;
+  }
   if (tailTargetMs !== undefined) {
     return servingRank(capacity, load, step);
   }
@@ -239,7 +254,7 @@
   const { info } = worker;
   const { spec } = task.step;
   const { cpuMilli } = info.capacity;
-  const rank = baseRank(info.capacity, load, task.step);
+  const rank = baseRank(info.capacity, load, task);
   if (!spec.filler || load.servingCpuMilli === 0) {
     return adjusted(rank, worker, task);
   }
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -1,13 +1,21 @@
 /** Decides which waiting tasks start where. */
 import type { Instant, Millis } from '../core/time.js';
 import type { Advice } from './advice.js';
+import { isSuspect } from './blame.js';
 import { Booking } from './booking.js';
 import { placeGang } from './gang.js';
 import type { Interference } from './interference.js';
 import type { Step, Task } from './job.js';
-import { workerRuns, type JobsState } from './jobs-state.js';
+import { emptyRuns, workerRuns, type JobsState } from './jobs-state.js';
 import { candidates, type PlanTime } from './order.js';
-import { chooseWorker, type PlaceInput, type PlanWorker } from './placement.js';
+import {
+  chooseWorker,
+  hasRoom,
+  refusalAt,
+  type PlaceInput,
+  type PlanWorker,
+} from './placement.js';
+import { Quarantine } from './quarantine.js';
 import type { RunTimes } from './run-times.js';
 
 /** A decision to start a task. */
@@ -52,17 +60,24 @@
  */
 export function planStarts(
   input: PlanInput,
-  start: ApplyStart,
+  apply: ApplyStart,
   keepRoom: KeepRoom = () => undefined,
 ): number {
   const { state, times, time } = input;
   const place = placeInputOf(input);
+  const { quarantine } = place;
+  const start: ApplyStart = decision => {
+    apply(decision);
+    quarantine.noteStart(decision.task, decision.worker);
+  };
   const full = new Set<string>();
+  const alone = quarantine.waiting.filter(({ step }) => !step.spec.gang);
   let started = startFirst(
     place,
-    [...input.moving, ...overdueLasting(input)],
+    [...input.moving, ...alone, ...overdueLasting(input)],
     start,
   );
+  keepForSuspects(place);
   keepRoom('urgent');
   const keepOnce = once(() => {
     keepRoom('patient');
@@ -89,6 +104,22 @@
   return started;
 }
 
+/** Workers on which nothing begins are calm, and can have a suspected task, once what runs there is over. */
+function keepForSuspects(place: PlaceInput): void {
+  const { quarantine, workers } = place;
+  if (quarantine.waiting.length > 0) {
+    quarantine.keep(workers.length, task =>
+      workers
+        .filter(
+          worker =>
+            refusalAt(place, worker, task) === undefined &&
+            hasRoom(worker.info, emptyRuns(), task.step.spec),
+        )
+        .map(({ info }) => info.id),
+    );
+  }
+}
+
 function once(act: () => void): () => void {
   let done = false;
   return () => {
@@ -182,11 +213,12 @@
 }
 
 function newBooking(input: PlanInput): Booking {
-  const { state, workers, interference, advice, time } = input;
+  const { state, workers, interference, advice, time, leadsSince } = input;
   const booking = new Booking({
     workers,
     speeds: interference.speeds(),
     advice,
+    quarantine: new Quarantine({ state, now: time.now, leadsSince }),
     now: time.now,
     loadOf: worker => workerRuns(state, worker),
     spreadOf: ({ step }, worker) => step.spread.get(worker) ?? 0,
@@ -202,7 +234,8 @@
 function startTasks(place: PlaceInput, step: Step, start: ApplyStart): Started {
   let started = 0;
   for (const task of step.tasks) {
-    if (!isWaiting(task)) {
+    // Suspected tasks had their turn; that they find no place says nothing of others.
+    if (!isWaiting(task) || isSuspect(task)) {
       continue;
     }
     const worker = chooseWorker(place, task);
--- /dev/null
+++ b/packages/domain/src/jobs/quarantine.ts
@@ -0,0 +1,131 @@
+/**
+ * Keeps tasks apart that are suspected to bring their workers down. Such a task runs where nothing else
+ * has just begun, and nothing begins beside it until it has settled: the next loss takes few others along
+ * and tells which task it was. Where no worker is free of others, one is kept for it until it is.
+ */
+import type { Instant, Millis } from '../core/time.js';
+import { isSettled, isSuspect } from './blame.js';
+import { isOver, type Step, type Task } from './job.js';
+import type { JobsState } from './jobs-state.js';
+
+/** What a quarantine goes by. */
+export interface QuarantineInput {
+  readonly state: JobsState;
+  readonly now: Instant;
+  /** Monotonic time at which this leader took over. */
+  readonly leadsSince: Instant;
+}
+
+/**
+ * Time after which a suspected task no longer waits for a worker of its own: users allow 3 s in which
+ * nothing of a job runs while there is room for it.
+ */
+const PATIENCE_MS: Millis = 2_000;
+
+/** Part of the workers that may be kept free for suspected tasks. */
+const KEPT_SHARE = 1 / 8;
+
+/** Where suspected tasks may run in one round, and where others may not. */
+export class Quarantine {
+  /** Suspected tasks that wait for a worker, the longest first. */
+  readonly waiting: readonly Task[];
+  /** Workers on which a suspected task has not settled, with its step. */
+  private readonly occupied = new Map<string, Step>();
+  /** Workers that are kept for suspected tasks. */
+  private readonly kept = new Set<string>();
+  /** Number of runs that have not settled, by worker. */
+  private readonly unsettled = new Map<string, number>();
+
+  /** Finds suspected tasks and where they run. */
+  constructor(private readonly input: QuarantineInput) {
+    const { suspects } = input.state;
+    const waiting: Task[] = [];
+    for (const task of suspects) {
+      if (!isSuspect(task) || isOver(task.step.occurrence.job)) {
+        suspects.delete(task);
+      } else if (task.status === 'waiting') {
+        waiting.push(task);
+      }
+      for (const run of task.runs) {
+        if (!this.isSettled(run)) {
+          this.occupied.set(run.worker, task.step);
+        }
+      }
+    }
+    this.waiting = waiting.sort((a, b) => a.blame.since - b.blame.since);
+  }
+
+  /** Whether a worker may be given a task. */
+  admits(worker: string, task: Task): boolean {
+    const occupant = this.occupied.get(worker);
+    if (occupant !== undefined) {
+      // Members of a gang can't wait for each other.
+      return occupant.spec.gang && occupant === task.step;
+    }
+    return isSuspect(task)
+      ? this.isPatienceOver(task) || this.unsettledAt(worker) === 0
+      : !this.kept.has(worker);
+  }
+
+  /** Notes that a task starts on a worker in this round. */
+  noteStart(task: Task, worker: string): void {
+    if (isSuspect(task)) {
+      this.occupied.set(worker, task.step);
+    }
+    this.unsettled.set(worker, this.unsettledAt(worker) + 1);
+  }
+
+  /**
+   * Keeps a worker free for each suspected task that waits, of the `suited` ones that on which the fewest
+   * runs have not settled; no more than a share of `fleetSize`.
+   */
+  keep(fleetSize: number, suited: (task: Task) => Iterable<string>): void {
+    const most = Math.max(1, Math.floor(fleetSize * KEPT_SHARE));
+    for (const task of this.waiting) {
+      if (this.kept.size >= most) {
+        return;
+      }
+      if (task.status === 'waiting') {
+        const worker = this.calmest(suited(task));
+        if (worker !== undefined) {
+          this.kept.add(worker);
+        }
+      }
+    }
+  }
+
+  private calmest(workers: Iterable<string>): string | undefined {
+    let best: string | undefined;
+    let fewest = Infinity;
+    for (const worker of workers) {
+      const isFree = !this.kept.has(worker) && !this.occupied.has(worker);
+      const unsettled = this.unsettledAt(worker);
+      if (isFree && unsettled < fewest) {
+        best = worker;
+        fewest = unsettled;
+      }
+    }
+    return best;
+  }
+
+  private isPatienceOver({ blame }: Task): boolean {
+    return this.input.now - blame.since >= PATIENCE_MS;
+  }
+
+  private unsettledAt(worker: string): number {
+    const known = this.unsettled.get(worker);
+    if (known !== undefined) {
+      return known;
+    }
+    const { runs } = this.input.state.workers.get(worker) ?? {};
+    const found = [...(runs?.values() ?? [])].filter(
+      run => !this.isSettled(run),
+    ).length;
+    this.unsettled.set(worker, found);
+    return found;
+  }
+
+  private isSettled(run: Task['runs'][number]): boolean {
+    return isSettled(this.input.state, run, this.input.leadsSince);
+  }
+}
--- a/packages/domain/src/jobs/restate.ts
+++ b/packages/domain/src/jobs/restate.ts
@@ -168,6 +168,7 @@
       task.blame.percent = percent;
       task.blame.since = state.now;
       task.blame.workers.push(...workers);
+      state.suspects.add(task);
     }
   });
   step.remaining = step.tasks.filter(({ status }) => status !== 'done').length;
