--- a/packages/daemon/src/job-host/fuzz-plan.fixture.test.ts
+++ b/packages/daemon/src/job-host/fuzz-plan.fixture.test.ts
@@ -147,6 +147,17 @@
   { minLength: 1, maxLength: 4 },
 );
 
+/** Draws a job of which one task brings down each worker on which it begins. */
+export const crasher = fc.record({
+  at: fc.integer({ min: 0, max: STORM_MS }),
+  tasks: fc.integer({ min: 1, max: 3 }),
+  afterMs: fc.constantFrom(0, 10, 300, 2_000),
+  kind: fc.constantFrom('plain', 'lasting', 'speculative', 'gang'),
+});
+
+/** A job of which one task brings its workers down. */
+export type Crasher = typeof crasher extends fc.Arbitrary<infer T> ? T : never;
+
 /** Late answers of one worker. */
 export type LateAnswers =
   typeof lateAnswers extends fc.Arbitrary<(infer T)[]> ? T : never;
--- a/packages/daemon/src/job-host/job-host.fuzz.test.ts
+++ b/packages/daemon/src/job-host/job-host.fuzz.test.ts
@@ -5,6 +5,7 @@
 import fc from 'fast-check';
 
 import {
+  crasher,
   HOSTS,
   LABEL,
   lateAnswers,
@@ -14,6 +15,7 @@
   STORM_MS,
   timeOf,
   WORKERS,
+  type Crasher,
   type Fault,
   type LateAnswers,
   type Plan,
@@ -181,6 +183,7 @@
   found: Plan,
   crowd = 0,
   late: readonly LateAnswers[] = [],
+  beside?: (site: Simulation) => void,
 ): Promise<Simulation> {
   const site = new Simulation(found.seed);
   const begin = site.time.clock();
@@ -208,11 +211,36 @@
   late.forEach(answers => {
     delayLooks(site, answers);
   });
+  beside?.(site);
   void watch(site);
   await site.time.advance(STORM_MS + CALM_MS);
   return site;
 }
 
+/** The job of which one task brings its workers down. */
+const CRASHER = '00000000000000f0';
+
+async function submitCrasher(
+  site: Simulation,
+  { at, tasks, afterMs, kind }: Crasher,
+): Promise<void> {
+  await site.wait(at);
+  const gang = kind === 'gang';
+  const step = {
+    tasks,
+    after: [],
+    lasting: kind === 'lasting',
+    speculative: kind === 'speculative',
+    gang,
+  };
+  await site.submit(CRASHER, [step], {
+    runMs: kind === 'lasting' ? 10_000_000 : 3_000,
+    failures: 0,
+    crash: { afterMs, index: 0 },
+    ...(gang ? { gang: tasks } : {}),
+  });
+}
+
 function judge(site: Simulation, found: Plan): void {
   assert.deepEqual(site.history.check(), []);
   // A run that fails counts as an attempt, so that jobs may fail where workers do.
@@ -264,3 +292,20 @@
     },
   );
 });
+
+test('promises hold under random faults beside a task that crashes its workers', async () => {
+  await fc.assert(
+    fc.asyncProperty(plan, crasher, async (found, drawn) => {
+      const site = await play(found, 0, [], started => {
+        void submitCrasher(started, drawn);
+      });
+      judge(site, found);
+      assert.ok(site.history.statesTold(CRASHER).includes('failed'));
+    }),
+    {
+      numRuns: Number(process.env.FUZZ_RUNS ?? 10),
+      seed: Number(process.env.FUZZ_SEED ?? 20261206),
+      endOnFailure: process.env.FUZZ_SHRINK === undefined,
+    },
+  );
+});
--- a/packages/daemon/src/job-host/leader-log.ts
+++ b/packages/daemon/src/job-host/leader-log.ts
@@ -1,5 +1,6 @@
 /** The lines of a leader's log that tell of runs and jobs. */
 import {
+  lostUnder,
   objectiveOf,
   refOf,
   statusOf,
@@ -38,11 +39,11 @@
 
 /** Tells of a task that is given up, and which workers were lost under it. */
 export function logGivenUp({ ctx, claim }: Writer, task: Task): void {
-  const { workers, percent } = task.blame;
+  const workers = lostUnder(task);
   const name = taskName(refOf(task));
   const { epoch } = claim;
   ctx.log.warn(
-    { task: name, epoch, workers, blame: percent, runs: task.lastRun },
+    { task: name, epoch, workers, runs: task.lastRun },
     'leader: a task is given up, workers were lost under it',
   );
 }
--- a/packages/daemon/src/job-host/run-recorder.ts
+++ b/packages/daemon/src/job-host/run-recorder.ts
@@ -14,6 +14,7 @@
   type RunTimes,
   type Suspicion,
   type Task,
+  type WorkerFate,
   type WorkerHealth,
 } from '@paddlewind/domain/jobs';
 import type { EndedRun } from '@paddlewind/ports/jobs';
@@ -70,22 +71,15 @@
   }
 
   /**
-   * Records the ends of runs that are given up with their worker. Where it is lost, and not only out of
-   * reach or gone as announced, each record says how far its task may be to blame.
+   * Records the ends of runs that are given up with their worker, and how far each may be the reason.
    */
   givenUp(worker: string, runs: readonly Run[], reason: WorkerGivenUp): void {
     if (runs.length > 0) {
       this.givenUpWorkers.add(worker);
     }
-    if (this.options.presenceOf(worker) === 'leaving') {
-      for (const run of runs) {
-        this.ended(run, 'lapsed', checkpointOf(run));
-      }
-      return;
-    }
     const { ctx, claim, state, fleetSize } = this.options;
     const suspicions = suspicionsOf(state, runs, {
-      isCertain: this.isGone(worker, reason),
+      fate: this.fateOf(worker, reason),
       fleetSize: fleetSize(),
       leadsSince: claim.wonAt,
       now: ctx.clock(),
@@ -103,15 +97,19 @@
     }
   }
 
-  /** A worker that was gone before this leader took over may have announced that it leaves. */
-  private isGone(worker: string, reason: WorkerGivenUp): boolean {
+  /** A worker that had left before this leader took over may have announced that. */
+  private fateOf(worker: string, reason: WorkerGivenUp): WorkerFate {
+    const presence = this.options.presenceOf(worker);
+    if (presence === 'leaving') {
+      return 'unknown';
+    }
     switch (reason) {
       case 'replaced':
-        return true;
+        return 'crashed';
       case 'unanswered':
-        return this.options.presenceOf(worker) === 'gone';
+        return presence === 'gone' ? 'crashed' : 'unknown';
       case 'unregistered':
-        return false;
+        return 'gone';
     }
   }
 
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -113,7 +113,7 @@
     this.history.statusMs = STATUS_MS;
     this.log = new MemoryJobLog(time);
     this.fleet = new MemoryFleet(time, this.history);
-    this.fleet.onCrash = machine => {
+    this.fleet.onCrash = (machine, labels) => {
       const from = clock();
       this.history.faults?.add({
         from,
@@ -122,7 +122,7 @@
       });
       schedule(revivalMs, () => {
         if (this.fleet.at(machine) === undefined) {
-          this.addWorker(machine);
+          this.addWorker(machine, labels);
         }
       });
     };
--- a/packages/domain/src/jobs/blame.test.ts
+++ b/packages/domain/src/jobs/blame.test.ts
@@ -1,18 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import {
-  isGivenUp,
-  SETTLED_MS,
-  suspicionsOf,
-  type LossEvidence,
-  type Suspicion,
-} from './blame.js';
+import { blameOf, isGivenUp, lostUnder, type Suspicion } from './blame.js';
 import type { Run, Task } from './job.js';
 import { statusOf } from './job.js';
 import { refOf, type JobsState } from './jobs-state.js';
 import { decodeJournal, encodeRecord } from './records.js';
 import { imageOf } from './restate.js';
+import { SETTLED_MS, suspicionsOf, type LossEvidence } from './suspicion.js';
 import {
   apply,
   stateOf,
@@ -22,7 +17,12 @@
   endRun,
 } from './test-support.js';
 
-const CALM = { isCertain: true, fleetSize: 40, now: 0, leadsSince: 0 };
+const CALM: LossEvidence = {
+  fate: 'crashed',
+  fleetSize: 40,
+  now: 0,
+  leadsSince: 0,
+};
 
 function siteOf(...jobs: string[]): JobsState {
   return stateOf(...jobs.map(id => testJob(id, [{ tasks: 3 }])));
@@ -87,7 +87,7 @@
 test('a worker that may only be out of reach raises doubts', () => {
   const state = siteOf('a');
   const runs = together(state, 'a');
-  const found = suspicionsOf(state, runs, { ...CALM, isCertain: false });
+  const found = suspicionsOf(state, runs, { ...CALM, fate: 'unknown' });
   assert.deepEqual([...found.values()], ['doubtful']);
 });
 
@@ -131,7 +131,7 @@
   assert.equal(statusOf(job), 'queued');
   loseNext(state, task, 'sole');
   assert.equal(statusOf(job), 'failed');
-  assert.deepEqual(task.blame.workers, ['w1', 'w2', 'w3']);
+  assert.deepEqual(lostUnder(task), ['w1', 'w2', 'w3']);
   assert.equal(state.open.has(job), false);
 });
 
@@ -143,7 +143,7 @@
   loseNext(state, task, 'cleared');
   loseNext(state, task, 'sole');
   assert.equal(isGivenUp(task), false);
-  assert.deepEqual(task.blame.workers, ['w4']);
+  assert.deepEqual(lostUnder(task), ['w4']);
 });
 
 test('ends that are no losses add no blame', () => {
@@ -152,7 +152,7 @@
   for (const how of ['lapsed', 'void', 'stopped', 'broken'] as const) {
     endRun(state, startOn(state, task, 'w'), how);
   }
-  assert.equal(task.blame.percent, 0);
+  assert.equal(blameOf(task), 0);
 });
 
 test('blame outlives the records of the losses', () => {
@@ -164,7 +164,7 @@
   const image = imageOf(task.step.occurrence.job, state);
   apply(reader, { kind: 'restate', image });
   const restored = taskOf(reader, 'a', 0, 0);
-  assert.deepEqual(restored.blame.workers, ['w1', 'w2']);
+  assert.deepEqual(lostUnder(restored), ['w1', 'w2']);
   loseNext(reader, restored, 'sole');
   assert.ok(isGivenUp(restored));
 });
@@ -189,3 +189,31 @@
   const there = { ...lapsed, checkpoint: 'c' };
   assert.deepEqual(decodeJournal(encodeRecord(there)), there);
 });
+
+test('what a task is given up for, those beside it are not to blame for', () => {
+  const state = siteOf('a', 'b');
+  const [guilty, beside] = ['a', 'b'].map(job => taskOf(state, job, 0, 0));
+  assert.ok(guilty && beside);
+  for (const worker of ['w1', 'w2']) {
+    const runs = [guilty, beside].map(task => startOn(state, task, worker));
+    runs.forEach(run => {
+      lose(state, run, 'shared');
+    });
+  }
+  loseNext(state, beside, 'sole');
+  assert.equal(isGivenUp(beside), true);
+  const again = siteOf('a', 'b');
+  const [first, second] = ['a', 'b'].map(job => taskOf(again, job, 0, 0));
+  assert.ok(first && second);
+  for (const worker of ['w1', 'w2']) {
+    const runs = [first, second].map(task => startOn(again, task, worker));
+    runs.forEach(run => {
+      lose(again, run, 'shared');
+    });
+  }
+  loseNext(again, first, 'sole');
+  loseNext(again, second, 'sole');
+  assert.equal(isGivenUp(second), false);
+  loseNext(again, second, 'sole');
+  assert.equal(isGivenUp(second), true);
+});
--- a/packages/domain/src/jobs/blame.ts
+++ b/packages/domain/src/jobs/blame.ts
@@ -4,7 +4,7 @@
  * merely stood beside it, or on workers that crashed for other reasons, are not.
  */
 import type { Instant, Millis } from '../core/time.js';
-import type { Job, Run, Task } from './job.js';
+import type { Task } from './job.js';
 import type { JobsState } from './jobs-state.js';
 
 /** All values of `Suspicion`. */
@@ -13,26 +13,29 @@
   'sole',
   /** Runs of other jobs could have been it as well. */
   'shared',
-  /** Workers are being lost for no such reason, or this one may only be out of reach. */
+  /** Another reason is likely: workers are being lost for none, this one may be out of reach or have left. */
   'doubtful',
-  /** It had been at work for long, and another run had not. */
+  /** It had been at work for long. */
   'cleared',
-  /** All that ran there had been at work for long. */
+  /** So had all that ran there, and the worker has crashed. */
   'unexplained',
 ] as const;
 
 /** How far the run of a task may be the reason why its worker was lost. */
 export type Suspicion = (typeof SUSPICIONS)[number];
 
+/** Suspicions that speak against a task. */
+export type Charge = Extract<Suspicion, 'sole' | 'shared' | 'doubtful'>;
+
 /**
  * Blame in percent that a loss adds. A task is given up at 100: after three losses where one of them can
  * have had no other reason and the last was not doubtful, and after five whatever else is going on.
  */
-const BLAME = {
+const BLAME: Readonly<Record<Charge, number>> = {
   sole: 40,
   shared: 30,
   doubtful: 20,
-} as const satisfies Partial<Record<Suspicion, number>>;
+};
 
 /** Blame in percent at which a task is given up. */
 const GIVE_UP_AT = 100;
@@ -43,112 +46,56 @@
 /** Blame in percent from which on a task is kept apart: two losses, of which neither was doubtful. */
 const SUSPECT_AT = 60;
 
-/** A run that has been at work for this long is not the reason why its worker is lost. */
-export const SETTLED_MS: Millis = 5_000;
-
-/** Journal time stands still for this long between two records of how long a leader has led. */
-const JOURNAL_STEP_MS: Millis = 1_000;
-
 /** How long a loss for which nothing is to blame is remembered. */
-const LOSS_MEMORY_MS: Millis = 60_000;
+export const LOSS_MEMORY_MS: Millis = 60_000;
 
-/** Chance of a sound worker to be lost while a run settles, from which on losses say little of tasks. */
-const NOISY_CHANCE = 0.01;
+/** The loss of a worker under a task. */
+export interface Loss {
+  readonly worker: string;
+  charge: Charge;
+}
 
 /** What a task has cost so far. */
 export interface Blame {
-  /** In percent; 0 for a task that is not under suspicion. */
-  percent: number;
-  /** Workers that were lost under it since it came under suspicion. */
-  readonly workers: string[];
-  /** Monotonic time at which this host learnt of the last of these losses. */
+  /** Losses since it came under suspicion. */
+  losses: Loss[];
+  /** Monotonic time at which this host learnt of the last of them. */
   since: Instant;
 }
 
 /** Returns the blame of a task under which no worker was lost. */
 export function noBlame(): Blame {
-  return { percent: 0, workers: [], since: -Infinity };
-}
-
-/** How a loss is known. */
-export interface LossEvidence {
-  /** Whether the worker is gone, and not only out of reach. */
-  readonly isCertain: boolean;
-  /** Number of workers that are registered. */
-  readonly fleetSize: number;
-  /** Monotonic time at which this leader took over. */
-  readonly leadsSince: Instant;
-  readonly now: Instant;
-}
-
-/** Returns how far each of the runs that are lost with one worker may be the reason. */
-export function suspicionsOf(
-  state: JobsState,
-  runs: readonly Run[],
-  evidence: LossEvidence,
-): Map<Run, Suspicion> {
-  const { isCertain, leadsSince } = evidence;
-  const settled = new Set(
-    runs.filter(run => isSettled(state, run, leadsSince)),
-  );
-  const recent = runs.filter(run => !settled.has(run));
-  const jobs = new Set(recent.map(jobOf));
-  const isClear = isCertain && !isNoisy(state, evidence);
-  const others = jobs.size === 1 ? 'sole' : 'shared';
-  const ofRecent = isClear ? others : 'doubtful';
-  const ofSettled = recent.length === 0 ? 'unexplained' : 'cleared';
-  return new Map(
-    runs.map(run => [run, settled.has(run) ? ofSettled : ofRecent]),
-  );
+  return { losses: [], since: -Infinity };
 }
 
-/**
- * Whether a run is known to have been at work for so long that it does its worker no harm: from its
- * recorded start until it was last seen. `leadsSince` is when this host took over.
- */
-export function isSettled(
-  state: JobsState,
-  run: Run,
-  leadsSince: Instant,
-): boolean {
-  const { progress, openedAt } = run;
-  const before = workedBefore(state, run);
-  if (progress === undefined) {
-    return before >= SETTLED_MS;
+/** Returns a task's blame in percent; 0 for one that is not under suspicion. */
+export function blameOf({ blame }: Task): number {
+  const { losses } = blame;
+  if (losses.length >= MOST_LOSSES) {
+    return GIVE_UP_AT;
   }
-  if (!progress.confirmed) {
-    return false;
+  let sum = 0;
+  for (const { charge } of losses) {
+    sum += BLAME[charge];
+    // A doubtful loss does not decide, whatever came before it.
+    sum = charge === 'doubtful' ? Math.min(sum, GIVE_UP_AT - 1) : sum;
   }
-  const isOwn = openedAt >= leadsSince;
-  const own = progress.seenAt - (isOwn ? openedAt : leadsSince);
-  return (isOwn ? own : before + own) >= SETTLED_MS;
+  return sum;
 }
 
-/**
- * How long a run is known to have been at work under earlier leaders. These told which workers had ceased
- * to answer, and until when they led.
- */
-function workedBefore(
-  { journalTime, silentSince }: JobsState,
-  { worker, opened }: Run,
-): Millis {
-  const seen = Math.min(
-    journalTime.claimed,
-    silentSince.get(worker) ?? Infinity,
-  );
-  return Math.max(0, seen - opened - JOURNAL_STEP_MS);
+/** Whether a task has cost so many workers that it is given up. */
+export function isGivenUp(task: Task): boolean {
+  return blameOf(task) >= GIVE_UP_AT;
+}
+
+/** Whether a task is kept apart from others until it is known whether it brings workers down. */
+export function isSuspect(task: Task): boolean {
+  return blameOf(task) >= SUSPECT_AT;
 }
 
-/** Whether so many workers are lost with nothing to blame that a loss says little of what ran there. */
-function isNoisy(
-  { unexplainedLosses }: JobsState,
-  { fleetSize, now }: LossEvidence,
-): boolean {
-  const losses = [...unexplainedLosses.values()].filter(
-    at => now - at < LOSS_MEMORY_MS,
-  );
-  const perWorker = losses.length / Math.max(1, fleetSize);
-  return (perWorker * SETTLED_MS) / LOSS_MEMORY_MS > NOISY_CHANCE;
+/** Returns the workers that were lost under a task since it came under suspicion. */
+export function lostUnder({ blame }: Task): string[] {
+  return blame.losses.map(({ worker }) => worker);
 }
 
 /** Notes that a run of a task was lost with its worker. */
@@ -158,50 +105,41 @@
   worker: string,
   suspicion: Suspicion,
 ): void {
-  const { blame } = task;
   switch (suspicion) {
     case 'unexplained':
       noteUnexplained(state, worker);
-      clear(blame);
+      task.blame.losses = [];
       return;
     case 'cleared':
-      clear(blame);
+      task.blame.losses = [];
       return;
     case 'sole':
     case 'shared':
     case 'doubtful':
-      blame.workers.push(worker);
-      blame.percent = percentAfter(blame, suspicion);
-      blame.since = state.now;
-      state.suspects.add(task);
+      addLosses(state, task, [{ worker, charge: suspicion }]);
   }
 }
 
-/** A doubtful loss does not decide by itself, whatever came before it. */
-function percentAfter(
-  { percent, workers }: Blame,
-  suspicion: keyof typeof BLAME,
-): number {
-  if (workers.length >= MOST_LOSSES) {
-    return GIVE_UP_AT;
-  }
-  const sum = percent + BLAME[suspicion];
-  return suspicion === 'doubtful' ? Math.min(sum, GIVE_UP_AT - 1) : sum;
-}
-
-/** Whether a task is kept apart from others until it is known whether it brings workers down. */
-export function isSuspect({ blame }: Task): boolean {
-  return blame.percent >= SUSPECT_AT;
-}
-
-/** Whether a task has cost so many workers that it is given up. */
-export function isGivenUp({ blame }: Task): boolean {
-  return blame.percent >= GIVE_UP_AT;
+/** Adds losses under a task to its blame. */
+export function addLosses(
+  state: JobsState,
+  task: Task,
+  losses: readonly Loss[],
+): void {
+  task.blame.losses.push(...losses);
+  task.blame.since = state.now;
+  state.suspects.add(task);
 }
 
-function clear(blame: Blame): void {
-  blame.percent = 0;
-  blame.workers.length = 0;
+/** Once a task is given up, losses of the same workers say little of others: it was the reason for most. */
+export function explainLosses({ suspects }: JobsState, givenUp: Task): void {
+  const explained = new Set(lostUnder(givenUp));
+  for (const task of suspects) {
+    const losses = task === givenUp ? [] : task.blame.losses;
+    for (const loss of losses.filter(({ worker }) => explained.has(worker))) {
+      loss.charge = 'doubtful';
+    }
+  }
 }
 
 /** Notes that a worker was lost with nothing to blame. */
@@ -216,7 +154,3 @@
   }
   unexplainedLosses.set(worker, now);
 }
-
-function jobOf({ task }: Run): Job {
-  return task.step.occurrence.job;
-}
--- a/packages/domain/src/jobs/copies.ts
+++ b/packages/domain/src/jobs/copies.ts
@@ -3,6 +3,7 @@
  * the first one to be done counts, and the other is stopped.
  */
 import type { Instant, Millis } from '../core/time.js';
+import { blameOf } from './blame.js';
 import type { Run, Step } from './job.js';
 import { placeInputOf, type ApplyStart, type PlanInput } from './plan.js';
 import { chooseWorker, type PlaceInput } from './placement.js';
@@ -41,11 +42,9 @@
   for (const job of state.open) {
     for (const { steps } of job.occurrences.values()) {
       for (const step of steps.filter(mayHaveCopies)) {
-        for (const { status, runs, blame } of step.tasks) {
-          if (blame.percent > 0) {
-            // A copy of what may bring its worker down would cost another one.
-            continue;
-          }
+        // A copy of what may bring its worker down would cost another one.
+        const sound = step.tasks.filter(task => blameOf(task) === 0);
+        for (const { status, runs } of sound) {
           const [only] = runs;
           if (status === 'running' && only !== undefined && runs.length === 1) {
             yield only;
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -1,6 +1,6 @@
 /** Folds the records of inbox and journal into the state of jobs. */
 import type { Instant, Millis } from '../core/time.js';
-import { isGivenUp, noteLoss } from './blame.js';
+import { explainLosses, isGivenUp, noteLoss } from './blame.js';
 import type {
   HandedLeases,
   InboxRecord,
@@ -72,8 +72,8 @@
       }
       state.standbys = record.standbys;
       state.leaderAddress = record.address;
-      state.journalTime.noteLed(record.epoch, record.ledForMs);
       noteSilent(state, record.handed);
+      state.journalTime.noteLed(record.epoch, record.ledForMs);
       return true;
     case 'reached':
       state.reachedIn.set(record.worker, state.claim.epoch);
@@ -104,7 +104,10 @@
   }
 }
 
-/** Keeps since when each worker that does not answer has been told to be so. */
+/**
+ * Keeps since when each worker that does not answer has been told to be so: as of the record before, since
+ * a leader may say so late.
+ */
 function noteSilent(state: JobsState, handed: HandedLeases | undefined): void {
   if (handed !== undefined) {
     const { silentSince, journalTime } = state;
@@ -284,6 +287,7 @@
   const { job } = task.step.occurrence;
   if (isGivenUp(task) && !isOver(job)) {
     job.failed = true;
+    explainLosses(state, task);
     close(state, job);
   }
 }
--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -19,6 +19,7 @@
 export * from './spec.js';
 export * from './standbys.js';
 export * from './summary.js';
+export * from './suspicion.js';
 export * from './task-ref.js';
 export * from './worker-health.js';
 export * from './worth.js';
--- a/packages/domain/src/jobs/job.ts
+++ b/packages/domain/src/jobs/job.ts
@@ -1,6 +1,7 @@
 /** The job aggregate: occurrences of steps of tasks, and the runs of each task. */
-import type { Instant, Millis } from '../core/time.js';
+import type { Instant } from '../core/time.js';
 import { noBlame, type Blame } from './blame.js';
+import type { JournalMoment } from './journal-time.js';
 import type { JobSpec, StepSpec } from './spec.js';
 
 /** A job's state as callers see it. */
@@ -57,8 +58,8 @@
   readonly worker: string;
   /** Monotonic time at which this host learnt of its start. */
   readonly openedAt: Instant;
-  /** Journal time of its start. */
-  opened: Millis;
+  /** Its start in journal time. */
+  opened: JournalMoment;
   progress: RunProgress | undefined;
 }
 
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -59,7 +59,7 @@
   readonly journalTime: JournalTime;
   /** Journal time since which leaders have told that a worker with open runs does not answer, by worker. */
   silentSince: Map<string, Millis>;
-  /** Tasks under which workers were lost; those that are over are dropped when they are looked through. */
+  /** Tasks under which workers were lost; those that are over are dropped when a leader looks through them. */
   readonly suspects: Set<Task>;
   /** When workers were lost with nothing to blame, by worker. */
   readonly unexplainedLosses: Map<string, Instant>;
@@ -156,7 +156,7 @@
     number,
     worker,
     openedAt: state.now,
-    opened: state.journalTime.now,
+    opened: state.journalTime.present,
     progress: undefined,
   };
   task.runs.push(run);
--- a/packages/domain/src/jobs/journal-time.ts
+++ b/packages/domain/src/jobs/journal-time.ts
@@ -5,9 +5,15 @@
  */
 import type { Millis } from '../core/time.js';
 
+/** A moment between two records of how long a leader has led: that of the second one, infinite before. */
+export interface JournalMoment {
+  at: Millis;
+}
+
 /** Counts journal time. */
 export class JournalTime {
   private time: Millis = 0;
+  private moment: JournalMoment = { at: Infinity };
   private epoch = 0;
   private ledFor: Millis = 0;
   private claimedAt: Millis = 0;
@@ -17,6 +23,14 @@
     return this.time;
   }
 
+  /**
+   * The present moment, never told too early: leaders that the log does not answer for a while write
+   * nothing, and say later how long they have led.
+   */
+  get present(): JournalMoment {
+    return this.moment;
+  }
+
   /** Journal time at which the last leader before the newest one was last heard. */
   get claimed(): Millis {
     return this.claimedAt;
@@ -41,5 +55,7 @@
     }
     this.time += Math.max(0, ledFor - this.ledFor);
     this.ledFor = Math.max(ledFor, this.ledFor);
+    this.moment.at = this.time;
+    this.moment = { at: Infinity };
   }
 }
--- a/packages/domain/src/jobs/placement.ts
+++ b/packages/domain/src/jobs/placement.ts
@@ -1,5 +1,6 @@
 /** Chooses the worker for a task: which may have it, where it has room, and which suits it best. */
 import type { Advice } from './advice.js';
+import { blameOf } from './blame.js';
 import type { FillerSpeeds } from './filler-speeds.js';
 import type { Step, Task } from './job.js';
 import type { WorkerRuns } from './jobs-state.js';
@@ -218,13 +219,10 @@
  * Gives a filler the worker whose processors are the least promised, and any other task the one
  * whose room it fills best, so that room for large tasks is left.
  */
-function baseRank(
-  capacity: TaskSize,
-  load: WorkerRuns,
-  { step, blame }: Task,
-): number {
+function baseRank(capacity: TaskSize, load: WorkerRuns, task: Task): number {
+  const { step } = task;
   const { size, filler, tailTargetMs } = step.spec;
-  if (blame.percent > 0) {
+  if (blameOf(task) > 0) {
     // The next loss takes few others along, and tells apart those that were lost together.
     return -load.runs.size;
   }
--- a/packages/domain/src/jobs/quarantine.test.ts
+++ b/packages/domain/src/jobs/quarantine.test.ts
@@ -171,7 +171,7 @@
   const copies: string[] = [];
   planCopies(input, ({ worker }) => copies.push(worker));
   assert.equal(copies.length, 0);
-  task.blame.percent = 0;
+  task.blame.losses = [];
   planCopies(input, ({ worker }) => copies.push(worker));
   assert.equal(copies.length, 1);
 });
--- a/packages/domain/src/jobs/quarantine.ts
+++ b/packages/domain/src/jobs/quarantine.ts
@@ -4,9 +4,10 @@
  * and tells which task it was. Where no worker is free of others, one is kept for it until it is.
  */
 import type { Instant, Millis } from '../core/time.js';
-import { isSettled, isSuspect } from './blame.js';
+import { blameOf, isSuspect } from './blame.js';
 import { isOver, type Step, type Task } from './job.js';
 import type { JobsState } from './jobs-state.js';
+import { isSettled } from './suspicion.js';
 
 /** What a quarantine goes by. */
 export interface QuarantineInput {
@@ -41,13 +42,11 @@
     const { suspects } = input.state;
     const waiting: Task[] = [];
     for (const task of suspects) {
-      if (!isSuspect(task) || isOver(task.step.occurrence.job)) {
+      if (blameOf(task) === 0 || isOver(task.step.occurrence.job)) {
         suspects.delete(task);
-      } else if (task.status === 'waiting') {
-        waiting.push(task);
-      }
-      for (const run of task.runs) {
-        if (!this.isSettled(run)) {
+      } else if (isSuspect(task)) {
+        waiting.push(...(task.status === 'waiting' ? [task] : []));
+        for (const run of task.runs.filter(open => !this.isSettled(open))) {
           this.occupied.set(run.worker, task.step);
         }
       }
--- a/packages/domain/src/jobs/restate.ts
+++ b/packages/domain/src/jobs/restate.ts
@@ -13,10 +13,14 @@
   type Step,
   type Task,
 } from './job.js';
+import { addLosses, type Charge } from './blame.js';
 import type { JournalTime } from './journal-time.js';
 import { hasOpenRuns, openRun, type JobsState } from './jobs-state.js';
 import type { JobSpec } from './spec.js';
 
+/** The loss of a worker under a task. */
+export type LossRow = readonly [worker: string, charge: Charge];
+
 /** A task: status, last run, failures, workers that failed it, checkpoint, and open runs. */
 export type TaskRow = readonly [
   status: Step['tasks'][number]['status'],
@@ -30,8 +34,8 @@
     /** Time since its start; absent where an earlier version wrote the row. */
     ageMs?: Millis,
   ])[],
-  /** Absent where no worker was lost under it, or an earlier version wrote the row. */
-  blame?: readonly [percent: number, workers: readonly string[]],
+  /** Workers that were lost under it; absent where none was, or an earlier version wrote the row. */
+  losses?: readonly LossRow[],
 ];
 
 /** A step: its tasks, and the numbers of a gang's runs that failed. */
@@ -96,17 +100,21 @@
       task.checkpoint,
       task.runs.map(
         ({ number, worker, opened }) =>
-          [number, worker, journalTime.now - opened] as const,
+          [number, worker, Math.max(0, journalTime.now - opened.at)] as const,
       ),
-      ...blameOf(task),
+      ...lossRows(task),
     ]),
     failedGangRuns: [...failedGangRuns],
   };
 }
 
-function blameOf({ blame }: Task): [] | [readonly [number, string[]]] {
-  const { percent, workers } = blame;
-  return percent === 0 ? [] : [[percent, [...workers]]];
+/** Most tasks have no such row. */
+function lossRows({ blame }: Task): [] | [LossRow[]] {
+  const rows = blame.losses.map(({ worker, charge }): LossRow => [
+    worker,
+    charge,
+  ]);
+  return rows.length === 0 ? [] : [rows];
 }
 
 /** Takes in a job that is not known yet; one that is known is as new already. */
@@ -151,11 +159,11 @@
     if (found === undefined) {
       return;
     }
-    const [status, lastRun, failures, failedOn, checkpoint, runs, blame] =
+    const [status, lastRun, failures, failedOn, checkpoint, runs, losses] =
       found;
     runs.forEach(([number, worker, ageMs = 0]) => {
       const run = openRun(state, task, number, worker);
-      run.opened = state.journalTime.now - ageMs;
+      run.opened = { at: state.journalTime.now - ageMs };
     });
     task.status = status;
     task.lastRun = lastRun;
@@ -163,12 +171,9 @@
     task.checkpoint = checkpoint;
     task.endedAt = status === 'waiting' && lastRun > 0 ? state.now : Infinity;
     failedOn.forEach(worker => task.failedOn.add(worker));
-    if (blame !== undefined) {
-      const [percent, workers] = blame;
-      task.blame.percent = percent;
-      task.blame.since = state.now;
-      task.blame.workers.push(...workers);
-      state.suspects.add(task);
+    if (losses !== undefined) {
+      const known = losses.map(([worker, charge]) => ({ worker, charge }));
+      addLosses(state, task, known);
     }
   });
   step.remaining = step.tasks.filter(({ status }) => status !== 'done').length;
--- /dev/null
+++ b/packages/domain/src/jobs/suspicion.ts
@@ -0,0 +1,108 @@
+/** Judges how far each run that is lost with a worker may be the reason for the loss. */
+import type { Instant, Millis } from '../core/time.js';
+import { LOSS_MEMORY_MS, type Suspicion } from './blame.js';
+import type { Job, Run } from './job.js';
+import type { JobsState } from './jobs-state.js';
+
+/** A run that has been at work for this long is not the reason why its worker is lost. */
+export const SETTLED_MS: Millis = 5_000;
+
+/** A worker that falls silent is told to be so this much later at the most: looks wait 1 s and some. */
+const TOLD_LATE_MS: Millis = 2_000;
+
+/** Chance of a sound worker to be lost while a run settles, from which on losses say little of tasks. */
+const NOISY_CHANCE = 0.01;
+
+/**
+ * What became of a worker: it has crashed; it is gone, and may have announced that; or it may be out of
+ * reach, or has left as announced.
+ */
+export type WorkerFate = 'crashed' | 'gone' | 'unknown';
+
+/** How a loss is known. */
+export interface LossEvidence {
+  readonly fate: WorkerFate;
+  /** Number of workers that are registered. */
+  readonly fleetSize: number;
+  /** Monotonic time at which this leader took over. */
+  readonly leadsSince: Instant;
+  readonly now: Instant;
+}
+
+/** Returns how far each of the runs that are lost with one worker may be the reason. */
+export function suspicionsOf(
+  state: JobsState,
+  runs: readonly Run[],
+  evidence: LossEvidence,
+): Map<Run, Suspicion> {
+  const { fate, leadsSince } = evidence;
+  const settled = new Set(
+    runs.filter(run => isSettled(state, run, leadsSince)),
+  );
+  const recent = runs.filter(run => !settled.has(run));
+  const jobs = new Set(recent.map(jobOf));
+  const isClear = fate === 'crashed' && !isNoisy(state, evidence);
+  const others = jobs.size === 1 ? 'sole' : 'shared';
+  const ofRecent = isClear ? others : 'doubtful';
+  const isUnexplained = fate !== 'unknown' && recent.length === 0;
+  const ofSettled = isUnexplained ? 'unexplained' : 'cleared';
+  return new Map(
+    runs.map(run => [run, settled.has(run) ? ofSettled : ofRecent]),
+  );
+}
+
+/**
+ * Whether a run is known to have been at work for so long that it does its worker no harm: from its
+ * recorded start until it was last seen. `leadsSince` is when this host took over.
+ */
+export function isSettled(
+  state: JobsState,
+  run: Run,
+  leadsSince: Instant,
+): boolean {
+  return workedFor(state, run, leadsSince) >= SETTLED_MS;
+}
+
+function workedFor(state: JobsState, run: Run, leadsSince: Instant): Millis {
+  const { progress, openedAt } = run;
+  if (progress === undefined) {
+    return workedBefore(state, run);
+  }
+  if (!progress.confirmed) {
+    return 0;
+  }
+  return openedAt >= leadsSince
+    ? progress.seenAt - openedAt
+    : workedBefore(state, run) + progress.seenAt - leadsSince;
+}
+
+/**
+ * How long a run is known to have been at work under earlier leaders. These told which workers had ceased
+ * to answer, and until when they led.
+ */
+function workedBefore(
+  { journalTime, silentSince }: JobsState,
+  { worker, opened }: Run,
+): Millis {
+  const seen = Math.min(
+    journalTime.claimed,
+    silentSince.get(worker) ?? Infinity,
+  );
+  return Math.max(0, seen - opened.at - TOLD_LATE_MS);
+}
+
+/** Whether so many workers are lost with nothing to blame that a loss says little of what ran there. */
+function isNoisy(
+  { unexplainedLosses }: JobsState,
+  { fleetSize, now }: LossEvidence,
+): boolean {
+  const losses = [...unexplainedLosses.values()].filter(
+    at => now - at < LOSS_MEMORY_MS,
+  );
+  const perWorker = losses.length / Math.max(1, fleetSize);
+  return (perWorker * SETTLED_MS) / LOSS_MEMORY_MS > NOISY_CHANCE;
+}
+
+function jobOf({ task }: Run): Job {
+  return task.step.occurrence.job;
+}
--- a/packages/stand-ins/src/jobs/answer-promises.ts
+++ b/packages/stand-ins/src/jobs/answer-promises.ts
@@ -94,12 +94,19 @@
   return Math.min(Infinity, ...spent);
 }
 
-/** When a job was first shown as failed: whether that had a cause is judged by itself. */
-function shownFailedAt({ shown }: Facts, id: string): Instant {
-  const found = shown.filter(
-    ({ job, state }) => job === id && state === 'failed',
-  );
-  return Math.min(Infinity, ...found.map(({ at }) => at));
+/** Returns the last crash under a job before it was shown as failed: it was not over sooner. */
+function givenUpAt({ shown, runs }: Facts, id: string): Instant {
+  const told = shown
+    .filter(({ job, state }) => job === id && state === 'failed')
+    .map(({ at }) => at);
+  const toldAt = Math.min(Infinity, ...told);
+  const crashes = runs
+    .filter(({ task, crashed }) => task.job === id && crashed)
+    .map(({ endedAt }) => endedAt)
+    .filter(at => at <= toldAt);
+  return toldAt === Infinity || crashes.length === 0
+    ? Infinity
+    : Math.max(...crashes);
 }
 
 function isDenied(
@@ -110,7 +117,7 @@
   const overAt = Math.min(
     jobDoneAt(facts, id),
     spentAt(facts, id, job),
-    shownFailedAt(facts, id),
+    givenUpAt(facts, id),
   );
   const cancelAt = Math.min(job.cancelledAt, job.cancelAskedAt ?? Infinity);
   return (
--- a/packages/stand-ins/src/jobs/memory-fleet.ts
+++ b/packages/stand-ins/src/jobs/memory-fleet.ts
@@ -37,7 +37,8 @@
   readonly slowness = new Map<string, number>();
 
   /** Told of each worker that a task has brought down. */
-  onCrash: (machine: string) => void = () => undefined;
+  onCrash: (machine: string, labels?: readonly string[]) => void = () =>
+    undefined;
 
   private readonly workers = new Map<string, MemoryWorker>();
   private readonly gangs: Gangs;
@@ -59,7 +60,7 @@
     const worker = new MemoryWorker(traits, time, history, gangs, order => {
       history.broughtDown(order, traits.id);
       this.crash(machine);
-      this.onCrash(machine);
+      this.onCrash(machine, traits.labels);
     });
     history.joined({ labels: [], ...traits });
     this.workers.set(traits.id, worker);
