Tell callers why a job has failed

Callers saw failed for a task that failed as often as it may and for one that was given up alike. The state of a failed job carries the reason now (attempts spent, or workers lost), also in the summary that most hosts of a large site read, in restated jobs and in the answer to callers. Rows of earlier versions say failed without a reason, and theirs read ours so. The test that expected a failed state expects its reason as well.

--- a/packages/daemon/src/job-host/caller-view.ts
+++ b/packages/daemon/src/job-host/caller-view.ts
@@ -1,12 +1,12 @@
 /** What a host knows of jobs when callers ask. */
 import type { Instant, Millis } from '@paddlewind/domain';
-import type { InboxRecord, JobStatus } from '@paddlewind/domain/jobs';
+import type { InboxRecord, JobState } from '@paddlewind/domain/jobs';
 
 import { pause, type HostContext } from './context.js';
 
 /** What is known of a job. */
 export type StatusResult =
-  | { readonly kind: 'known'; readonly status: JobStatus }
+  | ({ readonly kind: 'known' } & JobState)
   | { readonly kind: 'no_such_job' }
   | { readonly kind: 'unavailable' };
 
@@ -78,7 +78,7 @@
   /** Brings the state up to date; false when that can't be done. */
   readonly isUpToDate: () => Promise<boolean>;
   /** The state as it is known; undefined when the job was forgotten meanwhile. */
-  readonly newest: () => JobStatus | undefined;
+  readonly newest: () => JobState | undefined;
 }
 
 /** Tells a job's state as of a moment after the call. */
@@ -100,8 +100,8 @@
     ctx.meters.refused('status', 'unrecorded');
     return { kind: 'unavailable' };
   }
-  const status = newest();
-  return status === undefined
+  const state = newest();
+  return state === undefined
     ? { kind: 'unavailable' }
-    : { kind: 'known', status };
+    : { kind: 'known', ...state };
 }
--- a/packages/daemon/src/job-host/crashing-tasks.test.ts
+++ b/packages/daemon/src/job-host/crashing-tasks.test.ts
@@ -184,3 +184,25 @@
     assert.ok(lost <= 2 * 3, `seed ${seed}: ${lost} lost beside it`);
   }
 });
+
+test('callers of all hosts are told why the job has failed, also by those that read the summary', async () => {
+  const site = await siteWithNeighbours(1, REVIVAL_MS);
+  for (let at = 1; at <= 8; at += 1) {
+    site.startHost(`s${at}`, 0.5);
+  }
+  await site.time.advance(REVIVAL_MS);
+  const { steps, script } = crasher(10);
+  void site.submit(CRASHER, steps, script);
+  await site.time.until(
+    () => site.history.firstTold(CRASHER, 'failed') < Infinity,
+    WATCHED_MS,
+  );
+  const asked = [...site.hosts.values()].map(({ host }) =>
+    host.service.status(CRASHER),
+  );
+  await site.time.advance(1_000);
+  const expected = { kind: 'known', status: 'failed', failure: 'workers_lost' };
+  for (const told of await Promise.all(asked)) {
+    assert.deepEqual(told, expected);
+  }
+});
--- a/packages/daemon/src/job-host/job-host.test.ts
+++ b/packages/daemon/src/job-host/job-host.test.ts
@@ -128,7 +128,11 @@
   const host = site.hosts.get('h1')?.host;
   const asked = host?.service.status('00000000000000a8');
   await site.time.advance(100);
-  assert.deepEqual(await asked, { kind: 'known', status: 'failed' });
+  assert.deepEqual(await asked, {
+    kind: 'known',
+    status: 'failed',
+    failure: 'attempts_spent',
+  });
   assert.deepEqual(site.history.check(), []);
 });
 
--- a/packages/daemon/src/job-host/replica-view.ts
+++ b/packages/daemon/src/job-host/replica-view.ts
@@ -1,6 +1,10 @@
 /** What a host that reads the journal tells callers. */
 import type { Instant, Millis } from '@paddlewind/domain';
-import { statusOf, type InboxRecord } from '@paddlewind/domain/jobs';
+import {
+  statusOf,
+  toldStateOf,
+  type InboxRecord,
+} from '@paddlewind/domain/jobs';
 
 import {
   findByReading,
@@ -70,7 +74,7 @@
       isUpToDate: () => this.isUpToDate('journal'),
       newest: () => {
         const known = replica.state.jobs.get(job);
-        return known === undefined ? undefined : statusOf(known);
+        return known === undefined ? undefined : toldStateOf(known);
       },
     });
   }
--- a/packages/daemon/src/job-host/summary-view.ts
+++ b/packages/daemon/src/job-host/summary-view.ts
@@ -68,7 +68,7 @@
       isSettled: () => this.isFinal(job),
       isUpToDate: () => this.isRead(follower.refresh),
       // A submission that the leader has not summed up waits, as far as anyone may be told.
-      newest: () => follower.summary.statusOf(job) ?? 'queued',
+      newest: () => follower.summary.stateOf(job) ?? { status: 'queued' },
     });
   }
 
--- a/packages/domain/src/jobs/copies.test.ts
+++ b/packages/domain/src/jobs/copies.test.ts
@@ -88,7 +88,7 @@
   assert.equal(task.status, 'done');
   endRun(state, run, 'failed');
   assert.equal(task.status, 'done');
-  assert.equal(state.jobs.get('j')?.failed, false);
+  assert.equal(state.jobs.get('j')?.failure, undefined);
 });
 
 test('a task goes on when one of its copies fails', () => {
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -286,7 +286,7 @@
 function failWhenGivenUp(state: JobsState, task: Task): void {
   const { job } = task.step.occurrence;
   if (isGivenUp(task) && !isOver(job)) {
-    job.failed = true;
+    job.failure = 'workers_lost';
     explainLosses(state, task);
     close(state, job);
   }
@@ -297,7 +297,7 @@
   const { spec, failedGangRuns } = task.step;
   const failures = spec.gang ? failedGangRuns.size : task.failures;
   if (!spec.lasting && failures >= job.spec.terms.maxAttempts) {
-    job.failed = true;
+    job.failure ??= 'attempts_spent';
     close(state, job);
   }
 }
--- a/packages/domain/src/jobs/job.ts
+++ b/packages/domain/src/jobs/job.ts
@@ -8,6 +8,15 @@
 export type JobStatus =
   'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
 
+/** Why a job has failed: a task has failed as often as it may, or has cost too many workers. */
+export type FailureReason = 'attempts_spent' | 'workers_lost';
+
+/** What callers are told of a job; the reason where it has failed. */
+export interface JobState {
+  readonly status: JobStatus;
+  readonly failure?: FailureReason;
+}
+
 /** What is known of a run beyond the journal; only the leader keeps it. */
 export interface RunProgress {
   /** Monotonic time at which the order was sent or the run was first seen. */
@@ -121,7 +130,8 @@
   /** Occurrences that are not done, those not created yet included. */
   remaining: number;
   cancelled: boolean;
-  failed: boolean;
+  /** Why it has failed; undefined for one that has not. */
+  failure: FailureReason | undefined;
   /** Monotonic time at which it was first found to be over. */
   overAt: Instant | undefined;
   /** Monotonic time at which this leader last restated it. */
@@ -146,7 +156,7 @@
     occurrences: new Map(),
     remaining: Math.max(1, spec.repetition?.times ?? 1),
     cancelled: false,
-    failed: false,
+    failure: undefined,
     overAt: undefined,
     restatedAt: undefined,
     begun: false,
@@ -207,7 +217,7 @@
 
 /** Tells whether nothing of the job is to be started any more. */
 export function isOver(job: Job): boolean {
-  return job.cancelled || job.failed || job.remaining === 0;
+  return job.cancelled || job.failure !== undefined || job.remaining === 0;
 }
 
 /** Tells whether a task is known whose being done is still waited for. */
@@ -228,8 +238,17 @@
   if (job.cancelled) {
     return 'cancelled';
   }
-  if (job.failed) {
+  if (job.failure !== undefined) {
     return 'failed';
   }
   return job.begun ? 'running' : 'queued';
 }
+
+/** Returns what callers are told. */
+export function toldStateOf(job: Job): JobState {
+  const status = statusOf(job);
+  const { failure } = job;
+  return status === 'failed' && failure !== undefined
+    ? { status, failure }
+    : { status };
+}
--- a/packages/domain/src/jobs/restate.ts
+++ b/packages/domain/src/jobs/restate.ts
@@ -9,6 +9,7 @@
   isOver,
   newJob,
   occurrenceOf,
+  type FailureReason,
   type Job,
   type Step,
   type Task,
@@ -51,6 +52,8 @@
   readonly remaining: number;
   readonly cancelled: boolean;
   readonly failed: boolean;
+  /** Why it has failed; absent where an earlier version wrote the image. */
+  readonly failure?: FailureReason | undefined;
   readonly begun: boolean;
   /** Steps by number of the occurrence. */
   readonly occurrences: readonly (readonly [number, readonly StepRow[]])[];
@@ -58,9 +61,11 @@
 
 /** Returns the image of a job. */
 export function imageOf(job: Job, { journalTime }: JobsState): JobImage {
-  const { acceptedAtWall, remaining, cancelled, failed, begun } = job;
+  const { acceptedAtWall, remaining, cancelled, failure, begun } = job;
+  const failed = failure !== undefined;
   if (isOver(job) && !hasOpenRuns(job)) {
-    return { ...briefOf(job), remaining, cancelled, failed, begun };
+    const brief = briefOf(job);
+    return { ...brief, remaining, cancelled, failed, failure, begun };
   }
   const { spec } = job;
   const occurrences = [...job.occurrences.values()].map(
@@ -73,6 +78,7 @@
     remaining,
     cancelled,
     failed,
+    failure,
     begun,
     occurrences,
   };
@@ -130,7 +136,7 @@
     state.jobs.size,
   );
   job.cancelled = image.cancelled;
-  job.failed = image.failed;
+  job.failure = image.failed ? (image.failure ?? 'attempts_spent') : undefined;
   job.begun = image.begun;
   job.remaining = image.remaining;
   state.jobs.set(id, job);
--- a/packages/domain/src/jobs/summary.ts
+++ b/packages/domain/src/jobs/summary.ts
@@ -5,13 +5,25 @@
  * A job of 80 tasks has 160 and more records of 60 bytes in the journal and three rows of 25 bytes here.
  */
 import type { Instant } from '../core/time.js';
-import { statusOf, type Job, type JobStatus } from './job.js';
+import {
+  toldStateOf,
+  type FailureReason,
+  type Job,
+  type JobState,
+  type JobStatus,
+} from './job.js';
 import { parseRow } from './records.js';
 
-/** A job's newest status; the queue is told while it waits. */
+/** A job's newest status: the queue is told while it waits, the reason once it has failed. */
 export type SummaryRow =
   | readonly [job: string, status: JobStatus]
-  | readonly [job: string, status: JobStatus, queue: string];
+  | readonly [job: string, status: JobStatus, queue: string]
+  | readonly [
+      job: string,
+      status: 'failed',
+      queue: undefined,
+      failure: FailureReason,
+    ];
 
 /** A record of the summary, or of the snapshots from which a reader begins. */
 export type SummaryRecord =
@@ -45,7 +57,12 @@
   | ['r', number, readonly WireRow[]]
   | ['s', number, number, number, number, readonly WireRow[]];
 
-type WireRow = readonly [string, keyof typeof STATUSES, string?];
+type WireRow = readonly [
+  string,
+  keyof typeof STATUSES,
+  (string | null)?,
+  FailureReason?,
+];
 
 /** One letter a status: rows are most of the stream. */
 const STATUSES = {
@@ -68,8 +85,11 @@
 
 /** Returns the row of a job as its state is now. */
 export function rowOf(job: Job): SummaryRow {
-  const status = statusOf(job);
+  const { status, failure } = toldStateOf(job);
   const { id, terms } = job.spec;
+  if (status === 'failed' && failure !== undefined) {
+    return [id, status, undefined, failure];
+  }
   return status === 'queued' ? [id, status, terms.queue] : [id, status];
 }
 
@@ -115,18 +135,24 @@
   }
 }
 
-function toWireRow([job, status, queue]: SummaryRow): WireRow {
+function toWireRow([job, status, queue, failure]: SummaryRow): WireRow {
   const letter = LETTERS[status];
+  if (failure !== undefined) {
+    return [job, letter, null, failure];
+  }
   return queue === undefined ? [job, letter] : [job, letter, queue];
 }
 
-function fromWire([job, letter, queue]: WireRow): SummaryRow {
+function fromWire([job, letter, queue, failure]: WireRow): SummaryRow {
   const status = STATUSES[letter];
-  return queue === undefined ? [job, status] : [job, status, queue];
+  if (status === 'failed' && failure !== undefined) {
+    return [job, status, undefined, failure];
+  }
+  return typeof queue === 'string' ? [job, status, queue] : [job, status];
 }
 
 interface SummedJob {
-  readonly status: JobStatus;
+  readonly row: SummaryRow;
   /** Queue in which it waits; undefined once it has begun or is over. */
   readonly queue: string | undefined;
   /** Monotonic time at which it was learnt to be over; infinite before. */
@@ -158,7 +184,16 @@
 
   /** A job's newest status; undefined for one that is not known. */
   statusOf(job: string): JobStatus | undefined {
-    return this.jobs.get(job)?.status;
+    return this.stateOf(job)?.status;
+  }
+
+  /** What callers are told of a job; undefined for one that is not known. */
+  stateOf(job: string): JobState | undefined {
+    const [, status, , failure] = this.jobs.get(job)?.row ?? [];
+    if (status === undefined) {
+      return undefined;
+    }
+    return failure === undefined ? { status } : { status, failure };
   }
 
   /** Number of jobs that wait in a queue. */
@@ -168,9 +203,7 @@
 
   /** All rows, as a reader that begins anew needs them. */
   rows(): SummaryRow[] {
-    return [...this.jobs].map(([job, { status, queue }]) =>
-      queue === undefined ? [job, status] : [job, status, queue],
-    );
+    return [...this.jobs.values()].map(({ row }) => row);
   }
 
   /** Forgets jobs that were over before `since`. */
@@ -182,13 +215,14 @@
     }
   }
 
-  private set([job, status, queue]: SummaryRow, now: Instant): void {
+  private set(row: SummaryRow, now: Instant): void {
+    const [job, status, queue] = row;
     const known = this.jobs.get(job);
     this.count(known?.queue, -1);
     this.count(queue, 1);
     const isOver = status !== 'queued' && status !== 'running';
     const overAt = isOver ? Math.min(now, known?.overAt ?? now) : Infinity;
-    this.jobs.set(job, { status, queue, overAt });
+    this.jobs.set(job, { row, queue, overAt });
   }
 
   private count(queue: string | undefined, by: 1 | -1): void {
