--- a/packages/cli/src/trace/history.test.ts
+++ b/packages/cli/src/trace/history.test.ts
@@ -68,3 +68,32 @@
   const text = `no json ${ID}\n12.5 h1 ${answered(1, 'recorded')}\n${other}`;
   assert.equal(readHistory(ID, [text]).lines.length, 1);
 });
+
+test('tells which workers a task that was given up has lost', () => {
+  const task = `${ID}.0.0.1`;
+  const lost = (second: number, worker: string, suspicion: string): string =>
+    line(second, {
+      task,
+      worker,
+      how: 'lost',
+      suspicion,
+      msg: 'leader: a run has ended',
+    });
+  const texts = [
+    answered(1, 'recorded'),
+    run(1, 'leader: a run is ordered'),
+    lost(4, 'i-1', 'shared'),
+    lost(8, 'i-2', 'sole'),
+  ];
+  const ended = '2 runs ended as lost';
+  assert.deepEqual(readHistory(ID, texts).causes, [
+    ended,
+    `task ${task} lost its worker 2 times: i-1 (shared), i-2 (sole)`,
+  ]);
+  const msg = 'leader: a task is given up, workers were lost under it';
+  const told = line(9, { task, workers: ['i-1', 'i-2'], msg });
+  assert.deepEqual(readHistory(ID, [...texts, told]).causes, [
+    ended,
+    `task ${task} was given up, lost its worker 2 times: i-1 (shared), i-2 (sole)`,
+  ]);
+});
--- a/packages/cli/src/trace/history.ts
+++ b/packages/cli/src/trace/history.ts
@@ -14,6 +14,9 @@
 /** Wait for a first run, in milliseconds, that is told as a cause of lateness. */
 const LONG_WAIT_MS = 1_000;
 
+/** The line that tells of a task under which too many workers were lost. */
+const GIVEN_UP_MSG = 'leader: a task is given up, workers were lost under it';
+
 /** Fields that every line has, or that say nothing of the job. */
 const COMMON_FIELDS = new Set(['level', 'time', 'host', 'msg', 'job']);
 
@@ -40,7 +43,12 @@
   if (lines.length === 0) {
     return ['no line tells of this job'];
   }
-  return [...answerCauses(lines), ...waitCauses(lines), ...runCauses(lines)];
+  return [
+    ...answerCauses(lines),
+    ...waitCauses(lines),
+    ...runCauses(lines),
+    ...lossCauses(lines),
+  ];
 }
 
 function answerCauses(lines: readonly TraceLine[]): string[] {
@@ -93,3 +101,23 @@
   }
   return [...ends].map(([how, count]) => `${count} runs ended as ${how}`);
 }
+
+/** Which workers were lost under which task, and how far that speaks against it. */
+function lossCauses(lines: readonly TraceLine[]): string[] {
+  const losses = new Map<string, string[]>();
+  const givenUp = new Set<string>();
+  for (const { msg, fields } of lines) {
+    const task = textOf(fields.task);
+    if (msg === 'leader: a run has ended' && fields.how === 'lost') {
+      const loss = `${textOf(fields.worker)} (${textOf(fields.suspicion)})`;
+      losses.set(task, [...(losses.get(task) ?? []), loss]);
+    }
+    if (msg === GIVEN_UP_MSG) {
+      givenUp.add(task);
+    }
+  }
+  return [...losses].map(([task, workers]) => {
+    const verdict = givenUp.has(task) ? 'was given up, lost' : 'lost';
+    return `task ${task} ${verdict} its worker ${workers.length} times: ${workers.join(', ')}`;
+  });
+}
