Test workers that shrink and grow again, and hosts whose steady clock misses a suspension

A capacity that has shrunk counts 4.1 s later, one that has grown at once; the promise on room checks that now, with tests of its own.

--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -63,6 +63,8 @@
   readonly host: JobHost;
   alive: boolean;
   thawsAt: Instant;
+  /** Time that its steady clock has not counted. */
+  suspendedMs: Millis;
   /** Time that the process takes for each event: a timer, an answer. */
   eventMs: Millis;
   /** When it has dealt with all events so far. */
@@ -146,17 +148,17 @@
     const started = {
       alive: true,
       thawsAt: 0,
+      suspendedMs: 0,
       eventMs: 0,
       busyUntil: 0,
     } as SimulatedHost;
+    const clock = (): Instant => this.time.clock() - started.suspendedMs;
     const schedule = (delay: Millis, task: () => void): (() => void) =>
-      this.time.schedule(delay, () => {
-        this.runIn(started, task);
-      });
+      this.scheduleIn(started, clock() + delay, task);
     const host = startJobHost({
       ctx: {
         host: name,
-        clock: this.time.clock,
+        clock,
         wallClock: () => this.time.clock() + this.wallOffset,
         random: this.random,
         schedule,
@@ -219,6 +221,15 @@
     }
   }
 
+  /** Suspends the machine of a host for `span`, which its steady clock and its timers don't count. */
+  suspend(name: string, span: Millis): void {
+    const found = this.hosts.get(name);
+    if (found !== undefined) {
+      found.thawsAt = this.time.clock() + span;
+      found.suspendedMs += span;
+    }
+  }
+
   /** Makes the process of a host take `eventMs` for each event, one after the other. */
   slow(name: string, eventMs: Millis): void {
     const found = this.hosts.get(name);
@@ -301,6 +312,27 @@
     });
   }
 
+  /** Runs `task` once the steady clock of a host is at `dueAt`. */
+  private scheduleIn(
+    host: SimulatedHost,
+    dueAt: Instant,
+    task: () => void,
+  ): () => void {
+    const left = dueAt - (this.time.clock() - host.suspendedMs);
+    let cancel = this.time.schedule(Math.max(0, left), () => {
+      this.runIn(host, () => {
+        if (this.time.clock() - host.suspendedMs < dueAt) {
+          cancel = this.scheduleIn(host, dueAt, task);
+        } else {
+          task();
+        }
+      });
+    });
+    return () => {
+      cancel();
+    };
+  }
+
   private runIn(host: SimulatedHost, task: () => void): void {
     if (!host.alive) {
       return;
--- /dev/null
+++ b/packages/daemon/src/job-host/suspended-hosts.test.ts
@@ -0,0 +1,56 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import {
+  NEIGHBOUR,
+  NEIGHBOUR_TASKS,
+  siteWithNeighbours,
+  WORKERS,
+} from './crashing-site.fixture.test.js';
+
+const SEEDS = [1, 2, 3, 4, 5, 6];
+/** Spans for which a machine is suspended, and how long it is up in between. */
+const SHORTEST_MS = 3_000;
+const LONGEST_MS = 8_000;
+const UP_MS = 10_000;
+const WATCHED_MS = 90_000;
+/** A worker is lost with each third suspension. */
+const LOST_EVERY = 3;
+const CALM_MS = 20_000;
+const CHECK = { tasks: 3, after: [] };
+
+test('no promise is broken by hosts whose steady clock does not count a suspension', async () => {
+  for (const seed of SEEDS) {
+    const site = await siteWithNeighbours(seed);
+    const { history, time, random, fleet } = site;
+    const endsAt = time.clock() + WATCHED_MS;
+    const ids: string[] = [];
+    for (let turn = 1; time.clock() < endsAt; turn += 1) {
+      const names = [...site.hosts.keys()];
+      const other = names[Math.floor(random() * names.length)] ?? '';
+      const name = turn % 2 === 1 ? site.leader() : other;
+      const span = SHORTEST_MS + random() * (LONGEST_MS - SHORTEST_MS);
+      const from = time.clock();
+      history.faults?.add({ from, until: from + span, of: { host: name } });
+      site.suspend(name, span);
+      const id = turn.toString(16).padStart(16, '0');
+      ids.push(id);
+      void site.submit(id, [CHECK, { ...CHECK, after: [0] }], {
+        runMs: 1_500,
+        failures: 0,
+      });
+      if (turn % LOST_EVERY === 0) {
+        const lost = WORKERS[Math.floor(random() * WORKERS.length)] ?? '';
+        fleet.crash(lost);
+        fleet.onCrash(lost);
+      }
+      await time.advance(span + UP_MS * random());
+    }
+    await time.advance(CALM_MS);
+    assert.deepEqual(history.check(), []);
+    assert.equal(history.runningOf(NEIGHBOUR), NEIGHBOUR_TASKS);
+    for (const id of ids) {
+      assert.ok(history.isDone(id), `seed ${seed}: ${id} is not done`);
+    }
+  }
+});
--- a/packages/stand-ins/src/jobs/history-facts.ts
+++ b/packages/stand-ins/src/jobs/history-facts.ts
@@ -88,6 +88,8 @@
 export interface WorkerTrace {
   readonly id: string;
   readonly capacity: TaskSize;
+  /** Later capacities, and since when it has told them. */
+  readonly resizes: { readonly at: Instant; readonly capacity: TaskSize }[];
   readonly labels: readonly string[];
   readonly joinedAt: Instant;
   /** When it announced that it leaves; infinite before. */
--- a/packages/stand-ins/src/jobs/job-history.ts
+++ b/packages/stand-ins/src/jobs/job-history.ts
@@ -5,6 +5,7 @@
   taskName,
   type RunEnd,
   type TaskRef,
+  type TaskSize,
 } from '@paddlewind/domain/jobs';
 
 import { checkAnswers } from './answer-promises.js';
@@ -52,6 +53,7 @@
     this.workers.set(worker.id, {
       id: worker.id,
       capacity: worker.capacity,
+      resizes: [],
       labels: worker.labels,
       joinedAt: this.clock(),
       leavingAt: Infinity,
@@ -59,6 +61,11 @@
     });
   }
 
+  /** A worker tells another capacity from now on. */
+  resized(worker: string, capacity: TaskSize): void {
+    this.workers.get(worker)?.resizes.push({ at: this.clock(), capacity });
+  }
+
   /** A worker has announced that it leaves. */
   announced(worker: string): void {
     const trace = this.workers.get(worker);
--- a/packages/stand-ins/src/jobs/memory-fleet.ts
+++ b/packages/stand-ins/src/jobs/memory-fleet.ts
@@ -1,5 +1,5 @@
 /** Workers in memory behind a network that loses and delays orders. */
-import type { WorkerInfo } from '@paddlewind/domain/jobs';
+import type { TaskSize, WorkerInfo } from '@paddlewind/domain/jobs';
 import type {
   LookResult,
   OrderResult,
@@ -40,6 +40,8 @@
   onCrash: (machine: string, labels?: readonly string[]) => void = () =>
     undefined;
 
+  /** Capacities that workers tell in place of what they began with, by id. */
+  private readonly resized = new Map<string, TaskSize>();
   private readonly workers = new Map<string, MemoryWorker>();
   private readonly gangs: Gangs;
   private readonly leaving = new Set<string>();
@@ -76,6 +78,15 @@
     this.history.gone(id ?? '');
   }
 
+  /** Changes the capacity of the life at an address, which tells so and goes on running what it runs. */
+  resize(machine: string, capacity: TaskSize): void {
+    const id = this.lives.get(machine);
+    if (id !== undefined) {
+      this.resized.set(id, capacity);
+      this.history.resized(id, capacity);
+    }
+  }
+
   /** Announces that the life at an address is about to end. */
   announceLeave(machine: string): void {
     const id = this.lives.get(machine) ?? '';
@@ -99,7 +110,9 @@
         for (const [address, id] of this.lives) {
           const worker = this.workers.get(id);
           if (worker !== undefined) {
-            workers.push(infoOf(address, worker.traits, this.leaving.has(id)));
+            const capacity = this.resized.get(id) ?? worker.traits.capacity;
+            const traits = { ...worker.traits, capacity };
+            workers.push(infoOf(address, traits, this.leaving.has(id)));
           }
         }
         const value = { workers, unreadable: [] };
--- a/packages/stand-ins/src/jobs/place-promises.test.ts
+++ b/packages/stand-ins/src/jobs/place-promises.test.ts
@@ -90,3 +90,29 @@
   story.begin(200, task(1), 1);
   assert.deepEqual(story.broken(), []);
 });
+
+test('a start beyond the room of a worker that shrank is reported, unless it did so just before', () => {
+  const shrunk = { ...SIZE, cpuMilli: 1_000, memoryMiB: 1_000 };
+  for (const [beganAt, expected] of [
+    [4_199, []],
+    [4_200, ['within_room']],
+  ] as const) {
+    const story = new Story([{ tasks: 2, after: [], size: SIZE }]);
+    story.begin(50, task(0), 1);
+    story.now = 100;
+    story.history.resized('w1', shrunk);
+    story.begin(beganAt, task(1), 1);
+    assert.deepEqual(story.broken(), expected);
+  }
+});
+
+test('a worker that has grown again has its room at once', () => {
+  const story = new Story([{ tasks: 2, after: [], size: SIZE }]);
+  story.begin(50, task(0), 1);
+  story.now = 100;
+  story.history.resized('w1', { ...SIZE, cpuMilli: 1_000 });
+  story.now = 9_000;
+  story.history.resized('w1', { ...SIZE, cpuMilli: 2_000, memoryMiB: 2_000 });
+  story.begin(9_001, task(1), 1);
+  assert.deepEqual(story.broken(), []);
+});
--- a/packages/stand-ins/src/jobs/place-promises.ts
+++ b/packages/stand-ins/src/jobs/place-promises.ts
@@ -1,7 +1,8 @@
 /** Promises on where runs begin. */
-import type { Millis } from '@paddlewind/domain';
+import type { Instant, Millis } from '@paddlewind/domain';
 import { taskName, type TaskSize } from '@paddlewind/domain/jobs';
 
+import { CONTACT_MS } from './fault-times.js';
 import {
   stepOf,
   violation,
@@ -14,6 +15,9 @@
 /** Longest time after a worker's announcement in which a run may begin there, as the users' rules say. */
 const LEAVING_MS: Millis = 2_000;
 
+/** Time after which a capacity that has shrunk counts, as the users' rules say: contact and one report. */
+const SHRUNK_MS: Millis = CONTACT_MS + 1_100;
+
 /** Returns the broken promises on each start. */
 export function checkPlaces(facts: Facts): Violation[] {
   return [...facts.workers.values()].flatMap(worker => {
@@ -61,6 +65,25 @@
     : [];
 }
 
+/** Returns the largest capacity that hosts may go by at a moment: one that has shrunk counts a little later. */
+function largestUntil(
+  { capacity, resizes }: WorkerTrace,
+  at: Instant,
+): TaskSize {
+  const known = [{ at: -Infinity, capacity }, ...resizes];
+  const counts = known.filter((size, index) => {
+    const until = known[index + 1]?.at ?? Infinity;
+    return size.at <= at && until > at - SHRUNK_MS;
+  });
+  const largest = (of: (size: TaskSize) => number): number =>
+    Math.max(...counts.map(size => of(size.capacity)));
+  return {
+    cpuMilli: largest(size => size.cpuMilli),
+    memoryMiB: largest(size => size.memoryMiB),
+    accelerators: largest(size => size.accelerators),
+  };
+}
+
 /** What is being stopped still counts, and an order that was held up does so too. */
 function beyondRoom(
   facts: Facts,
@@ -68,7 +91,8 @@
   run: RunTrace,
   beside: readonly RunTrace[],
 ): Violation[] {
-  const left = roomBeside(facts, worker, [...beside, run]);
+  const capacity = largestUntil(worker, run.beganAt);
+  const left = roomBeside(facts, { ...worker, capacity }, [...beside, run]);
   return Math.min(left.cpuMilli, left.memoryMiB, left.accelerators) < 0
     ? [violation('within_room', taskName(run.task), [run, ...beside])]
     : [];
