--- a/packages/daemon/src/job-host/crashing-tasks.test.ts
+++ b/packages/daemon/src/job-host/crashing-tasks.test.ts
@@ -10,6 +10,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
+import { decodeJournal, type JobImage } from '@paddlewind/domain/jobs';
+
 import {
   CRASHER,
   crasher,
@@ -206,3 +208,61 @@
     assert.deepEqual(told, expected);
   }
 });
+
+test('losses count though the journal is trimmed and all hosts are new', async () => {
+  for (const seed of SEEDS) {
+    const site = await siteWithNeighbours(seed, LONG_REVIVAL_MS);
+    const { steps, script } = crasher(10);
+    void site.submit(CRASHER, steps, script);
+    await site.time.until(() => restatedWithLoss(site), WATCHED_MS);
+    const kept = [CRASHER, NEIGHBOUR].map(id => lastRestated(site, id));
+    site.log.trimTo(Math.min(...kept));
+    for (const name of [...site.hosts.keys()]) {
+      site.kill(name);
+      site.startHost(name);
+    }
+    await site.time.advance(WATCHED_MS);
+    const { history } = site;
+    assert.deepEqual(history.check(), []);
+    assert.ok(history.statesTold(CRASHER).includes('failed'));
+    assert.ok(history.broughtDownBy(CRASHER) <= MAX_CRASHES);
+  }
+});
+
+function imagesOf(site: Simulation, id: string): (JobImage | undefined)[] {
+  return site.log.recordsOf('journal').map(bytes => {
+    const record = decodeJournal(bytes);
+    const isOf = record?.kind === 'restate' && record.image.spec.id === id;
+    return isOf ? record.image : undefined;
+  });
+}
+
+/** Offset of the newest record that restates a job. */
+function lastRestated(site: Simulation, id: string): number {
+  return imagesOf(site, id).findLastIndex(image => image !== undefined);
+}
+
+/** Whether the job is restated with a worker that was lost under its task. */
+function restatedWithLoss(site: Simulation): boolean {
+  return imagesOf(site, CRASHER).some(image => {
+    const [, steps] = image?.occurrences[0] ?? [];
+    const [, , , , , , losses] = steps?.[0]?.tasks[0] ?? [];
+    return losses !== undefined;
+  });
+}
+
+test('nothing of a job begins once it is cancelled between two crashes', async () => {
+  for (const seed of SEEDS) {
+    const site = await siteWithNeighbours(seed, REVIVAL_MS);
+    const { steps, script } = crasher(10);
+    const { history, time } = site;
+    void site.submit(CRASHER, steps, script);
+    await time.until(() => history.broughtDownBy(CRASHER) === 2, WATCHED_MS);
+    void site.cancel(CRASHER);
+    await time.advance(WATCHED_MS);
+    assert.deepEqual(history.check(), []);
+    assert.equal(history.broughtDownBy(CRASHER), 2);
+    assert.equal(history.firstTold(CRASHER, 'failed'), Infinity);
+    assert.equal(history.runningOf(NEIGHBOUR), NEIGHBOUR_TASKS);
+  }
+});
--- a/packages/domain/src/jobs/blame.test.ts
+++ b/packages/domain/src/jobs/blame.test.ts
@@ -217,3 +217,18 @@
   loseNext(again, second, 'sole');
   assert.equal(isGivenUp(second), true);
 });
+
+test('losses that an earlier version recorded as lapses count once a later one leads', () => {
+  const state = siteOf('a');
+  const task = taskOf(state, 'a', 0, 0);
+  for (let run = 1; run <= 4; run += 1) {
+    startOn(state, task, `w${run}`);
+    const text = JSON.stringify(['e', 'a.0.0.0', run, 'lapsed']);
+    const earlier = decodeJournal(new TextEncoder().encode(text));
+    assert.ok(earlier);
+    apply(state, earlier);
+  }
+  assert.equal(isGivenUp(task), false);
+  loseNext(state, task, 'sole');
+  assert.equal(isGivenUp(task), true);
+});
