Count runs that were lost with their workers among the time of late jobs

paddlewind losses reads the ends of runs from the leader's log, and knew no end called lost, which runs have since they are told from lapses.

--- a/packages/cli/src/losses/losses.test.ts
+++ b/packages/cli/src/losses/losses.test.ts
@@ -80,6 +80,21 @@
   });
 });
 
+test('time before a run that was lost with its worker is told as run again', () => {
+  const lines = [
+    accepted(0, 'j'),
+    ordered(0, 'j.0.0.0'),
+    ended(2, 'j.0.0.0', 'lost'),
+    ordered(2, 'j.0.0.0', 2),
+    ended(3, 'j.0.0.0', 'done', 2),
+    over(3, 'j', 1_500),
+  ];
+  assert.deepEqual(phasesOf(...lines), {
+    'run again after a lost worker or lease': 2,
+    running: 1,
+  });
+});
+
 test('a run far beyond what was expected is slowed by the rest', () => {
   const lines = [
     accepted(0, 'j'),
--- a/packages/cli/src/losses/phases.ts
+++ b/packages/cli/src/losses/phases.ts
@@ -34,6 +34,7 @@
   failed: 'run again after a failure',
   stopped: 'run again after a stop',
   lapsed: 'run again after a lost worker or lease',
+  lost: 'run again after a lost worker or lease',
   broken: 'run again after a lost worker or lease',
   void: 'ordered and never begun',
 };
