--- a/packages/domain/src/jobs/blame.test.ts
+++ b/packages/domain/src/jobs/blame.test.ts
@@ -5,7 +5,7 @@
 import type { Run, Task } from './job.js';
 import { statusOf } from './job.js';
 import { refOf, type JobsState } from './jobs-state.js';
-import { decodeJournal, encodeRecord } from './records.js';
+import { decodeJournal, encodeRecord } from './record-rows.js';
 import { imageOf } from './restate.js';
 import { SETTLED_MS, suspicionsOf, type LossEvidence } from './suspicion.js';
 import {
--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -13,6 +13,7 @@
 export * from './order.js';
 export * from './placement.js';
 export * from './plan.js';
+export * from './record-rows.js';
 export * from './records.js';
 export * from './restate.js';
 export * from './run-times.js';
--- a/packages/domain/src/jobs/records.test.ts
+++ b/packages/domain/src/jobs/record-rows.test.ts
@@ -5,7 +5,7 @@
 
 import { applyInbox, applyJournal } from './fold.js';
 import { emptyJobsState } from './jobs-state.js';
-import { decodeInbox, decodeJournal } from './records.js';
+import { decodeInbox, decodeJournal } from './record-rows.js';
 
 function bytesOf(row: unknown): Uint8Array {
   return new TextEncoder().encode(JSON.stringify(row));
--- a/packages/domain/src/jobs/summary.ts
+++ b/packages/domain/src/jobs/summary.ts
@@ -12,7 +12,7 @@
   type JobState,
   type JobStatus,
 } from './job.js';
-import { parseRow } from './records.js';
+import { parseRow } from './record-rows.js';
 
 /** A job's newest status: the queue is told while it waits, the reason once it has failed. */
 export type SummaryRow =
--- a/packages/domain/src/jobs/test-support.ts
+++ b/packages/domain/src/jobs/test-support.ts
@@ -1,5 +1,6 @@
 /** Jobs, workers and rounds for the tests of this folder. */
-import { encodeRecord, decodeJournal, type JournalRecord } from './records.js';
+import { encodeRecord, decodeJournal } from './record-rows.js';
+import type { JournalRecord } from './records.js';
 import { newProgress, type Run, type Task } from './job.js';
 import { applyInbox, applyJournal } from './fold.js';
 import {
