--- /dev/null
+++ b/packages/daemon/src/job-host/simulated-process.fixture.test.ts
@@ -0,0 +1,133 @@
+/** The process of a host in virtual time: it can be killed, frozen, suspended with its machine, or slow. */
+import type { Instant, Millis } from '@paddlewind/domain';
+import type { VirtualTime } from '@paddlewind/stand-ins';
+
+/** Runs what a host does: timers, answers to its calls, and what is called back. */
+export class SimulatedProcess {
+  private killed = false;
+  private thawsAt: Instant = 0;
+  /** Time that its steady clock has not counted. */
+  private suspendedMs: Millis = 0;
+  /** Time that it takes for each event. */
+  private eventMs: Millis = 0;
+  /** When it has dealt with all events so far. */
+  private busyUntil: Instant = 0;
+
+  /** Creates a process that runs. */
+  constructor(private readonly time: VirtualTime) {}
+
+  /** Whether it has not been killed. */
+  get alive(): boolean {
+    return !this.killed;
+  }
+
+  /** Whether it does nothing at present. */
+  get isStopped(): boolean {
+    return this.thawsAt > this.time.clock();
+  }
+
+  /** Its steady clock. */
+  readonly clock = (): Instant => this.time.clock() - this.suspendedMs;
+
+  /** Runs `task` after `delay` by its steady clock. */
+  readonly schedule = (delay: Millis, task: () => void): (() => void) =>
+    this.scheduleAt(this.clock() + delay, task);
+
+  /** Ends it. */
+  kill(): void {
+    this.killed = true;
+  }
+
+  /** Stops it for `span`. */
+  freeze(span: Millis): void {
+    this.thawsAt = this.time.clock() + span;
+  }
+
+  /** Stops it for `span`, which its steady clock and its timers don't count. */
+  suspend(span: Millis): void {
+    this.freeze(span);
+    this.suspendedMs += span;
+  }
+
+  /** Makes it take `eventMs` for each event, one after the other. */
+  slow(eventMs: Millis): void {
+    this.eventMs = eventMs;
+  }
+
+  /** Delivers results of a port, and calls back, only while it runs. */
+  guard<T extends object>(port: T): T {
+    return new Proxy(port, {
+      get: (target, name, receiver) => {
+        const call: unknown = Reflect.get(target, name, receiver);
+        if (typeof call !== 'function') {
+          return call;
+        }
+        return (...args: unknown[]): unknown => {
+          const guarded = args.map(arg => this.guardCallback(arg));
+          const result: unknown = Reflect.apply(call, target, guarded);
+          return result instanceof Promise ? this.deliver(result) : result;
+        };
+      },
+    });
+  }
+
+  private guardCallback(arg: unknown): unknown {
+    if (typeof arg !== 'function') {
+      return arg;
+    }
+    return (...told: unknown[]): void => {
+      this.run(() => {
+        Reflect.apply(arg, undefined, told);
+      });
+    };
+  }
+
+  private deliver<R>(result: Promise<R>): Promise<R> {
+    return new Promise(resolve => {
+      void result.then(value => {
+        this.run(() => {
+          resolve(value);
+        });
+      });
+    });
+  }
+
+  private scheduleAt(dueAt: Instant, task: () => void): () => void {
+    const left = Math.max(0, dueAt - this.clock());
+    let cancel = this.time.schedule(left, () => {
+      this.run(() => {
+        if (this.clock() < dueAt) {
+          cancel = this.scheduleAt(dueAt, task);
+        } else {
+          task();
+        }
+      });
+    });
+    return () => {
+      cancel();
+    };
+  }
+
+  private run(task: () => void): void {
+    if (this.killed) {
+      return;
+    }
+    const now = this.time.clock();
+    if (this.isStopped) {
+      this.time.schedule(this.thawsAt - now, () => {
+        this.run(task);
+      });
+      return;
+    }
+    if (this.eventMs === 0) {
+      task();
+      return;
+    }
+    this.busyUntil = Math.max(now, this.busyUntil) + this.eventMs;
+    this.time.schedule(this.busyUntil - now, () => {
+      if (!this.killed) {
+        task();
+      }
+    });
+  }
+}
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -1,10 +1,5 @@
 /** Job hosts, log and workers in virtual time, with faults that a test sets. */
-import {
-  seededRandom,
-  type Instant,
-  type Millis,
-  type Random,
-} from '@paddlewind/domain';
+import { seededRandom, type Millis, type Random } from '@paddlewind/domain';
 import {
   decodeJournal,
   PLAIN_STEP,
@@ -27,6 +22,7 @@
 import { Registry } from 'prom-client';
 
 import { createJobMeters } from './meters.js';
+import { SimulatedProcess } from './simulated-process.fixture.test.js';
 import { startJobHost, type JobHost } from './start-job-host.js';
 
 /** Time of a call between hosts, and after which it is given up: not taken, or not appended. */
@@ -58,17 +54,17 @@
   },
 };
 
-/** A host whose process can be killed or frozen. */
-interface SimulatedHost {
-  readonly host: JobHost;
-  alive: boolean;
-  thawsAt: Instant;
-  /** Time that its steady clock has not counted. */
-  suspendedMs: Millis;
-  /** Time that the process takes for each event: a timer, an answer. */
-  eventMs: Millis;
-  /** When it has dealt with all events so far. */
-  busyUntil: Instant;
+/** A host and its process. */
+class SimulatedHost {
+  constructor(
+    readonly host: JobHost,
+    readonly process: SimulatedProcess,
+  ) {}
+
+  /** Whether its process has not been killed. */
+  get alive(): boolean {
+    return this.process.alive;
+  }
 }
 
 /** A step of a job in a test. */
@@ -145,42 +141,32 @@
 
   /** Starts a host, or starts it again. */
   startHost(name: string, cores = 1): JobHost {
-    const started = {
-      alive: true,
-      thawsAt: 0,
-      suspendedMs: 0,
-      eventMs: 0,
-      busyUntil: 0,
-    } as SimulatedHost;
-    const clock = (): Instant => this.time.clock() - started.suspendedMs;
-    const schedule = (delay: Millis, task: () => void): (() => void) =>
-      this.scheduleIn(started, clock() + delay, task);
+    const simulated = new SimulatedProcess(this.time);
     const host = startJobHost({
       ctx: {
         host: name,
-        clock,
+        clock: simulated.clock,
         wallClock: () => this.time.clock() + this.wallOffset,
         random: this.random,
-        schedule,
+        schedule: simulated.schedule,
         log: pino({ level: process.env.TEST_LOG ?? 'silent' }),
         meters: createJobMeters(new Registry()),
       },
-      jobLog: this.guard(started, this.log.connect(name)),
+      jobLog: simulated.guard(this.log.connect(name)),
       configFeed: configFeed(this.configured),
       workerFeed: () => this.fleet.feed(),
-      workerPort: () => this.guard(started, this.fleet.connect(name)),
+      workerPort: () => simulated.guard(this.fleet.connect(name)),
       advicePort: () => ({
         ask: () => Promise.resolve({ kind: 'unavailable', reason: 'none' }),
       }),
-      peers: this.guard(started, this.peersOf(name)),
+      peers: simulated.guard(this.peersOf(name)),
       peerAddress: name,
       maxLeaseMs: this.maxLeaseMs,
       cores,
       retentionMs: RETENTION_MS,
       statusMs: STATUS_MS,
     });
-    Object.assign(started, { host });
-    this.hosts.set(name, started);
+    this.hosts.set(name, new SimulatedHost(host, simulated));
     return host;
   }
 
@@ -193,7 +179,7 @@
         const unknown = { kind: 'unknown', reason: 'no answer' } as const;
         if (
           found?.alive !== true ||
-          found.thawsAt > this.time.clock() ||
+          found.process.isStopped ||
           this.peerCuts.has(`${name}>${address}`)
         ) {
           return this.wait(PEER_TAKEN_MS).then(() => unknown);
@@ -207,35 +193,22 @@
 
   /** Kills the process of a host. */
   kill(name: string): void {
-    const found = this.hosts.get(name);
-    if (found !== undefined) {
-      found.alive = false;
-    }
+    this.hosts.get(name)?.process.kill();
   }
 
   /** Stops the process of a host for `span`. */
   freeze(name: string, span: Millis): void {
-    const found = this.hosts.get(name);
-    if (found !== undefined) {
-      found.thawsAt = this.time.clock() + span;
-    }
+    this.hosts.get(name)?.process.freeze(span);
   }
 
   /** Suspends the machine of a host for `span`, which its steady clock and its timers don't count. */
   suspend(name: string, span: Millis): void {
-    const found = this.hosts.get(name);
-    if (found !== undefined) {
-      found.thawsAt = this.time.clock() + span;
-      found.suspendedMs += span;
-    }
+    this.hosts.get(name)?.process.suspend(span);
   }
 
   /** Makes the process of a host take `eventMs` for each event, one after the other. */
   slow(name: string, eventMs: Millis): void {
-    const found = this.hosts.get(name);
-    if (found !== undefined) {
-      found.eventMs = eventMs;
-    }
+    this.hosts.get(name)?.process.slow(eventMs);
   }
 
   /** Submits a job through a host, at other hosts again until it is accepted. */
@@ -311,88 +284,6 @@
       this.time.schedule(span, resolve);
     });
   }
-
-  /** Runs `task` once the steady clock of a host is at `dueAt`. */
-  private scheduleIn(
-    host: SimulatedHost,
-    dueAt: Instant,
-    task: () => void,
-  ): () => void {
-    const left = dueAt - (this.time.clock() - host.suspendedMs);
-    let cancel = this.time.schedule(Math.max(0, left), () => {
-      this.runIn(host, () => {
-        if (this.time.clock() - host.suspendedMs < dueAt) {
-          cancel = this.scheduleIn(host, dueAt, task);
-        } else {
-          task();
-        }
-      });
-    });
-    return () => {
-      cancel();
-    };
-  }
-
-  private runIn(host: SimulatedHost, task: () => void): void {
-    if (!host.alive) {
-      return;
-    }
-    const left = host.thawsAt - this.time.clock();
-    if (left > 0) {
-      this.time.schedule(left, () => {
-        this.runIn(host, task);
-      });
-      return;
-    }
-    if (host.eventMs === 0) {
-      task();
-      return;
-    }
-    const now = this.time.clock();
-    host.busyUntil = Math.max(now, host.busyUntil) + host.eventMs;
-    this.time.schedule(host.busyUntil - now, () => {
-      if (host.alive) {
-        task();
-      }
-    });
-  }
-
-  /** What is called back is called only while the host's process runs. */
-  private guardCallback(host: SimulatedHost, arg: unknown): unknown {
-    if (typeof arg !== 'function') {
-      return arg;
-    }
-    return (...told: unknown[]): void => {
-      this.runIn(host, () => {
-        Reflect.apply(arg, undefined, told);
-      });
-    };
-  }
-
-  /** Delivers results only while the host's process runs. */
-  private guard<T extends object>(host: SimulatedHost, port: T): T {
-    const deliver = <R>(result: Promise<R>): Promise<R> =>
-      new Promise(resolve => {
-        void result.then(value => {
-          this.runIn(host, () => {
-            resolve(value);
-          });
-        });
-      });
-    return new Proxy(port, {
-      get: (target, name, receiver) => {
-        const call: unknown = Reflect.get(target, name, receiver);
-        if (typeof call !== 'function') {
-          return call;
-        }
-        return (...args: unknown[]): unknown => {
-          const guarded = args.map(arg => this.guardCallback(host, arg));
-          const result: unknown = Reflect.apply(call, target, guarded);
-          return result instanceof Promise ? deliver(result) : result;
-        };
-      },
-    });
-  }
 }
 
 /** A feed that tells a configuration once, or none. */
