Forget suspected tasks of jobs that are over on all hosts

Only a leader's planning dropped them from the set of tasks under which workers were lost, so that a host that never leads kept them, and their jobs, for good. Found in reading the change; they go with the jobs that are forgotten now.

--- a/packages/domain/src/jobs/blame.test.ts
+++ b/packages/domain/src/jobs/blame.test.ts
@@ -4,7 +4,8 @@
 import { blameOf, isGivenUp, lostUnder, type Suspicion } from './blame.js';
 import type { Run, Task } from './job.js';
 import { statusOf } from './job.js';
-import { refOf, type JobsState } from './jobs-state.js';
+import { applyInbox } from './fold.js';
+import { forgetOver, refOf, type JobsState } from './jobs-state.js';
 import { decodeJournal, encodeRecord } from './record-rows.js';
 import { imageOf } from './restate.js';
 import { SETTLED_MS, suspicionsOf, type LossEvidence } from './suspicion.js';
@@ -232,3 +233,13 @@
   loseNext(state, task, 'sole');
   assert.equal(isGivenUp(task), true);
 });
+
+test('tasks of jobs that are over are suspected no more', () => {
+  const state = siteOf('a', 'b');
+  for (const job of ['a', 'b']) {
+    loseNext(state, taskOf(state, job, 0, 0), 'shared');
+  }
+  applyInbox(state, { kind: 'cancel', job: 'a' });
+  forgetOver(state, 0, 0);
+  assert.deepEqual([...state.suspects], [taskOf(state, 'b', 0, 0)]);
+});
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -59,7 +59,7 @@
   readonly journalTime: JournalTime;
   /** Journal time since which leaders have told that a worker with open runs does not answer, by worker. */
   silentSince: Map<string, Millis>;
-  /** Tasks under which workers were lost; those that are over are dropped when a leader looks through them. */
+  /** Tasks under which workers were lost, for a while also of jobs that are over. */
   readonly suspects: Set<Task>;
   /** When workers were lost with nothing to blame, by worker. */
   readonly unexplainedLosses: Map<string, Instant>;
@@ -187,6 +187,11 @@
       state.jobs.delete(job.spec.id);
     }
   }
+  for (const task of state.suspects) {
+    if (isOver(task.step.occurrence.job)) {
+      state.suspects.delete(task);
+    }
+  }
 }
 
 /** Tells whether a run of the job has not ended. */
