--- a/packages/daemon/src/job-host/suspended-hosts.test.ts
+++ b/packages/daemon/src/job-host/suspended-hosts.test.ts
@@ -7,6 +7,11 @@
   siteWithNeighbours,
   WORKERS,
 } from './crashing-site.fixture.test.js';
+import {
+  LASTING_JOB,
+  LASTING_TASKS,
+  siteWithLastingJob,
+} from './lasting-site.fixture.test.js';
 
 const SEEDS = [1, 2, 3, 4, 5, 6];
 /** Spans for which a machine is suspended, and how long it is up in between. */
@@ -54,3 +59,22 @@
     }
   }
 });
+
+test('no task runs twice where a suspended leader alone reaches its worker', async () => {
+  for (const seed of [1, 2, 3]) {
+    // From just over the time in which another host leads up to the lease of the worker.
+    for (const span of [3_000, 3_500, 4_000, 4_500, 4_900]) {
+      const site = await siteWithLastingJob(seed, ['h1', 'h2', 'h3']);
+      const leader = site.leader();
+      for (const name of site.hosts.keys()) {
+        if (name !== leader) {
+          site.fleet.cuts.add(`${name}>w1`);
+        }
+      }
+      site.suspend(leader, span);
+      await site.time.advance(CALM_MS);
+      assert.deepEqual(site.history.check(), []);
+      assert.equal(site.history.runningOf(LASTING_JOB), LASTING_TASKS);
+    }
+  }
+});
