--- a/packages/domain/src/jobs/quarantine.ts
+++ b/packages/domain/src/jobs/quarantine.ts
@@ -34,7 +34,7 @@
   private readonly occupied = new Map<string, Step>();
   /** Workers that are kept for suspected tasks. */
   private readonly kept = new Set<string>();
-  /** Number of runs that have not settled, by worker. */
+  /** Number of runs that have not settled, by worker, as far as it was asked for. */
   private readonly unsettled = new Map<string, number>();
 
   /** Finds suspected tasks and where they run. */
@@ -66,12 +66,12 @@
       : !this.kept.has(worker);
   }
 
-  /** Notes that a task starts on a worker in this round. */
+  /** Notes that a task has started on a worker in this round. */
   noteStart(task: Task, worker: string): void {
     if (isSuspect(task)) {
       this.occupied.set(worker, task.step);
     }
-    this.unsettled.set(worker, this.unsettledAt(worker) + 1);
+    this.unsettled.delete(worker);
   }
 
   /**
