Bound what a round does for suspected tasks

After the loss of many workers hundreds of tasks may be under suspicion; each that found no place took a round past all workers, and so did each worker kept free. Tasks that are alike are looked at no more once one found no place, and 16 workers are kept free at the most.

--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -71,12 +71,9 @@
     quarantine.noteStart(decision.task, decision.worker);
   };
   const full = new Set<string>();
-  const alone = quarantine.waiting.filter(({ step }) => !step.spec.gang);
-  let started = startFirst(
-    place,
-    [...input.moving, ...alone, ...overdueLasting(input)],
-    start,
-  );
+  let started = startFirst(place, input.moving, start);
+  started += startSuspects(place, start);
+  started += startFirst(place, overdueLasting(input), start);
   keepForSuspects(place);
   keepRoom('urgent');
   const keepOnce = once(() => {
@@ -104,6 +101,26 @@
   return started;
 }
 
+/** Starts suspected tasks; of those that are alike none is looked at once one has found no place. */
+function startSuspects(place: PlaceInput, start: ApplyStart): number {
+  const { quarantine } = place;
+  const full = new Set<string>();
+  let started = 0;
+  for (const task of quarantine.waiting) {
+    const { spec } = task.step;
+    const key = `${shapeOf(task.step)}/${quarantine.isPatienceOver(task)}`;
+    if (spec.gang || full.has(key)) {
+      continue;
+    }
+    const found = startFirst(place, [task], start);
+    started += found;
+    if (found === 0 && isWaiting(task) && spec.maxPerWorker === undefined) {
+      full.add(key);
+    }
+  }
+  return started;
+}
+
 /** Workers on which nothing begins are calm, and can have a suspected task, once what runs there is over. */
 function keepForSuspects(place: PlaceInput): void {
   const { quarantine, workers } = place;
@@ -159,7 +176,7 @@
 
 function startFirst(
   place: PlaceInput,
-  first: readonly Task[],
+  first: Iterable<Task>,
   start: ApplyStart,
 ): number {
   let started = 0;
--- a/packages/domain/src/jobs/quarantine.ts
+++ b/packages/domain/src/jobs/quarantine.ts
@@ -25,6 +25,8 @@
 
 /** Part of the workers that may be kept free for suspected tasks. */
 const KEPT_SHARE = 1 / 8;
+/** Most workers that are kept free: each is looked for among all. */
+const MOST_KEPT = 16;
 
 /** Where suspected tasks may run in one round, and where others may not. */
 export class Quarantine {
@@ -79,16 +81,13 @@
    * runs have not settled; no more than a share of `fleetSize`.
    */
   keep(fleetSize: number, suited: (task: Task) => Iterable<string>): void {
-    const most = Math.max(1, Math.floor(fleetSize * KEPT_SHARE));
-    for (const task of this.waiting) {
-      if (this.kept.size >= most) {
-        return;
-      }
-      if (task.status === 'waiting') {
-        const worker = this.calmest(suited(task));
-        if (worker !== undefined) {
-          this.kept.add(worker);
-        }
+    const share = Math.max(1, Math.floor(fleetSize * KEPT_SHARE));
+    const most = Math.min(MOST_KEPT, share);
+    const left = this.waiting.filter(({ status }) => status === 'waiting');
+    for (const task of left.slice(0, most)) {
+      const worker = this.calmest(suited(task));
+      if (worker !== undefined) {
+        this.kept.add(worker);
       }
     }
   }
@@ -107,7 +106,8 @@
     return best;
   }
 
-  private isPatienceOver({ blame }: Task): boolean {
+  /** Whether a task no longer waits for a worker of its own. */
+  isPatienceOver({ blame }: Task): boolean {
     return this.input.now - blame.since >= PATIENCE_MS;
   }
 
--- a/packages/domain/src/jobs/round-cost.test.ts
+++ b/packages/domain/src/jobs/round-cost.test.ts
@@ -9,9 +9,11 @@
 
 import { planEvacuation } from './evacuation.js';
 import type { Run, Task } from './job.js';
+import { refOf } from './jobs-state.js';
 import type { PlanWorker } from './placement.js';
 import { findPlace, planStarts, type PlanInput } from './plan.js';
 import {
+  apply,
   planInput,
   startOn,
   stateOf,
@@ -23,6 +25,7 @@
 const MOVING = 60;
 const SLOWED = 40;
 const WORKERS = 100;
+const SUSPECTED = 200;
 const SIZE = { cpuMilli: 100, memoryMiB: 10, accelerators: 0 };
 
 /** Workers that count how often all of them are gone over. */
@@ -69,3 +72,24 @@
   slowed.forEach(({ task }) => findPlace(round, task));
   assert.ok(passes() <= 2 * MOVING + SLOWED + 10, `${passes()} passes`);
 });
+
+test('a round with many suspected tasks goes over the workers a bounded number of times', () => {
+  const { workers, passes } = countedWorkers();
+  const state = stateOf(
+    testJob('suspected', [{ tasks: SUSPECTED, size: SIZE }]),
+    testJob('busy', [{ tasks: WORKERS, size: SIZE }]),
+  );
+  for (let at = 0; at < WORKERS; at += 1) {
+    startOn(state, taskOf(state, 'busy', 0, at), `w${at}`);
+  }
+  for (let at = 0; at < SUSPECTED; at += 1) {
+    const task = taskOf(state, 'suspected', 0, at);
+    for (const worker of ['lost1', 'lost2']) {
+      const { number: run } = startOn(state, task, worker);
+      const lost = { task: refOf(task), run, checkpoint: '' };
+      apply(state, { kind: 'lost', ...lost, suspicion: 'shared' });
+    }
+  }
+  planStarts(planInput(state, workers), () => undefined);
+  assert.ok(passes() <= 20, `${passes()} passes`);
+});
