--- a/packages/domain/src/jobs/blame.ts
+++ b/packages/domain/src/jobs/blame.ts
@@ -21,7 +21,7 @@
 /** Blame in percent at which a task is given up. */
 const GIVE_UP_AT = 100;
 
-/** Losses after which a task is given up however doubtful they are. */
+/** Losses after which a task is given up however doubtful they are: users bear three, and two starts more. */
 const MOST_LOSSES = 5;
 
 /** Blame in percent from which on a task is kept apart: two losses, of which neither was doubtful. */
--- /dev/null
+++ b/packages/domain/src/jobs/journal-time.test.ts
@@ -0,0 +1,45 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { JournalTime } from './journal-time.js';
+
+test('what leaders say that they have led is added up', () => {
+  const time = new JournalTime();
+  time.noteClaim(1);
+  time.noteLed(1, 1_000);
+  time.noteLed(1, 2_500);
+  time.noteClaim(2);
+  assert.equal(time.ledUntil, 2_500);
+  time.noteLed(2, 400);
+  assert.equal(time.now, 2_900);
+});
+
+test('a record of an earlier leader, one read again and one without a time count nothing', () => {
+  const time = new JournalTime();
+  time.noteClaim(2);
+  time.noteLed(2, 1_000);
+  time.noteLed(1, 9_000);
+  time.noteLed(2, 1_000);
+  time.noteLed(2, 500);
+  time.noteLed(2, undefined);
+  assert.equal(time.now, 1_000);
+});
+
+test('a leader whose claim is not in the log counts from its first word on', () => {
+  const time = new JournalTime();
+  time.noteLed(7, 60_000);
+  assert.equal(time.now, 0);
+  time.noteLed(7, 61_000);
+  assert.equal(time.now, 1_000);
+});
+
+test('a moment is told by the next word of a leader, and not before', () => {
+  const time = new JournalTime();
+  time.noteClaim(1);
+  time.noteLed(1, 1_000);
+  const { present } = time;
+  assert.equal(present.at, Infinity);
+  // The log was away for eight seconds.
+  time.noteLed(1, 9_000);
+  assert.equal(present.at, 9_000);
+});
--- a/packages/domain/src/jobs/journal-time.ts
+++ b/packages/domain/src/jobs/journal-time.ts
@@ -16,7 +16,7 @@
   private moment: JournalMoment = { at: Infinity };
   private epoch = 0;
   private ledFor: Millis = 0;
-  private claimedAt: Millis = 0;
+  private heardUntil: Millis = 0;
 
   /** Journal time of the newest record. */
   get now(): Millis {
@@ -32,15 +32,15 @@
   }
 
   /** Journal time at which the last leader before the newest one was last heard. */
-  get claimed(): Millis {
-    return this.claimedAt;
+  get ledUntil(): Millis {
+    return this.heardUntil;
   }
 
   /** Another host leads. */
   noteClaim(epoch: number): void {
     this.epoch = epoch;
     this.ledFor = 0;
-    this.claimedAt = this.time;
+    this.heardUntil = this.time;
   }
 
   /** A leader has led for `ledFor`; undefined where its version does not say. */
--- a/packages/domain/src/jobs/suspicion.ts
+++ b/packages/domain/src/jobs/suspicion.ts
@@ -86,7 +86,7 @@
   { worker, opened }: Run,
 ): Millis {
   const seen = Math.min(
-    journalTime.claimed,
+    journalTime.ledUntil,
     silentSince.get(worker) ?? Infinity,
   );
   return Math.max(0, seen - opened.at - TOLD_LATE_MS);
