List the two seeds with which a sound task is given up, with their test

Seen in 2 of 40 trials with random crashes and leaders killed every 5 s, until now by a script outside the repository. The loop of random crashes serves the test with sound leaders as well, which plays as before.

--- a/packages/daemon/src/job-host/crashing-tasks.test.ts
+++ b/packages/daemon/src/job-host/crashing-tasks.test.ts
@@ -135,16 +135,8 @@
 test('no task is given up that only stood on workers which crashed for other reasons', async () => {
   for (const seed of SEEDS) {
     const site = await siteWithNeighbours(seed);
-    const { history, fleet, time, random } = site;
-    const endsAt = time.clock() + 2 * WATCHED_MS;
-    while (time.clock() < endsAt) {
-      const name = WORKERS[Math.floor(random() * WORKERS.length)] ?? '';
-      if (fleet.at(name) !== undefined) {
-        fleet.crash(name);
-        fleet.onCrash(name);
-      }
-      await time.advance(2_000 + random() * 5_000);
-    }
+    const { history, time } = site;
+    await crashAtRandom(site);
     await time.advance(CALM_MS);
     assert.deepEqual(history.check(), []);
     assert.equal(history.runningOf(NEIGHBOUR), NEIGHBOUR_TASKS);
@@ -266,3 +258,36 @@
     assert.equal(history.runningOf(NEIGHBOUR), NEIGHBOUR_TASKS);
   }
 });
+
+/** Crashes one worker after the other, with no task to blame. */
+async function crashAtRandom(site: Simulation): Promise<void> {
+  const { fleet, time, random } = site;
+  const endsAt = time.clock() + 2 * WATCHED_MS;
+  while (time.clock() < endsAt) {
+    const name = WORKERS[Math.floor(random() * WORKERS.length)] ?? '';
+    if (fleet.at(name) !== undefined) {
+      fleet.crash(name);
+      fleet.onCrash(name);
+    }
+    await time.advance(2_000 + random() * 5_000);
+  }
+}
+
+/*
+ * Seen with 2 of 40 seeds, these two. How: each run of one task is lost within some 10 s of its start, three
+ * or five times on end. Cause: by chance in the one; in the other, how long a run has been at work is known
+ * up to 4 s too low over a change of leaders. Proof: the leader's lines of these losses.
+ */
+test('no task is given up for crashes of its workers while leaders are killed', async () => {
+  const givenUp: number[] = [];
+  for (const seed of [16, 30]) {
+    const site = await siteWithNeighbours(seed);
+    void killLeaders(site, 5_000);
+    await crashAtRandom(site);
+    await site.time.advance(CALM_MS);
+    if (site.history.statesTold(NEIGHBOUR).includes('failed')) {
+      givenUp.push(seed);
+    }
+  }
+  assert.deepEqual(givenUp, []);
+});
