Have hosts that stand by send the starts that the leader's link has no room for

Cause: each start carries its job's payload, which the worker needs whole. Some 120 of 1,460 bytes a second fill that link, and orders, looks and reads time out together.

Change: payloads take an eighth of the leader's link at the most. The starts beyond that are sent by hosts that stand by, which have the payload from the log already. Decisions, fences, ends of leases, looks and stops stay the leader's. A start that the other host has not taken within 0.3 s, by its own clock, is refused there and sent by the leader. Offers to stand by tell an address; a host of the earlier version tells none, and is not asked.

--- a/packages/daemon/src/job-host/duty.ts
+++ b/packages/daemon/src/job-host/duty.ts
@@ -29,6 +29,8 @@
   readonly summary: SummaryFollower;
   /** Processors of this host. */
   readonly cores: number;
+  /** Where other hosts reach this one. */
+  readonly peerAddress: string;
 }
 
 /** The duty of one host. */
@@ -142,10 +144,15 @@
   }
 
   private offer(): void {
-    const { ctx, cores } = this.options;
+    const { ctx, cores, peerAddress } = this.options;
     this.offersAt = ctx.clock() + VOLUNTEER_EVERY_MS;
-    const record = { kind: 'volunteer', host: ctx.host, cores } as const;
-    void this.options.appendOffer([encodeRecord(record)]);
+    const record = encodeRecord({
+      kind: 'volunteer',
+      host: ctx.host,
+      cores,
+      address: peerAddress,
+    });
+    void this.options.appendOffer([record]);
   }
 
   /** Large hosts come first. */
--- a/packages/daemon/src/job-host/inbox-sender.test.ts
+++ b/packages/daemon/src/job-host/inbox-sender.test.ts
@@ -71,12 +71,12 @@
 test('a host that does not reach the leader appends by itself', async () => {
   const site = await crowdedSite(3);
   for (const name of site.hosts.keys()) {
-    site.peerCuts.add(`${name}>${site.leader()}`);
+    site.peers.cuts.add(`${name}>${site.leader()}`);
   }
-  const before = site.peerAppends;
+  const before = site.peers.appends;
   const share = await acceptedShare(site, 2);
   assert.equal(share, 1);
-  assert.equal(site.peerAppends, before);
+  assert.equal(site.peers.appends, before);
 });
 
 /** A sender whose leader answers `taken`. */
--- a/packages/daemon/src/job-host/leader-options.ts
+++ b/packages/daemon/src/job-host/leader-options.ts
@@ -9,6 +9,7 @@
 
 import type { HostContext } from './context.js';
 import type { WonClaim } from './leadership.js';
+import type { StartSender } from './relay/start-sender.js';
 import type { Replica } from './replica.js';
 
 /** What a leader is given. */
@@ -18,6 +19,7 @@
   readonly replica: Replica;
   readonly feed: WorkerFeed;
   readonly port: WorkerPort;
+  readonly starts: StartSender;
   readonly advicePort: AdvicePort;
   readonly maxLeaseMs: Millis;
   /** How long the log keeps records. */
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -164,6 +164,7 @@
     void keepRunning(ctx, 'decisions', () => this.decideOrResign());
     void keepRunning(ctx, 'summary', () => this.summary.run());
     void keepRunning(ctx, 'account', () => this.keepAccount());
+    void keepRunning(ctx, 'starts', () => this.options.starts.begin());
   }
 
   /** Asks the others to take over; this host leads on until one does. */
@@ -179,10 +180,11 @@
   }
 
   private open(info: WorkerInfo, isNew: boolean): WorkerLink {
-    const { ctx, port, maxLeaseMs, claim } = this.options;
+    const { ctx, port, starts, maxLeaseMs, claim } = this.options;
     const link = new WorkerLink(info, {
       ctx,
       port,
+      starts,
       fence: this.fences.next(workerOf(info.id)),
       maxLeaseMs,
       earlierLeaseEnd: this.leases.earlierEnd(info.id, isNew, maxLeaseMs),
@@ -421,6 +423,7 @@
     this.options.ctx.meters.accounted(EMPTY_ACCOUNT);
     this.decisions.close();
     this.summary.close();
+    this.options.starts.close();
     this.fleet.close();
     this.options.ctx.log.info(
       { epoch: this.options.claim.epoch },
--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -66,6 +66,8 @@
   readonly stopped: (reason: StopReason) => void;
   /** A start was sent `wait` after its decision, when the leader's reading of the inbox was `inboxAge` old. */
   readonly startSent: (wait: Millis, inboxAge: Millis) => void;
+  /** Another host was to send a start for this one, which leads. */
+  readonly startRelayed: (outcome: string) => void;
   /** A start that was decided on is not sent. */
   readonly startGivenUp: (reason: StartGivenUp) => void;
   /** A caller's request was refused; nothing was recorded of it. */
@@ -245,7 +247,7 @@
 
 type LagMeters = Pick<
   JobMeters,
-  'startSent' | 'startGivenUp' | 'refused' | 'loopDelayed'
+  'startSent' | 'startRelayed' | 'startGivenUp' | 'refused' | 'loopDelayed'
 >;
 
 /** Registers what tells how far this host is behind, and what it turns down. */
@@ -275,6 +277,12 @@
     labelNames: ['reason'],
     registers: [registry],
   });
+  const relayed = new Counter({
+    name: 'paddlewind_jobs_starts_relayed_total',
+    help: 'Starts that the leader had another host send, by what became of them.',
+    labelNames: ['outcome'],
+    registers: [registry],
+  });
   const refusals = new Counter({
     name: 'paddlewind_jobs_refused_total',
     help: 'Requests of callers that were refused, by what was asked for and why.',
@@ -286,6 +294,9 @@
       startWait.observe(wait / MS_PER_S);
       inboxAge.observe(age / MS_PER_S);
     },
+    startRelayed: outcome => {
+      relayed.inc({ outcome });
+    },
     startGivenUp: reason => {
       givenUp.inc({ reason });
     },
--- a/packages/daemon/src/job-host/orders.fixture.test.ts
+++ b/packages/daemon/src/job-host/orders.fixture.test.ts
@@ -26,6 +26,7 @@
 import { testContext } from './context.fixture.test.js';
 import type { HostContext } from './context.js';
 import { jobOf, type TestStep } from './simulation.fixture.test.js';
+import type { StartSender } from './relay/start-sender.js';
 import { LEASE_HORIZON_MS } from './timing.js';
 import { WorkerLink } from './worker-link.js';
 
@@ -79,6 +80,12 @@
     forget: () => undefined,
   };
 
+  readonly starts: StartSender = {
+    begin: () => Promise.resolve(),
+    close: () => undefined,
+    send: (to, order) => this.port.start(to, order),
+  };
+
   /** Creates a job of `tasks` tasks, none of which runs. */
   constructor(tasks: number, step: Partial<TestStep> = {}) {
     const steps = [{ after: [], ...step, tasks }];
@@ -164,6 +171,7 @@
   const link = new WorkerLink(info, {
     ctx: site.ctx,
     port: site.port,
+    starts: site.starts,
     fence: 1,
     maxLeaseMs: 6_000,
     earlierLeaseEnd: 0,
--- /dev/null
+++ b/packages/daemon/src/job-host/relay/start-relay.ts
@@ -0,0 +1,119 @@
+/** Sends starts to workers for the leader, whose link can't carry them all. */
+import type { Instant, Millis } from '@paddlewind/domain';
+import { isOver } from '@paddlewind/domain/jobs';
+import type {
+  PeerProcess,
+  RelayAnswer,
+  RelayedStart,
+  RelayRefusal,
+  WorkerAddress,
+  WorkerPort,
+} from '@paddlewind/ports/jobs';
+
+import type { HostContext } from '../context.js';
+import type { Replica } from '../replica.js';
+
+/** Connections to a worker that was sent nothing for this long are closed. */
+const FORGET_WORKER_MS: Millis = 30_000;
+/** Base in which the name of a process is written. */
+const NAME_BASE = 36;
+
+/** What a relay is given. */
+export interface StartRelayOptions {
+  readonly ctx: HostContext;
+  readonly replica: Pick<Replica, 'state' | 'refresh'>;
+  readonly port: () => WorkerPort;
+  /** Whether this host follows the log for a leader. */
+  readonly follows: () => boolean;
+}
+
+/** A worker to which a start was sent. */
+interface UsedWorker {
+  readonly worker: WorkerAddress;
+  readonly usedAt: Instant;
+}
+
+/**
+ * The part of a host that sends starts for the leader. It decides nothing and keeps nothing: fence, lease
+ * and number of the run are the leader's, and the worker refuses what has been overtaken.
+ */
+export class StartRelay {
+  private readonly used = new Map<string, UsedWorker>();
+  private port: WorkerPort | undefined;
+  private process: string | undefined;
+
+  /** Creates a relay that has sent nothing. */
+  constructor(private readonly options: StartRelayOptions) {}
+
+  /** Sends a start, or tells why it sends nothing. */
+  async take(start: RelayedStart): Promise<RelayAnswer> {
+    const { ctx, replica } = this.options;
+    const refusal = this.whyNot(start);
+    if (refusal !== undefined) {
+      return this.refuse(refusal);
+    }
+    const { job } = start.order.task;
+    if (!replica.state.jobs.has(job)) {
+      await replica.refresh('inbox');
+    }
+    const found = replica.state.jobs.get(job);
+    if (found === undefined || isOver(found)) {
+      return this.refuse('unknown_job');
+    }
+    // Reading the log may have taken long, and told of another leader.
+    const changed = this.whyNot(start);
+    if (changed !== undefined) {
+      return this.refuse(changed);
+    }
+    const { worker, order } = start;
+    this.used.set(worker.id, { worker, usedAt: ctx.clock() });
+    this.port ??= this.options.port();
+    const { payload } = found.spec;
+    const result = await this.port.start(worker, { ...order, payload });
+    return { kind: 'sent', result, ...this.identify() };
+  }
+
+  /** Tells which process this is. */
+  identify(): PeerProcess {
+    return { process: this.name(), clock: this.options.ctx.clock() };
+  }
+
+  /** Closes connections that are no longer used. */
+  forgetUnused(): void {
+    const now = this.options.ctx.clock();
+    for (const [id, { worker, usedAt }] of this.used) {
+      if (now - usedAt > FORGET_WORKER_MS) {
+        this.used.delete(id);
+        this.port?.forget(worker);
+      }
+    }
+  }
+
+  private whyNot({
+    epoch,
+    process,
+    sendBy,
+  }: RelayedStart): RelayRefusal | undefined {
+    const { ctx, replica, follows } = this.options;
+    if (process !== this.name()) {
+      return 'other_process';
+    }
+    if (ctx.clock() > sendBy) {
+      return 'late';
+    }
+    if (!follows()) {
+      return 'not_following';
+    }
+    return replica.state.claim.epoch > epoch ? 'deposed' : undefined;
+  }
+
+  private refuse(why: RelayRefusal): RelayAnswer {
+    return { kind: 'refused', why, ...this.identify() };
+  }
+
+  /** A name that no other process of this host has: each has a steady clock of its own. */
+  private name(): string {
+    this.process ??= this.options.ctx.random().toString(NAME_BASE).slice(2);
+    return this.process;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/job-host/simulated-network.fixture.test.ts
@@ -0,0 +1,184 @@
+/** The links of hosts in virtual time, and the calls between hosts. */
+import type { Instant, Millis } from '@paddlewind/domain';
+import type {
+  OrderResult,
+  PeerPort,
+  RelayedStart,
+  RelayResult,
+  WorkerPort,
+} from '@paddlewind/ports/jobs';
+import type { VirtualTime } from '@paddlewind/stand-ins';
+
+import type { SimulatedProcess } from './simulated-process.fixture.test.js';
+import type { JobHost } from './start-job-host.js';
+
+/** Bytes of a call beside a job's payload. */
+const CALL_BYTES = 300;
+/** Time after which an order to a worker is given up. */
+const ORDER_MS: Millis = 500;
+/** Time of a call between hosts, and after which it is given up: not taken, or not appended. */
+const PEER_MS: Millis = 2;
+const PEER_TAKEN_MS: Millis = 80;
+const PEER_APPENDED_MS: Millis = 1_200;
+/** Time after which a start is given up that another host is to send: not taken, or not answered. */
+const RELAY_TAKEN_MS: Millis = 300;
+const RELAYED_MS: Millis = 900;
+const MS_PER_S = 1_000;
+
+/** What a host sends goes over one link, one byte after the other. */
+export class SimulatedLink {
+  private freeAt: Instant = 0;
+
+  /** Creates a link that carries `bytesPerS`. */
+  constructor(
+    private readonly time: VirtualTime,
+    private readonly bytesPerS: number,
+  ) {}
+
+  /** Resolves once all that was sent before, and these bytes, are through. */
+  async carry(bytes: number): Promise<void> {
+    if (this.bytesPerS === Infinity) {
+      return;
+    }
+    const now = this.time.clock();
+    const took = (bytes / this.bytesPerS) * MS_PER_S;
+    this.freeAt = Math.max(now, this.freeAt) + took;
+    await pauseOf(this.time, this.freeAt - now);
+  }
+
+  /** Returns `port` behind this link: what waits here for too long is carried out all the same. */
+  port(port: WorkerPort): WorkerPort {
+    if (this.bytesPerS === Infinity) {
+      return port;
+    }
+    const order = (
+      bytes: number,
+      call: () => Promise<OrderResult>,
+    ): Promise<OrderResult> => {
+      const gaveUp = pauseOf(this.time, ORDER_MS).then((): OrderResult => ({
+        kind: 'unknown',
+        reason: 'timeout',
+      }));
+      return Promise.race([this.carry(bytes).then(call), gaveUp]);
+    };
+    return {
+      ...port,
+      start: (to, start) =>
+        order(CALL_BYTES + start.payload.length, () => port.start(to, start)),
+      stop: (to, run) => order(CALL_BYTES, () => port.stop(to, run)),
+      throttle: (to, run) => order(CALL_BYTES, () => port.throttle(to, run)),
+      look: async (to, look, takeLate) => {
+        await this.carry(CALL_BYTES);
+        return port.look(to, look, takeLate);
+      },
+    };
+  }
+}
+
+/** A host and its process. */
+export interface ReachedHost {
+  readonly host: JobHost;
+  readonly process: SimulatedProcess;
+}
+
+/** Calls between hosts. */
+export class SimulatedPeers {
+  /** Pairs of hosts `from>to` of which the first does not reach the second. */
+  readonly cuts = new Set<string>();
+  /** Time by host that starts take on their way to it, also beyond the time after which they are given up. */
+  readonly startDelays = new Map<string, Millis>();
+  /** How often a host was asked to append for another one. */
+  appends = 0;
+  /** How often a host was asked to send a start for another one. */
+  relays = 0;
+
+  /** Creates the calls between the hosts of a site. */
+  constructor(
+    private readonly time: VirtualTime,
+    private readonly hosts: ReadonlyMap<string, ReachedHost>,
+  ) {}
+
+  /** Other hosts as `name` reaches them: a frozen or dead one does not answer. */
+  connect(name: string, link: SimulatedLink): PeerPort {
+    return {
+      append: async (address, records) => {
+        await this.pause(PEER_MS);
+        const found = this.reach(name, address);
+        const unknown = { kind: 'unknown', reason: 'no answer' } as const;
+        if (found === undefined || found.process.isStopped) {
+          return this.pause(PEER_TAKEN_MS).then(() => unknown);
+        }
+        this.appends += 1;
+        const gaveUp = this.pause(PEER_APPENDED_MS).then(() => unknown);
+        return Promise.race([found.host.appendForPeer(records), gaveUp]);
+      },
+      relay: (address, start) => {
+        this.relays += 1;
+        const gaveUp = this.pause(RELAYED_MS).then(() => UNANSWERED);
+        return new Promise(resolve => {
+          const notTaken = this.time.schedule(RELAY_TAKEN_MS, () => {
+            resolve(UNANSWERED);
+          });
+          const relayed = link
+            .carry(CALL_BYTES)
+            .then(() => this.relay(name, address, start, notTaken));
+          void Promise.race([relayed, gaveUp]).then(resolve);
+        });
+      },
+      identify: async address => {
+        await link.carry(CALL_BYTES);
+        await this.pause(PEER_MS);
+        const found = this.reach(name, address);
+        if (found === undefined || found.process.isStopped) {
+          return this.pause(RELAY_TAKEN_MS).then(() => undefined);
+        }
+        return found.host.identifyForPeer();
+      },
+    };
+  }
+
+  /** A host that stands still deals with the start once it goes on. */
+  private async relay(
+    from: string,
+    to: string,
+    start: RelayedStart,
+    taken: () => void,
+  ): Promise<RelayResult> {
+    await this.pause(PEER_MS + (this.startDelays.get(to) ?? 0));
+    const found = this.reach(from, to);
+    if (found === undefined) {
+      return new Promise(() => undefined);
+    }
+    const answer = await new Promise<RelayResult>(resolve => {
+      found.process.schedule(0, () => {
+        taken();
+        void found.host.relayForPeer(start).then(resolve);
+      });
+    });
+    await this.pause(PEER_MS);
+    const isThere = this.reach(from, to) === found;
+    return isThere ? answer : new Promise(() => undefined);
+  }
+
+  private reach(from: string, to: string): ReachedHost | undefined {
+    const found = this.hosts.get(to);
+    const isCut = this.cuts.has(`${from}>${to}`);
+    return found?.process.alive === true && !isCut ? found : undefined;
+  }
+
+  private pause(span: Millis): Promise<void> {
+    return pauseOf(this.time, span);
+  }
+}
+
+const UNANSWERED: RelayResult = {
+  kind: 'failed',
+  outcome: 'unknown',
+  reason: 'no answer',
+};
+
+function pauseOf(time: VirtualTime, span: Millis): Promise<void> {
+  return new Promise(resolve => {
+    time.schedule(span, resolve);
+  });
+}
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -6,11 +6,7 @@
   type JobSpec,
   type StepSpec,
 } from '@paddlewind/domain/jobs';
-import type {
-  ConfigFeed,
-  OperatorConfig,
-  PeerPort,
-} from '@paddlewind/ports/jobs';
+import type { ConfigFeed, OperatorConfig } from '@paddlewind/ports/jobs';
 import { createVirtualTime, type VirtualTime } from '@paddlewind/stand-ins';
 import {
   JobHistory,
@@ -22,13 +18,13 @@
 import { Registry } from 'prom-client';
 
 import { createJobMeters } from './meters.js';
+import {
+  SimulatedLink,
+  SimulatedPeers,
+} from './simulated-network.fixture.test.js';
 import { SimulatedProcess } from './simulated-process.fixture.test.js';
 import { startJobHost, type JobHost } from './start-job-host.js';
 
-/** Time of a call between hosts, and after which it is given up: not taken, or not appended. */
-const PEER_MS = 2;
-const PEER_TAKEN_MS = 80;
-const PEER_APPENDED_MS = 1_200;
 const MAX_LEASE_MS = 6_000;
 const REVIVAL_MS = 2_500;
 const RETENTION_MS = 30_000;
@@ -78,6 +74,10 @@
   readonly revivalMs?: Millis;
   /** Whether a worker that starts again has the id that it had. */
   readonly keepsIds?: boolean;
+  /** What the link of each host carries out; by default all that it is given. */
+  readonly linkBytesPerS?: number;
+  /** Whether hosts believe that their links carry no payload at all, so that others send the starts. */
+  readonly relaysAll?: boolean;
 }
 
 /** Several hosts on one log and one fleet. */
@@ -94,12 +94,11 @@
   workerWallOffset: Millis = 0;
   /** Whether hosts that are started find a configuration. */
   configured = false;
-  /** Pairs of hosts `from>to` of which the first does not reach the second. */
-  readonly peerCuts = new Set<string>();
-  /** How often a host was asked to append for another one. */
-  peerAppends = 0;
+  readonly peers: SimulatedPeers;
   private readonly maxLeaseMs: Millis;
   private readonly keepsIds: boolean;
+  private readonly linkBytesPerS: number;
+  private readonly relaysAll: boolean;
   private lives = 0;
 
   /** Creates a simulation whose chance follows `seed`. */
@@ -109,11 +108,16 @@
       maxLeaseMs = MAX_LEASE_MS,
       revivalMs = REVIVAL_MS,
       keepsIds = false,
+      linkBytesPerS = Infinity,
+      relaysAll = process.env.TEST_RELAYS !== undefined,
     }: SiteOptions = {},
   ) {
     this.maxLeaseMs = maxLeaseMs;
     this.keepsIds = keepsIds;
+    this.linkBytesPerS = linkBytesPerS;
+    this.relaysAll = relaysAll;
     this.time = createVirtualTime();
+    this.peers = new SimulatedPeers(this.time, this.hosts);
     this.random = seededRandom(seed);
     const { clock, schedule } = this.time;
     const time = { clock, schedule, random: this.random };
@@ -175,6 +179,7 @@
   /** Starts a host, or starts it again. */
   startHost(name: string, cores = 1): JobHost {
     const simulated = new SimulatedProcess(this.time);
+    const link = new SimulatedLink(this.time, this.linkBytesPerS);
     const host = startJobHost({
       ctx: {
         host: name,
@@ -188,14 +193,15 @@
       jobLog: simulated.guard(this.log.connect(name)),
       configFeed: configFeed(this.configured),
       workerFeed: () => this.fleet.feed(),
-      workerPort: () => simulated.guard(this.fleet.connect(name)),
+      workerPort: () => simulated.guard(link.port(this.fleet.connect(name))),
       advicePort: () => ({
         ask: () => Promise.resolve({ kind: 'unavailable', reason: 'none' }),
       }),
-      peers: simulated.guard(this.peersOf(name)),
+      peers: simulated.guard(this.peers.connect(name, link)),
       peerAddress: name,
       maxLeaseMs: this.maxLeaseMs,
       cores,
+      linkBytesPerS: this.relaysAll ? 1 : this.linkBytesPerS,
       retentionMs: RETENTION_MS,
       statusMs: STATUS_MS,
     });
@@ -203,27 +209,6 @@
     return host;
   }
 
-  /** Other hosts as `name` reaches them: a frozen or dead one does not answer. */
-  private peersOf(name: string): PeerPort {
-    return {
-      append: async (address, records) => {
-        await this.wait(PEER_MS);
-        const found = this.hosts.get(address);
-        const unknown = { kind: 'unknown', reason: 'no answer' } as const;
-        if (
-          found?.alive !== true ||
-          found.process.isStopped ||
-          this.peerCuts.has(`${name}>${address}`)
-        ) {
-          return this.wait(PEER_TAKEN_MS).then(() => unknown);
-        }
-        this.peerAppends += 1;
-        const gaveUp = this.wait(PEER_APPENDED_MS).then(() => unknown);
-        return Promise.race([found.host.appendForPeer(records), gaveUp]);
-      },
-    };
-  }
-
   /** Kills the process of a host. */
   kill(name: string): void {
     this.hosts.get(name)?.process.kill();
--- a/packages/daemon/src/job-host/start-job-host.ts
+++ b/packages/daemon/src/job-host/start-job-host.ts
@@ -8,6 +8,9 @@
   JobLog,
   OperatorConfig,
   PeerPort,
+  PeerProcess,
+  RelayAnswer,
+  RelayedStart,
   WorkerFeed,
   WorkerPort,
 } from '@paddlewind/ports/jobs';
@@ -24,6 +27,9 @@
 import { awaitLeadership, type WonClaim } from './leadership.js';
 import { meterAdvice, meterLog, meterWorkers } from './metered-ports.js';
 import type { JobGauges } from './meters.js';
+import { LinkBudget } from './relay/link-budget.js';
+import { RelayedStarts } from './relay/relayed-starts.js';
+import { StartRelay } from './relay/start-relay.js';
 import { ReplicaView } from './replica-view.js';
 import { Replica } from './replica.js';
 import { SummaryFollower } from './summary-follower.js';
@@ -49,6 +55,8 @@
   readonly maxLeaseMs: Millis;
   /** Processors of this host. */
   readonly cores: number;
+  /** What the link of this host carries in each direction; may be infinite. */
+  readonly linkBytesPerS: number;
   /** How long the log keeps records. */
   readonly retentionMs: Millis;
   /** How long the state of a job that is over can be asked for. */
@@ -62,6 +70,10 @@
   readonly appendForPeer: (
     records: readonly Uint8Array[],
   ) => Promise<AppendResult>;
+  /** Tells another host which process this is. */
+  readonly identifyForPeer: () => PeerProcess;
+  /** Sends a start for another host, which leads. */
+  readonly relayForPeer: (start: RelayedStart) => Promise<RelayAnswer>;
   /** The newest configuration, undefined before the first. */
   readonly config: () => OperatorConfig | undefined;
   /** Whether callers should be sent here. */
@@ -89,6 +101,7 @@
   private readonly summary: SummaryFollower;
   private readonly duty: Duty;
   private readonly group: GroupAppend;
+  private readonly relay: StartRelay;
   private readonly follower: ConfigFollower;
   private readonly replicaView: ReplicaView;
   private readonly summaryView: SummaryView;
@@ -97,7 +110,7 @@
   private stopping = false;
 
   constructor(private readonly options: JobHostOptions) {
-    const { ctx, cores } = options;
+    const { ctx, cores, peerAddress } = options;
     const jobLog = meterLog(options.jobLog, ctx.meters, ctx.clock);
     const replica = new Replica(ctx, jobLog);
     const summary = new SummaryFollower(ctx, jobLog);
@@ -116,9 +129,16 @@
       replica,
       summary,
       cores,
+      peerAddress,
       appendOffer: records => inbox.append(records),
     });
     this.group = new GroupAppend(ctx, jobLog);
+    this.relay = new StartRelay({
+      ctx,
+      replica,
+      port: () => meterWorkers(options.workerPort(), ctx.meters, ctx.clock),
+      follows: () => this.follows(),
+    });
     this.follower = new ConfigFollower(ctx, options.configFeed);
     this.replicaView = new ReplicaView(ctx, replica, () => this.leader);
     this.summaryView = new SummaryView(ctx, summary);
@@ -158,6 +178,11 @@
       ? Promise.resolve({ kind: 'refused', reason: 'this host does not lead' })
       : this.group.append(records);
 
+  readonly identifyForPeer = (): PeerProcess => this.relay.identify();
+
+  readonly relayForPeer = (start: RelayedStart): Promise<RelayAnswer> =>
+    this.relay.take(start);
+
   readonly handOver = async (waitMs: Millis): Promise<void> => {
     this.stopping = true;
     if (this.leader !== undefined) {
@@ -167,6 +192,16 @@
     }
   };
 
+  /** Whether this host reads the journal of a leader, and has read all of it once. */
+  private follows(): boolean {
+    return (
+      !this.stopping &&
+      this.leader === undefined &&
+      !this.duty.isObserving &&
+      this.replica.isComplete
+    );
+  }
+
   /** Who appends to the inbox for all hosts: the leader, as long as it is heard of. */
   private appender(): Appender | undefined {
     const { ctx, peers } = this.options;
@@ -199,6 +234,7 @@
       const now = ctx.clock();
       forgetOver(this.replica.state, now, now - statusMs);
       this.summary.summary.forgetOver(now - statusMs);
+      this.relay.forgetUnused();
     }
   }
 
@@ -244,12 +280,22 @@
 ): Leader {
   const { ctx, maxLeaseMs, retentionMs, statusMs, peerAddress } = options;
   const { clock, meters } = ctx;
+  const port = meterWorkers(options.workerPort(), meters, clock);
+  const starts = new RelayedStarts({
+    ctx,
+    port,
+    peers: options.peers,
+    epoch: claim.epoch,
+    state: replica.state,
+    budget: new LinkBudget(clock, options.linkBytesPerS),
+  });
   return new Leader({
     ctx,
     jobLog,
     replica,
     feed: options.workerFeed(),
-    port: meterWorkers(options.workerPort(), meters, clock),
+    port,
+    starts,
     advicePort: meterAdvice(options.advicePort(), meters, clock),
     maxLeaseMs,
     retentionMs,
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -18,6 +18,7 @@
   type LinkedRunEvents,
   type RunSource,
 } from './linked-runs.js';
+import type { StartSender } from './relay/start-sender.js';
 import {
   LOOK_RETRY_MS,
   MIN_START_LEASE_MS,
@@ -53,6 +54,7 @@
 /** What a link is given. */
 export interface LinkOptions extends RunSource {
   readonly port: WorkerPort;
+  readonly starts: StartSender;
   readonly fence: number;
   readonly maxLeaseMs: Millis;
   /** Monotonic time by which whatever the worker was given before has ended. */
--- a/packages/daemon/src/job-host/worker-orders.test.ts
+++ b/packages/daemon/src/job-host/worker-orders.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 
 import { ORDERED_WORKER, OrderedRuns } from './orders.fixture.test.js';
+import type { StartResult } from './relay/start-sender.js';
 import { START_WAIT_MS } from './timing.js';
 import { WorkerOrders } from './worker-orders.js';
 
@@ -18,6 +19,7 @@
   const orders = new WorkerOrders({
     ctx: site.ctx,
     port: site.port,
+    starts: site.starts,
     fence: 1,
     info: () => ORDERED_WORKER,
     mayStart: () => true,
@@ -218,3 +220,30 @@
   }
   assert.ok(site.sent.includes('start 2#1'), site.sent.join());
 });
+
+/** Orders whose starts end as `result` tells. */
+function startedAs(result: StartResult): OrderedRuns {
+  const site = new OrderedRuns(1);
+  site.starts.send = () => {
+    site.sent.push('start');
+    return Promise.resolve(result);
+  };
+  const { orders } = ordersTo(site);
+  orders.start(site.open(0), site.time.clock());
+  return site;
+}
+
+// A run that another host may have begun is stopped: taken for one that never began, its task would run twice.
+test('a run that may have begun elsewhere is stopped before it is given up', async () => {
+  const site = startedAs({ kind: 'unsure', reason: 'superseded' });
+  await site.time.advance(100);
+  assert.deepEqual(site.sent, ['start', 'stop 0#1']);
+  assert.deepEqual(site.ended, []);
+});
+
+test('a start that was sent nowhere is given up at once', async () => {
+  const site = startedAs({ kind: 'not_wanted' });
+  await site.time.advance(100);
+  assert.deepEqual(site.sent, ['start']);
+  assert.deepEqual(site.ended, ['0#1 void']);
+});
--- a/packages/daemon/src/job-host/worker-orders.ts
+++ b/packages/daemon/src/job-host/worker-orders.ts
@@ -15,6 +15,7 @@
 import type { HostContext } from './context.js';
 import type { StartGivenUp } from './meters.js';
 import { OrderQueue } from './order-queue.js';
+import type { StartResult, StartSender } from './relay/start-sender.js';
 import {
   INBOX_STALE_MS,
   REGISTRY_STALE_MS,
@@ -48,6 +49,7 @@
 export interface OrderOptions {
   readonly ctx: HostContext;
   readonly port: WorkerPort;
+  readonly starts: StartSender;
   readonly fence: number;
   readonly info: () => WorkerInfo;
   /** Whether the worker may be given a run, and this leader may extend its lease. */
@@ -88,7 +90,7 @@
   }
 
   private async sendStart(run: Run, decidedAt: Instant): Promise<void> {
-    const { ctx, port, fence, info, extendLease } = this.options;
+    const { ctx, starts, fence, info, extendLease } = this.options;
     const { task, number } = run;
     if (!task.runs.includes(run)) {
       return;
@@ -101,7 +103,7 @@
     const now = ctx.clock();
     ctx.meters.startSent(now - decidedAt, this.options.inboxAgeMs());
     run.progress = newProgress(now);
-    const res = await port.start(info(), {
+    const order = {
       task: refOf(task),
       run: number,
       payload: task.step.occurrence.job.spec.payload,
@@ -109,8 +111,16 @@
       fence,
       checkpoint: task.checkpoint,
       ticket: this.options.ticketFor(task),
-    });
-    this.takeStart(run, res);
+    };
+    const whyNot = (): StartGivenUp | undefined =>
+      this.whyNotStart(run, decidedAt);
+    const isWanted = (): boolean => whyNot() === undefined;
+    const res = await starts.send(info(), order, isWanted);
+    if (res.kind === 'not_wanted') {
+      this.giveUpStart(run, whyNot() ?? 'late');
+    } else {
+      this.takeStart(run, res);
+    }
   }
 
   /**
@@ -221,7 +231,10 @@
     }
   }
 
-  private takeStart(run: Run, res: OrderResult): void {
+  private takeStart(
+    run: Run,
+    res: Exclude<StartResult, { kind: 'not_wanted' }>,
+  ): void {
     const { events } = this.options;
     this.noteOrder(run, 'start', res);
     switch (res.kind) {
@@ -256,6 +269,9 @@
         events.unanswered();
         this.stop(run);
         return;
+      case 'unsure':
+        this.stop(run);
+        return;
     }
   }
 
@@ -278,7 +294,7 @@
     });
   }
 
-  private noteOrder(run: Run, order: string, res: OrderResult): void {
+  private noteOrder(run: Run, order: string, res: StartResult): void {
     if (res.kind === 'accepted') {
       return;
     }
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -40,8 +40,9 @@
       return;
     }
     case 'volunteer': {
-      const { host, cores } = record;
-      state.volunteers.set(host, { cores, heardAt: state.now });
+      const { host, cores, address } = record;
+      const heardAt = state.now;
+      state.volunteers.set(host, { cores, address, heardAt });
       return;
     }
   }
--- a/packages/domain/src/jobs/record-rows.ts
+++ b/packages/domain/src/jobs/record-rows.ts
@@ -35,7 +35,12 @@
     case 'cancel':
       return { kind: 'cancel', job: row[1] };
     case 'volunteer':
-      return { kind: 'volunteer', host: row[1], cores: row[2] };
+      return {
+        kind: 'volunteer',
+        host: row[1],
+        cores: row[2],
+        address: row[3] ?? undefined,
+      };
     case undefined:
     // A kind that this version does not know.
     default:
@@ -46,7 +51,7 @@
 type InboxRow =
   | ['submit', JobSpec, Instant]
   | ['cancel', string]
-  | ['volunteer', string, number];
+  | ['volunteer', string, number, (string | null)?];
 
 /** Returns the row of a record; undefined for what is not one. */
 export function parseRow(bytes: Uint8Array): unknown {
@@ -196,7 +201,7 @@
     case 'cancel':
       return ['cancel', record.job];
     case 'volunteer':
-      return ['volunteer', record.host, record.cores];
+      return ['volunteer', record.host, record.cores, record.address];
     case 'claim': {
       const { epoch, host, nonce } = record;
       return ['claim', epoch, host, nonce];
--- a/packages/domain/src/jobs/records.ts
+++ b/packages/domain/src/jobs/records.ts
@@ -25,6 +25,8 @@
       readonly kind: 'volunteer';
       readonly host: string;
       readonly cores: number;
+      /** Where other hosts reach it; undefined where its version does not say. */
+      readonly address: string | undefined;
     };
 
 /** How a run ended; `void` means that it never began. */
--- a/packages/domain/src/jobs/standbys.ts
+++ b/packages/domain/src/jobs/standbys.ts
@@ -7,6 +7,8 @@
 /** A host that has offered to stand by. */
 export interface Volunteer {
   readonly cores: number;
+  /** Where other hosts reach it; undefined for one of an earlier version. */
+  readonly address: string | undefined;
   /** Monotonic time at which its newest offer was read. */
   readonly heardAt: Instant;
 }
@@ -26,6 +28,23 @@
   readonly standbys: readonly string[] | undefined;
 }
 
+/** Returns where the hosts are reached that follow the journal beside `leader`, by name. */
+export function reachableStandbys(
+  { volunteers, standbys }: Candidates,
+  leader: string,
+  now: Instant,
+): Map<string, string> {
+  const found = new Map<string, string>();
+  for (const [host, { address, heardAt }] of volunteers) {
+    const follows = standbys?.includes(host) ?? true;
+    const isThere = now - heardAt < VOLUNTEER_LIFE_MS;
+    if (address !== undefined && host !== leader && follows && isThere) {
+      found.set(host, address);
+    }
+  }
+  return found;
+}
+
 /** Whether there are, or have been, more hosts than the leader and those that stand by. */
 export function isCrowded({ volunteers, standbys }: Candidates): boolean {
   return standbys !== undefined || volunteers.size > STANDBYS;
