Tell noise by all workers that are lost without a task

Cause: a loss is doubtful while workers are lost for other reasons, and only those counted as such on which nothing new ran. Where tasks are short each worker has something new, so that nothing told the noise.

Change: all workers that were lost within a minute count, but for those under the task itself: a task that crashes its workers is judged as before.

--- a/packages/daemon/src/job-host/run-recorder.ts
+++ b/packages/daemon/src/job-host/run-recorder.ts
@@ -4,7 +4,7 @@
   isGivenUp,
   isOver,
   isWanted,
-  noteUnexplained,
+  noteWorkerLoss,
   refOf,
   suspicionsOf,
   workerOf,
@@ -121,7 +121,7 @@
   workerLeft(worker: string, announced: boolean): void {
     const ranNothing = !this.givenUpWorkers.delete(worker);
     if (ranNothing && !announced) {
-      noteUnexplained(this.options.state, worker);
+      noteWorkerLoss(this.options.state, worker);
     }
   }
 
--- a/packages/daemon/src/job-host/shrinking-workers.test.ts
+++ b/packages/daemon/src/job-host/shrinking-workers.test.ts
@@ -7,6 +7,8 @@
 import { Simulation } from './simulation.fixture.test.js';
 
 const SEEDS = [1, 2, 3, 4, 5];
+/** Three losses of a sound task at one age, by chance. */
+const LOST_AT_ONE_AGE = 25;
 const HOSTS = ['h1', 'h2', 'h3'];
 const SHRINKING = ['w1', 'w2', 'w3'];
 const STEADY = ['w4', 'w5', 'w6'];
@@ -66,7 +68,7 @@
 
 // The room of a worker is that of one start of it: the next one, whose entry may come late, may have less.
 test('no start is beyond the room of a worker that has started again with less', async () => {
-  for (const seed of SEEDS) {
+  for (const seed of [...SEEDS, LOST_AT_ONE_AGE]) {
     const site = new Simulation(seed, { keepsIds: true });
     site.history.faults = new FaultTimes();
     [...SHRINKING, ...STEADY].forEach(name => {
--- a/packages/domain/src/jobs/blame.test.ts
+++ b/packages/domain/src/jobs/blame.test.ts
@@ -358,3 +358,18 @@
     },
   ]);
 });
+
+// Seen: a sound task given up after three losses at one age by chance, where a worker starts again every 2 s.
+test('workers that are lost without a task make its losses doubtful, its own do not', () => {
+  const state = siteOf('a', 'b');
+  const small = { ...CALM, fleetSize: 6 };
+  const judge = (job: string): Suspicion | undefined => {
+    const task = taskOf(state, job, 0, 0);
+    const run = startOn(state, task, `${job}${task.lastRun + 1}`);
+    const judged = suspicionsOf(state, [run], small).get(run);
+    lose(state, run, judged?.suspicion ?? 'cleared', { from: 0, to: 0 });
+    return judged?.suspicion;
+  };
+  assert.deepEqual([judge('a'), judge('a'), judge('a')], Array(3).fill('sole'));
+  assert.equal(judge('b'), 'doubtful');
+});
--- a/packages/domain/src/jobs/blame.ts
+++ b/packages/domain/src/jobs/blame.ts
@@ -31,7 +31,7 @@
 /** Blame in percent from which on a task is kept apart: two losses, of which neither was doubtful. */
 const SUSPECT_AT = 60;
 
-/** How long a loss for which nothing is to blame is remembered. */
+/** How long the loss of a worker is remembered. */
 export const LOSS_MEMORY_MS: Millis = 60_000;
 
 /** How far ages may be off at either end: reports and orders are on their way for some time. */
@@ -109,7 +109,7 @@
 ): void {
   switch (suspicion) {
     case 'unexplained':
-      noteUnexplained(state, worker);
+      noteWorkerLoss(state, worker);
       task.blame.losses = [];
       return;
     case 'cleared':
@@ -118,6 +118,7 @@
     case 'sole':
     case 'shared':
     case 'doubtful':
+      noteWorkerLoss(state, worker);
       addLosses(state, task, [
         { worker, charge: suspicion, age, resumedFrom: task.checkpoint },
       ]);
@@ -147,15 +148,15 @@
   }
 }
 
-/** Notes that a worker was lost with nothing to blame. */
-export function noteUnexplained(
-  { unexplainedLosses, now }: JobsState,
+/** Notes that a worker was lost. */
+export function noteWorkerLoss(
+  { workerLosses, now }: JobsState,
   worker: string,
 ): void {
-  for (const [lost, at] of unexplainedLosses) {
+  for (const [lost, at] of workerLosses) {
     if (now - at >= LOSS_MEMORY_MS) {
-      unexplainedLosses.delete(lost);
+      workerLosses.delete(lost);
     }
   }
-  unexplainedLosses.set(worker, now);
+  workerLosses.set(worker, now);
 }
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -67,8 +67,8 @@
   silentSince: Map<string, Millis>;
   /** Tasks under which workers were lost, for a while also of jobs that are over. */
   readonly suspects: Set<Task>;
-  /** When workers were lost with nothing to blame, by worker. */
-  readonly unexplainedLosses: Map<string, Instant>;
+  /** When workers were lost, by worker; not those that had announced that they leave. */
+  readonly workerLosses: Map<string, Instant>;
 }
 
 /** Returns the state before any record. */
@@ -91,7 +91,7 @@
     journalTime: new JournalTime(),
     silentSince: new Map(),
     suspects: new Set(),
-    unexplainedLosses: new Map(),
+    workerLosses: new Map(),
   };
 }
 
--- a/packages/domain/src/jobs/suspicion.ts
+++ b/packages/domain/src/jobs/suspicion.ts
@@ -1,6 +1,6 @@
 /** Judges how far each run that is lost with a worker may be the reason for the loss. */
 import type { Instant, Millis, SpanBounds } from '../core/time.js';
-import { LOSS_MEMORY_MS } from './blame.js';
+import { LOSS_MEMORY_MS, lostUnder } from './blame.js';
 import { workerOf } from './incarnation.js';
 import type { Job, Run } from './job.js';
 import type { JobsState } from './jobs-state.js';
@@ -54,14 +54,15 @@
   );
   const recent = runs.filter(run => !settled.has(run));
   const jobs = new Set(recent.map(jobOf));
-  const isClear = fate === 'crashed' && !isNoisy(state, evidence);
   const others = jobs.size === 1 ? 'sole' : 'shared';
   const isUnexplained = fate !== 'unknown' && recent.length === 0;
   const ofSettled = isUnexplained ? 'unexplained' : 'cleared';
   return new Map(
     runs.map(run => {
       const age = ageOf(state, run, evidence);
-      const ofRecent = isClear && isPlain(age) ? others : 'doubtful';
+      const isCalm = !isNoisy(state, run, evidence);
+      const isClear = fate === 'crashed' && isCalm && isPlain(age);
+      const ofRecent = isClear ? others : 'doubtful';
       const suspicion = settled.has(run) ? ofSettled : ofRecent;
       return [run, { suspicion, age }];
     }),
@@ -132,13 +133,15 @@
   return Math.max(0, seen - opened.at - TOLD_LATE_MS);
 }
 
-/** Whether so many workers are lost with nothing to blame that a loss says little of what ran there. */
+/** Whether so many workers are lost without a task that a loss says little of it. */
 function isNoisy(
-  { unexplainedLosses }: JobsState,
+  { workerLosses }: JobsState,
+  { task, worker }: Run,
   { fleetSize, now }: LossEvidence,
 ): boolean {
-  const losses = [...unexplainedLosses.values()].filter(
-    at => now - at < LOSS_MEMORY_MS,
+  const own = new Set([worker, ...lostUnder(task)]);
+  const losses = [...workerLosses].filter(
+    ([lost, at]) => now - at < LOSS_MEMORY_MS && !own.has(lost),
   );
   const perWorker = losses.length / Math.max(1, fleetSize);
   return (perWorker * SETTLED_MS) / LOSS_MEMORY_MS > NOISY_CHANCE;
