Send starts at the pace of the leader's link

What relieves the link was given up because the link was full.

Change: all starts have their turns on two thirds of the link, and no more are decided on than it carries in a second. One whose turn is too late is planned anew, and its worker is not held to be slow. While starts wait for the link a lasting task that never ran goes first after 2 s: tasks that end would take each turn. A step no longer starts as a whole where fewer starts may be under way.

--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -351,7 +351,7 @@
   }
 
   private planInput(): PlanInput {
-    const { ctx } = this.options;
+    const { ctx, starts } = this.options;
     return {
       state: this.state,
       workers: this.fleet.planWorkers(),
@@ -360,7 +360,8 @@
       advice: this.advice,
       time: { now: ctx.clock(), nowWall: ctx.wallClock() },
       leadsSince: this.options.claim.wonAt,
-      mostStarts: this.window.free,
+      mostStarts: this.window.free(starts.mostStarts),
+      isLinkBusy: starts.isBusy,
       moving: this.supervisor.moving(),
     };
   }
--- a/packages/daemon/src/job-host/orders.fixture.test.ts
+++ b/packages/daemon/src/job-host/orders.fixture.test.ts
@@ -81,6 +81,8 @@
   };
 
   readonly starts: StartSender = {
+    mostStarts: Infinity,
+    isBusy: false,
     begin: () => Promise.resolve(),
     close: () => undefined,
     send: (to, order) => this.port.start(to, order),
--- a/packages/daemon/src/job-host/relay/full-link.test.ts
+++ b/packages/daemon/src/job-host/relay/full-link.test.ts
@@ -57,7 +57,10 @@
 
 test('tasks begin in time though the link of the leader carries a part of their payloads', async () => {
   for (const seed of SEEDS) {
-    const site = new Simulation(seed, { linkBytesPerS: LINK_BYTES_PER_S });
+    const site = new Simulation(seed, {
+      linkBytesPerS: LINK_BYTES_PER_S,
+      relaysAll: false,
+    });
     await playBusy(site);
     const { history } = site;
     const ids = Array.from({ length: JOBS }, (_, at) => idOf(at));
@@ -69,6 +72,28 @@
   }
 });
 
+// Other hosts help only as long as the link is not full of payloads that were sent once they did not.
+test('starts are sent at the pace of the link where no other host can send them', async () => {
+  for (const seed of SEEDS) {
+    const site = new Simulation(seed, {
+      linkBytesPerS: LINK_BYTES_PER_S,
+      relaysAll: false,
+    });
+    site.peers.cutAll = true;
+    await playBusy(site);
+    await site.time.advance(60_000);
+    const { history } = site;
+    const ids = Array.from({ length: JOBS }, (_, at) => idOf(at));
+    assert.deepEqual(
+      ids.filter(id => !history.isDone(id)),
+      [],
+      `seed ${seed}`,
+    );
+    assert.equal(history.runningOf(LASTING), LASTING_TASKS, `seed ${seed}`);
+    assert.deepEqual(history.check(), []);
+  }
+});
+
 test('a leader whose link carries all payloads has no other host send a start', async () => {
   const site = new Simulation(1, { relaysAll: false });
   await playBusy(site);
--- a/packages/daemon/src/job-host/relay/link-budget.ts
+++ b/packages/daemon/src/job-host/relay/link-budget.ts
@@ -1,8 +1,6 @@
 /** What a host's link carries of payloads, beside the calls that only this host can make. */
 import type { Clock, Instant } from '@paddlewind/domain';
 
-/** Part of the link that payloads may take: looks, appends and reads need the rest. */
-const PAYLOAD_SHARE = 1 / 8;
 /** Time for which the budget may be saved up, in seconds: a burst waits no longer than that for the link. */
 const SAVED_S = 1;
 const MS_PER_S = 1_000;
@@ -11,16 +9,14 @@
 
 /** A token bucket of bytes. */
 export class LinkBudget {
-  private readonly bytesPerS: number;
   private left: number;
   private filledAt: Instant;
 
-  /** Creates a full budget for a link that carries `linkBytesPerS`, which may be infinite. */
+  /** Creates a full budget of `bytesPerS`, which may be infinite. */
   constructor(
     private readonly clock: Clock,
-    linkBytesPerS: number,
+    private readonly bytesPerS: number,
   ) {
-    this.bytesPerS = linkBytesPerS * PAYLOAD_SHARE;
     this.left = this.bytesPerS * SAVED_S;
     this.filledAt = clock();
   }
--- a/packages/daemon/src/job-host/relay/relayed-starts.test.ts
+++ b/packages/daemon/src/job-host/relay/relayed-starts.test.ts
@@ -15,6 +15,7 @@
 
 import { testContext } from '../context.fixture.test.js';
 import { LinkBudget } from './link-budget.js';
+import { LinkPace } from './link-pace.js';
 import { RelayedStarts } from './relayed-starts.js';
 import type { StartResult } from './start-sender.js';
 
@@ -66,6 +67,7 @@
       epoch: 64,
       state: this.state,
       budget: new LinkBudget(clock, linkBytesPerS),
+      pace: new LinkPace(ctx, Infinity),
     });
     void this.starts.begin();
   }
@@ -109,11 +111,12 @@
     return this.time.clock() + AHEAD_MS;
   }
 
-  /** Sends a start to a worker, once the other hosts are known. */
-  async send(worker: string, isWanted = true): Promise<StartResult> {
+  /** Sends a start to a worker, once the other hosts are known; it is wanted until one was asked, or for good. */
+  async send(worker: string, staysWanted = true): Promise<StartResult> {
     await this.time.advance(10);
     const to = { id: worker, address: worker };
-    const res = await this.starts.send(to, ORDER, () => isWanted);
+    const isWanted = (): boolean => staysWanted || this.sentBy.length === 0;
+    const res = await this.starts.send(to, ORDER, isWanted);
     this.starts.close();
     return res;
   }
--- a/packages/daemon/src/job-host/relay/relayed-starts.ts
+++ b/packages/daemon/src/job-host/relay/relayed-starts.ts
@@ -14,6 +14,7 @@
 import type {
   OrderResult,
   PeerPort,
+  RelayResult,
   StartOrder,
   WorkerAddress,
   WorkerPort,
@@ -21,6 +22,7 @@
 
 import { pause, type HostContext } from '../context.js';
 import type { LinkBudget } from './link-budget.js';
+import type { LinkPace } from './link-pace.js';
 import { RelayHost } from './relay-host.js';
 import type { StartResult, StartSender } from './start-sender.js';
 
@@ -37,6 +39,7 @@
   readonly epoch: number;
   readonly state: JobsState;
   readonly budget: LinkBudget;
+  readonly pace: LinkPace;
 }
 
 /** Sends starts itself while its link carries them, and has others send the rest. */
@@ -63,18 +66,52 @@
     this.closed = true;
   }
 
+  /** Whether starts wait for the link. */
+  get isBusy(): boolean {
+    return this.options.pace.isBusy;
+  }
+
+  /** How many starts the link carries soon. */
+  get mostStarts(): number {
+    return this.options.pace.mostStarts;
+  }
+
   /** Sends a start, by way of another host where this one's link has no room for it. */
   send(
     worker: WorkerAddress,
     order: StartOrder,
     isWanted: () => boolean,
   ): Promise<StartResult> {
-    const { port, budget } = this.options;
-    const hasRoom = budget.take(START_BYTES + order.payload.length);
+    const hasRoom = this.options.budget.take(bytesOf(order));
     const host = hasRoom ? undefined : this.hostFor(worker);
-    return host === undefined
-      ? port.start(worker, order)
-      : this.sendBy(host, worker, order, isWanted);
+    if (host !== undefined) {
+      return this.sendBy(host, worker, order, isWanted);
+    }
+    const { port, pace } = this.options;
+    return pace.isLimited
+      ? this.sendOwn(worker, order, isWanted)
+      : port.start(worker, order);
+  }
+
+  /** Sends a start itself, when it is its turn. */
+  private sendOwn(
+    worker: WorkerAddress,
+    order: StartOrder,
+    isWanted: () => boolean,
+  ): Promise<StartResult> {
+    const { port } = this.options;
+    return this.inTurn(bytesOf(order), isWanted, () =>
+      port.start(worker, order),
+    );
+  }
+
+  private async inTurn<T>(
+    bytes: number,
+    isWanted: () => boolean,
+    send: () => Promise<T>,
+  ): Promise<T | { readonly kind: 'not_wanted' }> {
+    const hasTurn = await this.options.pace.admit(bytes);
+    return hasTurn && isWanted() ? send() : { kind: 'not_wanted' };
   }
 
   private async sendBy(
@@ -83,33 +120,29 @@
     order: StartOrder,
     isWanted: () => boolean,
   ): Promise<StartResult> {
-    const { ctx, port } = this.options;
+    const { ctx } = this.options;
     const { task, run, leaseUntil, fence, checkpoint, ticket } = order;
     const relayed = { task, run, leaseUntil, fence, checkpoint, ticket };
-    ctx.log.info(
-      { task: taskName(task), run, worker: worker.id, by: host.host },
-      'relay: a start goes by way of another host',
-    );
-    const res = await host.send(worker, relayed);
-    const outcome = res.kind === 'sent' ? res.result.kind : res.kind;
-    ctx.meters.startRelayed(outcome);
+    const res = await this.inTurn(START_BYTES, isWanted, () => {
+      ctx.log.info(
+        { task: taskName(task), run, worker: worker.id, by: host.host },
+        'relay: a start goes by way of another host',
+      );
+      return host.send(worker, relayed);
+    });
+    if (res.kind === 'not_wanted') {
+      return res;
+    }
+    ctx.meters.startRelayed(res.kind === 'sent' ? res.result.kind : res.kind);
     if (res.kind === 'sent' && isCertain(res.result)) {
       return res.result;
     }
-    const mayBegin =
-      (res.kind === 'sent' && res.result.kind === 'unknown') ||
-      (res.kind === 'failed' && res.outcome === 'unknown');
-    if (!isWanted()) {
-      return mayBegin
-        ? { kind: 'unsure', reason: 'another host may have sent it' }
-        : { kind: 'not_wanted' };
-    }
     // A worker that has the run already accepts it once more.
-    const own = await port.start(worker, order);
+    const own = await this.sendOwn(worker, order, isWanted);
     if (res.kind === 'sent' && own.kind === 'accepted') {
       host.noteCutOff();
     }
-    return mayBegin ? afterAnother(own) : own;
+    return mayBegin(res) ? afterAnother(own) : own;
   }
 
   /** Each worker has a host of its own, and another one while that rests: few connections, even shares. */
@@ -148,17 +181,36 @@
   return kind === 'accepted' || kind === 'rejected' || kind === 'replaced';
 }
 
+/** Whether the other host may have begun the run, or may still. */
+function mayBegin(res: RelayResult): boolean {
+  switch (res.kind) {
+    case 'sent':
+      return res.result.kind === 'unknown';
+    case 'refused':
+      return false;
+    case 'failed':
+      return res.outcome === 'unknown';
+  }
+}
+
+function bytesOf({ payload }: StartOrder): number {
+  return START_BYTES + payload.length;
+}
+
 /**
  * What is known of a start that was sent again after another host may have sent it: only that a run was
  * accepted, or what ends the link. A run that is refused as old may have begun and ended.
  */
-function afterAnother(own: OrderResult): StartResult {
+function afterAnother(own: StartResult): StartResult {
   const isFenced = own.kind === 'rejected' && own.why === 'fenced';
   switch (own.kind) {
     case 'accepted':
     case 'replaced':
     case 'unknown':
+    case 'unsure':
       return own;
+    case 'not_wanted':
+      return { kind: 'unsure', reason: 'another host may have sent it' };
     case 'not_run':
       return { kind: 'unknown', reason: own.reason };
     case 'rejected':
--- a/packages/daemon/src/job-host/relay/start-sender.ts
+++ b/packages/daemon/src/job-host/relay/start-sender.ts
@@ -19,6 +19,10 @@
   begin(): Promise<void>;
   /** Ends what `begin` keeps up. */
   close(): void;
+  /** Whether starts wait for their turns. */
+  readonly isBusy: boolean;
+  /** How many starts may be under way: more would wait for too long. */
+  readonly mostStarts: number;
   /** Sends a start; one that took a while is sent again only while `isWanted`. */
   send(
     worker: WorkerAddress,
--- a/packages/daemon/src/job-host/simulated-network.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulated-network.fixture.test.ts
@@ -87,6 +87,8 @@
   readonly cuts = new Set<string>();
   /** Time by host that starts take on their way to it, also beyond the time after which they are given up. */
   readonly startDelays = new Map<string, Millis>();
+  /** Whether no host reaches another one. */
+  cutAll = false;
   /** How often a host was asked to append for another one. */
   appends = 0;
   /** How often a host was asked to send a start for another one. */
@@ -162,7 +164,7 @@
 
   private reach(from: string, to: string): ReachedHost | undefined {
     const found = this.hosts.get(to);
-    const isCut = this.cuts.has(`${from}>${to}`);
+    const isCut = this.cutAll || this.cuts.has(`${from}>${to}`);
     return found?.process.alive === true && !isCut ? found : undefined;
   }
 
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -18,6 +18,7 @@
 import { Registry } from 'prom-client';
 
 import { createJobMeters } from './meters.js';
+import { linkSharesOf } from './relay/link-shares.js';
 import {
   SimulatedLink,
   SimulatedPeers,
@@ -201,7 +202,9 @@
       peerAddress: name,
       maxLeaseMs: this.maxLeaseMs,
       cores,
-      linkBytesPerS: this.relaysAll ? 1 : this.linkBytesPerS,
+      linkShares: this.relaysAll
+        ? { payloads: 1, starts: Infinity }
+        : linkSharesOf(this.linkBytesPerS),
       retentionMs: RETENTION_MS,
       statusMs: STATUS_MS,
     });
--- a/packages/daemon/src/job-host/start-job-host.ts
+++ b/packages/daemon/src/job-host/start-job-host.ts
@@ -28,6 +28,8 @@
 import { meterAdvice, meterLog, meterWorkers } from './metered-ports.js';
 import type { JobGauges } from './meters.js';
 import { LinkBudget } from './relay/link-budget.js';
+import { LinkPace } from './relay/link-pace.js';
+import type { LinkShares } from './relay/link-shares.js';
 import { RelayedStarts } from './relay/relayed-starts.js';
 import { StartRelay } from './relay/start-relay.js';
 import { ReplicaView } from './replica-view.js';
@@ -55,8 +57,8 @@
   readonly maxLeaseMs: Millis;
   /** Processors of this host. */
   readonly cores: number;
-  /** What the link of this host carries in each direction; may be infinite. */
-  readonly linkBytesPerS: number;
+  /** What starts may take of the link of this host, while it leads. */
+  readonly linkShares: LinkShares;
   /** How long the log keeps records. */
   readonly retentionMs: Millis;
   /** How long the state of a job that is over can be asked for. */
@@ -279,6 +281,7 @@
   claim: WonClaim,
 ): Leader {
   const { ctx, maxLeaseMs, retentionMs, statusMs, peerAddress } = options;
+  const { linkShares } = options;
   const { clock, meters } = ctx;
   const port = meterWorkers(options.workerPort(), meters, clock);
   const starts = new RelayedStarts({
@@ -287,7 +290,8 @@
     peers: options.peers,
     epoch: claim.epoch,
     state: replica.state,
-    budget: new LinkBudget(clock, options.linkBytesPerS),
+    budget: new LinkBudget(clock, linkShares.payloads),
+    pace: new LinkPace(ctx, linkShares.starts),
   });
   return new Leader({
     ctx,
--- a/packages/daemon/src/job-host/start-window.test.ts
+++ b/packages/daemon/src/job-host/start-window.test.ts
@@ -10,7 +10,7 @@
 
 /** Begins all starts that a window has free. */
 function fill(window: StartWindow, site: OrderedRuns, from: number): Run[] {
-  const runs = Array.from({ length: window.free }, (_, at) =>
+  const runs = Array.from({ length: window.free() }, (_, at) =>
     site.open(from + at),
   );
   runs.forEach(run => {
@@ -23,24 +23,24 @@
   const window = new StartWindow();
   const runs = fill(window, new OrderedRuns(MOST), 0);
   assert.equal(runs.length, MOST);
-  assert.equal(window.free, 0);
+  assert.equal(window.free(), 0);
   runs.slice(0, 50).forEach(run => {
     window.noteBegun(run);
   });
   runs.slice(50, 60).forEach(run => {
     window.noteEnded(run);
   });
-  assert.equal(window.free, 60);
+  assert.equal(window.free(), 60);
 });
 
 test('the window shrinks while workers cease to answer, and never to nothing', () => {
   const window = new StartWindow();
   for (let now = 0; now < 60_000; now += 600) {
-    const before = window.free;
+    const before = window.free();
     window.noteSilence(now);
-    assert.ok(window.free < before || window.free === 4);
+    assert.ok(window.free() < before || window.free() === 4);
   }
-  assert.equal(window.free, 4);
+  assert.equal(window.free(), 4);
 });
 
 test('workers that are lost at the same moment shrink the window once', () => {
@@ -48,7 +48,7 @@
   for (let count = 0; count < 100; count += 1) {
     window.noteSilence(1_000 + count);
   }
-  assert.equal(window.free, 140);
+  assert.equal(window.free(), 140);
 });
 
 test('the window grows again with starts that are confirmed', () => {
@@ -65,5 +65,5 @@
       window.noteBegun(run);
     });
   }
-  assert.equal(window.free, MOST);
+  assert.equal(window.free(), MOST);
 });
--- a/packages/daemon/src/job-host/start-window.ts
+++ b/packages/daemon/src/job-host/start-window.ts
@@ -22,9 +22,10 @@
   private shrunkAt: Instant = -Infinity;
   private readonly underWay = new Set<Run>();
 
-  /** How many more starts may be decided on now. */
-  get free(): number {
-    return Math.max(0, Math.floor(this.size) - this.underWay.size);
+  /** How many more starts may be decided on now, where `most` may be under way for other reasons. */
+  free(most = Infinity): number {
+    const size = Math.min(Math.floor(this.size), most);
+    return Math.max(0, size - this.underWay.size);
   }
 
   /** A start was decided on. */
--- a/packages/daemon/src/job-host/worker-orders.ts
+++ b/packages/daemon/src/job-host/worker-orders.ts
@@ -117,7 +117,7 @@
     const isWanted = (): boolean => whyNot() === undefined;
     const res = await starts.send(info(), order, isWanted);
     if (res.kind === 'not_wanted') {
-      this.giveUpStart(run, whyNot() ?? 'late');
+      this.giveUpUnsent(run, whyNot() ?? 'late');
     } else {
       this.takeStart(run, res);
     }
@@ -144,18 +144,24 @@
     return mayStart() ? undefined : 'worker';
   }
 
-  /** Ends a run whose order was never sent, so that the task may run elsewhere. */
+  /** Gives up a start that waited for its worker. */
   private giveUpStart(run: Run, reason: StartGivenUp): void {
+    const { ctx, events } = this.options;
+    const waitedMs = ctx.clock() - (run.progress?.since ?? ctx.clock());
+    if (reason === 'late' && 2 * waitedMs > START_WAIT_MS) {
+      events.slow();
+    }
+    this.giveUpUnsent(run, reason);
+  }
+
+  /** Ends a run whose order was never sent, so that the task may run elsewhere. */
+  private giveUpUnsent(run: Run, reason: StartGivenUp): void {
     const { ctx, events } = this.options;
     ctx.meters.startGivenUp(reason);
     ctx.log.info(
       { task: taskName(refOf(run.task)), run: run.number, reason },
       'worker: a start that waited is not sent',
     );
-    const waitedMs = ctx.clock() - (run.progress?.since ?? ctx.clock());
-    if (reason === 'late' && 2 * waitedMs > START_WAIT_MS) {
-      events.slow();
-    }
     events.ended(run, 'void', '');
   }
 
--- a/packages/domain/src/jobs/plan.test.ts
+++ b/packages/domain/src/jobs/plan.test.ts
@@ -262,3 +262,25 @@
   const input = { ...waitingLasting('failed'), leadsSince: 1_050 };
   assert.equal(round(input)[0], 'lasting.0.0@w');
 });
+
+test('no more tasks of a step start than may be under way', () => {
+  const state = stateOf(testJob('j', [{ tasks: 4 }]));
+  const input = { ...planInput(state, [testWorker('w')]), mostStarts: 3 };
+  assert.equal(round(input).length, 3);
+});
+
+// Tasks that end take each turn on a full link for as long as more of them come: a lasting one never began.
+test('a lasting task that never ran goes first once it has waited while the link is busy', () => {
+  const planned = (isLinkBusy: boolean): string[][] => {
+    const state = stateOf(
+      testJob('ending', [{ tasks: 4 }]),
+      testJob('lasting', [{ tasks: 1, lasting: true }]),
+    );
+    const input = planInput(state, [testWorker('w')]);
+    const paced = { ...input, mostStarts: 1, isLinkBusy };
+    const later = { ...paced, time: { now: 3_000, nowWall: 3_000 } };
+    return [round(paced), round(later)];
+  };
+  assert.deepEqual(planned(true), [['ending.0.0@w'], ['lasting.0.0@w']]);
+  assert.deepEqual(planned(false), [['ending.0.0@w'], ['ending.0.1@w']]);
+});
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -35,8 +35,10 @@
   readonly time: PlanTime;
   /** Monotonic time at which this leader took over: how long tasks had waited by then it may not know. */
   readonly leadsSince: Instant;
-  /** Most starts that are decided in this round, but for those of tasks that go first of all. */
+  /** Most starts that are decided in this round, but for those of tasks that move and of suspected ones. */
   readonly mostStarts: number;
+  /** Whether starts wait for their turn on the link of this leader, not for room alone. */
+  readonly isLinkBusy: boolean;
   /** Tasks that move off workers which leave: they are placed first, and room is kept for them until then. */
   readonly moving: Iterable<Task>;
 }
@@ -73,7 +75,8 @@
   const full = new Set<string>();
   let started = startFirst(place, input.moving, start);
   started += startSuspects(place, start);
-  started += startFirst(place, overdueLasting(input), start);
+  const left = (): number => Math.max(0, input.mostStarts - started);
+  started += startFirst(place, overdueLasting(input), start, left());
   keepForSuspects(place);
   keepRoom('urgent');
   const keepOnce = once(() => {
@@ -84,13 +87,13 @@
       keepOnce();
     }
     const key = shapeOf(step);
-    if (started >= input.mostStarts) {
+    if (left() === 0) {
       break;
     }
     if (!full.has(key)) {
       const found = step.spec.gang
         ? startGang(place, step, start)
-        : startTasks(place, step, start);
+        : startTasks(place, step, start, left());
       started += found.started;
       if (found.full && step.spec.maxPerWorker === undefined) {
         full.add(key);
@@ -154,33 +157,44 @@
  */
 const LASTING_WAIT_MS: Millis = 2_000;
 
-/** Lasting tasks that have run before and have waited for too long since, the longest first. */
-function overdueLasting({ state, time, leadsSince }: PlanInput): Task[] {
+/**
+ * Lasting tasks that have run before and have waited for too long since, the longest first. While starts wait
+ * for the link also those that never ran: tasks that end would take each turn on it for as long as more come.
+ */
+function overdueLasting({
+  state,
+  time,
+  leadsSince,
+  isLinkBusy,
+}: PlanInput): Task[] {
   const overdueBefore = Math.max(time.now - LASTING_WAIT_MS, leadsSince);
-  const found: Task[] = [];
-  for (const { occurrences } of state.open) {
+  const found: { readonly task: Task; readonly since: Instant }[] = [];
+  for (const { occurrences, seenAt = Infinity } of state.open) {
     for (const { steps } of occurrences.values()) {
-      for (const { spec, tasks } of steps) {
-        if (spec.lasting && !spec.gang) {
-          found.push(
-            ...tasks.filter(
-              task => isWaiting(task) && task.endedAt < overdueBefore,
-            ),
-          );
+      const lasting = steps.filter(({ spec }) => spec.lasting && !spec.gang);
+      for (const task of lasting.flatMap(({ tasks }) => tasks)) {
+        const isNew = isLinkBusy && task.lastRun === 0;
+        const since = isNew ? seenAt : task.endedAt;
+        if (isWaiting(task) && since < overdueBefore) {
+          found.push({ task, since });
         }
       }
     }
   }
-  return found.sort((a, b) => a.endedAt - b.endedAt);
+  return found.sort((a, b) => a.since - b.since).map(({ task }) => task);
 }
 
 function startFirst(
   place: PlaceInput,
   first: Iterable<Task>,
   start: ApplyStart,
+  most = Infinity,
 ): number {
   let started = 0;
   for (const task of first) {
+    if (started >= most) {
+      break;
+    }
     if (isWaiting(task)) {
       const worker = chooseWorker(place, task)?.info.id;
       if (worker !== undefined) {
@@ -248,13 +262,22 @@
   return booking;
 }
 
-function startTasks(place: PlaceInput, step: Step, start: ApplyStart): Started {
+/** Starts up to `most` of the tasks of a step. */
+function startTasks(
+  place: PlaceInput,
+  step: Step,
+  start: ApplyStart,
+  most: number,
+): Started {
   let started = 0;
   for (const task of step.tasks) {
     // Suspected tasks had their turn; that they find no place says nothing of others.
     if (!isWaiting(task) || isSuspect(task)) {
       continue;
     }
+    if (started >= most) {
+      break;
+    }
     const worker = chooseWorker(place, task);
     if (worker === undefined) {
       return { started, full: true };
--- a/packages/domain/src/jobs/test-support.ts
+++ b/packages/domain/src/jobs/test-support.ts
@@ -88,6 +88,7 @@
     time: { now: 0, nowWall: 0 },
     leadsSince: -Infinity,
     mostStarts: 200,
+    isLinkBusy: false,
   };
 }
 
