--- a/packages/cli/src/commands/losses.ts
+++ b/packages/cli/src/commands/losses.ts
@@ -22,8 +22,12 @@
 }
 
 function textOfLosses({ queues, windows, unread }: Losses): string {
-  const lines = queues.flatMap(({ queue, phases, ...of }) => [
+  const lines = queues.flatMap(({ queue, phases, sizes, ...of }) => [
     `${queue}: ${of.jobs} jobs, ${of.inTime} in time, ${of.late} late, ${of.unfinished} unfinished, ${of.cancelled} cancelled`,
+    ...sizes.map(
+      ({ size, asked, ...its }) =>
+        `  ${size}: ${asked} asked for, ${its.inTime} in time, ${its.late} late, ${its.unfinished} unfinished, ${its.notAccepted} not accepted`,
+    ),
     ...phases
       .slice(0, SHOWN_PHASES)
       .map(({ phase, seconds }) => `  ${seconds.toFixed(1)} s ${phase}`),
--- a/packages/cli/src/log-lines.ts
+++ b/packages/cli/src/log-lines.ts
@@ -52,6 +52,11 @@
   return typeof value === 'string' ? value : '';
 }
 
+/** Returns a value that is a number, else undefined. */
+export function numberOf(value: unknown): number | undefined {
+  return typeof value === 'number' ? value : undefined;
+}
+
 function parseObject(text: string): Record<string, unknown> | undefined {
   try {
     const found: unknown = JSON.parse(text);
--- a/packages/cli/src/losses/job-runs.ts
+++ b/packages/cli/src/losses/job-runs.ts
@@ -1,5 +1,5 @@
 /** What the logs tell of each job: when it was accepted and over, and its runs. */
-import { textOf, type LogLine } from '../log-lines.js';
+import { numberOf, textOf, type LogLine } from '../log-lines.js';
 
 /** One run of a task, from its order to its end. */
 export interface LoggedRun {
@@ -24,10 +24,12 @@
   overAt: number;
   status: string;
   objectiveMs: number;
+  /** Core-milliseconds by its caller's own guess; undefined where no line tells. */
+  coreMs: number | undefined;
   readonly runs: LoggedRun[];
 }
 
-/** Reads the jobs of which the lines tell that they were accepted. */
+/** Reads all jobs that the lines tell of. */
 export function readJobs(lines: readonly LogLine[]): LoggedJob[] {
   const jobs = new Map<string, LoggedJob>();
   const runs = new Map<string, LoggedRun>();
@@ -48,7 +50,7 @@
         break;
     }
   }
-  return [...jobs.values()].filter(({ acceptedAt }) => acceptedAt < Infinity);
+  return [...jobs.values()];
 }
 
 function takeAnswer(
@@ -65,6 +67,7 @@
   if (fields.change === 'submit') {
     job.queue = textOf(fields.queue) || job.queue;
     job.askedAt = Math.min(job.askedAt, at);
+    job.coreMs ??= numberOf(fields.coreMs);
     if (kind === 'recorded') {
       job.acceptedAt = Math.min(job.acceptedAt, at);
     }
@@ -133,6 +136,7 @@
     overAt: Infinity,
     status: 'open',
     objectiveMs: 0,
+    coreMs: undefined,
     runs: [],
   };
   jobs.set(id, created);
--- a/packages/cli/src/losses/losses.test.ts
+++ b/packages/cli/src/losses/losses.test.ts
@@ -15,6 +15,17 @@
   return line(second, { ...fields, msg: 'jobs: answered' });
 }
 
+function answered(
+  second: number,
+  job: string,
+  coreMs: number,
+  kind = 'recorded',
+): string {
+  const fields = { job, queue: 'q', coreMs, change: 'submit' };
+  const msg = 'jobs: answered';
+  return line(second, { ...fields, result: { kind }, msg });
+}
+
 function ordered(second: number, task: string, run = 1): string {
   return line(second, { task, run, msg: 'leader: a run is ordered' });
 }
@@ -156,3 +167,30 @@
     { jobs: 1, inTime: 1, late: 0, unfinished: 0 },
   ]);
 });
+
+test('jobs are told by their size, also those that were not accepted', () => {
+  const small = Array.from({ length: 7 }, (_, at) => `small${at}`);
+  const text = [
+    ...small.map(job => answered(0, job, 1_000)),
+    ...small.map(job => over(1, job, 1_500)),
+    answered(0, 'large', 5_000, 'unknown'),
+    ordered(1, 'large.0.0.0'),
+    ended(2, 'large.0.0.0', 'done'),
+    answered(0, 'larger', 6_000),
+    answered(0, 'largest', 9_000),
+    over(9, 'largest', 1_500),
+  ].join('\n');
+  const [queue] = readLosses([text]).queues;
+  const none = { inTime: 0, late: 0, unfinished: 0, notAccepted: 0 };
+  assert.deepEqual(queue?.sizes, [
+    { ...none, size: 'largest tenth', asked: 1, late: 1 },
+    {
+      ...none,
+      size: 'next largest fifth',
+      asked: 2,
+      unfinished: 1,
+      notAccepted: 1,
+    },
+    { ...none, size: 'smaller', asked: 7, inTime: 7 },
+  ]);
+});
--- a/packages/cli/src/losses/losses.ts
+++ b/packages/cli/src/losses/losses.ts
@@ -11,10 +11,27 @@
   readonly late: number;
   readonly unfinished: number;
   readonly cancelled: number;
+  /** What became of its jobs by size, the largest first; empty where no line tells their sizes. */
+  readonly sizes: readonly SizeLosses[];
   /** Seconds by phase of the jobs that were late or are unfinished, the largest first. */
   readonly phases: readonly Phase[];
 }
 
+/** Size of a job among all that were asked for on its queue. */
+export type SizeGroup = 'largest tenth' | 'next largest fifth' | 'smaller';
+
+/** What became of the jobs of one size. */
+export interface SizeLosses {
+  readonly size: SizeGroup;
+  /** Those that were asked for and not cancelled; the other figures are of these. */
+  readonly asked: number;
+  readonly inTime: number;
+  readonly late: number;
+  readonly unfinished: number;
+  /** Refused, or with an outcome that was never known. */
+  readonly notAccepted: number;
+}
+
 /** Seconds of one phase. */
 export interface Phase {
   readonly phase: PhaseName;
@@ -50,19 +67,20 @@
   const first = Date.parse(lines[0]?.time ?? '');
   const last = Date.parse(lines.at(-1)?.time ?? '');
   const reasonAt = reasonsOf(lines);
-  const rated = readJobs(lines).map(job => ({
+  const asked = readJobs(lines).map(job => ({
     job,
     outcome: outcomeOf(job),
-    spans: spansOf(job, reasonAt, last),
+    spans: job.acceptedAt < Infinity ? spansOf(job, reasonAt, last) : [],
   }));
+  const rated = asked.filter(({ job }) => job.acceptedAt < Infinity);
   return {
-    queues: sumQueues(rated),
+    queues: sumQueues(rated, asked),
     windows: sumWindows(rated, first),
     unread,
   };
 }
 
-type Outcome = 'in_time' | 'late' | 'unfinished' | 'cancelled';
+type Outcome = 'in_time' | 'late' | 'unfinished' | 'cancelled' | 'not_accepted';
 
 interface RatedJob {
   readonly job: LoggedJob;
@@ -74,30 +92,65 @@
   if (status === 'cancelled') {
     return 'cancelled';
   }
+  if (job.acceptedAt === Infinity) {
+    return 'not_accepted';
+  }
   if (job.overAt === Infinity) {
     return 'unfinished';
   }
   return job.overAt - job.askedAt <= job.objectiveMs ? 'in_time' : 'late';
 }
 
-function sumQueues(rated: readonly RatedJob[]): QueueLosses[] {
+function sumQueues(
+  rated: readonly RatedJob[],
+  asked: readonly RatedJob[],
+): QueueLosses[] {
   const queues = [...new Set(rated.map(({ job }) => job.queue))].sort();
   return queues.map(queue => {
     const own = rated.filter(({ job }) => job.queue === queue);
-    const count = (outcome: Outcome): number =>
-      own.filter(each => each.outcome === outcome).length;
     return {
       queue,
       jobs: own.length,
-      inTime: count('in_time'),
-      late: count('late'),
-      unfinished: count('unfinished'),
-      cancelled: count('cancelled'),
+      inTime: countOf(own, 'in_time'),
+      late: countOf(own, 'late'),
+      unfinished: countOf(own, 'unfinished'),
+      cancelled: countOf(own, 'cancelled'),
+      sizes: sumSizes(asked.filter(({ job }) => job.queue === queue)),
       phases: sumPhases(own),
     };
   });
 }
 
+function countOf(rated: readonly RatedJob[], outcome: Outcome): number {
+  return rated.filter(each => each.outcome === outcome).length;
+}
+
+/** Share of a queue's jobs that are larger than those of a group, and of those that are not smaller. */
+const SIZE_GROUPS: readonly (readonly [SizeGroup, number, number])[] = [
+  ['largest tenth', 0, 0.1],
+  ['next largest fifth', 0.1, 0.3],
+  ['smaller', 0.3, 1],
+];
+
+function sumSizes(asked: readonly RatedJob[]): SizeLosses[] {
+  const known = asked
+    .filter(({ outcome }) => outcome !== 'cancelled')
+    .filter(({ job }) => job.coreMs !== undefined)
+    .sort((a, b) => (b.job.coreMs ?? 0) - (a.job.coreMs ?? 0));
+  return SIZE_GROUPS.map(([size, from, to]) => {
+    const at = (share: number): number => Math.round(share * known.length);
+    const own = known.slice(at(from), at(to));
+    return {
+      size,
+      asked: own.length,
+      inTime: countOf(own, 'in_time'),
+      late: countOf(own, 'late'),
+      unfinished: countOf(own, 'unfinished'),
+      notAccepted: countOf(own, 'not_accepted'),
+    };
+  }).filter(({ asked: count }) => count > 0);
+}
+
 function sumWindows(rated: readonly RatedJob[], first: number): WindowLosses[] {
   const windows = new Map<number, RatedJob[]>();
   for (const each of rated) {
--- a/packages/daemon/src/job-host/job-service.ts
+++ b/packages/daemon/src/job-host/job-service.ts
@@ -1,6 +1,7 @@
 /** What callers ask of a host: submit, state, cancel and the length of a queue. */
 import type { Instant } from '@paddlewind/domain';
 import {
+  askedSizeOf,
   encodeRecord,
   type InboxRecord,
   type JobSpec,
@@ -74,9 +75,9 @@
     deadline: Instant,
   ): Promise<ChangeResult> {
     const result = await this.append(record, deadline);
-    const queue = record.kind === 'submit' ? record.job.terms.queue : undefined;
+    const asked = record.kind === 'submit' ? askedFor(record.job) : {};
     this.ctx.log.info(
-      { job, queue, change: record.kind, result },
+      { job, ...asked, change: record.kind, result },
       'jobs: answered',
     );
     return result;
@@ -109,3 +110,8 @@
     return { kind: 'refused', reason };
   }
 }
+
+/** What the log tells of a job that a caller asks for. */
+function askedFor(job: JobSpec): Record<string, unknown> {
+  return { queue: job.terms.queue, ...askedSizeOf(job) };
+}
--- a/packages/domain/src/jobs/spec.ts
+++ b/packages/domain/src/jobs/spec.ts
@@ -108,3 +108,27 @@
   readonly repetition: Repetition | undefined;
   readonly terms: QueueTerms;
 }
+
+const MILLI = 1_000;
+
+/** How large a job is by its caller's own guesses: the tasks of one occurrence and their work. */
+export interface AskedSize {
+  readonly tasks: number;
+  /** Core-milliseconds. */
+  readonly coreMs: number;
+}
+
+/** Returns how large a job is by its caller's own guesses. */
+export function askedSizeOf({ steps }: JobSpec): AskedSize {
+  const sum = (of: (step: StepSpec) => number): number =>
+    steps.reduce((total, step) => total + of(step), 0);
+  return {
+    tasks: sum(({ tasks }) => tasks),
+    coreMs: Math.round(
+      sum(
+        ({ tasks, size, estimateMs }) =>
+          (tasks * size.cpuMilli * estimateMs) / MILLI,
+      ),
+    ),
+  };
+}
