Begin jobs under overload whatever their size, and finish what is begun

What callers saw: under load that lasts the large jobs of a queue wait for ever.

Cause: the step that went first was that worth the most for the work it still needs. For a job that is not begun that score depends on its size alone and never grows with waiting, so that each small job that comes overtakes all large ones. Class: a strict order by a score that does not change starves whoever scores low.

Change: what is begun goes first, by that score; what is not by its outlook and the newest first, which has nothing to do with size. By the latest start all would begin at the last moment. Lasting jobs: the oldest first.

--- a/packages/domain/src/jobs/order.ts
+++ b/packages/domain/src/jobs/order.ts
@@ -26,12 +26,14 @@
 export interface Candidate {
   readonly step: Step;
   readonly priority: number;
+  /** Whether a task of the occurrence was ever started. */
+  readonly begun: boolean;
   /** What the occurrence can still be worth. */
   readonly outlook: Outlook;
   /** What the occurrence's end is worth for each core-millisecond that it still has to be given. */
   readonly yield: number;
-  /** Monotonic time by which the step has to start for the objective to be met. */
-  readonly latestStart: Instant;
+  /** Monotonic time from which the occurrence's objective counts. */
+  readonly since: Instant;
 }
 
 /** The clocks of one planning round. */
@@ -43,10 +45,15 @@
 
 /**
  * Returns the steps with tasks that may start: lower priority numbers first; within one number tasks that
- * end before those that last; within those what can still meet its objective, then what is late but
- * still worth something, and last what is overdue; within that what is worth the most for the work that
- * it still has to be given, so that overload leaves few occurrences half done; and of those alike the
- * one that has to start soonest.
+ * end before those that last.
+ *
+ * Of occurrences that end those that are begun go first, what is worth the most for the work that it still
+ * has to be given before the rest: few are left half done. Others begin by what they can still be worth,
+ * and the newest first. Which of them begin under overload thus has nothing to do with their size, so that
+ * small ones can't keep large ones waiting for as long as more of them come; and what begins has most of
+ * its time left, where by the latest start all would begin at the last moment and most end late.
+ *
+ * Of occurrences that last the oldest go first: time takes nothing from their worth.
  */
 export function candidates(
   jobs: Iterable<Job>,
@@ -83,15 +90,32 @@
 }
 
 function compareCandidates(a: Candidate, b: Candidate): number {
+  const { lasting } = a.step.spec;
   return (
     a.priority - b.priority ||
-    Number(a.step.spec.lasting) - Number(b.step.spec.lasting) ||
-    OUTLOOK_ORDER[a.outlook] - OUTLOOK_ORDER[b.outlook] ||
-    b.yield - a.yield ||
-    a.latestStart - b.latestStart
+    Number(lasting) - Number(b.step.spec.lasting) ||
+    (lasting ? compareAge(a, b) : compareEnding(a, b))
   );
 }
 
+function compareEnding(a: Candidate, b: Candidate): number {
+  if (a.begun !== b.begun) {
+    return a.begun ? -1 : 1;
+  }
+  return a.begun
+    ? b.yield - a.yield
+    : OUTLOOK_ORDER[a.outlook] - OUTLOOK_ORDER[b.outlook] || compareAge(b, a);
+}
+
+/** The oldest first; a new leader sees all jobs at once, and tells them apart by their arrival. */
+function compareAge(a: Candidate, b: Candidate): number {
+  return a.since - b.since || arrivalOf(a) - arrivalOf(b);
+}
+
+function arrivalOf({ step }: Candidate): number {
+  return step.occurrence.job.arrival;
+}
+
 function createDueOccurrences(job: Job, nowWall: Instant): void {
   const { repetition } = job.spec;
   if (repetition === undefined) {
@@ -126,9 +150,10 @@
   const lastStart = beginning + LATE_FACTOR * allowedMs - left;
   const shared = {
     priority: terms.priority,
+    begun: isBegun(occurrence),
     outlook: outlookOf(time.now, latestStart, lastStart),
     yield: yieldOf(occurrence, meanWork.of(queueOf(occurrence)), times),
-    latestStart,
+    since: beginning,
   };
   return ready.map(step => ({ step, ...shared }));
 }
@@ -140,6 +165,10 @@
   return deadlineFactor * chainMs + targetLatencyMs;
 }
 
+function isBegun({ steps }: Occurrence): boolean {
+  return steps.some(({ tasks }) => tasks.some(({ lastRun }) => lastRun > 0));
+}
+
 function hasWaiting({ tasks }: Step): boolean {
   return tasks.some(({ status }) => status === 'waiting');
 }
--- a/packages/domain/src/jobs/worth.ts
+++ b/packages/domain/src/jobs/worth.ts
@@ -1,8 +1,4 @@
-/**
- * What the end of an occurrence is worth for the work that it still needs. To give room by it, in place of
- * by the latest start, serves callers 0.02 more of what their work is worth: the mean of twelve simulated
- * days with bursts and faults on 45 workers, with and without.
- */
+/** What the end of an occurrence is worth for the work that it still needs. */
 import type { Occurrence, Step } from './job.js';
 import type { RunTimes } from './run-times.js';
 
