--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -12,6 +12,7 @@
 export * from './learnt.js';
 export * from './loss.js';
 export * from './needless.js';
+export * from './objective.js';
 export * from './order.js';
 export * from './placement.js';
 export * from './plan.js';
--- a/packages/domain/src/jobs/order.ts
+++ b/packages/domain/src/jobs/order.ts
@@ -1,5 +1,5 @@
 /** The order in which steps are given room. */
-import type { Instant, Millis } from '../core/time.js';
+import type { Instant } from '../core/time.js';
 import {
   isReady,
   occurrenceOf,
@@ -7,21 +7,16 @@
   type Occurrence,
   type Step,
 } from './job.js';
+import { standingOf, type Outlook, type PlanTime } from './objective.js';
 import type { RunTimes } from './run-times.js';
 import { MeanWork, workOf, yieldOf } from './worth.js';
 
-/** Whether an occurrence can still meet its objective, be late, or has missed even that. */
-export type Outlook = 'in_time' | 'late' | 'overdue';
-
 const OUTLOOK_ORDER: Readonly<Record<Outlook, number>> = {
   in_time: 0,
   late: 1,
   overdue: 2,
 };
 
-/** A late end is worth something up to this many times the objective, as the users' rules say. */
-const LATE_FACTOR = 3;
-
 /** A step that may start tasks, with its place in the order. */
 export interface Candidate {
   readonly step: Step;
@@ -36,13 +31,6 @@
   readonly since: Instant;
 }
 
-/** The clocks of one planning round. */
-export interface PlanTime {
-  /** Monotonic. */
-  readonly now: Instant;
-  readonly nowWall: Instant;
-}
-
 /**
  * Returns the steps with tasks that may start: lower priority numbers first; within one number tasks that
  * end before those that last.
@@ -142,29 +130,15 @@
   if (ready.length === 0) {
     return [];
   }
-  const { terms } = occurrence.job.spec;
-  const beginning = beginningOf(occurrence, time);
-  const allowedMs = objectiveOf(occurrence, times);
-  const left = longestChain(occurrence, times, step => step.remaining > 0);
-  const latestStart = beginning + allowedMs - left;
-  const lastStart = beginning + LATE_FACTOR * allowedMs - left;
   const shared = {
-    priority: terms.priority,
+    priority: occurrence.job.spec.terms.priority,
     begun: isBegun(occurrence),
-    outlook: outlookOf(time.now, latestStart, lastStart),
     yield: yieldOf(occurrence, meanWork.of(queueOf(occurrence)), times),
-    since: beginning,
+    ...standingOf(occurrence, times, time),
   };
   return ready.map(step => ({ step, ...shared }));
 }
 
-/** How long an occurrence may take to meet its objective. */
-export function objectiveOf(occurrence: Occurrence, times: RunTimes): Millis {
-  const { deadlineFactor, targetLatencyMs } = occurrence.job.spec.terms;
-  const chainMs = longestChain(occurrence, times, () => true);
-  return deadlineFactor * chainMs + targetLatencyMs;
-}
-
 function isBegun({ steps }: Occurrence): boolean {
   return steps.some(({ tasks }) => tasks.some(({ lastRun }) => lastRun > 0));
 }
@@ -172,40 +146,3 @@
 function hasWaiting({ tasks }: Step): boolean {
   return tasks.some(({ status }) => status === 'waiting');
 }
-
-function outlookOf(
-  now: Instant,
-  latestStart: Instant,
-  lastStart: Instant,
-): Outlook {
-  if (now <= latestStart) {
-    return 'in_time';
-  }
-  return now <= lastStart ? 'late' : 'overdue';
-}
-
-/** Monotonic time from which the objective counts. */
-function beginningOf(occurrence: Occurrence, time: PlanTime): Instant {
-  const { job, number } = occurrence;
-  const { repetition } = job.spec;
-  if (repetition === undefined) {
-    return job.seenAt ?? time.now;
-  }
-  const dueAtWall = repetition.firstAtWall + number * repetition.everyMs;
-  return time.now - (time.nowWall - dueAtWall);
-}
-
-/** Expected time of the longest chain of steps that `counts` holds for. */
-function longestChain(
-  { steps }: Occurrence,
-  times: RunTimes,
-  counts: (step: Step) => boolean,
-): Millis {
-  const ends: Millis[] = [];
-  for (const step of steps) {
-    const before = step.spec.after.map(at => ends[at] ?? 0);
-    const own = counts(step) ? times.expect(step) : 0;
-    ends.push(Math.max(0, ...before) + own);
-  }
-  return Math.max(0, ...ends);
-}
--- a/packages/domain/src/jobs/overloaded-site.fixture.test.ts
+++ b/packages/domain/src/jobs/overloaded-site.fixture.test.ts
@@ -4,7 +4,7 @@
 import { applyInbox } from './fold.js';
 import { isOver, type Run } from './job.js';
 import { emptyJobsState } from './jobs-state.js';
-import { objectiveOf } from './order.js';
+import { objectiveOf } from './objective.js';
 import { planStarts } from './plan.js';
 import { PLAIN_STEP, type JobSpec } from './spec.js';
 import {
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -7,7 +7,8 @@
 import type { Interference } from './interference.js';
 import type { Step, Task } from './job.js';
 import { emptyRuns, workerRuns, type JobsState } from './jobs-state.js';
-import { candidates, type PlanTime } from './order.js';
+import type { PlanTime } from './objective.js';
+import { candidates } from './order.js';
 import {
   chooseWorker,
   hasRoom,
