--- a/packages/domain/src/jobs/room-shares.ts
+++ b/packages/domain/src/jobs/room-shares.ts
@@ -6,7 +6,7 @@
  */
 import type { Run, Step, Task } from './job.js';
 import { addLoad, emptyRuns, type WorkerRuns } from './jobs-state.js';
-import type { PlanWorker } from './placement.js';
+import type { TaskSize } from './spec.js';
 
 /** What is asked for and in use of one size of task, in thousandths of a core. */
 interface SizeDemand {
@@ -20,42 +20,40 @@
 /** Sizes of the tasks that compete for the same room, by class. */
 type Competitors = Map<number, SizeDemand>;
 
-/** For whom a worker is kept. */
-interface Keeper {
-  readonly group: string;
-  readonly sizeClass: number;
+/** A worker with room to share. */
+export interface RoomWorker {
+  readonly info: { readonly id: string; readonly capacity: TaskSize };
 }
 
 /** What keeping workers goes by. */
-export interface RoomSource {
-  readonly workers: readonly PlanWorker[];
+export interface RoomSource<W extends RoomWorker> {
+  readonly workers: readonly W[];
   readonly loadOf: (worker: string) => WorkerRuns;
   /** Whether a task may run there beside `load`, now or once what else runs there is over. */
-  readonly suits: (worker: PlanWorker, load: WorkerRuns, task: Task) => boolean;
+  readonly suits: (worker: W, load: WorkerRuns, task: Task) => boolean;
 }
 
 /** The workers that are kept in one round. */
 export class RoomShares {
-  private readonly kept = new Map<string, Keeper>();
+  private readonly kept = new Map<string, Contest>();
   /** What will be left on each worker once all that ends there has, as far as it was asked for. */
   private readonly lasting = new Map<string, WorkerRuns>();
 
   /** Whether a worker is not kept from the tasks of a step. */
   admits(worker: string, step: Step): boolean {
     const keeper = this.kept.get(worker);
-    return (
-      keeper === undefined ||
-      !competes(step) ||
-      sizeClassOf(step) >= keeper.sizeClass ||
-      groupOf(step) !== keeper.group
-    );
+    if (keeper === undefined || !competes(step)) {
+      return true;
+    }
+    const { group, sizeClass } = contestOf(step);
+    return group !== keeper.group || sizeClass >= keeper.sizeClass;
   }
 
   /** Keeps workers for sizes that have too little; `waiting` are steps with tasks that wait, in turn. */
-  keep(
+  keep<W extends RoomWorker>(
     waiting: Iterable<Step>,
     running: Iterable<Run>,
-    from: RoomSource,
+    from: RoomSource<W>,
   ): void {
     const groups = demandsOf(waiting, running);
     for (const [group, competitors] of groups) {
@@ -65,10 +63,10 @@
     }
   }
 
-  private keepFor(
+  private keepFor<W extends RoomWorker>(
     group: string,
     { task, sizeClass, missing }: Shortage,
-    from: RoomSource,
+    from: RoomSource<W>,
   ): void {
     const { cpuMilli } = task.step.spec.size;
     // Half a task is nearer to its share than none.
@@ -87,9 +85,9 @@
   }
 
   /** Workers that could have a task, those first that will have room for it the soonest. */
-  private nearest(
+  private nearest<W extends RoomWorker>(
     task: Task,
-    { workers, loadOf, suits }: RoomSource,
+    { workers, loadOf, suits }: RoomSource<W>,
   ): Nearby[] {
     const found: Nearby[] = [];
     for (const worker of workers) {
@@ -130,23 +128,37 @@
   readonly free: number;
 }
 
-/** Tasks of one service and priority compete; fillers run in room that the others can't have. */
-function groupOf({ spec, occurrence }: Step): string {
-  const { service, priority } = occurrence.job.spec.terms;
-  return [service, priority, spec.filler].join('/');
+/** Among which tasks those of a step compete, and their size. */
+interface Contest {
+  readonly group: string;
+  readonly sizeClass: number;
 }
 
-function competes({ spec }: Step): boolean {
-  return !spec.lasting && !spec.gang;
+/** Worked out once a step: a round asks for that of each run. */
+const contests = new WeakMap<Step, Contest>();
+
+function contestOf(step: Step): Contest {
+  const known = contests.get(step);
+  if (known !== undefined) {
+    return known;
+  }
+  const { service, priority } = step.occurrence.job.spec.terms;
+  const { filler, size } = step.spec;
+  // Fillers run in room that the others can't have. Sizes within a factor of two are alike.
+  const found = {
+    group: [service, priority, filler].join('/'),
+    sizeClass: Math.floor(Math.log2(Math.max(1, size.cpuMilli))),
+  };
+  contests.set(step, found);
+  return found;
 }
 
-/** Sizes within a factor of two are alike. */
-function sizeClassOf({ spec }: Step): number {
-  return Math.floor(Math.log2(Math.max(1, spec.size.cpuMilli)));
+function competes({ spec }: Step): boolean {
+  return !spec.lasting && !spec.gang;
 }
 
 function isAsLarge({ task }: Run, step: Step): boolean {
-  return sizeClassOf(task.step) >= sizeClassOf(step);
+  return contestOf(task.step).sizeClass >= contestOf(step).sizeClass;
 }
 
 function demandsOf(
@@ -162,8 +174,12 @@
       demand.first ??= tasks[0];
     }
   }
+  if (groups.size === 0) {
+    return groups;
+  }
   for (const { task } of running) {
-    if (competes(task.step)) {
+    // Where nothing waits, nothing is short.
+    if (competes(task.step) && groups.has(contestOf(task.step).group)) {
       demandOf(groups, task.step).running += task.step.spec.size.cpuMilli;
     }
   }
@@ -171,10 +187,9 @@
 }
 
 function demandOf(groups: Map<string, Competitors>, step: Step): SizeDemand {
-  const group = groupOf(step);
+  const { group, sizeClass } = contestOf(step);
   const competitors = groups.get(group) ?? new Map<number, SizeDemand>();
   groups.set(group, competitors);
-  const sizeClass = sizeClassOf(step);
   const known = competitors.get(sizeClass);
   if (known !== undefined) {
     return known;
