Say once which tasks wait, and count what is in the way in one step

Five files told waiting tasks by their status, room-shares.ts as one more, and it passed a predicate to a sum that was used once.

--- a/packages/domain/src/jobs/account.ts
+++ b/packages/domain/src/jobs/account.ts
@@ -1,5 +1,5 @@
 /** Accounts for a fleet at one moment: who holds its processors, and why tasks wait. */
-import type { Run, Step } from './job.js';
+import { waitingTasks, type Run, type Step } from './job.js';
 import { candidates } from './order.js';
 import {
   chooseWorker,
@@ -159,10 +159,6 @@
   return OBSTACLES[furthest] ?? 'no_worker';
 }
 
-function waitingTasks({ tasks }: Step): Step['tasks'] {
-  return tasks.filter(({ status }) => status === 'waiting');
-}
-
 /** The account of a host that does not lead. */
 export const EMPTY_ACCOUNT: FleetAccount = {
   workers: 0,
--- a/packages/domain/src/jobs/advice.ts
+++ b/packages/domain/src/jobs/advice.ts
@@ -1,6 +1,6 @@
 /** Tickets of the advice service, which alone knows the workers that a queue's policy allows a step. */
 import type { Instant, Millis } from '../core/time.js';
-import type { Step } from './job.js';
+import { waitingTasks, type Step } from './job.js';
 
 /** Most workers that one question names. */
 const MAX_NAMED = 30;
@@ -53,7 +53,7 @@
     workers: readonly string[],
     now: Instant,
   ): Question | undefined {
-    const waiting = step.tasks.filter(({ status }) => status === 'waiting');
+    const waiting = waitingTasks(step);
     if (!needsAdvice(step) || waiting.length === 0) {
       return undefined;
     }
--- a/packages/domain/src/jobs/job.ts
+++ b/packages/domain/src/jobs/job.ts
@@ -224,6 +224,16 @@
   return job.cancelled || job.failure !== undefined || job.remaining === 0;
 }
 
+/** Tells whether a task waits to be started. */
+export function isWaiting({ status }: Task): boolean {
+  return status === 'waiting';
+}
+
+/** Returns the tasks of a step that wait to be started. */
+export function waitingTasks({ tasks }: Step): Task[] {
+  return tasks.filter(isWaiting);
+}
+
 /** Tells whether a task is known whose being done is still waited for. */
 export function isWanted(task: Task | undefined): task is Task {
   return (
--- a/packages/domain/src/jobs/order.ts
+++ b/packages/domain/src/jobs/order.ts
@@ -2,6 +2,7 @@
 import type { Instant } from '../core/time.js';
 import {
   isReady,
+  isWaiting,
   occurrenceOf,
   type Job,
   type Occurrence,
@@ -125,7 +126,7 @@
   meanWork: MeanWork,
 ): Candidate[] {
   const ready = occurrence.steps.filter(
-    step => step.remaining > 0 && isReady(step) && hasWaiting(step),
+    step => step.remaining > 0 && isReady(step) && step.tasks.some(isWaiting),
   );
   if (ready.length === 0) {
     return [];
@@ -142,7 +143,3 @@
 function isBegun({ steps }: Occurrence): boolean {
   return steps.some(({ tasks }) => tasks.some(({ lastRun }) => lastRun > 0));
 }
-
-function hasWaiting({ tasks }: Step): boolean {
-  return tasks.some(({ status }) => status === 'waiting');
-}
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -5,7 +5,7 @@
 import { Booking } from './booking.js';
 import { placeGang } from './gang.js';
 import type { Interference } from './interference.js';
-import type { Run, Step, Task } from './job.js';
+import { isWaiting, type Run, type Step, type Task } from './job.js';
 import { emptyRuns, workerRuns, type JobsState } from './jobs-state.js';
 import type { PlanTime } from './objective.js';
 import { candidates } from './order.js';
@@ -332,10 +332,6 @@
   return { started: tasks.length, full: false };
 }
 
-function isWaiting({ status }: Task): boolean {
-  return status === 'waiting';
-}
-
 /** Steps of one shape fit or fail alike, but for limits of their own. */
 function shapeOf({ spec, occurrence }: Step): string {
   const { terms, id } = occurrence.job.spec;
--- a/packages/domain/src/jobs/room-shares.ts
+++ b/packages/domain/src/jobs/room-shares.ts
@@ -4,7 +4,7 @@
  * compete are told apart by size, and each size has a share of the room in use like its share of what is
  * asked for. While one that waits has less, workers are kept from smaller ones until it has.
  */
-import type { Run, Step, Task } from './job.js';
+import { waitingTasks, type Run, type Step, type Task } from './job.js';
 import { addLoad, emptyRuns, type WorkerRuns } from './jobs-state.js';
 import type { TaskSize } from './spec.js';
 
@@ -96,8 +96,7 @@
       const lasting = this.lastingAt(id, load);
       if (!this.kept.has(id) && suits(worker, lasting, task)) {
         const room = capacity.cpuMilli - lasting.cpuMilli;
-        const inTheWay = endingCpu(load, run => !isAsLarge(run, task.step));
-        found.push({ id, room, free: room - inTheWay });
+        found.push({ id, room, free: room - inTheWay(load, task.step) });
       }
     }
     return found.sort((a, b) => b.free - a.free);
@@ -157,10 +156,6 @@
   return !spec.lasting && !spec.gang;
 }
 
-function isAsLarge({ task }: Run, step: Step): boolean {
-  return contestOf(task.step).sizeClass >= contestOf(step).sizeClass;
-}
-
 function demandsOf(
   waiting: Iterable<Step>,
   running: Iterable<Run>,
@@ -169,7 +164,7 @@
   for (const step of waiting) {
     if (competes(step)) {
       const demand = demandOf(groups, step);
-      const tasks = step.tasks.filter(({ status }) => status === 'waiting');
+      const tasks = waitingTasks(step);
       demand.waiting += tasks.length * step.spec.size.cpuMilli;
       demand.first ??= tasks[0];
     }
@@ -229,14 +224,14 @@
   return left;
 }
 
-function endingCpu(
-  { runs }: WorkerRuns,
-  counts: (run: Run) => boolean,
-): number {
+/** Processors of the tasks that end and are smaller than those of the step. */
+function inTheWay({ runs }: WorkerRuns, step: Step): number {
+  const { sizeClass } = contestOf(step);
   let sum = 0;
-  for (const run of runs.values()) {
-    const { spec } = run.task.step;
-    sum += !spec.lasting && counts(run) ? spec.size.cpuMilli : 0;
+  for (const { task } of runs.values()) {
+    const { lasting, size } = task.step.spec;
+    const isSmaller = contestOf(task.step).sizeClass < sizeClass;
+    sum += !lasting && isSmaller ? size.cpuMilli : 0;
   }
   return sum;
 }
