--- a/packages/daemon/src/job-host/crashing-shapes.test.ts
+++ b/packages/daemon/src/job-host/crashing-shapes.test.ts
@@ -6,6 +6,12 @@
 import { test } from 'node:test';
 
 import {
+  SEEDS,
+  WATCHED_MS,
+  MAX_CRASHES,
+  REVIVAL_MS,
+  LONG_REVIVAL_MS,
+  CROWD,
   CRASHER,
   crasher,
   freezeLeaders,
@@ -17,13 +23,7 @@
 } from './crashing-site.fixture.test.js';
 import type { Simulation } from './simulation.fixture.test.js';
 
-const SEEDS = [1, 2, 3];
-const WATCHED_MS = 60_000;
-/** Workers that a task may bring down: three, and two further starts. */
-const MAX_CRASHES = 5;
-/** Time from a crash until the worker is back. */
-const REVIVAL_MS = 2_500;
-const LONG_REVIVAL_MS = 6_000;
+/** Time from a crash until a worker that starts again at once is back. */
 const SHORT_REVIVAL_MS = 30;
 
 interface Shape {
@@ -83,8 +83,6 @@
   },
 ];
 
-const CROWD = '00000000000000f3';
-
 async function playShape(
   shape: Shape,
   seed: number,
--- a/packages/daemon/src/job-host/crashing-site.fixture.test.ts
+++ b/packages/daemon/src/job-host/crashing-site.fixture.test.ts
@@ -10,6 +10,18 @@
 /** The first job that brings its workers down. */
 export const CRASHER = '00000000000000f2';
 
+/** Seeds of each play. */
+export const SEEDS = [1, 2, 3];
+/** How long a site is watched once such a job has come. */
+export const WATCHED_MS = 60_000;
+/** Workers that a task may bring down: three, and two further starts. */
+export const MAX_CRASHES = 5;
+/** Time from a crash until the worker is back. */
+export const REVIVAL_MS = 2_500;
+export const LONG_REVIVAL_MS = 6_000;
+/** A job of many short tasks. */
+export const CROWD = '00000000000000f3';
+
 const HOSTS = ['h1', 'h2', 'h3', 'h4', 'h5', 'h6'];
 /** Machines of the workers. */
 export const WORKERS = ['w1', 'w2', 'w3', 'w4', 'w5', 'w6'];
--- a/packages/daemon/src/job-host/crashing-tasks.test.ts
+++ b/packages/daemon/src/job-host/crashing-tasks.test.ts
@@ -13,6 +13,12 @@
 import { decodeJournal, type JobImage } from '@paddlewind/domain/jobs';
 
 import {
+  SEEDS,
+  WATCHED_MS,
+  MAX_CRASHES,
+  REVIVAL_MS,
+  LONG_REVIVAL_MS,
+  CROWD,
   CRASHER,
   crasher,
   killLeaders,
@@ -23,18 +29,9 @@
 } from './crashing-site.fixture.test.js';
 import type { Simulation } from './simulation.fixture.test.js';
 
-const SEEDS = [1, 2, 3];
-const WATCHED_MS = 60_000;
-/** Workers that a task may bring down: three, and two further starts. */
-const MAX_CRASHES = 5;
-/** Time from a crash until the worker is back. */
-const REVIVAL_MS = 2_500;
-const LONG_REVIVAL_MS = 6_000;
 /** Time after the last crash in which lasting tasks run again. */
 const CALM_MS = 20_000;
 
-const CROWD = '00000000000000f3';
-
 test('no task is given up that only stood on workers which crashed for other reasons', async () => {
   for (const seed of SEEDS) {
     const site = await siteWithNeighbours(seed);
--- a/packages/daemon/src/job-host/restarted-workers.test.ts
+++ b/packages/daemon/src/job-host/restarted-workers.test.ts
@@ -2,28 +2,21 @@
 import { test } from 'node:test';
 
 import {
-  assertNothingLost,
   cutOff,
   LASTING_JOB,
   LASTING_TASKS,
+  oneByOne,
   playRestarts,
   RESTARTS,
   restartWorkers,
+  SEEDS,
   siteWithRestarts,
   WORKERS,
+  assertNothingLost,
   type Restart,
 } from './restarts-site.fixture.test.js';
 import type { Simulation } from './simulation.fixture.test.js';
 
-const SEEDS = [1, 2, 3, 4];
-
-/** One worker after the other, each away for `awayMs`. */
-function oneByOne(awayMs: number): Restart {
-  return (site, turn) => {
-    restartWorkers(site, WORKERS.slice(turn, turn + 1), awayMs);
-  };
-}
-
 /** A tenth of all calls gets no answer and arrives 2 to 12 s later, until 5 s after the last restart. */
 function amongLateCalls(restart: Restart): Restart {
   return async (site, turn) => {
--- a/packages/daemon/src/job-host/restarts-site.fixture.test.ts
+++ b/packages/daemon/src/job-host/restarts-site.fixture.test.ts
@@ -22,6 +22,8 @@
 const EVERY_MS = 5_000;
 /** How often workers start again. */
 export const RESTARTS = 6;
+/** Seeds of each play. */
+export const SEEDS = [1, 2, 3, 4];
 /** Time after the last restart in which all that is left is done. */
 const CALM_MS = 30_000;
 
@@ -103,6 +105,13 @@
   }
 }
 
+/** One worker after the other, each away for `awayMs`. */
+export function oneByOne(awayMs: number): Restart {
+  return (site, turn) => {
+    restartWorkers(site, WORKERS.slice(turn, turn + 1), awayMs);
+  };
+}
+
 /** Makes all hosts start anew at the same moment. */
 export function restartHosts(site: Simulation): void {
   for (const host of HOSTS) {
--- a/packages/daemon/src/job-host/workers-start-again.test.ts
+++ b/packages/daemon/src/job-host/workers-start-again.test.ts
@@ -1,24 +1,17 @@
 import { test } from 'node:test';
 
 import {
-  assertNothingLost,
+  oneByOne,
   playRestarts,
   restartHost,
   restartHosts,
   restartWorkers,
+  SEEDS,
   WORKERS,
+  assertNothingLost,
   type Restart,
 } from './restarts-site.fixture.test.js';
 
-const SEEDS = [1, 2, 3, 4];
-
-/** One worker after the other, each away for `awayMs`. */
-function oneByOne(awayMs: number): Restart {
-  return (site, turn) => {
-    restartWorkers(site, WORKERS.slice(turn, turn + 1), awayMs);
-  };
-}
-
 // What ran on a worker that has started again under its id was taken to run on until another host led, and what
 // ended there was forgotten unseen: then it was begun again though it was done.
 test('nothing is lost or done twice where workers start again under their ids', async () => {
