Tell jobs that wait by size, with how long and why

The account of the leader, once a second, tells of each queue the largest tenth, the next largest fifth and the rest: jobs that wait, those not begun, the age of the oldest, why the first in turn waits. Groups are worked out in one place, which losses calls too; candidates are worked out once an account.

--- a/packages/cli/src/losses/losses.ts
+++ b/packages/cli/src/losses/losses.ts
@@ -1,4 +1,6 @@
 /** Sums where the time of jobs went, by queue and by the time at which they were asked for. */
+import { sizeGroupsOf, type SizeGroup } from '@paddlewind/domain/jobs';
+
 import { readLogLines, type LogLine } from '../log-lines.js';
 import { readJobs, type LoggedJob } from './job-runs.js';
 import { spansOf, type PhaseName, type ReasonAt } from './phases.js';
@@ -17,9 +19,6 @@
   readonly phases: readonly Phase[];
 }
 
-/** Size of a job among all that were asked for on its queue. */
-export type SizeGroup = 'largest tenth' | 'next largest fifth' | 'smaller';
-
 /** What became of the jobs of one size. */
 export interface SizeLosses {
   readonly size: SizeGroup;
@@ -125,30 +124,20 @@
   return rated.filter(each => each.outcome === outcome).length;
 }
 
-/** Share of a queue's jobs that are larger than those of a group, and of those that are not smaller. */
-const SIZE_GROUPS: readonly (readonly [SizeGroup, number, number])[] = [
-  ['largest tenth', 0, 0.1],
-  ['next largest fifth', 0.1, 0.3],
-  ['smaller', 0.3, 1],
-];
-
 function sumSizes(asked: readonly RatedJob[]): SizeLosses[] {
   const known = asked
     .filter(({ outcome }) => outcome !== 'cancelled')
-    .filter(({ job }) => job.coreMs !== undefined)
-    .sort((a, b) => (b.job.coreMs ?? 0) - (a.job.coreMs ?? 0));
-  return SIZE_GROUPS.map(([size, from, to]) => {
-    const at = (share: number): number => Math.round(share * known.length);
-    const own = known.slice(at(from), at(to));
-    return {
+    .filter(({ job }) => job.coreMs !== undefined);
+  return sizeGroupsOf(known, ({ job }) => job.coreMs ?? 0).map(
+    ([size, own]) => ({
       size,
       asked: own.length,
       inTime: countOf(own, 'in_time'),
       late: countOf(own, 'late'),
       unfinished: countOf(own, 'unfinished'),
       notAccepted: countOf(own, 'not_accepted'),
-    };
-  }).filter(({ asked: count }) => count > 0);
+    }),
+  );
 }
 
 function sumWindows(rated: readonly RatedJob[], first: number): WindowLosses[] {
--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -174,8 +174,31 @@
     labelNames: ['queue', 'reason'],
     registers: [registry],
   });
+  const jobs = new Gauge({
+    name: 'paddlewind_jobs_waiting_jobs',
+    help: 'Jobs of the leader of which tasks wait, by queue, size among these and why the first in turn waits.',
+    labelNames: ['queue', 'size', 'reason'],
+    registers: [registry],
+  });
+  const oldest = new Gauge({
+    name: 'paddlewind_jobs_oldest_waiting_seconds',
+    help: 'Age of the oldest of these jobs, by queue and size.',
+    labelNames: ['queue', 'size'],
+    registers: [registry],
+  });
+  const tellSizes = ({ sizes }: FleetAccount): void => {
+    jobs.reset();
+    oldest.reset();
+    for (const [queue, groups] of Object.entries(sizes)) {
+      for (const [size, found] of Object.entries(groups)) {
+        jobs.set({ queue, size, reason: found.reason }, found.jobs);
+        oldest.set({ queue, size }, found.oldestMs / MS_PER_S);
+      }
+    }
+  };
   return {
     accounted: account => {
+      tellSizes(account);
       for (const [what, milli] of Object.entries(account.processors)) {
         processors.set({ what }, milli / MILLI);
       }
--- a/packages/domain/src/jobs/account.test.ts
+++ b/packages/domain/src/jobs/account.test.ts
@@ -94,3 +94,28 @@
   assert.equal(Object.keys(waiting).length, 9);
   assert.deepEqual(waiting[OTHER_QUEUES], { processors: 16, unexamined: 76 });
 });
+
+// Large jobs that waited for ever could not be seen: what waits was told by queue alone.
+test('jobs that wait are told by size, with how long and why', () => {
+  const state = stateOf(
+    testJob('held', [{ lasting: true, size: WHOLE }]),
+    testJob('large', [{ tasks: 9 }]),
+    ...Array.from({ length: 9 }, (_, at) => testJob(`small${at}`, [{}])),
+  );
+  startOn(state, taskOf(state, 'held', 0, 0), 'w');
+  assert.deepEqual(account(state, [testWorker('w')]).sizes.q, {
+    'largest tenth': {
+      jobs: 1,
+      notBegun: 1,
+      oldestMs: 0,
+      reason: 'processors',
+    },
+    'next largest fifth': {
+      jobs: 2,
+      notBegun: 2,
+      oldestMs: 0,
+      reason: 'processors',
+    },
+    smaller: { jobs: 7, notBegun: 7, oldestMs: 0, reason: 'processors' },
+  });
+});
--- a/packages/domain/src/jobs/account.ts
+++ b/packages/domain/src/jobs/account.ts
@@ -1,6 +1,7 @@
 /** Accounts for a fleet at one moment: who holds its processors, and why tasks wait. */
-import { waitingTasks, type Run, type Step } from './job.js';
-import { candidates } from './order.js';
+import { waitingTasks, type Occurrence, type Run, type Step } from './job.js';
+import type { Millis } from '../core/time.js';
+import { candidates, type Candidate } from './order.js';
 import {
   chooseWorker,
   obstacleAt,
@@ -10,6 +11,8 @@
   type WorkerInfo,
 } from './placement.js';
 import { placeInputOf, type PlanInput } from './plan.js';
+import { sizeGroupsOf, type SizeGroup } from './size-groups.js';
+import { workOf } from './worth.js';
 
 /**
  * Why a task waits: what the worker that came nearest to having it lacks; `disturbance`: it would be
@@ -39,6 +42,20 @@
 /** The waiting tasks of one queue by reason. */
 export type Waiting = Readonly<Partial<Record<WaitReason, number>>>;
 
+/** Jobs of one size that wait. */
+export interface WaitingJobs {
+  readonly jobs: number;
+  /** Those among them of which no task was ever started. */
+  readonly notBegun: number;
+  /** Time since the oldest of them was first seen or was due. */
+  readonly oldestMs: Millis;
+  /** Why the first in turn waits. */
+  readonly reason: WaitReason;
+}
+
+/** The waiting jobs of one queue by size. */
+export type WaitingSizes = Readonly<Partial<Record<SizeGroup, WaitingJobs>>>;
+
 /** An account of the fleet. */
 export interface FleetAccount {
   readonly workers: number;
@@ -46,6 +63,8 @@
   readonly processors: Readonly<ProcessorAccount>;
   /** Tasks whose turn has come, by queue and reason; further queues are summed under `OTHER_QUEUES`. */
   readonly waiting: Readonly<Record<string, Waiting>>;
+  /** Jobs of which tasks wait whose turn has come, of as many queues as are told apart. */
+  readonly sizes: Readonly<Record<string, WaitingSizes>>;
 }
 
 /** What an account is made of: a round's input, and all workers that are registered. */
@@ -64,11 +83,13 @@
 /** Accounts for the fleet as it is now. */
 export function accountFleet(input: AccountInput): FleetAccount {
   const { plan, registered } = input;
+  const inTurn = candidates(plan.state.open, plan.times, plan.time);
   return {
     workers: registered.length,
     usableWorkers: plan.workers.length,
     processors: accountProcessors(input),
-    waiting: accountWaiting(plan),
+    waiting: accountWaiting(plan, inTurn),
+    sizes: accountSizes(plan, inTurn),
   };
 }
 
@@ -108,11 +129,14 @@
   }
 }
 
-function accountWaiting(plan: PlanInput): Record<string, Waiting> {
+function accountWaiting(
+  plan: PlanInput,
+  inTurn: readonly Candidate[],
+): Record<string, Waiting> {
   const place = placeInputOf(plan);
   const reasons = new Map<string, WaitReason>();
   const found: Record<string, Partial<Record<WaitReason, number>>> = {};
-  for (const { step } of candidates(plan.state.open, plan.times, plan.time)) {
+  for (const { step } of inTurn) {
     const { queue } = step.occurrence.job.spec.terms;
     const known = queue in found || Object.keys(found).length < MAX_QUEUES;
     const waiting = (found[known ? queue : OTHER_QUEUES] ??= {});
@@ -122,6 +146,61 @@
   return found;
 }
 
+function accountSizes(
+  plan: PlanInput,
+  inTurn: readonly Candidate[],
+): Record<string, WaitingSizes> {
+  const queues = new Map<string, Map<Occurrence, Candidate>>();
+  for (const candidate of inTurn) {
+    const { occurrence } = candidate.step;
+    const { queue } = occurrence.job.spec.terms;
+    const known = queues.get(queue) ?? new Map<Occurrence, Candidate>();
+    if (queues.size < MAX_QUEUES || queues.has(queue)) {
+      queues.set(queue, known);
+    }
+    if (!known.has(occurrence)) {
+      known.set(occurrence, candidate);
+    }
+  }
+  return Object.fromEntries(
+    [...queues].map(([queue, jobs]) => [
+      queue,
+      sizesOf(plan, [...jobs.values()]),
+    ]),
+  );
+}
+
+/** `inTurn` holds the first step of each job. */
+function sizesOf(plan: PlanInput, inTurn: readonly Candidate[]): WaitingSizes {
+  const groups = sizeGroupsOf(inTurn, ({ step }) =>
+    workOf(step.occurrence, plan.times),
+  );
+  return Object.fromEntries(
+    groups.map(([group, members]) => {
+      const own = new Set(members);
+      const first = inTurn.find(candidate => own.has(candidate));
+      return [group, waitingJobs(plan, members, first)];
+    }),
+  );
+}
+
+function waitingJobs(
+  plan: PlanInput,
+  members: readonly Candidate[],
+  first: Candidate | undefined,
+): WaitingJobs {
+  const oldest = Math.min(...members.map(({ since }) => since));
+  return {
+    jobs: members.length,
+    notBegun: members.filter(({ begun }) => !begun).length,
+    oldestMs: Math.round(plan.time.now - oldest),
+    reason:
+      first === undefined
+        ? 'no_worker'
+        : decideReason(placeInputOf(plan), first.step),
+  };
+}
+
 /** Steps of a queue that run alike wait for one reason, that of the first in turn. */
 function reasonOf(
   place: PlaceInput,
@@ -165,6 +244,7 @@
   usableWorkers: 0,
   processors: noProcessors(),
   waiting: {},
+  sizes: {},
 };
 
 function noProcessors(): ProcessorAccount {
--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -20,6 +20,7 @@
 export * from './records.js';
 export * from './restate.js';
 export * from './run-times.js';
+export * from './size-groups.js';
 export * from './spec.js';
 export * from './standbys.js';
 export * from './summary.js';
