--- a/packages/domain/src/jobs/account.ts
+++ b/packages/domain/src/jobs/account.ts
@@ -1,6 +1,6 @@
 /** Accounts for a fleet at one moment: who holds its processors, and why tasks wait. */
-import { waitingTasks, type Occurrence, type Run, type Step } from './job.js';
 import type { Millis } from '../core/time.js';
+import { waitingTasks, type Occurrence, type Run, type Step } from './job.js';
 import { candidates, type Candidate } from './order.js';
 import {
   chooseWorker,
