Force an overload that a site does not recover from, in virtual time

Simulated hosts may have a wire: links in both directions, what calls and their answers take of them, and connections that calls to one host share. Without the option nothing changes for present tests.

--- a/packages/daemon/src/job-host/simulated-network.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulated-network.fixture.test.ts
@@ -10,6 +10,7 @@
 import type { VirtualTime } from '@paddlewind/stand-ins';
 
 import type { SimulatedProcess } from './simulated-process.fixture.test.js';
+import type { SimulatedWire } from './simulated-wire.fixture.test.js';
 import type { JobHost } from './start-job-host.js';
 
 /** Bytes of a call beside a job's payload. */
@@ -89,6 +90,8 @@
   readonly startDelays = new Map<string, Millis>();
   /** Whether no host reaches another one. */
   cutAll = false;
+  /** Wires by host, where the site has any. */
+  readonly wires = new Map<string, SimulatedWire>();
   /** How often a host was asked to append for another one. */
   appends = 0;
   /** How often a host was asked to send a start for another one. */
@@ -162,7 +165,8 @@
     return isThere ? answer : new Promise(() => undefined);
   }
 
-  private reach(from: string, to: string): ReachedHost | undefined {
+  /** Returns the host `to` if `from` reaches it. */
+  reach(from: string, to: string): ReachedHost | undefined {
     const found = this.hosts.get(to);
     const isCut = this.cutAll || this.cuts.has(`${from}>${to}`);
     return found?.process.alive === true && !isCut ? found : undefined;
@@ -179,7 +183,8 @@
   reason: 'no answer',
 };
 
-function pauseOf(time: VirtualTime, span: Millis): Promise<void> {
+/** Resolves after `span` of virtual time. */
+export function pauseOf(time: VirtualTime, span: Millis): Promise<void> {
   return new Promise(resolve => {
     time.schedule(span, resolve);
   });
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -6,7 +6,13 @@
   type JobSpec,
   type StepSpec,
 } from '@paddlewind/domain/jobs';
-import type { ConfigFeed, OperatorConfig } from '@paddlewind/ports/jobs';
+import type {
+  ConfigFeed,
+  JobLog,
+  OperatorConfig,
+  PeerPort,
+  WorkerPort,
+} from '@paddlewind/ports/jobs';
 import { createVirtualTime, type VirtualTime } from '@paddlewind/stand-ins';
 import {
   JobHistory,
@@ -24,6 +30,10 @@
   SimulatedPeers,
 } from './simulated-network.fixture.test.js';
 import { SimulatedProcess } from './simulated-process.fixture.test.js';
+import {
+  SimulatedWire,
+  type WireOptions,
+} from './simulated-wire.fixture.test.js';
 import { startJobHost, type JobHost } from './start-job-host.js';
 
 const MAX_LEASE_MS = 6_000;
@@ -79,6 +89,15 @@
   readonly linkBytesPerS?: number;
   /** Whether hosts believe that their links carry no payload at all, so that others send the starts. */
   readonly relaysAll?: boolean;
+  /** What calls take of links in both directions; by default what is in `SimulatedLink` alone. */
+  readonly wire?: WireOptions;
+}
+
+/** What a host reaches. */
+interface SimulatedNetwork {
+  readonly log: JobLog;
+  readonly peers: PeerPort;
+  readonly port: () => WorkerPort;
 }
 
 /** Several hosts on one log and one fleet. */
@@ -100,6 +119,7 @@
   private readonly keepsIds: boolean;
   private readonly linkBytesPerS: number;
   private readonly relaysAll: boolean;
+  private readonly wire: WireOptions | undefined;
   private lives = 0;
 
   /** Creates a simulation whose chance follows `seed`. */
@@ -111,12 +131,14 @@
       keepsIds = false,
       linkBytesPerS = Infinity,
       relaysAll = process.env.TEST_RELAYS !== undefined,
+      wire,
     }: SiteOptions = {},
   ) {
     this.maxLeaseMs = maxLeaseMs;
     this.keepsIds = keepsIds;
     this.linkBytesPerS = linkBytesPerS;
     this.relaysAll = relaysAll;
+    this.wire = wire;
     this.time = createVirtualTime();
     this.peers = new SimulatedPeers(this.time, this.hosts);
     this.random = seededRandom(seed);
@@ -180,7 +202,7 @@
   /** Starts a host, or starts it again. */
   startHost(name: string, cores = 1): JobHost {
     const simulated = new SimulatedProcess(this.time);
-    const link = new SimulatedLink(this.time, this.linkBytesPerS);
+    const { log, peers, port } = this.networkOf(name);
     const host = startJobHost({
       ctx: {
         host: name,
@@ -191,14 +213,14 @@
         log: pino({ level: process.env.TEST_LOG ?? 'silent' }),
         meters: createJobMeters(new Registry()),
       },
-      jobLog: simulated.guard(this.log.connect(name)),
+      jobLog: simulated.guard(log),
       configFeed: configFeed(this.configured),
       workerFeed: () => this.fleet.feed(),
-      workerPort: () => simulated.guard(link.port(this.fleet.connect(name))),
+      workerPort: () => simulated.guard(port()),
       advicePort: () => ({
         ask: () => Promise.resolve({ kind: 'unavailable', reason: 'none' }),
       }),
-      peers: simulated.guard(this.peers.connect(name, link)),
+      peers: simulated.guard(peers),
       peerAddress: name,
       maxLeaseMs: this.maxLeaseMs,
       cores,
@@ -212,6 +234,26 @@
     return host;
   }
 
+  /** What a host reaches, behind its link. */
+  private networkOf(name: string): SimulatedNetwork {
+    const { time, fleet, wire: options } = this;
+    const link = new SimulatedLink(time, this.linkBytesPerS);
+    const log = this.log.connect(name);
+    if (options === undefined) {
+      const peers = this.peers.connect(name, link);
+      return { log, peers, port: () => link.port(fleet.connect(name)) };
+    }
+    const { inBytesPerS, connections } = options;
+    const into = new SimulatedLink(time, inBytesPerS);
+    const wire = new SimulatedWire(time, link, into, connections);
+    this.peers.wires.set(name, wire);
+    return {
+      log: wire.log(log),
+      peers: wire.peers(name, this.peers),
+      port: () => wire.port(fleet.connect(name)),
+    };
+  }
+
   /** Kills the process of a host. */
   kill(name: string): void {
     this.hosts.get(name)?.process.kill();
--- a/packages/stand-ins/src/jobs/job-history.ts
+++ b/packages/stand-ins/src/jobs/job-history.ts
@@ -205,6 +205,24 @@
     return this.jobs.has(id) && jobDoneAt(this.facts(), id) < Infinity;
   }
 
+  /** Jobs of which some task has no run that ended as done. */
+  unfinished(): string[] {
+    const facts = this.facts();
+    return [...this.jobs.keys()].filter(
+      id => jobDoneAt(facts, id) === Infinity,
+    );
+  }
+
+  /** When the first run of each job began that has one. */
+  firstBegins(): Map<string, Instant> {
+    const found = new Map<string, Instant>();
+    for (const { task, beganAt } of this.runs.values()) {
+      const first = found.get(task.job) ?? Infinity;
+      found.set(task.job, Math.min(first, beganAt));
+    }
+    return found;
+  }
+
   /** Number of a job's runs that have not ended. */
   runningOf(id: string): number {
     return [...this.runs.values()].filter(
