--- /dev/null
+++ b/packages/daemon/src/job-host/relay/link-budget.test.ts
@@ -0,0 +1,47 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { createVirtualTime } from '@paddlewind/stand-ins';
+
+import { LinkBudget } from './link-budget.js';
+
+const BYTES_PER_S = 10_000;
+
+test('a budget carries what it has saved up for a second', async () => {
+  const time = createVirtualTime();
+  const budget = new LinkBudget(time.clock, BYTES_PER_S);
+  const taken = Array.from({ length: 12 }, () => budget.take(1_000));
+  assert.equal(taken.filter(Boolean).length, 10);
+  await time.advance(10_000);
+  assert.ok(budget.take(10_000));
+  assert.ok(!budget.take(1));
+});
+
+// Payloads would else take their part of the link in each second of an overload, when nothing is left of it.
+test('nothing is left of a budget while more is asked for than it carries', async () => {
+  const time = createVirtualTime();
+  const budget = new LinkBudget(time.clock, BYTES_PER_S);
+  let taken = 0;
+  for (let at = 0; at < 200; at += 1) {
+    await time.advance(50);
+    taken += budget.take(1_000) ? 1 : 0;
+  }
+  // The second that was saved up, of twenty a second.
+  assert.ok(taken <= 20, `${taken} of 200`);
+});
+
+test('a budget is whole again soon after an overload', async () => {
+  const time = createVirtualTime();
+  const budget = new LinkBudget(time.clock, BYTES_PER_S);
+  for (let at = 0; at < 100; at += 1) {
+    budget.take(1_000);
+  }
+  await time.advance(2_000);
+  assert.ok(budget.take(10_000));
+});
+
+test('a link without a limit carries everything', () => {
+  const budget = new LinkBudget(createVirtualTime().clock, Infinity);
+  assert.ok(budget.take(1e12) && budget.take(1e12));
+  assert.ok(!budget.mayRunShort);
+});
--- a/packages/daemon/src/job-host/relay/link-budget.ts
+++ b/packages/daemon/src/job-host/relay/link-budget.ts
@@ -1,4 +1,4 @@
-/** What a host's link carries of payloads, beside the calls that only this host can make. */
+/** Whether a host's link carries the payloads of all starts, beside the calls that only this host can make. */
 import type { Clock, Instant } from '@paddlewind/domain';
 
 /** Time for which the budget may be saved up, in seconds: a burst waits no longer than that for the link. */
@@ -7,7 +7,7 @@
 /** Payloads that may be due at once: 200 starts of the largest size that callers may ask for. */
 const BURST_BYTES = 200 * 4_000;
 
-/** A token bucket of bytes. */
+/** A token bucket of the bytes that are asked for, whoever sends them then. */
 export class LinkBudget {
   private left: number;
   private filledAt: Instant;
@@ -26,19 +26,20 @@
     return this.bytesPerS * SAVED_S < BURST_BYTES;
   }
 
-  /** Takes `bytes` out of the budget; false, and nothing is taken, where it has run out. */
+  /**
+   * Takes `bytes` out of the budget; false where it has run out. Bytes that it has no room for count as well:
+   * under a load beyond it nothing is left, where a part of each second's payloads would else be sent.
+   */
   take(bytes: number): boolean {
     if (this.bytesPerS === Infinity) {
       return true;
     }
+    const most = this.bytesPerS * SAVED_S;
     const now = this.clock();
     const earned = ((now - this.filledAt) / MS_PER_S) * this.bytesPerS;
-    this.left = Math.min(this.bytesPerS * SAVED_S, this.left + earned);
+    const left = Math.min(most, this.left + earned);
     this.filledAt = now;
-    if (this.left < bytes) {
-      return false;
-    }
-    this.left -= bytes;
-    return true;
+    this.left = Math.max(-most, left - bytes);
+    return left >= bytes;
   }
 }
--- a/packages/daemon/src/job-host/relay/link-shares.ts
+++ b/packages/daemon/src/job-host/relay/link-shares.ts
@@ -1,22 +1,25 @@
-/** What starts may take of the link of a host that leads. */
+/** What payloads that a host sends itself, while it leads, may take of its link. */
 
-/** Part of the link for payloads that the leader sends itself, while other hosts can send them. */
+/** Part of the link for payloads while other hosts can send them. */
 const PAYLOAD_SHARE = 1 / 8;
-/** Part of the link for all starts: looks, stops, appends and reads need the rest. */
-const STARTS_SHARE = 0.65;
+/** Part of the link for all payloads where none can: looks, stops, appends and reads need the rest. */
+const ALONE_SHARE = 0.65;
 
-/** Bytes a second that starts may take; infinite where the link is. */
+/** Bytes a second of payloads; infinite where the link is. */
 export interface LinkShares {
-  /** For starts that the leader sends itself, with their payloads. */
+  /** Up to which a leader has no other host send any. */
   readonly payloads: number;
-  /** For all starts, also those that it has other hosts send. */
-  readonly starts: number;
+  /** For starts that other hosts could not send. */
+  readonly retries: number;
+  /** For all starts, while no other host can send any. */
+  readonly alone: number;
 }
 
 /** Returns the shares of a link that carries `bytesPerS`. */
 export function linkSharesOf(bytesPerS: number): LinkShares {
   return {
     payloads: bytesPerS * PAYLOAD_SHARE,
-    starts: bytesPerS * STARTS_SHARE,
+    retries: bytesPerS * PAYLOAD_SHARE,
+    alone: bytesPerS * ALONE_SHARE,
   };
 }
--- a/packages/daemon/src/job-host/relay/relay-host.ts
+++ b/packages/daemon/src/job-host/relay/relay-host.ts
@@ -4,28 +4,44 @@
   PeerPort,
   PeerProcess,
   RelayedStart,
-  RelayResult,
+  RelayFailure,
+  RelayOutcome,
 } from '@paddlewind/ports/jobs';
 
 import type { HostContext } from '../context.js';
 
-/**
- * Time within which the other host has to send a start. The leader sends one by what it read of the inbox up
- * to 2.5 s before, and of the registry up to 1.5 s before, and is allowed half a second more of each.
- */
-export const SEND_WITHIN_MS: Millis = 300;
 /** How long a host is not used that does not reach a worker which this one reaches. */
 const CUT_OFF_REST_MS: Millis = 3_000;
-/** How long a host is not used that did not answer, and is asked for its process before it is. */
+/** How long a host is not used that did not answer, unless it is heard before. */
 const SILENCE_REST_MS: Millis = 1_000;
 /** How long a host is not used that has refused a start. */
 const REFUSAL_REST_MS: Millis = 500;
+/** A host of which nothing was heard for this long since it was called is gone, however slow the link is. */
+const GONE_MS: Millis = 2_000;
+/** How long the best bound of another clock is kept: a machine may have stood still since. */
+const CLOCK_KEPT_MS: Millis = 2_000;
 
 /** What one process of the host has told. */
 interface KnownProcess {
   readonly id: string;
   /** What its clock is ahead of the one here, at the least. */
   readonly aheadMs: Millis;
+  /** When that was learnt. */
+  readonly since: Instant;
+}
+
+/** Why a host is not used for a while: what it, or another one, has told, or that it tells nothing. */
+type RestKind = 'told' | 'silent';
+
+/** What became of a start that a host was given. */
+export type RelayResult = RelayOutcome | RelayFailure;
+
+/** A start for another host, and who is told what becomes of it. */
+export interface RelayedOrder {
+  readonly start: Omit<RelayedStart, 'sendBy'>;
+  /** Latest time by the clock here at which it is sent. */
+  readonly sendBy: Instant;
+  readonly settle: (res: RelayResult) => void;
 }
 
 /** What a relay host is given. */
@@ -35,13 +51,23 @@
   readonly epoch: number;
   readonly host: string;
   readonly address: string;
+  /** The host has taken starts, `tookMs` after they were sent. */
+  readonly taken: (starts: number, tookMs: Millis) => void;
+  /** It has not taken them in time. */
+  readonly late: () => void;
 }
 
 /** A host that sends starts for this one, which leads. */
 export class RelayHost {
   private known: KnownProcess | undefined;
   private restsUntil: Instant = -Infinity;
+  private restKind: RestKind = 'told';
+  private heardAt: Instant = -Infinity;
+  /** When it was first called of which it has said nothing since; undefined where it has answered all calls. */
+  private unansweredSince: Instant | undefined;
   private isAsking = false;
+  private ordersUnderWay = 0;
+  private usedAt: Instant = -Infinity;
 
   /** Creates a contact to a host that was not called yet. */
   constructor(private readonly options: RelayHostOptions) {}
@@ -56,51 +82,109 @@
     return this.options.address;
   }
 
+  /** Starts at the host of which it is not known what became. */
+  get underWay(): number {
+    return this.ordersUnderWay;
+  }
+
+  /** When it was given a start last. */
+  get lastUsedAt(): Instant {
+    return this.usedAt;
+  }
+
+  /** Whether it is known which process is there, and it is not known to be gone. */
+  get isThere(): boolean {
+    const { unansweredSince } = this;
+    const now = this.options.ctx.clock();
+    const isGone =
+      unansweredSince !== undefined && now - unansweredSince > GONE_MS;
+    return this.known !== undefined && !isGone;
+  }
+
   /** Whether it may be given a start now. */
   get isUsable(): boolean {
-    return this.known !== undefined && this.hasRested;
+    return this.isThere && this.hasRested;
   }
 
-  /** Asks which process is there, unless that is known: no start waits for a host that may be gone. */
+  /** Whether it is not used for no other reason than that it did not answer in time. */
+  get isOnlySlow(): boolean {
+    return this.isThere && !this.hasRested && this.restKind === 'silent';
+  }
+
+  /** Asks which process is there, unless it has answered of late: no start waits for a host that may be gone. */
   async identify(): Promise<void> {
     const { peers, address } = this.options;
-    if (this.known !== undefined || this.isAsking || !this.hasRested) {
+    if (this.isUsable || this.isAsking) {
       return;
     }
     this.isAsking = true;
     const found = await peers.identify(address);
     this.isAsking = false;
-    if (found === undefined) {
-      this.rest('does not say which process it is', SILENCE_REST_MS);
-    } else {
-      this.noteClock(found);
+    if (found !== undefined) {
+      this.hear(found);
+    } else if (this.hasRested) {
+      this.rest('does not say which process it is', SILENCE_REST_MS, 'silent');
     }
   }
 
-  /** Has the host send a start. */
+  /** Has the host send starts, and tells what becomes of each. */
   async send(
-    worker: RelayedStart['worker'],
-    order: RelayedStart['order'],
-  ): Promise<RelayResult> {
+    orders: readonly RelayedOrder[],
+    takenWithinMs: Millis,
+  ): Promise<void> {
     const { ctx, peers, epoch, address } = this.options;
     const { id: process = '', aheadMs = 0 } = this.known ?? {};
-    const sendBy = ctx.clock() + aheadMs + SEND_WITHIN_MS;
-    const start = { epoch, process, sendBy, worker, order };
-    const res = await peers.relay(address, start);
-    this.take(res);
-    return res;
+    const sentAt = ctx.clock();
+    const open = new Map(orders.entries());
+    const settle = (at: number, res: RelayResult): void => {
+      const order = open.get(at);
+      if (order !== undefined) {
+        open.delete(at);
+        this.ordersUnderWay -= 1;
+        order.settle(res);
+      }
+    };
+    this.ordersUnderWay += orders.length;
+    this.usedAt = sentAt;
+    const starts = orders.map(({ start, sendBy }) => {
+      const latest = Math.min(sentAt + takenWithinMs, sendBy);
+      return { ...start, sendBy: latest + aheadMs };
+    });
+    const res = await peers.relay(
+      address,
+      { epoch, process, starts },
+      {
+        takenWithinMs,
+        taken: by => {
+          this.hear(by);
+          this.options.taken(orders.length, ctx.clock() - sentAt);
+        },
+        told: (at, outcome) => {
+          this.note(outcome);
+          settle(at, outcome);
+        },
+      },
+    );
+    const failure = res.kind === 'failed' ? res : UNTOLD;
+    if (res.kind === 'failed') {
+      this.noteFailure(res, sentAt);
+    }
+    for (const at of [...open.keys()]) {
+      settle(at, failure);
+    }
   }
 
   /** Notes that a worker answers this host and not the other one. */
   noteCutOff(): void {
-    this.rest('a worker does not answer it', CUT_OFF_REST_MS);
+    this.rest('a worker does not answer it', CUT_OFF_REST_MS, 'told');
   }
 
-  private rest(reason: string, span: Millis): void {
+  private rest(reason: string, span: Millis, kind: RestKind): void {
     const { ctx, host } = this.options;
     const until = ctx.clock() + span;
     if (until > this.restsUntil) {
       this.restsUntil = until;
+      this.restKind = kind;
       ctx.log.info(
         { by: host, reason, restMs: span },
         'relay: a host is given no starts for a while',
@@ -112,22 +196,56 @@
     return this.options.ctx.clock() >= this.restsUntil;
   }
 
-  private take(res: RelayResult): void {
-    if (res.kind === 'failed') {
-      this.rest(res.reason, SILENCE_REST_MS);
-      // It may have been replaced: the next start is given to a process that has answered since.
-      this.known = undefined;
+  /** A start that came late tells of the way to the host, and one for another process of what is there now. */
+  private note(outcome: RelayOutcome): void {
+    if (outcome.kind !== 'refused') {
       return;
     }
-    this.noteClock(res);
-    if (res.kind === 'refused' && res.why !== 'other_process') {
-      this.rest(res.why, REFUSAL_REST_MS);
+    if (outcome.why === 'late') {
+      this.options.late();
+    } else if (outcome.why !== 'other_process') {
+      this.rest(outcome.why, REFUSAL_REST_MS, 'told');
     }
   }
 
-  /** An answer was given before it arrived: the host's clock is ahead by at least as much as it seems. */
-  private noteClock({ process, clock }: PeerProcess): void {
-    const aheadMs = clock - this.options.ctx.clock();
-    this.known = { id: process, aheadMs };
+  private noteFailure(res: RelayFailure, sentAt: Instant): void {
+    if (this.heardAt >= sentAt) {
+      return;
+    }
+    this.unansweredSince ??= sentAt;
+    if (res.outcome === 'not_run') {
+      this.rest(res.reason, SILENCE_REST_MS, 'told');
+    } else {
+      this.rest(res.reason, SILENCE_REST_MS, 'silent');
+      this.options.late();
+    }
+  }
+
+  /**
+   * An answer was given before it arrived: the host's clock is ahead by at least as much as it seems. Of several
+   * bounds the largest tells the most, which came with the quickest answer.
+   */
+  private hear({ process, clock }: PeerProcess): void {
+    const now = this.options.ctx.clock();
+    this.heardAt = now;
+    this.unansweredSince = undefined;
+    if (this.restKind === 'silent') {
+      this.restsUntil = -Infinity;
+    }
+    const aheadMs = clock - now;
+    const { known } = this;
+    const isBetter =
+      known?.id !== process ||
+      aheadMs >= known.aheadMs ||
+      now - known.since > CLOCK_KEPT_MS;
+    if (isBetter) {
+      this.known = { id: process, aheadMs, since: now };
+    }
   }
 }
+
+const UNTOLD: RelayFailure = {
+  kind: 'failed',
+  outcome: 'unknown',
+  reason: 'the host did not tell what became of it',
+};
--- /dev/null
+++ b/packages/daemon/src/job-host/relay/relay-window.test.ts
@@ -0,0 +1,62 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { RelayWindow } from './relay-window.js';
+
+/** Of what such a link carries in a second, a tenth is 100 starts. */
+const BYTES_PER_S = 150_000;
+const QUICK_MS = 5;
+const QUEUED_MS = 400;
+
+/** A window that has seen an answer without a queue. */
+function seenQuick(): RelayWindow {
+  const window = new RelayWindow(BYTES_PER_S);
+  window.noteTaken(0, QUICK_MS, 0);
+  return window;
+}
+
+test('the first window keeps the link busy for a moment only', () => {
+  assert.equal(new RelayWindow(BYTES_PER_S).size, 100);
+  assert.equal(new RelayWindow(1_000).size, 8);
+  assert.equal(new RelayWindow(Infinity).size, 200);
+});
+
+// Else starts that can't be taken in time are sent again, beside those that could be.
+test('the window shrinks with starts that are taken late, once for each queue', () => {
+  const window = seenQuick();
+  window.noteTaken(10, QUEUED_MS, 1_000);
+  assert.equal(window.size, 70);
+  window.noteTaken(10, QUEUED_MS, 1_200);
+  assert.equal(window.size, 70);
+  window.noteLate(1_400);
+  assert.equal(window.size, 49);
+  assert.ok(window.isNarrow);
+});
+
+test('the window never closes', () => {
+  const window = seenQuick();
+  for (let at = 1; at < 50; at += 1) {
+    window.noteLate(at * 1_000);
+  }
+  assert.equal(window.size, 8);
+});
+
+test('the window grows back with starts that are taken at once', () => {
+  const window = seenQuick();
+  window.noteLate(1_000);
+  const narrow = window.size;
+  window.noteTaken(100, QUICK_MS, 1_050);
+  assert.equal(window.size, narrow + 10);
+  window.noteTaken(5_000, QUICK_MS, 1_100);
+  assert.equal(window.size, 200);
+  assert.ok(!window.isNarrow);
+});
+
+// Hosts of another region always take longer: that is no queue.
+test('a way that is long tells of no queue', () => {
+  const window = new RelayWindow(BYTES_PER_S);
+  for (let at = 0; at < 10; at += 1) {
+    window.noteTaken(10, QUEUED_MS, at * 1_000);
+  }
+  assert.equal(window.size, 110);
+});
--- a/packages/daemon/src/job-host/relay/relayed-starts.test.ts
+++ b/packages/daemon/src/job-host/relay/relayed-starts.test.ts
@@ -6,18 +6,16 @@
 import type {
   OrderResult,
   PeerPort,
-  RelayedStart,
-  RelayResult,
+  RelayBatch,
+  RelayFailure,
   StartOrder,
   WorkerPort,
 } from '@paddlewind/ports/jobs';
 import { createVirtualTime } from '@paddlewind/stand-ins';
 
 import { testContext } from '../context.fixture.test.js';
-import { LinkBudget } from './link-budget.js';
-import { LinkPace } from './link-pace.js';
 import { RelayedStarts } from './relayed-starts.js';
-import type { StartResult } from './start-sender.js';
+import type { StartLimits, StartResult } from './start-sender.js';
 
 const ACCEPTED: OrderResult = { kind: 'accepted', clock: 7 };
 const SILENT: OrderResult = { kind: 'unknown', reason: 'timeout' };
@@ -37,7 +35,10 @@
 type Answer =
   | { readonly kind: 'sent'; readonly result: OrderResult }
   | { readonly kind: 'refused'; readonly why: 'late' }
-  | Extract<RelayResult, { kind: 'failed' }>;
+  | RelayFailure;
+
+/** A start that is wanted for good. */
+const WANTED: StartLimits = { isWanted: () => true, sendBy: Infinity };
 
 const LOST: Answer = { kind: 'failed', outcome: 'unknown', reason: 'timeout' };
 
@@ -50,11 +51,10 @@
   /** What the worker answers to the leader itself. */
   own: OrderResult = ACCEPTED;
   readonly sentBy: string[] = [];
-  readonly relayed: RelayedStart[] = [];
+  readonly relayed: RelayBatch[] = [];
   readonly starts: RelayedStarts;
 
   constructor(linkBytesPerS = 1) {
-    const { clock } = this.time;
     const ctx = testContext(this.time);
     for (const host of RELAYS) {
       const offer = { kind: 'volunteer', host, cores: 1 } as const;
@@ -66,8 +66,7 @@
       peers: this.peers,
       epoch: 64,
       state: this.state,
-      budget: new LinkBudget(clock, linkBytesPerS),
-      pace: new LinkPace(ctx, Infinity),
+      shares: { payloads: linkBytesPerS, retries: Infinity, alone: Infinity },
     });
     void this.starts.begin();
   }
@@ -91,36 +90,65 @@
       const found = { process: `of ${address}`, clock: this.remoteClock() };
       return Promise.resolve(gone ? undefined : found);
     },
-    relay: (address, start) => {
+    relay: (address, batch, { taken, told }) => {
       this.sentBy.push(address);
-      this.relayed.push(start);
+      this.relayed.push(batch);
       const answer = this.answers.get(address) ?? {
         kind: 'sent',
         result: ACCEPTED,
       };
-      const process = `of ${address}`;
-      return Promise.resolve(
-        answer.kind === 'failed'
-          ? answer
-          : { ...answer, process, clock: this.remoteClock() },
-      );
+      if (answer.kind === 'failed') {
+        return Promise.resolve(answer);
+      }
+      taken({ process: `of ${address}`, clock: this.remoteClock() });
+      batch.starts.forEach((_start, at) => {
+        told(at, answer);
+      });
+      return Promise.resolve({ kind: 'ended' });
     },
   };
 
+  /** What answers of the other hosts take on their way. */
+  answerLagMs = 0;
+
   private remoteClock(): number {
-    return this.time.clock() + AHEAD_MS;
+    return this.time.clock() + AHEAD_MS - this.answerLagMs;
   }
 
   /** Sends a start to a worker, once the other hosts are known; it is wanted until one was asked, or for good. */
   async send(worker: string, staysWanted = true): Promise<StartResult> {
     await this.time.advance(10);
-    const to = { id: worker, address: worker };
     const isWanted = (): boolean => staysWanted || this.sentBy.length === 0;
-    const res = await this.starts.send(to, ORDER, isWanted);
+    const res = await this.sendOne(worker, { ...WANTED, isWanted });
     this.starts.close();
     return res;
   }
 
+  /** Sends a start to a worker. */
+  async sendOne(worker: string, limits = WANTED): Promise<StartResult> {
+    const sending = this.sendSoon(worker, limits);
+    await this.time.advance(100);
+    return sending;
+  }
+
+  /** Sends a start to each worker, one after the other. */
+  async sendToAll(workers: readonly string[]): Promise<void> {
+    for (const worker of workers) {
+      await this.sendOne(worker);
+    }
+  }
+
+  /** Begins to send a start to a worker. */
+  sendSoon(worker: string, limits = WANTED): Promise<StartResult> {
+    return this.starts.send({ id: worker, address: worker }, ORDER, limits);
+  }
+
+  /** Until when starts are to be sent, by the leader's clock. */
+  latest(): number[] {
+    const starts = this.relayed.flatMap(batch => batch.starts);
+    return starts.map(({ sendBy }) => sendBy - AHEAD_MS);
+  }
+
   /** Lets all other hosts answer the same. */
   answerAll(answer: Answer): this {
     RELAYS.forEach(host => this.answers.set(host, answer));
@@ -128,6 +156,13 @@
   }
 }
 
+/** Returns `count` times the worker `w`, or as many workers whose names begin so. */
+function workersOf(count: number, name?: string): string[] {
+  return Array.from({ length: count }, (_, at) =>
+    name === undefined ? 'w' : `${name}${at}`,
+  );
+}
+
 /** Returns a site that knows its hosts, which answer `answer` from then on. */
 async function knownSite(answer: Answer): Promise<LeaderSite> {
   const site = new LeaderSite();
@@ -150,41 +185,106 @@
 
 test('the other host is told the latest time by its own clock', async () => {
   const site = new LeaderSite();
-  await site.send('w');
-  const [start] = site.relayed;
-  const latest = site.time.clock() + AHEAD_MS + 300;
-  assert.ok(start !== undefined && start.sendBy <= latest);
-  assert.ok(start.sendBy > latest - 100);
+  await site.time.advance(10);
+  const before = site.time.clock();
+  await site.sendOne('w');
+  await site.sendOne('w', { ...WANTED, sendBy: site.time.clock() + 120 });
+  site.starts.close();
+  const [first, second] = site.latest();
+  assert.equal(first, before + 300);
+  assert.equal(second, before + 100 + 120);
+});
+
+// An answer that took long tells of a clock that seems to be behind: by it each start would come late.
+test('the latest time is told by the quickest answer of the other host', async () => {
+  const site = new LeaderSite();
+  await site.time.advance(10);
+  site.answerLagMs = 250;
+  await site.sendOne('w');
+  await site.sendOne('w');
+  const late = site.latest();
+  assert.equal(late.length, 2);
+  assert.ok(late.every((at, turn) => at >= 10 + 300 + 100 * turn));
+  // No longer than some seconds: a machine may have stood still meanwhile.
+  await site.time.advance(3_000);
+  await site.sendToAll(workersOf(2 * RELAYS.length));
+  site.starts.close();
+  assert.equal(site.latest().at(-1), site.time.clock() - 100 + 300 - 250);
 });
 
-test('a worker keeps its host, and has another one only while that rests', async () => {
+test('a host that has lost a start is given none while it rests, and others take its part', async () => {
   const site = new LeaderSite();
   await site.time.advance(10);
-  const to = { id: 'w', address: 'w' };
-  const send = (): Promise<StartResult> =>
-    site.starts.send(to, ORDER, () => true);
-  await send();
-  await send();
-  const [first = '', second] = site.sentBy;
-  assert.equal(second, first);
+  await site.sendOne('w');
+  const [first = ''] = site.sentBy;
   site.answers.set(first, LOST);
-  await send();
-  await send();
+  const toFirst = (): number => site.sentBy.filter(by => by === first).length;
+  while (toFirst() < 2) {
+    assert.deepEqual(await site.sendOne('w'), ACCEPTED);
+  }
+  for (let turn = 0; turn < 6; turn += 1) {
+    assert.deepEqual(await site.sendOne('w'), ACCEPTED);
+  }
+  assert.equal(toFirst(), 2);
   site.answers.delete(first);
   await site.time.advance(2_000);
-  await send();
+  await site.sendToAll(workersOf(RELAYS.length));
+  site.starts.close();
+  assert.equal(toFirst(), 3);
+  assert.ok(!site.sentBy.includes('leader'));
+});
+
+// A fallback to the leader's own link costs five times what it replaces, on what is short then.
+test('hosts that seem to be silent all at once are used on while they are heard', async () => {
+  const site = await knownSite(LOST);
+  for (let turn = 0; turn < 4; turn += 1) {
+    await site.sendOne('w');
+  }
+  site.answerAll({ kind: 'sent', result: ACCEPTED });
+  site.sentBy.length = 0;
+  assert.deepEqual(await site.sendOne('w'), ACCEPTED);
+  site.starts.close();
+  assert.ok(!site.sentBy.includes('leader'));
+});
+
+test('hosts of which nothing is heard for seconds are taken to be gone', async () => {
+  const site = await knownSite(LOST);
+  await site.sendToAll(workersOf(RELAYS.length));
+  await site.time.advance(2_500);
+  site.sentBy.length = 0;
+  assert.deepEqual(await site.sendOne('w'), ACCEPTED);
+  site.starts.close();
+  assert.deepEqual(site.sentBy, ['leader']);
+});
+
+test('starts that are given at about the same time go in one call', async () => {
+  const site = new LeaderSite();
+  await site.time.advance(10);
+  await Promise.all([
+    site.sendSoon('w1'),
+    site.sendSoon('w2'),
+    site.time.advance(1),
+  ]);
+  const soon = [site.sendSoon('w3')];
+  await site.time.advance(10);
+  soon.push(site.sendSoon('w4'));
+  await site.time.advance(20);
+  await Promise.all(soon);
   site.starts.close();
-  const [, , lost, own, other, back] = site.sentBy;
-  assert.deepEqual([lost, own, back], [first, 'leader', first]);
-  assert.ok(other !== undefined && other !== first && other !== 'leader');
+  const calls = site.relayed.map(({ starts }) =>
+    starts.map(({ worker }) => worker.id),
+  );
+  assert.deepEqual(calls, [
+    ['w1', 'w2'],
+    ['w3', 'w4'],
+  ]);
 });
 
-test('workers are shared among all hosts', async () => {
+test('starts are shared among all hosts', async () => {
   const site = new LeaderSite();
   await site.time.advance(10);
   for (let at = 0; at < 60; at += 1) {
-    const to = { id: `w${at}`, address: 'w' };
-    await site.starts.send(to, ORDER, () => true);
+    await site.sendOne(`w${at}`);
   }
   site.starts.close();
   for (const host of RELAYS) {
@@ -206,9 +306,8 @@
 test('a worker that does not answer another host is asked by the leader, and that host rests', async () => {
   const site = await knownSite({ kind: 'sent', result: SILENT });
   await site.time.advance(10);
-  const to = { id: 'w', address: 'w' };
-  assert.deepEqual(await site.starts.send(to, ORDER, () => true), ACCEPTED);
-  await site.starts.send(to, ORDER, () => true);
+  assert.deepEqual(await site.sendOne('w'), ACCEPTED);
+  await site.sendOne('w');
   site.starts.close();
   const [first, own, second] = site.sentBy;
   assert.equal(own, 'leader');
--- a/packages/daemon/src/job-host/relay/relayed-starts.ts
+++ b/packages/daemon/src/job-host/relay/relayed-starts.ts
@@ -3,8 +3,6 @@
  * hosts that stand by read anyway: for what is beyond the link's budget one of them is told which run is to
  * begin where, and sends the order. Decisions, fences and ends of leases stay the leader's own.
  */
-import { createHash } from 'node:crypto';
-
 import type { Millis } from '@paddlewind/domain';
 import {
   reachableStandbys,
@@ -14,22 +12,28 @@
 import type {
   OrderResult,
   PeerPort,
-  RelayResult,
   StartOrder,
   WorkerAddress,
   WorkerPort,
 } from '@paddlewind/ports/jobs';
 
 import { pause, type HostContext } from '../context.js';
-import type { LinkBudget } from './link-budget.js';
-import type { LinkPace } from './link-pace.js';
-import { RelayHost } from './relay-host.js';
-import type { StartResult, StartSender } from './start-sender.js';
+import { LinkBudget } from './link-budget.js';
+import { LinkPace } from './link-pace.js';
+import type { LinkShares } from './link-shares.js';
+import { RelayBatches, type RelayedResult } from './relay-batches.js';
+import { RelayHost, type RelayResult } from './relay-host.js';
+import { RelayWindow } from './relay-window.js';
+import type { StartLimits, StartResult, StartSender } from './start-sender.js';
 
 /** How often hosts are looked for that could send starts, and asked who they are. */
 const IDENTIFY_EVERY_MS: Millis = 500;
 /** Bytes of a start beside the job's payload. */
 const START_BYTES = 300;
+/** Hosts that a start is given to, one after the other, before the leader sends it. */
+const MOST_TRIES = 2;
+
+const NOT_WANTED = { kind: 'not_wanted' } as const;
 
 /** What relayed starts are given. */
 export interface RelayedStartsOptions {
@@ -38,21 +42,43 @@
   readonly peers: PeerPort;
   readonly epoch: number;
   readonly state: JobsState;
-  readonly budget: LinkBudget;
-  readonly pace: LinkPace;
+  readonly shares: LinkShares;
+}
+
+/** What is known of a start once other hosts were to send it. */
+interface Attempts {
+  /** What is certain; undefined where the leader has to send it. */
+  readonly result: StartResult | undefined;
+  /** Whether one of the hosts may have begun the run, or may still. */
+  readonly mayBegin: boolean;
+  /** The host that a worker did not answer. */
+  readonly unanswered: RelayHost | undefined;
 }
 
 /** Sends starts itself while its link carries them, and has others send the rest. */
 export class RelayedStarts implements StartSender {
   private readonly hosts = new Map<string, RelayHost>();
+  private readonly budget: LinkBudget;
+  /** For starts that other hosts could not send, and for all while there is none that can. */
+  private readonly retries: LinkPace;
+  private readonly alone: LinkPace;
+  private readonly window: RelayWindow;
+  private readonly batches: RelayBatches;
   private closed = false;
 
   /** Creates a sender that knows no other host yet. */
-  constructor(private readonly options: RelayedStartsOptions) {}
+  constructor(private readonly options: RelayedStartsOptions) {
+    const { ctx, shares } = options;
+    this.budget = new LinkBudget(ctx.clock, shares.payloads);
+    this.retries = new LinkPace(ctx, shares.retries);
+    this.alone = new LinkPace(ctx, shares.alone);
+    this.window = new RelayWindow(shares.alone);
+    this.batches = new RelayBatches(ctx, () => this.hosts.values());
+  }
 
   /** Keeps in touch with the hosts that stand by where payloads may exceed what the link carries. */
   async begin(): Promise<void> {
-    while (!this.closed && this.options.budget.mayRunShort) {
+    while (!this.closed && this.budget.mayRunShort) {
       this.updateHosts();
       for (const host of this.hosts.values()) {
         void host.identify();
@@ -68,99 +94,102 @@
 
   /** Whether starts wait for the link. */
   get isBusy(): boolean {
-    return this.options.pace.isBusy;
+    return this.batches.hasHost ? this.window.isNarrow : this.alone.isBusy;
   }
 
   /** How many starts the link carries soon. */
   get mostStarts(): number {
-    return this.options.pace.mostStarts;
+    return this.batches.hasHost ? this.window.size : this.alone.mostStarts;
   }
 
   /** Sends a start, by way of another host where this one's link has no room for it. */
-  send(
+  async send(
     worker: WorkerAddress,
     order: StartOrder,
-    isWanted: () => boolean,
+    limits: StartLimits,
   ): Promise<StartResult> {
-    const hasRoom = this.options.budget.take(bytesOf(order));
-    const host = hasRoom ? undefined : this.hostFor(worker);
-    if (host !== undefined) {
-      return this.sendBy(host, worker, order, isWanted);
+    if (this.budget.take(bytesOf(order))) {
+      return this.options.port.start(worker, order);
+    }
+    if (!this.batches.hasHost) {
+      return this.sendOwn(this.alone, worker, order, limits);
+    }
+    const { result, mayBegin, unanswered } = await this.sendByOthers(
+      worker,
+      order,
+      limits,
+    );
+    if (result !== undefined) {
+      return result;
     }
-    const { port, pace } = this.options;
-    return pace.isLimited
-      ? this.sendOwn(worker, order, isWanted)
-      : port.start(worker, order);
+    // A worker that has the run already accepts it once more.
+    const own = await this.sendOwn(this.retries, worker, order, limits);
+    if (own.kind === 'accepted') {
+      unanswered?.noteCutOff();
+    }
+    return mayBegin ? afterAnother(own) : own;
   }
 
   /** Sends a start itself, when it is its turn. */
-  private sendOwn(
+  private async sendOwn(
+    pace: LinkPace,
     worker: WorkerAddress,
     order: StartOrder,
-    isWanted: () => boolean,
+    { isWanted }: StartLimits,
   ): Promise<StartResult> {
-    const { port } = this.options;
-    return this.inTurn(bytesOf(order), isWanted, () =>
-      port.start(worker, order),
-    );
-  }
-
-  private async inTurn<T>(
-    bytes: number,
-    isWanted: () => boolean,
-    send: () => Promise<T>,
-  ): Promise<T | { readonly kind: 'not_wanted' }> {
-    const hasTurn = await this.options.pace.admit(bytes);
-    return hasTurn && isWanted() ? send() : { kind: 'not_wanted' };
+    const hasTurn = await pace.admit(bytesOf(order));
+    return hasTurn && isWanted()
+      ? this.options.port.start(worker, order)
+      : NOT_WANTED;
   }
 
-  private async sendBy(
-    host: RelayHost,
+  /** Has other hosts send a start, one after the other, until it is certain what became of it. */
+  private async sendByOthers(
     worker: WorkerAddress,
     order: StartOrder,
-    isWanted: () => boolean,
-  ): Promise<StartResult> {
-    const { ctx } = this.options;
+    { isWanted, sendBy }: StartLimits,
+  ): Promise<Attempts> {
     const { task, run, leaseUntil, fence, checkpoint, ticket } = order;
     const relayed = { task, run, leaseUntil, fence, checkpoint, ticket };
-    const res = await this.inTurn(START_BYTES, isWanted, () => {
-      ctx.log.info(
-        { task: taskName(task), run, worker: worker.id, by: host.host },
-        'relay: a start goes by way of another host',
-      );
-      return host.send(worker, relayed);
-    });
-    if (res.kind === 'not_wanted') {
-      return res;
-    }
-    ctx.meters.startRelayed(res.kind === 'sent' ? res.result.kind : res.kind);
-    if (res.kind === 'sent' && isCertain(res.result)) {
-      return res.result;
-    }
-    // A worker that has the run already accepts it once more.
-    const own = await this.sendOwn(worker, order, isWanted);
-    if (res.kind === 'sent' && own.kind === 'accepted') {
-      host.noteCutOff();
+    const tried = new Set<RelayHost>();
+    let mayBegin = false;
+    while (tried.size < MOST_TRIES && isWanted()) {
+      const start = { worker, order: relayed };
+      const found = await this.batches.send(start, sendBy, tried);
+      if (found === undefined) {
+        break;
+      }
+      this.tell(worker, order, found);
+      const { by, res } = found;
+      tried.add(by);
+      if (res.kind === 'sent' && isCertain(res.result)) {
+        const result = mayBegin ? afterAnother(res.result) : res.result;
+        return { result, mayBegin, unanswered: undefined };
+      }
+      mayBegin ||= mayBeginAfter(res);
+      if (res.kind === 'sent') {
+        return { result: undefined, mayBegin, unanswered: by };
+      }
     }
-    return mayBegin(res) ? afterAnother(own) : own;
+    return { result: undefined, mayBegin, unanswered: undefined };
   }
 
-  /** Each worker has a host of its own, and another one while that rests: few connections, even shares. */
-  private hostFor({ id }: WorkerAddress): RelayHost | undefined {
-    let best: RelayHost | undefined;
-    let highest = '';
-    for (const host of this.hosts.values()) {
-      const rank = rankOf(id, host.host);
-      if (host.isUsable && rank > highest) {
-        best = host;
-        highest = rank;
-      }
-    }
-    return best;
+  private tell(
+    worker: WorkerAddress,
+    { task, run }: StartOrder,
+    { by, res }: RelayedResult,
+  ): void {
+    const { ctx } = this.options;
+    const outcome = res.kind === 'sent' ? res.result.kind : res.kind;
+    ctx.meters.startRelayed(outcome);
+    ctx.log.info(
+      { task: taskName(task), run, worker: worker.id, by: by.host, outcome },
+      'relay: a start went by way of another host',
+    );
   }
 
   private updateHosts(): void {
-    const { ctx, state, peers, epoch } = this.options;
+    const { ctx, state } = this.options;
     const there = reachableStandbys(state, ctx.host, ctx.clock());
     for (const [host, { address }] of this.hosts) {
       if (there.get(host) !== address) {
@@ -169,11 +198,29 @@
     }
     for (const [host, address] of there) {
       if (!this.hosts.has(host)) {
-        const options = { ctx, peers, epoch, host, address };
-        this.hosts.set(host, new RelayHost(options));
+        this.hosts.set(host, this.contactOf(host, address));
       }
     }
   }
+
+  private contactOf(host: string, address: string): RelayHost {
+    const { ctx, peers, epoch } = this.options;
+    const { batches, window } = this;
+    return new RelayHost({
+      ctx,
+      peers,
+      epoch,
+      host,
+      address,
+      taken: (starts, tookMs) => {
+        batches.noteTaken(tookMs);
+        window.noteTaken(starts, tookMs, ctx.clock());
+      },
+      late: () => {
+        window.noteLate(ctx.clock());
+      },
+    });
+  }
 }
 
 /** Whether nothing is left open: the run has begun, or was turned down and can't begin. */
@@ -182,7 +229,7 @@
 }
 
 /** Whether the other host may have begun the run, or may still. */
-function mayBegin(res: RelayResult): boolean {
+function mayBeginAfter(res: RelayResult): boolean {
   switch (res.kind) {
     case 'sent':
       return res.result.kind === 'unknown';
@@ -217,8 +264,3 @@
       return isFenced ? own : { kind: 'unsure', reason: own.why };
   }
 }
-
-/** Rank of a host for a worker: the highest one is chosen, and others keep theirs when one is gone. */
-function rankOf(worker: string, host: string): string {
-  return createHash('sha1').update(`${worker} ${host}`).digest('hex');
-}
--- a/packages/daemon/src/job-host/relay/start-relay.test.ts
+++ b/packages/daemon/src/job-host/relay/start-relay.test.ts
@@ -9,7 +9,9 @@
 } from '@paddlewind/domain/jobs';
 import type {
   OrderResult,
+  RelayBatch,
   RelayedStart,
+  RelayOutcome,
   StartOrder,
   WorkerPort,
 } from '@paddlewind/ports/jobs';
@@ -24,6 +26,21 @@
 const EPOCH = 64;
 const ACCEPTED: OrderResult = { kind: 'accepted', clock: 7 };
 
+/** A start, which is to be sent by when its batch says. */
+type TestStart = Omit<RelayedStart, 'sendBy'>;
+
+const START: TestStart = {
+  worker: { id: 'w', address: 'w:1' },
+  order: {
+    task: { job: JOB, occurrence: 0, step: 0, index: 1 },
+    run: 3,
+    leaseUntil: 5_000,
+    fence: 9,
+    checkpoint: 'c',
+    ticket: 't',
+  },
+};
+
 /** A host that is asked to send starts. */
 class RelaySite {
   readonly time = createVirtualTime();
@@ -51,10 +68,17 @@
     follows: () => this.follows,
   });
 
+  /** Time that a worker takes to answer, by its id. */
+  readonly answerMs = new Map<string, number>();
+
   private readonly port: WorkerPort = {
-    start: (_to, order) => {
+    start: ({ id }, order) => {
       this.sent.push(order);
-      return Promise.resolve(ACCEPTED);
+      return new Promise(resolve => {
+        this.time.schedule(this.answerMs.get(id) ?? 0, () => {
+          resolve(ACCEPTED);
+        });
+      });
     },
     stop: () => Promise.resolve(ACCEPTED),
     throttle: () => Promise.resolve(ACCEPTED),
@@ -69,40 +93,73 @@
     applyInbox(this.state, { kind: 'submit', job: SPEC, atWall: 0 });
   }
 
-  /** A start that this host is to send within 300 ms. */
-  start(): RelayedStart {
+  /** Starts that this host is to send within 300 ms: one, where no others are given. */
+  batch(starts: readonly TestStart[] = [START]): RelayBatch {
     const { process, clock } = this.relay.identify();
-    return {
-      epoch: EPOCH,
-      process,
-      sendBy: clock + 300,
-      worker: { id: 'w', address: 'w:1' },
-      order: {
-        task: { job: JOB, occurrence: 0, step: 0, index: 1 },
-        run: 3,
-        leaseUntil: 5_000,
-        fence: 9,
-        checkpoint: 'c',
-        ticket: 't',
-      },
-    };
+    const sendBy = clock + 300;
+    const due = starts.map(start => ({ ...start, sendBy }));
+    return { epoch: EPOCH, process, starts: due };
   }
 
-  /** Takes a start, and returns what became of it. */
-  async take(start: RelayedStart): Promise<string> {
-    const taking = this.relay.take(start);
+  /** Takes starts, and returns what became of each. */
+  async takeAll(batch: RelayBatch): Promise<string[]> {
+    const told: string[] = [];
+    const taking = this.relay.take(batch, (at, outcome) => {
+      assert.equal(told[at], undefined);
+      told[at] = wordOf(outcome);
+    });
     await this.time.advance(1_000);
-    const answer = await taking;
-    return answer.kind === 'refused' ? answer.why : answer.result.kind;
+    await taking;
+    return told;
+  }
+
+  /** Takes one start, and returns what became of it. */
+  async take(batch: RelayBatch): Promise<string> {
+    const told = await this.takeAll(batch);
+    assert.equal(told.length, 1);
+    return told[0] ?? '';
   }
 }
 
+function wordOf(outcome: RelayOutcome): string {
+  return outcome.kind === 'refused' ? outcome.why : outcome.result.kind;
+}
+
 test('a start is sent with the payload that the log holds, and all else as the leader says', async () => {
   const site = new RelaySite();
   site.submit();
-  const start = site.start();
-  assert.equal(await site.take(start), 'accepted');
-  assert.deepEqual(site.sent, [{ ...start.order, payload: SPEC.payload }]);
+  assert.equal(await site.take(site.batch()), 'accepted');
+  assert.deepEqual(site.sent, [{ ...START.order, payload: SPEC.payload }]);
+});
+
+// The leader counts a start of which it hears nothing as one that may begin.
+test('what became of a start is told as soon as its worker has answered, whatever the others do', async () => {
+  const site = new RelaySite();
+  site.submit();
+  site.answerMs.set('slow', 400);
+  const slow = { ...START, worker: { id: 'slow', address: 'w:2' } };
+  const job = '00000000000000c9';
+  const { order } = START;
+  const unknown = {
+    ...START,
+    order: { ...order, task: { ...order.task, job } },
+  };
+  const told: { at: number; word: string; after: number }[] = [];
+  const cameAt = site.time.clock();
+  const taking = site.relay.take(
+    site.batch([slow, START, unknown]),
+    (at, outcome) => {
+      const after = site.time.clock() - cameAt;
+      told.push({ at, word: wordOf(outcome), after });
+    },
+  );
+  await site.time.advance(1_000);
+  await taking;
+  assert.deepEqual(told, [
+    { at: 1, word: 'accepted', after: 0 },
+    { at: 2, word: 'unknown_job', after: 5 },
+    { at: 0, word: 'accepted', after: 400 },
+  ]);
 });
 
 test('a job that is not known is looked for in the log', async () => {
@@ -110,24 +167,24 @@
   site.inbox = () => {
     site.submit();
   };
-  assert.equal(await site.take(site.start()), 'accepted');
+  assert.equal(await site.take(site.batch()), 'accepted');
 });
 
 test('no start is sent of a job that is not in the log, or over', async () => {
   const site = new RelaySite();
-  assert.equal(await site.take(site.start()), 'unknown_job');
+  assert.equal(await site.take(site.batch()), 'unknown_job');
   site.submit();
   applyInbox(site.state, { kind: 'cancel', job: JOB });
-  assert.equal(await site.take(site.start()), 'unknown_job');
+  assert.equal(await site.take(site.batch()), 'unknown_job');
   assert.deepEqual(site.sent, []);
 });
 
 test('no start is sent that arrives late', async () => {
   const site = new RelaySite();
   site.submit();
-  const start = site.start();
+  const batch = site.batch();
   await site.time.advance(301);
-  assert.equal(await site.take(start), 'late');
+  assert.equal(await site.take(batch), 'late');
   assert.deepEqual(site.sent, []);
 });
 
@@ -137,7 +194,7 @@
   site.inbox = () => {
     site.submit();
   };
-  assert.equal(await site.take(site.start()), 'late');
+  assert.equal(await site.take(site.batch()), 'late');
   assert.deepEqual(site.sent, []);
 });
 
@@ -145,8 +202,8 @@
 test('no start is sent that was meant for another process of the host', async () => {
   const site = new RelaySite();
   site.submit();
-  const start = { ...site.start(), process: 'another' };
-  assert.equal(await site.take(start), 'other_process');
+  const batch = { ...site.batch(), process: 'another' };
+  assert.equal(await site.take(batch), 'other_process');
   assert.deepEqual(site.sent, []);
 });
 
@@ -154,7 +211,7 @@
   const site = new RelaySite();
   site.submit();
   site.follows = false;
-  assert.equal(await site.take(site.start()), 'not_following');
+  assert.equal(await site.take(site.batch()), 'not_following');
   assert.deepEqual(site.sent, []);
 });
 
@@ -163,14 +220,14 @@
   site.submit();
   const claim = { kind: 'claim', host: 'h2', nonce: 1 } as const;
   applyJournal(site.state, { ...claim, epoch: EPOCH + 64 });
-  assert.equal(await site.take(site.start()), 'deposed');
+  assert.equal(await site.take(site.batch()), 'deposed');
   assert.deepEqual(site.sent, []);
 });
 
 test('connections to workers that are not used are closed', async () => {
   const site = new RelaySite();
   site.submit();
-  await site.take(site.start());
+  await site.take(site.batch());
   site.relay.forgetUnused();
   assert.deepEqual(site.forgotten, []);
   await site.time.advance(60_000);
--- a/packages/daemon/src/job-host/relay/start-relay.ts
+++ b/packages/daemon/src/job-host/relay/start-relay.ts
@@ -3,8 +3,9 @@
 import { isOver } from '@paddlewind/domain/jobs';
 import type {
   PeerProcess,
-  RelayAnswer,
+  RelayBatch,
   RelayedStart,
+  RelayOutcome,
   RelayRefusal,
   WorkerAddress,
   WorkerPort,
@@ -45,32 +46,44 @@
   /** Creates a relay that has sent nothing. */
   constructor(private readonly options: StartRelayOptions) {}
 
-  /** Sends a start, or tells why it sends nothing. */
-  async take(start: RelayedStart): Promise<RelayAnswer> {
+  /** Sends the starts of a batch beside each other, and tells what became of each, or why it was not sent. */
+  async take(
+    batch: RelayBatch,
+    told: (at: number, outcome: RelayOutcome) => void,
+  ): Promise<void> {
+    const sending = batch.starts.map(async (start, at) => {
+      told(at, await this.send(batch, start));
+    });
+    await Promise.all(sending);
+  }
+
+  private async send(
+    batch: RelayBatch,
+    { worker, order, sendBy }: RelayedStart,
+  ): Promise<RelayOutcome> {
     const { ctx, replica } = this.options;
-    const refusal = this.whyNot(start);
+    const refusal = this.whyNot(batch, sendBy);
     if (refusal !== undefined) {
-      return this.refuse(refusal);
+      return { kind: 'refused', why: refusal };
     }
-    const { job } = start.order.task;
+    const { job } = order.task;
     if (!replica.state.jobs.has(job)) {
       await replica.refresh('inbox');
     }
     const found = replica.state.jobs.get(job);
     if (found === undefined || isOver(found)) {
-      return this.refuse('unknown_job');
+      return { kind: 'refused', why: 'unknown_job' };
     }
     // Reading the log may have taken long, and told of another leader.
-    const changed = this.whyNot(start);
+    const changed = this.whyNot(batch, sendBy);
     if (changed !== undefined) {
-      return this.refuse(changed);
+      return { kind: 'refused', why: changed };
     }
-    const { worker, order } = start;
     this.used.set(worker.id, { worker, usedAt: ctx.clock() });
     this.port ??= this.options.port();
     const { payload } = found.spec;
     const result = await this.port.start(worker, { ...order, payload });
-    return { kind: 'sent', result, ...this.identify() };
+    return { kind: 'sent', result };
   }
 
   /** Tells which process this is. */
@@ -89,11 +102,10 @@
     }
   }
 
-  private whyNot({
-    epoch,
-    process,
-    sendBy,
-  }: RelayedStart): RelayRefusal | undefined {
+  private whyNot(
+    { epoch, process }: RelayBatch,
+    sendBy: Instant,
+  ): RelayRefusal | undefined {
     const { ctx, replica, follows } = this.options;
     if (process !== this.name()) {
       return 'other_process';
@@ -107,10 +119,6 @@
     return replica.state.claim.epoch > epoch ? 'deposed' : undefined;
   }
 
-  private refuse(why: RelayRefusal): RelayAnswer {
-    return { kind: 'refused', why, ...this.identify() };
-  }
-
   /** A name that no other process of this host has: each has a steady clock of its own. */
   private name(): string {
     this.process ??= this.options.ctx.random().toString(NAME_BASE).slice(2);
--- a/packages/daemon/src/job-host/relay/start-sender.ts
+++ b/packages/daemon/src/job-host/relay/start-sender.ts
@@ -1,4 +1,5 @@
 /** How starts reach workers. */
+import type { Instant } from '@paddlewind/domain';
 import type {
   OrderResult,
   StartOrder,
@@ -13,6 +14,14 @@
   /** Nothing was done, nor will be: it was not wanted any more when it could have been sent. */
   | { readonly kind: 'not_wanted' };
 
+/** Until when a start is of use. */
+export interface StartLimits {
+  /** Whether it is still to be sent. */
+  readonly isWanted: () => boolean;
+  /** Latest time at which it is sent, whoever sends it: what was checked before holds until then. */
+  readonly sendBy: Instant;
+}
+
 /** Sends starts to workers. */
 export interface StartSender {
   /** Gets ready to send, until it is closed. */
@@ -23,10 +32,10 @@
   readonly isBusy: boolean;
   /** How many starts may be under way: more would wait for too long. */
   readonly mostStarts: number;
-  /** Sends a start; one that took a while is sent again only while `isWanted`. */
+  /** Sends a start, within its limits also again. */
   send(
     worker: WorkerAddress,
     order: StartOrder,
-    isWanted: () => boolean,
+    limits: StartLimits,
   ): Promise<StartResult>;
 }
--- a/packages/daemon/src/job-host/simulated-network.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulated-network.fixture.test.ts
@@ -3,8 +3,9 @@
 import type {
   OrderResult,
   PeerPort,
-  RelayedStart,
-  RelayResult,
+  RelayBatch,
+  RelayEnd,
+  RelayWatch,
   WorkerPort,
 } from '@paddlewind/ports/jobs';
 import type { VirtualTime } from '@paddlewind/stand-ins';
@@ -15,14 +16,16 @@
 
 /** Bytes of a call beside a job's payload. */
 const CALL_BYTES = 300;
+/** Bytes of each further start that one call carries to another host. */
+const START_ROW_BYTES = 110;
 /** Time after which an order to a worker is given up. */
 const ORDER_MS: Millis = 500;
 /** Time of a call between hosts, and after which it is given up: not taken, or not appended. */
 const PEER_MS: Millis = 2;
 const PEER_TAKEN_MS: Millis = 80;
 const PEER_APPENDED_MS: Millis = 1_200;
-/** Time after which a start is given up that another host is to send: not taken, or not answered. */
-const RELAY_TAKEN_MS: Millis = 300;
+/** Time after which a host that is asked who it is, or starts that it has taken, are given up. */
+const IDENTIFIED_MS: Millis = 300;
 const RELAYED_MS: Millis = 900;
 const MS_PER_S = 1_000;
 
@@ -117,17 +120,25 @@
         const gaveUp = this.pause(PEER_APPENDED_MS).then(() => unknown);
         return Promise.race([found.host.appendForPeer(records), gaveUp]);
       },
-      relay: (address, start) => {
-        this.relays += 1;
-        const gaveUp = this.pause(RELAYED_MS).then(() => UNANSWERED);
+      relay: (address, batch, watch) => {
+        this.relays += batch.starts.length;
         return new Promise(resolve => {
-          const notTaken = this.time.schedule(RELAY_TAKEN_MS, () => {
+          const notTaken = this.time.schedule(watch.takenWithinMs, () => {
             resolve(UNANSWERED);
           });
-          const relayed = link
-            .carry(CALL_BYTES)
-            .then(() => this.relay(name, address, start, notTaken));
-          void Promise.race([relayed, gaveUp]).then(resolve);
+          const gaveUp = this.pause(watch.takenWithinMs + RELAYED_MS);
+          void gaveUp.then(() => {
+            resolve(UNANSWERED);
+          });
+          const taken: RelayWatch['taken'] = by => {
+            notTaken();
+            watch.taken(by);
+          };
+          const more = batch.starts.length - 1;
+          void link
+            .carry(CALL_BYTES + more * START_ROW_BYTES)
+            .then(() => this.relay(name, address, batch, { ...watch, taken }))
+            .then(resolve);
         });
       },
       identify: async address => {
@@ -135,34 +146,50 @@
         await this.pause(PEER_MS);
         const found = this.reach(name, address);
         if (found === undefined || found.process.isStopped) {
-          return this.pause(RELAY_TAKEN_MS).then(() => undefined);
+          return this.pause(IDENTIFIED_MS).then(() => undefined);
         }
         return found.host.identifyForPeer();
       },
     };
   }
 
-  /** A host that stands still deals with the start once it goes on. */
+  /** A host that stands still deals with the starts once it goes on. */
   private async relay(
     from: string,
     to: string,
-    start: RelayedStart,
-    taken: () => void,
-  ): Promise<RelayResult> {
+    batch: RelayBatch,
+    watch: RelayWatch,
+  ): Promise<RelayEnd> {
     await this.pause(PEER_MS + (this.startDelays.get(to) ?? 0));
     const found = this.reach(from, to);
     if (found === undefined) {
       return new Promise(() => undefined);
     }
-    const answer = await new Promise<RelayResult>(resolve => {
+    const answers = (tell: () => void): void => {
+      void this.pause(PEER_MS).then(() => {
+        if (this.reach(from, to) === found) {
+          tell();
+        }
+      });
+    };
+    return new Promise(resolve => {
       found.process.schedule(0, () => {
-        taken();
-        void found.host.relayForPeer(start).then(resolve);
+        const by = found.host.identifyForPeer();
+        answers(() => {
+          watch.taken(by);
+        });
+        const told: RelayWatch['told'] = (at, outcome) => {
+          answers(() => {
+            watch.told(at, outcome);
+          });
+        };
+        void found.host.relayForPeer(batch, told).then(() => {
+          answers(() => {
+            resolve({ kind: 'ended' });
+          });
+        });
       });
     });
-    await this.pause(PEER_MS);
-    const isThere = this.reach(from, to) === found;
-    return isThere ? answer : new Promise(() => undefined);
   }
 
   /** Returns the host `to` if `from` reaches it. */
@@ -177,7 +204,7 @@
   }
 }
 
-const UNANSWERED: RelayResult = {
+const UNANSWERED: RelayEnd = {
   kind: 'failed',
   outcome: 'unknown',
   reason: 'no answer',
--- a/packages/daemon/src/job-host/simulated-process.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulated-process.fixture.test.ts
@@ -72,14 +72,21 @@
   }
 
   private guardCallback(arg: unknown): unknown {
-    if (typeof arg !== 'function') {
-      return arg;
+    if (typeof arg === 'function') {
+      return (...told: unknown[]): void => {
+        this.run(() => {
+          Reflect.apply(arg, undefined, told);
+        });
+      };
     }
-    return (...told: unknown[]): void => {
-      this.run(() => {
-        Reflect.apply(arg, undefined, told);
-      });
-    };
+    return isPlain(arg) && Object.values(arg).some(isFunction)
+      ? Object.fromEntries(
+          Object.entries(arg).map(([name, value]) => [
+            name,
+            this.guardCallback(value),
+          ]),
+        )
+      : arg;
   }
 
   private deliver<R>(result: Promise<R>): Promise<R> {
@@ -131,3 +138,15 @@
     });
   }
 }
+
+function isFunction(value: unknown): boolean {
+  return typeof value === 'function';
+}
+
+function isPlain(value: unknown): value is Record<string, unknown> {
+  return (
+    typeof value === 'object' &&
+    value !== null &&
+    Object.getPrototypeOf(value) === Object.prototype
+  );
+}
--- a/packages/daemon/src/job-host/simulated-wire.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulated-wire.fixture.test.ts
@@ -8,7 +8,7 @@
   LookResult,
   OrderResult,
   PeerPort,
-  RelayResult,
+  RelayEnd,
   WorkerPort,
 } from '@paddlewind/ports/jobs';
 import type { VirtualTime } from '@paddlewind/stand-ins';
@@ -32,12 +32,14 @@
 const ANSWER_HEAD = 110;
 /** What calls carry beside their heads and payloads. */
 const START = 180;
-const RELAYED = 190;
+const BATCH = 80;
+const RELAYED = 110;
 const ORDER = 80;
 const LOOK = 70;
 /** What answers carry beside their heads. */
 const ORDER_ANSWER = 40;
-const RELAY_ANSWER = 130;
+const TAKEN = 20;
+const OUTCOME = 40;
 const PROCESS_ANSWER = 45;
 const ACTIVE_RUN = 46;
 const ENDED_RUN = 90;
@@ -48,9 +50,9 @@
 const ORDER_MS: Millis = 500;
 const LOG_MS: Millis = 1_500;
 const WAY_MS: Millis = 1;
-/** Time until another host has taken a call, and has answered it. */
-const RELAY_LIMITS = { taken: 300, answered: 900 };
-const PROCESS_LIMITS = { taken: 300, answered: 300 };
+/** Time until another host has taken a call, and has answered it; of starts, once it has taken them. */
+const RELAYED_MS: Millis = 900;
+const PROCESS_LIMITS = { taken: 1_000, answered: 1_000 };
 const APPEND_LIMITS = { taken: 80, answered: 1_200 };
 const APPEND_CONNECTIONS = 4;
 
@@ -192,16 +194,31 @@
         this.replaceIfSilent(this.leaders, address, pool, res);
         return res ?? { kind: 'unknown', reason: 'no answer' };
       },
-      relay: async (address, start) => {
-        site.relays += 1;
+      relay: async (address, batch, watch) => {
+        const { takenWithinMs } = watch;
+        const rows = batch.starts.length;
+        site.relays += rows;
         const pool = poolOf(this.relays, address, this.connections);
-        const res = await this.call(pool, RELAY_LIMITS, async began => {
+        const answered = takenWithinMs + RELAYED_MS;
+        const limits = { taken: takenWithinMs, answered };
+        const bytes = BATCH + rows * RELAYED;
+        const res = await this.call(pool, limits, async began => {
           await this.pause(site.startDelays.get(address) ?? 0);
-          const found = await this.arrive(name, address, RELAYED, site);
-          void this.answerBy(found.wire, 0).then(began);
-          const answer = await found.host.relayForPeer(start);
-          await this.answerBy(found.wire, RELAY_ANSWER - ANSWER_HEAD);
-          return answer;
+          const { wire, host } = await this.arrive(name, address, bytes, site);
+          const by = host.identifyForPeer();
+          void this.answerBy(wire, TAKEN).then(() => {
+            began();
+            watch.taken(by);
+          });
+          const answers: Promise<void>[] = [];
+          await host.relayForPeer(batch, (at, outcome) => {
+            const answer = this.carryBack(wire, OUTCOME).then(() => {
+              watch.told(at, outcome);
+            });
+            answers.push(answer);
+          });
+          await Promise.all(answers);
+          return { kind: 'ended' } as const;
         });
         this.replaceIfSilent(this.relays, address, pool, res);
         return res ?? UNANSWERED;
@@ -285,9 +302,14 @@
 
   /** Carries an answer of another host here. */
   private async answerBy(wire: SimulatedWire, bytes: number): Promise<void> {
-    await wire.out.carry(ANSWER_HEAD + bytes);
+    await this.carryBack(wire, ANSWER_HEAD + bytes);
+  }
+
+  /** Carries what another host sends here. */
+  private async carryBack(wire: SimulatedWire, bytes: number): Promise<void> {
+    await wire.out.carry(bytes);
     await this.pause(WAY_MS);
-    await this.into.carry(ANSWER_HEAD + bytes);
+    await this.into.carry(bytes);
   }
 
   /** A call that ran out of time makes all connections suspect: later calls go over new ones. */
@@ -312,7 +334,7 @@
   readonly host: NonNullable<ReturnType<SimulatedPeers['reach']>>['host'];
 }
 
-const UNANSWERED: RelayResult = {
+const UNANSWERED: RelayEnd = {
   kind: 'failed',
   outcome: 'unknown',
   reason: 'timeout',
--- a/packages/daemon/src/job-host/start-job-host.ts
+++ b/packages/daemon/src/job-host/start-job-host.ts
@@ -9,8 +9,8 @@
   OperatorConfig,
   PeerPort,
   PeerProcess,
-  RelayAnswer,
-  RelayedStart,
+  RelayBatch,
+  RelayOutcome,
   WorkerFeed,
   WorkerPort,
 } from '@paddlewind/ports/jobs';
@@ -27,8 +27,6 @@
 import { awaitLeadership, type WonClaim } from './leadership.js';
 import { meterAdvice, meterLog, meterWorkers } from './metered-ports.js';
 import type { JobGauges } from './meters.js';
-import { LinkBudget } from './relay/link-budget.js';
-import { LinkPace } from './relay/link-pace.js';
 import type { LinkShares } from './relay/link-shares.js';
 import { RelayedStarts } from './relay/relayed-starts.js';
 import { StartRelay } from './relay/start-relay.js';
@@ -74,8 +72,11 @@
   ) => Promise<AppendResult>;
   /** Tells another host which process this is. */
   readonly identifyForPeer: () => PeerProcess;
-  /** Sends a start for another host, which leads. */
-  readonly relayForPeer: (start: RelayedStart) => Promise<RelayAnswer>;
+  /** Sends starts for another host, which leads, and tells what becomes of each. */
+  readonly relayForPeer: (
+    batch: RelayBatch,
+    told: (at: number, outcome: RelayOutcome) => void,
+  ) => Promise<void>;
   /** The newest configuration, undefined before the first. */
   readonly config: () => OperatorConfig | undefined;
   /** Whether callers should be sent here. */
@@ -182,8 +183,10 @@
 
   readonly identifyForPeer = (): PeerProcess => this.relay.identify();
 
-  readonly relayForPeer = (start: RelayedStart): Promise<RelayAnswer> =>
-    this.relay.take(start);
+  readonly relayForPeer = (
+    batch: RelayBatch,
+    told: (at: number, outcome: RelayOutcome) => void,
+  ): Promise<void> => this.relay.take(batch, told);
 
   readonly handOver = async (waitMs: Millis): Promise<void> => {
     this.stopping = true;
@@ -281,7 +284,6 @@
   claim: WonClaim,
 ): Leader {
   const { ctx, maxLeaseMs, retentionMs, statusMs, peerAddress } = options;
-  const { linkShares } = options;
   const { clock, meters } = ctx;
   const port = meterWorkers(options.workerPort(), meters, clock);
   const starts = new RelayedStarts({
@@ -290,8 +292,7 @@
     peers: options.peers,
     epoch: claim.epoch,
     state: replica.state,
-    budget: new LinkBudget(clock, linkShares.payloads),
-    pace: new LinkPace(ctx, linkShares.starts),
+    shares: options.linkShares,
   });
   return new Leader({
     ctx,
--- a/packages/daemon/src/job-host/worker-orders.ts
+++ b/packages/daemon/src/job-host/worker-orders.ts
@@ -115,7 +115,8 @@
     const whyNot = (): StartGivenUp | undefined =>
       this.whyNotStart(run, decidedAt);
     const isWanted = (): boolean => whyNot() === undefined;
-    const res = await starts.send(info(), order, isWanted);
+    const sendBy = this.sendBy(decidedAt);
+    const res = await starts.send(info(), order, { isWanted, sendBy });
     if (res.kind === 'not_wanted') {
       this.giveUpUnsent(run, whyNot() ?? 'late');
     } else {
@@ -144,6 +145,17 @@
     return mayStart() ? undefined : 'worker';
   }
 
+  /** Until when a start that may be sent now stays so by what this leader knows. */
+  private sendBy(decidedAt: Instant): Instant {
+    const { ctx, inboxAgeMs, registryAgeMs } = this.options;
+    const now = ctx.clock();
+    return Math.min(
+      now - inboxAgeMs() + INBOX_STALE_MS,
+      now - registryAgeMs() + REGISTRY_STALE_MS,
+      decidedAt + START_WAIT_MS,
+    );
+  }
+
   /** Gives up a start that waited for its worker. */
   private giveUpStart(run: Run, reason: StartGivenUp): void {
     const { ctx, events } = this.options;
--- a/packages/ports/src/jobs/peer-port.ts
+++ b/packages/ports/src/jobs/peer-port.ts
@@ -1,19 +1,24 @@
 /** Calls between the hosts of one system. */
-import type { Instant } from '@paddlewind/domain';
+import type { Instant, Millis } from '@paddlewind/domain';
 
 import type { AppendResult } from './job-log.js';
 import type { OrderResult, StartOrder, WorkerAddress } from './worker-port.js';
 
 /** A start that a leader has another host send; that host knows the job's payload from the log. */
 export interface RelayedStart {
+  readonly worker: WorkerAddress;
+  readonly order: Omit<StartOrder, 'payload'>;
+  /** Latest time at which it is sent, by the clock of the process that is to send it. */
+  readonly sendBy: Instant;
+}
+
+/** Starts that a leader has another host send. */
+export interface RelayBatch {
   /** Epoch of the leader. */
   readonly epoch: number;
-  /** Process that is to send it: clocks of two processes can't be compared. */
+  /** Process that is to send them: clocks of two processes can't be compared. */
   readonly process: string;
-  /** Latest time by that process's clock at which it is sent. */
-  readonly sendBy: Instant;
-  readonly worker: WorkerAddress;
-  readonly order: Omit<StartOrder, 'payload'>;
+  readonly starts: readonly RelayedStart[];
 }
 
 /**
@@ -31,21 +36,30 @@
 }
 
 /** What became of a start that another host was to send. */
-export type RelayAnswer = PeerProcess &
-  (
-    | { readonly kind: 'sent'; readonly result: OrderResult }
-    /** Nothing was sent, nor will be. */
-    | { readonly kind: 'refused'; readonly why: RelayRefusal }
-  );
+export type RelayOutcome =
+  | { readonly kind: 'sent'; readonly result: OrderResult }
+  /** Nothing was sent, nor will be. */
+  | { readonly kind: 'refused'; readonly why: RelayRefusal };
+
+/** How a call that carried a batch failed: with `unknown` a start may have been sent, or may still be. */
+export interface RelayFailure {
+  readonly kind: 'failed';
+  readonly outcome: 'not_run' | 'unknown';
+  readonly reason: string;
+}
 
-/** An answer, or how the call failed: with `unknown` the start may have been sent, or may still be. */
-export type RelayResult =
-  | RelayAnswer
-  | {
-      readonly kind: 'failed';
-      readonly outcome: 'not_run' | 'unknown';
-      readonly reason: string;
-    };
+/** How such a call ended; of a start of which nothing was told it is not known what became. */
+export type RelayEnd = { readonly kind: 'ended' } | RelayFailure;
+
+/** What a leader is told while a batch is under way. */
+export interface RelayWatch {
+  /** Time within which the host has to take the batch; else the call has failed. */
+  readonly takenWithinMs: Millis;
+  /** The host has taken the batch: in time, or late, once the call has failed. */
+  readonly taken: (by: PeerProcess) => void;
+  /** What became of the start at this index of the batch. */
+  readonly told: (at: number, outcome: RelayOutcome) => void;
+}
 
 /** Reaches other hosts. */
 export interface PeerPort {
@@ -59,6 +73,10 @@
   ): Promise<AppendResult>;
   /** Asks which process is at `address`; undefined where none tells. */
   identify(address: string): Promise<PeerProcess | undefined>;
-  /** Has the host at `address` send a start to a worker. */
-  relay(address: string, start: RelayedStart): Promise<RelayResult>;
+  /** Has the host at `address` send starts to workers; the slowest worker holds up no other's outcome. */
+  relay(
+    address: string,
+    batch: RelayBatch,
+    watch: RelayWatch,
+  ): Promise<RelayEnd>;
 }
