Use a host on for other workers where one does not answer it

What callers saw: for 3 s after one worker was slow the leader had no other host, and sent all payloads itself.

Cause: one start that the leader's own call brought to its worker, after the other host's had no answer, rested that host for all workers; a slow worker goes through the hosts one by one. Likewise a host that had not read of one job yet rested for half a second as one that can't send at all. The same fault as that of hosts that seem silent: what one call says of one peer is taken for the whole host.

Change: such a host is not used for that worker; from four workers on for none, while others are there. Rests for what all hosts may share, as a slow link or a slow log, count as those of silent ones: where most rest they are used on.

Kept for the tests, which failed before: a host that one worker does not answer is used on for others; ... that several workers do not answer is used for none.

--- a/packages/daemon/src/job-host/relay/relay-batches.ts
+++ b/packages/daemon/src/job-host/relay/relay-batches.ts
@@ -78,7 +78,9 @@
     const hosts = this.usable();
     const byHost = new Map<RelayHost, Waiting[]>();
     for (const one of batch) {
-      const host = hosts.find(other => !one.tried.has(other));
+      const host = hosts.find(
+        other => !one.tried.has(other) && other.reaches(one.start.worker.id),
+      );
       if (host === undefined) {
         one.settle(undefined);
       } else {
@@ -94,8 +96,8 @@
   }
 
   /**
-   * Hosts that may be given starts, the least busy ones first. Where most seem to be silent at once the link
-   * here is slow: those that merely did not answer in time are used on, as nothing else relieves it.
+   * Hosts that may be given starts, the least busy ones first. Where most rest at once the cause is likely here,
+   * as a link that is full: they are used on, since nothing else relieves it.
    */
   private usable(): RelayHost[] {
     const there = [...this.hosts()].filter(({ isThere }) => isThere);
@@ -103,7 +105,7 @@
     const found =
       2 * rested.length >= there.length
         ? rested
-        : there.filter(host => host.isUsable || host.isOnlySlow);
+        : there.filter(({ isLastResort }) => isLastResort);
     return found.sort(
       (a, b) => a.underWay - b.underWay || a.lastUsedAt - b.lastUsedAt,
     );
--- a/packages/daemon/src/job-host/relay/relay-host.ts
+++ b/packages/daemon/src/job-host/relay/relay-host.ts
@@ -10,11 +10,13 @@
 
 import type { HostContext } from '../context.js';
 
-/** How long a host is not used that does not reach a worker which this one reaches. */
+/** How long a host is not used for a worker that answers this one and not it. */
 const CUT_OFF_REST_MS: Millis = 3_000;
+/** Workers that do not answer a host from which on it is used for no other either. */
+const CUT_OFF_WORKERS = 4;
 /** How long a host is not used that did not answer, unless it is heard before. */
 const SILENCE_REST_MS: Millis = 1_000;
-/** How long a host is not used that has refused a start. */
+/** How long a host is not used that has refused a start for what it says of itself. */
 const REFUSAL_REST_MS: Millis = 500;
 /** A host of which nothing was heard for this long since it was called is gone, however slow the link is. */
 const GONE_MS: Millis = 2_000;
@@ -30,8 +32,11 @@
   readonly since: Instant;
 }
 
-/** Why a host is not used for a while: what it, or another one, has told, or that it tells nothing. */
-type RestKind = 'told' | 'silent';
+/**
+ * Why a host is not used for a while: it sends no starts; it did not answer in time; it is behind, or cut off
+ * from workers. All but the first may be for a slow link here, or something else that all hosts share.
+ */
+type RestKind = 'unable' | 'silent' | 'impaired';
 
 /** What became of a start that a host was given. */
 export type RelayResult = RelayOutcome | RelayFailure;
@@ -61,11 +66,13 @@
 export class RelayHost {
   private known: KnownProcess | undefined;
   private restsUntil: Instant = -Infinity;
-  private restKind: RestKind = 'told';
+  private restKind: RestKind = 'unable';
   private heardAt: Instant = -Infinity;
   /** When it was first called of which it has said nothing since; undefined where it has answered all calls. */
   private unansweredSince: Instant | undefined;
   private isAsking = false;
+  /** Until when it is not used for a worker, by the worker's id. */
+  private readonly cutOff = new Map<string, Instant>();
   private ordersUnderWay = 0;
   private usedAt: Instant = -Infinity;
 
@@ -106,9 +113,15 @@
     return this.isThere && this.hasRested;
   }
 
-  /** Whether it is not used for no other reason than that it did not answer in time. */
-  get isOnlySlow(): boolean {
-    return this.isThere && !this.hasRested && this.restKind === 'silent';
+  /** Whether it may be given a start where most others rest as well. */
+  get isLastResort(): boolean {
+    return this.isThere && (this.hasRested || this.restKind !== 'unable');
+  }
+
+  /** Whether the worker answers it, as far as is known. */
+  reaches(worker: string): boolean {
+    const until = this.cutOff.get(worker) ?? -Infinity;
+    return this.options.ctx.clock() >= until;
   }
 
   /** Asks which process is there, unless it has answered of late: no start waits for a host that may be gone. */
@@ -175,8 +188,17 @@
   }
 
   /** Notes that a worker answers this host and not the other one. */
-  noteCutOff(): void {
-    this.rest('a worker does not answer it', CUT_OFF_REST_MS, 'told');
+  noteCutOff(worker: string): void {
+    const now = this.options.ctx.clock();
+    this.cutOff.set(worker, now + CUT_OFF_REST_MS);
+    for (const [id, until] of this.cutOff) {
+      if (until <= now) {
+        this.cutOff.delete(id);
+      }
+    }
+    if (this.cutOff.size >= CUT_OFF_WORKERS) {
+      this.rest('workers do not answer it', CUT_OFF_REST_MS, 'impaired');
+    }
   }
 
   private rest(reason: string, span: Millis, kind: RestKind): void {
@@ -204,7 +226,8 @@
     if (outcome.why === 'late') {
       this.options.late();
     } else if (outcome.why !== 'other_process') {
-      this.rest(outcome.why, REFUSAL_REST_MS, 'told');
+      const kind = outcome.why === 'unknown_job' ? 'impaired' : 'unable';
+      this.rest(outcome.why, REFUSAL_REST_MS, kind);
     }
   }
 
@@ -214,7 +237,7 @@
     }
     this.unansweredSince ??= sentAt;
     if (res.outcome === 'not_run') {
-      this.rest(res.reason, SILENCE_REST_MS, 'told');
+      this.rest(res.reason, SILENCE_REST_MS, 'unable');
     } else {
       this.rest(res.reason, SILENCE_REST_MS, 'silent');
       this.options.late();
--- a/packages/daemon/src/job-host/relay/relayed-starts.test.ts
+++ b/packages/daemon/src/job-host/relay/relayed-starts.test.ts
@@ -303,7 +303,7 @@
 });
 
 // The leader alone tells whether a worker is silent: the way from the other host to it may be cut.
-test('a worker that does not answer another host is asked by the leader, and that host rests', async () => {
+test('a worker that does not answer another host is asked by the leader, and has another host then', async () => {
   const site = await knownSite({ kind: 'sent', result: SILENT });
   await site.time.advance(10);
   assert.deepEqual(await site.sendOne('w'), ACCEPTED);
@@ -314,6 +314,36 @@
   assert.notEqual(second, first);
 });
 
+// One worker that is slow for a moment would else leave the leader without hosts, and with all payloads.
+test('a host that one worker does not answer is used on for others', async () => {
+  const site = await knownSite({ kind: 'sent', result: SILENT });
+  await site.sendToAll(workersOf(RELAYS.length));
+  site.answerAll({ kind: 'sent', result: ACCEPTED });
+  site.sentBy.length = 0;
+  await site.sendOne('w');
+  await site.sendOne('v');
+  site.starts.close();
+  const [again, other] = site.sentBy;
+  assert.equal(again, 'leader');
+  assert.ok(other !== undefined && other !== 'leader');
+});
+
+test('a host that several workers do not answer is used for none, while there are others', async () => {
+  const site = new LeaderSite();
+  await site.time.advance(10);
+  const [cut = ''] = RELAYS;
+  site.answers.set(cut, { kind: 'sent', result: SILENT });
+  await site.sendToAll(workersOf(4 * RELAYS.length, 'w'));
+  const before = site.sentBy.filter(by => by === cut).length;
+  assert.equal(before, 4);
+  await site.sendToAll(workersOf(RELAYS.length, 'v'));
+  assert.equal(site.sentBy.filter(by => by === cut).length, before);
+  await site.time.advance(3_000);
+  await site.sendToAll(workersOf(RELAYS.length, 'w'));
+  site.starts.close();
+  assert.ok(site.sentBy.filter(by => by === cut).length > before);
+});
+
 // It may have begun and ended there: recorded as never begun, its task would run once more.
 test('a run that is refused after another host may have sent it is not taken for one that never began', async () => {
   const old: OrderResult = { kind: 'rejected', why: 'superseded', clock: 7 };
--- a/packages/daemon/src/job-host/relay/relayed-starts.ts
+++ b/packages/daemon/src/job-host/relay/relayed-starts.ts
@@ -125,7 +125,7 @@
     // A worker that has the run already accepts it once more.
     const own = await this.sendOwn(this.retries, worker, order, limits);
     if (own.kind === 'accepted') {
-      unanswered?.noteCutOff();
+      unanswered?.noteCutOff(worker.id);
     }
     return mayBegin ? afterAnother(own) : own;
   }
