Count the bytes of a host's connections, and how long starts wait to be taken

What was missing for the traces of the full link: which direction of a leader's link is full, with what, and how long calls to other hosts wait. The bytes are read off the sockets when the metrics are asked for.

--- a/packages/bench/src/reference/metrics.ts
+++ b/packages/bench/src/reference/metrics.ts
@@ -3,6 +3,7 @@
 import {
   createJobMeters,
   registerJobGauges,
+  registerLinkUse,
 } from '@paddlewind/daemon/job-host';
 import { startHostListServer, startLogServer } from '@paddlewind/stand-ins';
 import { pino } from 'pino';
@@ -49,6 +50,7 @@
     openJobs: () => 0,
     openRuns: () => 0,
   });
+  registerLinkUse(registry, [], () => ({ sent: 0, received: 0 }));
   return registry.metrics();
 }
 
--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -68,6 +68,8 @@
   readonly startSent: (wait: Millis, inboxAge: Millis) => void;
   /** Another host was to send a start for this one, which leads. */
   readonly startRelayed: (outcome: string) => void;
+  /** Another host has taken starts, `tookMs` after they were sent. */
+  readonly startsTaken: (tookMs: Millis) => void;
   /** A start that was decided on is not sent. */
   readonly startGivenUp: (reason: StartGivenUp) => void;
   /** A caller's request was refused; nothing was recorded of it. */
@@ -270,7 +272,12 @@
 
 type LagMeters = Pick<
   JobMeters,
-  'startSent' | 'startRelayed' | 'startGivenUp' | 'refused' | 'loopDelayed'
+  | 'startSent'
+  | 'startRelayed'
+  | 'startsTaken'
+  | 'startGivenUp'
+  | 'refused'
+  | 'loopDelayed'
 >;
 
 /** Registers what tells how far this host is behind, and what it turns down. */
@@ -306,6 +313,10 @@
     labelNames: ['outcome'],
     registers: [registry],
   });
+  const taken = behind(
+    'starts_taken',
+    'Time until another host had taken starts: what is queued on the links between.',
+  );
   const refusals = new Counter({
     name: 'paddlewind_jobs_refused_total',
     help: 'Requests of callers that were refused, by what was asked for and why.',
@@ -320,6 +331,9 @@
     startRelayed: outcome => {
       relayed.inc({ outcome });
     },
+    startsTaken: tookMs => {
+      taken.observe(tookMs / MS_PER_S);
+    },
     startGivenUp: reason => {
       givenUp.inc({ reason });
     },
--- a/packages/daemon/src/job-host/relay/relayed-starts.ts
+++ b/packages/daemon/src/job-host/relay/relayed-starts.ts
@@ -213,6 +213,7 @@
       host,
       address,
       taken: (starts, tookMs) => {
+        ctx.meters.startsTaken(tookMs);
         batches.noteTaken(tookMs);
         window.noteTaken(starts, tookMs, ctx.clock());
       },
