Go by all hosts when starts are taken late, and use slow hosts last

Cause: the window of starts under way shrank with each answer that was 150 ms later than the quickest of any host, several a second, and stood at its least of 8 while the link of the leader was idle.

Change: it shrinks only where no host has taken starts at once within 300 ms, since a queue on the leader's own link holds all of them up; slow hosts are given starts last for a second.

--- a/packages/daemon/src/job-host/relay/overload-recovery.test.ts
+++ b/packages/daemon/src/job-host/relay/overload-recovery.test.ts
@@ -7,6 +7,7 @@
 import { test } from 'node:test';
 
 import {
+  FULL_LINK_BYTES_PER_S,
   LIGHT,
   LONG_OVERLOAD,
   OverloadSite,
@@ -24,8 +25,8 @@
 const LONG_RECOVERY_MS = 12_000;
 const FREEZE_MS = 1_500;
 
-async function settled(): Promise<OverloadSite> {
-  const site = new OverloadSite(SEED);
+async function settled(linkBytesPerS?: number): Promise<OverloadSite> {
+  const site = new OverloadSite(SEED, linkBytesPerS);
   await site.settle();
   return site;
 }
@@ -79,3 +80,19 @@
   const light = { jobsPerS: LIGHT, ms: 20_000 };
   await assertRecovers(site, light, LONG_RECOVERY_MS);
 });
+
+// One of many that is slow would else keep the starts that are under way at their fewest, on a link that is idle.
+test('jobs begin in time again soon after a peak though one other host is slow', async () => {
+  const site = await settled();
+  await site.load([BEFORE, { jobsPerS: PEAK, ms: 2_000 }]);
+  site.slowOne(250);
+  await assertRecovers(site);
+});
+
+test('jobs begin in time again soon after a peak in which the leader is lost, on a link that is full', async () => {
+  const site = await settled(FULL_LINK_BYTES_PER_S);
+  await site.load([BEFORE, { jobsPerS: PEAK, ms: 1_000 }]);
+  site.replaceLeader();
+  await site.load([{ jobsPerS: PEAK, ms: 1_000 }]);
+  await assertRecovers(site);
+});
--- a/packages/daemon/src/job-host/relay/overload-site.fixture.test.ts
+++ b/packages/daemon/src/job-host/relay/overload-site.fixture.test.ts
@@ -11,6 +11,8 @@
  * load with little to spare, though more than a third of 2 Mbit/s: the sizes of calls here are coarse.
  */
 const LINK_BYTES_PER_S = 110_000;
+/** A third of 2 Mbit/s, on which the steady load leaves nothing to spare. */
+export const FULL_LINK_BYTES_PER_S = 85_000;
 const CONNECTIONS = 5;
 const WORKERS = 34;
 const HOSTS = 10;
@@ -51,11 +53,11 @@
   readonly asked: AskedJob[] = [];
 
   /** Creates a site whose chance follows `seed`. */
-  constructor(seed: number) {
+  constructor(seed: number, linkBytesPerS = LINK_BYTES_PER_S) {
     this.site = new Simulation(seed, {
-      linkBytesPerS: LINK_BYTES_PER_S,
+      linkBytesPerS,
       relaysAll: false,
-      wire: { inBytesPerS: LINK_BYTES_PER_S, connections: CONNECTIONS },
+      wire: { inBytesPerS: linkBytesPerS, connections: CONNECTIONS },
     });
     this.site.history.faults = new FaultTimes();
     for (let at = 0; at < WORKERS; at += 1) {
@@ -99,6 +101,12 @@
     this.site.freeze(name, span);
   }
 
+  /** Makes starts take longer on their way to one of the hosts that stand by. */
+  slowOne(span: Millis): void {
+    const [slow = assert.fail()] = this.others();
+    this.site.peers.startDelays.set(slow, span);
+  }
+
   /** Kills the leader, which is there again soon: another one leads by then, and jobs wait. */
   replaceLeader(): void {
     const name = this.site.leader();
--- a/packages/daemon/src/job-host/relay/relay-batches.ts
+++ b/packages/daemon/src/job-host/relay/relay-batches.ts
@@ -96,7 +96,7 @@
   }
 
   /**
-   * Hosts that may be given starts, the least busy ones first. Where most rest at once the cause is likely here,
+   * Hosts that may be given starts, the quick ones first, of these the least busy. Where most rest at once the cause is likely here,
    * as a link that is full: they are used on, since nothing else relieves it.
    */
   private usable(): RelayHost[] {
@@ -107,7 +107,10 @@
         ? rested
         : there.filter(({ isLastResort }) => isLastResort);
     return found.sort(
-      (a, b) => a.underWay - b.underWay || a.lastUsedAt - b.lastUsedAt,
+      (a, b) =>
+        Number(a.isSlow) - Number(b.isSlow) ||
+        a.underWay - b.underWay ||
+        a.lastUsedAt - b.lastUsedAt,
     );
   }
 }
--- a/packages/daemon/src/job-host/relay/relay-host.ts
+++ b/packages/daemon/src/job-host/relay/relay-host.ts
@@ -20,8 +20,15 @@
 const REFUSAL_REST_MS: Millis = 500;
 /** A host of which nothing was heard for this long since it was called is gone, however slow the link is. */
 const GONE_MS: Millis = 2_000;
-/** How long the best bound of another clock is kept: a machine may have stood still since. */
+/**
+ * How long the best bound of another clock is kept, and a host that is used for nothing is not asked for a new
+ * one: a machine may have stood still since.
+ */
 const CLOCK_KEPT_MS: Millis = 2_000;
+/** A host that takes longer to take starts is given others only where all are as slow. */
+const SLOW_MS: Millis = 150;
+/** For how long it is: it may have been slow for a moment. */
+const SLOW_REST_MS: Millis = 1_000;
 
 /** What one process of the host has told. */
 interface KnownProcess {
@@ -75,6 +82,7 @@
   private readonly cutOff = new Map<string, Instant>();
   private ordersUnderWay = 0;
   private usedAt: Instant = -Infinity;
+  private slowUntil: Instant = -Infinity;
 
   /** Creates a contact to a host that was not called yet. */
   constructor(private readonly options: RelayHostOptions) {}
@@ -94,6 +102,11 @@
     return this.ordersUnderWay;
   }
 
+  /** Whether it has taken starts late of late. */
+  get isSlow(): boolean {
+    return this.options.ctx.clock() < this.slowUntil;
+  }
+
   /** When it was given a start last. */
   get lastUsedAt(): Instant {
     return this.usedAt;
@@ -126,8 +139,9 @@
 
   /** Asks which process is there, unless it has answered of late: no start waits for a host that may be gone. */
   async identify(): Promise<void> {
-    const { peers, address } = this.options;
-    if (this.isUsable || this.isAsking) {
+    const { ctx, peers, address } = this.options;
+    const isKnownOfLate = ctx.clock() - this.heardAt < CLOCK_KEPT_MS;
+    if ((this.isUsable && isKnownOfLate) || this.isAsking) {
       return;
     }
     this.isAsking = true;
@@ -170,7 +184,7 @@
         takenWithinMs,
         taken: by => {
           this.hear(by);
-          this.options.taken(orders.length, ctx.clock() - sentAt);
+          this.noteTaken(orders.length, ctx.clock() - sentAt);
         },
         told: (at, outcome) => {
           this.note(outcome);
@@ -218,6 +232,13 @@
     return this.options.ctx.clock() >= this.restsUntil;
   }
 
+  private noteTaken(starts: number, tookMs: Millis): void {
+    if (tookMs > SLOW_MS) {
+      this.slowUntil = this.options.ctx.clock() + SLOW_REST_MS;
+    }
+    this.options.taken(starts, tookMs);
+  }
+
   /** A start that came late tells of the way to the host, and one for another process of what is there now. */
   private note(outcome: RelayOutcome): void {
     if (outcome.kind !== 'refused') {
@@ -232,16 +253,15 @@
   }
 
   private noteFailure(res: RelayFailure, sentAt: Instant): void {
+    if (res.outcome === 'unknown') {
+      this.options.late();
+    }
     if (this.heardAt >= sentAt) {
       return;
     }
     this.unansweredSince ??= sentAt;
-    if (res.outcome === 'not_run') {
-      this.rest(res.reason, SILENCE_REST_MS, 'unable');
-    } else {
-      this.rest(res.reason, SILENCE_REST_MS, 'silent');
-      this.options.late();
-    }
+    const kind = res.outcome === 'unknown' ? 'silent' : 'unable';
+    this.rest(res.reason, SILENCE_REST_MS, kind);
   }
 
   /**
--- a/packages/daemon/src/job-host/relay/relay-window.test.ts
+++ b/packages/daemon/src/job-host/relay/relay-window.test.ts
@@ -30,7 +30,8 @@
   assert.equal(window.size, 70);
   window.noteLate(1_400);
   assert.equal(window.size, 49);
-  assert.ok(window.isNarrow);
+  assert.ok(window.isNarrow(1_500));
+  assert.ok(!window.isNarrow(4_000));
 });
 
 test('the window never closes', () => {
@@ -49,7 +50,18 @@
   assert.equal(window.size, narrow + 10);
   window.noteTaken(5_000, QUICK_MS, 1_100);
   assert.equal(window.size, 200);
-  assert.ok(!window.isNarrow);
+  assert.ok(!window.isNarrow(1_150));
+});
+
+// The window would else stand at its least for as long as one host of many is slow, on a link that is idle.
+test('a host that is slow alone tells of no queue on the link of the leader', () => {
+  const window = seenQuick();
+  for (let at = 100; at < 10_000; at += 100) {
+    window.noteTaken(5, QUICK_MS, at);
+    window.noteTaken(5, QUEUED_MS, at + 50);
+    window.noteLate(at + 60);
+  }
+  assert.equal(window.size, 149);
 });
 
 // Hosts of another region always take longer: that is no queue.
--- a/packages/daemon/src/job-host/relay/relay-window.ts
+++ b/packages/daemon/src/job-host/relay/relay-window.ts
@@ -6,32 +6,38 @@
 /** Fewest: with these the link is tried at any time. */
 const FEWEST = 8;
 /** Bytes of a start on its way to another host. */
-const START_BYTES = 150;
+const RELAYED_BYTES = 150;
 /** Time for which the first starts may keep the link busy. */
 const FIRST_BURST_MS: Millis = 100;
 /** What the window grows by with each start that is taken at once. */
 const GROWTH = 0.1;
 /** What is left of it when one is taken late. */
 const SHRINK = 0.7;
-/** Starts that are taken late within this time show the same queue on the link. */
+/**
+ * Starts that are taken late within this time show the same queue on the link, unless some were taken at once:
+ * a queue on the leader's own link holds all of them up.
+ */
 const SAME_CAUSE_MS: Millis = 300;
+/** Starts wait for the link for this long after they were last taken late. */
+const BUSY_MS: Millis = 2_000;
 /** Beyond the quickest answer of any host an answer this much later tells of a queue. */
 const QUEUED_MS: Millis = 150;
 const MS_PER_S = 1_000;
 
 /**
- * A window as that of a transport protocol, which goes by the time until starts are taken: what a link carries
- * beside them, in either direction, is not known beforehand. Without it all time-outs end together at a peak,
+ * A window as that of a transport protocol, which goes by the time until starts are taken: what the leader's link
+ * carries beside them, in either direction, is not known beforehand. Without it all time-outs end together at a peak,
  * and what is then sent again keeps the link full.
  */
 export class RelayWindow {
   private width: number;
   private quickestMs: Millis = Infinity;
   private shrunkAt: Instant = -Infinity;
+  private takenAtOnceAt: Instant = -Infinity;
 
   /** Creates a window for a link that carries `bytesPerS`, which may be infinite. */
   constructor(bytesPerS: number) {
-    const burst = ((bytesPerS / MS_PER_S) * FIRST_BURST_MS) / START_BYTES;
+    const burst = ((bytesPerS / MS_PER_S) * FIRST_BURST_MS) / RELAYED_BYTES;
     this.width = Math.min(MOST, Math.max(FEWEST, burst));
   }
 
@@ -40,9 +46,9 @@
     return Math.floor(this.width);
   }
 
-  /** Whether starts wait for the link: some were taken late, and it has not grown back since. */
-  get isNarrow(): boolean {
-    return this.shrunkAt > -Infinity && this.width < MOST;
+  /** Whether starts wait for the link: it has shrunk of late, and not grown back. */
+  isNarrow(now: Instant): boolean {
+    return now - this.shrunkAt < BUSY_MS && this.width < MOST;
   }
 
   /** Notes that another host has taken `starts` after `tookMs`. */
@@ -51,13 +57,15 @@
     if (tookMs > this.quickestMs + QUEUED_MS) {
       this.noteLate(now);
     } else {
+      this.takenAtOnceAt = now;
       this.width = Math.min(MOST, this.width + GROWTH * starts);
     }
   }
 
   /** Notes that another host has not taken starts in time. */
   noteLate(now: Instant): void {
-    if (now - this.shrunkAt > SAME_CAUSE_MS) {
+    const seenAt = Math.max(this.shrunkAt, this.takenAtOnceAt);
+    if (now - seenAt > SAME_CAUSE_MS) {
       this.shrunkAt = now;
       this.width = Math.max(FEWEST, this.width * SHRINK);
     }
--- a/packages/daemon/src/job-host/relay/relayed-starts.ts
+++ b/packages/daemon/src/job-host/relay/relayed-starts.ts
@@ -94,7 +94,9 @@
 
   /** Whether starts wait for the link. */
   get isBusy(): boolean {
-    return this.batches.hasHost ? this.window.isNarrow : this.alone.isBusy;
+    return this.batches.hasHost
+      ? this.window.isNarrow(this.options.ctx.clock())
+      : this.alone.isBusy;
   }
 
   /** How many starts the link carries soon. */
@@ -137,6 +139,9 @@
     order: StartOrder,
     { isWanted }: StartLimits,
   ): Promise<StartResult> {
+    if (!isWanted()) {
+      return NOT_WANTED;
+    }
     const hasTurn = await pace.admit(bytesOf(order));
     return hasTurn && isWanted()
       ? this.options.port.start(worker, order)
@@ -153,7 +158,8 @@
     const relayed = { task, run, leaseUntil, fence, checkpoint, ticket };
     const tried = new Set<RelayHost>();
     let mayBegin = false;
-    while (tried.size < MOST_TRIES && isWanted()) {
+    const { clock } = this.options.ctx;
+    while (tried.size < MOST_TRIES && isWanted() && clock() < sendBy) {
       const start = { worker, order: relayed };
       const found = await this.batches.send(start, sendBy, tried);
       if (found === undefined) {
