Name the bytes of starts by who sends them, and drop a property that nobody reads

LinkPace.isLimited was read by its own test alone; what a pace without a limit does is still asserted by the turns that it gives. No behaviour changes.

--- a/packages/daemon/src/job-host/relay/link-pace.test.ts
+++ b/packages/daemon/src/job-host/relay/link-pace.test.ts
@@ -52,5 +52,5 @@
   const free = new LinkPace(ctx, Infinity);
   assert.equal(free.mostStarts, Infinity);
   assert.deepEqual(await turnsOf(free, time, 2, 1e9), [0, 0]);
-  assert.ok(!free.isBusy && !free.isLimited);
+  assert.ok(!free.isBusy);
 });
--- a/packages/daemon/src/job-host/relay/link-pace.ts
+++ b/packages/daemon/src/job-host/relay/link-pace.ts
@@ -1,4 +1,4 @@
-/** How fast starts go out, so that looks, stops and appends are not held up behind them on a full link. */
+/** How fast payloads go out, so that looks, stops and appends are not held up behind them on a full link. */
 import type { Instant, Millis } from '@paddlewind/domain';
 
 import { pause, type HostContext } from '../context.js';
@@ -33,11 +33,6 @@
     this.bytesPerMs = bytesPerS / MS_PER_S;
   }
 
-  /** Whether there is a pace at all. */
-  get isLimited(): boolean {
-    return this.bytesPerMs < Infinity;
-  }
-
   /** Whether starts wait for their turns. */
   get isBusy(): boolean {
     return this.waitMs() > 0;
--- a/packages/daemon/src/job-host/relay/relay-host.ts
+++ b/packages/daemon/src/job-host/relay/relay-host.ts
@@ -102,7 +102,7 @@
     return this.ordersUnderWay;
   }
 
-  /** Whether it has taken starts late of late. */
+  /** Whether it took long to take starts within the last second. */
   get isSlow(): boolean {
     return this.options.ctx.clock() < this.slowUntil;
   }
@@ -160,6 +160,7 @@
     takenWithinMs: Millis,
   ): Promise<void> {
     const { ctx, peers, epoch, address } = this.options;
+    // Only a host that is known is given starts; no process has an empty name.
     const { id: process = '', aheadMs = 0 } = this.known ?? {};
     const sentAt = ctx.clock();
     const open = new Map(orders.entries());
--- a/packages/daemon/src/job-host/relay/relayed-starts.ts
+++ b/packages/daemon/src/job-host/relay/relayed-starts.ts
@@ -28,8 +28,8 @@
 
 /** How often hosts are looked for that could send starts, and asked who they are. */
 const IDENTIFY_EVERY_MS: Millis = 500;
-/** Bytes of a start beside the job's payload. */
-const START_BYTES = 300;
+/** Bytes of a start that the leader sends itself, beside the job's payload. */
+const OWN_START_BYTES = 300;
 /** Hosts that a start is given to, one after the other, before the leader sends it. */
 const MOST_TRIES = 2;
 
@@ -248,7 +248,7 @@
 }
 
 function bytesOf({ payload }: StartOrder): number {
-  return START_BYTES + payload.length;
+  return OWN_START_BYTES + payload.length;
 }
 
 /**
