--- a/packages/daemon/src/job-host/relay/relay-batches.ts
+++ b/packages/daemon/src/job-host/relay/relay-batches.ts
@@ -1,5 +1,6 @@
 /** Gathers starts for other hosts, and shares them among these. */
 import type { Instant, Millis } from '@paddlewind/domain';
+
 import { AnswerSlack } from '../answer-slack.js';
 import type { HostContext } from '../context.js';
 import type { RelayedOrder, RelayHost, RelayResult } from './relay-host.js';
@@ -96,8 +97,8 @@
   }
 
   /**
-   * Hosts that may be given starts, the quick ones first, of these the least busy. Where most rest at once the cause is likely here,
-   * as a link that is full: they are used on, since nothing else relieves it.
+   * Hosts that may be given starts, the quick ones first, of these the least busy. Where most rest at once the
+   * cause is likely here, as a link that is full: they are used on, since nothing else relieves it.
    */
   private usable(): RelayHost[] {
     const there = [...this.hosts()].filter(({ isThere }) => isThere);
--- a/packages/daemon/src/job-host/relay/relay-window.ts
+++ b/packages/daemon/src/job-host/relay/relay-window.ts
@@ -25,9 +25,9 @@
 const MS_PER_S = 1_000;
 
 /**
- * A window as that of a transport protocol, which goes by the time until starts are taken: what the leader's link
- * carries beside them, in either direction, is not known beforehand. Without it all time-outs end together at a peak,
- * and what is then sent again keeps the link full.
+ * A window as that of a transport protocol, which goes by the time until starts are taken: what the leader's
+ * link carries beside them, in either direction, is not known beforehand. Without it many starts run out of time
+ * together at a peak, and what is then sent again keeps the link full.
  */
 export class RelayWindow {
   private width: number;
--- a/packages/daemon/src/job-host/relay/relayed-starts.ts
+++ b/packages/daemon/src/job-host/relay/relayed-starts.ts
@@ -59,8 +59,9 @@
 export class RelayedStarts implements StartSender {
   private readonly hosts = new Map<string, RelayHost>();
   private readonly budget: LinkBudget;
-  /** For starts that other hosts could not send, and for all while there is none that can. */
+  /** For starts that other hosts could not send. */
   private readonly retries: LinkPace;
+  /** For all starts, while no other host can send any. */
   private readonly alone: LinkPace;
   private readonly window: RelayWindow;
   private readonly batches: RelayBatches;
