--- a/packages/daemon/src/job-host/simulated-network.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulated-network.fixture.test.ts
@@ -11,7 +11,6 @@
 import type { VirtualTime } from '@paddlewind/stand-ins';
 
 import type { SimulatedProcess } from './simulated-process.fixture.test.js';
-import type { SimulatedWire } from './simulated-wire.fixture.test.js';
 import type { JobHost } from './start-job-host.js';
 
 /** Bytes of a call beside a job's payload. */
@@ -79,6 +78,12 @@
   }
 }
 
+/** The link of a host in each direction. */
+export interface HostLinks {
+  readonly out: SimulatedLink;
+  readonly into: SimulatedLink;
+}
+
 /** A host and its process. */
 export interface ReachedHost {
   readonly host: JobHost;
@@ -93,8 +98,8 @@
   readonly startDelays = new Map<string, Millis>();
   /** Whether no host reaches another one. */
   cutAll = false;
-  /** Wires by host, where the site has any. */
-  readonly wires = new Map<string, SimulatedWire>();
+  /** Links by host, where the site has any in both directions. */
+  readonly links = new Map<string, HostLinks>();
   /** How often a host was asked to append for another one. */
   appends = 0;
   /** How often a host was asked to send a start for another one. */
--- a/packages/daemon/src/job-host/simulated-wire.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulated-wire.fixture.test.ts
@@ -15,6 +15,7 @@
 
 import {
   pauseOf,
+  type HostLinks,
   type SimulatedLink,
   type SimulatedPeers,
 } from './simulated-network.fixture.test.js';
@@ -184,11 +185,11 @@
         const bytes = sizeOf(records);
         const pool = poolOf(this.leaders, address, APPEND_CONNECTIONS);
         const res = await this.call(pool, APPEND_LIMITS, async began => {
-          const { wire, host } = await this.arrive(name, address, bytes, site);
+          const { links, host } = await this.arrive(name, address, bytes, site);
           site.appends += 1;
           began();
           const appended = await host.appendForPeer(records);
-          await this.answerBy(wire, 0);
+          await this.answerBy(links, 0);
           return appended;
         });
         this.replaceIfSilent(this.leaders, address, pool, res);
@@ -204,15 +205,15 @@
         const bytes = BATCH + rows * RELAYED;
         const res = await this.call(pool, limits, async began => {
           await this.pause(site.startDelays.get(address) ?? 0);
-          const { wire, host } = await this.arrive(name, address, bytes, site);
+          const { links, host } = await this.arrive(name, address, bytes, site);
           const by = host.identifyForPeer();
-          void this.answerBy(wire, TAKEN).then(() => {
+          void this.answerBy(links, TAKEN).then(() => {
             began();
             watch.taken(by);
           });
           const answers: Promise<void>[] = [];
           await host.relayForPeer(batch, (at, outcome) => {
-            const answer = this.carryBack(wire, OUTCOME).then(() => {
+            const answer = this.carryBack(links, OUTCOME).then(() => {
               watch.told(at, outcome);
             });
             answers.push(answer);
@@ -226,9 +227,9 @@
       identify: async address => {
         const pool = poolOf(this.relays, address, this.connections);
         const res = await this.call(pool, PROCESS_LIMITS, async () => {
-          const { wire, host } = await this.arrive(name, address, 0, site);
+          const { links, host } = await this.arrive(name, address, 0, site);
           const told = host.identifyForPeer();
-          await this.answerBy(wire, PROCESS_ANSWER);
+          await this.answerBy(links, PROCESS_ANSWER);
           return told;
         });
         this.replaceIfSilent(this.relays, address, pool, res);
@@ -285,29 +286,29 @@
     to: string,
     bytes: number,
     site: SimulatedPeers,
-  ): Promise<ReachedWire> {
+  ): Promise<Reached> {
     await this.out.carry(HEAD + bytes);
     await this.pause(WAY_MS);
     const found = site.reach(from, to);
-    const wire = site.wires.get(to);
-    if (found === undefined || wire === undefined) {
+    const links = site.links.get(to);
+    if (found === undefined || links === undefined) {
       return new Promise(() => undefined);
     }
-    await wire.into.carry(HEAD + bytes);
+    await links.into.carry(HEAD + bytes);
     await new Promise<void>(resolve => {
       found.process.schedule(0, resolve);
     });
-    return { wire, host: found.host };
+    return { links, host: found.host };
   }
 
   /** Carries an answer of another host here. */
-  private async answerBy(wire: SimulatedWire, bytes: number): Promise<void> {
-    await this.carryBack(wire, ANSWER_HEAD + bytes);
+  private async answerBy(links: HostLinks, bytes: number): Promise<void> {
+    await this.carryBack(links, ANSWER_HEAD + bytes);
   }
 
   /** Carries what another host sends here. */
-  private async carryBack(wire: SimulatedWire, bytes: number): Promise<void> {
-    await wire.out.carry(bytes);
+  private async carryBack(links: HostLinks, bytes: number): Promise<void> {
+    await links.out.carry(bytes);
     await this.pause(WAY_MS);
     await this.into.carry(bytes);
   }
@@ -329,8 +330,8 @@
   }
 }
 
-interface ReachedWire {
-  readonly wire: SimulatedWire;
+interface Reached {
+  readonly links: HostLinks;
   readonly host: NonNullable<ReturnType<SimulatedPeers['reach']>>['host'];
 }
 
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -246,7 +246,7 @@
     const { inBytesPerS, connections } = options;
     const into = new SimulatedLink(time, inBytesPerS);
     const wire = new SimulatedWire(time, link, into, connections);
-    this.peers.wires.set(name, wire);
+    this.peers.links.set(name, wire);
     return {
       log: wire.log(log),
       peers: wire.peers(name, this.peers),
