Compare all workers once for the tasks of a step, not once for each task

Cause, one of several: for each start the leader compared all workers anew.

Change: the tasks of a step that nothing has happened to are alike, and a start changes the load of one worker. So the workers are ranked once for a step, and after a start only the one that was used. The search for a single task is the same code.

`plan-choice.test.ts` ("each start goes to the worker that a separate search would choose") holds as before, so no decision changes.

--- a/packages/domain/src/jobs/fleet-snapshot.ts
+++ b/packages/domain/src/jobs/fleet-snapshot.ts
@@ -2,8 +2,8 @@
 import type { Millis } from '../core/time.js';
 import { waitingTasks, type Occurrence, type Run, type Step } from './job.js';
 import { orderedCandidates, type Candidate } from './order.js';
+import { chooseWorker } from './choose-worker.js';
 import {
-  chooseWorker,
   obstacleAt,
   OBSTACLES,
   type Obstacle,
--- a/packages/domain/src/jobs/placement.ts
+++ b/packages/domain/src/jobs/placement.ts
@@ -1,4 +1,4 @@
-/** Chooses the worker for a task among those that may run it and have capacity for it. */
+/** Which workers may run a task and have capacity for it, and how suitable each of them is. */
 import type { AdviceTickets } from './advice.js';
 import { suspicionPercent } from './suspect-tasks.js';
 import type { FillerSpeeds } from './filler-speeds.js';
@@ -43,27 +43,6 @@
   readonly stepRunsOn: (task: Task, worker: string) => number;
 }
 
-/** Returns the most suitable worker for the task, or undefined if none has capacity for it. */
-export function chooseWorker(
-  input: PlacementInput,
-  task: Task,
-): PlanWorker | undefined {
-  let best: PlanWorker | undefined;
-  let bestRank = -Infinity;
-  for (const worker of input.workers) {
-    if (obstacleAt(input, worker, task) !== undefined) {
-      continue;
-    }
-    const load = input.loadOf(worker.info.id);
-    const rank = rankOf(worker, load, task, input.speeds, bestRank);
-    if (rank > bestRank) {
-      best = worker;
-      bestRank = rank;
-    }
-  }
-  return best;
-}
-
 /** Reasons why a worker cannot be given a task now, in the order in which they are checked. */
 export const OBSTACLES = [
   'service',
@@ -270,32 +249,46 @@
   );
 }
 
-/**
- * Ranks a worker with capacity for the task; `-Infinity` if the task would be too slow there, or if the rank
- * cannot exceed `minRank`.
- */
-function rankOf(
+/** Rank of a worker for a task, or an upper bound of it that costs less to compute. */
+export interface Rank {
+  readonly value: number;
+  readonly isExact: boolean;
+}
+
+/** Rank of a worker that cannot be given the task. */
+const UNUSABLE: Rank = { value: -Infinity, isExact: true };
+
+/** Returns a rank or its upper bound; bounds are for fillers, whose speed is expensive to compute. */
+export function boundRankAt(
+  input: PlacementInput,
   worker: PlanWorker,
-  load: WorkerRuns,
   task: Task,
-  speeds: FillerSpeeds,
-  minRank: number,
-): number {
-  const { info } = worker;
-  const { spec } = task.step;
-  const { cpuMilli } = info.capacity;
-  const rank = baseRank(info.capacity, load, task);
-  if (!spec.filler || load.servingCpuMilli === 0) {
-    return adjustRank(rank, worker, task);
+): Rank {
+  if (obstacleAt(input, worker, task) !== undefined) {
+    return UNUSABLE;
   }
-  // Speeds are expensive to compute, and most workers would not be the best one even at full speed.
-  if (adjustRank(rank + 1, worker, task) <= minRank) {
-    return -Infinity;
+  const { capacity, id } = worker.info;
+  const load = input.loadOf(id);
+  const rank = baseRank(capacity, load, task);
+  const isExact = !task.step.spec.filler || load.servingCpuMilli === 0;
+  const atFullSpeed = isExact ? rank : rank + 1;
+  return { value: adjustRank(atFullSpeed, worker, task), isExact };
+}
+
+/** Returns the rank of a worker without an obstacle; `-Infinity` if the task would be too slow there. */
+export function exactRankAt(
+  { loadOf, speeds }: PlacementInput,
+  worker: PlanWorker,
+  task: Task,
+): Rank {
+  const { capacity, id } = worker.info;
+  const load = loadOf(id);
+  const speed = speeds.speedOf(load, capacity.cpuMilli, task.step.spec);
+  if (speed < MIN_SPEED) {
+    return UNUSABLE;
   }
-  const speed = speeds.speedOf(load, cpuMilli, spec);
-  return speed < MIN_SPEED
-    ? -Infinity
-    : adjustRank(rank + Math.min(1, speed), worker, task);
+  const rank = baseRank(capacity, load, task) + Math.min(1, speed);
+  return { value: adjustRank(rank, worker, task), isExact: true };
 }
 
 /** Adds the bonus for the worker's rack and the penalties for earlier failures to a rank. */
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -9,8 +9,8 @@
 import { emptyWorkerRuns, workerRuns, type JobsState } from './jobs-state.js';
 import type { PlanTime } from './objective.js';
 import { orderedCandidates } from './order.js';
+import { chooseWorker, WorkerChooser } from './choose-worker.js';
 import {
-  chooseWorker,
   couldRunLater,
   hasCapacity,
   staticObstacleAt,
@@ -235,15 +235,17 @@
   start: ApplyStart,
   maxStarts = Infinity,
 ): number {
+  const chooser = new WorkerChooser(placement);
   let started = 0;
   for (const task of tasks) {
     if (started >= maxStarts) {
       break;
     }
     if (isWaiting(task)) {
-      const worker = chooseWorker(placement, task)?.info.id;
+      const worker = chooser.choose(task)?.info.id;
       if (worker !== undefined) {
         start({ task, run: task.lastRun + 1, worker });
+        chooser.noteStart(worker);
         started += 1;
       }
     }
@@ -315,6 +317,7 @@
   start: ApplyStart,
   maxStarts: number,
 ): StartResult {
+  const chooser = new WorkerChooser(placement);
   let started = 0;
   for (const task of step.tasks) {
     // Suspected tasks were handled before; that they fit nowhere does not mean that others do not fit.
@@ -324,11 +327,12 @@
     if (started >= maxStarts) {
       break;
     }
-    const worker = chooseWorker(placement, task);
+    const worker = chooser.choose(task)?.info.id;
     if (worker === undefined) {
       return { started, isFull: true };
     }
-    start({ task, run: task.lastRun + 1, worker: worker.info.id });
+    start({ task, run: task.lastRun + 1, worker });
+    chooser.noteStart(worker);
     started += 1;
   }
   return { started, isFull: false };
--- a/packages/domain/src/jobs/reservations.ts
+++ b/packages/domain/src/jobs/reservations.ts
@@ -1,7 +1,8 @@
 /** Tentative placement of several tasks, before any of them is started. */
 import type { Step, Task } from './job.js';
 import { addLoad, emptyWorkerRuns, type WorkerRuns } from './jobs-state.js';
-import { chooseWorker, type PlacementInput } from './placement.js';
+import { chooseWorker } from './choose-worker.js';
+import type { PlacementInput } from './placement.js';
 
 /** Reserves capacity for tasks one by one, each within what the earlier reservations leave. */
 export class Reservations {
--- a/packages/domain/src/jobs/round-cost.test.ts
+++ b/packages/domain/src/jobs/round-cost.test.ts
@@ -14,6 +14,7 @@
 import type { PlanWorker } from './placement.js';
 import { findWorker, planStarts, type PlanInput } from './plan.js';
 import {
+  applyDecision,
   applyRecord,
   planInput,
   startOn,
@@ -27,6 +28,7 @@
 const SLOWED_FILLERS = 40;
 const WORKERS = 100;
 const SUSPECTED_TASKS = 200;
+const WIDE_STEP = 160;
 const SIZE = { cpuMilli: 100, memoryMiB: 10, accelerators: 0 };
 
 /** Returns workers, and a counter of the iterations over all of them. */
@@ -108,3 +110,14 @@
   planStarts(planInput(state, workers), () => undefined);
   assert.ok(passes() <= 20, `${passes()} passes`);
 });
+
+test('the tasks of a step are placed with one comparison of all workers', () => {
+  const { workers, passes } = workersCountingPasses();
+  const state = stateOf(testJob('wide', [{ tasks: WIDE_STEP, size: SIZE }]));
+  const input = planInput(state, workers);
+  planStarts(input, decision => {
+    applyDecision(state, decision);
+  });
+  assert.equal(taskOf(state, 'wide', 0, WIDE_STEP - 1).status, 'running');
+  assert.ok(passes() <= 10, `${passes()} passes`);
+});
--- a/packages/domain/src/jobs/speculative-copies.ts
+++ b/packages/domain/src/jobs/speculative-copies.ts
@@ -6,7 +6,8 @@
 import { suspicionPercent } from './suspect-tasks.js';
 import type { Run, Step } from './job.js';
 import { placementInputOf, type ApplyStart, type PlanInput } from './plan.js';
-import { chooseWorker, type PlacementInput } from './placement.js';
+import { chooseWorker } from './choose-worker.js';
+import type { PlacementInput } from './placement.js';
 
 /** Run time before which a run is never a straggler, since reports come up to a second apart. */
 const MIN_RUN_TIME_MS: Millis = 600;
