Write log lines in groups of 50 ms

Cause, one of several: the process log wrote each line by itself. A write goes to another thread and back.

Change: lines wait up to 50 ms for others, or until 8 KiB, which is what was the largest write before. What is buffered is written at the exit of the process, as before.

--- a/packages/daemon/src/logging/process-log.ts
+++ b/packages/daemon/src/logging/process-log.ts
@@ -1,16 +1,14 @@
-/** Process log: rate-limited JSON lines on standard output, written without blocking. */
+/** Process log: rate-limited JSON lines on standard output. */
 import type { Clock, Millis } from '@paddlewind/domain';
 import { pino, type DestinationStream, type Logger } from 'pino';
 
+import { scheduleInBackground } from '../job-host/loop-delay.js';
+import { createGroupedLines } from './grouped-lines.js';
 import { LineBudget } from './line-budget.js';
 
-/** Buffer for a reader that is behind; lines beyond it are dropped. */
-const MAX_BUFFERED_BYTES = 1_048_576;
-/**
- * Largest single write. Some log collectors cannot take more at once: with 16 KiB, 1,118 of 6,704
- * lines of a busy leader arrived incomplete; with 8 KiB, none of 6,755 were lost.
- */
-const MAX_WRITE_BYTES = 8_192;
+/** File descriptor of standard output. */
+const STDOUT = 1;
+
 /**
  * Limit for one message: three times the 310 starts a second of the design load. The most frequent
  * limited message, the end of a run, peaked at 155 lines a second on a quiet day at Cascade.
@@ -34,22 +32,10 @@
 
 /** Creates the log of `host` on standard output. */
 export function createProcessLog(host: string, clock: Clock): Logger {
-  const destination = pino.destination({
-    dest: 1,
-    sync: false,
-    maxLength: MAX_BUFFERED_BYTES,
-    maxWrite: MAX_WRITE_BYTES,
-  });
-  let dropped = 0;
-  destination.on('drop', () => {
-    dropped += 1;
-  });
-  const log = createRateLimitedLog(host, clock, destination);
-  destination.on('drain', () => {
-    if (dropped > 0) {
-      log.warn({ dropped }, 'log: lines were left out, the reader is behind');
-      dropped = 0;
-    }
+  const lines = createGroupedLines(STDOUT, scheduleInBackground);
+  const log = createRateLimitedLog(host, clock, lines);
+  lines.onDropped(dropped => {
+    log.warn({ dropped }, 'log: lines were left out, the reader is behind');
   });
   return log;
 }
