Do not take a hold-up of the leader's process for a queue on its link

Cause: starts by way of other hosts have a window that narrows when these take longer than the quickest answer and 150 ms to accept them. A leader whose processor is busy reads answers late that were there in time. Each such answer narrowed the window. Small rounds and batches cost more of the processor for each start, so that the state kept itself up.

Change: an answer counts as late only if it had not arrived when all that had arrived was read; the timer for that is the process's own, so a hold-up delays both. Queues on the link, in either direction, narrow the window as before.

Evidence: `busy-leader.test.ts`: five hold-ups of 250 ms left 16 of 100 starts before, 100 and more now.

--- a/packages/daemon/src/job-host/relay/relay-host.ts
+++ b/packages/daemon/src/job-host/relay/relay-host.ts
@@ -9,6 +9,7 @@
 } from '@paddlewind/ports/jobs';
 
 import type { HostContext } from '../context.js';
+import { AnswerTimer } from './answer-timer.js';
 
 /** Time for which a host is not used for a worker that answers the leader but not that host. */
 const UNREACHED_WORKER_BACKOFF_MS: Millis = 3_000;
@@ -67,7 +68,9 @@
   readonly epoch: number;
   readonly host: string;
   readonly address: string;
-  /** Called when the host has accepted starts, `tookMs` after they were sent. */
+  /** Time after which starts that were not accepted indicate a queue on the link. */
+  readonly lateAfterMs: () => Millis;
+  /** Called when the host has accepted starts, `tookMs` after they were sent, without own hold-ups. */
   readonly onAccepted: (starts: number, tookMs: Millis) => void;
   /** Called when the host has not accepted starts in time. */
   readonly onLate: () => void;
@@ -196,6 +199,7 @@
       const latest = Math.min(sentAt + takenWithinMs, sendBy);
       return { ...start, sendBy: latest + aheadMs };
     });
+    const timer = new AnswerTimer(ctx, this.options.lateAfterMs());
     const res = await peers.relay(
       address,
       { epoch, process, starts },
@@ -203,7 +207,7 @@
         takenWithinMs,
         onAccepted: by => {
           this.updateClockBound(by);
-          this.recordAccepted(orders.length, ctx.clock() - sentAt);
+          this.recordAccepted(orders.length, timer.stop());
         },
         onOutcome: (at, outcome) => {
           this.handleOutcome(outcome);
--- a/packages/daemon/src/job-host/relay/relay-window.ts
+++ b/packages/daemon/src/job-host/relay/relay-window.ts
@@ -48,6 +48,11 @@
     return Math.floor(this.width);
   }
 
+  /** Time after which an answer shows a queue on the link; infinite before the first answer. */
+  get lateAfterMs(): Millis {
+    return this.fastestMs + QUEUEING_DELAY_MS;
+  }
+
   /** Whether starts wait for the link: the window shrank recently and has not grown back. */
   isNarrow(now: Instant): boolean {
     return now - this.shrunkAt < NARROW_MS && this.width < MAX_SIZE;
@@ -56,7 +61,7 @@
   /** Records that another host has accepted `starts` after `tookMs`. */
   recordAccepted(starts: number, tookMs: Millis, now: Instant): void {
     this.fastestMs = Math.min(this.fastestMs, tookMs);
-    if (tookMs > this.fastestMs + QUEUEING_DELAY_MS) {
+    if (tookMs > this.lateAfterMs) {
       this.recordLate(now);
     } else {
       this.promptAt = now;
--- a/packages/daemon/src/job-host/relay/relayed-starts.ts
+++ b/packages/daemon/src/job-host/relay/relayed-starts.ts
@@ -227,6 +227,7 @@
       epoch,
       host,
       address,
+      lateAfterMs: () => window.lateAfterMs,
       onAccepted: (starts, tookMs) => {
         ctx.meters.startsTaken(tookMs);
         batches.recordAccepted(tookMs);
