Count doubtful losses against a task only beyond chance

Cause: five losses decide even if all are doubtful, and losses at ages that are not known precisely count as being at one age.

Change: each loss is recorded with the probability that a worker is lost for other reasons while a run settles, by the losses that neither this task nor another suspect explains. Where nothing else is lost, five decide as before. A record without the new column, of an earlier version, counts as before.

`suspect-tasks.test.ts`: 10 losses at unknown ages with a worker lost in 0.3 of cases (5 before), 5 at precise ages or where nothing else is lost.

--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -216,11 +216,11 @@
   state: JobsState,
   record: Extract<JournalRecord, { kind: 'lost' }>,
 ): boolean {
-  const { task: ref, run, checkpoint, suspicion, age } = record;
+  const { task: ref, run, checkpoint, suspicion, age, noise = 0 } = record;
   const task = findTask(state, ref);
   const lost = task?.runs.find(({ number }) => number === run);
   if (task !== undefined && lost !== undefined) {
-    noteLoss(state, task, lost.worker, suspicion, age);
+    noteLoss(state, task, lost.worker, { suspicion, age, noise });
     failIfAbandoned(state, task);
   }
   return applyEnd(state, {
--- a/packages/domain/src/jobs/loss-attribution.ts
+++ b/packages/domain/src/jobs/loss-attribution.ts
@@ -1,13 +1,16 @@
 /** Judges how likely each run that was lost with a worker is to have caused the loss. */
 import type { Instant, Millis, SpanBounds } from '../core/time.js';
-import { LOSS_RETENTION_MS, workersLostUnder } from './suspect-tasks.js';
+import {
+  isSuspect,
+  LOSS_RETENTION_MS,
+  workersLostUnder,
+} from './suspect-tasks.js';
 import { workerIdOf } from './incarnation.js';
 import type { Job, Run } from './job.js';
 import type { JobsState } from './jobs-state.js';
-import type { Suspicion } from './loss.js';
+import { SETTLED_MS, type LossAttribution } from './loss.js';
 
-/** Age from which a run is no longer considered the cause of the loss of its worker. */
-export const SETTLED_MS: Millis = 5_000;
+export { SETTLED_MS, type LossAttribution } from './loss.js';
 
 /** Maximum delay until a silent worker is reported as unresponsive: polls wait a little over 1 s. */
 const SILENCE_REPORT_DELAY_MS: Millis = 2_000;
@@ -36,12 +39,6 @@
   readonly now: Instant;
 }
 
-/** How likely a lost run is to be the cause, and its age when it was lost. */
-export interface LossAttribution {
-  readonly suspicion: Suspicion;
-  readonly age: SpanBounds;
-}
-
 /** Judges each of the runs that were lost with one worker. */
 export function attributeLoss(
   state: JobsState,
@@ -56,16 +53,23 @@
   const jobs = new Set(recent.map(jobOf));
   const undoubted = jobs.size === 1 ? 'sole' : 'shared';
   const isUnexplained = lossKind !== 'unknown' && recent.length === 0;
+  const lostUnderSuspects = [...state.suspects]
+    .filter(isSuspect)
+    .flatMap(workersLostUnder);
   const forSettled = isUnexplained ? 'unexplained' : 'cleared';
   return new Map(
     runs.map(run => {
       const age = ageBounds(state, run, evidence);
-      const isFleetHealthy = !hasManyUnrelatedLosses(state, run, evidence);
+      const own = new Set([run.worker, ...workersLostUnder(run.task)]);
+      const isFleetHealthy =
+        lossProbability(state, own, evidence) <= NOISY_LOSS_PROBABILITY;
+      const explained = new Set([...own, ...lostUnderSuspects]);
+      const noise = lossProbability(state, explained, evidence);
       const isUndoubted =
         lossKind === 'crashed' && isFleetHealthy && isPrecise(age);
       const forRecent = isUndoubted ? undoubted : 'doubtful';
       const suspicion = settled.has(run) ? forSettled : forRecent;
-      return [run, { suspicion, age }];
+      return [run, { suspicion, age, noise }];
     }),
   );
 }
@@ -145,18 +149,17 @@
   );
 }
 
-/** Tells whether so many workers that did not run this task were lost that a loss says little about it. */
-function hasManyUnrelatedLosses(
+/** Returns the probability of losing a worker while a run settles, by the losses that are not `explained`. */
+function lossProbability(
   { workerLosses }: JobsState,
-  { task, worker }: Run,
+  explained: ReadonlySet<string>,
   { fleetSize, now }: LossEvidence,
-): boolean {
-  const own = new Set([worker, ...workersLostUnder(task)]);
+): number {
   const losses = [...workerLosses].filter(
-    ([lost, at]) => now - at < LOSS_RETENTION_MS && !own.has(lost),
+    ([lost, at]) => now - at < LOSS_RETENTION_MS && !explained.has(lost),
   );
   const perWorker = losses.length / Math.max(1, fleetSize);
-  return (perWorker * SETTLED_MS) / LOSS_RETENTION_MS > NOISY_LOSS_PROBABILITY;
+  return Math.min(1, (perWorker * SETTLED_MS) / LOSS_RETENTION_MS);
 }
 
 function jobOf({ task }: Run): Job {
--- a/packages/domain/src/jobs/loss.ts
+++ b/packages/domain/src/jobs/loss.ts
@@ -1,5 +1,8 @@
 /** Losses of workers while they ran a task, and how far each loss counts against the task. */
-import type { Instant, SpanBounds } from '../core/time.js';
+import type { Instant, Millis, SpanBounds } from '../core/time.js';
+
+/** Age from which a run is no longer considered the cause of the loss of its worker. */
+export const SETTLED_MS: Millis = 5_000;
 
 /** All values of `Suspicion`. */
 export const SUSPICIONS = [
@@ -27,12 +30,22 @@
   'sole' | 'shared' | 'doubtful'
 >;
 
+/** How likely a lost run is to be the cause, and its age when it was lost. */
+export interface LossAttribution {
+  readonly suspicion: Suspicion;
+  readonly age: SpanBounds;
+  /** Probability with which workers that did not run the task are being lost while a run settles. */
+  readonly noise: number;
+}
+
 /** The loss of a worker while it ran a task. */
 export interface Loss {
   readonly worker: string;
   suspicion: CountedSuspicion;
   /** Age of the run when the worker was lost. */
   readonly age: SpanBounds;
+  /** Probability with which a healthy worker was being lost, at that time, while a run settles; absent if 0. */
+  readonly noise?: number;
   /** Checkpoint from which the run resumed; empty if it started from scratch. */
   readonly resumedFrom: string;
 }
--- a/packages/domain/src/jobs/record-rows.ts
+++ b/packages/domain/src/jobs/record-rows.ts
@@ -99,7 +99,17 @@
   | ['reached', string]
   | ['b', string]
   | ['s' | 'm', unknown, number, unknown, unknown?]
-  | ['e', unknown, number, RunEnd, string?, ExpiryCause?, unknown?, unknown?];
+  | [
+      'e',
+      unknown,
+      number,
+      RunEnd,
+      string?,
+      ExpiryCause?,
+      unknown?,
+      unknown?,
+      unknown?,
+    ];
 
 /**
  * Why a lease has expired: the suspicion that the run caused the loss of its worker, or that the worker is
@@ -161,7 +171,8 @@
       return { kind: tag === 's' ? 'start' : 'moved', task, run, worker };
     }
     case 'e': {
-      const [, name, run, how, checkpoint = '', cause, from, to] = row;
+      const [, name, run, how, checkpoint = '', cause, ...more] = row;
+      const [from, to, noise] = more;
       const task = parseTaskName(name);
       if (how !== 'lapsed' || cause === WORKER_PRESENT) {
         return { kind: 'end', task, run, how, checkpoint };
@@ -169,7 +180,9 @@
       // The worker may have been lost: earlier versions record no cause, later ones perhaps an unknown one.
       const suspicion = SUSPICIONS.find(known => known === cause) ?? 'doubtful';
       const lost = { task, run, checkpoint, suspicion };
-      return { kind: 'lost', ...lost, age: parseSpan(from, to) };
+      const age = parseSpan(from, to);
+      const loss = { kind: 'lost', ...lost, age } as const;
+      return typeof noise === 'number' ? { ...loss, noise } : loss;
     }
     case undefined:
     // A kind that this version does not know.
@@ -255,10 +268,11 @@
       return checkpoint === '' ? row : [...row, checkpoint];
     }
     case 'lost': {
-      const { task, run, checkpoint, suspicion, age } = record;
+      const { task, run, checkpoint, suspicion, age, noise = 0 } = record;
       const row = ['e', taskName(task), run, 'lapsed', checkpoint, suspicion];
-      const isKnown = age.from > 0 || age.to < Infinity;
-      return isKnown ? [...row, ...spanRow(age)] : row;
+      const isKnown = age.from > 0 || age.to < Infinity || noise > 0;
+      const known = isKnown ? [...row, ...spanRow(age)] : row;
+      return noise > 0 ? [...known, noise] : known;
     }
   }
 }
--- a/packages/domain/src/jobs/records.ts
+++ b/packages/domain/src/jobs/records.ts
@@ -117,4 +117,6 @@
       readonly suspicion: Suspicion;
       /** Age of the run when the worker was lost. */
       readonly age: SpanBounds;
+      /** Probability of losing a healthy worker while a run settles; absent in records of earlier versions. */
+      readonly noise?: number;
     };
--- a/packages/domain/src/jobs/span-rows.ts
+++ b/packages/domain/src/jobs/span-rows.ts
@@ -12,6 +12,7 @@
   from?: Millis,
   to?: Millis | null,
   resumedFrom?: string,
+  noise?: number,
 ];
 
 /** Encodes a span. */
@@ -33,12 +34,15 @@
   suspicion,
   age,
   resumedFrom,
+  noise,
 }: Loss): LossRow {
-  return [worker, suspicion, ...spanRow(age), resumedFrom];
+  const row = [worker, suspicion, ...spanRow(age), resumedFrom] as const;
+  return noise === undefined ? row : [...row, noise];
 }
 
 /** Decodes a loss. */
 export function parseLoss([worker, suspicion, ...more]: LossRow): Loss {
-  const [from, to, resumedFrom = ''] = more;
-  return { worker, suspicion, age: parseSpan(from, to), resumedFrom };
+  const [from, to, resumedFrom = '', noise] = more;
+  const loss = { worker, suspicion, age: parseSpan(from, to), resumedFrom };
+  return typeof noise === 'number' ? { ...loss, noise } : loss;
 }
--- a/packages/domain/src/jobs/suspect-tasks.test.ts
+++ b/packages/domain/src/jobs/suspect-tasks.test.ts
@@ -390,3 +390,31 @@
   assert.deepEqual([judge('a'), judge('a'), judge('a')], Array(3).fill('sole'));
   assert.equal(judge('b'), 'doubtful');
 });
+
+/** Returns after how many doubtful losses a task is abandoned. */
+function doubtfulLossesUntilAbandoned(
+  noise: number,
+  age = UNKNOWN_SPAN,
+): number {
+  const state = stateWithJobs('a');
+  const task = taskOf(state, 'a', 0, 0);
+  for (let losses = 0; ; losses += 1) {
+    if (isAbandoned(task)) {
+      return losses;
+    }
+    const { number: run } = startOn(state, task, `w${losses}`);
+    const lost = { task: refOf(task), run, checkpoint: '' };
+    const loss = { suspicion: 'doubtful', age, noise } as const;
+    applyRecord(state, { kind: 'lost', ...lost, ...loss });
+  }
+}
+
+// Otherwise healthy tasks are abandoned where workers crash all the time: with a worker lost in one of three
+// cases before a run settles, one of some 300 runs begins a series of five such losses.
+test('five doubtful losses abandon a task only if they are not likely by chance', () => {
+  assert.equal(doubtfulLossesUntilAbandoned(0), 5);
+  assert.equal(doubtfulLossesUntilAbandoned(0.05), 5);
+  assert.equal(doubtfulLossesUntilAbandoned(0.3), 10);
+  const precise = { from: 100, to: 1_000 };
+  assert.equal(doubtfulLossesUntilAbandoned(0.3, precise), 5);
+});
--- a/packages/domain/src/jobs/suspect-tasks.ts
+++ b/packages/domain/src/jobs/suspect-tasks.ts
@@ -4,10 +4,15 @@
  * crashed for other reasons, are not: a task that crashes its workers does so at a characteristic age of its
  * runs, whereas other losses happen at any age.
  */
-import type { Millis, SpanBounds } from '../core/time.js';
+import type { Millis } from '../core/time.js';
 import type { Task } from './job.js';
 import type { JobsState } from './jobs-state.js';
-import type { CountedSuspicion, Loss, Suspicion } from './loss.js';
+import {
+  SETTLED_MS,
+  type CountedSuspicion,
+  type Loss,
+  type LossAttribution,
+} from './loss.js';
 
 /**
  * Suspicion in percent that a loss adds. A task is abandoned at 100: after three losses if one of them can
@@ -22,9 +27,15 @@
 /** Suspicion in percent at which a task is abandoned. */
 const ABANDON_AT_PERCENT = 100;
 
-/** Losses at which a task is abandoned even if all are doubtful: users accept three, and two more starts. */
+/**
+ * Losses at which a task is abandoned even if all are doubtful: users accept three, and two more starts. More
+ * are needed only where a healthy task may be lost as often.
+ */
 const ABANDON_AT_LOSSES = 5;
 
+/** Probability of losing a healthy task as often: some thousand starts may be lost with their workers. */
+const MAX_CHANCE = 1e-5;
+
 /** Maximum number of losses kept for a task: several times as many as are needed to abandon it. */
 const MAX_KEPT_LOSSES = 20;
 
@@ -79,7 +90,7 @@
 }
 
 function countedPercent(losses: readonly Loss[]): number {
-  if (losses.length >= ABANDON_AT_LOSSES) {
+  if (losses.length >= ABANDON_AT_LOSSES && !mayBeChance(losses)) {
     return ABANDON_AT_PERCENT;
   }
   let sum = 0;
@@ -92,6 +103,19 @@
   return sum;
 }
 
+/**
+ * Tells whether a healthy task may have been lost as often, since workers are being lost for other reasons. A
+ * run is lost by chance at any age, so that a precisely known age says more.
+ */
+function mayBeChance(losses: readonly Loss[]): boolean {
+  const noise = Math.max(...losses.map(loss => loss.noise ?? 0));
+  const chance = losses.reduce((product, { age }) => {
+    const spanMs = age.to - age.from + 2 * AGE_TOLERANCE_MS;
+    return product * noise * Math.min(1, spanMs / SETTLED_MS);
+  }, 1);
+  return chance > MAX_CHANCE;
+}
+
 /** Tells whether a task is abandoned because too many workers were lost while they ran it. */
 export function isAbandoned(task: Task): boolean {
   return suspicionPercent(task) >= ABANDON_AT_PERCENT;
@@ -112,8 +136,7 @@
   state: JobsState,
   task: Task,
   worker: string,
-  suspicion: Suspicion,
-  age: SpanBounds,
+  { suspicion, age, noise }: LossAttribution,
 ): void {
   switch (suspicion) {
     case 'unexplained':
@@ -125,11 +148,11 @@
       return;
     case 'sole':
     case 'shared':
-    case 'doubtful':
+    case 'doubtful': {
       noteWorkerLoss(state, worker);
-      addLosses(state, task, [
-        { worker, suspicion, age, resumedFrom: task.checkpoint },
-      ]);
+      const loss = { worker, suspicion, age, resumedFrom: task.checkpoint };
+      addLosses(state, task, [noise > 0 ? { ...loss, noise } : loss]);
+    }
   }
 }
 
