Ask other hosts how long ago the previous leader was heard

What a standby has read last is the newest heartbeat or an older one, so that its bound holds.

Evidence: `previous-heartbeat.test.ts`; the leader that restarts in it recorded a silence without an upper bound before.

--- a/packages/daemon/src/job-host/leadership.ts
+++ b/packages/daemon/src/job-host/leadership.ts
@@ -1,10 +1,11 @@
 /** Follows the journal, and claims the leadership when the leader has stopped writing. */
 import type { Instant, Millis, SpanBounds } from '@paddlewind/domain';
 import { encodeRecord, type JournalRecord } from '@paddlewind/domain/jobs';
-import type { JobLog, WriterStamp } from '@paddlewind/ports/jobs';
+import type { JobLog, PeerPort, WriterStamp } from '@paddlewind/ports/jobs';
 
 import { pause, type HostContext } from './context.js';
 import type { HostRole } from './host-role.js';
+import { boundSilence } from './previous-heartbeat.js';
 import type { Replica } from './replica.js';
 import {
   APPEND_RETRY_DELAY_MS,
@@ -48,6 +49,7 @@
 export interface CandidateOptions {
   readonly ctx: HostContext;
   readonly jobLog: JobLog;
+  readonly peers: PeerPort;
   readonly replica: Replica;
   readonly role: HostRole;
   /** Processors of this host. */
@@ -59,6 +61,7 @@
 export async function awaitLeadership({
   ctx,
   jobLog,
+  peers,
   replica,
   role,
   cores,
@@ -85,7 +88,12 @@
     if (read && isLeaderless(ctx, replica, silenceTimeoutMs + 2 * readTookMs)) {
       const wonClaim = await tryToClaim(ctx, jobLog, replica, claimState);
       if (wonClaim !== undefined) {
-        return wonClaim;
+        const { state } = replica;
+        const { silence } = wonClaim;
+        return {
+          ...wonClaim,
+          silence: await boundSilence(ctx, peers, state, silence),
+        };
       }
       continue;
     }
--- a/packages/daemon/src/job-host/start-job-host.ts
+++ b/packages/daemon/src/job-host/start-job-host.ts
@@ -182,7 +182,11 @@
       ? Promise.resolve({ kind: 'refused', reason: 'this host does not lead' })
       : this.batcher.append(records);
 
-  readonly identifyForPeer = (): PeerProcess => this.relay.identify();
+  readonly identifyForPeer = (): PeerProcess => {
+    const { to } = this.replica.heartbeatAge(this.options.ctx.clock());
+    const maxHeartbeatAgeMs = to === Infinity ? undefined : to;
+    return { ...this.relay.identify(), maxHeartbeatAgeMs };
+  };
 
   readonly relayForPeer = (
     batch: RelayBatch,
@@ -258,6 +262,7 @@
       const claim = await awaitLeadership({
         ctx: options.ctx,
         jobLog,
+        peers: options.peers,
         replica,
         role,
         cores: options.cores,
--- a/packages/ports/src/jobs/peer-port.ts
+++ b/packages/ports/src/jobs/peer-port.ts
@@ -34,6 +34,8 @@
   readonly process: string;
   /** Time of the report, by its own clock. */
   readonly clock: Instant;
+  /** Upper bound of the age of the newest heartbeat of a leader that it has read; undefined if unknown. */
+  readonly maxHeartbeatAgeMs?: Millis | undefined;
 }
 
 /** Outcome of one relayed start. */
