--- a/packages/daemon/src/job-host/run-recorder.ts
+++ b/packages/daemon/src/job-host/run-recorder.ts
@@ -180,8 +180,7 @@
     this.options.onRunEnding(run);
     startWindow.noteEnded(run);
     const expectedMs = Math.round(times.expectedMs(task.step));
-    const { suspicion, age, noise } =
-      record.kind === 'lost' ? record : NO_LOSS;
+    const { suspicion, age, noise } = record.kind === 'lost' ? record : NO_LOSS;
     const more = { how, expectedMs, suspicion, age, noise };
     logRun(this.options, run, 'leader: a run has ended', more);
     this.recordTaskEnd(task, record);
