Narrow the window for starts when starts can't be sent in time

Cause: a leader that is behind decides on as many starts as its window allows, and drops those that waited for over 1.5 s or until its copies were too old. Nothing told the window.

Change: a start that expires on this host narrows the window as a worker does that stops answering. It grows with each confirmed start, as before.

--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -1,5 +1,5 @@
 /** The leader's loop: handles ends of runs, plans starts, records both, then acts. */
-import type { Instant, Millis } from '@paddlewind/domain';
+import type { Millis } from '@paddlewind/domain';
 import {
   AdviceTickets,
   createRunTimes,
@@ -7,18 +7,14 @@
   Interference,
   planSpeculativeCopies,
   planStarts,
-  refOf,
   runsOfOtherIncarnations,
   WorkerHealth,
   workerIdOf,
   workerRuns,
   type ApplyStart,
   type JobsState,
-  type JournalRecord,
   type PlanInput,
-  type Run,
   type RunTimes,
-  type StartDecision,
   type WorkerInfo,
 } from '@paddlewind/domain/jobs';
 
@@ -30,12 +26,12 @@
 import { Fleet } from './fleet.js';
 import { publishFleetAccount } from './fleet-account.js';
 import { keepRunning } from './keep-running.js';
-import { logRun } from './leader-log.js';
 import { LeaderLeases } from './leader-leases.js';
 import type { LeaderOptions } from './leader-options.js';
 import { heartbeatRecord, learnedRecord } from './leader-records.js';
 import { restateDueJobs } from './restate-due.js';
 import { RunRecorder } from './run-recorder.js';
+import { RunStarter } from './run-starter.js';
 import { RunSupervisor } from './run-supervisor.js';
 import { StartWindow } from './start-window.js';
 import { SummaryWriter } from './summary-writer.js';
@@ -70,6 +66,7 @@
   private readonly health = new WorkerHealth();
   private readonly advice = new AdviceTickets();
   private readonly adviser: Adviser;
+  private readonly starter: RunStarter;
   private readonly supervisor: RunSupervisor;
   private readonly wakeSignal: WakeSignal;
   /**
@@ -117,6 +114,14 @@
       fleetSize: () => this.fleet.registeredWorkers().length,
       onChange: this.wakeSignal.notify,
     });
+    this.starter = new RunStarter({
+      ctx,
+      claim,
+      decisions: this.decisions,
+      runs: this.runs,
+      startWindow: this.startWindow,
+      linkTo: worker => this.fleet.link(worker),
+    });
     this.summary = new SummaryWriter({
       ctx,
       jobLog: options.jobLog,
@@ -142,7 +147,15 @@
       ctx.log.warn({ worker }, 'leader: its fences are used up');
       this.release();
     });
-    this.leases = new LeaderLeases({
+    this.leases = this.createLeases();
+    this.deposed = new Promise(resolve => {
+      this.resolveDeposed = resolve;
+    });
+  }
+
+  private createLeases(): LeaderLeases {
+    const { ctx, replica, claim } = this.options;
+    return new LeaderLeases({
       ctx,
       replica,
       claim,
@@ -153,9 +166,6 @@
         this.runs.recordAbandoned(worker, runs, 'unregistered', ctx.clock());
       },
     });
-    this.deposed = new Promise(resolve => {
-      this.resolveDeposed = resolve;
-    });
   }
 
   /** Starts the loops of the leader. */
@@ -243,7 +253,10 @@
         },
         silent: () => {
           this.hasNewSilence = true;
-          this.startWindow.noteSilence(ctx.clock());
+          this.startWindow.noteCongestion(ctx.clock());
+        },
+        startExpired: () => {
+          this.startWindow.noteCongestion(ctx.clock());
         },
         changed: this.wakeSignal.notify,
       },
@@ -344,7 +357,7 @@
     }
     const input = this.planInput();
     const start: ApplyStart = decision => {
-      this.startRun(decision);
+      this.starter.start(decision);
     };
     planStarts(input, start, urgency => {
       this.supervisor.evacuateLeaving(input, urgency);
@@ -384,41 +397,6 @@
     return ctx.clock() - replica.knownAsOf('inbox');
   }
 
-  private startRun({ task, run: number, worker }: StartDecision): void {
-    const entry: JournalRecord = {
-      kind: 'start',
-      task: refOf(task),
-      run: number,
-      worker,
-    };
-    const decidedAt = this.options.ctx.clock();
-    const findRun = (): Run | undefined =>
-      task.runs.find(open => open.number === number);
-    this.decisions.record(entry, written => {
-      const run = findRun();
-      if (written && run !== undefined) {
-        this.sendStart(run, decidedAt);
-      }
-    });
-    const decided = findRun();
-    if (decided !== undefined) {
-      this.startWindow.add(decided);
-    }
-  }
-
-  /** Sends the start order for a recorded run. */
-  private sendStart(run: Run, decidedAt: Instant): void {
-    const link = this.fleet.link(run.worker);
-    if (link === undefined) {
-      this.runs.recordEnd(run, 'void', '');
-    } else {
-      logRun(this.options, run, 'leader: a run is ordered', {
-        resumes: run.task.checkpoint,
-      });
-      link.start(run, decidedAt);
-    }
-  }
-
   private resign(): void {
     if (this.hasEnded) {
       return;
--- a/packages/daemon/src/job-host/start-window.test.ts
+++ b/packages/daemon/src/job-host/start-window.test.ts
@@ -37,7 +37,7 @@
   const window = new StartWindow();
   for (let now = 0; now < 60_000; now += 600) {
     const before = window.available();
-    window.noteSilence(now);
+    window.noteCongestion(now);
     assert.ok(window.available() < before || window.available() === 4);
   }
   assert.equal(window.available(), 4);
@@ -46,7 +46,7 @@
 test('workers that are lost at the same moment shrink the window once', () => {
   const window = new StartWindow();
   for (let count = 0; count < 100; count += 1) {
-    window.noteSilence(1_000 + count);
+    window.noteCongestion(1_000 + count);
   }
   assert.equal(window.available(), 140);
 });
@@ -55,7 +55,7 @@
   const window = new StartWindow();
   const stub = new StubWorker(1_000);
   for (let now = 0; now < 60_000; now += 600) {
-    window.noteSilence(now);
+    window.noteCongestion(now);
   }
   let opened = 0;
   for (let round = 0; round < 6; round += 1) {
--- a/packages/daemon/src/job-host/start-window.ts
+++ b/packages/daemon/src/job-host/start-window.ts
@@ -6,9 +6,9 @@
 const MAX_STARTS = 200;
 /** Minimum: some starts are attempted at any time. */
 const MIN_STARTS = 4;
-/** Factor by which the window shrinks when workers stop answering. */
+/** Factor by which the window shrinks at a congestion. */
 const SHRINK_FACTOR = 0.7;
-/** Workers that stop answering within this time indicate the same congestion: one order timeout. */
+/** Signs of congestion within this time are of the same one: one order timeout. */
 const SHRINK_INTERVAL_MS: Millis = 500;
 
 /**
@@ -45,8 +45,8 @@
     this.inFlight.delete(run);
   }
 
-  /** Notes that a worker has stopped answering. */
-  noteSilence(now: Instant): void {
+  /** Notes that a worker has stopped answering, or that a start could not be sent in time. */
+  noteCongestion(now: Instant): void {
     if (now - this.shrunkAt > SHRINK_INTERVAL_MS) {
       this.shrunkAt = now;
       this.size = Math.max(MIN_STARTS, this.size * SHRINK_FACTOR);
--- a/packages/daemon/src/job-host/stub-worker.fixture.test.ts
+++ b/packages/daemon/src/job-host/stub-worker.fixture.test.ts
@@ -208,6 +208,7 @@
       ticketRefused: () => undefined,
       runStarted: () => undefined,
       startConfirmed: () => undefined,
+      startExpired: () => undefined,
       reported: () => undefined,
       silent: () => undefined,
       changed: () => undefined,
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -47,6 +47,8 @@
   ticketRefused(task: Task): void;
   /** The worker has confirmed a start. */
   startConfirmed(link: WorkerLink): void;
+  /** A start waited on this host until it could not be sent any more. */
+  startExpired(): void;
   /** The readings of all runs are up to date. */
   reported(link: WorkerLink): void;
   /** The worker has stopped answering. */
--- a/packages/daemon/src/job-host/worker-orders.test.ts
+++ b/packages/daemon/src/job-host/worker-orders.test.ts
@@ -11,6 +11,7 @@
 
 interface SlowReports {
   slow: number;
+  expired: number;
 }
 
 /** Returns orders to the worker of `stub`, and a count of how often it was reported as slow. */
@@ -18,7 +19,7 @@
   orders: WorkerOrders;
   reports: SlowReports;
 } {
-  const reports: SlowReports = { slow: 0 };
+  const reports: SlowReports = { slow: 0, expired: 0 };
   const orders = new WorkerOrders({
     ctx: stub.ctx,
     port: stub.port,
@@ -37,6 +38,9 @@
       runStarted: () => undefined,
       startConfirmed: () => undefined,
       unanswered: () => undefined,
+      startExpired: () => {
+        reports.expired += 1;
+      },
       slow: () => {
         reports.slow += 1;
       },
@@ -153,6 +157,7 @@
   assert.deepEqual(stub.sent, []);
   assert.deepEqual(stub.ended, ['0#1 void']);
   assert.equal(reports.slow, 0);
+  assert.equal(reports.expired, 1);
 });
 
 test('only the newest of several queued limits is sent', async () => {
--- a/packages/daemon/src/job-host/worker-orders.ts
+++ b/packages/daemon/src/job-host/worker-orders.ts
@@ -37,6 +37,8 @@
   startConfirmed(): void;
   /** The worker did not answer. */
   unanswered(): void;
+  /** A start waited here until it could not be sent any more. */
+  startExpired(): void;
   /** The worker is slow to answer orders: starts wait too long in the queue. */
   slow(): void;
   /** A worker with another id answered. */
@@ -173,6 +175,9 @@
   private abandonUnsent(run: Run, reason: DroppedStartReason): void {
     const { ctx, events } = this.options;
     ctx.meters.startGivenUp(reason);
+    if (reason === 'late' || reason === 'stale') {
+      events.startExpired();
+    }
     ctx.log.info(
       { task: taskName(refOf(run.task)), run: run.number, reason },
       'worker: a start that waited is not sent',
