Refuse jobs that the leader would begin after their objective

Cause: all jobs are accepted, however long the leader takes to start what waits already. The newest go first, so that older ones wait until the load ends and, where the leader is slow, longer.

Change: while the leader limits the starts (its rounds use up the window for starts, for a second or longer) it knows its rate by the starts that workers confirm, and with it how long its waiting tasks take, by priority. Heartbeats and the summary carry that to all hosts. A job is refused at once if it would begin after its objective, by its caller's estimates, with the time by which the backlog is short enough as Retry-After. Lasting and scheduled jobs are not refused, nor any while room on workers is what jobs wait for. Records of earlier versions, which lack the field, refuse nothing.

--- a/packages/daemon/src/job-host/caller-view.ts
+++ b/packages/daemon/src/job-host/caller-view.ts
@@ -1,6 +1,10 @@
 /** The state of jobs as a host reports it to callers. */
 import type { Instant, Millis } from '@paddlewind/domain';
-import type { InboxRecord, JobState } from '@paddlewind/domain/jobs';
+import type {
+  InboxRecord,
+  JobState,
+  StartDelays,
+} from '@paddlewind/domain/jobs';
 
 import { pause, type HostContext } from './context.js';
 
@@ -23,6 +27,8 @@
   readonly openJobs: number;
   /** Monotonic time up to which all submissions and cancellations are known. */
   readonly inboxKnownAsOf: Instant;
+  /** How late new tasks start, as the leader has last reported. */
+  readonly startDelays: StartDelays;
   /** Whether a job is known without reading from the log. */
   has(job: string): boolean;
   /** Returns whether a job was accepted, as of a moment after the call. */
--- a/packages/daemon/src/job-host/job-service.test.ts
+++ b/packages/daemon/src/job-host/job-service.test.ts
@@ -164,3 +164,15 @@
     'recorded',
   );
 });
+
+// Otherwise a caller waits for a job that the leader never starts.
+test('a job that would begin after its objective is refused at once, with a time to return', async () => {
+  const fixture = new FollowerFixture();
+  fixture.replica.state.startDelays = [[0, 9_000]];
+  const steps = [{ tasks: 1, after: [], estimateMs: 1_000 }];
+  const job = jobOf(ID, steps, { runMs: 100, failures: 0 });
+  const result = await fixture.service.submit(job, 3_000);
+  assert.ok(result.kind === 'refused');
+  assert.equal(result.retryAfterMs, 9_000 - (2 * 1_000 + 500));
+  assert.equal(fixture.log.recordsOf('inbox').length, 0);
+});
--- a/packages/daemon/src/job-host/job-service.ts
+++ b/packages/daemon/src/job-host/job-service.ts
@@ -1,8 +1,9 @@
 /** The operations that a host offers to callers: submit, status, cancel and queue length. */
-import type { Instant } from '@paddlewind/domain';
+import type { Instant, Millis } from '@paddlewind/domain';
 import {
   estimatedSizeOf,
   encodeRecord,
+  latenessOf,
   type InboxRecord,
   type JobSpec,
 } from '@paddlewind/domain/jobs';
@@ -22,7 +23,12 @@
   | { readonly kind: 'recorded' }
   | { readonly kind: 'no_such_job' }
   /** Nothing was or will be recorded. */
-  | { readonly kind: 'refused'; readonly reason: string }
+  | {
+      readonly kind: 'refused';
+      readonly reason: string;
+      /** Time after which another attempt may succeed; undefined if it is not known. */
+      readonly retryAfterMs?: Millis;
+    }
   /** It may have been recorded. */
   | { readonly kind: 'unknown'; readonly reason: string };
 
@@ -43,10 +49,22 @@
     if (this.view().has(job.id)) {
       return { kind: 'recorded' };
     }
+    const retryAfterMs = latenessOf(job, this.view().startDelays);
+    if (retryAfterMs > 0) {
+      return this.refuseLate(job, retryAfterMs);
+    }
     const atWall = this.ctx.wallClock();
     return this.recordChange({ kind: 'submit', job, atWall }, job.id, deadline);
   }
 
+  /** Refuses a job that would begin too late for its objective, since the leader can't start it sooner. */
+  private refuseLate(job: JobSpec, retryAfterMs: Millis): ChangeResult {
+    const reason = 'the leader starts tasks too late';
+    const result: ChangeResult = { kind: 'refused', reason, retryAfterMs };
+    this.logChange(job.id, job, 'submit', result);
+    return result;
+  }
+
   /** Cancels a job; resolves once the cancellation is recorded. */
   async cancel(job: string, deadline: Instant): Promise<ChangeResult> {
     switch (await this.view().find(job)) {
@@ -78,14 +96,21 @@
     deadline: Instant,
   ): Promise<ChangeResult> {
     const result = await this.append(record, deadline);
-    const jobFields = record.kind === 'submit' ? logFieldsOf(record.job) : {};
-    this.ctx.log.info(
-      { job, ...jobFields, change: record.kind, result },
-      'jobs: answered',
-    );
+    const spec = record.kind === 'submit' ? record.job : undefined;
+    this.logChange(job, spec, record.kind, result);
     return result;
   }
 
+  private logChange(
+    job: string,
+    spec: JobSpec | undefined,
+    change: InboxRecord['kind'],
+    result: ChangeResult,
+  ): void {
+    const jobFields = spec === undefined ? {} : logFieldsOf(spec);
+    this.ctx.log.info({ job, ...jobFields, change, result }, 'jobs: answered');
+  }
+
   /** Appends a record and reports an unknown outcome before the caller gives up. */
   private async append(
     record: InboxRecord,
--- a/packages/daemon/src/job-host/leader-records.ts
+++ b/packages/daemon/src/job-host/leader-records.ts
@@ -9,6 +9,7 @@
   type RunEnd,
   type RunTimes,
   type WorkerHealth,
+  type StartDelays,
 } from '@paddlewind/domain/jobs';
 
 import type { HostContext } from './context.js';
@@ -29,6 +30,7 @@
     readonly peerAddress: string;
   },
   handed: LeaseHandover | undefined,
+  startDelays: StartDelays,
 ): JournalRecord {
   return {
     kind: 'heartbeat',
@@ -40,6 +42,7 @@
     address: peerAddress,
     ledForMs: Math.floor(ctx.clock() - claim.wonAt),
     silence: claim.silence,
+    startDelays,
   };
 }
 
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -8,6 +8,8 @@
   planSpeculativeCopies,
   planStarts,
   runsOfOtherIncarnations,
+  startDelaysOf,
+  StartRate,
   WorkerHealth,
   workerIdOf,
   workerRuns,
@@ -15,6 +17,7 @@
   type JobsState,
   type PlanInput,
   type RunTimes,
+  type StartDelays,
   type WorkerInfo,
 } from '@paddlewind/domain/jobs';
 
@@ -63,6 +66,7 @@
   private readonly times: RunTimes;
   private readonly interference: Interference;
   private readonly startWindow = new StartWindow();
+  private readonly startRate = new StartRate();
   private readonly health = new WorkerHealth();
   private readonly advice = new AdviceTickets();
   private readonly adviser: Adviser;
@@ -129,6 +133,7 @@
       claim,
       peerAddress: options.peerAddress,
       inboxUpTo: () => replica.nextOffset('inbox'),
+      startDelays: () => this.startDelays(),
       retentionMs: options.retentionMs,
       statusMs: options.statusMs,
     });
@@ -242,6 +247,7 @@
           }
         },
         runStarted: run => {
+          this.startRate.noteStarted(ctx.clock());
           this.runs.recordStarted(run);
         },
         startConfirmed: from => {
@@ -343,7 +349,9 @@
 
   private recordHeartbeat(): void {
     this.hasNewSilence = false;
-    this.decisions.record(heartbeatRecord(this.options, this.leases.report()));
+    const leases = this.leases.report();
+    const delays = this.startDelays();
+    this.decisions.record(heartbeatRecord(this.options, leases, delays));
   }
 
   private recordLearned(): void {
@@ -363,6 +371,7 @@
       this.supervisor.evacuateLeaving(input, urgency);
     });
     planSpeculativeCopies(input, start);
+    this.startRate.noteRound(input.time.now, this.startsLeft() === 0);
     this.supervisor.stopSlowedFillers(input);
     this.adviser.askIfNeeded(input);
   }
@@ -377,12 +386,22 @@
       advice: this.advice,
       time: { now: ctx.clock(), nowWall: ctx.wallClock() },
       leadsSince: this.options.claim.wonAt,
-      maxStarts: this.startWindow.available(starts.maxStarts),
+      maxStarts: this.startsLeft(),
       isLinkBusy: starts.hasWaitingStarts,
       movingTasks: this.supervisor.evacuatingTasks(),
     };
   }
 
+  /** Returns how many more starts may be decided now. */
+  private startsLeft(): number {
+    return this.startWindow.available(this.options.starts.maxStarts);
+  }
+
+  private startDelays(): StartDelays {
+    const rate = this.startRate.perSecond(this.options.ctx.clock());
+    return startDelaysOf(this.state, rate);
+  }
+
   private publishFleetAccount(): Promise<void> {
     return publishFleetAccount({
       ctx: this.options.ctx,
--- a/packages/daemon/src/job-host/replica-view.ts
+++ b/packages/daemon/src/job-host/replica-view.ts
@@ -4,6 +4,7 @@
   statusOf,
   reportedStateOf,
   type InboxRecord,
+  type StartDelays,
 } from '@paddlewind/domain/jobs';
 
 import {
@@ -50,6 +51,11 @@
     return this.replica.knownAsOf('inbox');
   }
 
+  /** How late new tasks start, as the leader has last reported. */
+  get startDelays(): StartDelays {
+    return this.replica.state.startDelays;
+  }
+
   /** Whether a job is known without reading from the log. */
   has(job: string): boolean {
     return this.replica.state.jobs.has(job);
--- a/packages/daemon/src/job-host/summary-follower.ts
+++ b/packages/daemon/src/job-host/summary-follower.ts
@@ -6,6 +6,7 @@
   Summary,
   type InboxRecord,
   type SummaryRecord,
+  type StartDelays,
 } from '@paddlewind/domain/jobs';
 import type { JobLog, JobStream } from '@paddlewind/ports/jobs';
 
@@ -39,6 +40,7 @@
   readonly host: string;
   readonly address: string;
   readonly standbys: readonly string[];
+  readonly startDelays?: StartDelays;
 }
 
 /** Follows the summary and, on request, the end of the inbox. */
--- a/packages/daemon/src/job-host/summary-view.ts
+++ b/packages/daemon/src/job-host/summary-view.ts
@@ -1,6 +1,6 @@
 /** Answers callers on a host that does not read the journal. */
 import type { Instant } from '@paddlewind/domain';
-import type { InboxRecord } from '@paddlewind/domain/jobs';
+import type { InboxRecord, StartDelays } from '@paddlewind/domain/jobs';
 
 import {
   findByReading,
@@ -44,6 +44,11 @@
     return this.follower.inboxKnownAsOf;
   }
 
+  /** How late new tasks start, as the leader has last reported. */
+  get startDelays(): StartDelays {
+    return this.follower.leaderInfo?.startDelays ?? [];
+  }
+
   /** Whether a job is known without reading from the log. */
   has(job: string): boolean {
     return this.follower.has(job);
--- a/packages/daemon/src/job-host/summary-writer.ts
+++ b/packages/daemon/src/job-host/summary-writer.ts
@@ -8,6 +8,7 @@
   type JobsState,
   type SummaryRecord,
   type SummaryRow,
+  type StartDelays,
 } from '@paddlewind/domain/jobs';
 import type { AppendResult, JobLog, WriterStamp } from '@paddlewind/ports/jobs';
 
@@ -35,6 +36,8 @@
   readonly peerAddress: string;
   /** Returns the inbox offset up to which records are applied to `state`. */
   readonly inboxUpTo: () => number;
+  /** Returns how late new tasks start. */
+  readonly startDelays: () => StartDelays;
   /** Retention time of the log. */
   readonly retentionMs: Millis;
   /** Time for which the state of a finished job can be queried. */
@@ -143,9 +146,11 @@
 
   private leaderRecord(): SummaryRecord {
     const { ctx, claim, state, peerAddress: address } = this.options;
+    const startDelays = this.options.startDelays();
     const standbys = state.standbys ?? [];
     const { epoch } = claim;
-    return { kind: 'leads', epoch, host: ctx.host, address, standbys };
+    const { host } = ctx;
+    return { kind: 'leads', epoch, host, address, standbys, startDelays };
   }
 
   private async writeSnapshot(): Promise<void> {
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -77,6 +77,7 @@
       state.claim = record;
       state.released = false;
       state.leaderAddress = undefined;
+      state.startDelays = [];
       forgetIdleWorkers(state);
       return true;
     case 'heartbeat':
@@ -86,6 +87,7 @@
       }
       state.standbys = record.standbys;
       state.leaderAddress = record.address;
+      state.startDelays = record.startDelays ?? [];
       noteUnresponsive(state, record.handed);
       state.journalTime.noteLeadTime(
         record.epoch,
--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -23,6 +23,7 @@
 export * from './size-groups.js';
 export * from './spec.js';
 export * from './standbys.js';
+export * from './start-delay.js';
 export * from './summary.js';
 export * from './loss-attribution.js';
 export * from './task-ref.js';
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -1,4 +1,5 @@
 /** The state of all jobs and of the runs on each worker. */
+import type { StartDelays } from './start-delay.js';
 import type { Instant, Millis } from '../core/time.js';
 import {
   isFinished,
@@ -55,6 +56,8 @@
   standbys: readonly string[] | undefined;
   /** Address at which the leader accepts records for the inbox; undefined until it has reported one. */
   leaderAddress: string | undefined;
+  /** How late new tasks start, as the leader has last reported. */
+  startDelays: StartDelays;
   /** Jobs whose reported state has changed; undefined if nobody collects them. */
   changedJobs: Set<Job> | undefined;
   /** Monotonic time at which records are applied, set by the caller that applies them. */
@@ -89,6 +92,7 @@
     volunteers: new Map(),
     standbys: undefined,
     leaderAddress: undefined,
+    startDelays: [],
     changedJobs: undefined,
     now: 0,
     learnedEstimates: undefined,
--- a/packages/domain/src/jobs/record-rows.ts
+++ b/packages/domain/src/jobs/record-rows.ts
@@ -1,4 +1,5 @@
 /** Encoding of the records of both streams as rows in the log, compatible with other versions. */
+import type { StartDelays } from './start-delay.js';
 import type { Instant, Millis } from '../core/time.js';
 import {
   incarnationOf,
@@ -92,6 +93,7 @@
       (LeaseHandover | null)?,
       Millis?,
       Partial<SpanRow>?,
+      StartDelays?,
     ]
   | ['restate', JobImage]
   | ['release', unknown]
@@ -129,7 +131,7 @@
     }
     case 'heartbeat': {
       const [, epoch, host, nonce, , hosts, address = '', ...more] = row;
-      const [handed, ledForMs, silence = []] = more;
+      const [handed, ledForMs, silence = [], startDelays = []] = more;
       const standbys = hosts ?? undefined;
       return {
         kind: 'heartbeat',
@@ -141,6 +143,7 @@
         address,
         ledForMs: typeof ledForMs === 'number' ? ledForMs : undefined,
         silence: parseSpan(...silence),
+        startDelays,
       };
     }
     case 'restate':
@@ -230,7 +233,7 @@
     }
     case 'heartbeat': {
       const { epoch, host, nonce, standbys, address } = record;
-      const { handed, ledForMs, silence } = record;
+      const { handed, ledForMs, silence, startDelays } = record;
       const hosts = standbys ?? null;
       return [
         'heartbeat',
@@ -243,6 +246,7 @@
         handed,
         ledForMs,
         spanRow(silence),
+        startDelays,
       ];
     }
     case 'restate':
--- a/packages/domain/src/jobs/summary.ts
+++ b/packages/domain/src/jobs/summary.ts
@@ -4,6 +4,7 @@
  *
  * A job of 80 tasks has 160 or more records of 60 bytes in the journal, and three rows of 25 bytes here.
  */
+import type { StartDelays } from './start-delay.js';
 import type { Instant } from '../core/time.js';
 import {
   reportedStateOf,
@@ -35,6 +36,8 @@
       /** Address at which the leader accepts records for the inbox. */
       readonly address: string;
       readonly standbys: readonly string[];
+      /** How late new tasks start; absent in records of earlier versions. */
+      readonly startDelays?: StartDelays;
     }
   | {
       readonly kind: 'rows';
@@ -53,7 +56,7 @@
     };
 
 type WireRecord =
-  | ['l', number, string, string, readonly string[]]
+  | ['l', number, string, string, readonly string[], StartDelays?]
   | ['r', number, readonly WireRow[]]
   | ['s', number, number, number, number, readonly WireRow[]];
 
@@ -105,8 +108,8 @@
   const row = parseRow(bytes) as WireRecord | undefined;
   switch (row?.[0]) {
     case 'l': {
-      const [, epoch, host, address, standbys] = row;
-      return { kind: 'leads', epoch, host, address, standbys };
+      const [, epoch, host, address, standbys, startDelays = []] = row;
+      return { kind: 'leads', epoch, host, address, standbys, startDelays };
     }
     case 'r': {
       const [, inboxUpTo, rows] = row;
@@ -126,8 +129,10 @@
 
 function toWire(record: SummaryRecord): WireRecord {
   switch (record.kind) {
-    case 'leads':
-      return ['l', record.epoch, record.host, record.address, record.standbys];
+    case 'leads': {
+      const { epoch, host, address, standbys, startDelays = [] } = record;
+      return ['l', epoch, host, address, standbys, startDelays];
+    }
     case 'rows':
       return ['r', record.inboxUpTo, record.rows.map(toWireRow)];
     case 'snapshot': {
