Tell what the event loop of a host is used for, by part

A counter tells the time of planning, the account, records, reports, orders and log lines; what is missing to the whole are calls, callers and the runtime.

--- a/packages/bench/src/reference/metrics.ts
+++ b/packages/bench/src/reference/metrics.ts
@@ -4,6 +4,8 @@
   createJobMeters,
   registerJobGauges,
   registerLinkMetrics,
+  registerPartTimes,
+  PartTimes,
 } from '@paddlewind/daemon/job-host';
 import { startHostListServer, startLogServer } from '@paddlewind/stand-ins';
 import { pino } from 'pino';
@@ -51,6 +53,7 @@
     openRuns: () => 0,
   });
   registerLinkMetrics(registry, [], () => ({ sent: 0, received: 0 }));
+  registerPartTimes(registry, new PartTimes(() => 0));
   return registry.metrics();
 }
 
--- a/packages/daemon/src/job-host/context.fixture.test.ts
+++ b/packages/daemon/src/job-host/context.fixture.test.ts
@@ -5,6 +5,7 @@
 
 import type { HostContext } from './context.js';
 import { createJobMeters } from './meters.js';
+import { PartTimes } from './part-times.js';
 
 /** Returns the context of host `h` in virtual time, without randomness and with a silent log. */
 export function testContext({ clock, schedule }: VirtualTime): HostContext {
@@ -16,5 +17,6 @@
     schedule,
     log: pino({ level: 'silent' }),
     meters: createJobMeters(new Registry()),
+    times: new PartTimes(clock),
   };
 }
--- a/packages/daemon/src/job-host/context.ts
+++ b/packages/daemon/src/job-host/context.ts
@@ -4,6 +4,7 @@
 
 import { sleep } from '../log/timing.js';
 import type { JobMeters } from './meters.js';
+import type { PartTimes } from './part-times.js';
 
 /** Clocks, randomness, the log and the metrics of the process. */
 export interface HostContext {
@@ -15,6 +16,7 @@
   readonly schedule: Schedule;
   readonly log: Logger;
   readonly meters: JobMeters;
+  readonly times: PartTimes;
 }
 
 /** Resolves after `span`. */
--- a/packages/daemon/src/job-host/decision-log.ts
+++ b/packages/daemon/src/job-host/decision-log.ts
@@ -56,7 +56,7 @@
   /** Applies a decision; `effect` is called once it is written, or once it can no longer be. */
   record(entry: JournalRecord, effect?: Effect): void {
     this.state.now = this.ctx.clock();
-    applyJournal(this.state, entry);
+    this.ctx.times.measure('records', () => applyJournal(this.state, entry));
     this.ctx.meters.decided(entry.kind);
     this.batch.records.push(entry);
     if (effect !== undefined) {
--- a/packages/daemon/src/job-host/fleet-account.ts
+++ b/packages/daemon/src/job-host/fleet-account.ts
@@ -28,11 +28,12 @@
     if (hasEnded()) {
       return;
     }
-    const account = snapshotFleet({
-      plan: planInput(),
-      registered: registeredWorkers(),
-    });
+    const plan = planInput();
+    const account = ctx.times.measure('account', () =>
+      snapshotFleet({ plan, registered: registeredWorkers() }),
+    );
     ctx.meters.accounted(account);
-    ctx.log.info({ ...account }, 'leader: the fleet');
+    const { maxStarts } = plan;
+    ctx.log.info({ ...account, maxStarts }, 'leader: the fleet');
   }
 }
--- a/packages/daemon/src/job-host/journal-writer.ts
+++ b/packages/daemon/src/job-host/journal-writer.ts
@@ -46,7 +46,9 @@
 
   /** Appends `records`, repeating the append until its outcome is known. */
   async write(records: readonly JournalRecord[]): Promise<WriteResult> {
-    const encoded = records.map(encodeRecord);
+    const encoded = this.ctx.times.measure('records', () =>
+      records.map(encodeRecord),
+    );
     /**
      * Time of the first attempt that got no answer. It may have been written then, and another host may lead
      * since.
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -311,9 +311,11 @@
         return;
       }
       const startedAt = ctx.clock();
-      this.leases.abandonExpired();
-      this.supervisor.stopObsolete();
-      this.plan();
+      ctx.times.measure('planning', () => {
+        this.leases.abandonExpired();
+        this.supervisor.stopObsolete();
+        this.plan();
+      });
       restateDueJobs(this.state, this.decisions, ctx, this.options.retentionMs);
       const now = ctx.clock();
       const roundMs = now - startedAt;
--- a/packages/daemon/src/job-host/link-meters.ts
+++ b/packages/daemon/src/job-host/scraped-meters.ts
@@ -1,6 +1,9 @@
-/** Metrics of the traffic on the connections of a host. */
+/** Metrics that are read from other counts when they are scraped. */
+import type { Millis } from '@paddlewind/domain';
 import { Counter, type Registry } from 'prom-client';
 
+import { HOST_PARTS, type PartTimes } from './part-times.js';
+
 /** Bytes in each direction so far. */
 interface BytesSoFar {
   readonly sent: number;
@@ -36,3 +39,23 @@
     },
   });
 }
+
+const MS_PER_S = 1_000;
+
+/** Registers a counter of the time that parts of the host took, updated when the metrics are scraped. */
+export function registerPartTimes(registry: Registry, times: PartTimes): void {
+  const lastTotals = new Map<string, Millis>();
+  const seconds: Counter = new Counter({
+    name: 'paddlewind_jobs_part_seconds_total',
+    help: 'Time on the event loop by part of the host; the rest of its time goes to calls, requests of callers and the runtime.',
+    labelNames: ['part'],
+    registers: [registry],
+    collect: () => {
+      for (const part of HOST_PARTS) {
+        const total = times.totalMs(part);
+        seconds.inc({ part }, (total - (lastTotals.get(part) ?? 0)) / MS_PER_S);
+        lastTotals.set(part, total);
+      }
+    },
+  });
+}
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -24,6 +24,7 @@
 import { Registry } from 'prom-client';
 
 import { createJobMeters } from './meters.js';
+import { PartTimes } from './part-times.js';
 import { linkSharesOf } from './relay/link-shares.js';
 import {
   SimulatedLink,
@@ -219,6 +220,7 @@
         schedule: simulated.schedule,
         log: pino({ level: process.env.TEST_LOG ?? 'silent' }),
         meters: createJobMeters(new Registry()),
+        times: new PartTimes(simulated.clock),
       },
       jobLog: simulated.guard(log),
       configFeed: configFeed(this.configured),
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -433,13 +433,18 @@
 
   private async applyReport(report: Report, sentAt: Instant): Promise<void> {
     const { events } = this.options;
-    this.runs.applyReport(report, sentAt, !this.hasReported);
+    const { times } = this.options.ctx;
+    times.measure('reports', () => {
+      this.runs.applyReport(report, sentAt, !this.hasReported);
+    });
     if (!this.hasReported) {
       this.hasReported = true;
       events.changed();
     }
     const reached = this.recordReached();
-    events.reported(this);
+    times.measure('reports', () => {
+      events.reported(this);
+    });
     const last = report.ended.at(-1);
     if (last !== undefined) {
       const recorded = this.confirmRecorded(last.position);
--- a/packages/daemon/src/job-host/worker-orders.ts
+++ b/packages/daemon/src/job-host/worker-orders.ts
@@ -122,7 +122,9 @@
     if (res.kind === 'not_wanted') {
       this.abandonUnsent(run, whyNot() ?? 'late');
     } else {
-      this.handleStartResult(run, res);
+      ctx.times.measure('orders', () => {
+        this.handleStartResult(run, res);
+      });
     }
   }
 
--- a/packages/daemon/src/logging/process-log.ts
+++ b/packages/daemon/src/logging/process-log.ts
@@ -3,6 +3,7 @@
 import { pino, type DestinationStream, type Logger } from 'pino';
 
 import { scheduleInBackground } from '../job-host/loop-delay.js';
+import { PartTimes } from '../job-host/part-times.js';
 import { createGroupedLines } from './grouped-lines.js';
 import { LineBudget } from './line-budget.js';
 
@@ -31,9 +32,13 @@
 ];
 
 /** Creates the log of `host` on standard output. */
-export function createProcessLog(host: string, clock: Clock): Logger {
+export function createProcessLog(
+  host: string,
+  clock: Clock,
+  times: PartTimes,
+): Logger {
   const lines = createGroupedLines(STDOUT, scheduleInBackground);
-  const log = createRateLimitedLog(host, clock, lines);
+  const log = createRateLimitedLog(host, clock, lines, times);
   lines.onDropped(dropped => {
     log.warn({ dropped }, 'log: lines were left out, the reader is behind');
   });
@@ -45,6 +50,7 @@
   host: string,
   clock: Clock,
   destination: DestinationStream,
+  times = new PartTimes(clock),
 ): Logger {
   const budget = new LineBudget(MAX_LINES_PER_SECOND, msg =>
     UNLIMITED_PREFIXES.some(prefix => msg.startsWith(prefix)),
@@ -58,7 +64,9 @@
           const [first, second] = args as unknown[];
           const msg = typeof first === 'string' ? first : String(second);
           if (budget.allows(msg, clock())) {
-            method.apply(this, args);
+            times.measure('logging', () => {
+              method.apply(this, args);
+            });
           }
         },
       },
