Compute start delays from jobs, since the state imported itself through them

Found by the test of imports: start-delay.ts read the type of the state, which holds the delays. It takes the open jobs now, which is all that it uses.

--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -401,7 +401,7 @@
 
   private startDelays(): StartDelays {
     const rate = this.startRate.perSecond(this.options.ctx.clock());
-    return startDelaysOf(this.state, rate);
+    return startDelaysOf(this.state.openJobs, rate);
   }
 
   private publishFleetAccount(): Promise<void> {
--- a/packages/domain/src/jobs/start-delay.test.ts
+++ b/packages/domain/src/jobs/start-delay.test.ts
@@ -52,11 +52,11 @@
     testJob('other', steps, { priority: 2 }),
     testJob('long-running', [{ tasks: 50, lasting: true }]),
   );
-  assert.deepEqual(startDelaysOf(state, 10), [
+  assert.deepEqual(startDelaysOf(state.openJobs, 10), [
     [0, 2_000],
     [2, 6_000],
   ]);
-  assert.deepEqual(startDelaysOf(state, undefined), []);
+  assert.deepEqual(startDelaysOf(state.openJobs, undefined), []);
 });
 
 test('a job is late if it would begin after its objective', () => {
--- a/packages/domain/src/jobs/start-delay.ts
+++ b/packages/domain/src/jobs/start-delay.ts
@@ -4,7 +4,6 @@
  * jobs would begin too late.
  */
 import type { Instant, Millis } from '../core/time.js';
-import type { JobsState } from './jobs-state.js';
 import { isFinished, type Job } from './job.js';
 import type { JobSpec } from './spec.js';
 
@@ -63,7 +62,7 @@
 
 /** Returns the delays of new tasks at a rate of starts per second; none if the rate is not limited. */
 export function startDelaysOf(
-  { openJobs }: JobsState,
+  openJobs: Iterable<Job>,
   startsPerSecond: number | undefined,
 ): StartDelays {
   if (startsPerSecond === undefined) {
