Start nothing in zones that the operator has evacuated

Cause: of the operator's topic only the key of the configuration was read.

Every host now follows configuration and evacuations with one read. The key alone counts, so that an unreadable value holds too. A leader leaves workers of evacuated zones out of its plans, and checks the zone again when a start is sent, also by way of another host. What it knows has an age: where the platform names a time within which an evacuation takes effect, a leader whose last read is older than that less 1.5 s starts nothing, so a new leader knows them before its first start. Long-running tasks that run there stay.

Operators see it in the log (one line a host as an evacuation comes into force and ends, with the offset), in paddlewind_jobs_zone_evacuated_seconds, in the account of the fleet, and as the reason for which tasks wait.

--- a/packages/daemon/src/job-host/config-holder.ts
+++ b/packages/daemon/src/job-host/config-holder.ts
@@ -1,46 +1,34 @@
-/** Follows the operator's configuration; never goes back to an older version. */
-import type { Millis } from '@paddlewind/domain';
-import type { ConfigFeed, OperatorConfig } from '@paddlewind/ports/jobs';
+/** Holds the operator's configuration; never goes back to an older version. */
+import type { OperatorConfig, Published } from '@paddlewind/ports/jobs';
 
-import { pause, type HostContext } from './context.js';
-
-/**
- * Longest wait for a newer configuration in one read. A read that was lost to a network partition
- * has to time out and be repeated within the 3 s after which a host counts as connected again.
- */
-const CONFIG_WAIT_MS: Millis = 1_500;
-/** Pause between reads while the log does not answer. */
-const CONFIG_RETRY_MS: Millis = 200;
+import type { HostContext } from './context.js';
 
 /** Keeps the newest configuration read so far. */
-export class ConfigFollower {
+export class ConfigHolder {
   private newest: OperatorConfig | undefined;
   /** Why the last entry read can't be used; undefined if it can. */
   private unreadable: string | undefined;
 
-  /** Creates a follower without a configuration. */
-  constructor(
-    private readonly ctx: HostContext,
-    private readonly feed: ConfigFeed,
-  ) {}
+  /** Creates a holder without a configuration. */
+  constructor(private readonly ctx: HostContext) {}
 
   /** The newest configuration; undefined before the first. */
   get config(): OperatorConfig | undefined {
     return this.newest;
   }
 
-  /** Follows the feed for the lifetime of the process. */
-  async follow(): Promise<void> {
-    for (;;) {
-      const found = await this.feed.next(CONFIG_WAIT_MS);
-      if (found.kind === 'value' || found.kind === 'unreadable') {
-        this.noteUnreadable('reason' in found ? found.reason : undefined);
-      }
-      if (found.kind === 'value') {
-        this.apply(found.value);
-      } else {
-        await pause(this.ctx, CONFIG_RETRY_MS);
-      }
+  /** Applies the configuration that was read last; one that can't be read leaves the last one in force. */
+  apply(found: Published<OperatorConfig>): void {
+    switch (found.kind) {
+      case 'none':
+        return;
+      case 'unreadable':
+        this.noteUnreadable(found.reason);
+        return;
+      case 'value':
+        this.noteUnreadable(undefined);
+        this.replace(found.value);
+        return;
     }
   }
 
@@ -56,7 +44,7 @@
     }
   }
 
-  private apply(found: OperatorConfig): void {
+  private replace(found: OperatorConfig): void {
     if (this.newest !== undefined && found.version <= this.newest.version) {
       return;
     }
--- a/packages/daemon/src/job-host/fleet-account.ts
+++ b/packages/daemon/src/job-host/fleet-account.ts
@@ -2,10 +2,12 @@
 import {
   snapshotFleet,
   type PlanInput,
+  type PlanWorker,
   type WorkerInfo,
 } from '@paddlewind/domain/jobs';
 
 import { pause, type HostContext } from './context.js';
+import type { EvacuationTimes } from './meters.js';
 import { FLEET_ACCOUNT_INTERVAL_MS } from './timing.js';
 
 /** Sources of the fleet account. */
@@ -13,6 +15,9 @@
   readonly ctx: HostContext;
   readonly planInput: () => PlanInput;
   readonly registeredWorkers: () => WorkerInfo[];
+  /** Workers that could be assigned tasks if their zones were not evacuated. */
+  readonly evacuatedWorkers: () => PlanWorker[];
+  readonly evacuationTimes: () => EvacuationTimes;
   readonly hasEnded: () => boolean;
 }
 
@@ -21,6 +26,8 @@
   ctx,
   planInput,
   registeredWorkers,
+  evacuatedWorkers,
+  evacuationTimes,
   hasEnded,
 }: FleetAccountOptions): Promise<void> {
   for (;;) {
@@ -30,10 +37,15 @@
     }
     const plan = planInput();
     const account = ctx.times.measure('account', () =>
-      snapshotFleet({ plan, registered: registeredWorkers() }),
+      snapshotFleet({
+        plan,
+        registered: registeredWorkers(),
+        evacuated: evacuatedWorkers(),
+      }),
     );
     ctx.meters.accounted(account);
     const { maxStarts } = plan;
-    ctx.log.info({ ...account, maxStarts }, 'leader: the fleet');
+    const evacuatedMs = evacuationTimes();
+    ctx.log.info({ ...account, evacuatedMs, maxStarts }, 'leader: the fleet');
   }
 }
--- a/packages/daemon/src/job-host/fleet.ts
+++ b/packages/daemon/src/job-host/fleet.ts
@@ -19,6 +19,8 @@
 export interface FleetOptions {
   readonly ctx: HostContext;
   readonly feed: WorkerFeed;
+  /** Whether nothing may start in an availability zone. */
+  readonly isEvacuated: (availabilityZone: string) => boolean;
   /** Opens a link; `isNew` if the leader had a link to the previous incarnation. */
   readonly openLink: (info: WorkerInfo, isNew: boolean) => WorkerLink;
   readonly state: JobsState;
@@ -128,6 +130,19 @@
 
   /** Returns the workers that may be assigned tasks now. */
   planWorkers(): PlanWorker[] {
+    return this.openWorkers().filter(({ info }) => !this.isEvacuated(info));
+  }
+
+  /** Returns the workers that could be assigned tasks now if their zones were not evacuated. */
+  evacuatedWorkers(): PlanWorker[] {
+    return this.openWorkers().filter(({ info }) => this.isEvacuated(info));
+  }
+
+  private isEvacuated({ availabilityZone }: WorkerInfo): boolean {
+    return this.options.isEvacuated(availabilityZone);
+  }
+
+  private openWorkers(): PlanWorker[] {
     const { ctx, health } = this.options;
     const found: PlanWorker[] = [];
     for (const { usable, info } of this.links.values()) {
--- a/packages/daemon/src/job-host/host-role.test.ts
+++ b/packages/daemon/src/job-host/host-role.test.ts
@@ -131,7 +131,7 @@
     void site.submit(id, [{ tasks: 1, after: [] }], ENDLESS_RUN);
   }
   await site.time.advance(25_000);
-  site.configured = true;
+  site.configure();
   const newHost = site.startHost('late', 0.3);
   const readers = await journalReaders(site);
   assert.ok(!readers.has('late'));
@@ -202,7 +202,7 @@
     site.log.trimStream(stream, site.log.recordsOf(stream).length - 20);
   }
   site.log.trimStream('snapshot', site.log.recordsOf('snapshot').length - 1);
-  site.configured = true;
+  site.configure();
   const newHost = site.startHost('late', 0.3);
   await site.time.advance(1_000);
   assert.ok(newHost.ready());
--- a/packages/daemon/src/job-host/leader-options.ts
+++ b/packages/daemon/src/job-host/leader-options.ts
@@ -8,6 +8,7 @@
 } from '@paddlewind/ports/jobs';
 
 import type { HostContext } from './context.js';
+import type { EvacuatedZones } from './evacuated-zones.js';
 import type { WonClaim } from './leadership.js';
 import type { StartSender } from './relay/start-sender.js';
 import type { Replica } from './replica.js';
@@ -18,6 +19,7 @@
   readonly jobLog: JobLog;
   readonly replica: Replica;
   readonly feed: WorkerFeed;
+  readonly evacuatedZones: EvacuatedZones;
   readonly port: WorkerPort;
   readonly starts: StartSender;
   readonly advicePort: AdvicePort;
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -30,6 +30,7 @@
 import { publishFleetAccount } from './fleet-account.js';
 import { keepRunning } from './keep-running.js';
 import { LeaderLeases } from './leader-leases.js';
+import { createLinkEvents } from './leader-link-events.js';
 import type { LeaderOptions } from './leader-options.js';
 import { heartbeatRecord, learnedRecord } from './leader-records.js';
 import { restateDueJobs } from './restate-due.js';
@@ -140,6 +141,7 @@
     this.fleet = new Fleet({
       ctx,
       feed: options.feed,
+      isEvacuated: zone => options.evacuatedZones.has(zone),
       openLink: (info, isNew) => this.openLink(info, isNew),
       state: this.state,
       health: this.health,
@@ -208,6 +210,7 @@
       horizon: () => this.leases.horizon,
       inboxAgeMs: () => this.inboxAgeMs(),
       registryAgeMs: () => ctx.clock() - this.fleet.knownAsOf,
+      evacuatedZones: this.options.evacuatedZones,
       runs: () => workerRuns(this.state, info.id),
       otherRuns: () => runsOfOtherIncarnations(this.state, info.id),
       isNew,
@@ -215,62 +218,41 @@
       pollWaitMs: () => this.supervisor.pollWaitMs(info),
       ticketFor: ({ step }) =>
         this.advice.ticketFor(step, info.id, ctx.clock()),
-      events: {
-        ended: (run, how, checkpoint) => {
-          this.runs.recordEnd(run, how, checkpoint);
-        },
-        abandoned: (worker, runs, reason, lostBy) => {
-          this.runs.recordAbandoned(worker, runs, reason, lostBy);
-        },
-        moved: run => {
-          this.runs.recordMove(run, info.id);
-        },
-        replaced: by => {
+      events: createLinkEvents(info, {
+        ctx,
+        runs: this.runs,
+        decisions: this.decisions,
+        advice: this.advice,
+        supervisor: this.supervisor,
+        startWindow: this.startWindow,
+        startRate: this.startRate,
+        onReplaced: by => {
           this.fleet.supersede(link.info, by);
         },
-        strayEnd: ended => {
-          this.runs.recordStrayEnd(info.id, ended);
-        },
-        recorded: () => this.decisions.recorded(),
-        reached: done => {
-          this.runs.recordReached(info.id, done);
-        },
-        ticketRefused: ({ step }) => {
-          this.advice.discardTicket(step, info.id);
+        onFenced: () => {
+          this.resignIfFenced(info.id);
         },
-        fenced: () => {
-          // The claim of another leader is in the journal, so nothing of this one will be written. The log
-          // may take seconds to report that.
-          if (!this.hasEnded) {
-            ctx.log.info({ worker: info.id }, 'leader: a worker was fenced');
-            this.resign();
-          }
-        },
-        runStarted: run => {
-          this.startRate.noteStarted(ctx.clock());
-          this.runs.recordStarted(run);
-        },
-        startConfirmed: from => {
-          this.supervisor.throttleFillers(from);
-        },
-        reported: from => {
-          this.supervisor.learnFromReport(from.info);
-          this.supervisor.throttleFillers(from);
-        },
-        silent: () => {
+        onSilent: () => {
           this.hasNewSilence = true;
-          this.startWindow.noteCongestion(ctx.clock());
-        },
-        startExpired: () => {
-          this.startWindow.noteCongestion(ctx.clock());
         },
         changed: this.wakeSignal.notify,
-      },
+      }),
     });
     void keepRunning(ctx, 'looks', () => link.run());
     return link;
   }
 
+  /**
+   * Resigns after a worker has seen another leader's fence: that leader's claim is in the journal, so nothing
+   * of this one will be written. The log may take seconds to report that.
+   */
+  private resignIfFenced(worker: string): void {
+    if (!this.hasEnded) {
+      this.options.ctx.log.info({ worker }, 'leader: a worker was fenced');
+      this.resign();
+    }
+  }
+
   private async followInbox(): Promise<void> {
     const { replica } = this.options;
     while (!this.hasEnded) {
@@ -362,7 +344,7 @@
   }
 
   private plan(): void {
-    if (this.inboxAgeMs() > INBOX_STALE_MS) {
+    if (this.isUnderinformed()) {
       return;
     }
     const input = this.planInput();
@@ -409,10 +391,19 @@
       ctx: this.options.ctx,
       planInput: () => this.planInput(),
       registeredWorkers: () => this.fleet.registeredWorkers(),
+      evacuatedWorkers: () => this.fleet.evacuatedWorkers(),
+      evacuationTimes: () => this.options.evacuatedZones.times(),
       hasEnded: () => this.hasEnded,
     });
   }
 
+  /** Whether cancellations or evacuations may have been requested that this leader hasn't read in time. */
+  private isUnderinformed(): boolean {
+    const { ctx, evacuatedZones } = this.options;
+    const isInboxStale = this.inboxAgeMs() > INBOX_STALE_MS;
+    return isInboxStale || ctx.clock() > evacuatedZones.reliableUntil;
+  }
+
   private inboxAgeMs(): Millis {
     const { ctx, replica } = this.options;
     return ctx.clock() - replica.knownAsOf('inbox');
--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -15,10 +15,11 @@
 
 /**
  * Why a planned start was not sent: it waited too long, its job has finished, the run is not needed
- * any more, the state it was planned from is too old, or its worker does not answer or is leaving.
+ * any more, the state it was planned from is too old, its worker does not answer or is leaving, or its
+ * worker's zone is evacuated.
  */
 export type DroppedStartReason =
-  'late' | 'over' | 'needless' | 'stale' | 'worker';
+  'late' | 'over' | 'needless' | 'stale' | 'worker' | 'evacuated';
 
 /**
  * Why all runs of a worker were abandoned: it restarted or another worker answered, it did not
@@ -42,6 +43,9 @@
 /** What the unreadable entries are about. */
 export type UnreadableKind = 'worker' | 'config';
 
+/** Evacuated zones, each with the time for which this host has known of its evacuation. */
+export type EvacuationTimes = Readonly<Record<string, Millis>>;
+
 /** Metrics recorded by a job host. */
 export interface JobMeters {
   /** A caller's request was answered with an HTTP status after `span`. */
@@ -89,6 +93,8 @@
   readonly loopFailed: (loop: string) => void;
   /** The leader has computed the account of its fleet; the account is empty on hosts that do not lead. */
   readonly accounted: (account: FleetSnapshot) => void;
+  /** These zones are evacuated, each known for so long. */
+  readonly evacuated: (zones: EvacuationTimes) => void;
 }
 
 /** Values read when the metrics are scraped. */
@@ -168,7 +174,15 @@
 const MILLICORES_PER_CORE = 1000;
 
 /** Registers the metrics of the use of the fleet's processors and of waiting tasks. */
-function createFleetMeters(registry: Registry): Pick<JobMeters, 'accounted'> {
+function createFleetMeters(
+  registry: Registry,
+): Pick<JobMeters, 'accounted' | 'evacuated'> {
+  const evacuated = new Gauge({
+    name: 'paddlewind_jobs_zone_evacuated_seconds',
+    help: 'How long this host has known that nothing may start in an availability zone, by evacuated zone.',
+    labelNames: ['zone'],
+    registers: [registry],
+  });
   const processors = new Gauge({
     name: 'paddlewind_jobs_fleet_cores',
     help: "Cores of the leader's fleet by state, reservation or use; 0 on other hosts.",
@@ -204,6 +218,12 @@
     }
   };
   return {
+    evacuated: zones => {
+      evacuated.reset();
+      for (const [zone, knownMs] of Object.entries(zones)) {
+        evacuated.set({ zone }, knownMs / MS_PER_S);
+      }
+    },
     accounted: account => {
       setWaitingBySize(account);
       for (const [what, milli] of Object.entries(account.processors)) {
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -7,7 +7,6 @@
   type StepSpec,
 } from '@paddlewind/domain/jobs';
 import type {
-  ConfigFeed,
   JobLog,
   OperatorConfig,
   PeerPort,
@@ -18,6 +17,7 @@
   JobHistory,
   MemoryFleet,
   MemoryJobLog,
+  MemoryOperator,
   type TaskScript,
 } from '@paddlewind/stand-ins/jobs';
 import { pino } from 'pino';
@@ -41,6 +41,7 @@
 const WORKER_RESTART_MS = 2_500;
 const RETENTION_MS = 30_000;
 const STATUS_MS = 20_000;
+const EVACUATION_EFFECT_MS = 5_000;
 const CAPACITY = { cpuMilli: 4_000, memoryMiB: 8_000, accelerators: 0 };
 const QUEUE = {
   queue: 'checks',
@@ -93,6 +94,8 @@
    * starts.
    */
   readonly relayAllStarts?: boolean;
+  /** Availability zone of the worker on a machine; `a` for all by default. */
+  readonly zoneOf?: (machine: string) => string;
   /** Size of calls on links in both directions; by default only `SimulatedLink` is used. */
   readonly wire?: WireOptions;
 }
@@ -111,18 +114,18 @@
   readonly log: MemoryJobLog;
   readonly fleet: MemoryFleet;
   readonly history: JobHistory;
+  readonly operator: MemoryOperator;
   readonly hosts = new Map<string, SimulatedHost>();
   /** Offset of the hosts' time of day. */
   wallOffset: Millis = 0;
   /** Offset of the workers' time of day. */
   workerWallOffset: Millis = 0;
-  /** Whether hosts that are started find a configuration. */
-  configured = false;
   readonly peers: SimulatedPeers;
   private readonly maxLeaseMs: Millis;
   private readonly keepsIds: boolean;
   private readonly linkBytesPerS: number;
   private readonly relayAllStarts: boolean;
+  private readonly zoneOf: (machine: string) => string;
   private readonly wire: WireOptions | undefined;
   private incarnations = 0;
 
@@ -135,6 +138,7 @@
       keepsIds = false,
       linkBytesPerS = Infinity,
       relayAllStarts = process.env.TEST_RELAYS !== undefined,
+      zoneOf = () => 'a',
       wire,
     }: SimulationOptions = {},
   ) {
@@ -142,6 +146,7 @@
     this.keepsIds = keepsIds;
     this.linkBytesPerS = linkBytesPerS;
     this.relayAllStarts = relayAllStarts;
+    this.zoneOf = zoneOf;
     this.wire = wire;
     this.time = createVirtualTime();
     this.peers = new SimulatedPeers(this.time, this.hosts);
@@ -152,6 +157,11 @@
     this.history.statusMs = STATUS_MS;
     this.log = new MemoryJobLog(time);
     this.fleet = new MemoryFleet(time, this.history);
+    this.operator = new MemoryOperator(
+      time,
+      this.history,
+      host => this.log.hostModes.get(host) ?? 'up',
+    );
     this.fleet.onCrash = (machine, labels) => {
       const from = clock();
       this.history.faults?.add({
@@ -167,6 +177,11 @@
     };
   }
 
+  /** Publishes a configuration. */
+  configure(): void {
+    this.operator.config = CONFIG;
+  }
+
   /** Adds a new incarnation of the worker on `machine`. */
   addWorker(
     machine: string,
@@ -179,6 +194,7 @@
     const traits = {
       capacity,
       labels,
+      availabilityZone: this.zoneOf(machine),
       maxLeaseMs: this.maxLeaseMs,
       clockRate,
     };
@@ -223,7 +239,7 @@
         times: new PartTimes(simulated.clock),
       },
       jobLog: simulated.guard(log),
-      configFeed: configFeed(this.configured),
+      operatorFeed: simulated.guard(this.operator.connect(name)),
       workerFeed: () => this.fleet.feed(),
       workerPort: () => simulated.guard(port()),
       advicePort: () => ({
@@ -232,6 +248,7 @@
       peers: simulated.guard(peers),
       peerAddress: name,
       maxLeaseMs: this.maxLeaseMs,
+      evacuationEffectMs: EVACUATION_EFFECT_MS,
       cores,
       linkShares: this.relayAllStarts
         ? { payloads: 1, retries: Infinity, withoutRelays: Infinity }
@@ -358,19 +375,6 @@
   }
 }
 
-/** A feed that returns a configuration once, or none. */
-function configFeed(configured: boolean): ConfigFeed {
-  let left = configured ? 1 : 0;
-  return {
-    next: () => {
-      left -= 1;
-      return left < 0
-        ? new Promise(() => undefined)
-        : Promise.resolve({ kind: 'value', value: CONFIG });
-    },
-  };
-}
-
 /** Returns a job whose tasks behave as `script` says. */
 export function jobOf(
   id: string,
--- a/packages/daemon/src/job-host/start-job-host.test.ts
+++ b/packages/daemon/src/job-host/start-job-host.test.ts
@@ -6,7 +6,7 @@
 /** Starts two hosts with a configuration. */
 async function deploymentOfTwoHosts(seed: number): Promise<Simulation> {
   const site = new Simulation(seed);
-  site.configured = true;
+  site.configure();
   site.startHost('h1');
   site.startHost('h2');
   await site.time.advance(2_500);
--- a/packages/daemon/src/job-host/start-job-host.ts
+++ b/packages/daemon/src/job-host/start-job-host.ts
@@ -3,10 +3,10 @@
 import { forgetFinishedJobs, countOpenRuns } from '@paddlewind/domain/jobs';
 import type {
   AdvicePort,
-  ConfigFeed,
   AppendResult,
   JobLog,
   OperatorConfig,
+  OperatorFeed,
   PeerPort,
   PeerProcess,
   RelayBatch,
@@ -16,8 +16,9 @@
 } from '@paddlewind/ports/jobs';
 
 import type { CallerView } from './caller-view.js';
-import { ConfigFollower } from './config-follower.js';
+import { ConfigHolder } from './config-holder.js';
 import { pause, type HostContext } from './context.js';
+import { EvacuatedZones } from './evacuated-zones.js';
 import { HostRole } from './host-role.js';
 import { AppendBatcher } from './append-batcher.js';
 import { InboxSender, type Appender } from './inbox-sender.js';
@@ -27,6 +28,7 @@
 import { awaitLeadership, type WonClaim } from './leadership.js';
 import { meterAdvice, meterLog, meterWorkers } from './metered-ports.js';
 import type { JobGauges } from './meters.js';
+import { followOperator } from './operator-follower.js';
 import type { LinkShares } from './relay/link-shares.js';
 import { RelayedStarts } from './relay/relayed-starts.js';
 import { StartRelay } from './relay/start-relay.js';
@@ -45,7 +47,7 @@
 export interface JobHostOptions {
   readonly ctx: HostContext;
   readonly jobLog: JobLog;
-  readonly configFeed: ConfigFeed;
+  readonly operatorFeed: OperatorFeed;
   readonly workerFeed: () => WorkerFeed;
   readonly workerPort: () => WorkerPort;
   readonly advicePort: () => AdvicePort;
@@ -53,6 +55,8 @@
   /** Address at which other hosts reach this one. */
   readonly peerAddress: string;
   readonly maxLeaseMs: Millis;
+  /** Time after which nothing may start in an evacuated zone; undefined if the deployment has no limit. */
+  readonly evacuationEffectMs: Millis | undefined;
   /** Number of processors of this host. */
   readonly cores: number;
   /** Bandwidth that starts may use on this host's link while it leads. */
@@ -105,7 +109,8 @@
   private readonly role: HostRole;
   private readonly batcher: AppendBatcher;
   private readonly relay: StartRelay;
-  private readonly configFollower: ConfigFollower;
+  private readonly configHolder: ConfigHolder;
+  private readonly evacuatedZones: EvacuatedZones;
   private readonly replicaView: ReplicaView;
   private readonly summaryView: SummaryView;
   private leader: Leader | undefined;
@@ -142,14 +147,15 @@
       port: () => meterWorkers(options.workerPort(), ctx.meters, ctx.clock),
       isFollowing: () => this.isFollowingLeader(),
     });
-    this.configFollower = new ConfigFollower(ctx, options.configFeed);
+    this.configHolder = new ConfigHolder(ctx);
+    this.evacuatedZones = new EvacuatedZones(ctx, options.evacuationEffectMs);
     this.replicaView = new ReplicaView(ctx, replica, () => this.leader);
     this.summaryView = new SummaryView(ctx, summary);
     this.service = new JobService(ctx, inbox, view);
     this.gauges = {
       epoch: () => this.epoch,
       ready: this.ready,
-      configVersion: () => this.configFollower.config?.version ?? 0,
+      configVersion: () => this.configHolder.config?.version ?? 0,
       openJobs: () => this.view().openJobs,
       openRuns: () => countOpenRuns(replica.state),
     };
@@ -157,19 +163,26 @@
 
   start(): void {
     const { ctx } = this.options;
-    void keepRunning(ctx, 'config', () => this.configFollower.follow());
+    void keepRunning(ctx, 'operator', () =>
+      followOperator({
+        ctx,
+        feed: this.options.operatorFeed,
+        config: this.configHolder,
+        evacuatedZones: this.evacuatedZones,
+        isLeading: () => this.leader !== undefined,
+      }),
+    );
     void keepRunning(ctx, 'leadership', () => this.followAndLead());
     void keepRunning(ctx, 'forget', () => this.forgetFinished());
   }
 
-  readonly config = (): OperatorConfig | undefined =>
-    this.configFollower.config;
+  readonly config = (): OperatorConfig | undefined => this.configHolder.config;
 
   readonly ready = (): boolean => {
     const { isComplete, contactAt } = this.view();
     return (
       !this.stopping &&
-      this.configFollower.config !== undefined &&
+      this.configHolder.config !== undefined &&
       isComplete &&
       this.options.ctx.clock() - contactAt < LOG_CONTACT_TIMEOUT_MS
     );
@@ -271,7 +284,7 @@
       if (claim === undefined) {
         break;
       }
-      this.leader = newLeader(options, jobLog, replica, claim);
+      this.leader = this.createLeader(claim);
       this.epoch = claim.epoch;
       this.leader.begin();
       await this.leader.deposed;
@@ -282,6 +295,36 @@
     await this.keepReading();
   }
 
+  private createLeader(claim: WonClaim): Leader {
+    const { options, jobLog, replica, evacuatedZones } = this;
+    const { ctx, maxLeaseMs, retentionMs, statusMs, peerAddress } = options;
+    const { clock, meters } = ctx;
+    const port = meterWorkers(options.workerPort(), meters, clock);
+    const starts = new RelayedStarts({
+      ctx,
+      port,
+      peers: options.peers,
+      epoch: claim.epoch,
+      state: replica.state,
+      shares: options.linkShares,
+    });
+    return new Leader({
+      ctx,
+      jobLog,
+      replica,
+      feed: options.workerFeed(),
+      evacuatedZones,
+      port,
+      starts,
+      advicePort: meterAdvice(options.advicePort(), meters, clock),
+      maxLeaseMs,
+      retentionMs,
+      statusMs,
+      peerAddress,
+      claim,
+    });
+  }
+
   /**
    * Keeps reading while the host stops, so that it can answer on open connections as long as the
    * log answers.
@@ -293,36 +336,3 @@
     }
   }
 }
-
-function newLeader(
-  options: JobHostOptions,
-  jobLog: JobLog,
-  replica: Replica,
-  claim: WonClaim,
-): Leader {
-  const { ctx, maxLeaseMs, retentionMs, statusMs, peerAddress } = options;
-  const { clock, meters } = ctx;
-  const port = meterWorkers(options.workerPort(), meters, clock);
-  const starts = new RelayedStarts({
-    ctx,
-    port,
-    peers: options.peers,
-    epoch: claim.epoch,
-    state: replica.state,
-    shares: options.linkShares,
-  });
-  return new Leader({
-    ctx,
-    jobLog,
-    replica,
-    feed: options.workerFeed(),
-    port,
-    starts,
-    advicePort: meterAdvice(options.advicePort(), meters, clock),
-    maxLeaseMs,
-    retentionMs,
-    statusMs,
-    peerAddress,
-    claim,
-  });
-}
--- a/packages/daemon/src/job-host/stub-worker.fixture.test.ts
+++ b/packages/daemon/src/job-host/stub-worker.fixture.test.ts
@@ -23,6 +23,7 @@
 } from '@paddlewind/ports/jobs';
 import { createVirtualTime } from '@paddlewind/stand-ins';
 
+import { EvacuatedZones } from './evacuated-zones.js';
 import { testContext } from './context.fixture.test.js';
 import type { HostContext } from './context.js';
 import { jobOf, type TestStep } from './simulation.fixture.test.js';
@@ -186,6 +187,7 @@
     pollWaitMs: () => 1_000,
     inboxAgeMs: () => 0,
     registryAgeMs: () => 0,
+    evacuatedZones: new EvacuatedZones(stub.ctx, undefined),
     ticketFor: () => undefined,
     events: {
       ended: stub.end,
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -16,6 +16,7 @@
 import { WakeSignal } from './wake-signal.js';
 import { AdaptiveTimeout } from './adaptive-timeout.js';
 import { pause } from './context.js';
+import type { EvacuatedZones } from './evacuated-zones.js';
 import { Lease } from './lease.js';
 import {
   LinkedRuns,
@@ -73,6 +74,7 @@
   readonly inboxAgeMs: () => Millis;
   /** Time since the leader's last successful read of the registry: later departures are unknown to it. */
   readonly registryAgeMs: () => Millis;
+  readonly evacuatedZones: EvacuatedZones;
   /** Returns the advice service's ticket for a task at this worker, if the task needs one. */
   readonly ticketFor: (task: Task) => string | undefined;
   readonly events: LinkEvents;
--- a/packages/daemon/src/job-host/worker-orders.test.ts
+++ b/packages/daemon/src/job-host/worker-orders.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
+import { EvacuatedZones } from './evacuated-zones.js';
 import { ORDERED_WORKER, StubWorker } from './stub-worker.fixture.test.js';
 import type { StartResult } from './relay/start-sender.js';
 import { MAX_START_WAIT_MS } from './timing.js';
@@ -18,7 +19,9 @@
 function ordersTo(stub: StubWorker): {
   orders: WorkerOrders;
   reports: SlowReports;
+  evacuatedZones: EvacuatedZones;
 } {
+  const evacuatedZones = new EvacuatedZones(stub.ctx, undefined);
   const reports: SlowReports = { slow: 0, expired: 0 };
   const orders = new WorkerOrders({
     ctx: stub.ctx,
@@ -30,6 +33,7 @@
     extendLease: now => now + 5_000,
     inboxAgeMs: () => 0,
     registryAgeMs: () => 0,
+    evacuatedZones,
     ticketFor: () => undefined,
     events: {
       ended: stub.end,
@@ -48,7 +52,7 @@
       stopConfirmed: () => undefined,
     },
   });
-  return { orders, reports };
+  return { orders, reports, evacuatedZones };
 }
 
 test('a queued start is not sent once its job is cancelled', async () => {
@@ -94,6 +98,20 @@
   assert.deepEqual(stub.ended, ['0#1 done', '0#2 void']);
 });
 
+test('a queued start is not sent once the zone of its worker is evacuated', async () => {
+  const stub = new StubWorker(2);
+  const { orders, evacuatedZones } = ordersTo(stub);
+  stub.answerMs = SLOW_MS;
+  orders.start(stub.open(0), stub.time.clock());
+  orders.start(stub.open(1), stub.time.clock());
+  await stub.time.advance(100);
+  const { availabilityZone } = ORDERED_WORKER;
+  evacuatedZones.apply([{ availabilityZone, offset: 1 }], stub.time.clock());
+  await stub.time.advance(5_000);
+  assert.deepEqual(stub.sent, ['start 0#1']);
+  assert.deepEqual(stub.ended, ['1#1 void']);
+});
+
 test('a stop withdraws a queued start', async () => {
   const stub = new StubWorker(2);
   const { orders } = ordersTo(stub);
--- a/packages/daemon/src/job-host/worker-orders.ts
+++ b/packages/daemon/src/job-host/worker-orders.ts
@@ -13,6 +13,7 @@
 import type { OrderResult, RunOrder, WorkerPort } from '@paddlewind/ports/jobs';
 
 import type { HostContext } from './context.js';
+import type { EvacuatedZones } from './evacuated-zones.js';
 import type { DroppedStartReason } from './meters.js';
 import { OrderQueue } from './order-queue.js';
 import type { StartResult, StartSender } from './relay/start-sender.js';
@@ -62,6 +63,7 @@
   readonly inboxAgeMs: () => Millis;
   /** Time since the leader's last successful read of the registry: later departures are unknown to it. */
   readonly registryAgeMs: () => Millis;
+  readonly evacuatedZones: EvacuatedZones;
   /** Returns the advice service's ticket for a task at this worker, if the task needs one. */
   readonly ticketFor: (task: Task) => string | undefined;
   readonly events: OrderEvents;
@@ -131,8 +133,8 @@
   /**
    * Returns why a start may not be sent, or undefined if it may. Orders can wait in the queue for seconds if
    * the worker or this host is slow, so the conditions of the decision are checked again before sending. A
-   * task that starts after its job was cancelled, after it has ended, or at a worker whose runs are being
-   * abandoned can't be undone.
+   * task that starts after its job was cancelled, after it has ended, in an evacuated zone, or at a worker
+   * whose runs are being abandoned can't be undone.
    */
   private startObstacle(
     run: Run,
@@ -142,24 +144,33 @@
     if (obsoleteReason !== undefined) {
       return obsoleteReason === 'over' ? 'over' : 'needless';
     }
-    const { ctx, inboxAgeMs, registryAgeMs, mayStart } = this.options;
-    if (inboxAgeMs() > INBOX_STALE_MS || registryAgeMs() > REGISTRY_STALE_MS) {
+    const { ctx, mayStart, info, evacuatedZones } = this.options;
+    const now = ctx.clock();
+    if (now > this.reliableUntil(now)) {
       return 'stale';
     }
-    if (ctx.clock() - decidedAt > MAX_START_WAIT_MS) {
+    if (now - decidedAt > MAX_START_WAIT_MS) {
       return 'late';
     }
+    if (evacuatedZones.has(info().availabilityZone)) {
+      return 'evacuated';
+    }
     return mayStart() ? undefined : 'worker';
   }
 
   /** Returns the time until which a start that may be sent now remains valid, by what this leader knows. */
   private startDeadline(decidedAt: Instant): Instant {
-    const { ctx, inboxAgeMs, registryAgeMs } = this.options;
-    const now = ctx.clock();
+    const now = this.options.ctx.clock();
+    return Math.min(this.reliableUntil(now), decidedAt + MAX_START_WAIT_MS);
+  }
+
+  /** Returns the time until which starts may rely on what this leader has read of others' decisions. */
+  private reliableUntil(now: Instant): Instant {
+    const { inboxAgeMs, registryAgeMs, evacuatedZones } = this.options;
     return Math.min(
       now - inboxAgeMs() + INBOX_STALE_MS,
       now - registryAgeMs() + REGISTRY_STALE_MS,
-      decidedAt + MAX_START_WAIT_MS,
+      evacuatedZones.reliableUntil,
     );
   }
 
--- a/packages/domain/src/jobs/fleet-snapshot.test.ts
+++ b/packages/domain/src/jobs/fleet-snapshot.test.ts
@@ -23,10 +23,12 @@
 function snapshot(
   state: JobsState,
   workers: readonly PlanWorker[],
+  evacuated: readonly PlanWorker[] = [],
 ): FleetSnapshot {
   return snapshotFleet({
     plan: planInput(state, workers),
-    registered: workers.map(({ info }) => info),
+    registered: [...workers, ...evacuated].map(({ info }) => info),
+    evacuated,
   });
 }
 
@@ -96,6 +98,16 @@
   assert.deepEqual(snapshot(state, []).waiting, { q: { no_worker: 2 } });
 });
 
+test('a task that only evacuated workers have capacity for waits for the evacuation', () => {
+  const state = stateOf(
+    testJob('held', [{ lasting: true, size: WHOLE_WORKER }]),
+    testJob('j', [{ tasks: 2 }], { queue: 'wanted' }),
+  );
+  startOn(state, taskOf(state, 'held', 0, 0), 'w');
+  const { waiting } = snapshot(state, [testWorker('w')], [testWorker('e')]);
+  assert.deepEqual(waiting.wanted, { evacuated: 2 });
+});
+
 test('a snapshot stays bounded with many queues and kinds of tasks', () => {
   const jobs = Array.from({ length: 100 }, (_, at) =>
     testJob(`j${at}`, [{ size: { ...WHOLE_WORKER, cpuMilli: 4_001 + at } }], {
--- a/packages/domain/src/jobs/fleet-snapshot.ts
+++ b/packages/domain/src/jobs/fleet-snapshot.ts
@@ -7,7 +7,7 @@
   obstacleAt,
   OBSTACLES,
   type Obstacle,
-  type PlacementInput,
+  type PlanWorker,
   type WorkerInfo,
 } from './placement.js';
 import { placementInputOf, type PlanInput } from './plan.js';
@@ -16,12 +16,12 @@
 
 /**
  * Why a task waits. An obstacle: what the task lacks on the worker that passed the most checks of
- * `OBSTACLES`; `disturbance`: wherever it fits it would be slowed or would disturb a serving task; `turn`:
+ * `OBSTACLES`; `evacuated`: it would have a place if no zone were evacuated; `disturbance`: wherever it fits it would be slowed or would disturb a serving task; `turn`:
  * there is free capacity, and the next round may start it; `no_worker`: no worker is usable; `unexamined`:
  * more kinds of tasks wait than one snapshot examines.
  */
 export type WaitReason =
-  Obstacle | 'disturbance' | 'turn' | 'no_worker' | 'unexamined';
+  Obstacle | 'evacuated' | 'disturbance' | 'turn' | 'no_worker' | 'unexamined';
 
 /** Processor use of all workers, in thousandths of a core. */
 export interface ProcessorUsage {
@@ -68,10 +68,13 @@
   readonly sizes: Readonly<Record<string, WaitingBySize>>;
 }
 
-/** Input of a snapshot: that of a planning round, and all registered workers. */
+/** Input of a snapshot: that of a planning round, and workers that are not available to it. */
 export interface FleetSnapshotInput {
   readonly plan: PlanInput;
+  /** All registered workers. */
   readonly registered: readonly WorkerInfo[];
+  /** Workers that could be assigned tasks if their zones were not evacuated. */
+  readonly evacuated: readonly PlanWorker[];
 }
 
 /** Most kinds of waiting tasks examined per snapshot; each is checked against all workers. */
@@ -89,8 +92,8 @@
     workers: registered.length,
     usableWorkers: plan.workers.length,
     processors: countProcessors(input),
-    waiting: countWaitingByReason(plan, ordered),
-    sizes: groupWaitingBySize(plan, ordered),
+    waiting: countWaitingByReason(input, ordered),
+    sizes: groupWaitingBySize(input, ordered),
   };
 }
 
@@ -132,10 +135,9 @@
 }
 
 function countWaitingByReason(
-  plan: PlanInput,
+  input: FleetSnapshotInput,
   ordered: readonly Candidate[],
 ): Record<string, WaitingByReason> {
-  const placement = placementInputOf(plan);
   const reasons = new Map<string, WaitReason>();
   const countsByQueue: Record<string, Partial<Record<WaitReason, number>>> = {};
   for (const { step } of ordered) {
@@ -143,14 +145,14 @@
     const isListed =
       queue in countsByQueue || Object.keys(countsByQueue).length < MAX_QUEUES;
     const counts = (countsByQueue[isListed ? queue : OTHER_QUEUES] ??= {});
-    const reason = cachedReasonOf(placement, step, reasons);
+    const reason = cachedReasonOf(input, step, reasons);
     counts[reason] = (counts[reason] ?? 0) + waitingTasks(step).length;
   }
   return countsByQueue;
 }
 
 function groupWaitingBySize(
-  plan: PlanInput,
+  input: FleetSnapshotInput,
   ordered: readonly Candidate[],
 ): Record<string, WaitingBySize> {
   const queues = new Map<string, Map<Occurrence, Candidate>>();
@@ -168,30 +170,30 @@
   return Object.fromEntries(
     [...queues].map(([queue, jobs]) => [
       queue,
-      waitingBySizeOf(plan, [...jobs.values()]),
+      waitingBySizeOf(input, [...jobs.values()]),
     ]),
   );
 }
 
 /** Groups jobs by size; `ordered` holds the first step of each job in scheduling order. */
 function waitingBySizeOf(
-  plan: PlanInput,
+  input: FleetSnapshotInput,
   ordered: readonly Candidate[],
 ): WaitingBySize {
   const groups = sizeGroupsOf(ordered, ({ step }) =>
-    expectedWorkOf(step.occurrence, plan.times),
+    expectedWorkOf(step.occurrence, input.plan.times),
   );
   return Object.fromEntries(
     groups.map(([group, members]) => {
       const memberSet = new Set(members);
       const first = ordered.find(candidate => memberSet.has(candidate));
-      return [group, describeWaitingJobs(plan, members, first)];
+      return [group, describeWaitingJobs(input, members, first)];
     }),
   );
 }
 
 function describeWaitingJobs(
-  plan: PlanInput,
+  input: FleetSnapshotInput,
   members: readonly Candidate[],
   first: Candidate | undefined,
 ): WaitingJobs {
@@ -199,17 +201,14 @@
   return {
     jobs: members.length,
     notBegun: members.filter(({ started }) => !started).length,
-    oldestMs: Math.round(plan.time.now - oldest),
-    reason:
-      first === undefined
-        ? 'no_worker'
-        : decideReason(placementInputOf(plan), first.step),
+    oldestMs: Math.round(input.plan.time.now - oldest),
+    reason: first === undefined ? 'no_worker' : decideReason(input, first.step),
   };
 }
 
 /** Similar steps of a queue share the reason of the first one, so that it is worked out once. */
 function cachedReasonOf(
-  placement: PlacementInput,
+  input: FleetSnapshotInput,
   step: Step,
   reasons: Map<string, WaitReason>,
 ): WaitReason {
@@ -223,16 +222,25 @@
   if (reasons.size >= MAX_TASK_KINDS) {
     return 'unexamined';
   }
-  const reason = decideReason(placement, step);
+  const reason = decideReason(input, step);
   reasons.set(key, reason);
   return reason;
 }
 
-function decideReason(placement: PlacementInput, step: Step): WaitReason {
+function decideReason(
+  { plan, evacuated }: FleetSnapshotInput,
+  step: Step,
+): WaitReason {
+  const placement = placementInputOf(plan);
   const [task] = waitingTasks(step);
   if (task === undefined || chooseWorker(placement, task) !== undefined) {
     return 'turn';
   }
+  const hasPlace = (worker: PlanWorker): boolean =>
+    obstacleAt(placement, worker, task) === undefined;
+  if (evacuated.some(hasPlace)) {
+    return 'evacuated';
+  }
   let furthest = -1;
   for (const worker of placement.workers) {
     const obstacle = obstacleAt(placement, worker, task);
--- a/packages/ports/src/jobs/feeds.ts
+++ b/packages/ports/src/jobs/feeds.ts
@@ -24,19 +24,36 @@
   readonly limits: RequestLimits;
 }
 
-/** The latest published value, or the reason why there is none. */
-export type FeedResult<T> =
+/** The operator's request that nothing more start in an availability zone, in force until it is removed. */
+export interface ZoneEvacuation {
+  readonly availabilityZone: string;
+  /** Offset of its latest record. */
+  readonly offset: number;
+}
+
+/** A value as published, or the reason why there is none. */
+export type Published<T> =
   | { readonly kind: 'value'; readonly value: T }
   /** Nothing has been published yet. */
   | { readonly kind: 'none' }
   /** The latest published value is invalid; the previous valid one stays in force. */
-  | { readonly kind: 'unreadable'; readonly reason: string }
+  | { readonly kind: 'unreadable'; readonly reason: string };
+
+/** The result of reading a feed. */
+export type FeedResult<T> =
+  | { readonly kind: 'value'; readonly value: T }
   | { readonly kind: 'unavailable'; readonly reason: string };
 
-/** Subscription to the operator's configuration. */
-export interface ConfigFeed {
-  /** Returns the latest version; calls after the first wait up to `waitMs` for a newer one. */
-  next(waitMs: Millis): Promise<FeedResult<OperatorConfig>>;
+/** All that the operator has currently published. */
+export interface OperatorEntries {
+  readonly config: Published<OperatorConfig>;
+  readonly evacuations: readonly ZoneEvacuation[];
+}
+
+/** Subscription to what the operator publishes. */
+export interface OperatorFeed {
+  /** Returns the current entries; calls after the first wait up to `waitMs` for a change. */
+  next(waitMs: Millis): Promise<FeedResult<OperatorEntries>>;
 }
 
 /** A registry entry that can't be decoded. */
--- a/packages/stand-ins/src/jobs/history-facts.ts
+++ b/packages/stand-ins/src/jobs/history-facts.ts
@@ -20,6 +20,7 @@
   | 'nothing_after_cancel'
   | 'ends_after_cancel'
   | 'not_on_leaving'
+  | 'not_in_evacuated'
   | 'within_room'
   | 'right_worker'
   | 'gang_together'
@@ -91,12 +92,21 @@
   /** Later capacities, with the time from which the worker reported them. */
   readonly resizes: { readonly at: Instant; readonly capacity: TaskSize }[];
   readonly labels: readonly string[];
+  readonly availabilityZone: string;
   readonly joinedAt: Instant;
   /** When the worker announced that it is leaving; infinite before. */
   leavingAt: Instant;
   endedAt: Instant;
 }
 
+/** An evacuation of a zone. */
+export interface EvacuationTrace {
+  readonly availabilityZone: string;
+  readonly from: Instant;
+  /** When it was taken back; infinite before. */
+  until: Instant;
+}
+
 /** State of a job that a host reported to a caller. */
 export interface StatusReport {
   readonly job: string;
@@ -119,6 +129,7 @@
   /** In the order of their starts. */
   readonly runs: readonly RunTrace[];
   readonly workers: ReadonlyMap<string, WorkerTrace>;
+  readonly evacuations: readonly EvacuationTrace[];
   readonly statusReports: readonly StatusReport[];
   readonly queueLengthReports: readonly QueueLengthReport[];
   /** Undefined if the test does not record its faults; no period counts as fault-free then. */
--- a/packages/stand-ins/src/jobs/history.fixture.test.ts
+++ b/packages/stand-ins/src/jobs/history.fixture.test.ts
@@ -41,9 +41,13 @@
   }
 
   /** Adds a worker with capacity for two tasks. */
-  addWorker(id: string, labels: readonly string[] = []): void {
+  addWorker(
+    id: string,
+    labels: readonly string[] = [],
+    availabilityZone = 'a',
+  ): void {
     const capacity = { ...SIZE, cpuMilli: 2_000, memoryMiB: 2_000 };
-    this.history.recordWorkerStart({ id, capacity, labels });
+    this.history.recordWorkerStart({ id, capacity, labels, availabilityZone });
   }
 
   /** Records the start of a run. */
--- a/packages/stand-ins/src/jobs/index.ts
+++ b/packages/stand-ins/src/jobs/index.ts
@@ -4,5 +4,6 @@
 export * from './job-history.js';
 export * from './memory-fleet.js';
 export * from './memory-job-log.js';
+export * from './memory-operator.js';
 export * from './memory-worker.js';
 export * from './log-partition.js';
--- a/packages/stand-ins/src/jobs/job-history.ts
+++ b/packages/stand-ins/src/jobs/job-history.ts
@@ -13,6 +13,7 @@
 import type { FaultTimes } from './fault-times.js';
 import {
   jobDoneAt,
+  type EvacuationTrace,
   type HistoryFacts,
   type QueueLengthReport,
   type RunTrace,
@@ -41,6 +42,7 @@
 
   private readonly runs = new Map<string, RunTrace>();
   private readonly workers = new Map<string, WorkerTrace>();
+  private readonly evacuations: EvacuationTrace[] = [];
   private readonly statusReports: StatusReport[] = [];
   private readonly queueLengthReports: QueueLengthReport[] = [];
   private isDelayed = false;
@@ -50,13 +52,17 @@
 
   /** Records the start of an incarnation of a worker. */
   recordWorkerStart(
-    worker: Pick<WorkerTrace, 'id' | 'capacity' | 'labels'>,
+    worker: Pick<
+      WorkerTrace,
+      'id' | 'capacity' | 'labels' | 'availabilityZone'
+    >,
   ): void {
     this.workers.set(worker.id, {
       id: worker.id,
       capacity: worker.capacity,
       resizes: [],
       labels: worker.labels,
+      availabilityZone: worker.availabilityZone,
       joinedAt: this.clock(),
       leavingAt: Infinity,
       endedAt: Infinity,
@@ -76,6 +82,21 @@
     }
   }
 
+  /** Records that the operator has evacuated a zone. */
+  recordEvacuation(availabilityZone: string): void {
+    const from = this.clock();
+    this.evacuations.push({ availabilityZone, from, until: Infinity });
+  }
+
+  /** Records that the operator has taken back the evacuation of a zone. */
+  recordEvacuationEnd(availabilityZone: string): void {
+    for (const evacuation of this.evacuations) {
+      if (evacuation.availabilityZone === availabilityZone) {
+        evacuation.until = Math.min(evacuation.until, this.clock());
+      }
+    }
+  }
+
   /** Records the end of an incarnation of a worker. */
   recordWorkerEnd(worker: string): void {
     const trace = this.workers.get(worker);
@@ -261,6 +282,7 @@
       jobs: this.jobs,
       runs: runs.sort((a, b) => a.startedAt - b.startedAt),
       workers: this.workers,
+      evacuations: this.evacuations,
       statusReports: this.statusReports,
       queueLengthReports: this.queueLengthReports,
       faults: this.faults,
--- a/packages/stand-ins/src/jobs/memory-fleet.ts
+++ b/packages/stand-ins/src/jobs/memory-fleet.ts
@@ -23,6 +23,8 @@
 const CALL_TIMEOUT_MS = 500;
 /** Minimum delay of a delayed call, in milliseconds. */
 const MIN_DELAY_MS = 2_000;
+/** Availability zone of workers that are not given one. */
+const DEFAULT_ZONE = 'a';
 /** Range of the random part of that delay, in milliseconds. */
 const DELAY_SPAN_MS = 10_000;
 
@@ -75,6 +77,7 @@
     });
     history.recordWorkerStart({
       labels: [],
+      availabilityZone: DEFAULT_ZONE,
       ...traits,
       id: worker.incarnation,
     });
@@ -327,7 +330,7 @@
     id,
     address,
     service: 'main',
-    availabilityZone: 'a',
+    availabilityZone: traits.availabilityZone ?? DEFAULT_ZONE,
     rack: undefined,
     labels: traits.labels ?? [],
     capacity: traits.capacity,
--- a/packages/stand-ins/src/jobs/memory-worker.ts
+++ b/packages/stand-ins/src/jobs/memory-worker.ts
@@ -42,6 +42,8 @@
   readonly startedAt?: Instant;
   readonly capacity: TaskSize;
   readonly labels?: readonly string[];
+  /** `a` if it is not given. */
+  readonly availabilityZone?: string;
   readonly maxLeaseMs: Millis;
   /** Rate of the worker's clock, from 0.98 to 1. */
   readonly clockRate: number;
@@ -92,6 +94,11 @@
     return incarnationOf(this.traits.id, this.traits.startedAt);
   }
 
+  /** Number of active runs. */
+  get activeRuns(): number {
+    return this.active.size;
+  }
+
   /** The worker's own clock. */
   get clock(): Instant {
     const { clockRate, clockOffset } = this.traits;
--- a/packages/stand-ins/src/jobs/placement-guarantees.test.ts
+++ b/packages/stand-ins/src/jobs/placement-guarantees.test.ts
@@ -23,6 +23,30 @@
   assert.deepEqual(scenario.violatedGuarantees(), []);
 });
 
+test('a start over 5 s after its zone was evacuated and before that is taken back is a violation', () => {
+  const scenario = new Scenario([THREE]);
+  scenario.now = 1_000;
+  scenario.history.recordEvacuation('a');
+  scenario.startRun(6_001, task(), 1);
+  scenario.now = 7_000;
+  scenario.history.recordEvacuationEnd('a');
+  assert.deepEqual(scenario.violatedGuarantees(), ['not_in_evacuated']);
+});
+
+test('a start soon after an evacuation, after its end, a delayed one and one elsewhere are no violations', () => {
+  const scenario = new Scenario([THREE]);
+  scenario.addWorker('w3', [], 'b');
+  scenario.now = 1_000;
+  scenario.history.recordEvacuation('a');
+  scenario.startRun(6_000, task(0), 1);
+  scenario.startDelayedRun(7_000, task(1), 1);
+  scenario.startRun(7_000, task(2), 1, 'w3');
+  scenario.now = 8_000;
+  scenario.history.recordEvacuationEnd('a');
+  scenario.startRun(8_100, task(0, 0), 2, 'w2');
+  assert.ok(!scenario.violatedGuarantees().includes('not_in_evacuated'));
+});
+
 test('a start beyond the capacity of its worker is a violation', () => {
   const scenario = new Scenario([THREE]);
   for (const index of [0, 1, 2]) {
--- a/packages/stand-ins/src/jobs/placement-guarantees.ts
+++ b/packages/stand-ins/src/jobs/placement-guarantees.ts
@@ -15,6 +15,9 @@
 /** Time after a worker announced its departure in which runs may start there, by the specification. */
 const LEAVING_DELAY_MS: Millis = 2_000;
 
+/** Time after the request to evacuate a zone in which runs may start there, by the specification. */
+const EVACUATION_DELAY_MS: Millis = 5_000;
+
 /** Time after which a reduced capacity has to be respected, by the specification: recovery and one report. */
 const SHRINK_DELAY_MS: Millis = RECOVERY_MS + 1_100;
 
@@ -29,6 +32,7 @@
         .filter(({ endedAt }) => endedAt > run.startedAt);
       return [
         ...startOnLeaving(worker, run),
+        ...startInEvacuated(facts, worker, run),
         ...overCapacity(facts, worker, run, concurrent),
         ...ineligibleWorker(facts, worker, run, concurrent),
       ];
@@ -68,6 +72,29 @@
     : [];
 }
 
+function startInEvacuated(
+  { evacuations }: HistoryFacts,
+  { availabilityZone }: WorkerTrace,
+  run: RunTrace,
+): Violation[] {
+  const inForce = evacuations.find(
+    evacuation =>
+      evacuation.availabilityZone === availabilityZone &&
+      run.startedAt > evacuation.from + EVACUATION_DELAY_MS &&
+      run.startedAt < evacuation.until,
+  );
+  return !run.delayed && inForce !== undefined
+    ? [
+        violation(
+          'not_in_evacuated',
+          taskName(run.task),
+          [run],
+          `${availabilityZone} is evacuated since ${inForce.from}`,
+        ),
+      ]
+    : [];
+}
+
 /** Returns the largest capacity that hosts may assume at a time; a reduction takes effect with a delay. */
 function largestCapacityAt(
   { capacity, resizes }: WorkerTrace,
--- a/packages/stand-ins/src/users-platform/store-server.ts
+++ b/packages/stand-ins/src/users-platform/store-server.ts
@@ -22,6 +22,8 @@
 const LENGTH_BYTES = 4;
 const OFFSET_BYTES = 8;
 const REFUSED = 503;
+/** Status of a read of removed records. */
+const GONE = 410;
 
 /** Store that is served over HTTP. */
 export class StoreServer {
@@ -59,6 +61,19 @@
     this.partition(topic, '0').append([record]);
   }
 
+  /** Deletes a key of a keyed topic. */
+  delete(topic: string, key: string): void {
+    const keyBytes = Buffer.from(key);
+    const record = Buffer.concat([Buffer.from([keyBytes.length]), keyBytes]);
+    this.partition(topic, '0').append([record]);
+  }
+
+  /** Removes all records of a keyed topic but the latest of each key. */
+  compact(topic: string): void {
+    const partition = this.partition(topic, '0');
+    partition.firstOffset = partition.records.length;
+  }
+
   private async handle(req: RawRequest): Promise<RawReply | undefined> {
     const { pathname, searchParams } = req.url;
     this.calls.set(pathname, (this.calls.get(pathname) ?? 0) + 1);
@@ -136,6 +151,10 @@
   partition: LogPartition,
 ): Promise<RawReply> {
   const from = Number(query.get('from'));
+  const { firstOffset } = partition;
+  if (from < firstOffset) {
+    return jsonReply(GONE, { firstOffset });
+  }
   const waitMs = Math.min(MAX_WAIT_MS, Number(query.get('waitMs') ?? 0));
   if (partition.records.length <= from && waitMs > 0) {
     const arrived = new Promise<void>(resolve => {
