Refuse jobs that only workers in evacuated zones may run

What is known not to be served is to be rejected at once: a job with a step that only workers of evacuated zones may run waited until the operator took the evacuation back. Jobs that end and are not scheduled are refused with that reason; long-running and scheduled ones are accepted, and what was accepted before waits.

--- a/packages/daemon/src/job-host/caller-view.ts
+++ b/packages/daemon/src/job-host/caller-view.ts
@@ -3,7 +3,7 @@
 import type {
   InboxRecord,
   JobState,
-  StartDelays,
+  AdmissionLimits,
 } from '@paddlewind/domain/jobs';
 
 import { pause, type HostContext } from './context.js';
@@ -27,8 +27,8 @@
   readonly openJobs: number;
   /** Monotonic time up to which all submissions and cancellations are known. */
   readonly inboxKnownAsOf: Instant;
-  /** How late new tasks start, as the leader has last reported. */
-  readonly startDelays: StartDelays;
+  /** Limits on the jobs that are accepted, as the leader has last reported them. */
+  readonly admissionLimits: AdmissionLimits;
   /** Whether a job is known without reading from the log. */
   has(job: string): boolean;
   /** Returns whether a job was accepted, as of a moment after the call. */
--- a/packages/daemon/src/job-host/evacuated-zones.ts
+++ b/packages/daemon/src/job-host/evacuated-zones.ts
@@ -42,6 +42,11 @@
       : this.readAt + Math.max(0, this.effectMs - ORDER_ALLOWANCE_MS);
   }
 
+  /** Whether no zone is evacuated. */
+  get isEmpty(): boolean {
+    return this.zones.size === 0;
+  }
+
   /** Whether nothing may start in a zone. */
   has(availabilityZone: string): boolean {
     return this.zones.has(availabilityZone);
--- a/packages/daemon/src/job-host/job-service.ts
+++ b/packages/daemon/src/job-host/job-service.ts
@@ -3,9 +3,10 @@
 import {
   estimatedSizeOf,
   encodeRecord,
-  latenessOf,
+  refusalOf,
   type InboxRecord,
   type JobSpec,
+  type Refusal,
 } from '@paddlewind/domain/jobs';
 import type { AppendResult } from '@paddlewind/ports/jobs';
 
@@ -32,6 +33,11 @@
   /** It may have been recorded. */
   | { readonly kind: 'unknown'; readonly reason: string };
 
+const REFUSAL_REASONS: Readonly<Record<Refusal['why'], string>> = {
+  too_late: 'the leader starts tasks too late',
+  evacuated: 'all workers that may run it are in evacuated zones',
+};
+
 /** Time before the caller's deadline at which an outcome that is still unknown is reported. */
 const ANSWER_MARGIN_MS = 300;
 
@@ -49,18 +55,23 @@
     if (this.view().has(job.id)) {
       return { kind: 'recorded' };
     }
-    const retryAfterMs = latenessOf(job, this.view().startDelays);
-    if (retryAfterMs > 0) {
-      return this.refuseLate(job, retryAfterMs);
+    const refusal = refusalOf(job, this.view().admissionLimits);
+    if (refusal !== undefined) {
+      return this.refuse(job, refusal);
     }
     const atWall = this.ctx.wallClock();
     return this.recordChange({ kind: 'submit', job, atWall }, job.id, deadline);
   }
 
-  /** Refuses a job that would begin too late for its objective, since the leader can't start it sooner. */
-  private refuseLate(job: JobSpec, retryAfterMs: Millis): ChangeResult {
-    const reason = 'the leader starts tasks too late';
-    const result: ChangeResult = { kind: 'refused', reason, retryAfterMs };
+  /** Refuses a job that is known not to be served in time. */
+  private refuse(job: JobSpec, refusal: Refusal): ChangeResult {
+    const result: ChangeResult = {
+      kind: 'refused',
+      reason: REFUSAL_REASONS[refusal.why],
+      ...('retryAfterMs' in refusal
+        ? { retryAfterMs: refusal.retryAfterMs }
+        : {}),
+    };
     this.logChange(job.id, job, 'submit', result);
     return result;
   }
--- a/packages/daemon/src/job-host/leader-records.ts
+++ b/packages/daemon/src/job-host/leader-records.ts
@@ -2,6 +2,7 @@
 import type { Instant } from '@paddlewind/domain';
 import {
   chooseStandbys,
+  type AdmissionLimits,
   type LeaseHandover,
   type Interference,
   type JournalRecord,
@@ -9,7 +10,6 @@
   type RunEnd,
   type RunTimes,
   type WorkerHealth,
-  type StartDelays,
 } from '@paddlewind/domain/jobs';
 
 import type { HostContext } from './context.js';
@@ -30,7 +30,7 @@
     readonly peerAddress: string;
   },
   handed: LeaseHandover | undefined,
-  startDelays: StartDelays,
+  limits: AdmissionLimits,
 ): JournalRecord {
   return {
     kind: 'heartbeat',
@@ -42,7 +42,7 @@
     address: peerAddress,
     ledForMs: Math.floor(ctx.clock() - claim.wonAt),
     silence: claim.silence,
-    startDelays,
+    limits,
   };
 }
 
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -4,6 +4,7 @@
   AdviceTickets,
   createRunTimes,
   EMPTY_FLEET_SNAPSHOT,
+  evacuatedKindsOf,
   Interference,
   planSpeculativeCopies,
   planStarts,
@@ -13,11 +14,11 @@
   WorkerHealth,
   workerIdOf,
   workerRuns,
+  type AdmissionLimits,
   type ApplyStart,
   type JobsState,
   type PlanInput,
   type RunTimes,
-  type StartDelays,
   type WorkerInfo,
 } from '@paddlewind/domain/jobs';
 
@@ -134,7 +135,7 @@
       claim,
       peerAddress: options.peerAddress,
       inboxUpTo: () => replica.nextOffset('inbox'),
-      startDelays: () => this.startDelays(),
+      admissionLimits: () => this.admissionLimits(),
       retentionMs: options.retentionMs,
       statusMs: options.statusMs,
     });
@@ -334,8 +335,8 @@
   private recordHeartbeat(): void {
     this.hasNewSilence = false;
     const leases = this.leases.report();
-    const delays = this.startDelays();
-    this.decisions.record(heartbeatRecord(this.options, leases, delays));
+    const limits = this.admissionLimits();
+    this.decisions.record(heartbeatRecord(this.options, leases, limits));
   }
 
   private recordLearned(): void {
@@ -381,9 +382,17 @@
     return this.startWindow.available(this.options.starts.maxStarts);
   }
 
-  private startDelays(): StartDelays {
-    const rate = this.startRate.perSecond(this.options.ctx.clock());
-    return startDelaysOf(this.state.openJobs, rate);
+  private admissionLimits(): AdmissionLimits {
+    const { ctx, evacuatedZones } = this.options;
+    const rate = this.startRate.perSecond(ctx.clock());
+    return {
+      startDelays: startDelaysOf(this.state.openJobs, rate),
+      evacuatedKinds: evacuatedZones.isEmpty
+        ? []
+        : evacuatedKindsOf(this.fleet.registeredWorkers(), zone =>
+            evacuatedZones.has(zone),
+          ),
+    };
   }
 
   private publishFleetAccount(): Promise<void> {
--- a/packages/daemon/src/job-host/replica-view.ts
+++ b/packages/daemon/src/job-host/replica-view.ts
@@ -4,7 +4,7 @@
   statusOf,
   reportedStateOf,
   type InboxRecord,
-  type StartDelays,
+  type AdmissionLimits,
 } from '@paddlewind/domain/jobs';
 
 import {
@@ -51,9 +51,9 @@
     return this.replica.knownAsOf('inbox');
   }
 
-  /** How late new tasks start, as the leader has last reported. */
-  get startDelays(): StartDelays {
-    return this.replica.state.startDelays;
+  /** Limits on the jobs that are accepted, as the leader has last reported them. */
+  get admissionLimits(): AdmissionLimits {
+    return this.replica.state.admissionLimits;
   }
 
   /** Whether a job is known without reading from the log. */
--- a/packages/daemon/src/job-host/summary-follower.ts
+++ b/packages/daemon/src/job-host/summary-follower.ts
@@ -6,7 +6,7 @@
   Summary,
   type InboxRecord,
   type SummaryRecord,
-  type StartDelays,
+  type AdmissionLimits,
 } from '@paddlewind/domain/jobs';
 import type { JobLog, JobStream } from '@paddlewind/ports/jobs';
 
@@ -40,7 +40,7 @@
   readonly host: string;
   readonly address: string;
   readonly standbys: readonly string[];
-  readonly startDelays?: StartDelays;
+  readonly limits?: AdmissionLimits;
 }
 
 /** Follows the summary and, on request, the end of the inbox. */
--- a/packages/daemon/src/job-host/summary-view.ts
+++ b/packages/daemon/src/job-host/summary-view.ts
@@ -1,6 +1,10 @@
 /** Answers callers on a host that does not read the journal. */
 import type { Instant } from '@paddlewind/domain';
-import type { InboxRecord, StartDelays } from '@paddlewind/domain/jobs';
+import {
+  NO_LIMITS,
+  type AdmissionLimits,
+  type InboxRecord,
+} from '@paddlewind/domain/jobs';
 
 import {
   findByReading,
@@ -44,9 +48,9 @@
     return this.follower.inboxKnownAsOf;
   }
 
-  /** How late new tasks start, as the leader has last reported. */
-  get startDelays(): StartDelays {
-    return this.follower.leaderInfo?.startDelays ?? [];
+  /** Limits on the jobs that are accepted, as the leader has last reported them. */
+  get admissionLimits(): AdmissionLimits {
+    return this.follower.leaderInfo?.limits ?? NO_LIMITS;
   }
 
   /** Whether a job is known without reading from the log. */
--- a/packages/daemon/src/job-host/summary-writer.ts
+++ b/packages/daemon/src/job-host/summary-writer.ts
@@ -8,7 +8,7 @@
   type JobsState,
   type SummaryRecord,
   type SummaryRow,
-  type StartDelays,
+  type AdmissionLimits,
 } from '@paddlewind/domain/jobs';
 import type { AppendResult, JobLog, WriterStamp } from '@paddlewind/ports/jobs';
 
@@ -37,7 +37,7 @@
   /** Returns the inbox offset up to which records are applied to `state`. */
   readonly inboxUpTo: () => number;
   /** Returns how late new tasks start. */
-  readonly startDelays: () => StartDelays;
+  readonly admissionLimits: () => AdmissionLimits;
   /** Retention time of the log. */
   readonly retentionMs: Millis;
   /** Time for which the state of a finished job can be queried. */
@@ -146,11 +146,11 @@
 
   private leaderRecord(): SummaryRecord {
     const { ctx, claim, state, peerAddress: address } = this.options;
-    const startDelays = this.options.startDelays();
+    const limits = this.options.admissionLimits();
     const standbys = state.standbys ?? [];
     const { epoch } = claim;
     const { host } = ctx;
-    return { kind: 'leads', epoch, host, address, standbys, startDelays };
+    return { kind: 'leads', epoch, host, address, standbys, limits };
   }
 
   private async writeSnapshot(): Promise<void> {
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -1,4 +1,5 @@
 /** Applies the records of the inbox and the journal to the state of jobs. */
+import { NO_LIMITS } from './admission.js';
 import type { Instant, Millis } from '../core/time.js';
 import {
   discountExplainedLosses,
@@ -77,7 +78,7 @@
       state.claim = record;
       state.released = false;
       state.leaderAddress = undefined;
-      state.startDelays = [];
+      state.admissionLimits = NO_LIMITS;
       forgetIdleWorkers(state);
       return true;
     case 'heartbeat':
@@ -87,7 +88,7 @@
       }
       state.standbys = record.standbys;
       state.leaderAddress = record.address;
-      state.startDelays = record.startDelays ?? [];
+      state.admissionLimits = record.limits ?? NO_LIMITS;
       noteUnresponsive(state, record.handed);
       state.journalTime.noteLeadTime(
         record.epoch,
--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -1,4 +1,5 @@
 export * from './fleet-snapshot.js';
+export * from './admission.js';
 export * from './advice.js';
 export * from './suspect-tasks.js';
 export * from './speculative-copies.js';
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -1,5 +1,5 @@
 /** The state of all jobs and of the runs on each worker. */
-import type { StartDelays } from './start-delay.js';
+import { NO_LIMITS, type AdmissionLimits } from './admission.js';
 import type { Instant, Millis } from '../core/time.js';
 import {
   isFinished,
@@ -56,8 +56,8 @@
   standbys: readonly string[] | undefined;
   /** Address at which the leader accepts records for the inbox; undefined until it has reported one. */
   leaderAddress: string | undefined;
-  /** How late new tasks start, as the leader has last reported. */
-  startDelays: StartDelays;
+  /** Limits on the jobs that are accepted, as the leader has last reported them. */
+  admissionLimits: AdmissionLimits;
   /** Jobs whose reported state has changed; undefined if nobody collects them. */
   changedJobs: Set<Job> | undefined;
   /** Monotonic time at which records are applied, set by the caller that applies them. */
@@ -92,7 +92,7 @@
     volunteers: new Map(),
     standbys: undefined,
     leaderAddress: undefined,
-    startDelays: [],
+    admissionLimits: NO_LIMITS,
     changedJobs: undefined,
     now: 0,
     learnedEstimates: undefined,
--- a/packages/domain/src/jobs/record-rows.ts
+++ b/packages/domain/src/jobs/record-rows.ts
@@ -1,4 +1,5 @@
 /** Encoding of the records of both streams as rows in the log, compatible with other versions. */
+import { NO_LIMITS, type WorkerKind } from './admission.js';
 import type { StartDelays } from './start-delay.js';
 import type { Instant, Millis } from '../core/time.js';
 import {
@@ -94,6 +95,7 @@
       Millis?,
       Partial<SpanRow>?,
       StartDelays?,
+      (readonly WorkerKind[])?,
     ]
   | ['restate', JobImage]
   | ['release', unknown]
@@ -131,7 +133,8 @@
     }
     case 'heartbeat': {
       const [, epoch, host, nonce, , hosts, address = '', ...more] = row;
-      const [handed, ledForMs, silence = [], startDelays = []] = more;
+      const [handed, ledForMs, silence = [], startDelays, evacuatedKinds] =
+        more;
       const standbys = hosts ?? undefined;
       return {
         kind: 'heartbeat',
@@ -143,7 +146,10 @@
         address,
         ledForMs: typeof ledForMs === 'number' ? ledForMs : undefined,
         silence: parseSpan(...silence),
-        startDelays,
+        limits: {
+          startDelays: startDelays ?? [],
+          evacuatedKinds: evacuatedKinds ?? [],
+        },
       };
     }
     case 'restate':
@@ -233,7 +239,7 @@
     }
     case 'heartbeat': {
       const { epoch, host, nonce, standbys, address } = record;
-      const { handed, ledForMs, silence, startDelays } = record;
+      const { handed, ledForMs, silence, limits = NO_LIMITS } = record;
       const hosts = standbys ?? null;
       return [
         'heartbeat',
@@ -246,7 +252,8 @@
         handed,
         ledForMs,
         spanRow(silence),
-        startDelays,
+        limits.startDelays,
+        limits.evacuatedKinds,
       ];
     }
     case 'restate':
--- a/packages/domain/src/jobs/records.ts
+++ b/packages/domain/src/jobs/records.ts
@@ -4,7 +4,7 @@
  * The inbox holds the requests of callers, and any entry host may append to it. The journal holds the
  * decisions of the leader, and the log rejects appends to it from any other host.
  */
-import type { StartDelays } from './start-delay.js';
+import type { AdmissionLimits } from './admission.js';
 import type { Instant, Millis, SpanBounds } from '../core/time.js';
 import type { LearnedEstimates } from './learned-estimates.js';
 import type { Suspicion } from './loss.js';
@@ -73,8 +73,8 @@
       readonly ledForMs: Millis | undefined;
       /** Time between the previous leader's newest heartbeat and the moment at which `ledForMs` was 0. */
       readonly silence: SpanBounds;
-      /** How late new tasks start; absent in records of earlier versions. */
-      readonly startDelays?: StartDelays;
+      /** Absent in records of earlier versions. */
+      readonly limits?: AdmissionLimits;
     }
   | { readonly kind: 'restate'; readonly image: JobImage }
   /** The leader asks to be replaced. */
--- a/packages/domain/src/jobs/summary.ts
+++ b/packages/domain/src/jobs/summary.ts
@@ -4,6 +4,11 @@
  *
  * A job of 80 tasks has 160 or more records of 60 bytes in the journal, and three rows of 25 bytes here.
  */
+import {
+  NO_LIMITS,
+  type AdmissionLimits,
+  type WorkerKind,
+} from './admission.js';
 import type { StartDelays } from './start-delay.js';
 import type { Instant } from '../core/time.js';
 import {
@@ -36,8 +41,8 @@
       /** Address at which the leader accepts records for the inbox. */
       readonly address: string;
       readonly standbys: readonly string[];
-      /** How late new tasks start; absent in records of earlier versions. */
-      readonly startDelays?: StartDelays;
+      /** Absent in records of earlier versions. */
+      readonly limits?: AdmissionLimits;
     }
   | {
       readonly kind: 'rows';
@@ -56,7 +61,15 @@
     };
 
 type WireRecord =
-  | ['l', number, string, string, readonly string[], StartDelays?]
+  | [
+      'l',
+      number,
+      string,
+      string,
+      readonly string[],
+      StartDelays?,
+      (readonly WorkerKind[])?,
+    ]
   | ['r', number, readonly WireRow[]]
   | ['s', number, number, number, number, readonly WireRow[]];
 
@@ -108,8 +121,10 @@
   const row = parseRow(bytes) as WireRecord | undefined;
   switch (row?.[0]) {
     case 'l': {
-      const [, epoch, host, address, standbys, startDelays = []] = row;
-      return { kind: 'leads', epoch, host, address, standbys, startDelays };
+      const [, epoch, host, address, standbys, ...more] = row;
+      const [startDelays = [], evacuatedKinds = []] = more;
+      const limits = { startDelays, evacuatedKinds };
+      return { kind: 'leads', epoch, host, address, standbys, limits };
     }
     case 'r': {
       const [, inboxUpTo, rows] = row;
@@ -130,8 +145,9 @@
 function toWire(record: SummaryRecord): WireRecord {
   switch (record.kind) {
     case 'leads': {
-      const { epoch, host, address, standbys, startDelays = [] } = record;
-      return ['l', epoch, host, address, standbys, startDelays];
+      const { epoch, host, address, standbys, limits = NO_LIMITS } = record;
+      const { startDelays, evacuatedKinds } = limits;
+      return ['l', epoch, host, address, standbys, startDelays, evacuatedKinds];
     }
     case 'rows':
       return ['r', record.inboxUpTo, record.rows.map(toWireRow)];
