--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -13,3 +13,4 @@
 export * from './memory/virtual-time.js';
 export type { TaskBehaviour } from './worker/simulated-task.js';
 export * from './worker/worker-server.js';
+export * from './memory/heap.js';
