Pace the first polls of a new leader, and poll quiet workers of large fleets less often

A new leader polled all 3,000 workers at once; with stand-ins on one machine 1,000 to 2,000 of 3,000 idle workers counted as unresponsive then, and the loop was held up.

Workers with nothing to report wait longer in fleets of more than 1,200, up to the 2 s that they allow, so that polls alone do not take a host's processor. Smaller fleets are polled as before.

--- a/packages/daemon/src/job-host/fleet.ts
+++ b/packages/daemon/src/job-host/fleet.ts
@@ -76,6 +76,11 @@
     }
   }
 
+  /** Number of workers with a link. */
+  get linkCount(): number {
+    return this.links.size;
+  }
+
   /** Returns the link to an incarnation, or undefined if it has none or was superseded. */
   link(worker: string): WorkerLink | undefined {
     return this.links.get(worker);
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -27,6 +27,7 @@
 import { pause } from './context.js';
 import { DecisionLog } from './decision-log.js';
 import { Fences } from './fences.js';
+import { FirstPolls } from './first-polls.js';
 import { Fleet } from './fleet.js';
 import { publishFleetAccount } from './fleet-account.js';
 import { keepRunning } from './keep-running.js';
@@ -74,6 +75,7 @@
   private readonly adviser: Adviser;
   private readonly starter: RunStarter;
   private readonly supervisor: RunSupervisor;
+  private readonly firstPolls = new FirstPolls();
   private readonly wakeSignal: WakeSignal;
   /**
    * Whether a worker has become unresponsive since unresponsive workers were last reported to other hosts.
@@ -215,8 +217,9 @@
       runs: () => workerRuns(this.state, info.id),
       otherRuns: () => runsOfOtherIncarnations(this.state, info.id),
       isNew,
+      firstPolls: this.firstPolls,
       leadsSince: claim.wonAt,
-      pollWaitMs: () => this.supervisor.pollWaitMs(info),
+      pollWaitMs: () => this.supervisor.pollWaitMs(info, this.fleet.linkCount),
       ticketFor: ({ step }) =>
         this.advice.ticketFor(step, info.id, ctx.clock()),
       events: createLinkEvents(info, {
--- a/packages/daemon/src/job-host/run-supervisor.ts
+++ b/packages/daemon/src/job-host/run-supervisor.ts
@@ -23,7 +23,12 @@
 import type { HostContext } from './context.js';
 import { LeavingLog } from './leaving-log.js';
 import type { StopReason } from './meters.js';
-import { POLL_WAIT_MS, SHORT_POLL_WAIT_MS } from './timing.js';
+import {
+  MAX_POLL_WAIT_MS,
+  MAX_QUIET_POLLS_PER_S,
+  POLL_WAIT_MS,
+  SHORT_POLL_WAIT_MS,
+} from './timing.js';
 import type { WorkerLink } from './worker-link.js';
 
 /** Dependencies of a supervisor. */
@@ -47,10 +52,22 @@
 /** A task that exceeds its target for this long is logged: half of what its users tolerate. */
 const LOGGED_OVER_TARGET_MS: Millis = 2_000;
 
+const MS_PER_S = 1_000;
+
 function urgencyOf(leavingSince: Instant, now: Instant): EvacuationUrgency {
   return now - leavingSince > SHORT_TASK_PRECEDENCE_MS ? 'urgent' : 'patient';
 }
 
+/** Returns how long workers of a fleet of this size wait that have nothing to report. */
+function quietPollWaitMs(workers: number): Millis {
+  const waitMs = (MS_PER_S * workers) / MAX_QUIET_POLLS_PER_S;
+  return Math.ceil(clamp(waitMs, POLL_WAIT_MS, MAX_POLL_WAIT_MS));
+}
+
+function clamp(value: number, min: number, max: number): number {
+  return Math.min(max, Math.max(min, value));
+}
+
 /** Acts on open runs. */
 export class RunSupervisor {
   private readonly evacuatedRuns = new Set<Run>();
@@ -194,13 +211,13 @@
     }
   }
 
-  /** How long a worker may wait for an end before it reports. */
-  pollWaitMs({ id, capacity }: WorkerInfo): number {
+  /** How long a worker, one of `workers`, may wait for an end before it reports. */
+  pollWaitMs({ id, capacity }: WorkerInfo, workers: number): Millis {
     const { state, interference } = this.options;
     const load = workerRuns(state, id);
     return interference.hasLowHeadroom(load, capacity.cpuMilli)
       ? SHORT_POLL_WAIT_MS
-      : POLL_WAIT_MS;
+      : quietPollWaitMs(workers);
   }
 
   private stopStalled(run: Run, now: Instant): void {
--- a/packages/daemon/src/job-host/stub-worker.fixture.test.ts
+++ b/packages/daemon/src/job-host/stub-worker.fixture.test.ts
@@ -23,6 +23,7 @@
 } from '@paddlewind/ports/jobs';
 import { createVirtualTime } from '@paddlewind/stand-ins';
 
+import { FirstPolls } from './first-polls.js';
 import { EvacuatedZones } from './evacuated-zones.js';
 import { testContext } from './context.fixture.test.js';
 import type { HostContext } from './context.js';
@@ -183,6 +184,7 @@
     runs: () => workerRuns(stub.state, info.id),
     otherRuns: () => [],
     isNew: false,
+    firstPolls: new FirstPolls(),
     leadsSince: 0,
     pollWaitMs: () => 1_000,
     inboxAgeMs: () => 0,
--- a/packages/daemon/src/job-host/timing.ts
+++ b/packages/daemon/src/job-host/timing.ts
@@ -100,6 +100,13 @@
 export const LONG_ROUND_MS: Millis = 10;
 /** How long a worker may wait for an end before it reports. */
 export const POLL_WAIT_MS: Millis = 1_000;
+/** The same at the most, in a large fleet; workers wait no longer. */
+export const MAX_POLL_WAIT_MS: Millis = 2_000;
+/**
+ * Polls of workers with nothing to report that a leader sends in a second; each takes some 0.2 ms of a
+ * processor. In larger fleets workers wait longer.
+ */
+export const MAX_QUIET_POLLS_PER_S = 1_200;
 /** The same for a worker whose fillers are close to disturbing a serving task. */
 export const SHORT_POLL_WAIT_MS: Millis = 350;
 /** Timeout of a poll beyond its wait; a healthy worker answers in a few milliseconds. */
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -17,6 +17,7 @@
 import { AdaptiveTimeout } from './adaptive-timeout.js';
 import { pause } from './context.js';
 import type { EvacuatedZones } from './evacuated-zones.js';
+import type { FirstPolls } from './first-polls.js';
 import { Lease } from './lease.js';
 import {
   LinkedRuns,
@@ -68,6 +69,8 @@
   readonly earlierLeaseEnd: Instant;
   /** Monotonic time by which all leases granted now must end. */
   readonly horizon: () => Instant;
+  /** Admits the first poll of each worker. */
+  readonly firstPolls: FirstPolls;
   /** How long the worker may wait for an end before it reports. */
   readonly pollWaitMs: () => Millis;
   /** Time since the leader's last successful read of the inbox: callers' later requests are unknown to it. */
@@ -216,6 +219,9 @@
 
   /** Polls the worker until the link is closed. */
   async run(): Promise<void> {
+    await this.options.firstPolls.admit(async () => {
+      await (this.closed ? undefined : this.poll());
+    });
     while (!this.closed) {
       if (this.needsPoll()) {
         await this.poll();
