Call moves off leaving workers so, now that zones are evacuated

Two matters had one name: long-running tasks that move off a worker which has announced its departure, and zones in which an operator lets nothing start. The former are planMovesOffLeaving and its kin now; behaviour is unchanged.

--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -356,7 +356,7 @@
       this.starter.start(decision);
     };
     planStarts(input, start, urgency => {
-      this.supervisor.evacuateLeaving(input, urgency);
+      this.supervisor.moveOffLeaving(input, urgency);
     });
     planSpeculativeCopies(input, start);
     this.startRate.noteRound(input.time.now, this.startsLeft() === 0);
@@ -376,7 +376,7 @@
       leadsSince: this.options.claim.wonAt,
       maxStarts: this.startsLeft(),
       isLinkBusy: starts.hasWaitingStarts,
-      movingTasks: this.supervisor.evacuatingTasks(),
+      movingTasks: this.supervisor.movingTasks(),
     };
   }
 
--- a/packages/daemon/src/job-host/run-supervisor.ts
+++ b/packages/daemon/src/job-host/run-supervisor.ts
@@ -5,7 +5,7 @@
   isFinished,
   shouldRelocateFiller,
   isStalled,
-  planEvacuation,
+  planMovesOffLeaving,
   refOf,
   taskName,
   obsoleteReasonOf,
@@ -15,7 +15,7 @@
   type PlanInput,
   type Run,
   type Task,
-  type EvacuationUrgency,
+  type MoveUrgency,
   type WorkerHealth,
   type WorkerInfo,
 } from '@paddlewind/domain/jobs';
@@ -54,7 +54,7 @@
 
 const MS_PER_S = 1_000;
 
-function urgencyOf(leavingSince: Instant, now: Instant): EvacuationUrgency {
+function urgencyOf(leavingSince: Instant, now: Instant): MoveUrgency {
   return now - leavingSince > SHORT_TASK_PRECEDENCE_MS ? 'urgent' : 'patient';
 }
 
@@ -70,8 +70,8 @@
 
 /** Acts on open runs. */
 export class RunSupervisor {
-  private readonly evacuatedRuns = new Set<Run>();
-  private readonly leavingLogs: Readonly<Record<EvacuationUrgency, LeavingLog>>;
+  private readonly movedRuns = new Set<Run>();
+  private readonly leavingLogs: Readonly<Record<MoveUrgency, LeavingLog>>;
 
   /** Creates a supervisor of the runs in `state`. */
   constructor(private readonly options: SupervisorOptions) {
@@ -113,14 +113,14 @@
   }
 
   /** Returns the tasks that were stopped on a leaving worker and have not started again. */
-  evacuatingTasks(): Set<Task> {
+  movingTasks(): Set<Task> {
     const tasks = new Set<Task>();
-    for (const run of this.evacuatedRuns) {
+    for (const run of this.movedRuns) {
       const { task } = run;
       const [open] = task.runs;
       const finished = isFinished(task.step.occurrence.job);
       if (finished || (open !== undefined && open !== run)) {
-        this.evacuatedRuns.delete(run);
+        this.movedRuns.delete(run);
       } else {
         tasks.add(task);
       }
@@ -132,11 +132,11 @@
    * Stops the long-running tasks of one urgency on leaving workers if there is capacity for them elsewhere,
    * and reserves that capacity for the rest of the round.
    */
-  evacuateLeaving(input: PlanInput, urgency: EvacuationUrgency): void {
+  moveOffLeaving(input: PlanInput, urgency: MoveUrgency): void {
     const onLeaving = this.runsOnLeaving(urgency, input.time.now);
-    const { stop, stay } = planEvacuation(input, onLeaving);
+    const { stop, stay } = planMovesOffLeaving(input, onLeaving);
     for (const run of stop) {
-      this.evacuatedRuns.add(run);
+      this.movedRuns.add(run);
       this.logRun(run, 'leader: a run moves off a worker that leaves', {});
       this.stop(run, 'leaving');
     }
@@ -146,7 +146,7 @@
   /**
    * Returns the runs on leaving workers; those of the worker that announced its departure first come first.
    */
-  private runsOnLeaving(urgency: EvacuationUrgency, now: Instant): Run[] {
+  private runsOnLeaving(urgency: MoveUrgency, now: Instant): Run[] {
     const found: { since: Instant; runs: Iterable<Run> }[] = [];
     for (const [worker, { runs }] of this.options.state.workers) {
       const since = this.options.leavingSince(worker);
--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -3,7 +3,7 @@
 export * from './advice.js';
 export * from './suspect-tasks.js';
 export * from './speculative-copies.js';
-export * from './evacuation.js';
+export * from './moves-off-leaving.js';
 export * from './fold.js';
 export * from './gang.js';
 export * from './incarnation.js';
--- a/packages/domain/src/jobs/evacuation.test.ts
+++ b/packages/domain/src/jobs/moves-off-leaving.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { planEvacuation } from './evacuation.js';
+import { planMovesOffLeaving } from './moves-off-leaving.js';
 import type { Run } from './job.js';
-import { planStarts, type EvacuationUrgency } from './plan.js';
+import { planStarts, type MoveUrgency } from './plan.js';
 import {
   applyDecision,
   planInput,
@@ -30,7 +30,7 @@
 test('capacity for a long-running task that has to move is not given to batch tasks', () => {
   const state = stateOf(...JOBS);
   const input = planInput(state, [testWorker('w')]);
-  const { stop } = planEvacuation(input, [
+  const { stop } = planMovesOffLeaving(input, [
     startOnLeaving(state, 0),
     startOnLeaving(state, 1),
   ]);
@@ -41,9 +41,9 @@
   assert.equal(started, 2);
 });
 
-/** Evacuates a long-running task with `urgency`; returns `job.index` of each start on a worker for two. */
+/** Moves a long-running task off a leaving worker with `urgency`; returns `job.index` of each start on a worker for two. */
 function startsWhileLeaving(
-  urgency: EvacuationUrgency,
+  urgency: MoveUrgency,
   moving: readonly number[],
 ): string[] {
   const state = stateOf(...JOBS);
@@ -63,7 +63,7 @@
     },
     current => {
       if (current === urgency) {
-        planEvacuation(input, [leaving]);
+        planMovesOffLeaving(input, [leaving]);
       }
     },
   );
@@ -95,7 +95,7 @@
       applyDecision(state, decision);
     },
     urgency => {
-      planEvacuation(input, urgency === 'patient' ? leaving : []);
+      planMovesOffLeaving(input, urgency === 'patient' ? leaving : []);
     },
   );
   assert.equal(started, 1);
@@ -112,7 +112,7 @@
   unknown.progress.confirmed = false;
   stopping.progress.stopping = true;
   const runs = [full, unknown, stopping, member];
-  const { stop, stay } = planEvacuation(planInput(state, []), runs);
+  const { stop, stay } = planMovesOffLeaving(planInput(state, []), runs);
   assert.deepEqual(stop, []);
   assert.deepEqual(
     runs.map(run => stay.get(run)),
--- a/packages/domain/src/jobs/evacuation.ts
+++ b/packages/domain/src/jobs/moves-off-leaving.ts
@@ -9,7 +9,7 @@
 export type NotMovedReason = 'no_room' | 'not_confirmed' | 'stopping' | 'gang';
 
 /** Decisions on the long-running tasks on workers that are about to leave. */
-export interface Evacuation {
+export interface MovesOffLeaving {
   /** Runs to stop, so that their tasks restart elsewhere. */
   readonly stop: readonly Run[];
   /** Runs that stay for now, with the reason. */
@@ -23,10 +23,10 @@
  * rest of the round. Call this before other tasks are placed: a steady supply of them would otherwise take
  * all capacity that becomes free. Batch tasks stay, since most end before the worker leaves.
  */
-export function planEvacuation(
+export function planMovesOffLeaving(
   input: PlanInput,
   runsOnLeaving: readonly Run[],
-): Evacuation {
+): MovesOffLeaving {
   const reservations = reservationsOf(input);
   const stop: Run[] = [];
   const stay = new Map<Run, NotMovedReason>();
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -54,10 +54,10 @@
  * tasks; `patient`: after waiting batch tasks (those that end by themselves) and before waiting long-running
  * ones.
  */
-export type EvacuationUrgency = 'urgent' | 'patient';
+export type MoveUrgency = 'urgent' | 'patient';
 
 /** Reserves capacity for long-running tasks on leaving workers. */
-export type ReserveCapacity = (urgency: EvacuationUrgency) => void;
+export type ReserveCapacity = (urgency: MoveUrgency) => void;
 
 /**
  * Decides the starts of one round and returns their number. Moving tasks, suspected tasks and long-running
--- a/packages/domain/src/jobs/round-cost.test.ts
+++ b/packages/domain/src/jobs/round-cost.test.ts
@@ -8,7 +8,7 @@
 import { test } from 'node:test';
 
 import { UNKNOWN_SPAN } from '../core/time.js';
-import { planEvacuation } from './evacuation.js';
+import { planMovesOffLeaving } from './moves-off-leaving.js';
 import type { Run, Task } from './job.js';
 import { refOf } from './jobs-state.js';
 import type { PlanWorker } from './placement.js';
@@ -77,7 +77,7 @@
   const slowed = startConfirmedRuns(input, 'slowed', SLOWED_FILLERS);
   const round = { ...input, movingTasks: moving };
   planStarts(round, () => undefined);
-  planEvacuation(round, leaving);
+  planMovesOffLeaving(round, leaving);
   slowed.forEach(({ task }) => findWorker(round, task));
   assert.ok(
     passes() <= 2 * MOVING_TASKS + SLOWED_FILLERS + 10,
