--- a/packages/daemon/src/job-host/timing.ts
+++ b/packages/daemon/src/job-host/timing.ts
@@ -103,8 +103,8 @@
 /** The same at the most, in a large fleet; workers wait no longer. */
 export const MAX_POLL_WAIT_MS: Millis = 2_000;
 /**
- * Polls of workers with nothing to report that a leader sends in a second; each takes some 0.2 ms of a
- * processor. In larger fleets workers wait longer.
+ * Polls of workers with nothing to report that a leader sends in a second, so that polls alone do not take all
+ * of its processor. In larger fleets workers wait longer.
  */
 export const MAX_QUIET_POLLS_PER_S = 1_200;
 /** The same for a worker whose fillers are close to disturbing a serving task. */
