Test evacuations while the store is away and while the leader is lost

The zone is evacuated right before the store is away for all hosts, silent or refusing, and 0 to 400 ms before the leader is killed.

--- a/packages/daemon/src/job-host/evacuated-zones.test.ts
+++ b/packages/daemon/src/job-host/evacuated-zones.test.ts
@@ -222,3 +222,36 @@
   await site.time.advance(2_500);
   assert.deepEqual(await submitted(2), ['recorded', 'recorded', 'recorded']);
 });
+
+test('nothing starts in a zone that was evacuated shortly before the store is away for all hosts', async () => {
+  const site = await deploymentOfTwoZones(12);
+  await submitSteadily(site, 2_000);
+  for (const mode of ['silent', 'refusing'] as const) {
+    site.operator.evacuate('a');
+    HOSTS.forEach(host => site.log.hostModes.set(host, mode));
+    await submitSteadily(site, 7_000);
+    HOSTS.forEach(host => site.log.hostModes.delete(host));
+    await submitSteadily(site, 6_000);
+    assert.equal(runsIn(site, 'a'), 0);
+    site.operator.endEvacuation('a');
+    await submitSteadily(site, 2_000);
+  }
+  assertNoViolations(site);
+});
+
+test('nothing starts in a zone whose evacuation comes in the moment in which the leader is lost', async () => {
+  const site = await deploymentOfTwoZones(13);
+  await submitSteadily(site, 2_000);
+  for (const delay of [0, 1, 20, 400]) {
+    const leader = site.leader();
+    site.operator.evacuate('a');
+    await site.time.advance(delay);
+    site.kill(leader);
+    await submitSteadily(site, 8_000);
+    assert.equal(runsIn(site, 'a'), 0);
+    site.startHost(leader);
+    site.operator.endEvacuation('a');
+    await submitSteadily(site, 3_000);
+  }
+  assertNoViolations(site);
+});
