Count a free place once when waits are explained

The account tried one task of each step on the fleet as it stood. If that one had a place anywhere, all waiting tasks of the step counted as `turn`, so that want of room looked like a leader that starts too slowly.

Waiting tasks are now placed tentatively in scheduling order, each within what the earlier ones leave. Room that nothing may be started in because the log does not answer is told apart. `losses` divides a wait among the reasons of the waiting tasks, and no longer counts waits that no account explains as `turn`.

--- a/packages/cli/src/losses/losses.test.ts
+++ b/packages/cli/src/losses/losses.test.ts
@@ -76,6 +76,38 @@
   });
 });
 
+// Guards against want of capacity that is counted as another reason, because most tasks waited for that one.
+test('a wait is divided among the reasons of the tasks that waited', () => {
+  const waiting = { q: { turn: 1, processors: 3 } };
+  const lines = [
+    accepted(0, 'j'),
+    line(0, { waiting, msg: 'leader: the fleet' }),
+    ordered(1, 'j.0.0.0'),
+    ended(2, 'j.0.0.0', 'done'),
+    finished(2, 'j', 1_500),
+  ];
+  assert.deepEqual(phasesOf(...lines), {
+    'waiting: turn': 0.25,
+    'waiting: processors': 0.75,
+    running: 1,
+  });
+});
+
+// Guards against waits that no account explains being counted as `turn`.
+test('a wait that the account does not mention is not counted as another one', () => {
+  const lines = [
+    accepted(0, 'j'),
+    line(0, { waiting: {}, msg: 'leader: the fleet' }),
+    ordered(1, 'j.0.0.0'),
+    ended(2, 'j.0.0.0', 'done'),
+    finished(2, 'j', 1_500),
+  ];
+  assert.deepEqual(phasesOf(...lines), {
+    'waiting: not accounted': 1,
+    running: 1,
+  });
+});
+
 test('time of a failed run counts as run again', () => {
   const lines = [
     accepted(0, 'j'),
--- a/packages/cli/src/losses/losses.ts
+++ b/packages/cli/src/losses/losses.ts
@@ -3,7 +3,7 @@
 
 import { readLogLines, type LogLine } from '../log-lines.js';
 import { readJobs, type LoggedJob } from './job-runs.js';
-import { spansOf, type PhaseName, type WaitReasonAt } from './phases.js';
+import { spansOf, type PhaseName, type WaitReasonsAt } from './phases.js';
 
 /** Outcomes of a queue's jobs, and the phases in which late and unfinished jobs spent their time. */
 export interface QueueLosses {
@@ -65,11 +65,11 @@
   const { lines, unread } = readLogLines(texts);
   const first = Date.parse(lines[0]?.time ?? '');
   const last = Date.parse(lines.at(-1)?.time ?? '');
-  const reasonAt = waitReasons(lines);
+  const reasonsAt = waitReasons(lines);
   const submitted = readJobs(lines).map(job => ({
     job,
     outcome: classifyJob(job),
-    spans: job.acceptedAt < Infinity ? spansOf(job, reasonAt, last) : [],
+    spans: job.acceptedAt < Infinity ? spansOf(job, reasonsAt, last) : [],
   }));
   const accepted = submitted.filter(({ job }) => job.acceptedAt < Infinity);
   return {
@@ -179,8 +179,8 @@
     .sort((a, b) => b.seconds - a.seconds);
 }
 
-/** Returns a lookup of the reason why most tasks of a queue waited, from the leaders' fleet accounts. */
-function waitReasons(lines: readonly LogLine[]): WaitReasonAt {
+/** Returns a lookup of the reasons why tasks of a queue waited, from the leaders' fleet accounts. */
+function waitReasons(lines: readonly LogLine[]): WaitReasonsAt {
   const accounts = lines
     .filter(({ msg }) => msg === 'leader: the fleet')
     .map(({ time, fields }) => ({
@@ -192,11 +192,12 @@
       account => account.at <= at && at - account.at < ACCOUNT_MAX_AGE_MS,
     );
     if (recent === undefined) {
-      return 'leader absent';
+      return [['leader absent', 1]];
     }
-    const [most] = Object.entries(recent.waiting[queue] ?? {}).sort(
-      ([, a], [, b]) => b - a,
-    );
-    return `waiting: ${most?.[0] ?? 'turn'}`;
+    const counts = Object.entries(recent.waiting[queue] ?? {});
+    const total = counts.reduce((sum, [, tasks]) => sum + tasks, 0);
+    return total === 0
+      ? [['waiting: not accounted', 1]]
+      : counts.map(([reason, tasks]) => [`waiting: ${reason}`, tasks / total]);
   };
 }
--- a/packages/cli/src/losses/phases.ts
+++ b/packages/cli/src/losses/phases.ts
@@ -20,11 +20,14 @@
   readonly to: number;
 }
 
-/** Returns why tasks of a queue waited at a given time. */
-export type WaitReasonAt = (
+/** Returns why tasks of a queue waited at a given time, with the fraction of the tasks for each reason. */
+export type WaitReasonsAt = (
   queue: string,
   at: number,
-) => 'leader absent' | `waiting: ${string}`;
+) => readonly (readonly [WaitPhase, fraction: number])[];
+
+/** Phase of a job that waits. */
+type WaitPhase = 'leader absent' | `waiting: ${string}`;
 
 /** A run that exceeds its expected time by this factor counts as slowed after the expected time. */
 const SLOWED_FACTOR = 1.5;
@@ -42,7 +45,7 @@
 /** Returns the spans of a job from its first submission until it finished, or until `endOfLogs`. */
 export function spansOf(
   job: LoggedJob,
-  reasonAt: WaitReasonAt,
+  reasonsAt: WaitReasonsAt,
   endOfLogs: number,
 ): Span[] {
   const end = Math.min(job.finishedAt, endOfLogs);
@@ -56,7 +59,7 @@
     cursor = begin;
   };
   const addWait = (from: number): void => {
-    for (const { reason, since } of sliceWait(job, from, cursor, reasonAt)) {
+    for (const { reason, since } of sliceWait(job, from, cursor, reasonsAt)) {
       addSpan(reason, since);
     }
   };
@@ -81,17 +84,22 @@
   readonly since: number;
 }
 
-/** Splits a wait into slices of a second with their reasons, latest first. */
+/** Splits a wait into seconds, and each of them among the reasons at its end; latest first. */
 function sliceWait(
   { queue }: LoggedJob,
   from: number,
   to: number,
-  reasonAt: WaitReasonAt,
+  reasonsAt: WaitReasonsAt,
 ): WaitSlice[] {
   const slices: WaitSlice[] = [];
   for (let at = to; at > from; at -= WAIT_SLICE_MS) {
-    const since = Math.max(from, at - WAIT_SLICE_MS);
-    slices.push({ reason: reasonAt(queue, at), since });
+    const sliceFrom = Math.max(from, at - WAIT_SLICE_MS);
+    const lengthMs = at - sliceFrom;
+    let since = at;
+    for (const [reason, fraction] of reasonsAt(queue, at)) {
+      since -= fraction * lengthMs;
+      slices.push({ reason, since });
+    }
   }
   return slices;
 }
--- a/packages/daemon/src/job-host/decision-log.ts
+++ b/packages/daemon/src/job-host/decision-log.ts
@@ -13,6 +13,7 @@
 import { JournalWriter } from './journal-writer.js';
 import type { WonClaim } from './leadership.js';
 import type { Replica } from './replica.js';
+import { WRITE_OVERDUE_MS } from './timing.js';
 
 /** Called with true once an append is confirmed, or with false once it can no longer succeed. */
 type Effect = (written: boolean) => void;
@@ -29,6 +30,8 @@
   private readonly state: JobsState;
   private batch: Batch = emptyBatch();
   private writing: Batch | undefined;
+  /** Monotonic time from which the append in flight counts as overdue; infinite while there is none. */
+  private overdueFrom: Instant = Infinity;
   private closed = false;
 
   /** Creates the log of the leader that won `claim`. */
@@ -53,6 +56,11 @@
     return this.batch.records.length === 0;
   }
 
+  /** Whether the append in flight has had no answer for so long that the log counts as unavailable. */
+  get isWriteOverdue(): boolean {
+    return this.ctx.clock() > this.overdueFrom;
+  }
+
   /** Applies a decision; `effect` is called once it is written, or once it can no longer be. */
   record(entry: JournalRecord, effect?: Effect): void {
     this.state.now = this.ctx.clock();
@@ -84,7 +92,9 @@
     const { batch } = this;
     this.batch = emptyBatch();
     this.writing = batch;
+    this.overdueFrom = this.ctx.clock() + WRITE_OVERDUE_MS;
     const result = await this.writer.write(batch.records);
+    this.overdueFrom = Infinity;
     this.writing = undefined;
     const written = result.kind === 'written';
     // After this host has lost the lead, its replica is rebuilt from the log.
--- a/packages/daemon/src/job-host/fleet-account.ts
+++ b/packages/daemon/src/job-host/fleet-account.ts
@@ -18,6 +18,8 @@
   /** Workers that could be assigned tasks if their zones were not evacuated. */
   readonly evacuatedWorkers: () => PlanWorker[];
   readonly evacuationTimes: () => EvacuationTimes;
+  /** Whether nothing may start now because the log does not answer. */
+  readonly isLogUnavailable: () => boolean;
   readonly hasEnded: () => boolean;
 }
 
@@ -28,6 +30,7 @@
   registeredWorkers,
   evacuatedWorkers,
   evacuationTimes,
+  isLogUnavailable,
   hasEnded,
 }: FleetAccountOptions): Promise<void> {
   for (;;) {
@@ -41,6 +44,7 @@
         plan,
         registered: registeredWorkers(),
         evacuated: evacuatedWorkers(),
+        isLogUnavailable: isLogUnavailable(),
       }),
     );
     ctx.meters.accounted(account);
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -405,6 +405,8 @@
       registeredWorkers: () => this.fleet.registeredWorkers(),
       evacuatedWorkers: () => this.fleet.evacuatedWorkers(),
       evacuationTimes: () => this.options.evacuatedZones.times(),
+      isLogUnavailable: () =>
+        this.isUnderinformed() || this.decisions.isWriteOverdue,
       hasEnded: () => this.hasEnded,
     });
   }
--- a/packages/daemon/src/job-host/timing.ts
+++ b/packages/daemon/src/job-host/timing.ts
@@ -169,3 +169,6 @@
  * cancelled, and none of their tasks may start more than 3 s after that; an order takes up to 0.5 s.
  */
 export const INBOX_STALE_MS: Millis = 2_500;
+
+/** Time without an answer to an append of the journal after which the log is reported as unavailable. */
+export const WRITE_OVERDUE_MS: Millis = 500;
--- a/packages/domain/src/jobs/fleet-snapshot.ts
+++ b/packages/domain/src/jobs/fleet-snapshot.ts
@@ -1,27 +1,17 @@
 /** Snapshot of a fleet: how its processors are used, and why tasks wait. */
 import type { Millis } from '../core/time.js';
-import { waitingTasks, type Occurrence, type Run, type Step } from './job.js';
+import type { Occurrence, Run, Step } from './job.js';
 import { orderedCandidates, type Candidate } from './order.js';
-import { chooseWorker } from './choose-worker.js';
-import {
-  obstacleAt,
-  OBSTACLES,
-  type Obstacle,
-  type PlanWorker,
-  type WorkerInfo,
-} from './placement.js';
-import { placementInputOf, type PlanInput } from './plan.js';
+import type { WorkerInfo } from './placement.js';
+import type { PlanInput } from './plan.js';
 import { sizeGroupsOf, type SizeGroup } from './size-groups.js';
 import { expectedWorkOf } from './job-value.js';
-
-/**
- * Why a task waits. An obstacle: what the task lacks on the worker that passed the most checks of
- * `OBSTACLES`; `evacuated`: it would have a place if no zone were evacuated; `disturbance`: wherever it fits it would be slowed or would disturb a serving task; `turn`:
- * there is free capacity, and the next round may start it; `no_worker`: no worker is usable; `unexamined`:
- * more kinds of tasks wait than one snapshot examines.
- */
-export type WaitReason =
-  Obstacle | 'evacuated' | 'disturbance' | 'turn' | 'no_worker' | 'unexamined';
+import {
+  explainWaits,
+  type WaitingByReason,
+  type WaitInput,
+  type WaitReason,
+} from './wait-reasons.js';
 
 /** Processor use of all workers, in thousandths of a core. */
 export interface ProcessorUsage {
@@ -40,9 +30,6 @@
   throttled: number;
 }
 
-/** Number of waiting tasks of one queue, by reason. */
-export type WaitingByReason = Readonly<Partial<Record<WaitReason, number>>>;
-
 /** Waiting jobs of one size group. */
 export interface WaitingJobs {
   readonly jobs: number;
@@ -50,7 +37,7 @@
   readonly notBegun: number;
   /** Time since the oldest of them was first seen, or was due. */
   readonly oldestMs: Millis;
-  /** Why the first one in scheduling order waits. */
+  /** Why the last waiting task of the first one in scheduling order waits. */
   readonly reason: WaitReason;
 }
 
@@ -69,16 +56,11 @@
 }
 
 /** Input of a snapshot: that of a planning round, and workers that are not available to it. */
-export interface FleetSnapshotInput {
-  readonly plan: PlanInput;
+export interface FleetSnapshotInput extends WaitInput {
   /** All registered workers. */
   readonly registered: readonly WorkerInfo[];
-  /** Workers that could be assigned tasks if their zones were not evacuated. */
-  readonly evacuated: readonly PlanWorker[];
 }
 
-/** Most kinds of waiting tasks examined per snapshot; each is checked against all workers. */
-const MAX_TASK_KINDS = 24;
 /** Most queues listed separately, so that the size of a snapshot is bounded. */
 const MAX_QUEUES = 8;
 /** Name under which the remaining queues are summed. */
@@ -88,12 +70,16 @@
 export function snapshotFleet(input: FleetSnapshotInput): FleetSnapshot {
   const { plan, registered } = input;
   const ordered = orderedCandidates(plan.state.openJobs, plan.times, plan.time);
+  const waits = explainWaits(
+    input,
+    ordered.map(({ step }) => step),
+  );
   return {
     workers: registered.length,
     usableWorkers: plan.workers.length,
     processors: countProcessors(input),
-    waiting: countWaitingByReason(input, ordered),
-    sizes: groupWaitingBySize(input, ordered),
+    waiting: countWaitingByReason(waits),
+    sizes: groupWaitingBySize(plan, ordered, waits),
   };
 }
 
@@ -135,25 +121,29 @@
 }
 
 function countWaitingByReason(
-  input: FleetSnapshotInput,
-  ordered: readonly Candidate[],
+  waits: ReadonlyMap<Step, WaitingByReason>,
 ): Record<string, WaitingByReason> {
-  const reasons = new Map<string, WaitReason>();
   const countsByQueue: Record<string, Partial<Record<WaitReason, number>>> = {};
-  for (const { step } of ordered) {
+  for (const [step, counts] of waits) {
     const { queue } = step.occurrence.job.spec.terms;
     const isListed =
       queue in countsByQueue || Object.keys(countsByQueue).length < MAX_QUEUES;
-    const counts = (countsByQueue[isListed ? queue : OTHER_QUEUES] ??= {});
-    const reason = cachedReasonOf(input, step, reasons);
-    counts[reason] = (counts[reason] ?? 0) + waitingTasks(step).length;
+    const sums = (countsByQueue[isListed ? queue : OTHER_QUEUES] ??= {});
+    for (const [reason, tasks] of reasonEntries(counts)) {
+      sums[reason] = (sums[reason] ?? 0) + tasks;
+    }
   }
   return countsByQueue;
 }
 
+function reasonEntries(counts: WaitingByReason): [WaitReason, number][] {
+  return Object.entries(counts) as [WaitReason, number][];
+}
+
 function groupWaitingBySize(
-  input: FleetSnapshotInput,
+  plan: PlanInput,
   ordered: readonly Candidate[],
+  waits: ReadonlyMap<Step, WaitingByReason>,
 ): Record<string, WaitingBySize> {
   const queues = new Map<string, Map<Occurrence, Candidate>>();
   for (const candidate of ordered) {
@@ -170,86 +160,47 @@
   return Object.fromEntries(
     [...queues].map(([queue, jobs]) => [
       queue,
-      waitingBySizeOf(input, [...jobs.values()]),
+      waitingBySizeOf(plan, [...jobs.values()], waits),
     ]),
   );
 }
 
 /** Groups jobs by size; `ordered` holds the first step of each job in scheduling order. */
 function waitingBySizeOf(
-  input: FleetSnapshotInput,
+  plan: PlanInput,
   ordered: readonly Candidate[],
+  waits: ReadonlyMap<Step, WaitingByReason>,
 ): WaitingBySize {
   const groups = sizeGroupsOf(ordered, ({ step }) =>
-    expectedWorkOf(step.occurrence, input.plan.times),
+    expectedWorkOf(step.occurrence, plan.times),
   );
   return Object.fromEntries(
     groups.map(([group, members]) => {
       const memberSet = new Set(members);
       const first = ordered.find(candidate => memberSet.has(candidate));
-      return [group, describeWaitingJobs(input, members, first)];
+      const reason = lastReasonOf(first && waits.get(first.step));
+      return [group, describeWaitingJobs(plan, members, reason)];
     }),
   );
 }
 
 function describeWaitingJobs(
-  input: FleetSnapshotInput,
+  { time }: PlanInput,
   members: readonly Candidate[],
-  first: Candidate | undefined,
+  reason: WaitReason,
 ): WaitingJobs {
   const oldest = Math.min(...members.map(({ since }) => since));
   return {
     jobs: members.length,
     notBegun: members.filter(({ started }) => !started).length,
-    oldestMs: Math.round(input.plan.time.now - oldest),
-    reason: first === undefined ? 'no_worker' : decideReason(input, first.step),
+    oldestMs: Math.round(time.now - oldest),
+    reason,
   };
 }
 
-/** Similar steps of a queue share the reason of the first one, so that it is worked out once. */
-function cachedReasonOf(
-  input: FleetSnapshotInput,
-  step: Step,
-  reasons: Map<string, WaitReason>,
-): WaitReason {
-  const { queue } = step.occurrence.job.spec.terms;
-  const { image, filler, label, lasting } = step.spec;
-  const key = [queue, image, filler, label, lasting].join('/');
-  const cached = reasons.get(key);
-  if (cached !== undefined) {
-    return cached;
-  }
-  if (reasons.size >= MAX_TASK_KINDS) {
-    return 'unexamined';
-  }
-  const reason = decideReason(input, step);
-  reasons.set(key, reason);
-  return reason;
-}
-
-function decideReason(
-  { plan, evacuated }: FleetSnapshotInput,
-  step: Step,
-): WaitReason {
-  const placement = placementInputOf(plan);
-  const [task] = waitingTasks(step);
-  if (task === undefined || chooseWorker(placement, task) !== undefined) {
-    return 'turn';
-  }
-  const hasPlace = (worker: PlanWorker): boolean =>
-    obstacleAt(placement, worker, task) === undefined;
-  if (evacuated.some(hasPlace)) {
-    return 'evacuated';
-  }
-  let furthest = -1;
-  for (const worker of placement.workers) {
-    const obstacle = obstacleAt(placement, worker, task);
-    if (obstacle === undefined) {
-      return 'disturbance';
-    }
-    furthest = Math.max(furthest, OBSTACLES.indexOf(obstacle));
-  }
-  return OBSTACLES[furthest] ?? 'no_worker';
+/** Returns why the last waiting task of a step waits: the obstacle if there is one. */
+function lastReasonOf(counts: WaitingByReason = {}): WaitReason {
+  return reasonEntries(counts).at(-1)?.[0] ?? 'no_worker';
 }
 
 /** Snapshot of a host that is not the leader. */
--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -28,5 +28,6 @@
 export * from './summary.js';
 export * from './loss-attribution.js';
 export * from './task-ref.js';
+export * from './wait-reasons.js';
 export * from './worker-health.js';
 export * from './job-value.js';
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -162,7 +162,7 @@
 }
 
 /** Reserves workers for large tasks, so that small ones do not take all capacity that becomes free. */
-function reserveForLargeTasks(
+export function reserveForLargeTasks(
   placement: PlacementInput,
   state: JobsState,
   waitingSteps: readonly Step[],
--- /dev/null
+++ b/packages/domain/src/jobs/trial-loads.ts
@@ -0,0 +1,68 @@
+/** Loads of workers with tasks that are placed tentatively: nothing starts, and the state of jobs is unchanged. */
+import type { Run, Step, Task } from './job.js';
+import type { JournalMoment } from './journal-time.js';
+import { addLoad, runKey, refOf, type WorkerRuns } from './jobs-state.js';
+import type { PlacementInput } from './placement.js';
+import { taskName } from './task-ref.js';
+
+/** Adds tasks to the loads of workers, each within what the earlier ones leave. */
+export class TrialLoads {
+  /** Placement input whose loads include the tasks that were added. */
+  readonly placement: PlacementInput;
+
+  private readonly loads = new Map<string, WorkerRuns>();
+  /** Number of added tasks by step and worker. */
+  private readonly addedByStep = new Map<Step, Map<string, number>>();
+
+  /** Creates loads without added tasks. */
+  constructor(private readonly base: PlacementInput) {
+    this.placement = {
+      ...base,
+      loadOf: worker => this.loads.get(worker) ?? base.loadOf(worker),
+      stepRunsOn: (task, worker) =>
+        base.stepRunsOn(task, worker) +
+        (this.addedByStep.get(task.step)?.get(worker) ?? 0),
+    };
+  }
+
+  /** Adds a task to the load of a worker. */
+  add(task: Task, worker: string): void {
+    const load = this.ownLoadOf(worker);
+    load.runs.set(runKey(taskName(refOf(task)), 0), trialRun(task, worker));
+    addLoad(load, task.step, 1);
+    const byWorker =
+      this.addedByStep.get(task.step) ?? new Map<string, number>();
+    byWorker.set(worker, (byWorker.get(worker) ?? 0) + 1);
+    this.addedByStep.set(task.step, byWorker);
+  }
+
+  /** Returns the load of a worker that tasks may be added to, copied when the first one is. */
+  private ownLoadOf(worker: string): WorkerRuns {
+    const known = this.loads.get(worker);
+    if (known !== undefined) {
+      return known;
+    }
+    const load = this.base.loadOf(worker);
+    const copied = { ...load, runs: new Map(load.runs) };
+    this.loads.set(worker, copied);
+    return copied;
+  }
+}
+
+/** Start of a run that is not in the journal. */
+const NO_MOMENT: JournalMoment = {
+  nextRecordSlow: Infinity,
+  previousRecordFast: -Infinity,
+};
+
+/** Returns a stand-in for the run of a task; no run has number 0. */
+function trialRun(task: Task, worker: string): Run {
+  return {
+    task,
+    number: 0,
+    worker,
+    openedAt: 0,
+    startMoment: NO_MOMENT,
+    progress: undefined,
+  };
+}
