Read what moves of runs cost and the versions of workers

Planning rounds are told the costs of a move where a run can be stopped within the target latency of the most urgent queue. Nothing uses them yet; the version of a worker's software is decoded and not used yet either.

--- a/packages/daemon/src/job-host/leader-options.ts
+++ b/packages/daemon/src/job-host/leader-options.ts
@@ -1,5 +1,6 @@
 /** Dependencies and settings of a leader. */
 import type { Millis } from '@paddlewind/domain';
+import type { MoveCosts } from '@paddlewind/domain/jobs';
 import type {
   AdvicePort,
   JobLog,
@@ -24,6 +25,10 @@
   readonly starts: StartSender;
   readonly advicePort: AdvicePort;
   readonly maxLeaseMs: Millis;
+  /** Returns the costs of moving a run; undefined where runs can't be moved quickly enough to be of use. */
+  readonly moveCosts: () => MoveCosts | undefined;
+  /** Whether hosts refuse jobs for which there will be no room before they lose their value. */
+  readonly admitsByRoom: boolean;
   /** How long the log keeps records. */
   readonly retentionMs: Millis;
   /** How long the state of a finished job can be queried. */
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -376,6 +376,7 @@
       leadsSince: this.options.claim.wonAt,
       maxStarts: this.startsLeft(),
       isLinkBusy: starts.hasWaitingStarts,
+      moveCosts: this.options.moveCosts(),
       movingTasks: this.supervisor.movingTasks(),
     };
   }
--- a/packages/daemon/src/job-host/start-job-host.ts
+++ b/packages/daemon/src/job-host/start-job-host.ts
@@ -1,6 +1,11 @@
 /** Assembles the parts of a job host. */
 import type { Millis } from '@paddlewind/domain';
-import { forgetFinishedJobs, countOpenRuns } from '@paddlewind/domain/jobs';
+import {
+  forgetFinishedJobs,
+  countOpenRuns,
+  usableMoveCosts,
+  type MoveCosts,
+} from '@paddlewind/domain/jobs';
 import type {
   AdvicePort,
   AppendResult,
@@ -57,6 +62,8 @@
   readonly maxLeaseMs: Millis;
   /** Time after which nothing may start in an evacuated zone; undefined if the deployment has no limit. */
   readonly evacuationEffectMs: Millis | undefined;
+  /** Costs of moving a run; undefined if the platform does not tell them. */
+  readonly moveCosts?: MoveCosts | undefined;
   /** Number of processors of this host. */
   readonly cores: number;
   /** Bandwidth that starts may use on this host's link while it leads. */
@@ -318,6 +325,8 @@
       starts,
       advicePort: meterAdvice(options.advicePort(), meters, clock),
       maxLeaseMs,
+      moveCosts: () => this.usableMoveCosts(),
+      admitsByRoom: this.admitsByRoom,
       retentionMs,
       statusMs,
       peerAddress,
@@ -325,6 +334,17 @@
     });
   }
 
+  private usableMoveCosts(): MoveCosts | undefined {
+    const queues = this.configHolder.config?.queues ?? [];
+    const terms = queues.map(queue => queue.terms);
+    return usableMoveCosts(this.options.moveCosts, terms);
+  }
+
+  /** Jobs are admitted by room where the operator may take away the room of whole availability zones. */
+  private get admitsByRoom(): boolean {
+    return this.options.evacuationEffectMs !== undefined;
+  }
+
   /**
    * Keeps reading while the host stops, so that it can answer on open connections as long as the
    * log answers.
--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -3,6 +3,7 @@
 export * from './advice.js';
 export * from './suspect-tasks.js';
 export * from './speculative-copies.js';
+export * from './move-costs.js';
 export * from './moves-off-leaving.js';
 export * from './fold.js';
 export * from './gang.js';
--- a/packages/domain/src/jobs/placement.ts
+++ b/packages/domain/src/jobs/placement.ts
@@ -20,6 +20,8 @@
   readonly labels: readonly string[];
   readonly capacity: TaskSize;
   readonly leaving: boolean;
+  /** Version of the worker's software; undefined if the registry does not tell it. */
+  readonly version?: string | undefined;
 }
 
 /** A worker that may be given tasks. */
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -7,6 +7,7 @@
 import type { Interference } from './interference.js';
 import { isWaiting, type Run, type Step, type Task } from './job.js';
 import { emptyWorkerRuns, workerRuns, type JobsState } from './jobs-state.js';
+import type { MoveCosts } from './move-costs.js';
 import type { PlanTime } from './objective.js';
 import { orderedCandidates } from './order.js';
 import { chooseWorker, WorkerChooser } from './choose-worker.js';
@@ -42,6 +43,8 @@
   readonly maxStarts: number;
   /** Whether starts are delayed by the bandwidth of this leader's link, and not only by lack of capacity. */
   readonly isLinkBusy: boolean;
+  /** Costs of moving a run; undefined where runs can't be moved quickly enough to follow changes of load. */
+  readonly moveCosts: MoveCosts | undefined;
   /** Tasks that move off leaving workers: they start first, and capacity is reserved for them until then. */
   readonly movingTasks: Iterable<Task>;
 }
--- a/packages/domain/src/jobs/test-support.ts
+++ b/packages/domain/src/jobs/test-support.ts
@@ -89,6 +89,7 @@
     leadsSince: -Infinity,
     maxStarts: 200,
     isLinkBusy: false,
+    moveCosts: undefined,
   };
 }
 
