Prefer workers of the newest version while a release is under way

In a release a task that moves off a leaving worker may be placed on one that leaves next. While workers of two or more versions are registered and one of an older version is leaving or has left within 10 s, long-running tasks and those expected to run for over 3 s now prefer the newest version.

The leader derives the newest version from the registry; nothing is recorded. A rollback counts as newest: after the old version has disappeared by its reappearance, and halfway once a worker of it is registered while only workers of the newest version leave.

--- a/packages/daemon/src/job-host/fleet.ts
+++ b/packages/daemon/src/job-host/fleet.ts
@@ -4,7 +4,9 @@
   countOpenRunsAt,
   startTimeOf,
   workerIdOf,
+  WorkerVersions,
   type JobsState,
+  type NewestVersions,
   type PlanWorker,
   type WorkerHealth,
   type WorkerInfo,
@@ -51,6 +53,7 @@
   private readonly leavingSinceById = new Map<string, Instant>();
   /** Reasons why registry entries can't be read, by key. */
   private unreadableEntries = new Map<string, string>();
+  private readonly versions = new WorkerVersions();
   private closed = false;
   private lastReadAt: Instant = -Infinity;
 
@@ -160,9 +163,15 @@
     return found;
   }
 
+  /** Returns the newest worker versions of the services where a release is under way. */
+  newestVersions(): NewestVersions | undefined {
+    return this.versions.newestVersions(this.options.ctx.clock());
+  }
+
   /** Closes all links. */
   close(): void {
     this.closed = true;
+    this.options.ctx.meters.workerVersions([]);
     for (const link of this.links.values()) {
       link.close();
     }
@@ -179,9 +188,18 @@
     }
     this.removeUnlisted();
     this.reportRemovals();
+    this.noteVersions(workers);
     this.options.changed();
   }
 
+  private noteVersions(workers: readonly WorkerInfo[]): void {
+    const { clock, log, meters } = this.options.ctx;
+    for (const { kind, ...release } of this.versions.apply(workers, clock())) {
+      log.info(release, `fleet: a release ${kind}`);
+    }
+    meters.workerVersions(this.versions.counts());
+  }
+
   private applyEntry(info: WorkerInfo): void {
     const current = this.linkToCurrent(info.id);
     if (
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -378,6 +378,7 @@
       isLinkBusy: starts.hasWaitingStarts,
       moveCosts: this.options.moveCosts(),
       movingTasks: this.supervisor.movingTasks(),
+      newestVersions: this.fleet.newestVersions(),
     };
   }
 
--- a/packages/daemon/src/job-host/meters.test.ts
+++ b/packages/daemon/src/job-host/meters.test.ts
@@ -77,3 +77,17 @@
     'paddlewind_jobs_loop_delay_seconds_sum 0.751',
   ]);
 });
+
+test('workers are counted by version, and versions without workers disappear', async () => {
+  const use = ({ workerVersions }: JobMeters): void => {
+    workerVersions([{ service: 'main', workers: { '1': 5 } }]);
+    workerVersions([{ service: 'main', workers: { '2': 3 } }]);
+  };
+  const lines = await samplesAfter(use);
+  const samples = lines.filter(line =>
+    line.startsWith('paddlewind_jobs_workers{'),
+  );
+  assert.deepEqual(samples, [
+    'paddlewind_jobs_workers{service="main",version="2"} 3',
+  ]);
+});
--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -4,6 +4,7 @@
   FleetSnapshot,
   JournalRecord,
   RunEnd,
+  ServiceVersions,
 } from '@paddlewind/domain/jobs';
 import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
 
@@ -93,6 +94,8 @@
   readonly loopFailed: (loop: string) => void;
   /** The leader has computed the account of its fleet; the account is empty on hosts that do not lead. */
   readonly accounted: (account: FleetSnapshot) => void;
+  /** The leader has read the versions of its fleet's workers; none on hosts that do not lead. */
+  readonly workerVersions: (versions: readonly ServiceVersions[]) => void;
   /** These zones are evacuated, each known for so long. */
   readonly evacuated: (zones: EvacuationTimes) => void;
 }
@@ -131,6 +134,7 @@
     ...createWorkMeters(registry),
     ...createLagMeters(registry),
     ...createFleetMeters(registry),
+    ...createVersionMeters(registry),
     ...createLossMeters(registry),
     ...createFaultMeters(registry),
   };
@@ -239,6 +243,28 @@
   };
 }
 
+/** Registers the metric of the versions of workers. */
+function createVersionMeters(
+  registry: Registry,
+): Pick<JobMeters, 'workerVersions'> {
+  const workers = new Gauge({
+    name: 'paddlewind_jobs_workers',
+    help: "Registered workers of the leader's fleet that state a version, by service and version; none on other hosts.",
+    labelNames: ['service', 'version'],
+    registers: [registry],
+  });
+  return {
+    workerVersions: versions => {
+      workers.reset();
+      for (const found of versions) {
+        for (const [version, count] of Object.entries(found.workers)) {
+          workers.set({ service: found.service, version }, count);
+        }
+      }
+    },
+  };
+}
+
 /** Registers the metrics of lost workers. */
 function createLossMeters(
   registry: Registry,
--- a/packages/daemon/src/job-host/run-starter.ts
+++ b/packages/daemon/src/job-host/run-starter.ts
@@ -62,6 +62,7 @@
     } else {
       logRun(this.options, run, 'leader: a run is ordered', {
         resumes: run.task.checkpoint,
+        version: link.info.version,
       });
       link.start(run, decidedAt);
     }
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -187,6 +187,7 @@
     machine: string,
     labels: readonly string[] = [],
     capacity = CAPACITY,
+    version?: string,
   ): void {
     this.incarnations += 1;
     const clockRate = 0.98 + 0.02 * this.random();
@@ -194,6 +195,7 @@
     const traits = {
       capacity,
       labels,
+      ...(version === undefined ? {} : { version }),
       availabilityZone: this.zoneOf(machine),
       maxLeaseMs: this.maxLeaseMs,
       clockRate,
--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -31,4 +31,5 @@
 export * from './task-ref.js';
 export * from './wait-reasons.js';
 export * from './worker-health.js';
+export * from './worker-versions.js';
 export * from './job-value.js';
--- a/packages/domain/src/jobs/placement.ts
+++ b/packages/domain/src/jobs/placement.ts
@@ -7,6 +7,7 @@
 import type { Quarantine } from './quarantine.js';
 import type { SizeClassShares } from './size-class-shares.js';
 import type { StepSpec, TaskSize } from './spec.js';
+import type { PreferredVersionOf } from './version-preference.js';
 import type { Instant } from '../core/time.js';
 
 /** A worker as described by the platform's registry. */
@@ -43,6 +44,8 @@
   readonly loadOf: (worker: string) => WorkerRuns;
   /** Returns the number of runs of the task's step on a worker, including those about to start. */
   readonly stepRunsOn: (task: Task, worker: string) => number;
+  /** Worker versions that tasks prefer; undefined while no release is under way. */
+  readonly preferredVersionOf?: PreferredVersionOf | undefined;
 }
 
 /** Reasons why a worker cannot be given a task now, in the order in which they are checked. */
@@ -157,6 +160,11 @@
 const NEAR_DATA_BONUS = 2;
 /** Rank penalty of a worker on which the task has failed before. */
 const FAILED_HERE_COST = 4;
+/**
+ * Rank bonus of a worker of the version that a task prefers. It outweighs packing (ranks by load are mostly
+ * within -3 to 1) and the rack; a worker that has the penalty of an earlier failure gets none.
+ */
+const PREFERRED_VERSION_BONUS = 4;
 /** Rank penalty of an untrusted worker, for a task that has failed before. */
 const UNTRUSTED_COST = 4;
 /** Rank penalty of a worker with serving tasks, for a filler. */
@@ -274,15 +282,16 @@
   const rank = baseRank(capacity, load, task);
   const isExact = !task.step.spec.filler || load.servingCpuMilli === 0;
   const atFullSpeed = isExact ? rank : rank + 1;
-  return { value: adjustRank(atFullSpeed, worker, task), isExact };
+  return { value: adjustRank(input, atFullSpeed, worker, task), isExact };
 }
 
 /** Returns the rank of a worker without an obstacle; `-Infinity` if the task would be too slow there. */
 export function exactRankAt(
-  { loadOf, speeds }: PlacementInput,
+  input: PlacementInput,
   worker: PlanWorker,
   task: Task,
 ): Rank {
+  const { loadOf, speeds } = input;
   const { capacity, id } = worker.info;
   const load = loadOf(id);
   const speed = speeds.speedOf(load, capacity.cpuMilli, task.step.spec);
@@ -290,22 +299,38 @@
     return UNUSABLE;
   }
   const rank = baseRank(capacity, load, task) + Math.min(1, speed);
-  return { value: adjustRank(rank, worker, task), isExact: true };
+  return { value: adjustRank(input, rank, worker, task), isExact: true };
 }
 
-/** Adds the bonus for the worker's rack and the penalties for earlier failures to a rank. */
-function adjustRank(rank: number, worker: PlanWorker, task: Task): number {
+/** Adds the bonuses for the worker's rack and version, and the penalties for earlier failures, to a rank. */
+function adjustRank(
+  { preferredVersionOf }: PlacementInput,
+  rank: number,
+  worker: PlanWorker,
+  task: Task,
+): number {
   const { info, trusted } = worker;
   const { dataRack } = task.step.spec;
+  const hasFailedHere = task.failedOn.has(info.id);
+  const isUntrusted = !trusted && task.failures > 0;
   let result = rank;
   if (dataRack !== undefined && info.rack === dataRack) {
     result += NEAR_DATA_BONUS;
   }
-  if (task.failedOn.has(info.id)) {
+  if (hasFailedHere) {
     result -= FAILED_HERE_COST;
   }
-  if (!trusted && task.failures > 0) {
+  if (isUntrusted) {
     result -= UNTRUSTED_COST;
   }
+  if (
+    preferredVersionOf !== undefined &&
+    !hasFailedHere &&
+    !isUntrusted &&
+    info.version !== undefined &&
+    info.version === preferredVersionOf(task)
+  ) {
+    result += PREFERRED_VERSION_BONUS;
+  }
   return result;
 }
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -21,6 +21,8 @@
 import { Quarantine } from './quarantine.js';
 import { SizeClassShares } from './size-class-shares.js';
 import type { RunTimes } from './run-times.js';
+import { createVersionPreference } from './version-preference.js';
+import type { NewestVersions } from './worker-versions.js';
 
 /** A decision to start a task. */
 export interface StartDecision {
@@ -47,6 +49,8 @@
   readonly moveCosts: MoveCosts | undefined;
   /** Tasks that move off leaving workers: they start first, and capacity is reserved for them until then. */
   readonly movingTasks: Iterable<Task>;
+  /** Newest worker versions of the services where a release is under way; undefined if there are none. */
+  readonly newestVersions?: NewestVersions | undefined;
 }
 
 /** Applies a decision before the next one is made. */
@@ -295,6 +299,7 @@
 
 function createReservations(input: PlanInput): Reservations {
   const { state, workers, interference, advice, time, leadsSince } = input;
+  const { newestVersions, times } = input;
   const reservations = new Reservations({
     workers,
     speeds: interference.speeds(),
@@ -304,6 +309,7 @@
     now: time.now,
     loadOf: worker => workerRuns(state, worker),
     stepRunsOn: ({ step }, worker) => step.openRunsByWorker.get(worker) ?? 0,
+    preferredVersionOf: createVersionPreference(newestVersions, times),
   });
   for (const task of input.movingTasks) {
     if (!isWaiting(task)) {
--- a/packages/stand-ins/src/jobs/memory-fleet.ts
+++ b/packages/stand-ins/src/jobs/memory-fleet.ts
@@ -335,5 +335,6 @@
     labels: traits.labels ?? [],
     capacity: traits.capacity,
     leaving,
+    version: traits.version,
   };
 }
--- a/packages/stand-ins/src/jobs/memory-worker.ts
+++ b/packages/stand-ins/src/jobs/memory-worker.ts
@@ -44,6 +44,8 @@
   readonly labels?: readonly string[];
   /** `a` if it is not given. */
   readonly availabilityZone?: string;
+  /** Version in its registry entry, which has none if it is not given. */
+  readonly version?: string;
   readonly maxLeaseMs: Millis;
   /** Rate of the worker's clock, from 0.98 to 1. */
   readonly clockRate: number;
