--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -4,10 +4,11 @@
   FleetSnapshot,
   JournalRecord,
   RunEnd,
-  ServiceVersions,
 } from '@paddlewind/domain/jobs';
 import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
 
+import { createVersionMeters, type VersionMeters } from './version-meters.js';
+
 /** The dependency that a call waits for. */
 export type Dependency = 'log' | 'worker' | 'advice';
 
@@ -48,7 +49,7 @@
 export type EvacuationTimes = Readonly<Record<string, Millis>>;
 
 /** Metrics recorded by a job host. */
-export interface JobMeters {
+export interface JobMeters extends VersionMeters {
   /** A caller's request was answered with an HTTP status after `span`. */
   readonly answered: (method: string, status: number, span: Millis) => void;
   /** A call to a dependency ended. */
@@ -94,8 +95,6 @@
   readonly loopFailed: (loop: string) => void;
   /** The leader has computed the account of its fleet; the account is empty on hosts that do not lead. */
   readonly accounted: (account: FleetSnapshot) => void;
-  /** The leader has read the versions of its fleet's workers; none on hosts that do not lead. */
-  readonly workerVersions: (versions: readonly ServiceVersions[]) => void;
   /** These zones are evacuated, each known for so long. */
   readonly evacuated: (zones: EvacuationTimes) => void;
 }
@@ -243,28 +242,6 @@
   };
 }
 
-/** Registers the metric of the versions of workers. */
-function createVersionMeters(
-  registry: Registry,
-): Pick<JobMeters, 'workerVersions'> {
-  const workers = new Gauge({
-    name: 'paddlewind_jobs_workers',
-    help: "Registered workers of the leader's fleet that state a version, by service and version; none on other hosts.",
-    labelNames: ['service', 'version'],
-    registers: [registry],
-  });
-  return {
-    workerVersions: versions => {
-      workers.reset();
-      for (const found of versions) {
-        for (const [version, count] of Object.entries(found.workers)) {
-          workers.set({ service: found.service, version }, count);
-        }
-      }
-    },
-  };
-}
-
 /** Registers the metrics of lost workers. */
 function createLossMeters(
   registry: Registry,
