--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -24,6 +24,7 @@
   type LinkedRunEvents,
   type RunSource,
 } from './linked-runs.js';
+import { ReachRecord } from './reach-record.js';
 import type { StartSender } from './relay/start-sender.js';
 import {
   POLL_RETRY_DELAY_MS,
@@ -100,15 +101,7 @@
   private readonly orders: WorkerOrders;
   /** Whether the worker has reported to this leader, so that its open runs are known. */
   private hasReported = false;
-  /**
-   * Whether a record says that the worker was reached, and it has not been reported unresponsive since. Only
-   * then does this leader extend the lease.
-   */
-  private isReachRecorded = false;
-  /** How often the worker was reported unresponsive; each report voids older records that it was reached. */
-  private silenceReports = 0;
-  /** Value of `silenceReports` for which the last reach record was requested. */
-  private reachRequestedFor = -1;
+  private readonly reach: ReachRecord;
   private isAnswering = true;
   /** Time at which the worker was found to be unresponsive; undefined while it answers. */
   private silentSince: Instant | undefined;
@@ -137,6 +130,9 @@
     private readonly options: LinkOptions,
   ) {
     this.wakeSignal = new WakeSignal(options.ctx.schedule);
+    this.reach = new ReachRecord(done => {
+      options.events.reached(done);
+    });
     this.runs = new LinkedRuns({
       ...options,
       info: () => this.info,
@@ -157,7 +153,7 @@
       info: () => this.info,
       mayStart: () =>
         this.usable &&
-        this.isReachRecorded &&
+        this.reach.isRecorded &&
         !this.info.leaving &&
         this.horizonLeftMs() >= MIN_START_LEASE_MS,
       extendLease: now => this.lease.extend(now, options.horizon()),
@@ -205,8 +201,7 @@
    * have a newer record.
    */
   noteSilenceReported(): void {
-    this.isReachRecorded = false;
-    this.silenceReports += 1;
+    this.reach.noteSilenceReported();
   }
 
   /** Abandons all runs if the worker does not answer and its lease has expired. */
@@ -285,7 +280,7 @@
     // An unresponsive worker may be unreachable: its lease must be allowed to expire.
     const left = this.horizonLeftMs();
     const extend =
-      isIdentified && this.isReachRecorded && this.isAnswering && left > 0;
+      isIdentified && this.reach.isRecorded && this.isAnswering && left > 0;
     const request: PollRequest = {
       fence,
       acknowledged: isIdentified ? this.recordedUpTo : 0,
@@ -316,7 +311,7 @@
       return 0;
     }
     const waitMs = this.options.pollWaitMs();
-    return leaseLeftMs < TASK_LEASE_MS || !this.isReachRecorded
+    return leaseLeftMs < TASK_LEASE_MS || !this.reach.isRecorded
       ? Math.min(waitMs, SHORT_LEASE_POLL_WAIT_MS)
       : waitMs;
   }
@@ -449,7 +444,9 @@
       this.hasReported = true;
       events.changed();
     }
-    const reached = this.recordReached();
+    // The next poll waits for this record, since it extends the lease only then. A poll sent earlier would
+    // delay the extension for as long as it waits for an end.
+    const reached = this.reach.request();
     times.measure('reports', () => {
       events.reported(this);
     });
@@ -467,24 +464,6 @@
     ]);
   }
 
-  /**
-   * Resolves once a record says that the worker was reached. The next poll waits for that, since it extends
-   * the lease only then. A poll sent earlier would delay the extension for as long as it waits for an end.
-   */
-  private recordReached(): Promise<void> | undefined {
-    const { silenceReports } = this;
-    if (this.isReachRecorded || this.reachRequestedFor === silenceReports) {
-      return undefined;
-    }
-    this.reachRequestedFor = silenceReports;
-    return new Promise(resolve => {
-      this.options.events.reached(() => {
-        this.isReachRecorded = silenceReports === this.silenceReports;
-        resolve();
-      });
-    });
-  }
-
   /**
    * Notes when the ends up to `position` are recorded. Only then are they acknowledged, even if they were
    * listed before.
