--- a/packages/domain/src/jobs/reservations.ts
+++ b/packages/domain/src/jobs/reservations.ts
@@ -1,8 +1,9 @@
 /** Tentative placement of several tasks, before any of them is started. */
-import type { Step, Task } from './job.js';
+import type { Task } from './job.js';
 import { addLoad, emptyWorkerRuns, type WorkerRuns } from './jobs-state.js';
 import { chooseWorker } from './choose-worker.js';
 import type { PlacementInput } from './placement.js';
+import { StepCounts } from './step-counts.js';
 
 /** Reserves capacity for tasks one by one, each within what the earlier reservations leave. */
 export class Reservations {
@@ -10,8 +11,7 @@
   readonly remaining: PlacementInput;
 
   private readonly reserved = new Map<string, WorkerRuns>();
-  /** Number of reservations by step and worker. */
-  private readonly placedByStep = new Map<Step, Map<string, number>>();
+  private readonly counts = new StepCounts();
 
   /** Creates an empty set of reservations. */
   constructor(placement: PlacementInput) {
@@ -23,8 +23,7 @@
         return reserved === undefined ? load : addLoads(load, reserved);
       },
       stepRunsOn: (task, worker) =>
-        placement.stepRunsOn(task, worker) +
-        (this.placedByStep.get(task.step)?.get(worker) ?? 0),
+        placement.stepRunsOn(task, worker) + this.counts.get(task.step, worker),
     };
   }
 
@@ -37,15 +36,9 @@
     const reserved = this.reserved.get(worker) ?? emptyWorkerRuns();
     addLoad(reserved, task.step, 1);
     this.reserved.set(worker, reserved);
-    this.countPlaced(task.step, worker);
+    this.counts.add(task.step, worker);
     return worker;
   }
-
-  private countPlaced(step: Step, worker: string): void {
-    const byWorker = this.placedByStep.get(step) ?? new Map<string, number>();
-    byWorker.set(worker, (byWorker.get(worker) ?? 0) + 1);
-    this.placedByStep.set(step, byWorker);
-  }
 }
 
 function addLoads(load: WorkerRuns, reserved: WorkerRuns): WorkerRuns {
--- a/packages/domain/src/jobs/trial-loads.ts
+++ b/packages/domain/src/jobs/trial-loads.ts
@@ -1,8 +1,9 @@
 /** Loads of workers with tasks that are placed tentatively: nothing starts, and the state of jobs is unchanged. */
-import type { Run, Step, Task } from './job.js';
+import type { Run, Task } from './job.js';
 import type { JournalMoment } from './journal-time.js';
 import { addLoad, runKey, refOf, type WorkerRuns } from './jobs-state.js';
 import type { PlacementInput } from './placement.js';
+import { StepCounts } from './step-counts.js';
 import { taskName } from './task-ref.js';
 
 /** Adds tasks to the loads of workers, each within what the earlier ones leave. */
@@ -11,8 +12,7 @@
   readonly placement: PlacementInput;
 
   private readonly loads = new Map<string, WorkerRuns>();
-  /** Number of added tasks by step and worker. */
-  private readonly addedByStep = new Map<Step, Map<string, number>>();
+  private readonly counts = new StepCounts();
 
   /** Creates loads without added tasks. */
   constructor(private readonly base: PlacementInput) {
@@ -20,8 +20,7 @@
       ...base,
       loadOf: worker => this.loads.get(worker) ?? base.loadOf(worker),
       stepRunsOn: (task, worker) =>
-        base.stepRunsOn(task, worker) +
-        (this.addedByStep.get(task.step)?.get(worker) ?? 0),
+        base.stepRunsOn(task, worker) + this.counts.get(task.step, worker),
     };
   }
 
@@ -30,10 +29,7 @@
     const load = this.ownLoadOf(worker);
     load.runs.set(runKey(taskName(refOf(task)), 0), trialRun(task, worker));
     addLoad(load, task.step, 1);
-    const byWorker =
-      this.addedByStep.get(task.step) ?? new Map<string, number>();
-    byWorker.set(worker, (byWorker.get(worker) ?? 0) + 1);
-    this.addedByStep.set(task.step, byWorker);
+    this.counts.add(task.step, worker);
   }
 
   /** Returns the load of a worker that tasks may be added to, copied when the first one is. */
