--- a/packages/daemon/src/job-host/claims-read-late.test.ts
+++ b/packages/daemon/src/job-host/claims-read-late.test.ts
@@ -8,45 +8,23 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { UNKNOWN_SPAN, type Millis } from '@paddlewind/domain';
-import {
-  encodeRecord,
-  type LeaseHandover,
-  type JournalRecord,
-} from '@paddlewind/domain/jobs';
+import type { Millis } from '@paddlewind/domain';
+import { encodeRecord, type JournalRecord } from '@paddlewind/domain/jobs';
 import { createVirtualTime } from '@paddlewind/stand-ins';
 import { MemoryJobLog } from '@paddlewind/stand-ins/jobs';
 
 import { testContext } from './context.fixture.test.js';
-import { LeaseEnds } from './lease-ends.js';
+import {
+  claim,
+  endsFromBeginning,
+  heartbeat,
+} from './lease-records.fixture.test.js';
 import { Replica } from './replica.js';
 import { jobOf } from './simulation.fixture.test.js';
 import { MAX_LEASE_AFTER_LAST_RECORD_MS, TASK_LEASE_MS } from './timing.js';
 
 const HELD_MS = Math.ceil(MAX_LEASE_AFTER_LAST_RECORD_MS);
 
-function claim(epoch: number): JournalRecord {
-  return { kind: 'claim', epoch, host: 'h', nonce: 0 };
-}
-
-function heartbeat(epoch: number, handed?: LeaseHandover): JournalRecord {
-  const leader = {
-    epoch,
-    host: 'h',
-    nonce: 0,
-    address: 'h',
-    ledForMs: undefined,
-    silence: UNKNOWN_SPAN,
-  };
-  return { kind: 'heartbeat', ...leader, handed, standbys: undefined };
-}
-
-function endsFromBeginning(): LeaseEnds {
-  const ends = new LeaseEnds();
-  ends.noteBeginning();
-  return ends;
-}
-
 test('a worker that was reached after the claimer last read does not count as silent', () => {
   const [claimer, reader] = [endsFromBeginning(), endsFromBeginning()];
   const silent = heartbeat(1, { epochs: [[1, 7_703]], workers: [['w', 500]] });
--- a/packages/daemon/src/job-host/lease-ends.test.ts
+++ b/packages/daemon/src/job-host/lease-ends.test.ts
@@ -1,10 +1,15 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { UNKNOWN_SPAN, type Instant } from '@paddlewind/domain';
+import type { Instant } from '@paddlewind/domain';
 import type { LeaseHandover, JournalRecord } from '@paddlewind/domain/jobs';
 
 import { LeaseEnds } from './lease-ends.js';
+import {
+  claim,
+  endsFromBeginning,
+  heartbeat,
+} from './lease-records.fixture.test.js';
 import {
   MAX_LEASE_AFTER_LAST_RECORD_MS,
   DEFAULT_MAX_LEASE_AFTER_LAST_RECORD_MS,
@@ -18,22 +23,6 @@
   learnt: { runTimes: [], pressures: [], lowTails: [] },
 } as unknown as JournalRecord;
 
-function claim(epoch: number): JournalRecord {
-  return { kind: 'claim', epoch, host: 'h', nonce: 0 };
-}
-
-function heartbeat(epoch: number, handed?: LeaseHandover): JournalRecord {
-  const leader = {
-    epoch,
-    host: 'h',
-    nonce: 0,
-    address: 'h',
-    ledForMs: undefined,
-    silence: UNKNOWN_SPAN,
-  };
-  return { kind: 'heartbeat', ...leader, handed, standbys: undefined };
-}
-
 /** Applies the claim of another leader, and its first heartbeat with the leases that it hands over. */
 function applyLeader(
   ends: LeaseEnds,
@@ -47,13 +36,6 @@
   ends.applyRecord(heartbeat(epoch, handed), epoch, now);
 }
 
-/** Lease ends of a host that has read the journal from its beginning. */
-function endsFromBeginning(): LeaseEnds {
-  const ends = new LeaseEnds();
-  ends.noteBeginning();
-  return ends;
-}
-
 test('leases of a leader end a fixed time after its last record', () => {
   const ends = endsFromBeginning();
   applyLeader(ends, 1, 100);
