--- a/packages/domain/src/jobs/size-class-shares.ts
+++ b/packages/domain/src/jobs/size-class-shares.ts
@@ -70,7 +70,7 @@
     input: ReservationInput<W>,
   ): void {
     const { cpuMilli } = task.step.spec.size;
-    // From half a task on, one task more is closer to the share than none.
+    // A shortage of half a task or more is rounded up to a whole one.
     const minCpuMilli = cpuMilli / 2;
     if (missingCpuMilli < minCpuMilli) {
       return;
