--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -7,6 +7,8 @@
 } from '@paddlewind/domain/jobs';
 import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
 
+import { createVersionMeters, type VersionMeters } from './version-meters.js';
+
 /** The dependency that a call waits for. */
 export type Dependency = 'log' | 'worker' | 'advice';
 
@@ -47,7 +49,7 @@
 export type EvacuationTimes = Readonly<Record<string, Millis>>;
 
 /** Metrics recorded by a job host. */
-export interface JobMeters {
+export interface JobMeters extends VersionMeters {
   /** A caller's request was answered with an HTTP status after `span`. */
   readonly answered: (method: string, status: number, span: Millis) => void;
   /** A call to a dependency ended. */
@@ -131,6 +133,7 @@
     ...createWorkMeters(registry),
     ...createLagMeters(registry),
     ...createFleetMeters(registry),
+    ...createVersionMeters(registry),
     ...createLossMeters(registry),
     ...createFaultMeters(registry),
   };
