Add longest and remaining times to RunTimes

The averages implement them so that all decisions stay the same: the longest task of a step is expected to take as long as any other. A copy's expected time (freshMs) and the kind of the model let speculative copies tell the averages from a model with distributions.

--- a/packages/daemon/src/job-host/leader-records.ts
+++ b/packages/daemon/src/job-host/leader-records.ts
@@ -3,6 +3,7 @@
 import {
   chooseStandbys,
   type AdmissionLimits,
+  type AverageRunTimes,
   type LeaseHandover,
   type Interference,
   type JournalRecord,
@@ -72,7 +73,7 @@
 
 /** Returns a record of the learned run times and interference. */
 export function learnedRecord(
-  times: RunTimes,
+  times: AverageRunTimes,
   interference: Interference,
 ): JournalRecord {
   const learnt = {
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -16,9 +16,9 @@
   workerRuns,
   type AdmissionLimits,
   type ApplyStart,
+  type AverageRunTimes,
   type JobsState,
   type PlanInput,
-  type RunTimes,
   type WorkerInfo,
 } from '@paddlewind/domain/jobs';
 
@@ -66,7 +66,7 @@
   private readonly fleet: Fleet;
   private readonly leases: LeaderLeases;
   private readonly fences: Fences;
-  private readonly times: RunTimes;
+  private readonly times: AverageRunTimes;
   private readonly interference: Interference;
   private readonly startWindow = new StartWindow();
   private readonly startRate = new StartRate();
--- a/packages/domain/src/jobs/objective.ts
+++ b/packages/domain/src/jobs/objective.ts
@@ -79,7 +79,7 @@
   const ends: Millis[] = [];
   for (const step of steps) {
     const before = step.spec.after.map(at => ends[at] ?? 0);
-    const own = isIncluded(step) ? times.expectedMs(step) : 0;
+    const own = isIncluded(step) ? times.longestMs(step) : 0;
     ends.push(Math.max(0, ...before) + own);
   }
   return Math.max(0, ...ends);
--- a/packages/domain/src/jobs/run-times.ts
+++ b/packages/domain/src/jobs/run-times.ts
@@ -1,6 +1,6 @@
 /** Run times learned by queue and image, since callers' own estimates are inaccurate. */
-import type { Millis } from '../core/time.js';
-import type { Step } from './job.js';
+import type { Instant, Millis } from '../core/time.js';
+import type { Run, Step } from './job.js';
 import {
   MAX_LEARNED_ENTRIES,
   type LearnedEstimates,
@@ -12,12 +12,25 @@
 /** Weight of the caller's estimate against the learned average; without an average it is used alone. */
 const CALLER_ESTIMATE_WEIGHT = 0.25;
 
-/** Learns how long tasks run. */
+/** Learns how long tasks run. All times are those of a healthy worker at full speed. */
 export interface RunTimes {
-  /** Returns the expected run time of a task of the step on a healthy worker. */
+  /** Model by which the times are estimated. */
+  readonly kind: 'averages' | 'distributions';
+  /** Returns the expected run time of a task of the step. */
   expectedMs(step: Step): Millis;
+  /** Returns the expected run time of the longest task of the step. */
+  longestMs(step: Step): Millis;
+  /** Returns how much longer a run is expected to take, at least 0. */
+  remainingMs(run: Run, now: Instant): Millis;
+  /** Returns the expected run time of a copy of a run that starts now, given how long the run has lasted. */
+  freshMs(run: Run, now: Instant): Millis;
   /** Records a run that completed after `runTimeMs` without having resumed from a checkpoint. */
   recordRun(step: Step, runTimeMs: Millis): void;
+}
+
+/** Run times by averages of queue and image. */
+export interface AverageRunTimes extends RunTimes {
+  readonly kind: 'averages';
   /** Returns the learned averages, from which another instance can start. */
   learnedAverages(): LearnedEstimates['runTimes'];
 }
@@ -25,20 +38,31 @@
 /** Creates run times that start from the averages of an earlier instance. */
 export function createRunTimes(
   learned: LearnedEstimates['runTimes'] = [],
-): RunTimes {
+): AverageRunTimes {
   const averages = new Map<string, Millis>(learned);
+  const expectedMs = (step: Step): Millis => {
+    const average = averages.get(runTimeKeyOf(step));
+    const estimate = step.spec.estimateMs;
+    return average === undefined
+      ? estimate
+      : estimate * CALLER_ESTIMATE_WEIGHT +
+          average * (1 - CALLER_ESTIMATE_WEIGHT);
+  };
 
   return {
-    expectedMs: step => {
-      const average = averages.get(keyOf(step));
-      const estimate = step.spec.estimateMs;
-      return average === undefined
-        ? estimate
-        : estimate * CALLER_ESTIMATE_WEIGHT +
-            average * (1 - CALLER_ESTIMATE_WEIGHT);
+    kind: 'averages',
+    expectedMs,
+    longestMs: expectedMs,
+    remainingMs: (run, now) => {
+      const expected = expectedMs(run.task.step);
+      return (
+        remainingByPercent(run, expected, now) ??
+        Math.max(0, expected - elapsedMs(run, now))
+      );
     },
+    freshMs: run => expectedMs(run.task.step),
     recordRun: (step, runTimeMs) => {
-      const key = keyOf(step);
+      const key = runTimeKeyOf(step);
       const average = averages.get(key);
       averages.set(
         key,
@@ -54,6 +78,34 @@
   };
 }
 
-function keyOf({ occurrence, spec }: Step): string {
+/** Returns the key under which the run times of a step are learned: its queue and image. */
+export function runTimeKeyOf({ occurrence, spec }: Step): string {
   return `${occurrence.job.spec.terms.queue}/${spec.image ?? ''}`;
 }
+
+/** Returns how long a run has lasted, as far as this host knows. */
+export function elapsedMs({ progress, openedAt }: Run, now: Instant): Millis {
+  return Math.max(0, now - (progress?.since ?? openedAt));
+}
+
+/**
+ * Returns how much longer a run takes by the share that it has completed, or undefined if it reports less
+ * than `minPercent`. A resumed run starts at the share of its checkpoint, so its pace is not known from it.
+ */
+export function remainingByPercent(
+  { task, progress }: Run,
+  expectedMs: Millis,
+  now: Instant,
+  minPercent = 1,
+): Millis | undefined {
+  if (progress === undefined || progress.percent < minPercent) {
+    return undefined;
+  }
+  const done = progress.percent / 100;
+  if (task.checkpoint !== '') {
+    return expectedMs * (1 - done);
+  }
+  const reportedMs = progress.seenAt - progress.since;
+  const restMs = (reportedMs * (1 - done)) / done;
+  return Math.max(0, restMs - (now - progress.seenAt));
+}
