Add run-time distributions and let them decide where runs can be moved

They learn, in logarithms and by queue, the error of callers' estimates and of the mean by queue and image, the variation within a step, and how many steps take several times as long; completed runs of a step correct the estimates for its other tasks. The leader keeps both models, and both pass to the next leader in the learnt record; the averages learn and decide as before.

--- a/packages/daemon/src/job-host/leader-records.ts
+++ b/packages/daemon/src/job-host/leader-records.ts
@@ -2,18 +2,19 @@
 import type { Instant } from '@paddlewind/domain';
 import {
   chooseStandbys,
+  knownRunTimeMs,
   type AdmissionLimits,
-  type AverageRunTimes,
   type LeaseHandover,
   type Interference,
   type JournalRecord,
   type Run,
   type RunEnd,
-  type RunTimes,
+  type RunTimeDistributions,
   type WorkerHealth,
 } from '@paddlewind/domain/jobs';
 
 import type { HostContext } from './context.js';
+import type { LearnedTimes } from './learned-times.js';
 import type { WonClaim } from './leadership.js';
 import type { Replica } from './replica.js';
 
@@ -49,36 +50,58 @@
 
 /** Updates run-time estimates and worker health from the end of a run. */
 export function learnFromEnd(
-  { task, progress, worker }: Run,
+  run: Run,
   how: RunEnd | 'lost',
   {
     health,
     times,
     now,
+    leadsSince,
   }: {
     readonly health: WorkerHealth;
-    readonly times: RunTimes;
+    readonly times: LearnedTimes;
     readonly now: Instant;
+    /** Monotonic time at which this leader took over; it does not know when earlier runs started. */
+    readonly leadsSince: Instant;
   },
 ): void {
+  const { task, progress, worker } = run;
   if (how === 'done') {
     health.noteDone(worker);
   } else if (how === 'failed') {
     health.noteFailure(worker, task, now);
   }
   if (how === 'done' && progress !== undefined && task.checkpoint === '') {
-    times.recordRun(task.step, now - progress.since);
+    times.averages.recordRun(task.step, now - progress.since);
+    if (run.openedAt >= leadsSince) {
+      recordDistribution(times.distributions, run, now);
+    }
+  }
+  if (how === 'done' && task.step.remaining <= 1) {
+    times.distributions.closeStep(task.step);
+  }
+}
+
+function recordDistribution(
+  distributions: RunTimeDistributions,
+  run: Run,
+  now: Instant,
+): void {
+  const runTimeMs = knownRunTimeMs(run, now);
+  if (runTimeMs !== undefined) {
+    distributions.recordRun(run.task.step, runTimeMs, { run, now });
   }
 }
 
 /** Returns a record of the learned run times and interference. */
 export function learnedRecord(
-  times: AverageRunTimes,
+  { averages, distributions }: LearnedTimes,
   interference: Interference,
 ): JournalRecord {
   const learnt = {
-    runTimes: times.learnedAverages(),
+    runTimes: averages.learnedAverages(),
     ...interference.learnedEstimates(),
+    distributions: distributions.learnedDistributions(),
   };
   return { kind: 'learnt', learnt };
 }
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -2,7 +2,6 @@
 import type { Millis } from '@paddlewind/domain';
 import {
   AdviceTickets,
-  createRunTimes,
   EMPTY_FLEET_SNAPSHOT,
   evacuatedKindsOf,
   Interference,
@@ -16,7 +15,6 @@
   workerRuns,
   type AdmissionLimits,
   type ApplyStart,
-  type AverageRunTimes,
   type JobsState,
   type PlanInput,
   type WorkerInfo,
@@ -35,6 +33,7 @@
 import { createLinkEvents } from './leader-link-events.js';
 import type { LeaderOptions } from './leader-options.js';
 import { heartbeatRecord, learnedRecord } from './leader-records.js';
+import { createLearnedTimes, type LearnedTimes } from './learned-times.js';
 import { restateDueJobs } from './restate-due.js';
 import { RunRecorder } from './run-recorder.js';
 import { RunStarter } from './run-starter.js';
@@ -66,7 +65,7 @@
   private readonly fleet: Fleet;
   private readonly leases: LeaderLeases;
   private readonly fences: Fences;
-  private readonly times: AverageRunTimes;
+  private readonly times: LearnedTimes;
   private readonly interference: Interference;
   private readonly startWindow = new StartWindow();
   private readonly startRate = new StartRate();
@@ -89,7 +88,7 @@
     const { ctx, replica, claim } = options;
     this.state = replica.state;
     const earlier = this.state.learnedEstimates;
-    this.times = createRunTimes(earlier?.estimates.runTimes);
+    this.times = createLearnedTimes(earlier?.estimates, options.moveCosts);
     this.interference = new Interference(earlier);
     this.wakeSignal = new WakeSignal(ctx.schedule);
     this.adviser = new Adviser(
@@ -369,7 +368,7 @@
     return {
       state: this.state,
       workers: this.fleet.planWorkers(),
-      times: this.times,
+      times: this.times.inForce(),
       interference: this.interference,
       advice: this.advice,
       time: { now: ctx.clock(), nowWall: ctx.wallClock() },
--- a/packages/daemon/src/job-host/linked-runs.ts
+++ b/packages/daemon/src/job-host/linked-runs.ts
@@ -204,7 +204,7 @@
 
   private updateProgress(run: Run, seen: ActiveRun): void {
     const now = this.options.ctx.clock();
-    run.progress ??= newProgress(now);
+    run.progress ??= { ...newProgress(now), initialPercent: seen.percent };
     const { progress } = run;
     progress.listed = true;
     if (!progress.confirmed) {
--- a/packages/daemon/src/job-host/run-recorder.ts
+++ b/packages/daemon/src/job-host/run-recorder.ts
@@ -13,7 +13,6 @@
   type JournalRecord,
   type Run,
   type RunEnd,
-  type RunTimes,
   type Task,
   type WorkerLossKind,
   type WorkerHealth,
@@ -31,6 +30,7 @@
   logStrayEnd,
 } from './leader-log.js';
 import { learnFromEnd } from './leader-records.js';
+import type { LearnedTimes } from './learned-times.js';
 import type { WonClaim } from './leadership.js';
 import type { AbandonedWorkerReason } from './meters.js';
 import type { StartWindow } from './start-window.js';
@@ -41,7 +41,7 @@
   readonly claim: WonClaim;
   readonly state: JobsState;
   readonly decisions: DecisionLog;
-  readonly times: RunTimes;
+  readonly times: LearnedTimes;
   readonly health: WorkerHealth;
   readonly startWindow: StartWindow;
   /** A run is about to end. */
@@ -174,12 +174,13 @@
     if (this.closed || !task.runs.includes(run)) {
       return;
     }
-    const { ctx, health, times, startWindow } = this.options;
-    learnFromEnd(run, how, { health, times, now: ctx.clock() });
+    const { ctx, claim, health, times, startWindow } = this.options;
+    const leadsSince = claim.wonAt;
+    learnFromEnd(run, how, { health, times, now: ctx.clock(), leadsSince });
     ctx.meters.ended(how);
     this.options.onRunEnding(run);
     startWindow.noteEnded(run);
-    const expectedMs = Math.round(times.expectedMs(task.step));
+    const expectedMs = Math.round(times.inForce().expectedMs(task.step));
     const { suspicion, age, noise } = record.kind === 'lost' ? record : NO_LOSS;
     const more = { how, expectedMs, suspicion, age, noise };
     logRun(this.options, run, 'leader: a run has ended', more);
@@ -233,7 +234,7 @@
     const wasFinished = isFinished(occurrence.job);
     decisions.record(record);
     if (!wasFinished && isFinished(occurrence.job)) {
-      logJobFinished(ctx, times, occurrence);
+      logJobFinished(ctx, times.inForce(), occurrence);
     }
     onChange();
   }
--- a/packages/daemon/src/job-host/worker-orders.ts
+++ b/packages/daemon/src/job-host/worker-orders.ts
@@ -1,6 +1,7 @@
 /** The leader's orders to one worker: whether they are still sent, and how their answers are handled. */
 import type { Instant, Millis } from '@paddlewind/domain';
 import {
+  limitSpeed,
   newProgress,
   refOf,
   taskName,
@@ -242,8 +243,7 @@
   /** Limits a run to `percent` of its speed; only the newest of several queued limits is sent. */
   throttle(run: Run, percent: number): void {
     if (run.progress !== undefined) {
-      run.progress.allowedPercent = percent;
-      run.progress.allowedSince = this.options.ctx.clock();
+      limitSpeed(run.progress, percent, this.options.ctx.clock());
     }
     if (!this.queue.isQueued('throttle', run)) {
       this.queue.add({
--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -22,6 +22,8 @@
 export * from './records.js';
 export * from './restate.js';
 export * from './run-times.js';
+export * from './run-time-distributions.js';
+export * from './full-speed.js';
 export * from './size-groups.js';
 export * from './spec.js';
 export * from './standbys.js';
--- a/packages/domain/src/jobs/job.ts
+++ b/packages/domain/src/jobs/job.ts
@@ -1,5 +1,5 @@
 /** The job aggregate: occurrences, steps, tasks and the runs of each task. */
-import type { Instant } from '../core/time.js';
+import type { Instant, Millis } from '../core/time.js';
 import type { JournalMoment } from './journal-time.js';
 import { emptyLossHistory, type LossHistory } from './loss.js';
 import type { JobSpec, StepSpec } from './spec.js';
@@ -43,6 +43,10 @@
   allowedPercent: number | undefined;
   /** Monotonic time at which that limit was ordered. */
   allowedSince: Instant;
+  /** Time lost to speed limits before `allowedSince`. */
+  throttledMs: Millis;
+  /** Completed share at `since`: more than 0 only if an earlier leader ordered the run. */
+  initialPercent: number;
 }
 
 /** Returns the progress of a run that was ordered or first seen at `now`. */
@@ -60,6 +64,8 @@
     reading: 0,
     allowedPercent: 100,
     allowedSince: now,
+    throttledMs: 0,
+    initialPercent: 0,
   };
 }
 
--- a/packages/domain/src/jobs/learned-estimates.ts
+++ b/packages/domain/src/jobs/learned-estimates.ts
@@ -22,8 +22,33 @@
   readonly pressures: readonly EstimateRow[];
   /** Low tail in milliseconds by image. */
   readonly lowTails: readonly (readonly [image: string, low: number])[];
+  /** Distributions of run times; earlier versions neither record nor read them. */
+  readonly distributions?: LearnedDistributions;
 }
 
+/** Learned distributions of run times; all figures are those of logarithms of milliseconds. */
+export interface LearnedDistributions {
+  readonly queues: readonly QueueRow[];
+  /** Mean of the steps by queue and image, and the number of steps that it stands for. */
+  readonly means: readonly (readonly [
+    key: string,
+    mean: number,
+    steps: number,
+  ])[];
+}
+
+/** What is learned of a queue's run times. */
+export type QueueRow = readonly [
+  queue: string,
+  steps: number,
+  callerBias: number,
+  callerError: number,
+  meanError: number,
+  variation: number,
+  tailShare: number,
+  tailFactor: number,
+];
+
 /** Learned estimates and the time at which this host read them. */
 export interface ReceivedEstimates {
   readonly estimates: LearnedEstimates;
@@ -31,9 +56,15 @@
   readonly readAt: Instant;
 }
 
-/** Maximum number of entries of each kind in a record: about 60 KB, a quarter of the maximum record size. */
+/** Maximum number of entries of each kind in a record: about 190 KB with long keys, of 256 KiB a record. */
 export const MAX_LEARNED_ENTRIES = 1_000;
 
+/** Maximum number of queues in a record: their rows are longer. */
+export const MAX_LEARNED_QUEUES = 250;
+
+const QUEUE_COLUMNS = 8;
+const MEAN_COLUMNS = 3;
+
 /** Decimal places that are kept: far finer than the precision of the estimates. */
 const DECIMAL_PLACES = 3;
 
@@ -46,14 +77,41 @@
 export function parseEstimates(
   found: Partial<LearnedEstimates> | null | undefined,
 ): LearnedEstimates {
-  const { runTimes, pressures, lowTails } = found ?? {};
+  const { runTimes, pressures, lowTails, distributions } = found ?? {};
   return {
+    ...(distributions && { distributions: parseDistributions(distributions) }),
     runTimes: validRows(runTimes),
     pressures: validRows(pressures).filter(([, , variance]) => variance >= 0),
     lowTails: validRows(lowTails),
   };
 }
 
+function parseDistributions(
+  found: Partial<LearnedDistributions>,
+): LearnedDistributions {
+  return {
+    queues: validRows(found.queues).filter(isValidQueueRow),
+    means: validRows(found.means).filter(
+      row => hasColumns(row, MEAN_COLUMNS) && row[2] >= 0,
+    ),
+  };
+}
+
+/** Counts, variances and shares of a queue are not negative, and a share is less than 1. */
+function isValidQueueRow(row: QueueRow): boolean {
+  const [, steps, , callerError, meanError, variation, tailShare] = row;
+  return (
+    hasColumns(row, QUEUE_COLUMNS) &&
+    [steps, tailShare].every(figure => figure >= 0) &&
+    [callerError, meanError, variation].every(figure => figure > 0) &&
+    tailShare < 1
+  );
+}
+
+function hasColumns(row: readonly unknown[], count: number): boolean {
+  return row.length >= count;
+}
+
 function validRows<T extends readonly [string, ...number[]]>(
   rows: readonly T[] | undefined,
 ): readonly T[] {
--- /dev/null
+++ b/packages/domain/src/jobs/run-time-distributions.ts
@@ -0,0 +1,329 @@
+/**
+ * Run times by log-normal distributions: what callers' estimates and the means of queue and image are worth,
+ * how much the tasks of a step vary, and how many steps take several times as long. Completed runs of a step
+ * correct the estimates for the rest of its tasks.
+ */
+import type { Instant, Millis } from '../core/time.js';
+import type { Estimate } from './estimate.js';
+import type { Run, Step } from './job.js';
+import type { LearnedEstimates } from './learned-estimates.js';
+import {
+  expectedRest,
+  hazard,
+  largestDeviation,
+  logDensity,
+  logSurvival,
+} from './log-normal.js';
+import { QueueModels, type QueueModel } from './queue-models.js';
+import { elapsedMs, remainingByPercent, type RunTimes } from './run-times.js';
+import {
+  addCompleted,
+  emptySample,
+  estimateStep,
+  sampleVariance,
+  type StepSample,
+} from './step-sample.js';
+
+/** Fewest completed runs by which the variation within a step is measured. */
+const MIN_VARIATION_RUNS = 3;
+/** Share of its tasks by which a step's mean is known without the first completions being overrated. */
+const MIN_LEARNED_SHARE = 0.5;
+/** An open run that exceeds the step's completed ones by more is taken to be slow alone. */
+const MAX_SAMPLE_DEVIATIONS = 4;
+/** Percentages are whole numbers; below this one the pace is more than a tenth off. */
+const MIN_PACE_PERCENT = 5;
+/**
+ * Share of runs that are slow alone, as on a failing worker, and the distribution of how slow: by a factor of
+ * 7 with a deviation of half an order of magnitude. It is wide, so that what has lasted for long is expected
+ * to last longer.
+ */
+const SLOW_RUN_SHARE = 0.002;
+const SLOW_RUN_FACTOR = Math.log(7);
+const SLOW_RUN_VARIANCE = 1.3;
+
+/** Run times by distributions. */
+export interface RunTimeDistributions extends RunTimes {
+  readonly kind: 'distributions';
+  /** Records a run; with its `end`, the runs of the step that are still open count as well. */
+  recordRun(step: Step, runTimeMs: Millis, end?: RunEndPoint): void;
+  /** Learns from a step whose last task is done; nothing if that has been done. */
+  closeStep(step: Step): void;
+  /** Returns the learned distributions, from which another instance can start. */
+  learnedDistributions(): NonNullable<LearnedEstimates['distributions']>;
+}
+
+/** A run that has ended, and when. */
+export interface RunEndPoint {
+  readonly run: Run;
+  readonly now: Instant;
+}
+
+/** What is known of one step. */
+interface StepState {
+  readonly sample: StepSample;
+  /** Whether the models have learned from the step. */
+  isClosed: boolean;
+  /** Forecast by the sample and the models; undefined once the sample has changed. */
+  forecast: Forecast | undefined;
+  /** Version of the queue's model that the forecast is based on. */
+  version: number;
+}
+
+interface Forecast {
+  /** Probability that the step belongs to the tail. */
+  readonly tailShare: number;
+  readonly expectedMs: Millis;
+  readonly longestMs: Millis;
+  /** Variance among the step's tasks. */
+  readonly variation: number;
+  readonly outcomes: readonly Outcome[];
+}
+
+/** A way in which a run may turn out: the logarithm of its time in that case. */
+interface Outcome extends Estimate {
+  readonly share: number;
+  /** Estimate of the step's mean in that case. */
+  readonly step: Estimate;
+  /** Whether only this run is slow, so that its time tells nothing of the step. */
+  readonly isSlowAlone: boolean;
+}
+
+/** Creates run times that start from what an earlier instance learned, or from its averages. */
+export function createRunTimeDistributions(
+  learned?: Pick<LearnedEstimates, 'distributions' | 'runTimes'>,
+): RunTimeDistributions {
+  const models = new QueueModels(learned);
+  const states = new WeakMap<Step, StepState>();
+
+  const stateOf = (step: Step): StepState => {
+    const known = states.get(step);
+    if (known !== undefined) {
+      return known;
+    }
+    const state: StepState = {
+      sample: emptySample(),
+      isClosed: false,
+      forecast: undefined,
+      version: -1,
+    };
+    states.set(step, state);
+    return state;
+  };
+  const forecastOf = (step: Step): Forecast => {
+    const state = stateOf(step);
+    const model = models.modelOf(step);
+    // A step with completed runs keeps its forecast until the next one: it hardly depends on the models.
+    const isCurrent =
+      state.version === model.version || state.sample.completed > 0;
+    if (state.forecast === undefined || !isCurrent) {
+      const prior = models.priorOf(step);
+      state.forecast = forecast(state.sample, prior, model, step.spec.tasks);
+      state.version = model.version;
+    }
+    return state.forecast;
+  };
+  const closeStep = (step: Step): void => {
+    const state = stateOf(step);
+    const { sample } = state;
+    const minimum = MIN_LEARNED_SHARE * step.spec.tasks;
+    if (state.isClosed || sample.completed < Math.max(1, minimum)) {
+      return;
+    }
+    state.isClosed = true;
+    models.learn(step, {
+      mean: sample.sum / sample.completed,
+      runs: sample.completed,
+      variation: sampleVariance(sample, MIN_VARIATION_RUNS),
+      isTail: forecastOf(step).tailShare > 1 / 2,
+    });
+  };
+
+  return {
+    kind: 'distributions',
+    expectedMs: step => forecastOf(step).expectedMs,
+    longestMs: step => forecastOf(step).longestMs,
+    remainingMs: (run, now) => {
+      const known = forecastOf(run.task.step);
+      return (
+        remainingByPercent(run, known.expectedMs, now, MIN_PACE_PERCENT) ??
+        remainingByAge(known, Math.max(1, elapsedMs(run, now)))
+      );
+    },
+    freshMs: (run, now) => freshMs(forecastOf(run.task.step), run, now),
+    recordRun: (step, runTimeMs, end) => {
+      const state = stateOf(step);
+      addCompleted(state.sample, runTimeMs);
+      const { variation } = models.modelOf(step);
+      state.sample.open =
+        end === undefined ? [] : openRunsOf(end, state.sample, variation);
+      state.forecast = undefined;
+      if (state.sample.completed === step.spec.tasks) {
+        closeStep(step);
+      }
+    },
+    closeStep,
+    learnedDistributions: () => models.learned(),
+  };
+}
+
+/**
+ * Returns the logarithms of the times for which the other runs of a step have lasted, without those that are
+ * slow alone.
+ */
+function openRunsOf(
+  { run, now }: RunEndPoint,
+  { completed, sum }: StepSample,
+  variation: number,
+): number[] {
+  const highest =
+    sum / completed + MAX_SAMPLE_DEVIATIONS * Math.sqrt(variation);
+  return run.task.step.tasks
+    .filter(task => task !== run.task && task.status === 'running')
+    .flatMap(({ runs }) => runs.slice(0, 1))
+    .filter(({ progress }) => progress?.confirmed === true)
+    .map(other => Math.log(Math.max(1, elapsedMs(other, now))))
+    .filter(elapsed => elapsed < highest);
+}
+
+function forecast(
+  sample: StepSample,
+  prior: Estimate,
+  { variation, tailShare, tailFactor, tailVariance }: QueueModel,
+  tasks: number,
+): Forecast {
+  const tailPrior = {
+    mean: prior.mean + tailFactor,
+    variance: prior.variance + tailVariance,
+  };
+  const usual = estimateStep(prior, sample, variation);
+  const tail = estimateStep(tailPrior, sample, variation);
+  const odds =
+    (tailShare / (1 - tailShare)) *
+    Math.exp(tail.logEvidence - usual.logEvidence);
+  const share = odds === Infinity ? 1 : odds / (1 + odds);
+  // The likelier case, not the mean of both: a mean would be wrong for nearly every step.
+  const { mean } = share > 1 / 2 ? tail : usual;
+  const longest = mean + Math.sqrt(variation) * largestDeviation(tasks);
+  return {
+    tailShare: share,
+    expectedMs: meanMs(mean, variation),
+    longestMs: Math.max(
+      meanMs(mean, variation),
+      Math.exp(Math.max(longest, sample.longest)),
+    ),
+    variation,
+    outcomes: outcomesOf(usual, tail, share, variation),
+  };
+}
+
+/** Returns the mean of a quantity whose logarithm has the given mean and variance. */
+function meanMs(mean: number, variance: number): Millis {
+  return Math.exp(mean + variance / 2);
+}
+
+function outcomesOf(
+  usual: Estimate,
+  tail: Estimate,
+  tailShare: number,
+  variation: number,
+): Outcome[] {
+  return [
+    {
+      share: (1 - tailShare) * (1 - SLOW_RUN_SHARE),
+      mean: usual.mean,
+      variance: usual.variance + variation,
+      step: usual,
+      isSlowAlone: false,
+    },
+    {
+      share: tailShare,
+      mean: tail.mean,
+      variance: tail.variance + variation,
+      step: tail,
+      isSlowAlone: false,
+    },
+    {
+      share: (1 - tailShare) * SLOW_RUN_SHARE,
+      mean: usual.mean + SLOW_RUN_FACTOR,
+      variance: usual.variance + SLOW_RUN_VARIANCE,
+      step: usual,
+      isSlowAlone: true,
+    },
+  ];
+}
+
+/**
+ * Returns the rest of a run that reports no share, in the ways in which it may turn out. A run that has just
+ * started takes the expected time, which is that of the likelier case: if the rare cases counted at once, a
+ * new run of the same task would always seem to end earlier.
+ */
+function remainingByAge(known: Forecast, elapsed: Millis): Millis {
+  const { outcomes, expectedMs } = known;
+  const now = mix(
+    outcomes,
+    outcome => logSurvival(deviationOf(outcome, elapsed)),
+    ({ mean, variance }) => expectedRest(elapsed, mean, variance),
+  );
+  const initialMs = outcomes.reduce(
+    (sum, { share, mean, variance }) => sum + share * meanMs(mean, variance),
+    0,
+  );
+  const initialShare = expectedMs / initialMs;
+  return now.mean * (1 - (1 - initialShare) * now.likelihood);
+}
+
+/**
+ * Returns the time of a fresh run, given how long this one takes: as long, if the whole step is likely to be
+ * slow, and the usual time, if only this run is.
+ */
+function freshMs(known: Forecast, run: Run, now: Instant): Millis {
+  const { expectedMs, outcomes, variation } = known;
+  const elapsed = Math.max(1, elapsedMs(run, now));
+  const rest = remainingByPercent(run, expectedMs, now, MIN_PACE_PERCENT);
+  const total = rest === undefined ? undefined : elapsed + rest;
+  return mix(
+    outcomes,
+    outcome =>
+      total === undefined
+        ? logSurvival(deviationOf(outcome, elapsed))
+        : logDensity(deviationOf(outcome, total)) -
+          Math.log(outcome.variance) / 2,
+    outcome => {
+      const z = deviationOf(outcome, total ?? elapsed);
+      const shift = total === undefined ? hazard(z) : z;
+      const { step, variance, isSlowAlone } = outcome;
+      const weight = isSlowAlone ? 0 : step.variance / Math.sqrt(variance);
+      return meanMs(step.mean + weight * shift, variation);
+    },
+  ).mean;
+}
+
+function deviationOf({ mean, variance }: Outcome, elapsed: Millis): number {
+  return (Math.log(elapsed) - mean) / Math.sqrt(variance);
+}
+
+interface Mixture {
+  readonly mean: number;
+  readonly likelihood: number;
+}
+
+/** Returns the mean of a value over all outcomes, by how likely each of them is. */
+function mix(
+  outcomes: readonly Outcome[],
+  logLikelihood: (outcome: Outcome) => number,
+  valueOf: (outcome: Outcome) => number,
+): Mixture {
+  const possible = outcomes.filter(({ share }) => share > 0);
+  const logs = possible.map(
+    outcome => Math.log(outcome.share) + logLikelihood(outcome),
+  );
+  const highest = Math.max(...logs);
+  let sum = 0;
+  let weights = 0;
+  possible.forEach((outcome, at) => {
+    const weight = Math.exp((logs[at] ?? 0) - highest);
+    sum += weight * valueOf(outcome);
+    weights += weight;
+  });
+  return { mean: sum / weights, likelihood: weights * Math.exp(highest) };
+}
--- a/packages/domain/src/jobs/run-times.ts
+++ b/packages/domain/src/jobs/run-times.ts
@@ -1,5 +1,6 @@
 /** Run times learned by queue and image, since callers' own estimates are inaccurate. */
 import type { Instant, Millis } from '../core/time.js';
+import { fullSpeedMs } from './full-speed.js';
 import type { Run, Step } from './job.js';
 import {
   MAX_LEARNED_ENTRIES,
@@ -83,14 +84,17 @@
   return `${occurrence.job.spec.terms.queue}/${spec.image ?? ''}`;
 }
 
-/** Returns how long a run has lasted, as far as this host knows. */
+/** Returns how long a run has lasted, without the time lost to speed limits. */
 export function elapsedMs({ progress, openedAt }: Run, now: Instant): Millis {
-  return Math.max(0, now - (progress?.since ?? openedAt));
+  return progress === undefined
+    ? Math.max(0, now - openedAt)
+    : fullSpeedMs(progress, now);
 }
 
 /**
- * Returns how much longer a run takes by the share that it has completed, or undefined if it reports less
- * than `minPercent`. A resumed run starts at the share of its checkpoint, so its pace is not known from it.
+ * Returns how much longer a run takes by the share that it has completed, or undefined if it has reported
+ * less than `minPercent`. The pace of a resumed run is not known, since it starts at the share of its
+ * checkpoint, nor that of a run that this leader has hardly seen.
  */
 export function remainingByPercent(
   { task, progress }: Run,
@@ -101,11 +105,12 @@
   if (progress === undefined || progress.percent < minPercent) {
     return undefined;
   }
-  const done = progress.percent / 100;
-  if (task.checkpoint !== '') {
-    return expectedMs * (1 - done);
+  const { percent, initialPercent, seenAt } = progress;
+  const seenPercent = percent - initialPercent;
+  if (task.checkpoint !== '' || seenPercent < minPercent) {
+    return expectedMs * (1 - percent / 100);
   }
-  const reportedMs = progress.seenAt - progress.since;
-  const restMs = (reportedMs * (1 - done)) / done;
-  return Math.max(0, restMs - (now - progress.seenAt));
+  const restMs =
+    (fullSpeedMs(progress, seenAt) * (100 - percent)) / seenPercent;
+  return Math.max(0, restMs - (now - seenAt));
 }
--- a/packages/domain/src/jobs/speculative-copies.test.ts
+++ b/packages/domain/src/jobs/speculative-copies.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
+import { createRunTimeDistributions } from './run-time-distributions.js';
+import { createRunTimes, type RunTimes } from './run-times.js';
 import { isStraggler, planSpeculativeCopies } from './speculative-copies.js';
 import type { Run } from './job.js';
 import type { JobsState } from './jobs-state.js';
@@ -37,11 +39,15 @@
   state: JobsState,
   now: number,
   workers: string[],
+  times: RunTimes = createRunTimes(),
 ): string[] {
-  const input = planInput(
-    state,
-    workers.map(id => testWorker(id)),
-  );
+  const input = {
+    ...planInput(
+      state,
+      workers.map(id => testWorker(id)),
+    ),
+    times,
+  };
   const copyWorkers: string[] = [];
   planSpeculativeCopies({ ...input, time: { now, nowWall: now } }, decision => {
     applyDecision(state, decision);
@@ -101,3 +107,42 @@
   endRun(state, run, 'failed');
   assert.equal(run.task.status, 'running');
 });
+
+/** Returns distributions that know a step's usual time from three of its tasks. */
+function distributionsOf({ task }: Run): RunTimes {
+  const times = createRunTimeDistributions();
+  for (const factor of [0.9, 1, 1.1]) {
+    times.recordRun(task.step, factor * EXPECTED_MS);
+  }
+  return times;
+}
+
+test('by distributions a run of a usual step that lasts far longer gets a copy', () => {
+  const { state, run } = runTask({ ...SPECULATIVE_STEP, tasks: 5 }, 0);
+  const times = distributionsOf(run);
+  const workers = ['w1', 'w2'];
+  assert.deepEqual(planCopiesAt(state, 1_500, workers, times), []);
+  Object.assign(run.progress ?? {}, { seenAt: 7_000 });
+  assert.deepEqual(planCopiesAt(state, 7_000, workers, times), ['w2']);
+});
+
+test('by distributions a run on a slow worker gets a copy', () => {
+  const { state, run } = runTask({ ...SPECULATIVE_STEP, tasks: 5 }, 20);
+  const times = distributionsOf(run);
+  assert.deepEqual(planCopiesAt(state, 1_000, ['w2'], times), ['w2']);
+});
+
+// All tasks of such a step take seven times as long, and so would the copy.
+test('by distributions a step of the tail gets no copies', () => {
+  const { state, run } = runTask({ ...SPECULATIVE_STEP, tasks: 5 }, 14);
+  const times = createRunTimeDistributions();
+  assert.deepEqual(planCopiesAt(state, 1_000, ['w2'], times), []);
+  assert.equal(run.task.runs.length, 1);
+  assert.deepEqual(planCopiesAt(state, 1_000, ['w2']), ['w2']);
+});
+
+test('by distributions a run on a worker that no longer reports gets a copy', () => {
+  const { state, run } = runTask({ ...SPECULATIVE_STEP, tasks: 5 }, 90);
+  const times = distributionsOf(run);
+  assert.deepEqual(planCopiesAt(state, 2_700, ['w2'], times), ['w2']);
+});
--- a/packages/domain/src/jobs/speculative-copies.ts
+++ b/packages/domain/src/jobs/speculative-copies.ts
@@ -8,6 +8,7 @@
 import { placementInputOf, type ApplyStart, type PlanInput } from './plan.js';
 import { chooseWorker } from './choose-worker.js';
 import type { PlacementInput } from './placement.js';
+import type { RunTimes } from './run-times.js';
 
 /** Run time before which a run is never a straggler, since reports come up to a second apart. */
 const MIN_RUN_TIME_MS: Millis = 600;
@@ -31,9 +32,8 @@
     if (copiesLeft === 0) {
       return;
     }
-    const expected = input.times.expectedMs(run.task.step);
     if (
-      isStraggler(run, expected, input.time.now) &&
+      needsCopy(run, input.times, input.time.now) &&
       startCopy(placement, run, start)
     ) {
       copiesLeft -= 1;
@@ -66,25 +66,49 @@
 }
 
 /** Tells whether a copy started now is expected to end well before the run. */
+function needsCopy(run: Run, times: RunTimes, now: Instant): boolean {
+  switch (times.kind) {
+    case 'averages':
+      return isStraggler(run, times.expectedMs(run.task.step), now);
+    case 'distributions':
+      return (
+        straggles(run, now) ??
+        isSlower(times.remainingMs(run, now), times.freshMs(run, now))
+      );
+  }
+}
+
+/** Tells by the run's average pace whether a copy started now is expected to end well before it. */
 export function isStraggler(
   run: Run,
   expectedMs: Millis,
   now: Instant,
 ): boolean {
-  const { progress } = run;
+  return straggles(run, now) ?? isSlower(remainingByPaceMs(run), expectedMs);
+}
+
+/** Tells whether a run straggles where that does not depend on its remaining time; undefined otherwise. */
+function straggles({ progress }: Run, now: Instant): boolean | undefined {
   if (progress?.confirmed !== true || progress.stopping) {
     return false;
   }
   if (now - progress.seenAt > SILENCE_TIMEOUT_MS) {
     return true;
   }
-  const runTimeMs = progress.seenAt - progress.since;
-  if (runTimeMs < MIN_RUN_TIME_MS) {
-    return false;
+  const isNew = progress.seenAt - progress.since < MIN_RUN_TIME_MS;
+  return isNew ? false : undefined;
+}
+
+function remainingByPaceMs({ progress }: Run): Millis {
+  const done = (progress?.percent ?? 0) / 100;
+  if (progress === undefined || done === 0) {
+    return Infinity;
   }
-  const done = progress.percent / 100;
-  const remainingMs = done === 0 ? Infinity : (runTimeMs * (1 - done)) / done;
-  return remainingMs > expectedMs * (1 + MIN_GAIN_FRACTION) + COPY_OVERHEAD_MS;
+  return ((progress.seenAt - progress.since) * (1 - done)) / done;
+}
+
+function isSlower(remainingMs: Millis, copyMs: Millis): boolean {
+  return remainingMs > copyMs * (1 + MIN_GAIN_FRACTION) + COPY_OVERHEAD_MS;
 }
 
 function startCopy(
