--- a/packages/daemon/src/job-host/leader-log.ts
+++ b/packages/daemon/src/job-host/leader-log.ts
@@ -79,6 +79,7 @@
       queue: job.spec.terms.queue,
       status: statusOf(job),
       tookMs: Math.round(tookMs),
+      times: times.kind,
       longestMs: steps.map(step => Math.round(times.longestMs(step))),
       objectiveMs: Math.round(objectiveMsOf(occurrence, times)),
       tasks: tasks.length,
--- a/packages/domain/src/jobs/overloaded-deployment.fixture.test.ts
+++ b/packages/domain/src/jobs/overloaded-deployment.fixture.test.ts
@@ -6,6 +6,7 @@
 import { emptyJobsState } from './jobs-state.js';
 import { objectiveMsOf } from './objective.js';
 import { planStarts } from './plan.js';
+import { createRunTimes, type RunTimes } from './run-times.js';
 import { DEFAULT_STEP, type JobSpec } from './spec.js';
 import {
   applyDecision,
@@ -47,6 +48,8 @@
   readonly countAllJobs: boolean;
   /** Cores per task of each kind of job; all kinds are equally frequent. */
   readonly taskCores?: readonly number[];
+  /** Run times that plan and learn; by default averages that learn nothing, so that estimates are true. */
+  readonly times?: RunTimes;
 }
 
 /** Result of a job. */
@@ -67,6 +70,7 @@
 
 interface OpenRun {
   readonly run: Run;
+  readonly tookMs: Millis;
   readonly endsAt: Instant;
   readonly fails: boolean;
 }
@@ -86,6 +90,8 @@
 class SimulatedDeployment {
   private readonly random: Random;
   private readonly input;
+  /** Run times by callers' estimates, from which the true ones are drawn. */
+  private readonly trueTimes = createRunTimes();
   private readonly openRuns = new Set<OpenRun>();
   private readonly submittedAt = new Map<string, Instant>();
   private readonly finishedAt = new Map<string, Instant>();
@@ -99,25 +105,27 @@
       const capacity = { ...worker.info.capacity, memoryMiB: 1_000_000 };
       return { ...worker, info: { ...worker.info, capacity } };
     });
-    this.input = planInput(emptyJobsState(), workers);
+    const times = scenario.times ?? this.trueTimes;
+    this.input = { ...planInput(emptyJobsState(), workers), times };
   }
 
   runRound(now: Instant): void {
     this.endRuns(now);
     this.submitJobs(now);
     const time = { now, nowWall: now };
-    const { state, times } = this.input;
+    const { state } = this.input;
     planStarts({ ...this.input, time }, decision => {
       const run = applyDecision(state, decision);
       const tookMs =
-        times.expectedMs(decision.task.step) * this.drawFactor(0.3);
+        this.trueTimes.expectedMs(decision.task.step) * this.drawFactor(0.3);
       const fails = this.random() < FAILURE_RATE;
-      this.openRuns.add({ run, endsAt: now + tookMs, fails });
+      this.openRuns.add({ run, tookMs, endsAt: now + tookMs, fails });
     });
   }
 
   outcomes(): Outcome[] {
-    const { state, times } = this.input;
+    const { state } = this.input;
+    const times = this.trueTimes;
     return [...state.jobs.values()].flatMap(job => {
       const { id } = job.spec;
       const submittedAt = this.submittedAt.get(id) ?? Infinity;
@@ -147,8 +155,11 @@
     for (const each of this.openRuns) {
       if (each.endsAt <= now) {
         this.openRuns.delete(each);
-        const { run, fails } = each;
+        const { run, tookMs, fails } = each;
         const { job } = run.task.step.occurrence;
+        if (!fails) {
+          this.scenario.times?.recordRun(run.task.step, tookMs);
+        }
         endRun(this.input.state, run, fails ? 'failed' : 'done');
         if (isFinished(job)) {
           this.finishedAt.set(job.spec.id, now);
