--- a/packages/daemon/src/job-host/meters.test.ts
+++ b/packages/daemon/src/job-host/meters.test.ts
@@ -77,3 +77,18 @@
     'paddlewind_jobs_loop_delay_seconds_sum 0.751',
   ]);
 });
+
+test('run times are compared with the expected ones by model', async () => {
+  const lines = await samplesAfter(({ ranFor }) => {
+    ranFor('averages', 7);
+    ranFor('distributions', 1.1);
+    ranFor('distributions', 0.3);
+  });
+  const name = 'paddlewind_jobs_run_time_ratio_bucket';
+  assertHas(lines, [
+    `${name}{le="4",model="averages"} 0`,
+    `${name}{le="8",model="averages"} 1`,
+    `${name}{le="0.5",model="distributions"} 1`,
+    `${name}{le="1.25",model="distributions"} 2`,
+  ]);
+});
--- a/packages/daemon/src/job-host/run-recorder.ts
+++ b/packages/daemon/src/job-host/run-recorder.ts
@@ -4,6 +4,7 @@
   isAbandoned,
   isFinished,
   isAwaitingCompletion,
+  knownRunTimeMs,
   noteWorkerLoss,
   refOf,
   attributeLoss,
@@ -176,6 +177,9 @@
     }
     const { ctx, claim, health, times, startWindow } = this.options;
     const leadsSince = claim.wonAt;
+    if (how === 'done') {
+      this.measureRunTime(run);
+    }
     learnFromEnd(run, how, { health, times, now: ctx.clock(), leadsSince });
     ctx.meters.ended(how);
     this.options.onRunEnding(run);
@@ -187,6 +191,19 @@
     this.recordTaskEnd(task, record);
   }
 
+  /** Compares the time of a run with the one that was expected before its end, if both are known. */
+  private measureRunTime(run: Run): void {
+    const { ctx, claim, times } = this.options;
+    const { step, checkpoint } = run.task;
+    const model = times.inForce();
+    const runTimeMs = knownRunTimeMs(run, ctx.clock());
+    const expectedMs = model.expectedMs(step);
+    const isWhole = checkpoint === '' && run.openedAt >= claim.wonAt;
+    if (isWhole && runTimeMs !== undefined && expectedMs > 0) {
+      ctx.meters.ranFor(model.kind, runTimeMs / expectedMs);
+    }
+  }
+
   /**
    * Handles a run that a worker lists as ended although it is not open here. The worker may have finished a
    * run that was abandoned here because its lease expired before the worker answered again. A finished run
