--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -4,6 +4,7 @@
   decodeJournal,
   DEFAULT_STEP,
   type JobSpec,
+  type MoveCosts,
   type StepSpec,
 } from '@paddlewind/domain/jobs';
 import type {
@@ -96,6 +97,8 @@
   readonly relayAllStarts?: boolean;
   /** Availability zone of the worker on a machine; `a` for all by default. */
   readonly zoneOf?: (machine: string) => string;
+  /** Costs of moving a run; by default runs can't be moved quickly. */
+  readonly moveCosts?: MoveCosts;
   /** Size of calls on links in both directions; by default only `SimulatedLink` is used. */
   readonly wire?: WireOptions;
 }
@@ -126,6 +129,7 @@
   private readonly linkBytesPerS: number;
   private readonly relayAllStarts: boolean;
   private readonly zoneOf: (machine: string) => string;
+  private readonly moveCosts: MoveCosts | undefined;
   private readonly wire: WireOptions | undefined;
   private incarnations = 0;
 
@@ -139,6 +143,7 @@
       linkBytesPerS = Infinity,
       relayAllStarts = process.env.TEST_RELAYS !== undefined,
       zoneOf = () => 'a',
+      moveCosts,
       wire,
     }: SimulationOptions = {},
   ) {
@@ -147,6 +152,7 @@
     this.linkBytesPerS = linkBytesPerS;
     this.relayAllStarts = relayAllStarts;
     this.zoneOf = zoneOf;
+    this.moveCosts = moveCosts;
     this.wire = wire;
     this.time = createVirtualTime();
     this.peers = new SimulatedPeers(this.time, this.hosts);
@@ -248,6 +254,7 @@
       peers: simulated.guard(peers),
       peerAddress: name,
       maxLeaseMs: this.maxLeaseMs,
+      moveCosts: this.moveCosts,
       evacuationEffectMs: EVACUATION_EFFECT_MS,
       cores,
       linkShares: this.relayAllStarts
