--- a/packages/daemon/src/job-host/run-times-handed-over.test.ts
+++ b/packages/daemon/src/job-host/run-times-handed-over.test.ts
@@ -36,7 +36,9 @@
     moveCosts: { stopMs: 200, restoreMs: 100 },
   });
   site.configure();
-  ['w1', 'w2', 'w3'].forEach(machine => { site.addWorker(machine); });
+  ['w1', 'w2', 'w3'].forEach(machine => {
+    site.addWorker(machine);
+  });
   ['h1', 'h2', 'h3'].forEach(name => site.startHost(name));
   await site.time.advance(2_500);
   submitJobs(site, 1, 12);
