Count time lost to limits only up to the last report

Time lost after the last report was subtracted from the time before it, so that a limited run seemed nearly done. A paused run no longer comes nearer to its end.

--- a/packages/domain/src/jobs/full-speed.ts
+++ b/packages/domain/src/jobs/full-speed.ts
@@ -21,8 +21,7 @@
 
 /** Returns how long a run would have taken at full speed for what it has done until `until`. */
 export function fullSpeedMs(progress: RunProgress, until: Instant): Millis {
-  const lostMs = progress.throttledMs + lostUnderLimit(progress, until);
-  return Math.max(0, until - progress.since - lostMs);
+  return Math.max(0, until - progress.since - lostMs(progress, until));
 }
 
 /** Returns the time at full speed of a run that is over; undefined if it is not known well enough. */
@@ -38,6 +37,17 @@
   return isKnown ? runTimeMs : undefined;
 }
 
+/**
+ * Returns the time lost until `until`. Of the limits before the current one only the total is kept, so that a
+ * time before `allowedSince`, as that of the last report may be, gets its proportion of it.
+ */
+function lostMs(progress: RunProgress, until: Instant): Millis {
+  const { since, throttledMs, allowedSince } = progress;
+  return until < allowedSince
+    ? (throttledMs * (until - since)) / (allowedSince - since)
+    : throttledMs + lostUnderLimit(progress, until);
+}
+
 function lostUnderLimit(
   { allowedPercent, allowedSince }: RunProgress,
   until: Instant,
--- a/packages/domain/src/jobs/remaining-times.test.ts
+++ b/packages/domain/src/jobs/remaining-times.test.ts
@@ -52,6 +52,20 @@
     assert.equal(Math.round(times.remainingMs(run, 1_800)), 1_000);
   });
 
+  // Time lost after the last report would otherwise be taken from the time before it: the run would seem done.
+  test(`a limit that changes after the last report is no pace: ${name}`, () => {
+    const { run, progress } = startRun({ percent: 20, seenAt: 600 });
+    limitSpeed(progress, 20, 0);
+    limitSpeed(progress, 100, 1_500);
+    assert.equal(Math.round(times.remainingMs(run, 1_500)), 300);
+  });
+
+  test(`a paused run does not come nearer to its end: ${name}`, () => {
+    const { run, progress } = startRun({ percent: 25, seenAt: 1_000 });
+    limitSpeed(progress, 0, 1_000);
+    assert.equal(times.remainingMs(run, 1_500), 3_000);
+  });
+
   test(`a resumed run takes the share that is left: ${name}`, () => {
     const { run } = startRun({ percent: 80, seenAt: 100 });
     run.task.checkpoint = 'c';
--- a/packages/domain/src/jobs/run-times.ts
+++ b/packages/domain/src/jobs/run-times.ts
@@ -110,7 +110,7 @@
   if (task.checkpoint !== '' || seenPercent < minPercent) {
     return expectedMs * (1 - percent / 100);
   }
-  const restMs =
-    (fullSpeedMs(progress, seenAt) * (100 - percent)) / seenPercent;
-  return Math.max(0, restMs - (now - seenAt));
+  const seenMs = fullSpeedMs(progress, seenAt);
+  const restMs = (seenMs * (100 - percent)) / seenPercent;
+  return Math.max(0, restMs - (fullSpeedMs(progress, now) - seenMs));
 }
