--- a/packages/domain/src/jobs/learned-estimates.test.ts
+++ b/packages/domain/src/jobs/learned-estimates.test.ts
@@ -178,6 +178,7 @@
     good.with(4, null),
     good.with(5, -0.1),
     good.with(6, 1),
+    good.with(7, 1e300),
     'q',
   ];
   const means = [
@@ -185,6 +186,7 @@
     ['q/f', 7],
     ['q/f', null, 3],
     ['q/f', 7, -1],
+    ['q/f', 1e300, 3],
   ];
   for (const [distributions, expected] of [
     [
--- a/packages/domain/src/jobs/learned-estimates.ts
+++ b/packages/domain/src/jobs/learned-estimates.ts
@@ -64,6 +64,8 @@
 
 const QUEUE_COLUMNS = 8;
 const MEAN_COLUMNS = 3;
+/** Largest logarithm of milliseconds, 300 years: times and their squares stay finite. */
+const MAX_LOG_MS = 30;
 
 /** Decimal places that are kept: far finer than the precision of the estimates. */
 const DECIMAL_PLACES = 3;
@@ -92,7 +94,8 @@
   return {
     queues: validRows(found.queues).filter(isValidQueueRow),
     means: validRows(found.means).filter(
-      row => hasColumns(row, MEAN_COLUMNS) && row[2] >= 0,
+      row =>
+        hasColumns(row, MEAN_COLUMNS) && isLogarithm(row[1]) && row[2] >= 0,
     ),
   };
 }
@@ -102,12 +105,17 @@
   const [, steps, , callerError, meanError, variation, tailShare] = row;
   return (
     hasColumns(row, QUEUE_COLUMNS) &&
+    row.slice(2).every(figure => isLogarithm(Number(figure))) &&
     [steps, tailShare].every(figure => figure >= 0) &&
     [callerError, meanError, variation].every(figure => figure > 0) &&
     tailShare < 1
   );
 }
 
+function isLogarithm(figure: number): boolean {
+  return Math.abs(figure) <= MAX_LOG_MS;
+}
+
 function hasColumns(row: readonly unknown[], count: number): boolean {
   return row.length >= count;
 }
