--- a/packages/domain/src/jobs/run-time-distributions.test.ts
+++ b/packages/domain/src/jobs/run-time-distributions.test.ts
@@ -170,3 +170,16 @@
   assert.equal(queues.at(-1)?.[0], `q${last}`);
   assert.equal(means.at(-1)?.[0], `q${last}/i${last}`);
 });
+
+// Only a part of the open runs is considered; if it counted as all, the first completions would seem typical.
+test('the first completions of a very wide step are not taken for typical', () => {
+  const { distributions } = newModels();
+  const load = { ...BOAT_HIRE, tasks: 1_000, taskSigma: 0.2 };
+  const [step] = drawSteps(load, 1);
+  assert.ok(step !== undefined);
+  const models = { averages: createRunTimes(), distributions };
+  completeRuns(models, step, 20);
+  const ratio =
+    distributions.expectedMs(step.step) / trueValue('expectedMs', step);
+  assert.ok(Math.abs(ratio - 1) < 0.1, `${ratio}`);
+});
--- a/packages/domain/src/jobs/run-time-distributions.ts
+++ b/packages/domain/src/jobs/run-time-distributions.ts
@@ -30,6 +30,11 @@
 const MIN_LEARNED_SHARE = 0.5;
 /** An open run that exceeds the step's completed ones by more is taken to be slow alone. */
 const MAX_SAMPLE_DEVIATIONS = 4;
+/**
+ * Most open runs that a forecast considers: each end in a step of thousands of tasks would take milliseconds
+ * otherwise.
+ */
+const MAX_OPEN_RUNS = 100;
 /** Percentages are whole numbers; below this one the pace is more than a tenth off. */
 const MIN_PACE_PERCENT = 5;
 /**
@@ -154,8 +159,7 @@
       const state = stateOf(step);
       addCompleted(state.sample, runTimeMs);
       const { variation } = models.modelOf(step);
-      state.sample.open =
-        end === undefined ? [] : openRunsOf(end, state.sample, variation);
+      Object.assign(state.sample, openRunsOf(end, state.sample, variation));
       state.forecast = undefined;
       if (state.sample.completed === step.spec.tasks) {
         closeStep(step);
@@ -168,27 +172,35 @@
 
 /**
  * Returns the logarithms of the times for which the other runs of a step have lasted, without those that are
- * slow alone.
+ * slow alone; of many runs, every n-th stands for n.
  */
 function openRunsOf(
-  { run, now }: RunEndPoint,
+  end: RunEndPoint | undefined,
   { completed, sum }: StepSample,
   variation: number,
-): number[] {
+): Pick<StepSample, 'open' | 'openWeight'> {
+  if (end === undefined) {
+    return { open: [], openWeight: 1 };
+  }
+  const { run, now } = end;
   const highest =
     sum / completed + MAX_SAMPLE_DEVIATIONS * Math.sqrt(variation);
-  return run.task.step.tasks
+  const others = run.task.step.tasks
     .filter(task => task !== run.task && task.status === 'running')
     .flatMap(({ runs }) => runs.slice(0, 1))
-    .filter(({ progress }) => progress?.confirmed === true)
+    .filter(({ progress }) => progress?.confirmed === true);
+  const openWeight = Math.max(1, Math.ceil(others.length / MAX_OPEN_RUNS));
+  const open = others
+    .filter((_, at) => at % openWeight === 0)
     .map(other => Math.log(Math.max(1, elapsedMs(other, now))))
     .filter(elapsed => elapsed < highest);
+  return { open, openWeight };
 }
 
 function forecast(
   sample: StepSample,
   prior: Estimate,
-  { variation, tailShare, tailFactor, tailVariance }: QueueModel,
+  { variation, tailShare, tailFactor, tailVariance }: Readonly<QueueModel>,
   tasks: number,
 ): Forecast {
   const tailPrior = {
--- a/packages/domain/src/jobs/step-sample.ts
+++ b/packages/domain/src/jobs/step-sample.ts
@@ -14,6 +14,8 @@
   longest: number;
   /** How long the open runs have lasted at least; without them the first completions would seem typical. */
   open: readonly number[];
+  /** Number of open runs that each entry stands for. */
+  openWeight: number;
 }
 
 /** An estimate of a step's mean, and how well its prior explains the sample. */
@@ -30,6 +32,7 @@
     sumOfSquares: 0,
     longest: -Infinity,
     open: [],
+    openWeight: 1,
   };
 }
 
@@ -58,7 +61,7 @@
   sample: StepSample,
   variation: number,
 ): StepEstimate {
-  const { completed, sum, open } = sample;
+  const { completed, sum, open, openWeight } = sample;
   const deviation = Math.sqrt(variation);
   let precision = 1 / prior.variance + completed / variation;
   let mean = (prior.mean / prior.variance + sum / variation) / precision;
@@ -70,8 +73,8 @@
     for (const minimum of open) {
       const z = (minimum - mean) / deviation;
       const rate = hazard(z);
-      slope += rate / deviation;
-      precision += (rate * (rate - z)) / variation;
+      slope += (openWeight * rate) / deviation;
+      precision += (openWeight * rate * (rate - z)) / variation;
     }
     mean += slope / precision;
   }
@@ -86,7 +89,7 @@
 /** Laplace's approximation: prior and likelihood at the mode, times the width of the posterior. */
 function logEvidenceOf(
   prior: Estimate,
-  { completed, sum, sumOfSquares, open }: StepSample,
+  { completed, sum, sumOfSquares, open, openWeight }: StepSample,
   variation: number,
   { mean, variance }: Estimate,
 ): number {
@@ -96,7 +99,7 @@
   log -= (mean - prior.mean) ** 2 / (2 * prior.variance);
   log -= squares / (2 * variation);
   for (const minimum of open) {
-    log += logSurvival((minimum - mean) / deviation);
+    log += openWeight * logSurvival((minimum - mean) / deviation);
   }
   return log;
 }
