Keep the tail of a queue learnable, and what was learned most recently

The share of the tail fell to 0 in queues without one, after which no step was taken for one of the tail any more. Models were dropped in the order in which they were first read instead of learned, and reading a new queue dropped one.

--- a/packages/domain/src/jobs/run-time-distributions.test.ts
+++ b/packages/domain/src/jobs/run-time-distributions.test.ts
@@ -10,6 +10,7 @@
   MAX_LEARNED_ENTRIES,
   MAX_LEARNED_QUEUES,
 } from './learned-estimates.js';
+import type { Step } from './job.js';
 import { createRunTimeDistributions } from './run-time-distributions.js';
 import {
   BOAT_HIRE,
@@ -171,6 +172,49 @@
   assert.equal(means.at(-1)?.[0], `q${last}/i${last}`);
 });
 
+// A share that falls to 0 never rises again, since no step is taken for one of the tail any more.
+test('a tail that appears after thousands of usual steps is learned', () => {
+  const models = newModels();
+  const tailShareOf = (): number =>
+    models.distributions.learnedDistributions().queues[0]?.[6] ?? 0;
+  const learn = (load: RunTimeLoad, count: number): void => {
+    for (const step of drawSteps(load, count)) {
+      completeRuns(models, step, load.tasks);
+    }
+  };
+  learn(BOAT_HIRE, 4_000);
+  assert.ok(tailShareOf() > 0 && tailShareOf() < 0.005);
+  learn({ ...BOAT_HIRE, seed: 7, tailShare: 0.05 }, 500);
+  assert.ok(tailShareOf() > 0.015, `${tailShareOf()}`);
+});
+
+test('planning for many queues does not displace what is learned of one', () => {
+  const { distributions } = newModels();
+  const stepOf = (queue: string): Step =>
+    taskOf(stateOf(testJob('j', [{}], { queue })), 'j', 0, 0).step;
+  distributions.recordRun(stepOf('q'), 1_000);
+  const { queues } = distributions.learnedDistributions();
+  for (let at = 0; at < 2 * MAX_LEARNED_QUEUES; at += 1) {
+    distributions.expectedMs(stepOf(`q${at}`));
+  }
+  assert.deepEqual(distributions.learnedDistributions().queues, queues);
+});
+
+test('the queues that were learned from least recently are dropped first', () => {
+  const { distributions } = newModels();
+  const learn = (queue: string): void => {
+    const job = testJob('j', [{}], { queue });
+    distributions.recordRun(taskOf(stateOf(job), 'j', 0, 0).step, 1_000);
+  };
+  for (let at = 0; at < MAX_LEARNED_QUEUES; at += 1) {
+    learn(`q${at}`);
+  }
+  learn('q0');
+  learn('new');
+  const names = distributions.learnedDistributions().queues.map(([q]) => q);
+  assert.ok(names.includes('q0') && !names.includes('q1'));
+});
+
 // Only a part of the open runs is considered; if it counted as all, the first completions would seem typical.
 test('the first completions of a very wide step are not taken for typical', () => {
   const { distributions } = newModels();
