--- a/packages/daemon/src/job-host/leader-records.ts
+++ b/packages/daemon/src/job-host/leader-records.ts
@@ -1,5 +1,5 @@
 /** Records that the leader writes repeatedly: heartbeats and learned statistics; and how it learns. */
-import type { Instant } from '@paddlewind/domain';
+import type { Instant, Millis } from '@paddlewind/domain';
 import {
   chooseStandbys,
   knownRunTimeMs,
@@ -9,7 +9,6 @@
   type JournalRecord,
   type Run,
   type RunEnd,
-  type RunTimeDistributions,
   type WorkerHealth,
 } from '@paddlewind/domain/jobs';
 
@@ -73,24 +72,27 @@
   }
   if (how === 'done' && progress !== undefined && task.checkpoint === '') {
     times.averages.recordRun(task.step, now - progress.since);
-    if (run.openedAt >= leadsSince) {
-      recordDistribution(times.distributions, run, now);
-    }
+  }
+  const runTimeMs = wholeRunTimeMs(run, now, leadsSince);
+  if (how === 'done' && runTimeMs !== undefined) {
+    times.distributions.recordRun(task.step, runTimeMs, { run, now });
   }
   if (how === 'done' && task.step.remaining <= 1) {
     times.distributions.closeStep(task.step);
   }
 }
 
-function recordDistribution(
-  distributions: RunTimeDistributions,
+/**
+ * Returns the time at full speed of a run that is done; undefined if it is not known, or if the run was resumed
+ * or had started before `leadsSince`, when this leader took over.
+ */
+export function wholeRunTimeMs(
   run: Run,
   now: Instant,
-): void {
-  const runTimeMs = knownRunTimeMs(run, now);
-  if (runTimeMs !== undefined) {
-    distributions.recordRun(run.task.step, runTimeMs, { run, now });
-  }
+  leadsSince: Instant,
+): Millis | undefined {
+  const isWhole = run.task.checkpoint === '' && run.openedAt >= leadsSince;
+  return isWhole ? knownRunTimeMs(run, now) : undefined;
 }
 
 /** Returns a record of the learned run times and interference. */
--- a/packages/daemon/src/job-host/run-recorder.ts
+++ b/packages/daemon/src/job-host/run-recorder.ts
@@ -4,7 +4,6 @@
   isAbandoned,
   isFinished,
   isAwaitingCompletion,
-  knownRunTimeMs,
   noteWorkerLoss,
   refOf,
   attributeLoss,
@@ -30,7 +29,7 @@
   logRun,
   logStrayEnd,
 } from './leader-log.js';
-import { learnFromEnd } from './leader-records.js';
+import { learnFromEnd, wholeRunTimeMs } from './leader-records.js';
 import type { LearnedTimes } from './learned-times.js';
 import type { WonClaim } from './leadership.js';
 import type { AbandonedWorkerReason } from './meters.js';
@@ -194,12 +193,10 @@
   /** Compares the time of a run with the one that was expected before its end, if both are known. */
   private measureRunTime(run: Run): void {
     const { ctx, claim, times } = this.options;
-    const { step, checkpoint } = run.task;
     const model = times.inForce();
-    const runTimeMs = knownRunTimeMs(run, ctx.clock());
-    const expectedMs = model.expectedMs(step);
-    const isWhole = checkpoint === '' && run.openedAt >= claim.wonAt;
-    if (isWhole && runTimeMs !== undefined && expectedMs > 0) {
+    const expectedMs = model.expectedMs(run.task.step);
+    const runTimeMs = wholeRunTimeMs(run, ctx.clock(), claim.wonAt);
+    if (runTimeMs !== undefined && expectedMs > 0) {
       ctx.meters.ranFor(model.kind, runTimeMs / expectedMs);
     }
   }
