--- a/packages/daemon/src/job-host/leader-records.ts
+++ b/packages/daemon/src/job-host/leader-records.ts
@@ -1,18 +1,19 @@
 /** Records that the leader writes repeatedly: heartbeats and learned statistics; and how it learns. */
-import type { Instant } from '@paddlewind/domain';
+import type { Instant, Millis } from '@paddlewind/domain';
 import {
   chooseStandbys,
+  knownRunTimeMs,
   type AdmissionLimits,
   type LeaseHandover,
   type Interference,
   type JournalRecord,
   type Run,
   type RunEnd,
-  type RunTimes,
   type WorkerHealth,
 } from '@paddlewind/domain/jobs';
 
 import type { HostContext } from './context.js';
+import type { LearnedTimes } from './learned-times.js';
 import type { WonClaim } from './leadership.js';
 import type { Replica } from './replica.js';
 
@@ -48,36 +49,61 @@
 
 /** Updates run-time estimates and worker health from the end of a run. */
 export function learnFromEnd(
-  { task, progress, worker }: Run,
+  run: Run,
   how: RunEnd | 'lost',
   {
     health,
     times,
     now,
+    leadsSince,
   }: {
     readonly health: WorkerHealth;
-    readonly times: RunTimes;
+    readonly times: LearnedTimes;
     readonly now: Instant;
+    /** Monotonic time at which this leader took over; it does not know when earlier runs started. */
+    readonly leadsSince: Instant;
   },
 ): void {
+  const { task, progress, worker } = run;
   if (how === 'done') {
     health.noteDone(worker);
   } else if (how === 'failed') {
     health.noteFailure(worker, task, now);
   }
   if (how === 'done' && progress !== undefined && task.checkpoint === '') {
-    times.recordRun(task.step, now - progress.since);
+    times.averages.recordRun(task.step, now - progress.since);
   }
+  const runTimeMs = wholeRunTimeMs(run, now, leadsSince);
+  if (how === 'done' && runTimeMs !== undefined) {
+    times.distributions.recordRun(task.step, runTimeMs, { run, now });
+  }
+  if (how === 'done' && task.step.remaining <= 1) {
+    times.distributions.closeStep(task.step);
+  }
+}
+
+/**
+ * Returns the time at full speed of a run that is done; undefined if it is not known, or if the run was resumed
+ * or had started before `leadsSince`, when this leader took over.
+ */
+export function wholeRunTimeMs(
+  run: Run,
+  now: Instant,
+  leadsSince: Instant,
+): Millis | undefined {
+  const isWhole = run.task.checkpoint === '' && run.openedAt >= leadsSince;
+  return isWhole ? knownRunTimeMs(run, now) : undefined;
 }
 
 /** Returns a record of the learned run times and interference. */
 export function learnedRecord(
-  times: RunTimes,
+  { averages, distributions }: LearnedTimes,
   interference: Interference,
 ): JournalRecord {
   const learnt = {
-    runTimes: times.learnedAverages(),
+    runTimes: averages.learnedAverages(),
     ...interference.learnedEstimates(),
+    distributions: distributions.learnedDistributions(),
   };
   return { kind: 'learnt', learnt };
 }
--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -7,6 +7,7 @@
 } from '@paddlewind/domain/jobs';
 import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
 
+import { createRunTimeMeters, type RunTimeMeters } from './run-time-meters.js';
 import { createVersionMeters, type VersionMeters } from './version-meters.js';
 
 /** The dependency that a call waits for. */
@@ -49,7 +50,7 @@
 export type EvacuationTimes = Readonly<Record<string, Millis>>;
 
 /** Metrics recorded by a job host. */
-export interface JobMeters extends VersionMeters {
+export interface JobMeters extends RunTimeMeters, VersionMeters {
   /** A caller's request was answered with an HTTP status after `span`. */
   readonly answered: (method: string, status: number, span: Millis) => void;
   /** A call to a dependency ended. */
@@ -136,6 +137,7 @@
     ...createVersionMeters(registry),
     ...createLossMeters(registry),
     ...createFaultMeters(registry),
+    ...createRunTimeMeters(registry),
   };
 }
 
--- a/packages/daemon/src/job-host/run-recorder.ts
+++ b/packages/daemon/src/job-host/run-recorder.ts
@@ -13,7 +13,6 @@
   type JournalRecord,
   type Run,
   type RunEnd,
-  type RunTimes,
   type Task,
   type WorkerLossKind,
   type WorkerHealth,
@@ -30,7 +29,8 @@
   logRun,
   logStrayEnd,
 } from './leader-log.js';
-import { learnFromEnd } from './leader-records.js';
+import { learnFromEnd, wholeRunTimeMs } from './leader-records.js';
+import type { LearnedTimes } from './learned-times.js';
 import type { WonClaim } from './leadership.js';
 import type { AbandonedWorkerReason } from './meters.js';
 import type { StartWindow } from './start-window.js';
@@ -41,7 +41,7 @@
   readonly claim: WonClaim;
   readonly state: JobsState;
   readonly decisions: DecisionLog;
-  readonly times: RunTimes;
+  readonly times: LearnedTimes;
   readonly health: WorkerHealth;
   readonly startWindow: StartWindow;
   /** A run is about to end. */
@@ -174,18 +174,33 @@
     if (this.closed || !task.runs.includes(run)) {
       return;
     }
-    const { ctx, health, times, startWindow } = this.options;
-    learnFromEnd(run, how, { health, times, now: ctx.clock() });
+    const { ctx, claim, health, times, startWindow } = this.options;
+    const leadsSince = claim.wonAt;
+    if (how === 'done') {
+      this.measureRunTime(run);
+    }
+    learnFromEnd(run, how, { health, times, now: ctx.clock(), leadsSince });
     ctx.meters.ended(how);
     this.options.onRunEnding(run);
     startWindow.noteEnded(run);
-    const expectedMs = Math.round(times.expectedMs(task.step));
+    const expectedMs = Math.round(times.inForce().expectedMs(task.step));
     const { suspicion, age, noise } = record.kind === 'lost' ? record : NO_LOSS;
     const more = { how, expectedMs, suspicion, age, noise };
     logRun(this.options, run, 'leader: a run has ended', more);
     this.recordTaskEnd(task, record);
   }
 
+  /** Compares the time of a run with the one that was expected before its end, if both are known. */
+  private measureRunTime(run: Run): void {
+    const { ctx, claim, times } = this.options;
+    const model = times.inForce();
+    const expectedMs = model.expectedMs(run.task.step);
+    const runTimeMs = wholeRunTimeMs(run, ctx.clock(), claim.wonAt);
+    if (runTimeMs !== undefined && expectedMs > 0) {
+      ctx.meters.ranFor(model.kind, runTimeMs / expectedMs);
+    }
+  }
+
   /**
    * Handles a run that a worker lists as ended although it is not open here. The worker may have finished a
    * run that was abandoned here because its lease expired before the worker answered again. A finished run
@@ -233,7 +248,7 @@
     const wasFinished = isFinished(occurrence.job);
     decisions.record(record);
     if (!wasFinished && isFinished(occurrence.job)) {
-      logJobFinished(ctx, times, occurrence);
+      logJobFinished(ctx, times.inForce(), occurrence);
     }
     onChange();
   }
