Forecast periodic loads of serving steps

The linear extrapolation of a load holds for about 1.2 s, while fillers run for 2 to 4 s. One period shared by all serving steps is fitted to samples of their estimated loads; speeds, limits and moves of fillers use the forecast where moveCosts are used.

--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -431,6 +431,7 @@
     this.hasEnded = true;
     this.runs.close();
     this.options.ctx.meters.accounted(EMPTY_FLEET_SNAPSHOT);
+    this.options.ctx.meters.loadPeriod(undefined);
     this.decisions.close();
     this.summary.close();
     this.options.starts.close();
--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -3,6 +3,7 @@
 import type {
   FleetSnapshot,
   JournalRecord,
+  LoadPeriod,
   RunEnd,
 } from '@paddlewind/domain/jobs';
 import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
@@ -93,6 +94,8 @@
   readonly loopFailed: (loop: string) => void;
   /** The leader has computed the account of its fleet; the account is empty on hosts that do not lead. */
   readonly accounted: (account: FleetSnapshot) => void;
+  /** The leader forecasts loads by this period; undefined if it has none, and on hosts that do not lead. */
+  readonly loadPeriod: (period: LoadPeriod | undefined) => void;
   /** These zones are evacuated, each known for so long. */
   readonly evacuated: (zones: EvacuationTimes) => void;
 }
@@ -133,6 +136,29 @@
     ...createFleetMeters(registry),
     ...createLossMeters(registry),
     ...createFaultMeters(registry),
+    ...createForecastMeters(registry),
+  };
+}
+
+/** Registers the metrics of the forecast of loads. */
+function createForecastMeters(
+  registry: Registry,
+): Pick<JobMeters, 'loadPeriod'> {
+  const periodS = new Gauge({
+    name: 'paddlewind_jobs_load_period_seconds',
+    help: 'Period by which the leader forecasts the loads of serving tasks; 0 if it has none and on other hosts.',
+    registers: [registry],
+  });
+  const explained = new Gauge({
+    name: 'paddlewind_jobs_load_period_explained_ratio',
+    help: 'Fraction of the variance of these loads that the period explains; 0 without one.',
+    registers: [registry],
+  });
+  return {
+    loadPeriod: period => {
+      periodS.set((period?.periodMs ?? 0) / MS_PER_S);
+      explained.set(period?.explained ?? 0);
+    },
   };
 }
 
--- a/packages/daemon/src/job-host/run-supervisor.ts
+++ b/packages/daemon/src/job-host/run-supervisor.ts
@@ -1,6 +1,7 @@
 /** Supervises open runs: stops needless and stalled ones, and throttles those that interfere with others. */
 import type { Instant, Millis } from '@paddlewind/domain';
 import {
+  FillerMoves,
   findWorker,
   isFinished,
   shouldRelocateFiller,
@@ -12,6 +13,7 @@
   workerRuns,
   type Interference,
   type JobsState,
+  type MoveCosts,
   type PlanInput,
   type Run,
   type Task,
@@ -22,6 +24,7 @@
 
 import type { HostContext } from './context.js';
 import { LeavingLog } from './leaving-log.js';
+import { LoadPeriodLog } from './load-period-log.js';
 import type { StopReason } from './meters.js';
 import {
   MAX_POLL_WAIT_MS,
@@ -72,10 +75,13 @@
 export class RunSupervisor {
   private readonly movedRuns = new Set<Run>();
   private readonly leavingLogs: Readonly<Record<MoveUrgency, LeavingLog>>;
+  private readonly loadPeriodLog: LoadPeriodLog;
+  private readonly fillerMoves = new FillerMoves();
 
   /** Creates a supervisor of the runs in `state`. */
   constructor(private readonly options: SupervisorOptions) {
     const { log } = options.ctx;
+    this.loadPeriodLog = new LoadPeriodLog(options.ctx);
     this.leavingLogs = {
       urgent: new LeavingLog(log),
       patient: new LeavingLog(log),
@@ -97,8 +103,13 @@
     }
   }
 
-  /** Stops fillers that are slowed here and would not be slowed elsewhere. */
+  /** Stops fillers that are slowed here and would not be slowed elsewhere, or end earlier there. */
   stopSlowedFillers(input: PlanInput): void {
+    this.updateForecast(input);
+    if (input.moveCosts !== undefined) {
+      this.stopFillersThatGain(input, input.moveCosts);
+      return;
+    }
     for (const run of this.openRuns()) {
       const slowed = shouldRelocateFiller(run, input.time.now);
       const better = slowed ? findWorker(input, run.task) : undefined;
@@ -112,6 +123,24 @@
     }
   }
 
+  /** Forecasts periodic loads from now on if runs can be moved quickly enough to follow them. */
+  private updateForecast({ interference, moveCosts }: PlanInput): void {
+    interference.useForecast(moveCosts !== undefined);
+    this.loadPeriodLog.update(interference.loadPeriod);
+  }
+
+  private stopFillersThatGain(input: PlanInput, costs: MoveCosts): void {
+    const moves = this.fillerMoves.decide(input, costs, this.openRuns());
+    for (const { run, to, gainMs } of moves) {
+      this.logRun(run, 'leader: a run is slowed here and moves', {
+        better: to,
+        allowed: run.progress?.allowedPercent,
+        gainMs: Math.round(gainMs),
+      });
+      this.stop(run, 'slowed');
+    }
+  }
+
   /** Returns the tasks that were stopped on a leaving worker and have not started again. */
   movingTasks(): Set<Task> {
     const tasks = new Set<Task>();
--- a/packages/domain/src/jobs/filler-speeds.ts
+++ b/packages/domain/src/jobs/filler-speeds.ts
@@ -1,4 +1,5 @@
 /** Speeds at which more best-effort fillers could run beside serving tasks, cached for one planning round. */
+import type { Millis } from '../core/time.js';
 import type { Run, Step } from './job.js';
 import type { WorkerRuns } from './jobs-state.js';
 import type { StepSpec } from './spec.js';
@@ -6,6 +7,11 @@
 /** Relative increase of a serving load below which a filler counts as harmless. */
 export const NEGLIGIBLE_GAIN = 0.02;
 
+/** Time between the points at which the speed of a run is worked out, a fifth of the shortest swing of loads. */
+const POINT_INTERVAL_MS: Millis = 500;
+/** Most points of a run: a longer one meets each load of a period in turn. */
+const MAX_POINTS = 16;
+
 /** Returns the runs of serving tasks, those with a tail latency target. */
 export function servingRuns(runs: ReadonlyMap<string, Run>): Run[] {
   return [...runs.values()].filter(
@@ -21,16 +27,27 @@
     load: WorkerRuns,
     cpuMilli: number,
   ) => number;
+  /** Returns the expected time of a filler's run; undefined where only the present speed counts. */
+  readonly spanOf: ((filler: Step) => Millis) | undefined;
+  /** Relative increase of a step's load that all fillers may cause after `aheadMs`, if that is forecast. */
+  readonly headroomAt: (serving: Step, aheadMs: Millis) => number | undefined;
+  /** Relative increase of a step's load by the fillers of a worker at full speed. */
+  readonly gainBeside: (
+    serving: Step,
+    load: WorkerRuns,
+    cpuMilli: number,
+  ) => number;
   /** Whether a serving run has been over its target for a while. */
   readonly isOverTarget: (serving: Run) => boolean;
   /** Pressure of a filler on a serving task, with a safety margin. */
   readonly pressure: (serving: StepSpec, filler: StepSpec) => number;
 }
 
-/** A serving step on a worker, with the headroom beside it once that has been worked out. */
+/** A serving step on a worker, with the headroom and the gain beside it once they have been worked out. */
 interface ServingStep {
   readonly step: Step;
   headroom: number | undefined;
+  gainBeside: number | undefined;
 }
 
 interface ServingTasks {
@@ -50,6 +67,9 @@
   /** Pressures by image of the filler, then by image of the serving task. */
   private readonly pressures = new Map<string, Map<string, number>>();
 
+  /** Forecast headrooms by step and point; undefined if the step is not forecast. */
+  private readonly headrooms = new Map<Step, (number | undefined)[]>();
+
   /** Creates an empty cache. */
   constructor(private readonly source: SpeedInputs) {}
 
@@ -73,6 +93,66 @@
     return Math.max(0, speed);
   }
 
+  /**
+   * Returns the fraction of its full speed, 0 to 1, at which a filler of the step could run on a worker: the
+   * mean over its expected run where that is known, else the present speed.
+   */
+  meanSpeedOf(load: WorkerRuns, cpuMilli: number, filler: Step): number {
+    const spanMs = this.source.spanOf?.(filler);
+    if (spanMs === undefined) {
+      return this.speedOf(load, cpuMilli, filler.spec);
+    }
+    const beside = this.servingTasksOf(load);
+    if (beside.isOverTarget) {
+      return 0;
+    }
+    const points = pointsOf(spanMs);
+    const speeds = new Array<number>(points).fill(1);
+    const pressures = this.pressuresOf(filler.spec);
+    const cpuFraction = filler.spec.size.cpuMilli / cpuMilli;
+    for (const serving of beside.steps) {
+      const { spec } = serving.step;
+      const gain = this.pressure(pressures, spec, filler.spec) * cpuFraction;
+      if (gain > NEGLIGIBLE_GAIN) {
+        for (let point = 0; point < points; point += 1) {
+          const left = this.headroomBeside(serving, load, cpuMilli, point);
+          speeds[point] = Math.min(speeds[point] ?? 1, left / gain);
+        }
+      }
+    }
+    return speeds.reduce((sum, speed) => sum + Math.max(0, speed), 0) / points;
+  }
+
+  /** Returns the headroom beside a serving step at a point; the present one if the step is not forecast. */
+  private headroomBeside(
+    serving: ServingStep,
+    load: WorkerRuns,
+    cpuMilli: number,
+    point: number,
+  ): number {
+    const { step } = serving;
+    const forecast = this.forecastHeadroom(step, point);
+    if (forecast === undefined) {
+      serving.headroom ??= this.source.headroomBeside(step, load, cpuMilli);
+      return serving.headroom;
+    }
+    serving.gainBeside ??= this.source.gainBeside(step, load, cpuMilli);
+    return forecast - serving.gainBeside;
+  }
+
+  private forecastHeadroom(step: Step, point: number): number | undefined {
+    let known = this.headrooms.get(step);
+    if (known === undefined) {
+      known = [];
+      this.headrooms.set(step, known);
+    }
+    if (!(point in known)) {
+      const aheadMs = (point + 0.5) * POINT_INTERVAL_MS;
+      known[point] = this.source.headroomAt(step, aheadMs);
+    }
+    return known[point];
+  }
+
   private servingTasksOf({ runs }: WorkerRuns): ServingTasks {
     const cached = this.servingByRuns.get(runs);
     if (cached?.runCount === runs.size) {
@@ -82,7 +162,11 @@
     const steps = new Set(serving.map(({ task }) => task.step));
     const found = {
       runCount: runs.size,
-      steps: [...steps].map(step => ({ step, headroom: undefined })),
+      steps: [...steps].map(step => ({
+        step,
+        headroom: undefined,
+        gainBeside: undefined,
+      })),
       isOverTarget: serving.some(run => this.source.isOverTarget(run)),
     };
     this.servingByRuns.set(runs, found);
@@ -114,3 +198,8 @@
     return pressure;
   }
 }
+
+function pointsOf(spanMs: Millis): number {
+  const points = Math.round(spanMs / POINT_INTERVAL_MS);
+  return Math.min(MAX_POINTS, Math.max(1, points));
+}
--- a/packages/domain/src/jobs/index.ts
+++ b/packages/domain/src/jobs/index.ts
@@ -1,3 +1,4 @@
+export * from './filler-moves.js';
 export * from './fleet-snapshot.js';
 export * from './admission.js';
 export * from './advice.js';
@@ -16,6 +17,7 @@
 export * from './obsolete-run.js';
 export * from './objective.js';
 export * from './order.js';
+export * from './periodic-loads.js';
 export * from './placement.js';
 export * from './plan.js';
 export * from './record-rows.js';
--- a/packages/domain/src/jobs/interference.ts
+++ b/packages/domain/src/jobs/interference.ts
@@ -20,6 +20,7 @@
   type ReceivedEstimates,
 } from './learned-estimates.js';
 import { OverTargetTracker } from './over-target.js';
+import { PeriodicLoads, type LoadPeriod } from './periodic-loads.js';
 import type { StepSpec } from './spec.js';
 import { Trends, type TrendModel } from './trend.js';
 
@@ -103,6 +104,8 @@
     PRESSURE_DRIFT,
   );
   private readonly loads = new Trends<Step>(LOAD_MODEL);
+  private readonly periodicLoads: PeriodicLoads<Step>;
+  private usesForecast = false;
   /** Monotonic time of the newest report. */
   private reportedAt: Instant = -Infinity;
   /** Low tail by image. */
@@ -112,6 +115,7 @@
 
   /** Creates a model that starts from the estimates of an earlier one, if any. */
   constructor(earlier?: ReceivedEstimates) {
+    this.periodicLoads = new PeriodicLoads(earlier?.estimates.loadPeriodMs);
     if (earlier !== undefined) {
       const { estimates, readAt } = earlier;
       for (const [pair, mean, variance] of estimates.pressures) {
@@ -123,8 +127,19 @@
     }
   }
 
+  /** Sets whether periodic loads are sampled and forecast; otherwise loads are extrapolated linearly. */
+  useForecast(isUsed: boolean): void {
+    this.usesForecast = isUsed;
+  }
+
+  /** The period by which loads are forecast; undefined if they are extrapolated linearly. */
+  get loadPeriod(): LoadPeriod | undefined {
+    return this.usesForecast ? this.periodicLoads.period : undefined;
+  }
+
   /** Returns the learned estimates, from which another model can start. */
-  learnedEstimates(): Pick<LearnedEstimates, 'pressures' | 'lowTails'> {
+  learnedEstimates(): Omit<LearnedEstimates, 'runTimes'> {
+    const { knownPeriodMs } = this.periodicLoads;
     const pressures = [...this.pressures.entries()].slice(-MAX_LEARNED_ENTRIES);
     return {
       pressures: pressures.map(([pair, { mean, variance }]) => [
@@ -135,6 +150,9 @@
       lowTails: [...this.lowTails]
         .slice(-MAX_LEARNED_ENTRIES)
         .map(([image, low]) => [image, roundEstimate(low)]),
+      ...(knownPeriodMs !== undefined && {
+        loadPeriodMs: roundEstimate(knownPeriodMs),
+      }),
     };
   }
 
@@ -183,9 +201,16 @@
     return this.speeds().speedOf(load, cpuMilli, filler);
   }
 
-  /** Returns the speeds of further fillers, valid as long as runs are only added and no report is handled. */
-  speeds(): FillerSpeeds {
+  /**
+   * Returns the speeds of further fillers, valid as long as runs are only added and no report is handled.
+   * `spanOf` returns the expected time of a filler's run, over which its speed is averaged.
+   */
+  speeds(spanOf?: (step: Step) => Millis): FillerSpeeds {
     return new FillerSpeeds({
+      spanOf,
+      headroomAt: (serving, aheadMs) => this.headroomAt(serving, aheadMs),
+      gainBeside: (serving, load, cpuMilli) =>
+        this.gainFrom(serving, fillersOf(load), cpuMilli),
       headroomBeside: (serving, load, cpuMilli) =>
         this.headroomOf(serving, PLACEMENT_AHEAD_MS) -
         this.gainFrom(serving, fillersOf(load), cpuMilli),
@@ -233,6 +258,24 @@
     return limits;
   }
 
+  /** Returns the speed limits of fillers that are expected after `aheadMs`, without pauses. */
+  limitsAhead(
+    load: WorkerRuns,
+    cpuMilli: number,
+    aheadMs: Millis,
+  ): Map<Run, number> {
+    const fillers = fillersOf(load);
+    const limits = new Map(fillers.map(run => [run, 100]));
+    const steps = new Set(servingRuns(load.runs).map(({ task }) => task.step));
+    for (const step of steps) {
+      const headroom =
+        this.headroomAt(step, aheadMs) ??
+        this.headroomOf(step, Math.min(aheadMs, LIMIT_AHEAD_MS));
+      this.limitFillers(step, headroom, fillers, limits, cpuMilli);
+    }
+    return limits;
+  }
+
   /** Lowers the limits of the fillers that disturb `serving` the most until the others fit its headroom. */
   private limitFillers(
     serving: Step,
@@ -307,6 +350,10 @@
     }
     const innovation = { error: observed - expected, variance };
     this.loads.correct(step, own, gain, innovation, [MIN_LOAD, MAX_LOAD]);
+    if (this.usesForecast) {
+      const estimate = this.loads.predict(step, now, 0);
+      this.periodicLoads.sample(step, estimate, now);
+    }
     for (const { key, used, pressure } of contributions) {
       const bounds = [0, MAX_PRESSURE] as const;
       const weight = own.mean * used;
@@ -334,14 +381,37 @@
    * is too high.
    */
   private headroomOf(step: Step, aheadMs: Millis): number {
-    const target = step.spec.tailTargetMs ?? Infinity;
-    const limit = 1 - this.tailFloorOf(step.spec) / target - LOAD_MARGIN;
+    const time = this.reportedAt + aheadMs;
     const own = Math.max(
       this.loads.predict(step, this.reportedAt, MAX_EXTRAPOLATION_MS),
-      this.loads.predict(step, this.reportedAt + aheadMs, MAX_EXTRAPOLATION_MS),
+      this.forecastOf(step, aheadMs) ??
+        this.loads.predict(step, time, MAX_EXTRAPOLATION_MS),
       MIN_LOAD,
     );
-    return limit / own - 1;
+    return this.loadLimitOf(step.spec) / own - 1;
+  }
+
+  /** Returns the same for a single time ahead; undefined if the load is not forecast. */
+  private headroomAt(step: Step, aheadMs: Millis): number | undefined {
+    const own = this.forecastOf(step, aheadMs);
+    return own === undefined
+      ? undefined
+      : this.loadLimitOf(step.spec) / Math.max(MIN_LOAD, own) - 1;
+  }
+
+  private forecastOf(step: Step, aheadMs: Millis): number | undefined {
+    if (!this.usesForecast) {
+      return undefined;
+    }
+    const at = this.reportedAt;
+    const value = this.loads.predict(step, at, MAX_EXTRAPOLATION_MS);
+    return this.periodicLoads.forecast(step, { value, at }, at + aheadMs);
+  }
+
+  /** Returns the load at which a task of the step reaches its target, less a margin. */
+  private loadLimitOf(spec: StepSpec): number {
+    const target = spec.tailTargetMs ?? Infinity;
+    return 1 - this.tailFloorOf(spec) / target - LOAD_MARGIN;
   }
 
   /** Returns the relative increase of a step's own load by fillers at full speed. */
@@ -366,7 +436,7 @@
 /** Speed limit in percent up to which a filler should run elsewhere. */
 const RELOCATE_SPEED_PERCENT = 40;
 /** Time for which a filler has to be slowed before it is moved. */
-const RELOCATE_AFTER_MS: Millis = 800;
+export const RELOCATE_AFTER_MS: Millis = 800;
 
 /** Progress in percent that a filler without checkpoints may lose by starting from scratch. */
 const MAX_LOST_WORK_PERCENT = 15;
--- a/packages/domain/src/jobs/learned-estimates.ts
+++ b/packages/domain/src/jobs/learned-estimates.ts
@@ -5,7 +5,8 @@
  * difference over twelve simulated days on 45 workers with and without them, and by 0.03 to 0.06 on days on
  * which all hosts are restarted in turn.
  */
-import type { Instant } from '../core/time.js';
+import type { Instant, Millis } from '../core/time.js';
+import { isValidPeriod } from './periodic-loads.js';
 
 /** An estimate and its variance, by key. */
 export type EstimateRow = readonly [
@@ -22,6 +23,8 @@
   readonly pressures: readonly EstimateRow[];
   /** Low tail in milliseconds by image. */
   readonly lowTails: readonly (readonly [image: string, low: number])[];
+  /** Period shared by the loads of serving tasks; earlier versions neither write nor read it. */
+  readonly loadPeriodMs?: Millis;
 }
 
 /** Learned estimates and the time at which this host read them. */
@@ -46,11 +49,12 @@
 export function parseEstimates(
   found: Partial<LearnedEstimates> | null | undefined,
 ): LearnedEstimates {
-  const { runTimes, pressures, lowTails } = found ?? {};
+  const { runTimes, pressures, lowTails, loadPeriodMs } = found ?? {};
   return {
     runTimes: validRows(runTimes),
     pressures: validRows(pressures).filter(([, , variance]) => variance >= 0),
     lowTails: validRows(lowTails),
+    ...(isValidPeriod(loadPeriodMs) && { loadPeriodMs }),
   };
 }
 
--- a/packages/domain/src/jobs/placement.ts
+++ b/packages/domain/src/jobs/placement.ts
@@ -247,7 +247,7 @@
   return (
     !spec.filler ||
     load.servingCpuMilli === 0 ||
-    input.speeds.speedOf(load, cpuMilli, spec) >= MIN_SPEED
+    input.speeds.meanSpeedOf(load, cpuMilli, task.step) >= MIN_SPEED
   );
 }
 
@@ -285,7 +285,7 @@
 ): Rank {
   const { capacity, id } = worker.info;
   const load = loadOf(id);
-  const speed = speeds.speedOf(load, capacity.cpuMilli, task.step.spec);
+  const speed = speeds.meanSpeedOf(load, capacity.cpuMilli, task.step);
   if (speed < MIN_SPEED) {
     return UNUSABLE;
   }
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -295,9 +295,11 @@
 
 function createReservations(input: PlanInput): Reservations {
   const { state, workers, interference, advice, time, leadsSince } = input;
+  const spanOf =
+    input.moveCosts && ((step: Step) => input.times.expectedMs(step));
   const reservations = new Reservations({
     workers,
-    speeds: interference.speeds(),
+    speeds: interference.speeds(spanOf),
     advice,
     quarantine: new Quarantine({ state, now: time.now, leadsSince }),
     shares: new SizeClassShares(),
