--- a/packages/domain/src/jobs/filler-moves.ts
+++ b/packages/domain/src/jobs/filler-moves.ts
@@ -148,11 +148,14 @@
   ): Millis {
     let doneMs = 0;
     for (let point = 0; point < POINTS; point += 1) {
-      const forecast = this.limitsOf(run.worker, point)?.get(run);
-      const percent =
-        point === 0
-          ? Math.min(allowedPercent, forecast ?? allowedPercent)
-          : (forecast ?? allowedPercent);
+      // Limits look ahead, and follow a falling load one report late, so that the lower of both ends holds.
+      const isPaused = point === 0 && allowedPercent === 0;
+      const percent = isPaused
+        ? 0
+        : Math.min(
+            this.limitOf(run, point) ?? allowedPercent,
+            this.limitOf(run, point + 1) ?? allowedPercent,
+          );
       const stepMs = (POINT_INTERVAL_MS * percent) / 100;
       if (doneMs + stepMs >= leftMs) {
         const lastMs = percent === 0 ? 0 : ((leftMs - doneMs) * 100) / percent;
@@ -164,8 +167,9 @@
     return leftMs / Math.max(MIN_MEAN_SPEED, meanSpeed);
   }
 
-  /** Returns the limits of a worker's fillers at a point; undefined if nothing is known of the worker. */
-  private limitsOf(id: string, point: number): Map<Run, number> | undefined {
+  /** Returns the limit of a run at a point; undefined if nothing is known of its worker. */
+  private limitOf(run: Run, point: number): number | undefined {
+    const id = run.worker;
     const worker = this.workers.get(id);
     if (worker === undefined) {
       return undefined;
@@ -175,9 +179,9 @@
     known[point] ??= this.input.interference.limitsAhead(
       workerRuns(this.input.state, id),
       worker.info.capacity.cpuMilli,
-      (point + 0.5) * POINT_INTERVAL_MS,
+      point * POINT_INTERVAL_MS,
     );
-    return known[point];
+    return known[point].get(run);
   }
 
   private workerFor({ task }: Run): PlanWorker | undefined {
--- a/packages/domain/src/jobs/periodic-loads.ts
+++ b/packages/domain/src/jobs/periodic-loads.ts
@@ -192,9 +192,17 @@
     return { periodMs, explained: this.explainedBy(short, periodMs) };
   }
 
-  /** Searches all periods for one that explains the samples. */
+  /**
+   * Searches all periods for one that explains the samples. The longest that the samples can tell is not taken,
+   * since a longer one may explain them better.
+   */
   private search(pooled: readonly Samples[]): LoadPeriod | undefined {
-    const best = this.refine(pooled, this.bestOf(pooled, allPeriods()));
+    const found = this.bestOf(pooled, allPeriods());
+    const next = (found?.periodMs ?? 0) * PERIOD_RATIO;
+    if (found === undefined || eligible(pooled, next).length === 0) {
+      return undefined;
+    }
+    const best = this.refine(pooled, found);
     return isGood(best) ? best : undefined;
   }
 
