--- /dev/null
+++ b/packages/daemon/src/job-host/filler-moves-by-forecast.test.ts
@@ -0,0 +1,97 @@
+/** Guards against moves whose reason can't be found from the task's id, and against moves without their costs. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import {
+  AdviceTickets,
+  createRunTimes,
+  Interference,
+  WorkerHealth,
+  type MoveCosts,
+  type PlanInput,
+} from '@paddlewind/domain/jobs';
+import { pino } from 'pino';
+
+import {
+  openLink,
+  ORDERED_WORKER,
+  StubWorker,
+} from './stub-worker.fixture.test.js';
+import { RunSupervisor } from './run-supervisor.js';
+
+type Line = Readonly<Record<string, unknown>>;
+
+/** Slows a filler to `percent` of its speed for 2 s beside a free worker; returns what was logged and sent. */
+async function moveSlowed(
+  percent: number,
+  moveCosts: MoveCosts | undefined,
+): Promise<{ lines: Line[]; sent: string[] }> {
+  const stub = new StubWorker(1, { filler: true, image: 'f' });
+  const link = await openLink(stub);
+  const lines: Line[] = [];
+  const write = (line: string): void => {
+    lines.push(JSON.parse(line) as Line);
+  };
+  const interference = new Interference();
+  const supervisor = new RunSupervisor({
+    ctx: { ...stub.ctx, log: pino({}, { write }) },
+    state: stub.state,
+    interference,
+    health: new WorkerHealth(),
+    linkTo: () => link,
+    leavingSince: () => undefined,
+  });
+  const run = stub.open(0);
+  link.start(run, stub.time.clock());
+  await stub.time.advance(100);
+  assert.ok(run.progress);
+  run.progress.allowedPercent = percent;
+  run.progress.allowedSince = stub.time.clock();
+  await stub.time.advance(2_000);
+  const now = stub.time.clock();
+  const free = { ...ORDERED_WORKER, id: 'free', address: 'free' };
+  const input: PlanInput = {
+    state: stub.state,
+    workers: [{ info: free, trusted: true }],
+    times: createRunTimes(),
+    interference,
+    advice: new AdviceTickets(),
+    time: { now, nowWall: now },
+    leadsSince: 0,
+    maxStarts: 200,
+    isLinkBusy: false,
+    moveCosts,
+    movingTasks: [],
+  };
+  supervisor.stopSlowedFillers(input);
+  await stub.time.advance(100);
+  return { lines, sent: stub.sent };
+}
+
+const MOVED = 'leader: a run is slowed here and moves';
+
+test('a move tells the better worker and the expected gain', async () => {
+  const costs = { stopMs: 200, restoreMs: 100 };
+  const { lines, sent } = await moveSlowed(20, costs);
+  const moved = lines.find(({ msg }) => msg === MOVED);
+  assert.equal(moved?.better, 'free');
+  assert.equal(moved.allowed, 20);
+  assert.ok(Number(moved.gainMs) > 0);
+  assert.ok(sent.includes('stop 0#1'));
+});
+
+test('a move that costs more than it gains is not ordered', async () => {
+  const costs = { stopMs: 600_000, restoreMs: 100 };
+  const { lines, sent } = await moveSlowed(20, costs);
+  assert.ok(!lines.some(({ msg }) => msg === MOVED));
+  assert.ok(!sent.includes('stop 0#1'));
+});
+
+test('without move costs the limit alone decides, and no gain is told', async () => {
+  const slow = await moveSlowed(40, undefined);
+  const moved = slow.lines.find(({ msg }) => msg === MOVED);
+  assert.equal(moved?.better, 'free');
+  assert.ok(!('gainMs' in moved));
+  const faster = await moveSlowed(50, undefined);
+  assert.ok(!faster.sent.includes('stop 0#1'));
+});
