--- a/packages/domain/src/jobs/filler-speeds.ts
+++ b/packages/domain/src/jobs/filler-speeds.ts
@@ -12,6 +12,9 @@
 /** Most points of a run: a longer one meets each load of a period in turn. */
 const MAX_POINTS = 16;
 
+/** Lowest speed at the start of a run: a filler runs at full speed until its first limit takes effect. */
+const MIN_START_SPEED = 0.5;
+
 /** Returns the runs of serving tasks, those with a tail latency target. */
 export function servingRuns(runs: ReadonlyMap<string, Run>): Run[] {
   return [...runs.values()].filter(
@@ -95,7 +98,8 @@
 
   /**
    * Returns the fraction of its full speed, 0 to 1, at which a filler of the step could run on a worker: the
-   * mean over its expected run where that is known, else the present speed.
+   * mean over its expected run where that is known, else the present speed. Where it would start too slowly,
+   * the speed at the start counts.
    */
   meanSpeedOf(load: WorkerRuns, cpuMilli: number, filler: Step): number {
     const spanMs = this.source.spanOf?.(filler);
@@ -120,7 +124,10 @@
         }
       }
     }
-    return speeds.reduce((sum, speed) => sum + Math.max(0, speed), 0) / points;
+    const sum = speeds.reduce((total, speed) => total + Math.max(0, speed), 0);
+    const mean = sum / points;
+    const atStart = Math.max(0, speeds[0] ?? 1);
+    return atStart < MIN_START_SPEED ? Math.min(atStart, mean) : mean;
   }
 
   /** Returns the headroom beside a serving step at a point; the present one if the step is not forecast. */
--- a/packages/domain/src/jobs/interference.ts
+++ b/packages/domain/src/jobs/interference.ts
@@ -63,6 +63,11 @@
  * tasks over their targets for 1.35 times as long.
  */
 const LOAD_MARGIN = 0.02;
+/**
+ * Load kept free below a forecast when a filler is placed, on top of that. Fillers start at full speed and
+ * limits follow the load one report late, while the linear extrapolation counts the higher of two times.
+ */
+const PLACEMENT_MARGIN = 0.04;
 /** Safety margin of a pressure, in standard deviations, when a filler is placed and when it is limited. */
 const PLACEMENT_CAUTION_SIGMAS = 0.3;
 const LIMIT_CAUTION_SIGMAS = 0.3;
@@ -208,7 +213,8 @@
   speeds(spanOf?: (step: Step) => Millis): FillerSpeeds {
     return new FillerSpeeds({
       spanOf,
-      headroomAt: (serving, aheadMs) => this.headroomAt(serving, aheadMs),
+      headroomAt: (serving, aheadMs) =>
+        this.headroomAt(serving, aheadMs, PLACEMENT_MARGIN),
       gainBeside: (serving, load, cpuMilli) =>
         this.gainFrom(serving, fillersOf(load), cpuMilli),
       headroomBeside: (serving, load, cpuMilli) =>
@@ -391,12 +397,18 @@
     return this.loadLimitOf(step.spec) / own - 1;
   }
 
-  /** Returns the same for a single time ahead; undefined if the load is not forecast. */
-  private headroomAt(step: Step, aheadMs: Millis): number | undefined {
-    const own = this.forecastOf(step, aheadMs);
-    return own === undefined
-      ? undefined
-      : this.loadLimitOf(step.spec) / Math.max(MIN_LOAD, own) - 1;
+  /** Returns the same for a single time ahead, with a margin; undefined if the load is not forecast. */
+  private headroomAt(
+    step: Step,
+    aheadMs: Millis,
+    margin = 0,
+  ): number | undefined {
+    const forecast = this.forecastOf(step, aheadMs);
+    if (forecast === undefined) {
+      return undefined;
+    }
+    const own = Math.max(MIN_LOAD, forecast) + margin;
+    return this.loadLimitOf(step.spec) / own - 1;
   }
 
   private forecastOf(step: Step, aheadMs: Millis): number | undefined {
