--- a/packages/domain/src/jobs/learned-estimates.ts
+++ b/packages/domain/src/jobs/learned-estimates.ts
@@ -5,7 +5,8 @@
  * difference over twelve simulated days on 45 workers with and without them, and by 0.03 to 0.06 on days on
  * which all hosts are restarted in turn.
  */
-import type { Instant } from '../core/time.js';
+import type { Instant, Millis } from '../core/time.js';
+import { isValidPeriod } from './periodic-loads.js';
 
 /** An estimate and its variance, by key. */
 export type EstimateRow = readonly [
@@ -24,6 +25,8 @@
   readonly lowTails: readonly (readonly [image: string, low: number])[];
   /** Distributions of run times; earlier versions neither record nor read them. */
   readonly distributions?: LearnedDistributions;
+  /** Period shared by the loads of serving tasks; earlier versions neither write nor read it. */
+  readonly loadPeriodMs?: Millis;
 }
 
 /** Learned distributions of run times; all figures are those of logarithms of milliseconds. */
@@ -79,12 +82,14 @@
 export function parseEstimates(
   found: Partial<LearnedEstimates> | null | undefined,
 ): LearnedEstimates {
-  const { runTimes, pressures, lowTails, distributions } = found ?? {};
+  const { runTimes, pressures, lowTails, distributions, loadPeriodMs } =
+    found ?? {};
   return {
     ...(distributions && { distributions: parseDistributions(distributions) }),
     runTimes: validRows(runTimes),
     pressures: validRows(pressures).filter(([, , variance]) => variance >= 0),
     lowTails: validRows(lowTails),
+    ...(isValidPeriod(loadPeriodMs) && { loadPeriodMs }),
   };
 }
 
