--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -352,6 +352,7 @@
       return;
     }
     const input = this.planInput();
+    this.supervisor.updateForecast(input);
     const start: ApplyStart = decision => {
       this.starter.start(decision);
     };
--- a/packages/daemon/src/job-host/run-supervisor.ts
+++ b/packages/daemon/src/job-host/run-supervisor.ts
@@ -105,7 +105,6 @@
 
   /** Stops fillers that are slowed here and would not be slowed elsewhere, or end earlier there. */
   stopSlowedFillers(input: PlanInput): void {
-    this.updateForecast(input);
     if (input.moveCosts !== undefined) {
       this.stopFillersThatGain(input, input.moveCosts);
       return;
@@ -123,8 +122,11 @@
     }
   }
 
-  /** Forecasts periodic loads from now on if runs can be moved quickly enough to follow them. */
-  private updateForecast({ interference, moveCosts }: PlanInput): void {
+  /**
+   * Forecasts periodic loads from now on if runs can be moved quickly enough to follow them. Call this before
+   * other decisions of a round, so that none is made by a forecast that is no longer used.
+   */
+  updateForecast({ interference, moveCosts }: PlanInput): void {
     interference.useForecast(moveCosts !== undefined);
     this.loadPeriodLog.update(interference.loadPeriod);
   }
