Keep a known period over gaps and replace one that samples never cover

After a gap of over two periods, the first samples seemed to cover the period without being explained by it, so that it was dropped. A recorded period of over 31 s was never compared with full samples and blocked the search.

--- a/packages/domain/src/jobs/periodic-loads.test.ts
+++ b/packages/domain/src/jobs/periodic-loads.test.ts
@@ -262,6 +262,21 @@
   assert.equal(fleet.errors().forecasts, 24);
 });
 
+// The first samples after a long gap would otherwise seem to cover the period without being explained by it.
+test('the period is kept over a gap longer than what a fit uses', () => {
+  for (const gapMs of [22_000, 60_000]) {
+    const fleet = fleetOf(oscillating());
+    const end = 30_000 + gapMs;
+    fleet.run(end + 1_000, now => now < 30_000 || now > end);
+    const known = fleet.loads.knownPeriodMs ?? 0;
+    assert.ok(Math.abs(known / PERIOD_MS - 1) < 0.03, `${known} ms`);
+    assert.equal(fleet.errors().forecasts, 0);
+    fleet.run(end + 8_000);
+    assertPeriod(fleet, PERIOD_MS);
+    assert.equal(fleet.errors().forecasts, 24);
+  }
+});
+
 test('half a period of samples is enough with the period of an earlier leader', () => {
   const fleet = fleetOf(oscillating(), 1, 24, PERIOD_MS);
   fleet.run(4_000);
@@ -278,6 +293,13 @@
   assertPeriod(fleet, PERIOD_MS);
 });
 
+// Samples never cover such a period, so that it would block the search for good.
+test('a wrong period that is longer than all samples is replaced', () => {
+  const fleet = fleetOf(oscillating(), 1, 24, 38_000);
+  fleet.run(40_000);
+  assertPeriod(fleet, PERIOD_MS);
+});
+
 test('the period is dropped when the loads become constant', () => {
   const fleet = fleetOf((step, time) =>
     time < 30_000 ? oscillating()(step, time) : MEAN,
--- a/packages/domain/src/jobs/periodic-loads.ts
+++ b/packages/domain/src/jobs/periodic-loads.ts
@@ -7,6 +7,7 @@
   explainedFraction,
   fitHarmonic,
   harmonicAt,
+  MAX_SAMPLES,
   Samples,
   type Harmonic,
   type HarmonicFit,
@@ -37,6 +38,11 @@
 const SEVERAL_LOADS = 4;
 /** Periods that the samples of a load have to cover for a known period. */
 const MIN_PERIODS_KNOWN = 0.5;
+/**
+ * Periods without samples after which earlier samples are dropped: fits use two periods, and samples on both
+ * sides of a longer gap would seem to cover a period of which few are left.
+ */
+const MAX_GAP_PERIODS = 1.5;
 /** Fewest samples of a load. */
 const MIN_SAMPLES = 6;
 /** Age of the newest sample beyond which a load is not forecast, and beyond which its samples are dropped. */
@@ -99,7 +105,7 @@
   /** Records the estimate of a load, unless a recent one is known; refits the period when that is due. */
   sample(key: K, value: number, now: Instant): void {
     let load = this.loads.get(key);
-    if (load === undefined) {
+    if (load === undefined || now - load.samples.newestAt > this.maxGapMs) {
       load = { samples: new Samples(), harmonic: undefined };
       this.loads.set(key, load);
     }
@@ -133,6 +139,10 @@
     return harmonicAt(harmonic, present.at + aheadMs) + error * decay;
   }
 
+  private get maxGapMs(): Millis {
+    return MAX_GAP_PERIODS * (this.known?.periodMs ?? MIN_PERIOD_MS);
+  }
+
   private harmonicOf(key: K, now: Instant): Harmonic | undefined {
     const { period } = this;
     const load = this.loads.get(key);
@@ -189,7 +199,10 @@
     const short = pooled.filter(samples =>
       covers(samples, MIN_PERIODS_KNOWN * periodMs),
     );
-    return { periodMs, explained: this.explainedBy(short, periodMs) };
+    const kept = { periodMs, explained: this.explainedBy(short, periodMs) };
+    // Samples that are full will never cover a period that is longer than they are.
+    const areFull = short.some(({ count }) => count === MAX_SAMPLES);
+    return areFull && !isGood(kept) ? undefined : kept;
   }
 
   /**
