--- a/packages/domain/src/jobs/filler-moves.test.ts
+++ b/packages/domain/src/jobs/filler-moves.test.ts
@@ -178,6 +178,27 @@
   assert.ok(passes <= 2, `${passes} passes`);
 });
 
+// Runs of different steps would otherwise be stopped for the same capacity, and all but one would wait.
+test('capacity is given to one move of a round', () => {
+  const { input, run, moves } = slowedOn(RISING, {
+    fillers: { f: SLOWED, g: SLOWED },
+  });
+  const other = startOn(input.state, taskOf(input.state, 'g', 0, 0), 'here');
+  limit(other, 20, -2_000);
+  const workers = input.workers
+    .filter(({ info }) => ['here', 'free'].includes(info.id))
+    .map(({ info, trusted }) => ({
+      info: { ...info, capacity: { ...info.capacity, cpuMilli: 3_000 } },
+      trusted,
+    }));
+  const round = { ...input, workers };
+  const found = moves.decide(round, MOVE_COSTS, [run, other]);
+  assert.deepEqual(
+    found.map(({ to }) => to),
+    ['free'],
+  );
+});
+
 test('the same reports lead to the same moves', () => {
   assert.deepEqual(
     decide(slowedOn(RISING)).map(({ to, gainMs }) => [to, gainMs]),
--- a/packages/domain/src/jobs/filler-moves.ts
+++ b/packages/domain/src/jobs/filler-moves.ts
@@ -3,12 +3,18 @@
  * the move costs. See docs/design/periodic-loads.md.
  */
 import type { Instant, Millis } from '../core/time.js';
+import { POINT_INTERVAL_MS } from './filler-speeds.js';
 import { RELOCATE_AFTER_MS } from './interference.js';
 import type { Run, RunProgress, Step } from './job.js';
 import { workerRuns } from './jobs-state.js';
 import type { MoveCosts } from './move-costs.js';
 import type { PlanWorker } from './placement.js';
-import { findWorker, placementInputOf, type PlanInput } from './plan.js';
+import {
+  findWorker,
+  placementInputOf,
+  reservationsOf,
+  type PlanInput,
+} from './plan.js';
 
 /** Speed limit in percent from which a filler stays: a move costs a fifth of the shortest runs. */
 const SLOWED_BELOW_PERCENT = 70;
@@ -18,8 +24,7 @@
 const CHECK_INTERVAL_MS: Millis = 350;
 /** Most steps in a round for which all workers are compared. */
 const MAX_SEARCHES = 32;
-/** Time between the points at which the limits of a filler are forecast, and their number: two runs. */
-const POINT_INTERVAL_MS: Millis = 500;
+/** Number of points at which the limits of a filler are forecast: two runs. */
 const POINTS = 16;
 /** Lowest speed that is expected of a run over all points, so that times stay finite. */
 const MIN_MEAN_SPEED = 0.02;
@@ -116,7 +121,7 @@
   /** Returns the move of a slowed run if it ends earlier elsewhere by more than the costs. */
   moveOf(run: Run, progress: RunProgress): FillerMove | undefined {
     const { step } = run.task;
-    if (this.movedSteps.has(step)) {
+    if (this.movedSteps.has(step) || this.hasNoWorker(step)) {
       return undefined;
     }
     const expectedMs = this.input.times.expectedMs(step);
@@ -136,6 +141,11 @@
     if (hereMs <= thereMs) {
       return undefined;
     }
+    // Another run that moves in this round may have taken the capacity since the worker was found.
+    const reserved = reservationsOf(this.input).reserve(run.task);
+    if (reserved !== worker.info.id) {
+      return undefined;
+    }
     this.movedSteps.add(step);
     return { run, to: worker.info.id, gainMs: hereMs - thereMs };
   }
@@ -184,6 +194,13 @@
     return known[point].get(run);
   }
 
+  /** Tells whether the search for a worker has failed, or would be one too many; it costs less than a forecast. */
+  private hasNoWorker(step: Step): boolean {
+    return this.found.has(step)
+      ? this.found.get(step) === undefined
+      : this.found.size >= MAX_SEARCHES;
+  }
+
   private workerFor({ task }: Run): PlanWorker | undefined {
     const { step } = task;
     if (!this.found.has(step) && this.found.size < MAX_SEARCHES) {
--- a/packages/domain/src/jobs/filler-speeds.ts
+++ b/packages/domain/src/jobs/filler-speeds.ts
@@ -7,8 +7,8 @@
 /** Relative increase of a serving load below which a filler counts as harmless. */
 export const NEGLIGIBLE_GAIN = 0.02;
 
-/** Time between the points at which the speed of a run is worked out, a fifth of the shortest swing of loads. */
-const POINT_INTERVAL_MS: Millis = 500;
+/** Time between the points at which the speed of a run is forecast: an eighth of the shortest period of loads. */
+export const POINT_INTERVAL_MS: Millis = 500;
 /** Most points of a run: a longer one meets each load of a period in turn. */
 const MAX_POINTS = 16;
 
@@ -69,7 +69,6 @@
   >();
   /** Pressures by image of the filler, then by image of the serving task. */
   private readonly pressures = new Map<string, Map<string, number>>();
-
   /** Forecast headrooms by step and point; undefined if the step is not forecast. */
   private readonly headrooms = new Map<Step, (number | undefined)[]>();
 
@@ -110,6 +109,9 @@
     if (beside.isOverTarget) {
       return 0;
     }
+    if (beside.steps.length === 0) {
+      return 1;
+    }
     const points = pointsOf(spanMs);
     const speeds = new Array<number>(points).fill(1);
     const pressures = this.pressuresOf(filler.spec);
