--- a/packages/domain/src/jobs/load-forecast.test.ts
+++ b/packages/domain/src/jobs/load-forecast.test.ts
@@ -37,6 +37,35 @@
   assert.equal(chosenWorker(input), 'rising');
 });
 
+// Samples and the period remain known then, and must not affect any decision.
+test('once move costs are undefined, decisions are those of a model that never forecast', () => {
+  const options = { fillers: { f: FILLER, g: FILLER } };
+  const before = oscillatingFleet(PHASES, options);
+  const never = oscillatingFleet(PHASES, { ...options, hasMoveCosts: false });
+  const decisions = (input: PlanInput): unknown => {
+    const { state, interference } = input;
+    const chosen = chosenWorker(input);
+    const { step } = taskOf(state, 'f', 0, 0);
+    startOn(state, taskOf(state, 'g', 0, 0), 'rising');
+    return input.workers.map(({ info }) => {
+      const load = workerRuns(state, info.id);
+      return [
+        chosen,
+        interference.speeds().meanSpeedOf(load, 4_000, step),
+        [...interference.speedLimits(load, 4_000, 0).values()],
+        interference.hasLowHeadroom(load, 4_000),
+      ];
+    });
+  };
+  assert.ok(before.interference.loadPeriod !== undefined);
+  before.interference.useForecast(false);
+  assert.equal(before.interference.loadPeriod, undefined);
+  assert.deepEqual(
+    decisions({ ...before, moveCosts: undefined }),
+    decisions(never),
+  );
+});
+
 // Before a period is known, all decisions are those of the linear extrapolation.
 test('without a period speeds are the same as without a span', () => {
   const input = oscillatingFleet(PHASES, { learnMs: 6_000 });
