--- a/packages/domain/src/jobs/filler-speeds.ts
+++ b/packages/domain/src/jobs/filler-speeds.ts
@@ -109,27 +109,45 @@
     if (beside.isOverTarget) {
       return 0;
     }
-    if (beside.steps.length === 0) {
+    const disturbed = this.disturbedBy(filler.spec, beside.steps, cpuMilli);
+    if (disturbed.length === 0) {
       return 1;
     }
     const points = pointsOf(spanMs);
-    const speeds = new Array<number>(points).fill(1);
-    const pressures = this.pressuresOf(filler.spec);
-    const cpuFraction = filler.spec.size.cpuMilli / cpuMilli;
-    for (const serving of beside.steps) {
+    let sum = 0;
+    for (let point = 0; point < points; point += 1) {
+      let speed = 1;
+      for (const { serving, gain } of disturbed) {
+        const left = this.headroomBeside(serving, load, cpuMilli, point);
+        speed = Math.min(speed, left / gain);
+      }
+      speed = Math.max(0, speed);
+      // The other points are not worked out, since placement compares thousands of such workers in a round.
+      if (point === 0 && speed < MIN_START_SPEED) {
+        return speed;
+      }
+      sum += speed;
+    }
+    return sum / points;
+  }
+
+  /** Returns the serving steps that a filler disturbs, and by how much it increases the load of each. */
+  private disturbedBy(
+    filler: StepSpec,
+    steps: readonly ServingStep[],
+    cpuMilli: number,
+  ): { serving: ServingStep; gain: number }[] {
+    const pressures = this.pressuresOf(filler);
+    const cpuFraction = filler.size.cpuMilli / cpuMilli;
+    const found = [];
+    for (const serving of steps) {
       const { spec } = serving.step;
-      const gain = this.pressure(pressures, spec, filler.spec) * cpuFraction;
+      const gain = this.pressure(pressures, spec, filler) * cpuFraction;
       if (gain > NEGLIGIBLE_GAIN) {
-        for (let point = 0; point < points; point += 1) {
-          const left = this.headroomBeside(serving, load, cpuMilli, point);
-          speeds[point] = Math.min(speeds[point] ?? 1, left / gain);
-        }
+        found.push({ serving, gain });
       }
     }
-    const sum = speeds.reduce((total, speed) => total + Math.max(0, speed), 0);
-    const mean = sum / points;
-    const atStart = Math.max(0, speeds[0] ?? 1);
-    return atStart < MIN_START_SPEED ? Math.min(atStart, mean) : mean;
+    return found;
   }
 
   /** Returns the headroom beside a serving step at a point; the present one if the step is not forecast. */
