--- a/packages/daemon/src/job-host/filler-moves-by-forecast.test.ts
+++ b/packages/daemon/src/job-host/filler-moves-by-forecast.test.ts
@@ -7,6 +7,7 @@
   createRunTimes,
   Interference,
   WorkerHealth,
+  type LoadPeriod,
   type MoveCosts,
   type PlanInput,
 } from '@paddlewind/domain/jobs';
@@ -70,6 +71,47 @@
 
 const MOVED = 'leader: a run is slowed here and moves';
 
+/** A model with a period, which tells whether it was told to use it. */
+class PeriodicInterference extends Interference {
+  isUsed = false;
+
+  override useForecast(isUsed: boolean): void {
+    this.isUsed = isUsed;
+  }
+
+  override get loadPeriod(): LoadPeriod | undefined {
+    return this.isUsed ? { periodMs: 10_000, explained: 0.9 } : undefined;
+  }
+}
+
+// Samples taken or forecasts used elsewhere would change the decisions of other deployments.
+test('loads are forecast while move costs are known, and no longer', () => {
+  const stub = new StubWorker(1, {});
+  const lines: Line[] = [];
+  const write = (line: string): void => {
+    lines.push(JSON.parse(line) as Line);
+  };
+  const interference = new PeriodicInterference();
+  const supervisor = new RunSupervisor({
+    ctx: { ...stub.ctx, log: pino({}, { write }) },
+    state: stub.state,
+    interference,
+    health: new WorkerHealth(),
+    linkTo: () => undefined,
+    leavingSince: () => undefined,
+  });
+  const costs = { stopMs: 200, restoreMs: 100 };
+  const used = [undefined, costs, costs, undefined].map(moveCosts => {
+    supervisor.updateForecast({ interference, moveCosts });
+    return interference.isUsed;
+  });
+  assert.deepEqual(used, [false, true, true, false]);
+  assert.deepEqual(
+    lines.map(({ msg }) => msg),
+    ['leader: loads have a period', 'leader: loads have no period any more'],
+  );
+});
+
 test('a move tells the better worker and the expected gain', async () => {
   const costs = { stopMs: 200, restoreMs: 100 };
   const { lines, sent } = await moveSlowed(20, costs);
--- a/packages/daemon/src/job-host/run-supervisor.ts
+++ b/packages/daemon/src/job-host/run-supervisor.ts
@@ -126,7 +126,10 @@
    * Forecasts periodic loads from now on if runs can be moved quickly enough to follow them. Call this before
    * other decisions of a round, so that none is made by a forecast that is no longer used.
    */
-  updateForecast({ interference, moveCosts }: PlanInput): void {
+  updateForecast({
+    interference,
+    moveCosts,
+  }: Pick<PlanInput, 'interference' | 'moveCosts'>): void {
     interference.useForecast(moveCosts !== undefined);
     this.loadPeriodLog.update(interference.loadPeriod);
   }
