--- a/packages/domain/src/jobs/worker-versions.ts
+++ b/packages/domain/src/jobs/worker-versions.ts
@@ -1,7 +1,6 @@
 /** Tells for each service whether a release is under way, and which version of its workers is the newest. */
 import type { Instant, Millis } from '../core/time.js';
 import { workerIdOf } from './incarnation.js';
-import type { WorkerInfo } from './placement.js';
 
 /** Time after a departure by which the next workers of the same release have announced theirs. */
 const DEPARTURE_MS: Millis = 10_000;
@@ -16,10 +15,13 @@
 export const OTHER_VERSIONS = '(others)';
 
 /** What is read of a worker's registry entry. */
-export type VersionedWorker = Pick<
-  WorkerInfo,
-  'id' | 'service' | 'version' | 'leaving'
->;
+export interface VersionedWorker {
+  /** Identifies one incarnation of a worker. */
+  readonly id: string;
+  readonly service: string;
+  readonly version?: string | undefined;
+  readonly leaving: boolean;
+}
 
 /** Number of registered workers of a service by version; the oldest of many versions are summed. */
 export interface ServiceVersions {
