--- a/packages/domain/src/jobs/filler-speeds.ts
+++ b/packages/domain/src/jobs/filler-speeds.ts
@@ -1,4 +1,5 @@
 /** Speeds at which more best-effort fillers could run beside serving tasks, cached for one planning round. */
+import type { Millis } from '../core/time.js';
 import type { Run, Step } from './job.js';
 import type { WorkerRuns } from './jobs-state.js';
 import type { StepSpec } from './spec.js';
@@ -6,6 +7,14 @@
 /** Relative increase of a serving load below which a filler counts as harmless. */
 export const NEGLIGIBLE_GAIN = 0.02;
 
+/** Time between the points at which the speed of a run is forecast: an eighth of the shortest period of loads. */
+export const POINT_INTERVAL_MS: Millis = 500;
+/** Most points of a run: a longer one meets each load of a period in turn. */
+const MAX_POINTS = 16;
+
+/** Lowest speed at the start of a run: a filler runs at full speed until its first limit takes effect. */
+const MIN_START_SPEED = 0.5;
+
 /** Returns the runs of serving tasks, those with a tail latency target. */
 export function servingRuns(runs: ReadonlyMap<string, Run>): Run[] {
   return [...runs.values()].filter(
@@ -21,16 +30,27 @@
     load: WorkerRuns,
     cpuMilli: number,
   ) => number;
+  /** Returns the expected time of a filler's run; undefined where only the present speed counts. */
+  readonly spanOf: ((filler: Step) => Millis) | undefined;
+  /** Relative increase of a step's load that all fillers may cause after `aheadMs`, if that is forecast. */
+  readonly headroomAt: (serving: Step, aheadMs: Millis) => number | undefined;
+  /** Relative increase of a step's load by the fillers of a worker at full speed. */
+  readonly gainBeside: (
+    serving: Step,
+    load: WorkerRuns,
+    cpuMilli: number,
+  ) => number;
   /** Whether a serving run has been over its target for a while. */
   readonly isOverTarget: (serving: Run) => boolean;
   /** Pressure of a filler on a serving task, with a safety margin. */
   readonly pressure: (serving: StepSpec, filler: StepSpec) => number;
 }
 
-/** A serving step on a worker, with the headroom beside it once that has been worked out. */
+/** A serving step on a worker, with the headroom and the gain beside it once they have been worked out. */
 interface ServingStep {
   readonly step: Step;
   headroom: number | undefined;
+  gainBeside: number | undefined;
 }
 
 interface ServingTasks {
@@ -49,6 +69,8 @@
   >();
   /** Pressures by image of the filler, then by image of the serving task. */
   private readonly pressures = new Map<string, Map<string, number>>();
+  /** Forecast headrooms by step and point; undefined if the step is not forecast. */
+  private readonly headrooms = new Map<Step, (number | undefined)[]>();
 
   /** Creates an empty cache. */
   constructor(private readonly source: SpeedInputs) {}
@@ -73,6 +95,91 @@
     return Math.max(0, speed);
   }
 
+  /**
+   * Returns the fraction of its full speed, 0 to 1, at which a filler of the step could run on a worker: the
+   * mean over its expected run where that is known, else the present speed. Where it would start too slowly,
+   * the speed at the start counts.
+   */
+  meanSpeedOf(load: WorkerRuns, cpuMilli: number, filler: Step): number {
+    const spanMs = this.source.spanOf?.(filler);
+    if (spanMs === undefined) {
+      return this.speedOf(load, cpuMilli, filler.spec);
+    }
+    const beside = this.servingTasksOf(load);
+    if (beside.isOverTarget) {
+      return 0;
+    }
+    const disturbed = this.disturbedBy(filler.spec, beside.steps, cpuMilli);
+    if (disturbed.length === 0) {
+      return 1;
+    }
+    const points = pointsOf(spanMs);
+    let sum = 0;
+    for (let point = 0; point < points; point += 1) {
+      let speed = 1;
+      for (const { serving, gain } of disturbed) {
+        const left = this.headroomBeside(serving, load, cpuMilli, point);
+        speed = Math.min(speed, left / gain);
+      }
+      speed = Math.max(0, speed);
+      // The other points are not worked out, since placement compares thousands of such workers in a round.
+      if (point === 0 && speed < MIN_START_SPEED) {
+        return speed;
+      }
+      sum += speed;
+    }
+    return sum / points;
+  }
+
+  /** Returns the serving steps that a filler disturbs, and by how much it increases the load of each. */
+  private disturbedBy(
+    filler: StepSpec,
+    steps: readonly ServingStep[],
+    cpuMilli: number,
+  ): { serving: ServingStep; gain: number }[] {
+    const pressures = this.pressuresOf(filler);
+    const cpuFraction = filler.size.cpuMilli / cpuMilli;
+    const found = [];
+    for (const serving of steps) {
+      const { spec } = serving.step;
+      const gain = this.pressure(pressures, spec, filler) * cpuFraction;
+      if (gain > NEGLIGIBLE_GAIN) {
+        found.push({ serving, gain });
+      }
+    }
+    return found;
+  }
+
+  /** Returns the headroom beside a serving step at a point; the present one if the step is not forecast. */
+  private headroomBeside(
+    serving: ServingStep,
+    load: WorkerRuns,
+    cpuMilli: number,
+    point: number,
+  ): number {
+    const { step } = serving;
+    const forecast = this.forecastHeadroom(step, point);
+    if (forecast === undefined) {
+      serving.headroom ??= this.source.headroomBeside(step, load, cpuMilli);
+      return serving.headroom;
+    }
+    serving.gainBeside ??= this.source.gainBeside(step, load, cpuMilli);
+    return forecast - serving.gainBeside;
+  }
+
+  private forecastHeadroom(step: Step, point: number): number | undefined {
+    let known = this.headrooms.get(step);
+    if (known === undefined) {
+      known = [];
+      this.headrooms.set(step, known);
+    }
+    if (!(point in known)) {
+      const aheadMs = (point + 0.5) * POINT_INTERVAL_MS;
+      known[point] = this.source.headroomAt(step, aheadMs);
+    }
+    return known[point];
+  }
+
   private servingTasksOf({ runs }: WorkerRuns): ServingTasks {
     const cached = this.servingByRuns.get(runs);
     if (cached?.runCount === runs.size) {
@@ -82,7 +189,11 @@
     const steps = new Set(serving.map(({ task }) => task.step));
     const found = {
       runCount: runs.size,
-      steps: [...steps].map(step => ({ step, headroom: undefined })),
+      steps: [...steps].map(step => ({
+        step,
+        headroom: undefined,
+        gainBeside: undefined,
+      })),
       isOverTarget: serving.some(run => this.source.isOverTarget(run)),
     };
     this.servingByRuns.set(runs, found);
@@ -114,3 +225,8 @@
     return pressure;
   }
 }
+
+function pointsOf(spanMs: Millis): number {
+  const points = Math.round(spanMs / POINT_INTERVAL_MS);
+  return Math.min(MAX_POINTS, Math.max(1, points));
+}
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -299,10 +299,11 @@
 
 function createReservations(input: PlanInput): Reservations {
   const { state, workers, interference, advice, time, leadsSince } = input;
-  const { newestVersions, times } = input;
+  const { newestVersions, times, moveCosts } = input;
+  const spanOf = moveCosts && ((step: Step) => times.expectedMs(step));
   const reservations = new Reservations({
     workers,
-    speeds: interference.speeds(),
+    speeds: interference.speeds(spanOf),
     advice,
     quarantine: new Quarantine({ state, now: time.now, leadsSince }),
     shares: new SizeClassShares(),
