Refuse jobs by the leader's forecast of capacity

Where admitsByRoom is set, the leader publishes the backlog and the rate of completions while tasks wait, hosts refuse jobs that would end after they have lost their value, and callers get times to return that follow from the cause.

--- /dev/null
+++ b/packages/daemon/src/job-host/admission-reporter.ts
@@ -0,0 +1,79 @@
+/** What a leader observes in order to tell hosts which jobs to refuse. */
+import type { Instant } from '@paddlewind/domain';
+import {
+  evacuatedKindsOf,
+  RoomForecast,
+  startDelaysOf,
+  StartRate,
+  type AdmissionLimits,
+  type JobsState,
+  type PlanInput,
+  type RoomRow,
+  type Run,
+  type RunEnd,
+  type RunTimes,
+  type WorkerInfo,
+} from '@paddlewind/domain/jobs';
+
+import type { EvacuatedZones } from './evacuated-zones.js';
+
+/** Sources of the limits. */
+export interface AdmissionReporterOptions {
+  readonly clock: () => Instant;
+  readonly state: JobsState;
+  readonly evacuatedZones: EvacuatedZones;
+  readonly registeredWorkers: () => WorkerInfo[];
+  /** Whether hosts refuse jobs by the forecast of capacity. */
+  readonly admitsByRoom: boolean;
+}
+
+/** Observes planning rounds and ends of runs, and reports limits on the jobs that hosts accept. */
+export class AdmissionReporter {
+  readonly startRate = new StartRate();
+  private readonly forecast: RoomForecast | undefined;
+
+  /** Creates the reporter of one leader. */
+  constructor(private readonly options: AdmissionReporterOptions) {
+    this.forecast = options.admitsByRoom ? new RoomForecast() : undefined;
+  }
+
+  /** Notes a planning round; `isLimited` if it could have started more than the leader can send. */
+  noteRound(input: PlanInput, isLimited: boolean): void {
+    this.startRate.noteRound(input.time.now, isLimited);
+    this.forecast?.noteRound(input);
+  }
+
+  /** Notes that nothing may start now. */
+  noteBlocked(): void {
+    this.forecast?.noteBlocked();
+  }
+
+  /** Notes that a run is about to end. */
+  noteRunEnding({ task }: Run, how: RunEnd | 'lost', times: RunTimes): void {
+    if (how === 'done') {
+      this.forecast?.noteCompleted(task, times);
+    }
+  }
+
+  /** Returns the limits to report now. */
+  limits(): AdmissionLimits {
+    const { state, clock, evacuatedZones, registeredWorkers } = this.options;
+    const rate = this.startRate.perSecond(clock());
+    return {
+      startDelays: startDelaysOf(state.openJobs, rate),
+      evacuatedKinds: evacuatedZones.isEmpty
+        ? []
+        : evacuatedKindsOf(registeredWorkers(), zone =>
+            evacuatedZones.has(zone),
+          ),
+      rooms: this.rooms() ?? [],
+      roomsUntil: -Infinity,
+    };
+  }
+
+  /** Returns the forecast of capacity; undefined where hosts refuse nothing by it. */
+  rooms(): readonly RoomRow[] | undefined {
+    const { state, clock } = this.options;
+    return this.forecast?.rows(clock(), state.volunteers.size);
+  }
+}
--- a/packages/daemon/src/job-host/fleet-account.ts
+++ b/packages/daemon/src/job-host/fleet-account.ts
@@ -3,6 +3,7 @@
   snapshotFleet,
   type PlanInput,
   type PlanWorker,
+  type RoomRow,
   type WorkerInfo,
 } from '@paddlewind/domain/jobs';
 
@@ -18,6 +19,8 @@
   /** Workers that could be assigned tasks if their zones were not evacuated. */
   readonly evacuatedWorkers: () => PlanWorker[];
   readonly evacuationTimes: () => EvacuationTimes;
+  /** Forecast of capacity; undefined where hosts refuse nothing by it. */
+  readonly rooms: () => readonly RoomRow[] | undefined;
   /** Whether nothing may start now because the log does not answer. */
   readonly isLogUnavailable: () => boolean;
   readonly hasEnded: () => boolean;
@@ -30,6 +33,7 @@
   registeredWorkers,
   evacuatedWorkers,
   evacuationTimes,
+  rooms,
   isLogUnavailable,
   hasEnded,
 }: FleetAccountOptions): Promise<void> {
@@ -50,6 +54,11 @@
     ctx.meters.accounted(account);
     const { maxStarts } = plan;
     const evacuatedMs = evacuationTimes();
-    ctx.log.info({ ...account, evacuatedMs, maxStarts }, 'leader: the fleet');
+    const forecast = rooms();
+    ctx.meters.forecast(forecast ?? []);
+    ctx.log.info(
+      { ...account, evacuatedMs, maxStarts, forecast },
+      'leader: the fleet',
+    );
   }
 }
--- a/packages/daemon/src/job-host/job-service.ts
+++ b/packages/daemon/src/job-host/job-service.ts
@@ -3,10 +3,14 @@
 import {
   estimatedSizeOf,
   encodeRecord,
+  logReturnMs,
   refusalOf,
+  RoomAdmission,
   type InboxRecord,
   type JobSpec,
   type Refusal,
+  type RoomForecastUsed,
+  type RoomRefusal,
 } from '@paddlewind/domain/jobs';
 import type { AppendResult } from '@paddlewind/ports/jobs';
 
@@ -29,13 +33,17 @@
       readonly reason: string;
       /** Time after which another attempt may succeed; undefined if it is not known. */
       readonly retryAfterMs?: Millis;
+      /** The forecast by which a job is refused. */
+      readonly forecast?: RoomForecastUsed;
     }
   /** It may have been recorded. */
   | { readonly kind: 'unknown'; readonly reason: string };
 
+const LOG_REFUSAL_REASON = 'the log does not answer';
 const REFUSAL_REASONS: Readonly<Record<Refusal['why'], string>> = {
   too_late: 'the leader starts tasks too late',
   evacuated: 'all workers that may run it are in evacuated zones',
+  no_room: 'it would end after it has lost its value',
 };
 
 /** Time before the caller's deadline at which an outcome that is still unknown is reported. */
@@ -43,39 +51,124 @@
 
 /** The service that hosts offer to callers. */
 export class JobService {
-  /** Creates the service; `view` returns the current copy of the state of jobs. */
+  /** Decides by the forecast of capacity; undefined where nothing is refused by it. */
+  private readonly roomAdmission: RoomAdmission | undefined;
+
+  /**
+   * Creates the service; `view` returns the current copy of the state of jobs. Where `admitsByRoom`, jobs are
+   * refused by the leader's forecast of capacity, and callers get times to return that follow from the cause.
+   */
   constructor(
     private readonly ctx: HostContext,
     private readonly inbox: InboxSender,
     private readonly view: () => CallerView,
-  ) {}
+    admitsByRoom = false,
+  ) {
+    this.roomAdmission = admitsByRoom ? new RoomAdmission() : undefined;
+  }
 
   /** Accepts a job once it is recorded; submitting it again changes nothing. */
   async submit(job: JobSpec, deadline: Instant): Promise<ChangeResult> {
     if (this.view().has(job.id)) {
       return { kind: 'recorded' };
     }
-    const refusal = refusalOf(job, this.view().admissionLimits);
+    const refusal = this.refusalOf(job);
+    if (refusal?.why === 'no_room') {
+      return this.refuseUnlessRecorded(job, refusal, deadline);
+    }
     if (refusal !== undefined) {
-      return this.refuse(job, refusal);
+      const retryAfterMs =
+        'retryAfterMs' in refusal ? refusal.retryAfterMs : undefined;
+      return this.refuse(job, refusal.why, retryAfterMs);
     }
+    this.roomAdmission?.noteAccepted(job, this.view().admissionLimits);
     const atWall = this.ctx.wallClock();
     return this.recordChange({ kind: 'submit', job, atWall }, job.id, deadline);
   }
 
+  private refusalOf(job: JobSpec): Refusal | undefined {
+    const limits = this.view().admissionLimits;
+    return this.roomAdmission === undefined
+      ? refusalOf(job, limits)
+      : this.roomAdmission.refusalOf(job, limits, this.ctx.clock());
+  }
+
+  /**
+   * Refuses a job for which there will be no capacity, unless the log holds it as of a moment after the call: an
+   * earlier attempt may have been recorded through another host, and a refusal says that the job never runs.
+   */
+  private async refuseUnlessRecorded(
+    job: JobSpec,
+    refusal: RoomRefusal,
+    deadline: Instant,
+  ): Promise<ChangeResult> {
+    switch (await this.view().find(job.id)) {
+      case 'known':
+        return { kind: 'recorded' };
+      case 'unavailable':
+        return this.refuseForLog(job, deadline);
+      case 'unknown': {
+        const { why, forecast } = refusal;
+        const now = this.ctx.clock();
+        const returnMs = this.roomAdmission?.returnMs;
+        const retryAfterMs = returnMs?.(job, refusal, now, deadline);
+        return this.refuse(job, why, retryAfterMs, { forecast });
+      }
+    }
+  }
+
+  private refuseForLog(job: JobSpec, deadline: Instant): ChangeResult {
+    const reason = LOG_REFUSAL_REASON;
+    const refused = { kind: 'refused', reason } as const;
+    const result = this.withLogReturn(refused, deadline);
+    this.logChange(job.id, job, 'submit', result);
+    this.countRefusal(job, 'log');
+    return result;
+  }
+
   /** Refuses a job that is known not to be served in time. */
-  private refuse(job: JobSpec, refusal: Refusal): ChangeResult {
+  private refuse(
+    job: JobSpec,
+    why: Refusal['why'],
+    retryAfterMs: Millis | undefined,
+    more: { readonly forecast?: RoomForecastUsed } = {},
+  ): ChangeResult {
     const result: ChangeResult = {
       kind: 'refused',
-      reason: REFUSAL_REASONS[refusal.why],
-      ...('retryAfterMs' in refusal
-        ? { retryAfterMs: refusal.retryAfterMs }
-        : {}),
+      reason: REFUSAL_REASONS[why],
+      ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+      ...more,
     };
     this.logChange(job.id, job, 'submit', result);
+    this.countRefusal(job, why);
     return result;
   }
 
+  /**
+   * Returns when a caller should return that is refused now since the log does not answer; undefined where all
+   * such callers get the same time.
+   */
+  logReturnMs(deadline: Instant): Millis | undefined {
+    if (this.roomAdmission === undefined) {
+      return undefined;
+    }
+    const now = this.ctx.clock();
+    const awayMs = now - this.view().contactAt;
+    return logReturnMs(awayMs, this.ctx.random, now, deadline);
+  }
+
+  private withLogReturn(result: ChangeResult, deadline: Instant): ChangeResult {
+    const retryAfterMs = this.logReturnMs(deadline);
+    return result.kind !== 'refused' || retryAfterMs === undefined
+      ? result
+      : { ...result, retryAfterMs };
+  }
+
+  private countRefusal(job: JobSpec, why: Refusal['why'] | 'log'): void {
+    const { coreMs } = estimatedSizeOf(job);
+    this.ctx.meters.jobRefused(job.terms.queue, coreMs, why);
+  }
+
   /** Cancels a job; resolves once the cancellation is recorded. */
   async cancel(job: string, deadline: Instant): Promise<ChangeResult> {
     switch (await this.view().find(job)) {
@@ -84,7 +177,10 @@
       case 'unknown':
         return { kind: 'no_such_job' };
       case 'unavailable':
-        return { kind: 'refused', reason: 'the log does not answer' };
+        return this.withLogReturn(
+          { kind: 'refused', reason: LOG_REFUSAL_REASON },
+          deadline,
+        );
     }
   }
 
@@ -106,12 +202,24 @@
     job: string,
     deadline: Instant,
   ): Promise<ChangeResult> {
-    const result = await this.append(record, deadline);
+    const appended = await this.append(record, deadline);
+    const result = this.withLogReturn(appended, deadline);
     const spec = record.kind === 'submit' ? record.job : undefined;
+    if (spec !== undefined) {
+      this.noteOutcome(spec, result);
+    }
     this.logChange(job, spec, record.kind, result);
     return result;
   }
 
+  private noteOutcome(job: JobSpec, { kind }: ChangeResult): void {
+    if (kind === 'unknown') {
+      this.roomAdmission?.noteDoubtful(job.id);
+    } else if (kind === 'refused') {
+      this.countRefusal(job, 'log');
+    }
+  }
+
   private logChange(
     job: string,
     spec: JobSpec | undefined,
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -4,17 +4,13 @@
   AdviceTickets,
   createRunTimes,
   EMPTY_FLEET_SNAPSHOT,
-  evacuatedKindsOf,
   Interference,
   planSpeculativeCopies,
   planStarts,
   runsOfOtherIncarnations,
-  startDelaysOf,
-  StartRate,
   WorkerHealth,
   workerIdOf,
   workerRuns,
-  type AdmissionLimits,
   type ApplyStart,
   type JobsState,
   type PlanInput,
@@ -22,6 +18,7 @@
   type WorkerInfo,
 } from '@paddlewind/domain/jobs';
 
+import { AdmissionReporter } from './admission-reporter.js';
 import { Adviser } from './adviser.js';
 import { WakeSignal } from './wake-signal.js';
 import { pause } from './context.js';
@@ -69,7 +66,7 @@
   private readonly times: RunTimes;
   private readonly interference: Interference;
   private readonly startWindow = new StartWindow();
-  private readonly startRate = new StartRate();
+  private readonly admission: AdmissionReporter;
   private readonly health = new WorkerHealth();
   private readonly advice = new AdviceTickets();
   private readonly adviser: Adviser;
@@ -115,8 +112,9 @@
       times: this.times,
       health: this.health,
       startWindow: this.startWindow,
-      onRunEnding: run => {
+      onRunEnding: (run, how) => {
         this.supervisor.noteRunEnding(run);
+        this.admission.noteRunEnding(run, how, this.times);
       },
       presenceOf: worker => this.fleet.presenceOf(worker),
       fleetSize: () => this.fleet.registeredWorkers().length,
@@ -137,7 +135,7 @@
       claim,
       peerAddress: options.peerAddress,
       inboxUpTo: () => replica.nextOffset('inbox'),
-      admissionLimits: () => this.admissionLimits(),
+      admissionLimits: () => this.admission.limits(),
       retentionMs: options.retentionMs,
       statusMs: options.statusMs,
     });
@@ -153,6 +151,7 @@
       },
       changed: this.wakeSignal.notify,
     });
+    this.admission = this.createAdmission();
     this.fences = new Fences(claim.firstFence, claim.epoch, worker => {
       ctx.log.warn({ worker }, 'leader: its fences are used up');
       this.release();
@@ -163,6 +162,17 @@
     });
   }
 
+  private createAdmission(): AdmissionReporter {
+    const { ctx, evacuatedZones, admitsByRoom } = this.options;
+    return new AdmissionReporter({
+      clock: ctx.clock,
+      state: this.state,
+      evacuatedZones,
+      registeredWorkers: () => this.fleet.registeredWorkers(),
+      admitsByRoom,
+    });
+  }
+
   private createLeases(): LeaderLeases {
     const { ctx, replica, claim } = this.options;
     return new LeaderLeases({
@@ -229,7 +239,7 @@
         advice: this.advice,
         supervisor: this.supervisor,
         startWindow: this.startWindow,
-        startRate: this.startRate,
+        startRate: this.admission.startRate,
         onReplaced: by => {
           this.fleet.supersede(link.info, by);
         },
@@ -338,7 +348,7 @@
   private recordHeartbeat(): void {
     this.hasNewSilence = false;
     const leases = this.leases.report();
-    const limits = this.admissionLimits();
+    const limits = this.admission.limits();
     this.decisions.record(heartbeatRecord(this.options, leases, limits));
   }
 
@@ -349,6 +359,7 @@
 
   private plan(): void {
     if (this.isUnderinformed()) {
+      this.admission.noteBlocked();
       return;
     }
     const input = this.planInput();
@@ -359,7 +370,7 @@
       this.supervisor.moveOffLeaving(input, urgency);
     });
     planSpeculativeCopies(input, start);
-    this.startRate.noteRound(input.time.now, this.startsLeft() === 0);
+    this.admission.noteRound(input, this.startsLeft() === 0);
     this.supervisor.stopSlowedFillers(input);
     this.adviser.askIfNeeded(input);
   }
@@ -386,19 +397,6 @@
     return this.startWindow.available(this.options.starts.maxStarts);
   }
 
-  private admissionLimits(): AdmissionLimits {
-    const { ctx, evacuatedZones } = this.options;
-    const rate = this.startRate.perSecond(ctx.clock());
-    return {
-      startDelays: startDelaysOf(this.state.openJobs, rate),
-      evacuatedKinds: evacuatedZones.isEmpty
-        ? []
-        : evacuatedKindsOf(this.fleet.registeredWorkers(), zone =>
-            evacuatedZones.has(zone),
-          ),
-    };
-  }
-
   private publishFleetAccount(): Promise<void> {
     return publishFleetAccount({
       ctx: this.options.ctx,
@@ -406,6 +404,7 @@
       registeredWorkers: () => this.fleet.registeredWorkers(),
       evacuatedWorkers: () => this.fleet.evacuatedWorkers(),
       evacuationTimes: () => this.options.evacuatedZones.times(),
+      rooms: () => this.admission.rooms(),
       isLogUnavailable: () =>
         this.isUnderinformed() || this.decisions.isWriteOverdue,
       hasEnded: () => this.hasEnded,
@@ -431,6 +430,7 @@
     this.hasEnded = true;
     this.runs.close();
     this.options.ctx.meters.accounted(EMPTY_FLEET_SNAPSHOT);
+    this.options.ctx.meters.forecast([]);
     this.decisions.close();
     this.summary.close();
     this.options.starts.close();
--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -7,6 +7,8 @@
 } from '@paddlewind/domain/jobs';
 import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
 
+import { createRoomMeters, type RoomMeters } from './room-meters.js';
+
 /** The dependency that a call waits for. */
 export type Dependency = 'log' | 'worker' | 'advice';
 
@@ -47,7 +49,7 @@
 export type EvacuationTimes = Readonly<Record<string, Millis>>;
 
 /** Metrics recorded by a job host. */
-export interface JobMeters {
+export interface JobMeters extends RoomMeters {
   /** A caller's request was answered with an HTTP status after `span`. */
   readonly answered: (method: string, status: number, span: Millis) => void;
   /** A call to a dependency ended. */
@@ -132,6 +134,7 @@
     ...createLagMeters(registry),
     ...createFleetMeters(registry),
     ...createLossMeters(registry),
+    ...createRoomMeters(registry),
     ...createFaultMeters(registry),
   };
 }
--- a/packages/daemon/src/job-host/replica-view.ts
+++ b/packages/daemon/src/job-host/replica-view.ts
@@ -1,6 +1,7 @@
 /** Answers callers on a host that reads the journal. */
 import type { Instant, Millis } from '@paddlewind/domain';
 import {
+  ROOMS_VALID_MS,
   statusOf,
   reportedStateOf,
   type InboxRecord,
@@ -53,7 +54,15 @@
 
   /** Limits on the jobs that are accepted, as the leader has last reported them. */
   get admissionLimits(): AdmissionLimits {
-    return this.replica.state.admissionLimits;
+    const { replica, ctx } = this;
+    const limits = replica.state.admissionLimits;
+    if (this.leader() !== undefined) {
+      return limits;
+    }
+    // The heartbeat may have been written long before it was read, as after an outage of the log.
+    const now = ctx.clock();
+    const roomsUntil = now - replica.heartbeatAge(now).to + ROOMS_VALID_MS;
+    return { ...limits, roomsUntil };
   }
 
   /** Whether a job is known without reading from the log. */
--- a/packages/daemon/src/job-host/run-recorder.ts
+++ b/packages/daemon/src/job-host/run-recorder.ts
@@ -45,7 +45,7 @@
   readonly health: WorkerHealth;
   readonly startWindow: StartWindow;
   /** A run is about to end. */
-  readonly onRunEnding: (run: Run) => void;
+  readonly onRunEnding: (run: Run, how: RunEnd | 'lost') => void;
   /** State of a worker in the registry. */
   readonly presenceOf: (worker: string) => WorkerPresence;
   /** Number of registered workers. */
@@ -177,7 +177,7 @@
     const { ctx, health, times, startWindow } = this.options;
     learnFromEnd(run, how, { health, times, now: ctx.clock() });
     ctx.meters.ended(how);
-    this.options.onRunEnding(run);
+    this.options.onRunEnding(run, how);
     startWindow.noteEnded(run);
     const expectedMs = Math.round(times.expectedMs(task.step));
     const { suspicion, age, noise } = record.kind === 'lost' ? record : NO_LOSS;
--- a/packages/daemon/src/job-host/start-job-host.ts
+++ b/packages/daemon/src/job-host/start-job-host.ts
@@ -158,7 +158,7 @@
     this.evacuatedZones = new EvacuatedZones(ctx, options.evacuationEffectMs);
     this.replicaView = new ReplicaView(ctx, replica, () => this.leader);
     this.summaryView = new SummaryView(ctx, summary);
-    this.service = new JobService(ctx, inbox, view);
+    this.service = new JobService(ctx, inbox, view, this.admitsByRoom);
     this.gauges = {
       epoch: () => this.epoch,
       ready: this.ready,
--- a/packages/daemon/src/job-host/summary-follower.ts
+++ b/packages/daemon/src/job-host/summary-follower.ts
@@ -3,6 +3,8 @@
 import {
   decodeInbox,
   decodeSummary,
+  NO_LIMITS,
+  ROOMS_VALID_MS,
   Summary,
   type InboxRecord,
   type SummaryRecord,
@@ -205,7 +207,7 @@
     switch (record?.kind) {
       case 'leads':
         if (record.epoch >= (this.leaderInfo?.epoch ?? 0)) {
-          this.leaderInfo = record;
+          this.leaderInfo = { ...record, limits: this.datedLimits(record) };
           this.leaderReceivedAt = now;
         }
         return;
@@ -221,6 +223,11 @@
     }
   }
 
+  /** Dates the forecast by the read before, since which it was written, as after an outage of the log. */
+  private datedLimits({ limits = NO_LIMITS }: LeaderInfo): AdmissionLimits {
+    return { ...limits, roomsUntil: this.knownAsOf + ROOMS_VALID_MS };
+  }
+
   private applyRows({
     rows,
     inboxUpTo,
--- a/packages/domain/src/jobs/admission.test.ts
+++ b/packages/domain/src/jobs/admission.test.ts
@@ -9,15 +9,27 @@
   type AdmissionLimits,
 } from './admission.js';
 import { decodeJournal, encodeRecord } from './record-rows.js';
+import { ROOMS_VALID_MS, type RoomRow } from './room-rows.js';
 import { decodeSummary, encodeSummary } from './summary.js';
 import { applyRecord, stateOf, testJob } from './test-support.js';
 
+const ROOM: RoomRow = {
+  service: 's',
+  kind: 'filler',
+  priority: 2,
+  backlog: 90_000,
+  rate: 4_000,
+  errorPercent: 20,
+  hosts: 29,
+};
 const LIMITS: AdmissionLimits = {
   startDelays: [
     [0, 200],
     [2, 9_000],
   ],
   evacuatedKinds: [['s', 'gpu']],
+  rooms: [ROOM],
+  roomsUntil: -Infinity,
 };
 const WORKERS = [
   { service: 's', labels: ['gpu', 'r1'], availabilityZone: 'a' },
@@ -56,7 +68,8 @@
   assert.deepEqual(decodeJournal(encodeRecord(record)), record);
   const state = stateOf();
   applyRecord(state, record);
-  assert.deepEqual(state.admissionLimits, LIMITS);
+  const roomsUntil = state.now + ROOMS_VALID_MS;
+  assert.deepEqual(state.admissionLimits, { ...LIMITS, roomsUntil });
   const leads = {
     kind: 'leads',
     epoch: 64,
--- a/packages/domain/src/jobs/admission.ts
+++ b/packages/domain/src/jobs/admission.ts
@@ -1,5 +1,11 @@
 /** What hosts need to know to refuse a job that the leader is known not to serve in time. */
-import type { Millis } from '../core/time.js';
+import type { Instant, Millis } from '../core/time.js';
+import {
+  roomRefusalOf,
+  type AcceptedBefore,
+  type RoomRefusal,
+} from './room-refusal.js';
+import type { RoomRow } from './room-rows.js';
 import type { JobSpec } from './spec.js';
 import { latenessOf, type StartDelays } from './start-delay.js';
 
@@ -19,18 +25,25 @@
   readonly startDelays: StartDelays;
   /** Kinds of workers of which every registered one is in an evacuated zone. */
   readonly evacuatedKinds: readonly WorkerKind[];
+  /** Forecast of capacity; empty where nothing is forecast. */
+  readonly rooms: readonly RoomRow[];
+  /** Monotonic time from which the forecast refuses nothing, set by the host that has read it. */
+  readonly roomsUntil: Instant;
 }
 
 /** Limits while nothing is refused. */
 export const NO_LIMITS: AdmissionLimits = {
   startDelays: [],
   evacuatedKinds: [],
+  rooms: [],
+  roomsUntil: -Infinity,
 };
 
 /** Why a job is refused. */
 export type Refusal =
   | { readonly why: 'too_late'; readonly retryAfterMs: Millis }
-  | { readonly why: 'evacuated' };
+  | { readonly why: 'evacuated' }
+  | RoomRefusal;
 
 /** Most kinds of workers that are reported, which bounds the size of a record. */
 const MAX_REPORTED_KINDS = 32;
@@ -62,16 +75,23 @@
     .slice(0, MAX_REPORTED_KINDS);
 }
 
-/** Returns why a job that is submitted now would not be served in time; undefined if it may be. */
+/**
+ * Returns why a job that is submitted now would not be served in time; undefined if it may be. Nothing is
+ * refused by the forecast of capacity without a time `now`.
+ */
 export function refusalOf(
   job: JobSpec,
   limits: AdmissionLimits,
+  now: Instant = Infinity,
+  acceptedBefore?: AcceptedBefore,
 ): Refusal | undefined {
   if (needsEvacuatedKind(job, limits.evacuatedKinds)) {
     return { why: 'evacuated' };
   }
   const retryAfterMs = latenessOf(job, limits.startDelays);
-  return retryAfterMs > 0 ? { why: 'too_late', retryAfterMs } : undefined;
+  return retryAfterMs > 0
+    ? { why: 'too_late', retryAfterMs }
+    : roomRefusalOf(job, limits, now, acceptedBefore);
 }
 
 /**
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -28,6 +28,7 @@
   countOpenRunsAt,
   type JobsState,
 } from './jobs-state.js';
+import { ROOMS_VALID_MS } from './room-rows.js';
 import { applyImage } from './restate.js';
 
 /** Applies a record of the inbox; a repeated submission changes nothing. */
@@ -88,7 +89,10 @@
       }
       state.standbys = record.standbys;
       state.leaderAddress = record.address;
-      state.admissionLimits = record.limits ?? NO_LIMITS;
+      state.admissionLimits = {
+        ...(record.limits ?? NO_LIMITS),
+        roomsUntil: state.now + ROOMS_VALID_MS,
+      };
       noteUnresponsive(state, record.handed);
       state.journalTime.noteLeadTime(
         record.epoch,
--- a/packages/domain/src/jobs/objective.ts
+++ b/packages/domain/src/jobs/objective.ts
@@ -7,7 +7,7 @@
 export type Outlook = 'in_time' | 'late' | 'overdue';
 
 /** A late result keeps some value up to this many times the objective, as the users' rules say. */
-const MAX_LATE_FACTOR = 3;
+export const MAX_LATE_FACTOR = 3;
 
 /** Clock readings of one planning round. */
 export interface PlanTime {
--- a/packages/domain/src/jobs/record-rows.ts
+++ b/packages/domain/src/jobs/record-rows.ts
@@ -17,6 +17,7 @@
   RunEnd,
 } from './records.js';
 import type { JobImage } from './restate.js';
+import { parseRooms, roomsColumns } from './room-rows.js';
 import { parseSpan, spanRow, type SpanRow } from './span-rows.js';
 import type { JobSpec } from './spec.js';
 import { parseTaskName, taskName } from './task-ref.js';
@@ -96,6 +97,7 @@
       Partial<SpanRow>?,
       StartDelays?,
       (readonly WorkerKind[])?,
+      unknown?,
     ]
   | ['restate', JobImage]
   | ['release', unknown]
@@ -133,8 +135,14 @@
     }
     case 'heartbeat': {
       const [, epoch, host, nonce, , hosts, address = '', ...more] = row;
-      const [handed, ledForMs, silence = [], startDelays, evacuatedKinds] =
-        more;
+      const [
+        handed,
+        ledForMs,
+        silence = [],
+        startDelays,
+        evacuatedKinds,
+        rooms,
+      ] = more;
       const standbys = hosts ?? undefined;
       return {
         kind: 'heartbeat',
@@ -149,6 +157,8 @@
         limits: {
           startDelays: startDelays ?? [],
           evacuatedKinds: evacuatedKinds ?? [],
+          rooms: parseRooms(rooms),
+          roomsUntil: -Infinity,
         },
       };
     }
@@ -254,6 +264,7 @@
         spanRow(silence),
         limits.startDelays,
         limits.evacuatedKinds,
+        ...roomsColumns(limits.rooms),
       ];
     }
     case 'restate':
--- /dev/null
+++ b/packages/domain/src/jobs/room-forecast.ts
@@ -0,0 +1,373 @@
+/**
+ * The leader's forecast of capacity: how much work has been accepted, and how fast it is completed while tasks
+ * wait. Hosts refuse jobs by it that could not end before they lose their value.
+ */
+import type { Instant, Millis } from '../core/time.js';
+import { isReady, type Job, type Step, type Task } from './job.js';
+import { objectiveStatusOf } from './objective.js';
+import type { PlanInput } from './plan.js';
+import {
+  isForecast,
+  MAX_ROOM_ROWS,
+  roomKindOf,
+  type RoomKind,
+  type RoomRow,
+} from './room-rows.js';
+import type { RunTimes } from './run-times.js';
+
+/** What the forecast reads of a planning round. */
+export type RoomInput = Pick<PlanInput, 'state' | 'times' | 'time'>;
+
+/** Time between two samples: the window has ten of them, and each reads all open jobs. */
+const SAMPLE_INTERVAL_MS: Millis = 500;
+/** Span over which completions are counted. */
+const RATE_WINDOW_MS: Millis = 5_000;
+/** Time for which tasks have to wait without a break before a rate is published. */
+const MIN_WAITED_MS: Millis = 1_000;
+/** Time without a planning round after which workers may have run idle: rounds wait for the log. */
+const MAX_ROUND_GAP_MS: Millis = 1_000;
+/** Standard errors by which the rate may be exceeded; it is beyond that in one sample of forty. */
+const ERROR_WIDTH = 2;
+/** Highest assumed ratio of a run's time to its time at full speed. */
+const MAX_SLOWDOWN = 4;
+const MS_PER_S = 1_000;
+const PERCENT = 100;
+
+/** Tasks of one service, kind of capacity and priority. */
+interface RoomClass {
+  readonly service: string;
+  readonly kind: RoomKind;
+  readonly priority: number;
+}
+
+/** What the tasks of a class still need, as of one sample. */
+interface Census extends RoomClass {
+  waiting: number;
+  /** Core-milliseconds. */
+  backlog: number;
+  /** Thousandths of a core of the running tasks. */
+  runningMilli: number;
+  /** Core-milliseconds of the running tasks from their start to their end. */
+  runningWork: number;
+}
+
+/** Work of one task that was completed. */
+interface Completion extends RoomClass {
+  readonly step: Step;
+  readonly work: number;
+}
+
+/** Completions between two samples. */
+interface Slice {
+  readonly ms: Millis;
+  readonly completions: readonly Completion[];
+  /** Whether tasks had waited for as long as a task runs, so that all runs began on full workers. */
+  readonly isSettled: boolean;
+}
+
+/** Observation of a class while its tasks, or those of higher priorities, wait. */
+interface Lane {
+  readonly waitingSince: Instant;
+  slices: Slice[];
+}
+
+/** Observes rounds and completions of one leader. */
+export class RoomForecast {
+  private readonly lanes = new Map<string, Lane>();
+  private census: readonly Census[] = [];
+  private completions: Completion[] = [];
+  private sampledAt: Instant = -Infinity;
+  private roundAt: Instant = -Infinity;
+
+  /** Notes that a task is about to be completed. */
+  noteCompleted({ step, status }: Task, times: RunTimes): void {
+    if (status !== 'done' && isForecast(step.occurrence.job.spec)) {
+      const work = coresOf(step) * times.expectedMs(step);
+      this.completions.push({ ...classOf(step), step, work });
+    }
+  }
+
+  /** Notes a planning round, in which all tasks were started that have a place. */
+  noteRound(input: RoomInput): void {
+    const { now } = input.time;
+    if (now - this.roundAt > MAX_ROUND_GAP_MS) {
+      this.noteBlocked();
+    }
+    this.roundAt = now;
+    if (now - this.sampledAt >= SAMPLE_INTERVAL_MS) {
+      this.sample(input, now);
+    }
+  }
+
+  /**
+   * Notes that nothing may start, since the log does not answer. Workers run idle meanwhile, so that what was
+   * observed says nothing of their capacity, and neither do the completions until tasks wait again.
+   */
+  noteBlocked(): void {
+    this.lanes.clear();
+    this.completions = [];
+    this.sampledAt = -Infinity;
+  }
+
+  /** Returns the rows to publish: those of the longest waits where there are too many. */
+  rows(now: Instant, hosts: number): RoomRow[] {
+    if (now - this.sampledAt > MAX_ROUND_GAP_MS) {
+      return [];
+    }
+    const rows = this.census.flatMap(
+      counted => this.rowOf(counted, now, Math.max(1, hosts)) ?? [],
+    );
+    return rows
+      .sort((a, b) => b.backlog / b.rate - a.backlog / a.rate)
+      .slice(0, MAX_ROOM_ROWS);
+  }
+
+  private sample(input: RoomInput, now: Instant): void {
+    const ms = now - this.sampledAt;
+    const { completions } = this;
+    this.completions = [];
+    this.sampledAt = now;
+    this.census = countOpenWork(input);
+    for (const counted of this.census) {
+      this.sampleLane(counted, { ms, completions }, now);
+    }
+    const known = new Set(this.census.map(keyOf));
+    for (const key of this.lanes.keys()) {
+      if (!known.has(key)) {
+        this.lanes.delete(key);
+      }
+    }
+  }
+
+  private sampleLane(
+    counted: Census,
+    { ms, completions }: Omit<Slice, 'isSettled'>,
+    now: Instant,
+  ): void {
+    const key = keyOf(counted);
+    const lane = this.lanes.get(key);
+    if (sumOf(this.census, counted, ({ waiting }) => waiting) === 0) {
+      this.lanes.delete(key);
+      return;
+    }
+    if (lane === undefined) {
+      this.lanes.set(key, { waitingSince: now, slices: [] });
+      return;
+    }
+    const included = completions.filter(other => precedes(other, counted));
+    const runMs = this.runMsOf(counted, lane);
+    const isSettled =
+      runMs <= RATE_WINDOW_MS && now - lane.waitingSince - ms >= runMs;
+    lane.slices.push({ ms, completions: included, isSettled });
+    while (spanOf(lane.slices.slice(1)) >= RATE_WINDOW_MS) {
+      lane.slices.shift();
+    }
+  }
+
+  /** Returns how long a task of this kind of capacity runs, slowed as far as is known. */
+  private runMsOf(counted: Census, { slices }: Lane): Millis {
+    const milli = this.runningMilliOf(counted);
+    if (milli === 0) {
+      return 0;
+    }
+    const work = sumOfKind(this.census, counted, each => each.runningWork);
+    const rate = rateOf(slices);
+    const slowdown = rate === 0 ? MAX_SLOWDOWN : milli / rate;
+    const factor = Math.min(MAX_SLOWDOWN, Math.max(1, slowdown));
+    return (factor * MS_PER_S * work) / milli;
+  }
+
+  /** Returns the thousandths of a core in use, also by lower priorities, as these make room in time. */
+  private runningMilliOf(counted: Census): number {
+    return sumOfKind(this.census, counted, ({ runningMilli }) => runningMilli);
+  }
+
+  private rowOf(
+    counted: Census,
+    now: Instant,
+    hosts: number,
+  ): RoomRow | undefined {
+    const lane = this.lanes.get(keyOf(counted));
+    if (lane === undefined || now - lane.waitingSince < MIN_WAITED_MS) {
+      return undefined;
+    }
+    const settled = lane.slices.filter(({ isSettled }) => isSettled);
+    const isSettled = spanOf(settled) >= MIN_WAITED_MS;
+    const slices = isSettled ? settled : lane.slices;
+    const rate = rateOf(slices);
+    // Rows of less than a thousandth of a core would be invalid once rounded.
+    if (rate < 1) {
+      return undefined;
+    }
+    const ownError = ERROR_WIDTH * relativeErrorOf(slices);
+    // Until then runs end that began while workers were not full: the processors in use are the bound.
+    const bound = isSettled ? 0 : this.runningMilliOf(counted) / rate - 1;
+    const { service, kind, priority } = counted;
+    return {
+      service,
+      kind,
+      priority,
+      backlog: sumOf(this.census, counted, each => each.backlog),
+      rate,
+      errorPercent: Math.ceil(PERCENT * Math.max(ownError, bound)),
+      hosts,
+    };
+  }
+}
+
+/** Counts the work of open jobs by class. */
+function countOpenWork({ state, times, time }: RoomInput): Census[] {
+  const found = new Map<string, Census>();
+  for (const job of state.openJobs) {
+    if (!isForecast(job.spec)) {
+      continue;
+    }
+    for (const step of openStepsOf(job, { state, times, time })) {
+      const place = classOf(step);
+      const key = keyOf(place);
+      const counted = found.get(key) ?? emptyCensus(place);
+      found.set(key, counted);
+      addStep(counted, step, times.expectedMs(step), time.now);
+    }
+  }
+  return [...found.values()];
+}
+
+/**
+ * Returns the steps that are not done. Jobs that have not started and can no longer earn anything are left out,
+ * since all others go before them.
+ */
+function openStepsOf(job: Job, { times, time }: RoomInput): Step[] {
+  const open: Step[] = [];
+  for (const occurrence of job.occurrences.values()) {
+    const isOverdue =
+      !job.hasStarted &&
+      !occurrence.steps.some(isStarted) &&
+      objectiveStatusOf(occurrence, times, time).outlook === 'overdue';
+    if (!isOverdue) {
+      open.push(...occurrence.steps.filter(({ remaining }) => remaining > 0));
+    }
+  }
+  return open;
+}
+
+function isStarted({ tasks }: Step): boolean {
+  return tasks.some(({ status }) => status !== 'waiting');
+}
+
+function emptyCensus(place: RoomClass): Census {
+  return { ...place, waiting: 0, backlog: 0, runningMilli: 0, runningWork: 0 };
+}
+
+function addStep(
+  counted: Census,
+  step: Step,
+  expectedMs: Millis,
+  now: Instant,
+): void {
+  const { terms } = step.occurrence.job.spec;
+  // Steps that ask the advice service wait for its answers, however much capacity there is.
+  const mayStart = isReady(step) && terms.advice === undefined;
+  const cores = coresOf(step);
+  for (const task of step.tasks) {
+    switch (task.status) {
+      case 'waiting':
+        counted.waiting += Number(mayStart);
+        counted.backlog += cores * expectedMs;
+        break;
+      case 'running':
+        counted.backlog += cores * leftOf(task, expectedMs, now);
+        counted.runningMilli += step.spec.size.cpuMilli;
+        counted.runningWork += cores * expectedMs;
+        break;
+      case 'done':
+        break;
+    }
+  }
+}
+
+/** Returns what is left of a running task at full speed, by the run that is furthest. */
+function leftOf({ runs }: Task, expectedMs: Millis, now: Instant): Millis {
+  let left = expectedMs;
+  for (const { progress, openedAt } of runs) {
+    const percent = progress?.percent ?? 0;
+    const ownLeft =
+      percent > 0
+        ? expectedMs * (1 - percent / PERCENT)
+        : expectedMs - (now - (progress?.since ?? openedAt));
+    left = Math.min(left, Math.max(0, ownLeft));
+  }
+  return left;
+}
+
+function classOf({ spec, occurrence }: Step): RoomClass {
+  const { service, priority } = occurrence.job.spec.terms;
+  return { service, priority, kind: roomKindOf(spec) };
+}
+
+function coresOf({ spec }: Step): number {
+  return spec.size.cpuMilli / MS_PER_S;
+}
+
+function keyOf({ service, kind, priority }: RoomClass): string {
+  return JSON.stringify([service, kind, priority]);
+}
+
+/** Whether tasks of a class are served before or with those of another one. */
+function precedes(one: RoomClass, other: RoomClass): boolean {
+  return isSameKind(one, other) && one.priority <= other.priority;
+}
+
+function isSameKind(one: RoomClass, other: RoomClass): boolean {
+  return one.service === other.service && one.kind === other.kind;
+}
+
+function sumOf(
+  all: readonly Census[],
+  counted: RoomClass,
+  amountOf: (each: Census) => number,
+): number {
+  return all
+    .filter(each => precedes(each, counted))
+    .reduce((sum, each) => sum + amountOf(each), 0);
+}
+
+function sumOfKind(
+  all: readonly Census[],
+  counted: RoomClass,
+  amountOf: (each: Census) => number,
+): number {
+  return all
+    .filter(each => isSameKind(each, counted))
+    .reduce((sum, each) => sum + amountOf(each), 0);
+}
+
+function spanOf(slices: readonly Slice[]): Millis {
+  return slices.reduce((sum, { ms }) => sum + ms, 0);
+}
+
+/** Returns the core-milliseconds that were completed per second; 0 if there is no observation. */
+function rateOf(slices: readonly Slice[]): number {
+  const work = slices
+    .flatMap(({ completions }) => completions)
+    .reduce((sum, completion) => sum + completion.work, 0);
+  return work === 0 ? 0 : (MS_PER_S * work) / spanOf(slices);
+}
+
+/**
+ * Returns the relative standard error of the rate if steps end independently of each other. Tasks of one step
+ * run alike and mostly end together, so they count as one event.
+ */
+function relativeErrorOf(slices: readonly Slice[]): number {
+  const works = new Map<Step, number>();
+  for (const { step, work } of slices.flatMap(each => each.completions)) {
+    works.set(step, (works.get(step) ?? 0) + work);
+  }
+  let sum = 0;
+  let squares = 0;
+  for (const work of works.values()) {
+    sum += work;
+    squares += work ** 2;
+  }
+  return sum === 0 ? 0 : Math.sqrt(squares) / sum;
+}
--- a/packages/domain/src/jobs/start-delay.ts
+++ b/packages/domain/src/jobs/start-delay.ts
@@ -118,18 +118,23 @@
     : Math.max(0, delay[1] - estimatedObjectiveOf(job));
 }
 
+/** Returns the length of a job's longest chain of steps by its caller's estimates. */
+export function estimatedPathOf({ steps }: JobSpec): Millis {
+  const ends: Millis[] = [];
+  for (const { after, estimateMs } of steps) {
+    ends.push(estimateMs + Math.max(0, ...after.map(at => ends[at] ?? 0)));
+  }
+  return Math.max(0, ...ends);
+}
+
 /**
  * Returns the objective of a job by its caller's estimates. Long-running jobs lose nothing by a late start, and
  * scheduled ones are not due yet.
  */
-function estimatedObjectiveOf({ steps, terms, repetition }: JobSpec): Millis {
+export function estimatedObjectiveOf(job: JobSpec): Millis {
+  const { steps, terms, repetition } = job;
   if (repetition !== undefined || steps.some(({ lasting }) => lasting)) {
     return Infinity;
   }
-  const ends: Millis[] = [];
-  for (const { after, estimateMs } of steps) {
-    ends.push(estimateMs + Math.max(0, ...after.map(at => ends[at] ?? 0)));
-  }
-  const pathMs = Math.max(0, ...ends);
-  return terms.deadlineFactor * pathMs + terms.targetLatencyMs;
+  return terms.deadlineFactor * estimatedPathOf(job) + terms.targetLatencyMs;
 }
--- a/packages/domain/src/jobs/summary.ts
+++ b/packages/domain/src/jobs/summary.ts
@@ -19,6 +19,7 @@
   type JobStatus,
 } from './job.js';
 import { parseRow } from './record-rows.js';
+import { parseRooms, roomsColumns } from './room-rows.js';
 
 /** The newest status of a job, with its queue while it waits and the reason once it has failed. */
 export type SummaryRow =
@@ -69,6 +70,7 @@
       readonly string[],
       StartDelays?,
       (readonly WorkerKind[])?,
+      unknown?,
     ]
   | ['r', number, readonly WireRow[]]
   | ['s', number, number, number, number, readonly WireRow[]];
@@ -122,8 +124,10 @@
   switch (row?.[0]) {
     case 'l': {
       const [, epoch, host, address, standbys, ...more] = row;
-      const [startDelays = [], evacuatedKinds = []] = more;
-      const limits = { startDelays, evacuatedKinds };
+      const [startDelays = [], evacuatedKinds = [], column] = more;
+      const rooms = parseRooms(column);
+      const roomsUntil = -Infinity;
+      const limits = { startDelays, evacuatedKinds, rooms, roomsUntil };
       return { kind: 'leads', epoch, host, address, standbys, limits };
     }
     case 'r': {
@@ -146,8 +150,10 @@
   switch (record.kind) {
     case 'leads': {
       const { epoch, host, address, standbys, limits = NO_LIMITS } = record;
-      const { startDelays, evacuatedKinds } = limits;
-      return ['l', epoch, host, address, standbys, startDelays, evacuatedKinds];
+      const { startDelays, evacuatedKinds, rooms } = limits;
+      const leader = [epoch, host, address, standbys] as const;
+      const column = roomsColumns(rooms);
+      return ['l', ...leader, startDelays, evacuatedKinds, ...column];
     }
     case 'rows':
       return ['r', record.inboxUpTo, record.rows.map(toWireRow)];
