--- a/packages/domain/src/jobs/room-forecast.ts
+++ b/packages/domain/src/jobs/room-forecast.ts
@@ -191,8 +191,10 @@
     if (lane === undefined || now - lane.waitingSince < MIN_WAITED_MS) {
       return undefined;
     }
-    const settled = lane.slices.filter(({ isSettled }) => isSettled);
-    const isSettled = spanOf(settled) >= MIN_WAITED_MS;
+    const settled = lane.slices.filter(slice => slice.isSettled);
+    // Tasks that began together end together, so that less than one run's time may show too few of them.
+    const enoughMs = Math.max(MIN_WAITED_MS, this.runMsOf(counted, lane));
+    const isSettled = spanOf(settled) >= enoughMs && rateOf(settled) > 0;
     const slices = isSettled ? settled : lane.slices;
     const rate = rateOf(slices);
     // Rows of less than a thousandth of a core would be invalid once rounded.
