--- a/packages/daemon/src/job-host/meters.test.ts
+++ b/packages/daemon/src/job-host/meters.test.ts
@@ -77,3 +77,22 @@
     'paddlewind_jobs_loop_delay_seconds_sum 0.751',
   ]);
 });
+
+test('refused jobs are counted by a power of two of their size, and the forecast is shown', async () => {
+  const row = { kind: 'filler', service: 's', errorPercent: 1, hosts: 2 };
+  const lines = await samplesAfter(({ jobRefused, forecast }) => {
+    jobRefused('q', 100_000, 'no_room');
+    jobRefused('q', 128_000, 'no_room');
+    jobRefused('q', 10, 'log');
+    forecast([
+      { ...row, kind: 'filler', priority: 2, backlog: 9_000, rate: 1_500 },
+    ]);
+  });
+  const labels = '{service="s",kind="filler",priority="2"}';
+  assertHas(lines, [
+    'paddlewind_jobs_submissions_refused_total{queue="q",size="128",why="no_room"} 2',
+    'paddlewind_jobs_submissions_refused_total{queue="q",size="1",why="log"} 1',
+    `paddlewind_jobs_forecast_backlog_core_seconds${labels} 9`,
+    `paddlewind_jobs_forecast_rate_cores${labels} 1.5`,
+  ]);
+});
--- a/packages/domain/src/jobs/room-overload.test.ts
+++ b/packages/domain/src/jobs/room-overload.test.ts
@@ -88,7 +88,7 @@
     return whole;
   });
   const [checks = 0, batch = 0] = shares;
-  assert.ok(checks / batch > 0.75 && checks / batch < 1.25, `${shares.join()}`);
+  assert.ok(checks / batch > 0.75 && checks / batch < 1.25, shares.join());
 });
 
 test('where the part is switched off, all is accepted and most ends without value', () => {
