--- a/packages/daemon/src/job-host/job-service.ts
+++ b/packages/daemon/src/job-host/job-service.ts
@@ -1,8 +1,9 @@
 /** The operations that a host offers to callers: submit, status, cancel and queue length. */
-import type { Instant, Millis } from '@paddlewind/domain';
+import type { Instant, Millis, Random } from '@paddlewind/domain';
 import {
   estimatedSizeOf,
   encodeRecord,
+  evenSpread,
   logReturnMs,
   refusalOf,
   RoomAdmission,
@@ -53,6 +54,7 @@
 export class JobService {
   /** Decides by the forecast of capacity; undefined where nothing is refused by it. */
   private readonly roomAdmission: RoomAdmission | undefined;
+  private readonly logSpread: Random;
 
   /**
    * Creates the service; `view` returns the current copy of the state of jobs. Where `admitsByRoom`, jobs are
@@ -64,6 +66,7 @@
     private readonly view: () => CallerView,
     admitsByRoom = false,
   ) {
+    this.logSpread = evenSpread(ctx.host);
     this.roomAdmission = admitsByRoom ? new RoomAdmission() : undefined;
   }
 
@@ -154,7 +157,7 @@
     }
     const now = this.ctx.clock();
     const awayMs = now - this.view().contactAt;
-    return logReturnMs(awayMs, this.ctx.random, now, deadline);
+    return logReturnMs(awayMs, this.logSpread, now, deadline);
   }
 
   private withLogReturn(result: ChangeResult, deadline: Instant): ChangeResult {
--- a/packages/domain/src/jobs/return-times.test.ts
+++ b/packages/domain/src/jobs/return-times.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { logReturnMs, ReturnTimes } from './return-times.js';
+import { evenSpread, logReturnMs, ReturnTimes } from './return-times.js';
 
 const FAR = 1e9;
 
@@ -93,3 +93,16 @@
   assert.equal(of(60_000, 0.99), 5_000);
   assert.equal(of(60_000, 0.99, 3_000), 2_000);
 });
+
+// Hosts are cut off together, and so are the callers of each.
+test('times are spread evenly at one host, and differently at others', () => {
+  const spread = evenSpread('h1');
+  const numbers = Array.from({ length: 100 }, spread);
+  for (let part = 0; part < 10; part += 1) {
+    const within = numbers.filter(each => Math.floor(10 * each) === part);
+    assert.ok(within.length >= 8 && within.length <= 12);
+  }
+  const firsts = Array.from({ length: 29 }, (_, at) => evenSpread(`h${at}`)());
+  const quarters = new Set(firsts.map(first => Math.floor(4 * first)));
+  assert.equal(quarters.size, 4);
+});
--- a/packages/domain/src/jobs/return-times.ts
+++ b/packages/domain/src/jobs/return-times.ts
@@ -21,6 +21,10 @@
 const MAX_LOG_RETURN_MS: Millis = 4_000;
 /** Part by which such a time is lengthened at random at most, so that callers don't return together. */
 const MAX_LOG_SPREAD = 0.25;
+/** Any few successive multiples of it are spread more evenly than random numbers. */
+const GOLDEN_RATIO = (Math.sqrt(5) - 1) / 2;
+/** Makes each character of a name count in its own way. */
+const HASH_FACTOR = 31;
 /** Most jobs whose refusal is remembered. */
 const MAX_REMEMBERED_JOBS = 2_000;
 
@@ -95,6 +99,18 @@
   return boundedReturnMs(wholeMs, now, deadline);
 }
 
+/** Returns a source of numbers in [0, 1) that are evenly spread, starting at a point that `name` decides. */
+export function evenSpread(name: string): Random {
+  let next = 0;
+  for (const character of name) {
+    next = (HASH_FACTOR * next + character.charCodeAt(0) * GOLDEN_RATIO) % 1;
+  }
+  return () => {
+    next = (next + GOLDEN_RATIO) % 1;
+    return next;
+  };
+}
+
 function toWholeSeconds(ms: Millis, round: (s: number) => number): Millis {
   return MIN_RETURN_MS * Math.max(1, round(ms / MIN_RETURN_MS));
 }
--- a/packages/domain/src/jobs/room-forecast.ts
+++ b/packages/domain/src/jobs/room-forecast.ts
@@ -63,6 +63,8 @@
   readonly completions: readonly Completion[];
   /** Whether tasks had waited for as long as a task runs, so that all runs began on full workers. */
   readonly isSettled: boolean;
+  /** Thousandths of a core in use at its end. */
+  readonly runningMilli: number;
 }
 
 /** Observation of a class while its tasks, or those of higher priorities, wait. */
@@ -141,7 +143,7 @@
 
   private sampleLane(
     counted: Census,
-    { ms, completions }: Omit<Slice, 'isSettled'>,
+    { ms, completions }: Pick<Slice, 'ms' | 'completions'>,
     now: Instant,
   ): void {
     const key = keyOf(counted);
@@ -158,7 +160,8 @@
     const runMs = this.runMsOf(counted, lane);
     const isSettled =
       runMs <= RATE_WINDOW_MS && now - lane.waitingSince - ms >= runMs;
-    lane.slices.push({ ms, completions: included, isSettled });
+    const runningMilli = this.runningMilliOf(counted);
+    lane.slices.push({ ms, completions: included, isSettled, runningMilli });
     while (spanOf(lane.slices.slice(1)) >= RATE_WINDOW_MS) {
       lane.slices.shift();
     }
@@ -201,9 +204,16 @@
     if (rate < 1) {
       return undefined;
     }
-    const ownError = ERROR_WIDTH * relativeErrorOf(slices);
+    const runningMilli = this.runningMilliOf(counted);
     // Until then runs end that began while workers were not full: the processors in use are the bound.
-    const bound = isSettled ? 0 : this.runningMilliOf(counted) / rate - 1;
+    const bound = isSettled
+      ? Math.max(1, runningMilli / meanRunningOf(slices))
+      : runningMilli / rate;
+    const ownError = ERROR_WIDTH * relativeErrorOf(slices);
+    // Tasks also wait for a leader that is busy, and more of them may run now than were observed.
+    const error = isSettled
+      ? (1 + ownError) * bound - 1
+      : Math.max(ownError, bound - 1);
     const { service, kind, priority } = counted;
     return {
       service,
@@ -211,7 +221,7 @@
       priority,
       backlog: sumOf(this.census, counted, each => each.backlog),
       rate,
-      errorPercent: Math.ceil(PERCENT * Math.max(ownError, bound)),
+      errorPercent: Math.ceil(PERCENT * error),
       hosts,
     };
   }
@@ -356,6 +366,15 @@
   return work === 0 ? 0 : (MS_PER_S * work) / spanOf(slices);
 }
 
+/** Returns the mean of the processors in use, at least a thousandth of a core. */
+function meanRunningOf(slices: readonly Slice[]): number {
+  const sum = slices.reduce(
+    (total, { ms, runningMilli }) => total + ms * runningMilli,
+    0,
+  );
+  return Math.max(1, sum / spanOf(slices));
+}
+
 /**
  * Returns the relative standard error of the rate if steps end independently of each other. Tasks of one step
  * run alike and mostly end together, so they count as one event.
