--- a/packages/daemon/src/job-host/job-service.ts
+++ b/packages/daemon/src/job-host/job-service.ts
@@ -67,7 +67,9 @@
     admitsByRoom = false,
   ) {
     this.logSpread = evenSpread(ctx.host);
-    this.roomAdmission = admitsByRoom ? new RoomAdmission() : undefined;
+    this.roomAdmission = admitsByRoom
+      ? new RoomAdmission(evenSpread(ctx.host))
+      : undefined;
   }
 
   /** Accepts a job once it is recorded; submitting it again changes nothing. */
--- a/packages/domain/src/jobs/return-times.ts
+++ b/packages/domain/src/jobs/return-times.ts
@@ -35,6 +35,9 @@
   /** Slots of the first refusals of jobs, the oldest refusal first. */
   private readonly slotByJob = new Map<string, Instant>();
 
+  /** Creates slots; `spread` places the first of a wave, so that those of several hosts don't coincide. */
+  constructor(private readonly spread: Random = () => 0) {}
+
   /** Returns after how many milliseconds, a multiple of 1,000, a caller should return. */
   returnMs(caller: RefusedCaller, now: Instant): Millis {
     const ownSlot = this.slotByJob.get(caller.job);
@@ -55,7 +58,8 @@
   private assignSlot(caller: RefusedCaller, now: Instant): Millis {
     const { job, queue, soonestMs, gapMs, deadline } = caller;
     const next = (this.slots.get(queue) ?? -Infinity) + gapMs;
-    const slot = Math.max(now + Math.max(MIN_RETURN_MS, soonestMs), next);
+    const soonest = now + Math.max(MIN_RETURN_MS, soonestMs);
+    const slot = next >= soonest ? next : soonest + gapMs * this.spread();
     const returnMs = boundedReturnMs(slot - now, now, deadline);
     // A slot that the caller can't wait for is left to the next one.
     if (now + returnMs >= slot) {
--- a/packages/domain/src/jobs/room-admission.test.ts
+++ b/packages/domain/src/jobs/room-admission.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test';
 
 import { NO_LIMITS, refusalOf, type AdmissionLimits } from './admission.js';
+import { evenSpread } from './return-times.js';
 import { RoomAdmission } from './room-admission.js';
 import { ROOMS_VALID_MS, type RoomRow } from './room-rows.js';
 import type { JobSpec, QueueTerms, StepSpec } from './spec.js';
@@ -134,3 +135,25 @@
   // 1 core-second of 10 a second, of which this host's callers have a 29th.
   assert.deepEqual(returns, [4_000, 7_000, 10_000]);
 });
+
+// A wave of refusals at all hosts would otherwise come back as a wave.
+test('callers that 29 hosts refuse at once return at the rate of completions', () => {
+  const limits = limitsOf(ROW);
+  const arrivals: number[] = [];
+  for (let host = 0; host < ROW.hosts; host += 1) {
+    const admission = new RoomAdmission(evenSpread(`host-${host}`));
+    for (let at = 0; at < 5; at += 1) {
+      const job = fillerJob(`${host}-${at}`);
+      const refusal = admission.refusalOf(job, limits, 0);
+      assert.ok(refusal?.why === 'no_room');
+      arrivals.push(admission.returnMs(job, refusal, 0, 1e9) / 1_000);
+    }
+  }
+  // 10 jobs of one core-second each are completed a second, and 145 return from 4 s on.
+  const last = Math.max(...arrivals);
+  assert.ok(last >= 17 && last <= 20, `the last after ${last} s`);
+  for (let from = 4; from < 16; from += 3) {
+    const within = arrivals.filter(each => each >= from && each < from + 3);
+    assert.ok(within.length >= 20 && within.length <= 40);
+  }
+});
--- a/packages/domain/src/jobs/room-admission.ts
+++ b/packages/domain/src/jobs/room-admission.ts
@@ -1,5 +1,5 @@
 /** A host's decision to refuse jobs by the leader's forecast, and when their callers should return. */
-import type { Instant, Millis } from '../core/time.js';
+import type { Instant, Millis, Random } from '../core/time.js';
 import { refusalOf, type AdmissionLimits, type Refusal } from './admission.js';
 import { ReturnTimes } from './return-times.js';
 import type { RoomRefusal } from './room-refusal.js';
@@ -12,12 +12,17 @@
 
 /** Decides on the jobs that callers submit to one host. */
 export class RoomAdmission {
-  private readonly returnTimes = new ReturnTimes();
+  private readonly returnTimes: ReturnTimes;
   private readonly doubtfulJobs = new Set<string>();
   /** The forecast that `accepted` is counted from. */
   private rooms: readonly RoomRow[] = [];
   private accepted: JobSpec[] = [];
 
+  /** Creates the admission of one host; `spread` differs by host. */
+  constructor(spread?: Random) {
+    this.returnTimes = new ReturnTimes(spread);
+  }
+
   /** Returns why a job that is submitted now is refused, also by the newest forecast; undefined if it is not. */
   refusalOf(
     job: JobSpec,
