--- a/packages/daemon/src/job-host/admission-reporter.test.ts
+++ b/packages/daemon/src/job-host/admission-reporter.test.ts
@@ -37,14 +37,13 @@
     registeredWorkers: () => [],
     admitsByRoom,
   });
-  const times = createRunTimes();
   const [step] = state.jobs.get(job.id)?.occurrences.get(0)?.steps ?? [];
   for (const task of step?.tasks.slice(10) ?? []) {
     const now = time.clock();
     reporter.noteRound(inputOf(state, now), false);
     const run = { task } as Parameters<typeof reporter.noteRunEnding>[0];
-    reporter.noteRunEnding(run, 'done', times);
-    reporter.noteRunEnding(run, 'lost', times);
+    reporter.noteRunEnding(run, 'done');
+    reporter.noteRunEnding(run, 'lost');
     await time.advance(300);
   }
   return reporter;
--- a/packages/daemon/src/job-host/admission-reporter.ts
+++ b/packages/daemon/src/job-host/admission-reporter.ts
@@ -11,7 +11,6 @@
   type RoomRow,
   type Run,
   type RunEnd,
-  type RunTimes,
   type WorkerInfo,
 } from '@paddlewind/domain/jobs';
 
@@ -49,9 +48,9 @@
   }
 
   /** Notes that a run is about to end. */
-  noteRunEnding({ task }: Run, how: RunEnd | 'lost', times: RunTimes): void {
+  noteRunEnding({ task }: Run, how: RunEnd | 'lost'): void {
     if (how === 'done') {
-      this.forecast?.noteCompleted(task, times);
+      this.forecast?.noteCompleted(task);
     }
   }
 
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -114,7 +114,7 @@
       startWindow: this.startWindow,
       onRunEnding: (run, how) => {
         this.supervisor.noteRunEnding(run);
-        this.admission.noteRunEnding(run, how, this.times);
+        this.admission.noteRunEnding(run, how);
       },
       presenceOf: worker => this.fleet.presenceOf(worker),
       fleetSize: () => this.fleet.registeredWorkers().length,
--- a/packages/domain/src/jobs/room-forecast.test.ts
+++ b/packages/domain/src/jobs/room-forecast.test.ts
@@ -56,7 +56,7 @@
     for (const [run, end] of this.ends) {
       if (end <= this.now) {
         this.ends.delete(run);
-        this.forecast.noteCompleted(run.task, this.times);
+        this.forecast.noteCompleted(run.task);
         endRun(this.state, run, 'done');
       }
     }
--- a/packages/domain/src/jobs/room-forecast.ts
+++ b/packages/domain/src/jobs/room-forecast.ts
@@ -80,10 +80,14 @@
   private completions: Completion[] = [];
   private sampledAt: Instant = -Infinity;
   private roundAt: Instant = -Infinity;
+  /** Run times of the newest round, so that backlog and completions are in the same units. */
+  private times: RunTimes | undefined;
 
   /** Notes that a task is about to be completed. */
-  noteCompleted({ step, status }: Task, times: RunTimes): void {
-    if (status !== 'done' && isForecast(step.occurrence.job.spec)) {
+  noteCompleted({ step, status }: Task): void {
+    const { times } = this;
+    const isCounted = status !== 'done' && times !== undefined;
+    if (isCounted && isForecast(step.occurrence.job.spec)) {
       const work = coresOf(step) * times.expectedMs(step);
       this.completions.push({ ...classOf(step), step, work });
     }
@@ -96,6 +100,7 @@
       this.noteBlocked();
     }
     this.roundAt = now;
+    this.times = input.times;
     if (now - this.sampledAt >= SAMPLE_INTERVAL_MS) {
       this.sample(input, now);
     }
--- a/packages/domain/src/jobs/room-overload.fixture.test.ts
+++ b/packages/domain/src/jobs/room-overload.fixture.test.ts
@@ -294,7 +294,7 @@
       const runMs = estimateMs * (this.trueFactor.get(id) ?? 1);
       this.addBacklog(terms.queue, (-runMs * size.cpuMilli) / 1_000);
       this.free.set(kind, (this.free.get(kind) ?? 0) + size.cpuMilli);
-      this.forecast.noteCompleted(run.task, this.times);
+      this.forecast.noteCompleted(run.task);
       this.times.recordRun(step, runMs);
       endRun(this.state, run, 'done');
     }
