--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -8,6 +8,7 @@
 } from '@paddlewind/domain/jobs';
 import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
 
+import { createRoomMeters, type RoomMeters } from './room-meters.js';
 import { createRunTimeMeters, type RunTimeMeters } from './run-time-meters.js';
 import { createVersionMeters, type VersionMeters } from './version-meters.js';
 
@@ -51,7 +52,7 @@
 export type EvacuationTimes = Readonly<Record<string, Millis>>;
 
 /** Metrics recorded by a job host. */
-export interface JobMeters extends RunTimeMeters, VersionMeters {
+export interface JobMeters extends RoomMeters, RunTimeMeters, VersionMeters {
   /** A caller's request was answered with an HTTP status after `span`. */
   readonly answered: (method: string, status: number, span: Millis) => void;
   /** A call to a dependency ended. */
@@ -139,6 +140,7 @@
     ...createFleetMeters(registry),
     ...createVersionMeters(registry),
     ...createLossMeters(registry),
+    ...createRoomMeters(registry),
     ...createFaultMeters(registry),
     ...createRunTimeMeters(registry),
     ...createForecastMeters(registry),
