Bound what admission by capacity keeps, and never refuse a job that is being recorded

Found in the review: a second attempt at the same host could be refused while the first append was in flight and was then carried out; work of accepted jobs was kept with their specifications for as long as no new forecast arrived; estimates without a bound made times to return and rows of the forecast infinite.

--- a/packages/daemon/src/job-host/job-service.ts
+++ b/packages/daemon/src/job-host/job-service.ts
@@ -163,10 +163,11 @@
   }
 
   private withLogReturn(result: ChangeResult, deadline: Instant): ChangeResult {
+    if (result.kind !== 'refused') {
+      return result;
+    }
     const retryAfterMs = this.logReturnMs(deadline);
-    return result.kind !== 'refused' || retryAfterMs === undefined
-      ? result
-      : { ...result, retryAfterMs };
+    return retryAfterMs === undefined ? result : { ...result, retryAfterMs };
   }
 
   private countRefusal(job: JobSpec, why: Refusal['why'] | 'log'): void {
@@ -218,9 +219,8 @@
   }
 
   private noteOutcome(job: JobSpec, { kind }: ChangeResult): void {
-    if (kind === 'unknown') {
-      this.roomAdmission?.noteDoubtful(job.id);
-    } else if (kind === 'refused') {
+    this.roomAdmission?.noteOutcome(job.id, kind !== 'unknown');
+    if (kind === 'refused') {
       this.countRefusal(job, 'log');
     }
   }
--- a/packages/domain/src/jobs/return-times.test.ts
+++ b/packages/domain/src/jobs/return-times.test.ts
@@ -83,6 +83,16 @@
   assert.equal(times.returnMs(callerOf('a'), 0), 4_000);
 });
 
+// Callers' estimates may be of any size, also of earlier jobs that make up the backlog.
+test('infinite times are bounded and do not affect later callers', () => {
+  const times = new ReturnTimes();
+  const absurd = { soonestMs: Infinity, gapMs: Infinity, deadline: Infinity };
+  assert.equal(times.returnMs(callerOf('a', absurd), 0), 3_600_000);
+  const short = { ...absurd, deadline: 500 };
+  assert.equal(times.returnMs(callerOf('b', short), 0), 3_600_000);
+  assert.equal(times.returnMs(callerOf('c'), 0), 4_000);
+});
+
 test('while the log is away callers return later and spread', () => {
   const of = (awayMs: number, random: number, deadline = FAR): number =>
     logReturnMs(awayMs, () => random, 0, deadline);
--- a/packages/domain/src/jobs/return-times.ts
+++ b/packages/domain/src/jobs/return-times.ts
@@ -15,6 +15,8 @@
 
 /** Shortest time to return, the unit of the `Retry-After` header. */
 const MIN_RETURN_MS: Millis = 1_000;
+/** Longest time to return: only absurd estimates of run times need more, and they may be infinite. */
+const MAX_RETURN_MS: Millis = 3_600_000;
 /** Time that an answer needs before the caller's deadline. */
 const DEADLINE_MARGIN_MS: Millis = 300;
 /** Longest time to return while the log does not answer: most outages have ended by then. */
@@ -56,7 +58,8 @@
   }
 
   private assignSlot(caller: RefusedCaller, now: Instant): Millis {
-    const { job, queue, soonestMs, gapMs, deadline } = caller;
+    const { job, queue, soonestMs, deadline } = caller;
+    const gapMs = Math.min(MAX_RETURN_MS, caller.gapMs);
     const next = (this.slots.get(queue) ?? -Infinity) + gapMs;
     const soonest = now + Math.max(MIN_RETURN_MS, soonestMs);
     const slot = next >= soonest ? next : soonest + gapMs * this.spread();
@@ -82,7 +85,7 @@
   now: Instant,
   deadline: Instant,
 ): Millis {
-  const wholeMs = toWholeSeconds(wantedMs, Math.ceil);
+  const wholeMs = Math.min(MAX_RETURN_MS, toWholeSeconds(wantedMs, Math.ceil));
   const leftMs = deadline - DEADLINE_MARGIN_MS - now;
   return leftMs < MIN_RETURN_MS
     ? wholeMs
--- a/packages/domain/src/jobs/room-admission.ts
+++ b/packages/domain/src/jobs/room-admission.ts
@@ -3,20 +3,33 @@
 import { refusalOf, type AdmissionLimits, type Refusal } from './admission.js';
 import { ReturnTimes } from './return-times.js';
 import type { RoomRefusal } from './room-refusal.js';
-import { estimatedWorkOf, isForecast, type RoomRow } from './room-rows.js';
+import {
+  estimatedWorkOf,
+  isForecast,
+  type RoomKind,
+  type RoomRow,
+} from './room-rows.js';
 import type { JobSpec } from './spec.js';
 
 const MS_PER_S = 1_000;
+const KINDS: readonly RoomKind[] = ['filler', 'plain'];
 /** Most jobs that are remembered since it is not known whether they were recorded. */
 const MAX_DOUBTFUL_JOBS = 2_000;
 
+/** Work of accepted jobs of one service, kind of capacity and priority, in core-milliseconds. */
+type AcceptedWork = Pick<RoomRow, 'service' | 'kind' | 'priority'> & {
+  readonly work: number;
+};
+
 /** Decides on the jobs that callers submit to one host. */
 export class RoomAdmission {
   private readonly returnTimes: ReturnTimes;
   private readonly doubtfulJobs = new Set<string>();
+  /** Number of attempts to record each job that have no outcome yet. */
+  private readonly pendingAttempts = new Map<string, number>();
   /** The forecast that `accepted` is counted from. */
   private rooms: readonly RoomRow[] = [];
-  private accepted: JobSpec[] = [];
+  private readonly accepted = new Map<string, AcceptedWork>();
 
   /** Creates the admission of one host; `spread` differs by host. */
   constructor(spread?: Random) {
@@ -30,33 +43,39 @@
     now: Instant,
   ): Refusal | undefined {
     this.noteForecast(limits);
-    return this.doubtfulJobs.has(job.id)
+    return this.mayBeRecorded(job.id)
       ? refusalOf(job, limits)
       : refusalOf(job, limits, now, (row, priority) =>
           this.acceptedBefore(row, priority),
         );
   }
 
-  /** Notes a job that is going to be recorded. */
+  /** Notes an attempt to record a job, whose outcome has to be noted with `noteOutcome`. */
   noteAccepted(job: JobSpec, limits: AdmissionLimits): void {
     this.noteForecast(limits);
     this.returnTimes.forget(job.id);
+    const attempts = this.pendingAttempts.get(job.id) ?? 0;
+    this.pendingAttempts.set(job.id, attempts + 1);
     if (this.rooms.length > 0 && isForecast(job)) {
-      this.accepted.push(job);
+      KINDS.forEach(kind => {
+        this.addAccepted(job, kind);
+      });
     }
   }
 
   /**
-   * Notes a job of which it is not known whether it was recorded. It is not refused by room any more, since a
-   * refusal says that the job never runs.
+   * Notes the outcome of an attempt. A job of which it is not known whether it was recorded is not refused by
+   * the forecast any more, since a refusal says that the job never runs.
    */
-  noteDoubtful(job: string): void {
-    this.doubtfulJobs.add(job);
-    for (const oldest of this.doubtfulJobs) {
-      if (this.doubtfulJobs.size <= MAX_DOUBTFUL_JOBS) {
-        break;
-      }
-      this.doubtfulJobs.delete(oldest);
+  noteOutcome(job: string, isKnown: boolean): void {
+    const others = (this.pendingAttempts.get(job) ?? 1) - 1;
+    if (others > 0) {
+      this.pendingAttempts.set(job, others);
+    } else {
+      this.pendingAttempts.delete(job);
+    }
+    if (!isKnown) {
+      this.noteDoubtful(job);
     }
   }
 
@@ -79,20 +98,45 @@
     return this.returnTimes.returnMs(caller, now);
   };
 
+  private noteDoubtful(job: string): void {
+    this.doubtfulJobs.add(job);
+    for (const oldest of this.doubtfulJobs) {
+      if (this.doubtfulJobs.size <= MAX_DOUBTFUL_JOBS) {
+        break;
+      }
+      this.doubtfulJobs.delete(oldest);
+    }
+  }
+
+  private mayBeRecorded(job: string): boolean {
+    return this.doubtfulJobs.has(job) || this.pendingAttempts.has(job);
+  }
+
   /** Each record that a host reads has rows of its own, also if they are equal to the ones before. */
   private noteForecast({ rooms }: AdmissionLimits): void {
     if (rooms !== this.rooms) {
       this.rooms = rooms;
-      this.accepted = [];
+      this.accepted.clear();
     }
   }
 
+  /** Adds up by class, so that memory and cost don't grow with the number of jobs while no forecast arrives. */
+  private addAccepted(job: JobSpec, kind: RoomKind): void {
+    const { service, priority } = job.terms;
+    const key = JSON.stringify([service, kind, priority]);
+    const before = this.accepted.get(key)?.work ?? 0;
+    const work = before + estimatedWorkOf(job, kind);
+    this.accepted.set(key, { service, kind, priority, work });
+  }
+
   private acceptedBefore(row: RoomRow, priority: number): number {
-    return this.accepted
+    return [...this.accepted.values()]
       .filter(
-        ({ terms }) =>
-          terms.service === row.service && terms.priority <= priority,
+        each =>
+          each.service === row.service &&
+          each.kind === row.kind &&
+          each.priority <= priority,
       )
-      .reduce((sum, job) => sum + estimatedWorkOf(job, row.kind), 0);
+      .reduce((sum, { work }) => sum + work, 0);
   }
 }
--- a/packages/domain/src/jobs/room-forecast.test.ts
+++ b/packages/domain/src/jobs/room-forecast.test.ts
@@ -211,6 +211,19 @@
   assert.deepEqual(leader.rows(), []);
 });
 
+// Hosts read no rows at all if one of them is invalid.
+test('a class whose work is not a finite number is left out', () => {
+  const leader = new Leader(stateOf(...jobsOf(100)), 4);
+  const terms = { priority: 2 };
+  const huge = [{ estimateMs: 1e308, tasks: 100 }];
+  leader.submit(testJob('huge', huge, terms));
+  leader.runUntil(8_000);
+  assert.deepEqual(
+    leader.rows().map(({ priority }) => priority),
+    [0],
+  );
+});
+
 test('a new leader has no rate until tasks have waited for a second under it', () => {
   const earlier = new Leader(stateOf(...jobsOf(400)), 4);
   earlier.runUntil(8_000);
--- a/packages/domain/src/jobs/room-forecast.ts
+++ b/packages/domain/src/jobs/room-forecast.ts
@@ -125,6 +125,10 @@
       counted => this.rowOf(counted, now, Math.max(1, hosts)) ?? [],
     );
     return rows
+      .filter(({ backlog, rate, errorPercent }) =>
+        // Callers' estimates may be so large that sums overflow; an invalid row would make all rows invalid.
+        Number.isFinite(backlog + rate + errorPercent),
+      )
       .sort((a, b) => b.backlog / b.rate - a.backlog / a.rate)
       .slice(0, MAX_ROOM_ROWS);
   }
--- a/packages/domain/src/jobs/room-overload.test.ts
+++ b/packages/domain/src/jobs/room-overload.test.ts
@@ -15,10 +15,9 @@
 const HOSTS = 29;
 const SECONDS = 60;
 
-/** Time after which the backlog has grown to what hosts allow. */
 /** Rounding of the forecast in force. */
 const ROUNDING_MS = 1;
-
+/** Time after which the backlog has grown to what hosts allow. */
 const STEADY_FROM_MS = 25_000;
 
 const trial = new AdmissionTrial({ hosts: HOSTS, admitsByRoom: true, seed: 7 });
