Play movable runs and releases under random faults

The random scenarios ran without the settings that switch on run-time distributions, the forecast of loads and the preference for new versions. 40 scenarios of the new test pass.

--- a/packages/daemon/src/job-host/job-host.fuzz.test.ts
+++ b/packages/daemon/src/job-host/job-host.fuzz.test.ts
@@ -23,7 +23,10 @@
   type JobRequest,
   type QuickRestart,
 } from './fuzz-plan.fixture.test.js';
-import { Simulation } from './simulation.fixture.test.js';
+import {
+  Simulation,
+  type SimulationOptions,
+} from './simulation.fixture.test.js';
 
 /** Workers that get the label in each incarnation. */
 const LABELLED = ['w1', 'w2'];
@@ -189,9 +192,9 @@
   largeHosts = 0,
   late: readonly LateAnswers[] = [],
   alsoRun?: (site: Simulation) => void,
-  keepsIds = false,
+  options: SimulationOptions = {},
 ): Promise<Simulation> {
-  const site = new Simulation(found.seed, { keepsIds });
+  const site = new Simulation(found.seed, options);
   const begin = site.time.clock();
   const times = new FaultTimes();
   site.history.faults = times;
@@ -317,6 +320,22 @@
   );
 });
 
+// Run-time distributions, the forecast of loads and the preference for new versions change what is placed
+// where and when it is stopped; no decision of theirs may cost a guarantee.
+test('guarantees hold under random faults where runs can be moved, during releases', async () => {
+  await fc.assert(
+    fc.asyncProperty(scenario, lateAnswers, async (found, late) => {
+      const options: SimulationOptions = {
+        moveCosts: { stopMs: 200, restoreMs: 100 },
+        versionOf: nth => `v${1 + Math.floor(nth / WORKERS.length)}`,
+      };
+      const site = await runScenario(found, 0, late, undefined, options);
+      assertGuarantees(site, found);
+    }),
+    fuzzOptions(12, 20261208),
+  );
+});
+
 test('guarantees hold under random faults with a task that crashes its workers', async () => {
   await fc.assert(
     fc.asyncProperty(scenario, crashingJob, async (found, drawn) => {
@@ -343,7 +362,10 @@
         scheduleRestart(site, restart);
       });
     };
-    assertGuarantees(await runScenario(drawn, 0, [], alsoRun, true), drawn);
+    assertGuarantees(
+      await runScenario(drawn, 0, [], alsoRun, { keepsIds: true }),
+      drawn,
+    );
   },
 );
 
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -81,7 +81,7 @@
 export type TestStep = Pick<StepSpec, 'tasks' | 'after'> & Partial<StepSpec>;
 
 /** Settings of a simulated deployment. */
-interface SimulationOptions {
+export interface SimulationOptions {
   /** Longest lease that workers accept. */
   readonly maxLeaseMs?: Millis;
   /** Time until a worker that was crashed by a task is back. */
@@ -99,6 +99,8 @@
   readonly zoneOf?: (machine: string) => string;
   /** Costs of moving a run; by default runs can't be moved quickly. */
   readonly moveCosts?: MoveCosts;
+  /** Version of the worker that is the nth to start; workers have none by default. */
+  readonly versionOf?: (nth: number) => string;
   /** Size of calls on links in both directions; by default only `SimulatedLink` is used. */
   readonly wire?: WireOptions;
 }
@@ -130,6 +132,7 @@
   private readonly relayAllStarts: boolean;
   private readonly zoneOf: (machine: string) => string;
   private readonly moveCosts: MoveCosts | undefined;
+  private readonly versionOf: ((nth: number) => string) | undefined;
   private readonly wire: WireOptions | undefined;
   private incarnations = 0;
 
@@ -144,6 +147,7 @@
       relayAllStarts = process.env.TEST_RELAYS !== undefined,
       zoneOf = () => 'a',
       moveCosts,
+      versionOf,
       wire,
     }: SimulationOptions = {},
   ) {
@@ -153,6 +157,7 @@
     this.relayAllStarts = relayAllStarts;
     this.zoneOf = zoneOf;
     this.moveCosts = moveCosts;
+    this.versionOf = versionOf;
     this.wire = wire;
     this.time = createVirtualTime();
     this.peers = new SimulatedPeers(this.time, this.hosts);
@@ -193,9 +198,10 @@
     machine: string,
     labels: readonly string[] = [],
     capacity = CAPACITY,
-    version?: string,
+    ownVersion?: string,
   ): void {
     this.incarnations += 1;
+    const version = ownVersion ?? this.versionOf?.(this.incarnations);
     const clockRate = 0.98 + 0.02 * this.random();
     const clockOffset = Math.floor(this.random() * 100_000);
     const traits = {
