Name the forecast of capacity and admission by it for capacity, not room

The rest of the code and the design say capacity. The fields rooms and roomsUntil of the limits, the reason no_room, admitsByRoom and the names of metrics stay.

--- a/packages/daemon/src/job-host/admission-reporter.ts
+++ b/packages/daemon/src/job-host/admission-reporter.ts
@@ -2,13 +2,13 @@
 import type { Instant } from '@paddlewind/domain';
 import {
   evacuatedKindsOf,
-  RoomForecast,
+  CapacityForecast,
   startDelaysOf,
   StartRate,
   type AdmissionLimits,
   type JobsState,
   type PlanInput,
-  type RoomRow,
+  type CapacityRow,
   type Run,
   type RunEnd,
   type WorkerInfo,
@@ -29,11 +29,11 @@
 /** Observes planning rounds and ends of runs, and reports limits on the jobs that hosts accept. */
 export class AdmissionReporter {
   readonly startRate = new StartRate();
-  private readonly forecast: RoomForecast | undefined;
+  private readonly forecast: CapacityForecast | undefined;
 
   /** Creates the reporter of one leader. */
   constructor(private readonly options: AdmissionReporterOptions) {
-    this.forecast = options.admitsByRoom ? new RoomForecast() : undefined;
+    this.forecast = options.admitsByRoom ? new CapacityForecast() : undefined;
   }
 
   /** Notes a planning round; `isLimited` if it could have started more than the leader can send. */
@@ -71,7 +71,7 @@
   }
 
   /** Returns the forecast of capacity; undefined where hosts refuse nothing by it. */
-  rooms(): readonly RoomRow[] | undefined {
+  rooms(): readonly CapacityRow[] | undefined {
     const { state, clock } = this.options;
     return this.forecast?.rows(clock(), state.volunteers.size);
   }
--- a/packages/daemon/src/job-host/job-service.ts
+++ b/packages/daemon/src/job-host/job-service.ts
@@ -6,12 +6,12 @@
   evenSpread,
   logReturnMs,
   refusalOf,
-  RoomAdmission,
+  CapacityAdmission,
   type InboxRecord,
   type JobSpec,
   type Refusal,
-  type RoomForecastUsed,
-  type RoomRefusal,
+  type AppliedForecast,
+  type CapacityRefusal,
 } from '@paddlewind/domain/jobs';
 import type { AppendResult } from '@paddlewind/ports/jobs';
 
@@ -35,7 +35,7 @@
       /** Time after which another attempt may succeed; undefined if it is not known. */
       readonly retryAfterMs?: Millis;
       /** The forecast by which a job is refused. */
-      readonly forecast?: RoomForecastUsed;
+      readonly forecast?: AppliedForecast;
     }
   /** It may have been recorded. */
   | { readonly kind: 'unknown'; readonly reason: string };
@@ -53,7 +53,7 @@
 /** The service that hosts offer to callers. */
 export class JobService {
   /** Decides by the forecast of capacity; undefined where nothing is refused by it. */
-  private readonly roomAdmission: RoomAdmission | undefined;
+  private readonly roomAdmission: CapacityAdmission | undefined;
   private readonly logSpread: Random;
 
   /**
@@ -68,7 +68,7 @@
   ) {
     this.logSpread = evenSpread(ctx.host);
     this.roomAdmission = admitsByRoom
-      ? new RoomAdmission(evenSpread(ctx.host))
+      ? new CapacityAdmission(evenSpread(ctx.host))
       : undefined;
   }
 
@@ -104,7 +104,7 @@
    */
   private async refuseUnlessRecorded(
     job: JobSpec,
-    refusal: RoomRefusal,
+    refusal: CapacityRefusal,
     deadline: Instant,
   ): Promise<ChangeResult> {
     switch (await this.view().find(job.id)) {
@@ -136,7 +136,7 @@
     job: JobSpec,
     why: Refusal['why'],
     retryAfterMs: Millis | undefined,
-    more: { readonly forecast?: RoomForecastUsed } = {},
+    more: { readonly forecast?: AppliedForecast } = {},
   ): ChangeResult {
     const result: ChangeResult = {
       kind: 'refused',
--- a/packages/daemon/src/job-host/replica-view.ts
+++ b/packages/daemon/src/job-host/replica-view.ts
@@ -1,7 +1,7 @@
 /** Answers callers on a host that reads the journal. */
 import type { Instant, Millis } from '@paddlewind/domain';
 import {
-  ROOMS_VALID_MS,
+  FORECAST_VALID_MS,
   statusOf,
   reportedStateOf,
   type InboxRecord,
@@ -61,7 +61,7 @@
     }
     // The heartbeat may have been written long before it was read, as after an outage of the log.
     const now = ctx.clock();
-    const roomsUntil = now - replica.heartbeatAge(now).to + ROOMS_VALID_MS;
+    const roomsUntil = now - replica.heartbeatAge(now).to + FORECAST_VALID_MS;
     return { ...limits, roomsUntil };
   }
 
--- a/packages/daemon/src/job-host/room-meters.ts
+++ b/packages/daemon/src/job-host/room-meters.ts
@@ -1,5 +1,5 @@
 /** Metrics of refused jobs and of the leader's forecast of capacity. */
-import type { RoomRow } from '@paddlewind/domain/jobs';
+import type { CapacityRow } from '@paddlewind/domain/jobs';
 import { Counter, Gauge, type Registry } from 'prom-client';
 
 /** Metrics of admission by capacity. */
@@ -7,7 +7,7 @@
   /** A submitted job of a queue, of so many core-milliseconds, was refused. */
   readonly jobRefused: (queue: string, coreMs: number, why: string) => void;
   /** The leader has this forecast of capacity; empty on hosts that do not lead. */
-  readonly forecast: (rows: readonly RoomRow[]) => void;
+  readonly forecast: (rows: readonly CapacityRow[]) => void;
 }
 
 const MS_PER_S = 1000;
--- a/packages/daemon/src/job-host/summary-follower.ts
+++ b/packages/daemon/src/job-host/summary-follower.ts
@@ -4,7 +4,7 @@
   decodeInbox,
   decodeSummary,
   NO_LIMITS,
-  ROOMS_VALID_MS,
+  FORECAST_VALID_MS,
   Summary,
   type InboxRecord,
   type SummaryRecord,
@@ -225,7 +225,7 @@
 
   /** Dates the forecast by the read before, since which it was written, as after an outage of the log. */
   private datedLimits({ limits = NO_LIMITS }: LeaderInfo): AdmissionLimits {
-    return { ...limits, roomsUntil: this.knownAsOf + ROOMS_VALID_MS };
+    return { ...limits, roomsUntil: this.knownAsOf + FORECAST_VALID_MS };
   }
 
   private applyRows({
--- a/packages/domain/src/jobs/admission.test.ts
+++ b/packages/domain/src/jobs/admission.test.ts
@@ -9,11 +9,11 @@
   type AdmissionLimits,
 } from './admission.js';
 import { decodeJournal, encodeRecord } from './record-rows.js';
-import { ROOMS_VALID_MS, type RoomRow } from './room-rows.js';
+import { FORECAST_VALID_MS, type CapacityRow } from './capacity-rows.js';
 import { decodeSummary, encodeSummary } from './summary.js';
 import { applyRecord, stateOf, testJob } from './test-support.js';
 
-const ROOM: RoomRow = {
+const ROW: CapacityRow = {
   service: 's',
   kind: 'filler',
   priority: 2,
@@ -28,7 +28,7 @@
     [2, 9_000],
   ],
   evacuatedKinds: [['s', 'gpu']],
-  rooms: [ROOM],
+  rooms: [ROW],
   roomsUntil: -Infinity,
 };
 const WORKERS = [
@@ -68,7 +68,7 @@
   assert.deepEqual(decodeJournal(encodeRecord(record)), record);
   const state = stateOf();
   applyRecord(state, record);
-  const roomsUntil = state.now + ROOMS_VALID_MS;
+  const roomsUntil = state.now + FORECAST_VALID_MS;
   assert.deepEqual(state.admissionLimits, { ...LIMITS, roomsUntil });
   const leads = {
     kind: 'leads',
--- a/packages/domain/src/jobs/admission.ts
+++ b/packages/domain/src/jobs/admission.ts
@@ -1,11 +1,11 @@
 /** What hosts need to know to refuse a job that the leader is known not to serve in time. */
 import type { Instant, Millis } from '../core/time.js';
 import {
-  roomRefusalOf,
+  capacityRefusalOf,
   type AcceptedBefore,
-  type RoomRefusal,
-} from './room-refusal.js';
-import type { RoomRow } from './room-rows.js';
+  type CapacityRefusal,
+} from './capacity-refusal.js';
+import type { CapacityRow } from './capacity-rows.js';
 import type { JobSpec } from './spec.js';
 import { latenessOf, type StartDelays } from './start-delay.js';
 
@@ -26,7 +26,7 @@
   /** Kinds of workers of which every registered one is in an evacuated zone. */
   readonly evacuatedKinds: readonly WorkerKind[];
   /** Forecast of capacity; empty where nothing is forecast. */
-  readonly rooms: readonly RoomRow[];
+  readonly rooms: readonly CapacityRow[];
   /** Monotonic time from which the forecast refuses nothing, set by the host that has read it. */
   readonly roomsUntil: Instant;
 }
@@ -43,7 +43,7 @@
 export type Refusal =
   | { readonly why: 'too_late'; readonly retryAfterMs: Millis }
   | { readonly why: 'evacuated' }
-  | RoomRefusal;
+  | CapacityRefusal;
 
 /** Most kinds of workers that are reported, which bounds the size of a record. */
 const MAX_REPORTED_KINDS = 32;
@@ -91,7 +91,7 @@
   const retryAfterMs = latenessOf(job, limits.startDelays);
   return retryAfterMs > 0
     ? { why: 'too_late', retryAfterMs }
-    : roomRefusalOf(job, limits, now, acceptedBefore);
+    : capacityRefusalOf(job, limits, now, acceptedBefore);
 }
 
 /**
--- a/packages/domain/src/jobs/room-admission.test.ts
+++ b/packages/domain/src/jobs/capacity-admission.test.ts
@@ -4,13 +4,13 @@
 
 import { NO_LIMITS, refusalOf, type AdmissionLimits } from './admission.js';
 import { evenSpread } from './return-times.js';
-import { RoomAdmission } from './room-admission.js';
-import { ROOMS_VALID_MS, type RoomRow } from './room-rows.js';
+import { CapacityAdmission } from './capacity-admission.js';
+import { FORECAST_VALID_MS, type CapacityRow } from './capacity-rows.js';
 import type { JobSpec, QueueTerms, StepSpec } from './spec.js';
 import { testJob } from './test-support.js';
 
 /** Ten seconds at the fastest rate. */
-const ROW: RoomRow = {
+const ROW: CapacityRow = {
   service: 'main',
   kind: 'filler',
   priority: 2,
@@ -20,8 +20,8 @@
   hosts: 29,
 };
 
-function limitsOf(...rooms: RoomRow[]): AdmissionLimits {
-  return { ...NO_LIMITS, rooms, roomsUntil: ROOMS_VALID_MS };
+function limitsOf(...rooms: CapacityRow[]): AdmissionLimits {
+  return { ...NO_LIMITS, rooms, roomsUntil: FORECAST_VALID_MS };
 }
 
 /** A job of fillers with an objective of 2.5 s: it has to begin within 6.5 s to be of value. */
@@ -64,7 +64,7 @@
 
 test('a job of several kinds of steps is refused if one of them alone makes it so', () => {
   const steps = [{}, { filler: true, estimateMs: 100 }];
-  const plain: RoomRow = { ...ROW, kind: 'plain', backlog: 1 };
+  const plain: CapacityRow = { ...ROW, kind: 'plain', backlog: 1 };
   const limits = limitsOf(plain, ROW);
   const refusal = refusalOf(testJob('a', steps, { priority: 2 }), limits, 0);
   assert.ok(refusal?.why === 'no_room');
@@ -73,7 +73,7 @@
 });
 
 test('a forecast refuses nothing after 3 s, and neither does a host without one', () => {
-  const admission = new RoomAdmission();
+  const admission = new CapacityAdmission();
   const limits = limitsOf(ROW);
   const whyAt = (now: number): unknown =>
     admission.refusalOf(fillerJob('a'), limits, now)?.why;
@@ -84,7 +84,7 @@
 
 // Otherwise 29 hosts accept jobs for the same capacity until the next forecast.
 test('what a host has accepted counts for all hosts until the next forecast', () => {
-  const admission = new RoomAdmission();
+  const admission = new CapacityAdmission();
   const limits = limitsOf({ ...ROW, backlog: 0 });
   const jobOf = (at: number): JobSpec => fillerJob(`j${at}`, { tasks: 2 });
   let accepted = 0;
@@ -99,7 +99,7 @@
 });
 
 test('lower priorities accepted here are not counted before a job', () => {
-  const admission = new RoomAdmission();
+  const admission = new CapacityAdmission();
   const limits = limitsOf({ ...ROW, backlog: 0, priority: 0 });
   for (let at = 0; at < 50; at += 1) {
     admission.noteAccepted(fillerJob(`j${at}`), limits);
@@ -110,8 +110,8 @@
 });
 
 // A refusal says that the job never runs, and this one may have been recorded.
-test('a job of unknown outcome is not refused by room', () => {
-  const admission = new RoomAdmission();
+test('a job of unknown outcome is not refused by capacity', () => {
+  const admission = new CapacityAdmission();
   admission.noteOutcome('a', false);
   const limits = limitsOf(ROW);
   assert.equal(admission.refusalOf(fillerJob('a'), limits, 0), undefined);
@@ -124,8 +124,8 @@
 });
 
 // A caller that did not wait for the answer may come again while the append is under way.
-test('a job that is being recorded is not refused by room, and it may be once that was refused', () => {
-  const admission = new RoomAdmission();
+test('a job that is being recorded is not refused by capacity, and it may be once that was refused', () => {
+  const admission = new CapacityAdmission();
   const limits = limitsOf(ROW);
   const job = fillerJob('a');
   const why = (): unknown => admission.refusalOf(job, limits, 0)?.why;
@@ -139,7 +139,7 @@
 });
 
 test('callers of a host return as fast as its part of the work is completed', () => {
-  const admission = new RoomAdmission();
+  const admission = new CapacityAdmission();
   const limits = limitsOf(ROW);
   const returns = ['a', 'b', 'c'].map(id => {
     const job = fillerJob(id);
@@ -156,7 +156,7 @@
   const limits = limitsOf(ROW);
   const arrivals: number[] = [];
   for (let host = 0; host < ROW.hosts; host += 1) {
-    const admission = new RoomAdmission(evenSpread(`host-${host}`));
+    const admission = new CapacityAdmission(evenSpread(`host-${host}`));
     for (let at = 0; at < 5; at += 1) {
       const job = fillerJob(`${host}-${at}`);
       const refusal = admission.refusalOf(job, limits, 0);
--- a/packages/domain/src/jobs/room-admission.ts
+++ b/packages/domain/src/jobs/capacity-admission.ts
@@ -2,33 +2,33 @@
 import type { Instant, Millis, Random } from '../core/time.js';
 import { refusalOf, type AdmissionLimits, type Refusal } from './admission.js';
 import { ReturnTimes } from './return-times.js';
-import type { RoomRefusal } from './room-refusal.js';
+import type { CapacityRefusal } from './capacity-refusal.js';
 import {
   estimatedWorkOf,
   isForecast,
-  type RoomKind,
-  type RoomRow,
-} from './room-rows.js';
+  type CapacityKind,
+  type CapacityRow,
+} from './capacity-rows.js';
 import type { JobSpec } from './spec.js';
 
 const MS_PER_S = 1_000;
-const KINDS: readonly RoomKind[] = ['filler', 'plain'];
+const KINDS: readonly CapacityKind[] = ['filler', 'plain'];
 /** Most jobs that are remembered since it is not known whether they were recorded. */
 const MAX_DOUBTFUL_JOBS = 2_000;
 
 /** Work of accepted jobs of one service, kind of capacity and priority, in core-milliseconds. */
-type AcceptedWork = Pick<RoomRow, 'service' | 'kind' | 'priority'> & {
+type AcceptedWork = Pick<CapacityRow, 'service' | 'kind' | 'priority'> & {
   readonly work: number;
 };
 
 /** Decides on the jobs that callers submit to one host. */
-export class RoomAdmission {
+export class CapacityAdmission {
   private readonly returnTimes: ReturnTimes;
   private readonly doubtfulJobs = new Set<string>();
   /** Number of attempts to record each job that have no outcome yet. */
   private readonly pendingAttempts = new Map<string, number>();
   /** The forecast that `accepted` is counted from. */
-  private rooms: readonly RoomRow[] = [];
+  private rooms: readonly CapacityRow[] = [];
   private readonly accepted = new Map<string, AcceptedWork>();
 
   /** Creates the admission of one host; `spread` differs by host. */
@@ -82,7 +82,7 @@
   /** Returns after how many milliseconds the caller of a refused job should return. */
   readonly returnMs = (
     job: JobSpec,
-    { retryAfterMs, forecast }: RoomRefusal,
+    { retryAfterMs, forecast }: CapacityRefusal,
     now: Instant,
     deadline: Instant,
   ): Millis => {
@@ -121,7 +121,7 @@
   }
 
   /** Adds up by class, so that memory and cost don't grow with the number of jobs while no forecast arrives. */
-  private addAccepted(job: JobSpec, kind: RoomKind): void {
+  private addAccepted(job: JobSpec, kind: CapacityKind): void {
     const { service, priority } = job.terms;
     const key = JSON.stringify([service, kind, priority]);
     const before = this.accepted.get(key)?.work ?? 0;
@@ -129,7 +129,7 @@
     this.accepted.set(key, { service, kind, priority, work });
   }
 
-  private acceptedBefore(row: RoomRow, priority: number): number {
+  private acceptedBefore(row: CapacityRow, priority: number): number {
     return [...this.accepted.values()]
       .filter(
         each =>
--- a/packages/domain/src/jobs/room-forecast.test.ts
+++ b/packages/domain/src/jobs/capacity-forecast.test.ts
@@ -5,8 +5,8 @@
 import { applyInbox } from './fold.js';
 import type { Run } from './job.js';
 import type { JobsState } from './jobs-state.js';
-import { RoomForecast, type RoomInput } from './room-forecast.js';
-import type { RoomRow } from './room-rows.js';
+import { CapacityForecast, type ForecastInput } from './capacity-forecast.js';
+import type { CapacityRow } from './capacity-rows.js';
 import { createRunTimes } from './run-times.js';
 import type { JobSpec } from './spec.js';
 import { endRun, stateOf, startOn, testJob } from './test-support.js';
@@ -15,7 +15,7 @@
 
 /** A leader with places for a few tasks, which run for exactly as long as expected, beginning at `slowdown`. */
 class Leader {
-  readonly forecast = new RoomForecast();
+  readonly forecast = new CapacityForecast();
   readonly times = createRunTimes();
   now = 0;
   slowdown = 1;
@@ -39,7 +39,7 @@
     }
   }
 
-  rows(hosts = 1): RoomRow[] {
+  rows(hosts = 1): CapacityRow[] {
     return this.forecast.rows(this.now, hosts);
   }
 
@@ -47,7 +47,7 @@
     applyInbox(this.state, { kind: 'submit', job, atWall: 0 });
   }
 
-  private input(): RoomInput {
+  private input(): ForecastInput {
     const time = { now: this.now, nowWall: this.now };
     return { state: this.state, times: this.times, time };
   }
@@ -173,7 +173,7 @@
   assert.ok(row.rate * (1 + row.errorPercent / 100) >= 10_000);
 });
 
-// Tasks wait for a leader that is busy, too, while workers have room: the observed rate is not their limit.
+// Tasks wait for a leader that is busy, too, while workers have capacity: the observed rate is not their limit.
 test('the rate may grow as the processors in use do', () => {
   const leader = new Leader(stateOf(...jobsOf(400)), 4);
   leader.runUntil(8_000);
--- a/packages/domain/src/jobs/room-forecast.ts
+++ b/packages/domain/src/jobs/capacity-forecast.ts
@@ -8,15 +8,15 @@
 import type { PlanInput } from './plan.js';
 import {
   isForecast,
-  MAX_ROOM_ROWS,
-  roomKindOf,
-  type RoomKind,
-  type RoomRow,
-} from './room-rows.js';
+  MAX_CAPACITY_ROWS,
+  capacityKindOf,
+  type CapacityKind,
+  type CapacityRow,
+} from './capacity-rows.js';
 import type { RunTimes } from './run-times.js';
 
 /** What the forecast reads of a planning round. */
-export type RoomInput = Pick<PlanInput, 'state' | 'times' | 'time'>;
+export type ForecastInput = Pick<PlanInput, 'state' | 'times' | 'time'>;
 
 /** Time between two samples: the window has ten of them, and each reads all open jobs. */
 const SAMPLE_INTERVAL_MS: Millis = 500;
@@ -34,14 +34,14 @@
 const PERCENT = 100;
 
 /** Tasks of one service, kind of capacity and priority. */
-interface RoomClass {
+interface WorkClass {
   readonly service: string;
-  readonly kind: RoomKind;
+  readonly kind: CapacityKind;
   readonly priority: number;
 }
 
 /** What the tasks of a class still need, as of one sample. */
-interface Census extends RoomClass {
+interface Census extends WorkClass {
   waiting: number;
   /** Core-milliseconds. */
   backlog: number;
@@ -52,7 +52,7 @@
 }
 
 /** Work of one task that was completed. */
-interface Completion extends RoomClass {
+interface Completion extends WorkClass {
   readonly step: Step;
   readonly work: number;
 }
@@ -74,7 +74,7 @@
 }
 
 /** Observes rounds and completions of one leader. */
-export class RoomForecast {
+export class CapacityForecast {
   private readonly lanes = new Map<string, Lane>();
   private census: readonly Census[] = [];
   private completions: Completion[] = [];
@@ -94,7 +94,7 @@
   }
 
   /** Notes a planning round, in which all tasks were started that have a place. */
-  noteRound(input: RoomInput): void {
+  noteRound(input: ForecastInput): void {
     const { now } = input.time;
     if (now - this.roundAt > MAX_ROUND_GAP_MS) {
       this.noteBlocked();
@@ -117,7 +117,7 @@
   }
 
   /** Returns the rows to publish: those of the longest waits where there are too many. */
-  rows(now: Instant, hosts: number): RoomRow[] {
+  rows(now: Instant, hosts: number): CapacityRow[] {
     if (now - this.sampledAt > MAX_ROUND_GAP_MS) {
       return [];
     }
@@ -130,10 +130,10 @@
         Number.isFinite(backlog + rate + errorPercent),
       )
       .sort((a, b) => b.backlog / b.rate - a.backlog / a.rate)
-      .slice(0, MAX_ROOM_ROWS);
+      .slice(0, MAX_CAPACITY_ROWS);
   }
 
-  private sample(input: RoomInput, now: Instant): void {
+  private sample(input: ForecastInput, now: Instant): void {
     const ms = now - this.sampledAt;
     const { completions } = this;
     this.completions = [];
@@ -189,7 +189,7 @@
     return (factor * MS_PER_S * work) / milli;
   }
 
-  /** Returns the thousandths of a core in use, also by lower priorities, as these make room in time. */
+  /** Returns the thousandths of a core in use, also by lower priorities, as these give way in time. */
   private runningMilliOf(counted: Census): number {
     return sumOfKind(this.census, counted, ({ runningMilli }) => runningMilli);
   }
@@ -198,7 +198,7 @@
     counted: Census,
     now: Instant,
     hosts: number,
-  ): RoomRow | undefined {
+  ): CapacityRow | undefined {
     const lane = this.lanes.get(keyOf(counted));
     if (lane === undefined || now - lane.waitingSince < MIN_WAITED_MS) {
       return undefined;
@@ -237,7 +237,7 @@
 }
 
 /** Counts the work of open jobs by class. */
-function countOpenWork({ state, times, time }: RoomInput): Census[] {
+function countOpenWork({ state, times, time }: ForecastInput): Census[] {
   const found = new Map<string, Census>();
   for (const job of state.openJobs) {
     if (!isForecast(job.spec)) {
@@ -258,7 +258,7 @@
  * Returns the steps that are not done. Jobs that have not started and can no longer earn anything are left out,
  * since all others go before them.
  */
-function openStepsOf(job: Job, { times, time }: RoomInput): Step[] {
+function openStepsOf(job: Job, { times, time }: ForecastInput): Step[] {
   const open: Step[] = [];
   for (const occurrence of job.occurrences.values()) {
     const isOverdue =
@@ -276,7 +276,7 @@
   return tasks.some(({ status }) => status !== 'waiting');
 }
 
-function emptyCensus(place: RoomClass): Census {
+function emptyCensus(place: WorkClass): Census {
   return { ...place, waiting: 0, backlog: 0, runningMilli: 0, runningWork: 0 };
 }
 
@@ -321,31 +321,31 @@
   return left;
 }
 
-function classOf({ spec, occurrence }: Step): RoomClass {
+function classOf({ spec, occurrence }: Step): WorkClass {
   const { service, priority } = occurrence.job.spec.terms;
-  return { service, priority, kind: roomKindOf(spec) };
+  return { service, priority, kind: capacityKindOf(spec) };
 }
 
 function coresOf({ spec }: Step): number {
   return spec.size.cpuMilli / MS_PER_S;
 }
 
-function keyOf({ service, kind, priority }: RoomClass): string {
+function keyOf({ service, kind, priority }: WorkClass): string {
   return JSON.stringify([service, kind, priority]);
 }
 
 /** Whether tasks of a class are served before or with those of another one. */
-function precedes(one: RoomClass, other: RoomClass): boolean {
+function precedes(one: WorkClass, other: WorkClass): boolean {
   return isSameKind(one, other) && one.priority <= other.priority;
 }
 
-function isSameKind(one: RoomClass, other: RoomClass): boolean {
+function isSameKind(one: WorkClass, other: WorkClass): boolean {
   return one.service === other.service && one.kind === other.kind;
 }
 
 function sumOf(
   all: readonly Census[],
-  counted: RoomClass,
+  counted: WorkClass,
   amountOf: (each: Census) => number,
 ): number {
   return all
@@ -355,7 +355,7 @@
 
 function sumOfKind(
   all: readonly Census[],
-  counted: RoomClass,
+  counted: WorkClass,
   amountOf: (each: Census) => number,
 ): number {
   return all
--- a/packages/domain/src/jobs/room-overload.fixture.test.ts
+++ b/packages/domain/src/jobs/capacity-overload.fixture.test.ts
@@ -4,17 +4,17 @@
 import { applyInbox } from './fold.js';
 import { isReady, type Run, type Step } from './job.js';
 import { emptyJobsState } from './jobs-state.js';
-import { RoomAdmission } from './room-admission.js';
-import { RoomForecast, type RoomInput } from './room-forecast.js';
+import { CapacityAdmission } from './capacity-admission.js';
+import { CapacityForecast, type ForecastInput } from './capacity-forecast.js';
 import {
   estimatedWorkOf,
-  parseRooms,
-  roomKindOf,
-  roomsColumns,
-  ROOMS_VALID_MS,
-  type RoomKind,
-  type RoomRow,
-} from './room-rows.js';
+  parseCapacityRows,
+  capacityKindOf,
+  capacityColumns,
+  FORECAST_VALID_MS,
+  type CapacityKind,
+  type CapacityRow,
+} from './capacity-rows.js';
 import type { JobSpec, StepSpec } from './spec.js';
 import { endRun, startOn, testJob } from './test-support.js';
 
@@ -37,7 +37,7 @@
 /** A queue: jobs a second, and its steps. */
 interface Load {
   readonly queue: string;
-  readonly kind: RoomKind;
+  readonly kind: CapacityKind;
   readonly jobsPerSecond: number;
   readonly steps: number;
   readonly tasks: number;
@@ -87,7 +87,7 @@
 const MEAN_SIZE = Math.exp(SIZE_SPREAD ** 2 / 2);
 
 interface Host {
-  readonly admission: RoomAdmission;
+  readonly admission: CapacityAdmission;
   /** What it has accepted since the forecast in force, counted here on its own. */
   added: { readonly load: Load; readonly work: number }[];
 }
@@ -105,22 +105,22 @@
 
   private readonly state = emptyJobsState();
   private readonly times = createRunTimes();
-  private readonly forecast = new RoomForecast();
+  private readonly forecast = new CapacityForecast();
   private readonly hosts: Host[];
   private readonly ends = new Map<Run, number>();
-  private readonly free = new Map<RoomKind, number>();
+  private readonly free = new Map<CapacityKind, number>();
   /** True core-milliseconds that accepted jobs still need, by queue. */
   private readonly backlog = new Map<string, number>();
   private readonly trueFactor = new Map<string, number>();
   private limits: AdmissionLimits = NO_LIMITS;
-  private news: { readonly at: number; readonly rooms: RoomRow[] }[] = [];
+  private news: { readonly at: number; readonly rooms: CapacityRow[] }[] = [];
   private random: () => number;
   private now = 0;
 
   constructor(private readonly options: Options) {
     this.random = seeded(options.seed);
     this.hosts = Array.from({ length: options.hosts }, () => ({
-      admission: new RoomAdmission(),
+      admission: new CapacityAdmission(),
       added: [],
     }));
     for (const load of LOADS) {
@@ -146,7 +146,7 @@
     }
   }
 
-  private input(): RoomInput {
+  private input(): ForecastInput {
     const { state, times, now } = this;
     return { state, times, time: { now, nowWall: now } };
   }
@@ -155,9 +155,9 @@
     const isDue = this.now % PUBLISH_MS === 0;
     if (isDue && this.options.admitsByRoom && !this.losesForecasts) {
       const rows = this.forecast.rows(this.now, this.options.hosts);
-      const [column] = roomsColumns(rows);
+      const [column] = capacityColumns(rows);
       const wire: unknown = JSON.parse(JSON.stringify(column ?? null));
-      this.news.push({ at: this.now, rooms: [...parseRooms(wire)] });
+      this.news.push({ at: this.now, rooms: [...parseCapacityRows(wire)] });
     }
   }
 
@@ -165,7 +165,7 @@
     const [next] = this.news;
     if (next !== undefined && this.now >= next.at + NEWS_AGE_MS) {
       this.news.shift();
-      const roomsUntil = next.at + ROOMS_VALID_MS;
+      const roomsUntil = next.at + FORECAST_VALID_MS;
       this.limits = { ...NO_LIMITS, rooms: next.rooms, roomsUntil };
       for (const host of this.hosts) {
         host.added = [];
@@ -244,11 +244,11 @@
 
   /** Serves jobs in the order of their arrival, as the forecast assumes. */
   private startRuns(): void {
-    const full = new Set<RoomKind>();
+    const full = new Set<CapacityKind>();
     for (const job of this.state.openJobs) {
       job.seenAt ??= this.now;
       for (const step of job.occurrences.get(0)?.steps ?? []) {
-        const kind = roomKindOf(step.spec);
+        const kind = capacityKindOf(step.spec);
         if (!full.has(kind) && isReady(step) && !this.startStep(step, kind)) {
           full.add(kind);
         }
@@ -260,7 +260,7 @@
   }
 
   /** Starts the waiting tasks of a step; false if they don't all have a place. */
-  private startStep(step: Step, kind: RoomKind): boolean {
+  private startStep(step: Step, kind: CapacityKind): boolean {
     for (const task of step.tasks) {
       const free = this.free.get(kind) ?? 0;
       const { cpuMilli } = step.spec.size;
@@ -289,7 +289,7 @@
       this.ends.delete(run);
       const { step } = run.task;
       const { id, terms } = step.occurrence.job.spec;
-      const kind = roomKindOf(step.spec);
+      const kind = capacityKindOf(step.spec);
       const { size, estimateMs } = step.spec;
       const runMs = estimateMs * (this.trueFactor.get(id) ?? 1);
       this.addBacklog(terms.queue, (-runMs * size.cpuMilli) / 1_000);
--- a/packages/domain/src/jobs/room-overload.test.ts
+++ b/packages/domain/src/jobs/capacity-overload.test.ts
@@ -10,7 +10,7 @@
 import {
   AdmissionTrial,
   type Submitted,
-} from './room-overload.fixture.test.js';
+} from './capacity-overload.fixture.test.js';
 
 const HOSTS = 29;
 const SECONDS = 60;
--- a/packages/domain/src/jobs/room-refusal.ts
+++ b/packages/domain/src/jobs/capacity-refusal.ts
@@ -4,21 +4,21 @@
 import {
   fastestRateOf,
   isForecast,
-  roomKindOf,
-  ROOMS_VALID_MS,
-  type RoomRow,
-} from './room-rows.js';
+  capacityKindOf,
+  FORECAST_VALID_MS,
+  type CapacityRow,
+} from './capacity-rows.js';
 import type { JobSpec } from './spec.js';
 import { estimatedObjectiveOf, estimatedPathOf } from './start-delay.js';
 
 /** Rows of the forecast, and the monotonic time from which they refuse nothing. */
-export interface RoomLimits {
-  readonly rooms: readonly RoomRow[];
+export interface CapacityLimits {
+  readonly rooms: readonly CapacityRow[];
   readonly roomsUntil: Instant;
 }
 
 /** The forecast by which a job is refused. */
-export interface RoomForecastUsed extends RoomRow {
+export interface AppliedForecast extends CapacityRow {
   /** Time since this host has read it, or since the latest time at which it may have been written. */
   readonly ageMs: Millis;
   /** Core-milliseconds that this host has added, for all hosts. */
@@ -28,33 +28,33 @@
 }
 
 /** A refusal of a job that would end after it has lost all value. */
-export interface RoomRefusal {
+export interface CapacityRefusal {
   readonly why: 'no_room';
   /** Time until the backlog will have shrunk enough. */
   readonly retryAfterMs: Millis;
-  readonly forecast: RoomForecastUsed;
+  readonly forecast: AppliedForecast;
 }
 
 /** Returns what this host has accepted before a job since the forecast, in core-milliseconds. */
-export type AcceptedBefore = (row: RoomRow, priority: number) => number;
+export type AcceptedBefore = (row: CapacityRow, priority: number) => number;
 
 const MS_PER_S = 1_000;
 
 /** Returns the refusal of a job by the kind of capacity for which it would wait the longest. */
-export function roomRefusalOf(
+export function capacityRefusalOf(
   job: JobSpec,
-  { rooms, roomsUntil }: RoomLimits,
+  { rooms, roomsUntil }: CapacityLimits,
   now: Instant,
   acceptedBefore: AcceptedBefore = () => 0,
-): RoomRefusal | undefined {
+): CapacityRefusal | undefined {
   if (rooms.length === 0 || now >= roomsUntil || !isForecast(job)) {
     return undefined;
   }
   const { priority } = job.terms;
   const allowedMs =
     MAX_LATE_FACTOR * estimatedObjectiveOf(job) - estimatedPathOf(job);
-  const ageMs = Math.round(now - (roomsUntil - ROOMS_VALID_MS));
-  let longest: RoomForecastUsed | undefined;
+  const ageMs = Math.round(now - (roomsUntil - FORECAST_VALID_MS));
+  let longest: AppliedForecast | undefined;
   for (const row of rowsFor(job, rooms)) {
     const added = Math.round(row.hosts * acceptedBefore(row, priority));
     const backlog = row.backlog + added;
@@ -75,9 +75,9 @@
 /** Returns the row of each kind of capacity that the job needs: that of the next priority before it. */
 function rowsFor(
   { steps, terms }: JobSpec,
-  rooms: readonly RoomRow[],
-): RoomRow[] {
-  const kinds = new Set(steps.map(roomKindOf));
+  rooms: readonly CapacityRow[],
+): CapacityRow[] {
+  const kinds = new Set(steps.map(capacityKindOf));
   return [...kinds].flatMap(kind => {
     const before = rooms.filter(
       row =>
--- a/packages/domain/src/jobs/room-rows.test.ts
+++ b/packages/domain/src/jobs/capacity-rows.test.ts
@@ -5,10 +5,14 @@
 import { UNKNOWN_SPAN } from '../core/time.js';
 import { NO_LIMITS } from './admission.js';
 import { decodeJournal, encodeRecord, parseRow } from './record-rows.js';
-import { parseRooms, roomsColumns, type RoomRow } from './room-rows.js';
+import {
+  parseCapacityRows,
+  capacityColumns,
+  type CapacityRow,
+} from './capacity-rows.js';
 import { decodeSummary, encodeSummary } from './summary.js';
 
-const ROW: RoomRow = {
+const ROW: CapacityRow = {
   service: 'main',
   kind: 'plain',
   priority: 0,
@@ -42,16 +46,16 @@
     priority,
     backlog: 12_000.4,
   }));
-  const [column] = roomsColumns(rows);
-  const read = parseRooms(JSON.parse(JSON.stringify(column)));
+  const [column] = capacityColumns(rows);
+  const read = parseCapacityRows(JSON.parse(JSON.stringify(column)));
   assert.equal(read.length, 32);
   assert.deepEqual(read[7], { ...ROW, priority: 7 });
 });
 
 test('a column that is absent or partly invalid means no rows', () => {
-  const [[valid] = []] = roomsColumns([ROW]);
+  const [[valid] = []] = capacityColumns([ROW]);
   assert.ok(valid !== undefined);
-  assert.equal(parseRooms([valid]).length, 1);
+  assert.equal(parseCapacityRows([valid]).length, 1);
   const [service, letter, ...numbers] = valid;
   const invalid: unknown[] = [
     undefined,
@@ -68,7 +72,7 @@
     [[service, letter, 0, 1, 900, 30, 0]],
   ];
   for (const column of invalid) {
-    assert.deepEqual(parseRooms(column), []);
+    assert.deepEqual(parseCapacityRows(column), []);
   }
 });
 
--- a/packages/domain/src/jobs/room-rows.ts
+++ b/packages/domain/src/jobs/capacity-rows.ts
@@ -4,12 +4,12 @@
 import type { JobSpec, StepSpec } from './spec.js';
 
 /** Kind of capacity: processor time that others leave idle, or reserved processors. */
-export type RoomKind = 'filler' | 'plain';
+export type CapacityKind = 'filler' | 'plain';
 
 /** Forecast of one service, kind of capacity and priority; tasks of higher priorities are included. */
-export interface RoomRow {
+export interface CapacityRow {
   readonly service: string;
-  readonly kind: RoomKind;
+  readonly kind: CapacityKind;
   readonly priority: number;
   /** Core-milliseconds that accepted jobs still need. */
   readonly backlog: number;
@@ -21,7 +21,7 @@
   readonly hosts: number;
 }
 
-type WireRoom = readonly [
+type WireCapacityRow = readonly [
   service: string,
   kind: 'f' | 'p',
   priority: number,
@@ -32,14 +32,14 @@
 ];
 
 /** Time after which a forecast that was not replaced refuses nothing; a leader publishes one a second. */
-export const ROOMS_VALID_MS: Millis = 3_000;
+export const FORECAST_VALID_MS: Millis = 3_000;
 /** Most rows that are published, which bounds the size of a record. */
-export const MAX_ROOM_ROWS = 32;
+export const MAX_CAPACITY_ROWS = 32;
 const MS_PER_S = 1_000;
 const PERCENT = 100;
 
 /** Returns the kind of capacity that tasks of a step use. */
-export function roomKindOf({ filler }: StepSpec): RoomKind {
+export function capacityKindOf({ filler }: StepSpec): CapacityKind {
   return filler ? 'filler' : 'plain';
 }
 
@@ -49,10 +49,13 @@
 }
 
 /** Returns the core-milliseconds that a job needs of one kind of capacity, by its caller's estimates. */
-export function estimatedWorkOf({ steps }: JobSpec, kind: RoomKind): number {
+export function estimatedWorkOf(
+  { steps }: JobSpec,
+  kind: CapacityKind,
+): number {
   let work = 0;
   for (const step of steps) {
-    if (roomKindOf(step) === kind) {
+    if (capacityKindOf(step) === kind) {
       work += (step.tasks * step.size.cpuMilli * step.estimateMs) / MS_PER_S;
     }
   }
@@ -60,18 +63,20 @@
 }
 
 /** Returns the largest rate that the error allows, in core-milliseconds per second. */
-export function fastestRateOf({ rate, errorPercent }: RoomRow): number {
+export function fastestRateOf({ rate, errorPercent }: CapacityRow): number {
   return rate * (1 + errorPercent / PERCENT);
 }
 
 /** Returns the column that holds the rows at the end of a record; no column without rows. */
-export function roomsColumns(
-  rows: readonly RoomRow[],
-): [] | [readonly WireRoom[]] {
-  return rows.length === 0 ? [] : [rows.slice(0, MAX_ROOM_ROWS).map(toWire)];
+export function capacityColumns(
+  rows: readonly CapacityRow[],
+): [] | [readonly WireCapacityRow[]] {
+  return rows.length === 0
+    ? []
+    : [rows.slice(0, MAX_CAPACITY_ROWS).map(toWire)];
 }
 
-function toWire(row: RoomRow): WireRoom {
+function toWire(row: CapacityRow): WireCapacityRow {
   return [
     row.service,
     row.kind === 'filler' ? 'f' : 'p',
@@ -84,20 +89,20 @@
 }
 
 /** Returns the rows of a column; none if it is absent or any of it is invalid. */
-export function parseRooms(column: unknown): readonly RoomRow[] {
-  if (!Array.isArray(column) || !column.every(isWireRoom)) {
+export function parseCapacityRows(column: unknown): readonly CapacityRow[] {
+  if (!Array.isArray(column) || !column.every(isWireCapacityRow)) {
     return [];
   }
-  return column.slice(0, MAX_ROOM_ROWS).map(toRow);
+  return column.slice(0, MAX_CAPACITY_ROWS).map(toRow);
 }
 
-function toRow(row: WireRoom): RoomRow {
+function toRow(row: WireCapacityRow): CapacityRow {
   const [service, letter, priority, backlog, rate, errorPercent, hosts] = row;
   const kind = letter === 'f' ? 'filler' : 'plain';
   return { service, kind, priority, backlog, rate, errorPercent, hosts };
 }
 
-function isWireRoom(row: unknown): row is WireRoom {
+function isWireCapacityRow(row: unknown): row is WireCapacityRow {
   if (!Array.isArray(row)) {
     return false;
   }
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -28,7 +28,7 @@
   countOpenRunsAt,
   type JobsState,
 } from './jobs-state.js';
-import { ROOMS_VALID_MS } from './room-rows.js';
+import { FORECAST_VALID_MS } from './capacity-rows.js';
 import { applyImage } from './restate.js';
 
 /** Applies a record of the inbox; a repeated submission changes nothing. */
@@ -91,7 +91,7 @@
       state.leaderAddress = record.address;
       state.admissionLimits = {
         ...(record.limits ?? NO_LIMITS),
-        roomsUntil: state.now + ROOMS_VALID_MS,
+        roomsUntil: state.now + FORECAST_VALID_MS,
       };
       noteUnresponsive(state, record.handed);
       state.journalTime.noteLeadTime(
--- a/packages/domain/src/jobs/move-costs.ts
+++ b/packages/domain/src/jobs/move-costs.ts
@@ -1,4 +1,4 @@
-/** Whether running tasks can be moved quickly enough to make room for work that callers wait for. */
+/** Whether running tasks can be moved quickly enough to free capacity for work that callers wait for. */
 import type { Millis } from '../core/time.js';
 import type { QueueTerms } from './spec.js';
 
--- a/packages/domain/src/jobs/record-rows.ts
+++ b/packages/domain/src/jobs/record-rows.ts
@@ -17,7 +17,7 @@
   RunEnd,
 } from './records.js';
 import type { JobImage } from './restate.js';
-import { parseRooms, roomsColumns } from './room-rows.js';
+import { parseCapacityRows, capacityColumns } from './capacity-rows.js';
 import { parseSpan, spanRow, type SpanRow } from './span-rows.js';
 import type { JobSpec } from './spec.js';
 import { parseTaskName, taskName } from './task-ref.js';
@@ -157,7 +157,7 @@
         limits: {
           startDelays: startDelays ?? [],
           evacuatedKinds: evacuatedKinds ?? [],
-          rooms: parseRooms(rooms),
+          rooms: parseCapacityRows(rooms),
           roomsUntil: -Infinity,
         },
       };
@@ -264,7 +264,7 @@
         spanRow(silence),
         limits.startDelays,
         limits.evacuatedKinds,
-        ...roomsColumns(limits.rooms),
+        ...capacityColumns(limits.rooms),
       ];
     }
     case 'restate':
--- a/packages/domain/src/jobs/return-times.test.ts
+++ b/packages/domain/src/jobs/return-times.test.ts
@@ -45,7 +45,7 @@
     times.returnMs(callerOf(`j${at}`), 500);
   }
   assert.equal(times.returnMs(callerOf('a', { soonestMs: 1 }), 1_000), 3_000);
-  // After its slot it returns as soon as there may be room, ahead of all that were refused later.
+  // After its slot it returns as soon as there may be capacity, ahead of all that were refused later.
   const again = times.returnMs(callerOf('a', { soonestMs: 2_000 }), 5_000);
   assert.equal(again, 2_000);
   const later = times.returnMs(callerOf('z', { soonestMs: 2_000 }), 5_000);
--- a/packages/domain/src/jobs/summary.ts
+++ b/packages/domain/src/jobs/summary.ts
@@ -19,7 +19,7 @@
   type JobStatus,
 } from './job.js';
 import { parseRow } from './record-rows.js';
-import { parseRooms, roomsColumns } from './room-rows.js';
+import { parseCapacityRows, capacityColumns } from './capacity-rows.js';
 
 /** The newest status of a job, with its queue while it waits and the reason once it has failed. */
 export type SummaryRow =
@@ -125,7 +125,7 @@
     case 'l': {
       const [, epoch, host, address, standbys, ...more] = row;
       const [startDelays = [], evacuatedKinds = [], column] = more;
-      const rooms = parseRooms(column);
+      const rooms = parseCapacityRows(column);
       const roomsUntil = -Infinity;
       const limits = { startDelays, evacuatedKinds, rooms, roomsUntil };
       return { kind: 'leads', epoch, host, address, standbys, limits };
@@ -152,7 +152,7 @@
       const { epoch, host, address, standbys, limits = NO_LIMITS } = record;
       const { startDelays, evacuatedKinds, rooms } = limits;
       const leader = [epoch, host, address, standbys] as const;
-      const column = roomsColumns(rooms);
+      const column = capacityColumns(rooms);
       return ['l', ...leader, startDelays, evacuatedKinds, ...column];
     }
     case 'rows':
