--- a/packages/domain/src/jobs/capacity-forecast.ts
+++ b/packages/domain/src/jobs/capacity-forecast.ts
@@ -40,10 +40,11 @@
   readonly priority: number;
 }
 
-/** What the tasks of a class still need, as of one sample. */
-interface Census extends WorkClass {
+/** Work of the open jobs of a class, as of one sample. */
+interface OpenWork extends WorkClass {
+  /** Number of tasks that could start if there were capacity. */
   waiting: number;
-  /** Core-milliseconds. */
+  /** Core-milliseconds that its tasks still need. */
   backlog: number;
   /** Thousandths of a core of the running tasks. */
   runningMilli: number;
@@ -54,11 +55,12 @@
 /** Work of one task that was completed. */
 interface Completion extends WorkClass {
   readonly step: Step;
+  /** Core-milliseconds. */
   readonly work: number;
 }
 
-/** Completions between two samples. */
-interface Slice {
+/** What was observed of a class between two samples. */
+interface Interval {
   readonly ms: Millis;
   readonly completions: readonly Completion[];
   /** Whether tasks had waited for as long as a task runs, so that all runs began on full workers. */
@@ -67,16 +69,16 @@
   readonly runningMilli: number;
 }
 
-/** Observation of a class while its tasks, or those of higher priorities, wait. */
-interface Lane {
+/** What has been observed of a class since its tasks, or those of higher priorities, began to wait. */
+interface Observation {
   readonly waitingSince: Instant;
-  slices: Slice[];
+  intervals: Interval[];
 }
 
 /** Observes rounds and completions of one leader. */
 export class CapacityForecast {
-  private readonly lanes = new Map<string, Lane>();
-  private census: readonly Census[] = [];
+  private readonly observations = new Map<string, Observation>();
+  private openWork: readonly OpenWork[] = [];
   private completions: Completion[] = [];
   private sampledAt: Instant = -Infinity;
   private roundAt: Instant = -Infinity;
@@ -111,7 +113,7 @@
    * observed says nothing of their capacity, and neither do the completions until tasks wait again.
    */
   noteBlocked(): void {
-    this.lanes.clear();
+    this.observations.clear();
     this.completions = [];
     this.sampledAt = -Infinity;
   }
@@ -121,7 +123,7 @@
     if (now - this.sampledAt > MAX_ROUND_GAP_MS) {
       return [];
     }
-    const rows = this.census.flatMap(
+    const rows = this.openWork.flatMap(
       counted => this.rowOf(counted, now, Math.max(1, hosts)) ?? [],
     );
     return rows
@@ -138,115 +140,141 @@
     const { completions } = this;
     this.completions = [];
     this.sampledAt = now;
-    this.census = countOpenWork(input);
-    for (const counted of this.census) {
-      this.sampleLane(counted, { ms, completions }, now);
+    this.openWork = countOpenWork(input);
+    for (const counted of this.openWork) {
+      this.sampleObservation(counted, { ms, completions }, now);
     }
-    const known = new Set(this.census.map(keyOf));
-    for (const key of this.lanes.keys()) {
+    const known = new Set(this.openWork.map(keyOf));
+    for (const key of this.observations.keys()) {
       if (!known.has(key)) {
-        this.lanes.delete(key);
+        this.observations.delete(key);
       }
     }
   }
 
-  private sampleLane(
-    counted: Census,
-    { ms, completions }: Pick<Slice, 'ms' | 'completions'>,
+  private sampleObservation(
+    counted: OpenWork,
+    { ms, completions }: Pick<Interval, 'ms' | 'completions'>,
     now: Instant,
   ): void {
     const key = keyOf(counted);
-    const lane = this.lanes.get(key);
-    if (sumOf(this.census, counted, ({ waiting }) => waiting) === 0) {
-      this.lanes.delete(key);
+    const observation = this.observations.get(key);
+    if (sumOf(this.openWork, counted, ({ waiting }) => waiting) === 0) {
+      this.observations.delete(key);
       return;
     }
-    if (lane === undefined) {
-      this.lanes.set(key, { waitingSince: now, slices: [] });
+    if (observation === undefined) {
+      this.observations.set(key, { waitingSince: now, intervals: [] });
       return;
     }
     const included = completions.filter(other => precedes(other, counted));
-    const runMs = this.runMsOf(counted, lane);
+    const runMs = this.runMsOf(counted, observation);
     const isSettled =
-      runMs <= RATE_WINDOW_MS && now - lane.waitingSince - ms >= runMs;
+      runMs <= RATE_WINDOW_MS && now - observation.waitingSince - ms >= runMs;
     const runningMilli = this.runningMilliOf(counted);
-    lane.slices.push({ ms, completions: included, isSettled, runningMilli });
-    while (spanOf(lane.slices.slice(1)) >= RATE_WINDOW_MS) {
-      lane.slices.shift();
+    observation.intervals.push({
+      ms,
+      completions: included,
+      isSettled,
+      runningMilli,
+    });
+    while (totalMs(observation.intervals.slice(1)) >= RATE_WINDOW_MS) {
+      observation.intervals.shift();
     }
   }
 
   /** Returns how long a task of this kind of capacity runs, slowed as far as is known. */
-  private runMsOf(counted: Census, { slices }: Lane): Millis {
+  private runMsOf(counted: OpenWork, { intervals }: Observation): Millis {
     const milli = this.runningMilliOf(counted);
     if (milli === 0) {
       return 0;
     }
-    const work = sumOfKind(this.census, counted, each => each.runningWork);
-    const rate = rateOf(slices);
+    const work = sumOfKind(this.openWork, counted, each => each.runningWork);
+    const rate = rateOf(intervals);
     const slowdown = rate === 0 ? MAX_SLOWDOWN : milli / rate;
     const factor = Math.min(MAX_SLOWDOWN, Math.max(1, slowdown));
     return (factor * MS_PER_S * work) / milli;
   }
 
   /** Returns the thousandths of a core in use, also by lower priorities, as these give way in time. */
-  private runningMilliOf(counted: Census): number {
-    return sumOfKind(this.census, counted, ({ runningMilli }) => runningMilli);
+  private runningMilliOf(counted: OpenWork): number {
+    return sumOfKind(
+      this.openWork,
+      counted,
+      ({ runningMilli }) => runningMilli,
+    );
   }
 
   private rowOf(
-    counted: Census,
+    counted: OpenWork,
     now: Instant,
     hosts: number,
   ): CapacityRow | undefined {
-    const lane = this.lanes.get(keyOf(counted));
-    if (lane === undefined || now - lane.waitingSince < MIN_WAITED_MS) {
+    const observation = this.observations.get(keyOf(counted));
+    if (
+      observation === undefined ||
+      now - observation.waitingSince < MIN_WAITED_MS
+    ) {
       return undefined;
     }
-    const settled = lane.slices.filter(slice => slice.isSettled);
+    const settled = observation.intervals.filter(
+      interval => interval.isSettled,
+    );
     // Tasks that began together end together, so that less than one run's time may show too few of them.
-    const enoughMs = Math.max(MIN_WAITED_MS, this.runMsOf(counted, lane));
-    const isSettled = spanOf(settled) >= enoughMs && rateOf(settled) > 0;
-    const slices = isSettled ? settled : lane.slices;
-    const rate = rateOf(slices);
+    const enoughMs = Math.max(
+      MIN_WAITED_MS,
+      this.runMsOf(counted, observation),
+    );
+    const isSettled = totalMs(settled) >= enoughMs && rateOf(settled) > 0;
+    const intervals = isSettled ? settled : observation.intervals;
+    const rate = rateOf(intervals);
     // Rows of less than a thousandth of a core would be invalid once rounded.
     if (rate < 1) {
       return undefined;
     }
-    const runningMilli = this.runningMilliOf(counted);
-    // Until then runs end that began while workers were not full: the processors in use are the bound.
-    const bound = isSettled
-      ? Math.max(1, runningMilli / meanRunningOf(slices))
-      : runningMilli / rate;
-    const ownError = ERROR_WIDTH * relativeErrorOf(slices);
-    // Tasks also wait for a leader that is busy, and more of them may run now than were observed.
-    const error = isSettled
-      ? (1 + ownError) * bound - 1
-      : Math.max(ownError, bound - 1);
     const { service, kind, priority } = counted;
     return {
       service,
       kind,
       priority,
-      backlog: sumOf(this.census, counted, each => each.backlog),
+      backlog: sumOf(this.openWork, counted, each => each.backlog),
       rate,
-      errorPercent: Math.ceil(PERCENT * error),
+      errorPercent: Math.ceil(
+        PERCENT * this.rateErrorOf(counted, intervals, isSettled),
+      ),
       hosts,
     };
   }
+
+  /** Returns by which part of it the rate observed in `intervals` may be exceeded. */
+  private rateErrorOf(
+    counted: OpenWork,
+    intervals: readonly Interval[],
+    isSettled: boolean,
+  ): number {
+    const runningMilli = this.runningMilliOf(counted);
+    const samplingError = ERROR_WIDTH * relativeErrorOf(intervals);
+    if (!isSettled) {
+      // Runs end that began while workers were not full, so that the processors in use are the bound.
+      return Math.max(samplingError, runningMilli / rateOf(intervals) - 1);
+    }
+    // Tasks also wait for a leader that is busy, and more of them may run now than were observed.
+    const growth = Math.max(1, runningMilli / meanRunningOf(intervals));
+    return (1 + samplingError) * growth - 1;
+  }
 }
 
 /** Counts the work of open jobs by class. */
-function countOpenWork({ state, times, time }: ForecastInput): Census[] {
-  const found = new Map<string, Census>();
+function countOpenWork({ state, times, time }: ForecastInput): OpenWork[] {
+  const found = new Map<string, OpenWork>();
   for (const job of state.openJobs) {
     if (!isForecast(job.spec)) {
       continue;
     }
     for (const step of openStepsOf(job, { state, times, time })) {
-      const place = classOf(step);
-      const key = keyOf(place);
-      const counted = found.get(key) ?? emptyCensus(place);
+      const workClass = classOf(step);
+      const key = keyOf(workClass);
+      const counted = found.get(key) ?? emptyOpenWork(workClass);
       found.set(key, counted);
       addStep(counted, step, times.expectedMs(step), time.now);
     }
@@ -276,12 +304,18 @@
   return tasks.some(({ status }) => status !== 'waiting');
 }
 
-function emptyCensus(place: WorkClass): Census {
-  return { ...place, waiting: 0, backlog: 0, runningMilli: 0, runningWork: 0 };
+function emptyOpenWork(workClass: WorkClass): OpenWork {
+  return {
+    ...workClass,
+    waiting: 0,
+    backlog: 0,
+    runningMilli: 0,
+    runningWork: 0,
+  };
 }
 
 function addStep(
-  counted: Census,
+  counted: OpenWork,
   step: Step,
   expectedMs: Millis,
   now: Instant,
@@ -343,61 +377,55 @@
   return one.service === other.service && one.kind === other.kind;
 }
 
+/** Returns the sum of an amount over a class and those that precede it. */
 function sumOf(
-  all: readonly Census[],
+  all: readonly OpenWork[],
   counted: WorkClass,
-  amountOf: (each: Census) => number,
+  amountOf: (each: OpenWork) => number,
 ): number {
-  return all
-    .filter(each => precedes(each, counted))
-    .reduce((sum, each) => sum + amountOf(each), 0);
+  return sum(all.filter(each => precedes(each, counted)).map(amountOf));
 }
 
+/** Returns the sum of an amount over all priorities of a class's kind of capacity. */
 function sumOfKind(
-  all: readonly Census[],
+  all: readonly OpenWork[],
   counted: WorkClass,
-  amountOf: (each: Census) => number,
+  amountOf: (each: OpenWork) => number,
 ): number {
-  return all
-    .filter(each => isSameKind(each, counted))
-    .reduce((sum, each) => sum + amountOf(each), 0);
+  return sum(all.filter(each => isSameKind(each, counted)).map(amountOf));
 }
 
-function spanOf(slices: readonly Slice[]): Millis {
-  return slices.reduce((sum, { ms }) => sum + ms, 0);
+function sum(amounts: readonly number[]): number {
+  return amounts.reduce((total, amount) => total + amount, 0);
+}
+
+function totalMs(intervals: readonly Interval[]): Millis {
+  return sum(intervals.map(({ ms }) => ms));
 }
 
 /** Returns the core-milliseconds that were completed per second; 0 if there is no observation. */
-function rateOf(slices: readonly Slice[]): number {
-  const work = slices
-    .flatMap(({ completions }) => completions)
-    .reduce((sum, completion) => sum + completion.work, 0);
-  return work === 0 ? 0 : (MS_PER_S * work) / spanOf(slices);
+function rateOf(intervals: readonly Interval[]): number {
+  const completions = intervals.flatMap(each => each.completions);
+  const work = sum(completions.map(each => each.work));
+  return work === 0 ? 0 : (MS_PER_S * work) / totalMs(intervals);
 }
 
 /** Returns the mean of the processors in use, at least a thousandth of a core. */
-function meanRunningOf(slices: readonly Slice[]): number {
-  const sum = slices.reduce(
-    (total, { ms, runningMilli }) => total + ms * runningMilli,
-    0,
-  );
-  return Math.max(1, sum / spanOf(slices));
+function meanRunningOf(intervals: readonly Interval[]): number {
+  const products = intervals.map(each => each.ms * each.runningMilli);
+  return Math.max(1, sum(products) / totalMs(intervals));
 }
 
 /**
  * Returns the relative standard error of the rate if steps end independently of each other. Tasks of one step
  * run alike and mostly end together, so they count as one event.
  */
-function relativeErrorOf(slices: readonly Slice[]): number {
+function relativeErrorOf(intervals: readonly Interval[]): number {
   const works = new Map<Step, number>();
-  for (const { step, work } of slices.flatMap(each => each.completions)) {
+  for (const { step, work } of intervals.flatMap(each => each.completions)) {
     works.set(step, (works.get(step) ?? 0) + work);
   }
-  let sum = 0;
-  let squares = 0;
-  for (const work of works.values()) {
-    sum += work;
-    squares += work ** 2;
-  }
-  return sum === 0 ? 0 : Math.sqrt(squares) / sum;
+  const total = sum([...works.values()]);
+  const squares = sum([...works.values()].map(work => work ** 2));
+  return total === 0 ? 0 : Math.sqrt(squares) / total;
 }
--- a/packages/domain/src/jobs/capacity-overload.fixture.test.ts
+++ b/packages/domain/src/jobs/capacity-overload.fixture.test.ts
@@ -18,7 +18,7 @@
 import type { JobSpec, StepSpec } from './spec.js';
 import { endRun, startOn, testJob } from './test-support.js';
 
-/** What a caller submitted, and what became or would have become of it. */
+/** A submitted job, how it was answered, and when it would have ended. */
 export interface Submitted {
   readonly at: number;
   readonly job: JobSpec;
@@ -34,12 +34,13 @@
   readonly servedMs: number;
 }
 
-/** A queue: jobs a second, and its steps. */
+/** The jobs of one queue. */
 interface Load {
   readonly queue: string;
   readonly kind: CapacityKind;
   readonly jobsPerSecond: number;
   readonly steps: number;
+  /** Mean number of tasks of a step. */
   readonly tasks: number;
   readonly cpuMilli: number;
   readonly runMs: number;
@@ -73,12 +74,13 @@
   },
 ];
 
-/** Load over capacity. */
+/** Ratio of the load to the capacity. */
 const OVERLOAD = 3;
 const TICK_MS = 50;
-const PUBLISH_MS = 1_000;
+/** Time between two forecasts. */
+const PUBLISH_INTERVAL_MS = 1_000;
 /** Age of a forecast when a host reads it. */
-const NEWS_AGE_MS = 1_000;
+const FORECAST_AGE_MS = 1_000;
 /** Spread of sizes of jobs, and errors of callers' estimates, as standard deviations of logarithms. */
 const SIZE_SPREAD = 0.6;
 const ESTIMATE_ERROR = 0.2;
@@ -113,7 +115,9 @@
   private readonly backlog = new Map<string, number>();
   private readonly trueFactor = new Map<string, number>();
   private limits: AdmissionLimits = NO_LIMITS;
-  private news: { readonly at: number; readonly rooms: CapacityRow[] }[] = [];
+  /** Forecasts that no host has read yet. */
+  private published: { readonly at: number; readonly rooms: CapacityRow[] }[] =
+    [];
   private random: () => number;
   private now = 0;
 
@@ -141,7 +145,7 @@
       this.startRuns();
       this.forecast.noteRound(this.input());
       this.publish();
-      this.readNews();
+      this.readForecast();
       this.submitAll();
     }
   }
@@ -152,19 +156,22 @@
   }
 
   private publish(): void {
-    const isDue = this.now % PUBLISH_MS === 0;
+    const isDue = this.now % PUBLISH_INTERVAL_MS === 0;
     if (isDue && this.options.admitsByRoom && !this.losesForecasts) {
       const rows = this.forecast.rows(this.now, this.options.hosts);
       const [column] = capacityColumns(rows);
       const wire: unknown = JSON.parse(JSON.stringify(column ?? null));
-      this.news.push({ at: this.now, rooms: [...parseCapacityRows(wire)] });
+      this.published.push({
+        at: this.now,
+        rooms: [...parseCapacityRows(wire)],
+      });
     }
   }
 
-  private readNews(): void {
-    const [next] = this.news;
-    if (next !== undefined && this.now >= next.at + NEWS_AGE_MS) {
-      this.news.shift();
+  private readForecast(): void {
+    const [next] = this.published;
+    if (next !== undefined && this.now >= next.at + FORECAST_AGE_MS) {
+      this.published.shift();
       const roomsUntil = next.at + FORECAST_VALID_MS;
       this.limits = { ...NO_LIMITS, rooms: next.rooms, roomsUntil };
       for (const host of this.hosts) {
@@ -198,8 +205,8 @@
     const servedMs = (1_000 * before) / capacityMilli(load) + pathMs * factor;
     const refusal = host.admission.refusalOf(job, this.limits, this.now);
     const tasks = job.steps.reduce((sum, step) => sum + step.tasks, 0);
-    const told = { at: this.now, job, work: work * factor, tasks, refusal };
-    this.submitted.push({ ...told, usefulMs, forecastMs, servedMs });
+    const known = { at: this.now, job, work: work * factor, tasks, refusal };
+    this.submitted.push({ ...known, usefulMs, forecastMs, servedMs });
     if (refusal === undefined) {
       host.admission.noteAccepted(job, this.limits);
       host.added.push({ load, work });
@@ -318,7 +325,7 @@
   return load;
 }
 
-/** Returns the thousandths of a core that carry a part of a load. */
+/** Returns the capacity of a queue, a fraction of its load, in thousandths of a core. */
 function capacityMilli(load: Load): number {
   const { jobsPerSecond, steps, tasks, cpuMilli, runMs } = load;
   const milli = (jobsPerSecond * steps * tasks * cpuMilli * runMs) / 1_000;
--- a/packages/domain/src/jobs/capacity-overload.test.ts
+++ b/packages/domain/src/jobs/capacity-overload.test.ts
@@ -37,21 +37,21 @@
   return jobs.reduce((sum, { work }) => sum + work, 0);
 }
 
-test('no job is accepted that the forecast in force calls hopeless', () => {
-  const hopeless = accepted.filter(
+test('no job is accepted that would end without value by the forecast in force', () => {
+  const tooLate = accepted.filter(
     each => each.forecastMs > each.usefulMs + ROUNDING_MS,
   );
-  assert.equal(hopeless.length, 0);
+  assert.equal(tooLate.length, 0);
   assert.ok(refused.length > accepted.length);
 });
 
 test('few refused jobs would have been of value', () => {
-  const wronged = refused.filter(each => each.servedMs <= each.usefulMs);
-  const share = wronged.length / refused.length;
+  const useful = refused.filter(each => each.servedMs <= each.usefulMs);
+  const share = useful.length / refused.length;
   assert.ok(share < 0.1, `${share} of the refused jobs`);
 });
 
-// The error of the rate and the age of the news are all that lets a job in that ends too late.
+// Only the error of the rate and the age of the forecast let hosts accept a job that ends too late.
 test('no accepted job would end much after it has lost its value', () => {
   for (const queue of ['checks', 'batch']) {
     const steady = accepted.filter(isSteady).filter(inQueue(queue));
@@ -61,8 +61,8 @@
   }
 });
 
-// Every host has old news, and each could accept the whole capacity.
-test('the accepted work stays near what the capacity carries', () => {
+// Each host has an old forecast and could accept jobs for the whole capacity.
+test('the accepted work stays near the capacity', () => {
   for (const queue of ['checks', 'batch']) {
     const steady = accepted.filter(isSteady).filter(inQueue(queue));
     const perSecond = workOf(steady) / (SECONDS - 1 - STEADY_FROM_MS / 1_000);
@@ -90,7 +90,7 @@
   assert.ok(checks / batch > 0.75 && checks / batch < 1.25, shares.join());
 });
 
-test('where the part is switched off, all is accepted and most ends without value', () => {
+test('where jobs are not admitted by capacity, all are accepted and most end without value', () => {
   const off = new AdmissionTrial({
     hosts: HOSTS,
     admitsByRoom: false,
