Share the bound on remembered entries, and shorten and rename what a reader reads twice

Moves of fillers are called moves throughout, the headroom by a forecast and the run time of a copy have names of their own, and the speed at a point is computed on its own.

--- a/packages/daemon/src/job-host/run-supervisor.ts
+++ b/packages/daemon/src/job-host/run-supervisor.ts
@@ -4,7 +4,7 @@
   FillerMoves,
   findWorker,
   isFinished,
-  shouldRelocateFiller,
+  shouldMoveFiller,
   isStalled,
   planMovesOffLeaving,
   refOf,
@@ -110,7 +110,7 @@
       return;
     }
     for (const run of this.openRuns()) {
-      const slowed = shouldRelocateFiller(run, input.time.now);
+      const slowed = shouldMoveFiller(run, input.time.now);
       const better = slowed ? findWorker(input, run.task) : undefined;
       if (better !== undefined) {
         this.logRun(run, 'leader: a run is slowed here and moves', {
--- a/packages/domain/src/jobs/capacity-admission.ts
+++ b/packages/domain/src/jobs/capacity-admission.ts
@@ -9,12 +9,13 @@
   type CapacityKind,
   type CapacityRow,
 } from './capacity-rows.js';
+import { dropOldest } from './drop-oldest.js';
 import type { JobSpec } from './spec.js';
 
 const MS_PER_S = 1_000;
 const KINDS: readonly CapacityKind[] = ['filler', 'plain'];
-/** Most jobs that are remembered since it is not known whether they were recorded. */
-const MAX_DOUBTFUL_JOBS = 2_000;
+/** Most jobs remembered of which it is not known whether they were recorded. */
+const MAX_UNKNOWN_OUTCOMES = 2_000;
 
 /** Work of accepted jobs of one service, kind of capacity and priority, in core-milliseconds. */
 type AcceptedWork = Pick<CapacityRow, 'service' | 'kind' | 'priority'> & {
@@ -24,11 +25,12 @@
 /** Decides on the jobs that callers submit to one host. */
 export class CapacityAdmission {
   private readonly returnTimes: ReturnTimes;
-  private readonly doubtfulJobs = new Set<string>();
+  private readonly jobsOfUnknownOutcome = new Set<string>();
   /** Number of attempts to record each job that have no outcome yet. */
   private readonly pendingAttempts = new Map<string, number>();
-  /** The forecast that `accepted` is counted from. */
+  /** The forecast since which `accepted` is counted. */
   private rooms: readonly CapacityRow[] = [];
+  /** Work accepted since the forecast, by class. */
   private readonly accepted = new Map<string, AcceptedWork>();
 
   /** Creates the admission of one host; `spread` differs by host. */
@@ -75,7 +77,7 @@
       this.pendingAttempts.delete(job);
     }
     if (!isKnown) {
-      this.noteDoubtful(job);
+      this.noteUnknownOutcome(job);
     }
   }
 
@@ -98,18 +100,13 @@
     return this.returnTimes.returnMs(caller, now);
   };
 
-  private noteDoubtful(job: string): void {
-    this.doubtfulJobs.add(job);
-    for (const oldest of this.doubtfulJobs) {
-      if (this.doubtfulJobs.size <= MAX_DOUBTFUL_JOBS) {
-        break;
-      }
-      this.doubtfulJobs.delete(oldest);
-    }
+  private noteUnknownOutcome(job: string): void {
+    this.jobsOfUnknownOutcome.add(job);
+    dropOldest(this.jobsOfUnknownOutcome, MAX_UNKNOWN_OUTCOMES);
   }
 
   private mayBeRecorded(job: string): boolean {
-    return this.doubtfulJobs.has(job) || this.pendingAttempts.has(job);
+    return this.jobsOfUnknownOutcome.has(job) || this.pendingAttempts.has(job);
   }
 
   /** Each record that a host reads has rows of its own, also if they are equal to the ones before. */
--- a/packages/domain/src/jobs/filler-moves.ts
+++ b/packages/domain/src/jobs/filler-moves.ts
@@ -4,7 +4,7 @@
  */
 import type { Instant, Millis } from '../core/time.js';
 import { POINT_INTERVAL_MS } from './filler-speeds.js';
-import { RELOCATE_AFTER_MS } from './interference.js';
+import { MOVE_AFTER_MS } from './interference.js';
 import type { Run, RunProgress, Step } from './job.js';
 import { workerRuns } from './jobs-state.js';
 import type { MoveCosts } from './move-costs.js';
@@ -16,7 +16,7 @@
   type PlanInput,
 } from './plan.js';
 
-/** Speed limit in percent from which a filler stays: a move costs a fifth of the shortest runs. */
+/** Speed limit in percent below which a filler may move: a move costs a fifth of the shortest runs. */
 const SLOWED_BELOW_PERCENT = 70;
 /** Time that the orders to stop and to start take, with the planning in between. */
 const ORDERS_MS: Millis = 150;
@@ -24,8 +24,8 @@
 const CHECK_INTERVAL_MS: Millis = 350;
 /** Most steps in a round for which all workers are compared. */
 const MAX_SEARCHES = 32;
-/** Number of points at which the limits of a filler are forecast: two runs. */
-const POINTS = 16;
+/** Number of points at which the limits of a filler are forecast: 8 s, two of the longer runs. */
+const FORECAST_POINTS = 16;
 /** Lowest speed that is expected of a run over all points, so that times stay finite. */
 const MIN_MEAN_SPEED = 0.02;
 
@@ -43,7 +43,7 @@
   checkedAt: Instant;
 }
 
-/** Decides on moves of fillers, round by round. */
+/** Decides on the moves of fillers in successive rounds. */
 export class FillerMoves {
   private readonly slowed = new WeakMap<Run, SlowedRun>();
 
@@ -90,7 +90,7 @@
       this.slowed.set(run, known);
     }
     if (
-      now - known.since <= RELOCATE_AFTER_MS ||
+      now - known.since <= MOVE_AFTER_MS ||
       now - known.checkedAt < CHECK_INTERVAL_MS
     ) {
       return false;
@@ -103,7 +103,7 @@
 /** The decisions of one round. */
 class MoveRound {
   /** Best worker by step; undefined if there is none. */
-  private readonly found = new Map<Step, PlanWorker | undefined>();
+  private readonly workerByStep = new Map<Step, PlanWorker | undefined>();
   private readonly movedSteps = new Set<Step>();
   private readonly workers: ReadonlyMap<string, PlanWorker>;
   /** Forecast limits by worker and point. */
@@ -121,6 +121,7 @@
   /** Returns the move of a slowed run if it ends earlier elsewhere by more than the costs. */
   moveOf(run: Run, progress: RunProgress): FillerMove | undefined {
     const { step } = run.task;
+    // Checked first, since it costs less than a forecast.
     if (this.movedSteps.has(step) || this.hasNoWorker(step)) {
       return undefined;
     }
@@ -128,16 +129,16 @@
     const leftMs = expectedMs * (1 - progress.percent / 100);
     const hereMs = this.endsHereInMs(run, progress, leftMs);
     // A run without checkpoints loses its progress.
-    const movedMs = step.spec.checkpoints ? leftMs : expectedMs;
+    const leftElsewhereMs = step.spec.checkpoints ? leftMs : expectedMs;
     const costMs = this.costs.stopMs + this.costs.restoreMs + ORDERS_MS;
-    if (hereMs <= movedMs + costMs) {
+    if (hereMs <= leftElsewhereMs + costMs) {
       return undefined;
     }
     const worker = this.workerFor(run);
     if (worker === undefined || worker.info.id === run.worker) {
       return undefined;
     }
-    const thereMs = movedMs / this.speedOn(worker, step) + costMs;
+    const thereMs = leftElsewhereMs / this.speedOn(worker, step) + costMs;
     if (hereMs <= thereMs) {
       return undefined;
     }
@@ -150,14 +151,14 @@
     return { run, to: worker.info.id, gainMs: hereMs - thereMs };
   }
 
-  /** Returns when a run ends on its worker that has `leftMs` left at full speed. */
+  /** Returns the time until a run ends on its worker, if it has `leftMs` left at full speed. */
   private endsHereInMs(
     run: Run,
     { allowedPercent = 100 }: RunProgress,
     leftMs: Millis,
   ): Millis {
     let doneMs = 0;
-    for (let point = 0; point < POINTS; point += 1) {
+    for (let point = 0; point < FORECAST_POINTS; point += 1) {
       // Limits look ahead, and follow a falling load one report late, so that the lower of both ends holds.
       const isPaused = point === 0 && allowedPercent === 0;
       const percent = isPaused
@@ -173,7 +174,7 @@
       }
       doneMs += stepMs;
     }
-    const meanSpeed = doneMs / (POINTS * POINT_INTERVAL_MS);
+    const meanSpeed = doneMs / (FORECAST_POINTS * POINT_INTERVAL_MS);
     return leftMs / Math.max(MIN_MEAN_SPEED, meanSpeed);
   }
 
@@ -194,19 +195,19 @@
     return known[point].get(run);
   }
 
-  /** Tells whether the search for a worker has failed, or would be one too many; it costs less than a forecast. */
+  /** Tells whether the search for a worker for the step has failed, or would be one too many in this round. */
   private hasNoWorker(step: Step): boolean {
-    return this.found.has(step)
-      ? this.found.get(step) === undefined
-      : this.found.size >= MAX_SEARCHES;
+    return this.workerByStep.has(step)
+      ? this.workerByStep.get(step) === undefined
+      : this.workerByStep.size >= MAX_SEARCHES;
   }
 
   private workerFor({ task }: Run): PlanWorker | undefined {
     const { step } = task;
-    if (!this.found.has(step) && this.found.size < MAX_SEARCHES) {
-      this.found.set(step, findWorker(this.input, task));
+    if (!this.workerByStep.has(step)) {
+      this.workerByStep.set(step, findWorker(this.input, task));
     }
-    return this.found.get(step);
+    return this.workerByStep.get(step);
   }
 
   /** Returns the fraction of its full speed at which a filler of the step would run on a worker. */
--- a/packages/domain/src/jobs/filler-speeds.ts
+++ b/packages/domain/src/jobs/filler-speeds.ts
@@ -31,9 +31,12 @@
     cpuMilli: number,
   ) => number;
   /** Returns the expected time of a filler's run; undefined where only the present speed counts. */
-  readonly spanOf: ((filler: Step) => Millis) | undefined;
+  readonly expectedMsOf: ((filler: Step) => Millis) | undefined;
   /** Relative increase of a step's load that all fillers may cause after `aheadMs`, if that is forecast. */
-  readonly headroomAt: (serving: Step, aheadMs: Millis) => number | undefined;
+  readonly forecastHeadroom: (
+    serving: Step,
+    aheadMs: Millis,
+  ) => number | undefined;
   /** Relative increase of a step's load by the fillers of a worker at full speed. */
   readonly gainBeside: (
     serving: Step,
@@ -53,6 +56,12 @@
   gainBeside: number | undefined;
 }
 
+/** A serving step, and the relative increase of its load by a filler at full speed. */
+interface DisturbedStep {
+  readonly serving: ServingStep;
+  readonly gain: number;
+}
+
 interface ServingTasks {
   /** Number of runs of the worker when this was worked out; runs are only added while the cache lives. */
   readonly runCount: number;
@@ -101,8 +110,8 @@
    * the speed at the start counts.
    */
   meanSpeedOf(load: WorkerRuns, cpuMilli: number, filler: Step): number {
-    const spanMs = this.source.spanOf?.(filler);
-    if (spanMs === undefined) {
+    const expectedMs = this.source.expectedMsOf?.(filler);
+    if (expectedMs === undefined) {
       return this.speedOf(load, cpuMilli, filler.spec);
     }
     const beside = this.servingTasksOf(load);
@@ -113,15 +122,10 @@
     if (disturbed.length === 0) {
       return 1;
     }
-    const points = pointsOf(spanMs);
+    const points = pointsOf(expectedMs);
     let sum = 0;
     for (let point = 0; point < points; point += 1) {
-      let speed = 1;
-      for (const { serving, gain } of disturbed) {
-        const left = this.headroomBeside(serving, load, cpuMilli, point);
-        speed = Math.min(speed, left / gain);
-      }
-      speed = Math.max(0, speed);
+      const speed = this.speedAt(point, disturbed, load, cpuMilli);
       // The other points are not worked out, since placement compares thousands of such workers in a round.
       if (point === 0 && speed < MIN_START_SPEED) {
         return speed;
@@ -131,15 +135,30 @@
     return sum / points;
   }
 
+  /** Returns the fraction of its full speed, 0 to 1, at which a filler could run at a point. */
+  private speedAt(
+    point: number,
+    disturbed: readonly DisturbedStep[],
+    load: WorkerRuns,
+    cpuMilli: number,
+  ): number {
+    let speed = 1;
+    for (const { serving, gain } of disturbed) {
+      const headroom = this.headroomBeside(serving, load, cpuMilli, point);
+      speed = Math.min(speed, headroom / gain);
+    }
+    return Math.max(0, speed);
+  }
+
   /** Returns the serving steps that a filler disturbs, and by how much it increases the load of each. */
   private disturbedBy(
     filler: StepSpec,
     steps: readonly ServingStep[],
     cpuMilli: number,
-  ): { serving: ServingStep; gain: number }[] {
+  ): DisturbedStep[] {
     const pressures = this.pressuresOf(filler);
     const cpuFraction = filler.size.cpuMilli / cpuMilli;
-    const found = [];
+    const found: DisturbedStep[] = [];
     for (const serving of steps) {
       const { spec } = serving.step;
       const gain = this.pressure(pressures, spec, filler) * cpuFraction;
@@ -175,7 +194,7 @@
     }
     if (!(point in known)) {
       const aheadMs = (point + 0.5) * POINT_INTERVAL_MS;
-      known[point] = this.source.headroomAt(step, aheadMs);
+      known[point] = this.source.forecastHeadroom(step, aheadMs);
     }
     return known[point];
   }
@@ -226,7 +245,7 @@
   }
 }
 
-function pointsOf(spanMs: Millis): number {
-  const points = Math.round(spanMs / POINT_INTERVAL_MS);
+function pointsOf(expectedMs: Millis): number {
+  const points = Math.round(expectedMs / POINT_INTERVAL_MS);
   return Math.min(MAX_POINTS, Math.max(1, points));
 }
--- a/packages/domain/src/jobs/full-speed.ts
+++ b/packages/domain/src/jobs/full-speed.ts
@@ -52,6 +52,7 @@
   { allowedPercent, allowedSince }: RunProgress,
   until: Instant,
 ): Millis {
+  // A limit that is not known counts as none.
   const lostShare = 1 - (allowedPercent ?? 100) / 100;
   return Math.max(0, until - allowedSince) * lostShare;
 }
--- a/packages/domain/src/jobs/interference.test.ts
+++ b/packages/domain/src/jobs/interference.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { Interference, shouldRelocateFiller } from './interference.js';
+import { Interference, shouldMoveFiller } from './interference.js';
 import type { Run } from './job.js';
 import { workerRuns, type JobsState } from './jobs-state.js';
 import { startOn, stateOf, taskOf, testJob } from './test-support.js';
@@ -143,9 +143,9 @@
   assert.ok(scenario.filler.progress);
   scenario.filler.progress.allowedPercent = 20;
   scenario.filler.progress.percent = 10;
-  assert.equal(shouldRelocateFiller(scenario.filler, 3_000), true);
+  assert.equal(shouldMoveFiller(scenario.filler, 3_000), true);
   scenario.filler.progress.percent = 60;
-  assert.equal(shouldRelocateFiller(scenario.filler, 3_000), false);
+  assert.equal(shouldMoveFiller(scenario.filler, 3_000), false);
 });
 
 test('a slowed filler is moved only after a while', () => {
@@ -153,6 +153,6 @@
   assert.ok(scenario.filler.progress);
   scenario.filler.progress.allowedPercent = 20;
   scenario.filler.progress.allowedSince = 1_000;
-  assert.equal(shouldRelocateFiller(scenario.filler, 1_200), false);
-  assert.equal(shouldRelocateFiller(scenario.filler, 3_000), true);
+  assert.equal(shouldMoveFiller(scenario.filler, 1_200), false);
+  assert.equal(shouldMoveFiller(scenario.filler, 3_000), true);
 });
--- a/packages/domain/src/jobs/interference.ts
+++ b/packages/domain/src/jobs/interference.ts
@@ -208,13 +208,13 @@
 
   /**
    * Returns the speeds of further fillers, valid as long as runs are only added and no report is handled.
-   * `spanOf` returns the expected time of a filler's run, over which its speed is averaged.
+   * `expectedMsOf` returns the expected time of a filler's run, over which its speed is averaged.
    */
-  speeds(spanOf?: (step: Step) => Millis): FillerSpeeds {
+  speeds(expectedMsOf?: (step: Step) => Millis): FillerSpeeds {
     return new FillerSpeeds({
-      spanOf,
-      headroomAt: (serving, aheadMs) =>
-        this.headroomAt(serving, aheadMs, PLACEMENT_MARGIN),
+      expectedMsOf,
+      forecastHeadroom: (serving, aheadMs) =>
+        this.forecastHeadroom(serving, aheadMs, PLACEMENT_MARGIN),
       gainBeside: (serving, load, cpuMilli) =>
         this.gainFrom(serving, fillersOf(load), cpuMilli),
       headroomBeside: (serving, load, cpuMilli) =>
@@ -275,7 +275,7 @@
     const steps = new Set(servingRuns(load.runs).map(({ task }) => task.step));
     for (const step of steps) {
       const headroom =
-        this.headroomAt(step, aheadMs) ??
+        this.forecastHeadroom(step, aheadMs) ??
         this.headroomOf(step, Math.min(aheadMs, LIMIT_AHEAD_MS));
       this.limitFillers(step, headroom, fillers, limits, cpuMilli);
     }
@@ -383,8 +383,8 @@
   }
 
   /**
-   * Returns the relative increase of a step's own load that fillers may cause; negative if the own load alone
-   * is too high.
+   * Returns the relative increase of a step's own load that fillers may cause both now and after
+   * `aheadMs`; negative if the own load alone is too high.
    */
   private headroomOf(step: Step, aheadMs: Millis): number {
     const time = this.reportedAt + aheadMs;
@@ -397,8 +397,8 @@
     return this.loadLimitOf(step.spec) / own - 1;
   }
 
-  /** Returns the same for a single time ahead, with a margin; undefined if the load is not forecast. */
-  private headroomAt(
+  /** Returns the headroom of a step at a single time ahead, less a margin; undefined if its load is not forecast. */
+  private forecastHeadroom(
     step: Step,
     aheadMs: Millis,
     margin = 0,
@@ -446,15 +446,15 @@
 }
 
 /** Speed limit in percent up to which a filler should run elsewhere. */
-const RELOCATE_SPEED_PERCENT = 40;
+const MOVE_BELOW_PERCENT = 40;
 /** Time for which a filler has to be slowed before it is moved. */
-export const RELOCATE_AFTER_MS: Millis = 800;
+export const MOVE_AFTER_MS: Millis = 800;
 
 /** Progress in percent that a filler without checkpoints may lose by starting from scratch. */
 const MAX_LOST_WORK_PERCENT = 15;
 
 /** Tells whether a filler has been slowed for so long that it should move to another worker. */
-export function shouldRelocateFiller(
+export function shouldMoveFiller(
   { task, progress }: Run,
   now: Instant,
 ): boolean {
@@ -464,8 +464,8 @@
     progress !== undefined &&
     !progress.stopping &&
     (spec.checkpoints || progress.percent <= MAX_LOST_WORK_PERCENT) &&
-    (progress.allowedPercent ?? 100) <= RELOCATE_SPEED_PERCENT &&
-    now - progress.allowedSince > RELOCATE_AFTER_MS
+    (progress.allowedPercent ?? 100) <= MOVE_BELOW_PERCENT &&
+    now - progress.allowedSince > MOVE_AFTER_MS
   );
 }
 
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -300,10 +300,10 @@
 function createReservations(input: PlanInput): Reservations {
   const { state, workers, interference, advice, time, leadsSince } = input;
   const { newestVersions, times, moveCosts } = input;
-  const spanOf = moveCosts && ((step: Step) => times.expectedMs(step));
+  const expectedMsOf = moveCosts && ((step: Step) => times.expectedMs(step));
   const reservations = new Reservations({
     workers,
-    speeds: interference.speeds(spanOf),
+    speeds: interference.speeds(expectedMsOf),
     advice,
     quarantine: new Quarantine({ state, now: time.now, leadsSince }),
     shares: new SizeClassShares(),
--- a/packages/domain/src/jobs/queue-models.ts
+++ b/packages/domain/src/jobs/queue-models.ts
@@ -1,4 +1,5 @@
 /** What is learned of each queue's run times, in logarithms of milliseconds. */
+import { dropOldest } from './drop-oldest.js';
 import type { Estimate } from './estimate.js';
 import type { Step } from './job.js';
 import {
@@ -15,7 +16,7 @@
 export interface QueueModel {
   /** Number of steps that it was learned from. */
   steps: number;
-  /** Mean of the logarithm of run time by caller's estimate. */
+  /** Mean of the logarithm of the ratio of run time to caller's estimate. */
   callerBias: number;
   /** Mean squared error of callers' estimates, without the bias. */
   callerError: number;
@@ -42,8 +43,8 @@
 }
 
 /**
- * Until a queue has been learned, estimates weigh a quarter against the means, as they do with the averages,
- * and a tail is unlikely enough that nothing but a step of several times the expected time is taken for one.
+ * Until a queue has been learned, callers' estimates weigh a quarter against the learned means, as in
+ * `createRunTimes`, and only a step that takes several times the expected time is taken for one of the tail.
  */
 const INITIAL_CALLER_ERROR = 0.45;
 const INITIAL_MEAN_ERROR = 0.15;
@@ -60,20 +61,21 @@
 /** Less than three times as long is within what estimates are off by. */
 const MIN_TAIL_FACTOR = Math.log(3);
 
-/** Number of steps that the initial values stand for. */
+/** Numbers of steps that the initial values stand for. */
 const INITIAL_STEPS = 10;
 const INITIAL_TAIL_STEPS = 100;
-/** Number of steps after which what was learned before counts for little. */
+/** Numbers of steps after which what was learned before counts for little. */
 const MEMORY_STEPS = 100;
 const MEMORY_TAIL_STEPS = 500;
 const MEMORY_MEAN_STEPS = 20;
+/** Weight of one more step of the tail in the mean of their factors. */
 const TAIL_FACTOR_WEIGHT = 0.1;
 /** Steps that an average of an earlier leader stands for. */
 const AVERAGE_STEPS = 10;
 
 /** Variances don't fall below this: a tenth of the time is the precision at which ends are known. */
 const MIN_VARIANCE = 0.01;
-/** One step counts for no more: slow workers would make a queue look erratic. */
+/** Largest squared error that one step counts for: slow workers would make a queue look erratic. */
 const MAX_SQUARED_ERROR = 1;
 
 const INITIAL_MODEL: Readonly<QueueModel> = {
@@ -272,8 +274,5 @@
 ): void {
   entries.delete(key);
   entries.set(key, value);
-  const [oldest] = entries.keys();
-  if (entries.size > maximum && oldest !== undefined) {
-    entries.delete(oldest);
-  }
+  dropOldest(entries, maximum);
 }
--- a/packages/domain/src/jobs/return-times.ts
+++ b/packages/domain/src/jobs/return-times.ts
@@ -1,5 +1,6 @@
 /** When callers of refused jobs should return: spread over time, and the earliest refused first. */
 import type { Instant, Millis, Random } from '../core/time.js';
+import { dropOldest } from './drop-oldest.js';
 
 /** A refusal for which a time to return is needed. */
 export interface RefusedCaller {
@@ -21,18 +22,18 @@
 const DEADLINE_MARGIN_MS: Millis = 300;
 /** Longest time to return while the log does not answer: most outages have ended by then. */
 const MAX_LOG_RETURN_MS: Millis = 4_000;
-/** Part by which such a time is lengthened at random at most, so that callers don't return together. */
+/** Largest fraction by which that time is lengthened at random, so that callers don't return together. */
 const MAX_LOG_SPREAD = 0.25;
-/** Any few successive multiples of it are spread more evenly than random numbers. */
+/** The fractional parts of its successive multiples are spread more evenly than random numbers. */
 const GOLDEN_RATIO = (Math.sqrt(5) - 1) / 2;
-/** Makes each character of a name count in its own way. */
+/** Makes names differ that have the same characters in another order. */
 const HASH_FACTOR = 31;
 /** Most jobs whose refusal is remembered. */
 const MAX_REMEMBERED_JOBS = 2_000;
 
 /** Assigns times to return. */
 export class ReturnTimes {
-  /** The last slot of each queue. */
+  /** The last time to return that was assigned in each queue. */
   private readonly slots = new Map<string, Instant>();
   /** Slots of the first refusals of jobs, the oldest refusal first. */
   private readonly slotByJob = new Map<string, Instant>();
@@ -69,12 +70,7 @@
       this.slots.set(queue, slot);
     }
     this.slotByJob.set(job, Math.min(slot, now + returnMs));
-    for (const oldest of this.slotByJob.keys()) {
-      if (this.slotByJob.size <= MAX_REMEMBERED_JOBS) {
-        break;
-      }
-      this.slotByJob.delete(oldest);
-    }
+    dropOldest(this.slotByJob, MAX_REMEMBERED_JOBS);
     return returnMs;
   }
 }
--- a/packages/domain/src/jobs/run-time-distributions.test.ts
+++ b/packages/domain/src/jobs/run-time-distributions.test.ts
@@ -151,7 +151,7 @@
     distributions.longestMs(step),
     distributions.remainingMs(run, 0),
     distributions.remainingMs(run, 1e9),
-    distributions.freshMs(run, 1e9),
+    distributions.copyMs(run, 1e9),
   ]) {
     assert.ok(Number.isFinite(time) && time >= 0);
   }
--- a/packages/domain/src/jobs/run-time-distributions.ts
+++ b/packages/domain/src/jobs/run-time-distributions.ts
@@ -26,13 +26,13 @@
 
 /** Fewest completed runs by which the variation within a step is measured. */
 const MIN_VARIATION_RUNS = 3;
-/** Share of its tasks by which a step's mean is known without the first completions being overrated. */
+/** Share of its tasks that a step must have completed to be learned from: its first completions are not typical. */
 const MIN_LEARNED_SHARE = 0.5;
 /** An open run that exceeds the step's completed ones by more is taken to be slow alone. */
 const MAX_SAMPLE_DEVIATIONS = 4;
 /**
- * Most open runs that a forecast considers: each end in a step of thousands of tasks would take milliseconds
- * otherwise.
+ * Most open runs that a forecast considers: with more, each end of a run in a step of thousands of tasks would
+ * take milliseconds.
  */
 const MAX_OPEN_RUNS = 100;
 /** Percentages are whole numbers; below this one the pace is more than a tenth off. */
@@ -154,7 +154,7 @@
         remainingByAge(known, Math.max(1, elapsedMs(run, now)))
       );
     },
-    freshMs: (run, now) => freshMs(forecastOf(run.task.step), run, now),
+    copyMs: (run, now) => copyMs(forecastOf(run.task.step), run, now),
     recordRun: (step, runTimeMs, end) => {
       const state = stateOf(step);
       addCompleted(state.sample, runTimeMs);
@@ -288,7 +288,7 @@
  * Returns the time of a fresh run, given how long this one takes: as long, if the whole step is likely to be
  * slow, and the usual time, if only this run is.
  */
-function freshMs(known: Forecast, run: Run, now: Instant): Millis {
+function copyMs(known: Forecast, run: Run, now: Instant): Millis {
   const { expectedMs, outcomes, variation } = known;
   const elapsed = Math.max(1, elapsedMs(run, now));
   const rest = remainingByPercent(run, expectedMs, now, MIN_PACE_PERCENT);
--- a/packages/domain/src/jobs/run-times.ts
+++ b/packages/domain/src/jobs/run-times.ts
@@ -24,7 +24,7 @@
   /** Returns how much longer a run is expected to take, at least 0. */
   remainingMs(run: Run, now: Instant): Millis;
   /** Returns the expected run time of a copy of a run that starts now, given how long the run has lasted. */
-  freshMs(run: Run, now: Instant): Millis;
+  copyMs(run: Run, now: Instant): Millis;
   /** Records a run that completed after `runTimeMs` without having resumed from a checkpoint. */
   recordRun(step: Step, runTimeMs: Millis): void;
 }
@@ -61,7 +61,7 @@
         Math.max(0, expected - elapsedMs(run, now))
       );
     },
-    freshMs: run => expectedMs(run.task.step),
+    copyMs: run => expectedMs(run.task.step),
     recordRun: (step, runTimeMs) => {
       const key = runTimeKeyOf(step);
       const average = averages.get(key);
--- a/packages/domain/src/jobs/speculative-copies.ts
+++ b/packages/domain/src/jobs/speculative-copies.ts
@@ -73,7 +73,7 @@
     case 'distributions':
       return (
         straggles(run, now) ??
-        isSlower(times.remainingMs(run, now), times.freshMs(run, now))
+        isSlower(times.remainingMs(run, now), times.copyMs(run, now))
       );
   }
 }
--- a/packages/domain/src/jobs/version-preference.ts
+++ b/packages/domain/src/jobs/version-preference.ts
@@ -26,13 +26,14 @@
   return task => {
     const { step } = task;
     if (!versions.has(step)) {
-      versions.set(step, versionOf(step, newest, times));
+      versions.set(step, preferredVersionFor(step, newest, times));
     }
     return suspicionPercent(task) > 0 ? undefined : versions.get(step);
   };
 }
 
-function versionOf(
+/** Returns the newest version for a step whose tasks run for longer than the notice of a departure. */
+function preferredVersionFor(
   step: Step,
   newest: NewestVersions,
   times: Pick<RunTimes, 'expectedMs'>,
--- a/packages/domain/src/jobs/wait-reasons.ts
+++ b/packages/domain/src/jobs/wait-reasons.ts
@@ -21,12 +21,15 @@
 import { TrialLoads } from './trial-loads.js';
 
 /**
- * Why a task waits. `kept`: it would fit on a worker that is kept for larger tasks; any other obstacle: what
- * it lacks on the worker that passed the most checks of `OBSTACLES`; `evacuated`: it would have a place if no zone were evacuated; `disturbance`: wherever it fits
- * it would be slowed or would disturb a serving task; `turn`: there is capacity for it beside all tasks that
- * go before it, and the next round may start it; `log_unavailable`: there is, and nothing may start because
- * the log does not answer; `no_worker`: no worker is usable; `unexamined`: more tasks wait than one snapshot
- * places.
+ * Why a task waits.
+ * - `kept`: it would fit on a worker that is kept for larger tasks.
+ * - Any other obstacle: what it lacks on the worker that passed the most checks of `OBSTACLES`.
+ * - `evacuated`: it would have a place if no zone were evacuated.
+ * - `disturbance`: wherever it fits it would be slowed or would disturb a serving task.
+ * - `turn`: there is capacity for it beside all tasks that go before it, and the next round may start it.
+ * - `log_unavailable`: there is such capacity, but nothing may start because the log does not answer.
+ * - `no_worker`: no worker is usable.
+ * - `unexamined`: more tasks wait than one snapshot places.
  */
 export type WaitReason =
   | Obstacle
@@ -93,17 +96,18 @@
     const { isLogUnavailable, evacuated } = this.input;
     const { placement } = this.loads;
     const counts: Partial<Record<WaitReason, number>> = {};
-    const here = this.place(step, tasks, placement);
-    addCount(counts, isLogUnavailable ? 'log_unavailable' : 'turn', here);
-    const others = tasks.slice(here);
-    const there = this.place(step, others, {
+    const placed = this.place(step, tasks, placement);
+    addCount(counts, isLogUnavailable ? 'log_unavailable' : 'turn', placed);
+    const others = tasks.slice(placed);
+    const placedInEvacuated = this.place(step, others, {
       ...placement,
       workers: evacuated,
     });
-    addCount(counts, 'evacuated', there);
-    const [task] = others.slice(there);
+    addCount(counts, 'evacuated', placedInEvacuated);
+    const unplaced = others.slice(placedInEvacuated);
+    const [task] = unplaced;
     if (task !== undefined) {
-      addCount(counts, this.obstacleOf(task), others.length - there);
+      addCount(counts, this.reasonWithoutPlace(task), unplaced.length);
     }
     return counts;
   }
@@ -169,7 +173,7 @@
   }
 
   /** Returns why a task finds no place, and remembers it for later steps of its kind. */
-  private obstacleOf(task: Task): WaitReason {
+  private reasonWithoutPlace(task: Task): WaitReason {
     const { step } = task;
     const reason = obstacleReasonOf(this.loads.placement, task);
     const holdsForLarger =
--- a/packages/domain/src/jobs/worker-versions.ts
+++ b/packages/domain/src/jobs/worker-versions.ts
@@ -2,11 +2,11 @@
 import type { Instant, Millis } from '../core/time.js';
 import { workerIdOf } from './incarnation.js';
 
-/** Time after a departure by which the next workers of the same release have announced theirs. */
-const DEPARTURE_MS: Millis = 10_000;
+/** Time for which a departure counts as recent: the next workers of the same release announce theirs by then. */
+const RECENT_DEPARTURE_MS: Millis = 10_000;
 
 /** Time without workers after which a version is forgotten; a worker that restarts is back within it. */
-const ABSENCE_MS: Millis = 10_000;
+const FORGET_AFTER_MS: Millis = 10_000;
 
 /** Most versions of a service that are listed separately, so that metrics and log lines are bounded. */
 const MAX_LISTED_VERSIONS = 8;
@@ -141,8 +141,8 @@
   counts(): ServiceVersions {
     const registered = this.versions.filter(({ workers }) => workers > 0);
     const newestFirst = registered.reverse();
-    const isBounded = newestFirst.length <= MAX_LISTED_VERSIONS;
-    const listed = isBounded
+    const areFew = newestFirst.length <= MAX_LISTED_VERSIONS;
+    const listed = areFew
       ? newestFirst
       : newestFirst.slice(0, MAX_LISTED_VERSIONS - 1);
     const rows = listed.map(state => [state.version, state.workers] as const);
@@ -163,7 +163,7 @@
       if (leaving && !current.has(id)) {
         const state = this.versions.find(known => known.version === version);
         if (state !== undefined) {
-          state.departedUntil = now + DEPARTURE_MS;
+          state.departedUntil = now + RECENT_DEPARTURE_MS;
         }
       }
     }
@@ -188,7 +188,7 @@
       }
       state.workers += 1;
       state.leaving += leaving ? 1 : 0;
-      state.forgetAt = now + ABSENCE_MS;
+      state.forgetAt = now + FORGET_AFTER_MS;
     }
     this.versions.push(...appeared.sort(compareAppeared));
   }
