--- a/packages/cli/src/losses/losses.test.ts
+++ b/packages/cli/src/losses/losses.test.ts
@@ -76,7 +76,7 @@
   });
 });
 
-// Guards against want of capacity that is counted as another reason, because most tasks waited for that one.
+// Guards against a lack of capacity that is counted as another reason, because most tasks waited for that one.
 test('a wait is divided among the reasons of the tasks that waited', () => {
   const waiting = { q: { turn: 1, processors: 3 } };
   const lines = [
--- a/packages/cli/src/losses/phases.ts
+++ b/packages/cli/src/losses/phases.ts
@@ -32,6 +32,9 @@
 /** A run that exceeds its expected time by this factor counts as slowed after the expected time. */
 const SLOWED_FACTOR = 1.5;
 
+/** Interval at which leaders log the reasons of waits. */
+const WAIT_SLICE_MS = 1_000;
+
 /** Phases of runs that did not complete, by how they ended. */
 const REPEAT_PHASES: Readonly<Record<string, PhaseName>> = {
   failed: 'run again after a failure',
@@ -104,9 +107,6 @@
   return slices;
 }
 
-/** Interval at which leaders log the reasons of waits. */
-const WAIT_SLICE_MS = 1_000;
-
 function addRun(
   { orderedAt, endedAt, outcome, expectedMs }: LoggedRun,
   addSpan: (phase: PhaseName, from: number) => void,
--- a/packages/domain/src/jobs/admission.ts
+++ b/packages/domain/src/jobs/admission.ts
@@ -6,7 +6,7 @@
   type CapacityRefusal,
 } from './capacity-refusal.js';
 import type { CapacityRow } from './capacity-rows.js';
-import type { JobSpec } from './spec.js';
+import { losesByWaiting, type JobSpec } from './spec.js';
 import { latenessOf, type StartDelays } from './start-delay.js';
 
 /** A kind of worker: the workers of a service, or those of them that have a label. */
@@ -94,20 +94,18 @@
     : capacityRefusalOf(job, limits, now, acceptedBefore);
 }
 
-/**
- * Whether a step can only run on workers that are all in evacuated zones. Long-running jobs lose nothing by a
- * late start, and scheduled ones are not due yet.
- */
+/** Whether a job that loses by waiting has a step that can only run on workers in evacuated zones. */
 function needsEvacuatedKind(
-  { steps, terms, repetition }: JobSpec,
+  job: JobSpec,
   evacuatedKinds: readonly WorkerKind[],
 ): boolean {
-  if (repetition !== undefined || steps.some(({ lasting }) => lasting)) {
-    return false;
-  }
-  return evacuatedKinds.some(
-    ([service, label]) =>
-      service === terms.service &&
-      (label === undefined || steps.some(step => step.label === label)),
+  const { steps, terms } = job;
+  return (
+    losesByWaiting(job) &&
+    evacuatedKinds.some(
+      ([service, label]) =>
+        service === terms.service &&
+        (label === undefined || steps.some(step => step.label === label)),
+    )
   );
 }
--- a/packages/domain/src/jobs/capacity-admission.test.ts
+++ b/packages/domain/src/jobs/capacity-admission.test.ts
@@ -151,7 +151,7 @@
   assert.deepEqual(returns, [4_000, 7_000, 10_000]);
 });
 
-// A wave of refusals at all hosts would otherwise come back as a wave.
+// Callers that all hosts refuse at once would otherwise return at once.
 test('callers that 29 hosts refuse at once return at the rate of completions', () => {
   const limits = limitsOf(ROW);
   const arrivals: number[] = [];
--- a/packages/domain/src/jobs/capacity-admission.ts
+++ b/packages/domain/src/jobs/capacity-admission.ts
@@ -5,12 +5,11 @@
 import type { CapacityRefusal } from './capacity-refusal.js';
 import {
   estimatedWorkOf,
-  isForecast,
   type CapacityKind,
   type CapacityRow,
 } from './capacity-rows.js';
 import { dropOldest } from './drop-oldest.js';
-import type { JobSpec } from './spec.js';
+import { losesByWaiting, type JobSpec } from './spec.js';
 
 const MS_PER_S = 1_000;
 const KINDS: readonly CapacityKind[] = ['filler', 'plain'];
@@ -58,7 +57,7 @@
     this.returnTimes.forget(job.id);
     const attempts = this.pendingAttempts.get(job.id) ?? 0;
     this.pendingAttempts.set(job.id, attempts + 1);
-    if (this.rooms.length > 0 && isForecast(job)) {
+    if (this.rooms.length > 0 && losesByWaiting(job)) {
       KINDS.forEach(kind => {
         this.addAccepted(job, kind);
       });
--- a/packages/domain/src/jobs/capacity-forecast.test.ts
+++ b/packages/domain/src/jobs/capacity-forecast.test.ts
@@ -1,4 +1,4 @@
-/* Guards against forecasts from what says nothing of the capacity: jobs would be refused that could be served. */
+/* Guards against forecasts from observations that don't show the capacity: jobs would be refused that could be served. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
@@ -187,7 +187,7 @@
 });
 
 // In an outage of the log nothing starts, and what ends is not replaced.
-test('an outage teaches nothing, and a second of waiting after it is needed', () => {
+test('nothing is observed during an outage, and a second of waiting after it is needed', () => {
   const leader = new Leader(stateOf(...jobsOf(400)), 4);
   leader.runUntil(8_000);
   assert.equal(leader.rows().length, 1);
--- a/packages/domain/src/jobs/capacity-forecast.ts
+++ b/packages/domain/src/jobs/capacity-forecast.ts
@@ -7,13 +7,13 @@
 import { objectiveStatusOf } from './objective.js';
 import type { PlanInput } from './plan.js';
 import {
-  isForecast,
   MAX_CAPACITY_ROWS,
   capacityKindOf,
   type CapacityKind,
   type CapacityRow,
 } from './capacity-rows.js';
 import type { RunTimes } from './run-times.js';
+import { losesByWaiting } from './spec.js';
 
 /** What the forecast reads of a planning round. */
 export type ForecastInput = Pick<PlanInput, 'state' | 'times' | 'time'>;
@@ -89,7 +89,7 @@
   noteCompleted({ step, status }: Task): void {
     const { times } = this;
     const isCounted = status !== 'done' && times !== undefined;
-    if (isCounted && isForecast(step.occurrence.job.spec)) {
+    if (isCounted && losesByWaiting(step.occurrence.job.spec)) {
       const work = coresOf(step) * times.expectedMs(step);
       this.completions.push({ ...classOf(step), step, work });
     }
@@ -268,7 +268,7 @@
 function countOpenWork({ state, times, time }: ForecastInput): OpenWork[] {
   const found = new Map<string, OpenWork>();
   for (const job of state.openJobs) {
-    if (!isForecast(job.spec)) {
+    if (!losesByWaiting(job.spec)) {
       continue;
     }
     for (const step of openStepsOf(job, { state, times, time })) {
--- a/packages/domain/src/jobs/capacity-refusal.ts
+++ b/packages/domain/src/jobs/capacity-refusal.ts
@@ -3,12 +3,11 @@
 import { MAX_LATE_FACTOR } from './objective.js';
 import {
   fastestRateOf,
-  isForecast,
   capacityKindOf,
   FORECAST_VALID_MS,
   type CapacityRow,
 } from './capacity-rows.js';
-import type { JobSpec } from './spec.js';
+import { losesByWaiting, type JobSpec } from './spec.js';
 import { estimatedObjectiveOf, estimatedPathOf } from './start-delay.js';
 
 /** Rows of the forecast, and the monotonic time from which they refuse nothing. */
@@ -47,7 +46,7 @@
   now: Instant,
   acceptedBefore: AcceptedBefore = () => 0,
 ): CapacityRefusal | undefined {
-  if (rooms.length === 0 || now >= roomsUntil || !isForecast(job)) {
+  if (rooms.length === 0 || now >= roomsUntil || !losesByWaiting(job)) {
     return undefined;
   }
   const { priority } = job.terms;
--- a/packages/domain/src/jobs/capacity-rows.ts
+++ b/packages/domain/src/jobs/capacity-rows.ts
@@ -1,6 +1,5 @@
 /** Rows of the leader's forecast of capacity, as hosts read them, and their encoding in records. */
 import type { Millis } from '../core/time.js';
-import type { Job } from './job.js';
 import type { JobSpec, StepSpec } from './spec.js';
 
 /** Kind of capacity: processor time that others leave idle, or reserved processors. */
@@ -43,11 +42,6 @@
   return filler ? 'filler' : 'plain';
 }
 
-/** Whether jobs like this are forecast: long-running and scheduled ones lose little by waiting. */
-export function isForecast({ steps, repetition }: Job['spec']): boolean {
-  return repetition === undefined && !steps.some(({ lasting }) => lasting);
-}
-
 /** Returns the core-milliseconds that a job needs of one kind of capacity, by its caller's estimates. */
 export function estimatedWorkOf(
   { steps }: JobSpec,
--- a/packages/domain/src/jobs/fleet-snapshot.ts
+++ b/packages/domain/src/jobs/fleet-snapshot.ts
@@ -198,7 +198,7 @@
   };
 }
 
-/** Returns why the last waiting task of a step waits: the obstacle if there is one. */
+/** Returns why the last waiting task of a step waits; that of a task without a place comes last. */
 function lastReasonOf(counts: WaitingByReason = {}): WaitReason {
   return reasonEntries(counts).at(-1)?.[0] ?? 'no_worker';
 }
--- a/packages/domain/src/jobs/oscillating-fleet.fixture.test.ts
+++ b/packages/domain/src/jobs/oscillating-fleet.fixture.test.ts
@@ -34,7 +34,7 @@
   size: { cpuMilli: 2_000, memoryMiB: 10, accelerators: 0 },
 };
 
-/** Parts of a period by which the loads of some workers are past their mean while rising, at the end. */
+/** By worker, the part of a period since its load last rose through its mean, at time 0. */
 export type Phases = Readonly<Record<string, number>>;
 
 /** Options of a fleet. */
--- a/packages/domain/src/jobs/placement.ts
+++ b/packages/domain/src/jobs/placement.ts
@@ -324,11 +324,10 @@
     result -= UNTRUSTED_COST;
   }
   if (
-    preferredVersionOf !== undefined &&
     !hasFailedHere &&
     !isUntrusted &&
     info.version !== undefined &&
-    info.version === preferredVersionOf(task)
+    info.version === preferredVersionOf?.(task)
   ) {
     result += PREFERRED_VERSION_BONUS;
   }
--- a/packages/domain/src/jobs/release.test.ts
+++ b/packages/domain/src/jobs/release.test.ts
@@ -47,7 +47,7 @@
   );
 }
 
-/** A release that is played in rounds, each of which reads the registry and plans. */
+/** A release that is simulated in rounds, each of which reads the registry and plans. */
 class Release {
   readonly moves = new Map<Task, number>();
   private readonly state: JobsState = stateOf(...longRunningJobs());
@@ -59,7 +59,7 @@
   constructor(private readonly isEnabled: boolean) {}
 
   /** Replaces workers by ones of version `to`; calls `afterGroup` after each departure. */
-  play(
+  replaceWorkers(
     replaced: readonly string[],
     to: string,
     afterGroup: (groups: number) => void = () => undefined,
@@ -171,10 +171,10 @@
   return [...moves.values()].filter(count => count > 1).length;
 }
 
-function playedRelease(seed: number, isEnabled: boolean): Release {
+function simulatedRelease(seed: number, isEnabled: boolean): Release {
   const release = new Release(isEnabled);
   release.begin();
-  release.play(halfOfWorkers(seed), '2');
+  release.replaceWorkers(halfOfWorkers(seed), '2');
   return release;
 }
 
@@ -183,13 +183,13 @@
 
 for (const seed of [1, 2, 3, 4]) {
   test(`(nearly) no long-running task moves more than once in a release, seed ${seed}`, () => {
-    const release = playedRelease(seed, true);
+    const release = simulatedRelease(seed, true);
     assert.equal(release.runningTasks(), JOBS * TASKS);
     assert.ok(countMovedAgain(release) <= MAX_MOVED_AGAIN);
   });
 
   test(`without the preference many long-running tasks move several times, seed ${seed}`, () => {
-    const release = playedRelease(seed, false);
+    const release = simulatedRelease(seed, false);
     assert.ok(countMovedAgain(release) > MAX_MOVED_AGAIN);
   });
 }
@@ -198,7 +198,7 @@
   for (const seed of [5, 6]) {
     const release = new Release(true);
     release.begin();
-    release.play(halfOfWorkers(seed), '2', groups => {
+    release.replaceWorkers(halfOfWorkers(seed), '2', groups => {
       if (groups === 2 || groups === 4) {
         release.changeLeader();
       }
@@ -208,11 +208,11 @@
 });
 
 test('long-running tasks follow a rollback, although its version is older', () => {
-  const release = playedRelease(7, true);
+  const release = simulatedRelease(7, true);
   release.advance(12_000);
   release.moves.clear();
   const replaced = release.registered().filter(id => id.endsWith('.2'));
-  release.play(replaced, '1');
+  release.replaceWorkers(replaced, '1');
   assert.equal(release.runningTasks(), JOBS * TASKS);
   assert.ok(countMovedAgain(release) <= MAX_MOVED_AGAIN);
 });
@@ -220,7 +220,7 @@
 test('tasks of a crashed worker of the new version run on at once, and move at most once more', () => {
   const release = new Release(true);
   release.begin();
-  release.play(halfOfWorkers(8), '2', groups => {
+  release.replaceWorkers(halfOfWorkers(8), '2', groups => {
     if (groups === 3) {
       const crashed = release.registered().find(id => id.endsWith('.2'));
       release.lose(new Set([crashed ?? '']));
--- a/packages/domain/src/jobs/run-time-loads.fixture.test.ts
+++ b/packages/domain/src/jobs/run-time-loads.fixture.test.ts
@@ -17,7 +17,7 @@
   readonly tailShare: number;
 }
 
-/** Checks of the boat hire, and its batch work. */
+/** Checks of the boat hire. */
 export const BOAT_HIRE = {
   seed: 1,
   tasks: 10,
@@ -38,6 +38,7 @@
 } as const satisfies RunTimeLoad;
 
 const TAIL_FACTOR = 7;
+/** Mean run times of three images, as of checks and batch work of both deployments. */
 const IMAGE_MEANS_MS = [640, 1_400, 2_200];
 
 /** A step whose tasks all started at time 0, and the time that each will take. */
--- a/packages/domain/src/jobs/spec.ts
+++ b/packages/domain/src/jobs/spec.ts
@@ -113,6 +113,14 @@
 
 const MILLI_PER_CORE = 1_000;
 
+/**
+ * Tells whether a job loses value while it waits: long-running jobs lose little, and scheduled ones are not due
+ * yet.
+ */
+export function losesByWaiting({ steps, repetition }: JobSpec): boolean {
+  return repetition === undefined && !steps.some(({ lasting }) => lasting);
+}
+
 /** Size of one occurrence of a job by the caller's estimates. */
 export interface EstimatedSize {
   readonly tasks: number;
--- a/packages/domain/src/jobs/start-delay.ts
+++ b/packages/domain/src/jobs/start-delay.ts
@@ -5,7 +5,7 @@
  */
 import type { Instant, Millis } from '../core/time.js';
 import { isFinished, type Job } from './job.js';
-import type { JobSpec } from './spec.js';
+import { losesByWaiting, type JobSpec } from './spec.js';
 
 /**
  * Time until a new task would start, by priority: each entry counts the tasks of its own and of higher
@@ -127,13 +127,10 @@
   return Math.max(0, ...ends);
 }
 
-/**
- * Returns the objective of a job by its caller's estimates. Long-running jobs lose nothing by a late start, and
- * scheduled ones are not due yet.
- */
+/** Returns the objective of a job by its caller's estimates; infinite if the job loses nothing by waiting. */
 export function estimatedObjectiveOf(job: JobSpec): Millis {
-  const { steps, terms, repetition } = job;
-  if (repetition !== undefined || steps.some(({ lasting }) => lasting)) {
+  const { terms } = job;
+  if (!losesByWaiting(job)) {
     return Infinity;
   }
   return terms.deadlineFactor * estimatedPathOf(job) + terms.targetLatencyMs;
--- a/packages/domain/src/jobs/wait-reasons.test.ts
+++ b/packages/domain/src/jobs/wait-reasons.test.ts
@@ -1,6 +1,6 @@
 /*
- * Guards against want of capacity that is reported as `turn`. One task of each step used to be tried on the
- * fleet as it stood, so that a thousand tasks counted as able to start where one hole was left.
+ * Guards against a lack of capacity that is reported as `turn`. One task of each step used to be tried on the
+ * fleet as it was, so that a thousand tasks counted as able to start where there was a place for one.
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
@@ -43,7 +43,7 @@
   );
 }
 
-test('one hole counts for one of many tasks', () => {
+test('one free place counts for one of many tasks', () => {
   const state = stateOf(testJob('j', [{ tasks: 1_000, size: WHOLE_WORKER }]));
   assert.deepEqual(reasonsOf(state).j, { turn: 1, processors: 999 });
 });
