--- a/packages/daemon/src/job-host/capacity-admission.test.ts
+++ b/packages/daemon/src/job-host/capacity-admission.test.ts
@@ -124,7 +124,7 @@
   return follower;
 }
 
-test('a job without capacity is refused with the forecast and a time to return, and not recorded', async () => {
+test('a job without room is refused with the forecast and a time to return, and not recorded', async () => {
   const follower = await followerWithForecast();
   const result = await follower.submit(ID, FOREVER_MS);
   assert.ok(result.kind === 'refused');
@@ -158,7 +158,7 @@
 });
 
 // Whether it was recorded can't be known then.
-test('a job is not refused by capacity while the inbox can not be read', async () => {
+test('a job is not refused by room while the inbox can not be read', async () => {
   const follower = await followerWithForecast();
   follower.log.streamModes.set('inbox', 'unreadable');
   const result = await follower.submit(ID);
@@ -167,7 +167,7 @@
   assert.equal(result.forecast, undefined);
 });
 
-test('a job whose append had no outcome here is not refused by capacity', async () => {
+test('a job whose append had no outcome here is not refused by room', async () => {
   const follower = new Follower();
   await follower.time.advance(1_000);
   follower.log.streamModes.set('inbox', 'resetting');
@@ -248,7 +248,7 @@
   assert.equal(bounded.retryAfterMs, 2_000);
 });
 
-/** Submits jobs of four tasks, 10 a second, to hosts with capacity for two a second. */
+/** Submits jobs of four tasks, 10 a second, to hosts with room for two a second. */
 async function overload(site: Simulation, seconds: number): Promise<void> {
   const script = { runMs: 1_000, failures: 0 };
   const steps = [{ tasks: 4, after: [] }];
@@ -259,7 +259,7 @@
   }
 }
 
-/** Submits a job to each host and returns the ids of those that are refused by capacity. */
+/** Submits a job to each host and returns the ids of those that are refused by room. */
 async function refusedIds(site: Simulation, prefix: string): Promise<string[]> {
   const refused: string[] = [];
   const pending = [...site.hosts].map(async ([name, { host, alive }]) => {
--- a/packages/daemon/src/job-host/start-job-host.ts
+++ b/packages/daemon/src/job-host/start-job-host.ts
@@ -340,7 +340,7 @@
     return usableMoveCosts(this.options.moveCosts, terms);
   }
 
-  /** Jobs are admitted by capacity where the operator may withdraw that of whole availability zones. */
+  /** Jobs are admitted by room where the operator may take away the room of whole availability zones. */
   private get admitsByRoom(): boolean {
     return this.options.evacuationEffectMs !== undefined;
   }
--- a/packages/domain/src/jobs/capacity-forecast.ts
+++ b/packages/domain/src/jobs/capacity-forecast.ts
@@ -183,7 +183,7 @@
     }
   }
 
-  /** Returns how long a task of this kind of capacity runs, slowed as far as is known. */
+  /** Returns how long a task of this kind of capacity runs on average, with the slowdown that was observed. */
   private runMsOf(counted: OpenWork, { intervals }: Observation): Millis {
     const milli = this.runningMilliOf(counted);
     if (milli === 0) {
--- a/packages/domain/src/jobs/capacity-refusal.ts
+++ b/packages/domain/src/jobs/capacity-refusal.ts
@@ -22,7 +22,7 @@
   readonly ageMs: Millis;
   /** Core-milliseconds that this host has added, for all hosts. */
   readonly added: number;
-  /** Time until all of it is served at the fastest rate. */
+  /** Time until backlog and added work are served at the fastest rate. */
   readonly waitMs: Millis;
 }
 
@@ -71,7 +71,7 @@
       };
 }
 
-/** Returns the row of each kind of capacity that the job needs: that of the next priority before it. */
+/** Returns the row of each kind of capacity that the job needs: that of its own priority or the next higher one. */
 function rowsFor(
   { steps, terms }: JobSpec,
   rooms: readonly CapacityRow[],
--- a/packages/domain/src/jobs/harmonic.ts
+++ b/packages/domain/src/jobs/harmonic.ts
@@ -75,6 +75,7 @@
 export function fitHarmonic(samples: Samples, periodMs: Millis): Harmonic {
   const at = samples.newestAt;
   const radians = (2 * Math.PI) / periodMs;
+  // Sums over the samples: of cosines, sines and their products, and of values and their products with them.
   let [n, c, s, cc, cs, ss] = [0, 0, 0, 0, 0, 0];
   let [y, yc, ys, yy] = [0, 0, 0, 0];
   for (let age = 0; age < samples.count; age += 1) {
@@ -101,7 +102,7 @@
     [y, yc, ys],
   );
   const explained = mean * y + cosine * yc + sine * ys;
-  const square =
+  const fittedSquares =
     mean * (mean * n + 2 * (cosine * c + sine * s)) +
     cosine * (cosine * cc + 2 * sine * cs) +
     sine * sine * ss;
@@ -112,7 +113,7 @@
     cosine,
     sine,
     samples: n,
-    residual: Math.max(0, yy - 2 * explained + square),
+    residual: Math.max(0, yy - 2 * explained + fittedSquares),
     variation: n === 0 ? 0 : Math.max(0, yy - (y * y) / n),
   };
 }
--- a/packages/domain/src/jobs/run-time-distributions.ts
+++ b/packages/domain/src/jobs/run-time-distributions.ts
@@ -68,15 +68,16 @@
   readonly sample: StepSample;
   /** Whether the models have learned from the step. */
   isClosed: boolean;
-  /** Forecast by the sample and the models; undefined once the sample has changed. */
-  forecast: Forecast | undefined;
+  /** StepForecast by the sample and the models; undefined once the sample has changed. */
+  forecast: StepForecast | undefined;
   /** Version of the queue's model that the forecast is based on. */
   version: number;
 }
 
-interface Forecast {
+/** Run times of a step's tasks, by what is known of it. */
+interface StepForecast {
   /** Probability that the step belongs to the tail. */
-  readonly tailShare: number;
+  readonly tailProbability: number;
   readonly expectedMs: Millis;
   readonly longestMs: Millis;
   /** Variance among the step's tasks. */
@@ -114,7 +115,7 @@
     states.set(step, state);
     return state;
   };
-  const forecastOf = (step: Step): Forecast => {
+  const forecastOf = (step: Step): StepForecast => {
     const state = stateOf(step);
     const model = models.modelOf(step);
     // A step with completed runs keeps its forecast until the next one: it hardly depends on the models.
@@ -122,7 +123,12 @@
       state.version === model.version || state.sample.completed > 0;
     if (state.forecast === undefined || !isCurrent) {
       const prior = models.priorOf(step);
-      state.forecast = forecast(state.sample, prior, model, step.spec.tasks);
+      state.forecast = forecastStep(
+        state.sample,
+        prior,
+        model,
+        step.spec.tasks,
+      );
       state.version = model.version;
     }
     return state.forecast;
@@ -139,7 +145,7 @@
       mean: sample.sum / sample.completed,
       runs: sample.completed,
       variation: sampleVariance(sample, MIN_VARIATION_RUNS),
-      isTail: forecastOf(step).tailShare > 1 / 2,
+      isTail: forecastOf(step).tailProbability > 1 / 2,
     });
   };
 
@@ -197,12 +203,12 @@
   return { open, openWeight };
 }
 
-function forecast(
+function forecastStep(
   sample: StepSample,
   prior: Estimate,
   { variation, tailShare, tailFactor, tailVariance }: Readonly<QueueModel>,
   tasks: number,
-): Forecast {
+): StepForecast {
   const tailPrior = {
     mean: prior.mean + tailFactor,
     variance: prior.variance + tailVariance,
@@ -217,7 +223,7 @@
   const { mean } = share > 1 / 2 ? tail : usual;
   const longest = mean + Math.sqrt(variation) * largestDeviation(tasks);
   return {
-    tailShare: share,
+    tailProbability: share,
     expectedMs: meanMs(mean, variation),
     longestMs: Math.max(
       meanMs(mean, variation),
@@ -265,13 +271,13 @@
 }
 
 /**
- * Returns the rest of a run that reports no share, in the ways in which it may turn out. A run that has just
+ * Returns how much longer a run takes that reports no progress: the mean over its outcomes. A run that has just
  * started takes the expected time, which is that of the likelier case: if the rare cases counted at once, a
  * new run of the same task would always seem to end earlier.
  */
-function remainingByAge(known: Forecast, elapsed: Millis): Millis {
+function remainingByAge(known: StepForecast, elapsed: Millis): Millis {
   const { outcomes, expectedMs } = known;
-  const now = mix(
+  const current = mix(
     outcomes,
     outcome => logSurvival(deviationOf(outcome, elapsed)),
     ({ mean, variance }) => expectedRest(elapsed, mean, variance),
@@ -280,15 +286,15 @@
     (sum, { share, mean, variance }) => sum + share * meanMs(mean, variance),
     0,
   );
-  const initialShare = expectedMs / initialMs;
-  return now.mean * (1 - (1 - initialShare) * now.likelihood);
+  const initialRatio = expectedMs / initialMs;
+  return current.mean * (1 - (1 - initialRatio) * current.likelihood);
 }
 
 /**
- * Returns the time of a fresh run, given how long this one takes: as long, if the whole step is likely to be
- * slow, and the usual time, if only this run is.
+ * Returns the run time of a copy, given how long the run takes: as long if the whole step is likely to be slow,
+ * and the usual time if only this run is.
  */
-function copyMs(known: Forecast, run: Run, now: Instant): Millis {
+function copyMs(known: StepForecast, run: Run, now: Instant): Millis {
   const { expectedMs, outcomes, variation } = known;
   const elapsed = Math.max(1, elapsedMs(run, now));
   const rest = remainingByPercent(run, expectedMs, now, MIN_PACE_PERCENT);
@@ -314,6 +320,7 @@
   return (Math.log(elapsed) - mean) / Math.sqrt(variance);
 }
 
+/** Mean over all outcomes, and the probability of what is known of the run. */
 interface Mixture {
   readonly mean: number;
   readonly likelihood: number;
--- a/packages/domain/src/jobs/step-sample.ts
+++ b/packages/domain/src/jobs/step-sample.ts
@@ -2,8 +2,8 @@
 import type { Estimate } from './estimate.js';
 import { hazard, logSurvival } from './log-normal.js';
 
-/** Newton steps: the likelihood is log-concave, and three already agree to a thousandth. */
-const NEWTON_STEPS = 5;
+/** Iterations of Newton's method: the likelihood is log-concave, and three already agree to a thousandth. */
+const NEWTON_ITERATIONS = 5;
 
 /** Completed and open runs of a step, as logarithms of times in milliseconds. */
 export interface StepSample {
@@ -65,7 +65,7 @@
   const deviation = Math.sqrt(variation);
   let precision = 1 / prior.variance + completed / variation;
   let mean = (prior.mean / prior.variance + sum / variation) / precision;
-  for (let step = 0; open.length > 0 && step < NEWTON_STEPS; step += 1) {
+  for (let at = 0; open.length > 0 && at < NEWTON_ITERATIONS; at += 1) {
     let slope =
       (prior.mean - mean) / prior.variance +
       (sum - completed * mean) / variation;
