--- a/packages/domain/src/jobs/admission.ts
+++ b/packages/domain/src/jobs/admission.ts
@@ -1,4 +1,4 @@
-/** What hosts need to know to refuse a job that the leader is known not to serve in time. */
+/** Limits that the leader reports, by which hosts refuse jobs that would not be served in time. */
 import type { Instant, Millis } from '../core/time.js';
 import {
   capacityRefusalOf,
@@ -12,7 +12,7 @@
 /** A kind of worker: the workers of a service, or those of them that have a label. */
 export type WorkerKind = readonly [service: string, label?: string];
 
-/** What is known of a registered worker that kinds are told by. */
+/** The fields of a registered worker that determine its kinds. */
 export interface RegisteredWorker {
   readonly service: string;
   readonly labels: readonly string[];
--- a/packages/domain/src/jobs/capacity-forecast.ts
+++ b/packages/domain/src/jobs/capacity-forecast.ts
@@ -24,9 +24,9 @@
 const RATE_WINDOW_MS: Millis = 5_000;
 /** Time for which tasks have to wait without a break before a rate is published. */
 const MIN_WAITED_MS: Millis = 1_000;
-/** Time without a planning round after which workers may have run idle: rounds wait for the log. */
+/** Time without a planning round after which workers may have been idle: rounds wait for the log. */
 const MAX_ROUND_GAP_MS: Millis = 1_000;
-/** Standard errors by which the rate may be exceeded; it is beyond that in one sample of forty. */
+/** Standard errors by which the rate may be exceeded; one sample in forty exceeds it by more. */
 const ERROR_WIDTH = 2;
 /** Highest assumed ratio of a run's time to its time at full speed. */
 const MAX_SLOWDOWN = 4;
--- a/packages/domain/src/jobs/wait-reasons.ts
+++ b/packages/domain/src/jobs/wait-reasons.ts
@@ -66,7 +66,7 @@
   return new Map(ordered.map(step => [step, trial.explain(step)]));
 }
 
-/** A step that found no place, for which later steps of its kind that ask for as much find none either. */
+/** A step without a place; later steps of its kind that ask for as much or more have none either. */
 interface FullStep {
   readonly step: Step;
   readonly reason: WaitReason;
