--- a/packages/daemon/src/job-host/admission-reporter.test.ts
+++ b/packages/daemon/src/job-host/admission-reporter.test.ts
@@ -21,6 +21,7 @@
 /** Returns a leader's reporter after 3 s in which a job waits, half of whose tasks are completed. */
 async function reporterAfterWaiting(
   admitsByRoom: boolean,
+  isLimited = false,
 ): Promise<AdmissionReporter> {
   const time = createVirtualTime();
   const ctx = testContext(time);
@@ -40,7 +41,7 @@
   const [step] = state.jobs.get(job.id)?.occurrences.get(0)?.steps ?? [];
   for (const task of step?.tasks.slice(10) ?? []) {
     const now = time.clock();
-    reporter.noteRound(inputOf(state, now), false);
+    reporter.noteRound(inputOf(state, now), isLimited);
     const run = { task } as Parameters<typeof reporter.noteRunEnding>[0];
     reporter.noteRunEnding(run, 'done');
     reporter.noteRunEnding(run, 'lost');
@@ -78,3 +79,10 @@
   assert.deepEqual(reporter.limits(), NO_LIMITS);
   assert.equal(reporter.rooms(), undefined);
 });
+
+// Guards against jobs refused for want of capacity while a slow leader leaves workers free: after a leader had
+// stalled for 3 s, 14 jobs were refused by the rate of completions in that time.
+test('rounds in which the leader limits the starts are not learned from', async () => {
+  const reporter = await reporterAfterWaiting(true, true);
+  assert.deepEqual(reporter.limits().rooms, []);
+});
