--- a/packages/domain/src/jobs/admission.ts
+++ b/packages/domain/src/jobs/admission.ts
@@ -1,18 +1,18 @@
-/** What hosts need to know to refuse a job that the leader is known not to serve in time. */
+/** Limits that the leader reports, by which hosts refuse jobs that would not be served in time. */
 import type { Instant, Millis } from '../core/time.js';
 import {
-  roomRefusalOf,
+  capacityRefusalOf,
   type AcceptedBefore,
-  type RoomRefusal,
-} from './room-refusal.js';
-import type { RoomRow } from './room-rows.js';
-import type { JobSpec } from './spec.js';
+  type CapacityRefusal,
+} from './capacity-refusal.js';
+import type { CapacityRow } from './capacity-rows.js';
+import { losesByWaiting, type JobSpec } from './spec.js';
 import { latenessOf, type StartDelays } from './start-delay.js';
 
 /** A kind of worker: the workers of a service, or those of them that have a label. */
 export type WorkerKind = readonly [service: string, label?: string];
 
-/** What is known of a registered worker that kinds are told by. */
+/** The fields of a registered worker that determine its kinds. */
 export interface RegisteredWorker {
   readonly service: string;
   readonly labels: readonly string[];
@@ -26,7 +26,7 @@
   /** Kinds of workers of which every registered one is in an evacuated zone. */
   readonly evacuatedKinds: readonly WorkerKind[];
   /** Forecast of capacity; empty where nothing is forecast. */
-  readonly rooms: readonly RoomRow[];
+  readonly rooms: readonly CapacityRow[];
   /** Monotonic time from which the forecast refuses nothing, set by the host that has read it. */
   readonly roomsUntil: Instant;
 }
@@ -43,7 +43,7 @@
 export type Refusal =
   | { readonly why: 'too_late'; readonly retryAfterMs: Millis }
   | { readonly why: 'evacuated' }
-  | RoomRefusal;
+  | CapacityRefusal;
 
 /** Most kinds of workers that are reported, which bounds the size of a record. */
 const MAX_REPORTED_KINDS = 32;
@@ -91,23 +91,21 @@
   const retryAfterMs = latenessOf(job, limits.startDelays);
   return retryAfterMs > 0
     ? { why: 'too_late', retryAfterMs }
-    : roomRefusalOf(job, limits, now, acceptedBefore);
+    : capacityRefusalOf(job, limits, now, acceptedBefore);
 }
 
-/**
- * Whether a step can only run on workers that are all in evacuated zones. Long-running jobs lose nothing by a
- * late start, and scheduled ones are not due yet.
- */
+/** Whether a job that loses by waiting has a step that can only run on workers in evacuated zones. */
 function needsEvacuatedKind(
-  { steps, terms, repetition }: JobSpec,
+  job: JobSpec,
   evacuatedKinds: readonly WorkerKind[],
 ): boolean {
-  if (repetition !== undefined || steps.some(({ lasting }) => lasting)) {
-    return false;
-  }
-  return evacuatedKinds.some(
-    ([service, label]) =>
-      service === terms.service &&
-      (label === undefined || steps.some(step => step.label === label)),
+  const { steps, terms } = job;
+  return (
+    losesByWaiting(job) &&
+    evacuatedKinds.some(
+      ([service, label]) =>
+        service === terms.service &&
+        (label === undefined || steps.some(step => step.label === label)),
+    )
   );
 }
--- a/packages/domain/src/jobs/room-admission.ts
+++ b/packages/domain/src/jobs/capacity-admission.ts
@@ -2,33 +2,34 @@
 import type { Instant, Millis, Random } from '../core/time.js';
 import { refusalOf, type AdmissionLimits, type Refusal } from './admission.js';
 import { ReturnTimes } from './return-times.js';
-import type { RoomRefusal } from './room-refusal.js';
+import type { CapacityRefusal } from './capacity-refusal.js';
 import {
   estimatedWorkOf,
-  isForecast,
-  type RoomKind,
-  type RoomRow,
-} from './room-rows.js';
-import type { JobSpec } from './spec.js';
+  type CapacityKind,
+  type CapacityRow,
+} from './capacity-rows.js';
+import { dropOldest } from './drop-oldest.js';
+import { losesByWaiting, type JobSpec } from './spec.js';
 
 const MS_PER_S = 1_000;
-const KINDS: readonly RoomKind[] = ['filler', 'plain'];
-/** Most jobs that are remembered since it is not known whether they were recorded. */
-const MAX_DOUBTFUL_JOBS = 2_000;
+const KINDS: readonly CapacityKind[] = ['filler', 'plain'];
+/** Most jobs remembered of which it is not known whether they were recorded. */
+const MAX_UNKNOWN_OUTCOMES = 2_000;
 
 /** Work of accepted jobs of one service, kind of capacity and priority, in core-milliseconds. */
-type AcceptedWork = Pick<RoomRow, 'service' | 'kind' | 'priority'> & {
+type AcceptedWork = Pick<CapacityRow, 'service' | 'kind' | 'priority'> & {
   readonly work: number;
 };
 
 /** Decides on the jobs that callers submit to one host. */
-export class RoomAdmission {
+export class CapacityAdmission {
   private readonly returnTimes: ReturnTimes;
-  private readonly doubtfulJobs = new Set<string>();
+  private readonly jobsOfUnknownOutcome = new Set<string>();
   /** Number of attempts to record each job that have no outcome yet. */
   private readonly pendingAttempts = new Map<string, number>();
-  /** The forecast that `accepted` is counted from. */
-  private rooms: readonly RoomRow[] = [];
+  /** The forecast since which `accepted` is counted. */
+  private rooms: readonly CapacityRow[] = [];
+  /** Work accepted since the forecast, by class. */
   private readonly accepted = new Map<string, AcceptedWork>();
 
   /** Creates the admission of one host; `spread` differs by host. */
@@ -56,7 +57,7 @@
     this.returnTimes.forget(job.id);
     const attempts = this.pendingAttempts.get(job.id) ?? 0;
     this.pendingAttempts.set(job.id, attempts + 1);
-    if (this.rooms.length > 0 && isForecast(job)) {
+    if (this.rooms.length > 0 && losesByWaiting(job)) {
       KINDS.forEach(kind => {
         this.addAccepted(job, kind);
       });
@@ -75,14 +76,14 @@
       this.pendingAttempts.delete(job);
     }
     if (!isKnown) {
-      this.noteDoubtful(job);
+      this.noteUnknownOutcome(job);
     }
   }
 
   /** Returns after how many milliseconds the caller of a refused job should return. */
   readonly returnMs = (
     job: JobSpec,
-    { retryAfterMs, forecast }: RoomRefusal,
+    { retryAfterMs, forecast }: CapacityRefusal,
     now: Instant,
     deadline: Instant,
   ): Millis => {
@@ -98,18 +99,13 @@
     return this.returnTimes.returnMs(caller, now);
   };
 
-  private noteDoubtful(job: string): void {
-    this.doubtfulJobs.add(job);
-    for (const oldest of this.doubtfulJobs) {
-      if (this.doubtfulJobs.size <= MAX_DOUBTFUL_JOBS) {
-        break;
-      }
-      this.doubtfulJobs.delete(oldest);
-    }
+  private noteUnknownOutcome(job: string): void {
+    this.jobsOfUnknownOutcome.add(job);
+    dropOldest(this.jobsOfUnknownOutcome, MAX_UNKNOWN_OUTCOMES);
   }
 
   private mayBeRecorded(job: string): boolean {
-    return this.doubtfulJobs.has(job) || this.pendingAttempts.has(job);
+    return this.jobsOfUnknownOutcome.has(job) || this.pendingAttempts.has(job);
   }
 
   /** Each record that a host reads has rows of its own, also if they are equal to the ones before. */
@@ -121,7 +117,7 @@
   }
 
   /** Adds up by class, so that memory and cost don't grow with the number of jobs while no forecast arrives. */
-  private addAccepted(job: JobSpec, kind: RoomKind): void {
+  private addAccepted(job: JobSpec, kind: CapacityKind): void {
     const { service, priority } = job.terms;
     const key = JSON.stringify([service, kind, priority]);
     const before = this.accepted.get(key)?.work ?? 0;
@@ -129,7 +125,7 @@
     this.accepted.set(key, { service, kind, priority, work });
   }
 
-  private acceptedBefore(row: RoomRow, priority: number): number {
+  private acceptedBefore(row: CapacityRow, priority: number): number {
     return [...this.accepted.values()]
       .filter(
         each =>
