--- a/packages/daemon/src/job-host/job-service.ts
+++ b/packages/daemon/src/job-host/job-service.ts
@@ -40,6 +40,15 @@
   /** It may have been recorded. */
   | { readonly kind: 'unknown'; readonly reason: string };
 
+/** Why a job is refused: by the leader's limits, or because the log does not answer. */
+type RefusalCause = Refusal['why'] | 'log';
+
+/** What the caller of a refused job is told besides the reason. */
+type RefusalDetails = Pick<
+  Extract<ChangeResult, { kind: 'refused' }>,
+  'retryAfterMs' | 'forecast'
+>;
+
 const LOG_REFUSAL_REASON = 'the log does not answer';
 const REFUSAL_REASONS: Readonly<Record<Refusal['why'], string>> = {
   too_late: 'the leader starts tasks too late',
@@ -54,11 +63,13 @@
 export class JobService {
   /** Decides by the forecast of capacity; undefined where nothing is refused by it. */
   private readonly roomAdmission: RoomAdmission | undefined;
-  private readonly logSpread: Random;
+  /** Spreads the return times of callers that are refused because the log does not answer. */
+  private readonly logReturnSpread: Random;
 
   /**
    * Creates the service; `view` returns the current copy of the state of jobs. Where `admitsByRoom`, jobs are
-   * refused by the leader's forecast of capacity, and callers get times to return that follow from the cause.
+   * refused by the leader's forecast of capacity, and the time after which a refused caller should return follows
+   * from the cause.
    */
   constructor(
     private readonly ctx: HostContext,
@@ -66,7 +77,7 @@
     private readonly view: () => CallerView,
     admitsByRoom = false,
   ) {
-    this.logSpread = evenSpread(ctx.host);
+    this.logReturnSpread = evenSpread(ctx.host);
     this.roomAdmission = admitsByRoom
       ? new RoomAdmission(evenSpread(ctx.host))
       : undefined;
@@ -82,9 +93,8 @@
       return this.refuseUnlessRecorded(job, refusal, deadline);
     }
     if (refusal !== undefined) {
-      const retryAfterMs =
-        'retryAfterMs' in refusal ? refusal.retryAfterMs : undefined;
-      return this.refuse(job, refusal.why, retryAfterMs);
+      const { why, ...details } = refusal;
+      return this.refuseByLimits(job, why, details);
     }
     this.roomAdmission?.noteAccepted(job, this.view().admissionLimits);
     const atWall = this.ctx.wallClock();
@@ -99,8 +109,8 @@
   }
 
   /**
-   * Refuses a job for which there will be no capacity, unless the log holds it as of a moment after the call: an
-   * earlier attempt may have been recorded through another host, and a refusal says that the job never runs.
+   * Refuses a job for which there will be no capacity, unless a read of the log that begins after the call shows
+   * it: an earlier attempt may have been recorded through another host, and a refusal says that the job never runs.
    */
   private async refuseUnlessRecorded(
     job: JobSpec,
@@ -115,62 +125,49 @@
       case 'unknown': {
         const { why, forecast } = refusal;
         const now = this.ctx.clock();
-        const returnMs = this.roomAdmission?.returnMs;
-        const retryAfterMs = returnMs?.(job, refusal, now, deadline);
-        return this.refuse(job, why, retryAfterMs, { forecast });
+        const retryAfterMs = this.roomAdmission?.returnMs(
+          job,
+          refusal,
+          now,
+          deadline,
+        );
+        return this.refuseByLimits(job, why, {
+          ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+          forecast,
+        });
       }
     }
   }
 
   private refuseForLog(job: JobSpec, deadline: Instant): ChangeResult {
-    const reason = LOG_REFUSAL_REASON;
-    const refused = { kind: 'refused', reason } as const;
-    const result = this.withLogReturn(refused, deadline);
-    this.logChange(job.id, job, 'submit', result);
-    this.countRefusal(job, 'log');
-    return result;
+    return this.answerRefused(job, 'log', this.logRefusal(deadline));
   }
 
   /** Refuses a job that is known not to be served in time. */
-  private refuse(
+  private refuseByLimits(
     job: JobSpec,
     why: Refusal['why'],
-    retryAfterMs: Millis | undefined,
-    more: { readonly forecast?: RoomForecastUsed } = {},
+    details: RefusalDetails,
   ): ChangeResult {
-    const result: ChangeResult = {
+    const reason = REFUSAL_REASONS[why];
+    return this.answerRefused(job, why, {
       kind: 'refused',
-      reason: REFUSAL_REASONS[why],
-      ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
-      ...more,
-    };
+      reason,
+      ...details,
+    });
+  }
+
+  private answerRefused(
+    job: JobSpec,
+    why: RefusalCause,
+    result: ChangeResult,
+  ): ChangeResult {
     this.logChange(job.id, job, 'submit', result);
     this.countRefusal(job, why);
     return result;
   }
 
-  /**
-   * Returns when a caller should return that is refused now since the log does not answer; undefined where all
-   * such callers get the same time.
-   */
-  logReturnMs(deadline: Instant): Millis | undefined {
-    if (this.roomAdmission === undefined) {
-      return undefined;
-    }
-    const now = this.ctx.clock();
-    const awayMs = now - this.view().contactAt;
-    return logReturnMs(awayMs, this.logSpread, now, deadline);
-  }
-
-  private withLogReturn(result: ChangeResult, deadline: Instant): ChangeResult {
-    if (result.kind !== 'refused') {
-      return result;
-    }
-    const retryAfterMs = this.logReturnMs(deadline);
-    return retryAfterMs === undefined ? result : { ...result, retryAfterMs };
-  }
-
-  private countRefusal(job: JobSpec, why: Refusal['why'] | 'log'): void {
+  private countRefusal(job: JobSpec, why: RefusalCause): void {
     const { coreMs } = estimatedSizeOf(job);
     this.ctx.meters.jobRefused(job.terms.queue, coreMs, why);
   }
@@ -183,10 +180,7 @@
       case 'unknown':
         return { kind: 'no_such_job' };
       case 'unavailable':
-        return this.withLogReturn(
-          { kind: 'refused', reason: LOG_REFUSAL_REASON },
-          deadline,
-        );
+        return this.logRefusal(deadline);
     }
   }
 
@@ -203,28 +197,57 @@
     return this.view().queueLength(queue);
   }
 
+  /**
+   * Returns the time after which a caller should return whose request is refused now because the log does not
+   * answer; undefined where all such callers get the same time.
+   */
+  logReturnMs(deadline: Instant): Millis | undefined {
+    if (this.roomAdmission === undefined) {
+      return undefined;
+    }
+    const now = this.ctx.clock();
+    const awayMs = now - this.view().contactAt;
+    return logReturnMs(awayMs, this.logReturnSpread, now, deadline);
+  }
+
+  /** Returns the refusal of a request that needs the log, which does not answer. */
+  private logRefusal(deadline: Instant): ChangeResult {
+    return this.withLogReturnTime(
+      { kind: 'refused', reason: LOG_REFUSAL_REASON },
+      deadline,
+    );
+  }
+
+  /** Adds the time to return to a refusal because of the log; other results stay as they are. */
+  private withLogReturnTime(
+    result: ChangeResult,
+    deadline: Instant,
+  ): ChangeResult {
+    if (result.kind !== 'refused') {
+      return result;
+    }
+    const retryAfterMs = this.logReturnMs(deadline);
+    return retryAfterMs === undefined ? result : { ...result, retryAfterMs };
+  }
+
   private async recordChange(
     record: InboxRecord,
     job: string,
     deadline: Instant,
   ): Promise<ChangeResult> {
     const appended = await this.append(record, deadline);
-    const result = this.withLogReturn(appended, deadline);
+    const result = this.withLogReturnTime(appended, deadline);
     const spec = record.kind === 'submit' ? record.job : undefined;
     if (spec !== undefined) {
-      this.noteOutcome(spec, result);
+      this.roomAdmission?.noteOutcome(spec.id, result.kind !== 'unknown');
+    }
+    if (spec !== undefined && result.kind === 'refused') {
+      this.countRefusal(spec, 'log');
     }
     this.logChange(job, spec, record.kind, result);
     return result;
   }
 
-  private noteOutcome(job: JobSpec, { kind }: ChangeResult): void {
-    this.roomAdmission?.noteOutcome(job.id, kind !== 'unknown');
-    if (kind === 'refused') {
-      this.countRefusal(job, 'log');
-    }
-  }
-
   private logChange(
     job: string,
     spec: JobSpec | undefined,
