--- a/packages/daemon/src/job-host/filler-moves-by-forecast.test.ts
+++ b/packages/daemon/src/job-host/filler-moves-by-forecast.test.ts
@@ -102,7 +102,7 @@
   });
   const costs = { stopMs: 200, restoreMs: 100 };
   const used = [undefined, costs, costs, undefined].map(moveCosts => {
-    supervisor.updateForecast({ interference, moveCosts });
+    supervisor.updateLoadForecast({ interference, moveCosts });
     return interference.isUsed;
   });
   assert.deepEqual(used, [false, true, true, false]);
--- a/packages/daemon/src/job-host/fleet-account.ts
+++ b/packages/daemon/src/job-host/fleet-account.ts
@@ -55,7 +55,7 @@
     const { maxStarts } = plan;
     const evacuatedMs = evacuationTimes();
     const forecast = rooms();
-    ctx.meters.forecast(forecast ?? []);
+    ctx.meters.capacityForecast(forecast ?? []);
     ctx.log.info(
       { ...account, evacuatedMs, maxStarts, forecast },
       'leader: the fleet',
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -362,7 +362,7 @@
       return;
     }
     const input = this.planInput();
-    this.supervisor.updateForecast(input);
+    this.supervisor.updateLoadForecast(input);
     const start: ApplyStart = decision => {
       this.starter.start(decision);
     };
@@ -432,7 +432,7 @@
     this.runs.close();
     this.options.ctx.meters.accounted(EMPTY_FLEET_SNAPSHOT);
     this.options.ctx.meters.loadPeriod(undefined);
-    this.options.ctx.meters.forecast([]);
+    this.options.ctx.meters.capacityForecast([]);
     this.decisions.close();
     this.summary.close();
     this.options.starts.close();
--- a/packages/daemon/src/job-host/meters.test.ts
+++ b/packages/daemon/src/job-host/meters.test.ts
@@ -93,10 +93,10 @@
 });
 
 test('run times are compared with the expected ones by model', async () => {
-  const lines = await samplesAfter(({ ranFor }) => {
-    ranFor('averages', 7);
-    ranFor('distributions', 1.1);
-    ranFor('distributions', 0.3);
+  const lines = await samplesAfter(({ runTimeMeasured }) => {
+    runTimeMeasured('averages', 7);
+    runTimeMeasured('distributions', 1.1);
+    runTimeMeasured('distributions', 0.3);
   });
   const name = 'paddlewind_jobs_run_time_ratio_bucket';
   assertHas(lines, [
@@ -109,11 +109,11 @@
 
 test('refused jobs are counted by a power of two of their size, and the forecast is shown', async () => {
   const row = { kind: 'filler', service: 's', errorPercent: 1, hosts: 2 };
-  const lines = await samplesAfter(({ jobRefused, forecast }) => {
+  const lines = await samplesAfter(({ jobRefused, capacityForecast }) => {
     jobRefused('q', 100_000, 'no_room');
     jobRefused('q', 128_000, 'no_room');
     jobRefused('q', 10, 'log');
-    forecast([
+    capacityForecast([
       { ...row, kind: 'filler', priority: 2, backlog: 9_000, rate: 1_500 },
     ]);
   });
--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -143,12 +143,12 @@
     ...createRoomMeters(registry),
     ...createFaultMeters(registry),
     ...createRunTimeMeters(registry),
-    ...createForecastMeters(registry),
+    ...createLoadPeriodMeters(registry),
   };
 }
 
-/** Registers the metrics of the forecast of loads. */
-function createForecastMeters(
+/** Registers the metrics of the period by which loads are forecast. */
+function createLoadPeriodMeters(
   registry: Registry,
 ): Pick<JobMeters, 'loadPeriod'> {
   const periodS = new Gauge({
--- a/packages/daemon/src/job-host/room-meters.ts
+++ b/packages/daemon/src/job-host/room-meters.ts
@@ -1,13 +1,13 @@
-/** Metrics of refused jobs and of the leader's forecast of capacity. */
+/** Metrics of admission by capacity: refused jobs and the leader's forecast of capacity. */
 import type { RoomRow } from '@paddlewind/domain/jobs';
 import { Counter, Gauge, type Registry } from 'prom-client';
 
-/** Metrics of admission by capacity. */
+/** Records refusals and forecasts. */
 export interface RoomMeters {
-  /** A submitted job of a queue, of so many core-milliseconds, was refused. */
+  /** A submitted job of a queue, estimated at `coreMs` core-milliseconds, was refused for the reason `why`. */
   readonly jobRefused: (queue: string, coreMs: number, why: string) => void;
-  /** The leader has this forecast of capacity; empty on hosts that do not lead. */
-  readonly forecast: (rows: readonly RoomRow[]) => void;
+  /** The leader has made this forecast of capacity; it is empty on hosts that do not lead. */
+  readonly capacityForecast: (rows: readonly RoomRow[]) => void;
 }
 
 const MS_PER_S = 1000;
@@ -36,9 +36,9 @@
   });
   return {
     jobRefused: (queue, coreMs, why) => {
-      refusals.inc({ queue, size: sizeClassOf(coreMs), why });
+      refusals.inc({ queue, size: sizeLabelOf(coreMs), why });
     },
-    forecast: rows => {
+    capacityForecast: rows => {
       backlog.reset();
       rate.reset();
       for (const row of rows) {
@@ -51,7 +51,7 @@
   };
 }
 
-/** Returns the smallest power of two that is at least the core-seconds of a job. */
-function sizeClassOf(coreMs: number): number {
+/** Returns the smallest power of two that is at least the core-seconds of a job, and at least 1. */
+function sizeLabelOf(coreMs: number): number {
   return 2 ** Math.ceil(Math.log2(Math.max(1, coreMs / MS_PER_S)));
 }
--- a/packages/daemon/src/job-host/run-recorder.ts
+++ b/packages/daemon/src/job-host/run-recorder.ts
@@ -197,7 +197,7 @@
     const expectedMs = model.expectedMs(run.task.step);
     const runTimeMs = wholeRunTimeMs(run, ctx.clock(), claim.wonAt);
     if (runTimeMs !== undefined && expectedMs > 0) {
-      ctx.meters.ranFor(model.kind, runTimeMs / expectedMs);
+      ctx.meters.runTimeMeasured(model.kind, runTimeMs / expectedMs);
     }
   }
 
--- a/packages/daemon/src/job-host/run-supervisor.ts
+++ b/packages/daemon/src/job-host/run-supervisor.ts
@@ -126,7 +126,7 @@
    * Forecasts periodic loads from now on if runs can be moved quickly enough to follow them. Call this before
    * other decisions of a round, so that none is made by a forecast that is no longer used.
    */
-  updateForecast({
+  updateLoadForecast({
     interference,
     moveCosts,
   }: Pick<PlanInput, 'interference' | 'moveCosts'>): void {
--- a/packages/daemon/src/job-host/run-time-meters.ts
+++ b/packages/daemon/src/job-host/run-time-meters.ts
@@ -1,17 +1,17 @@
-/** Metrics of how well run times are expected. */
+/** Metrics of how far run times are from the expected ones. */
 import type { RunTimes } from '@paddlewind/domain/jobs';
 import { Histogram, type Registry } from 'prom-client';
 
-/** Metrics of expected run times. */
+/** Records run times relative to the expected ones. */
 export interface RunTimeMeters {
-  /** A run took `ratio` times what the model in force expected before its end. */
-  readonly ranFor: (model: RunTimes['kind'], ratio: number) => void;
+  /** A run has taken `ratio` times what the model in force expected just before its end. */
+  readonly runTimeMeasured: (model: RunTimes['kind'], ratio: number) => void;
 }
 
-/** Upper bounds: within a quarter, half or twice the expected time, and steps of the tail. */
+/** Upper bounds of the ratio: factors of 1.25, 2 and 4 to either side of the expected time, and 8 for the tail. */
 const RATIO_BUCKETS = [0.25, 0.5, 0.8, 1.25, 2, 4, 8];
 
-/** Registers the metrics of expected run times. */
+/** Registers the metrics. */
 export function createRunTimeMeters(registry: Registry): RunTimeMeters {
   const ratios = new Histogram({
     name: 'paddlewind_jobs_run_time_ratio',
@@ -21,7 +21,7 @@
     registers: [registry],
   });
   return {
-    ranFor: (model, ratio) => {
+    runTimeMeasured: (model, ratio) => {
       ratios.observe({ model }, ratio);
     },
   };
--- a/packages/daemon/src/job-host/version-meters.ts
+++ b/packages/daemon/src/job-host/version-meters.ts
@@ -4,13 +4,13 @@
 
 /** Records the versions of workers. */
 export interface VersionMeters {
-  /** The leader has read the versions of its fleet's workers; none on hosts that do not lead. */
+  /** The leader has read the versions of its fleet's workers; the list is empty on hosts that do not lead. */
   readonly workerVersions: (versions: readonly ServiceVersions[]) => void;
 }
 
 /** Registers the metric. */
 export function createVersionMeters(registry: Registry): VersionMeters {
-  const workers = new Gauge({
+  const workerCount = new Gauge({
     name: 'paddlewind_jobs_workers',
     help: "Registered workers of the leader's fleet that state a version, by service and version; none on other hosts.",
     labelNames: ['service', 'version'],
@@ -18,10 +18,10 @@
   });
   return {
     workerVersions: versions => {
-      workers.reset();
-      for (const found of versions) {
-        for (const [version, count] of Object.entries(found.workers)) {
-          workers.set({ service: found.service, version }, count);
+      workerCount.reset();
+      for (const { service, workers } of versions) {
+        for (const [version, count] of Object.entries(workers)) {
+          workerCount.set({ service, version }, count);
         }
       }
     },
