--- a/packages/daemon/src/job-host/admission-reporter.ts
+++ b/packages/daemon/src/job-host/admission-reporter.ts
@@ -26,7 +26,7 @@
   readonly admitsByRoom: boolean;
 }
 
-/** Observes planning rounds and ends of runs, and reports limits on the jobs that hosts accept. */
+/** Observes planning rounds and ends of runs, and derives the limits on the jobs that hosts accept. */
 export class AdmissionReporter {
   readonly startRate = new StartRate();
   private readonly forecast: RoomForecast | undefined;
@@ -36,13 +36,13 @@
     this.forecast = options.admitsByRoom ? new RoomForecast() : undefined;
   }
 
-  /** Notes a planning round; `isLimited` if it could have started more than the leader can send. */
+  /** Notes a planning round; `isLimited` if the leader could not send more starts in it. */
   noteRound(input: PlanInput, isLimited: boolean): void {
     this.startRate.noteRound(input.time.now, isLimited);
     this.forecast?.noteRound(input);
   }
 
-  /** Notes that nothing may start now. */
+  /** Notes that nothing may start now, so that the rate of completions does not show the capacity. */
   noteBlocked(): void {
     this.forecast?.noteBlocked();
   }
@@ -70,7 +70,7 @@
     };
   }
 
-  /** Returns the forecast of capacity; undefined where hosts refuse nothing by it. */
+  /** Returns the rows of the forecast of capacity; undefined where hosts refuse nothing by it. */
   rooms(): readonly RoomRow[] | undefined {
     const { state, clock } = this.options;
     return this.forecast?.rows(clock(), state.volunteers.size);
--- a/packages/daemon/src/job-host/decision-log.ts
+++ b/packages/daemon/src/job-host/decision-log.ts
@@ -30,7 +30,7 @@
   private readonly state: JobsState;
   private batch: Batch = emptyBatch();
   private writing: Batch | undefined;
-  /** Monotonic time from which the append in flight counts as overdue; infinite while there is none. */
+  /** Monotonic time after which the append in flight is overdue; infinite while there is none. */
   private overdueFrom: Instant = Infinity;
   private closed = false;
 
--- a/packages/daemon/src/job-host/fleet-account.ts
+++ b/packages/daemon/src/job-host/fleet-account.ts
@@ -19,7 +19,7 @@
   /** Workers that could be assigned tasks if their zones were not evacuated. */
   readonly evacuatedWorkers: () => PlanWorker[];
   readonly evacuationTimes: () => EvacuationTimes;
-  /** Forecast of capacity; undefined where hosts refuse nothing by it. */
+  /** Rows of the forecast of capacity; undefined where hosts refuse nothing by it. */
   readonly rooms: () => readonly RoomRow[] | undefined;
   /** Whether nothing may start now because the log does not answer. */
   readonly isLogUnavailable: () => boolean;
--- a/packages/daemon/src/job-host/fleet.ts
+++ b/packages/daemon/src/job-host/fleet.ts
@@ -194,7 +194,8 @@
 
   private noteVersions(workers: readonly WorkerInfo[]): void {
     const { clock, log, meters } = this.options.ctx;
-    for (const { kind, ...release } of this.versions.apply(workers, clock())) {
+    const changes = this.versions.apply(workers, clock());
+    for (const { kind, ...release } of changes) {
       log.info(release, `fleet: a release ${kind}`);
     }
     meters.workerVersions(this.versions.counts());
--- a/packages/daemon/src/job-host/leader-options.ts
+++ b/packages/daemon/src/job-host/leader-options.ts
@@ -27,7 +27,7 @@
   readonly maxLeaseMs: Millis;
   /** Returns the costs of moving a run; undefined where runs can't be moved quickly enough to be of use. */
   readonly moveCosts: () => MoveCosts | undefined;
-  /** Whether hosts refuse jobs for which there will be no room before they lose their value. */
+  /** Whether hosts refuse jobs that, by the forecast of capacity, would end after they have lost their value. */
   readonly admitsByRoom: boolean;
   /** How long the log keeps records. */
   readonly retentionMs: Millis;
--- a/packages/daemon/src/job-host/leader-records.ts
+++ b/packages/daemon/src/job-host/leader-records.ts
@@ -1,4 +1,4 @@
-/** Records that the leader writes repeatedly: heartbeats and learned statistics; and how it learns. */
+/** Records that the leader writes repeatedly, heartbeats and learned estimates, and how it learns from ends of runs. */
 import type { Instant, Millis } from '@paddlewind/domain';
 import {
   chooseStandbys,
@@ -60,31 +60,44 @@
     readonly health: WorkerHealth;
     readonly times: LearnedTimes;
     readonly now: Instant;
-    /** Monotonic time at which this leader took over; it does not know when earlier runs started. */
+    /** Monotonic time at which this leader took over; it does not know when runs before that started. */
     readonly leadsSince: Instant;
   },
 ): void {
-  const { task, progress, worker } = run;
+  const { task, worker } = run;
   if (how === 'done') {
     health.noteDone(worker);
+    learnRunTime(run, times, now, leadsSince);
   } else if (how === 'failed') {
     health.noteFailure(worker, task, now);
   }
-  if (how === 'done' && progress !== undefined && task.checkpoint === '') {
-    times.averages.recordRun(task.step, now - progress.since);
+}
+
+/** Updates both models of run times from a run that is done. */
+function learnRunTime(
+  run: Run,
+  { averages, distributions }: LearnedTimes,
+  now: Instant,
+  leadsSince: Instant,
+): void {
+  const { task, progress } = run;
+  const { step } = task;
+  if (progress !== undefined && task.checkpoint === '') {
+    averages.recordRun(step, now - progress.since);
   }
   const runTimeMs = wholeRunTimeMs(run, now, leadsSince);
-  if (how === 'done' && runTimeMs !== undefined) {
-    times.distributions.recordRun(task.step, runTimeMs, { run, now });
+  if (runTimeMs !== undefined) {
+    distributions.recordRun(step, runTimeMs, { run, now });
   }
-  if (how === 'done' && task.step.remaining <= 1) {
-    times.distributions.closeStep(task.step);
+  const isLastOfStep = step.remaining <= 1;
+  if (isLastOfStep) {
+    distributions.closeStep(step);
   }
 }
 
 /**
- * Returns the time at full speed of a run that is done; undefined if it is not known, or if the run was resumed
- * or had started before `leadsSince`, when this leader took over.
+ * Returns the time that a whole run took, at full speed; undefined if that is not known, as for a run that was
+ * resumed or had started before `leadsSince`, when this leader took over.
  */
 export function wholeRunTimeMs(
   run: Run,
@@ -95,7 +108,7 @@
   return isWhole ? knownRunTimeMs(run, now) : undefined;
 }
 
-/** Returns a record of the learned run times and interference. */
+/** Returns the record of learned estimates for the next leader: run times by both models, and interference. */
 export function learnedRecord(
   { averages, distributions }: LearnedTimes,
   interference: Interference,
--- a/packages/daemon/src/job-host/learned-times.ts
+++ b/packages/daemon/src/job-host/learned-times.ts
@@ -9,11 +9,11 @@
   type RunTimes,
 } from '@paddlewind/domain/jobs';
 
-/** The models; both learn from all runs. */
+/** The models; both learn, whichever is in force. */
 export interface LearnedTimes {
   readonly averages: AverageRunTimes;
   readonly distributions: RunTimeDistributions;
-  /** Returns the distributions where runs can be moved, the averages elsewhere. */
+  /** Returns the distributions where the costs of moving a run are used, the averages elsewhere. */
   readonly inForce: () => RunTimes;
 }
 
--- a/packages/daemon/src/job-host/load-period-log.ts
+++ b/packages/daemon/src/job-host/load-period-log.ts
@@ -1,16 +1,16 @@
-/** Logs and meters the period by which the leader forecasts loads, when it is found, changes or is dropped. */
+/** Logs when the period by which the leader forecasts loads is found, changes or is dropped, and meters it. */
 import type { Millis } from '@paddlewind/domain';
 import type { LoadPeriod } from '@paddlewind/domain/jobs';
 
 import type { HostContext } from './context.js';
 
-/** Relative change of a period that is logged; fits of the same period differ by less. */
+/** Relative change above which a period is logged again; fits of the same period differ by less. */
 const LOGGED_CHANGE = 0.1;
 
 /** Follows the period in force. */
 export class LoadPeriodLog {
   private current: LoadPeriod | undefined;
-  private logged: Millis | undefined;
+  private loggedPeriodMs: Millis | undefined;
 
   /** Creates a log that knows of no period. */
   constructor(private readonly ctx: Pick<HostContext, 'log' | 'meters'>) {}
@@ -24,27 +24,28 @@
     this.ctx.meters.loadPeriod(period);
     if (period === undefined) {
       this.ctx.log.info(
-        { beforeMs: rounded(this.logged) },
+        { beforeMs: rounded(this.loggedPeriodMs) },
         'leader: loads have no period any more',
       );
-      this.logged = undefined;
-    } else if (hasChanged(this.logged, period.periodMs)) {
+      this.loggedPeriodMs = undefined;
+    } else if (hasChanged(this.loggedPeriodMs, period.periodMs)) {
       this.ctx.log.info(
         {
           periodMs: rounded(period.periodMs),
-          beforeMs: rounded(this.logged),
+          beforeMs: rounded(this.loggedPeriodMs),
           explained: Number(period.explained.toFixed(2)),
         },
         'leader: loads have a period',
       );
-      this.logged = period.periodMs;
+      this.loggedPeriodMs = period.periodMs;
     }
   }
 }
 
-function hasChanged(logged: Millis | undefined, periodMs: Millis): boolean {
+function hasChanged(beforeMs: Millis | undefined, periodMs: Millis): boolean {
   return (
-    logged === undefined || Math.abs(periodMs - logged) > LOGGED_CHANGE * logged
+    beforeMs === undefined ||
+    Math.abs(periodMs - beforeMs) > LOGGED_CHANGE * beforeMs
   );
 }
 
--- a/packages/daemon/src/job-host/reach-record.ts
+++ b/packages/daemon/src/job-host/reach-record.ts
@@ -1,10 +1,10 @@
-/** Whether the journal says that a worker was reached by this leader. */
+/** Whether the journal holds a record that this leader has reached a worker. */
 
-/** The record that a worker was reached; reports that it was unresponsive void it. */
+/** Keeps track of the record that a worker was reached, which each report that it is unresponsive voids. */
 export class ReachRecord {
   /**
    * Whether a record says that the worker was reached, and it has not been reported unresponsive since. Only
-   * then does this leader extend the lease.
+   * then does this leader extend the worker's lease.
    */
   private recorded = false;
   /** How often the worker was reported unresponsive; each report voids older records that it was reached. */
@@ -12,7 +12,7 @@
   /** Value of `silenceReports` for which the last record was requested. */
   private requestedFor = -1;
 
-  /** Creates a state without a record; `write` writes one, and calls `done` once it is written. */
+  /** Starts without a record; `write` writes one, and calls `done` once it is written. */
   constructor(private readonly write: (done: () => void) => void) {}
 
   /** Whether a record is in force. */
@@ -20,16 +20,13 @@
     return this.recorded;
   }
 
-  /**
-   * Notes that the worker's lease end was reported to other hosts. The lease is extended again only once they
-   * have a newer record.
-   */
+  /** Voids the record, since the end of the worker's lease was reported to other hosts. */
   noteSilenceReported(): void {
     this.recorded = false;
     this.silenceReports += 1;
   }
 
-  /** Resolves once a record that is requested now is written; undefined if none is needed. */
+  /** Requests a record and resolves once it is written; undefined if one is in force or already requested. */
   request(): Promise<void> | undefined {
     const { silenceReports } = this;
     if (this.recorded || this.requestedFor === silenceReports) {
--- a/packages/daemon/src/job-host/replica-view.ts
+++ b/packages/daemon/src/job-host/replica-view.ts
@@ -59,7 +59,8 @@
     if (this.leader() !== undefined) {
       return limits;
     }
-    // The heartbeat may have been written long before it was read, as after an outage of the log.
+    // Counted from the earliest time at which the heartbeat may have been written, which is long ago after an
+    // outage of the log.
     const now = ctx.clock();
     const roomsUntil = now - replica.heartbeatAge(now).to + ROOMS_VALID_MS;
     return { ...limits, roomsUntil };
--- a/packages/daemon/src/job-host/run-recorder.ts
+++ b/packages/daemon/src/job-host/run-recorder.ts
@@ -190,7 +190,7 @@
     this.recordTaskEnd(task, record);
   }
 
-  /** Compares the time of a run with the one that was expected before its end, if both are known. */
+  /** Compares the time that a run took with the one expected just before its end, if both are known. */
   private measureRunTime(run: Run): void {
     const { ctx, claim, times } = this.options;
     const model = times.inForce();
--- a/packages/daemon/src/job-host/run-supervisor.ts
+++ b/packages/daemon/src/job-host/run-supervisor.ts
@@ -103,7 +103,10 @@
     }
   }
 
-  /** Stops fillers that are slowed here and would not be slowed elsewhere, or end earlier there. */
+  /**
+   * Stops fillers that are slowed here and are better off elsewhere: where the costs of moves are used, those that
+   * would end earlier there; otherwise those that would not be slowed there.
+   */
   stopSlowedFillers(input: PlanInput): void {
     if (input.moveCosts !== undefined) {
       this.stopFillersThatGain(input, input.moveCosts);
@@ -113,11 +116,7 @@
       const slowed = shouldRelocateFiller(run, input.time.now);
       const better = slowed ? findWorker(input, run.task) : undefined;
       if (better !== undefined) {
-        this.logRun(run, 'leader: a run is slowed here and moves', {
-          better: better.info.id,
-          allowed: run.progress?.allowedPercent,
-        });
-        this.stop(run, 'slowed');
+        this.moveSlowed(run, better.info.id);
       }
     }
   }
@@ -137,15 +136,24 @@
   private stopFillersThatGain(input: PlanInput, costs: MoveCosts): void {
     const moves = this.fillerMoves.decide(input, costs, this.openRuns());
     for (const { run, to, gainMs } of moves) {
-      this.logRun(run, 'leader: a run is slowed here and moves', {
-        better: to,
-        allowed: run.progress?.allowedPercent,
-        gainMs: Math.round(gainMs),
-      });
-      this.stop(run, 'slowed');
+      this.moveSlowed(run, to, { gainMs: Math.round(gainMs) });
     }
   }
 
+  /** Stops a slowed filler, so that it is planned again, presumably on the worker `better`. */
+  private moveSlowed(
+    run: Run,
+    better: string,
+    gain: { readonly gainMs?: Millis } = {},
+  ): void {
+    this.logRun(run, 'leader: a run is slowed here and moves', {
+      better,
+      allowed: run.progress?.allowedPercent,
+      ...gain,
+    });
+    this.stop(run, 'slowed');
+  }
+
   /** Returns the tasks that were stopped on a leaving worker and have not started again. */
   movingTasks(): Set<Task> {
     const tasks = new Set<Task>();
--- a/packages/daemon/src/job-host/start-job-host.ts
+++ b/packages/daemon/src/job-host/start-job-host.ts
@@ -62,7 +62,7 @@
   readonly maxLeaseMs: Millis;
   /** Time after which nothing may start in an evacuated zone; undefined if the deployment has no limit. */
   readonly evacuationEffectMs: Millis | undefined;
-  /** Costs of moving a run; undefined if the platform does not tell them. */
+  /** Costs of moving a run; undefined if the platform's settings do not state them. */
   readonly moveCosts?: MoveCosts | undefined;
   /** Number of processors of this host. */
   readonly cores: number;
@@ -340,7 +340,10 @@
     return usableMoveCosts(this.options.moveCosts, terms);
   }
 
-  /** Jobs are admitted by room where the operator may take away the room of whole availability zones. */
+  /**
+   * Whether jobs are admitted by the forecast of capacity: only where the operator may withdraw the capacity of
+   * whole availability zones.
+   */
   private get admitsByRoom(): boolean {
     return this.options.evacuationEffectMs !== undefined;
   }
--- a/packages/daemon/src/job-host/summary-follower.ts
+++ b/packages/daemon/src/job-host/summary-follower.ts
@@ -223,7 +223,10 @@
     }
   }
 
-  /** Dates the forecast by the read before, since which it was written, as after an outage of the log. */
+  /**
+   * Returns the limits with the time until which their forecast is used, counted from the read before this one:
+   * the record may have been written right after that, which is long ago after an outage of the log.
+   */
   private datedLimits({ limits = NO_LIMITS }: LeaderInfo): AdmissionLimits {
     return { ...limits, roomsUntil: this.knownAsOf + ROOMS_VALID_MS };
   }
--- a/packages/daemon/src/job-host/timing.ts
+++ b/packages/daemon/src/job-host/timing.ts
@@ -170,5 +170,8 @@
  */
 export const INBOX_STALE_MS: Millis = 2_500;
 
-/** Time without an answer to an append of the journal after which the log is reported as unavailable. */
+/**
+ * Time without an answer to an append of the journal after which the log is reported as unavailable. An append
+ * takes milliseconds while the log answers.
+ */
 export const WRITE_OVERDUE_MS: Millis = 500;
