--- a/packages/daemon/src/job-host/admission-reporter.test.ts
+++ b/packages/daemon/src/job-host/admission-reporter.test.ts
@@ -1,4 +1,4 @@
-/* Guards against rows in the records of deployments where nothing is refused by capacity. */
+/** Guards against a forecast of capacity in deployments where nothing is refused by it. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
@@ -65,7 +65,7 @@
   };
 }
 
-test('the forecast is reported where hosts admit by capacity, and runs that are lost do not count', async () => {
+test('the forecast is reported where hosts admit by capacity, without runs that are lost', async () => {
   const reporter = await reporterAfterWaiting(true);
   const [row] = reporter.limits().rooms;
   assert.ok(row !== undefined);
--- a/packages/daemon/src/job-host/capacity-admission.test.ts
+++ b/packages/daemon/src/job-host/capacity-admission.test.ts
@@ -1,6 +1,6 @@
 /*
- * Guards against refusals by capacity that are not true: of a job that has been recorded, or by a forecast that
- * says nothing any more; and against callers that return to a log that is still away.
+ * Guards against refusals by capacity that are not true: of a job that has been recorded, or by a forecast that is
+ * too old; and against callers that return while the log is still unavailable.
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
@@ -28,9 +28,10 @@
 import { SummaryView } from './summary-view.js';
 
 const ID = '00000000000000b1';
-const FOREVER_MS = 100_000;
+/** Time left to callers whose deadline bounds no return time. */
+const DISTANT_DEADLINE_MS = 100_000;
 
-/** A minute of work before any job. */
+/** A backlog of a minute before any job, at the forecast rate. */
 const LIMITS: AdmissionLimits = {
   ...NO_LIMITS,
   rooms: [
@@ -124,9 +125,9 @@
   return follower;
 }
 
-test('a job without room is refused with the forecast and a time to return, and not recorded', async () => {
+test('a job without capacity is refused with the forecast and a time to return, and not recorded', async () => {
   const follower = await followerWithForecast();
-  const result = await follower.submit(ID, FOREVER_MS);
+  const result = await follower.submit(ID, DISTANT_DEADLINE_MS);
   assert.ok(result.kind === 'refused');
   // 60 s of work, of which 3 times 2.5 s less the job's own second may go before it.
   const returnMs = result.retryAfterMs ?? 0;
@@ -137,7 +138,7 @@
   assert.equal(follower.recordedJobs(), 0);
 });
 
-test('where the part is off the forecast refuses nothing, and refusals have no time of their own', async () => {
+test('where jobs are not admitted by capacity the forecast refuses nothing, and refusals state no time to return', async () => {
   const follower = await followerWithForecast(false);
   assert.deepEqual(await follower.submit(ID), { kind: 'recorded' });
   follower.log.streamModes.set('inbox', 'unreadable');
@@ -146,7 +147,7 @@
   const result = await follower.submit('00000000000000b2');
   const reason = 'the log does not answer this host';
   assert.deepEqual(result, { kind: 'refused', reason });
-  assert.equal(follower.service.logReturnMs(FOREVER_MS), undefined);
+  assert.equal(follower.service.logReturnMs(DISTANT_DEADLINE_MS), undefined);
 });
 
 // A caller whose first attempt ended without an answer may come to another host.
@@ -157,8 +158,8 @@
   assert.equal(follower.recordedJobs(), 1);
 });
 
-// Whether it was recorded can't be known then.
-test('a job is not refused by room while the inbox can not be read', async () => {
+// Whether an earlier attempt was recorded can't be known then.
+test('a job is not refused by capacity while the inbox can not be read', async () => {
   const follower = await followerWithForecast();
   follower.log.streamModes.set('inbox', 'unreadable');
   const result = await follower.submit(ID);
@@ -167,7 +168,8 @@
   assert.equal(result.forecast, undefined);
 });
 
-test('a job whose append had no outcome here is not refused by room', async () => {
+// The append may still be carried out.
+test('a job whose append had no known outcome on this host is not refused by capacity', async () => {
   const follower = new Follower();
   await follower.time.advance(1_000);
   follower.log.streamModes.set('inbox', 'resetting');
@@ -189,7 +191,7 @@
   assert.deepEqual(await follower.submit(ID), { kind: 'recorded' });
 });
 
-// The leader has written it before the outage, and the host reads it after it.
+// The leader has written it before an outage of the log, and the host reads it afterwards.
 test('a forecast that was read late refuses nothing', async () => {
   const follower = new Follower();
   await follower.time.advance(1_000);
@@ -202,7 +204,7 @@
   assert.deepEqual(await follower.submit(ID), { kind: 'recorded' });
 });
 
-test('a host that reads the summary dates the forecast by its read before', async () => {
+test('a host that reads the summary counts the age of the forecast from its read before', async () => {
   const time = createVirtualTime();
   const log = new MemoryJobLog({ ...time, random: () => 0.5 });
   const ctx = testContext(time);
@@ -230,16 +232,16 @@
   assert.ok((await read()) < 0);
 });
 
-test('callers return later the longer the log has been away, and before their deadline', async () => {
+test('callers return later the longer the log has been unavailable, and before their deadline', async () => {
   const follower = await followerWithForecast();
   follower.log.streamModes.set('inbox', 'unreadable');
   follower.log.streamModes.set('journal', 'unreadable');
   await follower.time.advance(2_500);
-  const early = await follower.submit(ID, FOREVER_MS);
+  const early = await follower.submit(ID, DISTANT_DEADLINE_MS);
   assert.ok(early.kind === 'refused');
   assert.ok([3_000, 4_000].includes(early.retryAfterMs ?? 0));
   await follower.time.advance(20_000);
-  const late = await follower.submit(ID, FOREVER_MS);
+  const late = await follower.submit(ID, DISTANT_DEADLINE_MS);
   assert.ok(late.kind === 'refused');
   // 4 s, lengthened by up to a quarter.
   assert.ok([4_000, 5_000].includes(late.retryAfterMs ?? 0));
@@ -248,7 +250,7 @@
   assert.equal(bounded.retryAfterMs, 2_000);
 });
 
-/** Submits jobs of four tasks, 10 a second, to hosts with room for two a second. */
+/** Submits jobs of four tasks, 10 a second, to a deployment with capacity for two a second. */
 async function overload(site: Simulation, seconds: number): Promise<void> {
   const script = { runMs: 1_000, failures: 0 };
   const steps = [{ tasks: 4, after: [] }];
@@ -259,7 +261,7 @@
   }
 }
 
-/** Submits a job to each host and returns the ids of those that are refused by room. */
+/** Submits a job to each host and returns the ids of those that are refused by capacity. */
 async function refusedIds(site: Simulation, prefix: string): Promise<string[]> {
   const refused: string[] = [];
   const pending = [...site.hosts].map(async ([name, { host, alive }]) => {
@@ -277,7 +279,8 @@
   return refused;
 }
 
-function forecastsOf(site: Simulation): number {
+/** Returns the number of heartbeats with a forecast of capacity. */
+function countForecasts(site: Simulation): number {
   return site.log
     .recordsOf('journal')
     .map(decodeJournal)
@@ -294,9 +297,9 @@
   });
   ['h1', 'h2', 'h3'].forEach(name => site.startHost(name));
   await site.time.advance(3_500);
-  assert.equal(forecastsOf(site), 0);
+  assert.equal(countForecasts(site), 0);
   await overload(site, 6);
-  assert.ok(forecastsOf(site) > 0);
+  assert.ok(countForecasts(site) > 0);
   const first = await refusedIds(site, 'a');
   assert.ok(first.length > 0);
   site.kill(site.leader());
--- a/packages/daemon/src/job-host/filler-moves-by-forecast.test.ts
+++ b/packages/daemon/src/job-host/filler-moves-by-forecast.test.ts
@@ -1,4 +1,7 @@
-/** Guards against moves whose reason can't be found from the task's id, and against moves without their costs. */
+/**
+ * Guards against moves of slowed fillers that cost more than they gain, and against moves whose reason the log does
+ * not show.
+ */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
@@ -11,37 +14,46 @@
   type MoveCosts,
   type PlanInput,
 } from '@paddlewind/domain/jobs';
-import { pino } from 'pino';
 
+import { captureLog, type LogLine } from './captured-log.fixture.test.js';
 import {
   openLink,
   ORDERED_WORKER,
   StubWorker,
 } from './stub-worker.fixture.test.js';
 import { RunSupervisor } from './run-supervisor.js';
+import type { WorkerLink } from './worker-link.js';
 
-type Line = Readonly<Record<string, unknown>>;
+/** Returns a supervisor of the stub worker's runs, and the lines that it logs. */
+function createSupervisor(
+  stub: StubWorker,
+  interference: Interference,
+  link?: WorkerLink,
+): {
+  readonly supervisor: RunSupervisor;
+  readonly lines: readonly LogLine[];
+} {
+  const { log, lines } = captureLog();
+  const supervisor = new RunSupervisor({
+    ctx: { ...stub.ctx, log },
+    state: stub.state,
+    interference,
+    health: new WorkerHealth(),
+    linkTo: () => link,
+    leavingSince: () => undefined,
+  });
+  return { supervisor, lines };
+}
 
 /** Slows a filler to `percent` of its speed for 2 s beside a free worker; returns what was logged and sent. */
 async function moveSlowed(
   percent: number,
   moveCosts: MoveCosts | undefined,
-): Promise<{ lines: Line[]; sent: string[] }> {
+): Promise<{ lines: readonly LogLine[]; sent: string[] }> {
   const stub = new StubWorker(1, { filler: true, image: 'f' });
   const link = await openLink(stub);
-  const lines: Line[] = [];
-  const write = (line: string): void => {
-    lines.push(JSON.parse(line) as Line);
-  };
   const interference = new Interference();
-  const supervisor = new RunSupervisor({
-    ctx: { ...stub.ctx, log: pino({}, { write }) },
-    state: stub.state,
-    interference,
-    health: new WorkerHealth(),
-    linkTo: () => link,
-    leavingSince: () => undefined,
-  });
+  const { supervisor, lines } = createSupervisor(stub, interference, link);
   const run = stub.open(0);
   link.start(run, stub.time.clock());
   await stub.time.advance(100);
@@ -71,7 +83,7 @@
 
 const MOVED = 'leader: a run is slowed here and moves';
 
-/** A model with a period, which tells whether it was told to use it. */
+/** A model that has a period while its forecast is used. */
 class PeriodicInterference extends Interference {
   isUsed = false;
 
@@ -85,21 +97,10 @@
 }
 
 // Samples taken or forecasts used elsewhere would change the decisions of other deployments.
-test('loads are forecast while move costs are known, and no longer', () => {
+test('loads are forecast only while move costs are known', () => {
   const stub = new StubWorker(1, {});
-  const lines: Line[] = [];
-  const write = (line: string): void => {
-    lines.push(JSON.parse(line) as Line);
-  };
   const interference = new PeriodicInterference();
-  const supervisor = new RunSupervisor({
-    ctx: { ...stub.ctx, log: pino({}, { write }) },
-    state: stub.state,
-    interference,
-    health: new WorkerHealth(),
-    linkTo: () => undefined,
-    leavingSince: () => undefined,
-  });
+  const { supervisor, lines } = createSupervisor(stub, interference);
   const costs = { stopMs: 200, restoreMs: 100 };
   const used = [undefined, costs, costs, undefined].map(moveCosts => {
     supervisor.updateLoadForecast({ interference, moveCosts });
@@ -112,7 +113,7 @@
   );
 });
 
-test('a move tells the better worker and the expected gain', async () => {
+test('the line of a move names the better worker and the expected gain', async () => {
   const costs = { stopMs: 200, restoreMs: 100 };
   const { lines, sent } = await moveSlowed(20, costs);
   const moved = lines.find(({ msg }) => msg === MOVED);
@@ -129,7 +130,7 @@
   assert.ok(!sent.includes('stop 0#1'));
 });
 
-test('without move costs the limit alone decides, and no gain is told', async () => {
+test('without move costs the limit alone decides, and no gain is logged', async () => {
   const slow = await moveSlowed(40, undefined);
   const moved = slow.lines.find(({ msg }) => msg === MOVED);
   assert.equal(moved?.better, 'free');
--- a/packages/daemon/src/job-host/learned-times.test.ts
+++ b/packages/daemon/src/job-host/learned-times.test.ts
@@ -23,9 +23,11 @@
 const RUN_MS = 2_000;
 const MOVE_COSTS: MoveCosts = { stopMs: 200, restoreMs: 100 };
 
+/** Runs of one step, whose ends both models learn from. */
 interface Scenario {
   readonly times: LearnedTimes;
   readonly runs: readonly Run[];
+  /** Returns the run of the task at an index. */
   readonly run: (at: number) => Run;
   /** Ends a run `RUN_MS` after its start. */
   readonly end: (run: Run, how?: RunEnd | 'lost', leadsSince?: number) => void;
@@ -112,7 +114,7 @@
   assert.ok(halved.distributions < 0.8 * whole.distributions);
 });
 
-test('a step whose last run was resumed is learned as well', () => {
+test('a step is learned when its last run is done, also if that was resumed', () => {
   const scenario = startRuns();
   const { times, runs, end } = scenario;
   const stepsOf = (): number | undefined =>
--- a/packages/daemon/src/job-host/leaving-log.test.ts
+++ b/packages/daemon/src/job-host/leaving-log.test.ts
@@ -2,23 +2,19 @@
 import { test } from 'node:test';
 
 import type { Run, NotMovedReason } from '@paddlewind/domain/jobs';
-import { pino } from 'pino';
 
+import { captureLog } from './captured-log.fixture.test.js';
 import { LeavingLog } from './leaving-log.js';
 
 /** Logs rounds in which runs on worker `w` stay for the given reasons; returns the contents of the lines. */
 function linesOf(rounds: readonly (readonly NotMovedReason[])[]): unknown[] {
-  const lines: unknown[] = [];
-  const write = (line: string): void => {
-    const { worker, why } = JSON.parse(line) as Record<string, unknown>;
-    lines.push([worker, why]);
-  };
-  const leaving = new LeavingLog(pino({ level: 'info' }, { write }));
+  const { log, lines } = captureLog();
+  const leaving = new LeavingLog(log);
   for (const reasons of rounds) {
     const runs = reasons.map(why => [{ worker: 'w' } as Run, why] as const);
     leaving.logChanges(new Map(runs));
   }
-  return lines;
+  return lines.map(({ worker, why }) => [worker, why]);
 }
 
 test('logs the number of long-running tasks that stay on a worker, by reason', () => {
--- a/packages/daemon/src/job-host/load-period-log.test.ts
+++ b/packages/daemon/src/job-host/load-period-log.test.ts
@@ -1,37 +1,28 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { pino } from 'pino';
 import { Registry } from 'prom-client';
 
+import { captureLog, type LogLine } from './captured-log.fixture.test.js';
 import { LoadPeriodLog } from './load-period-log.js';
 import { createJobMeters } from './meters.js';
 
-type Line = Readonly<Record<string, unknown>>;
-
-/** A log of periods, the lines that it has written and its metrics. */
+/** Returns a log of periods, the lines that it writes and its metrics. */
 function createLog(): {
-  periods: LoadPeriodLog;
-  lines: Line[];
-  registry: Registry;
+  readonly periods: LoadPeriodLog;
+  readonly lines: readonly LogLine[];
+  readonly registry: Registry;
 } {
-  const lines: Line[] = [];
+  const { log, lines } = captureLog();
   const registry = new Registry();
-  const write = (line: string): void => {
-    const { msg, periodMs, beforeMs } = JSON.parse(line) as Line;
-    lines.push({ msg, periodMs, beforeMs });
-  };
-  const ctx = {
-    log: pino({}, { write }),
-    meters: createJobMeters(registry),
-  };
+  const ctx = { log, meters: createJobMeters(registry) };
   return { periods: new LoadPeriodLog(ctx), lines, registry };
 }
 
 const FOUND = 'leader: loads have a period';
 const DROPPED = 'leader: loads have no period any more';
 
-// A line for each fit, every 2 s, would hide the changes that matter.
+// Guards against a line for each fit, every 2 s, which would hide the changes that matter.
 test('a period is logged when it is found, changes by over a tenth or is dropped', () => {
   const { periods, lines } = createLog();
   periods.update(undefined);
@@ -40,14 +31,19 @@
   }
   periods.update(undefined);
   periods.update(undefined);
-  assert.deepEqual(lines, [
+  const found = lines.map(({ msg, periodMs, beforeMs }) => ({
+    msg,
+    periodMs,
+    beforeMs,
+  }));
+  assert.deepEqual(found, [
     { msg: FOUND, periodMs: 10_000, beforeMs: undefined },
     { msg: FOUND, periodMs: 11_200, beforeMs: 10_000 },
     { msg: DROPPED, periodMs: undefined, beforeMs: 11_200 },
   ]);
 });
 
-test('the metrics tell the period in force and what it explains', async () => {
+test('the metrics show the period in force and the variance that it explains', async () => {
   const { periods, registry } = createLog();
   const read = async (): Promise<string[]> =>
     (await registry.metrics())
--- a/packages/daemon/src/job-host/release.test.ts
+++ b/packages/daemon/src/job-host/release.test.ts
@@ -17,8 +17,8 @@
 }
 
 /**
- * Replaces w4, which runs nothing, by n1 of version 2. All four tasks are on w1 then, and w2 is before n1
- * among the equally suitable workers.
+ * Replaces w4, which runs nothing, by n1 of version 2. All four tasks are then on w1, and without a preference
+ * they would move to w2, which precedes n1 among equally suitable workers.
  */
 async function deploymentInRelease(seed: number): Promise<Simulation> {
   const site = new Simulation(seed);
@@ -80,7 +80,7 @@
   const site = await deploymentInRelease(5);
   addVersioned(site, 'n2', '2');
   addVersioned(site, 'n3', '2');
-  // Without the first workers, n2 is before w5 among the equally suitable ones.
+  // Without the first workers, n2 precedes w5 among equally suitable workers.
   ['w1', 'w2', 'w3'].forEach(name => {
     site.fleet.announceLeave(name);
   });
--- a/packages/daemon/src/job-host/run-times-handed-over.test.ts
+++ b/packages/daemon/src/job-host/run-times-handed-over.test.ts
@@ -1,4 +1,7 @@
-/** Guards against run times that each new leader learns anew, or learns wrongly from runs it has not started. */
+/**
+ * Guards against a new leader that does not start from the recorded run times, or learns wrong ones from runs that
+ * it has not started.
+ */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
@@ -31,7 +34,7 @@
   return last;
 }
 
-test('a new leader goes on with the distributions when the leader is lost halfway', async () => {
+test('when the leader is lost halfway the next one starts from the recorded distributions', async () => {
   const site = new Simulation(1, {
     moveCosts: { stopMs: 200, restoreMs: 100 },
   });
@@ -56,6 +59,6 @@
   const after = lastRecorded(site);
   assert.ok((after.queues[0]?.[1] ?? 0) >= 18);
   const [, mean = 0] = after.means[0] ?? [];
-  // Ends are known some 10 ms late; runs by the time at which the new leader first saw them would be shorter.
+  // Ends are known some 10 ms late. Times counted from when the new leader first saw a run would be shorter.
   assert.ok(Math.exp(mean) > RUN_MS && Math.exp(mean) < 1.2 * RUN_MS);
 });
--- a/packages/daemon/src/job-host/run-times-in-force.test.ts
+++ b/packages/daemon/src/job-host/run-times-in-force.test.ts
@@ -1,4 +1,4 @@
-/** Guards against a leader that plans by other run times than those that its settings call for. */
+/** Guards against a leader that plans by the wrong model of run times for its settings and configuration. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
@@ -8,7 +8,7 @@
 
 const TASKS = 5;
 
-/** Returns how many runs a step starts whose tasks all take seven times as long as its caller expects. */
+/** Returns the number of runs of a step, all of whose tasks take seven times as long as its caller expects. */
 async function countRuns(moveCosts?: MoveCosts): Promise<number> {
   const site = new Simulation(1, moveCosts && { moveCosts });
   site.configure();
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -97,7 +97,7 @@
   readonly relayAllStarts?: boolean;
   /** Availability zone of the worker on a machine; `a` for all by default. */
   readonly zoneOf?: (machine: string) => string;
-  /** Costs of moving a run; by default runs can't be moved quickly. */
+  /** Costs of moving a run; by default the platform does not state them. */
   readonly moveCosts?: MoveCosts;
   /** Size of calls on links in both directions; by default only `SimulatedLink` is used. */
   readonly wire?: WireOptions;
