--- a/packages/daemon/src/job-host/admission-reporter.ts
+++ b/packages/daemon/src/job-host/admission-reporter.ts
@@ -66,6 +66,7 @@
             evacuatedZones.has(zone),
           ),
       rooms: this.rooms() ?? [],
+      // Each host that reads the limits sets this by its own clock.
       roomsUntil: -Infinity,
     };
   }
--- a/packages/daemon/src/job-host/job-service.ts
+++ b/packages/daemon/src/job-host/job-service.ts
@@ -88,7 +88,7 @@
     if (this.view().has(job.id)) {
       return { kind: 'recorded' };
     }
-    const refusal = this.refusalOf(job);
+    const refusal = this.findRefusal(job);
     if (refusal?.why === 'no_room') {
       return this.refuseUnlessRecorded(job, refusal, deadline);
     }
@@ -101,7 +101,8 @@
     return this.recordChange({ kind: 'submit', job, atWall }, job.id, deadline);
   }
 
-  private refusalOf(job: JobSpec): Refusal | undefined {
+  /** Returns the refusal of a job by the limits that the leader has last reported; undefined if it is accepted. */
+  private findRefusal(job: JobSpec): Refusal | undefined {
     const limits = this.view().admissionLimits;
     return this.roomAdmission === undefined
       ? refusalOf(job, limits)
--- a/packages/daemon/src/job-host/learned-times.test.ts
+++ b/packages/daemon/src/job-host/learned-times.test.ts
@@ -57,13 +57,12 @@
   };
 }
 
-function expectedOf({ times, runs: [run] }: Scenario): {
+function expectedOf({ times, run }: Scenario): {
   readonly averages: number;
   readonly distributions: number;
 } {
-  assert.ok(run);
   const { averages, distributions } = times;
-  const { step } = run.task;
+  const { step } = run(0).task;
   return {
     averages: averages.expectedMs(step),
     distributions: distributions.expectedMs(step),
@@ -93,8 +92,7 @@
 test('the distributions do not learn from runs of an earlier leader', () => {
   const scenario = startRuns();
   const before = expectedOf(scenario);
-  const [run] = scenario.runs;
-  assert.ok(run);
+  const run = scenario.run(0);
   scenario.end(run, 'done', run.openedAt + 1);
   const after = expectedOf(scenario);
   assert.equal(after.distributions, before.distributions);
@@ -103,8 +101,8 @@
 
 test('the distributions learn the time at full speed of a limited run', () => {
   const limited = startRuns();
-  const [run] = limited.runs;
-  assert.ok(run?.progress);
+  const run = limited.run(0);
+  assert.ok(run.progress);
   limitSpeed(run.progress, 50, run.progress.since);
   limited.end(run);
   const full = startRuns();
@@ -124,8 +122,7 @@
     run.task.step.remaining -= 1;
   }
   assert.equal(stepsOf(), undefined);
-  const [last] = runs;
-  assert.ok(last);
+  const last = scenario.run(0);
   last.task.checkpoint = 'c';
   end(last);
   assert.equal(stepsOf(), 1);
--- a/packages/daemon/src/job-host/replica-view.ts
+++ b/packages/daemon/src/job-host/replica-view.ts
@@ -56,6 +56,7 @@
   get admissionLimits(): AdmissionLimits {
     const { replica, ctx } = this;
     const limits = replica.state.admissionLimits;
+    // A leader's own limits are dated by the time at which it recorded them.
     if (this.leader() !== undefined) {
       return limits;
     }
--- a/packages/daemon/src/job-host/run-supervisor.ts
+++ b/packages/daemon/src/job-host/run-supervisor.ts
@@ -73,7 +73,8 @@
 
 /** Acts on open runs. */
 export class RunSupervisor {
-  private readonly movedRuns = new Set<Run>();
+  /** Runs that were stopped on leaving workers, until their tasks start again. */
+  private readonly runsMovedOffLeaving = new Set<Run>();
   private readonly leavingLogs: Readonly<Record<MoveUrgency, LeavingLog>>;
   private readonly loadPeriodLog: LoadPeriodLog;
   private readonly fillerMoves = new FillerMoves();
@@ -157,12 +158,12 @@
   /** Returns the tasks that were stopped on a leaving worker and have not started again. */
   movingTasks(): Set<Task> {
     const tasks = new Set<Task>();
-    for (const run of this.movedRuns) {
+    for (const run of this.runsMovedOffLeaving) {
       const { task } = run;
       const [open] = task.runs;
       const finished = isFinished(task.step.occurrence.job);
       if (finished || (open !== undefined && open !== run)) {
-        this.movedRuns.delete(run);
+        this.runsMovedOffLeaving.delete(run);
       } else {
         tasks.add(task);
       }
@@ -178,7 +179,7 @@
     const onLeaving = this.runsOnLeaving(urgency, input.time.now);
     const { stop, stay } = planMovesOffLeaving(input, onLeaving);
     for (const run of stop) {
-      this.movedRuns.add(run);
+      this.runsMovedOffLeaving.add(run);
       this.logRun(run, 'leader: a run moves off a worker that leaves', {});
       this.stop(run, 'leaving');
     }
--- a/packages/daemon/src/job-host/start-job-host.ts
+++ b/packages/daemon/src/job-host/start-job-host.ts
@@ -325,7 +325,7 @@
       starts,
       advicePort: meterAdvice(options.advicePort(), meters, clock),
       maxLeaseMs,
-      moveCosts: () => this.usableMoveCosts(),
+      moveCosts: () => this.currentMoveCosts(),
       admitsByRoom: this.admitsByRoom,
       retentionMs,
       statusMs,
@@ -334,7 +334,8 @@
     });
   }
 
-  private usableMoveCosts(): MoveCosts | undefined {
+  /** Returns the costs of moving a run if moves are quick enough for the queues of the configuration in force. */
+  private currentMoveCosts(): MoveCosts | undefined {
     const queues = this.configHolder.config?.queues ?? [];
     const terms = queues.map(queue => queue.terms);
     return usableMoveCosts(this.options.moveCosts, terms);
