--- a/packages/daemon/src/job-host/admission-reporter.ts
+++ b/packages/daemon/src/job-host/admission-reporter.ts
@@ -26,7 +26,7 @@
   readonly admitsByRoom: boolean;
 }
 
-/** Observes planning rounds and ends of runs, and reports limits on the jobs that hosts accept. */
+/** Observes planning rounds and ends of runs, and derives the limits on the jobs that hosts accept. */
 export class AdmissionReporter {
   readonly startRate = new StartRate();
   private readonly forecast: CapacityForecast | undefined;
@@ -36,7 +36,7 @@
     this.forecast = options.admitsByRoom ? new CapacityForecast() : undefined;
   }
 
-  /** Notes a planning round; `isLimited` if it could have started more than the leader can send. */
+  /** Notes a planning round; `isLimited` if the leader could not send more starts in it. */
   noteRound(input: PlanInput, isLimited: boolean): void {
     this.startRate.noteRound(input.time.now, isLimited);
     if (isLimited) {
@@ -47,7 +47,7 @@
     }
   }
 
-  /** Notes that nothing may start now. */
+  /** Notes that nothing may start now, so that the rate of completions does not show the capacity. */
   noteBlocked(): void {
     this.forecast?.noteBlocked();
   }
@@ -71,12 +71,13 @@
             evacuatedZones.has(zone),
           ),
       rooms: this.rooms() ?? [],
+      // Each host that reads the limits sets this by its own clock.
       roomsUntil: -Infinity,
     };
   }
 
-  /** Returns the forecast of capacity; undefined where hosts refuse nothing by it. */
-  rooms(): readonly CapacityRow[] | undefined {
+  /** Returns the rows of the forecast of capacity; undefined where hosts refuse nothing by it. */
+  rooms(): readonly RoomRow[] | undefined {
     const { state, clock } = this.options;
     return this.forecast?.rows(clock(), state.volunteers.size);
   }
--- a/packages/daemon/src/job-host/replica-view.ts
+++ b/packages/daemon/src/job-host/replica-view.ts
@@ -56,10 +56,12 @@
   get admissionLimits(): AdmissionLimits {
     const { replica, ctx } = this;
     const limits = replica.state.admissionLimits;
+    // A leader's own limits are dated by the time at which it recorded them.
     if (this.leader() !== undefined) {
       return limits;
     }
-    // The heartbeat may have been written long before it was read, as after an outage of the log.
+    // Counted from the earliest time at which the heartbeat may have been written, which is long ago after an
+    // outage of the log.
     const now = ctx.clock();
     const roomsUntil = now - replica.heartbeatAge(now).to + FORECAST_VALID_MS;
     return { ...limits, roomsUntil };
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -97,7 +97,7 @@
   readonly relayAllStarts?: boolean;
   /** Availability zone of the worker on a machine; `a` for all by default. */
   readonly zoneOf?: (machine: string) => string;
-  /** Costs of moving a run; by default runs can't be moved quickly. */
+  /** Costs of moving a run; by default the platform does not state them. */
   readonly moveCosts?: MoveCosts;
   /** Version of the worker that is the nth to start; workers have none by default. */
   readonly versionOf?: (nth: number) => string;
