--- a/packages/daemon/src/job-host/admission-reporter.test.ts
+++ b/packages/daemon/src/job-host/admission-reporter.test.ts
@@ -20,7 +20,7 @@
 
 /** Returns a leader's reporter after 3 s in which a job waits, half of whose tasks are completed. */
 async function reporterAfterWaiting(
-  admitsByRoom: boolean,
+  admitsByCapacity: boolean,
   isLimited = false,
 ): Promise<AdmissionReporter> {
   const time = createVirtualTime();
@@ -36,7 +36,7 @@
     state,
     evacuatedZones: new EvacuatedZones(ctx, undefined),
     registeredWorkers: () => [],
-    admitsByRoom,
+    admitsByCapacity,
   });
   const [step] = state.jobs.get(job.id)?.occurrences.get(0)?.steps ?? [];
   for (const task of step?.tasks.slice(10) ?? []) {
--- a/packages/daemon/src/job-host/admission-reporter.ts
+++ b/packages/daemon/src/job-host/admission-reporter.ts
@@ -23,7 +23,7 @@
   readonly evacuatedZones: EvacuatedZones;
   readonly registeredWorkers: () => WorkerInfo[];
   /** Whether hosts refuse jobs by the forecast of capacity. */
-  readonly admitsByRoom: boolean;
+  readonly admitsByCapacity: boolean;
 }
 
 /** Observes planning rounds and ends of runs, and derives the limits on the jobs that hosts accept. */
@@ -33,7 +33,9 @@
 
   /** Creates the reporter of one leader. */
   constructor(private readonly options: AdmissionReporterOptions) {
-    this.forecast = options.admitsByRoom ? new CapacityForecast() : undefined;
+    this.forecast = options.admitsByCapacity
+      ? new CapacityForecast()
+      : undefined;
   }
 
   /** Notes a planning round; `isLimited` if the leader could not send more starts in it. */
@@ -77,7 +79,7 @@
   }
 
   /** Returns the rows of the forecast of capacity; undefined where hosts refuse nothing by it. */
-  rooms(): readonly RoomRow[] | undefined {
+  rooms(): readonly CapacityRow[] | undefined {
     const { state, clock } = this.options;
     return this.forecast?.rows(clock(), state.volunteers.size);
   }
--- a/packages/daemon/src/job-host/capacity-admission.test.ts
+++ b/packages/daemon/src/job-host/capacity-admission.test.ts
@@ -58,7 +58,7 @@
   readonly view: ReplicaView;
   readonly service: JobService;
 
-  constructor(admitsByRoom = true) {
+  constructor(admitsByCapacity = true) {
     const ctx = testContext(this.time);
     const jobLog = this.log.connect('h');
     const replica = new Replica(ctx, jobLog);
@@ -66,7 +66,7 @@
     const leader = (): undefined => undefined;
     const inbox = new InboxSender({ ctx, jobLog, view: () => view, leader });
     this.view = view;
-    this.service = new JobService(ctx, inbox, () => view, admitsByRoom);
+    this.service = new JobService(ctx, inbox, () => view, admitsByCapacity);
     const keepReading = (): void => {
       void replica.refresh('journal');
       this.time.schedule(300, keepReading);
@@ -117,8 +117,10 @@
   }
 }
 
-async function followerWithForecast(admitsByRoom = true): Promise<Follower> {
-  const follower = new Follower(admitsByRoom);
+async function followerWithForecast(
+  admitsByCapacity = true,
+): Promise<Follower> {
+  const follower = new Follower(admitsByCapacity);
   await follower.time.advance(1_000);
   await follower.writeHeartbeat();
   await follower.time.advance(400);
--- a/packages/daemon/src/job-host/room-meters.ts
+++ b/packages/daemon/src/job-host/capacity-meters.ts
@@ -1,19 +1,19 @@
 /** Metrics of admission by capacity: refused jobs and the leader's forecast of capacity. */
-import type { RoomRow } from '@paddlewind/domain/jobs';
+import type { CapacityRow } from '@paddlewind/domain/jobs';
 import { Counter, Gauge, type Registry } from 'prom-client';
 
 /** Records refusals and forecasts. */
-export interface RoomMeters {
+export interface CapacityMeters {
   /** A submitted job of a queue, estimated at `coreMs` core-milliseconds, was refused for the reason `why`. */
   readonly jobRefused: (queue: string, coreMs: number, why: string) => void;
   /** The leader has made this forecast of capacity; it is empty on hosts that do not lead. */
-  readonly capacityForecast: (rows: readonly RoomRow[]) => void;
+  readonly capacityForecast: (rows: readonly CapacityRow[]) => void;
 }
 
 const MS_PER_S = 1000;
 
 /** Registers the metrics. */
-export function createRoomMeters(registry: Registry): RoomMeters {
+export function createCapacityMeters(registry: Registry): CapacityMeters {
   const registers = [registry];
   const refusals = new Counter({
     name: 'paddlewind_jobs_submissions_refused_total',
--- a/packages/daemon/src/job-host/fleet-account.ts
+++ b/packages/daemon/src/job-host/fleet-account.ts
@@ -20,7 +20,7 @@
   readonly evacuatedWorkers: () => PlanWorker[];
   readonly evacuationTimes: () => EvacuationTimes;
   /** Rows of the forecast of capacity; undefined where hosts refuse nothing by it. */
-  readonly rooms: () => readonly RoomRow[] | undefined;
+  readonly rooms: () => readonly CapacityRow[] | undefined;
   /** Whether nothing may start now because the log does not answer. */
   readonly isLogUnavailable: () => boolean;
   readonly hasEnded: () => boolean;
--- a/packages/daemon/src/job-host/job-service.ts
+++ b/packages/daemon/src/job-host/job-service.ts
@@ -62,12 +62,12 @@
 /** The service that hosts offer to callers. */
 export class JobService {
   /** Decides by the forecast of capacity; undefined where nothing is refused by it. */
-  private readonly roomAdmission: RoomAdmission | undefined;
+  private readonly capacityAdmission: CapacityAdmission | undefined;
   /** Spreads the return times of callers that are refused because the log does not answer. */
   private readonly logReturnSpread: Random;
 
   /**
-   * Creates the service; `view` returns the current copy of the state of jobs. Where `admitsByRoom`, jobs are
+   * Creates the service; `view` returns the current copy of the state of jobs. Where `admitsByCapacity`, jobs are
    * refused by the leader's forecast of capacity, and the time after which a refused caller should return follows
    * from the cause.
    */
@@ -75,10 +75,10 @@
     private readonly ctx: HostContext,
     private readonly inbox: InboxSender,
     private readonly view: () => CallerView,
-    admitsByRoom = false,
+    admitsByCapacity = false,
   ) {
     this.logReturnSpread = evenSpread(ctx.host);
-    this.roomAdmission = admitsByRoom
+    this.capacityAdmission = admitsByCapacity
       ? new CapacityAdmission(evenSpread(ctx.host))
       : undefined;
   }
@@ -96,7 +96,7 @@
       const { why, ...details } = refusal;
       return this.refuseByLimits(job, why, details);
     }
-    this.roomAdmission?.noteAccepted(job, this.view().admissionLimits);
+    this.capacityAdmission?.noteAccepted(job, this.view().admissionLimits);
     const atWall = this.ctx.wallClock();
     return this.recordChange({ kind: 'submit', job, atWall }, job.id, deadline);
   }
@@ -104,9 +104,9 @@
   /** Returns the refusal of a job by the limits that the leader has last reported; undefined if it is accepted. */
   private findRefusal(job: JobSpec): Refusal | undefined {
     const limits = this.view().admissionLimits;
-    return this.roomAdmission === undefined
+    return this.capacityAdmission === undefined
       ? refusalOf(job, limits)
-      : this.roomAdmission.refusalOf(job, limits, this.ctx.clock());
+      : this.capacityAdmission.refusalOf(job, limits, this.ctx.clock());
   }
 
   /**
@@ -126,7 +126,7 @@
       case 'unknown': {
         const { why, forecast } = refusal;
         const now = this.ctx.clock();
-        const retryAfterMs = this.roomAdmission?.returnMs(
+        const retryAfterMs = this.capacityAdmission?.returnMs(
           job,
           refusal,
           now,
@@ -203,7 +203,7 @@
    * answer; undefined where all such callers get the same time.
    */
   logReturnMs(deadline: Instant): Millis | undefined {
-    if (this.roomAdmission === undefined) {
+    if (this.capacityAdmission === undefined) {
       return undefined;
     }
     const now = this.ctx.clock();
@@ -240,7 +240,7 @@
     const result = this.withLogReturnTime(appended, deadline);
     const spec = record.kind === 'submit' ? record.job : undefined;
     if (spec !== undefined) {
-      this.roomAdmission?.noteOutcome(spec.id, result.kind !== 'unknown');
+      this.capacityAdmission?.noteOutcome(spec.id, result.kind !== 'unknown');
     }
     if (spec !== undefined && result.kind === 'refused') {
       this.countRefusal(spec, 'log');
--- a/packages/daemon/src/job-host/leader-options.ts
+++ b/packages/daemon/src/job-host/leader-options.ts
@@ -28,7 +28,7 @@
   /** Returns the costs of moving a run; undefined where runs can't be moved quickly enough to be of use. */
   readonly moveCosts: () => MoveCosts | undefined;
   /** Whether hosts refuse jobs that, by the forecast of capacity, would end after they have lost their value. */
-  readonly admitsByRoom: boolean;
+  readonly admitsByCapacity: boolean;
   /** How long the log keeps records. */
   readonly retentionMs: Millis;
   /** How long the state of a finished job can be queried. */
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -162,13 +162,13 @@
   }
 
   private createAdmission(): AdmissionReporter {
-    const { ctx, evacuatedZones, admitsByRoom } = this.options;
+    const { ctx, evacuatedZones, admitsByCapacity } = this.options;
     return new AdmissionReporter({
       clock: ctx.clock,
       state: this.state,
       evacuatedZones,
       registeredWorkers: () => this.fleet.registeredWorkers(),
-      admitsByRoom,
+      admitsByCapacity,
     });
   }
 
--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -3,12 +3,18 @@
 import type {
   FleetSnapshot,
   JournalRecord,
-  LoadPeriod,
   RunEnd,
 } from '@paddlewind/domain/jobs';
 import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
 
-import { createRoomMeters, type RoomMeters } from './room-meters.js';
+import {
+  createCapacityMeters,
+  type CapacityMeters,
+} from './capacity-meters.js';
+import {
+  createLoadPeriodMeters,
+  type LoadPeriodMeters,
+} from './load-period-meters.js';
 import { createRunTimeMeters, type RunTimeMeters } from './run-time-meters.js';
 import { createVersionMeters, type VersionMeters } from './version-meters.js';
 
@@ -52,7 +58,8 @@
 export type EvacuationTimes = Readonly<Record<string, Millis>>;
 
 /** Metrics recorded by a job host. */
-export interface JobMeters extends RoomMeters, RunTimeMeters, VersionMeters {
+export interface JobMeters
+  extends CapacityMeters, LoadPeriodMeters, RunTimeMeters, VersionMeters {
   /** A caller's request was answered with an HTTP status after `span`. */
   readonly answered: (method: string, status: number, span: Millis) => void;
   /** A call to a dependency ended. */
@@ -98,8 +105,6 @@
   readonly loopFailed: (loop: string) => void;
   /** The leader has computed the account of its fleet; the account is empty on hosts that do not lead. */
   readonly accounted: (account: FleetSnapshot) => void;
-  /** The leader forecasts loads by this period; undefined if it has none, and on hosts that do not lead. */
-  readonly loadPeriod: (period: LoadPeriod | undefined) => void;
   /** These zones are evacuated, each known for so long. */
   readonly evacuated: (zones: EvacuationTimes) => void;
 }
@@ -140,35 +145,13 @@
     ...createFleetMeters(registry),
     ...createVersionMeters(registry),
     ...createLossMeters(registry),
-    ...createRoomMeters(registry),
+    ...createCapacityMeters(registry),
     ...createFaultMeters(registry),
     ...createRunTimeMeters(registry),
     ...createLoadPeriodMeters(registry),
   };
 }
 
-/** Registers the metrics of the period by which loads are forecast. */
-function createLoadPeriodMeters(
-  registry: Registry,
-): Pick<JobMeters, 'loadPeriod'> {
-  const periodS = new Gauge({
-    name: 'paddlewind_jobs_load_period_seconds',
-    help: 'Period by which the leader forecasts the loads of serving tasks; 0 if it has none and on other hosts.',
-    registers: [registry],
-  });
-  const explained = new Gauge({
-    name: 'paddlewind_jobs_load_period_explained_ratio',
-    help: 'Fraction of the variance of these loads that the period explains; 0 without one.',
-    registers: [registry],
-  });
-  return {
-    loadPeriod: period => {
-      periodS.set((period?.periodMs ?? 0) / MS_PER_S);
-      explained.set(period?.explained ?? 0);
-    },
-  };
-}
-
 /** Registers the metrics of unreadable entries and failing loops. */
 function createFaultMeters(
   registry: Registry,
--- a/packages/daemon/src/job-host/start-job-host.ts
+++ b/packages/daemon/src/job-host/start-job-host.ts
@@ -158,7 +158,7 @@
     this.evacuatedZones = new EvacuatedZones(ctx, options.evacuationEffectMs);
     this.replicaView = new ReplicaView(ctx, replica, () => this.leader);
     this.summaryView = new SummaryView(ctx, summary);
-    this.service = new JobService(ctx, inbox, view, this.admitsByRoom);
+    this.service = new JobService(ctx, inbox, view, this.admitsByCapacity);
     this.gauges = {
       epoch: () => this.epoch,
       ready: this.ready,
@@ -326,7 +326,7 @@
       advicePort: meterAdvice(options.advicePort(), meters, clock),
       maxLeaseMs,
       moveCosts: () => this.currentMoveCosts(),
-      admitsByRoom: this.admitsByRoom,
+      admitsByCapacity: this.admitsByCapacity,
       retentionMs,
       statusMs,
       peerAddress,
@@ -345,7 +345,7 @@
    * Whether jobs are admitted by the forecast of capacity: only where the operator may withdraw the capacity of
    * whole availability zones.
    */
-  private get admitsByRoom(): boolean {
+  private get admitsByCapacity(): boolean {
     return this.options.evacuationEffectMs !== undefined;
   }
 
--- a/packages/domain/src/jobs/capacity-overload.fixture.test.ts
+++ b/packages/domain/src/jobs/capacity-overload.fixture.test.ts
@@ -96,7 +96,7 @@
 
 interface Options {
   readonly hosts: number;
-  readonly admitsByRoom: boolean;
+  readonly admitsByCapacity: boolean;
   readonly seed: number;
 }
 
@@ -157,7 +157,7 @@
 
   private publish(): void {
     const isDue = this.now % PUBLISH_INTERVAL_MS === 0;
-    if (isDue && this.options.admitsByRoom && !this.losesForecasts) {
+    if (isDue && this.options.admitsByCapacity && !this.losesForecasts) {
       const rows = this.forecast.rows(this.now, this.options.hosts);
       const [column] = capacityColumns(rows);
       const wire: unknown = JSON.parse(JSON.stringify(column ?? null));
--- a/packages/domain/src/jobs/capacity-overload.test.ts
+++ b/packages/domain/src/jobs/capacity-overload.test.ts
@@ -20,7 +20,11 @@
 /** Time after which the backlog has grown to what hosts allow. */
 const STEADY_FROM_MS = 25_000;
 
-const trial = new AdmissionTrial({ hosts: HOSTS, admitsByRoom: true, seed: 7 });
+const trial = new AdmissionTrial({
+  hosts: HOSTS,
+  admitsByCapacity: true,
+  seed: 7,
+});
 trial.run(SECONDS);
 const accepted = trial.submitted.filter(each => each.refusal === undefined);
 const refused = trial.submitted.filter(each => each.refusal !== undefined);
@@ -93,7 +97,7 @@
 test('where jobs are not admitted by capacity, all are accepted and most end without value', () => {
   const off = new AdmissionTrial({
     hosts: HOSTS,
-    admitsByRoom: false,
+    admitsByCapacity: false,
     seed: 7,
   });
   off.run(30);
@@ -106,7 +110,7 @@
 test('a leader whose forecast is lost refuses nothing after 3 s', () => {
   const lost = new AdmissionTrial({
     hosts: HOSTS,
-    admitsByRoom: true,
+    admitsByCapacity: true,
     seed: 3,
   });
   lost.run(15);
--- a/packages/domain/src/jobs/return-times.ts
+++ b/packages/domain/src/jobs/return-times.ts
@@ -22,7 +22,7 @@
 const DEADLINE_MARGIN_MS: Millis = 300;
 /** Longest time to return while the log does not answer: most outages have ended by then. */
 const MAX_LOG_RETURN_MS: Millis = 4_000;
-/** Largest fraction by which that time is lengthened at random, so that callers don't return together. */
+/** Largest fraction by which that time is lengthened, so that callers don't return together. */
 const MAX_LOG_SPREAD = 0.25;
 /** The fractional parts of its successive multiples are spread more evenly than random numbers. */
 const GOLDEN_RATIO = (Math.sqrt(5) - 1) / 2;
