--- a/packages/daemon/src/job-host/admission-reporter.test.ts
+++ b/packages/daemon/src/job-host/admission-reporter.test.ts
@@ -1,4 +1,4 @@
-/* Guards against rows in the records of deployments where nothing is refused by capacity. */
+/** Guards against a forecast of capacity in deployments where nothing is refused by it. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
@@ -20,7 +20,7 @@
 
 /** Returns a leader's reporter after 3 s in which a job waits, half of whose tasks are completed. */
 async function reporterAfterWaiting(
-  admitsByRoom: boolean,
+  admitsByCapacity: boolean,
   isLimited = false,
 ): Promise<AdmissionReporter> {
   const time = createVirtualTime();
@@ -36,7 +36,7 @@
     state,
     evacuatedZones: new EvacuatedZones(ctx, undefined),
     registeredWorkers: () => [],
-    admitsByRoom,
+    admitsByCapacity,
   });
   const [step] = state.jobs.get(job.id)?.occurrences.get(0)?.steps ?? [];
   for (const task of step?.tasks.slice(10) ?? []) {
@@ -66,7 +66,7 @@
   };
 }
 
-test('the forecast is reported where hosts admit by capacity, and runs that are lost do not count', async () => {
+test('the forecast is reported where hosts admit by capacity, without runs that are lost', async () => {
   const reporter = await reporterAfterWaiting(true);
   const [row] = reporter.limits().rooms;
   assert.ok(row !== undefined);
--- a/packages/daemon/src/job-host/fleet-account.ts
+++ b/packages/daemon/src/job-host/fleet-account.ts
@@ -19,7 +19,7 @@
   /** Workers that could be assigned tasks if their zones were not evacuated. */
   readonly evacuatedWorkers: () => PlanWorker[];
   readonly evacuationTimes: () => EvacuationTimes;
-  /** Forecast of capacity; undefined where hosts refuse nothing by it. */
+  /** Rows of the forecast of capacity; undefined where hosts refuse nothing by it. */
   readonly rooms: () => readonly CapacityRow[] | undefined;
   /** Whether nothing may start now because the log does not answer. */
   readonly isLogUnavailable: () => boolean;
@@ -55,7 +55,7 @@
     const { maxStarts } = plan;
     const evacuatedMs = evacuationTimes();
     const forecast = rooms();
-    ctx.meters.forecast(forecast ?? []);
+    ctx.meters.capacityForecast(forecast ?? []);
     ctx.log.info(
       { ...account, evacuatedMs, maxStarts, forecast },
       'leader: the fleet',
--- a/packages/daemon/src/job-host/run-supervisor.ts
+++ b/packages/daemon/src/job-host/run-supervisor.ts
@@ -73,7 +73,8 @@
 
 /** Acts on open runs. */
 export class RunSupervisor {
-  private readonly movedRuns = new Set<Run>();
+  /** Runs that were stopped on leaving workers, until their tasks start again. */
+  private readonly runsMovedOffLeaving = new Set<Run>();
   private readonly leavingLogs: Readonly<Record<MoveUrgency, LeavingLog>>;
   private readonly loadPeriodLog: LoadPeriodLog;
   private readonly fillerMoves = new FillerMoves();
@@ -103,7 +104,10 @@
     }
   }
 
-  /** Stops fillers that are slowed here and would not be slowed elsewhere, or end earlier there. */
+  /**
+   * Stops fillers that are slowed here and are better off elsewhere: where the costs of moves are used, those that
+   * would end earlier there; otherwise those that would not be slowed there.
+   */
   stopSlowedFillers(input: PlanInput): void {
     if (input.moveCosts !== undefined) {
       this.stopFillersThatGain(input, input.moveCosts);
@@ -113,11 +117,7 @@
       const slowed = shouldMoveFiller(run, input.time.now);
       const better = slowed ? findWorker(input, run.task) : undefined;
       if (better !== undefined) {
-        this.logRun(run, 'leader: a run is slowed here and moves', {
-          better: better.info.id,
-          allowed: run.progress?.allowedPercent,
-        });
-        this.stop(run, 'slowed');
+        this.moveSlowed(run, better.info.id);
       }
     }
   }
@@ -126,7 +126,7 @@
    * Forecasts periodic loads from now on if runs can be moved quickly enough to follow them. Call this before
    * other decisions of a round, so that none is made by a forecast that is no longer used.
    */
-  updateForecast({
+  updateLoadForecast({
     interference,
     moveCosts,
   }: Pick<PlanInput, 'interference' | 'moveCosts'>): void {
@@ -137,24 +137,33 @@
   private stopFillersThatGain(input: PlanInput, costs: MoveCosts): void {
     const moves = this.fillerMoves.decide(input, costs, this.openRuns());
     for (const { run, to, gainMs } of moves) {
-      this.logRun(run, 'leader: a run is slowed here and moves', {
-        better: to,
-        allowed: run.progress?.allowedPercent,
-        gainMs: Math.round(gainMs),
-      });
-      this.stop(run, 'slowed');
+      this.moveSlowed(run, to, { gainMs: Math.round(gainMs) });
     }
   }
 
+  /** Stops a slowed filler, so that it is planned again, presumably on the worker `better`. */
+  private moveSlowed(
+    run: Run,
+    better: string,
+    gain: { readonly gainMs?: Millis } = {},
+  ): void {
+    this.logRun(run, 'leader: a run is slowed here and moves', {
+      better,
+      allowed: run.progress?.allowedPercent,
+      ...gain,
+    });
+    this.stop(run, 'slowed');
+  }
+
   /** Returns the tasks that were stopped on a leaving worker and have not started again. */
   movingTasks(): Set<Task> {
     const tasks = new Set<Task>();
-    for (const run of this.movedRuns) {
+    for (const run of this.runsMovedOffLeaving) {
       const { task } = run;
       const [open] = task.runs;
       const finished = isFinished(task.step.occurrence.job);
       if (finished || (open !== undefined && open !== run)) {
-        this.movedRuns.delete(run);
+        this.runsMovedOffLeaving.delete(run);
       } else {
         tasks.add(task);
       }
@@ -170,7 +179,7 @@
     const onLeaving = this.runsOnLeaving(urgency, input.time.now);
     const { stop, stay } = planMovesOffLeaving(input, onLeaving);
     for (const run of stop) {
-      this.movedRuns.add(run);
+      this.runsMovedOffLeaving.add(run);
       this.logRun(run, 'leader: a run moves off a worker that leaves', {});
       this.stop(run, 'leaving');
     }
