Use moves for up to 500 workers

Cause: placing by the forecast of loads costs the leader up to twice as much a round, and it compares all workers. Change: fleets of more than 500 workers are led as before.

--- a/packages/daemon/src/job-host/start-job-host.ts
+++ b/packages/daemon/src/job-host/start-job-host.ts
@@ -338,7 +338,8 @@
   private currentMoveCosts(): MoveCosts | undefined {
     const queues = this.configHolder.config?.queues ?? [];
     const terms = queues.map(queue => queue.terms);
-    return usableMoveCosts(this.options.moveCosts, terms);
+    const { size } = this.replica.state.workers;
+    return usableMoveCosts(this.options.moveCosts, terms, size);
   }
 
   /**
--- a/packages/domain/src/jobs/move-costs.ts
+++ b/packages/domain/src/jobs/move-costs.ts
@@ -10,6 +10,12 @@
   readonly restoreMs: Millis;
 }
 
+/**
+ * Most workers for which moves are used: placing tasks by the forecast of loads takes up to twice as long, and
+ * a leader of 1,000 workers has no processor time to spare for it.
+ */
+const MAX_WORKERS = 500;
+
 /**
  * Returns the costs of moves if a run can be stopped within the target latency of the most urgent queue, since
  * capacity that becomes free later does not help its callers; undefined otherwise.
@@ -17,6 +23,7 @@
 export function usableMoveCosts(
   costs: MoveCosts | undefined,
   queues: Iterable<Pick<QueueTerms, 'targetLatencyMs'>>,
+  workers = 0,
 ): MoveCosts | undefined {
   let shortestTargetMs = Infinity;
   for (const { targetLatencyMs } of queues) {
@@ -25,6 +32,7 @@
     }
   }
   const isQuick =
+    workers <= MAX_WORKERS &&
     shortestTargetMs < Infinity &&
     costs !== undefined &&
     costs.stopMs <= shortestTargetMs;
