--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -97,24 +97,35 @@
   };
 }
 
+/** Ports below those that the system gives to outgoing connections, so that a restarted host finds its own free. */
+const FIRST_PORT = 20_000;
+const LAST_PORT = 31_999;
+
 /** Returns `count` different free ports of 127.0.0.1. */
 async function freePorts(count) {
-  const servers = await Promise.all(
-    Array.from(
-      { length: count },
-      () =>
-        new Promise((resolve, reject) => {
-          const server = net.createServer();
-          server.once('error', reject);
-          server.listen(0, '127.0.0.1', () => resolve(server));
-        }),
-    ),
-  );
-  const ports = servers.map(server => server.address().port);
-  await Promise.all(
-    servers.map(server => new Promise(resolve => server.close(resolve))),
-  );
-  return ports;
+  const ports = new Set();
+  while (ports.size < count) {
+    const span = LAST_PORT - FIRST_PORT + 1;
+    const port = FIRST_PORT + Math.floor(Math.random() * span);
+    if (!ports.has(port) && (await isFree(port))) {
+      ports.add(port);
+    }
+  }
+  return [...ports];
+}
+
+function isFree(port) {
+  return new Promise(resolve => {
+    const server = net.createServer();
+    server.once('error', () => {
+      resolve(false);
+    });
+    server.listen(port, '127.0.0.1', () => {
+      server.close(() => {
+        resolve(true);
+      });
+    });
+  });
 }
 
 /** One entry host of the project, as a process. */
@@ -126,8 +137,7 @@
     this.address = settings.listen.frontend;
     this.path = join(deployment.folder, `${name}.json`);
     this.log = join(deployment.folder, `${name}.log`);
-    this.startedAt = -Infinity;
-    this.unplanned = 0;
+    this.disturbedAt = -Infinity;
     writeFileSync(this.path, JSON.stringify(settings));
     writeFileSync(this.log, '');
   }
@@ -135,7 +145,7 @@
   start() {
     const { record, run } = this.deployment;
     const [program, ...args] = run;
-    this.startedAt = record.now();
+    this.disturbedAt = record.now();
     this.process = spawn(program, args, {
       cwd: ROOT,
       env: {
@@ -156,6 +166,7 @@
     this.exited = new Promise(resolve => {
       child.once('exit', (code, signal) => {
         record.write(`${this.name} has ended (code ${code}, signal ${signal})`);
+        this.failedToStart = code === EXIT_FAILED_TO_START;
         resolve();
       });
     });
@@ -168,12 +179,16 @@
       for (const msg of NOTED) {
         if (line.includes(msg)) {
           this.deployment.record.write(`${this.name} logs "${msg}"`);
+          if (msg === LEADS) {
+            this.deployment.leader = this;
+          }
         }
       }
     }
   }
 
   signal(name) {
+    this.disturbedAt = this.deployment.record.now();
     this.deployment.record.write(`${this.name} gets ${name}`);
     this.process.kill(name);
   }
@@ -207,9 +222,13 @@
   }
 }
 
+/** Exit code of a host that can't open its listeners. */
+const EXIT_FAILED_TO_START = 2;
+
 /** Log lines of the hosts that are copied to the record. */
+const LEADS = 'leadership: this host leads';
 const NOTED = [
-  'leadership: this host leads',
+  LEADS,
   'leader: another host leads',
   'replica: older records were dropped',
 ];
@@ -312,6 +331,13 @@
     });
   }
 
+  /** Whether the leader, which sends the orders to workers, has run without a signal for `contactMs`. */
+  isLeaderInTouch() {
+    const { leader, record } = this;
+    const calmS = record.now() - (leader?.disturbedAt ?? Infinity);
+    return calmS > BOUNDS.contactMs / 1000;
+  }
+
   /** Ends all processes and removes the temporary folder. */
   async stop() {
     for (const host of this.hosts.filter(each => each.isRunning())) {
@@ -388,6 +414,9 @@
   }, 115_000);
   try {
     const broken = await play(deployment);
+    if (deployment.hosts.some(host => host.failedToStart)) {
+      throw new Error('a host could not open its ports');
+    }
     code = broken.length > 0 ? BROKEN : HELD;
     broken.forEach(line => record.write(`BROKEN: ${line}`));
     record.write(code === BROKEN ? 'the rule was broken' : 'the rule held');
--- a/review/stand-ins-2/worker.mjs
+++ b/review/stand-ins-2/worker.mjs
@@ -29,6 +29,7 @@
       beatMs = 1_500,
       onStart = () => undefined,
       onEnd = () => undefined,
+      onAcknowledged = () => undefined,
     },
   ) {
     this.name = name;
@@ -40,6 +41,7 @@
     this.beatMs = beatMs;
     this.onStart = onStart;
     this.onEnd = onEnd;
+    this.onAcknowledged = onAcknowledged;
     this.fence = 0;
     this.active = new Map();
     this.highest = new Map();
@@ -211,6 +213,14 @@
 
   async hold({ untilMs, ackIndex, waitMs = 0 }) {
     this.extend(untilMs);
+    for (const [position, task, number, how] of this.ends) {
+      if (position <= ackIndex) {
+        this.record.write(
+          `${this.name} forgets the end of ${task} run ${number} (${how}): ackIndex ${ackIndex}`,
+        );
+        this.onAcknowledged({ task, number }, how, this);
+      }
+    }
     this.ends = this.ends.filter(([position]) => position > ackIndex);
     if (this.ends.length === 0 && waitMs > 0) {
       const ended = new Promise(resolve => {
