--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -1,74 +1,95 @@
-/**
- * All hosts lose power for 9.5 s, and the store is down for 4.5 s at the end of that. Jobs that were accepted are
- * unknown afterwards: the store has dropped the records of them before any host has written them anew.
- */
+/** A lasting job is cancelled, all hosts are restarted in turn, and the tasks of the cancelled job start again. */
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
 
 import { BOUNDS, runCase } from '../stand-ins-2/deployment.mjs';
 import { sleep, until } from '../stand-ins-2/record.mjs';
 
-const JOBS = 40;
-const SUBMIT_EVERY_MS = 200;
-const POWER_OFF_MS = 9_500;
-const STORE_DOWN_MS = 4_500;
-/** The store goes down this long before the hosts have power again. */
-const OVERLAP_MS = 200;
-const JOB = {
-  spec: JSON.stringify({ runMs: 30_000 }),
-  phases: [{ count: 1, cpu: 500, memMb: 100, estimateMs: 30_000 }],
+const JOB = '00000000000000a1';
+const PATH = `/lasting/${JOB}`;
+const AGE_AT_CANCEL_MS = 25_000;
+const LASTING = {
+  spec: JSON.stringify({ lasting: true }),
+  phases: [
+    { count: 2, cpu: 1_000, memMb: 100, estimateMs: 500, longRunning: true },
+  ],
+};
+const SHORT = {
+  spec: JSON.stringify({ runMs: 300 }),
+  phases: [{ count: 2, cpu: 1_000, memMb: 100, estimateMs: 300 }],
 };
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async deployment => {
-  const { record, hosts, store, trouble } = deployment;
-  await deployment.start();
-  const paths = Array.from(
-    { length: JOBS },
-    (_, n) => `/short/${(n + 1).toString(16).padStart(16, 'a')}`,
-  );
-  for (const [n, path] of paths.entries()) {
-    if ((await deployment.submit(path, JOB, { first: n })).status !== 200) {
-      throw new Error('a job was not accepted');
+  const { record, hosts, trouble } = deployment;
+  const starts = [];
+  await deployment.start({
+    worker: {
+      onStart: run => {
+        if (run.task.startsWith(JOB)) {
+          const inTouch = deployment.isLeaderInTouch();
+          starts.push({ at: record.now(), inTouch, ...run });
+        }
+      },
+    },
+  });
+  // Short jobs of other clients go on all the time.
+  let traffic = true;
+  let sent = 0;
+  const others = (async () => {
+    while (traffic) {
+      sent += 1;
+      const id = sent.toString(16).padStart(16, 'b');
+      await deployment.submit(`/short/${id}`, SHORT, {
+        first: sent,
+        quiet: true,
+      });
+      await sleep(500);
     }
-    await sleep(SUBMIT_EVERY_MS);
+  })();
+
+  if ((await deployment.submit(PATH, LASTING)).status !== 200) {
+    throw new Error('the job was not accepted');
+  }
+  await until(() => starts.length >= 2, 5_000);
+  await sleep(AGE_AT_CANCEL_MS);
+  const cancelled = await deployment.attempt('DELETE', PATH);
+  if (cancelled.status !== 200) {
+    throw new Error('the job was not cancelled');
   }
-  const acceptedAt = record.now();
+  const cancelledAt = record.now();
+  await sleep(2_000);
+  await deployment.stateOf(PATH);
   if (trouble) {
     for (const host of hosts) {
-      host.signal('SIGKILL');
+      await host.terminate();
+      host.start();
+      await until(() => host.ready(), 10_000);
+      await sleep(1_000);
     }
-    await Promise.all(hosts.map(host => host.exited));
-    const off = sleep(POWER_OFF_MS);
-    await sleep(POWER_OFF_MS - OVERLAP_MS);
-    record.write('the store is down');
-    store.modes.set('*', 'silent');
-    const down = sleep(STORE_DOWN_MS);
-    await off;
-    hosts.forEach(host => host.start());
-    await down;
-    record.write('the store is up');
-    store.modes.set('*', 'up');
   } else {
-    await sleep(POWER_OFF_MS + STORE_DOWN_MS - OVERLAP_MS);
+    await sleep(15_000);
   }
-  const ready = await until(
-    async () =>
-      (await Promise.all(hosts.map(host => host.ready()))).every(Boolean),
-    20_000,
-  );
-  record.write(ready ? 'all hosts are ready' : 'not all hosts are ready');
-  // All machines are in touch again, and the core is stable.
-  await sleep(2 * BOUNDS.contactMs);
-  const broken = [];
-  for (const path of paths) {
-    for (const [first] of hosts.entries()) {
-      const { status } = await deployment.send(hosts[first], 'GET', path);
-      if (status === 410) {
-        broken.push(
-          `LOST: ${hosts[first].name} answers 410 for ${path}, accepted more than ${(record.now() - acceptedAt).toFixed(1)} s ago`,
-        );
-      }
-    }
+  await sleep(10_000);
+  for (const [first] of hosts.entries()) {
+    await deployment.stateOf(PATH, { first });
   }
-  return broken;
+  // All machines have been in touch for longer than `cancel_ms` and `stopMs`.
+  const running = deployment.workers.flatMap(({ name, active }) =>
+    [...active.keys()]
+      .filter(task => task.startsWith(JOB))
+      .map(
+        task =>
+          `UNASKED: ${task} runs on ${name} ${(record.now() - cancelledAt).toFixed(1)} s after the cancelling was acknowledged`,
+      ),
+  );
+  traffic = false;
+  await others;
+  const limit = cancelledAt + BOUNDS.cancel_ms / 1000;
+  const started = starts
+    .filter(({ at, inTouch }) => inTouch && at > limit)
+    .map(
+      ({ at, task, number }) =>
+        `UNASKED: ${task} run ${number} was started by a machine in touch ${(at - cancelledAt).toFixed(1)} s after the cancelling was acknowledged`,
+    );
+  return [...started, ...running];
 });
--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -59,10 +59,7 @@
 
 const CONFIG = {
   version: 3,
-  routes: [
-    route('r-1', '/short/', 0, 3),
-    route('r-2', '/lasting/', 0, 4),
-  ],
+  routes: [route('r-1', '/short/', 0, 3), route('r-2', '/lasting/', 0, 4)],
   services: [
     {
       name: 'main',
@@ -267,7 +264,9 @@
     this.hosts.forEach(host => host.start());
     const ready = await until(
       async () =>
-        (await Promise.all(this.hosts.map(host => host.ready()))).every(Boolean),
+        (await Promise.all(this.hosts.map(host => host.ready()))).every(
+          Boolean,
+        ),
       15_000,
     );
     if (!ready) {
@@ -309,7 +308,15 @@
       discovery: 'platform',
       entry: 'virtual_ip',
       heartbeatMs: 1_500,
-      contracts: ['base', 'drain', 'config', 'cost', 'recover', 'sched', 'platform'],
+      contracts: [
+        'base',
+        'drain',
+        'config',
+        'cost',
+        'recover',
+        'sched',
+        'platform',
+      ],
       faultTolerance: { machines: 2, zones: 0, regions: 0 },
       bounds: BOUNDS,
       controlMode: 'invocation',
@@ -377,11 +384,16 @@
   }
 
   /** Submits a job, again at the next host after no answer, a 502, 503, 504 or 429; returns whether it was accepted. */
-  async submit(path, { spec, phases }, { first = 0, quiet = false } = {}) {
-    return this.attempt('POST', path, { spec, phases }, { first, quiet });
+  submit(path, job, { first = 0, quiet = false } = {}) {
+    return this.attempt('POST', path, job, { first, quiet });
   }
 
-  async attempt(method, path, body, { first = 0, quiet = false, tries = 8 } = {}) {
+  async attempt(
+    method,
+    path,
+    body,
+    { first = 0, quiet = false, tries = 8 } = {},
+  ) {
     for (let at = 0; at < tries; at += 1) {
       const host = this.hosts[(first + at) % this.hosts.length];
       const answer = await this.send(host, method, path, body, { quiet });
--- a/review/stand-ins-2/worker.mjs
+++ b/review/stand-ins-2/worker.mjs
@@ -206,7 +206,9 @@
     this.active.delete(run.task);
     this.ends.push([this.nextEnd, run.task, run.number, how, '']);
     this.nextEnd += 1;
-    this.record.write(`${this.name} ends ${run.task} run ${run.number}: ${how}`);
+    this.record.write(
+      `${this.name} ends ${run.task} run ${run.number}: ${how}`,
+    );
     this.onEnd(run, how, this);
     this.waiting.splice(0).forEach(wake => wake());
   }
@@ -232,7 +234,10 @@
     const active = [...this.active.values()].map(
       ({ task, number, script, since }) => {
         const whole = script.lasting ? STARTUP_MS : script.runMs;
-        const percent = Math.min(100, Math.floor((100 * (now - since)) / whole));
+        const percent = Math.min(
+          100,
+          Math.floor((100 * (now - since)) / whole),
+        );
         return [task, number, '', percent, 0];
       },
     );
