--- a/review/stand-ins-2/worker.mjs
+++ b/review/stand-ins-2/worker.mjs
@@ -1,7 +1,8 @@
 /**
  * Stand-in of a worker (PROTOCOL.md, "Running tasks"): fencing tokens, leases, a list of active runs and of ends.
  *
- * The `spec` of a job is JSON: `runMs` is how long its tasks run; tasks with `lasting` run until they are stopped.
+ * The `spec` of a job is JSON: `runMs` is how long its tasks run; tasks with `lasting` run until they are stopped,
+ * tasks with `waits` until `release`.
  */
 import { randomBytes } from 'node:crypto';
 
@@ -47,7 +48,11 @@
     this.highest = new Map();
     this.ends = [];
     this.nextEnd = 1;
+    this.lapsesAtEnd = new Map();
     this.leaseEnd = 0;
+    /** How often the lease has lapsed, also while nothing ran. */
+    this.lapses = 0;
+    this.holdsLease = false;
     this.beats = 0;
     this.waiting = [];
     this.bornAt = performance.now() - 1_000;
@@ -144,7 +149,13 @@
   }
 
   checkLease() {
-    if (this.active.size > 0 && this.clock() > this.leaseEnd) {
+    const isOver = this.clock() > this.leaseEnd;
+    if (isOver && this.holdsLease) {
+      this.lapses += 1;
+      this.record.write(`${this.name}: the lease has lapsed`);
+    }
+    this.holdsLease = !isOver;
+    if (isOver) {
       for (const run of [...this.active.values()]) {
         this.end(run, 'lapsed');
       }
@@ -178,7 +189,7 @@
       `${this.name} starts ${task} run ${runNumber} (fencing token ${this.fence})`,
     );
     this.onStart(run, this);
-    if (!script.lasting) {
+    if (!script.lasting && !script.waits) {
       run.timer = setTimeout(() => {
         this.end(run, script.how ?? 'done');
       }, script.runMs);
@@ -186,6 +197,15 @@
     return this.accepted();
   }
 
+  /** Ends the runs of tasks with `waits`, which wait for a common input. */
+  release() {
+    for (const run of [...this.active.values()]) {
+      if (run.script.waits) {
+        this.end(run, 'done');
+      }
+    }
+  }
+
   stopRun({ task, runNumber }) {
     this.highest.set(task, Math.max(runNumber, this.highest.get(task) ?? 0));
     const run = this.active.get(task);
@@ -205,6 +225,7 @@
     clearTimeout(run.timer);
     this.active.delete(run.task);
     this.ends.push([this.nextEnd, run.task, run.number, how, '']);
+    this.lapsesAtEnd.set(this.nextEnd, this.lapses);
     this.nextEnd += 1;
     this.record.write(
       `${this.name} ends ${run.task} run ${run.number}: ${how}`,
@@ -220,7 +241,10 @@
         this.record.write(
           `${this.name} forgets the end of ${task} run ${number} (${how}): ackIndex ${ackIndex}`,
         );
-        this.onAcknowledged({ task, number }, how, this);
+        // An end counts as taken note of unless the lease has lapsed since.
+        if (this.lapsesAtEnd.get(position) === this.lapses) {
+          this.onAcknowledged({ task, number }, how, this);
+        }
       }
     }
     this.ends = this.ends.filter(([position]) => position > ackIndex);
