--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -164,6 +164,12 @@
       child.once('exit', (code, signal) => {
         record.write(`${this.name} has ended (code ${code}, signal ${signal})`);
         this.failedToStart = code === EXIT_FAILED_TO_START;
+        if (this.failedToStart && !this.deployment.stopping) {
+          // Another process had one of its ports: like the platform, start it again.
+          setTimeout(() => {
+            this.start();
+          }, RESTART_DELAY_MS);
+        }
         resolve();
       });
     });
@@ -219,6 +225,9 @@
   }
 }
 
+/** Delay before a host that has ended by itself is started again. */
+const RESTART_DELAY_MS = 500;
+
 /** Exit code of a host that can't open its listeners. */
 const EXIT_FAILED_TO_START = 2;
 
@@ -347,6 +356,7 @@
 
   /** Ends all processes and removes the temporary folder. */
   async stop() {
+    this.stopping = true;
     for (const host of this.hosts.filter(each => each.isRunning())) {
       host.signal('SIGKILL');
       await host.exited;
