--- a/review/stand-ins-2/store.mjs
+++ b/review/stand-ins-2/store.mjs
@@ -18,8 +18,17 @@
   /** Called with each append that was executed: topic, offset, records, host. */
   onAppended = () => undefined;
 
-  constructor({ keepS, appendMs = 2 }) {
+  constructor({
+    keepS,
+    appendMs = 2,
+    recordBytes = 262_144,
+    callBytes = 2_097_152,
+  }) {
     this.keepMs = keepS * 1000;
+    this.recordBytes = recordBytes;
+    this.callBytes = callBytes;
+    /** Called with the size of a record or call that is refused, since it is too large. */
+    this.onTooLarge = () => undefined;
     this.appendMs = appendMs;
     this.partitions = new Map();
     this.listeners = [];
@@ -121,6 +130,12 @@
   }
 
   async handleAppend(host, partition, query, records) {
+    const sizes = records.map(({ length }) => length);
+    const total = sizes.reduce((sum, size) => sum + size, 0);
+    if (Math.max(0, ...sizes) > this.recordBytes || total > this.callBytes) {
+      this.onTooLarge(partition.topic, host, Math.max(...sizes), total);
+      return { status: 400, body: { reason: 'size' } };
+    }
     const late = this.lateAppend(partition.topic, host, records);
     if (late !== undefined) {
       await sleep(late.runAfterMs);
