--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -98,13 +98,15 @@
 const FIRST_PORT = 20_000;
 const LAST_PORT = 31_999;
 
-/** Returns `count` different free ports of 127.0.0.1. */
-async function freePorts(count) {
+const PORTS_PER_HOST = 5;
+
+/** Returns `count` different free ports of 127.0.0.1 that are not among `used`. */
+async function freePorts(count, used) {
   const ports = new Set();
   while (ports.size < count) {
     const span = LAST_PORT - FIRST_PORT + 1;
     const port = FIRST_PORT + Math.floor(Math.random() * span);
-    if (!ports.has(port) && (await isFree(port))) {
+    if (!used.has(port) && !ports.has(port) && (await isFree(port))) {
       ports.add(port);
     }
   }
@@ -131,11 +133,10 @@
     this.name = name;
     this.deployment = deployment;
     this.settings = settings;
-    this.address = settings.listen.frontend;
     this.path = join(deployment.folder, `${name}.json`);
     this.log = join(deployment.folder, `${name}.log`);
     this.disturbedAt = -Infinity;
-    writeFileSync(this.path, JSON.stringify(settings));
+    this.wasReady = false;
     writeFileSync(this.log, '');
   }
 
@@ -165,9 +166,9 @@
         record.write(`${this.name} has ended (code ${code}, signal ${signal})`);
         this.failedToStart = code === EXIT_FAILED_TO_START;
         if (this.failedToStart && !this.deployment.stopping) {
-          // Another process had one of its ports: like the platform, start it again.
+          // Another process has one of its ports: like the platform, start it again.
           setTimeout(() => {
-            this.start();
+            this.startAgain();
           }, RESTART_DELAY_MS);
         }
         resolve();
@@ -176,6 +177,27 @@
     record.write(`${this.name} is started, pid ${child.pid}`);
   }
 
+  async startAgain() {
+    if (!this.wasReady) {
+      this.usePorts(await this.deployment.newPorts());
+    }
+    this.start();
+  }
+
+  /** Sets the addresses of this host, and writes its settings file. */
+  usePorts(ports) {
+    const [callers, readiness, control, ...internalPorts] = ports;
+    const { settings } = this;
+    settings.listen = {
+      frontend: `127.0.0.1:${callers}`,
+      readiness: `127.0.0.1:${readiness}`,
+      control: `127.0.0.1:${control}`,
+    };
+    settings.internalPorts = internalPorts;
+    this.address = settings.listen.frontend;
+    writeFileSync(this.path, JSON.stringify(settings));
+  }
+
   read(data) {
     writeFileSync(this.log, data, { flag: 'a' });
     for (const line of data.toString().split('\n')) {
@@ -213,6 +235,7 @@
       '/v1/readiness',
       { timeoutMs: 1_000 },
     );
+    this.wasReady ||= status === 200;
     return status === 200;
   }
 
@@ -242,6 +265,7 @@
 export class Deployment {
   hosts = [];
   workers = [];
+  usedPorts = new Set();
 
   constructor(caseFolder, { keepS = KEEP_S } = {}) {
     this.record = new Record(join(caseFolder, 'record.txt'));
@@ -285,9 +309,7 @@
   }
 
   async createHost(name) {
-    const ports = await freePorts(5);
-    const at = port => `127.0.0.1:${port}`;
-    return new Host(name, this, {
+    const host = new Host(name, this, {
       node: name,
       role: 'entry',
       machineClass: 'frontend',
@@ -296,12 +318,6 @@
       zone: 'a',
       region: 'r',
       zones: { a: 'r' },
-      listen: {
-        frontend: at(ports[0]),
-        readiness: at(ports[1]),
-        control: at(ports[2]),
-      },
-      internalPorts: [ports[3], ports[4]],
       seeds: [],
       bootstrap: true,
       countsAsLoss: false,
@@ -345,6 +361,15 @@
         ttlMinMs: 1_000,
       },
     });
+    host.usePorts(await this.newPorts());
+    return host;
+  }
+
+  /** Returns the ports of one host; no two hosts get the same. */
+  async newPorts() {
+    const ports = await freePorts(PORTS_PER_HOST, this.usedPorts);
+    ports.forEach(port => this.usedPorts.add(port));
+    return ports;
   }
 
   /** Whether the leader, which sends the orders to workers, has run without a signal for `contactMs`. */
