--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -1,116 +1,104 @@
 /**
- * Answers of the store are lost for a second, and the writes are done seconds later. Some 20 s later all hosts are
- * killed and start again: jobs that were completed long ago run again.
+ * The leader is killed. Until another host leads, a worker ends more than 500 runs, and lists 500 of them at a time:
+ * the new leader takes the others for runs that never started, and starts a task again that is done.
  */
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
 
-import { KEEP_S, runCase } from '../stand-ins-2/deployment.mjs';
+import { runCase } from '../stand-ins-2/deployment.mjs';
 import { sleep, until } from '../stand-ins-2/record.mjs';
 
-const JOBS = 10;
-/** Every third append of a host to the topic of callers' requests: `x` is at most 0.35. */
-const LOST_SHARE = 1 / 3;
-const LATE_MS = 5_500;
-const SHORT = {
-  spec: JSON.stringify({ runMs: 300 }),
-  phases: [{ count: 1, cpu: 1_000, memMb: 100, estimateMs: 300 }],
+const JOBS = 12;
+const TASKS = 100;
+const CPU_MILLI = 50;
+/** Most of this is waiting for an input that arrives for all tasks at once. */
+const RUN_MS = 60_000;
+const START_LIMIT_MS = 30_000;
+const DOWN_MS = 2_000;
+const JOB = {
+  spec: JSON.stringify({ runMs: RUN_MS, waits: true }),
+  phases: [{ count: TASKS, cpu: CPU_MILLI, memMb: 10, estimateMs: RUN_MS }],
 };
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async deployment => {
-  const { record, hosts, store, trouble } = deployment;
-  const ended = new Map();
+  const { record, trouble } = deployment;
+  const done = new Map();
+  const startedAgain = [];
   const broken = [];
+  let started = 0;
+  const noteTwice = (task, at, before) => {
+    broken.push(
+      `TWICE: ${task} run ${at.number} started ${(at.time - before.time).toFixed(1)} s after run ${before.number} had ended done`,
+    );
+  };
   await deployment.start({
+    workers: 2,
     worker: {
+      cpu: 32_000,
       onStart: ({ task, number }) => {
-        const before = ended.get(task);
-        if (before !== undefined) {
-          broken.push(
-            `TWICE: ${task} run ${number} started ${(record.now() - before.at).toFixed(1)} s after run ${before.number} had ended done`,
-          );
+        started += 1;
+        if (done.has(task)) {
+          startedAgain.push({ task, number, time: record.now() });
+        }
+      },
+      onEnd: ({ task, number }, how) => {
+        if (how === 'done' && !done.has(task)) {
+          done.set(task, { number, time: record.now(), noted: false });
         }
       },
-      // The end is taken note of when `ackIndex` reaches it.
       onAcknowledged: ({ task, number }, how) => {
-        if (how === 'done') {
-          ended.set(task, { at: record.now(), number });
+        const end = done.get(task);
+        if (how === 'done' && end?.number === number) {
+          end.noted = true;
         }
       },
     },
   });
-  let traffic = true;
-  let sent = 0;
-  const others = (async () => {
-    while (traffic) {
-      sent += 1;
-      const id = sent.toString(16).padStart(16, 'b');
-      await deployment.submit(`/short/${id}`, SHORT, {
-        first: sent,
-        quiet: true,
-      });
-      await sleep(400);
-    }
-  })();
-  await sleep(2_000);
-
   const paths = Array.from(
     { length: JOBS },
     (_, n) => `/short/${(n + 1).toString(16).padStart(16, 'a')}`,
   );
-  let appends = 0;
-  let lost = 0;
-  if (trouble) {
-    store.lateAppend = topic => {
-      if (!topic.endsWith('inbox')) {
-        return undefined;
-      }
-      appends += 1;
-      if (lost + 1 > appends * LOST_SHARE) {
-        return undefined;
-      }
-      lost += 1;
-      record.write(
-        `store does not answer append ${appends} to ${topic}, and does it ${LATE_MS} ms later`,
-      );
-      return { runAfterMs: LATE_MS };
-    };
-  }
-  const accepted = await Promise.all(
-    paths.map(async (path, n) => {
-      await sleep(n * 100);
-      return (
-        (await deployment.submit(path, SHORT, { first: n })).status === 200
-      );
-    }),
+  await Promise.all(
+    paths.map((path, n) => deployment.submit(path, JOB, { first: n })),
   );
-  store.lateAppend = () => undefined;
-  record.write('the store answers again');
-  if (!accepted.every(Boolean)) {
-    throw new Error('a job was not accepted');
+  if (!(await until(() => started >= JOBS * TASKS, START_LIMIT_MS))) {
+    throw new Error(`only ${started} runs have started in time`);
   }
-  const isDone = path => ended.has(`${path.slice('/short/'.length)}.0.0.0`);
-  if (!(await until(() => paths.every(isDone), 3_000))) {
-    throw new Error('a job did not run in time');
+  record.write(`${started} runs have started`);
+  const release = () => {
+    deployment.workers.forEach(worker => worker.release());
+  };
+  if (trouble) {
+    const { leader } = deployment;
+    leader.signal('SIGKILL');
+    await leader.exited;
+    release();
+    await sleep(DOWN_MS);
+    leader.start();
+  } else {
+    release();
   }
-  const doneAt = record.now();
+  const completed = async path =>
+    (await deployment.stateOf(path, { quiet: true })).body.includes(
+      'completed',
+    );
+  await until(
+    async () => (await Promise.all(paths.map(completed))).every(Boolean),
+    40_000,
+    500,
+  );
   for (const path of paths) {
     await deployment.stateOf(path);
   }
-  // Until the store has dropped what it wrote before the last job was done, and still has the late writes.
-  await sleep((doneAt + KEEP_S + 0.5 - record.now()) * 1000);
-  if (trouble) {
-    for (const host of hosts) {
-      host.signal('SIGKILL');
+  // An end counts once `ackIndex` has reached it, then or later.
+  for (const start of startedAgain) {
+    const before = done.get(start.task);
+    if (before.noted) {
+      noteTwice(start.task, start, before);
     }
-    await Promise.all(hosts.map(host => host.exited));
-    hosts.forEach(host => host.start());
-  }
-  await sleep(10_000);
-  for (const path of paths) {
-    await deployment.stateOf(path);
   }
-  traffic = false;
-  await others;
+  record.write(
+    `${startedAgain.length} runs were started after their task had been done`,
+  );
   return broken;
 });
--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && exec node run.mjs
