--- a/review/stand-ins-2/worker.mjs
+++ b/review/stand-ins-2/worker.mjs
@@ -28,7 +28,6 @@
       holdMaxMs,
       cpu = 16_000,
       beatMs = 1_500,
-      isQuiet = false,
       onStart = () => undefined,
       onEnd = () => undefined,
       onAcknowledged = () => undefined,
@@ -36,9 +35,6 @@
   ) {
     this.name = name;
     this.id = `i-${randomBytes(4).toString('hex')}`;
-    /** Whether only every hundredth start is recorded. */
-    this.isQuiet = isQuiet;
-    this.startCount = 0;
     this.record = record;
     this.store = store;
     this.holdMaxMs = holdMaxMs;
@@ -189,12 +185,9 @@
     };
     this.highest.set(task, runNumber);
     this.active.set(task, run);
-    this.startCount += 1;
-    if (!this.isQuiet || this.startCount % 100 === 1) {
-      this.record.write(
-        `${this.name} starts ${task} run ${runNumber} (fencing token ${this.fence}), start ${this.startCount}`,
-      );
-    }
+    this.record.write(
+      `${this.name} starts ${task} run ${runNumber} (fencing token ${this.fence})`,
+    );
     this.onStart(run, this);
     if (!script.lasting && !script.waits) {
       run.timer = setTimeout(() => {
@@ -245,11 +238,9 @@
     this.extend(untilMs);
     for (const [position, task, number, how] of this.ends) {
       if (position <= ackIndex) {
-        if (!this.isQuiet) {
-          this.record.write(
-            `${this.name} forgets the end of ${task} run ${number} (${how}): ackIndex ${ackIndex}`,
-          );
-        }
+        this.record.write(
+          `${this.name} forgets the end of ${task} run ${number} (${how}): ackIndex ${ackIndex}`,
+        );
         // An end counts as taken note of unless the lease has lapsed since.
         if (this.lapsesAtEnd.get(position) === this.lapses) {
           this.onAcknowledged({ task, number }, how, this);
