--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -1,5 +1,6 @@
 /** A small deployment: the store, some workers, the project's hosts as processes, and a client. */
 import { spawn } from 'node:child_process';
+import { randomInt } from 'node:crypto';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import net from 'node:net';
 import { tmpdir } from 'node:os';
@@ -94,35 +95,54 @@
   };
 }
 
-/** Ports below those that the system gives to outgoing connections, so that a restarted host finds its own free. */
+/** Ports of the hosts, below those that the system gives to outgoing connections. */
 const FIRST_PORT = 20_000;
 const LAST_PORT = 31_999;
-
 const PORTS_PER_HOST = 5;
+/** Port at which a script that runs holds its loopback address. */
+const GUARD_PORT = 19_999;
+const MAX_ADDRESSES_TRIED = 1_000;
+
+/**
+ * Takes a loopback address (127.X.Y.1) that no other script of this kind uses, and holds it until the process ends:
+ * the hosts of scripts that run beside each other can't take each other's ports, not even while a host is down.
+ */
+async function takeAddress() {
+  for (let tried = 0; tried < MAX_ADDRESSES_TRIED; tried += 1) {
+    const address = `127.${randomInt(1, 255)}.${randomInt(0, 256)}.1`;
+    const guard = await listenAt(address, GUARD_PORT);
+    if (guard !== undefined) {
+      return { address, guard };
+    }
+  }
+  throw new Error('no loopback address is free');
+}
 
-/** Returns `count` different free ports of 127.0.0.1 that are not among `used`. */
-async function freePorts(count, used) {
+/** Returns `count` different free ports of `address` that are not among `used`. */
+async function freePorts(address, count, used) {
   const ports = new Set();
   while (ports.size < count) {
-    const span = LAST_PORT - FIRST_PORT + 1;
-    const port = FIRST_PORT + Math.floor(Math.random() * span);
-    if (!used.has(port) && !ports.has(port) && (await isFree(port))) {
-      ports.add(port);
+    const port = randomInt(FIRST_PORT, LAST_PORT + 1);
+    if (!used.has(port) && !ports.has(port)) {
+      const server = await listenAt(address, port);
+      if (server !== undefined) {
+        await new Promise(resolve => server.close(resolve));
+        ports.add(port);
+      }
     }
   }
   return [...ports];
 }
 
-function isFree(port) {
+/** Returns a server that listens there; undefined if the port is taken. */
+function listenAt(address, port) {
   return new Promise(resolve => {
     const server = net.createServer();
     server.once('error', () => {
-      resolve(false);
+      resolve(undefined);
     });
-    server.listen(port, '127.0.0.1', () => {
-      server.close(() => {
-        resolve(true);
-      });
+    server.listen(port, address, () => {
+      resolve(server);
     });
   });
 }
@@ -181,17 +201,20 @@
     if (!this.wasReady) {
       this.usePorts(await this.deployment.newPorts());
     }
-    this.start();
+    if (!this.deployment.stopping) {
+      this.start();
+    }
   }
 
   /** Sets the addresses of this host, and writes its settings file. */
   usePorts(ports) {
     const [callers, readiness, control, ...internalPorts] = ports;
     const { settings } = this;
+    const { ip } = settings;
     settings.listen = {
-      frontend: `127.0.0.1:${callers}`,
-      readiness: `127.0.0.1:${readiness}`,
-      control: `127.0.0.1:${control}`,
+      frontend: `${ip}:${callers}`,
+      readiness: `${ip}:${readiness}`,
+      control: `${ip}:${control}`,
     };
     settings.internalPorts = internalPorts;
     this.address = settings.listen.frontend;
@@ -280,6 +303,10 @@
   /** Starts `hosts` hosts and `workers` workers; throws if they are not ready in time. */
   async start({ hosts = 3, workers = 4, worker = {} } = {}) {
     const { record, store } = this;
+    const taken = await takeAddress();
+    this.address = taken.address;
+    this.guard = taken.guard;
+    record.write(`the hosts have the address ${this.address}`);
     store.put('keyed.op', 'config', CONFIG);
     for (let n = 1; n <= workers; n += 1) {
       const started = new Worker(`worker-${n}`, {
@@ -314,7 +341,7 @@
       role: 'entry',
       machineClass: 'frontend',
       serves: ['frontend'],
-      ip: '127.0.0.1',
+      ip: this.address,
       zone: 'a',
       region: 'r',
       zones: { a: 'r' },
@@ -367,7 +394,7 @@
 
   /** Returns the ports of one host; no two hosts get the same. */
   async newPorts() {
-    const ports = await freePorts(PORTS_PER_HOST, this.usedPorts);
+    const ports = await freePorts(this.address, PORTS_PER_HOST, this.usedPorts);
     ports.forEach(port => this.usedPorts.add(port));
     return ports;
   }
@@ -388,6 +415,7 @@
     }
     this.workers.forEach(worker => worker.stop());
     this.store.close();
+    this.guard?.close();
     if (process.env.KEEP_LOGS === undefined) {
       rmSync(this.folder, { recursive: true, force: true });
     } else {
@@ -395,6 +423,17 @@
     }
   }
 
+  /** Kills the processes that still run and removes the temporary folder, without waiting. */
+  killAll() {
+    this.stopping = true;
+    for (const host of this.hosts.filter(each => each.isRunning())) {
+      host.process.kill('SIGKILL');
+    }
+    if (process.env.KEEP_LOGS === undefined) {
+      rmSync(this.folder, { recursive: true, force: true });
+    }
+  }
+
   /** Sends one request of a client to a host and records it with its answer. */
   async send(host, method, path, body, { quiet = false } = {}) {
     const { record } = this;
@@ -455,6 +494,15 @@
   const { record } = deployment;
   record.write(`TROUBLE=${deployment.trouble ? 1 : 0}`);
   let code = NOT_RUN;
+  // Nothing is left over, however the script ends.
+  process.on('exit', () => {
+    deployment.killAll();
+  });
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
+    process.on(signal, () => {
+      process.exit(NOT_RUN);
+    });
+  }
   const limit = setTimeout(() => {
     record.write('the script took too long');
     deployment.stop().finally(() => process.exit(NOT_RUN));
