--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,5 +1,5 @@
 /**
- * Answers of the store are lost for a second, and the writes are done seconds later. Some 20 s later all hosts are
+ * Answers of the store are lost for some seconds, and the writes are done seconds later. Some 20 s later all hosts are
  * killed and start again: jobs that were completed long ago run again.
  */
 import { dirname } from 'node:path';
@@ -12,6 +12,8 @@
 /** Every third append of a host to the topic of callers' requests: `x` is at most 0.35. */
 const LOST_SHARE = 1 / 3;
 const LATE_MS = 5_500;
+/** The answers are lost for this long at most. */
+const LOST_FOR_MS = 4_500;
 const SHORT = {
   spec: JSON.stringify({ runMs: 300 }),
   phases: [{ count: 1, cpu: 1_000, memMb: 100, estimateMs: 300 }],
@@ -61,8 +63,9 @@
   let appends = 0;
   let lost = 0;
   if (trouble) {
+    const lostUntil = performance.now() + LOST_FOR_MS;
     store.lateAppend = topic => {
-      if (!topic.endsWith('inbox')) {
+      if (!topic.endsWith('inbox') || performance.now() > lostUntil) {
         return undefined;
       }
       appends += 1;
