--- /dev/null
+++ b/packages/daemon/src/job-host/jobs-failed-without-cause.test.ts
@@ -0,0 +1,102 @@
+/*
+ * Guards against jobs that callers see as failed although none of their tasks failed or crashed a worker: many
+ * workers are lost for other reasons, and the leader takes the task that ran on them for the cause.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { killLeaders } from './crashing-deployment.fixture.test.js';
+import {
+  crashInSeries,
+  disconnectStore,
+  jobsSeenAsFailed,
+  type BusyDeployment,
+  type Faults,
+} from './crashes-in-series.fixture.test.js';
+
+const MOST_TOGETHER = {
+  share: 0.6,
+  everyMs: 3_000,
+  rounds: 10,
+  downtimeMs: 1_500,
+};
+const SOME_OFTEN = {
+  share: 0.3,
+  everyMs: 2_000,
+  rounds: 15,
+  downtimeMs: 1_500,
+};
+const LEADER_KILL_INTERVAL_MS = 9_000;
+const STORE_OUTAGE_MS = 3_000;
+const STORE_OUTAGE_AFTER_MS = 13_000;
+
+/** Returns the jobs seen as failed in each deployment where there are any. */
+async function deploymentsWithFailedJobs(
+  deployments: readonly BusyDeployment[],
+  faults: Faults,
+): Promise<string[]> {
+  const found: string[] = [];
+  for (const deployment of deployments) {
+    const failed = await jobsSeenAsFailed(deployment, faults);
+    if (failed.length > 0) {
+      found.push(`seed ${deployment.seed}: ${failed.join(', ')}`);
+    }
+  }
+  return found;
+}
+
+// Guards against noise that is told too low: losses under one suspect count for no other, and all suspects are
+// healthy here.
+test('no job fails although most workers crash together each 3 s', async () => {
+  const deployments = [
+    { seed: 19, workers: 6 },
+    { seed: 40, workers: 6 },
+    { seed: 6, workers: 12 },
+  ];
+  const found = await deploymentsWithFailedJobs(deployments, (site, machines) =>
+    crashInSeries(site, machines, MOST_TOGETHER),
+  );
+  assert.deepEqual(found, []);
+});
+
+// Guards against noise that is told too low while losses have only begun: it is averaged over a whole minute.
+test('no job fails although a third of the workers crash each 2 s', async () => {
+  const deployments = [
+    { seed: 7, workers: 6 },
+    { seed: 25, workers: 6 },
+    { seed: 32, workers: 6 },
+    { seed: 38, workers: 6 },
+  ];
+  const found = await deploymentsWithFailedJobs(deployments, (site, machines) =>
+    crashInSeries(site, machines, SOME_OFTEN),
+  );
+  assert.deepEqual(found, []);
+});
+
+// Guards against three losses that decide while other workers that crashed with them are only known as silent.
+test('no job fails after three losses that each came with those of other workers', async () => {
+  const deployments = [{ seed: 16, workers: 6 }];
+  const found = await deploymentsWithFailedJobs(deployments, (site, machines) =>
+    crashInSeries(site, machines, SOME_OFTEN),
+  );
+  assert.deepEqual(found, []);
+});
+
+// Guards against noise that a new leader does not know, and against ages that it knows only roughly.
+test('no job fails while workers crash, leaders are killed and the store is away', async () => {
+  const deployments = [
+    { seed: 25, workers: 6 },
+    { seed: 31, workers: 6 },
+  ];
+  const found = await deploymentsWithFailedJobs(
+    deployments,
+    async (site, machines) => {
+      void killLeaders(site, LEADER_KILL_INTERVAL_MS);
+      site.time.schedule(STORE_OUTAGE_AFTER_MS, () => {
+        disconnectStore(site, 'refusing', STORE_OUTAGE_MS);
+      });
+      await crashInSeries(site, machines, SOME_OFTEN);
+    },
+  );
+  assert.deepEqual(found, []);
+});
