--- a/packages/daemon/src/job-host/jobs-failed-without-cause.test.ts
+++ b/packages/daemon/src/job-host/jobs-failed-without-cause.test.ts
@@ -45,8 +45,8 @@
   return found;
 }
 
-// Guards against noise that is told too low: losses under one suspect count for no other, and all suspects are
-// healthy here.
+// Guards against noise that is told too low: it is averaged over a minute in which losses have only begun, and
+// leaves out what was lost under any suspect, although all of these are healthy.
 test('no job fails although most workers crash together each 3 s', async () => {
   const deployments = [
     { seed: 19, workers: 6 },
@@ -59,7 +59,7 @@
   assert.deepEqual(found, []);
 });
 
-// Guards against noise that is told too low while losses have only begun: it is averaged over a whole minute.
+// The same with fewer workers lost at a time, more often.
 test('no job fails although a third of the workers crash each 2 s', async () => {
   const deployments = [
     { seed: 7, workers: 6 },
@@ -82,7 +82,7 @@
   assert.deepEqual(found, []);
 });
 
-// Guards against noise that a new leader does not know, and against ages that it knows only roughly.
+// The same under leaders that know the ages of the lost runs only roughly.
 test('no job fails while workers crash, leaders are killed and the store is away', async () => {
   const deployments = [
     { seed: 25, workers: 6 },
