Logs: why a job has failed, on one line of the leader

The line 'leader: a job is over' had only the status, 'leader: a task is given up' only the workers, and no line told how a worker was judged to be lost. The number of the run, the epoch and the time of a loss were in no state.

'leader: a job has failed' is a warning, since information is dropped first where the volume of logs is bounded.

What tells most comes first, since collected lines are cut short. 'leader: a run has ended' with 'lost' tells how the worker was judged to be lost, and paddlewind_jobs_failed_total counts by reason.

No decision and no record changes: attributeLoss is no longer called for a worker without runs, for which it returned nothing.

--- a/packages/daemon/src/job-host/fleet.ts
+++ b/packages/daemon/src/job-host/fleet.ts
@@ -84,6 +84,15 @@
     return this.links.size;
   }
 
+  /** Returns the number of workers with a link that do not answer. */
+  countSilent(): number {
+    let count = 0;
+    for (const { unresponsiveLeaseEnd } of this.links.values()) {
+      count += Number(unresponsiveLeaseEnd !== undefined);
+    }
+    return count;
+  }
+
   /** Returns the link to an incarnation, or undefined if it has none or was superseded. */
   link(worker: string): WorkerLink | undefined {
     return this.links.get(worker);
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -115,8 +115,7 @@
         this.supervisor.noteRunEnding(run);
         this.admission.noteRunEnding(run, how);
       },
-      presenceOf: worker => this.fleet.presenceOf(worker),
-      fleetSize: () => this.fleet.registeredWorkers().length,
+      fleet: () => this.fleet,
       onChange: this.wakeSignal.notify,
     });
     this.starter = new RunStarter({
--- a/packages/daemon/src/job-host/meters.ts
+++ b/packages/daemon/src/job-host/meters.ts
@@ -11,6 +11,7 @@
   createCapacityMeters,
   type CapacityMeters,
 } from './capacity-meters.js';
+import { createFailureMeters, type FailureMeters } from './failure-meters.js';
 import {
   createLoadPeriodMeters,
   type LoadPeriodMeters,
@@ -59,7 +60,12 @@
 
 /** Metrics recorded by a job host. */
 export interface JobMeters
-  extends CapacityMeters, LoadPeriodMeters, RunTimeMeters, VersionMeters {
+  extends
+    CapacityMeters,
+    FailureMeters,
+    LoadPeriodMeters,
+    RunTimeMeters,
+    VersionMeters {
   /** A caller's request was answered with an HTTP status after `span`. */
   readonly answered: (method: string, status: number, span: Millis) => void;
   /** A call to a dependency ended. */
@@ -145,6 +151,7 @@
     ...createFleetMeters(registry),
     ...createVersionMeters(registry),
     ...createLossMeters(registry),
+    ...createFailureMeters(registry),
     ...createCapacityMeters(registry),
     ...createFaultMeters(registry),
     ...createRunTimeMeters(registry),
--- a/packages/daemon/src/job-host/run-recorder.ts
+++ b/packages/daemon/src/job-host/run-recorder.ts
@@ -22,7 +22,8 @@
 
 import type { HostContext } from './context.js';
 import type { DecisionLog } from './decision-log.js';
-import type { WorkerPresence } from './fleet.js';
+import { logJobFailure } from './failure-log.js';
+import type { Fleet } from './fleet.js';
 import {
   logAbandonedTask,
   logJobFinished,
@@ -33,8 +34,15 @@
 import type { LearnedTimes } from './learned-times.js';
 import type { WonClaim } from './leadership.js';
 import type { AbandonedWorkerReason } from './meters.js';
+import { RunFailures, type LossCircumstances } from './run-failures.js';
 import type { StartWindow } from './start-window.js';
 
+/** What a recorder asks about workers. */
+export type FleetView = Pick<
+  Fleet,
+  'presenceOf' | 'registeredWorkers' | 'countSilent'
+>;
+
 /** Dependencies and callbacks of a recorder. */
 export interface RunRecorderOptions {
   readonly ctx: HostContext;
@@ -46,10 +54,8 @@
   readonly startWindow: StartWindow;
   /** A run is about to end. */
   readonly onRunEnding: (run: Run, how: RunEnd | 'lost') => void;
-  /** State of a worker in the registry. */
-  readonly presenceOf: (worker: string) => WorkerPresence;
-  /** Number of registered workers. */
-  readonly fleetSize: () => number;
+  /** The workers of the leader. */
+  readonly fleet: () => FleetView;
   /** Something was recorded that planning has to consider. */
   readonly onChange: () => void;
 }
@@ -57,17 +63,17 @@
 /** A journal record that ends a run. */
 type EndRecord = Extract<JournalRecord, { kind: 'end' | 'lost' }>;
 
-/** Loss fields of a run that was not lost. */
-const NO_LOSS: Partial<LossAttribution> = {};
-
 /** Records events of runs until it is closed. */
 export class RunRecorder {
   private closed = false;
   /** Workers that were abandoned together with their runs. */
   private readonly abandonedWorkers = new Set<string>();
+  private readonly failures: RunFailures;
 
   /** Creates the recorder of one leader. */
-  constructor(private readonly options: RunRecorderOptions) {}
+  constructor(private readonly options: RunRecorderOptions) {
+    this.failures = new RunFailures(options.state);
+  }
 
   /** Stops recording, because another host leads. */
   close(): void {
@@ -89,19 +95,30 @@
     reason: AbandonedWorkerReason,
     lostBy: Instant,
   ): void {
-    if (runs.length > 0) {
-      this.abandonedWorkers.add(worker);
+    if (runs.length === 0) {
+      return;
     }
-    const { ctx, claim, state, fleetSize } = this.options;
+    this.abandonedWorkers.add(worker);
+    const { ctx, claim, state, fleet } = this.options;
+    const now = ctx.clock();
+    const lossKind = this.lossKindOf(worker, reason);
     const attributions = attributeLoss(state, runs, {
-      lossKind: this.lossKindOf(worker, reason),
-      fleetSize: fleetSize(),
+      lossKind,
+      fleetSize: fleet().registeredWorkers().length,
       leadsSince: claim.wonAt,
       lostBy,
-      now: ctx.clock(),
+      now,
     });
+    const circumstances: LossCircumstances = {
+      lossKind,
+      reason,
+      presence: fleet().presenceOf(worker),
+      silentWorkers: fleet().countSilent(),
+      othersLost: this.failures.countLost([worker], now),
+    };
+    this.failures.noteWorkerLost(worker, now);
     for (const [run, loss] of attributions) {
-      this.recordLoss(run, loss);
+      this.recordLoss(run, loss, circumstances);
     }
   }
 
@@ -143,7 +160,7 @@
     worker: string,
     reason: AbandonedWorkerReason,
   ): WorkerLossKind {
-    const presence = this.options.presenceOf(worker);
+    const presence = this.options.fleet().presenceOf(worker);
     if (presence === 'leaving') {
       return 'unknown';
     }
@@ -157,19 +174,31 @@
     }
   }
 
-  private recordLoss(run: Run, loss: LossAttribution): void {
+  private recordLoss(
+    run: Run,
+    loss: LossAttribution,
+    circumstances: LossCircumstances,
+  ): void {
     const { task } = run;
     const wasAbandoned = isAbandoned(task);
     const checkpoint = checkpointOf(run);
     const ref = { task: refOf(task), run: run.number };
-    this.endRun(run, 'lost', { kind: 'lost', ...ref, checkpoint, ...loss });
+    this.failures.noteRunLost(run, circumstances);
+    const record = { kind: 'lost', ...ref, checkpoint, ...loss } as const;
+    this.endRun(run, 'lost', record, { ...circumstances, ...loss });
     if (!wasAbandoned && isAbandoned(task)) {
       this.options.ctx.meters.taskGivenUp();
       logAbandonedTask(this.options, task);
     }
   }
 
-  private endRun(run: Run, how: RunEnd | 'lost', record: EndRecord): void {
+  /** Ends a run that is open; its log line has the fields of `loss`, if it was lost. */
+  private endRun(
+    run: Run,
+    how: RunEnd | 'lost',
+    record: EndRecord,
+    loss: Partial<LossAttribution & LossCircumstances> = {},
+  ): void {
     const { task } = run;
     if (this.closed || !task.runs.includes(run)) {
       return;
@@ -184,9 +213,11 @@
     this.options.onRunEnding(run, how);
     startWindow.noteEnded(run);
     const expectedMs = Math.round(times.inForce().expectedMs(task.step));
-    const { suspicion, age, noise } = record.kind === 'lost' ? record : NO_LOSS;
-    const more = { how, expectedMs, suspicion, age, noise };
+    const more = { how, ...loss, expectedMs };
     logRun(this.options, run, 'leader: a run has ended', more);
+    if (how === 'failed') {
+      this.failures.noteRunFailed(run, ctx.clock());
+    }
     this.recordTaskEnd(task, record);
   }
 
@@ -249,6 +280,7 @@
     decisions.record(record);
     if (!wasFinished && isFinished(occurrence.job)) {
       logJobFinished(ctx, times.inForce(), occurrence);
+      logJobFailure(this.options, task, this.failures);
     }
     onChange();
   }
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -21,7 +21,7 @@
   MemoryOperator,
   type TaskScript,
 } from '@paddlewind/stand-ins/jobs';
-import { pino } from 'pino';
+import { pino, type Logger } from 'pino';
 import { Registry } from 'prom-client';
 
 import { createJobMeters } from './meters.js';
@@ -103,6 +103,8 @@
   readonly versionOf?: (nth: number) => string;
   /** Size of calls on links in both directions; by default only `SimulatedLink` is used. */
   readonly wire?: WireOptions;
+  /** Log of a host; by default its lines are written only if `TEST_LOG` names a level. */
+  readonly logOf?: (host: string) => Logger;
 }
 
 /** The ports of a host. */
@@ -134,6 +136,7 @@
   private readonly moveCosts: MoveCosts | undefined;
   private readonly versionOf: ((nth: number) => string) | undefined;
   private readonly wire: WireOptions | undefined;
+  private readonly logOf: (host: string) => Logger;
   private incarnations = 0;
 
   /** Creates a simulation whose randomness is derived from `seed`. */
@@ -149,6 +152,7 @@
       moveCosts,
       versionOf,
       wire,
+      logOf = () => pino({ level: process.env.TEST_LOG ?? 'silent' }),
     }: SimulationOptions = {},
   ) {
     this.maxLeaseMs = maxLeaseMs;
@@ -159,6 +163,7 @@
     this.moveCosts = moveCosts;
     this.versionOf = versionOf;
     this.wire = wire;
+    this.logOf = logOf;
     this.time = createVirtualTime();
     this.peers = new SimulatedPeers(this.time, this.hosts);
     this.random = seededRandom(seed);
@@ -248,7 +253,7 @@
         wallClock: () => this.time.clock() + this.wallOffset,
         random: this.random,
         schedule: simulated.schedule,
-        log: pino({ level: process.env.TEST_LOG ?? 'silent' }),
+        log: this.logOf(name),
         meters: createJobMeters(new Registry()),
         times: new PartTimes(simulated.clock),
       },
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -6,6 +6,7 @@
   isAbandoned,
   noteLoss,
 } from './suspect-tasks.js';
+import { noteLossApplied } from './loss.js';
 import type {
   LeaseHandover,
   InboxRecord,
@@ -228,6 +229,9 @@
   const lost = task?.runs.find(({ number }) => number === run);
   if (task !== undefined && lost !== undefined) {
     noteLoss(state, task, lost.worker, { suspicion, age, noise });
+    const { claim, now: at, journalTime } = state;
+    const applied = { run, epoch: claim.epoch, at, journalAt: journalTime.now };
+    noteLossApplied(task.lossHistory, applied);
     failIfAbandoned(state, task);
   }
   return applyEnd(state, {
--- a/packages/domain/src/jobs/loss.ts
+++ b/packages/domain/src/jobs/loss.ts
@@ -38,6 +38,18 @@
   readonly noise: number;
 }
 
+/** The journal record of a loss, as this host applied it. */
+export interface AppliedLoss {
+  /** Number of the run that was lost. */
+  readonly run: number;
+  /** Epoch of the leader that recorded the loss. */
+  readonly epoch: number;
+  /** Monotonic time at which this host applied the record. */
+  readonly at: Instant;
+  /** Journal time of the newest report before the record. */
+  readonly journalAt: Millis;
+}
+
 /** The loss of a worker while it ran a task. */
 export interface Loss {
   readonly worker: string;
@@ -48,6 +60,8 @@
   readonly noise?: number;
   /** Checkpoint from which the run resumed; empty if it started from scratch. */
   readonly resumedFrom: string;
+  /** The record of the loss; absent if the loss was read from a restated job. */
+  applied?: AppliedLoss;
 }
 
 /** Workers lost while they ran a task. */
@@ -62,3 +76,14 @@
 export function emptyLossHistory(): LossHistory {
   return { losses: [], lastLossAt: -Infinity };
 }
+
+/** Keeps when this host applied the record of the newest loss; does nothing if no loss counts. */
+export function noteLossApplied(
+  { losses }: LossHistory,
+  applied: AppliedLoss,
+): void {
+  const newest = losses.at(-1);
+  if (newest !== undefined) {
+    newest.applied = applied;
+  }
+}
