Logs: hosts tell once that a job has failed; trace and losses say why

A host that is asked writes 'jobs: a job is shown as failed' once a job, with its source.

'paddlewind trace' tells from the leader's line the reason, the attempts and each loss that counted, or that no leader tells why; 'paddlewind losses' counts failed jobs by reason, and the kinds of the losses under them.

--- a/packages/cli/src/commands/losses.ts
+++ b/packages/cli/src/commands/losses.ts
@@ -21,7 +21,7 @@
   return succeed(io, flags.json, found, lossesText(found));
 }
 
-function lossesText({ queues, windows, unread }: Losses): string {
+function lossesText({ queues, windows, failures, unread }: Losses): string {
   const lines = queues.flatMap(({ queue, phases, sizes, ...totals }) => [
     `${queue}: ${totals.jobs} jobs, ${totals.inTime} in time, ${totals.late} late, ${totals.unfinished} unfinished, ${totals.cancelled} cancelled`,
     ...sizes.map(
@@ -36,10 +36,21 @@
     ({ second, jobs, inTime, largest }) =>
       `from ${second} s: ${inTime} of ${jobs} in time${largest === '' ? '' : `, most lost: ${largest}`}`,
   );
+  const failed = failures.map(
+    ({ reason, jobs, lossKinds }) =>
+      `${jobs} jobs failed, ${reason}${countsText(lossKinds)}`,
+  );
   const [first] = unread;
   const unreadNote =
     first === undefined
       ? []
       : [`${unread.length} lines are no line of a host, the first is ${first}`];
-  return [...lines, ...perWindow, ...unreadNote].join('\n');
+  return [...lines, ...failed, ...perWindow, ...unreadNote].join('\n');
+}
+
+function countsText(kinds: Readonly<Record<string, number>>): string {
+  const counts = Object.entries(kinds).map(
+    ([kind, count]) => `${count} ${kind}`,
+  );
+  return counts.length === 0 ? '' : `; workers lost: ${counts.join(', ')}`;
 }
--- a/packages/cli/src/losses/losses.test.ts
+++ b/packages/cli/src/losses/losses.test.ts
@@ -226,3 +226,23 @@
     { ...none, size: 'smaller', asked: 7, inTime: 7 },
   ]);
 });
+
+test('failed jobs are counted once by reason, with how the workers were lost', () => {
+  const msg = 'leader: a job has failed';
+  const lost = { reason: 'workers_lost', msg };
+  const crashed = { lossKind: 'crashed' };
+  const lines = [
+    line(1, { ...lost, job: 'j', epoch: 1, losses: [crashed] }),
+    line(2, { ...lost, job: 'j', epoch: 2, losses: [{}, crashed, crashed] }),
+    line(3, { ...lost, job: 'k', losses: [{ lossKind: 'unknown' }] }),
+    line(4, { reason: 'attempts_spent', msg, job: 'm', losses: [] }),
+  ];
+  assert.deepEqual(readLosses([lines.join('\n')]).failures, [
+    { reason: 'attempts_spent', jobs: 1, lossKinds: {} },
+    {
+      reason: 'workers_lost',
+      jobs: 2,
+      lossKinds: { 'judged by another leader': 1, crashed: 2, unknown: 1 },
+    },
+  ]);
+});
--- a/packages/cli/src/losses/losses.ts
+++ b/packages/cli/src/losses/losses.ts
@@ -2,6 +2,7 @@
 import { sizeGroupsOf, type SizeGroup } from '@paddlewind/domain/jobs';
 
 import { readLogLines, type LogLine } from '../log-lines.js';
+import { sumFailures, type FailureLosses } from './failures.js';
 import { readJobs, type LoggedJob } from './job-runs.js';
 import { spansOf, type PhaseName, type WaitReasonsAt } from './phases.js';
 
@@ -51,6 +52,8 @@
 export interface Losses {
   readonly queues: readonly QueueLosses[];
   readonly windows: readonly WindowLosses[];
+  /** Jobs that have failed, by reason; empty if no leader has logged one. */
+  readonly failures: readonly FailureLosses[];
   /** Numbers of the non-empty lines that could not be parsed. */
   readonly unread: readonly number[];
 }
@@ -75,6 +78,7 @@
   return {
     queues: sumQueues(accepted, submitted),
     windows: sumWindows(accepted, first),
+    failures: sumFailures(lines),
     unread,
   };
 }
--- a/packages/cli/src/trace/history.test.ts
+++ b/packages/cli/src/trace/history.test.ts
@@ -123,3 +123,52 @@
     `task ${task} lost its worker 1 times: i-1@1700 (shared, started again)`,
   ]);
 });
+
+test('tells why a job has failed, from the line of the leader that decided it', () => {
+  const judged = {
+    run: 2,
+    epoch: 192,
+    msAgo: 1_500,
+    worker: 'i-2',
+    suspicion: 'doubtful',
+    lossKind: 'unknown',
+    reason: 'unanswered',
+    presence: 'registered',
+    silentWorkers: 4,
+    othersLost: 3,
+  };
+  const restated = { worker: 'i-1', suspicion: 'sole', msAgo: 'unknown' };
+  const earlier = { ...restated, run: 1, msAgo: 9_000, epoch: 128 };
+  const text = line(9, {
+    job: ID,
+    task: `${ID}.0.0.1`,
+    epoch: 192,
+    reason: 'workers_lost',
+    failures: 1,
+    maxAttempts: 3,
+    failedRuns: [{ run: 3, worker: 'i-3', msAgo: 20 }],
+    losses: [restated, earlier, judged],
+    msg: 'leader: a job has failed',
+  });
+  assert.deepEqual(readHistory(ID, [text]).causes, [
+    `failed by h1 in epoch 192, workers_lost: task ${ID}.0.0.1 has failed 1 of 3 times (runs 3 under this leader), and 3 losses of workers count`,
+    'counted: i-1 under run unknown, at an unknown time, sole, judged by another leader',
+    'counted: i-1 under run 1, 9.0 s before, sole, judged by another leader',
+    'counted: i-2 under run 2, 1.5 s before, doubtful, judged unknown (unanswered, registered) with 3 other workers lost and 4 silent',
+  ]);
+});
+
+test('tells that a job is shown as failed of which no leader tells why', () => {
+  const fields = { job: ID, reason: 'workers_lost', epoch: 192 };
+  const texts = [
+    line(1, { ...fields, msg: 'replica: a job has failed' }),
+    line(2, {
+      ...fields,
+      source: 'journal',
+      msg: 'jobs: a job is shown as failed',
+    }),
+  ];
+  assert.deepEqual(readHistory(ID, texts).causes, [
+    'failed by the journal at h1, workers_lost, in epoch 192: no leader tells why',
+  ]);
+});
--- a/packages/cli/src/trace/history.ts
+++ b/packages/cli/src/trace/history.ts
@@ -1,6 +1,7 @@
 /** Builds the history of one job from the logs of several hosts. */
 
 import { readLogLines, stringOrEmpty, type LogLine } from '../log-lines.js';
+import { failureCauses } from './failure.js';
 
 /** A log line about the job, without the fields that every line has. */
 export type TraceLine = LogLine;
@@ -66,6 +67,7 @@
     ...runCauses(lines),
     ...restartCauses(lines),
     ...lossCauses(lines, restarted),
+    ...failureCauses(lines),
   ];
 }
 
--- a/packages/daemon/src/job-host/caller-view.ts
+++ b/packages/daemon/src/job-host/caller-view.ts
@@ -88,6 +88,8 @@
   readonly refresh: () => Promise<boolean>;
   /** Returns the known state; undefined if the job was removed meanwhile. */
   readonly currentState: () => JobState | undefined;
+  /** Notes the state that is reported. */
+  readonly noteAnswer: (state: JobState) => void;
 }
 
 /** Returns a job's state as of a moment after the call. */
@@ -97,6 +99,7 @@
   isFinal,
   refresh,
   currentState,
+  noteAnswer,
 }: StatusLookup): Promise<StatusResult> {
   const lookup = await find();
   if (lookup === 'unavailable') {
@@ -110,7 +113,9 @@
     return { kind: 'unavailable' };
   }
   const state = currentState();
-  return state === undefined
-    ? { kind: 'unavailable' }
-    : { kind: 'known', ...state };
+  if (state === undefined) {
+    return { kind: 'unavailable' };
+  }
+  noteAnswer(state);
+  return { kind: 'known', ...state };
 }
--- a/packages/daemon/src/job-host/replica-view.ts
+++ b/packages/daemon/src/job-host/replica-view.ts
@@ -22,15 +22,21 @@
 import type { HostContext } from './context.js';
 import type { Leader } from './leader.js';
 import type { FoldedStream, Replica } from './replica.js';
+import { FailedAnswers } from './seen-failures.js';
 
 /** The view of the leader and its standbys. */
 export class ReplicaView implements CallerView {
+  private readonly failedAnswers: FailedAnswers;
+
   /** Creates the view; `leader` returns the leader while this host leads. */
   constructor(
     private readonly ctx: HostContext,
     private readonly replica: Replica,
     private readonly leader: () => Leader | undefined,
-  ) {}
+  ) {
+    const epoch = (): number => replica.state.claim.epoch;
+    this.failedAnswers = new FailedAnswers(ctx.log, 'journal', epoch);
+  }
 
   /** Monotonic time of the last answer from the log. */
   get contactAt(): Instant {
@@ -93,6 +99,9 @@
         const known = replica.state.jobs.get(job);
         return known === undefined ? undefined : reportedStateOf(known);
       },
+      noteAnswer: state => {
+        this.failedAnswers.noteAnswer(job, state);
+      },
     });
   }
 
--- a/packages/daemon/src/job-host/replica.ts
+++ b/packages/daemon/src/job-host/replica.ts
@@ -23,6 +23,7 @@
 import type { HostContext } from './context.js';
 import { LeaseEnds } from './lease-ends.js';
 import { AdaptiveReadSize } from './adaptive-read-size.js';
+import { SeenFailures } from './seen-failures.js';
 
 /** Size of a read that only locates the first record that the log still keeps. */
 const PROBE_BYTES = 1_024;
@@ -80,6 +81,7 @@
   /** Whether this host leads, so that the journal holds nothing that it has not decided itself. */
   private isLeading = false;
   private heartbeat: ReceivedHeartbeat | undefined;
+  private readonly seenFailures: SeenFailures;
 
   /** Creates a replica that has read nothing. */
   constructor(
@@ -87,6 +89,7 @@
     private readonly jobLog: JobLog,
   ) {
     this.journalReceivedAt = ctx.clock();
+    this.seenFailures = new SeenFailures(ctx.log);
   }
 
   /** Returns the offset up to which a stream was read. */
@@ -369,6 +372,7 @@
           'replica: the journal names an unknown job',
         );
       }
+      this.seenFailures.noteApplied(this.state, record);
       this.leaseEnds.applyRecord(
         record,
         this.state.claim.epoch,
--- a/packages/daemon/src/job-host/summary-view.ts
+++ b/packages/daemon/src/job-host/summary-view.ts
@@ -18,15 +18,21 @@
   type StatusResult,
 } from './caller-view.js';
 import type { HostContext } from './context.js';
+import { FailedAnswers } from './seen-failures.js';
 import type { SummaryFollower } from './summary-follower.js';
 
 /** The view of hosts that read the summary. */
 export class SummaryView implements CallerView {
+  private readonly failedAnswers: FailedAnswers;
+
   /** Creates a view of what `follower` has read. */
   constructor(
     private readonly ctx: HostContext,
     private readonly follower: SummaryFollower,
-  ) {}
+  ) {
+    const epoch = (): number | undefined => follower.leaderInfo?.epoch;
+    this.failedAnswers = new FailedAnswers(ctx.log, 'summary', epoch);
+  }
 
   /** Monotonic time of the last answer from the log. */
   get contactAt(): Instant {
@@ -78,6 +84,9 @@
       refresh: () => this.refreshInTime(follower.refresh),
       // A submission that is not yet in the summary is reported as queued.
       currentState: () => follower.summary.stateOf(job) ?? { status: 'queued' },
+      noteAnswer: state => {
+        this.failedAnswers.noteAnswer(job, state);
+      },
     });
   }
 
