Status: a leader shows no end of a job before it is recorded

Callers could be told by the leader that a job had failed or completed though no record says so. If the leader was replaced before its next append, the job went on under the next leader.

Cause: a leader answers a status once the decisions so far are recorded, but read the job's state after that wait. It then also told what had been decided while the append was in flight, which the next append still had to write.

Evidence: 'a failure decided while a caller waits is not shown before it is recorded' answered 'failed, attempts_spent' on the code before, with the end of the run in no append.

Why it works: the state is taken before the wait, and the wait ends only when all decisions up to then are written. If the job has finished meanwhile, the leader waits once more, so that callers learn of the end no later than before; if that fails, the earlier state is true as of the call.

--- a/packages/daemon/src/job-host/replica-view.ts
+++ b/packages/daemon/src/job-host/replica-view.ts
@@ -2,9 +2,9 @@
 import type { Instant, Millis } from '@paddlewind/domain';
 import {
   FORECAST_VALID_MS,
-  statusOf,
   reportedStateOf,
   type InboxRecord,
+  type JobState,
   type AdmissionLimits,
 } from '@paddlewind/domain/jobs';
 
@@ -29,7 +29,7 @@
   constructor(
     private readonly ctx: HostContext,
     private readonly replica: Replica,
-    private readonly leader: () => Leader | undefined,
+    private readonly leader: () => Pick<Leader, 'recorded'> | undefined,
   ) {}
 
   /** Monotonic time of the last answer from the log. */
@@ -82,17 +82,28 @@
 
   /** Returns a job's state as of a moment after the call. */
   status(job: string): Promise<StatusResult> {
-    const { ctx, replica } = this;
+    let decided: JobState | undefined;
+    const refresh = async (): Promise<boolean> => {
+      // What a leader decides while it waits may never be recorded.
+      decided = this.leader() === undefined ? undefined : this.stateOf(job);
+      return this.refreshInTime('journal');
+    };
     return lookUpStatus({
-      ctx,
+      ctx: this.ctx,
       find: () => this.find(job),
       // A leader's own decisions may never be recorded, not even that a job has finished.
       isFinal: () => this.leader() === undefined && this.isFinal(job),
-      refresh: () => this.refreshInTime('journal'),
-      currentState: () => {
-        const known = replica.state.jobs.get(job);
-        return known === undefined ? undefined : reportedStateOf(known);
+      refresh: async () => {
+        const isRefreshed = await refresh();
+        const earlier = decided;
+        const hasFinished = !isFinalState(earlier) && this.isFinal(job);
+        if (isRefreshed && earlier !== undefined && hasFinished) {
+          // Callers wait for a job to finish.
+          decided = (await refresh()) ? decided : earlier;
+        }
+        return isRefreshed;
       },
+      currentState: () => decided ?? this.stateOf(job),
     });
   }
 
@@ -155,9 +166,16 @@
     return (await withTimeout(ctx, refreshing, ANSWER_TIMEOUT_MS)) === true;
   }
 
-  private isFinal(id: string): boolean {
-    const job = this.replica.state.jobs.get(id);
-    const finalStatuses = ['completed', 'failed'];
-    return job !== undefined && finalStatuses.includes(statusOf(job));
+  private stateOf(job: string): JobState | undefined {
+    const known = this.replica.state.jobs.get(job);
+    return known === undefined ? undefined : reportedStateOf(known);
+  }
+
+  private isFinal(job: string): boolean {
+    return isFinalState(this.stateOf(job));
   }
 }
+
+function isFinalState(state: JobState | undefined): boolean {
+  return state?.status === 'completed' || state?.status === 'failed';
+}
