Fold: a cancellation does not decide whether another job fails

A host could show a job as failed, workers lost, that the leader went on with and completed.

A task that is given up has its lost workers discounted for other tasks. That step was left out if the job of the task was cancelled already, so that a host which had read a cancellation earlier or later than the leader kept other losses for tasks beside it, and gave such a task up by itself: each host derives 'failed' from the losses.

Evidence: 'a job beside a cancelled one fails on all hosts or on none' failed on the code before: the standby had 'workers_lost' for a job that the leader kept.

A cancelled job is still shown as cancelled, whatever its tasks did.

The last test pins that repeated records of an end or a loss raise no count: attempts are at most the distinct ends as failed.

--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -335,10 +335,14 @@
   state.changedJobs?.add(job);
 }
 
-/** Fails the job of a long-running task too: each start costs a worker and everything that runs there. */
+/**
+ * Fails the job of a long-running task too: each start costs a worker and everything that runs there. Does not
+ * depend on whether the job is cancelled, since hosts read that at different times.
+ */
 function failIfAbandoned(state: JobsState, task: Task): void {
   const { job } = task.step.occurrence;
-  if (isAbandoned(task) && !isFinished(job)) {
+  const isOver = job.failure !== undefined || job.remaining === 0;
+  if (isAbandoned(task) && !isOver) {
     job.failure = 'workers_lost';
     discountExplainedLosses(state, task);
     noteFinished(state, job);
