--- a/packages/daemon/src/job-host/crashing-tasks.test.ts
+++ b/packages/daemon/src/job-host/crashing-tasks.test.ts
@@ -237,3 +237,22 @@
 test('no task is given up though every worker crashes each 13 s and leaders are killed', async () => {
   assert.deepEqual(await seedsAbandonedAmongCrashes([5, 8], 5_000), []);
 });
+
+// Guards against hosts that blame other tasks for these losses, since they do not know the abandoned one.
+test('the leader records which workers were lost under an abandoned task', async () => {
+  const [seed = 1] = SEEDS;
+  const site = await deploymentWithNeighbours(seed, WORKER_RESTART_MS);
+  const { steps, script } = crashingJob(10);
+  void site.submit(CRASHING_JOB, steps, script);
+  await site.time.advance(OBSERVATION_MS);
+  const records = site.log.recordsOf('journal').map(decodeJournal);
+  const abandoned = records.filter(record => record?.kind === 'abandoned');
+  assert.deepEqual(
+    abandoned.map(({ task }) => task.job),
+    [CRASHING_JOB],
+  );
+  const lost = records.filter(
+    record => record?.kind === 'lost' && record.task.job === CRASHING_JOB,
+  );
+  assert.equal(abandoned[0]?.workers.length, lost.length);
+});
--- a/packages/daemon/src/job-host/lease-ends.ts
+++ b/packages/daemon/src/job-host/lease-ends.ts
@@ -81,6 +81,7 @@
       case 'moved':
       case 'end':
       case 'lost':
+      case 'abandoned':
         return;
     }
   }
--- a/packages/daemon/src/job-host/run-recorder.ts
+++ b/packages/daemon/src/job-host/run-recorder.ts
@@ -8,6 +8,7 @@
   refOf,
   attributeLoss,
   workerIdOf,
+  workersLostUnder,
   type LossAttribution,
   type JobsState,
   type JournalRecord,
@@ -166,6 +167,12 @@
     if (!wasAbandoned && isAbandoned(task)) {
       this.options.ctx.meters.taskGivenUp();
       logAbandonedTask(this.options, task);
+      const workers = workersLostUnder(task);
+      this.options.decisions.record({
+        kind: 'abandoned',
+        task: refOf(task),
+        workers,
+      });
     }
   }
 
--- a/packages/domain/src/jobs/failure-causes.test.ts
+++ b/packages/domain/src/jobs/failure-causes.test.ts
@@ -10,6 +10,7 @@
 import type { JournalRecord, RunEnd } from './records.js';
 import { imageOf } from './restate.js';
 import type { JobSpec } from './spec.js';
+import { isAbandoned, workersLostUnder } from './suspect-tasks.js';
 import {
   applyRecord,
   stateOf,
@@ -151,8 +152,14 @@
   private lose(id: string, suspicion: Suspicion): void {
     const age = { from: 100, to: 200 };
     for (const run of [...workerRuns(this.state, id).runs.values()]) {
-      const ref = { task: refOf(run.task), run: run.number };
-      this.record({ kind: 'lost', ...ref, checkpoint: '', suspicion, age });
+      const task = refOf(run.task);
+      const wasAbandoned = isAbandoned(run.task);
+      const lost = { task, run: run.number, checkpoint: '', suspicion, age };
+      this.record({ kind: 'lost', ...lost });
+      if (!wasAbandoned && isAbandoned(run.task)) {
+        const workers = workersLostUnder(run.task);
+        this.record({ kind: 'abandoned', task, workers });
+      }
     }
   }
 
@@ -176,17 +183,21 @@
   return leader;
 }
 
+/** What counts as an attempt of the tasks of a job. */
+function tasksOf(state: JobsState, id: string): unknown {
+  const { tasks, failedGangRuns } = taskOf(state, id, 0, 0).step;
+  return [
+    tasks.map(({ status, failures }) => [status, failures]),
+    failedGangRuns,
+  ];
+}
+
 /** What callers see of a job, and what decides whether it fails. */
 function outcomeOf(state: JobsState, id: string): unknown {
   const found = state.jobs.get(id);
   assert.ok(found);
-  const { tasks, failedGangRuns } = taskOf(state, id, 0, 0).step;
-  return {
-    status: statusOf(found),
-    failure: found.failure,
-    tasks: tasks.map(({ status, failures }) => [status, failures]),
-    failedGangRuns: failedGangRuns.size,
-  };
+  const { failure } = found;
+  return { status: statusOf(found), failure, tasks: tasksOf(state, id) };
 }
 
 // Guards against a host that shows a job as failed which the leader goes on with: it had read the cancellation
@@ -238,6 +249,53 @@
   );
 });
 
+// Guards against a host that shows a job as failed which the leader goes on with: it had started after the log
+// had dropped the records of another job, whose task explains the losses.
+test('a host that does not know an abandoned task does not blame others for its losses', () => {
+  const leader = new ScriptedLeader();
+  const [a, c] = [
+    taskOf(leader.state, 'a', 0, 0),
+    taskOf(leader.state, 'c', 0, 0),
+  ];
+  const reader = stateOf();
+  for (const worker of [0, 1, 2, 3]) {
+    leader.act({ kind: 'start', job: 0, worker });
+    leader.act({ kind: 'start', job: 2, worker });
+    if (worker === 3) {
+      leader.act({ kind: 'restate', job: 2 });
+    }
+    leader.act({ kind: 'lose', worker, suspicion: 'shared' });
+  }
+  leader.journal.forEach(record => {
+    applyRecord(reader, record);
+  });
+  assert.ok(isAbandoned(a));
+  assert.ok(!isAbandoned(c));
+  assert.equal(reader.jobs.get('a'), undefined);
+  assert.deepEqual(outcomeOf(reader, 'c'), outcomeOf(leader.state, 'c'));
+});
+
+// The same for any records and any moments at which jobs are restated; also attempts are counted once.
+test('a host that starts from restated jobs has them fail when the leader does', () => {
+  fc.assert(
+    fc.property(actions, script => {
+      const leader = leaderAfter(script);
+      const reader = stateOf();
+      leader.journal.forEach(record => {
+        applyRecord(reader, record);
+      });
+      for (const [id, read] of reader.jobs) {
+        const decided = leader.state.jobs.get(id);
+        assert.equal(read.failure, decided?.failure);
+        if (read.occurrences.size > 0) {
+          assert.deepEqual(tasksOf(reader, id), tasksOf(leader.state, id));
+        }
+      }
+    }),
+    { numRuns: 2_000, seed: 69 },
+  );
+});
+
 // Guards against a job that fails for attempts that no worker has reported as failed.
 test('a job fails for attempts only once a task has as many distinct ends as failed', () => {
   fc.assert(
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -5,6 +5,7 @@
   discountExplainedLosses,
   isAbandoned,
   noteLoss,
+  workersLostUnder,
 } from './suspect-tasks.js';
 import type {
   LeaseHandover,
@@ -128,6 +129,8 @@
       return applyEnd(state, record);
     case 'lost':
       return applyLost(state, record);
+    case 'abandoned':
+      return applyAbandoned(state, record);
   }
 }
 
@@ -344,11 +347,21 @@
   const isOver = job.failure !== undefined || job.remaining === 0;
   if (isAbandoned(task) && !isOver) {
     job.failure = 'workers_lost';
-    discountExplainedLosses(state, task);
+    discountExplainedLosses(state, workersLostUnder(task), task);
     noteFinished(state, job);
   }
 }
 
+/** Does nothing new for a reader that has read all losses of the task. */
+function applyAbandoned(
+  state: JobsState,
+  { task: ref, workers }: Extract<JournalRecord, { kind: 'abandoned' }>,
+): boolean {
+  const task = findTask(state, ref);
+  discountExplainedLosses(state, workers, task);
+  return task !== undefined;
+}
+
 function failIfAttemptsSpent(state: JobsState, task: Task): void {
   const { job } = task.step.occurrence;
   const { spec, failedGangRuns } = task.step;
--- a/packages/domain/src/jobs/record-rows.ts
+++ b/packages/domain/src/jobs/record-rows.ts
@@ -104,18 +104,21 @@
   | ['learnt', LearnedEstimates]
   | ['reached', string]
   | ['b', string]
+  | ['a', unknown, unknown]
   | ['s' | 'm', unknown, number, unknown, unknown?]
-  | [
-      'e',
-      unknown,
-      number,
-      RunEnd,
-      string?,
-      ExpiryCause?,
-      unknown?,
-      unknown?,
-      unknown?,
-    ];
+  | EndRow;
+
+type EndRow = [
+  'e',
+  unknown,
+  number,
+  RunEnd,
+  string?,
+  ExpiryCause?,
+  unknown?,
+  unknown?,
+  unknown?,
+];
 
 /**
  * Why a lease has expired: the suspicion that the run caused the loss of its worker, or that the worker is
@@ -175,6 +178,12 @@
       return { kind: 'reached', worker: row[1] };
     case 'b':
       return { kind: 'begun', job: row[1] };
+    case 'a': {
+      const [, name, workers] = row;
+      return Array.isArray(workers)
+        ? { kind: 'abandoned', task: parseTaskName(name), workers }
+        : undefined;
+    }
     case 's':
     case 'm': {
       const [tag, name, run, id, startedAt] = row;
@@ -189,20 +198,8 @@
       );
       return { kind: tag === 's' ? 'start' : 'moved', task, run, worker };
     }
-    case 'e': {
-      const [, name, run, how, checkpoint = '', cause, ...more] = row;
-      const [from, to, noise] = more;
-      const task = parseTaskName(name);
-      if (how !== 'lapsed' || cause === WORKER_PRESENT) {
-        return { kind: 'end', task, run, how, checkpoint };
-      }
-      // The worker may have been lost: earlier versions record no cause, later ones perhaps an unknown one.
-      const suspicion = SUSPICIONS.find(known => known === cause) ?? 'doubtful';
-      const lost = { task, run, checkpoint, suspicion };
-      const age = parseSpan(from, to);
-      const loss = { kind: 'lost', ...lost, age } as const;
-      return typeof noise === 'number' ? { ...loss, noise } : loss;
-    }
+    case 'e':
+      return decodeEnd(row);
     case undefined:
     // A kind that this version does not know.
     default:
@@ -210,6 +207,22 @@
   }
 }
 
+/** Decodes the end of a run. */
+function decodeEnd(row: EndRow): JournalRecord {
+  const [, name, run, how, checkpoint = '', cause, ...more] = row;
+  const [from, to, noise] = more;
+  const task = parseTaskName(name);
+  if (how !== 'lapsed' || cause === WORKER_PRESENT) {
+    return { kind: 'end', task, run, how, checkpoint };
+  }
+  // The worker may have been lost: earlier versions record no cause, later ones perhaps an unknown one.
+  const suspicion = SUSPICIONS.find(known => known === cause) ?? 'doubtful';
+  const lost = { task, run, checkpoint, suspicion };
+  const age = parseSpan(from, to);
+  const loss = { kind: 'lost', ...lost, age } as const;
+  return typeof noise === 'number' ? { ...loss, noise } : loss;
+}
+
 /** Column from which earlier versions read the ages of claims; if it is empty, they wait the longest. */
 const LEGACY_CLAIM_AGES: readonly never[] = [];
 
@@ -277,6 +290,8 @@
       return ['reached', record.worker];
     case 'begun':
       return ['b', record.job];
+    case 'abandoned':
+      return ['a', taskName(record.task), record.workers];
     case 'start':
       return ['s', ...placementRow(record)];
     case 'moved':
--- a/packages/domain/src/jobs/records.ts
+++ b/packages/domain/src/jobs/records.ts
@@ -122,4 +122,13 @@
       readonly age: SpanBounds;
       /** Probability of losing a healthy worker while a run settles; absent in records of earlier versions. */
       readonly noise?: number;
+    }
+  /**
+   * A task is abandoned: these workers were lost while running it, so that their losses count less for other
+   * tasks. Readers that know the task have concluded as much from its losses.
+   */
+  | {
+      readonly kind: 'abandoned';
+      readonly task: TaskRef;
+      readonly workers: readonly string[];
     };
--- a/packages/domain/src/jobs/suspect-tasks.ts
+++ b/packages/domain/src/jobs/suspect-tasks.ts
@@ -168,12 +168,16 @@
   state.suspects.add(task);
 }
 
-/** Marks losses of the same workers as doubtful for other tasks: the abandoned task caused most of them. */
+/**
+ * Marks losses of `workers` as doubtful for other tasks: the abandoned task, undefined if it is unknown here,
+ * caused most of them.
+ */
 export function discountExplainedLosses(
   { suspects }: JobsState,
-  abandoned: Task,
+  workers: readonly string[],
+  abandoned: Task | undefined,
 ): void {
-  const explained = new Set(workersLostUnder(abandoned));
+  const explained = new Set(workers);
   for (const task of suspects) {
     const losses = task === abandoned ? [] : task.lossHistory.losses;
     for (const loss of losses.filter(({ worker }) => explained.has(worker))) {
