--- a/packages/daemon/src/job-host/seen-failures.ts
+++ b/packages/daemon/src/job-host/seen-failures.ts
@@ -100,6 +100,7 @@
     case 'learnt':
     case 'release':
     case 'begun':
+    case 'abandoned':
     case 'start':
     case 'moved':
       return undefined;
