--- a/packages/daemon/src/job-host/crashes-in-series.fixture.test.ts
+++ b/packages/daemon/src/job-host/crashes-in-series.fixture.test.ts
@@ -23,13 +23,13 @@
 /** Interval at which callers query the state of each job. */
 const QUERY_INTERVAL_MS: Millis = 500;
 
-/** Workers that crash together, again and again. */
+/** Workers that crash or are cut off together, again and again. */
 export interface CrashSeries {
-  /** Probability with which each worker crashes each time. */
+  /** Probability with which each worker is affected each time. */
   readonly share: number;
   readonly everyMs: Millis;
   readonly rounds: number;
-  /** Time until a crashed worker is back, with another id. */
+  /** Time until a worker is back; after a crash with another id. */
   readonly downtimeMs: Millis;
 }
 
@@ -145,6 +145,31 @@
   }
 }
 
+/** Cuts workers off from all hosts in series; they run on. */
+export async function disconnectInSeries(
+  site: Simulation,
+  machines: readonly string[],
+  { share, everyMs, rounds, downtimeMs }: CrashSeries,
+): Promise<void> {
+  for (let round = 0; round < rounds; round += 1) {
+    for (const machine of machines) {
+      if (site.random() < share) {
+        disconnect(site, machine, downtimeMs);
+      }
+    }
+    await site.time.advance(everyMs);
+  }
+}
+
+function disconnect(site: Simulation, machine: string, span: Millis): void {
+  const { brokenLinks } = site.fleet;
+  for (const host of HOSTS) {
+    const link = `${host}>${machine}`;
+    brokenLinks.add(link);
+    site.time.schedule(span, () => brokenLinks.delete(link));
+  }
+}
+
 /** Makes the log and the registry unavailable to all hosts for `span`. */
 export function disconnectStore(
   site: Simulation,
--- a/packages/daemon/src/job-host/jobs-failed-without-cause.test.ts
+++ b/packages/daemon/src/job-host/jobs-failed-without-cause.test.ts
@@ -8,6 +8,7 @@
 import { killLeaders } from './crashing-deployment.fixture.test.js';
 import {
   crashInSeries,
+  disconnectInSeries,
   disconnectStore,
   jobsSeenAsFailed,
   type BusyDeployment,
@@ -26,6 +27,8 @@
   rounds: 15,
   downtimeMs: 1_500,
 };
+/** Cut off for a little longer than leases hold. */
+const UNREACHABLE = { everyMs: 8_000, rounds: 8, downtimeMs: 6_300 };
 const LEADER_KILL_INTERVAL_MS = 9_000;
 const STORE_OUTAGE_MS = 3_000;
 const STORE_OUTAGE_AFTER_MS = 13_000;
@@ -100,3 +103,23 @@
   );
   assert.deepEqual(found, []);
 });
+
+// Guards against losses that were no crashes: a worker that the leader can't reach has not crashed, and what is
+// lost with it says nothing about its tasks.
+test('no job fails although workers are out of reach, again and again', async () => {
+  const arms = [
+    { seeds: [1, 2, 5], workers: 6, share: 0.6 },
+    { seeds: [8], workers: 12, share: 0.6 },
+    { seeds: [1, 2], workers: 6, share: 1 },
+  ];
+  const found: string[] = [];
+  for (const { seeds, workers, share } of arms) {
+    const deployments = seeds.map(seed => ({ seed, workers }));
+    found.push(
+      ...(await deploymentsWithFailedJobs(deployments, (site, machines) =>
+        disconnectInSeries(site, machines, { ...UNREACHABLE, share }),
+      )),
+    );
+  }
+  assert.deepEqual(found, []);
+});
