Losses: a worker that is out of reach, or has left, counts against no task

Callers saw jobs as failed, "workers were lost each time it ran", though no task had failed and no worker had crashed.

Cause: the runs of a worker that does not answer are given up when its lease has ended. Its loss counted as doubtful against them also where its entry was still kept up in the registry, which only a live worker does, and where it had left as announced. Five such losses at one age give a task up; after a cut all its tasks start again at one time, and the next cut finds them all at one age. A worker whose entry had lapsed as well was taken for crashed, which nothing took back when it answered again.

Why it works: the reason that speaks for a task is a crash. What is known to be none is recorded as unrelated, which neither counts nor clears; a worker that answers again refutes its loss, so that the record that it was reached takes it back, by incarnation, on all hosts alike.

--- a/packages/daemon/src/job-host/run-recorder.ts
+++ b/packages/daemon/src/job-host/run-recorder.ts
@@ -163,13 +163,13 @@
   ): WorkerLossKind {
     const presence = this.options.fleet().presenceOf(worker);
     if (presence === 'leaving') {
-      return 'unknown';
+      return 'left';
     }
     switch (reason) {
       case 'replaced':
         return 'crashed';
       case 'unanswered':
-        return presence === 'gone' ? 'crashed' : 'unknown';
+        return presence === 'gone' ? 'crashed' : 'unreachable';
       case 'unregistered':
         return 'gone';
     }
@@ -261,11 +261,14 @@
       return;
     }
     const id = workerIdOf(worker);
-    this.options.decisions.record({ kind: 'reached', worker: id }, written => {
-      if (written) {
-        done();
-      }
-    });
+    this.options.decisions.record(
+      { kind: 'reached', worker: id, incarnation: worker },
+      written => {
+        if (written) {
+          done();
+        }
+      },
+    );
     this.options.onChange();
   }
 
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -5,6 +5,7 @@
   discountExplainedLosses,
   isAbandoned,
   noteLoss,
+  retractLosses,
   workersLostUnder,
 } from './suspect-tasks.js';
 import { noteLossApplied } from './loss.js';
@@ -105,6 +106,7 @@
     case 'reached':
       state.reachedInEpoch.set(record.worker, state.claim.epoch);
       state.unresponsiveSince.delete(record.worker);
+      retractLosses(state, record.incarnation ?? record.worker);
       return true;
     case 'restate':
       applyImage(state, record.image);
@@ -234,7 +236,7 @@
     noteLoss(state, task, lost.worker, { suspicion, age, noise });
     const { claim, now: at, journalTime } = state;
     const applied = { run, epoch: claim.epoch, at, journalAt: journalTime.now };
-    noteLossApplied(task.lossHistory, applied);
+    noteLossApplied(task.lossHistory, lost.worker, applied);
     failIfAbandoned(state, task);
   }
   return applyEnd(state, {
--- a/packages/domain/src/jobs/loss-attribution.ts
+++ b/packages/domain/src/jobs/loss-attribution.ts
@@ -23,9 +23,9 @@
 
 /**
  * How a worker was lost: `crashed`; `gone` if it was removed from the registry, perhaps after it had
- * announced its departure; or `unknown` if it may only be unreachable or has left as announced.
+ * announced its departure; `left` if it had announced that; or `unreachable` if it is still registered.
  */
-export type WorkerLossKind = 'crashed' | 'gone' | 'unknown';
+export type WorkerLossKind = 'crashed' | 'gone' | 'left' | 'unreachable';
 
 /** Evidence about the loss of a worker. */
 export interface LossEvidence {
@@ -52,7 +52,8 @@
   const recent = runs.filter(run => !settled.has(run));
   const jobs = new Set(recent.map(jobOf));
   const undoubted = jobs.size === 1 ? 'sole' : 'shared';
-  const isUnexplained = lossKind !== 'unknown' && recent.length === 0;
+  const isEvident = isEvidentLoss(lossKind);
+  const isUnexplained = isEvident && recent.length === 0;
   const lostUnderSuspects = [...state.suspects]
     .filter(isSuspect)
     .flatMap(workersLostUnder);
@@ -68,12 +69,25 @@
       const isUndoubted =
         lossKind === 'crashed' && isFleetHealthy && isPrecise(age);
       const forRecent = isUndoubted ? undoubted : 'doubtful';
-      const suspicion = settled.has(run) ? forSettled : forRecent;
+      const counted = isEvident ? forRecent : 'unrelated';
+      const suspicion = settled.has(run) ? forSettled : counted;
       return [run, { suspicion, age, noise }];
     }),
   );
 }
 
+/** Tells whether a worker is known to be lost other than by leaving as announced. */
+function isEvidentLoss(lossKind: WorkerLossKind): boolean {
+  switch (lossKind) {
+    case 'crashed':
+    case 'gone':
+      return true;
+    case 'left':
+    case 'unreachable':
+      return false;
+  }
+}
+
 /** Tells whether an age is known precisely enough to compare it with the ages of other losses. */
 function isPrecise({ from, to }: SpanBounds): boolean {
   return to - from <= MAX_AGE_UNCERTAINTY_MS;
--- a/packages/domain/src/jobs/loss.ts
+++ b/packages/domain/src/jobs/loss.ts
@@ -19,6 +19,8 @@
   'cleared',
   /** All runs on the worker had been running for long, and the worker crashed or was removed. */
   'unexplained',
+  /** The worker has left as announced, or may only be unreachable: no run is the cause. */
+  'unrelated',
 ] as const;
 
 /** How likely it is that a run caused the loss of its worker. */
@@ -80,10 +82,11 @@
 /** Keeps when this host applied the record of the newest loss; does nothing if no loss counts. */
 export function noteLossApplied(
   { losses }: LossHistory,
+  worker: string,
   applied: AppliedLoss,
 ): void {
   const newest = losses.at(-1);
-  if (newest !== undefined) {
+  if (newest?.worker === worker) {
     newest.applied = applied;
   }
 }
--- a/packages/domain/src/jobs/record-rows.ts
+++ b/packages/domain/src/jobs/record-rows.ts
@@ -102,7 +102,7 @@
   | ['restate', JobImage]
   | ['release', unknown]
   | ['learnt', LearnedEstimates]
-  | ['reached', string]
+  | ['reached', string, string?]
   | ['b', string]
   | ['a', unknown, unknown]
   | ['s' | 'm', unknown, number, unknown, unknown?]
@@ -175,7 +175,11 @@
     case 'learnt':
       return { kind: 'learnt', learnt: parseEstimates(row[1]) };
     case 'reached':
-      return { kind: 'reached', worker: row[1] };
+      return {
+        kind: 'reached',
+        worker: row[1],
+        ...(row[2] === undefined ? {} : { incarnation: row[2] }),
+      };
     case 'b':
       return { kind: 'begun', job: row[1] };
     case 'a': {
@@ -287,7 +291,9 @@
     case 'learnt':
       return ['learnt', record.learnt];
     case 'reached':
-      return ['reached', record.worker];
+      return record.incarnation === undefined
+        ? ['reached', record.worker]
+        : ['reached', record.worker, record.incarnation];
     case 'begun':
       return ['b', record.job];
     case 'abandoned':
--- a/packages/domain/src/jobs/suspect-tasks.ts
+++ b/packages/domain/src/jobs/suspect-tasks.ts
@@ -146,6 +146,8 @@
     case 'cleared':
       task.lossHistory.losses = [];
       return;
+    case 'unrelated':
+      return;
     case 'sole':
     case 'shared':
     case 'doubtful': {
@@ -186,6 +188,16 @@
   }
 }
 
+/** Takes back the losses of an incarnation that has answered again: it was only unreachable. */
+export function retractLosses(state: JobsState, worker: string): void {
+  state.workerLosses.delete(worker);
+  for (const { lossHistory } of state.suspects) {
+    lossHistory.losses = lossHistory.losses.filter(
+      loss => loss.worker !== worker,
+    );
+  }
+}
+
 /** Notes that a worker was lost. */
 export function noteWorkerLoss(
   { workerLosses, now }: JobsState,
