Losses: workers that are lost together hardly count against a task

Cause: whether five doubtful losses are chance was told by the share of other workers that are lost. Workers lost under any suspected task were left out of it, as explained. Where many are lost together all their tasks come under suspicion, each explains the losses of all others, and what is left is no noise: 0.05 was told where 0.6 of the workers were lost each 3 s and a run settled in none of them. Tasks that start again together after such a crash are all of one age at the next, which passed for evidence besides. And a worker that was lost counted as noise only once its lease had ended, after a loss that it should have cast doubt on.

Why it works: a task crashes the worker that runs it and no other. Silent workers count as noise at once.

--- a/packages/daemon/src/job-host/failure-log.ts
+++ b/packages/daemon/src/job-host/failure-log.ts
@@ -122,8 +122,10 @@
   failures: RunFailures,
   now: Instant,
 ): Record<string, unknown> {
-  const { worker, suspicion, age, noise = 0, resumedFrom, applied } = loss;
-  const fields = { worker, suspicion, age, noise, resumedFrom };
+  const { worker, suspicion, age, resumedFrom, applied } = loss;
+  const { noise = 0, concurrentShare = 0 } = loss;
+  const judged = { suspicion, age, noise, concurrentShare };
+  const fields = { worker, ...judged, resumedFrom };
   if (applied === undefined) {
     return { ...fields, msAgo: 'unknown' };
   }
--- a/packages/daemon/src/job-host/leader-leases.ts
+++ b/packages/daemon/src/job-host/leader-leases.ts
@@ -30,8 +30,8 @@
   readonly fleet: Fleet;
   /** Monotonic time at which the last confirmed append was sent. */
   readonly confirmedSentAt: () => Instant;
-  /** Runs at a worker without a link are abandoned because its lease has expired. */
-  readonly onRunsAbandoned: (worker: string, runs: readonly Run[]) => void;
+  /** Runs at workers without a link are abandoned, by worker, because their leases have expired. */
+  readonly onRunsAbandoned: (lost: ReadonlyMap<string, readonly Run[]>) => void;
 }
 
 /** A worker that does not answer, and the time by which its lease has expired. */
@@ -103,22 +103,22 @@
 
   /** Abandons runs at workers that do not answer or are not registered, once their leases have expired. */
   abandonExpired(): void {
-    const now = this.options.ctx.clock();
+    const { ctx, state, fleet, onRunsAbandoned } = this.options;
+    const now = ctx.clock();
+    const unregistered = new Map<string, readonly Run[]>();
     for (const { worker, leaseEnd } of this.unresponsiveWorkers()) {
-      const link = this.options.fleet.linkToCurrent(worker);
+      const link = fleet.linkToCurrent(worker);
       if (link !== undefined) {
         link.abandonIfExpired(now);
       } else if (now > leaseEnd) {
-        this.abandonUnregistered(worker);
+        const { runs } = state.workers.get(worker) ?? {};
+        unregistered.set(worker, [...(runs?.values() ?? [])]);
       }
     }
-  }
-
-  private abandonUnregistered(worker: string): void {
-    const { ctx, state, onRunsAbandoned } = this.options;
-    const runs = [...(state.workers.get(worker)?.runs.values() ?? [])];
-    logAbandonedRuns(ctx, worker, runs, 'unregistered');
-    onRunsAbandoned(worker, runs);
+    unregistered.forEach((runs, worker) => {
+      logAbandonedRuns(ctx, worker, runs, 'unregistered');
+    });
+    onRunsAbandoned(unregistered);
   }
 
   /** How long leases of this leader may hold after a record that is written now. */
--- a/packages/daemon/src/job-host/run-recorder.ts
+++ b/packages/daemon/src/job-host/run-recorder.ts
@@ -7,6 +7,7 @@
   noteWorkerLoss,
   refOf,
   attributeLoss,
+  unsettledJobs,
   workerIdOf,
   workersLostUnder,
   type LossAttribution,
@@ -100,6 +101,7 @@
       return;
     }
     this.abandonedWorkers.add(worker);
+    this.noteContactLost(worker, runs, lostBy);
     const { ctx, claim, state, fleet } = this.options;
     const now = ctx.clock();
     const lossKind = this.lossKindOf(worker, reason);
@@ -123,6 +125,30 @@
     }
   }
 
+  /** Records the ends of the runs at workers that are not registered any more. */
+  recordUnregistered(lost: ReadonlyMap<string, readonly Run[]>): void {
+    const now = this.options.ctx.clock();
+    // All are noted first, since it matters which workers were lost together.
+    lost.forEach((runs, worker) => {
+      this.noteContactLost(worker, runs, now);
+    });
+    lost.forEach((runs, worker) => {
+      this.recordAbandoned(worker, runs, 'unregistered', now);
+    });
+  }
+
+  /** Notes that a worker with these runs has stopped answering, or is not registered. */
+  noteContactLost(worker: string, runs: Iterable<Run>, at: Instant): void {
+    const { state, claim } = this.options;
+    const jobs = unsettledJobs(state, runs, claim.wonAt);
+    state.lostContacts.noteLost(worker, at, jobs);
+  }
+
+  /** Notes that a worker answers again. */
+  noteContact(worker: string): void {
+    this.options.state.lostContacts.noteAnswered(worker);
+  }
+
   /** Records that a run has started at a later incarnation of its worker. */
   recordMove(run: Run, worker: string): void {
     if (this.closed) {
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -229,11 +229,17 @@
   state: JobsState,
   record: Extract<JournalRecord, { kind: 'lost' }>,
 ): boolean {
-  const { task: ref, run, checkpoint, suspicion, age, noise = 0 } = record;
+  const { task: ref, run, checkpoint, suspicion, age } = record;
+  const { noise = 0, concurrentShare = 0 } = record;
   const task = findTask(state, ref);
   const lost = task?.runs.find(({ number }) => number === run);
   if (task !== undefined && lost !== undefined) {
-    noteLoss(state, task, lost.worker, { suspicion, age, noise });
+    noteLoss(state, task, lost.worker, {
+      suspicion,
+      age,
+      noise,
+      concurrentShare,
+    });
     const { claim, now: at, journalTime } = state;
     const applied = { run, epoch: claim.epoch, at, journalAt: journalTime.now };
     noteLossApplied(task.lossHistory, lost.worker, applied);
--- a/packages/domain/src/jobs/loss.ts
+++ b/packages/domain/src/jobs/loss.ts
@@ -38,6 +38,8 @@
   readonly age: SpanBounds;
   /** Probability with which workers that did not run the task are being lost while a run settles. */
   readonly noise: number;
+  /** Share of the workers with other jobs that were lost at the same time; 0 if fewer than two were. */
+  readonly concurrentShare: number;
 }
 
 /** The journal record of a loss, as this host applied it. */
@@ -60,6 +62,8 @@
   readonly age: SpanBounds;
   /** Probability with which a healthy worker was being lost, at that time, while a run settles; absent if 0. */
   readonly noise?: number;
+  /** Share of the workers with other jobs that were lost at the same time; absent if 0. */
+  readonly concurrentShare?: number;
   /** Checkpoint from which the run resumed; empty if it started from scratch. */
   readonly resumedFrom: string;
   /** The record of the loss; absent if the loss was read from a restated job. */
--- a/packages/domain/src/jobs/record-rows.ts
+++ b/packages/domain/src/jobs/record-rows.ts
@@ -118,6 +118,7 @@
   unknown?,
   unknown?,
   unknown?,
+  unknown?,
 ];
 
 /**
@@ -214,7 +215,7 @@
 /** Decodes the end of a run. */
 function decodeEnd(row: EndRow): JournalRecord {
   const [, name, run, how, checkpoint = '', cause, ...more] = row;
-  const [from, to, noise] = more;
+  const [from, to, noise, concurrentShare] = more;
   const task = parseTaskName(name);
   if (how !== 'lapsed' || cause === WORKER_PRESENT) {
     return { kind: 'end', task, run, how, checkpoint };
@@ -224,7 +225,11 @@
   const lost = { task, run, checkpoint, suspicion };
   const age = parseSpan(from, to);
   const loss = { kind: 'lost', ...lost, age } as const;
-  return typeof noise === 'number' ? { ...loss, noise } : loss;
+  return {
+    ...loss,
+    ...(typeof noise === 'number' && noise > 0 ? { noise } : {}),
+    ...(typeof concurrentShare === 'number' ? { concurrentShare } : {}),
+  };
 }
 
 /** Column from which earlier versions read the ages of claims; if it is empty, they wait the longest. */
@@ -311,11 +316,17 @@
       return checkpoint === '' ? row : [...row, checkpoint];
     }
     case 'lost': {
-      const { task, run, checkpoint, suspicion, age, noise = 0 } = record;
+      const { task, run, checkpoint, suspicion, age } = record;
+      const { noise = 0, concurrentShare = 0 } = record;
       const row = ['e', taskName(task), run, 'lapsed', checkpoint, suspicion];
-      const isKnown = age.from > 0 || age.to < Infinity || noise > 0;
-      const known = isKnown ? [...row, ...spanRow(age)] : row;
-      return noise > 0 ? [...known, noise] : known;
+      const aged = [...row, ...spanRow(age)];
+      if (concurrentShare > 0) {
+        return [...aged, noise, concurrentShare];
+      }
+      if (noise > 0) {
+        return [...aged, noise];
+      }
+      return age.from > 0 || age.to < Infinity ? aged : row;
     }
   }
 }
--- a/packages/domain/src/jobs/records.ts
+++ b/packages/domain/src/jobs/records.ts
@@ -127,6 +127,8 @@
       readonly age: SpanBounds;
       /** Probability of losing a healthy worker while a run settles; absent in records of earlier versions. */
       readonly noise?: number;
+      /** Share of the workers with other jobs that were lost at the same time; absent if 0. */
+      readonly concurrentShare?: number;
     }
   /**
    * A task is abandoned: these workers were lost while running it, so that their losses count less for other
