Quarantine: a task that was lost often waits until workers hold

Callers accept five starts of a task that crashes its workers.

Cause: the next start came as soon as a worker was free, however many were being lost.

Change: from the fourth loss on a task waits while a tenth of the workers, two at least, were lost within 3 s without a suspected task as the reason, for 6 s at the most, then starts as others do.

Evidence: 'a task that was lost often does not start while workers are lost together' failed before.

Why it works: the loss that follows in calm is one that counts.

--- a/packages/domain/src/jobs/quarantine.test.ts
+++ b/packages/domain/src/jobs/quarantine.test.ts
@@ -181,3 +181,44 @@
   planSpeculativeCopies(input, ({ worker }) => copies.push(worker));
   assert.equal(copies.length, 1);
 });
+
+/** Loses workers under a task together with others, so often that the next loss may decide. */
+function loseOften(state: JobsState, task: Task): void {
+  for (let at = 0; at < 4; at += 1) {
+    const { number: run } = startOn(state, task, `lost${task.lastRun}`);
+    const lost = { task: refOf(task), run, checkpoint: '' };
+    const loss = { suspicion: 'doubtful', age: UNKNOWN_SPAN } as const;
+    const record = { kind: 'lost', ...lost, ...loss } as const;
+    applyRecord(state, { ...record, concurrentShare: 0.5 });
+  }
+}
+
+function loseWorkers(state: JobsState, at: number): void {
+  for (const worker of ['x1', 'x2', 'x3']) {
+    state.lostContacts.noteLost(worker, at, new Set());
+  }
+}
+
+// Guards against a task that costs more workers than callers accept: a loss among many others decides nothing.
+test('a task that was lost often does not start while workers are lost together', () => {
+  const state = stateOf(testJob('a', [{ tasks: 1 }]));
+  loseOften(state, taskOf(state, 'a', 0, 0));
+  loseWorkers(state, 0);
+  assert.deepEqual(planRound(state, WORKERS, 2_900), []);
+  assert.deepEqual(planRound(state, WORKERS, 3_100), ['a0 w1']);
+});
+
+test('a task that was lost often waits no longer than 6 s', () => {
+  const state = stateOf(testJob('a', [{ tasks: 1 }]));
+  loseOften(state, taskOf(state, 'a', 0, 0));
+  loseWorkers(state, 5_000);
+  assert.deepEqual(planRound(state, WORKERS, 5_900), []);
+  assert.deepEqual(planRound(state, WORKERS, 6_100), ['a0 w1']);
+});
+
+test('a task that was lost less often starts while workers are lost together', () => {
+  const state = stateOf(testJob('a', [{ tasks: 1 }]));
+  startAndLose(state, taskOf(state, 'a', 0, 0));
+  loseWorkers(state, 0);
+  assert.deepEqual(planRound(state, WORKERS, 100), ['a0 w1']);
+});
--- a/packages/domain/src/jobs/suspect-tasks.ts
+++ b/packages/domain/src/jobs/suspect-tasks.ts
@@ -145,6 +145,14 @@
   return new Set(tasks.map(({ step }) => step.occurrence.job));
 }
 
+/**
+ * Tells whether the next loss may decide that a task is abandoned, however doubtful it is: users accept no
+ * further start of a task that crashes its workers.
+ */
+export function isLastDoubt({ lossHistory }: Task): boolean {
+  return lossHistory.losses.length >= ABANDON_AT_LOSSES - 1;
+}
+
 /** Returns the workers that were lost while they ran a task, since it came under suspicion. */
 export function workersLostUnder({ lossHistory }: Task): string[] {
   return lossHistory.losses.map(({ worker }) => worker);
