Ends of runs: an unknown kind counts as stopped

No attempt was counted for an unknown kind (only 'failed' counts), but the exhaustive switch returned nothing, so that the task had no time at which it ended.

--- a/packages/domain/src/jobs/record-rows.test.ts
+++ b/packages/domain/src/jobs/record-rows.test.ts
@@ -53,6 +53,16 @@
   );
 });
 
+// Guards against ends that are counted as attempts, or leave a task without a time at which it ended.
+test('an end that this version does not know is neither done nor an attempt', () => {
+  const name = '00000000000000a1.0.0.0';
+  for (const how of ['exploded', '', null, 7, {}]) {
+    const found = decodeJournal(bytesOf(['e', name, 1, how]));
+    const ended = { task: TASK, run: 1, how: 'stopped', checkpoint: '' };
+    assert.deepEqual(found, { kind: 'end', ...ended });
+  }
+});
+
 function rowOf(record: JournalRecord): unknown[] {
   return JSON.parse(
     new TextDecoder().decode(encodeRecord(record)),
--- a/packages/domain/src/jobs/record-rows.ts
+++ b/packages/domain/src/jobs/record-rows.ts
@@ -10,11 +10,11 @@
 } from './incarnation.js';
 import { parseEstimates, type LearnedEstimates } from './learned-estimates.js';
 import { SUSPICIONS, type Suspicion } from './loss.js';
-import type {
-  LeaseHandover,
-  InboxRecord,
-  JournalRecord,
-  RunEnd,
+import {
+  parseRunEnd,
+  type LeaseHandover,
+  type InboxRecord,
+  type JournalRecord,
 } from './records.js';
 import type { JobImage } from './restate.js';
 import { parseCapacityRows, capacityColumns } from './capacity-rows.js';
@@ -112,7 +112,7 @@
   'e',
   unknown,
   number,
-  RunEnd,
+  unknown,
   string?,
   ExpiryCause?,
   unknown?,
@@ -209,8 +209,9 @@
 
 /** Decodes the end of a run. */
 function decodeEnd(row: EndRow): JournalRecord {
-  const [, name, run, how, checkpoint = '', cause, ...more] = row;
+  const [, name, run, found, checkpoint = '', cause, ...more] = row;
   const [from, to, noise] = more;
+  const how = parseRunEnd(found);
   const task = parseTaskName(name);
   if (how !== 'lapsed' || cause === WORKER_PRESENT) {
     return { kind: 'end', task, run, how, checkpoint };
--- a/packages/domain/src/jobs/records.ts
+++ b/packages/domain/src/jobs/records.ts
@@ -34,8 +34,23 @@
  * How a run ended. `lapsed`: its lease expired; `broken`: another member of its gang ended early; `alone`:
  * the other members of its gang did not start in time; `void`: it never started.
  */
-export type RunEnd =
-  'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone' | 'void';
+export const RUN_ENDS = [
+  'done',
+  'failed',
+  'stopped',
+  'lapsed',
+  'broken',
+  'alone',
+  'void',
+] as const;
+
+/** One of `RUN_ENDS`. */
+export type RunEnd = (typeof RUN_ENDS)[number];
+
+/** Returns how a run ended; an unknown end counts as `stopped`, which is neither done nor an attempt. */
+export function parseRunEnd(how: unknown): RunEnd {
+  return RUN_ENDS.find(known => known === how) ?? 'stopped';
+}
 
 /**
  * Remaining times of leases as a leader reports them in its heartbeats: upper bounds at the time of writing.
