--- a/packages/domain/src/jobs/failure-causes.test.ts
+++ b/packages/domain/src/jobs/failure-causes.test.ts
@@ -13,6 +13,8 @@
 import { isAbandoned, workersLostUnder } from './suspect-tasks.js';
 import {
   applyRecord,
+  endRun,
+  startOn,
   stateOf,
   taskOf,
   testJob,
@@ -330,3 +332,15 @@
     { numRuns: 2_000, seed: 69 },
   );
 });
+
+// Guards against a job that fails by terms other than those with which it was first accepted.
+test('attempts are counted against the terms of the first submission', () => {
+  const first = testJob('j', [{}], { maxAttempts: 3 });
+  const again = testJob('j', [{}], { maxAttempts: 1 });
+  const state = stateOf(first, again);
+  const task = taskOf(state, 'j', 0, 0);
+  for (const status of ['running', 'running', 'failed']) {
+    endRun(state, startOn(state, task, 'w'), 'failed');
+    assert.equal(statusOf(task.step.occurrence.job), status);
+  }
+});
