--- a/packages/domain/src/jobs/failure-causes.test.ts
+++ b/packages/domain/src/jobs/failure-causes.test.ts
@@ -46,6 +46,7 @@
       readonly suspicion: Suspicion;
     }
   | { readonly kind: 'cancel'; readonly job: number }
+  | { readonly kind: 'reach'; readonly worker: number }
   | { readonly kind: 'restate'; readonly job: number };
 
 const job = fc.nat(JOBS.length - 1);
@@ -80,6 +81,10 @@
       weight: 1,
       arbitrary: fc.record({ kind: fc.constant('cancel' as const), job }),
     },
+    {
+      weight: 1,
+      arbitrary: fc.record({ kind: fc.constant('reach' as const), worker }),
+    },
     {
       weight: 1,
       arbitrary: fc.record({ kind: fc.constant('restate' as const), job }),
@@ -112,6 +117,9 @@
       case 'lose':
         this.lose(`w${action.worker}`, action.suspicion);
         return;
+      case 'reach':
+        this.record({ kind: 'reached', worker: `w${action.worker}` });
+        return;
       case 'cancel': {
         const id = JOBS[action.job]?.id ?? '';
         this.cancels.push([id, this.journal.length]);
