--- a/packages/domain/src/jobs/failure-causes.test.ts
+++ b/packages/domain/src/jobs/failure-causes.test.ts
@@ -13,6 +13,8 @@
 import { isAbandoned, workersLostUnder } from './suspect-tasks.js';
 import {
   applyRecord,
+  endRun,
+  startOn,
   stateOf,
   taskOf,
   testJob,
@@ -44,6 +46,7 @@
       readonly suspicion: Suspicion;
     }
   | { readonly kind: 'cancel'; readonly job: number }
+  | { readonly kind: 'reach'; readonly worker: number }
   | { readonly kind: 'restate'; readonly job: number };
 
 const job = fc.nat(JOBS.length - 1);
@@ -78,6 +81,10 @@
       weight: 1,
       arbitrary: fc.record({ kind: fc.constant('cancel' as const), job }),
     },
+    {
+      weight: 1,
+      arbitrary: fc.record({ kind: fc.constant('reach' as const), worker }),
+    },
     {
       weight: 1,
       arbitrary: fc.record({ kind: fc.constant('restate' as const), job }),
@@ -110,6 +117,9 @@
       case 'lose':
         this.lose(`w${action.worker}`, action.suspicion);
         return;
+      case 'reach':
+        this.record({ kind: 'reached', worker: `w${action.worker}` });
+        return;
       case 'cancel': {
         const id = JOBS[action.job]?.id ?? '';
         this.cancels.push([id, this.journal.length]);
@@ -330,3 +340,15 @@
     { numRuns: 2_000, seed: 69 },
   );
 });
+
+// Guards against a job that fails by terms other than those with which it was first accepted.
+test('attempts are counted against the terms of the first submission', () => {
+  const first = testJob('j', [{}], { maxAttempts: 3 });
+  const again = testJob('j', [{}], { maxAttempts: 1 });
+  const state = stateOf(first, again);
+  const task = taskOf(state, 'j', 0, 0);
+  for (const status of ['running', 'running', 'failed']) {
+    endRun(state, startOn(state, task, 'w'), 'failed');
+    assert.equal(statusOf(task.step.occurrence.job), status);
+  }
+});
