--- a/packages/bench/src/demo/platform-hosts.ts
+++ b/packages/bench/src/demo/platform-hosts.ts
@@ -27,6 +27,8 @@
   readonly callers: string;
   /** Where the balancer asks. */
   readonly readiness: string;
+  /** Where its metrics are read. */
+  readonly metrics: string;
   /** Tells whether its log says that it came to lead. */
   hasLed(): Promise<boolean>;
 }
@@ -35,6 +37,15 @@
   readonly msg: string;
   readonly callers?: number;
   readonly readiness?: number;
+  readonly metrics?: string;
+}
+
+/** What distinguishes one start of a host from others. */
+export interface PlatformHostOptions {
+  /** Name of its settings and log files; that of the host if it is not given. */
+  readonly fileName?: string;
+  /** Settings that replace the defaults. */
+  readonly fields?: Readonly<Record<string, unknown>>;
 }
 
 /** Starts a host with settings and log in `directory`; resolves once it listens. */
@@ -43,10 +54,11 @@
   directory: string,
   name: string,
   store: StoreServer,
+  { fileName = name, fields = {} }: PlatformHostOptions = {},
 ): Promise<PlatformHost> {
-  const settings = join(directory, `${name}.json`);
-  const logFile = join(directory, `${name}.log`);
-  writeFileSync(settings, hostSettings(name, store));
+  const settings = join(directory, `${fileName}.json`);
+  const logFile = join(directory, `${fileName}.log`);
+  writeFileSync(settings, hostSettings(name, store, fields));
   const child = group.start({
     name,
     args: [DAEMON],
@@ -65,6 +77,7 @@
     child,
     callers: `http://127.0.0.1:${line.callers ?? 0}`,
     readiness: `http://127.0.0.1:${line.readiness ?? 0}`,
+    metrics: `http://${line.metrics ?? ''}/metrics`,
     hasLed: async () =>
       (await findLine(logFile, 'leadership: this host leads')) !== undefined,
   };
--- /dev/null
+++ b/packages/bench/src/failed-jobs/summary.ts
@@ -0,0 +1,64 @@
+/** Summary of a run, with all that the logs say about each job that was shown as failed without a cause. */
+import type { LostRun } from './evidence.js';
+import type { RunReport } from './run.js';
+
+/** Summary of one run, printed as a line of JSON. */
+export interface RunSummary {
+  readonly arm: string;
+  readonly seed: number;
+  readonly jobs: number;
+  readonly crashedWorkers: number;
+  readonly leaders: number;
+  readonly failed: number;
+  readonly unfounded: readonly object[];
+  /** Number of lost runs by suspicion, reason and whether the worker had crashed. */
+  readonly lost: Readonly<Record<string, number>>;
+  /** Tasks that were given up, and of these those that lost workers that had not crashed. */
+  readonly givenUp: number;
+  readonly unsent: Readonly<Record<string, number>>;
+  readonly violations: readonly string[];
+}
+
+/** Summarizes a run. */
+export function summarize(report: RunReport): RunSummary {
+  const { evidence } = report;
+  return {
+    arm: report.arm,
+    seed: report.seed,
+    jobs: report.jobs,
+    crashedWorkers: report.crashedWorkers,
+    leaders: evidence.leaders,
+    failed: report.failed.length,
+    unfounded: report.unfounded.map(job => ({
+      ...job,
+      givenUp: evidence.givenUp.filter(({ task }) => isOf(task, job.id)),
+      lost: lossesOfGivenUp(report, job.id),
+    })),
+    lost: countLosses(evidence.lost),
+    givenUp: evidence.givenUp.length,
+    unsent: evidence.unsent,
+    violations: report.violations,
+  };
+}
+
+/** Returns the lost runs of the job's tasks that were given up, or of all its tasks if none was. */
+function lossesOfGivenUp({ evidence }: RunReport, id: string): LostRun[] {
+  const ofJob = evidence.lost.filter(({ task }) => isOf(task, id));
+  const tasks = new Set(evidence.givenUp.map(({ task }) => task));
+  const ofTasks = ofJob.filter(({ task }) => tasks.has(task));
+  return ofTasks.length > 0 ? ofTasks : ofJob;
+}
+
+function isOf(task: string, job: string): boolean {
+  return task.startsWith(`${job}.`);
+}
+
+function countLosses(lost: readonly LostRun[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const { suspicion, reason, crash } of lost) {
+    const state = crash === 'alive' ? 'alive' : 'crashed';
+    const key = `${state} ${reason} ${suspicion}`;
+    counts[key] = (counts[key] ?? 0) + 1;
+  }
+  return counts;
+}
--- a/packages/stand-ins/src/users-platform/deployment.ts
+++ b/packages/stand-ins/src/users-platform/deployment.ts
@@ -6,7 +6,7 @@
 import { WorkerServer } from './worker-server.js';
 
 /** Maximum lease that a worker grants, in milliseconds. */
-const MAX_LEASE_MS = 6_000;
+export const MAX_LEASE_MS = 6_000;
 
 /** Returns the text of a host's settings file; `fields` replace the defaults. */
 export function settingsText(fields: Record<string, unknown>): string {
@@ -30,9 +30,13 @@
   });
 }
 
-/** Returns the text of the settings file of host `node`, which uses `store`. */
-export function hostSettings(node: string, store: StoreServer): string {
-  return settingsText({ node, platform: platformOf(store.address) });
+/** Returns the text of the settings file of host `node`, which uses `store`; `fields` replace the defaults. */
+export function hostSettings(
+  node: string,
+  store: StoreServer,
+  fields: Record<string, unknown> = {},
+): string {
+  return settingsText({ node, platform: platformOf(store.address), ...fields });
 }
 
 function platformOf(address: string): Record<string, unknown> {
--- a/packages/stand-ins/src/users-platform/http.ts
+++ b/packages/stand-ins/src/users-platform/http.ts
@@ -21,12 +21,15 @@
 /** Handles one request. */
 export type RawHandler = (req: RawRequest) => Promise<RawReply | undefined>;
 
-/** Starts a server on a free port of the loopback interface. */
-export function startRawServer(handler: RawHandler): Promise<Listener> {
+/** Starts a server on a port of the loopback interface; 0 picks a free one. */
+export function startRawServer(
+  handler: RawHandler,
+  port = 0,
+): Promise<Listener> {
   const server = http.createServer((req, res) => {
     void serve(handler, req, res);
   });
-  return listen(server, {});
+  return listen(server, { port });
 }
 
 async function serve(
--- a/packages/stand-ins/src/users-platform/store-server.ts
+++ b/packages/stand-ins/src/users-platform/store-server.ts
@@ -1,4 +1,6 @@
 /** Test double of the platform's store: a log over HTTP, with topics that keep the latest record by key. */
+import { setMaxListeners } from 'node:events';
+
 import type { AppendResult, WriterStamp } from '@paddlewind/ports/jobs';
 
 import type { Listener } from '../http/json-server.js';
@@ -27,14 +29,27 @@
 
 /** Store that is served over HTTP. */
 export class StoreServer {
-  /** In mode `losing`, appends take effect but are not answered. */
-  mode: StoreMode = 'up';
   /** Number of calls by path. */
   readonly calls = new Map<string, number>();
 
+  private currentMode: StoreMode = 'up';
+  /** Ends the reads that wait for a record. */
+  private outage = createOutage();
   private readonly partitions = new Map<string, LogPartition>();
   private listener: Listener | undefined;
 
+  /** In mode `losing`, appends take effect but are not answered. */
+  get mode(): StoreMode {
+    return this.currentMode;
+  }
+
+  /** Changes the mode; reads that wait for a record end as others do in that mode. */
+  set mode(mode: StoreMode) {
+    this.currentMode = mode;
+    this.outage.abort();
+    this.outage = createOutage();
+  }
+
   /** `ip:port`. */
   get address(): string {
     return this.listener?.address ?? '';
@@ -75,21 +90,28 @@
   }
 
   private async handle(req: RawRequest): Promise<RawReply | undefined> {
-    const { pathname, searchParams } = req.url;
+    const { pathname } = req.url;
     this.calls.set(pathname, (this.calls.get(pathname) ?? 0) + 1);
-    if (this.mode === 'silent') {
-      return undefined;
-    }
-    if (this.mode === 'refusing') {
-      return jsonReply(REFUSED, { error: 'refusing' });
+    switch (this.mode) {
+      case 'silent':
+        return undefined;
+      case 'refusing':
+        return refusedReply();
+      case 'up':
+      case 'losing':
+        return this.answer(req);
     }
+  }
+
+  private async answer(req: RawRequest): Promise<RawReply | undefined> {
+    const { pathname, searchParams } = req.url;
     const topic = searchParams.get('topic') ?? '';
     const partition = this.partition(topic, searchParams.get('part') ?? '0');
     switch (pathname) {
       case '/v1/log-append':
         return this.append(req, partition);
       case '/v1/log-read':
-        return read(searchParams, partition);
+        return this.read(searchParams, partition);
       case '/v1/log-newest':
         return jsonReply(200, newest(partition));
       default:
@@ -97,6 +119,24 @@
     }
   }
 
+  /** Answers a read; one that waits while the store fails is not answered with records. */
+  private async read(
+    query: URLSearchParams,
+    partition: LogPartition,
+  ): Promise<RawReply | undefined> {
+    const { signal } = this.outage;
+    const reply = await read(query, partition, signal);
+    switch (this.mode) {
+      case 'silent':
+        return undefined;
+      case 'refusing':
+        return refusedReply();
+      case 'up':
+      case 'losing':
+        return reply;
+    }
+  }
+
   private append(
     req: RawRequest,
     partition: LogPartition,
@@ -118,6 +158,17 @@
   }
 }
 
+/** Creates the signal of the next outage, which any number of reads listens to. */
+function createOutage(): AbortController {
+  const outage = new AbortController();
+  setMaxListeners(0, outage.signal);
+  return outage;
+}
+
+function refusedReply(): RawReply {
+  return jsonReply(REFUSED, { error: 'refusing' });
+}
+
 function stampOf(query: URLSearchParams): WriterStamp | undefined {
   const writer = query.get('producer');
   return writer === null
@@ -149,6 +200,7 @@
 async function read(
   query: URLSearchParams,
   partition: LogPartition,
+  signal: AbortSignal,
 ): Promise<RawReply> {
   const from = Number(query.get('from'));
   const { firstOffset } = partition;
@@ -160,7 +212,7 @@
     const arrived = new Promise<void>(resolve => {
       partition.onAppend(resolve);
     });
-    await Promise.race([arrived, sleep(waitMs)]);
+    await Promise.race([arrived, sleep(waitMs, signal)]);
   }
   const maxBytes = BYTES_PER_KB * Number(query.get('maxKb') ?? MAX_READ_KB);
   const records = firstBytes(partition.records.slice(from), maxBytes);
--- a/packages/stand-ins/src/users-platform/worker-server.ts
+++ b/packages/stand-ins/src/users-platform/worker-server.ts
@@ -30,10 +30,13 @@
   readonly waitMs?: number;
 }
 
+/** Injected behavior of a worker towards all hosts; it runs on in each mode. */
+export type WorkerMode = 'up' | 'silent' | 'losing';
+
 /** Worker that is served over HTTP. */
 export class WorkerServer {
-  /** Whether calls are ignored and left unanswered. */
-  silent = false;
+  /** In mode `silent`, calls have no effect and no answer; in mode `losing`, an effect but no answer. */
+  mode: WorkerMode = 'up';
   private listener: Listener | undefined;
 
   /** Creates a server for `worker`. */
@@ -44,9 +47,9 @@
     return this.listener?.address ?? '';
   }
 
-  /** Starts listening. */
-  async start(): Promise<void> {
-    this.listener = await startRawServer(req => this.handle(req));
+  /** Starts listening; port 0 picks a free one. */
+  async start(port = 0): Promise<void> {
+    this.listener = await startRawServer(req => this.handle(req), port);
   }
 
   /** Stops listening and closes open connections. */
@@ -75,9 +78,19 @@
   }
 
   private async handle(req: RawRequest): Promise<RawReply | undefined> {
-    if (this.silent) {
+    if (this.mode === 'silent') {
       return undefined;
     }
+    const reply = await this.answer(req);
+    return this.isAnswering() ? reply : undefined;
+  }
+
+  /** Tells whether answers go out; the mode may have changed while a poll waited. */
+  private isAnswering(): boolean {
+    return this.mode === 'up';
+  }
+
+  private async answer(req: RawRequest): Promise<RawReply> {
     if (req.headers['expected-instance'] !== this.worker.traits.id) {
       return jsonReply(421, {});
     }
