--- a/packages/bench/src/failed-jobs/evidence.ts
+++ b/packages/bench/src/failed-jobs/evidence.ts
@@ -2,6 +2,7 @@
 import { readdirSync, readFileSync } from 'node:fs';
 import { join } from 'node:path';
 
+import { SETTLED_MS } from '@paddlewind/domain/jobs';
 import type { WorkerCrash } from '@paddlewind/stand-ins/users-platform';
 
 /** A line of a host's log. */
@@ -33,6 +34,8 @@
   readonly suspicion: string;
   readonly age: string;
   readonly noise: number;
+  /** Number of workers that had crashed in the time that a run takes to settle, by their share of the fleet. */
+  readonly crashShare: number;
   /** Why the leader gave up the runs of the worker. */
   readonly reason: string;
   /** How and how long before the record the worker crashed; `alive` if it did not. */
@@ -56,11 +59,16 @@
   readonly unsent: Readonly<Record<string, number>>;
 }
 
+/** What the platform did to the workers. */
+export interface CrashRecord {
+  /** Workers that crashed, by id. */
+  readonly crashes: ReadonlyMap<string, WorkerCrash>;
+  /** Number of workers of the deployment. */
+  readonly fleetSize: number;
+}
+
 /** Reads all logs in a directory. */
-export function readEvidence(
-  directory: string,
-  crashes: ReadonlyMap<string, WorkerCrash>,
-): Evidence {
+export function readEvidence(directory: string, record: CrashRecord): Evidence {
   const lines = readLines(directory);
   const reasons = new Map<string, string>();
   const lost: LostRun[] = [];
@@ -74,7 +82,7 @@
         break;
       case 'leader: a run has ended':
         if (line.how === 'lost') {
-          lost.push(lostRun(line, reasons, crashes));
+          lost.push(lostRun(line, reasons, record));
         }
         break;
       case 'leader: a task is given up, workers were lost under it':
@@ -120,11 +128,14 @@
 function lostRun(
   line: LogLine,
   reasons: ReadonlyMap<string, string>,
-  crashes: ReadonlyMap<string, WorkerCrash>,
+  { crashes, fleetSize }: CrashRecord,
 ): LostRun {
   const worker = line.worker ?? '';
   const at = timeOf(line);
   const crash = crashes.get(worker);
+  const recent = [...crashes.values()].filter(
+    other => other.at <= at && at - other.at < SETTLED_MS,
+  );
   return {
     task: line.task ?? '',
     run: line.run ?? 0,
@@ -135,6 +146,7 @@
     suspicion: line.suspicion ?? '',
     age: `${line.age?.from ?? '?'}-${line.age?.to ?? '?'}`,
     noise: Number((line.noise ?? 0).toFixed(4)),
+    crashShare: Number((recent.length / fleetSize).toFixed(2)),
     reason: reasons.get(`${line.host} ${worker}`) ?? '?',
     crash:
       crash === undefined || crash.at > at
--- a/packages/bench/src/failed-jobs/fault-plan.ts
+++ b/packages/bench/src/failed-jobs/fault-plan.ts
@@ -22,6 +22,7 @@
   | 'store_outage'
   | 'forget_entry'
   | 'cut_workers'
+  | 'cut_series'
   | 'crash_worker'
   | 'crash_series';
 
@@ -75,6 +76,13 @@
     durationMs: [1_000, 8_000],
     share: [0.05, 0.5],
   },
+  /** Many workers are cut off together for longer than their leases, several times in a row. */
+  cut_series: {
+    arms: ['no_crash', 'all'],
+    everyMs: 25_000,
+    durationMs: [12_000, 35_000],
+    share: [0.3, 0.6],
+  },
   crash_worker: {
     arms: ['single', 'all'],
     everyMs: 2_500,
@@ -84,7 +92,7 @@
   crash_series: {
     arms: ['series', 'all'],
     everyMs: 20_000,
-    durationMs: [6_000, 21_000],
+    durationMs: [9_000, 24_000],
     share: [0.3, 0.6],
   },
 };
--- a/packages/bench/src/failed-jobs/fault-runner.ts
+++ b/packages/bench/src/failed-jobs/fault-runner.ts
@@ -20,6 +20,11 @@
 
 /** Time between two crashes of many workers in a series, in milliseconds. */
 const SERIES_PAUSE_MS = 3_000;
+/** Time that a worker in a series is cut off: about its lease, or longer. */
+const LONG_CUT_MS = [4_500, 7_000] as const;
+/** Time between two cuts in a series, in milliseconds. */
+const CUT_PAUSE_MS = 1_000;
+/** Time until a worker that crashed is replaced. */
 const BACK_AFTER_MS = [1_500, 3_000] as const;
 /** Share of outages in which the store refuses calls; in others it does not answer. */
 const REFUSING_SHARE = 0.5;
@@ -69,6 +74,8 @@
     }
     case 'cut_workers':
       return cutWorkers(targets, fault);
+    case 'cut_series':
+      return cutInSeries(targets, fault);
     case 'crash_worker':
       crashWorkers(targets, 0);
       return;
@@ -117,6 +124,18 @@
   }
 }
 
+async function cutInSeries(
+  targets: FaultTargets,
+  fault: PlannedFault,
+): Promise<void> {
+  const until = performance.now() + fault.durationMs;
+  while (performance.now() < until) {
+    const durationMs = drawBetween(targets.random, LONG_CUT_MS);
+    await cutWorkers(targets, { ...fault, durationMs });
+    await sleep(CUT_PAUSE_MS);
+  }
+}
+
 async function crashInSeries(
   targets: FaultTargets,
   { durationMs, share }: PlannedFault,
@@ -130,11 +149,10 @@
 
 function crashWorkers(targets: FaultTargets, share: number): void {
   const { random, workers } = targets;
-  const [from, to] = BACK_AFTER_MS;
   for (const id of drawWorkers(targets, share)) {
     workers.crash(id, {
       kind: random() < 0.5 ? 'refusing' : 'silent',
-      backAfterMs: from + (to - from) * random(),
+      backAfterMs: drawBetween(random, BACK_AFTER_MS),
       sameAddress: random() < 0.5,
     });
   }
@@ -150,3 +168,10 @@
   const count = Math.max(1, Math.round(share * drawn.length));
   return drawn.slice(0, count).map(({ id }) => id);
 }
+
+function drawBetween(
+  random: Random,
+  [from, to]: readonly [number, number],
+): number {
+  return from + (to - from) * random();
+}
--- a/packages/bench/src/failed-jobs/run.ts
+++ b/packages/bench/src/failed-jobs/run.ts
@@ -45,7 +45,7 @@
 
 const DEFAULT_HOSTS = 4;
 const DEFAULT_WORKERS = 12;
-const SETTLE_LIMIT_MS = 15_000;
+const SETTLE_LIMIT_MS = 8_000;
 const JOB_EVERY_MS = 300;
 
 /** Runs daemon processes under faults. */
@@ -75,7 +75,10 @@
     await over;
     await traffic.settle(SETTLE_LIMIT_MS);
     await hosts.close();
-    const evidence = readEvidence(directory, workers.crashes);
+    const evidence = readEvidence(directory, {
+      crashes: workers.crashes,
+      fleetSize: options.workers ?? DEFAULT_WORKERS,
+    });
     return report(
       options,
       { faults, history, workers, evidence },
--- a/packages/bench/src/failed-jobs/summary.ts
+++ b/packages/bench/src/failed-jobs/summary.ts
@@ -13,7 +13,9 @@
   readonly unfounded: readonly object[];
   /** Number of lost runs by suspicion, reason and whether the worker had crashed. */
   readonly lost: Readonly<Record<string, number>>;
-  /** Tasks that were given up, and of these those that lost workers that had not crashed. */
+  /** Means over all lost runs: the probability of a loss that leaders told, and the share of workers that crashed. */
+  readonly noise: { readonly told: number; readonly crashShare: number };
+  /** Number of tasks that were given up. */
   readonly givenUp: number;
   readonly unsent: Readonly<Record<string, number>>;
   readonly violations: readonly string[];
@@ -35,6 +37,10 @@
       lost: lossesOfGivenUp(report, job.id),
     })),
     lost: countLosses(evidence.lost),
+    noise: {
+      told: mean(evidence.lost.map(({ noise }) => noise)),
+      crashShare: mean(evidence.lost.map(({ crashShare }) => crashShare)),
+    },
     givenUp: evidence.givenUp.length,
     unsent: evidence.unsent,
     violations: report.violations,
@@ -62,3 +68,8 @@
   }
   return counts;
 }
+
+function mean(values: readonly number[]): number {
+  const sum = values.reduce((total, value) => total + value, 0);
+  return Number((sum / Math.max(1, values.length)).toFixed(4));
+}
