--- a/packages/bench/src/failed-jobs/evidence.ts
+++ b/packages/bench/src/failed-jobs/evidence.ts
@@ -12,6 +12,7 @@
   readonly host: string;
   readonly task?: string;
   readonly run?: number;
+  readonly failures?: number;
   readonly worker?: string;
   readonly epoch?: number;
   readonly how?: string;
@@ -53,6 +54,8 @@
 export interface Evidence {
   readonly lost: readonly LostRun[];
   readonly givenUp: readonly GivenUpTask[];
+  /** The highest number of failed attempts that a leader counted, by task. */
+  readonly attempts: ReadonlyMap<string, number>;
   /** Number of epochs in which a host led. */
   readonly leaders: number;
   /** Starts that waited and were not sent, by reason. */
@@ -74,8 +77,11 @@
   const lost: LostRun[] = [];
   const givenUp: GivenUpTask[] = [];
   const unsent: Record<string, number> = {};
+  const attempts = new Map<string, number>();
   let leaders = 0;
   for (const line of lines) {
+    const { task = '', failures = 0 } = line;
+    attempts.set(task, Math.max(failures, attempts.get(task) ?? 0));
     switch (line.msg) {
       case 'worker: its runs are given up':
         reasons.set(`${line.host} ${line.worker ?? ''}`, line.reason ?? '');
@@ -101,7 +107,7 @@
       default:
     }
   }
-  return { lost, givenUp, leaders, unsent };
+  return { lost, givenUp, attempts, leaders, unsent };
 }
 
 function readLines(directory: string): LogLine[] {
--- a/packages/bench/src/failed-jobs/run.ts
+++ b/packages/bench/src/failed-jobs/run.ts
@@ -37,6 +37,8 @@
   readonly failed: readonly FailedJob[];
   /** Jobs shown as failed though no task had spent its attempts or crashed its workers. */
   readonly unfounded: readonly FailedJob[];
+  /** Tasks for which a leader counted more failed attempts than workers reported. */
+  readonly overcounted: readonly string[];
   /** Other guarantees that were violated. */
   readonly violations: readonly string[];
   readonly crashedWorkers: number;
@@ -127,6 +129,7 @@
       .filter(({ guarantee }) => guarantee === 'failed_when_spent')
       .map(({ task }) => task),
   );
+  const failedRuns = history.failedRuns();
   return {
     arm,
     seed,
@@ -134,6 +137,9 @@
     jobs: history.jobs.size,
     failed,
     unfounded: failed.filter(({ id }) => unfounded.has(id)),
+    overcounted: [...evidence.attempts]
+      .filter(([task, counted]) => counted > (failedRuns.get(task) ?? 0))
+      .map(([task]) => task),
     violations: violations
       .filter(({ guarantee }) => guarantee !== 'failed_when_spent')
       .map(({ guarantee, task, detail }) => `${guarantee}: ${task}: ${detail}`),
--- a/packages/bench/src/failed-jobs/summary.ts
+++ b/packages/bench/src/failed-jobs/summary.ts
@@ -18,6 +18,7 @@
   /** Number of tasks that were given up. */
   readonly givenUp: number;
   readonly unsent: Readonly<Record<string, number>>;
+  readonly overcounted: readonly string[];
   readonly violations: readonly string[];
 }
 
@@ -43,6 +44,7 @@
     },
     givenUp: evidence.givenUp.length,
     unsent: evidence.unsent,
+    overcounted: report.overcounted,
     violations: report.violations,
   };
 }
--- a/packages/stand-ins/src/jobs/job-history.ts
+++ b/packages/stand-ins/src/jobs/job-history.ts
@@ -145,6 +145,18 @@
     ).length;
   }
 
+  /** Returns the number of runs of each task that workers ended as failed, by the name of the task. */
+  failedRuns(): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const { task, how } of this.runs.values()) {
+      if (how === 'failed') {
+        const name = taskName(task);
+        counts.set(name, (counts.get(name) ?? 0) + 1);
+      }
+    }
+    return counts;
+  }
+
   /** Records the end of a run. */
   recordRunEnd(
     ref: RunRef,
