--- a/packages/bench/src/failed-jobs/run.ts
+++ b/packages/bench/src/failed-jobs/run.ts
@@ -46,9 +46,9 @@
 }
 
 const DEFAULT_HOSTS = 4;
-const DEFAULT_WORKERS = 12;
+const DEFAULT_WORKERS = 24;
 const SETTLE_LIMIT_MS = 8_000;
-const JOB_EVERY_MS = 300;
+const JOB_EVERY_MS = 250;
 
 /** Runs daemon processes under faults. */
 export async function runUnderFaults(options: RunOptions): Promise<RunReport> {
--- a/packages/bench/src/failed-jobs/traffic.ts
+++ b/packages/bench/src/failed-jobs/traffic.ts
@@ -44,7 +44,7 @@
 }
 
 const MAX_ATTEMPTS = 3;
-const MAX_TASKS = 6;
+const MAX_TASKS = 8;
 const POLL_EVERY_MS = 1_000;
 const SUBMIT_TRIES = 8;
 const SUBMIT_RETRY_MS = 400;
@@ -52,6 +52,8 @@
 const LASTING_JOBS = 3;
 /** A job in so many crashes its workers. */
 const CRASH_JOB_EVERY = 25;
+/** Share of jobs whose tasks take 2 to 9 s; those of others take 0.5 to 2 s. */
+const LONG_SHARE = 0.5;
 const LASTING_MS = 1_000_000;
 const ENDED = new Set(['completed', 'failed', 'cancelled']);
 
@@ -120,8 +122,8 @@
 }
 
 function drawRunMs(random: Random): number {
-  const isLong = random() < 0.3;
-  return Math.round(isLong ? 2_000 + 6_000 * random() : 500 + 1_500 * random());
+  const isLong = random() < LONG_SHARE;
+  return Math.round(isLong ? 2_000 + 7_000 * random() : 500 + 1_500 * random());
 }
 
 /** Most tasks never fail, some fail less often than they may, few as often. */
