--- a/packages/bench/src/failed-jobs/fault-plan.test.ts
+++ b/packages/bench/src/failed-jobs/fault-plan.test.ts
@@ -31,6 +31,7 @@
     ['no_crash', []],
     ['single', ['crash_worker']],
     ['series', ['crash_series']],
+    ['series_and_leaders', ['crash_series']],
     ['all', crashes],
   ]);
 });
--- a/packages/bench/src/failed-jobs/fault-plan.ts
+++ b/packages/bench/src/failed-jobs/fault-plan.ts
@@ -9,6 +9,8 @@
   'single',
   /** Many workers crash together, several times in a row. */
   'series',
+  /** The same, and the leader is killed or frozen. */
+  'series_and_leaders',
   'all',
 ] as const;
 
@@ -47,13 +49,13 @@
 
 const KINDS: Readonly<Record<FaultKind, KindOptions>> = {
   kill_leader: {
-    arms: ['no_crash', 'all'],
+    arms: ['no_crash', 'series_and_leaders', 'all'],
     everyMs: 12_000,
     durationMs: [500, 3_000],
     share: [0, 0],
   },
   freeze_leader: {
-    arms: ['no_crash', 'all'],
+    arms: ['no_crash', 'series_and_leaders', 'all'],
     everyMs: 12_000,
     durationMs: [1_500, 6_000],
     share: [0, 0],
@@ -90,7 +92,7 @@
     share: [0, 0],
   },
   crash_series: {
-    arms: ['series', 'all'],
+    arms: ['series', 'series_and_leaders', 'all'],
     everyMs: 20_000,
     durationMs: [9_000, 24_000],
     share: [0.3, 0.6],
@@ -128,7 +130,7 @@
     faults.push({
       kind,
       at: Math.round(at),
-      durationMs: Math.round(between(random, durationMs)),
+      durationMs: Math.round(Math.min(endMs - at, between(random, durationMs))),
       share: between(random, share),
       detail: random(),
     });
