--- a/packages/bench/src/failed-jobs/evidence.ts
+++ b/packages/bench/src/failed-jobs/evidence.ts
@@ -30,6 +30,8 @@
   readonly worker: string;
   readonly host: string;
   readonly epoch: number;
+  /** Whether a leader of a higher epoch led already, so that the record was refused and does not count. */
+  readonly superseded: boolean;
   /** When it was recorded, in milliseconds by the history's clock. */
   readonly at: number;
   readonly suspicion: string;
@@ -79,6 +81,7 @@
   const unsent: Record<string, number> = {};
   const attempts = new Map<string, number>();
   let leaders = 0;
+  let epoch = 0;
   for (const line of lines) {
     const { task = '', failures = 0 } = line;
     attempts.set(task, Math.max(failures, attempts.get(task) ?? 0));
@@ -88,7 +91,7 @@
         break;
       case 'leader: a run has ended':
         if (line.how === 'lost') {
-          lost.push(lostRun(line, reasons, record));
+          lost.push(lostRun(line, { reasons, record, epoch }));
         }
         break;
       case 'leader: a task is given up, workers were lost under it':
@@ -103,6 +106,7 @@
         break;
       case 'leadership: this host leads':
         leaders += 1;
+        epoch = Math.max(epoch, line.epoch ?? 0);
         break;
       default:
     }
@@ -131,11 +135,20 @@
   return Math.round(Date.parse(time) - performance.timeOrigin);
 }
 
+/** What is known when a line is read. */
+interface ReadSoFar {
+  /** Why runs were given up, by host and worker. */
+  readonly reasons: ReadonlyMap<string, string>;
+  readonly record: CrashRecord;
+  /** Highest epoch in which a host leads. */
+  readonly epoch: number;
+}
+
 function lostRun(
   line: LogLine,
-  reasons: ReadonlyMap<string, string>,
-  { crashes, fleetSize }: CrashRecord,
+  { reasons, record, epoch }: ReadSoFar,
 ): LostRun {
+  const { crashes, fleetSize } = record;
   const worker = line.worker ?? '';
   const at = timeOf(line);
   const crash = crashes.get(worker);
@@ -148,6 +161,7 @@
     worker,
     host: line.host,
     epoch: line.epoch ?? 0,
+    superseded: (line.epoch ?? 0) < epoch,
     at,
     suspicion: line.suspicion ?? '',
     age: `${line.age?.from ?? '?'}-${line.age?.to ?? '?'}`,
--- a/packages/bench/src/failed-jobs/summary.ts
+++ b/packages/bench/src/failed-jobs/summary.ts
@@ -51,7 +51,9 @@
 
 /** Returns the lost runs of the job's tasks that were given up, or of all its tasks if none was. */
 function lossesOfGivenUp({ evidence }: RunReport, id: string): LostRun[] {
-  const ofJob = evidence.lost.filter(({ task }) => isOf(task, id));
+  const ofJob = evidence.lost.filter(
+    ({ task, superseded }) => isOf(task, id) && !superseded,
+  );
   const tasks = new Set(evidence.givenUp.map(({ task }) => task));
   const ofTasks = ofJob.filter(({ task }) => tasks.has(task));
   return ofTasks.length > 0 ? ofTasks : ofJob;
