--- a/packages/bench/src/failed-jobs/fault-runner.ts
+++ b/packages/bench/src/failed-jobs/fault-runner.ts
@@ -2,9 +2,10 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import type { Random } from '@paddlewind/domain';
-import type {
-  StoreServer,
-  WorkerPool,
+import {
+  ENTRY_EXPIRY_MS,
+  type StoreServer,
+  type WorkerPool,
 } from '@paddlewind/stand-ins/users-platform';
 
 import type { PlannedFault } from './fault-plan.js';
@@ -30,6 +31,8 @@
 const REFUSING_SHARE = 0.5;
 /** Share of the faults of a worker in which its calls have an effect that is not answered. */
 const LOSING_SHARE = 0.3;
+/** Share of the faults of workers in which they do not reach the store either, so that their entries expire. */
+const CUT_FROM_STORE_SHARE = 0.4;
 /** Share of outages in which no entry expires. */
 const NO_EXPIRY_SHARE = 0.3;
 /** Hosts that have to run beside one that is killed or frozen. */
@@ -107,21 +110,29 @@
   targets: FaultTargets,
   { durationMs, share, detail }: PlannedFault,
 ): Promise<void> {
+  const { workers, random } = targets;
   const servers = drawWorkers(targets, share)
-    .map(id => targets.workers.server(id))
-    .filter(server => server?.mode === 'up');
+    .map(id => workers.server(id))
+    .filter(server => server !== undefined)
+    .filter(({ mode }) => mode === 'up');
   for (const server of servers) {
-    if (server !== undefined) {
-      server.mode = detail < LOSING_SHARE ? 'losing' : 'silent';
-    }
+    server.mode = detail < LOSING_SHARE ? 'losing' : 'silent';
   }
-  await sleep(durationMs);
-  const up = new Set(targets.workers.ids);
-  for (const server of servers) {
-    if (server !== undefined && up.has(server.worker.traits.id)) {
-      server.mode = 'up';
-    }
+  const isCutFromStore = random() < CUT_FROM_STORE_SHARE;
+  if (isCutFromStore && durationMs > ENTRY_EXPIRY_MS) {
+    await sleep(ENTRY_EXPIRY_MS);
+    servers.forEach(({ worker }) => {
+      workers.expire(worker.traits.id);
+    });
+    await sleep(durationMs - ENTRY_EXPIRY_MS);
+  } else {
+    await sleep(durationMs);
+  }
+  const up = new Set(workers.ids);
+  for (const server of servers.filter(cut => up.has(cut.worker.traits.id))) {
+    server.mode = 'up';
   }
+  workers.relist();
 }
 
 async function cutInSeries(
--- a/packages/stand-ins/src/users-platform/worker-pool.ts
+++ b/packages/stand-ins/src/users-platform/worker-pool.ts
@@ -35,7 +35,7 @@
 
 const REGISTRY = 'keyed.servers';
 /** Silence after which the platform removes an entry: three heartbeat intervals, in milliseconds. */
-const ENTRY_EXPIRY_MS = 3_300;
+export const ENTRY_EXPIRY_MS = 3_300;
 /** Time within which expired entries are back after an outage of the store, in milliseconds. */
 const ENTRY_RETURN_MS = 1_900;
 /** Time until a worker that a task crashed is replaced, in milliseconds. */
