--- a/packages/daemon/src/job-host/leader-leases.ts
+++ b/packages/daemon/src/job-host/leader-leases.ts
@@ -30,6 +30,8 @@
   readonly fleet: Fleet;
   /** Monotonic time at which the last confirmed append was sent. */
   readonly confirmedSentAt: () => Instant;
+  /** A worker without a link has open runs, and its lease has expired. */
+  readonly onContactLost: (worker: string, runs: Iterable<Run>) => void;
   /** Runs at a worker without a link are abandoned because its lease has expired. */
   readonly onRunsAbandoned: (worker: string, runs: readonly Run[]) => void;
 }
@@ -103,22 +105,35 @@
 
   /** Abandons runs at workers that do not answer or are not registered, once their leases have expired. */
   abandonExpired(): void {
-    const now = this.options.ctx.clock();
+    const { ctx, fleet } = this.options;
+    const now = ctx.clock();
+    const unregistered: string[] = [];
     for (const { worker, leaseEnd } of this.unresponsiveWorkers()) {
-      const link = this.options.fleet.linkToCurrent(worker);
+      const link = fleet.linkToCurrent(worker);
       if (link !== undefined) {
         link.abandonIfExpired(now);
       } else if (now > leaseEnd) {
-        this.abandonUnregistered(worker);
+        unregistered.push(worker);
       }
     }
+    this.abandonUnregistered(unregistered);
+  }
+
+  /** All of them are noted first, since it matters which workers were lost together. */
+  private abandonUnregistered(workers: readonly string[]): void {
+    const { ctx, onContactLost, onRunsAbandoned } = this.options;
+    for (const worker of workers) {
+      onContactLost(worker, this.runsAt(worker));
+    }
+    for (const worker of workers) {
+      const runs = this.runsAt(worker);
+      logAbandonedRuns(ctx, worker, runs, 'unregistered');
+      onRunsAbandoned(worker, runs);
+    }
   }
 
-  private abandonUnregistered(worker: string): void {
-    const { ctx, state, onRunsAbandoned } = this.options;
-    const runs = [...(state.workers.get(worker)?.runs.values() ?? [])];
-    logAbandonedRuns(ctx, worker, runs, 'unregistered');
-    onRunsAbandoned(worker, runs);
+  private runsAt(worker: string): Run[] {
+    return [...(this.options.state.workers.get(worker)?.runs.values() ?? [])];
   }
 
   /** How long leases of this leader may hold after a record that is written now. */
--- a/packages/daemon/src/job-host/leader-link-events.ts
+++ b/packages/daemon/src/job-host/leader-link-events.ts
@@ -71,10 +71,14 @@
       supervisor.learnFromReport(link.info);
       supervisor.throttleFillers(link);
     },
-    silent: () => {
+    silent: open => {
       handlers.onSilent();
+      runs.noteContactLost(id, open, ctx.clock());
       startWindow.noteCongestion(ctx.clock());
     },
+    answersAgain: () => {
+      runs.noteContact(id);
+    },
     startExpired: () => {
       startWindow.noteCongestion(ctx.clock());
     },
--- a/packages/daemon/src/job-host/run-recorder.ts
+++ b/packages/daemon/src/job-host/run-recorder.ts
@@ -7,6 +7,7 @@
   noteWorkerLoss,
   refOf,
   attributeLoss,
+  unsettledJobs,
   workerIdOf,
   type LossAttribution,
   type JobsState,
@@ -91,6 +92,7 @@
   ): void {
     if (runs.length > 0) {
       this.abandonedWorkers.add(worker);
+      this.noteContactLost(worker, runs, lostBy);
     }
     const { ctx, claim, state, fleetSize } = this.options;
     const attributions = attributeLoss(state, runs, {
@@ -105,6 +107,18 @@
     }
   }
 
+  /** Notes that a worker with these runs has stopped answering, or is not registered. */
+  noteContactLost(worker: string, runs: Iterable<Run>, at: Instant): void {
+    const { state, claim } = this.options;
+    const jobs = unsettledJobs(state, runs, claim.wonAt);
+    state.lostContacts.noteLost(worker, at, jobs);
+  }
+
+  /** Notes that a worker answers again. */
+  noteContact(worker: string): void {
+    this.options.state.lostContacts.noteAnswered(worker);
+  }
+
   /** Records that a run has started at a later incarnation of its worker. */
   recordMove(run: Run, worker: string): void {
     if (this.closed) {
@@ -145,7 +159,7 @@
   ): WorkerLossKind {
     const presence = this.options.presenceOf(worker);
     if (presence === 'leaving') {
-      return 'unknown';
+      return 'left';
     }
     switch (reason) {
       case 'replaced':
@@ -223,11 +237,14 @@
       return;
     }
     const id = workerIdOf(worker);
-    this.options.decisions.record({ kind: 'reached', worker: id }, written => {
-      if (written) {
-        done();
-      }
-    });
+    this.options.decisions.record(
+      { kind: 'reached', worker: id, incarnation: worker },
+      written => {
+        if (written) {
+          done();
+        }
+      },
+    );
     this.options.onChange();
   }
 
--- a/packages/daemon/src/job-host/stub-worker.fixture.test.ts
+++ b/packages/daemon/src/job-host/stub-worker.fixture.test.ts
@@ -215,6 +215,7 @@
       startExpired: () => undefined,
       reported: () => undefined,
       silent: () => undefined,
+    answersAgain: () => undefined,
       changed: () => undefined,
     },
   });
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -54,8 +54,10 @@
   startExpired(): void;
   /** The readings of all runs are up to date. */
   reported(link: WorkerLink): void;
-  /** The worker has stopped answering. */
-  silent(): void;
+  /** The worker, with these runs, has stopped answering. */
+  silent(runs: readonly Run[]): void;
+  /** The worker answers after it had stopped. */
+  answersAgain(): void;
   /** Something changed that planning has to consider. */
   changed(): void;
 }
@@ -425,7 +427,9 @@
     this.silentSince = answering ? undefined : this.options.ctx.clock();
     if (!answering) {
       this.orders.abandonStarts();
-      this.options.events.silent();
+      this.options.events.silent(this.runs.all);
+    } else {
+      this.options.events.answersAgain();
     }
     this.options.ctx.log.info(
       { worker: this.info.id, answering, reason, ...this.contactFields() },
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -5,6 +5,7 @@
   discountExplainedLosses,
   isAbandoned,
   noteLoss,
+  retractLosses,
 } from './suspect-tasks.js';
 import type {
   LeaseHandover,
@@ -103,6 +104,7 @@
     case 'reached':
       state.reachedInEpoch.set(record.worker, state.claim.epoch);
       state.unresponsiveSince.delete(record.worker);
+      retractLosses(state, record.incarnation ?? record.worker);
       return true;
     case 'restate':
       applyImage(state, record.image);
@@ -223,11 +225,17 @@
   state: JobsState,
   record: Extract<JournalRecord, { kind: 'lost' }>,
 ): boolean {
-  const { task: ref, run, checkpoint, suspicion, age, noise = 0 } = record;
+  const { task: ref, run, checkpoint, suspicion, age } = record;
+  const { noise = 0, concurrentShare = 0 } = record;
   const task = findTask(state, ref);
   const lost = task?.runs.find(({ number }) => number === run);
   if (task !== undefined && lost !== undefined) {
-    noteLoss(state, task, lost.worker, { suspicion, age, noise });
+    noteLoss(state, task, lost.worker, {
+      suspicion,
+      age,
+      noise,
+      concurrentShare,
+    });
     failIfAbandoned(state, task);
   }
   return applyEnd(state, {
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -12,6 +12,7 @@
 import { workerIdOf } from './incarnation.js';
 import { JournalTime } from './journal-time.js';
 import type { ReceivedEstimates } from './learned-estimates.js';
+import { LostContacts } from './lost-contacts.js';
 import type { Volunteer } from './standbys.js';
 import { taskName, type TaskRef } from './task-ref.js';
 
@@ -77,6 +78,8 @@
    * if it had announced its departure or may only be unreachable.
    */
   readonly workerLosses: Map<string, Instant>;
+  /** Workers that have stopped answering; only the leader keeps them. */
+  readonly lostContacts: LostContacts;
 }
 
 /** Returns the state before any record. */
@@ -101,6 +104,7 @@
     unresponsiveSince: new Map(),
     suspects: new Set(),
     workerLosses: new Map(),
+    lostContacts: new LostContacts(),
   };
 }
 
--- a/packages/domain/src/jobs/loss-attribution.ts
+++ b/packages/domain/src/jobs/loss-attribution.ts
@@ -6,7 +6,7 @@
   workersLostUnder,
 } from './suspect-tasks.js';
 import { workerIdOf } from './incarnation.js';
-import type { Job, Run } from './job.js';
+import type { Job, Run, Task } from './job.js';
 import type { JobsState } from './jobs-state.js';
 import { SETTLED_MS, type LossAttribution } from './loss.js';
 
@@ -23,9 +23,9 @@
 
 /**
  * How a worker was lost: `crashed`; `gone` if it was removed from the registry, perhaps after it had
- * announced its departure; or `unknown` if it may only be unreachable or has left as announced.
+ * announced its departure; `left` if it had announced that; or `unknown` if it may only be unreachable.
  */
-export type WorkerLossKind = 'crashed' | 'gone' | 'unknown';
+export type WorkerLossKind = 'crashed' | 'gone' | 'left' | 'unknown';
 
 /** Evidence about the loss of a worker. */
 export interface LossEvidence {
@@ -45,7 +45,7 @@
   runs: readonly Run[],
   evidence: LossEvidence,
 ): Map<Run, LossAttribution> {
-  const { lossKind, leadsSince } = evidence;
+  const { lossKind, leadsSince, lostBy } = evidence;
   const settled = new Set(
     runs.filter(run => isSettled(state, run, leadsSince)),
   );
@@ -53,9 +53,9 @@
   const jobs = new Set(recent.map(jobOf));
   const undoubted = jobs.size === 1 ? 'sole' : 'shared';
   const isUnexplained = lossKind !== 'unknown' && recent.length === 0;
-  const lostUnderSuspects = [...state.suspects]
-    .filter(isSuspect)
-    .flatMap(workersLostUnder);
+  const causes = [...state.suspects].filter(isSuspect);
+  const lostUnderCauses = causes.flatMap(workersLostUnder);
+  const causingJobs = causes.map(jobOfTask);
   const forSettled = isUnexplained ? 'unexplained' : 'cleared';
   return new Map(
     runs.map(run => {
@@ -63,17 +63,44 @@
       const own = new Set([run.worker, ...workersLostUnder(run.task)]);
       const isFleetHealthy =
         lossProbability(state, own, evidence) <= NOISY_LOSS_PROBABILITY;
-      const explained = new Set([...own, ...lostUnderSuspects]);
+      const explained = new Set([...own, ...lostUnderCauses]);
       const noise = lossProbability(state, explained, evidence);
+      const concurrentShare = state.lostContacts.concurrentShare(
+        run.worker,
+        lostBy,
+        busyWorkers(state),
+        new Set([jobOf(run), ...causingJobs]),
+      );
       const isUndoubted =
-        lossKind === 'crashed' && isFleetHealthy && isPrecise(age);
+        lossKind === 'crashed' &&
+        isFleetHealthy &&
+        isPrecise(age) &&
+        concurrentShare === 0;
       const forRecent = isUndoubted ? undoubted : 'doubtful';
-      const suspicion = settled.has(run) ? forSettled : forRecent;
-      return [run, { suspicion, age, noise }];
+      const counted = settled.has(run) ? forSettled : forRecent;
+      const suspicion = lossKind === 'left' ? 'unrelated' : counted;
+      return [run, { suspicion, age, noise, concurrentShare }];
     }),
   );
 }
 
+/** Returns the jobs with runs at a worker that have not settled. */
+export function unsettledJobs(
+  state: JobsState,
+  runs: Iterable<Run>,
+  leadsSince: Instant,
+): Set<Job> {
+  const unsettled = [...runs].filter(run => !isSettled(state, run, leadsSince));
+  return new Set(unsettled.map(jobOf));
+}
+
+/** Returns the workers with open runs. */
+export function busyWorkers({ workers }: JobsState): string[] {
+  return [...workers]
+    .filter(([, { runs }]) => runs.size > 0)
+    .map(([worker]) => worker);
+}
+
 /** Tells whether an age is known precisely enough to compare it with the ages of other losses. */
 function isPrecise({ from, to }: SpanBounds): boolean {
   return to - from <= MAX_AGE_UNCERTAINTY_MS;
@@ -163,5 +190,9 @@
 }
 
 function jobOf({ task }: Run): Job {
-  return task.step.occurrence.job;
+  return jobOfTask(task);
+}
+
+function jobOfTask({ step }: Task): Job {
+  return step.occurrence.job;
 }
--- a/packages/domain/src/jobs/loss.ts
+++ b/packages/domain/src/jobs/loss.ts
@@ -19,6 +19,8 @@
   'cleared',
   /** All runs on the worker had been running for long, and the worker crashed or was removed. */
   'unexplained',
+  /** The worker has left as it had announced, whatever ran there. */
+  'unrelated',
 ] as const;
 
 /** How likely it is that a run caused the loss of its worker. */
@@ -36,6 +38,8 @@
   readonly age: SpanBounds;
   /** Probability with which workers that did not run the task are being lost while a run settles. */
   readonly noise: number;
+  /** Share of the workers with other jobs that were lost at the same time; 0 if fewer than two were. */
+  readonly concurrentShare: number;
 }
 
 /** The loss of a worker while it ran a task. */
@@ -46,6 +50,8 @@
   readonly age: SpanBounds;
   /** Probability with which a healthy worker was being lost, at that time, while a run settles; absent if 0. */
   readonly noise?: number;
+  /** Share of the workers with other jobs that were lost at the same time; absent if 0. */
+  readonly concurrentShare?: number;
   /** Checkpoint from which the run resumed; empty if it started from scratch. */
   readonly resumedFrom: string;
 }
--- a/packages/domain/src/jobs/quarantine.ts
+++ b/packages/domain/src/jobs/quarantine.ts
@@ -1,13 +1,19 @@
 /**
  * Isolates tasks that are suspected of crashing their workers. Such a task starts on a worker without other
  * recently started runs, and nothing starts beside it until it has settled: the next loss then affects few
- * other runs and shows which task caused it. If no such worker is free, one is reserved until it is.
+ * other runs and shows which task caused it. If no such worker is free, one is reserved until it is. While
+ * workers are being lost together, another loss would show nothing, so tasks that were lost often wait.
  */
 import type { Instant, Millis } from '../core/time.js';
-import { suspicionPercent, isSuspect } from './suspect-tasks.js';
+import {
+  isLastDoubt,
+  isSuspect,
+  suspectedJobs,
+  suspicionPercent,
+} from './suspect-tasks.js';
 import { isFinished, type Step, type Task } from './job.js';
 import type { JobsState } from './jobs-state.js';
-import { isSettled } from './loss-attribution.js';
+import { busyWorkers, isSettled } from './loss-attribution.js';
 
 /** Input of the quarantine in one scheduling round. */
 export interface QuarantineInput {
@@ -23,6 +29,18 @@
  */
 const MAX_ISOLATION_WAIT_MS: Millis = 2_000;
 
+/** Time without joint losses of workers after which a task that was lost often starts again. */
+const CALM_MS: Millis = 3_000;
+
+/** Maximum time for which such a task waits, since joint losses may go on. */
+const MAX_CALM_WAIT_MS: Millis = 6_000;
+
+/** Share of the workers, lost within `CALM_MS`, from which losses count as joint. */
+const JOINT_LOSS_SHARE = 0.1;
+
+/** Number of workers, lost within `CALM_MS`, from which losses count as joint. */
+const MIN_JOINT_LOSSES = 2;
+
 /** Maximum share of the workers that is reserved for suspected tasks. */
 const MAX_RESERVED_SHARE = 1 / 8;
 /** Maximum number of reserved workers: the search for each one covers the whole fleet. */
@@ -38,10 +56,13 @@
   private readonly reserved = new Set<string>();
   /** Cached numbers of runs that have not settled, by worker. */
   private readonly unsettledCounts = new Map<string, number>();
+  /** Whether several workers have just been lost, more than suspected tasks explain. */
+  private readonly areWorkersLostTogether: boolean;
 
   /** Finds suspected tasks and the workers on which they run. */
   constructor(private readonly input: QuarantineInput) {
     const { suspects } = input.state;
+    this.areWorkersLostTogether = areWorkersLostTogether(input);
     const waiting: Task[] = [];
     for (const task of suspects) {
       if (
@@ -68,6 +89,9 @@
       // Members of a gang can't wait for each other.
       return isolated.spec.gang && isolated === task.step;
     }
+    if (this.waitsForCalm(task)) {
+      return false;
+    }
     return isSuspect(task)
       ? this.hasIsolationWaitExpired(task) || this.countUnsettled(worker) === 0
       : !this.reserved.has(worker);
@@ -91,7 +115,9 @@
   ): void {
     const share = Math.max(1, Math.floor(fleetSize * MAX_RESERVED_SHARE));
     const limit = Math.min(MAX_RESERVED_WORKERS, share);
-    const waiting = this.waiting.filter(({ status }) => status === 'waiting');
+    const waiting = this.waiting.filter(
+      task => task.status === 'waiting' && !this.waitsForCalm(task),
+    );
     for (const task of waiting.slice(0, limit)) {
       const worker = this.findLeastUnsettled(suited(task));
       if (worker !== undefined) {
@@ -120,6 +146,16 @@
     return this.input.now - lossHistory.lastLossAt >= MAX_ISOLATION_WAIT_MS;
   }
 
+  /** Tells whether a task waits until workers are no longer lost together. */
+  private waitsForCalm(task: Task): boolean {
+    const waitedMs = this.input.now - task.lossHistory.lastLossAt;
+    return (
+      this.areWorkersLostTogether &&
+      waitedMs < MAX_CALM_WAIT_MS &&
+      isLastDoubt(task)
+    );
+  }
+
   private countUnsettled(worker: string): number {
     const cached = this.unsettledCounts.get(worker);
     if (cached !== undefined) {
@@ -137,3 +173,12 @@
     return isSettled(this.input.state, run, this.input.leadsSince);
   }
 }
+
+function areWorkersLostTogether({ state, now }: QuarantineInput): boolean {
+  const lost = state.lostContacts.countLostSince(
+    now - CALM_MS,
+    suspectedJobs(state),
+  );
+  const busy = Math.max(lost, busyWorkers(state).length);
+  return lost >= MIN_JOINT_LOSSES && lost / busy >= JOINT_LOSS_SHARE;
+}
--- a/packages/domain/src/jobs/record-rows.ts
+++ b/packages/domain/src/jobs/record-rows.ts
@@ -102,7 +102,7 @@
   | ['restate', JobImage]
   | ['release', unknown]
   | ['learnt', LearnedEstimates]
-  | ['reached', string]
+  | ['reached', string, string?]
   | ['b', string]
   | ['s' | 'm', unknown, number, unknown, unknown?]
   | [
@@ -115,6 +115,7 @@
       unknown?,
       unknown?,
       unknown?,
+      unknown?,
     ];
 
 /**
@@ -172,7 +173,11 @@
     case 'learnt':
       return { kind: 'learnt', learnt: parseEstimates(row[1]) };
     case 'reached':
-      return { kind: 'reached', worker: row[1] };
+      return {
+        kind: 'reached',
+        worker: row[1],
+        ...(row[2] === undefined ? {} : { incarnation: row[2] }),
+      };
     case 'b':
       return { kind: 'begun', job: row[1] };
     case 's':
@@ -191,7 +196,7 @@
     }
     case 'e': {
       const [, name, run, how, checkpoint = '', cause, ...more] = row;
-      const [from, to, noise] = more;
+      const [from, to, noise, concurrentShare] = more;
       const task = parseTaskName(name);
       if (how !== 'lapsed' || cause === WORKER_PRESENT) {
         return { kind: 'end', task, run, how, checkpoint };
@@ -201,7 +206,11 @@
       const lost = { task, run, checkpoint, suspicion };
       const age = parseSpan(from, to);
       const loss = { kind: 'lost', ...lost, age } as const;
-      return typeof noise === 'number' ? { ...loss, noise } : loss;
+      return {
+        ...loss,
+        ...(typeof noise === 'number' && noise > 0 ? { noise } : {}),
+        ...(typeof concurrentShare === 'number' ? { concurrentShare } : {}),
+      };
     }
     case undefined:
     // A kind that this version does not know.
@@ -274,7 +283,9 @@
     case 'learnt':
       return ['learnt', record.learnt];
     case 'reached':
-      return ['reached', record.worker];
+      return record.incarnation === undefined
+        ? ['reached', record.worker]
+        : ['reached', record.worker, record.incarnation];
     case 'begun':
       return ['b', record.job];
     case 'start':
@@ -290,11 +301,17 @@
       return checkpoint === '' ? row : [...row, checkpoint];
     }
     case 'lost': {
-      const { task, run, checkpoint, suspicion, age, noise = 0 } = record;
+      const { task, run, checkpoint, suspicion, age } = record;
+      const { noise = 0, concurrentShare = 0 } = record;
       const row = ['e', taskName(task), run, 'lapsed', checkpoint, suspicion];
-      const isKnown = age.from > 0 || age.to < Infinity || noise > 0;
-      const known = isKnown ? [...row, ...spanRow(age)] : row;
-      return noise > 0 ? [...known, noise] : known;
+      const aged = [...row, ...spanRow(age)];
+      if (concurrentShare > 0) {
+        return [...aged, noise, concurrentShare];
+      }
+      if (noise > 0) {
+        return [...aged, noise];
+      }
+      return age.from > 0 || age.to < Infinity ? aged : row;
     }
   }
 }
--- a/packages/domain/src/jobs/records.ts
+++ b/packages/domain/src/jobs/records.ts
@@ -86,7 +86,12 @@
   /** The estimates that the leader has learned so far; the newest record replaces earlier ones. */
   | { readonly kind: 'learnt'; readonly learnt: LearnedEstimates }
   /** The leader has reached the worker with this id and may extend its lease from now on. */
-  | { readonly kind: 'reached'; readonly worker: string }
+  | {
+      readonly kind: 'reached';
+      readonly worker: string;
+      /** Its incarnation; absent in records of earlier versions. */
+      readonly incarnation?: string;
+    }
   /** A worker has confirmed the start of a run of the job for the first time. */
   | { readonly kind: 'begun'; readonly job: string }
   | {
@@ -122,4 +127,6 @@
       readonly age: SpanBounds;
       /** Probability of losing a healthy worker while a run settles; absent in records of earlier versions. */
       readonly noise?: number;
+      /** Share of the workers with other jobs that were lost at the same time; absent if 0. */
+      readonly concurrentShare?: number;
     };
--- a/packages/domain/src/jobs/span-rows.ts
+++ b/packages/domain/src/jobs/span-rows.ts
@@ -13,6 +13,7 @@
   to?: Millis | null,
   resumedFrom?: string,
   noise?: number,
+  concurrentShare?: number,
 ];
 
 /** Encodes a span. */
@@ -35,14 +36,24 @@
   age,
   resumedFrom,
   noise,
+  concurrentShare,
 }: Loss): LossRow {
   const row = [worker, suspicion, ...spanRow(age), resumedFrom] as const;
+  if (concurrentShare !== undefined) {
+    return [...row, noise ?? 0, concurrentShare];
+  }
   return noise === undefined ? row : [...row, noise];
 }
 
 /** Decodes a loss. */
 export function parseLoss([worker, suspicion, ...more]: LossRow): Loss {
-  const [from, to, resumedFrom = '', noise] = more;
-  const loss = { worker, suspicion, age: parseSpan(from, to), resumedFrom };
-  return typeof noise === 'number' ? { ...loss, noise } : loss;
+  const [from, to, resumedFrom = '', noise, concurrentShare] = more;
+  return {
+    worker,
+    suspicion,
+    age: parseSpan(from, to),
+    resumedFrom,
+    ...(typeof noise === 'number' && noise > 0 ? { noise } : {}),
+    ...(typeof concurrentShare === 'number' ? { concurrentShare } : {}),
+  };
 }
--- a/packages/domain/src/jobs/suspect-tasks.ts
+++ b/packages/domain/src/jobs/suspect-tasks.ts
@@ -5,7 +5,7 @@
  * runs, whereas other losses happen at any age.
  */
 import type { Millis } from '../core/time.js';
-import type { Task } from './job.js';
+import type { Job, Task } from './job.js';
 import type { JobsState } from './jobs-state.js';
 import {
   SETTLED_MS,
@@ -24,6 +24,9 @@
   doubtful: 20,
 };
 
+/** Suspicion in percent that a loss adds if other workers were lost at the same time. */
+const CONCURRENT_LOSS_PERCENT = 5;
+
 /** Suspicion in percent at which a task is abandoned. */
 const ABANDON_AT_PERCENT = 100;
 
@@ -83,10 +86,13 @@
 }
 
 function totalPercent(losses: readonly Loss[]): number {
-  return losses.reduce(
-    (sum, { suspicion }) => sum + SUSPICION_PERCENT[suspicion],
-    0,
-  );
+  return losses.reduce((sum, loss) => sum + percentOf(loss), 0);
+}
+
+function percentOf({ suspicion, concurrentShare = 0 }: Loss): number {
+  return concurrentShare > 0
+    ? CONCURRENT_LOSS_PERCENT
+    : SUSPICION_PERCENT[suspicion];
 }
 
 function countedPercent(losses: readonly Loss[]): number {
@@ -94,24 +100,28 @@
     return ABANDON_AT_PERCENT;
   }
   let sum = 0;
-  for (const { suspicion } of losses) {
-    sum += SUSPICION_PERCENT[suspicion];
+  for (const loss of losses) {
+    sum += percentOf(loss);
     // A doubtful loss never brings the sum to the limit, whatever came before it.
     sum =
-      suspicion === 'doubtful' ? Math.min(sum, ABANDON_AT_PERCENT - 1) : sum;
+      loss.suspicion === 'doubtful'
+        ? Math.min(sum, ABANDON_AT_PERCENT - 1)
+        : sum;
   }
   return sum;
 }
 
 /**
  * Tells whether a healthy task may have been lost as often, since workers are being lost for other reasons. A
- * run is lost by chance at any age, so that a precisely known age says more.
+ * run is lost by chance at any age, so that a precisely known age says more. Where several workers are lost at
+ * the same time, the age says nothing.
  */
 function mayBeChance(losses: readonly Loss[]): boolean {
   const noise = Math.max(...losses.map(loss => loss.noise ?? 0));
-  const chance = losses.reduce((product, { age }) => {
+  const chance = losses.reduce((product, { age, concurrentShare = 0 }) => {
     const spanMs = age.to - age.from + 2 * AGE_TOLERANCE_MS;
-    return product * noise * Math.min(1, spanMs / SETTLED_MS);
+    const alone = noise * Math.min(1, spanMs / SETTLED_MS);
+    return product * Math.max(alone, concurrentShare);
   }, 1);
   return chance > MAX_CHANCE;
 }
@@ -121,11 +131,28 @@
   return suspicionPercent(task) >= ABANDON_AT_PERCENT;
 }
 
-/** Tells whether a task is isolated from others until it is known whether it crashes workers. */
+/**
+ * Tells whether a task is isolated from others until it is known whether it crashes workers. Losses of several
+ * workers at the same time say little, so that tasks which suffer them do not explain each other's losses.
+ */
 export function isSuspect(task: Task): boolean {
   return suspicionPercent(task) >= SUSPECT_AT_PERCENT;
 }
 
+/** Returns the jobs of the tasks that are suspected. */
+export function suspectedJobs({ suspects }: JobsState): Set<Job> {
+  const tasks = [...suspects].filter(isSuspect);
+  return new Set(tasks.map(({ step }) => step.occurrence.job));
+}
+
+/**
+ * Tells whether the next loss may decide that a task is abandoned, however doubtful it is: users accept no
+ * further start of a task that crashes its workers.
+ */
+export function isLastDoubt({ lossHistory }: Task): boolean {
+  return lossHistory.losses.length >= ABANDON_AT_LOSSES - 1;
+}
+
 /** Returns the workers that were lost while they ran a task, since it came under suspicion. */
 export function workersLostUnder({ lossHistory }: Task): string[] {
   return lossHistory.losses.map(({ worker }) => worker);
@@ -136,7 +163,7 @@
   state: JobsState,
   task: Task,
   worker: string,
-  { suspicion, age, noise }: LossAttribution,
+  { suspicion, age, noise, concurrentShare }: LossAttribution,
 ): void {
   switch (suspicion) {
     case 'unexplained':
@@ -146,12 +173,20 @@
     case 'cleared':
       task.lossHistory.losses = [];
       return;
+    case 'unrelated':
+      return;
     case 'sole':
     case 'shared':
     case 'doubtful': {
       noteWorkerLoss(state, worker);
       const loss = { worker, suspicion, age, resumedFrom: task.checkpoint };
-      addLosses(state, task, [noise > 0 ? { ...loss, noise } : loss]);
+      addLosses(state, task, [
+        {
+          ...loss,
+          ...(noise > 0 ? { noise } : {}),
+          ...(concurrentShare > 0 ? { concurrentShare } : {}),
+        },
+      ]);
     }
   }
 }
@@ -182,6 +217,16 @@
   }
 }
 
+/** Takes back the losses of an incarnation that has answered again: it was only unreachable. */
+export function retractLosses(state: JobsState, worker: string): void {
+  state.workerLosses.delete(worker);
+  for (const { lossHistory } of state.suspects) {
+    lossHistory.losses = lossHistory.losses.filter(
+      loss => loss.worker !== worker,
+    );
+  }
+}
+
 /** Notes that a worker was lost. */
 export function noteWorkerLoss(
   { workerLosses, now }: JobsState,
