--- a/packages/daemon/src/job-host/stub-worker.fixture.test.ts
+++ b/packages/daemon/src/job-host/stub-worker.fixture.test.ts
@@ -215,7 +215,7 @@
       startExpired: () => undefined,
       reported: () => undefined,
       silent: () => undefined,
-    answersAgain: () => undefined,
+      answersAgain: () => undefined,
       changed: () => undefined,
     },
   });
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -6,7 +6,9 @@
   isAbandoned,
   noteLoss,
   retractLosses,
+  workersLostUnder,
 } from './suspect-tasks.js';
+import { noteLossApplied } from './loss.js';
 import type {
   LeaseHandover,
   InboxRecord,
@@ -130,6 +132,8 @@
       return applyEnd(state, record);
     case 'lost':
       return applyLost(state, record);
+    case 'abandoned':
+      return applyAbandoned(state, record);
   }
 }
 
@@ -236,6 +240,9 @@
       noise,
       concurrentShare,
     });
+    const { claim, now: at, journalTime } = state;
+    const applied = { run, epoch: claim.epoch, at, journalAt: journalTime.now };
+    noteLossApplied(task.lossHistory, lost.worker, applied);
     failIfAbandoned(state, task);
   }
   return applyEnd(state, {
@@ -343,16 +350,30 @@
   state.changedJobs?.add(job);
 }
 
-/** Fails the job of a long-running task too: each start costs a worker and everything that runs there. */
+/**
+ * Fails the job of a long-running task too: each start costs a worker and everything that runs there. Does not
+ * depend on whether the job is cancelled, since hosts read that at different times.
+ */
 function failIfAbandoned(state: JobsState, task: Task): void {
   const { job } = task.step.occurrence;
-  if (isAbandoned(task) && !isFinished(job)) {
+  const isOver = job.failure !== undefined || job.remaining === 0;
+  if (isAbandoned(task) && !isOver) {
     job.failure = 'workers_lost';
-    discountExplainedLosses(state, task);
+    discountExplainedLosses(state, workersLostUnder(task), task);
     noteFinished(state, job);
   }
 }
 
+/** Does nothing new for a reader that has read all losses of the task. */
+function applyAbandoned(
+  state: JobsState,
+  { task: ref, workers }: Extract<JournalRecord, { kind: 'abandoned' }>,
+): boolean {
+  const task = findTask(state, ref);
+  discountExplainedLosses(state, workers, task);
+  return task !== undefined;
+}
+
 function failIfAttemptsSpent(state: JobsState, task: Task): void {
   const { job } = task.step.occurrence;
   const { spec, failedGangRuns } = task.step;
--- a/packages/domain/src/jobs/loss-attribution.ts
+++ b/packages/domain/src/jobs/loss-attribution.ts
@@ -23,9 +23,9 @@
 
 /**
  * How a worker was lost: `crashed`; `gone` if it was removed from the registry, perhaps after it had
- * announced its departure; `left` if it had announced that; or `unknown` if it may only be unreachable.
+ * announced its departure; `left` if it had announced that; or `unreachable` if it is still registered.
  */
-export type WorkerLossKind = 'crashed' | 'gone' | 'left' | 'unknown';
+export type WorkerLossKind = 'crashed' | 'gone' | 'left' | 'unreachable';
 
 /** Evidence about the loss of a worker. */
 export interface LossEvidence {
@@ -52,7 +52,7 @@
   const recent = runs.filter(run => !settled.has(run));
   const jobs = new Set(recent.map(jobOf));
   const undoubted = jobs.size === 1 ? 'sole' : 'shared';
-  const isUnexplained = lossKind !== 'unknown' && recent.length === 0;
+  const isUnexplained = recent.length === 0;
   const causes = [...state.suspects].filter(isSuspect);
   const lostUnderCauses = causes.flatMap(workersLostUnder);
   const causingJobs = causes.map(jobOfTask);
@@ -78,12 +78,24 @@
         concurrentShare === 0;
       const forRecent = isUndoubted ? undoubted : 'doubtful';
       const counted = settled.has(run) ? forSettled : forRecent;
-      const suspicion = lossKind === 'left' ? 'unrelated' : counted;
+      const suspicion = isEvident(lossKind) ? counted : 'unrelated';
       return [run, { suspicion, age, noise, concurrentShare }];
     }),
   );
 }
 
+/** Tells whether a worker is known to be lost other than by leaving as announced. */
+function isEvident(lossKind: WorkerLossKind): boolean {
+  switch (lossKind) {
+    case 'crashed':
+    case 'gone':
+      return true;
+    case 'left':
+    case 'unreachable':
+      return false;
+  }
+}
+
 /** Returns the jobs with runs at a worker that have not settled. */
 export function unsettledJobs(
   state: JobsState,
--- a/packages/domain/src/jobs/records.ts
+++ b/packages/domain/src/jobs/records.ts
@@ -129,4 +129,13 @@
       readonly noise?: number;
       /** Share of the workers with other jobs that were lost at the same time; absent if 0. */
       readonly concurrentShare?: number;
+    }
+  /**
+   * A task is abandoned: these workers were lost while running it, so that their losses count less for other
+   * tasks. Readers that know the task have concluded as much from its losses.
+   */
+  | {
+      readonly kind: 'abandoned';
+      readonly task: TaskRef;
+      readonly workers: readonly string[];
     };
