--- a/packages/daemon/src/job-host/leader-leases.ts
+++ b/packages/daemon/src/job-host/leader-leases.ts
@@ -30,10 +30,8 @@
   readonly fleet: Fleet;
   /** Monotonic time at which the last confirmed append was sent. */
   readonly confirmedSentAt: () => Instant;
-  /** A worker without a link has open runs, and its lease has expired. */
-  readonly onContactLost: (worker: string, runs: Iterable<Run>) => void;
-  /** Runs at a worker without a link are abandoned because its lease has expired. */
-  readonly onRunsAbandoned: (worker: string, runs: readonly Run[]) => void;
+  /** Runs at workers without a link are abandoned, by worker, because their leases have expired. */
+  readonly onRunsAbandoned: (lost: ReadonlyMap<string, readonly Run[]>) => void;
 }
 
 /** A worker that does not answer, and the time by which its lease has expired. */
@@ -105,35 +103,22 @@
 
   /** Abandons runs at workers that do not answer or are not registered, once their leases have expired. */
   abandonExpired(): void {
-    const { ctx, fleet } = this.options;
+    const { ctx, state, fleet, onRunsAbandoned } = this.options;
     const now = ctx.clock();
-    const unregistered: string[] = [];
+    const unregistered = new Map<string, readonly Run[]>();
     for (const { worker, leaseEnd } of this.unresponsiveWorkers()) {
       const link = fleet.linkToCurrent(worker);
       if (link !== undefined) {
         link.abandonIfExpired(now);
       } else if (now > leaseEnd) {
-        unregistered.push(worker);
+        const { runs } = state.workers.get(worker) ?? {};
+        unregistered.set(worker, [...(runs?.values() ?? [])]);
       }
     }
-    this.abandonUnregistered(unregistered);
-  }
-
-  /** All of them are noted first, since it matters which workers were lost together. */
-  private abandonUnregistered(workers: readonly string[]): void {
-    const { ctx, onContactLost, onRunsAbandoned } = this.options;
-    for (const worker of workers) {
-      onContactLost(worker, this.runsAt(worker));
-    }
-    for (const worker of workers) {
-      const runs = this.runsAt(worker);
+    unregistered.forEach((runs, worker) => {
       logAbandonedRuns(ctx, worker, runs, 'unregistered');
-      onRunsAbandoned(worker, runs);
-    }
-  }
-
-  private runsAt(worker: string): Run[] {
-    return [...(this.options.state.workers.get(worker)?.runs.values() ?? [])];
+    });
+    onRunsAbandoned(unregistered);
   }
 
   /** How long leases of this leader may hold after a record that is written now. */
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -180,11 +180,8 @@
       state: this.state,
       fleet: this.fleet,
       confirmedSentAt: () => this.decisions.confirmedSentAt,
-      onContactLost: (worker, runs) => {
-        this.runs.noteContactLost(worker, runs, ctx.clock());
-      },
-      onRunsAbandoned: (worker, runs) => {
-        this.runs.recordAbandoned(worker, runs, 'unregistered', ctx.clock());
+      onRunsAbandoned: lost => {
+        this.runs.recordUnregistered(lost);
       },
     });
   }
--- a/packages/daemon/src/job-host/run-recorder.ts
+++ b/packages/daemon/src/job-host/run-recorder.ts
@@ -125,6 +125,18 @@
     }
   }
 
+  /** Records the ends of the runs at workers that are not registered any more. */
+  recordUnregistered(lost: ReadonlyMap<string, readonly Run[]>): void {
+    const now = this.options.ctx.clock();
+    // All are noted first, since it matters which workers were lost together.
+    lost.forEach((runs, worker) => {
+      this.noteContactLost(worker, runs, now);
+    });
+    lost.forEach((runs, worker) => {
+      this.recordAbandoned(worker, runs, 'unregistered', now);
+    });
+  }
+
   /** Notes that a worker with these runs has stopped answering, or is not registered. */
   noteContactLost(worker: string, runs: Iterable<Run>, at: Instant): void {
     const { state, claim } = this.options;
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -183,6 +183,13 @@
   );
 }
 
+/** Returns the workers with open runs. */
+export function busyWorkers({ workers }: JobsState): string[] {
+  return [...workers]
+    .filter(([, { runs }]) => runs.size > 0)
+    .map(([worker]) => worker);
+}
+
 /** Returns the load of a worker without runs. */
 export function emptyWorkerRuns(): WorkerRuns {
   return {
--- a/packages/domain/src/jobs/loss-attribution.ts
+++ b/packages/domain/src/jobs/loss-attribution.ts
@@ -1,14 +1,10 @@
 /** Judges how likely each run that was lost with a worker is to have caused the loss. */
 import type { Instant, Millis, SpanBounds } from '../core/time.js';
-import {
-  isSuspect,
-  LOSS_RETENTION_MS,
-  workersLostUnder,
-} from './suspect-tasks.js';
 import { workerIdOf } from './incarnation.js';
-import type { Job, Run, Task } from './job.js';
+import type { Job, Run } from './job.js';
 import type { JobsState } from './jobs-state.js';
 import { SETTLED_MS, type LossAttribution } from './loss.js';
+import { OtherLosses } from './other-losses.js';
 
 export { SETTLED_MS, type LossAttribution } from './loss.js';
 
@@ -18,9 +14,6 @@
 /** Maximum uncertainty of an age that counts as precise: a poll of a crashed worker takes up to 1.5 s. */
 const MAX_AGE_UNCERTAINTY_MS: Millis = 2_000;
 
-/** Probability of losing a healthy worker while a run settles, above which losses say little about tasks. */
-const NOISY_LOSS_PROBABILITY = 0.01;
-
 /**
  * How a worker was lost: `crashed`; `gone` if it was removed from the registry, perhaps after it had
  * announced its departure; `left` if it had announced that; or `unreachable` if it is still registered.
@@ -45,47 +38,37 @@
   runs: readonly Run[],
   evidence: LossEvidence,
 ): Map<Run, LossAttribution> {
-  const { lossKind, leadsSince, lostBy } = evidence;
+  const { lossKind, leadsSince } = evidence;
   const settled = new Set(
     runs.filter(run => isSettled(state, run, leadsSince)),
   );
   const recent = runs.filter(run => !settled.has(run));
   const jobs = new Set(recent.map(jobOf));
   const undoubted = jobs.size === 1 ? 'sole' : 'shared';
-  const isUnexplained = recent.length === 0;
-  const causes = [...state.suspects].filter(isSuspect);
-  const lostUnderCauses = causes.flatMap(workersLostUnder);
-  const causingJobs = causes.map(jobOfTask);
+  const isEvident = isEvidentLoss(lossKind);
+  const isUnexplained = isEvident && recent.length === 0;
   const forSettled = isUnexplained ? 'unexplained' : 'cleared';
+  const others = new OtherLosses(state, evidence);
   return new Map(
     runs.map(run => {
       const age = ageBounds(state, run, evidence);
-      const own = new Set([run.worker, ...workersLostUnder(run.task)]);
-      const isFleetHealthy =
-        lossProbability(state, own, evidence) <= NOISY_LOSS_PROBABILITY;
-      const explained = new Set([...own, ...lostUnderCauses]);
-      const noise = lossProbability(state, explained, evidence);
-      const concurrentShare = state.lostContacts.concurrentShare(
-        run.worker,
-        lostBy,
-        busyWorkers(state),
-        new Set([jobOf(run), ...causingJobs]),
-      );
+      const noise = others.noiseFor(run);
+      const concurrentShare = others.concurrentShareFor(run);
       const isUndoubted =
         lossKind === 'crashed' &&
-        isFleetHealthy &&
+        others.isFleetHealthyFor(run) &&
         isPrecise(age) &&
         concurrentShare === 0;
       const forRecent = isUndoubted ? undoubted : 'doubtful';
-      const counted = settled.has(run) ? forSettled : forRecent;
-      const suspicion = isEvident(lossKind) ? counted : 'unrelated';
+      const counted = isEvident ? forRecent : 'unrelated';
+      const suspicion = settled.has(run) ? forSettled : counted;
       return [run, { suspicion, age, noise, concurrentShare }];
     }),
   );
 }
 
 /** Tells whether a worker is known to be lost other than by leaving as announced. */
-function isEvident(lossKind: WorkerLossKind): boolean {
+function isEvidentLoss(lossKind: WorkerLossKind): boolean {
   switch (lossKind) {
     case 'crashed':
     case 'gone':
@@ -106,13 +89,6 @@
   return new Set(unsettled.map(jobOf));
 }
 
-/** Returns the workers with open runs. */
-export function busyWorkers({ workers }: JobsState): string[] {
-  return [...workers]
-    .filter(([, { runs }]) => runs.size > 0)
-    .map(([worker]) => worker);
-}
-
 /** Tells whether an age is known precisely enough to compare it with the ages of other losses. */
 function isPrecise({ from, to }: SpanBounds): boolean {
   return to - from <= MAX_AGE_UNCERTAINTY_MS;
@@ -188,23 +164,6 @@
   );
 }
 
-/** Returns the probability of losing a worker while a run settles, by the losses that are not `explained`. */
-function lossProbability(
-  { workerLosses }: JobsState,
-  explained: ReadonlySet<string>,
-  { fleetSize, now }: LossEvidence,
-): number {
-  const losses = [...workerLosses].filter(
-    ([lost, at]) => now - at < LOSS_RETENTION_MS && !explained.has(lost),
-  );
-  const perWorker = losses.length / Math.max(1, fleetSize);
-  return Math.min(1, (perWorker * SETTLED_MS) / LOSS_RETENTION_MS);
-}
-
 function jobOf({ task }: Run): Job {
-  return jobOfTask(task);
-}
-
-function jobOfTask({ step }: Task): Job {
-  return step.occurrence.job;
+  return task.step.occurrence.job;
 }
--- a/packages/domain/src/jobs/lost-contacts.ts
+++ b/packages/domain/src/jobs/lost-contacts.ts
@@ -45,41 +45,36 @@
     this.lost.delete(worker);
   }
 
-  /** Forgets all lost contacts. */
-  clear(): void {
-    this.lost.clear();
-  }
-
   /**
-   * Returns the share of the workers in `busy` that were lost about as late as `worker`, which was lost at
-   * `at`. Workers with unsettled runs of a job in `explaining` are left out. 0 if fewer than two were lost.
+   * Returns the share of the `busy` workers that were lost about as late as one that was lost at `at`. Those
+   * with unsettled runs of a job in `explaining` are left out. Returns 0 if fewer than two were lost.
    */
   concurrentShare(
-    worker: string,
-    at: Instant,
-    busy: Iterable<string>,
+    { worker, at }: { readonly worker: string; readonly at: Instant },
+    busy: readonly string[],
     explaining: ReadonlySet<Job>,
   ): number {
-    const concurrent = [...this.lost]
-      .filter(([other]) => other !== worker)
-      .filter(([, lost]) => Math.abs(lost.at - at) <= CONCURRENCY_WINDOW_MS);
-    const explained = concurrent
-      .filter(([, { jobs }]) => hasAny(jobs, explaining))
-      .map(([other]) => other);
-    const unexplained = concurrent.length - explained.length;
-    if (unexplained < MIN_CONCURRENT_LOSSES) {
+    const concurrent = [...this.lost].filter(
+      ([other, lost]) =>
+        other !== worker && Math.abs(lost.at - at) <= CONCURRENCY_WINDOW_MS,
+    );
+    const unexplained = concurrent.filter(
+      ([, { jobs }]) => !hasAny(jobs, explaining),
+    );
+    if (unexplained.length < MIN_CONCURRENT_LOSSES) {
       return 0;
     }
     const others = new Set([...busy, ...concurrent.map(([other]) => other)]);
     others.delete(worker);
-    return unexplained / Math.max(unexplained, others.size - explained.length);
+    const explained = concurrent.length - unexplained.length;
+    return unexplained.length / (others.size - explained);
   }
 
-  /** Returns the number of workers lost since `since`, without those with unsettled runs of `explaining`. */
-  countLostSince(since: Instant, explaining: ReadonlySet<Job>): number {
-    return [...this.lost.values()].filter(
-      ({ at, jobs }) => at >= since && !hasAny(jobs, explaining),
-    ).length;
+  /** Returns the workers lost since `since`, without those with unsettled runs of a job in `explaining`. */
+  lostSince(since: Instant, explaining: ReadonlySet<Job>): string[] {
+    return [...this.lost]
+      .filter(([, { at, jobs }]) => at >= since && !hasAny(jobs, explaining))
+      .map(([worker]) => worker);
   }
 }
 
--- a/packages/domain/src/jobs/quarantine.ts
+++ b/packages/domain/src/jobs/quarantine.ts
@@ -12,8 +12,8 @@
   suspicionPercent,
 } from './suspect-tasks.js';
 import { isFinished, type Step, type Task } from './job.js';
-import type { JobsState } from './jobs-state.js';
-import { busyWorkers, isSettled } from './loss-attribution.js';
+import { busyWorkers, type JobsState } from './jobs-state.js';
+import { isSettled } from './loss-attribution.js';
 
 /** Input of the quarantine in one scheduling round. */
 export interface QuarantineInput {
@@ -175,10 +175,10 @@
 }
 
 function areWorkersLostTogether({ state, now }: QuarantineInput): boolean {
-  const lost = state.lostContacts.countLostSince(
+  const lost = state.lostContacts.lostSince(
     now - CALM_MS,
     suspectedJobs(state),
-  );
+  ).length;
   const busy = Math.max(lost, busyWorkers(state).length);
   return lost >= MIN_JOINT_LOSSES && lost / busy >= JOINT_LOSS_SHARE;
 }
--- a/packages/domain/src/jobs/suspect-tasks.test.ts
+++ b/packages/domain/src/jobs/suspect-tasks.test.ts
@@ -116,7 +116,7 @@
 });
 
 // Guards against abandoning a healthy task because the leader could not reach its workers.
-test('a worker that may only be unreachable, or has left as announced, counts neither against its runs nor for them', () => {
+test('a worker that may only be unreachable, or has left as announced, counts against no run', () => {
   for (const lossKind of ['unreachable', 'left'] as const) {
     const state = stateWithJobs('a', 'b');
     const [recent, settled] = startTogether(state, 'a', 'b');
@@ -124,7 +124,7 @@
     setRunTime(settled, SETTLED_MS);
     const evidence = { ...CONFIRMED_CRASH, lossKind };
     const found = attributeLoss(state, [recent, settled], evidence);
-    assert.deepEqual(suspicionsIn(found), ['unrelated', 'unrelated']);
+    assert.deepEqual(suspicionsIn(found), ['unrelated', 'cleared']);
     const task = taskOf(state, 'a', 0, 0);
     startAndLose(state, task, 'sole');
     startAndLose(state, task, 'sole');
