Losses: a crashed worker that is still registered counts as doubtful again

A task that crashes its workers was started on and on where entries of crashed workers expire after their leases, as with a heartbeat interval of 2 s: 12 workers lost in 60 s, five allowed.

Cause: a worker that is still registered when its lease ends was recorded as unrelated, since its entry may be kept up, and was never judged again.

Why it works: what tells the two apart is whether that incarnation answers again. So the loss counts as doubtful, as before, and is taken back by the record that the worker was reached; losses of many at once hardly count since.

--- a/packages/domain/src/jobs/loss-attribution.ts
+++ b/packages/domain/src/jobs/loss-attribution.ts
@@ -45,8 +45,8 @@
   const recent = runs.filter(run => !settled.has(run));
   const jobs = new Set(recent.map(jobOf));
   const undoubted = jobs.size === 1 ? 'sole' : 'shared';
-  const isEvident = isEvidentLoss(lossKind);
-  const isUnexplained = isEvident && recent.length === 0;
+  const isKnownLoss = lossKind === 'crashed' || lossKind === 'gone';
+  const isUnexplained = isKnownLoss && recent.length === 0;
   const forSettled = isUnexplained ? 'unexplained' : 'cleared';
   const others = new OtherLosses(state, evidence);
   return new Map(
@@ -60,25 +60,13 @@
         isPrecise(age) &&
         concurrentShare === 0;
       const forRecent = isUndoubted ? undoubted : 'doubtful';
-      const counted = isEvident ? forRecent : 'unrelated';
+      const counted = lossKind === 'left' ? 'unrelated' : forRecent;
       const suspicion = settled.has(run) ? forSettled : counted;
       return [run, { suspicion, age, noise, concurrentShare }];
     }),
   );
 }
 
-/** Tells whether a worker is known to be lost other than by leaving as announced. */
-function isEvidentLoss(lossKind: WorkerLossKind): boolean {
-  switch (lossKind) {
-    case 'crashed':
-    case 'gone':
-      return true;
-    case 'left':
-    case 'unreachable':
-      return false;
-  }
-}
-
 /** Returns the jobs with runs at a worker that have not settled. */
 export function unsettledJobs(
   state: JobsState,
--- a/packages/domain/src/jobs/loss.ts
+++ b/packages/domain/src/jobs/loss.ts
@@ -19,7 +19,7 @@
   'cleared',
   /** All runs on the worker had been running for long, and the worker crashed or was removed. */
   'unexplained',
-  /** The worker has left as announced, or may only be unreachable: no run is the cause. */
+  /** The worker has left as announced: no run is the cause. */
   'unrelated',
 ] as const;
 
--- a/packages/domain/src/jobs/suspect-tasks.test.ts
+++ b/packages/domain/src/jobs/suspect-tasks.test.ts
@@ -115,24 +115,32 @@
   assert.deepEqual(suspicionsIn(sole), ['sole', 'sole']);
 });
 
-// Guards against abandoning a healthy task because the leader could not reach its workers.
-test('a worker that may only be unreachable, or has left as announced, counts against no run', () => {
-  for (const lossKind of ['unreachable', 'left'] as const) {
-    const state = stateWithJobs('a', 'b');
-    const [recent, settled] = startTogether(state, 'a', 'b');
-    assert.ok(recent && settled);
-    setRunTime(settled, SETTLED_MS);
-    const evidence = { ...CONFIRMED_CRASH, lossKind };
-    const found = attributeLoss(state, [recent, settled], evidence);
-    assert.deepEqual(suspicionsIn(found), ['unrelated', 'cleared']);
-    const task = taskOf(state, 'a', 0, 0);
-    startAndLose(state, task, 'sole');
-    startAndLose(state, task, 'sole');
-    startAndLose(state, task, 'unrelated');
-    assert.deepEqual(workersLostUnder(task), ['w2', 'w3']);
-    startAndLose(state, task, 'sole');
-    assert.ok(isAbandoned(task));
-  }
+test('the loss of a worker that may only be unreachable is doubtful', () => {
+  const state = stateWithJobs('a');
+  const runs = startTogether(state, 'a');
+  const found = attributeLoss(state, runs, {
+    ...CONFIRMED_CRASH,
+    lossKind: 'unreachable',
+  });
+  assert.deepEqual(suspicionsIn(found), ['doubtful']);
+});
+
+// Guards against abandoning a healthy task because its workers left.
+test('a worker that has left as announced counts against no run', () => {
+  const state = stateWithJobs('a', 'b');
+  const [recent, settled] = startTogether(state, 'a', 'b');
+  assert.ok(recent && settled);
+  setRunTime(settled, SETTLED_MS);
+  const evidence = { ...CONFIRMED_CRASH, lossKind: 'left' } as const;
+  const found = attributeLoss(state, [recent, settled], evidence);
+  assert.deepEqual(suspicionsIn(found), ['unrelated', 'cleared']);
+  const task = taskOf(state, 'a', 0, 0);
+  startAndLose(state, task, 'sole');
+  startAndLose(state, task, 'sole');
+  startAndLose(state, task, 'unrelated');
+  assert.deepEqual(workersLostUnder(task), ['w2', 'w3']);
+  startAndLose(state, task, 'sole');
+  assert.ok(isAbandoned(task));
 });
 
 test('losses are doubtful while many other workers are lost', () => {
