Losses: a worker that was reached is silent no longer

A worker whose entry had lapsed and came back got a new link, which starts as answering and so never told that it answers again. It counted as silent for up to 20 s, and as lost together with others.

The record that a worker was reached is written for each link and silence, so that it ends the silence wherever it is applied.

--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -106,7 +106,7 @@
     case 'reached':
       state.reachedInEpoch.set(record.worker, state.claim.epoch);
       state.unresponsiveSince.delete(record.worker);
-      retractLosses(state, record.incarnation ?? record.worker);
+      noteReached(state, record.incarnation ?? record.worker);
       return true;
     case 'restate':
       applyImage(state, record.image);
@@ -163,6 +163,12 @@
   }
 }
 
+/** A worker that answers was not lost. */
+function noteReached(state: JobsState, incarnation: string): void {
+  state.lostContacts.noteAnswered(incarnation);
+  retractLosses(state, incarnation);
+}
+
 /** Forgets which leader reached the workers without open runs: who extended their leases does not matter. */
 function forgetIdleWorkers(state: JobsState): void {
   for (const worker of state.reachedInEpoch.keys()) {
