Losses: tasks that crash their workers at the same moment do not hide each other

Three to six jobs that crash each worker which starts them cost 7 to 12 workers each, five allowed, and two of four were shown as running for good with leaders killed.

Cause: each took the losses of the others for a common cause, 5 percent, so that none was suspected and none isolated; the wait for calm released all of them in one round, in step. And the share of others lost with a run counted alike at any age, though joint losses hardly hit runs of some milliseconds.

Change: a loss with others counts 10 percent, 30 in all. Tasks of two to eight jobs that are in doubt start in turn, so that the next losses come alone. The share counts in proportion to the age of a run that had just begun.

--- a/packages/domain/src/jobs/concurrent-losses.test.ts
+++ b/packages/domain/src/jobs/concurrent-losses.test.ts
@@ -64,10 +64,11 @@
   task: Task,
   concurrentShare: number,
   losses: number,
+  age = AGE,
 ): void {
   for (let at = 0; at < losses; at += 1) {
     const { number: run } = startOn(state, task, `lost${task.lastRun}`);
-    const lost = { task: refOf(task), run, checkpoint: '', age: AGE };
+    const lost = { task: refOf(task), run, checkpoint: '', age };
     const suspicion = 'doubtful';
     const loss = { suspicion, noise: 0.05, concurrentShare } as const;
     applyRecord(state, { kind: 'lost', ...lost, ...loss });
@@ -155,6 +156,16 @@
   assert.ok(isAbandoned(task));
 });
 
+// Guards against a task that crashes its workers within milliseconds while others are lost at the same moment.
+test('a task whose runs are lost with others is abandoned if they had just started', () => {
+  const state = stateWith('a');
+  const task = taskOf(state, 'a', 0, 0);
+  loseWith(state, task, 0.2, 4, { from: 8, to: 21 });
+  assert.equal(isAbandoned(task), false);
+  loseWith(state, task, 0.2, 1, { from: 8, to: 21 });
+  assert.ok(isAbandoned(task));
+});
+
 test('lost contacts are forgotten after a while', () => {
   const contacts = new LostContacts();
   contacts.noteLost('w1', 0, new Set());
--- a/packages/domain/src/jobs/quarantine.test.ts
+++ b/packages/domain/src/jobs/quarantine.test.ts
@@ -222,3 +222,22 @@
   loseWorkers(state, 0);
   assert.deepEqual(planRound(state, WORKERS, 100), ['a0 w1']);
 });
+
+// Guards against several tasks that crash their workers at the same moment and so hide each other.
+test('tasks of different jobs that were lost together start in turn', () => {
+  const state = stateOf(...['a', 'b'].map(id => testJob(id, [{ tasks: 1 }])));
+  loseOften(state, taskOf(state, 'a', 0, 0));
+  loseOften(state, taskOf(state, 'b', 0, 0));
+  assert.equal(planRound(state).length, 1);
+  assert.equal(planRound(state, WORKERS, 1_400).length, 0);
+  assert.equal(planRound(state, WORKERS, 1_600).length, 1);
+});
+
+test('tasks of many jobs that were lost together start at once', () => {
+  const ids = Array.from({ length: 9 }, (_, at) => `j${at}`);
+  const state = stateOf(...ids.map(id => testJob(id, [{ tasks: 1 }])));
+  for (const id of ids) {
+    loseOften(state, taskOf(state, id, 0, 0));
+  }
+  assert.equal(planRound(state).length, 9);
+});
--- a/packages/domain/src/jobs/quarantine.ts
+++ b/packages/domain/src/jobs/quarantine.ts
@@ -6,12 +6,13 @@
  */
 import type { Instant, Millis } from '../core/time.js';
 import {
+  isInDoubt,
   isLastDoubt,
   isSuspect,
   suspectedJobs,
   suspicionPercent,
 } from './suspect-tasks.js';
-import { isFinished, type Step, type Task } from './job.js';
+import { isFinished, type Job, type Step, type Task } from './job.js';
 import { busyWorkers, type JobsState } from './jobs-state.js';
 import { isSettled } from './loss-attribution.js';
 
@@ -41,6 +42,12 @@
 /** Number of workers, lost within `CALM_MS`, from which losses count as joint. */
 const MIN_JOINT_LOSSES = 2;
 
+/** How long a task in doubt runs before one of another job may start: losses are noticed within it. */
+const TRIAL_MS: Millis = 1_500;
+
+/** Maximum number of jobs with tasks in doubt that start in turn; more are hardly the cause of their losses. */
+const MAX_JOBS_IN_TURN = 8;
+
 /** Maximum share of the workers that is reserved for suspected tasks. */
 const MAX_RESERVED_SHARE = 1 / 8;
 /** Maximum number of reserved workers: the search for each one covers the whole fleet. */
@@ -56,6 +63,10 @@
   private readonly reserved = new Set<string>();
   /** Cached numbers of runs that have not settled, by worker. */
   private readonly unsettledCounts = new Map<string, number>();
+  /** Jobs with tasks in doubt. */
+  private readonly doubtedJobs = new Set<Job>();
+  /** Those of them with a run that has not shown yet what it does. */
+  private readonly triedJobs = new Set<Job>();
   /** Whether several workers have just been lost, more than suspected tasks explain. */
   private readonly areWorkersLostTogether: boolean;
 
@@ -65,6 +76,7 @@
     this.areWorkersLostTogether = areWorkersLostTogether(input);
     const waiting: Task[] = [];
     for (const task of suspects) {
+      this.noteDoubt(task);
       if (
         suspicionPercent(task) === 0 ||
         isFinished(task.step.occurrence.job)
@@ -82,6 +94,18 @@
     );
   }
 
+  private noteDoubt(task: Task): void {
+    const { job } = task.step.occurrence;
+    if (!isInDoubt(task) || isFinished(job)) {
+      return;
+    }
+    this.doubtedJobs.add(job);
+    const since = this.input.now - TRIAL_MS;
+    if (task.runs.some(({ openedAt }) => openedAt > since)) {
+      this.triedJobs.add(job);
+    }
+  }
+
   /** Tells whether a task may start on a worker. */
   admits(worker: string, task: Task): boolean {
     const isolated = this.isolatedSteps.get(worker);
@@ -89,7 +113,7 @@
       // Members of a gang can't wait for each other.
       return isolated.spec.gang && isolated === task.step;
     }
-    if (this.waitsForCalm(task)) {
+    if (this.waitsForCalm(task) || this.waitsForTurn(task)) {
       return false;
     }
     return isSuspect(task)
@@ -99,6 +123,9 @@
 
   /** Notes that a task has started on a worker in this round. */
   noteStart(task: Task, worker: string): void {
+    if (isInDoubt(task)) {
+      this.triedJobs.add(task.step.occurrence.job);
+    }
     if (isSuspect(task)) {
       this.isolatedSteps.set(worker, task.step);
     }
@@ -156,6 +183,22 @@
     );
   }
 
+  /**
+   * Tells whether a task that was lost together with tasks of other jobs waits until one of these has shown
+   * what it does. Tasks that crash their workers at the same time would hide each other.
+   */
+  private waitsForTurn(task: Task): boolean {
+    const { job } = task.step.occurrence;
+    const waitedMs = this.input.now - task.lossHistory.lastLossAt;
+    return (
+      this.doubtedJobs.size > 1 &&
+      this.doubtedJobs.size <= MAX_JOBS_IN_TURN &&
+      isInDoubt(task) &&
+      waitedMs < MAX_CALM_WAIT_MS &&
+      [...this.triedJobs].some(tried => tried !== job)
+    );
+  }
+
   private countUnsettled(worker: string): number {
     const cached = this.unsettledCounts.get(worker);
     if (cached !== undefined) {
--- a/packages/domain/src/jobs/suspect-tasks.ts
+++ b/packages/domain/src/jobs/suspect-tasks.ts
@@ -25,7 +25,10 @@
 };
 
 /** Suspicion in percent that a loss adds if other workers were lost at the same time. */
-const CONCURRENT_LOSS_PERCENT = 5;
+const CONCURRENT_LOSS_PERCENT = 10;
+
+/** Maximum of that for all such losses: alone they make no task suspected. */
+const MAX_CONCURRENT_PERCENT = 30;
 
 /** Suspicion in percent at which a task is abandoned. */
 const ABANDON_AT_PERCENT = 100;
@@ -36,6 +39,12 @@
  */
 const ABANDON_AT_LOSSES = 5;
 
+/** Losses from which a task that was lost together with others is in doubt. */
+const IN_DOUBT_AT_LOSSES = 2;
+
+/** Interval of joint losses below which a run that has just started is often hit by the next one. */
+const JOINT_LOSS_INTERVAL_MS: Millis = 2_000;
+
 /** Probability of losing a healthy task as often: some thousand starts may be lost with their workers. */
 const MAX_CHANCE = 1e-5;
 
@@ -89,18 +98,25 @@
   return losses.reduce((sum, loss) => sum + percentOf(loss), 0);
 }
 
-function percentOf({ suspicion, concurrentShare = 0 }: Loss): number {
-  return concurrentShare > 0
+function percentOf(loss: Loss): number {
+  return isConcurrent(loss)
     ? CONCURRENT_LOSS_PERCENT
-    : SUSPICION_PERCENT[suspicion];
+    : SUSPICION_PERCENT[loss.suspicion];
+}
+
+function isConcurrent({ concurrentShare = 0 }: Loss): boolean {
+  return concurrentShare > 0;
 }
 
 function countedPercent(losses: readonly Loss[]): number {
   if (losses.length >= ABANDON_AT_LOSSES && !mayBeChance(losses)) {
     return ABANDON_AT_PERCENT;
   }
-  let sum = 0;
-  for (const loss of losses) {
+  let sum = Math.min(
+    MAX_CONCURRENT_PERCENT,
+    totalPercent(losses.filter(isConcurrent)),
+  );
+  for (const loss of losses.filter(other => !isConcurrent(other))) {
     sum += percentOf(loss);
     // A doubtful loss never brings the sum to the limit, whatever came before it.
     sum =
@@ -113,15 +129,18 @@
 
 /**
  * Tells whether a healthy task may have been lost as often, since workers are being lost for other reasons. A
- * run is lost by chance at any age, so that a precisely known age says more. Where several workers are lost at
- * the same time, the age says nothing.
+ * run is lost by chance at any age, so that a precisely known age says more. Runs that start again together
+ * after joint losses are all of one age at the next, so that of these only a low age says more.
  */
 function mayBeChance(losses: readonly Loss[]): boolean {
   const noise = Math.max(...losses.map(loss => loss.noise ?? 0));
   const chance = losses.reduce((product, { age, concurrentShare = 0 }) => {
     const spanMs = age.to - age.from + 2 * AGE_TOLERANCE_MS;
     const alone = noise * Math.min(1, spanMs / SETTLED_MS);
-    return product * Math.max(alone, concurrentShare);
+    const untilMs = age.to + AGE_TOLERANCE_MS;
+    const together =
+      concurrentShare * Math.min(1, untilMs / JOINT_LOSS_INTERVAL_MS);
+    return product * Math.max(alone, together);
   }, 1);
   return chance > MAX_CHANCE;
 }
@@ -145,6 +164,15 @@
   return new Set(tasks.map(({ step }) => step.occurrence.job));
 }
 
+/**
+ * Tells whether a task was lost several times and at least once together with other workers: it or one of
+ * those lost with it may be the cause.
+ */
+export function isInDoubt({ lossHistory }: Task): boolean {
+  const { losses } = lossHistory;
+  return losses.length >= IN_DOUBT_AT_LOSSES && losses.some(isConcurrent);
+}
+
 /**
  * Tells whether the next loss may decide that a task is abandoned, however doubtful it is: users accept no
  * further start of a task that crashes its workers.
