Losses: taken back and discounted alike on all hosts, and judged once

Hosts could show a job differently after a cancellation: the leader forgets suspects of finished jobs in its rounds, so that a loss which all readers take back stayed there.

Tasks that lost a worker are kept by that worker now, and what is taken back or discounted later finds them there, whichever host still suspects them.

--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -78,6 +78,8 @@
    * if it had announced its departure or may only be unreachable.
    */
   readonly workerLosses: Map<string, Instant>;
+  /** Tasks that ran on lost workers, by worker. */
+  readonly tasksLostWith: Map<string, Set<Task>>;
   /** Workers that have stopped answering; only the leader keeps them. */
   readonly lostContacts: LostContacts;
 }
@@ -104,6 +106,7 @@
     unresponsiveSince: new Map(),
     suspects: new Set(),
     workerLosses: new Map(),
+    tasksLostWith: new Map(),
     lostContacts: new LostContacts(),
   };
 }
--- a/packages/domain/src/jobs/loss.ts
+++ b/packages/domain/src/jobs/loss.ts
@@ -57,7 +57,7 @@
 /** The loss of a worker while it ran a task. */
 export interface Loss {
   readonly worker: string;
-  suspicion: CountedSuspicion;
+  readonly suspicion: CountedSuspicion;
   /** Age of the run when the worker was lost. */
   readonly age: SpanBounds;
   /** Probability with which a healthy worker was being lost, at that time, while a run settles; absent if 0. */
--- a/packages/domain/src/jobs/suspect-tasks.ts
+++ b/packages/domain/src/jobs/suspect-tasks.ts
@@ -51,6 +51,9 @@
 /** Maximum number of losses kept for a task: several times as many as are needed to abandon it. */
 const MAX_KEPT_LOSSES = 20;
 
+/** Maximum number of lost workers whose tasks are kept: more than a fleet has. */
+const MAX_KEPT_WORKERS = 4_000;
+
 /** Suspicion in percent at which a task is isolated: two losses that are not doubtful reach it. */
 const SUSPECT_AT_PERCENT = 60;
 
@@ -60,19 +63,25 @@
 /** Tolerance at both bounds of an age, for the time that reports and commands are in transit. */
 const AGE_TOLERANCE_MS: Millis = 250;
 
+/** Computed suspicion by list of losses; such lists are replaced and never changed. */
+const percentByLosses = new WeakMap<readonly Loss[], number>();
+
 /** Returns the suspicion against a task in percent; 0 if there is none. */
 export function suspicionPercent({ lossHistory }: Task): number {
-  const checkpoints = new Set(
-    lossHistory.losses.map(({ resumedFrom }) => resumedFrom),
-  );
+  const { losses } = lossHistory;
+  const percent = percentByLosses.get(losses) ?? computePercent(losses);
+  percentByLosses.set(losses, percent);
+  return percent;
+}
+
+function computePercent(all: readonly Loss[]): number {
+  const checkpoints = new Set(all.map(({ resumedFrom }) => resumedFrom));
   const counted = new Set<Loss>();
   for (const checkpoint of checkpoints) {
-    const losses = lossHistory.losses.filter(
-      loss => loss.resumedFrom === checkpoint,
-    );
+    const losses = all.filter(loss => loss.resumedFrom === checkpoint);
     largestSameAgeGroup(losses).forEach(loss => counted.add(loss));
   }
-  return countedPercent(lossHistory.losses.filter(loss => counted.has(loss)));
+  return countedPercent(all.filter(loss => counted.has(loss)));
 }
 
 /**
@@ -225,10 +234,15 @@
   task: Task,
   losses: readonly Loss[],
 ): void {
-  task.lossHistory.losses.push(...losses);
-  task.lossHistory.losses = task.lossHistory.losses.slice(-MAX_KEPT_LOSSES);
-  task.lossHistory.lastLossAt = state.now;
+  const { lossHistory } = task;
+  lossHistory.losses = [...lossHistory.losses, ...losses].slice(
+    -MAX_KEPT_LOSSES,
+  );
+  lossHistory.lastLossAt = state.now;
   state.suspects.add(task);
+  for (const { worker } of losses) {
+    noteLostUnder(state, worker, task);
+  }
 }
 
 /**
@@ -236,15 +250,15 @@
  * caused most of them.
  */
 export function discountExplainedLosses(
-  { suspects }: JobsState,
+  state: JobsState,
   workers: readonly string[],
   abandoned: Task | undefined,
 ): void {
-  const explained = new Set(workers);
-  for (const task of suspects) {
-    const losses = task === abandoned ? [] : task.lossHistory.losses;
-    for (const loss of losses.filter(({ worker }) => explained.has(worker))) {
-      loss.suspicion = 'doubtful';
+  for (const worker of workers) {
+    for (const { lossHistory } of tasksLostWith(state, worker, abandoned)) {
+      lossHistory.losses = lossHistory.losses.map(loss =>
+        loss.worker === worker ? { ...loss, suspicion: 'doubtful' } : loss,
+      );
     }
   }
 }
@@ -252,11 +266,38 @@
 /** Takes back the losses of an incarnation that has answered again: it was only unreachable. */
 export function retractLosses(state: JobsState, worker: string): void {
   state.workerLosses.delete(worker);
-  for (const { lossHistory } of state.suspects) {
+  for (const { lossHistory } of tasksLostWith(state, worker)) {
     lossHistory.losses = lossHistory.losses.filter(
       loss => loss.worker !== worker,
     );
   }
+  state.tasksLostWith.delete(worker);
+}
+
+/**
+ * Returns the tasks that have lost a worker. Does not depend on whether they are still suspects: hosts remove
+ * these at different times.
+ */
+function tasksLostWith(
+  state: JobsState,
+  worker: string,
+  except?: Task,
+): Task[] {
+  const tasks = state.tasksLostWith.get(worker) ?? new Set();
+  return [...tasks].filter(task => task !== except);
+}
+
+function noteLostUnder(
+  { tasksLostWith: byWorker }: JobsState,
+  worker: string,
+  task: Task,
+): void {
+  const tasks = byWorker.get(worker) ?? new Set();
+  byWorker.set(worker, tasks.add(task));
+  const [oldest] = byWorker.keys();
+  if (byWorker.size > MAX_KEPT_WORKERS && oldest !== undefined) {
+    byWorker.delete(oldest);
+  }
 }
 
 /** Notes that a worker was lost. */
