--- a/packages/daemon/src/job-host/crashing-jobs-together.test.ts
+++ b/packages/daemon/src/job-host/crashing-jobs-together.test.ts
@@ -1,4 +1,7 @@
-/* Several jobs, each of which crashes every worker that starts it, at the same age of its runs. */
+/*
+ * Guards against jobs that crash every worker which starts them and are started on and on, since several of
+ * them at once hide each other: each takes the losses of the others for a common cause.
+ */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
