Reports: the port says when a worker may have more ends than it lists

A worker lists 500 ends at a time. Nothing in the product knew that, and the in-memory workers listed all, so that no test could show what a part of the list does. The answer to a poll now says whether more ends may follow, the workers of the simulation list 500, and the leader logs how many open runs such a report leaves out: with this line a run that is taken for one that never started can be told from one whose end was acknowledged unseen ("ends are missing from its list").

No behaviour changes.

--- a/packages/daemon/src/job-host/report-checks.ts
+++ b/packages/daemon/src/job-host/report-checks.ts
@@ -32,6 +32,7 @@
     open: ReadonlyMap<string, Run>,
   ): void {
     this.checkPositions(report);
+    this.logMoreEnds(report, listed, open);
     for (const run of this.lastListed) {
       if (open.has(run) && !listed.has(run)) {
         const { worker } = this;
@@ -45,6 +46,22 @@
     this.lastListed = new Set([...listed].filter(run => open.has(run)));
   }
 
+  /** Logs that a report may omit ends, and how many open runs it does not list. */
+  private logMoreEnds(
+    { ended, hasMoreEnds }: Report,
+    listed: ReadonlySet<string>,
+    open: ReadonlyMap<string, Run>,
+  ): void {
+    if (hasMoreEnds) {
+      const notListed = [...open.keys()].filter(run => !listed.has(run)).length;
+      const { worker } = this;
+      this.ctx.log.info(
+        { worker, ends: ended.length, notListed },
+        'worker: has more ends than it lists at a time',
+      );
+    }
+  }
+
   /**
    * Checks the positions of ends. They rise by one: a gap means that ends were acknowledged before they were
    * listed to this leader.
--- a/packages/daemon/src/job-host/stub-worker.fixture.test.ts
+++ b/packages/daemon/src/job-host/stub-worker.fixture.test.ts
@@ -62,6 +62,8 @@
   readonly polls: PollRequest[] = [];
   /** Ends that the worker lists until they are acknowledged. */
   readonly listed: EndedRun[] = [];
+  /** Number of ends that the worker lists at a time. */
+  listedEnds = 500;
   /** Start time that the worker includes in its answers. */
   startedAt: Instant | undefined;
   /** Incarnations that answered in place of the polled one. */
@@ -150,14 +152,16 @@
     // A poll takes some time, so that polls do not follow each other in an endless loop.
     await this.pause(Math.max(50, request.waitMs));
     const clock: Instant = this.time.clock();
+    const unacknowledged = this.listed.filter(
+      ({ position }) => position > request.acknowledged,
+    );
     return {
       kind: 'seen',
       startedAt: this.startedAt,
       clock,
       active: [],
-      ended: this.listed.filter(
-        ({ position }) => position > request.acknowledged,
-      ),
+      ended: unacknowledged.slice(0, this.listedEnds),
+      hasMoreEnds: unacknowledged.length >= this.listedEnds,
     };
   }
 
--- a/packages/ports/src/jobs/worker-port.ts
+++ b/packages/ports/src/jobs/worker-port.ts
@@ -90,7 +90,10 @@
       readonly startedAt: Instant | undefined;
       readonly clock: Instant;
       readonly active: readonly ActiveRun[];
+      /** The oldest ends that are not yet acknowledged. */
       readonly ended: readonly EndedRun[];
+      /** Whether the worker may have more ends than it lists: a run in neither list may have ended. */
+      readonly hasMoreEnds: boolean;
     }
   | { readonly kind: 'fenced' }
   | { readonly kind: 'replaced' }
--- a/packages/stand-ins/src/jobs/memory-worker.ts
+++ b/packages/stand-ins/src/jobs/memory-worker.ts
@@ -63,6 +63,8 @@
 
 /** Duration of a stop, in milliseconds. */
 const STOP_DELAY_MS = 120;
+/** Number of ends that a worker lists at a time. */
+const LISTED_ENDS = 500;
 
 /** A worker that executes orders immediately. */
 export class MemoryWorker {
@@ -158,6 +160,13 @@
     return { kind: 'accepted', clock: this.clock };
   }
 
+  /** Ends all active runs at once, with the given checkpoint. */
+  endAll(how: RunEnd, checkpoint = ''): void {
+    for (const key of [...this.active.keys()]) {
+      this.end(key, how, checkpoint);
+    }
+  }
+
   /** Extends the lease, removes acknowledged ends and returns a report, after `waitMs` at the latest. */
   async poll(order: PollRequest): Promise<PollResult> {
     if (order.fence < this.fence) {
@@ -242,7 +251,7 @@
     this.highestRun.set(name, Math.max(run, this.highestRun.get(name) ?? 0));
   }
 
-  private end(key: string, how: RunEnd): void {
+  private end(key: string, how: RunEnd, checkpoint = ''): void {
     const entry = this.active.get(key);
     if (entry === undefined || !this.up) {
       return;
@@ -252,7 +261,7 @@
     const { task, run } = entry.order;
     const position = this.nextPosition;
     this.nextPosition += 1;
-    this.ended.push({ position, task, run, how, checkpoint: '' });
+    this.ended.push({ position, task, run, how, checkpoint });
     this.history.recordRunEnd(
       entry.order,
       this.incarnation,
@@ -316,7 +325,8 @@
       startedAt: this.traits.startedAt,
       clock: this.clock,
       active,
-      ended: [...this.ended],
+      ended: this.ended.slice(0, LISTED_ENDS),
+      hasMoreEnds: this.ended.length >= LISTED_ENDS,
     };
   }
 
