Reports: a run that a worker does not list is absent only if all ends are listed

Failures beyond the first 500 did not count as attempts.

Two hypotheses. A: the new leader takes runs that the first report does not list for ones that never started, and ends them as void; then as many runs end as void as the report leaves open, and no end is missing from the list. B: ends are acknowledged before they are listed; then the log tells of missing ends. With the new log line, 600 ends: the report leaves 100 open, 100 runs end as void and 100 starts follow; no line of missing ends.

Cause: a report lists 500 ends at a time, and every reader of it took what is not listed for absent: runs of an earlier leader (void), stopped runs (void, with their checkpoint), runs of other incarnations (given up, which counts their workers as lost), and the check for missing runs (a false line).

Change: ReportedRuns says once what a report tells of a run: listed, absent or unknown; nothing is absent while the worker may have more ends. A worker is assigned no runs until all its ends were listed. Why it works: ends are acknowledged only once they are recorded, so each further report begins where the recorded ones end, and the first complete one names all that are left.

Cost: none for a worker with fewer than 500 ends, whose first report is complete.

--- a/packages/daemon/src/job-host/job-host.fuzz.test.ts
+++ b/packages/daemon/src/job-host/job-host.fuzz.test.ts
@@ -349,6 +349,22 @@
   );
 });
 
+// Guards against taking a run for one that never started because its worker lists its end only later.
+test('guarantees hold under random faults while workers list one or two ends at a time', async () => {
+  await fc.assert(
+    fc.asyncProperty(
+      scenario,
+      fc.integer({ min: 1, max: 2 }),
+      async (found, listedEnds) => {
+        const options: SimulationOptions = { listedEnds };
+        const site = await runScenario(found, 0, [], undefined, options);
+        assertGuarantees(site, found);
+      },
+    ),
+    fuzzOptions(12, 20261209),
+  );
+});
+
 // Delayed orders are left out: an order that arrives before the first answer of a worker has its
 // own test.
 const restartProperty = fc.asyncProperty(
--- a/packages/daemon/src/job-host/linked-runs.ts
+++ b/packages/daemon/src/job-host/linked-runs.ts
@@ -11,14 +11,13 @@
   type WorkerInfo,
   type WorkerRuns,
 } from '@paddlewind/domain/jobs';
-import type { ActiveRun, EndedRun, PollResult } from '@paddlewind/ports/jobs';
+import type { ActiveRun, EndedRun } from '@paddlewind/ports/jobs';
 
 import type { HostContext } from './context.js';
 import { logAbandonedRuns } from './abandoned-runs.js';
 import type { AbandonedWorkerReason } from './meters.js';
 import { ReportChecks } from './report-checks.js';
-
-type Report = Extract<PollResult, { kind: 'seen' }>;
+import { ReportedRuns, type Report } from './reported-runs.js';
 
 /** Events of the runs at one link. */
 export interface LinkedRunEvents {
@@ -68,6 +67,8 @@
 /** The runs of one link. */
 export class LinkedRuns {
   private readonly reportChecks: ReportChecks;
+  /** Whether a report has listed all ends, so that it is known which of the runs have ever started. */
+  private areAllKnown = false;
 
   /** Creates the runs of a worker that has not reported yet. */
   constructor(private readonly options: LinkedRunsOptions) {
@@ -85,28 +86,36 @@
     return [...this.open.values(), ...this.options.otherRuns()];
   }
 
-  /**
-   * Applies the report that answers a poll sent at `sentAt`; `isFirst` if it is the first of this
-   * incarnation.
-   */
-  applyReport(report: Report, sentAt: Instant, isFirst: boolean): void {
+  /** Whether it is known of all runs whether they have started and ended. */
+  get areKnown(): boolean {
+    return this.areAllKnown;
+  }
+
+  /** Applies the report that answers a poll sent at `sentAt`. */
+  applyReport(report: Report, sentAt: Instant): void {
     const { events } = this.options;
-    this.adoptRuns(report);
-    const listed = this.applyActive(report);
+    const reported = new ReportedRuns(report);
+    this.adoptRuns(reported);
+    this.applyActive(report);
     for (const ended of report.ended) {
-      const key = runKey(taskName(ended.task), ended.run);
-      listed.add(key);
-      const run = this.open.get(key);
+      const run = this.open.get(runKey(taskName(ended.task), ended.run));
       if (run === undefined) {
         events.strayEnd(ended);
       } else {
         events.ended(run, ended.how, ended.checkpoint);
       }
     }
-    this.reportChecks.check(report, listed, this.open);
+    this.reportChecks.check(report, reported, this.open);
+    this.endAbsent(reported, sentAt);
+    this.areAllKnown ||= reported.isComplete;
+  }
+
+  /** Ends the runs that have certainly never started. */
+  private endAbsent(reported: ReportedRuns, sentAt: Instant): void {
     for (const [key, run] of this.open) {
-      if (!listed.has(key) && neverStarted(run, sentAt, isFirst)) {
-        events.ended(run, 'void', '');
+      const isAbsent = reported.presenceOf(key) === 'absent';
+      if (isAbsent && neverStarted(run, sentAt, !this.areAllKnown)) {
+        this.options.events.ended(run, 'void', '');
       }
     }
   }
@@ -130,26 +139,25 @@
   }
 
   /**
-   * Takes over the runs of other incarnations. Those that the report lists have started here; all others are
-   * neither running nor can they start any more.
+   * Takes over the runs of other incarnations. Those that the report lists have started here; those that are
+   * absent are neither running nor can they start any more.
    */
-  private adoptRuns({ active, ended }: Report): void {
-    const runs = this.options.otherRuns();
-    if (runs.length === 0) {
-      return;
-    }
-    const listed = new Set(
-      [...active, ...ended].map(({ task, run }) => runKey(taskName(task), run)),
-    );
+  private adoptRuns(reported: ReportedRuns): void {
     const absent: Run[] = [];
-    for (const run of runs) {
-      if (listed.has(runKey(taskName(refOf(run.task)), run.number))) {
-        this.adopt(run);
-      } else if (!this.awaitsStartOrder(run)) {
-        absent.push(run);
+    for (const run of this.options.otherRuns()) {
+      const key = runKey(taskName(refOf(run.task)), run.number);
+      switch (reported.presenceOf(key)) {
+        case 'listed':
+          this.adopt(run);
+          break;
+        case 'absent':
+          absent.push(run);
+          break;
+        case 'unknown':
+          break;
       }
     }
-    this.abandonOthers(absent);
+    this.abandonOthers(absent.filter(run => !this.awaitsStartOrder(run)));
   }
 
   private adopt(run: Run): void {
@@ -182,12 +190,10 @@
     );
   }
 
-  /** Applies the active runs of a report; returns their keys. */
-  private applyActive(report: Report): Set<string> {
-    const listed = new Set<string>();
+  /** Applies the active runs of a report. */
+  private applyActive(report: Report): void {
     for (const active of report.active) {
       const key = runKey(taskName(active.task), active.run);
-      listed.add(key);
       const run = this.open.get(key);
       if (run === undefined) {
         this.options.ctx.log.warn(
@@ -199,7 +205,6 @@
         this.updateProgress(run, active);
       }
     }
-    return listed;
   }
 
   private updateProgress(run: Run, seen: ActiveRun): void {
@@ -230,7 +235,7 @@
   }
 }
 
-/** Whether a run that a report does not list has certainly never started. */
+/** Whether a run that is absent from a report, the first complete one if `isFirst`, has certainly never started. */
 function neverStarted(run: Run, sentAt: Instant, isFirst: boolean): boolean {
   const { progress } = run;
   if (progress === undefined) {
--- a/packages/daemon/src/job-host/report-checks.ts
+++ b/packages/daemon/src/job-host/report-checks.ts
@@ -1,16 +1,14 @@
 /** Compares consecutive reports of a worker, and logs runs and ends that are missing without a cause. */
 import type { Run } from '@paddlewind/domain/jobs';
-import type { PollResult } from '@paddlewind/ports/jobs';
 
 import type { HostContext } from './context.js';
-
-type Report = Extract<PollResult, { kind: 'seen' }>;
+import type { Report, ReportedRuns } from './reported-runs.js';
 
 /** Checks the reports of one incarnation of a worker. */
 export class ReportChecks {
   /** Highest position of a listed end; undefined before the first report. */
   private lastPosition: number | undefined;
-  /** Runs that the last report listed and that were open then. */
+  /** Runs that a report has listed, that were open then and that no later report has shown to be absent. */
   private lastListed = new Set<string>();
 
   /**
@@ -25,38 +23,53 @@
     this.lastPosition = isNew ? 0 : undefined;
   }
 
-  /** Checks a report; `listed` holds the keys of all runs in it, `open` the open runs at the worker. */
+  /** Checks a report, with the open runs at the worker. */
   check(
     report: Report,
-    listed: ReadonlySet<string>,
+    reported: ReportedRuns,
     open: ReadonlyMap<string, Run>,
   ): void {
     this.checkPositions(report);
-    this.logMoreEnds(report, listed, open);
+    this.logMoreEnds(report, reported, open);
+    const awaited: string[] = [];
     for (const run of this.lastListed) {
-      if (open.has(run) && !listed.has(run)) {
-        const { worker } = this;
-        this.ctx.meters.runMissing();
-        this.ctx.log.warn(
-          { worker, run },
-          'worker: a run that was at work is no longer listed',
-        );
+      switch (open.has(run) ? reported.presenceOf(run) : 'listed') {
+        case 'listed':
+          break;
+        case 'absent':
+          this.noteMissing(run);
+          break;
+        case 'unknown':
+          awaited.push(run);
+          break;
       }
     }
-    this.lastListed = new Set([...listed].filter(run => open.has(run)));
+    const listed = [...reported.listed].filter(run => open.has(run));
+    this.lastListed = new Set([...listed, ...awaited]);
+  }
+
+  private noteMissing(run: string): void {
+    const { worker } = this;
+    this.ctx.meters.runMissing();
+    this.ctx.log.warn(
+      { worker, run },
+      'worker: a run that was at work is no longer listed',
+    );
   }
 
-  /** Logs that a report may omit ends, and how many open runs it does not list. */
+  /** Logs that a report may omit ends, and of how many open runs it says nothing. */
   private logMoreEnds(
-    { ended, hasMoreEnds }: Report,
-    listed: ReadonlySet<string>,
+    { ended }: Report,
+    reported: ReportedRuns,
     open: ReadonlyMap<string, Run>,
   ): void {
-    if (hasMoreEnds) {
-      const notListed = [...open.keys()].filter(run => !listed.has(run)).length;
+    if (!reported.isComplete) {
       const { worker } = this;
+      const unknown = [...open.keys()].filter(
+        run => reported.presenceOf(run) === 'unknown',
+      );
       this.ctx.log.info(
-        { worker, ends: ended.length, notListed },
+        { worker, ends: ended.length, unknown: unknown.length },
         'worker: has more ends than it lists at a time',
       );
     }
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -88,6 +88,8 @@
   readonly workerRestartMs?: Millis;
   /** Whether a worker that restarts keeps its id. */
   readonly keepsIds?: boolean;
+  /** Number of ends that workers list at a time; 500 by default. */
+  readonly listedEnds?: number;
   /** Capacity of each host's outgoing link; unlimited by default. */
   readonly linkBytesPerS?: number;
   /**
@@ -130,6 +132,7 @@
   readonly peers: SimulatedPeers;
   private readonly maxLeaseMs: Millis;
   private readonly keepsIds: boolean;
+  private readonly listedEnds: number | undefined;
   private readonly linkBytesPerS: number;
   private readonly relayAllStarts: boolean;
   private readonly zoneOf: (machine: string) => string;
@@ -146,6 +149,7 @@
       maxLeaseMs = MAX_LEASE_MS,
       workerRestartMs = WORKER_RESTART_MS,
       keepsIds = false,
+      listedEnds,
       linkBytesPerS = Infinity,
       relayAllStarts = process.env.TEST_RELAYS !== undefined,
       zoneOf = () => 'a',
@@ -157,6 +161,7 @@
   ) {
     this.maxLeaseMs = maxLeaseMs;
     this.keepsIds = keepsIds;
+    this.listedEnds = listedEnds;
     this.linkBytesPerS = linkBytesPerS;
     this.relayAllStarts = relayAllStarts;
     this.zoneOf = zoneOf;
@@ -207,12 +212,14 @@
   ): void {
     this.incarnations += 1;
     const version = ownVersion ?? this.versionOf?.(this.incarnations);
+    const { listedEnds } = this;
     const clockRate = 0.98 + 0.02 * this.random();
     const clockOffset = Math.floor(this.random() * 100_000);
     const traits = {
       capacity,
       labels,
       ...(version === undefined ? {} : { version }),
+      ...(listedEnds === undefined ? {} : { listedEnds }),
       availabilityZone: this.zoneOf(machine),
       maxLeaseMs: this.maxLeaseMs,
       clockRate,
--- a/packages/daemon/src/job-host/stub-worker.fixture.test.ts
+++ b/packages/daemon/src/job-host/stub-worker.fixture.test.ts
@@ -6,6 +6,7 @@
   emptyJobsState,
   findTask,
   refOf,
+  runsOfOtherIncarnations,
   workerRuns,
   type Run,
   type RunEnd,
@@ -121,6 +122,19 @@
     applyJournal(this.state, { kind: 'end', ...ended });
   };
 
+  /** Records that a run has started at a later incarnation of its worker, as the leader does. */
+  move(run: Run, worker: string): void {
+    const moved = { task: refOf(run.task), run: run.number, worker };
+    applyJournal(this.state, { kind: 'moved', ...moved });
+  }
+
+  /** Lists the end of a run from now on. */
+  list(run: Run, how: RunEnd): void {
+    const position = this.listed.length + 1;
+    const task = refOf(run.task);
+    this.listed.push({ position, task, run: run.number, how, checkpoint: '' });
+  }
+
   /** Cancels the job. */
   cancel(): void {
     applyInbox(this.state, { kind: 'cancel', job: ORDERED_JOB });
@@ -186,7 +200,7 @@
     earlierLeaseEnd: 0,
     horizon: () => stub.time.clock() + LEASE_HORIZON_MS,
     runs: () => workerRuns(stub.state, info.id),
-    otherRuns: () => [],
+    otherRuns: () => runsOfOtherIncarnations(stub.state, info.id),
     isNew: false,
     firstPolls: new FirstPolls(),
     leadsSince: 0,
@@ -197,7 +211,9 @@
     ticketFor: () => undefined,
     events: {
       ended: stub.end,
-      moved: () => undefined,
+      moved: run => {
+        stub.move(run, info.id);
+      },
       replaced: by => {
         stub.replacedBy.push(by);
         link.supersede();
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -26,6 +26,7 @@
 } from './linked-runs.js';
 import { ReachRecord } from './reach-record.js';
 import type { StartSender } from './relay/start-sender.js';
+import type { Report } from './reported-runs.js';
 import {
   POLL_RETRY_DELAY_MS,
   MIN_START_LEASE_MS,
@@ -86,8 +87,6 @@
   readonly events: LinkEvents;
 }
 
-type Report = Extract<PollResult, { kind: 'seen' }>;
-
 /** A poll that was sent. */
 interface SentPoll {
   readonly at: Instant;
@@ -101,7 +100,7 @@
   private readonly pollTimeout = new AdaptiveTimeout();
   private readonly runs: LinkedRuns;
   private readonly orders: WorkerOrders;
-  /** Whether the worker has reported to this leader, so that its open runs are known. */
+  /** Whether the worker has reported to this leader. */
   private hasReported = false;
   private readonly reach: ReachRecord;
   private isAnswering = true;
@@ -187,7 +186,9 @@
   /** Whether the worker may be assigned runs. */
   get usable(): boolean {
     const isPauseOver = this.options.ctx.clock() >= this.pausedUntil;
-    return this.hasReported && this.isAnswering && isPauseOver && !this.closed;
+    return (
+      this.runs.areKnown && this.isAnswering && isPauseOver && !this.closed
+    );
   }
 
   /**
@@ -268,7 +269,7 @@
   /** Whether to poll now; a worker that does not answer is polled until it answers or is removed. */
   private needsPoll(): boolean {
     return (
-      !this.hasReported ||
+      !this.runs.areKnown ||
       !this.isAnswering ||
       this.runs.open.size > 0 ||
       this.recordedUpTo > this.acknowledgedUpTo
@@ -309,7 +310,7 @@
   }
 
   private pollWaitMs(leaseLeftMs: Millis): Millis {
-    if (!this.hasReported || this.runs.open.size === 0) {
+    if (!this.runs.areKnown || this.runs.open.size === 0) {
       return 0;
     }
     const waitMs = this.options.pollWaitMs();
@@ -441,13 +442,15 @@
   private async applyReport(report: Report, sentAt: Instant): Promise<void> {
     const { events } = this.options;
     const { times } = this.options.ctx;
+    const wereKnown = this.runs.areKnown;
     times.measure('reports', () => {
-      this.runs.applyReport(report, sentAt, !this.hasReported);
+      this.runs.applyReport(report, sentAt);
     });
-    if (!this.hasReported) {
-      this.hasReported = true;
+    if (this.runs.areKnown && !wereKnown) {
+      this.logAllKnown();
       events.changed();
     }
+    this.hasReported = true;
     // The next poll waits for this record, since it extends the lease only then. A poll sent earlier would
     // delay the extension for as long as it waits for an end.
     const reached = this.reach.request();
@@ -468,6 +471,18 @@
     ]);
   }
 
+  /** Logs that all runs are known, if the worker had more ends than its first report listed. */
+  private logAllKnown(): void {
+    if (this.hasReported) {
+      const { ctx } = this.options;
+      const afterMs = Math.round(ctx.clock() - this.firstAnsweredAt);
+      ctx.log.info(
+        { worker: this.info.id, afterMs },
+        'worker: all its ends are listed',
+      );
+    }
+  }
+
   /**
    * Notes when the ends up to `position` are recorded. Only then are they acknowledged, even if they were
    * listed before.
--- a/packages/stand-ins/src/jobs/memory-worker.ts
+++ b/packages/stand-ins/src/jobs/memory-worker.ts
@@ -47,6 +47,8 @@
   /** Version in its registry entry, which has none if it is not given. */
   readonly version?: string;
   readonly maxLeaseMs: Millis;
+  /** Number of ends that it lists at a time; 500 if it is not given. */
+  readonly listedEnds?: number;
   /** Rate of the worker's clock, from 0.98 to 1. */
   readonly clockRate: number;
   readonly clockOffset: Millis;
@@ -63,7 +65,7 @@
 
 /** Duration of a stop, in milliseconds. */
 const STOP_DELAY_MS = 120;
-/** Number of ends that a worker lists at a time. */
+/** Number of ends that a worker lists at a time by default. */
 const LISTED_ENDS = 500;
 
 /** A worker that executes orders immediately. */
@@ -309,6 +311,7 @@
 
   private report(): PollResult {
     const now = this.time.clock();
+    const { listedEnds = LISTED_ENDS } = this.traits;
     const active = [...this.active.values()].map(
       ({ order, since, script, hangs }) => ({
         task: order.task,
@@ -325,8 +328,8 @@
       startedAt: this.traits.startedAt,
       clock: this.clock,
       active,
-      ended: this.ended.slice(0, LISTED_ENDS),
-      hasMoreEnds: this.ended.length >= LISTED_ENDS,
+      ended: this.ended.slice(0, listedEnds),
+      hasMoreEnds: this.ended.length >= listedEnds,
     };
   }
 
