Rebuilding: a job whose submission was written twice does not run again

Two hypotheses. A: a host that starts takes the later submission for a new job and passes over the record that restates the job as completed, since it is known by then; then such records are read of jobs that are known as queued. B: the job is not restated in time; then there is no such record. A new line tells of a job that is restated in another state than was read of it. With it and without the change: each host that starts logs the job as known `queued` and restated with nothing remaining (or as failed, or as cancelled).

From then on, and for jobs that are submitted later, all records are known. A leader's own state is whole.

Why it works: the log keeps a record longer than all that were written before it in that time.

--- /dev/null
+++ b/packages/daemon/src/job-host/late-submissions.test.ts
@@ -0,0 +1,125 @@
+/*
+ * Guards against running a finished job again after hosts have started anew. An append to the inbox that got no answer
+ * was sent again, and the log wrote the first one seconds later, so that the submission stood there twice. Once the log
+ * had dropped the first one and the records of the job's runs, a host that started took the second one for a new job.
+ * A host that freezes with a submission in its hands writes it as late.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import type { Millis } from '@paddlewind/domain';
+import { decodeJournal } from '@paddlewind/domain/jobs';
+
+import { Simulation } from './simulation.fixture.test.js';
+
+const JOB = '00000000000000b8';
+const HOSTS = ['h1', 'h2', 'h3'];
+/** When the late write is done, and when the log has dropped what was written before it. */
+const LATE_MS: Millis = 5_500;
+const DROPPED_MS: Millis = 30_500;
+/** Time in which a host that has started leads, if nobody else does, and tasks start. */
+const SETTLE_MS: Millis = 5_000;
+/** Number of other jobs, one a second. */
+const OTHERS = 40;
+
+/** How the job ends. */
+type Ending = 'completed' | 'failed' | 'cancelled';
+
+const SCRIPTS: Readonly<Record<Ending, { runMs: Millis; failures: number }>> = {
+  completed: { runMs: 300, failures: 0 },
+  failed: { runMs: 300, failures: 3 },
+  cancelled: { runMs: 100_000, failures: 0 },
+};
+
+/** Returns a deployment in which only a late submission is left of a job that has ended. */
+async function deploymentWithLateSubmission(
+  seed: number,
+  ending: Ending,
+): Promise<Simulation> {
+  const site = new Simulation(seed);
+  site.addWorker('w1');
+  HOSTS.forEach(name => site.startHost(name));
+  void site.submit(JOB, [{ tasks: 1, after: [] }], SCRIPTS[ending]);
+  await site.time.advance(4_000);
+  if (ending === 'cancelled') {
+    void site.cancel(JOB);
+    await site.time.advance(1_000);
+  }
+  const [submission] = site.log.recordsOf('inbox').filter(isSubmission);
+  assert.ok(submission);
+  const journalEnd = site.log.recordsOf('journal').length;
+  void submitOthers(site);
+  await site.time.advance(LATE_MS - site.time.clock());
+  const offset = site.log.recordsOf('inbox').length;
+  void site.log.connect('h1').append('inbox', [submission]);
+  await site.time.advance(DROPPED_MS - site.time.clock());
+  site.log.trimStream('inbox', offset);
+  site.log.trimStream('journal', journalEnd);
+  return site;
+}
+
+/** Submits other jobs. Their records in the journal make hosts that start read the inbox first. */
+async function submitOthers(site: Simulation): Promise<void> {
+  for (let at = 0; at < OTHERS; at += 1) {
+    const id = at.toString(16).padStart(16, '0');
+    await site.submit(id, [{ tasks: 1, after: [] }], SCRIPTS.completed);
+    await site.wait(1_000);
+  }
+}
+
+function startsOf(site: Simulation): number {
+  const records = site.log.recordsOf('journal').map(decodeJournal);
+  return records.filter(
+    record => record?.kind === 'start' && record.task.job === JOB,
+  ).length;
+}
+
+function isSubmission(record: Uint8Array): boolean {
+  return Buffer.from(record).includes(JOB);
+}
+
+const RESTARTS: Readonly<Record<string, (site: Simulation) => Promise<void>>> =
+  {
+    'all at once': async site => {
+      restart(site, HOSTS);
+      await site.time.advance(SETTLE_MS);
+    },
+    'one after the other': async site => {
+      for (const name of HOSTS) {
+        restart(site, [name]);
+        await site.time.advance(SETTLE_MS);
+      }
+    },
+    'the leader alone': async site => {
+      restart(site, [site.leader()]);
+      await site.time.advance(SETTLE_MS);
+    },
+  };
+
+function restart(site: Simulation, names: readonly string[]): void {
+  names.forEach(name => {
+    site.kill(name);
+  });
+  names.forEach(name => site.startHost(name));
+}
+
+for (const ending of ['completed', 'failed', 'cancelled'] as const) {
+  for (const [name, startAnew] of Object.entries(RESTARTS)) {
+    test(`a job that was submitted twice does not run again: ${ending}, hosts start anew: ${name}`, async () => {
+      for (const seed of [1, 2]) {
+        const site = await deploymentWithLateSubmission(seed, ending);
+        const starts = startsOf(site);
+        await startAnew(site);
+        assert.equal(startsOf(site), starts, `seed ${seed}`);
+        assert.deepEqual(site.history.check(), []);
+        assert.equal(site.history.countActiveRuns(JOB), 0);
+        for (const { host } of site.hosts.values()) {
+          const asked = host.service.status(JOB);
+          await site.time.advance(100);
+          const state = await asked;
+          assert.equal(state.kind === 'known' && state.status, ending);
+        }
+      }
+    });
+  }
+}
--- a/packages/daemon/src/job-host/replica.ts
+++ b/packages/daemon/src/job-host/replica.ts
@@ -11,9 +11,11 @@
   decodeInbox,
   decodeJournal,
   emptyJobsState,
+  statusOf,
   workerIdOf,
   type LeaseHandover,
   type InboxRecord,
+  type JobImage,
   type JobsState,
   type JournalRecord,
 } from '@paddlewind/domain/jobs';
@@ -174,6 +176,7 @@
         this.leaseEnds.noteBeginning();
       } else if (stream === 'journal') {
         this.leaseEnds.noteGap();
+        this.state.isRebuilding = true;
       }
     }
   }
@@ -261,6 +264,7 @@
    */
   startLeading(): void {
     this.isLeading = true;
+    this.state.fragments.clear();
   }
 
   /** Records that this host, the leader, has written the journal up to `nextOffset`. */
@@ -320,6 +324,9 @@
       return 'more';
     }
     this.readToEndAt[stream] = Math.max(this.readToEndAt[stream], sentAt);
+    if (this.isComplete) {
+      this.state.isRebuilding = false;
+    }
     return 'all';
   }
 
@@ -366,6 +373,9 @@
         this.noteUnreadable('journal', this.nextOffsets.journal - 1);
         continue;
       }
+      if (record.kind === 'restate') {
+        this.logIfDifferent(record.image);
+      }
       if (!applyJournal(this.state, record) && !this.trimmed) {
         this.ctx.log.error(
           { record },
@@ -389,6 +399,27 @@
     return true;
   }
 
+  /** Logs that a job is restated in another state than this host has read: some of its records were dropped. */
+  private logIfDifferent({
+    spec,
+    remaining,
+    cancelled,
+    failed,
+  }: JobImage): void {
+    const known = this.state.jobs.get(spec.id);
+    const isSame =
+      known === undefined ||
+      (known.remaining === remaining &&
+        known.cancelled === cancelled &&
+        (known.failure !== undefined) === failed);
+    if (!isSame) {
+      this.ctx.log.info(
+        { job: spec.id, known: statusOf(known), remaining, cancelled, failed },
+        'replica: a job is restated in another state',
+      );
+    }
+  }
+
   /** Skips a record of another version: its content stays unknown, all other records are applied. */
   private noteUnreadable(stream: FoldedStream, offset: number): void {
     this.ctx.meters.unreadableRecord(stream);
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -61,18 +61,31 @@
   state: JobsState,
   record: Extract<InboxRecord, { kind: 'submit' }>,
 ): void {
-  if (state.jobs.has(record.job.id)) {
+  const known = state.jobs.get(record.job.id);
+  if (known !== undefined) {
+    noteSubmission(state, known);
     return;
   }
   const job = newJob(record.job, record.atWall, state.now, state.jobs.size);
+  job.isSubmissionRead = true;
   state.jobs.set(job.spec.id, job);
   state.openJobs.add(job);
   state.changedJobs?.add(job);
+  if (state.isRebuilding) {
+    state.fragments.add(job);
+  }
   if (record.job.repetition === undefined) {
     occurrenceOf(job, 0);
   }
 }
 
+function noteSubmission(state: JobsState, job: Job): void {
+  if (job.isSubmissionRead) {
+    state.submittedAgain.add(job);
+  }
+  job.isSubmissionRead = true;
+}
+
 /** Applies a record of the journal; returns false if it names an unknown job. */
 export function applyJournal(state: JobsState, record: JournalRecord): boolean {
   switch (record.kind) {
--- a/packages/domain/src/jobs/job.ts
+++ b/packages/domain/src/jobs/job.ts
@@ -134,6 +134,8 @@
   readonly receivedAt: Instant;
   /** Position in the order of arrival in the inbox. */
   readonly arrival: number;
+  /** Whether this host has read its submission; a job may be known only from a record that restates it. */
+  isSubmissionRead: boolean;
   /** Monotonic time at which the leader first saw the job. */
   seenAt: Instant | undefined;
   readonly occurrences: Map<number, Occurrence>;
@@ -162,6 +164,7 @@
     acceptedAtWall,
     receivedAt,
     arrival,
+    isSubmissionRead: false,
     seenAt: undefined,
     occurrences: new Map(),
     remaining: Math.max(1, spec.repetition?.times ?? 1),
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -82,6 +82,15 @@
   readonly tasksLostWith: Map<string, Set<Task>>;
   /** Workers that have stopped answering; only the leader keeps them. */
   readonly lostContacts: LostContacts;
+  /**
+   * Whether the log had dropped journal records before this host began to read, and this host has not read all that
+   * is left: what it reads of a job may be a part of its records.
+   */
+  isRebuilding: boolean;
+  /** Jobs of which only a part of the records may be known, until they are restated. */
+  readonly fragments: Set<Job>;
+  /** Jobs that were submitted more than once, until the leader has restated them as finished. */
+  readonly submittedAgain: Set<Job>;
 }
 
 /** Returns the state before any record. */
@@ -108,6 +117,9 @@
     workerLosses: new Map(),
     tasksLostWith: new Map(),
     lostContacts: new LostContacts(),
+    isRebuilding: false,
+    fragments: new Set(),
+    submittedAgain: new Set(),
   };
 }
 
@@ -267,6 +279,8 @@
     job.finishedAt ??= now;
     if (job.finishedAt < since && !hasOpenRuns(job)) {
       state.jobs.delete(job.spec.id);
+      state.fragments.delete(job);
+      state.submittedAgain.delete(job);
     }
   }
   for (const task of state.suspects) {
@@ -276,6 +290,30 @@
   }
 }
 
+/** Removes a job with its runs. */
+export function removeJob(state: JobsState, job: Job): void {
+  for (const task of tasksOf(job)) {
+    for (const run of [...task.runs]) {
+      closeRun(state, run);
+    }
+    state.suspects.delete(task);
+    for (const { worker } of task.lossHistory.losses) {
+      state.tasksLostWith.get(worker)?.delete(task);
+    }
+  }
+  state.jobs.delete(job.spec.id);
+  state.openJobs.delete(job);
+  state.changedJobs?.delete(job);
+  state.fragments.delete(job);
+  state.submittedAgain.delete(job);
+}
+
+function tasksOf({ occurrences }: Job): Task[] {
+  return [...occurrences.values()].flatMap(({ steps }) =>
+    steps.flatMap(({ tasks }) => tasks),
+  );
+}
+
 /** Tells whether a run of the job has not ended. */
 export function hasOpenRuns(job: Job): boolean {
   return [...job.occurrences.values()].some(({ steps }) =>
--- a/packages/domain/src/jobs/restate.ts
+++ b/packages/domain/src/jobs/restate.ts
@@ -24,7 +24,12 @@
 } from './incarnation.js';
 import type { JournalTime } from './journal-time.js';
 import { parseLoss, lossRow, type LossRow } from './span-rows.js';
-import { hasOpenRuns, openRun, type JobsState } from './jobs-state.js';
+import {
+  hasOpenRuns,
+  openRun,
+  removeJob,
+  type JobsState,
+} from './jobs-state.js';
 import type { JobSpec } from './spec.js';
 
 /** An open run. */
@@ -144,24 +149,37 @@
   return rows.length === 0 ? [] : [rows];
 }
 
-/** Adds a restated job if it is unknown; the state of a known job is already up to date. */
+/**
+ * Adds a restated job if it is unknown, or if only a part of its records may be known; otherwise its state is already
+ * up to date.
+ */
 export function applyImage(state: JobsState, image: JobImage): void {
   const { id } = image.spec;
-  if (state.jobs.has(id)) {
+  const known = state.jobs.get(id);
+  if (known !== undefined && !state.fragments.has(known)) {
     return;
   }
+  const isSubmittedAgain =
+    known !== undefined && state.submittedAgain.has(known);
+  if (known !== undefined) {
+    removeJob(state, known);
+  }
   const job = newJob(
     image.spec,
     image.acceptedAtWall,
-    state.now,
-    state.jobs.size,
+    known?.receivedAt ?? state.now,
+    known?.arrival ?? state.jobs.size,
   );
-  job.cancelled = image.cancelled;
+  job.isSubmissionRead = known?.isSubmissionRead ?? false;
+  job.cancelled = image.cancelled || known?.cancelled === true;
   job.failure = image.failed ? (image.failure ?? 'attempts_spent') : undefined;
   job.hasStarted = image.begun;
   job.remaining = image.remaining;
   state.jobs.set(id, job);
   state.changedJobs?.add(job);
+  if (isSubmittedAgain) {
+    state.submittedAgain.add(job);
+  }
   for (const [number, rows] of image.occurrences) {
     const occurrence = occurrenceOf(job, number);
     occurrence.steps.forEach((step, at) => {
