Rebuilding: a cancellation of a job that is only restated is kept

Change: a cancellation of an unknown job is kept, and applied to the job when it is restated, or submitted late once more: hosts cancel only jobs that they know. A job that is restated as cancelled is cancelled wherever it is known.

--- /dev/null
+++ b/packages/daemon/src/job-host/lost-cancellations.test.ts
@@ -0,0 +1,99 @@
+/*
+ * Guards against a cancelled job that runs again after hosts have started anew. The submission of a job that lasts had
+ * been dropped from the log, so that a host which started found the cancellation of a job that it did not know yet, and
+ * passed over it; then the journal restated the job as it was before the cancellation.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import type { Millis } from '@paddlewind/domain';
+import { decodeJournal } from '@paddlewind/domain/jobs';
+
+import { Simulation } from './simulation.fixture.test.js';
+
+const JOB = '00000000000000b9';
+const HOSTS = ['h1', 'h2', 'h3'];
+/** When the log has dropped the submission, and when the job is cancelled. */
+const CANCELLED_MS: Millis = 31_000;
+/** When a second cancellation is written, if the first one got no answer. */
+const LATE_MS: Millis = 5_500;
+/** Time in which a host that has started leads, if nobody else does, and tasks start. */
+const SETTLE_MS: Millis = 5_000;
+const OTHERS = 60;
+const LASTING = { runMs: 10_000_000, failures: 0 };
+const SHORT = { runMs: 300, failures: 0 };
+
+/** Submits other jobs. Their records in the journal make hosts that start read the inbox first. */
+async function submitOthers(site: Simulation): Promise<void> {
+  for (let at = 0; at < OTHERS; at += 1) {
+    const id = at.toString(16).padStart(16, '0');
+    await site.submit(id, [{ tasks: 1, after: [] }], SHORT);
+    await site.wait(1_000);
+  }
+}
+
+/** Returns a deployment in which a job was cancelled whose submission the log has dropped. */
+async function deploymentWithCancelledJob(seed: number): Promise<Simulation> {
+  const site = new Simulation(seed);
+  site.addWorker('w1');
+  HOSTS.forEach(name => site.startHost(name));
+  const step = { tasks: 2, after: [], lasting: true };
+  void site.submit(JOB, [step], LASTING);
+  await site.time.until(() => site.history.countActiveRuns(JOB) === 2, 5_000);
+  const journalEnd = site.log.recordsOf('journal').length;
+  const inboxEnd = site.log.recordsOf('inbox').length;
+  void submitOthers(site);
+  await site.time.advance(CANCELLED_MS - site.time.clock());
+  site.log.trimStream('inbox', inboxEnd);
+  site.log.trimStream('journal', journalEnd);
+  void site.cancel(JOB);
+  await site.time.until(() => site.history.countActiveRuns(JOB) === 0, 5_000);
+  return site;
+}
+
+async function restartInTurn(site: Simulation): Promise<void> {
+  for (const name of HOSTS) {
+    site.kill(name);
+    site.startHost(name);
+    await site.time.advance(SETTLE_MS);
+  }
+}
+
+function startsOf(site: Simulation): number {
+  const records = site.log.recordsOf('journal').map(decodeJournal);
+  return records.filter(
+    record => record?.kind === 'start' && record.task.job === JOB,
+  ).length;
+}
+
+async function assertCancelled(site: Simulation): Promise<void> {
+  assert.equal(startsOf(site), 2);
+  assert.deepEqual(site.history.check(), []);
+  assert.equal(site.history.countActiveRuns(JOB), 0);
+  for (const { host } of site.hosts.values()) {
+    const asked = host.service.status(JOB);
+    await site.time.advance(100);
+    const state = await asked;
+    assert.equal(state.kind === 'known' && state.status, 'cancelled');
+  }
+}
+
+test('a job whose submission is dropped stays cancelled after hosts have started anew', async () => {
+  for (const seed of [1, 2]) {
+    const site = await deploymentWithCancelledJob(seed);
+    await restartInTurn(site);
+    await assertCancelled(site);
+  }
+});
+
+test('a cancellation that is written twice, the second time late, changes nothing', async () => {
+  const site = await deploymentWithCancelledJob(3);
+  const cancellation = site.log
+    .recordsOf('inbox')
+    .find(record => Buffer.from(record).includes('cancel'));
+  assert.ok(cancellation);
+  await site.time.advance(LATE_MS);
+  void site.log.connect('h1').append('inbox', [cancellation]);
+  await restartInTurn(site);
+  await assertCancelled(site);
+});
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -24,9 +24,11 @@
   type Task,
 } from './job.js';
 import {
+  cancelJob,
   closeRun,
   findTask,
   moveRun,
+  noteFinished,
   openRun,
   countOpenRunsAt,
   type JobsState,
@@ -42,9 +44,10 @@
       return;
     case 'cancel': {
       const job = state.jobs.get(record.job);
-      if (job !== undefined && job.remaining > 0) {
-        job.cancelled = true;
-        noteFinished(state, job);
+      if (job === undefined) {
+        state.cancelledUnknown.set(record.job, state.now);
+      } else {
+        cancelJob(state, job);
       }
       return;
     }
@@ -69,11 +72,15 @@
   const job = newJob(record.job, record.atWall, state.now, state.jobs.size);
   job.isSubmissionRead = true;
   state.jobs.set(job.spec.id, job);
-  state.openJobs.add(job);
   state.changedJobs?.add(job);
   if (state.isRebuilding) {
     state.fragments.add(job);
   }
+  // Only a known job is cancelled, so an earlier submission of this one has been dropped from the log.
+  job.cancelled = state.cancelledUnknown.delete(job.spec.id);
+  if (!job.cancelled) {
+    state.openJobs.add(job);
+  }
   if (record.job.repetition === undefined) {
     occurrenceOf(job, 0);
   }
@@ -363,12 +370,6 @@
   }
 }
 
-/** Notes that a job is finished, or that the reason why it finished has changed. */
-function noteFinished(state: JobsState, job: Job): void {
-  state.openJobs.delete(job);
-  state.changedJobs?.add(job);
-}
-
 /**
  * Fails the job of a long-running task too: each start costs a worker and everything that runs there. Does not
  * depend on whether the job is cancelled, since hosts read that at different times.
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -91,6 +91,8 @@
   readonly fragments: Set<Job>;
   /** Jobs that were submitted more than once, until the leader has restated them as finished. */
   readonly submittedAgain: Set<Job>;
+  /** Cancelled jobs whose submission is not known, with the monotonic time at which the cancellation was read. */
+  readonly cancelledUnknown: Map<string, Instant>;
 }
 
 /** Returns the state before any record. */
@@ -120,6 +122,7 @@
     isRebuilding: false,
     fragments: new Set(),
     submittedAgain: new Set(),
+    cancelledUnknown: new Map(),
   };
 }
 
@@ -266,7 +269,10 @@
   addLoad(load, task.step, 1);
 }
 
-/** Removes jobs that finished before `since` and have no open runs, and the suspects of all finished jobs. */
+/**
+ * Removes jobs that finished before `since` and have no open runs, cancellations of unknown jobs that were read before
+ * that, and the suspects of all finished jobs.
+ */
 export function forgetFinishedJobs(
   state: JobsState,
   now: Instant,
@@ -283,6 +289,11 @@
       state.submittedAgain.delete(job);
     }
   }
+  for (const [job, at] of state.cancelledUnknown) {
+    if (at < since) {
+      state.cancelledUnknown.delete(job);
+    }
+  }
   for (const task of state.suspects) {
     if (isFinished(task.step.occurrence.job)) {
       state.suspects.delete(task);
@@ -290,6 +301,20 @@
   }
 }
 
+/** Cancels a job that is not completed. */
+export function cancelJob(state: JobsState, job: Job): void {
+  if (job.remaining > 0 && !job.cancelled) {
+    job.cancelled = true;
+    noteFinished(state, job);
+  }
+}
+
+/** Notes that a job is finished, or that the reason why it finished has changed. */
+export function noteFinished(state: JobsState, job: Job): void {
+  state.openJobs.delete(job);
+  state.changedJobs?.add(job);
+}
+
 /** Removes a job with its runs. */
 export function removeJob(state: JobsState, job: Job): void {
   for (const task of tasksOf(job)) {
--- a/packages/domain/src/jobs/restate.ts
+++ b/packages/domain/src/jobs/restate.ts
@@ -25,6 +25,7 @@
 import type { JournalTime } from './journal-time.js';
 import { parseLoss, lossRow, type LossRow } from './span-rows.js';
 import {
+  cancelJob,
   hasOpenRuns,
   openRun,
   removeJob,
@@ -157,6 +158,10 @@
   const { id } = image.spec;
   const known = state.jobs.get(id);
   if (known !== undefined && !state.fragments.has(known)) {
+    if (image.cancelled) {
+      // The inbox may have dropped the cancellation since.
+      cancelJob(state, known);
+    }
     return;
   }
   const isSubmittedAgain =
@@ -171,7 +176,8 @@
     known?.arrival ?? state.jobs.size,
   );
   job.isSubmissionRead = known?.isSubmissionRead ?? false;
-  job.cancelled = image.cancelled || known?.cancelled === true;
+  const isCancelled = known?.cancelled ?? state.cancelledUnknown.delete(id);
+  job.cancelled = image.cancelled || isCancelled;
   job.failure = image.failed ? (image.failure ?? 'attempts_spent') : undefined;
   job.hasStarted = image.begun;
   job.remaining = image.remaining;
