Rebuilding: a forgotten job whose submission is kept for longer does not run again

Change: each heartbeat tells how far leaders have read the inbox. After a pause or an outage the last offset is repeated once, also that of an earlier leader: what was submitted meanwhile may not be restated yet. Records of earlier versions have no such offset, and nothing is dropped.

Bytes: some 10 a heartbeat, at the end of the record; readers of earlier versions find all columns where they were (capacity-rows.test.ts).

--- a/packages/daemon/src/job-host/leader-records.ts
+++ b/packages/daemon/src/job-host/leader-records.ts
@@ -12,38 +12,69 @@
   type WorkerHealth,
 } from '@paddlewind/domain/jobs';
 
+import type { AdmissionReporter } from './admission-reporter.js';
 import type { HostContext } from './context.js';
+import type { LeaderLeases } from './leader-leases.js';
 import type { LearnedTimes } from './learned-times.js';
 import type { WonClaim } from './leadership.js';
 import type { Replica } from './replica.js';
+import { ReportedInbox } from './reported-inbox.js';
+
+/** What a leader reports in a heartbeat besides itself. */
+interface HeartbeatReport {
+  /** Leases that it hands over; undefined if it may not know those of all earlier leaders. */
+  readonly handed: LeaseHandover | undefined;
+  readonly limits: AdmissionLimits;
+  readonly inboxUpTo: number;
+}
+
+/** The leader that writes a heartbeat. */
+interface HeartbeatWriter {
+  readonly ctx: HostContext;
+  readonly claim: WonClaim;
+  readonly replica: Replica;
+  readonly peerAddress: string;
+}
+
+/** Makes the heartbeats of one leader. */
+export class Heartbeats {
+  private readonly reportedInbox: ReportedInbox;
+
+  /** Creates the heartbeats of a leader with these leases and limits. */
+  constructor(
+    private readonly writer: HeartbeatWriter,
+    private readonly leases: Pick<LeaderLeases, 'report'>,
+    private readonly admission: Pick<AdmissionReporter, 'limits'>,
+  ) {
+    this.reportedInbox = new ReportedInbox(writer.replica);
+  }
+
+  /** Returns the next heartbeat. */
+  next(): JournalRecord {
+    const { writer, leases, admission, reportedInbox } = this;
+    return heartbeatRecord(writer, {
+      handed: leases.report(),
+      limits: admission.limits(),
+      inboxUpTo: reportedInbox.next(writer.ctx.clock()),
+    });
+  }
+}
 
 /** Returns a heartbeat: who leads, until when leases hold, and which hosts are standbys. */
-export function heartbeatRecord(
-  {
-    ctx,
-    claim,
-    replica,
-    peerAddress,
-  }: {
-    readonly ctx: HostContext;
-    readonly claim: WonClaim;
-    readonly replica: Replica;
-    readonly peerAddress: string;
-  },
-  handed: LeaseHandover | undefined,
-  limits: AdmissionLimits,
+function heartbeatRecord(
+  { ctx, claim, replica, peerAddress }: HeartbeatWriter,
+  report: HeartbeatReport,
 ): JournalRecord {
   return {
     kind: 'heartbeat',
     epoch: claim.epoch,
     host: ctx.host,
     nonce: claim.nonce,
-    handed,
     standbys: chooseStandbys(replica.state, ctx.host, ctx.clock()),
     address: peerAddress,
     ledForMs: Math.floor(ctx.clock() - claim.wonAt),
     silence: claim.silence,
-    limits,
+    ...report,
   };
 }
 
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -29,7 +29,7 @@
 import { LeaderLeases } from './leader-leases.js';
 import { createLinkEvents } from './leader-link-events.js';
 import type { LeaderOptions } from './leader-options.js';
-import { heartbeatRecord, learnedRecord } from './leader-records.js';
+import { Heartbeats, learnedRecord } from './leader-records.js';
 import { createLearnedTimes, type LearnedTimes } from './learned-times.js';
 import { restateDueJobs } from './restate-due.js';
 import { RunRecorder } from './run-recorder.js';
@@ -72,6 +72,7 @@
   private readonly starter: RunStarter;
   private readonly supervisor: RunSupervisor;
   private readonly firstPolls = new FirstPolls();
+  private readonly heartbeats: Heartbeats;
   private readonly wakeSignal: WakeSignal;
   /**
    * Whether a worker has become unresponsive since unresponsive workers were last reported to other hosts.
@@ -155,6 +156,7 @@
       this.release();
     });
     this.leases = this.createLeases();
+    this.heartbeats = new Heartbeats(options, this.leases, this.admission);
     this.deposed = new Promise(resolve => {
       this.resolveDeposed = resolve;
     });
@@ -345,9 +347,7 @@
 
   private recordHeartbeat(): void {
     this.hasNewSilence = false;
-    const leases = this.leases.report();
-    const limits = this.admission.limits();
-    this.decisions.record(heartbeatRecord(this.options, leases, limits));
+    this.decisions.record(this.heartbeats.next());
   }
 
   private recordLearned(): void {
--- a/packages/daemon/src/job-host/rebuilt-state.fixture.test.ts
+++ b/packages/daemon/src/job-host/rebuilt-state.fixture.test.ts
@@ -8,6 +8,7 @@
   forgetFinishedJobs,
   isAwaitingCompletion,
   isFinished,
+  NO_LIMITS,
   refOf,
   statusOf,
   type InboxRecord,
@@ -24,7 +25,7 @@
 import { testContext } from './context.fixture.test.js';
 import type { HostContext } from './context.js';
 import { DecisionLog } from './decision-log.js';
-import { heartbeatRecord } from './leader-records.js';
+import { Heartbeats } from './leader-records.js';
 import type { WonClaim } from './leadership.js';
 import { Replica, type FoldedStream } from './replica.js';
 import { restateDueJobs } from './restate-due.js';
@@ -50,7 +51,7 @@
 interface SimulatedLeader {
   readonly replica: Replica;
   readonly decisions: DecisionLog;
-  readonly claim: WonClaim;
+  readonly heartbeats: Heartbeats;
 }
 
 /** The state of a job as far as it decides what may run: what a rebuilt state must have in common with the held one. */
@@ -107,8 +108,10 @@
     return { kind: 'submit', job: spec, atWall: this.time.clock() };
   }
 
-  /** A host that knows nothing takes the lead. */
-  async takeOver(): Promise<void> {
+  /** A host that knows nothing takes the lead, `leaderlessMs` after the last leader is gone. */
+  async takeOver(leaderlessMs: Millis): Promise<void> {
+    this.leader = undefined;
+    await this.time.advance(leaderlessMs);
     const replica = await this.rebuild('journal');
     this.epoch += 64;
     const { epoch } = this;
@@ -128,7 +131,12 @@
       silence: UNKNOWN_SPAN,
     };
     const decisions = new DecisionLog(this.ctx, this.port, replica, claim);
-    this.leader = { replica, decisions, claim };
+    const heartbeats = new Heartbeats(
+      { ctx: this.ctx, claim, replica, peerAddress: 'h' },
+      { report: () => undefined },
+      { limits: () => NO_LIMITS },
+    );
+    this.leader = { replica, decisions, heartbeats };
   }
 
   /** Lets time pass in which the leader does its rounds. */
@@ -181,14 +189,12 @@
     if (this.leader === undefined) {
       return;
     }
-    const { replica, decisions, claim } = this.leader;
+    const { replica, decisions, heartbeats } = this.leader;
     void replica.refresh('inbox');
     await this.time.advance(CALLS_MS);
     const { ctx, retention } = this;
     restateDueJobs(this.held, decisions, ctx, retention.keepMs);
-    const options = { ctx, claim, replica, peerAddress: 'h' };
-    const limits = this.held.admissionLimits;
-    decisions.record(heartbeatRecord(options, undefined, limits));
+    decisions.record(heartbeats.next());
     void decisions.write();
     await this.time.advance(CALLS_MS);
     const now = this.time.clock();
--- a/packages/daemon/src/job-host/rebuilt-state.fuzz.test.ts
+++ b/packages/daemon/src/job-host/rebuilt-state.fuzz.test.ts
@@ -18,6 +18,8 @@
 
 /** Most that a write without an answer is late, in milliseconds. */
 const MAX_LATE_MS = 6_000;
+/** Longest time without a leader: jobs are restated early enough for it, in each of the cases below. */
+const MAX_LEADERLESS_MS = 2_500;
 const JOBS = ['a', 'b', 'c', 'd'].map(digit => digit.repeat(16));
 
 type Op =
@@ -29,7 +31,12 @@
   | { readonly kind: 'start'; readonly pick: number }
   | { readonly kind: 'end'; readonly pick: number; readonly how: RunEnd }
   | { readonly kind: 'pass'; readonly span: number }
-  | { readonly kind: 'takeOver' };
+  | {
+      readonly kind: 'takeOver';
+      readonly leaderlessMs: number;
+      /** A job that is submitted while nobody leads. */
+      readonly job: number;
+    };
 
 const job = fc.nat({ max: JOBS.length - 1 });
 const pick = fc.nat({ max: 20 });
@@ -72,14 +79,21 @@
       span: fc.integer({ min: 250, max: 12_000 }),
     }),
   },
-  { weight: 1, arbitrary: fc.constant({ kind: 'takeOver' } as const) },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('takeOver' as const),
+      leaderlessMs: fc.nat({ max: MAX_LEADERLESS_MS }),
+      job,
+    }),
+  },
 );
 
 /** Plays a history; after each operation a host that starts anew must know what the leader holds. */
 async function play(ops: readonly Op[], retention: Retention): Promise<void> {
   const site = new ExpiringLog(retention);
   const submitted = new Set<string>();
-  await site.takeOver();
+  await site.takeOver(0);
   for (const found of ops) {
     switch (found.kind) {
       case 'submit':
@@ -96,7 +110,7 @@
         await site.pass(found.span);
         break;
       case 'takeOver':
-        await site.takeOver();
+        await replaceLeader(site, found, submitted);
         break;
     }
     await site.round();
@@ -105,6 +119,27 @@
   }
 }
 
+/** Another host leads; it must know what the last leader held, and what was submitted meanwhile. */
+async function replaceLeader(
+  site: ExpiringLog,
+  { leaderlessMs, job: at }: Extract<Op, { kind: 'takeOver' }>,
+  submitted: Set<string>,
+): Promise<void> {
+  const before = comparedJobs(site.held);
+  const id = JOBS[at] ?? '';
+  const isNew = !submitted.has(id);
+  if (isNew) {
+    submitted.add(id);
+    await site.append(site.submission(id), null);
+  }
+  await site.takeOver(leaderlessMs);
+  const held = comparedJobs(site.held);
+  for (const [known, found] of before) {
+    assert.deepEqual(held.get(known), found, `job ${known}`);
+  }
+  assert.ok(!isNew || held.has(id), `job ${id} is not known`);
+}
+
 /** Submits or cancels a job, once in all if it is written at once, and once more if it is written late. */
 async function change(
   site: ExpiringLog,
@@ -174,6 +209,20 @@
   },
 };
 
+// Only the submission was left of a job that was finished and forgotten, and a host that started ran it again.
+test('a forgotten job whose submission is kept for longer does not run again', async () => {
+  const start = { kind: 'start', pick: 0 } as const;
+  const end = { kind: 'end', pick: 0, how: 'done' } as const;
+  const pass = { kind: 'pass', span: 12_000 } as const;
+  const submit = { kind: 'submit', job: 0, lateMs: null } as const;
+  const tasks = [start, end, start, end, start, end];
+  await play([submit, ...tasks, pass, pass], {
+    keepMs: 40_000,
+    journalMs: 20_000,
+    statusMs: 6_000,
+  });
+});
+
 for (const [name, retention] of Object.entries(RETENTIONS)) {
   test(`a host that starts anew knows what the leader holds: ${name}`, async () => {
     const history = fc.array(op, { minLength: 10, maxLength: 40 });
--- a/packages/daemon/src/job-host/replica.ts
+++ b/packages/daemon/src/job-host/replica.ts
@@ -11,6 +11,7 @@
   decodeInbox,
   decodeJournal,
   emptyJobsState,
+  endRebuilding,
   statusOf,
   workerIdOf,
   type LeaseHandover,
@@ -252,9 +253,9 @@
     }
     this.nextOffsets.inbox += records.length;
     this.state.now = this.contactAt;
-    for (const record of records) {
-      applyInbox(this.state, record);
-    }
+    records.forEach((record, at) => {
+      applyInbox(this.state, record, offset + at);
+    });
   }
 
   /**
@@ -325,7 +326,7 @@
     }
     this.readToEndAt[stream] = Math.max(this.readToEndAt[stream], sentAt);
     if (this.isComplete) {
-      this.state.isRebuilding = false;
+      endRebuilding(this.state);
     }
     return 'all';
   }
@@ -338,12 +339,13 @@
     for (const bytes of records.slice(
       Math.max(0, this.nextOffsets.inbox - offset),
     )) {
+      const at = this.nextOffsets.inbox;
       this.nextOffsets.inbox += 1;
       const record = decodeInbox(bytes);
       if (record === undefined) {
-        this.noteUnreadable('inbox', this.nextOffsets.inbox - 1);
+        this.noteUnreadable('inbox', at);
       } else {
-        applyInbox(this.state, record);
+        applyInbox(this.state, record, at);
       }
     }
   }
--- a/packages/domain/src/jobs/capacity-rows.test.ts
+++ b/packages/domain/src/jobs/capacity-rows.test.ts
@@ -99,3 +99,18 @@
   const leads = parseRow(encodeSummary({ ...LEADS, limits })) as unknown[];
   assert.deepEqual(leads.slice(0, -1), parseRow(encodeSummary(LEADS)));
 });
+
+// A host of the earlier version reads columns by position, and finds no rows in one that is empty.
+test('the offset of the inbox comes after the rows', () => {
+  for (const rooms of [[], [ROW]]) {
+    const limits = { ...NO_LIMITS, rooms };
+    const record = { ...HEARTBEAT, limits, inboxUpTo: 7 };
+    const row = parseRow(encodeRecord(record)) as unknown[];
+    assert.equal(row.length, 14);
+    assert.deepEqual(parseCapacityRows(row[12]), rooms);
+    const read = decodeJournal(encodeRecord(record));
+    assert.ok(read?.kind === 'heartbeat');
+    assert.equal(read.inboxUpTo, 7);
+    assert.deepEqual(read.limits?.rooms, rooms);
+  }
+});
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -36,11 +36,15 @@
 import { FORECAST_VALID_MS } from './capacity-rows.js';
 import { applyImage } from './restate.js';
 
-/** Applies a record of the inbox; a repeated submission changes nothing. */
-export function applyInbox(state: JobsState, record: InboxRecord): void {
+/** Applies the record at `offset` of the inbox; a repeated submission changes nothing. */
+export function applyInbox(
+  state: JobsState,
+  record: InboxRecord,
+  offset = Infinity,
+): void {
   switch (record.kind) {
     case 'submit':
-      addJob(state, record);
+      addJob(state, record, offset);
       return;
     case 'cancel': {
       const job = state.jobs.get(record.job);
@@ -63,6 +67,7 @@
 function addJob(
   state: JobsState,
   record: Extract<InboxRecord, { kind: 'submit' }>,
+  offset: number,
 ): void {
   const known = state.jobs.get(record.job.id);
   if (known !== undefined) {
@@ -74,7 +79,7 @@
   state.jobs.set(job.spec.id, job);
   state.changedJobs?.add(job);
   if (state.isRebuilding) {
-    state.fragments.add(job);
+    state.fragments.set(job, offset);
   }
   // Only a known job is cancelled, so an earlier submission of this one has been dropped from the log.
   job.cancelled = state.cancelledUnknown.delete(job.spec.id);
@@ -117,6 +122,10 @@
         roomsUntil: state.now + FORECAST_VALID_MS,
       };
       noteUnresponsive(state, record.handed);
+      state.inboxUpTo = record.inboxUpTo ?? 0;
+      if (state.isRebuilding) {
+        state.inboxUpToAtStart ??= state.inboxUpTo;
+      }
       state.journalTime.noteLeadTime(
         record.epoch,
         record.ledForMs,
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -87,8 +87,15 @@
    * is left: what it reads of a job may be a part of its records.
    */
   isRebuilding: boolean;
-  /** Jobs of which only a part of the records may be known, until they are restated. */
-  readonly fragments: Set<Job>;
+  /**
+   * Jobs of which only a part of the records may be known, until they are restated, with the offsets of their
+   * submissions in the inbox.
+   */
+  readonly fragments: Map<Job, number>;
+  /** Offset in the inbox of the last heartbeat; 0 if there is none. */
+  inboxUpTo: number;
+  /** The same of the first heartbeat that the journal still held; undefined if none was read while rebuilding. */
+  inboxUpToAtStart: number | undefined;
   /** Jobs that were submitted more than once, until the leader has restated them as finished. */
   readonly submittedAgain: Set<Job>;
   /** Cancelled jobs whose submission is not known, with the monotonic time at which the cancellation was read. */
@@ -120,7 +127,9 @@
     tasksLostWith: new Map(),
     lostContacts: new LostContacts(),
     isRebuilding: false,
-    fragments: new Set(),
+    fragments: new Map(),
+    inboxUpTo: 0,
+    inboxUpToAtStart: undefined,
     submittedAgain: new Set(),
     cancelledUnknown: new Map(),
   };
@@ -333,6 +342,23 @@
   state.submittedAgain.delete(job);
 }
 
+/**
+ * Ends rebuilding, once all that is left of inbox and journal has been read. A job that a leader knew before the first
+ * record that the journal still holds, and that is not restated since, was finished and forgotten: leaders restate all
+ * others in time. Only its submission was kept for longer.
+ */
+export function endRebuilding(state: JobsState): void {
+  if (!state.isRebuilding) {
+    return;
+  }
+  state.isRebuilding = false;
+  for (const [job, offset] of state.fragments) {
+    if (offset < (state.inboxUpToAtStart ?? 0)) {
+      removeJob(state, job);
+    }
+  }
+}
+
 function tasksOf({ occurrences }: Job): Task[] {
   return [...occurrences.values()].flatMap(({ steps }) =>
     steps.flatMap(({ tasks }) => tasks),
--- a/packages/domain/src/jobs/record-rows.ts
+++ b/packages/domain/src/jobs/record-rows.ts
@@ -1,5 +1,9 @@
 /** Encoding of the records of both streams as rows in the log, compatible with other versions. */
-import { NO_LIMITS, type WorkerKind } from './admission.js';
+import {
+  NO_LIMITS,
+  type AdmissionLimits,
+  type WorkerKind,
+} from './admission.js';
 import type { StartDelays } from './start-delay.js';
 import type { Instant, Millis } from '../core/time.js';
 import {
@@ -84,21 +88,7 @@
 /** Rows of the journal. Most of them are about runs and therefore have short tags. */
 type JournalRow =
   | ['claim', number, string, number]
-  | [
-      'heartbeat',
-      number,
-      string,
-      number,
-      unknown,
-      (readonly string[] | null)?,
-      string?,
-      (LeaseHandover | null)?,
-      Millis?,
-      Partial<SpanRow>?,
-      StartDelays?,
-      (readonly WorkerKind[])?,
-      unknown?,
-    ]
+  | HeartbeatRow
   | ['restate', JobImage]
   | ['release', unknown]
   | ['learnt', LearnedEstimates]
@@ -108,6 +98,23 @@
   | ['s' | 'm', unknown, number, unknown, unknown?]
   | EndRow;
 
+type HeartbeatRow = [
+  'heartbeat',
+  number,
+  string,
+  number,
+  unknown,
+  (readonly string[] | null)?,
+  string?,
+  (LeaseHandover | null)?,
+  Millis?,
+  Partial<SpanRow>?,
+  StartDelays?,
+  (readonly WorkerKind[])?,
+  unknown?,
+  unknown?,
+];
+
 type EndRow = [
   'e',
   unknown,
@@ -129,6 +136,48 @@
 
 const WORKER_PRESENT = 'there';
 
+/** Returns the columns that not every heartbeat has. Readers of earlier versions find the rows where they were. */
+function lastColumns(
+  { rooms }: AdmissionLimits,
+  inboxUpTo: number | undefined,
+): unknown[] {
+  const columns = capacityColumns(rooms);
+  return inboxUpTo === undefined ? columns : [columns[0] ?? null, inboxUpTo];
+}
+
+function heartbeatOf([
+  ,
+  epoch,
+  host,
+  nonce,
+  ,
+  hosts,
+  address = '',
+  ...more
+]: HeartbeatRow): JournalRecord {
+  const [handed, ledForMs, silence = [], startDelays, evacuatedKinds, ...rest] =
+    more;
+  const [rooms, inboxUpTo] = rest;
+  return {
+    kind: 'heartbeat',
+    epoch,
+    host,
+    nonce,
+    handed: parseHandover(handed),
+    standbys: hosts ?? undefined,
+    address,
+    ledForMs: typeof ledForMs === 'number' ? ledForMs : undefined,
+    silence: parseSpan(...silence),
+    limits: {
+      startDelays: startDelays ?? [],
+      evacuatedKinds: evacuatedKinds ?? [],
+      rooms: parseCapacityRows(rooms),
+      roomsUntil: -Infinity,
+    },
+    ...(typeof inboxUpTo === 'number' ? { inboxUpTo } : {}),
+  };
+}
+
 /** Decodes a record of the journal made by `encodeRecord`; returns undefined for any other bytes. */
 export function decodeJournal(bytes: Uint8Array): JournalRecord | undefined {
   const row = parseRow(bytes) as JournalRow | undefined;
@@ -137,35 +186,8 @@
       const [, epoch, host, nonce] = row;
       return { kind: 'claim', epoch, host, nonce };
     }
-    case 'heartbeat': {
-      const [, epoch, host, nonce, , hosts, address = '', ...more] = row;
-      const [
-        handed,
-        ledForMs,
-        silence = [],
-        startDelays,
-        evacuatedKinds,
-        rooms,
-      ] = more;
-      const standbys = hosts ?? undefined;
-      return {
-        kind: 'heartbeat',
-        epoch,
-        host,
-        nonce,
-        handed: parseHandover(handed),
-        standbys,
-        address,
-        ledForMs: typeof ledForMs === 'number' ? ledForMs : undefined,
-        silence: parseSpan(...silence),
-        limits: {
-          startDelays: startDelays ?? [],
-          evacuatedKinds: evacuatedKinds ?? [],
-          rooms: parseCapacityRows(rooms),
-          roomsUntil: -Infinity,
-        },
-      };
-    }
+    case 'heartbeat':
+      return heartbeatOf(row);
     case 'restate':
       return isImage(row[1]) ? { kind: 'restate', image: row[1] } : undefined;
     case 'release':
@@ -287,7 +309,7 @@
         spanRow(silence),
         limits.startDelays,
         limits.evacuatedKinds,
-        ...capacityColumns(limits.rooms),
+        ...lastColumns(limits, record.inboxUpTo),
       ];
     }
     case 'restate':
--- a/packages/domain/src/jobs/records.ts
+++ b/packages/domain/src/jobs/records.ts
@@ -90,6 +90,11 @@
       readonly silence: SpanBounds;
       /** Absent in records of earlier versions. */
       readonly limits?: AdmissionLimits;
+      /**
+       * Offset in the inbox of the first submission that no leader may have known at about the heartbeat before this
+       * one; absent in records of earlier versions.
+       */
+      readonly inboxUpTo?: number;
     }
   | { readonly kind: 'restate'; readonly image: JobImage }
   /** The leader asks to be replaced. */
