--- a/packages/daemon/src/job-host/late-submissions.test.ts
+++ b/packages/daemon/src/job-host/late-submissions.test.ts
@@ -8,8 +8,8 @@
 import { test } from 'node:test';
 
 import type { Millis } from '@paddlewind/domain';
-import { decodeJournal } from '@paddlewind/domain/jobs';
 
+import { startsOf, submitOthers } from './other-jobs.fixture.test.js';
 import { Simulation } from './simulation.fixture.test.js';
 
 const JOB = '00000000000000b8';
@@ -48,7 +48,7 @@
   const [submission] = site.log.recordsOf('inbox').filter(isSubmission);
   assert.ok(submission);
   const journalEnd = site.log.recordsOf('journal').length;
-  void submitOthers(site);
+  void submitOthers(site, OTHERS);
   await site.time.advance(LATE_MS - site.time.clock());
   const offset = site.log.recordsOf('inbox').length;
   void site.log.connect('h1').append('inbox', [submission]);
@@ -58,22 +58,6 @@
   return site;
 }
 
-/** Submits other jobs. Their records in the journal make hosts that start read the inbox first. */
-async function submitOthers(site: Simulation): Promise<void> {
-  for (let at = 0; at < OTHERS; at += 1) {
-    const id = at.toString(16).padStart(16, '0');
-    await site.submit(id, [{ tasks: 1, after: [] }], SCRIPTS.completed);
-    await site.wait(1_000);
-  }
-}
-
-function startsOf(site: Simulation): number {
-  const records = site.log.recordsOf('journal').map(decodeJournal);
-  return records.filter(
-    record => record?.kind === 'start' && record.task.job === JOB,
-  ).length;
-}
-
 function isSubmission(record: Uint8Array): boolean {
   return Buffer.from(record).includes(JOB);
 }
@@ -108,9 +92,9 @@
     test(`a job that was submitted twice does not run again: ${ending}, hosts start anew: ${name}`, async () => {
       for (const seed of [1, 2]) {
         const site = await deploymentWithLateSubmission(seed, ending);
-        const starts = startsOf(site);
+        const starts = startsOf(site, JOB);
         await startAnew(site);
-        assert.equal(startsOf(site), starts, `seed ${seed}`);
+        assert.equal(startsOf(site, JOB), starts, `seed ${seed}`);
         assert.deepEqual(site.history.check(), []);
         assert.equal(site.history.countActiveRuns(JOB), 0);
         for (const { host } of site.hosts.values()) {
--- a/packages/daemon/src/job-host/lost-cancellations.test.ts
+++ b/packages/daemon/src/job-host/lost-cancellations.test.ts
@@ -7,8 +7,8 @@
 import { test } from 'node:test';
 
 import type { Millis } from '@paddlewind/domain';
-import { decodeJournal } from '@paddlewind/domain/jobs';
 
+import { startsOf, submitOthers } from './other-jobs.fixture.test.js';
 import { Simulation } from './simulation.fixture.test.js';
 
 const JOB = '00000000000000b9';
@@ -21,16 +21,6 @@
 const SETTLE_MS: Millis = 5_000;
 const OTHERS = 60;
 const LASTING = { runMs: 10_000_000, failures: 0 };
-const SHORT = { runMs: 300, failures: 0 };
-
-/** Submits other jobs. Their records in the journal make hosts that start read the inbox first. */
-async function submitOthers(site: Simulation): Promise<void> {
-  for (let at = 0; at < OTHERS; at += 1) {
-    const id = at.toString(16).padStart(16, '0');
-    await site.submit(id, [{ tasks: 1, after: [] }], SHORT);
-    await site.wait(1_000);
-  }
-}
 
 /** Returns a deployment in which a job was cancelled whose submission the log has dropped. */
 async function deploymentWithCancelledJob(seed: number): Promise<Simulation> {
@@ -42,7 +32,7 @@
   await site.time.until(() => site.history.countActiveRuns(JOB) === 2, 5_000);
   const journalEnd = site.log.recordsOf('journal').length;
   const inboxEnd = site.log.recordsOf('inbox').length;
-  void submitOthers(site);
+  void submitOthers(site, OTHERS);
   await site.time.advance(CANCELLED_MS - site.time.clock());
   site.log.trimStream('inbox', inboxEnd);
   site.log.trimStream('journal', journalEnd);
@@ -59,15 +49,8 @@
   }
 }
 
-function startsOf(site: Simulation): number {
-  const records = site.log.recordsOf('journal').map(decodeJournal);
-  return records.filter(
-    record => record?.kind === 'start' && record.task.job === JOB,
-  ).length;
-}
-
 async function assertCancelled(site: Simulation): Promise<void> {
-  assert.equal(startsOf(site), 2);
+  assert.equal(startsOf(site, JOB), 2);
   assert.deepEqual(site.history.check(), []);
   assert.equal(site.history.countActiveRuns(JOB), 0);
   for (const { host } of site.hosts.values()) {
