--- a/packages/daemon/src/job-host/late-submissions.test.ts
+++ b/packages/daemon/src/job-host/late-submissions.test.ts
@@ -10,7 +10,7 @@
 import type { Millis } from '@paddlewind/domain';
 
 import { startsOf, submitOthers } from './other-jobs.fixture.test.js';
-import { Simulation } from './simulation.fixture.test.js';
+import { jobOf, Simulation } from './simulation.fixture.test.js';
 
 const JOB = '00000000000000b8';
 const HOSTS = ['h1', 'h2', 'h3'];
@@ -87,23 +87,81 @@
   names.forEach(name => site.startHost(name));
 }
 
+/** Checks that the job does not run again once hosts start anew, and is reported as it ended. */
+async function assertRunsNoMore(
+  site: Simulation,
+  ending: Ending,
+  startAnew: (site: Simulation) => Promise<void>,
+): Promise<void> {
+  const starts = startsOf(site, JOB);
+  await startAnew(site);
+  assert.equal(startsOf(site, JOB), starts);
+  assert.deepEqual(site.history.check(), []);
+  assert.equal(site.history.countActiveRuns(JOB), 0);
+  for (const { host } of site.hosts.values()) {
+    const asked = host.service.status(JOB);
+    await site.time.advance(100);
+    const state = await asked;
+    assert.equal(state.kind === 'known' && state.status, ending);
+  }
+}
+
 for (const ending of ['completed', 'failed', 'cancelled'] as const) {
   for (const [name, startAnew] of Object.entries(RESTARTS)) {
     test(`a job that was submitted twice does not run again: ${ending}, hosts start anew: ${name}`, async () => {
       for (const seed of [1, 2]) {
         const site = await deploymentWithLateSubmission(seed, ending);
-        const starts = startsOf(site, JOB);
-        await startAnew(site);
-        assert.equal(startsOf(site, JOB), starts, `seed ${seed}`);
-        assert.deepEqual(site.history.check(), []);
-        assert.equal(site.history.countActiveRuns(JOB), 0);
-        for (const { host } of site.hosts.values()) {
-          const asked = host.service.status(JOB);
-          await site.time.advance(100);
-          const state = await asked;
-          assert.equal(state.kind === 'known' && state.status, ending);
-        }
+        await assertRunsNoMore(site, ending, startAnew);
       }
     });
   }
 }
+
+/**
+ * Returns a deployment in which only a late submission is left of a completed job: a host took it, could not pass it to
+ * the leader and froze, while another host took it as well; the first one appended it when it went on.
+ */
+async function deploymentWithFrozenHost(seed: number): Promise<Simulation> {
+  const site = new Simulation(seed);
+  site.addWorker('w1');
+  HOSTS.forEach(name => site.startHost(name));
+  await site.time.until(() => site.leader() !== '', 5_000);
+  await site.time.advance(1_000);
+  const [frozen = '', other = ''] = HOSTS.filter(h => h !== site.leader());
+  site.peers.cuts.add(`${frozen}>${site.leader()}`);
+  const job = jobOf(JOB, [{ tasks: 1, after: [] }], SCRIPTS.completed);
+  const submitAt = (name: string): unknown =>
+    site.hosts.get(name)?.host.service.submit(job, site.time.clock() + 3_000);
+  void submitAt(frozen);
+  site.freeze(frozen, LATE_MS);
+  void submitAt(other);
+  site.history.jobs.set(JOB, {
+    steps: job.steps,
+    maxAttempts: job.terms.maxAttempts,
+    cancelledAt: Infinity,
+  });
+  await site.time.until(() => site.history.isDone(JOB), 3_000);
+  await site.time.advance(300);
+  const journalEnd = site.log.recordsOf('journal').length;
+  void submitOthers(site, OTHERS);
+  const submissions = (): number[] =>
+    site.log
+      .recordsOf('inbox')
+      .flatMap((record, at) => (isSubmission(record) ? [at] : []));
+  assert.equal(submissions().length, 1);
+  await site.time.until(() => submissions().length === 2, 2 * LATE_MS);
+  await site.time.advance(DROPPED_MS - site.time.clock());
+  site.log.trimStream('inbox', submissions().at(-1) ?? 0);
+  site.log.trimStream('journal', journalEnd);
+  return site;
+}
+
+test('a job that a frozen host submits once more does not run again', async () => {
+  for (const seed of [1, 2, 3]) {
+    const site = await deploymentWithFrozenHost(seed);
+    await assertRunsNoMore(site, 'completed', found => {
+      restart(found, HOSTS);
+      return found.time.advance(SETTLE_MS);
+    });
+  }
+});
--- a/packages/daemon/src/job-host/unlisted-ends.test.ts
+++ b/packages/daemon/src/job-host/unlisted-ends.test.ts
@@ -117,15 +117,17 @@
   assert.deepEqual(site.history.check(), []);
 });
 
-// Failures that were not listed did not count as attempts.
-test('each failure counts as an attempt: 600 ends on one worker', async () => {
-  const site = await deploymentWithRuns(3, 600);
-  const written = endWithoutLeader(site, 'failed');
-  await site.time.until(() => (written.ends.failed ?? 0) >= 500, 5_000);
-  await site.time.advance(500);
-  assert.deepEqual(written.ends, { failed: 600 });
-  assert.deepEqual(site.history.check(), []);
-});
+// Ends that were not listed were recorded as void: failures did not count as attempts, and checkpoints were lost.
+for (const how of ['failed', 'stopped', 'lapsed', 'broken', 'alone'] as const) {
+  test(`each end is recorded as it was: 600 ends on one worker, ${how}`, async () => {
+    const site = await deploymentWithRuns(3, 600);
+    const written = endWithoutLeader(site, how);
+    await site.time.until(() => (written.ends[how] ?? 0) >= 500, 5_000);
+    await site.time.advance(100);
+    assert.deepEqual(written.ends, { [how]: 600 });
+    assert.deepEqual(site.history.check(), []);
+  });
+}
 
 // A run whose stop was confirmed and whose end was not listed yet was taken for one that never started, and lost its
 // checkpoint.
