--- a/packages/daemon/src/job-host/late-submissions.test.ts
+++ b/packages/daemon/src/job-host/late-submissions.test.ts
@@ -1,8 +1,8 @@
 /*
- * Guards against running a finished job again after hosts have started anew. An append to the inbox that got no answer
+ * Guards against running a finished job again after a restart of hosts. An append to the inbox that got no answer
  * was sent again, and the log wrote the first one seconds later, so that the submission stood there twice. Once the log
  * had dropped the first one and the records of the job's runs, a host that started took the second one for a new job.
- * A host that freezes with a submission in its hands writes it as late.
+ * A host that is suspended before its append does the same.
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
@@ -17,7 +17,7 @@
 /** When the late write is done, and when the log has dropped what was written before it. */
 const LATE_MS: Millis = 5_500;
 const DROPPED_MS: Millis = 30_500;
-/** Time in which a host that has started leads, if nobody else does, and tasks start. */
+/** Time in which a host that has started becomes the leader, if there is none, and tasks start. */
 const SETTLE_MS: Millis = 5_000;
 /** Number of other jobs, one a second. */
 const OTHERS = 40;
@@ -87,14 +87,14 @@
   names.forEach(name => site.startHost(name));
 }
 
-/** Checks that the job does not run again once hosts start anew, and is reported as it ended. */
+/** Checks that the job does not run again once hosts restart, and is reported as it ended. */
 async function assertRunsNoMore(
   site: Simulation,
   ending: Ending,
-  startAnew: (site: Simulation) => Promise<void>,
+  restartHosts: (site: Simulation) => Promise<void>,
 ): Promise<void> {
   const starts = startsOf(site, JOB);
-  await startAnew(site);
+  await restartHosts(site);
   assert.equal(startsOf(site, JOB), starts);
   assert.deepEqual(site.history.check(), []);
   assert.equal(site.history.countActiveRuns(JOB), 0);
@@ -107,19 +107,19 @@
 }
 
 for (const ending of ['completed', 'failed', 'cancelled'] as const) {
-  for (const [name, startAnew] of Object.entries(RESTARTS)) {
-    test(`a job that was submitted twice does not run again: ${ending}, hosts start anew: ${name}`, async () => {
+  for (const [name, restartHosts] of Object.entries(RESTARTS)) {
+    test(`a job that was submitted twice does not run again: ${ending}, hosts restart: ${name}`, async () => {
       for (const seed of [1, 2]) {
         const site = await deploymentWithLateSubmission(seed, ending);
-        await assertRunsNoMore(site, ending, startAnew);
+        await assertRunsNoMore(site, ending, restartHosts);
       }
     });
   }
 }
 
 /**
- * Returns a deployment in which only a late submission is left of a completed job: a host took it, could not pass it to
- * the leader and froze, while another host took it as well; the first one appended it when it went on.
+ * Returns a deployment in which only a late submission is left of a completed job: a host received the request, could not
+ * reach the leader and was suspended, while another host accepted it; the first one appended it when it resumed.
  */
 async function deploymentWithFrozenHost(seed: number): Promise<Simulation> {
   const site = new Simulation(seed);
@@ -156,7 +156,7 @@
   return site;
 }
 
-test('a job that a frozen host submits once more does not run again', async () => {
+test('a job that a suspended host submits once more does not run again', async () => {
   for (const seed of [1, 2, 3]) {
     const site = await deploymentWithFrozenHost(seed);
     await assertRunsNoMore(site, 'completed', found => {
--- a/packages/daemon/src/job-host/lost-cancellations.test.ts
+++ b/packages/daemon/src/job-host/lost-cancellations.test.ts
@@ -1,5 +1,5 @@
 /*
- * Guards against a cancelled job that runs again after hosts have started anew. The submission of a job that lasts had
+ * Guards against a cancelled job that runs again after a restart of hosts. The submission of a job that lasts had
  * been dropped from the log, so that a host which started found the cancellation of a job that it did not know yet, and
  * passed over it; then the journal restated the job as it was before the cancellation.
  */
@@ -17,7 +17,7 @@
 const CANCELLED_MS: Millis = 31_000;
 /** When a second cancellation is written, if the first one got no answer. */
 const LATE_MS: Millis = 5_500;
-/** Time in which a host that has started leads, if nobody else does, and tasks start. */
+/** Time in which a host that has started becomes the leader, if there is none, and tasks start. */
 const SETTLE_MS: Millis = 5_000;
 const OTHERS = 60;
 const LASTING = { runMs: 10_000_000, failures: 0 };
@@ -61,7 +61,7 @@
   }
 }
 
-test('a job whose submission is dropped stays cancelled after hosts have started anew', async () => {
+test('a job whose submission is dropped stays cancelled after a rolling restart', async () => {
   for (const seed of [1, 2]) {
     const site = await deploymentWithCancelledJob(seed);
     await restartInTurn(site);
--- a/packages/daemon/src/job-host/rebuilt-state.fixture.test.ts
+++ b/packages/daemon/src/job-host/rebuilt-state.fixture.test.ts
@@ -81,7 +81,7 @@
   /** The state that the leader holds. */
   get held(): JobsState {
     if (this.leader === undefined) {
-      throw new Error('nobody leads');
+      throw new Error('there is no leader');
     }
     return this.leader.replica.state;
   }
@@ -108,7 +108,7 @@
     return { kind: 'submit', job: spec, atWall: this.time.clock() };
   }
 
-  /** A host that knows nothing takes the lead, `leaderlessMs` after the last leader is gone. */
+  /** A host that has just started becomes the leader, `leaderlessMs` after the last one has ended. */
   async takeOver(leaderlessMs: Millis): Promise<void> {
     this.leader = undefined;
     await this.time.advance(leaderlessMs);
--- a/packages/daemon/src/job-host/rebuilt-state.fuzz.test.ts
+++ b/packages/daemon/src/job-host/rebuilt-state.fuzz.test.ts
@@ -1,5 +1,5 @@
 /*
- * Guards against hosts that start anew and know another state of jobs than the leader holds. The log drops the inbox
+ * Guards against restarted hosts whose state of jobs differs from that of the leader. The log drops the inbox
  * and the journal record by record: a submission that was written twice outlived the records of its job, so that the
  * job ran again; and a cancellation whose job was only restated was lost.
  */
@@ -34,7 +34,7 @@
   | {
       readonly kind: 'takeOver';
       readonly leaderlessMs: number;
-      /** A job that is submitted while nobody leads. */
+      /** A job that is submitted while there is no leader. */
       readonly job: number;
     };
 
@@ -89,7 +89,7 @@
   },
 );
 
-/** Plays a history; after each operation a host that starts anew must know what the leader holds. */
+/** Plays a history; after each operation a restarted host must know what the leader holds. */
 async function play(ops: readonly Op[], retention: Retention): Promise<void> {
   const site = new ExpiringLog(retention);
   const submitted = new Set<string>();
@@ -224,7 +224,7 @@
 });
 
 for (const [name, retention] of Object.entries(RETENTIONS)) {
-  test(`a host that starts anew knows what the leader holds: ${name}`, async () => {
+  test(`a restarted host knows what the leader holds: ${name}`, async () => {
     const history = fc.array(op, { minLength: 10, maxLength: 40 });
     await fc.assert(
       fc.asyncProperty(history, ops => play(ops, retention)),
--- a/packages/daemon/src/job-host/reported-inbox.test.ts
+++ b/packages/daemon/src/job-host/reported-inbox.test.ts
@@ -5,7 +5,7 @@
 
 import { ReportedInbox } from './reported-inbox.js';
 
-// Jobs that were submitted while nobody led would count as known to a leader, and be dropped by hosts that start.
+// Jobs that were submitted while there was no leader would count as known to a leader, and be dropped by hosts that restart.
 test('the last offset is repeated after a pause', () => {
   let readUpTo = 9;
   const state = { ...emptyJobsState(), inboxUpTo: 5 };
--- a/packages/daemon/src/job-host/reported-inbox.ts
+++ b/packages/daemon/src/job-host/reported-inbox.ts
@@ -1,11 +1,11 @@
-/** How far leaders say in their heartbeats that they have read the inbox. */
-import type { Instant } from '@paddlewind/domain';
+/** The offset in the inbox that leaders report in their heartbeats. */
+import type { Instant, Millis } from '@paddlewind/domain';
 
 import type { Replica } from './replica.js';
 import { CLAIM_INTERVAL_MS } from './timing.js';
 
 /** Time between two heartbeats of a leader that reads and restates jobs without a pause. */
-const MAX_HEARTBEAT_GAP_MS = 2 * CLAIM_INTERVAL_MS;
+const MAX_HEARTBEAT_GAP_MS: Millis = 2 * CLAIM_INTERVAL_MS;
 
 /**
  * The offset that a leader reports: submissions before it were known to a leader at about the heartbeat before this
--- a/packages/daemon/src/job-host/unlisted-ends.test.ts
+++ b/packages/daemon/src/job-host/unlisted-ends.test.ts
@@ -105,7 +105,7 @@
 }
 
 // Each leader acknowledges only what it has recorded.
-test('a task that is done is not started again though the next leader dies among the ends', async () => {
+test('a task that is done is not started again though the next leader fails before all ends are recorded', async () => {
   const site = await deploymentWithRuns(2, 1_600);
   const written = endWithoutLeader(site, 'done');
   await site.time.until(() => (written.ends.done ?? 0) > 0, 5_000);
@@ -190,7 +190,7 @@
   link.close();
 });
 
-// The log told of lost runs while their ends were only not listed yet.
+// Runs were logged as missing although their ends were only not listed yet.
 test('a run whose end is not listed yet is not reported as missing', () => {
   const stub = new StubWorker(2);
   const { log, lines } = captureLog();
