--- a/packages/daemon/src/job-host/context.fixture.test.ts
+++ b/packages/daemon/src/job-host/context.fixture.test.ts
@@ -6,6 +6,7 @@
 import type { HostContext } from './context.js';
 import { createJobMeters } from './meters.js';
 import { PartTimes } from './part-times.js';
+import { StageWaits } from './stage-waits.js';
 
 /** Returns the context of host `h` in virtual time, without randomness and with a silent log. */
 export function testContext({ clock, schedule }: VirtualTime): HostContext {
@@ -18,6 +19,7 @@
     log: pino({ level: 'silent' }),
     meters: createJobMeters(new Registry()),
     times: new PartTimes(clock),
+    waits: new StageWaits(),
     isSaturated: () => false,
   };
 }
--- a/packages/daemon/src/job-host/context.ts
+++ b/packages/daemon/src/job-host/context.ts
@@ -5,6 +5,7 @@
 import { sleep } from '../log/timing.js';
 import type { JobMeters } from './meters.js';
 import type { PartTimes } from './part-times.js';
+import type { StageWaits } from './stage-waits.js';
 
 /** Clocks, randomness, the log and the metrics of the process. */
 export interface HostContext {
@@ -17,6 +18,8 @@
   readonly log: Logger;
   readonly meters: JobMeters;
   readonly times: PartTimes;
+  /** How long work waits while this host leads. */
+  readonly waits: StageWaits;
   /** Whether the event loop has had no time to spare lately, so that what serves least is put off. */
   readonly isSaturated: () => boolean;
 }
--- a/packages/daemon/src/job-host/decision-pace.test.ts
+++ b/packages/daemon/src/job-host/decision-pace.test.ts
@@ -9,6 +9,7 @@
 import type { Millis } from '@paddlewind/domain';
 
 import { DecisionPace } from './decision-pace.js';
+import { StageWaits } from './stage-waits.js';
 
 /** A saturated leader whose rounds take a given time. */
 class PacedLeader {
@@ -17,6 +18,7 @@
   readonly pace = new DecisionPace({
     clock: () => this.now,
     isSaturated: () => this.saturated,
+    waits: new StageWaits(),
   });
 
   /** Makes rounds of `ms` until the average has followed. */
--- a/packages/daemon/src/job-host/decision-pace.ts
+++ b/packages/daemon/src/job-host/decision-pace.ts
@@ -30,17 +30,28 @@
 export class DecisionPace {
   private averageMs: Millis = TARGET_MS;
   private begunAt: Instant | undefined;
+  /** When the first change was made that no round has considered. */
+  private changedAt: Instant | undefined;
   private rounds = 0;
   private longestRoundMs: Millis = 0;
 
   /** Creates the pace of a leader that has made no round yet. */
   constructor(
-    private readonly ctx: Pick<HostContext, 'clock' | 'isSaturated'>,
+    private readonly ctx: Pick<HostContext, 'clock' | 'isSaturated' | 'waits'>,
   ) {}
 
+  /** Notes that something changed that the next round has to consider. */
+  noteChange(): void {
+    this.changedAt ??= this.ctx.clock();
+  }
+
   /** Notes that a round begins, and returns the time. */
   begin(): Instant {
     this.begunAt = this.ctx.clock();
+    if (this.changedAt !== undefined) {
+      this.ctx.waits.note('decide', this.begunAt - this.changedAt);
+      this.changedAt = undefined;
+    }
     return this.begunAt;
   }
 
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -31,6 +31,7 @@
 import type { LeaderOptions } from './leader-options.js';
 import { Heartbeats, learnedRecord } from './leader-records.js';
 import { createLearnedTimes, type LearnedTimes } from './learned-times.js';
+import { RecordSchedule } from './record-schedule.js';
 import { restateDueJobs } from './restate-due.js';
 import { RunRecorder } from './run-recorder.js';
 import { RunStarter } from './run-starter.js';
@@ -39,12 +40,9 @@
 import { SummaryWriter } from './summary-writer.js';
 import {
   CLAIM_INTERVAL_MS,
-  IDLE_HEARTBEAT_MS,
   INBOX_STALE_MS,
-  LEARNED_RECORD_INTERVAL_MS,
   LONG_ROUND_MS,
   PLAN_INTERVAL_MS,
-  SILENCE_REPORT_MS,
 } from './timing.js';
 import { WorkerLink } from './worker-link.js';
 
@@ -118,7 +116,7 @@
         this.admission.noteRunEnding(run, how);
       },
       fleet: () => this.fleet,
-      onChange: this.wakeSignal.notify,
+      onChange: this.noteChange,
     });
     this.starter = new RunStarter({
       ctx,
@@ -199,6 +197,11 @@
     void keepRunning(ctx, 'starts', () => this.options.starts.begin());
   }
 
+  private readonly noteChange = (): void => {
+    this.pace.noteChange();
+    this.wakeSignal.notify();
+  };
+
   /** Asks other hosts to take over; this host continues to lead until one does. */
   release(): void {
     this.recordLearned();
@@ -302,11 +305,7 @@
 
   private async decide(): Promise<void> {
     const { ctx } = this.options;
-    let wroteAt = ctx.clock();
-    // The first round writes a heartbeat, so that the leases learned from earlier leaders are handed over
-    // however soon this leader is replaced.
-    let heartbeatAt = -Infinity;
-    let learnedAt = ctx.clock();
+    const schedule = new RecordSchedule(ctx.clock);
     for (;;) {
       await this.wakeSignal.wait(PLAN_INTERVAL_MS);
       if (this.hasEnded) {
@@ -321,15 +320,13 @@
       restateDueJobs(this.state, this.decisions, ctx, this.options.retentionMs);
       const now = ctx.clock();
       const roundMs = now - startedAt;
-      const idleMs = this.decisions.isEmpty ? now - wroteAt : 0;
-      const dueMs = this.hasNewSilence ? SILENCE_REPORT_MS : CLAIM_INTERVAL_MS;
-      if (idleMs >= IDLE_HEARTBEAT_MS || now - heartbeatAt >= dueMs) {
+      const { hasNewSilence } = this;
+      const isIdle = this.decisions.isEmpty;
+      if (schedule.takeHeartbeat({ isIdle, hasNewSilence })) {
         this.recordHeartbeat();
-        heartbeatAt = now;
       }
-      if (now - learnedAt >= LEARNED_RECORD_INTERVAL_MS) {
+      if (schedule.takeLearned()) {
         this.recordLearned();
-        learnedAt = now;
       }
       const changes = this.summary.takeChanges();
       if (!this.decisions.isEmpty) {
@@ -337,8 +334,8 @@
           this.resign();
           return;
         }
-        wroteAt = ctx.clock();
-        if (wroteAt - now > CLAIM_INTERVAL_MS) {
+        schedule.noteWritten();
+        if (ctx.clock() - now > CLAIM_INTERVAL_MS) {
           // The log was unavailable: leases are extended only by what is written now.
           this.wakeSignal.notify();
         }
--- a/packages/daemon/src/job-host/loop-use.test.ts
+++ b/packages/daemon/src/job-host/loop-use.test.ts
@@ -11,14 +11,17 @@
 
 import { LoopUse, USE_SAMPLE_INTERVAL_MS } from './loop-use.js';
 import { PartTimes } from './part-times.js';
+import { StageWaits } from './stage-waits.js';
 
-/** A loop that is busy for given parts of its time, and plans for half of these. */
+/** A loop that is busy for given parts of its time, plans for half of these and collects garbage for a tenth. */
 class SimulatedLoop {
   readonly lines: unknown[] = [];
   readonly use: LoopUse;
   private readonly time = createVirtualTime();
   private readonly times = new PartTimes(() => this.planned);
+  private readonly waits = new StageWaits();
   private active: Millis = 0;
+  private calls = 0;
   private planned: Millis = 0;
 
   constructor() {
@@ -30,7 +33,10 @@
         { write: text => this.lines.push(JSON.parse(text)) },
       ),
       times: this.times,
+      waits: this.waits,
       activeMs: () => this.active,
+      garbageMs: () => this.active / 10,
+      calls: () => this.calls,
     });
     this.use.begin();
   }
@@ -40,6 +46,8 @@
     for (let at = 0; at < samples; at += 1) {
       const busyMs = (percent * USE_SAMPLE_INTERVAL_MS) / 100;
       this.active += busyMs;
+      this.calls += 3;
+      this.waits.note('send', busyMs);
       this.times.measure('planning', () => {
         this.planned += busyMs / 2;
       });
@@ -61,6 +69,9 @@
       ms: 1_000,
       percent: 80,
       parts: { planning: 400 },
+      garbageMs: 80,
+      calls: 12,
+      waits: { send: { count: 4, meanMs: 200, longestMs: 200 } },
       msg: 'daemon: the loop is busy',
     },
   ]);
--- a/packages/daemon/src/job-host/loop-use.ts
+++ b/packages/daemon/src/job-host/loop-use.ts
@@ -3,6 +3,7 @@
 import type { Logger } from 'pino';
 
 import { HOST_PARTS, type HostPart, type PartTimes } from './part-times.js';
+import type { StageWaits } from './stage-waits.js';
 
 /** Interval between samples. */
 export const USE_SAMPLE_INTERVAL_MS: Millis = 250;
@@ -22,14 +23,21 @@
   readonly schedule: Schedule;
   readonly log: Logger;
   readonly times: PartTimes;
+  readonly waits: StageWaits;
   /** Returns for how long the loop has been busy so far. */
   readonly activeMs: () => Millis;
+  /** Returns for how long garbage has been collected so far, in any part and in none. */
+  readonly garbageMs: () => Millis;
+  /** Returns the number of calls to workers, hosts and the log so far. */
+  readonly calls: () => number;
 }
 
 /** Totals at one moment. */
 interface Totals {
   readonly at: Millis;
   readonly activeMs: Millis;
+  readonly garbageMs: Millis;
+  readonly calls: number;
   readonly parts: ReadonlyMap<HostPart, Millis>;
 }
 
@@ -79,15 +87,22 @@
   }
 
   private totals(): Totals {
-    const { clock, times, activeMs } = this.options;
+    const { clock, times, activeMs, garbageMs, calls } = this.options;
     const parts = new Map(
       HOST_PARTS.map(part => [part, times.totalMs(part)] as const),
     );
-    return { at: clock(), activeMs: activeMs(), parts };
+    return {
+      at: clock(),
+      activeMs: activeMs(),
+      garbageMs: garbageMs(),
+      calls: calls(),
+      parts,
+    };
   }
 
   private logIfBusy(before: Totals, current: Totals): void {
     const percent = busyPercent(before, current);
+    const waits = this.options.waits.take();
     if (percent < LOGGED_PERCENT) {
       return;
     }
@@ -100,6 +115,9 @@
         ms: Math.round(current.at - before.at),
         percent: Math.round(percent),
         parts: Object.fromEntries(parts.filter(([, ms]) => ms > 0)),
+        garbageMs: Math.round(current.garbageMs - before.garbageMs),
+        calls: current.calls - before.calls,
+        waits,
       },
       'daemon: the loop is busy',
     );
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -36,6 +36,7 @@
   SimulatedWire,
   type WireOptions,
 } from './simulated-wire.fixture.test.js';
+import { StageWaits } from './stage-waits.js';
 import { startJobHost, type JobHost } from './start-job-host.js';
 
 const MAX_LEASE_MS = 6_000;
@@ -263,6 +264,7 @@
         log: this.logOf(name),
         meters: createJobMeters(new Registry()),
         times: new PartTimes(simulated.clock),
+        waits: new StageWaits(),
         isSaturated: () => simulated.isSaturated,
       },
       jobLog: simulated.guard(log),
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -15,6 +15,7 @@
 
 import { WakeSignal } from './wake-signal.js';
 import { AdaptiveTimeout } from './adaptive-timeout.js';
+import { ContactTimes } from './contact-times.js';
 import { pause } from './context.js';
 import type { EvacuatedZones } from './evacuated-zones.js';
 import type { FirstPolls, SentPoll } from './first-polls.js';
@@ -104,9 +105,7 @@
   /** Time at which the worker was found to be unresponsive; undefined while it answers. */
   private silentSince: Instant | undefined;
   private readonly origin = new ReportOrigin(() => this.info.id);
-  /** Times of the worker's first and last answer to a poll of this leader. */
-  private firstAnsweredAt: Instant = Infinity;
-  private lastAnsweredAt: Instant = Infinity;
+  private readonly contact: ContactTimes;
   /** No runs are assigned before this time, because the worker was slow to answer orders. */
   private pausedUntil: Instant = -Infinity;
   private closed = false;
@@ -127,6 +126,7 @@
     private readonly options: LinkOptions,
   ) {
     this.wakeSignal = new WakeSignal(options.ctx.schedule);
+    this.contact = new ContactTimes(options.ctx);
     this.reach = new ReachRecord(done => {
       options.events.reached(done);
     });
@@ -288,6 +288,7 @@
   private async poll(): Promise<void> {
     const { ctx, port, fence } = this.options;
     const sentAt = ctx.clock();
+    this.contact.notePoll();
     const isIdentified = this.hasProbed || port.isConnected(this.info);
     // An unresponsive worker may be unreachable: its lease must be allowed to expire.
     const left = this.horizonLeftMs();
@@ -384,21 +385,15 @@
 
   private recordAnswer({ at, request }: SentPoll): void {
     const { ctx, fence } = this.options;
-    this.lastAnsweredAt = ctx.clock();
-    this.pollTimeout.record(
-      Math.max(0, this.lastAnsweredAt - at - request.waitMs),
-    );
+    const runs = this.runs.open.size;
+    const isFirst = this.contact.noteAnswer(runs);
+    this.pollTimeout.record(Math.max(0, ctx.clock() - at - request.waitMs));
     this.acknowledgedUpTo = Math.max(
       this.acknowledgedUpTo,
       request.acknowledged,
     );
-    if (this.firstAnsweredAt === Infinity) {
-      this.firstAnsweredAt = this.lastAnsweredAt;
-      const runs = this.runs.open.size;
-      if (runs === 0) {
-        return;
-      }
-      const leaseLeftMs = Math.round(this.lease.endsBy - this.lastAnsweredAt);
+    if (isFirst && runs > 0) {
+      const leaseLeftMs = Math.round(this.lease.endsBy - ctx.clock());
       ctx.log.info(
         { worker: this.info.id, fence, runs, leaseLeftMs },
         'worker: reached for the first time',
@@ -470,7 +465,7 @@
   private logAllKnown(): void {
     if (this.hasReported) {
       const { ctx } = this.options;
-      const afterMs = Math.round(ctx.clock() - this.firstAnsweredAt);
+      const afterMs = this.contact.sinceFirstMs;
       ctx.log.info(
         { worker: this.info.id, afterMs },
         'worker: all its ends are listed',
@@ -492,8 +487,8 @@
   private contactFields(): Record<string, unknown> {
     const now = this.options.ctx.clock();
     return {
-      answeredMsAgo: Math.round(now - this.lastAnsweredAt),
-      reachedMsAgo: Math.round(now - this.firstAnsweredAt),
+      answeredMsAgo: this.contact.sinceLastMs,
+      reachedMsAgo: this.contact.sinceFirstMs,
       leaseLeftMs: Math.round(this.lease.endsBy - now),
       leaseOf: this.lease.isKnown ? 'this_leader' : 'earlier_leader',
     };
--- a/packages/daemon/src/job-host/worker-orders.ts
+++ b/packages/daemon/src/job-host/worker-orders.ts
@@ -107,6 +107,7 @@
     }
     const now = ctx.clock();
     ctx.meters.startSent(now - decidedAt, this.options.inboxAgeMs());
+    ctx.waits.note('send', now - decidedAt);
     run.progress = newProgress(now);
     const order = {
       task: refOf(task),
