Leader: without time to spare other hosts call workers for it, many calls in one message

Cause: one host sends each start, limit and poll in a call of its own, some 1,800 a second.

Change: once its loop was saturated for a second, the leader hands calls to hosts that stand by, one for each availability zone and two at the least. One batch at a time waits there for reports; it is answered at once when more calls come, and the leader sends fewer and larger ones the later its own loop is. The leader decides what each call contains: fence, end of the lease, acknowledgement, latest time of a start. A proxy identifies a worker before it passes on a lease or an acknowledgement over a new connection. Whatever it does not tell in time the leader asks the worker itself, so that a worker counts as silent by the leader's own calls only; stops are always sent directly. Below saturation nothing changes.

Evidence: leader-calls.test.ts fails before (1.74 calls and 2.94 timers left for each run, 0.05 and 1 allowed) and passes now. Of timers, one for each report was left to fire after what it waited for had come.

proxying-hosts.test.ts plays hosts that are killed, frozen, suspended, slow, cut off from the leader or from workers, or of an earlier version, late batches, and leaders that are killed.

--- a/packages/daemon/src/job-host/context.fixture.test.ts
+++ b/packages/daemon/src/job-host/context.fixture.test.ts
@@ -21,5 +21,6 @@
     times: new PartTimes(clock),
     waits: new StageWaits(),
     isSaturated: () => false,
+    busyPercent: () => 0,
   };
 }
--- a/packages/daemon/src/job-host/context.ts
+++ b/packages/daemon/src/job-host/context.ts
@@ -22,6 +22,23 @@
   readonly waits: StageWaits;
   /** Whether the event loop has had no time to spare lately, so that what serves least is put off. */
   readonly isSaturated: () => boolean;
+  /** Busy share of the event loop in the last sample, in percent. */
+  readonly busyPercent: () => number;
+}
+
+/** Resolves once `event` does, after `span` at the latest; no timer is left behind. */
+export function waitFor(
+  ctx: HostContext,
+  event: Promise<unknown>,
+  span: Millis,
+): Promise<void> {
+  return new Promise(resolve => {
+    const cancel = ctx.schedule(span, resolve);
+    void event.then(() => {
+      cancel();
+      resolve();
+    });
+  });
 }
 
 /** Resolves after `span`. */
--- a/packages/daemon/src/job-host/leader-options.ts
+++ b/packages/daemon/src/job-host/leader-options.ts
@@ -1,16 +1,12 @@
 /** Dependencies and settings of a leader. */
 import type { Millis } from '@paddlewind/domain';
 import type { MoveCosts } from '@paddlewind/domain/jobs';
-import type {
-  AdvicePort,
-  JobLog,
-  WorkerFeed,
-  WorkerPort,
-} from '@paddlewind/ports/jobs';
+import type { AdvicePort, JobLog, WorkerFeed } from '@paddlewind/ports/jobs';
 
 import type { HostContext } from './context.js';
 import type { EvacuatedZones } from './evacuated-zones.js';
 import type { WonClaim } from './leadership.js';
+import type { ProxiedWorkers } from './proxy/proxied-workers.js';
 import type { StartSender } from './relay/start-sender.js';
 import type { Replica } from './replica.js';
 
@@ -21,7 +17,7 @@
   readonly replica: Replica;
   readonly feed: WorkerFeed;
   readonly evacuatedZones: EvacuatedZones;
-  readonly port: WorkerPort;
+  readonly port: ProxiedWorkers;
   readonly starts: StartSender;
   readonly advicePort: AdvicePort;
   readonly maxLeaseMs: Millis;
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -195,6 +195,7 @@
     void keepRunning(ctx, 'summary', () => this.summary.run());
     void keepRunning(ctx, 'account', () => this.publishFleetAccount());
     void keepRunning(ctx, 'starts', () => this.options.starts.begin());
+    void keepRunning(ctx, 'proxies', () => this.options.port.begin());
   }
 
   private readonly noteChange = (): void => {
@@ -434,6 +435,7 @@
     this.decisions.close();
     this.summary.close();
     this.options.starts.close();
+    this.options.port.close();
     this.fleet.close();
     this.options.ctx.log.info(
       { epoch: this.options.claim.epoch },
--- a/packages/daemon/src/job-host/loop-use.ts
+++ b/packages/daemon/src/job-host/loop-use.ts
@@ -44,6 +44,7 @@
 /** The use of the event loop of this process. */
 export class LoopUse {
   private saturated = false;
+  private lastPercent = 0;
   private sampled: Totals;
   private logged: Totals;
   private unloggedSamples = 0;
@@ -60,6 +61,11 @@
     return this.saturated;
   }
 
+  /** Busy share of the last sample, in percent. */
+  get busyPercent(): number {
+    return this.lastPercent;
+  }
+
   /** Samples until `stop` is called. */
   begin(): void {
     this.cancel = this.options.schedule(USE_SAMPLE_INTERVAL_MS, () => {
@@ -76,7 +82,8 @@
   private sample(): void {
     const current = this.totals();
     const limit = this.saturated ? RELAXED_PERCENT : SATURATED_PERCENT;
-    this.saturated = busyPercent(this.sampled, current) >= limit;
+    this.lastPercent = busyPercent(this.sampled, current);
+    this.saturated = this.lastPercent >= limit;
     this.sampled = current;
     this.unloggedSamples += 1;
     if (this.unloggedSamples === SAMPLES_PER_LINE) {
--- a/packages/daemon/src/job-host/relay/relay-deployment.fixture.test.ts
+++ b/packages/daemon/src/job-host/relay/relay-deployment.fixture.test.ts
@@ -42,11 +42,26 @@
 }
 
 /** Runs jobs while `disturb` injects faults; returns the deployment once all jobs should be done. */
-export async function runWithRelays(
+export function runWithRelays(
   seed: number,
   disturb: (site: Simulation) => void | Promise<void>,
 ): Promise<Simulation> {
-  const site = new Simulation(seed, { relayAllStarts: true });
+  return runDisturbed(new Simulation(seed, { relayAllStarts: true }), disturb);
+}
+
+/** The same where no host has time to spare, so that others call workers for the leader. */
+export function runWithProxies(
+  seed: number,
+  disturb: (site: Simulation) => void | Promise<void>,
+): Promise<Simulation> {
+  const options = { relayAllStarts: false, saturated: true };
+  return runDisturbed(new Simulation(seed, options), disturb);
+}
+
+async function runDisturbed(
+  site: Simulation,
+  disturb: (site: Simulation) => void | Promise<void>,
+): Promise<Simulation> {
   site.history.faults = new FaultTimes();
   RELAY_WORKERS.forEach(name => {
     site.addWorker(name);
@@ -86,11 +101,14 @@
   return `d${at.toString(16).padStart(15, '0')}`;
 }
 
-/**
- * Asserts that every guarantee was kept, all jobs that were not cancelled are done, and other hosts
- * sent starts.
- */
+/** Asserts that every guarantee was kept, all jobs are done, and other hosts sent starts. */
 export function assertAllServed(site: Simulation, note: string): void {
+  assertServed(site, note);
+  assert.ok(site.peers.relays > 0, note);
+}
+
+/** Asserts that every guarantee was kept and all jobs that were not cancelled are done. */
+export function assertServed(site: Simulation, note: string): void {
   const { history } = site;
   assert.deepEqual(history.check(), [], note);
   const all = Array.from({ length: SHORT_JOBS }, (_, at) => at);
@@ -102,5 +120,4 @@
     LONG_RUNNING_TASKS,
     note,
   );
-  assert.ok(site.peers.relays > 0, note);
 }
--- a/packages/daemon/src/job-host/relay/relay-host.ts
+++ b/packages/daemon/src/job-host/relay/relay-host.ts
@@ -8,6 +8,7 @@
   RelayOutcome,
 } from '@paddlewind/ports/jobs';
 
+import { CLOCK_BOUND_LIFETIME_MS, ClockBound } from '../clock-bound.js';
 import type { HostContext } from '../context.js';
 import { AnswerTimer } from './answer-timer.js';
 
@@ -24,25 +25,11 @@
  * the link is.
  */
 const UNAVAILABLE_AFTER_MS: Millis = 2_000;
-/**
- * Lifetime of the best bound on the other host's clock, since a machine may have been suspended
- * meanwhile. A host that is not in use is not asked for a new bound earlier.
- */
-const CLOCK_BOUND_LIFETIME_MS: Millis = 2_000;
 /** A host that takes longer to accept starts is given more only if all hosts are as slow. */
 const SLOW_ACCEPT_MS: Millis = 150;
 /** Time for which a host counts as slow; it may have been slow only for a moment. */
 const SLOW_BACKOFF_MS: Millis = 1_000;
 
-/** What is known of the process that runs on the host. */
-interface KnownProcess {
-  readonly id: string;
-  /** Lower bound of how far its clock is ahead of the local one. */
-  readonly aheadMs: Millis;
-  /** When that bound was determined. */
-  readonly since: Instant;
-}
-
 /**
  * Why a host is in backoff: `unable` to send starts; `silent` if it did not answer in time;
  * `impaired` if it is behind the log or does not reach workers. All but the first may have a cause
@@ -78,7 +65,7 @@
 
 /** A host that sends starts on behalf of the leader. */
 export class RelayHost {
-  private known: KnownProcess | undefined;
+  private readonly clockBound = new ClockBound();
   private backoffUntil: Instant = -Infinity;
   private backoffKind: BackoffKind = 'unable';
   private answeredAt: Instant = -Infinity;
@@ -129,7 +116,7 @@
     const isUnavailable =
       unansweredSince !== undefined &&
       now - unansweredSince > UNAVAILABLE_AFTER_MS;
-    return this.known !== undefined && !isUnavailable;
+    return this.clockBound.process !== undefined && !isUnavailable;
   }
 
   /** Whether the host may be given a start now. */
@@ -182,7 +169,7 @@
   ): Promise<void> {
     const { ctx, peers, epoch, address } = this.options;
     // Only a host whose process is known is given starts; no process has an empty name.
-    const { id: process = '', aheadMs = 0 } = this.known ?? {};
+    const { process = '', aheadMs } = this.clockBound;
     const sentAt = ctx.clock();
     const open = new Map(orders.entries());
     const settle = (at: number, res: RelayResult): void => {
@@ -294,27 +281,14 @@
     this.backOff(res.reason, SILENCE_BACKOFF_MS, kind);
   }
 
-  /**
-   * Updates the bound on the host's clock. The answer was given before it arrived, so the clock is
-   * ahead by at least the difference. The largest bound is the tightest; it comes from the fastest
-   * answer.
-   */
-  private updateClockBound({ process, clock }: PeerProcess): void {
+  private updateClockBound(by: PeerProcess): void {
     const now = this.options.ctx.clock();
     this.answeredAt = now;
     this.unansweredSince = undefined;
     if (this.backoffKind === 'silent') {
       this.backoffUntil = -Infinity;
     }
-    const aheadMs = clock - now;
-    const { known } = this;
-    const isBetter =
-      known?.id !== process ||
-      aheadMs >= known.aheadMs ||
-      now - known.since > CLOCK_BOUND_LIFETIME_MS;
-    if (isBetter) {
-      this.known = { id: process, aheadMs, since: now };
-    }
+    this.clockBound.update(by, now);
   }
 }
 
--- a/packages/daemon/src/job-host/relay/relayed-starts.ts
+++ b/packages/daemon/src/job-host/relay/relayed-starts.ts
@@ -11,7 +11,6 @@
   type JobsState,
 } from '@paddlewind/domain/jobs';
 import type {
-  OrderResult,
   PeerPort,
   StartOrder,
   WorkerAddress,
@@ -19,12 +18,14 @@
 } from '@paddlewind/ports/jobs';
 
 import { pause, type HostContext } from '../context.js';
+import type { ProxiedWorkers } from '../proxy/proxied-workers.js';
 import { LinkBudget } from './link-budget.js';
 import { LinkPacer } from './link-pacer.js';
 import type { LinkShares } from './link-shares.js';
 import { RelayBatches, type RelayedResult } from './relay-batches.js';
 import { RelayHost, type RelayResult } from './relay-host.js';
 import { RelayWindow } from './relay-window.js';
+import { combineWithRelayed, isConclusive } from './start-results.js';
 import type { StartLimits, StartResult, StartSender } from './start-sender.js';
 
 /** Interval at which standbys are looked up and asked which process runs on them. */
@@ -44,6 +45,8 @@
   readonly epoch: number;
   readonly state: JobsState;
   readonly shares: LinkShares;
+  /** Hosts that call workers for this one while it has no time to spare. */
+  readonly proxied?: Pick<ProxiedWorkers, 'carries' | 'sendStart'>;
 }
 
 /** What is known of a start after other hosts were asked to send it. */
@@ -114,6 +117,10 @@
     order: StartOrder,
     limits: StartLimits,
   ): Promise<StartResult> {
+    const { proxied } = this.options;
+    if (proxied?.carries(worker) === true) {
+      return proxied.sendStart(worker, order, limits);
+    }
     if (this.budget.tryTake(bytesOf(order))) {
       return this.options.port.start(worker, order);
     }
@@ -240,11 +247,6 @@
   }
 }
 
-/** Whether the outcome is settled: the run has started, or was refused and can't start. */
-function isConclusive({ kind }: OrderResult): boolean {
-  return kind === 'accepted' || kind === 'rejected' || kind === 'replaced';
-}
-
 /** Whether the other host may have started the run or may still start it. */
 function mayHaveStarted(res: RelayResult): boolean {
   switch (res.kind) {
@@ -260,25 +262,3 @@
 function bytesOf({ payload }: StartOrder): number {
   return DIRECT_START_BYTES + payload.length;
 }
-
-/**
- * Combines the result of a start with an earlier attempt through another host whose outcome is
- * unknown. Only an accepted run and results that end the link to the worker are conclusive; a run
- * that is refused as superseded may have started and ended.
- */
-function combineWithRelayed(direct: StartResult): StartResult {
-  const isFenced = direct.kind === 'rejected' && direct.why === 'fenced';
-  switch (direct.kind) {
-    case 'accepted':
-    case 'replaced':
-    case 'unknown':
-    case 'unsure':
-      return direct;
-    case 'not_wanted':
-      return { kind: 'unsure', reason: 'another host may have sent it' };
-    case 'not_run':
-      return { kind: 'unknown', reason: direct.reason };
-    case 'rejected':
-      return isFenced ? direct : { kind: 'unsure', reason: direct.why };
-  }
-}
--- a/packages/daemon/src/job-host/relay/start-relay.ts
+++ b/packages/daemon/src/job-host/relay/start-relay.ts
@@ -28,6 +28,9 @@
   readonly isFollowing: () => boolean;
 }
 
+/** The leader that hands starts over, and the process to which it does. */
+export type RelaySource = Pick<RelayBatch, 'epoch' | 'process'>;
+
 /** A worker that was sent a start. */
 interface UsedWorker {
   readonly worker: WorkerAddress;
@@ -57,8 +60,9 @@
     await Promise.all(sending);
   }
 
-  private async send(
-    batch: RelayBatch,
+  /** Sends one start, or tells why it was not sent. */
+  async send(
+    batch: RelaySource,
     { worker, order, sendBy }: RelayedStart,
   ): Promise<RelayOutcome> {
     const { ctx, replica } = this.options;
@@ -103,7 +107,7 @@
   }
 
   private refusalOf(
-    { epoch, process }: RelayBatch,
+    { epoch, process }: RelaySource,
     sendBy: Instant,
   ): RelayRefusal | undefined {
     const { ctx, replica, isFollowing } = this.options;
--- a/packages/daemon/src/job-host/simulated-network.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulated-network.fixture.test.ts
@@ -1,8 +1,12 @@
 /** Simulated links of hosts and calls between hosts, in virtual time. */
 import type { Instant, Millis } from '@paddlewind/domain';
 import type {
+  CallBatch,
+  ExchangeResult,
   OrderResult,
   PeerPort,
+  ProxyAnswer,
+  ProxyPort,
   RelayBatch,
   RelayCallResult,
   RelayObserver,
@@ -26,6 +30,8 @@
 /** Timeouts for identifying a host, and for starts that it has accepted. */
 const IDENTIFY_TIMEOUT_MS: Millis = 300;
 const RELAY_TIMEOUT_MS: Millis = 900;
+/** Timeout of a batch of calls to workers. */
+const BATCH_TIMEOUT_MS: Millis = 1_500;
 const MS_PER_S = 1_000;
 
 /** A host's outgoing link, which carries one byte after the other. */
@@ -109,6 +115,11 @@
   appends = 0;
   /** Number of starts that a host was asked to send for another one. */
   relays = 0;
+  /** Number of messages by which a host was asked to call workers for another one, and of calls in them. */
+  batches = 0;
+  proxied = 0;
+  /** Hosts of an earlier version, which do not call workers for others. */
+  readonly withoutProxies = new Set<string>();
 
   /** Creates the calls between the hosts of a deployment. */
   constructor(
@@ -207,6 +218,46 @@
     });
   }
 
+  /** Returns the port through which `name` has other hosts call workers for it. */
+  proxies(name: string): ProxyPort {
+    return {
+      exchange: (address, batch) => {
+        this.batches += 1;
+        this.proxied += batch.calls.length;
+        const timedOut = this.pause(BATCH_TIMEOUT_MS).then(
+          (): ExchangeResult => ({ kind: 'failed', reason: 'timeout' }),
+        );
+        return Promise.race([this.exchange(name, address, batch), timedOut]);
+      },
+      disconnect: () => undefined,
+    };
+  }
+
+  /** Delivers a batch; a frozen host handles it once it resumes. */
+  private async exchange(
+    from: string,
+    to: string,
+    batch: CallBatch,
+  ): Promise<ExchangeResult> {
+    await this.pause(PEER_LATENCY_MS + (this.startDelays.get(to) ?? 0));
+    const found = this.reach(from, to);
+    if (found === undefined) {
+      return new Promise(() => undefined);
+    }
+    if (this.withoutProxies.has(to)) {
+      return { kind: 'failed', reason: 'status 400' };
+    }
+    const answer = await new Promise<ProxyAnswer>(resolve => {
+      found.process.schedule(0, () => {
+        void found.host.callForPeer(batch).then(resolve);
+      });
+    });
+    await this.pause(PEER_LATENCY_MS);
+    return this.reach(from, to) === found
+      ? { kind: 'answered', ...answer }
+      : new Promise(() => undefined);
+  }
+
   /** Returns the host `to` if `from` can reach it. */
   reach(from: string, to: string): ReachedHost | undefined {
     const found = this.hosts.get(to);
--- a/packages/daemon/src/job-host/simulated-process.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulated-process.fixture.test.ts
@@ -20,6 +20,8 @@
   private busyUntil: Instant = 0;
 
   private saturated = false;
+  /** Number of timers that were set so far and not cancelled. */
+  timers = 0;
 
   /** Creates a running process. */
   constructor(private readonly time: VirtualTime) {}
@@ -38,8 +40,19 @@
   readonly clock = (): Instant => this.time.clock() - this.suspendedMs;
 
   /** Runs `task` after `delay` on its monotonic clock. */
-  readonly schedule = (delay: Millis, task: () => void): (() => void) =>
-    this.scheduleAt(this.clock() + delay, task);
+  readonly schedule = (delay: Millis, task: () => void): (() => void) => {
+    this.timers += 1;
+    let isOpen = true;
+    const cancel = this.scheduleAt(this.clock() + delay, () => {
+      isOpen = false;
+      task();
+    });
+    return () => {
+      this.timers -= Number(isOpen);
+      isOpen = false;
+      cancel();
+    };
+  };
 
   /** Kills the process. */
   kill(): void {
--- a/packages/daemon/src/job-host/simulation.fixture.test.ts
+++ b/packages/daemon/src/job-host/simulation.fixture.test.ts
@@ -100,6 +100,10 @@
   readonly relayAllStarts?: boolean;
   /** Availability zone of the worker on a machine; `a` for all by default. */
   readonly zoneOf?: (machine: string) => string;
+  /** Availability zone of a host; unknown by default. */
+  readonly hostZoneOf?: (name: string) => string | undefined;
+  /** Whether all hosts count as saturated, so that other hosts call workers for the leader. */
+  readonly saturated?: boolean;
   /** Costs of moving a run; by default the platform does not state them. */
   readonly moveCosts?: MoveCosts;
   /** Version of the worker that is the nth to start; workers have none by default. */
@@ -126,6 +130,8 @@
   readonly history: JobHistory;
   readonly operator: MemoryOperator;
   readonly hosts = new Map<string, SimulatedHost>();
+  /** Number of starts, limits and polls that each host has sent to workers. */
+  readonly workerCalls = new Map<string, number>();
   /** Offset of the hosts' time of day. */
   wallOffset: Millis = 0;
   /** Offset of the workers' time of day. */
@@ -137,6 +143,8 @@
   private readonly linkBytesPerS: number;
   private readonly relayAllStarts: boolean;
   private readonly zoneOf: (machine: string) => string;
+  private readonly hostZoneOf: (name: string) => string | undefined;
+  private readonly saturated: boolean;
   private readonly moveCosts: MoveCosts | undefined;
   private readonly versionOf: ((nth: number) => string) | undefined;
   private readonly wire: WireOptions | undefined;
@@ -154,6 +162,8 @@
       linkBytesPerS = Infinity,
       relayAllStarts = process.env.TEST_RELAYS !== undefined,
       zoneOf = () => 'a',
+      hostZoneOf = () => undefined,
+      saturated = false,
       moveCosts,
       versionOf,
       wire,
@@ -166,6 +176,8 @@
     this.linkBytesPerS = linkBytesPerS;
     this.relayAllStarts = relayAllStarts;
     this.zoneOf = zoneOf;
+    this.hostZoneOf = hostZoneOf;
+    this.saturated = saturated;
     this.moveCosts = moveCosts;
     this.versionOf = versionOf;
     this.wire = wire;
@@ -253,6 +265,7 @@
   /** Starts or restarts a host. */
   startHost(name: string, cores = 1): JobHost {
     const simulated = new SimulatedProcess(this.time);
+    simulated.saturate(this.saturated);
     const { log, peers, port } = this.networkOf(name);
     const host = startJobHost({
       ctx: {
@@ -266,6 +279,7 @@
         times: new PartTimes(simulated.clock),
         waits: new StageWaits(),
         isSaturated: () => simulated.isSaturated,
+        busyPercent: () => (simulated.isSaturated ? 100 : 0),
       },
       jobLog: simulated.guard(log),
       operatorFeed: simulated.guard(this.operator.connect(name)),
@@ -275,7 +289,9 @@
         ask: () => Promise.resolve({ kind: 'unavailable', reason: 'none' }),
       }),
       peers: simulated.guard(peers),
+      proxies: simulated.guard(this.peers.proxies(name)),
       peerAddress: name,
+      availabilityZone: this.hostZoneOf(name),
       maxLeaseMs: this.maxLeaseMs,
       moveCosts: this.moveCosts,
       evacuationEffectMs: EVACUATION_EFFECT_MS,
@@ -297,7 +313,9 @@
     const log = this.log.connect(name);
     if (options === undefined) {
       const peers = this.peers.connect(name, link);
-      return { log, peers, port: () => link.port(fleet.connect(name)) };
+      const port = (): WorkerPort =>
+        this.countCalls(name, link.port(fleet.connect(name)));
+      return { log, peers, port };
     }
     const { inBytesPerS, connections } = options;
     const into = new SimulatedLink(time, inBytesPerS);
@@ -306,7 +324,29 @@
     return {
       log: wire.log(log),
       peers: wire.peers(name, this.peers),
-      port: () => wire.port(fleet.connect(name)),
+      port: () => this.countCalls(name, wire.port(fleet.connect(name))),
+    };
+  }
+
+  /** Returns `port`, whose starts, limits and polls are counted. */
+  private countCalls(name: string, port: WorkerPort): WorkerPort {
+    const count = (): void => {
+      this.workerCalls.set(name, (this.workerCalls.get(name) ?? 0) + 1);
+    };
+    return {
+      ...port,
+      start: (to, order) => {
+        count();
+        return port.start(to, order);
+      },
+      throttle: (to, order) => {
+        count();
+        return port.throttle(to, order);
+      },
+      poll: (to, request, takeLate) => {
+        count();
+        return port.poll(to, request, takeLate);
+      },
     };
   }
 
@@ -330,6 +370,11 @@
     this.hosts.get(name)?.process.slow(eventMs);
   }
 
+  /** Returns the number of timers that the process of a host has set and not cancelled. */
+  timersOf(name: string): number {
+    return this.hosts.get(name)?.process.timers ?? 0;
+  }
+
   /** Makes a host count as saturated whatever it does, or only by its backlog of events. */
   saturate(name: string, isSaturated: boolean): void {
     this.hosts.get(name)?.process.saturate(isSaturated);
--- a/packages/daemon/src/job-host/start-job-host.ts
+++ b/packages/daemon/src/job-host/start-job-host.ts
@@ -14,6 +14,9 @@
   OperatorFeed,
   PeerPort,
   PeerProcess,
+  CallBatch,
+  ProxyAnswer,
+  ProxyPort,
   RelayBatch,
   RelayOutcome,
   WorkerFeed,
@@ -35,6 +38,8 @@
 import type { JobGauges } from './meters.js';
 import { followOperator } from './operator-follower.js';
 import type { LinkShares } from './relay/link-shares.js';
+import { CallProxy } from './proxy/call-proxy.js';
+import { ProxiedWorkers } from './proxy/proxied-workers.js';
 import { RelayedStarts } from './relay/relayed-starts.js';
 import { StartRelay } from './relay/start-relay.js';
 import { ReplicaView } from './replica-view.js';
@@ -57,8 +62,11 @@
   readonly workerPort: () => WorkerPort;
   readonly advicePort: () => AdvicePort;
   readonly peers: PeerPort;
+  readonly proxies: ProxyPort;
   /** Address at which other hosts reach this one. */
   readonly peerAddress: string;
+  /** Availability zone of this host; undefined if it is not known. */
+  readonly availabilityZone?: string | undefined;
   readonly maxLeaseMs: Millis;
   /** Time after which nothing may start in an evacuated zone; undefined if the deployment has no limit. */
   readonly evacuationEffectMs: Millis | undefined;
@@ -88,6 +96,8 @@
     batch: RelayBatch,
     onOutcome: (at: number, outcome: RelayOutcome) => void,
   ) => Promise<void>;
+  /** Calls workers on behalf of a leader. */
+  readonly callForPeer: (batch: CallBatch) => Promise<ProxyAnswer>;
   /** The newest configuration; undefined before the first. */
   readonly config: () => OperatorConfig | undefined;
   /** Whether this host is ready to serve callers. */
@@ -116,6 +126,7 @@
   private readonly role: HostRole;
   private readonly batcher: AppendBatcher;
   private readonly relay: StartRelay;
+  private readonly proxy: CallProxy;
   private readonly configHolder: ConfigHolder;
   private readonly evacuatedZones: EvacuatedZones;
   private readonly replicaView: ReplicaView;
@@ -148,12 +159,12 @@
       appendOffer: records => inbox.append(records),
     });
     this.batcher = new AppendBatcher(ctx, jobLog);
-    this.relay = new StartRelay({
-      ctx,
-      replica,
-      port: () => meterWorkers(options.workerPort(), ctx.meters, ctx.clock),
-      isFollowing: () => this.isFollowingLeader(),
-    });
+    const port = (): WorkerPort =>
+      meterWorkers(options.workerPort(), ctx.meters, ctx.clock);
+    const isFollowing = (): boolean => this.isFollowingLeader();
+    this.relay = new StartRelay({ ctx, replica, port, isFollowing });
+    const { relay, identifyForPeer: identify } = this;
+    this.proxy = new CallProxy({ ctx, relay, identify, port });
     this.configHolder = new ConfigHolder(ctx);
     this.evacuatedZones = new EvacuatedZones(ctx, options.evacuationEffectMs);
     this.replicaView = new ReplicaView(ctx, replica, () => this.leader);
@@ -205,7 +216,8 @@
   readonly identifyForPeer = (): PeerProcess => {
     const { to } = this.replica.heartbeatAge(this.options.ctx.clock());
     const maxHeartbeatAgeMs = to === Infinity ? undefined : to;
-    return { ...this.relay.identify(), maxHeartbeatAgeMs };
+    const { availabilityZone } = this.options;
+    return { ...this.relay.identify(), maxHeartbeatAgeMs, availabilityZone };
   };
 
   readonly relayForPeer = (
@@ -213,6 +225,9 @@
     onOutcome: (at: number, outcome: RelayOutcome) => void,
   ): Promise<void> => this.relay.sendBatch(batch, onOutcome);
 
+  readonly callForPeer = (batch: CallBatch): Promise<ProxyAnswer> =>
+    this.proxy.exchange(batch);
+
   readonly handOver = async (waitMs: Millis): Promise<void> => {
     this.stopping = true;
     if (this.leader !== undefined) {
@@ -306,14 +321,19 @@
     const { options, jobLog, replica, evacuatedZones } = this;
     const { ctx, maxLeaseMs, retentionMs, statusMs, peerAddress } = options;
     const { clock, meters } = ctx;
-    const port = meterWorkers(options.workerPort(), meters, clock);
+    const direct = meterWorkers(options.workerPort(), meters, clock);
+    const { peers, proxies, linkShares: shares } = options;
+    const { epoch } = claim;
+    const { state } = replica;
+    const port = new ProxiedWorkers({ ctx, direct, proxies, epoch, state });
     const starts = new RelayedStarts({
       ctx,
-      port,
-      peers: options.peers,
-      epoch: claim.epoch,
-      state: replica.state,
-      shares: options.linkShares,
+      port: direct,
+      peers,
+      epoch,
+      state,
+      shares,
+      proxied: port,
     });
     return new Leader({
       ctx,
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -16,7 +16,7 @@
 import { WakeSignal } from './wake-signal.js';
 import { AdaptiveTimeout } from './adaptive-timeout.js';
 import { ContactTimes } from './contact-times.js';
-import { pause } from './context.js';
+import { pause, waitFor } from './context.js';
 import type { EvacuatedZones } from './evacuated-zones.js';
 import type { FirstPolls, SentPoll } from './first-polls.js';
 import { Lease } from './lease.js';
@@ -310,7 +310,8 @@
         ctx.log.error({ err }, 'worker: a late answer could not be handled');
       });
     });
-    this.hasProbed = !isIdentified && res.kind === 'seen';
+    this.hasProbed =
+      res.kind === 'seen' && (!isIdentified || res.isProbe === true);
     await this.handlePollResult(res, sent);
   }
 
@@ -345,7 +346,7 @@
         }
         this.setAnswering(true);
         this.lease.noteClock(res.clock, ctx.clock());
-        this.recordAnswer(sent);
+        this.recordAnswer(sent, res.isProbe === true);
         await this.applyReport(res, sent.at);
         return;
       case 'fenced':
@@ -383,15 +384,17 @@
     this.options.events.replaced(by);
   }
 
-  private recordAnswer({ at, request }: SentPoll): void {
+  private recordAnswer({ at, request }: SentPoll, isProbe: boolean): void {
     const { ctx, fence } = this.options;
     const runs = this.runs.open.size;
     const isFirst = this.contact.noteAnswer(runs);
     this.pollTimeout.record(Math.max(0, ctx.clock() - at - request.waitMs));
-    this.acknowledgedUpTo = Math.max(
-      this.acknowledgedUpTo,
-      request.acknowledged,
-    );
+    if (!isProbe) {
+      this.acknowledgedUpTo = Math.max(
+        this.acknowledgedUpTo,
+        request.acknowledged,
+      );
+    }
     if (isFirst && runs > 0) {
       const leaseLeftMs = Math.round(this.lease.endsBy - ctx.clock());
       ctx.log.info(
@@ -450,15 +453,11 @@
     const last = report.ended.at(-1);
     if (last !== undefined) {
       const recorded = this.confirmRecorded(last.position);
-      await Promise.race([
-        recorded,
-        pause(this.options.ctx, UNRECORDED_ENDS_POLL_DELAY_MS),
-      ]);
+      await waitFor(this.options.ctx, recorded, UNRECORDED_ENDS_POLL_DELAY_MS);
+    }
+    if (reached !== undefined) {
+      await waitFor(this.options.ctx, reached, SHORT_LEASE_POLL_WAIT_MS);
     }
-    await Promise.race([
-      reached,
-      pause(this.options.ctx, SHORT_LEASE_POLL_WAIT_MS),
-    ]);
   }
 
   /** Logs that all runs are known, if the worker had more ends than its first report listed. */
--- a/packages/ports/src/jobs/peer-port.ts
+++ b/packages/ports/src/jobs/peer-port.ts
@@ -36,6 +36,8 @@
   readonly clock: Instant;
   /** Upper bound of the age of the newest heartbeat of a leader that it has read; undefined if unknown. */
   readonly maxHeartbeatAgeMs?: Millis | undefined;
+  /** Availability zone of the host; undefined if it does not tell it. */
+  readonly availabilityZone?: string | undefined;
 }
 
 /** Outcome of one relayed start. */
--- a/packages/ports/src/jobs/worker-port.ts
+++ b/packages/ports/src/jobs/worker-port.ts
@@ -7,6 +7,8 @@
   /** Name of the incarnation. A call may reach a later incarnation with the same worker id. */
   readonly id: string;
   readonly address: string;
+  /** Undefined if it is not known. */
+  readonly availabilityZone?: string | undefined;
 }
 
 /** An order to start a run. */
@@ -30,6 +32,11 @@
   readonly fence: number;
 }
 
+/** An order to limit a run to `percent` of its speed. */
+export interface ThrottleOrder extends RunOrder {
+  readonly percent: number;
+}
+
 /** Why a worker rejected an order. */
 export type Rejection =
   'fenced' | 'superseded' | 'too_late' | 'no_room' | 'no_ticket';
@@ -94,6 +101,8 @@
       readonly ended: readonly EndedRun[];
       /** Whether the worker may have more ends than it lists: a run in neither list may have ended. */
       readonly hasMoreEnds: boolean;
+      /** Whether the poll only identified the worker: it acknowledged nothing and extended no lease. */
+      readonly isProbe?: boolean | undefined;
     }
   | { readonly kind: 'fenced' }
   | { readonly kind: 'replaced' }
@@ -104,10 +113,7 @@
   start(worker: WorkerAddress, order: StartOrder): Promise<OrderResult>;
   stop(worker: WorkerAddress, order: RunOrder): Promise<OrderResult>;
   /** Limits a run to `percent` of its speed. */
-  throttle(
-    worker: WorkerAddress,
-    order: RunOrder & { readonly percent: number },
-  ): Promise<OrderResult>;
+  throttle(worker: WorkerAddress, order: ThrottleOrder): Promise<OrderResult>;
   /** Polls a worker; `takeLate` is called with a response that arrives after the timeout. */
   poll(
     worker: WorkerAddress,
