--- a/packages/domain/src/jobs/run-time-distributions.ts
+++ b/packages/domain/src/jobs/run-time-distributions.ts
@@ -68,6 +68,8 @@
   readonly sample: StepSample;
   /** Whether the models have learned from the step. */
   isClosed: boolean;
+  /** The end that the sample was last added; other runs are looked at when a forecast is needed. */
+  lastEnd: RunEndPoint | undefined;
   /** StepForecast by the sample and the models; undefined once the sample has changed. */
   forecast: StepForecast | undefined;
   /** Version of the queue's model that the forecast is based on. */
@@ -109,6 +111,7 @@
     const state: StepState = {
       sample: emptySample(),
       isClosed: false,
+      lastEnd: undefined,
       forecast: undefined,
       version: -1,
     };
@@ -122,6 +125,7 @@
     const isCurrent =
       state.version === model.version || state.sample.completed > 0;
     if (state.forecast === undefined || !isCurrent) {
+      updateOpenRuns(state, model.variation);
       const prior = models.priorOf(step);
       state.forecast = forecastStep(
         state.sample,
@@ -164,8 +168,7 @@
     recordRun: (step, runTimeMs, end) => {
       const state = stateOf(step);
       addCompleted(state.sample, runTimeMs);
-      const { variation } = models.modelOf(step);
-      Object.assign(state.sample, openRunsOf(end, state.sample, variation));
+      state.lastEnd = end;
       state.forecast = undefined;
       if (state.sample.completed === step.spec.tasks) {
         closeStep(step);
@@ -176,6 +179,16 @@
   };
 }
 
+/** Updates the open runs of a step's sample if a run was added since its last forecast. */
+function updateOpenRuns(
+  { forecast, lastEnd, sample }: StepState,
+  variation: number,
+): void {
+  if (forecast === undefined) {
+    Object.assign(sample, openRunsOf(lastEnd, sample, variation));
+  }
+}
+
 /**
  * Returns the logarithms of the times for which the other runs of a step have lasted, without those that are
  * slow alone; of many runs, every n-th stands for n.
