Planning: runs of a worker are sorted by kind only when they change

The kinds are kept until a run is added or removed. A worker without capacity for a task is passed over before what costs more to find out.

--- a/packages/domain/src/jobs/filler-speeds.ts
+++ b/packages/domain/src/jobs/filler-speeds.ts
@@ -2,6 +2,7 @@
 import type { Millis } from '../core/time.js';
 import type { Run, Step } from './job.js';
 import type { WorkerRuns } from './jobs-state.js';
+import { runViewsOf } from './run-views.js';
 import type { StepSpec } from './spec.js';
 
 /** Relative increase of a serving load below which a filler counts as harmless. */
@@ -15,13 +16,6 @@
 /** Lowest speed at the start of a run: a filler runs at full speed until its first limit takes effect. */
 const MIN_START_SPEED = 0.5;
 
-/** Returns the runs of serving tasks, those with a tail latency target. */
-export function servingRuns(runs: ReadonlyMap<string, Run>): Run[] {
-  return [...runs.values()].filter(
-    ({ task }) => task.step.spec.tailTargetMs !== undefined,
-  );
-}
-
 /** Current estimates of loads and pressures. */
 export interface SpeedInputs {
   /** Relative increase of a serving step's load that one more filler may cause beside those of the worker. */
@@ -204,7 +198,7 @@
     if (cached?.runCount === runs.size) {
       return cached;
     }
-    const serving = servingRuns(runs);
+    const { serving } = runViewsOf(runs);
     const steps = new Set(serving.map(({ task }) => task.step));
     const found = {
       runCount: runs.size,
--- a/packages/domain/src/jobs/interference.ts
+++ b/packages/domain/src/jobs/interference.ts
@@ -10,7 +10,7 @@
  */
 import type { Instant, Millis } from '../core/time.js';
 import { Estimates, type Drift, type Estimate } from './estimate.js';
-import { FillerSpeeds, NEGLIGIBLE_GAIN, servingRuns } from './filler-speeds.js';
+import { FillerSpeeds, NEGLIGIBLE_GAIN } from './filler-speeds.js';
 import type { Run, Step } from './job.js';
 import type { WorkerRuns } from './jobs-state.js';
 import {
@@ -21,6 +21,7 @@
 } from './learned-estimates.js';
 import { OverTargetTracker } from './over-target.js';
 import { PeriodicLoads, type LoadPeriod } from './periodic-loads.js';
+import { runViewsOf } from './run-views.js';
 import type { StepSpec } from './spec.js';
 import { Trends, type TrendModel } from './trend.js';
 
@@ -188,7 +189,7 @@
     this.reportedAt = now;
     const usages = this.fillerUsagesOf(load, cpuMilli, now);
     const recovered: OverTargetRun[] = [];
-    for (const run of servingRuns(load.runs)) {
+    for (const run of runViewsOf(load.runs).serving) {
       const tail = run.progress?.reading ?? 0;
       if (tail > 0) {
         const overMs = this.overTarget.recordReading(run, tail, now);
@@ -235,7 +236,7 @@
     const fillers = fillersOf(load);
     return (
       fillers.length > 0 &&
-      servingRuns(load.runs).some(({ task }) => {
+      runViewsOf(load.runs).serving.some(({ task }) => {
         const gain = this.gainFrom(task.step, fillers, cpuMilli);
         return this.headroomOf(task.step, LIMIT_AHEAD_MS) - gain < LOW_HEADROOM;
       })
@@ -250,7 +251,7 @@
   ): Map<Run, number> {
     const fillers = fillersOf(load);
     const limits = new Map(fillers.map(run => [run, 100]));
-    for (const run of servingRuns(load.runs)) {
+    for (const run of runViewsOf(load.runs).serving) {
       const overMs = this.overTarget.overTargetMs(run, now);
       if (overMs > 2 * PAUSE_AFTER_MS) {
         return new Map(fillers.map(filler => [filler, 0]));
@@ -272,7 +273,9 @@
   ): Map<Run, number> {
     const fillers = fillersOf(load);
     const limits = new Map(fillers.map(run => [run, 100]));
-    const steps = new Set(servingRuns(load.runs).map(({ task }) => task.step));
+    const steps = new Set(
+      runViewsOf(load.runs).serving.map(({ task }) => task.step),
+    );
     for (const step of steps) {
       const headroom =
         this.forecastHeadroom(step, aheadMs) ??
@@ -473,6 +476,6 @@
   return `${serving.image ?? ''}/${filler.image ?? ''}`;
 }
 
-function fillersOf({ runs }: WorkerRuns): Run[] {
-  return [...runs.values()].filter(({ task }) => task.step.spec.filler);
+function fillersOf({ runs }: WorkerRuns): readonly Run[] {
+  return runViewsOf(runs).fillers;
 }
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -13,6 +13,7 @@
 import { JournalTime } from './journal-time.js';
 import type { ReceivedEstimates } from './learned-estimates.js';
 import { LostContacts } from './lost-contacts.js';
+import { noteRunsChanged } from './run-views.js';
 import type { Volunteer } from './standbys.js';
 import { taskName, type TaskRef } from './task-ref.js';
 
@@ -288,6 +289,7 @@
   addToCount(state.openRunsByStep, task.step, 1);
   const load = workerRuns(state, worker);
   load.runs.set(runKey(taskName(refOf(task)), number), run);
+  noteRunsChanged(load.runs);
   addLoad(load, task.step, 1);
 }
 
@@ -412,5 +414,6 @@
   addToCount(state.openRunsByStep, step, -1);
   const load = workerRuns(state, run.worker);
   load.runs.delete(runKey(taskName(refOf(run.task)), run.number));
+  noteRunsChanged(load.runs);
   addLoad(load, step, -1);
 }
--- a/packages/domain/src/jobs/placement.ts
+++ b/packages/domain/src/jobs/placement.ts
@@ -1,6 +1,7 @@
 /** Which workers may run a task and have capacity for it, and how suitable each of them is. */
 import type { AdviceTickets } from './advice.js';
 import { suspicionPercent } from './suspect-tasks.js';
+import { runViewsOf } from './run-views.js';
 import type { FillerSpeeds } from './filler-speeds.js';
 import type { Step, Task } from './job.js';
 import type { WorkerRuns } from './jobs-state.js';
@@ -90,7 +91,7 @@
 
 /** Tells whether a task that ends by itself is running; its end will show whether the worker is healthy. */
 function hasBatchRun({ runs }: WorkerRuns): boolean {
-  return [...runs.values()].some(({ task }) => !task.step.spec.lasting);
+  return runViewsOf(runs).batch.length > 0;
 }
 
 /** Returns the reason why a worker cannot be given a task that does not depend on the free capacity there. */
@@ -274,11 +275,15 @@
   worker: PlanWorker,
   task: Task,
 ): Rank {
-  if (obstacleAt(input, worker, task) !== undefined) {
-    return UNUSABLE;
-  }
   const { capacity, id } = worker.info;
   const load = input.loadOf(id);
+  // In a busy fleet most workers lack capacity, which costs the least to find out.
+  if (
+    !hasCapacity(worker.info, load, task.step.spec) ||
+    obstacleAt(input, worker, task) !== undefined
+  ) {
+    return UNUSABLE;
+  }
   const rank = baseRank(capacity, load, task);
   const isExact = !task.step.spec.filler || load.servingCpuMilli === 0;
   const atFullSpeed = isExact ? rank : rank + 1;
--- a/packages/domain/src/jobs/size-class-shares.ts
+++ b/packages/domain/src/jobs/size-class-shares.ts
@@ -6,8 +6,16 @@
  * it from smaller tasks.
  */
 import { waitingTasks, type Step, type Task } from './job.js';
-import { addLoad, emptyWorkerRuns, type WorkerRuns } from './jobs-state.js';
+import {
+  addLoad,
+  emptyWorkerRuns,
+  refOf,
+  runKey,
+  type WorkerRuns,
+} from './jobs-state.js';
+import { runViewsOf, type RunViews } from './run-views.js';
 import type { TaskSize } from './spec.js';
+import { taskName } from './task-ref.js';
 
 /** Processors requested by the waiting tasks of a size class, and in use by its running ones. */
 interface SizeDemand {
@@ -37,8 +45,6 @@
 /** Workers reserved for size classes in one round. */
 export class SizeClassShares {
   private readonly reservedFor = new Map<string, TaskClass>();
-  /** Cached load of each worker by its long-running tasks alone. */
-  private readonly longRunningLoads = new Map<string, WorkerRuns>();
 
   /** Tells whether tasks of a step may use a worker, which may be reserved for larger ones. */
   admits(worker: string, step: Step): boolean {
@@ -97,7 +103,7 @@
     for (const worker of workers) {
       const { id, capacity } = worker.info;
       const load = loadOf(id);
-      const longRunning = this.longRunningLoadAt(id, load);
+      const longRunning = longRunningLoadOf(load);
       if (!this.reservedFor.has(id) && canRun(worker, longRunning, task)) {
         const batchCpuMilli = capacity.cpuMilli - longRunning.cpuMilli;
         found.push({
@@ -109,16 +115,6 @@
     }
     return found.sort((a, b) => b.freeCpuMilli - a.freeCpuMilli);
   }
-
-  private longRunningLoadAt(worker: string, load: WorkerRuns): WorkerRuns {
-    const cached = this.longRunningLoads.get(worker);
-    if (cached !== undefined) {
-      return cached;
-    }
-    const found = longRunningLoadOf(load);
-    this.longRunningLoads.set(worker, found);
-    return found;
-  }
 }
 
 /** A size class with less than its share of the capacity, and how much it lacks. */
@@ -237,15 +233,23 @@
     );
 }
 
+/** Loads by long-running tasks, by the runs of the worker; they hold until its runs change. */
+const longRunningLoads = new WeakMap<RunViews, WorkerRuns>();
+
 /** Returns the part of a load that long-running tasks cause. */
-function longRunningLoadOf(load: WorkerRuns): WorkerRuns {
+function longRunningLoadOf({ runs }: WorkerRuns): WorkerRuns {
+  const views = runViewsOf(runs);
+  const cached = longRunningLoads.get(views);
+  if (cached !== undefined) {
+    return cached;
+  }
   const result = emptyWorkerRuns();
-  for (const [key, run] of load.runs) {
-    if (run.task.step.spec.lasting) {
-      result.runs.set(key, run);
-      addLoad(result, run.task.step, 1);
-    }
+  for (const run of views.lasting) {
+    const { task, number } = run;
+    result.runs.set(runKey(taskName(refOf(task)), number), run);
+    addLoad(result, task.step, 1);
   }
+  longRunningLoads.set(views, result);
   return result;
 }
 
@@ -253,10 +257,10 @@
 function smallerTasksCpuMilli({ runs }: WorkerRuns, step: Step): number {
   const { sizeClass } = taskClassOf(step);
   let sum = 0;
-  for (const { task } of runs.values()) {
-    const { lasting, size } = task.step.spec;
-    const isSmaller = taskClassOf(task.step).sizeClass < sizeClass;
-    sum += !lasting && isSmaller ? size.cpuMilli : 0;
+  for (const { task } of runViewsOf(runs).batch) {
+    if (taskClassOf(task.step).sizeClass < sizeClass) {
+      sum += task.step.spec.size.cpuMilli;
+    }
   }
   return sum;
 }
