--- a/packages/daemon/src/job-host/linked-runs.ts
+++ b/packages/daemon/src/job-host/linked-runs.ts
@@ -96,9 +96,9 @@
     const { events } = this.options;
     const reported = new ReportedRuns(report);
     this.adoptRuns(reported);
-    this.applyActive(report);
-    for (const ended of report.ended) {
-      const run = this.open.get(runKey(taskName(ended.task), ended.run));
+    this.applyActive(reported);
+    for (const [key, ended] of reported.ended) {
+      const run = this.open.get(key);
       if (run === undefined) {
         events.strayEnd(ended);
       } else {
@@ -191,10 +191,10 @@
   }
 
   /** Applies the active runs of a report. */
-  private applyActive(report: Report): void {
-    for (const active of report.active) {
-      const key = runKey(taskName(active.task), active.run);
-      const run = this.open.get(key);
+  private applyActive({ active: runs }: ReportedRuns): void {
+    const { open } = this;
+    for (const [key, active] of runs) {
+      const run = open.get(key);
       if (run === undefined) {
         this.options.ctx.log.warn(
           { run: key, worker: this.options.info().id },
--- a/packages/daemon/src/job-host/report-checks.ts
+++ b/packages/daemon/src/job-host/report-checks.ts
@@ -44,8 +44,15 @@
           break;
       }
     }
-    const listed = [...reported.listed].filter(run => open.has(run));
-    this.lastListed = new Set([...listed, ...awaited]);
+    const listed = new Set(awaited);
+    for (const runs of [reported.active, reported.ended]) {
+      for (const run of runs.keys()) {
+        if (open.has(run)) {
+          listed.add(run);
+        }
+      }
+    }
+    this.lastListed = listed;
   }
 
   private noteMissing(run: string): void {
