Orders: a proxy gets the starts of a round for one worker together

The proxy sends them in order over one connection. A stop waits for starts without an outcome, as before.

worker-orders.test.ts: starts are sent together where that keeps their order, and stops wait for them.

--- a/packages/daemon/src/job-host/order-queue.ts
+++ b/packages/daemon/src/job-host/order-queue.ts
@@ -1,4 +1,4 @@
-/** Orders to one worker, sent one at a time: stops first, then the others in the order of arrival. */
+/** Orders to one worker: stops first, then the others in the order of arrival. */
 import type { Run } from '@paddlewind/domain/jobs';
 
 /** Effect of an order on its run. */
@@ -13,25 +13,27 @@
 }
 
 /**
- * Sends orders one at a time. Stops go first: otherwise a caller that waits for the end of a run would also
- * wait for a slow worker to answer all earlier starts. Limits do not go first: they may change with each
- * report, and would leave no turn to a start.
+ * Sends orders one at a time, or several starts at once where that keeps their order. Stops go first: otherwise a
+ * caller that waits for the end of a run would also wait for a slow worker to answer all earlier starts. Limits do
+ * not go first: they may change with each report, and would leave no turn to a start.
  */
 export class OrderQueue {
   private readonly stops: Order[] = [];
   private readonly others: Order[] = [];
-  private sending = false;
+  /** Orders without an outcome; several only if all of them are starts. */
+  private readonly sent = new Set<Order>();
   private closed = false;
 
+  /** Creates an empty queue; `startWidth` returns how many starts may be sent at once. */
+  constructor(private readonly startWidth: () => number = () => 1) {}
+
   /** Queues `order` and sends it in turn. */
   add(order: Order): void {
     if (this.closed) {
       return;
     }
     (order.kind === 'stop' ? this.stops : this.others).push(order);
-    if (!this.sending) {
-      void this.sendAll();
-    }
+    this.sendNext();
   }
 
   /** Whether an order of this kind is queued for `run` and not sent yet; stops are not considered. */
@@ -57,15 +59,31 @@
     this.others.length = 0;
   }
 
-  private async sendAll(): Promise<void> {
-    this.sending = true;
-    for (let order = this.next(); order !== undefined; order = this.next()) {
-      await order.send();
+  private sendNext(): void {
+    while (this.mayAnotherBeSent()) {
+      const order = this.stops.shift() ?? this.others.shift();
+      if (order === undefined) {
+        return;
+      }
+      void this.send(order);
     }
-    this.sending = false;
   }
 
-  private next(): Order | undefined {
-    return this.stops.shift() ?? this.others.shift();
+  private async send(order: Order): Promise<void> {
+    this.sent.add(order);
+    await order.send();
+    this.sent.delete(order);
+    this.sendNext();
+  }
+
+  /** Whether the next order need not wait for those that have no outcome yet. */
+  private mayAnotherBeSent(): boolean {
+    if (this.sent.size === 0) {
+      return true;
+    }
+    const isNextStart =
+      this.stops.length === 0 && this.others[0]?.kind === 'start';
+    const areStarts = [...this.sent].every(({ kind }) => kind === 'start');
+    return isNextStart && areStarts && this.sent.size < this.startWidth();
   }
 }
--- a/packages/daemon/src/job-host/relay/relayed-starts.ts
+++ b/packages/daemon/src/job-host/relay/relayed-starts.ts
@@ -32,6 +32,8 @@
 const IDENTIFY_INTERVAL_MS: Millis = 500;
 /** Size of a start that the leader sends itself, without the job's payload. */
 const DIRECT_START_BYTES = 300;
+/** Starts to one worker that a proxy has at once; it sends them one after the other. */
+const PROXIED_WIDTH = 8;
 /** Number of hosts that are tried in turn before the leader sends the start itself. */
 const MAX_RELAY_ATTEMPTS = 2;
 
@@ -111,6 +113,11 @@
       : this.directPacer.maxStarts;
   }
 
+  /** Number of starts to a worker that may be sent at once. */
+  widthFor(worker: WorkerAddress): number {
+    return this.options.proxied?.carries(worker) === true ? PROXIED_WIDTH : 1;
+  }
+
   /** Sends a start, through another host if it exceeds the budget of the local link. */
   async send(
     worker: WorkerAddress,
--- a/packages/daemon/src/job-host/relay/start-sender.ts
+++ b/packages/daemon/src/job-host/relay/start-sender.ts
@@ -32,6 +32,8 @@
   readonly hasWaitingStarts: boolean;
   /** Maximum number of starts in flight; more would wait too long. */
   readonly maxStarts: number;
+  /** Number of starts to a worker that may be sent at once, and are carried out in this order. */
+  widthFor(worker: WorkerAddress): number;
   /** Sends a start, retrying within its limits. */
   send(
     worker: WorkerAddress,
--- a/packages/daemon/src/job-host/stub-worker.fixture.test.ts
+++ b/packages/daemon/src/job-host/stub-worker.fixture.test.ts
@@ -80,6 +80,8 @@
   readonly replacedBy: string[] = [];
   /** Whether the connection over which the worker last answered a poll still exists. */
   connected = true;
+  /** Number of starts that may be sent at once. */
+  startWidth = 1;
   /** How long the worker takes for each order. */
   answerMs: Millis = 0;
   /** The worker's answer to each order. */
@@ -100,6 +102,7 @@
     hasWaitingStarts: false,
     begin: () => Promise.resolve(),
     close: () => undefined,
+    widthFor: () => this.startWidth,
     send: (to, order) => this.port.start(to, order),
   };
 
--- a/packages/daemon/src/job-host/worker-orders.test.ts
+++ b/packages/daemon/src/job-host/worker-orders.test.ts
@@ -274,3 +274,27 @@
   assert.deepEqual(stub.sent, ['start']);
   assert.deepEqual(stub.ended, ['0#1 void']);
 });
+
+// Starts of one round at one worker waited for each other, though another host sends them in order.
+test('starts are sent together where that keeps their order, and stops wait for them', async () => {
+  const stub = new StubWorker(5);
+  stub.startWidth = 3;
+  stub.answerMs = 100;
+  const { orders } = ordersTo(stub);
+  const runs = [0, 1, 2, 3, 4].map(index => stub.open(index));
+  for (const run of runs) {
+    orders.start(run, stub.time.clock());
+  }
+  await stub.time.advance(50);
+  assert.deepEqual(stub.sent, ['start 0#1', 'start 1#1', 'start 2#1']);
+  const [first, , , , last] = runs;
+  assert.ok(first && last);
+  orders.stop(first);
+  orders.stop(last);
+  await stub.time.advance(40);
+  assert.equal(stub.sent.length, 3);
+  await stub.time.advance(60);
+  assert.deepEqual(stub.sent.slice(3), ['stop 0#1']);
+  await stub.time.advance(100);
+  assert.deepEqual(stub.sent.slice(4), ['start 3#1']);
+});
--- a/packages/daemon/src/job-host/worker-orders.ts
+++ b/packages/daemon/src/job-host/worker-orders.ts
@@ -72,11 +72,14 @@
 
 /** Sends orders to one worker. */
 export class WorkerOrders {
-  private readonly queue = new OrderQueue();
+  private readonly queue: OrderQueue;
   private closed = false;
 
   /** Creates the sender of orders to a worker, with no orders yet. */
-  constructor(private readonly options: OrderOptions) {}
+  constructor(private readonly options: OrderOptions) {
+    const { starts, info } = options;
+    this.queue = new OrderQueue(() => starts.widthFor(info()));
+  }
 
   /** Stops sending. */
   close(): void {
