--- a/packages/daemon/src/job-host/decision-log.ts
+++ b/packages/daemon/src/job-host/decision-log.ts
@@ -101,7 +101,9 @@
     if (written && !this.closed) {
       this.replica.noteJournalWritten(result.nextOffset);
     }
-    settle(batch, written);
+    this.ctx.times.measure('starts', () => {
+      settle(batch, written);
+    });
     return written;
   }
 
--- a/packages/daemon/src/job-host/part-times.ts
+++ b/packages/daemon/src/job-host/part-times.ts
@@ -10,6 +10,10 @@
   'records',
   'reports',
   'orders',
+  'starts',
+  'polls',
+  'proxies',
+  'summary',
   'logging',
 ] as const;
 
--- a/packages/daemon/src/job-host/proxy/proxy-link.ts
+++ b/packages/daemon/src/job-host/proxy/proxy-link.ts
@@ -312,7 +312,9 @@
       this.end(res.reason);
       return;
     }
-    this.handleAnswer(res);
+    ctx.times.measure('proxies', () => {
+      this.handleAnswer(res);
+    });
     if (!res.isTaken && calls.length > 0) {
       this.end('did not take calls');
     }
--- a/packages/daemon/src/job-host/summary-writer.ts
+++ b/packages/daemon/src/job-host/summary-writer.ts
@@ -194,7 +194,9 @@
     records: readonly SummaryRecord[],
   ): Promise<number | undefined> {
     const { ctx, jobLog } = this.options;
-    const encoded = records.map(encodeSummary);
+    const encoded = ctx.times.measure('summary', () =>
+      records.map(encodeSummary),
+    );
     while (!this.closed) {
       const stamp = this.stamps[stream];
       const result: AppendResult = await jobLog.append(stream, encoded, stamp);
--- a/packages/daemon/src/job-host/worker-link.ts
+++ b/packages/daemon/src/job-host/worker-link.ts
@@ -305,11 +305,14 @@
     };
     const sent = { at: sentAt, request };
     // A late answer still reports ends, and shows that the worker is running.
-    const res = await port.poll(this.info, request, late => {
+    const takeLate = (late: PollResult): void => {
       this.handlePollResult(late, sent).catch((err: unknown) => {
         ctx.log.error({ err }, 'worker: a late answer could not be handled');
       });
-    });
+    };
+    const res = await ctx.times.measure('polls', () =>
+      port.poll(this.info, request, takeLate),
+    );
     this.hasProbed =
       res.kind === 'seen' && (!isIdentified || res.isProbe === true);
     await this.handlePollResult(res, sent);
