Planning: waiting tasks of a step are counted, and views of runs are kept up to date

Each round went through all tasks of all open steps to find those that wait, and through all tasks of long-running jobs, nearly all of which run. A step now knows how many of its tasks wait.

jobs-state.test.ts: a step knows how many of its tasks wait; run-views.test.ts: runs are sorted by kind once, and kept up to date.

--- a/packages/domain/src/jobs/advice.ts
+++ b/packages/domain/src/jobs/advice.ts
@@ -53,10 +53,10 @@
     workers: readonly string[],
     now: Instant,
   ): AdviceRequest | undefined {
-    const waiting = waitingTasks(step);
-    if (!needsAdvice(step) || waiting.length === 0) {
+    if (!needsAdvice(step) || step.waiting === 0) {
       return undefined;
     }
+    const waiting = waitingTasks(step);
     if (workers.some(worker => this.admits(step, worker, now))) {
       return undefined;
     }
--- a/packages/domain/src/jobs/filler-speeds.ts
+++ b/packages/domain/src/jobs/filler-speeds.ts
@@ -198,11 +198,10 @@
     if (cached?.runCount === runs.size) {
       return cached;
     }
-    const { serving } = runViewsOf(runs);
-    const steps = new Set(serving.map(({ task }) => task.step));
+    const { serving, servingSteps } = runViewsOf(runs);
     const found = {
       runCount: runs.size,
-      steps: [...steps].map(step => ({
+      steps: servingSteps.map(step => ({
         step,
         headroom: undefined,
         gainBeside: undefined,
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -19,6 +19,7 @@
   isFinished,
   newJob,
   occurrenceOf,
+  setTaskStatus,
   type Job,
   type Run,
   type Task,
@@ -312,7 +313,7 @@
     failIfAttemptsSpent(state, task);
   }
   if (task.runs.length === 0) {
-    task.status = 'waiting';
+    setTaskStatus(task, 'waiting');
     task.endedAt = unavailableSince(task, how, state.now);
   }
 }
@@ -354,7 +355,7 @@
 }
 
 function finishTask(state: JobsState, task: Task): void {
-  task.status = 'done';
+  setTaskStatus(task, 'done');
   const { step } = task;
   step.remaining -= 1;
   if (step.remaining > 0) {
--- a/packages/domain/src/jobs/interference.ts
+++ b/packages/domain/src/jobs/interference.ts
@@ -273,10 +273,7 @@
   ): Map<Run, number> {
     const fillers = fillersOf(load);
     const limits = new Map(fillers.map(run => [run, 100]));
-    const steps = new Set(
-      runViewsOf(load.runs).serving.map(({ task }) => task.step),
-    );
-    for (const step of steps) {
+    for (const step of runViewsOf(load.runs).servingSteps) {
       const headroom =
         this.forecastHeadroom(step, aheadMs) ??
         this.headroomOf(step, Math.min(aheadMs, LIMIT_AHEAD_MS));
--- a/packages/domain/src/jobs/job-value.ts
+++ b/packages/domain/src/jobs/job-value.ts
@@ -52,14 +52,10 @@
   const work = expectedWorkOf(occurrence, times);
   const value =
     FIXED_VALUE_FRACTION * meanWork + (1 - FIXED_VALUE_FRACTION) * work;
-  const outstandingWork = expectedWorkOf(occurrence, times, countWaitingTasks);
+  const outstandingWork = expectedWorkOf(
+    occurrence,
+    times,
+    ({ waiting }) => waiting,
+  );
   return Math.min(MAX_VALUE * meanWork, value) / Math.max(1, outstandingWork);
 }
-
-function countWaitingTasks({ tasks }: Step): number {
-  let count = 0;
-  for (const { status } of tasks) {
-    count += Number(status === 'waiting');
-  }
-  return count;
-}
--- a/packages/domain/src/jobs/job.ts
+++ b/packages/domain/src/jobs/job.ts
@@ -82,11 +82,15 @@
   progress: RunProgress | undefined;
 }
 
+/** Whether a task waits to be started, has an open run, or has ended for good. */
+export type TaskStatus = 'waiting' | 'running' | 'done';
+
 /** A task of one occurrence of a step. */
 export interface Task {
   readonly step: Step;
   readonly index: number;
-  status: 'waiting' | 'running' | 'done';
+  /** Changed by `setTaskStatus`. */
+  status: TaskStatus;
   /** Runs that have not ended; more than one only if speculative copies are allowed. */
   readonly runs: Run[];
   /** Highest run number assigned so far. */
@@ -111,6 +115,8 @@
   readonly tasks: Task[];
   /** Number of tasks that are not done. */
   remaining: number;
+  /** Number of tasks that wait to be started. */
+  waiting: number;
   /** Number of open runs by worker. */
   readonly openRunsByWorker: Map<string, number>;
   /** Run numbers of a gang in which a member failed. */
@@ -202,6 +208,7 @@
     spec,
     tasks: [],
     remaining: spec.tasks,
+    waiting: spec.tasks,
     openRunsByWorker: new Map(),
     failedGangRuns: new Set(),
   };
@@ -233,6 +240,13 @@
   return job.cancelled || job.failure !== undefined || job.remaining === 0;
 }
 
+/** Changes the status of a task. */
+export function setTaskStatus(task: Task, status: TaskStatus): void {
+  const { step } = task;
+  step.waiting += Number(status === 'waiting') - Number(isWaiting(task));
+  task.status = status;
+}
+
 /** Tells whether a task waits to be started. */
 export function isWaiting({ status }: Task): boolean {
   return status === 'waiting';
--- a/packages/domain/src/jobs/jobs-state.test.ts
+++ b/packages/domain/src/jobs/jobs-state.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { isReady, statusOf, type Job } from './job.js';
+import { isReady, isWaiting, statusOf, type Job } from './job.js';
 import { applyInbox, applyJournal } from './fold.js';
 import { workerRuns, type JobsState } from './jobs-state.js';
 import { endRun, startOn, stateOf, taskOf, testJob } from './test-support.js';
@@ -120,3 +120,18 @@
   assert.equal(statusOf(getJob(state, 'b')), 'completed');
   assert.equal(state.openJobs.size, 0);
 });
+
+// Rounds counted the waiting tasks of all open steps anew.
+test('a step knows how many of its tasks wait', () => {
+  const state = stateOf(testJob('j', [{ tasks: 3 }]));
+  const task = taskOf(state, 'j', 0, 0);
+  const { step } = task;
+  assert.equal(step.waiting, 3);
+  const failed = startOn(state, task, 'w');
+  const done = startOn(state, taskOf(state, 'j', 0, 1), 'w');
+  assert.equal(step.waiting, 1);
+  endRun(state, failed, 'failed');
+  endRun(state, done, 'done');
+  assert.equal(step.waiting, 2);
+  assert.equal(step.tasks.filter(isWaiting).length, 2);
+});
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -4,6 +4,7 @@
 import {
   isFinished,
   occurrenceOf,
+  setTaskStatus,
   type Job,
   type Run,
   type Step,
@@ -13,7 +14,7 @@
 import { JournalTime } from './journal-time.js';
 import type { ReceivedEstimates } from './learned-estimates.js';
 import { LostContacts } from './lost-contacts.js';
-import { noteRunsChanged } from './run-views.js';
+import { noteRunAdded, noteRunRemoved } from './run-views.js';
 import type { Volunteer } from './standbys.js';
 import { taskName, type TaskRef } from './task-ref.js';
 
@@ -260,7 +261,7 @@
   task.runs.push(run);
   task.lastRun = Math.max(task.lastRun, number);
   if (task.status === 'waiting') {
-    task.status = 'running';
+    setTaskStatus(task, 'running');
   }
   addToWorker(state, run);
   return run;
@@ -289,7 +290,7 @@
   addToCount(state.openRunsByStep, task.step, 1);
   const load = workerRuns(state, worker);
   load.runs.set(runKey(taskName(refOf(task)), number), run);
-  noteRunsChanged(load.runs);
+  noteRunAdded(load.runs, run);
   addLoad(load, task.step, 1);
 }
 
@@ -414,6 +415,6 @@
   addToCount(state.openRunsByStep, step, -1);
   const load = workerRuns(state, run.worker);
   load.runs.delete(runKey(taskName(refOf(run.task)), run.number));
-  noteRunsChanged(load.runs);
+  noteRunRemoved(load.runs, run);
   addLoad(load, step, -1);
 }
--- a/packages/domain/src/jobs/order.ts
+++ b/packages/domain/src/jobs/order.ts
@@ -2,7 +2,6 @@
 import type { Instant } from '../core/time.js';
 import {
   isReady,
-  isWaiting,
   occurrenceOf,
   type Job,
   type Occurrence,
@@ -126,7 +125,7 @@
   meanWork: MeanWork,
 ): Candidate[] {
   const ready = occurrence.steps.filter(
-    step => step.remaining > 0 && isReady(step) && step.tasks.some(isWaiting),
+    step => step.waiting > 0 && isReady(step),
   );
   if (ready.length === 0) {
     return [];
--- a/packages/domain/src/jobs/plan.ts
+++ b/packages/domain/src/jobs/plan.ts
@@ -215,8 +215,8 @@
   const overdue: { readonly task: Task; readonly since: Instant }[] = [];
   for (const { occurrences, seenAt = Infinity } of state.openJobs) {
     for (const { steps } of occurrences.values()) {
-      for (const { spec, tasks } of steps) {
-        if (!spec.lasting || spec.gang) {
+      for (const { spec, tasks, waiting } of steps) {
+        if (waiting === 0 || !spec.lasting || spec.gang) {
           continue;
         }
         for (const task of tasks) {
--- a/packages/domain/src/jobs/restate.ts
+++ b/packages/domain/src/jobs/restate.ts
@@ -9,6 +9,7 @@
   isFinished,
   newJob,
   occurrenceOf,
+  setTaskStatus,
   type FailureReason,
   type Job,
   type Run,
@@ -221,7 +222,7 @@
       const at = state.journalTime.now - ageMs;
       run.startMoment = { nextRecordSlow: at, previousRecordFast: -Infinity };
     });
-    task.status = status;
+    setTaskStatus(task, status);
     task.lastRun = lastRun;
     task.failures = failures;
     task.checkpoint = checkpoint;
--- a/packages/domain/src/jobs/run-views.test.ts
+++ b/packages/domain/src/jobs/run-views.test.ts
@@ -9,7 +9,7 @@
 import { runViewsOf } from './run-views.js';
 import { startOn, stateOf, taskOf, testJob } from './test-support.js';
 
-test('runs of a worker are sorted anew only when they change', () => {
+test('runs of a worker are sorted by kind once, and kept up to date', () => {
   const state = stateOf(
     testJob('j', [
       { tasks: 2, filler: true },
@@ -18,15 +18,21 @@
   );
   const { runs } = workerRuns(state, 'w');
   const filler = startOn(state, taskOf(state, 'j', 0, 0), 'w');
-  const serving = startOn(state, taskOf(state, 'j', 1, 0), 'w');
   const views = runViewsOf(runs);
+  const { lastingChanges } = views;
+  const serving = startOn(state, taskOf(state, 'j', 1, 0), 'w');
+  assert.equal(runViewsOf(runs), views);
   assert.deepEqual(views.fillers, [filler]);
   assert.deepEqual(views.batch, [filler]);
   assert.deepEqual(views.serving, [serving]);
+  assert.deepEqual(views.servingSteps, [serving.task.step]);
   assert.deepEqual(views.lasting, [serving]);
-  assert.equal(runViewsOf(runs), views);
+  assert.ok(views.lastingChanges > lastingChanges);
   closeRun(state, filler);
+  closeRun(state, serving);
   assert.deepEqual(runViewsOf(runs).fillers, []);
+  assert.deepEqual(runViewsOf(runs).servingSteps, []);
   const other = startOn(state, taskOf(state, 'j', 0, 1), 'w');
   assert.deepEqual(runViewsOf(runs).fillers, [other]);
+  assert.deepEqual(runViewsOf(runs).batch, [other]);
 });
--- a/packages/domain/src/jobs/run-views.ts
+++ b/packages/domain/src/jobs/run-views.ts
@@ -1,50 +1,95 @@
-/** The runs of one worker by kind, kept until its runs change: rounds and reports need them far more often. */
-import type { Run } from './job.js';
+/** The runs of one worker by kind, kept up to date: rounds and reports need them far more often than they change. */
+import type { Run, Step } from './job.js';
 
-/** Runs of a worker by kind. */
+/** Runs of a worker by kind, in the order in which they were opened. */
 export interface RunViews {
-  /** Number of all runs. */
-  readonly count: number;
   /** Best-effort fillers. */
   readonly fillers: readonly Run[];
   /** Runs of serving tasks, those with a tail latency target. */
   readonly serving: readonly Run[];
+  /** The steps of the serving runs, each once. */
+  readonly servingSteps: readonly Step[];
   /** Runs that don't end by themselves. */
   readonly lasting: readonly Run[];
+  /** Changes with `lasting`. */
+  readonly lastingChanges: number;
   /** Runs that end by themselves. */
   readonly batch: readonly Run[];
 }
 
 type Runs = ReadonlyMap<string, Run>;
 
-const viewsByRuns = new WeakMap<Runs, RunViews>();
+class KeptViews implements RunViews {
+  readonly fillers: Run[] = [];
+  readonly serving: Run[] = [];
+  readonly lasting: Run[] = [];
+  readonly batch: Run[] = [];
+  lastingChanges = 0;
+  private steps: readonly Step[] | undefined;
 
-/** Returns the views of a worker's runs. */
-export function runViewsOf(runs: Runs): RunViews {
-  const cached = viewsByRuns.get(runs);
-  if (cached?.count === runs.size) {
-    return cached;
+  constructor(runs: Runs) {
+    for (const run of runs.values()) {
+      this.add(run);
+    }
+  }
+
+  get servingSteps(): readonly Step[] {
+    this.steps ??= [...new Set(this.serving.map(({ task }) => task.step))];
+    return this.steps;
   }
-  const fillers: Run[] = [];
-  const serving: Run[] = [];
-  const lasting: Run[] = [];
-  const batch: Run[] = [];
-  for (const run of runs.values()) {
-    const { spec } = run.task.step;
-    if (spec.filler) {
-      fillers.push(run);
+
+  add(run: Run): void {
+    for (const runs of this.kindsOf(run)) {
+      runs.push(run);
     }
-    if (spec.tailTargetMs !== undefined) {
-      serving.push(run);
+  }
+
+  remove(run: Run): void {
+    for (const runs of this.kindsOf(run)) {
+      const at = runs.indexOf(run);
+      if (at >= 0) {
+        runs.splice(at, 1);
+      }
     }
-    (spec.lasting ? lasting : batch).push(run);
   }
-  const views = { count: runs.size, fillers, serving, lasting, batch };
+
+  /** Returns the lists that a run is in or about to be in, all of which change. */
+  private kindsOf({ task }: Run): Run[][] {
+    const { filler, lasting, tailTargetMs } = task.step.spec;
+    const kinds = [lasting ? this.lasting : this.batch];
+    if (lasting) {
+      this.lastingChanges += 1;
+    }
+    if (filler) {
+      kinds.push(this.fillers);
+    }
+    if (tailTargetMs !== undefined) {
+      this.steps = undefined;
+      kinds.push(this.serving);
+    }
+    return kinds;
+  }
+}
+
+const viewsByRuns = new WeakMap<Runs, KeptViews>();
+
+/** Returns the views of a worker's runs. They change with the runs, so keep none of them. */
+export function runViewsOf(runs: Runs): RunViews {
+  const cached = viewsByRuns.get(runs);
+  if (cached !== undefined) {
+    return cached;
+  }
+  const views = new KeptViews(runs);
   viewsByRuns.set(runs, views);
   return views;
 }
 
-/** Notes that runs were added or removed. */
-export function noteRunsChanged(runs: Runs): void {
-  viewsByRuns.delete(runs);
+/** Notes that a run was added to those of a worker. */
+export function noteRunAdded(runs: Runs, run: Run): void {
+  viewsByRuns.get(runs)?.add(run);
+}
+
+/** Notes that a run was removed from those of a worker. */
+export function noteRunRemoved(runs: Runs, run: Run): void {
+  viewsByRuns.get(runs)?.remove(run);
 }
--- a/packages/domain/src/jobs/size-class-shares.ts
+++ b/packages/domain/src/jobs/size-class-shares.ts
@@ -5,7 +5,7 @@
  * the capacity in use in proportion to its demand. While a waiting class has less, workers are reserved for
  * it from smaller tasks.
  */
-import { waitingTasks, type Step, type Task } from './job.js';
+import { isWaiting, type Step, type Task } from './job.js';
 import {
   addLoad,
   emptyWorkerRuns,
@@ -168,9 +168,8 @@
   for (const step of waitingSteps) {
     if (competes(step)) {
       const demand = demandOf(groups, step);
-      const tasks = waitingTasks(step);
-      demand.waitingCpuMilli += tasks.length * step.spec.size.cpuMilli;
-      demand.firstWaiting ??= tasks[0];
+      demand.waitingCpuMilli += step.waiting * step.spec.size.cpuMilli;
+      demand.firstWaiting ??= step.tasks.find(isWaiting);
     }
   }
   if (groups.size === 0) {
@@ -233,24 +232,30 @@
     );
 }
 
-/** Loads by long-running tasks, by the runs of the worker; they hold until its runs change. */
-const longRunningLoads = new WeakMap<RunViews, WorkerRuns>();
+/** The load by the long-running tasks of a worker, and the state of its runs for which it holds. */
+interface LongRunningLoad {
+  readonly load: WorkerRuns;
+  readonly lastingChanges: number;
+}
+
+const longRunningLoads = new WeakMap<RunViews, LongRunningLoad>();
 
 /** Returns the part of a load that long-running tasks cause. */
 function longRunningLoadOf({ runs }: WorkerRuns): WorkerRuns {
   const views = runViewsOf(runs);
   const cached = longRunningLoads.get(views);
-  if (cached !== undefined) {
-    return cached;
+  const { lasting, lastingChanges } = views;
+  if (cached?.lastingChanges === lastingChanges) {
+    return cached.load;
   }
-  const result = emptyWorkerRuns();
-  for (const run of views.lasting) {
+  const load = emptyWorkerRuns();
+  for (const run of lasting) {
     const { task, number } = run;
-    result.runs.set(runKey(taskName(refOf(task)), number), run);
-    addLoad(result, task.step, 1);
+    load.runs.set(runKey(taskName(refOf(task)), number), run);
+    addLoad(load, task.step, 1);
   }
-  longRunningLoads.set(views, result);
-  return result;
+  longRunningLoads.set(views, { load, lastingChanges });
+  return load;
 }
 
 /** Returns the processors used by batch tasks of smaller size classes than that of the step. */
--- a/packages/domain/src/jobs/start-delay.ts
+++ b/packages/domain/src/jobs/start-delay.ts
@@ -100,10 +100,8 @@
 function countWaiting({ occurrences }: Job): number {
   let count = 0;
   for (const { steps } of occurrences.values()) {
-    for (const { tasks, spec } of steps) {
-      for (const { status } of spec.lasting ? [] : tasks) {
-        count += Number(status === 'waiting');
-      }
+    for (const { waiting, spec } of steps) {
+      count += spec.lasting ? 0 : waiting;
     }
   }
   return count;
--- a/packages/domain/src/jobs/trial-loads.ts
+++ b/packages/domain/src/jobs/trial-loads.ts
@@ -2,7 +2,7 @@
 import type { Run, Task } from './job.js';
 import type { JournalMoment } from './journal-time.js';
 import { addLoad, runKey, refOf, type WorkerRuns } from './jobs-state.js';
-import { noteRunsChanged } from './run-views.js';
+import { noteRunAdded } from './run-views.js';
 import type { PlacementInput } from './placement.js';
 import { StepCounts } from './step-counts.js';
 import { taskName } from './task-ref.js';
@@ -28,8 +28,9 @@
   /** Adds a task to the load of a worker. */
   add(task: Task, worker: string): void {
     const load = this.ownLoadOf(worker);
-    load.runs.set(runKey(taskName(refOf(task)), 0), trialRun(task, worker));
-    noteRunsChanged(load.runs);
+    const run = trialRun(task, worker);
+    load.runs.set(runKey(taskName(refOf(task)), 0), run);
+    noteRunAdded(load.runs, run);
     addLoad(load, task.step, 1);
     this.counts.add(task.step, worker);
   }
