--- a/packages/daemon/src/job-host/decision-pace.ts
+++ b/packages/daemon/src/job-host/decision-pace.ts
@@ -2,18 +2,10 @@
 import type { Instant, Millis } from '@paddlewind/domain';
 
 import type { HostContext } from './context.js';
-import {
-  LONG_ROUND_MS,
-  MAX_POLL_WAIT_MS,
-  MAX_SATURATED_POLLS_PER_S,
-} from './timing.js';
+import { MAX_POLL_WAIT_MS, MAX_SATURATED_POLLS_PER_S } from './timing.js';
 
 /** Time from the start of a round until its decisions are written and sent: half of what the quickest jobs may wait. */
 const TARGET_MS: Millis = 125;
-/** Rest after a long round, in multiples of its length: what other parts of the host get of its time. */
-const REST_FACTOR = 1;
-/** The same while the host is saturated: longer rounds that are fewer cost less, since each compares all workers. */
-const SATURATED_REST_FACTOR = 3;
 /** Starts in flight while rounds take no longer than that. */
 const MAX_STARTS = 200;
 /** Starts in flight however long they take, so that some are always tried. */
@@ -72,15 +64,6 @@
     this.averageMs += NEW_ROUND_WEIGHT * (tookMs - this.averageMs);
   }
 
-  /** How long to rest after a round of `roundMs`. */
-  restMs(roundMs: Millis): Millis {
-    if (roundMs <= LONG_ROUND_MS) {
-      return 0;
-    }
-    const factor = this.ctx.isSaturated() ? SATURATED_REST_FACTOR : REST_FACTOR;
-    return factor * roundMs;
-  }
-
   /** Most starts in flight. */
   get maxStarts(): number {
     if (!this.ctx.isSaturated()) {
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -41,6 +41,7 @@
 import {
   CLAIM_INTERVAL_MS,
   INBOX_STALE_MS,
+  LONG_ROUND_MS,
   PLAN_INTERVAL_MS,
 } from './timing.js';
 import { WorkerLink } from './worker-link.js';
@@ -342,9 +343,8 @@
       }
       this.pace.end();
       this.summary.publish(changes);
-      const restMs = this.pace.restMs(roundMs);
-      if (restMs > 0) {
-        await pause(ctx, restMs);
+      if (roundMs > LONG_ROUND_MS) {
+        await pause(ctx, roundMs);
       }
     }
   }
--- a/packages/daemon/src/job-host/timing.ts
+++ b/packages/daemon/src/job-host/timing.ts
@@ -95,8 +95,8 @@
 /** Interval at which the leader plans without an event, for changes that only depend on time. */
 export const PLAN_INTERVAL_MS: Millis = 250;
 /**
- * A planning round that takes longer is followed by a rest that grows with it, so that polls, leases and
- * answers keep half of the processor at the least. Rounds take some 3 ms with 350 workers and some 13 ms with 1,000
+ * A planning round that takes longer is followed by a pause of the same length, so that polls, leases and
+ * answers keep half of the processor. Rounds take some 3 ms with 350 workers and some 13 ms with 1,000
  * (simulated, 20 and 60 jobs a second).
  */
 export const LONG_ROUND_MS: Millis = 10;
