Leader: a new one has others call workers at once if they did for the last one

The heartbeat says whether others call; readers of earlier versions pass over the column.

record-rows.test.ts: a heartbeat tells whether other hosts call workers for the leader; proxy-demand.test.ts.

--- a/packages/daemon/src/job-host/leader-records.ts
+++ b/packages/daemon/src/job-host/leader-records.ts
@@ -18,6 +18,7 @@
 import type { LearnedTimes } from './learned-times.js';
 import type { WonClaim } from './leadership.js';
 import type { Replica } from './replica.js';
+import type { ProxiedWorkers } from './proxy/proxied-workers.js';
 import { ReportedInbox } from './reported-inbox.js';
 
 /** What a leader reports in a heartbeat besides itself. */
@@ -34,6 +35,7 @@
   readonly claim: WonClaim;
   readonly replica: Replica;
   readonly peerAddress: string;
+  readonly port: Pick<ProxiedWorkers, 'isActive'>;
 }
 
 /** Makes the heartbeats of one leader. */
@@ -62,7 +64,7 @@
 
 /** Returns a heartbeat: who leads, until when leases hold, and which hosts are standbys. */
 function heartbeatRecord(
-  { ctx, claim, replica, peerAddress }: HeartbeatWriter,
+  { ctx, claim, replica, peerAddress, port: proxied }: HeartbeatWriter,
   report: HeartbeatReport,
 ): JournalRecord {
   return {
@@ -74,6 +76,7 @@
     address: peerAddress,
     ledForMs: Math.floor(ctx.clock() - claim.wonAt),
     silence: claim.silence,
+    ...(proxied.isActive ? { usesProxies: true } : {}),
     ...report,
   };
 }
--- a/packages/daemon/src/job-host/proxy/proxied-workers.ts
+++ b/packages/daemon/src/job-host/proxy/proxied-workers.ts
@@ -57,7 +57,7 @@
 
 /** Calls workers by way of other hosts while the leader is saturated, otherwise directly. */
 export class ProxiedWorkers implements WorkerPort {
-  private readonly demand = new ProxyDemand();
+  private readonly demand: ProxyDemand;
   private readonly links = new Map<string, ProxyLink>();
   private usableLinks: readonly ProxyLink[] = [];
   private linksVersion = 0;
@@ -67,8 +67,15 @@
   private readonly directUntil = new Map<string, Instant>();
   private closed = false;
 
-  /** Creates the calls of a leader that makes all of them itself so far. */
-  constructor(private readonly options: ProxiedWorkersOptions) {}
+  /** Creates the calls of a new leader. Others call workers from the start if they did so for the last one. */
+  constructor(private readonly options: ProxiedWorkersOptions) {
+    this.demand = new ProxyDemand(options.state.usesProxies);
+  }
+
+  /** Whether other hosts are to call workers. */
+  get isActive(): boolean {
+    return this.demand.isActive;
+  }
 
   /** Follows the leader's load and the hosts that stand by until this is closed. */
   async begin(): Promise<void> {
--- a/packages/daemon/src/job-host/proxy/proxy-demand.test.ts
+++ b/packages/daemon/src/job-host/proxy/proxy-demand.test.ts
@@ -31,3 +31,9 @@
   demand.update(RELAXED, 21_000);
   assert.ok(!demand.isActive);
 });
+
+test('others call workers for a new leader from the start if they did for the last one', () => {
+  const demand = new ProxyDemand(true);
+  demand.update(BUSY, 0);
+  assert.ok(demand.isActive);
+});
--- a/packages/daemon/src/job-host/proxy/proxy-demand.ts
+++ b/packages/daemon/src/job-host/proxy/proxy-demand.ts
@@ -17,10 +17,12 @@
 
 /** Follows the use of the loop; small leaders that keep up never need others. */
 export class ProxyDemand {
-  private active = false;
   private saturatedSince: Instant | undefined;
   private relaxedSince: Instant | undefined;
 
+  /** Creates the demand of a leader; `active` if the last one needed others. */
+  constructor(private active = false) {}
+
   /** Whether others are needed. */
   get isActive(): boolean {
     return this.active;
--- a/packages/daemon/src/job-host/rebuilt-state.fixture.test.ts
+++ b/packages/daemon/src/job-host/rebuilt-state.fixture.test.ts
@@ -132,7 +132,13 @@
     };
     const decisions = new DecisionLog(this.ctx, this.port, replica, claim);
     const heartbeats = new Heartbeats(
-      { ctx: this.ctx, claim, replica, peerAddress: 'h' },
+      {
+        ctx: this.ctx,
+        claim,
+        replica,
+        peerAddress: 'h',
+        port: { isActive: false },
+      },
       { report: () => undefined },
       { limits: () => NO_LIMITS },
     );
--- a/packages/domain/src/jobs/fold.ts
+++ b/packages/domain/src/jobs/fold.ts
@@ -123,6 +123,7 @@
         roomsUntil: state.now + FORECAST_VALID_MS,
       };
       noteUnresponsive(state, record.handed);
+      state.usesProxies = record.usesProxies ?? false;
       state.inboxUpTo = record.inboxUpTo ?? 0;
       if (state.isRebuilding) {
         state.inboxUpToAtStart ??= state.inboxUpTo;
--- a/packages/domain/src/jobs/jobs-state.ts
+++ b/packages/domain/src/jobs/jobs-state.ts
@@ -94,6 +94,8 @@
    * submissions in the inbox.
    */
   readonly fragments: Map<Job, number>;
+  /** Whether other hosts call workers for the last leader that has reported. */
+  usesProxies: boolean;
   /** Offset in the inbox of the last heartbeat; 0 if there is none. */
   inboxUpTo: number;
   /** The same of the first heartbeat that the journal still held; undefined if none was read while rebuilding. */
@@ -132,6 +134,7 @@
     lostContacts: new LostContacts(),
     isRebuilding: false,
     fragments: new Map(),
+    usesProxies: false,
     inboxUpTo: 0,
     inboxUpToAtStart: undefined,
     submittedAgain: new Set(),
--- a/packages/domain/src/jobs/record-rows.test.ts
+++ b/packages/domain/src/jobs/record-rows.test.ts
@@ -3,6 +3,7 @@
 
 import fc from 'fast-check';
 
+import { UNKNOWN_SPAN } from '../core/time.js';
 import { applyInbox, applyJournal } from './fold.js';
 import { emptyJobsState } from './jobs-state.js';
 import type { JournalRecord } from './records.js';
@@ -92,3 +93,29 @@
   }
   assert.equal(decodeJournal(bytesOf(['s', name, 1, 7, 1])), undefined);
 });
+
+// A new leader called all workers itself for seconds after the one before it had others call them.
+test('a heartbeat tells whether other hosts call workers for the leader', () => {
+  const heartbeat: JournalRecord = {
+    kind: 'heartbeat',
+    epoch: 64,
+    host: 'h',
+    nonce: 1,
+    handed: undefined,
+    standbys: undefined,
+    address: 'a',
+    ledForMs: 5,
+    silence: UNKNOWN_SPAN,
+  };
+  for (const usesProxies of [true, undefined]) {
+    for (const inboxUpTo of [7, undefined]) {
+      const state = emptyJobsState();
+      const record = { ...heartbeat, usesProxies, inboxUpTo };
+      const read = decodeJournal(encodeRecord(record as JournalRecord));
+      assert.ok(read);
+      applyJournal(state, read);
+      assert.equal(state.usesProxies, usesProxies === true);
+      assert.equal(state.inboxUpTo, inboxUpTo ?? 0);
+    }
+  }
+});
--- a/packages/domain/src/jobs/record-rows.ts
+++ b/packages/domain/src/jobs/record-rows.ts
@@ -98,6 +98,8 @@
   | ['s' | 'm', unknown, number, unknown, unknown?]
   | EndRow;
 
+type Heartbeat = Extract<JournalRecord, { kind: 'heartbeat' }>;
+
 type HeartbeatRow = [
   'heartbeat',
   number,
@@ -113,6 +115,7 @@
   (readonly WorkerKind[])?,
   unknown?,
   unknown?,
+  unknown?,
 ];
 
 type EndRow = [
@@ -139,10 +142,16 @@
 /** Returns the columns that not every heartbeat has. Readers of earlier versions find the rows where they were. */
 function lastColumns(
   { rooms }: AdmissionLimits,
-  inboxUpTo: number | undefined,
+  { inboxUpTo, usesProxies }: Pick<Heartbeat, 'inboxUpTo' | 'usesProxies'>,
 ): unknown[] {
-  const columns = capacityColumns(rooms);
-  return inboxUpTo === undefined ? columns : [columns[0] ?? null, inboxUpTo];
+  const [room = null] = capacityColumns(rooms);
+  if (usesProxies === true) {
+    return [room, inboxUpTo ?? null, true];
+  }
+  if (inboxUpTo !== undefined) {
+    return [room, inboxUpTo];
+  }
+  return room === null ? [] : [room];
 }
 
 function heartbeatOf([
@@ -157,7 +166,7 @@
 ]: HeartbeatRow): JournalRecord {
   const [handed, ledForMs, silence = [], startDelays, evacuatedKinds, ...rest] =
     more;
-  const [rooms, inboxUpTo] = rest;
+  const [rooms, inboxUpTo, usesProxies] = rest;
   return {
     kind: 'heartbeat',
     epoch,
@@ -175,6 +184,7 @@
       roomsUntil: -Infinity,
     },
     ...(typeof inboxUpTo === 'number' ? { inboxUpTo } : {}),
+    ...(usesProxies === true ? { usesProxies } : {}),
   };
 }
 
@@ -309,7 +319,7 @@
         spanRow(silence),
         limits.startDelays,
         limits.evacuatedKinds,
-        ...lastColumns(limits, record.inboxUpTo),
+        ...lastColumns(limits, record),
       ];
     }
     case 'restate':
--- a/packages/domain/src/jobs/records.ts
+++ b/packages/domain/src/jobs/records.ts
@@ -95,6 +95,8 @@
        * one; absent in records of earlier versions.
        */
       readonly inboxUpTo?: number;
+      /** Whether other hosts call workers for the leader; absent if they do not. */
+      readonly usesProxies?: boolean;
     }
   | { readonly kind: 'restate'; readonly image: JobImage }
   /** The leader asks to be replaced. */
