Proxies: calls that fail after a worker was disconnected are not made directly

A leader that had lost the lead, or a worker that was gone, left calls at a proxy. When they failed the leader called the worker itself, over a connection that nobody closes. Calls to a proxy whose process has changed fail at once; they waited for a second or two before. Found by reading, with proxied-workers.test.ts, which fails without. The design of proxied calls has its section in docs/design/platform.md.

--- a/packages/daemon/src/job-host/proxy/proxied-workers.ts
+++ b/packages/daemon/src/job-host/proxy/proxied-workers.ts
@@ -130,7 +130,7 @@
     } else {
       this.callDirectly(worker, link, outcome);
     }
-    if (!isWanted()) {
+    if (!isWanted() || !this.isKnown(worker)) {
       return mayStart
         ? { kind: 'unsure', reason: 'another host may have sent it' }
         : { kind: 'not_wanted' };
@@ -157,10 +157,14 @@
     worker: WorkerAddress,
     order: ThrottleOrder,
   ): Promise<OrderResult> {
-    const outcome = await this.linkFor(worker)?.throttle(worker, order);
-    return outcome?.kind === 'sent'
-      ? outcome.result
-      : this.options.direct.throttle(worker, order);
+    const link = this.linkFor(worker);
+    const outcome = await link?.throttle(worker, order);
+    if (outcome?.kind === 'sent') {
+      return outcome.result;
+    }
+    return link === undefined || this.isKnown(worker)
+      ? this.options.direct.throttle(worker, order)
+      : { kind: 'unknown', reason: 'disconnected' };
   }
 
   /** Polls a worker. */
@@ -179,6 +183,9 @@
         takeLate(late.result);
       }
     });
+    if (!this.isKnown(worker)) {
+      return { kind: 'failed', reason: 'disconnected' };
+    }
     if (outcome?.kind !== 'polled' || outcome.result.kind === 'failed') {
       this.callDirectly(worker, link, outcome);
       const res = await this.identifyDirectly(worker, request, takeLate);
@@ -209,6 +216,14 @@
     this.options.direct.disconnect(worker);
   }
 
+  /**
+   * Whether a worker that a proxy calls was not disconnected meanwhile. A direct call would open a connection to it
+   * that nobody closes.
+   */
+  private isKnown(worker: WorkerAddress): boolean {
+    return !this.closed && this.routes.has(worker.id);
+  }
+
   /** Identifies a worker by a call of the leader's own, which waits for nothing and extends no lease. */
   private async identifyDirectly(
     worker: WorkerAddress,
--- a/packages/daemon/src/job-host/proxy/proxy-link.ts
+++ b/packages/daemon/src/job-host/proxy/proxy-link.ts
@@ -230,9 +230,6 @@
     this.quietSweeps = 0;
     this.isOpen = true;
     this.zone = by.availabilityZone;
-    if (by.process !== this.clockBound.process) {
-      this.fastestAheadMs = -Infinity;
-    }
     this.clockBound.update(by, now);
     this.latestAheadMs = by.clock - now;
     this.fastestAheadMs = Math.max(this.fastestAheadMs, this.latestAheadMs);
@@ -312,11 +309,13 @@
       this.end(res.reason);
       return;
     }
+    const hasChanged = process !== undefined && res.by.process !== process;
     ctx.times.measure('proxies', () => {
       this.handleAnswer(res);
     });
-    if (!res.isTaken && calls.length > 0) {
-      this.end('did not take calls');
+    if (hasChanged) {
+      this.fastestAheadMs = -Infinity;
+      this.end('another process runs there');
     }
     this.schedule();
   }
