Leader: with proxies more starts are in flight

Each proxy adds 50: it sends its starts itself, and what the leader keeps of each is little.

start-window.test.ts: a window is part of a maximum that may change.

--- a/packages/daemon/src/job-host/decision-pace.ts
+++ b/packages/daemon/src/job-host/decision-pace.ts
@@ -2,12 +2,11 @@
 import type { Instant, Millis } from '@paddlewind/domain';
 
 import type { HostContext } from './context.js';
+import { MAX_STARTS } from './start-window.js';
 import { MAX_POLL_WAIT_MS, MAX_SATURATED_POLLS_PER_S } from './timing.js';
 
 /** Time from the start of a round until its decisions are written and sent: half of what the quickest jobs may wait. */
 const TARGET_MS: Millis = 125;
-/** Starts in flight while rounds take no longer than that. */
-const MAX_STARTS = 200;
 /** Starts in flight however long they take, so that some are always tried. */
 const MIN_STARTS = 8;
 /** Weight of the newest round in the average. */
@@ -38,6 +37,8 @@
   /** Creates the pace of a leader that has made no round yet. */
   constructor(
     private readonly ctx: Pick<HostContext, 'clock' | 'isSaturated' | 'waits'>,
+    /** Returns the starts in flight while rounds are in time. */
+    private readonly mostStarts: () => number = () => MAX_STARTS,
   ) {}
 
   /** Notes that something changed that the next round has to consider. */
@@ -69,7 +70,8 @@
     if (!this.ctx.isSaturated()) {
       return Infinity;
     }
-    return Math.max(MIN_STARTS, Math.floor(MAX_STARTS / this.lateness()));
+    const starts = this.mostStarts() / this.lateness();
+    return Math.max(MIN_STARTS, Math.floor(starts));
   }
 
   /**
--- a/packages/daemon/src/job-host/fleet-account.ts
+++ b/packages/daemon/src/job-host/fleet-account.ts
@@ -1,5 +1,6 @@
 /** Reports how the fleet's processors are used and why tasks wait, while this host leads. */
 import {
+  EMPTY_FLEET_SNAPSHOT,
   snapshotFleet,
   type PlanInput,
   type PlanWorker,
@@ -33,6 +34,13 @@
   readonly hasEnded: () => boolean;
 }
 
+/** Resets the metrics of the account, since this host leads no more. */
+export function clearFleetAccount({ meters }: HostContext): void {
+  meters.accounted(EMPTY_FLEET_SNAPSHOT);
+  meters.loadPeriod(undefined);
+  meters.capacityForecast([]);
+}
+
 /** Logs the account and updates its metrics until the leader has ended. */
 export async function publishFleetAccount({
   ctx,
--- a/packages/daemon/src/job-host/leader.ts
+++ b/packages/daemon/src/job-host/leader.ts
@@ -2,7 +2,6 @@
 import type { Millis } from '@paddlewind/domain';
 import {
   AdviceTickets,
-  EMPTY_FLEET_SNAPSHOT,
   Interference,
   runsOfOtherIncarnations,
   WorkerHealth,
@@ -22,7 +21,7 @@
 import { Fences } from './fences.js';
 import { FirstPolls } from './first-polls.js';
 import { Fleet } from './fleet.js';
-import { publishFleetAccount } from './fleet-account.js';
+import { clearFleetAccount, publishFleetAccount } from './fleet-account.js';
 import { followInbox } from './follow-inbox.js';
 import { keepRunning } from './keep-running.js';
 import { planRound } from './plan-round.js';
@@ -63,7 +62,10 @@
   private readonly fences: Fences;
   private readonly times: LearnedTimes;
   private readonly interference: Interference;
-  private readonly startWindow = new StartWindow(() => this.pace.maxStarts);
+  private readonly startWindow = new StartWindow(
+    () => this.pace.maxStarts,
+    () => this.options.port.maxStarts,
+  );
   private readonly pace: DecisionPace;
   private readonly admission: AdmissionReporter;
   private readonly health = new WorkerHealth();
@@ -94,7 +96,7 @@
       this.advice,
       this.wakeSignal.notify,
     );
-    this.pace = new DecisionPace(ctx);
+    this.pace = new DecisionPace(ctx, () => options.port.maxStarts);
     this.supervisor = new RunSupervisor({
       ctx,
       pace: this.pace,
@@ -429,9 +431,7 @@
     }
     this.hasEnded = true;
     this.runs.close();
-    this.options.ctx.meters.accounted(EMPTY_FLEET_SNAPSHOT);
-    this.options.ctx.meters.loadPeriod(undefined);
-    this.options.ctx.meters.capacityForecast([]);
+    clearFleetAccount(this.options.ctx);
     this.decisions.close();
     this.summary.close();
     this.options.starts.close();
--- a/packages/daemon/src/job-host/proxy/proxied-workers.ts
+++ b/packages/daemon/src/job-host/proxy/proxied-workers.ts
@@ -21,11 +21,14 @@
 import { pause, type HostContext } from '../context.js';
 import { combineWithRelayed, isConclusive } from '../relay/start-results.js';
 import type { StartLimits, StartResult } from '../relay/start-sender.js';
+import { MAX_STARTS } from '../start-window.js';
 import { ProxyDemand } from './proxy-demand.js';
 import { ProxyLink, SWEEP_INTERVAL_MS } from './proxy-link.js';
 
 /** Time for which the leader calls a worker itself that a proxy did not reach. */
 const DIRECT_MS: Millis = 3_000;
+/** Further starts in flight for each proxy. */
+const STARTS_PER_PROXY = 50;
 /** Number of proxies of a leader whose hosts are all in one availability zone. */
 const MIN_PROXIES = 2;
 /** Lag behind the fastest proxy from which one counts as slow. */
@@ -77,6 +80,11 @@
     return this.demand.isActive;
   }
 
+  /** Most starts in flight: those of the leader itself, and some for each proxy, which sends its own. */
+  get maxStarts(): number {
+    return MAX_STARTS + STARTS_PER_PROXY * this.usableLinks.length;
+  }
+
   /** Follows the leader's load and the hosts that stand by until this is closed. */
   async begin(): Promise<void> {
     const { ctx } = this.options;
--- a/packages/daemon/src/job-host/start-window.test.ts
+++ b/packages/daemon/src/job-host/start-window.test.ts
@@ -67,3 +67,16 @@
   }
   assert.equal(window.available(), MAX_STARTS);
 });
+
+// With proxies 200 starts in flight held up 300 to 500 others that had a place.
+test('a window is part of a maximum that may change', () => {
+  let maxStarts = MAX_STARTS;
+  const window = new StartWindow(
+    () => Infinity,
+    () => maxStarts,
+  );
+  window.noteCongestion(0);
+  assert.equal(window.available(), 140);
+  maxStarts = 500;
+  assert.equal(window.available(), 350);
+});
--- a/packages/daemon/src/job-host/start-window.ts
+++ b/packages/daemon/src/job-host/start-window.ts
@@ -2,8 +2,8 @@
 import type { Instant, Millis } from '@paddlewind/domain';
 import type { Run } from '@paddlewind/domain/jobs';
 
-/** Maximum number of starts in flight, which also keeps planning rounds short. */
-const MAX_STARTS = 200;
+/** Maximum number of starts in flight of a leader that calls workers itself, which also keeps rounds short. */
+export const MAX_STARTS = 200;
 /** Minimum: some starts are attempted at any time. */
 const MIN_STARTS = 4;
 /** Factor by which the window shrinks at a congestion. */
@@ -18,12 +18,16 @@
  * share of what callers ask for from 17 to 31 in 100 (one simulated day).
  */
 export class StartWindow {
-  private size = MAX_STARTS;
+  /** Part of the maximum that may be in flight. */
+  private share = 1;
   private shrunkAt: Instant = -Infinity;
   private readonly inFlight = new Set<Run>();
 
-  /** Creates a window; `paceLimit` returns the limit by how late decisions are. */
-  constructor(private readonly paceLimit: () => number = () => Infinity) {}
+  /** Creates a window; `paceLimit` returns the limit by how late decisions are, `maxStarts` the maximum. */
+  constructor(
+    private readonly paceLimit: () => number = () => Infinity,
+    private readonly maxStarts: () => number = () => MAX_STARTS,
+  ) {}
 
   /** Returns how many more starts may be decided now; `limit` is a further limit on starts in flight. */
   available(limit = Infinity): number {
@@ -31,6 +35,10 @@
     return Math.max(0, size - this.inFlight.size);
   }
 
+  private get size(): number {
+    return this.share * this.maxStarts();
+  }
+
   /** Adds a start that was decided. */
   add(run: Run): void {
     this.inFlight.add(run);
@@ -39,7 +47,7 @@
   /** Notes that a worker has confirmed a start. */
   noteStarted(run: Run): void {
     if (this.inFlight.delete(run)) {
-      this.size = Math.min(MAX_STARTS, this.size + 1);
+      this.share = Math.min(1, this.share + 1 / this.maxStarts());
     }
   }
 
@@ -52,7 +60,8 @@
   noteCongestion(now: Instant): void {
     if (now - this.shrunkAt > SHRINK_INTERVAL_MS) {
       this.shrunkAt = now;
-      this.size = Math.max(MIN_STARTS, this.size * SHRINK_FACTOR);
+      const leastShare = MIN_STARTS / this.maxStarts();
+      this.share = Math.max(leastShare, this.share * SHRINK_FACTOR);
     }
   }
 }
