Proxies: what a worker did not answer a proxy is stopped, and a suspended leader extends no lease by it

A leader whose machine was suspended read that a poll had failed at a proxy, identified the worker at once and extended its lease by a clock that had stood still, before it learnt that another host led. What it identifies itself counts as late now as an answer after any failed poll, by 0.2 s. - shrinking-workers.test.ts: a worker that had started again under its id carried out three starts that were meant for its last start. A start that a worker did not answer the proxy was sent again by the leader; it is stopped now, as one without an answer to the leader itself. Several starts go together only to workers whose id names one start.

--- a/packages/daemon/src/job-host/proxy/proxied-workers.test.ts
+++ b/packages/daemon/src/job-host/proxy/proxied-workers.test.ts
@@ -146,7 +146,7 @@
   const leader = await leaderWithProxy();
   leader.reportOf = call => polled(call, { kind: 'failed', reason: 'timeout' });
   const result = leader.workers.poll(WORKER, POLL, () => undefined);
-  await leader.time.advance(100);
+  await leader.time.advance(400);
   assert.deepEqual(await result, { ...SEEN, isProbe: true });
   assert.deepEqual(leader.direct, ['poll 0 none']);
   assert.ok(!leader.workers.carries(WORKER));
@@ -183,3 +183,19 @@
   assert.equal((await started).kind, 'unsure');
   assert.deepEqual(leader.direct, []);
 });
+
+// A worker that had started again under its id carried out starts that were meant for its last start.
+test('a start that a worker did not answer to a proxy is not sent again', async () => {
+  const leader = await leaderWithProxy();
+  const result = { kind: 'unknown', reason: 'timeout' } as const;
+  leader.reportOf = call => ({
+    call,
+    isLate: false,
+    outcome: { kind: 'sent', result },
+  });
+  const started = leader.workers.sendStart(WORKER, START, LIMITS);
+  await leader.time.advance(100);
+  assert.equal((await started).kind, 'unsure');
+  assert.deepEqual(leader.direct, []);
+  assert.ok(!leader.workers.carries(WORKER));
+});
--- a/packages/daemon/src/job-host/proxy/proxied-workers.ts
+++ b/packages/daemon/src/job-host/proxy/proxied-workers.ts
@@ -22,6 +22,7 @@
 import { combineWithRelayed, isConclusive } from '../relay/start-results.js';
 import type { StartLimits, StartResult } from '../relay/start-sender.js';
 import { MAX_STARTS } from '../start-window.js';
+import { POLL_RETRY_DELAY_MS } from '../timing.js';
 import { ProxyDemand } from './proxy-demand.js';
 import { ProxyLink, SWEEP_INTERVAL_MS } from './proxy-link.js';
 
@@ -131,13 +132,16 @@
     if (outcome?.kind === 'sent' && isConclusive(outcome.result)) {
       return outcome.result;
     }
-    const mayStart = mayHaveStarted(outcome);
-    const wasSent = outcome?.kind === 'sent';
     if (outcome?.kind === 'refused') {
       link.noteRefused(outcome.why);
     } else {
       this.callDirectly(worker, link, outcome);
     }
+    if (outcome?.kind === 'sent') {
+      // The worker may have started again, so that another call would reach its next start.
+      return { kind: 'unsure', reason: outcome.result.kind };
+    }
+    const mayStart = outcome?.kind !== 'refused';
     if (!isWanted() || !this.isKnown(worker)) {
       return mayStart
         ? { kind: 'unsure', reason: 'another host may have sent it' }
@@ -145,9 +149,6 @@
     }
     // A worker that already has the run accepts it again.
     const direct = await this.start(worker, order);
-    if (direct.kind === 'accepted' && wasSent) {
-      link.noteUnreachedWorker();
-    }
     return mayStart ? combineWithRelayed(direct) : direct;
   }
 
@@ -232,7 +233,11 @@
     return !this.closed && this.routes.has(worker.id);
   }
 
-  /** Identifies a worker by a call of the leader's own, which waits for nothing and extends no lease. */
+  /**
+   * Identifies a worker by a call of the leader's own, which waits for nothing and extends no lease. The answer is
+   * passed on as late as after any failed poll: a leader whose machine was suspended counts its leases by a clock
+   * that stood still, and must learn first that another host leads.
+   */
   private async identifyDirectly(
     worker: WorkerAddress,
     request: PollRequest,
@@ -249,6 +254,7 @@
     const res = await this.options.direct.poll(worker, probe, late => {
       takeLate(asProbe(late));
     });
+    await pause(this.options.ctx, POLL_RETRY_DELAY_MS);
     return asProbe(res);
   }
 
@@ -412,16 +418,3 @@
     ? outcome.result.kind
     : (outcome?.kind ?? 'failed');
 }
-
-/** Whether a proxy may have started the run or may still start it. */
-function mayHaveStarted(outcome: CallOutcome | undefined): boolean {
-  switch (outcome?.kind) {
-    case undefined:
-    case 'polled':
-      return true;
-    case 'sent':
-      return outcome.result.kind === 'unknown';
-    case 'refused':
-      return false;
-  }
-}
--- a/packages/daemon/src/job-host/relay/relayed-starts.ts
+++ b/packages/daemon/src/job-host/relay/relayed-starts.ts
@@ -7,6 +7,7 @@
 import type { Millis } from '@paddlewind/domain';
 import {
   reachableStandbys,
+  startTimeOf,
   taskName,
   type JobsState,
 } from '@paddlewind/domain/jobs';
@@ -115,7 +116,10 @@
 
   /** Number of starts to a worker that may be sent at once. */
   widthFor(worker: WorkerAddress): number {
-    return this.options.proxied?.carries(worker) === true ? PROXIED_WIDTH : 1;
+    // A worker that keeps its id when it starts again might carry several out that were meant for its last start.
+    const isOneIncarnation = startTimeOf(worker.id) === undefined;
+    const isProxied = this.options.proxied?.carries(worker) === true;
+    return isProxied && isOneIncarnation ? PROXIED_WIDTH : 1;
   }
 
   /** Sends a start, through another host if it exceeds the budget of the local link. */
